--- /dev/null
+++ b/crates/arbutusfall/src/callers.rs
@@ -0,0 +1,287 @@
+//! Callers' interface: completions with server-sent events, and plain calls.
+
+mod answer;
+mod parse;
+
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::time::Duration;
+
+use arbutusfall_core::CallId;
+use arbutusfall_core::CompletionRequest;
+use arbutusfall_core::Event;
+use arbutusfall_core::Problem;
+use arbutusfall_core::ProblemKind;
+use arbutusfall_core::ServiceCall;
+use arbutusfall_core::config::SiteConfig;
+use arbutusfall_wire::FastMap;
+use arbutusfall_wire::Name;
+use arbutusfall_wire::piece_hashes;
+use async_channel::Receiver;
+use async_channel::Sender;
+use fastrace::Span;
+use fastrace::collector::SpanContext;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+
+use crate::call_table::Asked;
+use crate::call_table::CallTable;
+use crate::call_table::Reply;
+use crate::driver::Input;
+use crate::http::AnswerBody;
+use crate::http::ReadBodyError;
+use crate::http::ServerLimits;
+use crate::http::read_request_body;
+
+use answer::answer_stream;
+use answer::answer_whole;
+use answer::problem_answer;
+use answer::service_answer;
+use parse::CompletionBody;
+
+/// Path of completions.
+const COMPLETIONS_PATH: &str = "/v1/completions";
+
+/// When callers are asked to come back while no configuration is in force.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What the callers' interface needs of the configuration in force.
+#[derive(Debug)]
+pub(crate) struct CallerView {
+    site: Arc<SiteConfig>,
+    accounts: FastMap<Name, Name>,
+}
+
+impl CallerView {
+    pub(crate) fn new(site: Arc<SiteConfig>) -> Self {
+        let digests = site.accounts.iter();
+        let accounts = digests
+            .map(|(name, account)| (account.key_sha256.clone(), name.clone()))
+            .collect();
+        Self { site, accounts }
+    }
+}
+
+/// The callers' interface of one process.
+#[derive(Debug)]
+pub(crate) struct Callers {
+    pub(crate) calls: Arc<CallTable>,
+    pub(crate) inputs: Sender<Input>,
+    pub(crate) view: RwLock<Option<Arc<CallerView>>>,
+}
+
+/// Tells the reducer that a caller is gone, unless its answer was complete.
+#[derive(Debug)]
+struct CallGuard {
+    callers: Arc<Callers>,
+    call: CallId,
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        if self.callers.calls.close(self.call) {
+            self.callers.submit(Event::CallerGone { call: self.call });
+        }
+    }
+}
+
+impl Callers {
+    fn submit(&self, event: Event) {
+        // The channel is closed only while the process exits.
+        let _ = self.inputs.try_send(Input::Event(event));
+    }
+
+    pub(crate) fn set_view(&self, site: Arc<SiteConfig>) {
+        let view = Arc::new(CallerView::new(site));
+        *self.view.write().unwrap_or_else(PoisonError::into_inner) = Some(view);
+    }
+
+    fn view(&self) -> Option<Arc<CallerView>> {
+        self.view
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Limits of the listener by the configuration in force.
+    pub(crate) fn server_limits(&self) -> ServerLimits {
+        let Some(view) = self.view() else {
+            return ServerLimits::default();
+        };
+        let limits = &view.site.limits;
+        ServerLimits {
+            max_header_bytes: limits.max_header_bytes as usize,
+            header_timeout: Duration::from_millis(limits.receive_timeout_ms),
+            max_connections: limits.max_connections as usize,
+        }
+    }
+
+    /// Answers one request.
+    pub(crate) async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Response<AnswerBody> {
+        match self.try_handle(request).await {
+            Ok(answer) => answer,
+            Err(problem) => problem_answer(&problem),
+        }
+    }
+
+    async fn try_handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, Problem> {
+        let unready = Problem::retry(ProblemKind::Unavailable, NOT_READY_RETRY_AFTER);
+        let view = self.view().ok_or(unready)?;
+        let account = authenticate(&view, request.headers())?;
+        let limits = &view.site.limits;
+        let (parts, body) = request.into_parts();
+        let within = Duration::from_millis(limits.receive_timeout_ms);
+        let body = read_request_body(body, limits.max_body_bytes as usize, within);
+        let body = body.await.map_err(|error| {
+            Problem::new(match error {
+                ReadBodyError::TooLong => ProblemKind::BodyTooLarge,
+                ReadBodyError::Timeout => ProblemKind::ReceiveTimeout,
+                ReadBodyError::Broken => ProblemKind::Malformed,
+            })
+        })?;
+        let span = root_span(&parts.headers, parts.uri.path());
+        if parts.uri.path() == COMPLETIONS_PATH && parts.method == hyper::Method::POST {
+            return self.complete(&view, account, &body, span).await;
+        }
+        self.call_service(account, parts, body, span).await
+    }
+
+    async fn complete(
+        self: Arc<Self>,
+        view: &CallerView,
+        account: Name,
+        body: &Bytes,
+        span: Span,
+    ) -> Result<Response<AnswerBody>, Problem> {
+        let body: CompletionBody =
+            serde_json::from_slice(body).map_err(|_| Problem::new(ProblemKind::Malformed))?;
+        let model = view.site.models.get(&body.model);
+        let model = model.ok_or_else(|| Problem::new(ProblemKind::NoModel))?;
+        let prompt_tokens = parse::token_count(&body.prompt, model);
+        let piece_hashes = piece_hashes(body.prompt.as_bytes(), parse::piece_bytes(model));
+        let traceparent = traceparent_of(&span);
+        let stream = body.stream;
+        let (call, replies) = self.calls.open(Asked::Completion {
+            model: body.model.clone(),
+            prompt: body.prompt,
+            traceparent: traceparent.clone(),
+        });
+        let guard = CallGuard {
+            callers: self.clone(),
+            call,
+        };
+        self.submit(Event::Completion(CompletionRequest {
+            call,
+            account,
+            model: body.model.clone(),
+            prompt_tokens,
+            piece_hashes,
+            max_output_tokens: body.max_tokens,
+            traceparent,
+        }));
+        let first = first_reply(&replies).await?;
+        if stream {
+            return Ok(answer_stream(
+                &self,
+                guard,
+                first,
+                replies,
+                &body.model,
+                span,
+            ));
+        }
+        answer_whole(guard, first, replies, &body.model).await
+    }
+
+    async fn call_service(
+        self: Arc<Self>,
+        account: Name,
+        parts: hyper::http::request::Parts,
+        body: Bytes,
+        span: Span,
+    ) -> Result<Response<AnswerBody>, Problem> {
+        let header = |name: &str| -> Option<Name> {
+            parts
+                .headers
+                .get(name)
+                .and_then(|value| value.to_str().ok())
+                .map(Name::from)
+        };
+        let traceparent = traceparent_of(&span);
+        let target = parts
+            .uri
+            .path_and_query()
+            .map_or("/", |target| target.as_str());
+        let asked = ServiceCall {
+            call: CallId(0),
+            account,
+            method: parts.method.as_str().into(),
+            path: parts.uri.path().into(),
+            idempotency_key: header("idempotency-key"),
+            attempt: header("arbutusfall-attempt").and_then(|text| text.parse().ok()),
+            traceparent: traceparent.clone(),
+        };
+        let (call, replies) = self.calls.open(Asked::Service {
+            method: parts.method.clone(),
+            target: target.into(),
+            headers: parse::forwarded_headers(&parts.headers),
+            body,
+            traceparent,
+        });
+        let _guard = CallGuard {
+            callers: self.clone(),
+            call,
+        };
+        self.submit(Event::ServiceCall(ServiceCall { call, ..asked }));
+        let first = first_reply(&replies).await?;
+        self.calls.close(call);
+        match first {
+            Reply::Answer(answer) => Ok(service_answer(&answer)),
+            Reply::Problem(problem) => Err(problem),
+            Reply::Tokens(_) | Reply::Finished { .. } => {
+                Err(Problem::new(ProblemKind::UpstreamFailed))
+            }
+        }
+    }
+}
+
+async fn first_reply(replies: &Receiver<Reply>) -> Result<Reply, Problem> {
+    let closed = || Problem::new(ProblemKind::UpstreamFailed);
+    replies.recv().await.map_err(|_| closed())
+}
+
+fn authenticate(view: &CallerView, headers: &HeaderMap) -> Result<Name, Problem> {
+    let key = headers
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "));
+    let account = key.and_then(|key| view.accounts.get(parse::sha256_hex(key).as_str()));
+    account
+        .cloned()
+        .ok_or_else(|| Problem::new(ProblemKind::Unauthorized))
+}
+
+/// Span of a caller's request, below the caller's own span if it sent one.
+fn root_span(headers: &HeaderMap, path: &str) -> Span {
+    let parent = headers
+        .get("traceparent")
+        .and_then(|value| value.to_str().ok())
+        .and_then(SpanContext::decode_w3c_traceparent)
+        .unwrap_or_else(SpanContext::random);
+    Span::root("caller", parent).with_property(|| ("path", path.to_owned()))
+}
+
+fn traceparent_of(span: &Span) -> Option<Name> {
+    SpanContext::from_span(span).map(|context| context.encode_w3c_traceparent().into())
+}
--- /dev/null
+++ b/crates/arbutusfall/src/callers/answer.rs
@@ -0,0 +1,210 @@
+//! Writing of answers to callers.
+
+use std::sync::Arc;
+
+use arbutusfall_core::Problem;
+use arbutusfall_core::ProblemKind;
+use arbutusfall_core::ServiceAnswer;
+use arbutusfall_wire::Name;
+use async_channel::Receiver;
+use fastrace::Span;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::RETRY_AFTER;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::call_table::Reply;
+use crate::callers::CallGuard;
+use crate::callers::Callers;
+use crate::http::AnswerBody;
+use crate::http::json_answer;
+
+/// Namespace of problem types.
+const PROBLEM_TYPE_BASE: &str = "urn:arbutusfall:problem:";
+
+/// Content type of problem details.
+const PROBLEM_CONTENT_TYPE: &str = "application/problem+json";
+
+/// A problem as an answer (RFC 9457).
+pub(crate) fn problem_answer(problem: &Problem) -> Response<AnswerBody> {
+    let body = problem_document(problem).to_string();
+    let mut builder = Response::builder()
+        .status(problem.kind.status())
+        .header(CONTENT_TYPE, PROBLEM_CONTENT_TYPE);
+    if let Some(after) = problem.retry_after {
+        builder = builder.header(RETRY_AFTER, after.as_secs_f64().ceil().max(1.0) as u64);
+    }
+    builder
+        .body(AnswerBody::whole(body))
+        .unwrap_or_else(|_| empty_answer())
+}
+
+fn problem_document(problem: &Problem) -> Value {
+    let mut document = json!({
+        "type": format!("{PROBLEM_TYPE_BASE}{}", problem.kind.slug()),
+        "title": problem.kind.title(),
+        "status": problem.kind.status(),
+    });
+    if let Some(after) = problem.retry_after {
+        document["retry_after_ms"] = json!(u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+    }
+    document
+}
+
+fn empty_answer() -> Response<AnswerBody> {
+    Response::new(AnswerBody::whole(Bytes::new()))
+}
+
+/// A service's answer.
+pub(crate) fn service_answer(answer: &ServiceAnswer) -> Response<AnswerBody> {
+    let body = Bytes::copy_from_slice(answer.body.as_bytes());
+    let mut builder = Response::builder().status(answer.status);
+    if !answer.content_type.is_empty() {
+        builder = builder.header(CONTENT_TYPE, &*answer.content_type);
+    }
+    builder
+        .body(AnswerBody::whole(body))
+        .unwrap_or_else(|_| empty_answer())
+}
+
+/// A completion as a whole.
+pub(crate) async fn answer_whole(
+    guard: CallGuard,
+    first: Reply,
+    replies: Receiver<Reply>,
+    model: &Name,
+) -> Result<Response<AnswerBody>, Problem> {
+    let mut text = String::new();
+    let mut reply = first;
+    loop {
+        match reply {
+            Reply::Tokens(texts) => text.extend(texts.iter().map(|token| &**token)),
+            Reply::Finished { generated_tokens } => {
+                guard.callers.calls.close(guard.call);
+                return Ok(json_answer(
+                    200,
+                    &json!({
+                        "object": "text_completion",
+                        "model": model,
+                        "choices": [{ "index": 0, "text": text, "finish_reason": "stop" }],
+                        "usage": { "completion_tokens": generated_tokens },
+                    }),
+                ));
+            }
+            Reply::Problem(problem) => {
+                guard.callers.calls.close(guard.call);
+                return Err(problem);
+            }
+            Reply::Answer(_) => return Err(Problem::new(ProblemKind::UpstreamFailed)),
+        }
+        let next = replies.recv().await;
+        reply = next.map_err(|_| Problem::new(ProblemKind::UpstreamFailed))?;
+    }
+}
+
+/// A completion as server-sent events.
+pub(crate) fn answer_stream(
+    callers: &Arc<Callers>,
+    guard: CallGuard,
+    first: Reply,
+    replies: Receiver<Reply>,
+    model: &Name,
+    span: Span,
+) -> Response<AnswerBody> {
+    if let Reply::Problem(problem) = &first {
+        callers.calls.close(guard.call);
+        return problem_answer(problem);
+    }
+    let body = event_stream(guard, first, replies, model.clone(), span);
+    let answer = Response::builder()
+        .header(CONTENT_TYPE, "text/event-stream")
+        .body(body);
+    answer.unwrap_or_else(|_| empty_answer())
+}
+
+/// State of a stream of events; dropping it tells that the caller is gone.
+struct EventStream {
+    guard: CallGuard,
+    pending: Option<Reply>,
+    replies: Receiver<Reply>,
+    model: Name,
+    ended: bool,
+    _span: Span,
+}
+
+fn event_stream(
+    guard: CallGuard,
+    first: Reply,
+    replies: Receiver<Reply>,
+    model: Name,
+    span: Span,
+) -> AnswerBody {
+    let state = EventStream {
+        guard,
+        pending: Some(first),
+        replies,
+        model,
+        ended: false,
+        _span: span,
+    };
+    let stream = futures_lite::stream::unfold(state, |mut state| async {
+        let piece = state.next_piece().await?;
+        Some((piece, state))
+    });
+    AnswerBody::Stream(Box::pin(stream))
+}
+
+impl EventStream {
+    async fn next_piece(&mut self) -> Option<Bytes> {
+        if self.ended {
+            return None;
+        }
+        let reply = match self.pending.take() {
+            Some(reply) => reply,
+            None => self.replies.recv().await.ok()?,
+        };
+        match reply {
+            Reply::Tokens(texts) => Some(self.token_events(&texts)),
+            Reply::Finished { generated_tokens } => {
+                self.end();
+                Some(self.finish_events(generated_tokens))
+            }
+            Reply::Problem(problem) => {
+                self.end();
+                let document = json!({ "error": problem_document(&problem) });
+                Some(format!("data: {document}\n\n").into())
+            }
+            Reply::Answer(_) => None,
+        }
+    }
+
+    fn end(&mut self) {
+        self.ended = true;
+        self.guard.callers.calls.close(self.guard.call);
+    }
+
+    fn token_events(&self, texts: &[Name]) -> Bytes {
+        let mut events = String::new();
+        for text in texts {
+            let event = json!({
+                "object": "text_completion",
+                "model": self.model,
+                "choices": [{ "index": 0, "text": text, "finish_reason": null }],
+            });
+            events.push_str(&format!("data: {event}\n\n"));
+        }
+        events.into()
+    }
+
+    fn finish_events(&self, generated_tokens: u32) -> Bytes {
+        let event = json!({
+            "object": "text_completion",
+            "model": self.model,
+            "choices": [{ "index": 0, "text": "", "finish_reason": "stop" }],
+            "usage": { "completion_tokens": generated_tokens },
+        });
+        format!("data: {event}\n\ndata: [DONE]\n\n").into()
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall/src/callers/parse.rs
@@ -0,0 +1,65 @@
+//! Reading of callers' requests.
+
+use arbutusfall_core::config::Model;
+use arbutusfall_wire::Name;
+use hyper::HeaderMap;
+use hyper::header;
+use serde::Deserialize;
+use sha2::Digest;
+use sha2::Sha256;
+
+/// Body of a completion request, as in the OpenAI API.
+#[derive(Debug, Deserialize)]
+pub(crate) struct CompletionBody {
+    /// Model that is asked for.
+    pub(crate) model: Name,
+    /// Prompt text.
+    pub(crate) prompt: Name,
+    /// Most tokens to generate.
+    #[serde(default = "default_max_tokens")]
+    pub(crate) max_tokens: u32,
+    /// Whether tokens are sent as they come.
+    #[serde(default)]
+    pub(crate) stream: bool,
+}
+
+fn default_max_tokens() -> u32 {
+    16
+}
+
+/// Estimated length of a prompt in tokens.
+pub(crate) fn token_count(prompt: &str, model: &Model) -> u32 {
+    let tokens = prompt.len().div_ceil(model.bytes_per_token.max(1) as usize);
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
+
+/// Bytes of one piece of an engine's prefix cache.
+pub(crate) fn piece_bytes(model: &Model) -> usize {
+    model.piece_tokens as usize * model.bytes_per_token as usize
+}
+
+/// SHA-256 of a key in lower-case hexadecimal.
+pub(crate) fn sha256_hex(key: &str) -> String {
+    Sha256::digest(key.as_bytes())
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
+}
+
+/// Headers that a service may see: those of the request, without those of the connection.
+pub(crate) fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut forwarded = headers.clone();
+    for name in [
+        header::AUTHORIZATION,
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::HOST,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+    ] {
+        forwarded.remove(name);
+    }
+    forwarded
+}
--- /dev/null
+++ b/crates/arbutusfall/src/driver.rs
@@ -0,0 +1,212 @@
+//! Feeds events to the reducer and carries its effects out.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use arbutusfall_core::Effect;
+use arbutusfall_core::Event;
+use arbutusfall_core::LogEvent;
+use arbutusfall_core::LogRecord;
+use arbutusfall_core::LogStream;
+use arbutusfall_core::Node;
+use arbutusfall_core::Status;
+use arbutusfall_wire::Name;
+use arbutusfall_wire::Offset;
+use async_channel::Receiver;
+use async_channel::Sender;
+use futures_lite::FutureExt;
+
+use crate::Clock;
+use crate::Executor;
+use crate::LogClient;
+use crate::Settings;
+use crate::SystemClock;
+use crate::call_table::CallTable;
+use crate::call_table::Reply;
+use crate::callers::Callers;
+use crate::engines::Engines;
+use crate::engines::hop_span;
+use crate::peers::Peers;
+use crate::services::Services;
+use crate::telemetry::Telemetry;
+use crate::vm_list;
+
+/// What the driver is given.
+#[derive(Debug)]
+pub(crate) enum Input {
+    /// Something happened.
+    Event(Event),
+    /// An operator asks for the state.
+    Status(Sender<Status>),
+}
+
+/// Owner of the reducer.
+pub(crate) struct Driver {
+    pub(crate) node: Node,
+    pub(crate) clock: SystemClock,
+    pub(crate) settings: Settings,
+    pub(crate) executor: Arc<Executor>,
+    pub(crate) inputs: Receiver<Input>,
+    pub(crate) sender: Sender<Input>,
+    pub(crate) calls: Arc<CallTable>,
+    pub(crate) callers: Arc<Callers>,
+    pub(crate) engines: Arc<Engines>,
+    pub(crate) services: Arc<Services>,
+    pub(crate) peers: Peers,
+    pub(crate) log: LogClient,
+    pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) telemetry: Arc<Telemetry>,
+}
+
+impl Driver {
+    /// Runs until the reducer asks for the exit.
+    pub(crate) async fn run(mut self) {
+        let mut input = Some(Input::Event(Event::Started));
+        loop {
+            let wake_at = match input {
+                Some(Input::Event(event)) => {
+                    let output = self.node.apply(event, self.clock.now());
+                    for effect in output.effects {
+                        if effect == Effect::Exit {
+                            self.peers.close();
+                            return;
+                        }
+                        self.perform(effect);
+                    }
+                    output.wake_at
+                }
+                Some(Input::Status(answer)) => {
+                    // The operator may be gone.
+                    let _ = answer.try_send(self.node.status());
+                    Some(self.clock.now().monotonic)
+                }
+                None => return,
+            };
+            input = self.next_input(wake_at).await;
+        }
+    }
+
+    /// The next input, or a tick once the reducer's instant has come.
+    async fn next_input(&self, wake_at: Option<std::time::Duration>) -> Option<Input> {
+        let receive = async { self.inputs.recv().await.ok() };
+        let tick = async {
+            match wake_at {
+                Some(due) => {
+                    async_io::Timer::at(self.clock.instant_of(due)).await;
+                }
+                None => std::future::pending().await,
+            }
+            Some(Input::Event(Event::Tick))
+        };
+        // A due tick goes first, so that a flood of events cannot hold timers up.
+        tick.or(receive).await
+    }
+
+    fn perform(&mut self, effect: Effect) {
+        match effect {
+            Effect::Refuse { call, problem } => self.calls.end(call, Reply::Problem(problem)),
+            Effect::Answer { call, answer } => self.calls.end(call, Reply::Answer(answer)),
+            Effect::Deliver { call, texts } => self.calls.deliver(call, texts),
+            Effect::Finish {
+                call,
+                generated_tokens,
+            } => {
+                self.calls.end(call, Reply::Finished { generated_tokens });
+            }
+            Effect::Abort { call, problem } => self.calls.end(call, Reply::Problem(problem)),
+            Effect::Send { to, message } => self.peers.send(&to, message),
+            Effect::SetPeers(peers) => self.peers.set_addresses(peers),
+            Effect::Prefill(order) => self.engines.prefill(order),
+            Effect::Decode(order) => self.engines.decode(order),
+            Effect::Resume {
+                attempt,
+                address,
+                from_index,
+                ..
+            } => {
+                self.engines.resume(attempt, address, from_index);
+            }
+            Effect::Cancel { attempt, address } => self.engines.cancel(attempt, address),
+            Effect::ListActive { endpoint, address } => self.engines.list_active(endpoint, address),
+            Effect::ReadLoad { .. } | Effect::ReadCache { .. } => {}
+            Effect::CallService(order) => self.services.call(order),
+            Effect::Append {
+                stream,
+                append,
+                records,
+            } => self.append(stream, append, records),
+            Effect::ReadLog { stream, from, wait } => self.read_log(stream, from, wait),
+            Effect::FetchVmList => self.fetch_vm_list(),
+            Effect::Count(counter) => self.telemetry.count(counter.name(), 1),
+            Effect::Note(notice) => log::info!("{notice}"),
+            Effect::Trace { hop, traceparent } => {
+                drop(hop_span(hop.name(), Some(&traceparent)));
+            }
+            Effect::ConfigInForce { .. } => {
+                if let Some(site) = self.node.site() {
+                    self.callers.set_view(site.clone());
+                }
+            }
+            Effect::SetReady(ready) => self.ready.store(ready, Ordering::Relaxed),
+            Effect::Exit => {}
+        }
+    }
+
+    fn stream_name(&self, stream: LogStream) -> String {
+        match stream {
+            LogStream::Config => "config".to_owned(),
+            LogStream::Claims(partition) => format!("claims-{}-{partition}", self.settings.site),
+        }
+    }
+
+    /// Runs an exchange whose result is an event.
+    fn submit_later(&self, event: impl Future<Output = Event> + Send + 'static) {
+        let sender = self.sender.clone();
+        let submit = async move {
+            // The channel is closed only while the process exits.
+            let _ = sender.try_send(Input::Event(event.await));
+        };
+        self.executor.spawn(submit).detach();
+    }
+
+    fn append(&self, stream: LogStream, append: u64, records: Vec<Name>) {
+        let log = self.log;
+        let executor = self.executor.clone();
+        let name = self.stream_name(stream);
+        self.submit_later(async move {
+            Event::Log(match log.append(&executor, &name, &records).await {
+                Ok(_) => LogEvent::Appended { stream, append },
+                Err(error) => LogEvent::AppendFailed {
+                    stream,
+                    append,
+                    offered: error.offered,
+                },
+            })
+        });
+    }
+
+    fn read_log(&self, stream: LogStream, from: Offset, wait: std::time::Duration) {
+        let log = self.log;
+        let executor = self.executor.clone();
+        let name = self.stream_name(stream);
+        self.submit_later(async move {
+            Event::Log(match log.read(&executor, &name, from, wait).await {
+                Ok(page) => LogEvent::Read {
+                    stream,
+                    from,
+                    oldest: page.oldest,
+                    end: page.end,
+                    records: page.records.into_iter().map(LogRecord::from).collect(),
+                },
+                Err(_) => LogEvent::ReadFailed { stream },
+            })
+        });
+    }
+
+    fn fetch_vm_list(&self) {
+        let executor = self.executor.clone();
+        let address = self.settings.vm_list_address;
+        self.submit_later(async move { vm_list::fetch(&executor, address).await });
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall/src/engines.rs
@@ -0,0 +1,381 @@
+//! Adapter of model engines: the OpenAI completions API with `kv_transfer_params`, as vLLM publishes it for
+//! disaggregated prefill, and the paths by which engines resume, cancel and list requests.
+
+mod events;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use arbutusfall_core::AttemptId;
+use arbutusfall_core::CallId;
+use arbutusfall_core::DecodeOrder;
+use arbutusfall_core::EngineEvent;
+use arbutusfall_core::EngineFailure;
+use arbutusfall_core::Event;
+use arbutusfall_core::PrefillOrder;
+use arbutusfall_wire::FastMap;
+use arbutusfall_wire::Name;
+use async_channel::Sender;
+use async_executor::Task;
+use fastrace::Span;
+use fastrace::collector::SpanContext;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::Executor;
+use crate::call_table::Asked;
+use crate::call_table::CallTable;
+use crate::driver::Input;
+use crate::http;
+use crate::http::ClientError;
+use crate::http::Exchange;
+
+use events::EventReader;
+
+/// Time allowed for opening a connection to an engine.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time allowed for an engine's answer to begin; the reducer gives up much earlier.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Time allowed for short exchanges: cancel, list, load.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Status by which an engine says that a KV cache could not be fetched.
+const TRANSFER_LOST_STATUS: u16 = 424;
+
+/// The engines as one process uses them.
+#[derive(Debug)]
+pub(crate) struct Engines {
+    pub(crate) executor: Arc<Executor>,
+    pub(crate) calls: Arc<CallTable>,
+    pub(crate) inputs: Sender<Input>,
+    /// Exchanges in progress; dropping one closes its connection.
+    pub(crate) running: Mutex<FastMap<AttemptId, Task<()>>>,
+}
+
+/// Answer of a prefill engine.
+#[derive(Deserialize)]
+struct PrefillAnswer {
+    kv_transfer_params: Value,
+    #[serde(default)]
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    prompt_tokens_details: Option<PromptTokensDetails>,
+}
+
+#[derive(Deserialize)]
+struct PromptTokensDetails {
+    cached_tokens: u32,
+}
+
+#[derive(Deserialize)]
+struct ActiveAnswer {
+    requests: Vec<String>,
+}
+
+impl Engines {
+    fn submit(&self, event: EngineEvent) {
+        // The channel is closed only while the process exits.
+        let _ = self.inputs.try_send(Input::Event(Event::Engine(event)));
+    }
+
+    fn run(&self, attempt: AttemptId, exchange: impl Future<Output = ()> + Send + 'static) {
+        let task = self.executor.spawn(exchange);
+        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        running.retain(|_, task| !task.is_finished());
+        running.insert(attempt, task);
+    }
+
+    fn drop_connection(&self, attempt: AttemptId) {
+        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        running.remove(&attempt);
+    }
+
+    /// Sends a prompt to a prefill engine.
+    pub(crate) fn prefill(self: &Arc<Self>, order: PrefillOrder) {
+        let engines = self.clone();
+        let attempt = order.attempt;
+        self.run(attempt, async move {
+            let event = match engines.exchange_prefill(&order).await {
+                Ok(done) => done,
+                Err(failure) => EngineEvent::Failed { attempt, failure },
+            };
+            engines.submit(event);
+        });
+    }
+
+    async fn exchange_prefill(&self, order: &PrefillOrder) -> Result<EngineEvent, EngineFailure> {
+        let (body, span) = self.body(order.call, order.delivered_tokens, "prefill")?;
+        let body = json!({
+            "max_tokens": 1,
+            "stream": false,
+            "priority": order.priority,
+            "kv_transfer_params": { "do_remote_decode": true, "do_remote_prefill": false },
+        })
+        .merged(body);
+        let request = completion_request(order.address, order.attempt, &body, &span);
+        let answer = self.open(order.address, request).await?;
+        let body = http::read_body(answer.into_body(), ANSWER_TIMEOUT).await;
+        let body = body.map_err(|_| EngineFailure::Closed)?;
+        let answer: PrefillAnswer =
+            serde_json::from_slice(&body).map_err(|_| EngineFailure::Malformed)?;
+        let details = answer.usage.and_then(|usage| usage.prompt_tokens_details);
+        Ok(EngineEvent::PrefillDone {
+            attempt: order.attempt,
+            transfer: answer.kv_transfer_params.to_string().into(),
+            cached_tokens: details.map(|details| details.cached_tokens),
+        })
+    }
+
+    /// Has a decode engine fetch a KV cache and generate.
+    pub(crate) fn decode(self: &Arc<Self>, order: DecodeOrder) {
+        let engines = self.clone();
+        let attempt = order.attempt;
+        self.run(attempt, async move {
+            if let Err(failure) = engines.exchange_decode(&order).await {
+                engines.submit(EngineEvent::Failed { attempt, failure });
+            }
+        });
+    }
+
+    async fn exchange_decode(&self, order: &DecodeOrder) -> Result<(), EngineFailure> {
+        let (body, span) = self.body(order.call, order.delivered_tokens, "decode")?;
+        let transfer: Value =
+            serde_json::from_str(&order.transfer).map_err(|_| EngineFailure::Malformed)?;
+        let body = json!({
+            "max_tokens": order.max_output_tokens,
+            "stream": true,
+            "priority": order.priority,
+            "kv_transfer_params": transfer,
+        })
+        .merged(body);
+        let request = completion_request(order.address, order.attempt, &body, &span);
+        let answer = self.open(order.address, request).await?;
+        self.read_tokens(order.attempt, 0, answer.into_body()).await
+    }
+
+    /// Opens a new connection to an attempt that went silent.
+    pub(crate) fn resume(
+        self: &Arc<Self>,
+        attempt: AttemptId,
+        address: SocketAddr,
+        from_index: u32,
+    ) {
+        let engines = self.clone();
+        self.run(attempt, async move {
+            let resumed = engines.exchange_resume(attempt, address, from_index).await;
+            if let Err(failure) = resumed {
+                engines.submit(EngineEvent::Failed { attempt, failure });
+            }
+        });
+    }
+
+    async fn exchange_resume(
+        &self,
+        attempt: AttemptId,
+        address: SocketAddr,
+        from_index: u32,
+    ) -> Result<(), EngineFailure> {
+        let path = format!("/v1/requests/{attempt}/stream?from={from_index}");
+        let request = plain_request(Method::GET, address, &path);
+        let answer = self.open(address, request).await?;
+        self.read_tokens(attempt, from_index, answer.into_body())
+            .await
+    }
+
+    async fn read_tokens(
+        &self,
+        attempt: AttemptId,
+        from_index: u32,
+        body: Incoming,
+    ) -> Result<(), EngineFailure> {
+        let mut reader = EventReader::new(body);
+        let mut index = from_index;
+        loop {
+            let texts = reader.next_tokens().await?;
+            let Some(texts) = texts else {
+                let generated_tokens = index;
+                self.submit(EngineEvent::DecodeDone {
+                    attempt,
+                    generated_tokens,
+                });
+                return Ok(());
+            };
+            let count = u32::try_from(texts.len()).unwrap_or_default();
+            self.submit(EngineEvent::Tokens {
+                attempt,
+                first_index: index,
+                texts,
+            });
+            index += count;
+        }
+    }
+
+    /// Has an engine give an attempt up, and drops the connection.
+    pub(crate) fn cancel(self: &Arc<Self>, attempt: AttemptId, address: SocketAddr) {
+        self.drop_connection(attempt);
+        let engines = self.clone();
+        let exchange = async move {
+            let path = format!("/v1/requests/{attempt}");
+            let request = plain_request(Method::DELETE, address, &path);
+            let answer = engines.control(address, request).await;
+            engines.submit(match answer {
+                Ok(answer) if answer.status().is_success() || answer.status() == 404 => {
+                    EngineEvent::Cancelled { attempt }
+                }
+                _ => EngineEvent::CancelFailed { attempt },
+            });
+        };
+        self.executor.spawn(exchange).detach();
+    }
+
+    /// Asks an engine which attempts it holds.
+    pub(crate) fn list_active(self: &Arc<Self>, endpoint: Name, address: SocketAddr) {
+        let engines = self.clone();
+        let exchange = async move {
+            let answer: Result<ActiveAnswer, ClientError> =
+                http::get_json(&engines.executor, address, "/v1/requests", CONTROL_TIMEOUT).await;
+            engines.submit(match answer {
+                Ok(answer) => {
+                    let attempts = answer.requests.iter().filter_map(|text| text.parse().ok());
+                    EngineEvent::Active {
+                        endpoint,
+                        attempts: attempts.collect(),
+                    }
+                }
+                Err(_) => EngineEvent::ActiveFailed { endpoint },
+            });
+        };
+        self.executor.spawn(exchange).detach();
+    }
+
+    /// The prompt with what was delivered, and a span for the hop.
+    fn body(
+        &self,
+        call: CallId,
+        delivered_tokens: u32,
+        hop: &'static str,
+    ) -> Result<(Value, Span), EngineFailure> {
+        let (asked, delivered) = self.calls.asked(call).ok_or(EngineFailure::Closed)?;
+        let Asked::Completion {
+            model,
+            prompt,
+            traceparent,
+        } = asked
+        else {
+            return Err(EngineFailure::Malformed);
+        };
+        let prompt = if delivered_tokens > 0 {
+            format!("{prompt}{delivered}")
+        } else {
+            prompt.to_string()
+        };
+        Ok((
+            json!({ "model": model, "prompt": prompt }),
+            hop_span(hop, traceparent.as_deref()),
+        ))
+    }
+
+    async fn open(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, EngineFailure> {
+        let exchange = Exchange {
+            address,
+            request,
+            connect_timeout: CONNECT_TIMEOUT,
+            answer_timeout: ANSWER_TIMEOUT,
+        };
+        let answer = http::send(&self.executor, exchange)
+            .await
+            .map_err(|error| match error {
+                ClientError::Connect => EngineFailure::Unreachable,
+                _ => EngineFailure::Closed,
+            })?;
+        match answer.status().as_u16() {
+            200 => Ok(answer),
+            TRANSFER_LOST_STATUS => Err(EngineFailure::TransferLost),
+            status => Err(EngineFailure::Rejected { status }),
+        }
+    }
+
+    async fn control(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ClientError> {
+        let exchange = Exchange {
+            address,
+            request,
+            connect_timeout: CONTROL_TIMEOUT,
+            answer_timeout: CONTROL_TIMEOUT,
+        };
+        http::send(&self.executor, exchange).await
+    }
+}
+
+/// Joins two JSON objects.
+trait Merged {
+    fn merged(self, other: Value) -> Value;
+}
+
+impl Merged for Value {
+    fn merged(mut self, other: Value) -> Value {
+        if let (Some(object), Value::Object(other)) = (self.as_object_mut(), other) {
+            object.extend(other);
+        }
+        self
+    }
+}
+
+/// Span of one hop below the caller's span.
+pub(crate) fn hop_span(hop: &'static str, traceparent: Option<&str>) -> Span {
+    match traceparent.and_then(SpanContext::decode_w3c_traceparent) {
+        Some(parent) => Span::root(hop, parent),
+        None => Span::noop(),
+    }
+}
+
+fn completion_request(
+    address: SocketAddr,
+    attempt: AttemptId,
+    body: &Value,
+    span: &Span,
+) -> Request<Full<Bytes>> {
+    let mut builder = Request::builder()
+        .method(Method::POST)
+        .uri("/v1/completions")
+        .header(HOST, address.to_string())
+        .header(CONTENT_TYPE, "application/json")
+        .header("x-request-id", attempt.to_string());
+    if let Some(context) = SpanContext::from_span(span) {
+        builder = builder.header("traceparent", context.encode_w3c_traceparent());
+    }
+    let request = builder.body(Full::new(Bytes::from(body.to_string())));
+    request.unwrap_or_default()
+}
+
+fn plain_request(method: Method, address: SocketAddr, path: &str) -> Request<Full<Bytes>> {
+    let builder = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(HOST, address.to_string());
+    builder.body(Full::new(Bytes::new())).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/arbutusfall/src/http.rs
@@ -0,0 +1,19 @@
+//! HTTP/1.1 for the process and the stand-ins: hyper on async-io.
+
+mod body;
+mod client;
+mod server;
+
+pub use body::AnswerBody;
+pub use body::BodyWriter;
+pub use client::ClientError;
+pub use client::Exchange;
+pub use client::get_json;
+pub use client::post_json;
+pub use client::read_body;
+pub use client::send;
+pub use server::ReadBodyError;
+pub use server::ServerLimits;
+pub use server::json_answer;
+pub use server::listen;
+pub use server::read_request_body;
--- /dev/null
+++ b/crates/arbutusfall/src/lib.rs
@@ -0,0 +1,60 @@
+//! The `arbutusfall` process: sockets, files and clocks around the reducer of `arbutusfall_core`.
+//!
+//! Run a VM from its settings:
+//!
+//! ```no_run
+//! use arbutusfall::Settings;
+//! use arbutusfall::serve;
+//!
+//! let settings = Settings::load("settings.json".as_ref()).unwrap();
+//! serve(settings).unwrap();
+//! ```
+
+mod call_table;
+mod callers;
+mod check;
+mod cli;
+mod clock;
+mod driver;
+mod engines;
+mod keys;
+mod log_client;
+mod operators;
+mod peers;
+mod publish;
+mod serve;
+mod services;
+mod settings;
+mod status;
+mod telemetry;
+mod tls;
+mod vm_list;
+
+pub mod http;
+
+pub use check::CheckError;
+pub use check::check_files;
+pub use cli::run_command_line;
+pub use clock::Clock;
+pub use clock::SystemClock;
+pub use keys::KeysError;
+pub use keys::make_authority;
+pub use keys::make_vm_certificate;
+pub use log_client::LogClient;
+pub use log_client::LogError;
+pub use log_client::ReadPage;
+pub use operators::StatusDocument;
+pub use publish::PublishError;
+pub use publish::Published;
+pub use publish::publish;
+pub use serve::ServeError;
+pub use serve::serve;
+pub use settings::LogFormat;
+pub use settings::Settings;
+pub use settings::SettingsError;
+pub use settings::TlsFiles;
+pub use status::StatusError;
+pub use status::fetch_status;
+
+/// Executor that all tasks of a process share.
+pub type Executor = async_executor::Executor<'static>;
--- /dev/null
+++ b/crates/arbutusfall/src/serve.rs
@@ -0,0 +1,204 @@
+//! Runs one VM's process.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
+
+use arbutusfall_core::Event;
+use arbutusfall_core::Identity;
+use arbutusfall_core::Node;
+use arbutusfall_wire::FastMap;
+use arbutusfall_wire::Incarnation;
+use async_channel::Sender;
+use async_signal::Signal;
+use async_signal::Signals;
+use error_stack::Report;
+use error_stack::ResultExt;
+use futures_lite::StreamExt;
+use futures_lite::future;
+
+use crate::Executor;
+use crate::LogClient;
+use crate::Settings;
+use crate::SystemClock;
+use crate::call_table::CallTable;
+use crate::callers::Callers;
+use crate::driver::Driver;
+use crate::driver::Input;
+use crate::engines::Engines;
+use crate::http;
+use crate::http::ServerLimits;
+use crate::operators::Operators;
+use crate::peers::Peers;
+use crate::services::Services;
+use crate::telemetry;
+use crate::telemetry::Telemetry;
+use crate::tls::PeerTls;
+
+/// A process could not start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ServeError {
+    /// Peer connections could not be set up.
+    Tls,
+    /// An address could not be listened on.
+    Listen(SocketAddr),
+    /// Counters could not be sent.
+    Metrics,
+    /// Signals could not be received.
+    Signals,
+}
+
+impl fmt::Display for ServeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Tls => f.write_str("peer connections cannot be set up"),
+            Self::Listen(address) => write!(f, "cannot listen on {address}"),
+            Self::Metrics => f.write_str("counters cannot be sent"),
+            Self::Signals => f.write_str("signals cannot be received"),
+        }
+    }
+}
+
+impl std::error::Error for ServeError {}
+
+/// Runs a VM until SIGTERM and the end of all work in progress.
+///
+/// # Errors
+///
+/// [`ServeError`] if the process cannot start.
+pub fn serve(settings: Settings) -> Result<(), Report<ServeError>> {
+    telemetry::start_log(settings.log_format);
+    let executor = Arc::new(Executor::new());
+    let (stop, stopped) = async_channel::bounded::<()>(1);
+    std::thread::scope(|scope| {
+        for _ in 0..settings.worker_threads {
+            let executor = executor.clone();
+            let stopped = stopped.clone();
+            scope.spawn(move || {
+                // The channel closes when the main thread is done.
+                let _ = future::block_on(executor.run(stopped.recv()));
+            });
+        }
+        let result = future::block_on(run(&executor, settings));
+        drop(stop);
+        result
+    })
+}
+
+async fn run(executor: &Arc<Executor>, settings: Settings) -> Result<(), Report<ServeError>> {
+    let telemetry = Telemetry::new(settings.metrics_address).change_context(ServeError::Metrics)?;
+    let telemetry = Arc::new(telemetry);
+    telemetry::start_traces(executor, &settings);
+    let identity = Identity {
+        vm: settings.vm.clone(),
+        incarnation: Incarnation(fastrand::u64(1..)),
+        data_centre: settings.data_centre.clone(),
+        site: settings.site.clone(),
+    };
+    let (sender, inputs) = async_channel::unbounded();
+    let tls = PeerTls::load(&settings.tls).change_context(ServeError::Tls)?;
+    let peers = Peers::listen(
+        executor.clone(),
+        settings.peer_address,
+        tls,
+        identity.sender(),
+        sender.clone(),
+        telemetry.clone(),
+    );
+    let peers = peers.change_context(ServeError::Listen(settings.peer_address))?;
+    let calls = Arc::new(CallTable::default());
+    let callers = Arc::new(Callers {
+        calls: calls.clone(),
+        inputs: sender.clone(),
+        view: RwLock::new(None),
+    });
+    let ready = Arc::new(AtomicBool::new(false));
+    listen_to_callers(executor, &settings, &callers).await?;
+    listen_to_operators(executor, &settings, &ready, &sender, &telemetry).await?;
+    watch_signals(executor, sender.clone())?;
+    let driver = Driver {
+        node: Node::new(identity, fastrand::u64(..)),
+        clock: SystemClock::start(),
+        executor: executor.clone(),
+        inputs,
+        calls: calls.clone(),
+        callers,
+        engines: Arc::new(Engines {
+            executor: executor.clone(),
+            calls: calls.clone(),
+            inputs: sender.clone(),
+            running: Mutex::new(FastMap::default()),
+        }),
+        services: Arc::new(Services {
+            executor: executor.clone(),
+            calls,
+            inputs: sender.clone(),
+        }),
+        sender,
+        peers,
+        log: LogClient {
+            address: settings.log_service_address,
+        },
+        ready,
+        telemetry,
+        settings,
+    };
+    driver.run().await;
+    fastrace::flush();
+    Ok(())
+}
+
+async fn listen_to_callers(
+    executor: &Arc<Executor>,
+    settings: &Settings,
+    callers: &Arc<Callers>,
+) -> Result<(), Report<ServeError>> {
+    let limits = callers.clone();
+    let handler = callers.clone();
+    let address = settings.caller_address;
+    let listening = http::listen(
+        executor.clone(),
+        address,
+        move || limits.server_limits(),
+        move |request| handler.clone().handle(request),
+    );
+    listening.await.change_context(ServeError::Listen(address))
+}
+
+async fn listen_to_operators(
+    executor: &Arc<Executor>,
+    settings: &Settings,
+    ready: &Arc<AtomicBool>,
+    inputs: &Sender<Input>,
+    telemetry: &Arc<Telemetry>,
+) -> Result<(), Report<ServeError>> {
+    let operators = Arc::new(Operators {
+        ready: ready.clone(),
+        inputs: inputs.clone(),
+        telemetry: telemetry.clone(),
+    });
+    let address = settings.operator_address;
+    let listening = http::listen(
+        executor.clone(),
+        address,
+        ServerLimits::default,
+        move |request| operators.clone().handle(request),
+    );
+    listening.await.change_context(ServeError::Listen(address))
+}
+
+fn watch_signals(executor: &Executor, inputs: Sender<Input>) -> Result<(), Report<ServeError>> {
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int]).change_context(ServeError::Signals)?;
+    let watch = async move {
+        while let Some(Ok(_)) = signals.next().await {
+            // The channel is closed only while the process exits.
+            let _ = inputs.try_send(Input::Event(Event::Terminate));
+        }
+    };
+    executor.spawn(watch).detach();
+    Ok(())
+}
--- /dev/null
+++ b/crates/arbutusfall/src/telemetry.rs
@@ -0,0 +1,164 @@
+//! Counters to statsd, log lines through logforth, spans to a Zipkin collector.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use cadence::Counted;
+use cadence::QueuingMetricSink;
+use cadence::StatsdClient;
+use cadence::UdpMetricSink;
+use fastrace::collector::Config;
+use fastrace::collector::Reporter;
+use fastrace::collector::SpanRecord;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::Executor;
+use crate::LogFormat;
+use crate::Settings;
+use crate::http;
+
+/// Prefix of all counters.
+const PREFIX: &str = "arbutusfall";
+
+/// Path of a Zipkin collector.
+const SPANS_PATH: &str = "/api/v2/spans";
+
+/// Time allowed for sending a batch of spans.
+const SPANS_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Interval at which spans are sent.
+const SPANS_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Batches of spans that may wait; more are dropped.
+const MAX_BATCHES: usize = 64;
+
+/// Counters of one process, kept for `status` and sent to statsd.
+#[derive(Debug)]
+pub(crate) struct Telemetry {
+    statsd: Option<StatsdClient>,
+    totals: Mutex<BTreeMap<&'static str, i64>>,
+}
+
+impl Telemetry {
+    /// Sends counters to `address`, if there is one.
+    pub(crate) fn new(address: Option<SocketAddr>) -> std::io::Result<Self> {
+        let statsd = match address {
+            None => None,
+            Some(address) => {
+                let socket = UdpSocket::bind("0.0.0.0:0")?;
+                socket.set_nonblocking(true)?;
+                let sink = UdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
+                Some(StatsdClient::from_sink(
+                    PREFIX,
+                    QueuingMetricSink::from(sink),
+                ))
+            }
+        };
+        Ok(Self {
+            statsd,
+            totals: Mutex::default(),
+        })
+    }
+
+    /// Adds to a counter.
+    pub(crate) fn count(&self, name: &'static str, count: i64) {
+        *self.lock().entry(name).or_default() += count;
+        if let Some(statsd) = &self.statsd {
+            // Metrics may be lost; that must not harm requests.
+            let _ = statsd.count(name, count);
+        }
+    }
+
+    /// All counters since the process started.
+    pub(crate) fn totals(&self) -> BTreeMap<&'static str, i64> {
+        self.lock().clone()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<&'static str, i64>> {
+        self.totals.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Sets the process's log up.
+pub(crate) fn start_log(format: LogFormat) {
+    let append = logforth::append::Stderr::default();
+    let append = match format {
+        LogFormat::Text => append.with_layout(logforth::layout::TextLayout::default().no_color()),
+        LogFormat::Json => append.with_layout(logforth::layout::JsonLayout::default()),
+    };
+    // Fails only if a log was set up before, which then stays.
+    let _ = logforth::starter_log::builder()
+        .dispatch(|dispatch| {
+            let level =
+                logforth::record::LevelFilter::MoreSevereEqual(logforth::record::Level::Info);
+            dispatch.filter(level).append(append)
+        })
+        .try_apply();
+}
+
+/// Sends spans to the collector of the settings, if there is one.
+pub(crate) fn start_traces(executor: &Arc<Executor>, settings: &Settings) {
+    let Some(address) = settings.trace_address else {
+        return;
+    };
+    let (batches, receiver) = async_channel::bounded(MAX_BATCHES);
+    let reporter = ZipkinReporter {
+        vm: settings.vm.to_string(),
+        batches,
+    };
+    fastrace::set_reporter(reporter, Config::default().report_interval(SPANS_INTERVAL));
+    executor
+        .spawn(send_spans(executor.clone(), address, receiver))
+        .detach();
+}
+
+/// Turns spans into Zipkin's form.
+struct ZipkinReporter {
+    vm: String,
+    batches: Sender<Vec<Value>>,
+}
+
+impl Reporter for ZipkinReporter {
+    fn report(&mut self, spans: Vec<SpanRecord>) {
+        let batch = spans
+            .iter()
+            .map(|span| zipkin_span(&self.vm, span))
+            .collect();
+        // Spans may be lost when the collector is slow; that must not harm requests.
+        let _ = self.batches.try_send(batch);
+    }
+}
+
+fn zipkin_span(vm: &str, span: &SpanRecord) -> Value {
+    let tags: serde_json::Map<String, Value> = span
+        .properties
+        .iter()
+        .map(|(name, value)| (name.to_string(), json!(value)))
+        .collect();
+    json!({
+        "traceId": format!("{:032x}", span.trace_id.0),
+        "id": format!("{:016x}", span.span_id.0),
+        "parentId": format!("{:016x}", span.parent_id.0),
+        "name": span.name,
+        "timestamp": span.begin_time_unix_ns / 1_000,
+        "duration": (span.duration_ns / 1_000).max(1),
+        "localEndpoint": { "serviceName": vm },
+        "tags": tags,
+    })
+}
+
+async fn send_spans(executor: Arc<Executor>, address: SocketAddr, batches: Receiver<Vec<Value>>) {
+    while let Ok(batch) = batches.recv().await {
+        // Spans may be lost; that must not harm requests.
+        let _: Result<Value, _> =
+            http::post_json(&executor, address, SPANS_PATH, &batch, SPANS_TIMEOUT).await;
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall/src/tls.rs
@@ -0,0 +1,138 @@
+//! Mutual TLS between peers, under the deployment's own authority.
+
+use std::fmt;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use quinn::ClientConfig;
+use quinn::IdleTimeout;
+use quinn::ServerConfig;
+use quinn::TransportConfig;
+use quinn::crypto::rustls::QuicClientConfig;
+use quinn::crypto::rustls::QuicServerConfig;
+use rustls::RootCertStore;
+use rustls::server::WebPkiClientVerifier;
+use rustls_pki_types::CertificateDer;
+use rustls_pki_types::PrivateKeyDer;
+use rustls_pki_types::pem::PemObject;
+
+use crate::TlsFiles;
+
+/// Protocol name of peer connections.
+const ALPN: &[u8] = b"arbutusfall/1";
+
+/// Silence after which a peer connection is dropped.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Interval of packets that keep a quiet connection alive.
+const KEEP_ALIVE: Duration = Duration::from_millis(500);
+
+/// Peer connections could not be set up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum TlsError {
+    /// A file holds no usable certificate or key.
+    File(PathBuf),
+    /// The certificate and key do not fit together or are not usable.
+    Rejected,
+}
+
+impl fmt::Display for TlsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::File(file) => write!(f, "{}: no usable certificate or key", file.display()),
+            Self::Rejected => f.write_str("certificate and key are not usable together"),
+        }
+    }
+}
+
+impl std::error::Error for TlsError {}
+
+/// Configurations for both ends of peer connections.
+#[derive(Debug)]
+pub(crate) struct PeerTls {
+    pub(crate) client: ClientConfig,
+    pub(crate) server: ServerConfig,
+}
+
+impl PeerTls {
+    /// Reads keys and certificates.
+    pub(crate) fn load(files: &TlsFiles) -> Result<Self, Report<TlsError>> {
+        let authority = read_certificates(&files.authority_file)?;
+        let mut roots = RootCertStore::empty();
+        for certificate in authority {
+            let failed = || TlsError::File(files.authority_file.clone());
+            roots.add(certificate).change_context_lazy(failed)?;
+        }
+        let roots = Arc::new(roots);
+        let chain = read_certificates(&files.certificate_file)?;
+        let key = PrivateKeyDer::from_pem_file(&files.key_file)
+            .change_context_lazy(|| TlsError::File(files.key_file.clone()))?;
+        let transport = Arc::new(transport());
+        let client = client_config(roots.clone(), chain.clone(), key.clone_key(), &transport)?;
+        let server = server_config(roots, chain, key, &transport)?;
+        Ok(Self { client, server })
+    }
+}
+
+fn read_certificates(file: &Path) -> Result<Vec<CertificateDer<'static>>, Report<TlsError>> {
+    let failed = || TlsError::File(file.to_owned());
+    let certificates = CertificateDer::pem_file_iter(file).change_context_lazy(failed)?;
+    certificates
+        .collect::<Result<Vec<_>, _>>()
+        .change_context_lazy(failed)
+}
+
+fn client_config(
+    roots: Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+    transport: &Arc<TransportConfig>,
+) -> Result<ClientConfig, Report<TlsError>> {
+    let mut config = rustls::ClientConfig::builder_with_provider(provider())
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .change_context(TlsError::Rejected)?
+        .with_root_certificates(roots)
+        .with_client_auth_cert(chain, key)
+        .change_context(TlsError::Rejected)?;
+    config.alpn_protocols = vec![ALPN.to_vec()];
+    let config = QuicClientConfig::try_from(config).change_context(TlsError::Rejected)?;
+    let mut config = ClientConfig::new(Arc::new(config));
+    config.transport_config(transport.clone());
+    Ok(config)
+}
+
+fn server_config(
+    roots: Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+    transport: &Arc<TransportConfig>,
+) -> Result<ServerConfig, Report<TlsError>> {
+    let verifier = WebPkiClientVerifier::builder_with_provider(roots, provider());
+    let verifier = verifier.build().change_context(TlsError::Rejected)?;
+    let mut config = rustls::ServerConfig::builder_with_provider(provider())
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .change_context(TlsError::Rejected)?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(chain, key)
+        .change_context(TlsError::Rejected)?;
+    config.alpn_protocols = vec![ALPN.to_vec()];
+    let config = QuicServerConfig::try_from(config).change_context(TlsError::Rejected)?;
+    let mut config = ServerConfig::with_crypto(Arc::new(config));
+    config.transport_config(transport.clone());
+    Ok(config)
+}
+
+fn provider() -> Arc<rustls::crypto::CryptoProvider> {
+    Arc::new(rustls::crypto::ring::default_provider())
+}
+
+fn transport() -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(IdleTimeout::try_from(IDLE_TIMEOUT).ok());
+    transport.keep_alive_interval(Some(KEEP_ALIVE));
+    transport
+}
--- /dev/null
+++ b/crates/arbutusfall_core/src/config.rs
@@ -0,0 +1,17 @@
+//! Configuration: its documents, their checks, and the fold of the log's records.
+
+mod check;
+mod document;
+mod fold;
+mod policy;
+mod schema;
+
+pub use check::check_documents;
+pub use check::effective_site;
+pub use document::ParseDocumentError;
+pub use document::parse_document;
+pub use fold::ConfigFold;
+pub use fold::FoldStep;
+pub use policy::Policy;
+pub use policy::PolicyKind;
+pub use schema::*;
--- /dev/null
+++ b/crates/arbutusfall_core/src/config/policy.rs
@@ -0,0 +1,82 @@
+//! How a model's requests are admitted and placed.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Rules by which requests are admitted and placed; each kind adds one rule to the kind before it, from
+/// [`PolicyKind::Owner`] on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PolicyKind {
+    /// Each entry VM picks the endpoint with the least load by its lagging report; nothing is refused.
+    LeastLoaded,
+    /// Each entry VM has an equal share of every pool's slots.
+    Quota,
+    /// One owner for each pool shard reserves slots for the end of the prefill and refuses what would be late.
+    Owner,
+    /// [`Self::Owner`], and prompts go where their prefix is cached.
+    Affinity,
+    /// [`Self::Affinity`], with a budget for transfer links and redirection of failed transfers.
+    Links,
+    /// [`Self::Links`], with the site's weights of goodput against wasted prefill.
+    Weighted,
+}
+
+impl PolicyKind {
+    /// Whether a shard owner decides.
+    pub fn has_owner(self) -> bool {
+        !matches!(self, Self::LeastLoaded | Self::Quota)
+    }
+
+    /// Whether prompts go where their prefix is believed to be cached.
+    pub fn has_affinity(self) -> bool {
+        matches!(self, Self::Affinity | Self::Links | Self::Weighted)
+    }
+
+    /// Whether transfer links have a budget and failed transfers are redirected.
+    pub fn has_links(self) -> bool {
+        matches!(self, Self::Links | Self::Weighted)
+    }
+
+    /// Whether the site's weights decide how sure a forecast must be.
+    pub fn has_weights(self) -> bool {
+        matches!(self, Self::Weighted)
+    }
+}
+
+/// A model's policy.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Policy {
+    /// Rules in use.
+    #[serde(default = "default_kind")]
+    pub kind: PolicyKind,
+    /// Weight of a request that meets both latency targets.
+    ///
+    /// Invariant: finite and not negative; not both weights are 0.
+    #[serde(default = "default_weight")]
+    pub goodput_weight: f64,
+    /// Weight of a prefill that is thrown away.
+    ///
+    /// Invariant: finite and not negative; not both weights are 0.
+    #[serde(default = "default_weight")]
+    pub wasted_prefill_weight: f64,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            kind: default_kind(),
+            goodput_weight: default_weight(),
+            wasted_prefill_weight: default_weight(),
+        }
+    }
+}
+
+fn default_kind() -> PolicyKind {
+    PolicyKind::Weighted
+}
+
+fn default_weight() -> f64 {
+    1.0
+}
--- /dev/null
+++ b/crates/arbutusfall_core/src/drain.rs
@@ -0,0 +1,38 @@
+//! Graceful shutdown: no new work, then the end once all work in progress is done.
+
+use crate::Effect;
+use crate::Notice;
+use crate::context::Context;
+
+/// Whether the VM takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) enum Drain {
+    /// Takes new work.
+    #[default]
+    Serving,
+    /// Finishes what is in progress.
+    Draining,
+    /// Everything is done.
+    Drained,
+}
+
+impl Drain {
+    pub(crate) fn begin(&mut self, ctx: &mut Context<'_>) {
+        if *self != Self::Serving {
+            return;
+        }
+        *self = Self::Draining;
+        ctx.note(Notice::Draining);
+        ctx.push(Effect::SetReady(false));
+    }
+
+    /// Ends the process once nothing is in progress.
+    pub(crate) fn finish_if_idle(&mut self, idle: bool, ctx: &mut Context<'_>) {
+        if *self != Self::Draining || !idle {
+            return;
+        }
+        *self = Self::Drained;
+        ctx.note(Notice::Drained);
+        ctx.push(Effect::Exit);
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_core/src/lib.rs
@@ -0,0 +1,56 @@
+//! The decisions of arbutusfall, free of I/O.
+//!
+//! A [`Node`] is one VM's whole state. It takes one [`Event`] at a time and returns [`Effect`]s as data, with the
+//! instant at which it wants to be woken:
+//!
+//! ```
+//! use arbutusfall_core::*;
+//! use arbutusfall_wire::Incarnation;
+//! use std::time::Duration;
+//!
+//! let identity = Identity {
+//!     vm: "milano-a-1".into(),
+//!     incarnation: Incarnation(7),
+//!     data_centre: "milano-a".into(),
+//!     site: "rinnovo".into(),
+//! };
+//! let mut node = Node::new(identity, 1);
+//! let now = Now { monotonic: Duration::ZERO, unix: Duration::from_secs(1_790_000_000) };
+//! let output = node.apply(Event::Started, now);
+//! assert!(output.effects.contains(&Effect::FetchVmList));
+//! ```
+//!
+//! The same events at the same times give the same effects, so a session can be kept as a file and played again.
+//! `docs/DESIGN.md` says how to drive the reducer from a test bench.
+
+pub mod config;
+
+mod calls;
+mod claims;
+mod config_reader;
+mod context;
+mod counter;
+mod drain;
+mod effect;
+mod event;
+mod limits;
+mod membership;
+mod node;
+mod notice;
+mod placement;
+mod problem;
+mod rendezvous;
+mod status;
+mod streams;
+mod timers;
+
+pub use context::Identity;
+pub use context::Now;
+pub use counter::Counter;
+pub use effect::*;
+pub use event::*;
+pub use node::Node;
+pub use notice::Notice;
+pub use problem::Problem;
+pub use problem::ProblemKind;
+pub use status::Status;
--- /dev/null
+++ b/crates/arbutusfall_core/src/limits.rs
@@ -0,0 +1,65 @@
+//! Limits of client accounts at this VM.
+
+use std::time::Duration;
+
+use arbutusfall_wire::FastMap;
+use arbutusfall_wire::Name;
+
+use crate::config::Account;
+
+/// What accounts use at this VM.
+#[derive(Debug, Default)]
+pub(crate) struct AccountLimits {
+    usage: FastMap<Name, Usage>,
+}
+
+/// One account's use.
+#[derive(Debug)]
+struct Usage {
+    in_progress: u32,
+    /// Requests that may still enter.
+    ///
+    /// Invariant: between 0 and the account's requests a second.
+    tokens: f64,
+    refilled_at: Duration,
+}
+
+impl AccountLimits {
+    /// Admits a request, or says when one may be admitted.
+    pub(crate) fn admit(
+        &mut self,
+        name: &Name,
+        account: &Account,
+        now: Duration,
+    ) -> Result<(), Duration> {
+        let rate = f64::from(account.max_requests_per_s);
+        let usage = self.usage.entry(name.clone()).or_insert_with(|| Usage {
+            in_progress: 0,
+            tokens: rate,
+            refilled_at: now,
+        });
+        let elapsed = now.saturating_sub(usage.refilled_at);
+        usage.tokens = (usage.tokens + elapsed.as_secs_f64() * rate).min(rate);
+        usage.refilled_at = now;
+        if usage.in_progress >= account.max_concurrent_requests {
+            return Err(Duration::from_secs(1));
+        }
+        if usage.tokens < 1.0 {
+            let missing = 1.0 - usage.tokens;
+            return Err(Duration::from_secs_f64(
+                (missing / rate.max(0.01)).min(60.0),
+            ));
+        }
+        usage.tokens -= 1.0;
+        usage.in_progress += 1;
+        Ok(())
+    }
+
+    /// Ends a request that was admitted.
+    pub(crate) fn release(&mut self, name: &Name) {
+        if let Some(usage) = self.usage.get_mut(name) {
+            debug_assert!(usage.in_progress > 0);
+            usage.in_progress = usage.in_progress.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_core/src/node.rs
@@ -0,0 +1,390 @@
+//! The reducer: one VM's whole state, changed by one event at a time.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use arbutusfall_wire::Name;
+use arbutusfall_wire::PeerMessage;
+use arbutusfall_wire::RequestId;
+use arbutusfall_wire::Sender;
+
+use crate::CallId;
+use crate::CompletionRequest;
+use crate::Counter;
+use crate::Effect;
+use crate::Event;
+use crate::LogEvent;
+use crate::LogStream;
+use crate::Output;
+use crate::Problem;
+use crate::ProblemKind;
+use crate::ServiceCall;
+use crate::ServiceEvent;
+use crate::calls::Calls;
+use crate::calls::find_route;
+use crate::claims::Executions;
+use crate::claims::PartitionOwner;
+use crate::config::Semantics;
+use crate::config::SiteConfig;
+use crate::config_reader::ConfigReader;
+use crate::context::Context;
+use crate::context::Identity;
+use crate::context::Now;
+use crate::drain::Drain;
+use crate::limits::AccountLimits;
+use crate::membership;
+use crate::membership::Membership;
+use crate::placement::ShardOwner;
+use crate::status::Status;
+use crate::status::VmStatus;
+use crate::streams::Streams;
+use crate::timers::Timer;
+use crate::timers::Timers;
+
+/// When callers are asked to come back to another VM.
+const UNAVAILABLE_RETRY_AFTER: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// One VM's state.
+#[derive(Debug)]
+pub struct Node {
+    identity: Identity,
+    members: Membership,
+    timers: Timers,
+    rng: fastrand::Rng,
+    parts: Parts,
+    /// Configuration until one is in force.
+    unset: Arc<SiteConfig>,
+}
+
+/// The parts that take events.
+#[derive(Debug, Default)]
+struct Parts {
+    config: ConfigReader,
+    streams: Streams,
+    shards: ShardOwner,
+    executions: Executions,
+    partitions: PartitionOwner,
+    calls: Calls,
+    drain: Drain,
+    limits: AccountLimits,
+    /// Calls that were admitted and not answered, with their accounts.
+    open_calls: BTreeMap<CallId, Name>,
+    requests: u64,
+}
+
+impl Node {
+    /// A node that has seen nothing. `seed` drives the spread of retries.
+    pub fn new(identity: Identity, seed: u64) -> Self {
+        Self {
+            identity,
+            members: Membership::default(),
+            timers: Timers::default(),
+            rng: fastrand::Rng::with_seed(seed),
+            parts: Parts::default(),
+            unset: Arc::new(SiteConfig::default()),
+        }
+    }
+
+    /// Configuration in force, if any.
+    pub fn site(&self) -> Option<&Arc<SiteConfig>> {
+        self.parts.config.in_force()
+    }
+
+    /// Handles one event: the only way in which a node changes.
+    pub fn apply(&mut self, event: Event, now: Now) -> Output {
+        let mut effects = Vec::new();
+        let mut loopback = VecDeque::new();
+        let site = self.parts.config.in_force().unwrap_or(&self.unset).clone();
+        let mut ctx = Context {
+            now,
+            identity: &self.identity,
+            site: &site,
+            members: &mut self.members,
+            timers: &mut self.timers,
+            rng: &mut self.rng,
+            effects: &mut effects,
+            loopback: &mut loopback,
+        };
+        self.parts.on_event(event, &mut ctx);
+        while let Some(message) = ctx.loopback.pop_front() {
+            let own = ctx.identity.sender();
+            self.parts.on_peer(&own, message, &mut ctx);
+        }
+        self.parts.settle_calls(&mut ctx);
+        let idle = self.parts.is_idle();
+        self.parts.drain.finish_if_idle(idle, &mut ctx);
+        Output {
+            effects,
+            wake_at: self.timers.next_due(),
+        }
+    }
+
+    /// The state as operators see it; nothing depends on it.
+    pub fn status(&self) -> Status {
+        let site = self.parts.config.in_force().unwrap_or(&self.unset);
+        let vms = self.members.members().map(|member| VmStatus {
+            vm: member.listed.vm.clone(),
+            data_centre: member.listed.data_centre.clone(),
+            state: member.state,
+        });
+        Status {
+            identity: self.identity.clone(),
+            ready: self.parts.is_serving(),
+            draining: self.parts.drain != Drain::Serving,
+            base_revision: self.parts.config.base_revision(),
+            overlay_revision: self.parts.config.overlay_revision(&self.identity.site),
+            vms: vms.collect(),
+            endpoints: self.parts.shards.endpoints(site),
+            streams: self.parts.streams.len(),
+            calls: self.parts.calls.len(),
+            claims: self.parts.executions.len(),
+        }
+    }
+}
+
+impl Parts {
+    fn is_serving(&self) -> bool {
+        self.config.in_force().is_some() && self.drain == Drain::Serving
+    }
+
+    fn is_idle(&self) -> bool {
+        self.open_calls.is_empty() && self.streams.is_idle() && self.executions.in_progress() == 0
+    }
+
+    fn on_event(&mut self, event: Event, ctx: &mut Context<'_>) {
+        match event {
+            Event::Started => self.on_started(ctx),
+            Event::Tick => self.on_tick(ctx),
+            Event::Completion(asked) => self.on_completion(asked, ctx),
+            Event::ServiceCall(asked) => self.on_service_call(&asked, ctx),
+            Event::CallerGone { call } => self.on_caller_gone(call, ctx),
+            Event::Peer { from, message } => self.on_peer(&from, message, ctx),
+            Event::Engine(event) => self.streams.on_engine(event, ctx),
+            Event::Service(event) => self.on_service(event, ctx),
+            Event::Log(event) => self.on_log(event, ctx),
+            Event::VmList(list) => {
+                membership::on_list(list, ctx);
+                membership::schedule_fetch(ctx);
+            }
+            Event::VmListFailed => membership::schedule_fetch(ctx),
+            Event::Terminate => self.drain.begin(ctx),
+        }
+    }
+
+    fn on_started(&mut self, ctx: &mut Context<'_>) {
+        ctx.push(Effect::FetchVmList);
+        self.config.read(ctx);
+        self.streams.on_report_grants(ctx);
+        self.shards.on_sweep_timer(ctx);
+        self.executions.on_sweep_timer(ctx);
+        self.config.on_snapshot_timer(ctx);
+        membership::on_probe_timer(ctx);
+    }
+
+    fn on_tick(&mut self, ctx: &mut Context<'_>) {
+        while let Some(timer) = ctx.timers.pop_due(ctx.now.monotonic) {
+            self.on_timer(timer, ctx);
+        }
+    }
+
+    fn on_timer(&mut self, timer: Timer, ctx: &mut Context<'_>) {
+        match timer {
+            Timer::FetchVmList => ctx.push(Effect::FetchVmList),
+            Timer::ReadConfig => self.config.read(ctx),
+            Timer::ReportGrants => self.streams.on_report_grants(ctx),
+            Timer::PlaceOverdue { request, placement } => {
+                self.streams.on_place_overdue(request, placement, ctx);
+            }
+            Timer::StartPrefill { request, placement } => {
+                self.streams.on_start_prefill(request, placement, ctx);
+            }
+            Timer::RetryCancel { attempt } => self.streams.on_retry_cancel(attempt, ctx),
+            Timer::RetryPartition { partition } => {
+                self.partitions.on_retry(partition, ctx);
+            }
+            Timer::ClaimOverdue { key, request } => {
+                self.executions.on_claim_overdue(key, request, ctx);
+            }
+            Timer::OutcomeOverdue { key, request } => {
+                self.executions.on_outcome_overdue(key, request, ctx);
+            }
+            Timer::CallOverdue { call, attempt } => self.calls.on_failed(call, attempt, ctx),
+            Timer::RetryCall { call, attempt } => self.calls.on_retry(call, attempt, ctx),
+            Timer::ProbePeers => membership::on_probe_timer(ctx),
+            Timer::SnapshotConfig => self.config.on_snapshot_timer(ctx),
+            Timer::SweepEndpoints => self.shards.on_sweep_timer(ctx),
+            Timer::SweepClaims => self.executions.on_sweep_timer(ctx),
+            Timer::StageOverdue { attempt, progress } => {
+                self.streams.on_stage_overdue(attempt, progress, ctx);
+            }
+        }
+    }
+
+    /// Admits a call, or answers why it is not admitted.
+    fn admit(&mut self, call: CallId, account: &Name, ctx: &mut Context<'_>) -> bool {
+        let problem = self.check_admission(account, ctx).err();
+        match problem {
+            None => {
+                self.open_calls.insert(call, account.clone());
+                true
+            }
+            Some(problem) => {
+                ctx.push(Effect::Refuse { call, problem });
+                false
+            }
+        }
+    }
+
+    fn check_admission(&mut self, account: &Name, ctx: &mut Context<'_>) -> Result<(), Problem> {
+        if !self.is_serving() {
+            ctx.count(Counter::RefusedDraining);
+            return Err(Problem::retry(
+                ProblemKind::Unavailable,
+                UNAVAILABLE_RETRY_AFTER,
+            ));
+        }
+        let Some(limits) = ctx.site.accounts.get(account) else {
+            return Err(Problem::new(ProblemKind::Unauthorized));
+        };
+        self.limits
+            .admit(account, limits, ctx.now.monotonic)
+            .map_err(|after| {
+                ctx.count(Counter::AccountsLimited);
+                Problem::retry(ProblemKind::AccountLimited, after)
+            })
+    }
+
+    fn next_request(&mut self, ctx: &Context<'_>) -> RequestId {
+        self.requests += 1;
+        RequestId {
+            incarnation: ctx.identity.incarnation,
+            sequence: self.requests,
+        }
+    }
+
+    fn on_completion(&mut self, asked: CompletionRequest, ctx: &mut Context<'_>) {
+        if self.admit(asked.call, &asked.account, ctx) {
+            let id = self.next_request(ctx);
+            self.streams.start(id, asked, ctx);
+        }
+    }
+
+    fn on_service_call(&mut self, asked: &ServiceCall, ctx: &mut Context<'_>) {
+        if !self.admit(asked.call, &asked.account, ctx) {
+            return;
+        }
+        let site = ctx.site.clone();
+        let Some((service, route)) = find_route(&site, &asked.method, &asked.path) else {
+            let problem = Problem::new(ProblemKind::NoRoute);
+            ctx.push(Effect::Refuse {
+                call: asked.call,
+                problem,
+            });
+            return;
+        };
+        ctx.count(Counter::CallsAsked);
+        match route.semantics {
+            Semantics::Idempotent => self.calls.start(asked, service, route, ctx),
+            Semantics::NonIdempotent => {
+                let request = self.next_request(ctx);
+                self.executions.start(request, asked, service, route, ctx);
+            }
+        }
+    }
+
+    fn on_caller_gone(&mut self, call: CallId, ctx: &mut Context<'_>) {
+        let Some(account) = self.open_calls.remove(&call) else {
+            return;
+        };
+        self.limits.release(&account);
+        self.streams.on_caller_gone(call, ctx);
+        self.calls.on_caller_gone(call);
+        self.executions.on_caller_gone(call);
+    }
+
+    fn on_peer(&mut self, from: &Sender, message: PeerMessage, ctx: &mut Context<'_>) {
+        match message {
+            PeerMessage::Place(request) => self.shards.on_place(&from.vm, request, ctx),
+            PeerMessage::Placed(reply) => self.streams.on_placed(&from.vm, reply, ctx),
+            PeerMessage::GrantReport(report) => self.shards.on_report(report, ctx),
+            PeerMessage::Claim(request) => self.partitions.on_claim(&from.vm, request, ctx),
+            PeerMessage::Claimed(reply) => self.executions.on_claimed(reply, ctx),
+            PeerMessage::RecordOutcome(record) => self.partitions.on_outcome(record, ctx),
+            PeerMessage::AskOutcome(asked) => self.executions.on_ask(&from.vm, asked, ctx),
+            PeerMessage::TellOutcome(told) => self.executions.on_told(told, ctx),
+            PeerMessage::PullConfig(_)
+            | PeerMessage::PushConfig(_)
+            | PeerMessage::Probe(_)
+            | PeerMessage::ProbeAck(_)
+            | PeerMessage::ProbeFor(_) => {}
+        }
+    }
+
+    fn on_service(&mut self, event: ServiceEvent, ctx: &mut Context<'_>) {
+        match event {
+            ServiceEvent::Answered {
+                call,
+                attempt,
+                answer,
+            } => {
+                if !self.executions.on_answered(call, attempt, &answer, ctx) {
+                    self.calls.on_answered(call, answer, ctx);
+                }
+            }
+            ServiceEvent::Failed {
+                call,
+                attempt,
+                sent,
+            } => {
+                if !self.executions.on_failed(call, attempt, sent, ctx) {
+                    self.calls.on_failed(call, attempt, ctx);
+                }
+            }
+        }
+    }
+
+    fn on_log(&mut self, event: LogEvent, ctx: &mut Context<'_>) {
+        let stream = match &event {
+            LogEvent::Read { stream, .. }
+            | LogEvent::ReadFailed { stream }
+            | LogEvent::Appended { stream, .. }
+            | LogEvent::AppendFailed { stream, .. } => *stream,
+        };
+        match stream {
+            LogStream::Config => self.config.on_log(event, ctx),
+            LogStream::Claims(partition) => self.partitions.on_log(partition, event, ctx),
+        }
+    }
+
+    /// Releases the limits of calls that were answered and drops whatever would answer a call twice.
+    fn settle_calls(&mut self, ctx: &mut Context<'_>) {
+        let open_calls = &mut self.open_calls;
+        let limits = &mut self.limits;
+        let mut stale = 0;
+        ctx.effects.retain(|effect| match effect {
+            Effect::Answer { call, .. }
+            | Effect::Finish { call, .. }
+            | Effect::Abort { call, .. } => match open_calls.remove(call) {
+                Some(account) => {
+                    limits.release(&account);
+                    true
+                }
+                None => {
+                    stale += 1;
+                    false
+                }
+            },
+            Effect::Refuse { call, .. } => {
+                if let Some(account) = open_calls.remove(call) {
+                    limits.release(&account);
+                }
+                true
+            }
+            _ => true,
+        });
+        for _ in 0..stale {
+            ctx.count(Counter::StaleMessages);
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_core/src/notice.rs
@@ -0,0 +1,76 @@
+//! Changes of state that are worth a log line.
+
+use std::fmt;
+
+use arbutusfall_wire::MemberState;
+use arbutusfall_wire::Name;
+use arbutusfall_wire::Offset;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::LogStream;
+
+/// A change of state.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Notice {
+    /// A configuration came into force.
+    ConfigInForce {
+        /// Revision of the base.
+        base: Offset,
+        /// Revision of this site's overlay.
+        overlay: Option<Offset>,
+    },
+    /// The log lost configuration records that no snapshot covers.
+    ConfigGap {
+        /// First offset that was not read.
+        next: Offset,
+        /// Oldest offset that the log keeps.
+        oldest: Offset,
+    },
+    /// The log stopped answering.
+    LogDown(LogStream),
+    /// The log answers again.
+    LogUp(LogStream),
+    /// Another VM changed its state.
+    Member {
+        /// The VM.
+        vm: Name,
+        /// Its new state.
+        state: MemberState,
+    },
+    /// The VM takes no new work.
+    Draining,
+    /// All work in progress is done.
+    Drained,
+}
+
+impl fmt::Display for Notice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::ConfigInForce {
+                base,
+                overlay: Some(overlay),
+            } => {
+                write!(f, "configuration in force: base {base}, overlay {overlay}")
+            }
+            Self::ConfigInForce {
+                base,
+                overlay: None,
+            } => {
+                write!(f, "configuration in force: base {base}, no overlay")
+            }
+            Self::ConfigGap { next, oldest } => {
+                write!(
+                    f,
+                    "configuration records from {next} to {oldest} are gone from the log"
+                )
+            }
+            Self::LogDown(stream) => write!(f, "log stream {stream:?} does not answer"),
+            Self::LogUp(stream) => write!(f, "log stream {stream:?} answers again"),
+            Self::Member { vm, state } => write!(f, "VM {vm} is now {state:?}"),
+            Self::Draining => f.write_str("draining: no new work is taken"),
+            Self::Drained => f.write_str("drained: all work in progress is done"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_core/src/streams/stream.rs
@@ -0,0 +1,287 @@
+//! One model request.
+
+use std::time::Duration;
+
+use arbutusfall_wire::ActiveGrant;
+use arbutusfall_wire::EndedGrant;
+use arbutusfall_wire::Grant;
+use arbutusfall_wire::GrantEnd;
+use arbutusfall_wire::Name;
+use arbutusfall_wire::PlaceRequest;
+use arbutusfall_wire::RequestId;
+use arbutusfall_wire::ShardId;
+use arbutusfall_wire::stable_hash;
+
+use crate::CallId;
+use crate::CompletionRequest;
+use crate::Stage;
+use crate::config::SiteConfig;
+use crate::placement::shard_count;
+
+/// A model request in progress.
+#[derive(Debug)]
+pub(crate) struct Stream {
+    pub(crate) call: CallId,
+    asked: CompletionRequest,
+    pub(crate) max_output_tokens: u32,
+    first_token_due: Duration,
+    /// Tokens that the caller was sent.
+    ///
+    /// Invariant: at most `max_output_tokens`; only grows.
+    pub(crate) delivered_tokens: u32,
+    /// Counts the placements that were asked for; answers to older ones are stale.
+    pub(crate) placement: u32,
+    /// Owners that did not answer the current placement.
+    pub(crate) owner_tries: usize,
+    pub(crate) failures: u32,
+    avoid: Vec<Name>,
+    pub(crate) phase: Phase,
+}
+
+/// How far a request has come.
+#[derive(Debug)]
+pub(crate) enum Phase {
+    /// An owner was asked.
+    Placing { shard: ShardId },
+    /// A grant was given whose instant has not come.
+    Waiting {
+        shard: ShardId,
+        owner: Name,
+        grant: Grant,
+    },
+    /// An engine works.
+    Running(Running),
+}
+
+/// A request at an engine.
+#[derive(Debug)]
+pub(crate) struct Running {
+    shard: ShardId,
+    owner: Name,
+    grant: Grant,
+    stage: Stage,
+    /// Instant at which the current stage was ordered.
+    since: Duration,
+    prefill_took: Option<Duration>,
+    transfer_took: Option<Duration>,
+    cached_tokens: Option<u32>,
+    /// Tokens received from the current decode attempt.
+    received_tokens: u32,
+}
+
+impl Phase {
+    /// Stage at an engine, if an engine works.
+    pub(crate) fn stage(&self) -> Option<Stage> {
+        match self {
+            Self::Running(running) => Some(running.stage),
+            Self::Placing { .. } | Self::Waiting { .. } => None,
+        }
+    }
+}
+
+impl Stream {
+    pub(crate) fn new(
+        asked: CompletionRequest,
+        max_output_tokens: u32,
+        first_token_due: Duration,
+    ) -> Self {
+        let shard = ShardId {
+            model: asked.model.clone(),
+            index: 0,
+        };
+        Self {
+            call: asked.call,
+            asked,
+            max_output_tokens,
+            first_token_due,
+            delivered_tokens: 0,
+            placement: 0,
+            owner_tries: 0,
+            failures: 0,
+            avoid: Vec::new(),
+            phase: Phase::Placing { shard },
+        }
+    }
+
+    /// Shard that should hold the request.
+    pub(crate) fn shard(&self, id: RequestId, site: &SiteConfig) -> ShardId {
+        let count = u64::from(shard_count(site, &self.asked.model));
+        let index = stable_hash(&(id, self.failures)) % count;
+        let index = u16::try_from(index).unwrap_or_default();
+        ShardId {
+            model: self.asked.model.clone(),
+            index,
+        }
+    }
+
+    pub(crate) fn place_request(
+        &self,
+        id: RequestId,
+        shard: ShardId,
+        now: Duration,
+    ) -> PlaceRequest {
+        PlaceRequest {
+            request: id,
+            placement: self.placement,
+            shard,
+            account: self.asked.account.clone(),
+            prompt_tokens: self.asked.prompt_tokens + self.delivered_tokens,
+            max_output_tokens: self.max_output_tokens - self.delivered_tokens,
+            piece_hashes: self.asked.piece_hashes.clone(),
+            first_token_budget: self.first_token_due.saturating_sub(now),
+            resumed: self.delivered_tokens > 0,
+            prefilled_on: None,
+            avoid: self.avoid.clone(),
+            traceparent: self.asked.traceparent.clone(),
+        }
+    }
+
+    /// Moves from waiting to the prefill engine; none if the request was not waiting.
+    pub(crate) fn begin_prefill(&mut self, now: Duration) -> Option<Grant> {
+        let Phase::Waiting {
+            shard,
+            owner,
+            grant,
+        } = &self.phase
+        else {
+            return None;
+        };
+        let grant = grant.clone();
+        self.phase = Phase::Running(Running {
+            shard: shard.clone(),
+            owner: owner.clone(),
+            grant: grant.clone(),
+            stage: Stage::Prefill,
+            since: now,
+            prefill_took: None,
+            transfer_took: None,
+            cached_tokens: None,
+            received_tokens: 0,
+        });
+        Some(grant)
+    }
+
+    /// Moves from the prefill engine to the decode engine.
+    pub(crate) fn begin_decode(
+        &mut self,
+        now: Duration,
+        cached_tokens: Option<u32>,
+    ) -> Option<Grant> {
+        let Phase::Running(running) = &mut self.phase else {
+            return None;
+        };
+        running.stage = Stage::Decode;
+        running.prefill_took = Some(now - running.since);
+        running.cached_tokens = cached_tokens;
+        running.since = now;
+        Some(running.grant.clone())
+    }
+
+    /// Takes those of the tokens that were not received yet.
+    pub(crate) fn take_tokens(
+        &mut self,
+        first_index: u32,
+        mut texts: Vec<Name>,
+        now: Duration,
+    ) -> Vec<Name> {
+        let Phase::Running(running) = &mut self.phase else {
+            return Vec::new();
+        };
+        let Some(known) = running.received_tokens.checked_sub(first_index) else {
+            return Vec::new();
+        };
+        texts.drain(..texts.len().min(known as usize));
+        let left = self.max_output_tokens - self.delivered_tokens;
+        texts.truncate(left as usize);
+        let count = u32::try_from(texts.len()).unwrap_or_default();
+        if count > 0 && running.received_tokens == 0 {
+            running.transfer_took = Some(now - running.since);
+        }
+        running.received_tokens += count;
+        self.delivered_tokens += count;
+        debug_assert!(self.delivered_tokens <= self.max_output_tokens);
+        texts
+    }
+
+    /// Tokens received from the current decode attempt.
+    pub(crate) fn received_tokens(&self) -> u32 {
+        match &self.phase {
+            Phase::Running(running) => running.received_tokens,
+            Phase::Placing { .. } | Phase::Waiting { .. } => 0,
+        }
+    }
+
+    /// The engine that works for the request.
+    pub(crate) fn engine(&self) -> Option<Name> {
+        let Phase::Running(running) = &self.phase else {
+            return None;
+        };
+        Some(match running.stage {
+            Stage::Prefill => running.grant.prefill.clone(),
+            Stage::Decode => running.grant.decode.clone(),
+        })
+    }
+
+    /// Keeps the next placement away from the endpoint that failed.
+    pub(crate) fn avoid_failed(&mut self, end: GrantEnd) {
+        let Phase::Running(running) = &self.phase else {
+            return;
+        };
+        let failed = match end {
+            GrantEnd::PrefillFailed => &running.grant.prefill,
+            GrantEnd::TransferFailed | GrantEnd::DecodeFailed => &running.grant.decode,
+            GrantEnd::Finished | GrantEnd::Cancelled => return,
+        };
+        if !self.avoid.contains(failed) {
+            self.avoid.push(failed.clone());
+        }
+    }
+
+    /// What to tell the owner when the current grant ends.
+    pub(crate) fn end_grant(
+        &self,
+        id: RequestId,
+        end: GrantEnd,
+    ) -> Option<(Name, ShardId, EndedGrant)> {
+        let ended = EndedGrant {
+            request: id,
+            placement: self.placement,
+            end,
+            prefill_took: None,
+            transfer_took: None,
+            cached_tokens: None,
+            generated_tokens: 0,
+        };
+        match &self.phase {
+            Phase::Placing { .. } => None,
+            Phase::Waiting { shard, owner, .. } => Some((owner.clone(), shard.clone(), ended)),
+            Phase::Running(running) => {
+                let ended = EndedGrant {
+                    prefill_took: running.prefill_took,
+                    transfer_took: running.transfer_took,
+                    cached_tokens: running.cached_tokens,
+                    generated_tokens: running.received_tokens,
+                    ..ended
+                };
+                Some((running.owner.clone(), running.shard.clone(), ended))
+            }
+        }
+    }
+
+    /// What to tell the owner while the grant is in use.
+    pub(crate) fn active_grant(&self, id: RequestId) -> Option<(Name, ShardId, ActiveGrant)> {
+        let Phase::Running(running) = &self.phase else {
+            return None;
+        };
+        let prefilling = running.stage == Stage::Prefill;
+        let active = ActiveGrant {
+            request: id,
+            prefill: prefilling.then(|| running.grant.prefill.clone()),
+            decode: running.grant.decode.clone(),
+            prompt_tokens: self.asked.prompt_tokens,
+            generated_tokens: self.delivered_tokens,
+            max_output_tokens: self.max_output_tokens,
+        };
+        Some((running.owner.clone(), running.shard.clone(), active))
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_core/src/timers.rs
@@ -0,0 +1,83 @@
+//! Pending timers, in order of their instants.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use arbutusfall_wire::IdempotencyKey;
+use arbutusfall_wire::RequestId;
+
+use crate::AttemptId;
+use crate::CallId;
+
+/// What to look at again. A timer that finds nothing to do is ignored, so timers need not be cancelled.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Timer {
+    FetchVmList,
+    ProbePeers,
+    ReadConfig,
+    SnapshotConfig,
+    ReportGrants,
+    SweepEndpoints,
+    SweepClaims,
+    PlaceOverdue {
+        request: RequestId,
+        placement: u32,
+    },
+    StartPrefill {
+        request: RequestId,
+        placement: u32,
+    },
+    StageOverdue {
+        attempt: AttemptId,
+        progress: u32,
+    },
+    RetryCancel {
+        attempt: AttemptId,
+    },
+    RetryPartition {
+        partition: u16,
+    },
+    ClaimOverdue {
+        key: IdempotencyKey,
+        request: RequestId,
+    },
+    OutcomeOverdue {
+        key: IdempotencyKey,
+        request: RequestId,
+    },
+    CallOverdue {
+        call: CallId,
+        attempt: u32,
+    },
+    RetryCall {
+        call: CallId,
+        attempt: u32,
+    },
+}
+
+/// Timers by due instant; equal instants keep the order in which they were set.
+#[derive(Debug, Default)]
+pub(crate) struct Timers {
+    pending: BTreeMap<(Duration, u64), Timer>,
+    sequence: u64,
+}
+
+impl Timers {
+    pub(crate) fn set(&mut self, due: Duration, timer: Timer) {
+        self.sequence += 1;
+        self.pending.insert((due, self.sequence), timer);
+    }
+
+    /// Removes and returns the first timer that is due.
+    pub(crate) fn pop_due(&mut self, now: Duration) -> Option<Timer> {
+        let entry = self.pending.first_entry()?;
+        if entry.key().0 > now {
+            return None;
+        }
+        Some(entry.remove())
+    }
+
+    pub(crate) fn next_due(&self) -> Option<Duration> {
+        self.pending.first_key_value().map(|((due, _), _)| *due)
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the reducer: golden sessions, properties and explorations.
+
+mod session;
+mod thin_path;
--- /dev/null
+++ b/crates/arbutusfall_standins/src/caller.rs
@@ -0,0 +1,237 @@
+//! A caller: asks for completions and plain calls, and checks that answers are whole.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use arbutusfall::Executor;
+use arbutusfall::http;
+use arbutusfall::http::ClientError;
+use arbutusfall::http::Exchange;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::header::HOST;
+use hyper::header::RETRY_AFTER;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::engine::generated_length;
+use crate::engine::prompt_seed;
+use crate::engine::token_text;
+
+/// Time allowed for a whole exchange.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A request that got no usable answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallerError {
+    /// The exchange failed.
+    Exchange(ClientError),
+    /// The stream ended before its last event.
+    Cut,
+}
+
+impl fmt::Display for CallerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Exchange(error) => write!(f, "{error}"),
+            Self::Cut => f.write_str("the stream was cut"),
+        }
+    }
+}
+
+impl std::error::Error for CallerError {}
+
+/// An answer to a completion.
+#[derive(Debug, Clone)]
+pub struct Completion {
+    /// HTTP status.
+    pub status: u16,
+    /// Generated text.
+    pub text: String,
+    /// Instant of each token, from the request on.
+    pub token_times: Vec<Duration>,
+    /// Problem document, if the request was refused or its stream ended with an error.
+    pub problem: Option<Value>,
+    /// When to come back, if the answer says so.
+    pub retry_after: Option<Duration>,
+}
+
+/// An answer to a plain call.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlainAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: Value,
+}
+
+/// Text that the stand-in engines generate for a prompt.
+pub fn expected_text(prompt: &str, max_tokens: usize) -> String {
+    let seed = prompt_seed(prompt);
+    (0..generated_length(seed, max_tokens))
+        .map(|index| token_text(seed, index))
+        .collect()
+}
+
+/// A caller with its key.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    /// Executor of its connections.
+    pub executor: Arc<Executor>,
+    /// Bearer key.
+    pub key: String,
+}
+
+impl Caller {
+    /// Asks for a completion and reads its stream to the end.
+    ///
+    /// # Errors
+    ///
+    /// [`CallerError`] if there is no answer or it is cut.
+    pub async fn complete(
+        &self,
+        vm: SocketAddr,
+        model: &str,
+        prompt: &str,
+        max_tokens: usize,
+        traceparent: Option<&str>,
+    ) -> Result<Completion, CallerError> {
+        let started = Instant::now();
+        let body = json!({
+            "model": model,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": true,
+        });
+        let mut headers = vec![];
+        headers.extend(traceparent.map(|traceparent| ("traceparent", traceparent)));
+        let body = body.to_string().into();
+        let answer = self
+            .send(vm, Method::POST, "/v1/completions", &headers, body)
+            .await?;
+        let mut completion = Completion {
+            status: answer.status().as_u16(),
+            text: String::new(),
+            token_times: Vec::new(),
+            problem: None,
+            retry_after: retry_after(&answer),
+        };
+        if completion.status == 200 {
+            read_stream(answer.into_body(), started, &mut completion).await?;
+        } else {
+            completion.problem = Some(read_json(answer.into_body()).await?);
+        }
+        Ok(completion)
+    }
+
+    /// Makes a plain call.
+    ///
+    /// # Errors
+    ///
+    /// [`CallerError`] if there is no answer.
+    pub async fn call(
+        &self,
+        vm: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<PlainAnswer, CallerError> {
+        let answer = self
+            .send(vm, method, path, headers, Bytes::from_static(b"{}"))
+            .await?;
+        let status = answer.status().as_u16();
+        Ok(PlainAnswer {
+            status,
+            body: read_json(answer.into_body()).await?,
+        })
+    }
+
+    async fn send(
+        &self,
+        vm: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<Response<Incoming>, CallerError> {
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, vm.to_string())
+            .header(AUTHORIZATION, format!("Bearer {}", self.key));
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let malformed = |_| CallerError::Exchange(ClientError::Malformed);
+        let request = builder.body(Full::new(body)).map_err(malformed)?;
+        let exchange = Exchange {
+            address: vm,
+            request,
+            connect_timeout: EXCHANGE_TIMEOUT,
+            answer_timeout: EXCHANGE_TIMEOUT,
+        };
+        http::send(&self.executor, exchange)
+            .await
+            .map_err(CallerError::Exchange)
+    }
+}
+
+fn retry_after(answer: &Response<Incoming>) -> Option<Duration> {
+    let seconds = answer
+        .headers()
+        .get(RETRY_AFTER)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()?;
+    Some(Duration::from_secs(seconds))
+}
+
+async fn read_json(body: Incoming) -> Result<Value, CallerError> {
+    let body = http::read_body(body, EXCHANGE_TIMEOUT)
+        .await
+        .map_err(CallerError::Exchange)?;
+    Ok(serde_json::from_slice(&body).unwrap_or_default())
+}
+
+async fn read_stream(
+    mut body: Incoming,
+    started: Instant,
+    completion: &mut Completion,
+) -> Result<(), CallerError> {
+    let mut buffer = String::new();
+    loop {
+        let frame = body.frame().await.ok_or(CallerError::Cut)?;
+        let frame = frame.map_err(|_| CallerError::Cut)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        buffer.push_str(&String::from_utf8_lossy(&data));
+        while let Some((event, rest)) = buffer.split_once("\n\n") {
+            let data = event.strip_prefix("data: ").unwrap_or_default();
+            if data == "[DONE]" {
+                return Ok(());
+            }
+            let event: Value = serde_json::from_str(data).unwrap_or_default();
+            if event["error"].is_object() {
+                completion.problem = Some(event["error"].clone());
+                return Ok(());
+            }
+            let text = event["choices"][0]["text"].as_str().unwrap_or_default();
+            if !text.is_empty() {
+                completion.text.push_str(text);
+                completion.token_times.push(started.elapsed());
+            }
+            buffer = rest.to_owned();
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_standins/src/demo.rs
@@ -0,0 +1,237 @@
+//! The README's main command: starts a whole site, sends requests and shows what became of them.
+
+use std::process::ExitCode;
+use std::time::Duration;
+use std::time::Instant;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use hyper::Method;
+use serde_json::Value;
+
+use crate::Caller;
+use crate::Completion;
+use crate::Fleet;
+use crate::FleetError;
+use crate::SiteSize;
+use crate::expected_text;
+
+/// VMs of the demo.
+const VMS: usize = 3;
+
+/// Captions that are sent at once.
+const CAPTIONS: usize = 6;
+
+/// Tokens that a caption may have.
+const MAX_TOKENS: usize = 40;
+
+/// Trace under which the first caption is sent.
+const TRACE_ID: &str = "0af7651916cd43dd8448eb211c80319c";
+
+/// Runs the demo.
+pub fn demo() -> ExitCode {
+    match run() {
+        Ok(0) => {
+            println!("\nall answers are right");
+            ExitCode::SUCCESS
+        }
+        Ok(wrong) => {
+            println!("\n{wrong} answers are wrong");
+            ExitCode::from(1)
+        }
+        Err(error) => {
+            eprintln!("demo: {error:?}");
+            ExitCode::from(1)
+        }
+    }
+}
+
+/// Runs the demo and returns the number of wrong answers.
+fn run() -> Result<usize, Report<FleetError>> {
+    let site = SiteSize::vitosha();
+    println!(
+        "starting {} VMs, {} engines and the platform's stand-ins",
+        VMS, 9
+    );
+    let program = std::env::current_exe().change_context(FleetError::Files)?;
+    let fleet = Fleet::start(&program, &site, VMS)?;
+    let caller = Caller {
+        executor: fleet.executor.clone(),
+        key: site.key.to_owned(),
+    };
+    let mut wrong = show_captions(&fleet, &caller);
+    wrong += show_calls(&fleet, &caller);
+    wrong += show_spans(&fleet)?;
+    show_measures(&fleet)?;
+    Ok(wrong)
+}
+
+fn show_captions(fleet: &Fleet, caller: &Caller) -> usize {
+    let tasks: Vec<_> = (0..CAPTIONS)
+        .map(|number| {
+            let caller = caller.clone();
+            let vm = fleet.vms[number % VMS].caller_address;
+            let model = fleet.site.model;
+            let prompt = caption_prompt(number);
+            fleet.executor.spawn(async move {
+                let traceparent = format!("00-{TRACE_ID}-b7ad6b7169203331-01");
+                let traceparent = (number == 0).then_some(traceparent);
+                let answer = caller
+                    .complete(vm, model, &prompt, MAX_TOKENS, traceparent.as_deref())
+                    .await;
+                (number, prompt, answer)
+            })
+        })
+        .collect();
+    let mut wrong = 0;
+    let mut good = 0;
+    for task in tasks {
+        let (number, prompt, answer) = fleet.block_on(task);
+        match answer {
+            Ok(answer) if answer.text == expected_text(&prompt, MAX_TOKENS) => {
+                good += usize::from(meets_targets(&answer));
+                let first = answer.token_times.first().copied().unwrap_or_default();
+                println!(
+                    "caption {number}: {} tokens, the first after {first:.0?}: {}...",
+                    answer.token_times.len(),
+                    answer.text.chars().take(24).collect::<String>(),
+                );
+            }
+            other => {
+                wrong += 1;
+                println!("caption {number}: WRONG {other:?}");
+            }
+        }
+    }
+    println!("goodput: {good} of {CAPTIONS} captions met both latency targets");
+    wrong
+}
+
+fn caption_prompt(number: usize) -> String {
+    let history = "order 4711: 12 prints 10x15, album template lakes; ".repeat(300);
+    format!("{history}caption for picture {number}")
+}
+
+/// Whether an answer met both latency targets.
+pub(crate) fn meets_targets(answer: &Completion) -> bool {
+    let first_token_target = Duration::from_millis(910);
+    let between_tokens_target = Duration::from_millis(39);
+    let Some(first) = answer.token_times.first() else {
+        return false;
+    };
+    let mut gaps: Vec<Duration> = answer
+        .token_times
+        .windows(2)
+        .map(|pair| pair[1] - pair[0])
+        .collect();
+    gaps.sort_unstable();
+    let rank = (gaps.len() * 95).div_ceil(100).saturating_sub(1);
+    let between = gaps.get(rank).copied().unwrap_or_default();
+    *first <= first_token_target && between <= between_tokens_target
+}
+
+fn show_calls(fleet: &Fleet, caller: &Caller) -> usize {
+    let key = uuid::Uuid::now_v7().to_string();
+    let path = fleet.site.non_idempotent_path;
+    let mut wrong = 0;
+    let mut answers = Vec::new();
+    for (index, vm) in fleet.vms.iter().enumerate().take(2) {
+        let attempt = (index + 1).to_string();
+        let headers = [
+            ("idempotency-key", &*key),
+            ("arbutusfall-attempt", &*attempt),
+        ];
+        let call = caller.call(vm.caller_address, Method::POST, path, &headers);
+        let answer = fleet.block_on(call);
+        println!("print confirmation, attempt {attempt}: {answer:?}");
+        answers.push(answer.ok());
+    }
+    if answers[0].is_none() || answers[0] != answers[1] {
+        wrong += 1;
+        println!("WRONG: the repeat was not answered like the first attempt");
+    }
+    let executions: u64 = executions(fleet, &key);
+    println!("the service executed the key {executions} time(s)");
+    wrong += usize::from(executions != 1);
+    let path = format!("{}/4711", fleet.site.idempotent_path);
+    let vm = fleet.vms[VMS - 1].caller_address;
+    let answer = fleet.block_on(caller.call(vm, Method::GET, &path, &[]));
+    println!("status lookup: {answer:?}");
+    wrong + usize::from(!answer.is_ok_and(|answer| answer.status == 200))
+}
+
+/// How often the plain service's processes executed a key, all together.
+fn executions(fleet: &Fleet, key: &str) -> u64 {
+    let plain = fleet
+        .endpoints
+        .iter()
+        .filter(|(name, _)| name.starts_with("plain"));
+    plain
+        .filter_map(|(_, process)| fleet.get(process.address, "/executions").ok())
+        .filter_map(|executions| executions[key].as_u64())
+        .sum()
+}
+
+/// Prints the spans of the first caption as one tree; returns 1 if they are not one.
+fn show_spans(fleet: &Fleet) -> Result<usize, Report<FleetError>> {
+    let hops = ["caller", "place", "prefill", "decode"];
+    let mut spans = Vec::new();
+    let began = Instant::now();
+    fleet.wait_for("the spans of a caption", || {
+        let all = fleet
+            .get(fleet.collector.address, "/spans")
+            .unwrap_or_default();
+        let all = all.as_array().cloned().unwrap_or_default();
+        spans = all
+            .into_iter()
+            .filter(|span| span["traceId"] == TRACE_ID)
+            .collect();
+        hops.iter()
+            .all(|hop| spans.iter().any(|span| span["name"] == *hop))
+    })?;
+    println!(
+        "spans of caption 0, complete after {:.0?}:",
+        began.elapsed()
+    );
+    let Some(root) = spans.iter().find(|span| span["name"] == "caller") else {
+        return Ok(1);
+    };
+    print_span(root, &spans, 1);
+    let below_root = spans
+        .iter()
+        .filter(|span| span["parentId"] == root["id"])
+        .count();
+    Ok(usize::from(below_root + 1 != spans.len()))
+}
+
+fn print_span(span: &Value, spans: &[Value], depth: usize) {
+    let vm = span["localEndpoint"]["serviceName"]
+        .as_str()
+        .unwrap_or_default();
+    let name = span["name"].as_str().unwrap_or_default();
+    let millis = span["duration"].as_u64().unwrap_or_default() as f64 / 1_000.0;
+    println!(
+        "{:indent$}{name} at {vm}: {millis:.1} ms",
+        "",
+        indent = depth * 2
+    );
+    for child in spans.iter().filter(|child| child["parentId"] == span["id"]) {
+        print_span(child, spans, depth + 1);
+    }
+}
+
+fn show_measures(fleet: &Fleet) -> Result<(), Report<FleetError>> {
+    let (mut prefilled, mut wasted, mut held) = (0, 0, 0);
+    for (name, process) in &fleet.endpoints {
+        if name.starts_with("plain") {
+            continue;
+        }
+        let stats = fleet.get(process.address, "/stats")?;
+        prefilled += stats["prefilled_tokens"].as_u64().unwrap_or_default();
+        wasted += stats["wasted_tokens"].as_u64().unwrap_or_default();
+        held += stats["held"].as_u64().unwrap_or_default();
+    }
+    println!("wasted prefill: {wasted} of {prefilled} prefilled tokens");
+    println!("requests still held by engines: {held}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/arbutusfall_standins/src/engine/prefill.rs
@@ -0,0 +1,178 @@
+//! Prefill: one prompt at a time, results for a moment, transfers one after the other.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use arbutusfall::http::AnswerBody;
+use arbutusfall::http::json_answer;
+use arbutusfall_wire::piece_hashes;
+use async_io::Timer;
+use hyper::Response;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::engine::Engine;
+use crate::engine::POLL;
+
+/// Prompts that wait, the first one being computed.
+#[derive(Default)]
+pub(crate) struct PrefillQueue(VecDeque<QueuedPrompt>);
+
+struct QueuedPrompt {
+    id: String,
+    priority: i64,
+    tokens: u32,
+}
+
+/// A result that waits to be fetched.
+pub(crate) struct StoredResult {
+    pub(crate) tokens: u32,
+    pub(crate) expires_at: Instant,
+    /// Whether a decode engine is fetching it.
+    pub(crate) in_transfer: bool,
+}
+
+impl PrefillQueue {
+    pub(crate) fn ids(&self) -> impl Iterator<Item = &String> {
+        self.0.iter().map(|prompt| &prompt.id)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub(crate) fn tokens(&self) -> u64 {
+        self.0.iter().map(|prompt| u64::from(prompt.tokens)).sum()
+    }
+
+    /// Adds a prompt behind those of the same or a lower number of priority, never before the first.
+    fn add(&mut self, prompt: QueuedPrompt) {
+        let later = self
+            .0
+            .iter()
+            .skip(1)
+            .position(|queued| queued.priority > prompt.priority);
+        let position = later.map_or(self.0.len(), |later| later + 1);
+        self.0.insert(position, prompt);
+    }
+
+    fn is_first(&self, id: &str) -> bool {
+        self.0.front().is_some_and(|prompt| prompt.id == id)
+    }
+
+    fn contains(&self, id: &str) -> bool {
+        self.0.iter().any(|prompt| prompt.id == id)
+    }
+
+    pub(crate) fn remove(&mut self, id: &str) -> bool {
+        let before = self.0.len();
+        self.0.retain(|prompt| prompt.id != id);
+        self.0.len() < before
+    }
+}
+
+impl Engine {
+    /// Computes a prompt's KV cache and keeps it for a moment.
+    pub(crate) async fn prefill(
+        self: &Arc<Self>,
+        id: &str,
+        prompt: &str,
+        priority: i64,
+    ) -> Response<AnswerBody> {
+        let options = &self.options;
+        let tokens =
+            u32::try_from(prompt.len().div_ceil(options.bytes_per_token)).unwrap_or(u32::MAX);
+        self.lock().queue.add(QueuedPrompt {
+            id: id.to_owned(),
+            priority,
+            tokens,
+        });
+        while !self.lock().queue.is_first(id) {
+            if !self.lock().queue.contains(id) {
+                return json_answer(499, &json!({}));
+            }
+            Timer::after(POLL).await;
+        }
+        let hashes = piece_hashes(
+            prompt.as_bytes(),
+            options.piece_tokens * options.bytes_per_token,
+        );
+        let known = self.lock().cache.touch(&hashes, options.cache_pieces);
+        let cached = u32::try_from(known * options.piece_tokens).unwrap_or(0);
+        let computed = tokens.saturating_sub(cached).max(1);
+        let took = f64::from(computed) / options.prefill_tokens_per_s;
+        Timer::after(Duration::from_secs_f64(took)).await;
+        self.thaw().await;
+        let mut state = self.lock();
+        state.prefilled_tokens += u64::from(computed);
+        if !state.queue.remove(id) {
+            state.wasted_tokens += u64::from(computed);
+            return json_answer(499, &json!({}));
+        }
+        let lifetime = Duration::from_millis(options.result_lifetime_ms);
+        let expires_at = Instant::now() + lifetime;
+        let result = StoredResult {
+            tokens: computed,
+            expires_at,
+            in_transfer: false,
+        };
+        state.results.insert(id.to_owned(), result);
+        json_answer(
+            200,
+            &json!({
+                "choices": [{ "index": 0, "text": "" }],
+                "usage": {
+                    "prompt_tokens": tokens,
+                    "prompt_tokens_details": { "cached_tokens": cached },
+                },
+                "kv_transfer_params": {
+                    "do_remote_prefill": true,
+                    "remote_engine_id": self.address.to_string(),
+                    "remote_request_id": id,
+                    "remote_host": self.address.ip().to_string(),
+                    "remote_port": self.address.port(),
+                    "remote_tokens": tokens,
+                },
+            }),
+        )
+    }
+
+    /// Moves a result over the link; it is gone afterwards.
+    pub(crate) async fn transfer(self: &Arc<Self>, id: &str) -> Response<AnswerBody> {
+        let Some(arrives_at) = self.begin_transfer(id) else {
+            return json_answer(404, &json!({}));
+        };
+        Timer::at(arrives_at).await;
+        self.thaw().await;
+        let fetched = self.lock().results.remove(id).is_some();
+        json_answer(if fetched { 200 } else { 404 }, &Value::Null)
+    }
+
+    fn begin_transfer(&self, id: &str) -> Option<Instant> {
+        let mut state = self.lock();
+        state.drop_expired();
+        let stalls = state.faults.stall_transfers > 0;
+        let now = Instant::now();
+        let result = state
+            .results
+            .get_mut(id)
+            .filter(|result| !result.in_transfer)?;
+        if stalls {
+            // The result's lifetime goes on, as nobody got it.
+            state.faults.stall_transfers -= 1;
+            return Some(now + Duration::from_secs(3_600));
+        }
+        result.in_transfer = true;
+        let bytes = f64::from(result.tokens) * self.options.kv_bytes_per_token;
+        let took = Duration::from_secs_f64(bytes / self.options.link_bytes_per_s);
+        let begins_at = state.link_free_at.unwrap_or(now).max(now);
+        let arrives_at = begins_at + took;
+        state.link_free_at = Some(arrives_at);
+        if let Some(result) = state.results.get_mut(id) {
+            result.expires_at = result.expires_at.max(arrives_at + Duration::from_secs(1));
+        }
+        Some(arrives_at)
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_standins/src/fleet.rs
@@ -0,0 +1,484 @@
+//! A whole site on loopback: stand-ins and VMs as processes.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use arbutusfall::Executor;
+use arbutusfall::LogFormat;
+use arbutusfall::Settings;
+use arbutusfall::http;
+use arbutusfall_core::ListedVm;
+use async_io::Timer;
+use error_stack::Report;
+use error_stack::ResultExt;
+use futures_lite::future;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::SiteSize;
+
+/// Time allowed for a process to listen, or for a VM to be ready.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Interval at which a condition is looked at again.
+const POLL: Duration = Duration::from_millis(10);
+
+/// Time allowed for one exchange with a stand-in.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A fleet could not be started or asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FleetError {
+    /// A file or directory could not be written.
+    Files,
+    /// A process could not be started.
+    Start(String),
+    /// Something did not come true in time.
+    Timeout(String),
+    /// A command of `arbutusfall` failed.
+    Command(String),
+}
+
+impl fmt::Display for FleetError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Files => f.write_str("a file could not be written"),
+            Self::Start(what) => write!(f, "{what} could not be started"),
+            Self::Timeout(what) => write!(f, "timed out: {what}"),
+            Self::Command(line) => write!(f, "a command failed: {line}"),
+        }
+    }
+}
+
+impl std::error::Error for FleetError {}
+
+/// A process that ends with its handle.
+#[derive(Debug)]
+pub struct Process {
+    /// What it is.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    child: Child,
+}
+
+impl Process {
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            // The process may have ended by itself.
+            let _ = rustix::process::kill_process(pid, signal);
+        }
+    }
+
+    /// Ends the process without warning.
+    pub fn kill(&mut self) {
+        self.signal(Signal::KILL);
+        // The process is gone in any case.
+        let _ = self.child.wait();
+    }
+
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Stops the process's execution until [`Self::thaw`].
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Exit status, once the process has ended.
+    pub fn exit_status(&mut self) -> Option<i32> {
+        self.child
+            .try_wait()
+            .ok()
+            .flatten()
+            .map(|status| status.code().unwrap_or(-1))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A VM of the system under test.
+#[derive(Debug)]
+pub struct VmProcess {
+    /// Its process.
+    pub process: Process,
+    /// Its settings.
+    pub settings: Settings,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    settings_file: PathBuf,
+}
+
+/// All processes of a site.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The system's own VMs.
+    pub vms: Vec<VmProcess>,
+    /// Engines and processes of the plain service by endpoint name.
+    pub endpoints: BTreeMap<String, Process>,
+    /// The platform's log.
+    pub log: Process,
+    /// The platform's list of VMs.
+    pub vm_list: Process,
+    /// The collector of spans.
+    pub collector: Process,
+    /// The site.
+    pub site: SiteSize,
+    /// Executor for exchanges with the processes.
+    pub executor: Arc<Executor>,
+    /// Directory of settings and keys.
+    pub dir: PathBuf,
+    /// Program that holds the stand-ins and the commands of `arbutusfall`.
+    pub program: PathBuf,
+}
+
+impl Fleet {
+    /// Starts a site with the default policy and waits until all VMs are ready; `program` is the stand-ins' own.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError`] if something does not start in time.
+    pub fn start(program: &Path, site: &SiteSize, vms: usize) -> Result<Self, Report<FleetError>> {
+        let mut fleet = Self::start_platform(program, site)?;
+        fleet.publish_site("weighted")?;
+        fleet.start_vms(vms)?;
+        Ok(fleet)
+    }
+
+    /// Starts the platform and the endpoints, without configuration and VMs.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError`] if something does not start in time.
+    pub fn start_platform(program: &Path, site: &SiteSize) -> Result<Self, Report<FleetError>> {
+        let dir = std::env::temp_dir().join(format!("arbutusfall-{}", uuid::Uuid::now_v7()));
+        std::fs::create_dir_all(&dir).change_context(FleetError::Files)?;
+        let options = serde_json::to_string(&site.engine_options()).unwrap_or_default();
+        let mut endpoints = BTreeMap::new();
+        let roles = [
+            ("prefill", site.prefill_engines, "engine"),
+            ("decode", site.decode_engines, "engine"),
+            ("plain", site.service_processes, "service"),
+        ];
+        for (role, count, kind) in roles {
+            for number in 1..=count {
+                let name = format!("{role}-{number}");
+                endpoints.insert(
+                    name.clone(),
+                    start_stand_in(program, &name, kind, &options)?,
+                );
+            }
+        }
+        let fleet = Self {
+            vms: Vec::new(),
+            endpoints,
+            log: start_stand_in(program, "log", "log", "{}")?,
+            vm_list: start_stand_in(program, "vm-list", "vm-list", "{}")?,
+            collector: start_stand_in(program, "collector", "collector", "{}")?,
+            site: site.clone(),
+            executor: Arc::new(Executor::new()),
+            dir,
+            program: program.to_owned(),
+        };
+        let mut all: Vec<&Process> = fleet.endpoints.values().collect();
+        all.extend([&fleet.log, &fleet.vm_list, &fleet.collector]);
+        for process in all {
+            wait_until(&process.name, || {
+                std::net::TcpStream::connect(process.address).is_ok()
+            })?;
+        }
+        Ok(fleet)
+    }
+
+    /// Publishes the site's base and overlay.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Command`] if a publication is not accepted.
+    pub fn publish_site(&self, policy: &str) -> Result<(), Report<FleetError>> {
+        let addresses = self
+            .endpoints
+            .iter()
+            .map(|(name, process)| (name.clone(), process.address));
+        self.publish(&["base"], &self.site.base(policy))?;
+        self.publish(
+            &["overlay", self.site.name],
+            &self.site.overlay(&addresses.collect()),
+        )
+    }
+
+    /// Publishes a document.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Command`] if it is not accepted.
+    pub fn publish(&self, words: &[&str], document: &Value) -> Result<(), Report<FleetError>> {
+        let file = self.dir.join("document.json");
+        std::fs::write(&file, document.to_string()).change_context(FleetError::Files)?;
+        let mut arguments: Vec<String> = vec!["publish".to_owned()];
+        arguments.extend(words.iter().map(ToString::to_string));
+        arguments.push(file.display().to_string());
+        arguments.extend(["--log".to_owned(), self.log.address.to_string()]);
+        self.run_command(&arguments)
+    }
+
+    /// Runs a command of `arbutusfall` to its end.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Command`] with what it printed, if its exit status is not 0.
+    pub fn run_command(&self, arguments: &[String]) -> Result<(), Report<FleetError>> {
+        let failed = || FleetError::Command(arguments.join(" "));
+        let output = Command::new(&self.program)
+            .arg("arbutusfall")
+            .args(arguments)
+            .output()
+            .change_context_lazy(failed)?;
+        if output.status.success() {
+            return Ok(());
+        }
+        let printed = String::from_utf8_lossy(&output.stderr).into_owned();
+        Err(Report::new(FleetError::Command(printed)))
+    }
+
+    /// Starts VMs and waits until they are ready.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError`] if a VM does not get ready in time.
+    pub fn start_vms(&mut self, count: usize) -> Result<(), Report<FleetError>> {
+        let first = self.vms.len();
+        for index in first..first + count {
+            let settings = self.vm_settings(index)?;
+            let vm = self.start_vm(settings)?;
+            self.vms.push(vm);
+        }
+        self.set_vm_list(&[])?;
+        for vm in &self.vms[first..] {
+            self.wait_ready(vm)?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a VM's readiness path answers.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Timeout`] if it does not in time.
+    pub fn wait_ready(&self, vm: &VmProcess) -> Result<(), Report<FleetError>> {
+        let address = vm.settings.operator_address;
+        wait_until(&vm.process.name, || self.get(address, "/ready").is_ok())
+    }
+
+    fn vm_settings(&self, index: usize) -> Result<Settings, Report<FleetError>> {
+        let data_centre = self.site.data_centres[index % self.site.data_centres.len()];
+        let vm = format!("{data_centre}-vm-{index}");
+        let lifetime = Duration::from_secs(24 * 3_600);
+        arbutusfall::make_authority(&self.dir, lifetime).change_context(FleetError::Files)?;
+        let tls = arbutusfall::make_vm_certificate(&self.dir, &vm, lifetime)
+            .change_context(FleetError::Files)?;
+        Ok(Settings {
+            vm: vm.into(),
+            data_centre: data_centre.into(),
+            site: self.site.name.into(),
+            caller_address: free_address()?,
+            operator_address: free_address()?,
+            peer_address: free_address()?,
+            log_service_address: self.log.address,
+            vm_list_address: self.vm_list.address,
+            tls,
+            metrics_address: None,
+            trace_address: Some(self.collector.address),
+            log_format: LogFormat::Text,
+            worker_threads: 2,
+        })
+    }
+
+    /// Starts a VM's process.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Start`] if it cannot be started.
+    pub fn start_vm(&self, settings: Settings) -> Result<VmProcess, Report<FleetError>> {
+        let settings_file = self.dir.join(format!("{}.json", settings.vm));
+        let text = serde_json::to_string_pretty(&settings).change_context(FleetError::Files)?;
+        std::fs::write(&settings_file, text).change_context(FleetError::Files)?;
+        let failed = || FleetError::Start(settings.vm.to_string());
+        let child = Command::new(&self.program)
+            .args(["arbutusfall", "serve", "--settings"])
+            .arg(&settings_file)
+            .stderr(log_file(&self.dir, &settings.vm)?)
+            .spawn()
+            .change_context_lazy(failed)?;
+        let process = Process {
+            name: settings.vm.to_string(),
+            address: settings.peer_address,
+            child,
+        };
+        Ok(VmProcess {
+            process,
+            caller_address: settings.caller_address,
+            settings,
+            settings_file,
+        })
+    }
+
+    /// Starts a VM's process again, with the same settings.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Start`] if it cannot be started.
+    pub fn restart_vm(&mut self, index: usize) -> Result<(), Report<FleetError>> {
+        self.vms[index].process.kill();
+        let settings = self.vms[index].settings.clone();
+        debug_assert!(self.vms[index].settings_file.exists());
+        self.vms[index] = self.start_vm(settings)?;
+        Ok(())
+    }
+
+    /// Sets the platform's list to all VMs, some of them leaving.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Command`] if the stand-in does not answer.
+    pub fn set_vm_list(&self, leaving: &[usize]) -> Result<(), Report<FleetError>> {
+        let listed = self.vms.iter().enumerate().map(|(index, vm)| ListedVm {
+            vm: vm.settings.vm.clone(),
+            peer_address: vm.settings.peer_address,
+            data_centre: vm.settings.data_centre.clone(),
+            site: vm.settings.site.clone(),
+            leaving: leaving.contains(&index),
+        });
+        let list: Vec<ListedVm> = listed.collect();
+        self.post(self.vm_list.address, "/vms", &list)?;
+        Ok(())
+    }
+
+    /// Has a stand-in fail in some way.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Command`] if the stand-in does not answer.
+    pub fn set_faults(&self, process: &Process, faults: &Value) -> Result<(), Report<FleetError>> {
+        self.post(process.address, "/faults", faults).map(|_| ())
+    }
+
+    /// Asks for a document.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Command`] if it is not answered with success.
+    pub fn get(&self, address: SocketAddr, path: &str) -> Result<Value, Report<FleetError>> {
+        let exchange = http::get_json(&self.executor, address, path, EXCHANGE_TIMEOUT);
+        let answer: Result<Value, _> = future::block_on(self.executor.run(exchange));
+        answer.change_context_lazy(|| FleetError::Command(path.to_owned()))
+    }
+
+    /// Sends a document.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Command`] if it is not answered with success.
+    pub fn post(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        document: &impl Serialize,
+    ) -> Result<Value, Report<FleetError>> {
+        let exchange = http::post_json(&self.executor, address, path, document, EXCHANGE_TIMEOUT);
+        let answer: Result<Value, _> = future::block_on(self.executor.run(exchange));
+        answer.change_context_lazy(|| FleetError::Command(path.to_owned()))
+    }
+
+    /// Runs a future on this thread together with the fleet's exchanges.
+    pub fn block_on<T>(&self, future: impl Future<Output = T>) -> T {
+        future::block_on(self.executor.run(future))
+    }
+
+    /// Waits until a condition holds.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Timeout`] if it does not in time.
+    pub fn wait_for(
+        &self,
+        what: &str,
+        condition: impl FnMut() -> bool,
+    ) -> Result<(), Report<FleetError>> {
+        wait_until(what, condition)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.vms.clear();
+        // Left-over files harm nobody.
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn start_stand_in(
+    program: &Path,
+    name: &str,
+    kind: &str,
+    options: &str,
+) -> Result<Process, Report<FleetError>> {
+    let address = free_address()?;
+    let failed = || FleetError::Start(name.to_owned());
+    let child = Command::new(program)
+        .args(["stand-in", kind, &address.to_string(), options])
+        .stdin(Stdio::null())
+        .spawn()
+        .change_context_lazy(failed)?;
+    Ok(Process {
+        name: name.to_owned(),
+        address,
+        child,
+    })
+}
+
+fn log_file(dir: &Path, vm: &str) -> Result<std::fs::File, Report<FleetError>> {
+    std::fs::File::create(dir.join(format!("{vm}.log"))).change_context(FleetError::Files)
+}
+
+/// An address that nobody listens on at the moment.
+fn free_address() -> Result<SocketAddr, Report<FleetError>> {
+    let failed = || FleetError::Start("a listener".to_owned());
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).change_context_lazy(failed)?;
+    listener.local_addr().change_context_lazy(failed)
+}
+
+fn wait_until(what: &str, mut condition: impl FnMut() -> bool) -> Result<(), Report<FleetError>> {
+    let until = Instant::now() + START_TIMEOUT;
+    while !condition() {
+        if Instant::now() >= until {
+            return Err(Report::new(FleetError::Timeout(what.to_owned())));
+        }
+        future::block_on(Timer::after(POLL));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/arbutusfall_standins/src/lib.rs
@@ -0,0 +1,38 @@
+//! Small stand-ins for what surrounds arbutusfall: the platform's log and list of VMs, engines, a plain service and
+//! a collector of spans. They run as processes of their own and take faults by request.
+//!
+//! [`Fleet`] starts a whole site on loopback:
+//!
+//! ```no_run
+//! use arbutusfall_standins::Fleet;
+//! use arbutusfall_standins::SiteSize;
+//!
+//! let program = std::env::current_exe().unwrap();
+//! let fleet = Fleet::start(&program, &SiteSize::vitosha(), 7).unwrap();
+//! println!("callers connect to {}", fleet.vms[0].caller_address);
+//! ```
+
+mod caller;
+mod collector;
+mod demo;
+mod engine;
+mod fleet;
+mod log_service;
+mod plain_service;
+mod query;
+mod site;
+mod stand_in;
+mod vm_list;
+
+pub use caller::Caller;
+pub use caller::CallerError;
+pub use caller::Completion;
+pub use caller::PlainAnswer;
+pub use caller::expected_text;
+pub use demo::demo;
+pub use fleet::Fleet;
+pub use fleet::FleetError;
+pub use fleet::Process;
+pub use fleet::VmProcess;
+pub use site::SiteSize;
+pub use stand_in::run_stand_in;
--- /dev/null
+++ b/crates/arbutusfall_standins/src/log_service.rs
@@ -0,0 +1,183 @@
+//! Stand-in for the platform's append-only log.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use arbutusfall::http::AnswerBody;
+use arbutusfall::http::json_answer;
+use async_io::Timer;
+use futures_lite::future;
+use hyper::Method;
+use hyper::Response;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::query::query;
+use crate::query::segments;
+use crate::stand_in::Received;
+use crate::stand_in::StandIn;
+
+/// Interval at which a waiting read looks again.
+const WAIT_STEP: Duration = Duration::from_millis(5);
+
+/// Streams by name, and the faults in force.
+#[derive(Default)]
+pub(crate) struct LogService {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    streams: BTreeMap<String, Stream>,
+    faults: LogFaults,
+    appends: u64,
+}
+
+#[derive(Default)]
+struct Stream {
+    oldest: u64,
+    records: Vec<(Instant, String)>,
+}
+
+/// Faults by request; a field that is absent is switched off.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct LogFaults {
+    /// Refuses everything.
+    down: bool,
+    /// Never answers.
+    silent: bool,
+    /// Appends whose answers are lost although they take effect.
+    lose_answers: u32,
+    /// Appends that are dropped without an answer.
+    drop_appends: u32,
+    /// Delay of every answer.
+    slow_ms: u64,
+    /// Records before this offset are removed from all streams, once.
+    expire_before: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct AppendBody {
+    records: Vec<String>,
+}
+
+impl LogService {
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_faults(&self, body: &[u8]) -> Response<AnswerBody> {
+        let Ok(faults) = serde_json::from_slice::<LogFaults>(body) else {
+            return json_answer(400, &json!({}));
+        };
+        let mut state = self.lock();
+        if let Some(before) = faults.expire_before {
+            for stream in state.streams.values_mut() {
+                let gone = before
+                    .saturating_sub(stream.oldest)
+                    .min(stream.records.len() as u64);
+                stream.records.drain(..gone as usize);
+                stream.oldest += gone;
+            }
+        }
+        state.faults = faults;
+        json_answer(200, &json!({}))
+    }
+
+    async fn append(&self, name: &str, body: &[u8]) -> Response<AnswerBody> {
+        let Ok(body) = serde_json::from_slice::<AppendBody>(body) else {
+            return json_answer(400, &json!({}));
+        };
+        let (first, lost) = {
+            let mut state = self.lock();
+            if state.faults.drop_appends > 0 {
+                state.faults.drop_appends -= 1;
+                (0, true)
+            } else {
+                state.appends += 1;
+                let lost = state.faults.lose_answers > 0;
+                state.faults.lose_answers = state.faults.lose_answers.saturating_sub(1);
+                let stream = state.streams.entry(name.to_owned()).or_default();
+                let first = stream.oldest + stream.records.len() as u64;
+                let now = Instant::now();
+                stream
+                    .records
+                    .extend(body.records.into_iter().map(|text| (now, text)));
+                (first, lost)
+            }
+        };
+        if lost {
+            return future::pending().await;
+        }
+        json_answer(200, &json!({ "first": first }))
+    }
+
+    async fn read(&self, name: &str, from: u64, max: u64, wait: Duration) -> Response<AnswerBody> {
+        let until = Instant::now() + wait;
+        loop {
+            let page = self.page(name, from, max);
+            let found = page["records"]
+                .as_array()
+                .is_some_and(|records| !records.is_empty());
+            if found || Instant::now() >= until {
+                return json_answer(200, &page);
+            }
+            Timer::after(WAIT_STEP).await;
+        }
+    }
+
+    fn page(&self, name: &str, from: u64, max: u64) -> serde_json::Value {
+        let mut state = self.lock();
+        let stream = state.streams.entry(name.to_owned()).or_default();
+        let skipped = from.saturating_sub(stream.oldest);
+        let kept = stream.records.iter().enumerate();
+        let records: Vec<_> = kept
+            .skip(usize::try_from(skipped).unwrap_or(usize::MAX))
+            .take(max as usize)
+            .map(|(index, (at, text))| {
+                let offset = stream.oldest + index as u64;
+                let age_ms = u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX);
+                json!({ "offset": offset, "age_ms": age_ms, "text": text })
+            })
+            .collect();
+        let end = stream.oldest + stream.records.len() as u64;
+        json!({ "oldest": stream.oldest, "end": end, "records": records })
+    }
+}
+
+impl StandIn for LogService {
+    async fn handle(self: Arc<Self>, request: Received) -> Response<AnswerBody> {
+        let uri = &request.parts.uri;
+        if uri.path() == "/faults" {
+            return self.set_faults(&request.body);
+        }
+        let faults = self.lock().faults.clone();
+        if faults.silent {
+            return future::pending().await;
+        }
+        if faults.slow_ms > 0 {
+            Timer::after(Duration::from_millis(faults.slow_ms)).await;
+        }
+        if faults.down {
+            return json_answer(503, &json!({}));
+        }
+        match (&request.parts.method, segments(uri).as_slice()) {
+            (&Method::GET, ["stats"]) => {
+                json_answer(200, &json!({ "appends": self.lock().appends }))
+            }
+            (&Method::POST, ["streams", name, "records"]) => self.append(name, &request.body).await,
+            (&Method::GET, ["streams", name, "records"]) => {
+                let from = query(uri, "from").unwrap_or(0);
+                let max = query(uri, "max").unwrap_or(1_000);
+                let wait = Duration::from_millis(query(uri, "wait_ms").unwrap_or(0));
+                self.read(name, from, max, wait).await
+            }
+            _ => json_answer(404, &json!({})),
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_standins/src/main.rs
@@ -0,0 +1,19 @@
+//! Runs one stand-in, the demo, or a command of `arbutusfall` itself.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args_os().skip(1);
+    let command = arguments.next().unwrap_or_default();
+    match command.to_str() {
+        Some("demo") => arbutusfall_standins::demo(),
+        Some("arbutusfall") => arbutusfall::run_command_line(arguments),
+        Some("stand-in") => arbutusfall_standins::run_stand_in(arguments),
+        _ => {
+            eprintln!(
+                "usage: arbutusfall_standins demo | stand-in KIND ADDRESS [JSON] | arbutusfall ..."
+            );
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_standins/src/stand_in.rs
@@ -0,0 +1,100 @@
+//! Runs one stand-in as a process.
+
+use std::ffi::OsString;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutusfall::Executor;
+use arbutusfall::http;
+use arbutusfall::http::AnswerBody;
+use arbutusfall::http::ServerLimits;
+use futures_lite::future;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+
+use crate::collector::Collector;
+use crate::engine::Engine;
+use crate::log_service::LogService;
+use crate::plain_service::PlainService;
+use crate::vm_list::VmList;
+
+/// Largest body that a stand-in reads, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// Time allowed for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A request with its whole body.
+pub(crate) struct Received {
+    pub(crate) parts: hyper::http::request::Parts,
+    pub(crate) body: Bytes,
+}
+
+/// Something that answers requests.
+pub(crate) trait StandIn: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(
+        self: Arc<Self>,
+        request: Received,
+    ) -> impl Future<Output = Response<AnswerBody>> + Send;
+}
+
+/// Runs the stand-in that the arguments name: its kind, its address and its options as JSON.
+pub fn run_stand_in(arguments: impl Iterator<Item = OsString>) -> ExitCode {
+    let words: Vec<String> = arguments
+        .map(|argument| argument.to_string_lossy().into_owned())
+        .collect();
+    let [kind, address, options @ ..] = words.as_slice() else {
+        return ExitCode::from(2);
+    };
+    let Ok(address) = address.parse() else {
+        return ExitCode::from(2);
+    };
+    let options = options.first().map_or("{}", String::as_str);
+    let executor = Arc::new(Executor::new());
+    let running = executor.clone();
+    match kind.as_str() {
+        "log" => run(&running, address, LogService::default()),
+        "vm-list" => run(&running, address, VmList::default()),
+        "service" => run(&running, address, PlainService::default()),
+        "collector" => run(&running, address, Collector::default()),
+        "engine" => match serde_json::from_str(options) {
+            Ok(options) => run(&running, address, Engine::start(executor, address, options)),
+            Err(_) => ExitCode::from(2),
+        },
+        _ => ExitCode::from(2),
+    }
+}
+
+fn run(executor: &Arc<Executor>, address: SocketAddr, stand_in: impl StandIn) -> ExitCode {
+    let stand_in = Arc::new(stand_in);
+    let handler = move |request: Request<Incoming>| {
+        let stand_in = stand_in.clone();
+        async move {
+            let (parts, body) = request.into_parts();
+            let body = http::read_request_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await;
+            stand_in
+                .handle(Received {
+                    parts,
+                    body: body.unwrap_or_default(),
+                })
+                .await
+        }
+    };
+    let limits = || ServerLimits {
+        header_timeout: Duration::from_secs(3_600),
+        ..Default::default()
+    };
+    let listening = http::listen(executor.clone(), address, limits, handler);
+    future::block_on(executor.run(async {
+        match listening.await {
+            Ok(()) => future::pending().await,
+            Err(_) => ExitCode::from(1),
+        }
+    }))
+}
--- /dev/null
+++ b/crates/arbutusfall_standins/tests/it/main.rs
@@ -0,0 +1,3 @@
+//! Tests on real processes, driven by causes and not by sleeps.
+
+mod demo;
--- /dev/null
+++ b/crates/arbutusfall_wire/src/lib.rs
@@ -0,0 +1,40 @@
+//! Names, peer messages and log records that arbutusfall's processes exchange.
+//!
+//! Peer messages travel as [`Frame`]s, encoded with [`encode_frame`] and decoded with [`decode_frame`]. Records on
+//! the platform's log are JSON, so that operators can read them: [`ClaimRecord`] and [`ConfigRecord`].
+//!
+//! ```
+//! use arbutusfall_wire::*;
+//!
+//! let frame = Frame {
+//!     sender: Sender { vm: "milano-a-1".into(), incarnation: Incarnation(7) },
+//!     messages: vec![],
+//! };
+//! let bytes = encode_frame(&frame).unwrap();
+//! assert_eq!(decode_frame(&bytes).unwrap(), frame);
+//! ```
+
+mod codec;
+mod ids;
+mod map;
+mod message;
+mod payload;
+mod record;
+
+pub use codec::CodecError;
+pub use codec::MAX_FRAME_BYTES;
+pub use codec::decode_frame;
+pub use codec::encode_frame;
+pub use ids::IdempotencyKey;
+pub use ids::Incarnation;
+pub use ids::Name;
+pub use ids::Offset;
+pub use ids::RequestId;
+pub use ids::Sender;
+pub use map::FastMap;
+pub use map::FastSet;
+pub use map::piece_hashes;
+pub use map::stable_hash;
+pub use message::*;
+pub use payload::Payload;
+pub use record::*;
