Answer each call once at the reducer's edge

Cause: an effect that refused a call passed even if the call had been answered, because calls that were never admitted were not remembered. Ruled out: the parts themselves produce no second answer today, but nothing checked that they do not.

Calls are now remembered from their arrival, and any answer or token for a call that is not open is dropped and counted. The tests of the reducer pass as before.

--- a/crates/arbutusfall_core/src/lib.rs
+++ b/crates/arbutusfall_core/src/lib.rs
@@ -37,6 +37,7 @@
 mod membership;
 mod node;
 mod notice;
+mod open_calls;
 mod placement;
 mod problem;
 mod rendezvous;
--- a/crates/arbutusfall_core/src/node.rs
+++ b/crates/arbutusfall_core/src/node.rs
@@ -1,6 +1,5 @@
 //! The reducer: one VM's whole state, changed by one event at a time.
 
-use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -32,9 +31,9 @@
 use crate::context::Identity;
 use crate::context::Now;
 use crate::drain::Drain;
-use crate::limits::AccountLimits;
 use crate::membership;
 use crate::membership::Membership;
+use crate::open_calls::OpenCalls;
 use crate::placement::ShardOwner;
 use crate::status::Status;
 use crate::status::VmStatus;
@@ -67,9 +66,7 @@
     partitions: PartitionOwner,
     calls: Calls,
     drain: Drain,
-    limits: AccountLimits,
-    /// Calls that were admitted and not answered, with their accounts.
-    open_calls: BTreeMap<CallId, Name>,
+    open_calls: OpenCalls,
     requests: u64,
 }
 
@@ -111,7 +108,7 @@
             let own = ctx.identity.sender();
             self.parts.on_peer(&own, message, &mut ctx);
         }
-        self.parts.settle_calls(&mut ctx);
+        self.parts.open_calls.settle(&mut ctx);
         let idle = self.parts.is_idle();
         self.parts.drain.finish_if_idle(idle, &mut ctx);
         Output {
@@ -223,36 +220,21 @@
 
     /// Admits a call, or answers why it is not admitted.
     fn admit(&mut self, call: CallId, account: &Name, ctx: &mut Context<'_>) -> bool {
-        let problem = self.check_admission(account, ctx).err();
-        match problem {
-            None => {
-                self.open_calls.insert(call, account.clone());
-                true
-            }
-            Some(problem) => {
-                ctx.push(Effect::Refuse { call, problem });
-                false
-            }
-        }
-    }
-
-    fn check_admission(&mut self, account: &Name, ctx: &mut Context<'_>) -> Result<(), Problem> {
-        if !self.is_serving() {
+        self.open_calls.open(call);
+        let admitted = if self.is_serving() {
+            self.open_calls.admit(call, account, ctx)
+        } else {
             ctx.count(Counter::RefusedDraining);
-            return Err(Problem::retry(
+            Err(Problem::retry(
                 ProblemKind::Unavailable,
                 UNAVAILABLE_RETRY_AFTER,
-            ));
-        }
-        let Some(limits) = ctx.site.accounts.get(account) else {
-            return Err(Problem::new(ProblemKind::Unauthorized));
+            ))
+        };
+        let Err(problem) = admitted else {
+            return true;
         };
-        self.limits
-            .admit(account, limits, ctx.now.monotonic)
-            .map_err(|after| {
-                ctx.count(Counter::AccountsLimited);
-                Problem::retry(ProblemKind::AccountLimited, after)
-            })
+        ctx.push(Effect::Refuse { call, problem });
+        false
     }
 
     fn next_request(&mut self, ctx: &Context<'_>) -> RequestId {
@@ -294,10 +276,9 @@
     }
 
     fn on_caller_gone(&mut self, call: CallId, ctx: &mut Context<'_>) {
-        let Some(account) = self.open_calls.remove(&call) else {
+        if !self.open_calls.close(call) {
             return;
-        };
-        self.limits.release(&account);
+        }
         self.streams.on_caller_gone(call, ctx);
         self.calls.on_caller_gone(call);
         self.executions.on_caller_gone(call);
@@ -356,35 +337,4 @@
             LogStream::Claims(partition) => self.partitions.on_log(partition, event, ctx),
         }
     }
-
-    /// Releases the limits of calls that were answered and drops whatever would answer a call twice.
-    fn settle_calls(&mut self, ctx: &mut Context<'_>) {
-        let open_calls = &mut self.open_calls;
-        let limits = &mut self.limits;
-        let mut stale = 0;
-        ctx.effects.retain(|effect| match effect {
-            Effect::Answer { call, .. }
-            | Effect::Finish { call, .. }
-            | Effect::Abort { call, .. } => match open_calls.remove(call) {
-                Some(account) => {
-                    limits.release(&account);
-                    true
-                }
-                None => {
-                    stale += 1;
-                    false
-                }
-            },
-            Effect::Refuse { call, .. } => {
-                if let Some(account) = open_calls.remove(call) {
-                    limits.release(&account);
-                }
-                true
-            }
-            _ => true,
-        });
-        for _ in 0..stale {
-            ctx.count(Counter::StaleMessages);
-        }
-    }
 }
--- /dev/null
+++ b/crates/arbutusfall_core/src/open_calls.rs
@@ -0,0 +1,84 @@
+//! Calls that wait for their answer: each gets one, and holds its account's limits until then.
+
+use std::collections::BTreeMap;
+
+use arbutusfall_wire::Name;
+
+use crate::CallId;
+use crate::Counter;
+use crate::Effect;
+use crate::Problem;
+use crate::ProblemKind;
+use crate::context::Context;
+use crate::limits::AccountLimits;
+
+/// Calls that were not answered.
+#[derive(Debug, Default)]
+pub(crate) struct OpenCalls {
+    /// Account of each call, once the call was admitted.
+    ///
+    /// Invariant: a call is here from its arrival until its answer or its caller's leaving.
+    accounts: BTreeMap<CallId, Option<Name>>,
+    limits: AccountLimits,
+}
+
+impl OpenCalls {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    /// Takes a call in, whatever becomes of it.
+    pub(crate) fn open(&mut self, call: CallId) {
+        debug_assert!(!self.accounts.contains_key(&call));
+        self.accounts.insert(call, None);
+    }
+
+    /// Charges a call to its account, or says why not.
+    pub(crate) fn admit(
+        &mut self,
+        call: CallId,
+        account: &Name,
+        ctx: &mut Context<'_>,
+    ) -> Result<(), Problem> {
+        let Some(limits) = ctx.site.accounts.get(account) else {
+            return Err(Problem::new(ProblemKind::Unauthorized));
+        };
+        let admitted = self.limits.admit(account, limits, ctx.now.monotonic);
+        if let Err(after) = admitted {
+            ctx.count(Counter::AccountsLimited);
+            return Err(Problem::retry(ProblemKind::AccountLimited, after));
+        }
+        self.accounts.insert(call, Some(account.clone()));
+        Ok(())
+    }
+
+    /// Ends a call; false if it was not open.
+    pub(crate) fn close(&mut self, call: CallId) -> bool {
+        let Some(account) = self.accounts.remove(&call) else {
+            return false;
+        };
+        if let Some(account) = account {
+            self.limits.release(&account);
+        }
+        true
+    }
+
+    /// Ends the calls that an event's effects answer, and drops effects that would answer a call again.
+    pub(crate) fn settle(&mut self, ctx: &mut Context<'_>) {
+        let before = ctx.effects.len();
+        let mut effects = std::mem::take(ctx.effects);
+        effects.retain(|effect| match effect {
+            Effect::Answer { call, .. }
+            | Effect::Finish { call, .. }
+            | Effect::Abort { call, .. }
+            | Effect::Refuse { call, .. } => self.close(*call),
+            Effect::Deliver { call, .. } => self.accounts.contains_key(call),
+            _ => true,
+        });
+        let dropped = before - effects.len();
+        *ctx.effects = effects;
+        for _ in 0..dropped {
+            ctx.count(Counter::StaleMessages);
+        }
+    }
+}
