Mend claims: no false "not run", no lost outcomes, bounded memory

Cause: reading the claim path against its promises found these faults: - An append whose answer was lost went back to the queue; when its repeat was refused, the owner said that nothing was offered. - An entry VM took one owner's refusal for proof although another owner had been asked before. - A call that was repeated after the claim timed out got a new request id, so that the first claim, once it won, had no outcome. - A read in progress swallowed the request for the read after an append; waiting claims then got no verdict. - With the log down, new claims waited for an append to fail. - The body of a call was lost with its first caller while others waited. - A restarted holder's "unknown" was final although the log had the outcome. - A key that was used again for something else got the first one's outcome. - Maps grew without bound, and each event scanned all executions.

Change: a claim notes whether it may be on the log; a repeat keeps its request id; owners refuse at once while the log is down and look for appends without an answer after 250 ms; holders that cannot tell are checked against the log; claims carry a fingerprint of the request; owners forget keys beyond window and skew and refuse them from then on.

--- a/crates/arbutusfall/src/callers.rs
+++ b/crates/arbutusfall/src/callers.rs
@@ -225,6 +225,7 @@
             .map_or("/", |target| target.as_str());
         let asked = ServiceCall {
             call: CallId(0),
+            fingerprint: parse::fingerprint(&account, &parts.method, target, &body),
             account,
             method: parts.method.as_str().into(),
             path: parts.uri.path().into(),
--- a/crates/arbutusfall/src/callers/parse.rs
+++ b/crates/arbutusfall/src/callers/parse.rs
@@ -3,6 +3,7 @@
 use arbutusfall_core::config::Model;
 use arbutusfall_wire::Name;
 use hyper::HeaderMap;
+use hyper::Method;
 use hyper::header;
 use serde::Deserialize;
 use sha2::Digest;
@@ -46,6 +47,21 @@
         .collect()
 }
 
+/// Hash of what a caller asks for: equal for repeats, on every VM.
+///
+/// The parts are joined by line feeds, which only the body can hold.
+pub(crate) fn fingerprint(account: &str, method: &Method, target: &str, body: &[u8]) -> u64 {
+    let mut hasher = Sha256::new();
+    for part in [account, method.as_str(), target] {
+        hasher.update(part);
+        hasher.update("\n");
+    }
+    hasher.update(body);
+    let digest = hasher.finalize();
+    let bytes = digest.iter().take(size_of::<u64>());
+    bytes.fold(0, |hash, byte| hash << 8 | u64::from(*byte))
+}
+
 /// Headers that a service may see: those of the request, without those of the connection.
 pub(crate) fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
     let mut forwarded = headers.clone();
--- a/crates/arbutusfall/src/services.rs
+++ b/crates/arbutusfall/src/services.rs
@@ -8,6 +8,7 @@
 use arbutusfall_core::ServiceOrder;
 use async_channel::Sender;
 use fastrace::collector::SpanContext;
+use futures_lite::FutureExt;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::CONTENT_TYPE;
@@ -40,7 +41,11 @@
         let exchange = async move {
             let call = order.call;
             let attempt = order.attempt;
-            let event = match services.exchange(&order).await {
+            let expire = async {
+                async_io::Timer::after(order.timeout).await;
+                Err(ClientError::Timeout)
+            };
+            let event = match services.exchange(&order).or(expire).await {
                 Ok(answer) => ServiceEvent::Answered {
                     call,
                     attempt,
--- a/crates/arbutusfall_core/src/calls.rs
+++ b/crates/arbutusfall_core/src/calls.rs
@@ -32,7 +32,7 @@
 const FAILED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Idempotent calls in progress.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Calls {
     calls: BTreeMap<CallId, Call>,
     /// Retries that may still be made; each call earns a share of one.
@@ -52,7 +52,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Call {
     service: Name,
     timeout: Duration,
--- a/crates/arbutusfall_core/src/claims.rs
+++ b/crates/arbutusfall_core/src/claims.rs
@@ -1,18 +1,31 @@
 //! Non-idempotent calls: executed at most once, by the order of the claims on the log.
 
+mod asking;
 mod execution;
+mod executions;
+mod outcomes;
+mod owner;
 mod partition;
 
-pub(crate) use execution::Executions;
-pub(crate) use partition::PartitionOwner;
+pub(crate) use executions::Executions;
+pub(crate) use owner::PartitionOwner;
+
+use std::time::Duration;
 
 use arbutusfall_wire::IdempotencyKey;
 use arbutusfall_wire::stable_hash;
 
 use crate::config::ClaimSettings;
+use crate::context::Context;
 
 /// Partition of a key.
 pub(crate) fn partition_of(key: IdempotencyKey, settings: &ClaimSettings) -> u16 {
     let index = stable_hash(&key) % u64::from(settings.partitions.max(1));
     u16::try_from(index).unwrap_or_default()
 }
+
+/// Whether a key is older than the claim window.
+fn is_expired(key: IdempotencyKey, ctx: &Context<'_>) -> bool {
+    let window = Duration::from_secs(ctx.site.claims.window_s);
+    key.created_at() + window < ctx.now.unix
+}
--- /dev/null
+++ b/crates/arbutusfall_core/src/claims/outcomes.rs
@@ -0,0 +1,114 @@
+//! How outcomes are kept and told to callers.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use arbutusfall_wire::IdempotencyKey;
+use arbutusfall_wire::Outcome;
+
+use crate::CallId;
+use crate::Counter;
+use crate::Effect;
+use crate::Problem;
+use crate::ProblemKind;
+use crate::ServiceAnswer;
+use crate::context::Context;
+
+/// When callers are asked to come back for an outcome.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Largest body that is kept on the log, in bytes.
+const MAX_LOGGED_BODY_BYTES: usize = 16 * 1024;
+
+/// Most bytes of outcomes that one VM keeps in memory.
+const MAX_KEPT_BYTES: usize = 32 * 1024 * 1024;
+
+/// Bytes that an outcome needs besides its body, roughly.
+const OUTCOME_BYTES: usize = 512;
+
+/// Outcomes that this VM keeps, oldest first.
+#[derive(Debug, Clone, Default)]
+pub(super) struct KeptOutcomes {
+    order: VecDeque<(IdempotencyKey, usize)>,
+    /// Invariant: the sum of `order`.
+    bytes: usize,
+}
+
+impl KeptOutcomes {
+    pub(super) fn push(&mut self, key: IdempotencyKey, outcome: &Outcome) {
+        let body_bytes = match outcome {
+            Outcome::Answered { body, .. } => body.as_bytes().len(),
+            Outcome::NotRun | Outcome::Unknown => 0,
+        };
+        self.order.push_back((key, OUTCOME_BYTES + body_bytes));
+        self.bytes += OUTCOME_BYTES + body_bytes;
+    }
+
+    /// The oldest outcome, if there is no room for all of them.
+    pub(super) fn pop_excess(&mut self) -> Option<IdempotencyKey> {
+        if self.bytes <= MAX_KEPT_BYTES {
+            return None;
+        }
+        let (key, bytes) = self.order.pop_front()?;
+        self.bytes -= bytes;
+        Some(key)
+    }
+
+    pub(super) fn retain(&mut self, is_kept: impl Fn(&IdempotencyKey) -> bool) {
+        self.order.retain(|(key, _)| is_kept(key));
+        self.bytes = self.order.iter().map(|(_, bytes)| bytes).sum();
+    }
+}
+
+/// The outcome as it is kept on the log: a long body is not.
+pub(super) fn logged(outcome: &Outcome) -> Outcome {
+    match outcome {
+        Outcome::Answered { body, .. } if body.as_bytes().len() > MAX_LOGGED_BODY_BYTES => {
+            Outcome::Unknown
+        }
+        outcome => outcome.clone(),
+    }
+}
+
+pub(super) fn answer(call: CallId, outcome: &Outcome, ctx: &mut Context<'_>) {
+    match outcome {
+        Outcome::Answered {
+            status,
+            content_type,
+            body,
+        } => {
+            ctx.count(Counter::CallsAnswered);
+            let answer = ServiceAnswer {
+                status: *status,
+                content_type: content_type.clone(),
+                body: body.clone(),
+            };
+            ctx.push(Effect::Answer { call, answer });
+        }
+        Outcome::NotRun => refuse_not_run(call, UNKNOWN_RETRY_AFTER, ctx),
+        Outcome::Unknown => refuse_unknown(call, UNKNOWN_RETRY_AFTER, ctx),
+    }
+}
+
+pub(super) fn refuse_not_run(call: CallId, retry_after: Duration, ctx: &mut Context<'_>) {
+    ctx.count(Counter::AnsweredNotRun);
+    let problem = Problem::retry(ProblemKind::NotRun, retry_after);
+    ctx.push(Effect::Refuse { call, problem });
+}
+
+pub(super) fn refuse_unknown(call: CallId, retry_after: Duration, ctx: &mut Context<'_>) {
+    ctx.count(Counter::AnsweredUnknown);
+    let problem = Problem::retry(ProblemKind::OutcomeUnknown, retry_after);
+    ctx.push(Effect::Refuse { call, problem });
+}
+
+/// Refuses a call without a time to come back.
+pub(super) fn refuse(call: CallId, kind: ProblemKind, ctx: &mut Context<'_>) {
+    let problem = Problem::new(kind);
+    ctx.push(Effect::Refuse { call, problem });
+}
+
+/// Tells a caller that its key is unknown to this VM as far as can be told now.
+pub(super) fn refuse_undecided(call: CallId, ctx: &mut Context<'_>) {
+    refuse_unknown(call, UNKNOWN_RETRY_AFTER, ctx);
+}
--- a/crates/arbutusfall_core/src/config_reader.rs
+++ b/crates/arbutusfall_core/src/config_reader.rs
@@ -21,7 +21,7 @@
 use crate::timers::Timer;
 
 /// The configuration stream as this VM reads it.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct ConfigReader {
     fold: ConfigFold,
     /// First offset of the next read; ahead of the fold while a snapshot is searched.
--- a/crates/arbutusfall_core/src/counter.rs
+++ b/crates/arbutusfall_core/src/counter.rs
@@ -79,6 +79,10 @@
     AnsweredNotRun = "answers.not_run",
     /// A call was answered that its outcome is unknown.
     AnsweredUnknown = "answers.unknown",
+    /// The holder of a claim did not tell its outcome in time.
+    HoldersSilent = "claims.holders_silent",
+    /// An outcome was not recorded because too many wait for the log.
+    OutcomesDropped = "claims.outcomes_dropped",
     /// An append was sent to the log.
     Appends = "log.appends",
     /// An append failed or its answer was lost.
--- a/crates/arbutusfall_core/src/event.rs
+++ b/crates/arbutusfall_core/src/event.rs
@@ -89,6 +89,9 @@
     pub idempotency_key: Option<Name>,
     /// Value of the `arbutusfall-attempt` header; 1 says that the key was never sent before.
     pub attempt: Option<u32>,
+    /// Hash of account, method, target and body.
+    #[serde(default)]
+    pub fingerprint: u64,
     /// Span context under which the request is traced.
     pub traceparent: Option<Name>,
 }
--- a/crates/arbutusfall_core/src/limits.rs
+++ b/crates/arbutusfall_core/src/limits.rs
@@ -8,13 +8,13 @@
 use crate::config::Account;
 
 /// What accounts use at this VM.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct AccountLimits {
     usage: FastMap<Name, Usage>,
 }
 
 /// One account's use.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Usage {
     in_progress: u32,
     /// Requests that may still enter.
--- a/crates/arbutusfall_core/src/membership.rs
+++ b/crates/arbutusfall_core/src/membership.rs
@@ -14,7 +14,7 @@
 use crate::timers::Timer;
 
 /// What this VM knows of the others.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Membership {
     members: BTreeMap<Name, Member>,
 }
--- a/crates/arbutusfall_core/src/node.rs
+++ b/crates/arbutusfall_core/src/node.rs
@@ -45,7 +45,7 @@
 const UNAVAILABLE_RETRY_AFTER: std::time::Duration = std::time::Duration::from_secs(1);
 
 /// One VM's state.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Node {
     identity: Identity,
     members: Membership,
@@ -57,7 +57,7 @@
 }
 
 /// The parts that take events.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Parts {
     config: ConfigReader,
     streams: Streams,
@@ -146,7 +146,10 @@
     }
 
     fn is_idle(&self) -> bool {
-        self.open_calls.is_empty() && self.streams.is_idle() && self.executions.in_progress() == 0
+        self.open_calls.is_empty()
+            && self.streams.is_idle()
+            && self.executions.in_progress() == 0
+            && self.partitions.is_idle()
     }
 
     fn on_event(&mut self, event: Event, ctx: &mut Context<'_>) {
@@ -211,7 +214,10 @@
             Timer::ProbePeers => membership::on_probe_timer(ctx),
             Timer::SnapshotConfig => self.config.on_snapshot_timer(ctx),
             Timer::SweepEndpoints => self.shards.on_sweep_timer(ctx),
-            Timer::SweepClaims => self.executions.on_sweep_timer(ctx),
+            Timer::SweepClaims => {
+                self.executions.on_sweep_timer(ctx);
+                self.partitions.on_sweep_timer(ctx);
+            }
             Timer::StageOverdue { attempt, progress } => {
                 self.streams.on_stage_overdue(attempt, progress, ctx);
             }
--- a/crates/arbutusfall_core/src/open_calls.rs
+++ b/crates/arbutusfall_core/src/open_calls.rs
@@ -13,7 +13,7 @@
 use crate::limits::AccountLimits;
 
 /// Calls that were not answered.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct OpenCalls {
     /// Account of each call, once the call was admitted.
     ///
--- a/crates/arbutusfall_core/src/placement.rs
+++ b/crates/arbutusfall_core/src/placement.rs
@@ -28,7 +28,7 @@
 pub(crate) use shard_map::shard_endpoints;
 
 /// Shards for which this VM was asked to decide.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct ShardOwner {
     shards: BTreeMap<ShardId, Shard>,
 }
--- a/crates/arbutusfall_core/src/placement/shard.rs
+++ b/crates/arbutusfall_core/src/placement/shard.rs
@@ -29,7 +29,7 @@
 const EXPECTED_OUTPUT_SHARE: f64 = 0.8;
 
 /// A pool shard.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Shard {
     grants: BTreeMap<RequestId, OwnedGrant>,
     /// Instant at which each prefill endpoint will have done what it was given.
@@ -37,7 +37,7 @@
 }
 
 /// A grant that is believed to be in use.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct OwnedGrant {
     placement: u32,
     decode: Name,
--- a/crates/arbutusfall_core/src/problem.rs
+++ b/crates/arbutusfall_core/src/problem.rs
@@ -36,6 +36,8 @@
     PromptTooLong,
     /// A non-idempotent request has no usable idempotency key.
     KeyInvalid,
+    /// The idempotency key belongs to a request for something else.
+    KeyReused,
     /// The account's limits are used up.
     AccountLimited,
     /// The request would miss its latency target; it was not run.
@@ -61,6 +63,7 @@
             Self::NoRoute | Self::NoModel => 404,
             Self::ReceiveTimeout => 408,
             Self::BodyTooLarge | Self::PromptTooLong => 413,
+            Self::KeyReused => 422,
             Self::AccountLimited | Self::Overloaded => 429,
             Self::HeadersTooLarge => 431,
             Self::UpstreamFailed => 502,
@@ -81,6 +84,7 @@
             Self::ReceiveTimeout => "receive-timeout",
             Self::PromptTooLong => "prompt-too-long",
             Self::KeyInvalid => "key-invalid",
+            Self::KeyReused => "key-reused",
             Self::AccountLimited => "account-limited",
             Self::Overloaded => "overloaded",
             Self::Unavailable => "unavailable",
@@ -103,6 +107,7 @@
             Self::ReceiveTimeout => "The request did not arrive in time",
             Self::PromptTooLong => "The prompt is longer than the model allows",
             Self::KeyInvalid => "The Idempotency-Key header must hold a recent UUID of version 7",
+            Self::KeyReused => "The Idempotency-Key was used for a request for something else",
             Self::AccountLimited => "The account's limits are used up",
             Self::Overloaded => "The request would be late and was not run",
             Self::Unavailable => "This VM takes no requests; the request was not run",
--- a/crates/arbutusfall_core/src/streams.rs
+++ b/crates/arbutusfall_core/src/streams.rs
@@ -48,7 +48,7 @@
 const FAILED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Model requests in progress.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Streams {
     streams: BTreeMap<RequestId, Stream>,
     by_call: BTreeMap<CallId, RequestId>,
--- a/crates/arbutusfall_core/src/streams/cancels.rs
+++ b/crates/arbutusfall_core/src/streams/cancels.rs
@@ -18,12 +18,12 @@
 const MAX_RETRY: Duration = Duration::from_secs(2);
 
 /// Cancellations that engines have not confirmed.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Cancels {
     pending: BTreeMap<AttemptId, Cancel>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Cancel {
     endpoint: Name,
     retry_after: Duration,
--- a/crates/arbutusfall_core/src/streams/stream.rs
+++ b/crates/arbutusfall_core/src/streams/stream.rs
@@ -19,7 +19,7 @@
 use crate::placement::shard_count;
 
 /// A model request in progress.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Stream {
     pub(crate) call: CallId,
     asked: CompletionRequest,
@@ -39,7 +39,7 @@
 }
 
 /// How far a request has come.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) enum Phase {
     /// An owner was asked.
     Placing { shard: ShardId },
@@ -54,7 +54,7 @@
 }
 
 /// A request at an engine.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Running {
     shard: ShardId,
     owner: Name,
--- a/crates/arbutusfall_core/src/timers.rs
+++ b/crates/arbutusfall_core/src/timers.rs
@@ -56,7 +56,7 @@
 }
 
 /// Timers by due instant; equal instants keep the order in which they were set.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Timers {
     pending: BTreeMap<(Duration, u64), Timer>,
     sequence: u64,
--- a/crates/arbutusfall_wire/src/message.rs
+++ b/crates/arbutusfall_wire/src/message.rs
@@ -202,6 +202,8 @@
     pub key: IdempotencyKey,
     /// The request that would execute.
     pub request: RequestId,
+    /// Hash of what the caller asks for, by which another use of the same key is told from a repeat.
+    pub fingerprint: u64,
 }
 
 /// What the log says of a key, read back after the claim.
@@ -226,6 +228,8 @@
         vm: Name,
         /// The request that holds the claim.
         holder: RequestId,
+        /// Hash of what the holder's caller asked for.
+        fingerprint: u64,
         /// What became of it, if that is recorded.
         outcome: Option<Outcome>,
     },
--- a/crates/arbutusfall_wire/src/record.rs
+++ b/crates/arbutusfall_wire/src/record.rs
@@ -22,6 +22,8 @@
         vm: Name,
         /// The request that may execute the key if this claim wins.
         request: RequestId,
+        /// Hash of what the caller asks for, by which another use of the same key is told from a repeat.
+        fingerprint: u64,
     },
     /// What became of the key; written by the claim's winner only.
     Outcome {
