--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/claims_world.rs
@@ -0,0 +1,658 @@
+//! A few VMs with one log and one service, whose every step and fault is chosen from outside.
+
+use std::time::Duration;
+
+use arbutusfall_core::CallId;
+use arbutusfall_core::Effect;
+use arbutusfall_core::Event;
+use arbutusfall_core::Identity;
+use arbutusfall_core::LogEvent;
+use arbutusfall_core::LogRecord;
+use arbutusfall_core::LogStream;
+use arbutusfall_core::Node;
+use arbutusfall_core::Now;
+use arbutusfall_core::ProblemKind;
+use arbutusfall_core::ServiceAnswer;
+use arbutusfall_core::ServiceCall;
+use arbutusfall_core::ServiceEvent;
+use arbutusfall_wire::Incarnation;
+use arbutusfall_wire::Name;
+use arbutusfall_wire::Offset;
+use arbutusfall_wire::PeerMessage;
+use arbutusfall_wire::Sender;
+use arbutusfall_wire::stable_hash;
+use serde_json::json;
+
+use crate::session::STARTED_AT;
+use crate::session::config_read;
+use crate::session::listed;
+use crate::session::site_base;
+
+/// Step of a VM's clock.
+const TICK: Duration = Duration::from_millis(500);
+
+/// Longer than the claim window.
+const JUMP: Duration = Duration::from_secs(48 * 3_600);
+
+/// Ticks after which every call must be answered when nothing fails any more.
+const SETTLE_TICKS: usize = 16;
+
+/// A call that may be made.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    pub(crate) vm: usize,
+    pub(crate) key: usize,
+    pub(crate) attempt: Option<u32>,
+    /// Call that must have ended before this one is made.
+    pub(crate) after: Option<usize>,
+    pub(crate) started_at: Option<usize>,
+    pub(crate) ended_at: Option<usize>,
+    pub(crate) gone: bool,
+    pub(crate) told: Option<Told>,
+}
+
+/// What a call was answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum Told {
+    Answer,
+    NotRun,
+    Unknown,
+    Other,
+}
+
+/// What a run may do.
+#[derive(Debug, Clone, Copy, Hash)]
+pub(crate) struct Budget {
+    pub(crate) ticks: u32,
+    pub(crate) faults: u32,
+    pub(crate) kills: u32,
+    pub(crate) jumps: u32,
+}
+
+#[derive(Debug, Clone)]
+struct Vm {
+    node: Node,
+    now: Now,
+    identity: Identity,
+    ticks: u32,
+    wake_at: Option<Duration>,
+    /// Hash of all events of this process; two nodes with the same one are the same.
+    history: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum AppendState {
+    Waiting,
+    Taken,
+    /// The VM was told that the answer is lost, and the append may still take effect.
+    Late,
+}
+
+#[derive(Debug, Clone)]
+enum Task {
+    Message {
+        from: Sender,
+        to: usize,
+        message: PeerMessage,
+    },
+    Append {
+        vm: usize,
+        append: u64,
+        records: Vec<Name>,
+        state: AppendState,
+    },
+    Read {
+        vm: usize,
+        from: u64,
+        served_to: Option<usize>,
+    },
+    Service {
+        vm: usize,
+        call: usize,
+        attempt: u32,
+    },
+}
+
+/// One step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Step {
+    Start(usize),
+    Leave(usize),
+    Tick(usize),
+    Kill(usize),
+    Jump(usize),
+    /// The next regular thing happens to a task.
+    Advance(usize),
+    /// A task fails in its first or second way.
+    Fail(usize, u8),
+}
+
+/// An order that a VM gave to the service.
+#[derive(Debug, Clone)]
+struct Order {
+    call: usize,
+    attempt: u32,
+    /// Whether a byte of it may have reached the service.
+    reached: bool,
+}
+
+/// Everything that exists in one run.
+#[derive(Debug, Clone)]
+pub(crate) struct World {
+    vms: Vec<Vm>,
+    log: Vec<Name>,
+    tasks: Vec<Task>,
+    orders: Vec<Order>,
+    pub(crate) calls: Vec<Call>,
+    pub(crate) budget: Budget,
+    clock: usize,
+    views: Vec<Vec<usize>>,
+}
+
+fn key_text(key: usize) -> String {
+    let millis = STARTED_AT.as_millis();
+    uuid::Builder::from_unix_timestamp_millis(millis as u64, &[key as u8; 10])
+        .into_uuid()
+        .to_string()
+}
+
+impl World {
+    /// VMs that each see the VMs of their own view.
+    pub(crate) fn new(views: Vec<Vec<usize>>, calls: Vec<Call>, budget: Budget) -> Self {
+        let mut world = Self {
+            vms: Vec::new(),
+            log: Vec::new(),
+            tasks: Vec::new(),
+            orders: Vec::new(),
+            calls,
+            budget,
+            clock: 0,
+            views,
+        };
+        for vm in 0..world.views.len() {
+            let started = world.start_vm(vm, 1, STARTED_AT);
+            world.vms.push(started);
+        }
+        world
+    }
+
+    fn start_vm(&self, vm: usize, incarnation: u64, unix: Duration) -> Vm {
+        let identity = Identity {
+            vm: vm_name(vm).into(),
+            incarnation: Incarnation(incarnation * 10 + vm as u64),
+            data_centre: "milano-a".into(),
+            site: "rinnovo".into(),
+        };
+        let now = Now {
+            monotonic: Duration::ZERO,
+            unix,
+        };
+        let mut node = Node::new(identity.clone(), 1);
+        node.apply(Event::Started, now);
+        let view = self.views[vm].iter().map(|other| listed(&vm_name(*other)));
+        node.apply(Event::VmList(view.collect()), now);
+        let mut base = site_base();
+        base["claims"] = json!({ "partitions": 1, "claim_timeout_ms": 500 });
+        base["timing"] = json!({ "probe_interval_ms": 3_600_000 });
+        let wake_at = node.apply(config_read(base), now).wake_at;
+        Vm {
+            node,
+            now,
+            history: incarnation,
+            identity,
+            ticks: 0,
+            wake_at,
+        }
+    }
+
+    /// All steps that may come next.
+    pub(crate) fn steps(&self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for (index, call) in self.calls.iter().enumerate() {
+            let free = call
+                .after
+                .is_none_or(|before| self.calls[before].ended_at.is_some());
+            if call.started_at.is_none() && free {
+                steps.push(Step::Start(index));
+            }
+            let open = call.started_at.is_some() && call.ended_at.is_none();
+            if open && self.budget.faults > 0 {
+                steps.push(Step::Leave(index));
+            }
+        }
+        for (index, vm) in self.vms.iter().enumerate() {
+            if vm.ticks < self.budget.ticks {
+                steps.push(Step::Tick(index));
+            }
+            if self.budget.kills > 0 {
+                steps.push(Step::Kill(index));
+            }
+            if self.budget.jumps > 0 {
+                steps.push(Step::Jump(index));
+            }
+        }
+        for (index, task) in self.tasks.iter().enumerate() {
+            steps.push(Step::Advance(index));
+            let ways = match task {
+                Task::Append {
+                    state: AppendState::Waiting,
+                    ..
+                }
+                | Task::Service { .. } => 2,
+                Task::Append {
+                    state: AppendState::Late,
+                    ..
+                } => 0,
+                _ => 1,
+            };
+            if self.budget.faults > 0 {
+                steps.extend((0..ways).map(|way| Step::Fail(index, way)));
+            }
+        }
+        steps
+    }
+
+    /// Takes one step.
+    pub(crate) fn take(&mut self, step: Step) {
+        self.clock += 1;
+        match step {
+            Step::Start(call) => self.start_call(call),
+            Step::Leave(call) => {
+                self.budget.faults -= 1;
+                self.leave(call);
+            }
+            Step::Tick(vm) => {
+                self.vms[vm].ticks += 1;
+                self.tick(vm, TICK);
+            }
+            Step::Kill(vm) => {
+                self.budget.kills -= 1;
+                self.kill(vm);
+            }
+            Step::Jump(vm) => {
+                self.budget.jumps -= 1;
+                self.vms[vm].now.unix += JUMP;
+                self.vms[vm].history = stable_hash(&(self.vms[vm].history, "jump"));
+            }
+            Step::Advance(task) => self.advance(task),
+            Step::Fail(task, way) => {
+                self.budget.faults -= 1;
+                self.fail(task, way);
+            }
+        }
+    }
+
+    fn start_call(&mut self, index: usize) {
+        let call = &mut self.calls[index];
+        call.started_at = Some(self.clock);
+        let asked = ServiceCall {
+            call: CallId(index as u64),
+            account: "school".into(),
+            method: "POST".into(),
+            path: "/v1/bookings".into(),
+            idempotency_key: Some(key_text(call.key).into()),
+            attempt: call.attempt,
+            fingerprint: 7,
+            traceparent: None,
+        };
+        let vm = call.vm;
+        self.apply(vm, Event::ServiceCall(asked));
+    }
+
+    fn leave(&mut self, index: usize) {
+        let call = &mut self.calls[index];
+        call.ended_at = Some(self.clock);
+        call.gone = true;
+        let vm = call.vm;
+        let call = CallId(index as u64);
+        self.apply(vm, Event::CallerGone { call });
+    }
+
+    fn kill(&mut self, vm: usize) {
+        let old = &self.vms[vm];
+        let incarnation = old.identity.incarnation.0 / 10 + 1;
+        let restarted = self.start_vm(vm, incarnation, old.now.unix);
+        self.vms[vm] = Vm {
+            ticks: old.ticks,
+            ..restarted
+        };
+        for call in self.calls.iter_mut().filter(|call| call.vm == vm) {
+            if call.started_at.is_some() && call.ended_at.is_none() {
+                call.ended_at = Some(self.clock);
+                call.gone = true;
+            }
+        }
+        self.tasks.retain_mut(|task| match task {
+            Task::Append {
+                vm: owner, state, ..
+            } if *owner == vm => {
+                let waiting = *state != AppendState::Taken;
+                *state = AppendState::Late;
+                waiting
+            }
+            Task::Read { vm: owner, .. } | Task::Service { vm: owner, .. } => *owner != vm,
+            _ => true,
+        });
+    }
+
+    fn tick(&mut self, vm: usize, by: Duration) {
+        let target = self.vms[vm].now.monotonic + by;
+        while let Some(due) = self.vms[vm].wake_at.filter(|due| *due <= target) {
+            let now = &mut self.vms[vm].now;
+            let step = due.saturating_sub(now.monotonic);
+            now.monotonic += step;
+            now.unix += step;
+            self.apply(vm, Event::Tick);
+        }
+        let now = &mut self.vms[vm].now;
+        let step = target.saturating_sub(now.monotonic);
+        now.monotonic += step;
+        now.unix += step;
+        self.vms[vm].history = stable_hash(&(self.vms[vm].history, "tick"));
+    }
+
+    fn advance(&mut self, index: usize) {
+        let stream = LogStream::Claims(0);
+        let task = self.tasks.remove(index);
+        match task {
+            Task::Message { from, to, message } => {
+                self.apply(to, Event::Peer { from, message });
+            }
+            Task::Append {
+                vm,
+                append,
+                records,
+                state,
+            } => match state {
+                AppendState::Waiting => {
+                    self.log.extend(records.iter().cloned());
+                    self.tasks.push(Task::Append {
+                        vm,
+                        append,
+                        records,
+                        state: AppendState::Taken,
+                    });
+                }
+                AppendState::Taken => {
+                    self.apply(vm, Event::Log(LogEvent::Appended { stream, append }));
+                }
+                AppendState::Late => self.log.extend(records),
+            },
+            Task::Read {
+                vm,
+                from,
+                served_to: None,
+            } => {
+                let served_to = Some(self.log.len());
+                self.tasks.push(Task::Read {
+                    vm,
+                    from,
+                    served_to,
+                });
+            }
+            Task::Read {
+                vm,
+                from,
+                served_to: Some(end),
+            } => self.apply(vm, Event::Log(self.page(from, end))),
+            Task::Service { vm, call, attempt } => {
+                let answer = ServiceAnswer {
+                    status: 200,
+                    content_type: "text/plain".into(),
+                    body: key_text(self.calls[call].key).as_str().into(),
+                };
+                let answered = ServiceEvent::Answered {
+                    call: CallId(call as u64),
+                    attempt,
+                    answer,
+                };
+                self.apply(vm, Event::Service(answered));
+            }
+        }
+    }
+
+    fn page(&self, from: u64, end: usize) -> LogEvent {
+        let kept = self.log[..end].iter().enumerate().skip(from as usize);
+        let records = kept.map(|(offset, text)| LogRecord {
+            offset: Offset(offset as u64),
+            age: Duration::ZERO,
+            text: text.clone(),
+        });
+        LogEvent::Read {
+            stream: LogStream::Claims(0),
+            from: Offset(from),
+            oldest: Offset(0),
+            end: Offset(end as u64),
+            records: records.collect(),
+        }
+    }
+
+    fn fail(&mut self, index: usize, way: u8) {
+        let stream = LogStream::Claims(0);
+        match self.tasks.remove(index) {
+            Task::Message { .. } => {}
+            Task::Append {
+                vm,
+                append,
+                records,
+                state,
+            } => {
+                let offered = way == 0;
+                if state == AppendState::Waiting && offered {
+                    self.tasks.push(Task::Append {
+                        vm,
+                        append,
+                        records,
+                        state: AppendState::Late,
+                    });
+                }
+                let failed = LogEvent::AppendFailed {
+                    stream,
+                    append,
+                    offered,
+                };
+                self.apply(vm, Event::Log(failed));
+            }
+            Task::Read { vm, .. } => self.apply(vm, Event::Log(LogEvent::ReadFailed { stream })),
+            Task::Service { vm, call, attempt } => {
+                let sent = way == 0;
+                let order = self
+                    .orders
+                    .iter_mut()
+                    .find(|order| order.call == call && order.attempt == attempt);
+                order.expect("only orders fail").reached = sent;
+                let failed = ServiceEvent::Failed {
+                    call: CallId(call as u64),
+                    attempt,
+                    sent,
+                };
+                self.apply(vm, Event::Service(failed));
+            }
+        }
+    }
+
+    fn apply(&mut self, vm: usize, event: Event) {
+        let node = &mut self.vms[vm];
+        node.history = stable_hash(&(node.history, format!("{event:?}{:?}", node.now)));
+        let output = node.node.apply(event, node.now);
+        node.wake_at = output.wake_at;
+        for effect in output.effects {
+            self.perform(vm, effect);
+        }
+    }
+
+    fn perform(&mut self, vm: usize, effect: Effect) {
+        match effect {
+            Effect::Send { to, message } => {
+                let is_claim = matches!(
+                    message,
+                    PeerMessage::Claim(_)
+                        | PeerMessage::Claimed(_)
+                        | PeerMessage::RecordOutcome(_)
+                        | PeerMessage::AskOutcome(_)
+                        | PeerMessage::TellOutcome(_)
+                );
+                let to = (0..self.vms.len()).find(|index| *vm_name(*index) == *to);
+                if let (true, Some(to)) = (is_claim, to) {
+                    let from = self.vms[vm].identity.sender();
+                    self.tasks.push(Task::Message { from, to, message });
+                }
+            }
+            Effect::Append {
+                stream: LogStream::Claims(_),
+                append,
+                records,
+            } => self.tasks.push(Task::Append {
+                vm,
+                append,
+                records,
+                state: AppendState::Waiting,
+            }),
+            Effect::ReadLog {
+                stream: LogStream::Claims(_),
+                from,
+                ..
+            } => self.tasks.push(Task::Read {
+                vm,
+                from: from.0,
+                served_to: None,
+            }),
+            Effect::CallService(order) => {
+                self.check_dispatch(order.call.0 as usize);
+                self.orders.push(Order {
+                    call: order.call.0 as usize,
+                    attempt: order.attempt,
+                    reached: true,
+                });
+                self.tasks.push(Task::Service {
+                    vm,
+                    call: order.call.0 as usize,
+                    attempt: order.attempt,
+                });
+            }
+            Effect::Answer { call, answer } => {
+                let key = self.calls[call.0 as usize].key;
+                assert_eq!(answer.body, key_text(key).as_str().into(), "wrong answer");
+                self.end(call, Told::Answer);
+            }
+            Effect::Refuse { call, problem } => {
+                let told = match problem.kind {
+                    ProblemKind::NotRun => Told::NotRun,
+                    ProblemKind::OutcomeUnknown => Told::Unknown,
+                    _ => Told::Other,
+                };
+                self.end(call, told);
+            }
+            _ => {}
+        }
+    }
+
+    fn reached(&self, key: usize) -> impl Iterator<Item = &Order> {
+        let of_key = move |order: &&Order| self.calls[order.call].key == key;
+        self.orders
+            .iter()
+            .filter(|order| order.reached)
+            .filter(of_key)
+    }
+
+    fn check_dispatch(&self, index: usize) {
+        let call = &self.calls[index];
+        assert_eq!(self.reached(call.key).count(), 0, "dispatched twice");
+        let told = self.calls.iter().filter(|told| {
+            let not_run = told.told == Some(Told::NotRun) && told.key == call.key;
+            let repeated = told.attempt == Some(1) && call.started_at > told.ended_at;
+            not_run && !repeated
+        });
+        assert_eq!(told.count(), 0, "dispatched after not run was told");
+    }
+
+    fn end(&mut self, id: CallId, told: Told) {
+        let clock = self.clock;
+        let index = id.0 as usize;
+        let call = &mut self.calls[index];
+        assert!(!call.gone, "answered after the caller left");
+        assert_eq!(call.told, None, "answered twice");
+        call.told = Some(told);
+        call.ended_at = Some(clock);
+        let key = call.key;
+        match told {
+            Told::NotRun => assert_eq!(self.reached(key).count(), 0, "not run is false"),
+            Told::Answer => assert_eq!(self.reached(key).count(), 1, "never dispatched"),
+            Told::Unknown | Told::Other => {}
+        }
+    }
+
+    /// Whether every call was made and has ended.
+    pub(crate) fn all_ended(&self) -> bool {
+        self.calls.iter().all(|call| call.ended_at.is_some())
+    }
+
+    /// Lets everything finish without further faults; every call must be answered then, and repeats change nothing.
+    pub(crate) fn settle(&mut self) {
+        self.run_to_rest();
+        let open = |call: &Call| call.started_at.is_some() && call.ended_at.is_none();
+        assert!(!self.calls.iter().any(open), "a call was never answered");
+        let keys = self.calls.iter().map(|call| call.key).max().unwrap_or(0);
+        for key in 0..=keys {
+            for vm in 0..self.vms.len() {
+                self.calls.push(repeat(vm, key));
+                self.clock += 1;
+                self.start_call(self.calls.len() - 1);
+            }
+        }
+        self.run_to_rest();
+        assert!(!self.calls.iter().any(open), "a repeat was never answered");
+    }
+
+    fn run_to_rest(&mut self) {
+        for _ in 0..SETTLE_TICKS {
+            while !self.tasks.is_empty() {
+                self.clock += 1;
+                self.advance(0);
+            }
+            for vm in 0..self.vms.len() {
+                self.tick(vm, TICK);
+            }
+        }
+    }
+
+    /// Hash by which two worlds with the same future are recognised.
+    pub(crate) fn fingerprint(&self) -> u64 {
+        let mut tasks: Vec<String> = self.tasks.iter().map(|task| format!("{task:?}")).collect();
+        tasks.sort_unstable();
+        let vms: Vec<_> = self.vms.iter().map(|vm| (vm.history, vm.ticks)).collect();
+        let ended: Vec<_> = self
+            .calls
+            .iter()
+            .map(|call| (call.started_at > call.ended_at, call.told, call.gone))
+            .collect();
+        let orders = format!("{:?}", self.orders);
+        stable_hash(&(vms, &self.log, tasks, self.budget, ended, orders))
+    }
+}
+
+fn vm_name(vm: usize) -> String {
+    format!("milano-a-{vm}")
+}
+
+/// A call that says nothing of earlier attempts.
+pub(crate) fn repeat(vm: usize, key: usize) -> Call {
+    Call {
+        vm,
+        key,
+        attempt: None,
+        after: None,
+        started_at: None,
+        ended_at: None,
+        gone: false,
+        told: None,
+    }
+}
+
+/// A call whose key was never sent before.
+pub(crate) fn first(vm: usize, key: usize) -> Call {
+    Call {
+        attempt: Some(1),
+        ..repeat(vm, key)
+    }
+}
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -1,4 +1,9 @@
 //! Tests of the reducer: golden sessions, properties and explorations.
 
+mod claims_exploration;
+mod claims_faults;
+mod claims_sessions;
+mod claims_steps;
+mod claims_world;
 mod session;
 mod thin_path;
