Join the platform's list with probes between VMs

Cause: only the platform's list told which VMs are live, and it lags; an owner that died stayed the first choice until the list changed.

Change: each VM probes two peers every half second, asks three others to probe a silent one, suspects it for a second and then counts it as dead (SWIM). News rides on probes, at most six pieces a message. A process that is doubted refutes with a higher number; a new incarnation replaces the old one and is alive at once; a draining VM tells its site's peers directly. A process that was itself held up does not suspect others. life_of() and holds() tell other parts which incarnations may still run.

Ruled out: heartbeats between all VMs (cost grows with their number); ordering incarnations by the clock (clocks jump).

Shown red first: without probes death, thaw, restart and drain tests fail; without indirect probes a cut pair makes each other dead; without refutation a thawed VM stays dead; without the announcement a draining VM is not seen as leaving after one message.

--- a/crates/arbutusfall_core/src/config/schema.rs
+++ b/crates/arbutusfall_core/src/config/schema.rs
@@ -304,7 +304,7 @@
             vm_list_interval_ms: 1_000,
             probe_interval_ms: 500,
             probe_timeout_ms: 150,
-            suspect_timeout_ms: 1_500,
+            suspect_timeout_ms: 1_000,
             place_timeout_ms: 100,
             grant_report_interval_ms: 1_000,
             grant_lifetime_ms: 4_000,
--- a/crates/arbutusfall_core/src/config_reader.rs
+++ b/crates/arbutusfall_core/src/config_reader.rs
@@ -103,6 +103,7 @@
             }
         }
         let progressed = self.fold.next() > before;
+        ctx.members.set_config_next(self.fold.next());
         self.read_from = if progressed {
             self.fold.next()
         } else {
--- a/crates/arbutusfall_core/src/drain.rs
+++ b/crates/arbutusfall_core/src/drain.rs
@@ -3,6 +3,7 @@
 use crate::Effect;
 use crate::Notice;
 use crate::context::Context;
+use crate::membership;
 
 /// Whether the VM takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -24,6 +25,7 @@
         *self = Self::Draining;
         ctx.note(Notice::Draining);
         ctx.push(Effect::SetReady(false));
+        membership::announce_leaving(ctx);
     }
 
     /// Ends the process once nothing is in progress.
--- a/crates/arbutusfall_core/src/node.rs
+++ b/crates/arbutusfall_core/src/node.rs
@@ -74,8 +74,8 @@
     /// A node that has seen nothing. `seed` drives the spread of retries.
     pub fn new(identity: Identity, seed: u64) -> Self {
         Self {
+            members: Membership::new(&identity),
             identity,
-            members: Membership::default(),
             timers: Timers::default(),
             rng: fastrand::Rng::with_seed(seed),
             parts: Parts::default(),
@@ -124,6 +124,10 @@
             vm: member.listed.vm.clone(),
             data_centre: member.listed.data_centre.clone(),
             state: member.state,
+            incarnation: self
+                .members
+                .life_of(&member.listed.vm)
+                .map(|(incarnation, _)| incarnation),
         });
         Status {
             identity: self.identity.clone(),
@@ -156,7 +160,10 @@
             Event::Completion(asked) => self.on_completion(asked, ctx),
             Event::ServiceCall(asked) => self.on_service_call(&asked, ctx),
             Event::CallerGone { call } => self.on_caller_gone(call, ctx),
-            Event::Peer { from, message } => self.on_peer(&from, message, ctx),
+            Event::Peer { from, message } => {
+                membership::on_heard(&from, ctx);
+                self.on_peer(&from, message, ctx);
+            }
             Event::Engine(event) => self.streams.on_engine(event, ctx),
             Event::Service(event) => self.on_service(event, ctx),
             Event::Log(event) => self.on_log(event, ctx),
@@ -209,6 +216,13 @@
             Timer::CallOverdue { call, attempt } => self.calls.on_failed(call, attempt, ctx),
             Timer::RetryCall { call, attempt } => self.calls.on_retry(call, attempt, ctx),
             Timer::ProbePeers => membership::on_probe_timer(ctx),
+            Timer::ProbeOverdue { sequence } => membership::on_probe_overdue(sequence, ctx),
+            Timer::SuspectOverdue {
+                vm,
+                incarnation,
+                refutation,
+                due,
+            } => membership::on_suspect_overdue(&vm, incarnation, refutation, due, ctx),
             Timer::SnapshotConfig => self.config.on_snapshot_timer(ctx),
             Timer::SweepEndpoints => self.shards.on_sweep_timer(ctx),
             Timer::SweepClaims => self.executions.on_sweep_timer(ctx),
@@ -239,6 +253,7 @@
 
     fn next_request(&mut self, ctx: &Context<'_>) -> RequestId {
         self.requests += 1;
+        debug_assert!(ctx.members.holds(ctx.identity.incarnation));
         RequestId {
             incarnation: ctx.identity.incarnation,
             sequence: self.requests,
@@ -294,11 +309,10 @@
             PeerMessage::RecordOutcome(record) => self.partitions.on_outcome(record, ctx),
             PeerMessage::AskOutcome(asked) => self.executions.on_ask(&from.vm, asked, ctx),
             PeerMessage::TellOutcome(told) => self.executions.on_told(told, ctx),
-            PeerMessage::PullConfig(_)
-            | PeerMessage::PushConfig(_)
-            | PeerMessage::Probe(_)
-            | PeerMessage::ProbeAck(_)
-            | PeerMessage::ProbeFor(_) => {}
+            PeerMessage::PullConfig(_) | PeerMessage::PushConfig(_) => {}
+            PeerMessage::Probe(probe) => membership::on_probe(&from.vm, probe, ctx),
+            PeerMessage::ProbeAck(ack) => membership::on_ack(&from.vm, ack, ctx),
+            PeerMessage::ProbeFor(asked) => membership::on_probe_for(&from.vm, asked, ctx),
         }
     }
 
--- a/crates/arbutusfall_core/src/status.rs
+++ b/crates/arbutusfall_core/src/status.rs
@@ -1,5 +1,6 @@
 //! A node's state as operators see it.
 
+use arbutusfall_wire::Incarnation;
 use arbutusfall_wire::MemberState;
 use arbutusfall_wire::Name;
 use arbutusfall_wire::Offset;
@@ -42,6 +43,8 @@
     pub data_centre: Name,
     /// Its state.
     pub state: MemberState,
+    /// Life of its process, once it was heard of.
+    pub incarnation: Option<Incarnation>,
 }
 
 /// An endpoint as its shard's owner sees it.
--- a/crates/arbutusfall_core/src/timers.rs
+++ b/crates/arbutusfall_core/src/timers.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use arbutusfall_wire::IdempotencyKey;
+use arbutusfall_wire::Incarnation;
+use arbutusfall_wire::Name;
 use arbutusfall_wire::RequestId;
 
 use crate::AttemptId;
@@ -14,6 +16,15 @@
 pub(crate) enum Timer {
     FetchVmList,
     ProbePeers,
+    ProbeOverdue {
+        sequence: u64,
+    },
+    SuspectOverdue {
+        vm: Name,
+        incarnation: Option<Incarnation>,
+        refutation: u32,
+        due: Duration,
+    },
     ReadConfig,
     SnapshotConfig,
     ReportGrants,
