Bound every wait for an engine and free what it holds

Cause: a review of the stream state machine found waits without bound and engine memory without an owner.

Ruled out: moving a late prefill by time alone. A prefill gives no sign until it is done, so an engine with a long queue cannot be told from a frozen one; the engine is asked whether it holds the attempt instead.

Change: streams are split by concern (progress, silence, grants, cancels, unanswered placements). A silent decode connection is replaced once, then the engine is left. A prefill's result is kept by the stream until the first token and offered to the next placement. The shard's owner lists at an interval what its engines hold and cancels the attempts of processes that membership no longer knows and that were silent for a grant's lifetime.

--- a/crates/arbutusfall_core/src/lib.rs
+++ b/crates/arbutusfall_core/src/lib.rs
@@ -43,6 +43,7 @@
 mod rendezvous;
 mod status;
 mod streams;
+mod sweep;
 mod timers;
 
 pub use context::Identity;
--- a/crates/arbutusfall_core/src/membership.rs
+++ b/crates/arbutusfall_core/src/membership.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use arbutusfall_wire::Incarnation;
 use arbutusfall_wire::MemberState;
 use arbutusfall_wire::Name;
 
@@ -36,6 +37,11 @@
             .collect()
     }
 
+    /// Whether some member that is not known to be dead may run under an incarnation.
+    pub(crate) fn holds(&self, _incarnation: Incarnation) -> bool {
+        true
+    }
+
     pub(crate) fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
     }
--- a/crates/arbutusfall_core/src/node.rs
+++ b/crates/arbutusfall_core/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arbutusfall_wire::Name;
 use arbutusfall_wire::PeerMessage;
@@ -12,6 +13,7 @@
 use crate::CompletionRequest;
 use crate::Counter;
 use crate::Effect;
+use crate::EngineEvent;
 use crate::Event;
 use crate::LogEvent;
 use crate::LogStream;
@@ -38,6 +40,7 @@
 use crate::status::Status;
 use crate::status::VmStatus;
 use crate::streams::Streams;
+use crate::sweep::Sweep;
 use crate::timers::Timer;
 use crate::timers::Timers;
 
@@ -62,6 +65,7 @@
     config: ConfigReader,
     streams: Streams,
     shards: ShardOwner,
+    sweep: Sweep,
     executions: Executions,
     partitions: PartitionOwner,
     calls: Calls,
@@ -109,7 +113,7 @@
             self.parts.on_peer(&own, message, &mut ctx);
         }
         self.parts.open_calls.settle(&mut ctx);
-        let idle = self.parts.is_idle();
+        let idle = self.parts.is_idle(now.monotonic);
         self.parts.drain.finish_if_idle(idle, &mut ctx);
         Output {
             effects,
@@ -145,8 +149,10 @@
         self.config.in_force().is_some() && self.drain == Drain::Serving
     }
 
-    fn is_idle(&self) -> bool {
-        self.open_calls.is_empty() && self.streams.is_idle() && self.executions.in_progress() == 0
+    fn is_idle(&self, now: Duration) -> bool {
+        self.open_calls.is_empty()
+            && self.streams.is_idle(now)
+            && self.executions.in_progress() == 0
     }
 
     fn on_event(&mut self, event: Event, ctx: &mut Context<'_>) {
@@ -157,7 +163,7 @@
             Event::ServiceCall(asked) => self.on_service_call(&asked, ctx),
             Event::CallerGone { call } => self.on_caller_gone(call, ctx),
             Event::Peer { from, message } => self.on_peer(&from, message, ctx),
-            Event::Engine(event) => self.streams.on_engine(event, ctx),
+            Event::Engine(event) => self.on_engine(event, ctx),
             Event::Service(event) => self.on_service(event, ctx),
             Event::Log(event) => self.on_log(event, ctx),
             Event::VmList(list) => {
@@ -173,7 +179,7 @@
         ctx.push(Effect::FetchVmList);
         self.config.read(ctx);
         self.streams.on_report_grants(ctx);
-        self.shards.on_sweep_timer(ctx);
+        self.sweep.on_timer(ctx);
         self.executions.on_sweep_timer(ctx);
         self.config.on_snapshot_timer(ctx);
         membership::on_probe_timer(ctx);
@@ -194,7 +200,7 @@
                 self.streams.on_place_overdue(request, placement, ctx);
             }
             Timer::StartPrefill { request, placement } => {
-                self.streams.on_start_prefill(request, placement, ctx);
+                self.streams.on_start(request, placement, ctx);
             }
             Timer::RetryCancel { attempt } => self.streams.on_retry_cancel(attempt, ctx),
             Timer::RetryPartition { partition } => {
@@ -210,11 +216,10 @@
             Timer::RetryCall { call, attempt } => self.calls.on_retry(call, attempt, ctx),
             Timer::ProbePeers => membership::on_probe_timer(ctx),
             Timer::SnapshotConfig => self.config.on_snapshot_timer(ctx),
-            Timer::SweepEndpoints => self.shards.on_sweep_timer(ctx),
+            Timer::SweepEndpoints => self.sweep.on_timer(ctx),
             Timer::SweepClaims => self.executions.on_sweep_timer(ctx),
-            Timer::StageOverdue { attempt, progress } => {
-                self.streams.on_stage_overdue(attempt, progress, ctx);
-            }
+            Timer::StageOverdue { attempt } => self.streams.on_stage_overdue(attempt, ctx),
+            Timer::AnswerOverdue { request } => self.streams.on_answer_overdue(request, ctx),
         }
     }
 
@@ -285,6 +290,7 @@
     }
 
     fn on_peer(&mut self, from: &Sender, message: PeerMessage, ctx: &mut Context<'_>) {
+        self.sweep.on_heard(from.incarnation, ctx);
         match message {
             PeerMessage::Place(request) => self.shards.on_place(&from.vm, request, ctx),
             PeerMessage::Placed(reply) => self.streams.on_placed(&from.vm, reply, ctx),
@@ -302,6 +308,13 @@
         }
     }
 
+    fn on_engine(&mut self, event: EngineEvent, ctx: &mut Context<'_>) {
+        if let EngineEvent::Active { endpoint, attempts } = &event {
+            self.sweep.on_active(endpoint, attempts, &self.streams, ctx);
+        }
+        self.streams.on_engine(event, ctx);
+    }
+
     fn on_service(&mut self, event: ServiceEvent, ctx: &mut Context<'_>) {
         match event {
             ServiceEvent::Answered {
--- a/crates/arbutusfall_core/src/placement.rs
+++ b/crates/arbutusfall_core/src/placement.rs
@@ -4,7 +4,6 @@
 mod shard_map;
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use arbutusfall_wire::GrantReport;
 use arbutusfall_wire::Name;
@@ -20,7 +19,6 @@
 use crate::config::SiteConfig;
 use crate::context::Context;
 use crate::status::EndpointStatus;
-use crate::timers::Timer;
 
 use shard::Shard;
 
@@ -64,12 +62,6 @@
             .report(&report, ctx);
     }
 
-    /// Looks at an interval for attempts that engines hold and nobody knows.
-    pub(crate) fn on_sweep_timer(&mut self, ctx: &mut Context<'_>) {
-        let interval = Duration::from_millis(ctx.site.timing.sweep_interval_ms);
-        ctx.set_timer(interval, Timer::SweepEndpoints);
-    }
-
     pub(crate) fn endpoints(&self, site: &SiteConfig) -> Vec<EndpointStatus> {
         let mut all = Vec::new();
         for (id, shard) in &self.shards {
--- /dev/null
+++ b/crates/arbutusfall_core/src/streams/grants.rs
@@ -0,0 +1,56 @@
+//! What the owners of shards are told of the grants that this VM uses.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use arbutusfall_wire::GrantEnd;
+use arbutusfall_wire::GrantReport;
+use arbutusfall_wire::Name;
+use arbutusfall_wire::PeerMessage;
+use arbutusfall_wire::RequestId;
+use arbutusfall_wire::ShardId;
+
+use crate::context::Context;
+use crate::streams::Streams;
+use crate::timers::Timer;
+
+impl Streams {
+    /// Reports the end of the current grant to its owner.
+    pub(super) fn end_grant(&mut self, id: RequestId, end: GrantEnd, ctx: &mut Context<'_>) {
+        let Some(stream) = self.streams.get_mut(&id) else {
+            return;
+        };
+        let Some((owner, shard, ended)) = stream.end_grant(id, end) else {
+            return;
+        };
+        let report = GrantReport {
+            shard,
+            active: Vec::new(),
+            ended: vec![ended],
+        };
+        ctx.send(&owner, PeerMessage::GrantReport(report));
+    }
+
+    /// Keeps the grants in use alive.
+    pub(crate) fn on_report_grants(&mut self, ctx: &mut Context<'_>) {
+        self.unanswered.drop_lapsed(ctx.now.monotonic);
+        let mut reports: BTreeMap<(Name, ShardId), GrantReport> = BTreeMap::new();
+        for (id, stream) in &self.streams {
+            let Some((owner, shard, active)) = stream.active_grant(*id) else {
+                continue;
+            };
+            let key = (owner, shard.clone());
+            let report = reports.entry(key).or_insert_with(|| GrantReport {
+                shard,
+                active: Vec::new(),
+                ended: Vec::new(),
+            });
+            report.active.push(active);
+        }
+        for ((owner, _), report) in reports {
+            ctx.send(&owner, PeerMessage::GrantReport(report));
+        }
+        let interval = Duration::from_millis(ctx.site.timing.grant_report_interval_ms);
+        ctx.set_timer(interval, Timer::ReportGrants);
+    }
+}
--- a/crates/arbutusfall_core/src/streams/stream.rs
+++ b/crates/arbutusfall_core/src/streams/stream.rs
@@ -1,5 +1,6 @@
 //! One model request.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use arbutusfall_wire::ActiveGrant;
@@ -12,6 +13,7 @@
 use arbutusfall_wire::ShardId;
 use arbutusfall_wire::stable_hash;
 
+use crate::AttemptId;
 use crate::CallId;
 use crate::CompletionRequest;
 use crate::Stage;
@@ -34,8 +36,26 @@
     /// Owners that did not answer the current placement.
     pub(crate) owner_tries: usize,
     pub(crate) failures: u32,
-    avoid: Vec<Name>,
+    /// Endpoints that failed this request.
+    pub(crate) avoid: Vec<Name>,
     pub(crate) phase: Phase,
+    /// A prefill's result that no decode engine is known to have fetched.
+    pub(crate) result: Option<StoredResult>,
+}
+
+/// A prefill's result, as long as its engine may keep it.
+#[derive(Debug, Clone)]
+pub(crate) struct StoredResult {
+    /// Prefill that made it.
+    pub(crate) attempt: AttemptId,
+    /// Engine that keeps it.
+    pub(crate) endpoint: Name,
+    /// Where that engine listens.
+    pub(crate) address: SocketAddr,
+    /// Transfer parameters, as JSON text.
+    pub(crate) transfer: Name,
+    /// Instant at which the engine drops it if nobody fetches it.
+    pub(crate) expires_at: Duration,
 }
 
 /// How far a request has come.
@@ -58,10 +78,16 @@
 pub(crate) struct Running {
     shard: ShardId,
     owner: Name,
-    grant: Grant,
+    pub(crate) grant: Grant,
     stage: Stage,
     /// Instant at which the current stage was ordered.
     since: Duration,
+    /// Where the engine of the current stage listens, once the order was sent.
+    pub(crate) address: Option<SocketAddr>,
+    /// Instant of the last sign of the engine, or of the last question put to it.
+    pub(crate) quiet_since: Duration,
+    /// What was tried since the engine's last sign.
+    pub(crate) inquiry: Inquiry,
     prefill_took: Option<Duration>,
     transfer_took: Option<Duration>,
     cached_tokens: Option<u32>,
@@ -69,6 +95,17 @@
     received_tokens: u32,
 }
 
+/// What is done about an engine that is silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Inquiry {
+    /// Nothing: the engine is not overdue.
+    None,
+    /// The engine was asked whether it holds the attempt.
+    Asked,
+    /// A new connection was opened.
+    Resumed,
+}
+
 impl Phase {
     /// Stage at an engine, if an engine works.
     pub(crate) fn stage(&self) -> Option<Stage> {
@@ -79,6 +116,21 @@
     }
 }
 
+impl Running {
+    /// The engine of the current stage.
+    pub(crate) fn engine(&self) -> &Name {
+        match self.stage {
+            Stage::Prefill => &self.grant.prefill,
+            Stage::Decode => &self.grant.decode,
+        }
+    }
+
+    /// Tokens received from the current decode attempt.
+    pub(crate) fn received_tokens(&self) -> u32 {
+        self.received_tokens
+    }
+}
+
 impl Stream {
     pub(crate) fn new(
         asked: CompletionRequest,
@@ -100,9 +152,20 @@
             failures: 0,
             avoid: Vec::new(),
             phase: Phase::Placing { shard },
+            result: None,
         }
     }
 
+    /// Model that was asked for.
+    pub(crate) fn model(&self) -> &Name {
+        &self.asked.model
+    }
+
+    /// Length of the prompt with what was delivered, in tokens.
+    pub(crate) fn context_tokens(&self) -> u32 {
+        self.asked.prompt_tokens + self.delivered_tokens
+    }
+
     /// Shard that should hold the request.
     pub(crate) fn shard(&self, id: RequestId, site: &SiteConfig) -> ShardId {
         let count = u64::from(shard_count(site, &self.asked.model));
@@ -125,19 +188,35 @@
             placement: self.placement,
             shard,
             account: self.asked.account.clone(),
-            prompt_tokens: self.asked.prompt_tokens + self.delivered_tokens,
+            prompt_tokens: self.context_tokens(),
             max_output_tokens: self.max_output_tokens - self.delivered_tokens,
             piece_hashes: self.asked.piece_hashes.clone(),
             first_token_budget: self.first_token_due.saturating_sub(now),
             resumed: self.delivered_tokens > 0,
-            prefilled_on: None,
+            prefilled_on: self.live_result(now).map(|result| result.endpoint.clone()),
             avoid: self.avoid.clone(),
             traceparent: self.asked.traceparent.clone(),
         }
     }
 
-    /// Moves from waiting to the prefill engine; none if the request was not waiting.
-    pub(crate) fn begin_prefill(&mut self, now: Duration) -> Option<Grant> {
+    /// The prefill's result, if its engine still keeps it.
+    pub(crate) fn live_result(&self, now: Duration) -> Option<&StoredResult> {
+        let result = self.result.as_ref();
+        result.filter(|result| result.expires_at > now)
+    }
+
+    /// The engine's work for the request, if an engine works.
+    pub(crate) fn running(&mut self) -> Option<&mut Running> {
+        match &mut self.phase {
+            Phase::Running(running) => Some(running),
+            Phase::Placing { .. } | Phase::Waiting { .. } => None,
+        }
+    }
+
+    /// Moves from waiting to an engine; none if the request was not waiting.
+    ///
+    /// The engine is the prefill engine, or the decode engine if a prefill's result is still kept.
+    pub(crate) fn begin(&mut self, now: Duration) -> Option<Stage> {
         let Phase::Waiting {
             shard,
             owner,
@@ -146,35 +225,53 @@
         else {
             return None;
         };
-        let grant = grant.clone();
+        let stage = match self.live_result(now) {
+            Some(_) => Stage::Decode,
+            None => Stage::Prefill,
+        };
         self.phase = Phase::Running(Running {
             shard: shard.clone(),
             owner: owner.clone(),
             grant: grant.clone(),
-            stage: Stage::Prefill,
+            stage,
             since: now,
+            address: None,
+            quiet_since: now,
+            inquiry: Inquiry::None,
             prefill_took: None,
             transfer_took: None,
             cached_tokens: None,
             received_tokens: 0,
         });
-        Some(grant)
+        Some(stage)
     }
 
     /// Moves from the prefill engine to the decode engine.
     pub(crate) fn begin_decode(
         &mut self,
-        now: Duration,
+        attempt: AttemptId,
+        result: (Name, Duration),
         cached_tokens: Option<u32>,
-    ) -> Option<Grant> {
+        now: Duration,
+    ) {
         let Phase::Running(running) = &mut self.phase else {
-            return None;
+            return;
         };
+        let (transfer, lifetime) = result;
+        self.result = running.address.map(|address| StoredResult {
+            attempt,
+            endpoint: running.grant.prefill.clone(),
+            address,
+            transfer,
+            expires_at: now + lifetime,
+        });
         running.stage = Stage::Decode;
         running.prefill_took = Some(now - running.since);
         running.cached_tokens = cached_tokens;
         running.since = now;
-        Some(running.grant.clone())
+        running.address = None;
+        running.quiet_since = now;
+        running.inquiry = Inquiry::None;
     }
 
     /// Takes those of the tokens that were not received yet.
@@ -197,6 +294,12 @@
         if count > 0 && running.received_tokens == 0 {
             running.transfer_took = Some(now - running.since);
         }
+        if count > 0 {
+            running.quiet_since = now;
+            running.inquiry = Inquiry::None;
+            // The KV cache has arrived, so the prefill engine has nothing left.
+            self.result = None;
+        }
         running.received_tokens += count;
         self.delivered_tokens += count;
         debug_assert!(self.delivered_tokens <= self.max_output_tokens);
@@ -211,15 +314,22 @@
         }
     }
 
-    /// The engine that works for the request.
-    pub(crate) fn engine(&self) -> Option<Name> {
+    /// Whether an attempt is the one that the request waits for.
+    pub(crate) fn is_current(&self, attempt: AttemptId) -> bool {
+        self.placement == attempt.placement && self.phase.stage() == Some(attempt.stage)
+    }
+
+    /// What an engine may hold for the request, and where.
+    pub(crate) fn engine_use(&self, id: RequestId) -> Option<(AttemptId, Name, SocketAddr)> {
         let Phase::Running(running) = &self.phase else {
             return None;
         };
-        Some(match running.stage {
-            Stage::Prefill => running.grant.prefill.clone(),
-            Stage::Decode => running.grant.decode.clone(),
-        })
+        let attempt = AttemptId {
+            request: id,
+            placement: self.placement,
+            stage: running.stage,
+        };
+        Some((attempt, running.engine().clone(), running.address?))
     }
 
     /// Keeps the next placement away from the endpoint that failed.
--- a/crates/arbutusfall_core/src/timers.rs
+++ b/crates/arbutusfall_core/src/timers.rs
@@ -29,7 +29,9 @@
     },
     StageOverdue {
         attempt: AttemptId,
-        progress: u32,
+    },
+    AnswerOverdue {
+        request: RequestId,
     },
     RetryCancel {
         attempt: AttemptId,
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -1,4 +1,6 @@
 //! Tests of the reducer: golden sessions, properties and explorations.
 
 mod session;
+mod streams_play;
+mod streams_sessions;
 mod thin_path;
--- a/crates/arbutusfall_core/tests/it/session.rs
+++ b/crates/arbutusfall_core/tests/it/session.rs
@@ -30,6 +30,8 @@
     pub(crate) node: Node,
     pub(crate) now: Now,
     pub(crate) lines: Vec<String>,
+    /// Instant at which the node asked for its next tick.
+    pub(crate) wake_at: Option<Duration>,
 }
 
 impl Session {
@@ -48,6 +50,7 @@
                 unix: STARTED_AT,
             },
             lines: Vec::new(),
+            wake_at: None,
         }
     }
 
@@ -76,6 +79,7 @@
         for effect in &effects {
             self.lines.push(json!({ "effect": effect }).to_string());
         }
+        self.wake_at = wake_at;
         let wake_at_ms = wake_at.map(|due| due.as_millis());
         self.lines
             .push(json!({ "wake_at_ms": wake_at_ms }).to_string());
--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/streams_play.rs
@@ -0,0 +1,303 @@
+//! One entry VM whose requests are placed by another VM, for sessions about streams.
+
+use std::time::Duration;
+
+use arbutusfall_core::AttemptId;
+use arbutusfall_core::CallId;
+use arbutusfall_core::Effect;
+use arbutusfall_core::EngineEvent;
+use arbutusfall_core::EngineFailure;
+use arbutusfall_core::Event;
+use arbutusfall_core::LogEvent;
+use arbutusfall_core::LogRecord;
+use arbutusfall_core::LogStream;
+use arbutusfall_core::Stage;
+use arbutusfall_wire::ConfigRecord;
+use arbutusfall_wire::Document;
+use arbutusfall_wire::EndedGrant;
+use arbutusfall_wire::Grant;
+use arbutusfall_wire::Incarnation;
+use arbutusfall_wire::Name;
+use arbutusfall_wire::Offset;
+use arbutusfall_wire::PeerMessage;
+use arbutusfall_wire::PlaceDecision;
+use arbutusfall_wire::PlaceReply;
+use arbutusfall_wire::PlaceRequest;
+use arbutusfall_wire::RequestId;
+use arbutusfall_wire::Sender;
+use serde_json::Value;
+use uuid::Uuid;
+
+use crate::session::Session;
+use crate::session::completion;
+
+/// The VM by which requests enter; rendezvous hashing never prefers it for the test's shard.
+pub(crate) const ENTRY: &str = "milano-a-1";
+
+/// All VMs.
+pub(crate) const VMS: [&str; 3] = [ENTRY, "milano-a-2", "milano-a-3"];
+
+/// Effects of background work, which sessions about streams leave out.
+const BACKGROUND: [&str; 3] = ["fetch_vm_list", "read_load", "read_cache"];
+
+/// An entry VM that serves the test's site.
+pub(crate) struct Play {
+    pub(crate) session: Session,
+}
+
+/// Id of the entry VM's request with this number.
+pub(crate) fn request(sequence: u64) -> RequestId {
+    RequestId {
+        incarnation: Incarnation(7),
+        sequence,
+    }
+}
+
+/// A prefill under one placement of a request.
+pub(crate) fn prefill(sequence: u64, placement: u32) -> AttemptId {
+    AttemptId {
+        request: request(sequence),
+        placement,
+        stage: Stage::Prefill,
+    }
+}
+
+/// A decode under one placement of a request.
+pub(crate) fn decode(sequence: u64, placement: u32) -> AttemptId {
+    AttemptId {
+        stage: Stage::Decode,
+        ..prefill(sequence, placement)
+    }
+}
+
+/// A grant of two engines that starts after a while.
+pub(crate) fn grant(prefill: u8, decode: u8, start_after: Duration) -> Grant {
+    Grant {
+        prefill: format!("prefill-{prefill}").into(),
+        decode: format!("decode-{decode}").into(),
+        start_after,
+        first_token_after: Duration::from_millis(265),
+        cached_tokens: 0,
+        lifetime: Duration::from_millis(4_000),
+    }
+}
+
+/// Texts of tokens by their indexes in the caller's answer.
+pub(crate) fn texts(indexes: std::ops::Range<u32>) -> Vec<Name> {
+    indexes.map(|index| format!("t{index} ").into()).collect()
+}
+
+impl Play {
+    pub(crate) fn new() -> Self {
+        Self {
+            session: Session::serving(ENTRY, &VMS),
+        }
+    }
+
+    /// Lets time pass, with a tick whenever the node asked for one.
+    pub(crate) fn wait(&mut self, total: Duration) -> Vec<Effect> {
+        let until = self.session.now.monotonic + total;
+        let mut effects = Vec::new();
+        while let Some(wake_at) = self.session.wake_at.filter(|due| *due <= until) {
+            let now = self.session.now.monotonic;
+            self.session.advance(wake_at.saturating_sub(now));
+            effects.extend(self.session.apply(Event::Tick));
+        }
+        let now = self.session.now.monotonic;
+        self.session.advance(until - now);
+        effects
+    }
+
+    pub(crate) fn wait_ms(&mut self, millis: u64) -> Vec<Effect> {
+        self.wait(Duration::from_millis(millis))
+    }
+
+    pub(crate) fn ask(&mut self, call: u64) -> Vec<Effect> {
+        self.session.apply(Event::Completion(completion(call)))
+    }
+
+    pub(crate) fn caller_gone(&mut self, call: u64) -> Vec<Effect> {
+        self.session.apply(Event::CallerGone { call: CallId(call) })
+    }
+
+    pub(crate) fn engine(&mut self, event: EngineEvent) -> Vec<Effect> {
+        self.session.apply(Event::Engine(event))
+    }
+
+    /// An owner's answer to one placement.
+    pub(crate) fn placed(
+        &mut self,
+        from: &str,
+        sequence: u64,
+        placement: u32,
+        decision: PlaceDecision,
+    ) -> Vec<Effect> {
+        let from = Sender {
+            vm: from.into(),
+            incarnation: Incarnation(8),
+        };
+        let message = PeerMessage::Placed(PlaceReply {
+            request: request(sequence),
+            placement,
+            decision,
+        });
+        self.session.apply(Event::Peer { from, message })
+    }
+
+    /// Grants a placement of the first request, to start at once.
+    pub(crate) fn granted(&mut self, placement: u32, prefill: u8, decode: u8) -> Vec<Effect> {
+        let grant = grant(prefill, decode, Duration::ZERO);
+        self.placed("milano-a-2", 1, placement, PlaceDecision::Granted(grant))
+    }
+
+    pub(crate) fn prefill_done(&mut self, placement: u32) -> Vec<Effect> {
+        self.engine(EngineEvent::PrefillDone {
+            attempt: prefill(1, placement),
+            transfer: format!("{{\"of\":{placement}}}").into(),
+            cached_tokens: Some(0),
+        })
+    }
+
+    /// Tokens of an attempt that continues the answer at `base`.
+    pub(crate) fn tokens(
+        &mut self,
+        placement: u32,
+        base: u32,
+        indexes: std::ops::Range<u32>,
+    ) -> Vec<Effect> {
+        self.engine(EngineEvent::Tokens {
+            attempt: decode(1, placement),
+            first_index: indexes.start,
+            texts: texts(base + indexes.start..base + indexes.end),
+        })
+    }
+
+    pub(crate) fn done(&mut self, placement: u32, generated_tokens: u32) -> Vec<Effect> {
+        self.engine(EngineEvent::DecodeDone {
+            attempt: decode(1, placement),
+            generated_tokens,
+        })
+    }
+
+    pub(crate) fn failed(&mut self, attempt: AttemptId, failure: EngineFailure) -> Vec<Effect> {
+        self.engine(EngineEvent::Failed { attempt, failure })
+    }
+
+    /// One request that decodes and has delivered two tokens.
+    pub(crate) fn decoding() -> Self {
+        let mut play = Self::new();
+        play.ask(1);
+        play.granted(1, 1, 1);
+        play.wait_ms(200);
+        play.prefill_done(1);
+        play.wait_ms(65);
+        play.tokens(1, 0, 0..2);
+        play
+    }
+
+    /// Brings a base into force in place of the session's first one.
+    pub(crate) fn reconfigure(&mut self, base: Value) {
+        let record = ConfigRecord::Publish {
+            publish_id: Uuid::from_u128(2),
+            document: Document::Base,
+            parent: Some(Offset(0)),
+            content: base,
+        };
+        let text = serde_json::to_string(&record).expect("records are JSON");
+        self.session.apply(Event::Log(LogEvent::Read {
+            stream: LogStream::Config,
+            from: Offset(1),
+            oldest: Offset(0),
+            end: Offset(2),
+            records: vec![LogRecord {
+                offset: Offset(1),
+                age: Duration::ZERO,
+                text: text.into(),
+            }],
+        }));
+    }
+
+    /// The session without background work.
+    pub(crate) fn golden(&self) -> String {
+        let mut kept: Vec<String> = Vec::new();
+        let mut tick = None;
+        for line in &self.session.lines {
+            let value: Value = serde_json::from_str(line).unwrap_or_default();
+            if value["event"] == "tick" {
+                tick = Some(line.clone());
+            } else if value["event"].is_object() {
+                tick = None;
+                kept.push(line.clone());
+            } else if is_of_streams(&value["effect"]) {
+                kept.extend(tick.take());
+                kept.push(line.clone());
+            }
+        }
+        kept.join("\n")
+    }
+}
+
+fn is_of_streams(effect: &Value) -> bool {
+    if effect.is_null() || BACKGROUND.iter().any(|name| *effect == *name) {
+        return false;
+    }
+    let background = BACKGROUND.iter().any(|name| !effect[*name].is_null());
+    let message = &effect["send"]["message"];
+    let probes = ["Probe", "ProbeAck", "ProbeFor", "PullConfig", "PushConfig"];
+    let probe = probes.iter().any(|name| !message[*name].is_null());
+    !background && !probe && effect["note"].is_null() && effect["read_log"].is_null()
+}
+
+/// Tokens that were passed to a caller, in order.
+pub(crate) fn delivered(effects: &[Effect], call: u64) -> Vec<Name> {
+    let of_call = effects.iter().filter_map(|effect| match effect {
+        Effect::Deliver { call: of, texts } if *of == CallId(call) => Some(texts.clone()),
+        _ => None,
+    });
+    of_call.flatten().collect()
+}
+
+/// Attempts that engines were told to give up.
+pub(crate) fn cancelled(effects: &[Effect]) -> Vec<AttemptId> {
+    let attempts = effects.iter().filter_map(|effect| match effect {
+        Effect::Cancel { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    attempts.collect()
+}
+
+/// Placements that were asked for, with the owner that was asked.
+pub(crate) fn places(effects: &[Effect]) -> Vec<(Name, PlaceRequest)> {
+    let asked = effects.iter().filter_map(|effect| match effect {
+        Effect::Send {
+            to,
+            message: PeerMessage::Place(request),
+        } => Some((to.clone(), request.clone())),
+        _ => None,
+    });
+    asked.collect()
+}
+
+/// Grants whose end was reported.
+pub(crate) fn ended(effects: &[Effect]) -> Vec<(Name, EndedGrant)> {
+    let reports = effects.iter().filter_map(|effect| match effect {
+        Effect::Send {
+            to,
+            message: PeerMessage::GrantReport(report),
+        } => Some((to, report)),
+        _ => None,
+    });
+    let ended = reports.flat_map(|(to, report)| {
+        let grants = report.ended.iter();
+        grants.map(move |grant| (to.clone(), grant.clone()))
+    });
+    ended.collect()
+}
+
+/// Whether an effect of this name is among the effects.
+pub(crate) fn has(effects: &[Effect], name: &str) -> bool {
+    let names = effects
+        .iter()
+        .map(|effect| serde_json::to_value(effect).unwrap_or_default());
+    names.into_iter().any(|effect| !effect[name].is_null())
+}
