--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -3,4 +3,6 @@
 mod membership;
 mod nodes;
 mod session;
+mod streams_play;
+mod streams_sessions;
 mod thin_path;
