--- a/crates/arbutusfall/src/cli.rs
+++ b/crates/arbutusfall/src/cli.rs
@@ -2,44 +2,53 @@
 //!
 //! It is part of the library so that the stand-ins' programs can run the same commands.
 
+mod publish;
+mod status;
+
 use std::ffi::OsString;
 use std::fmt;
-use std::net::SocketAddr;
-use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
 use std::time::Duration;
 
-use arbutusfall_wire::Document;
-use futures_lite::future;
+use error_stack::Report;
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
-use uuid::Uuid;
 
-use crate::Executor;
-use crate::Published;
 use crate::Settings;
 
 const HELP: &str = "\
 Usage:
   arbutusfall serve --settings FILE
   arbutusfall check --base FILE [--overlay FILE]...
-  arbutusfall publish base FILE --log IP:PORT [--publish-id UUID]
-  arbutusfall publish overlay SITE FILE --log IP:PORT [--publish-id UUID]
+  arbutusfall publish base FILE [LOG] [--publish-id UUID]
+  arbutusfall publish overlay SITE FILE [LOG] [--publish-id UUID]
   arbutusfall status --vm IP:PORT [--json]
   arbutusfall keys --out DIR [--vm NAME]... [--days N]
   arbutusfall --help | --version
 
+LOG says where the platform's log is: --log IP:PORT, or --settings FILE with the settings of a VM, or the
+environment variable ARBUTUSFALL_LOG=IP:PORT; the first of them that is given is used.
+
+publish prints its publish id first. After a lost answer, repeat it with --publish-id: it is the same publication.
+check takes an overlay's site from the name of its file. status asks a VM's operator address.
+keys keeps an authority that is there, and makes a certificate for the VM `vm` unless --vm names others.
+
 Exit status: 0 done; 1 failed; 2 bad arguments, or mistakes found by check.";
 
+/// Exit status of a command that failed.
+const EXIT_FAILED: u8 = 1;
+
 /// Exit status for bad arguments and for mistakes found by `check`.
 const EXIT_USAGE: u8 = 2;
 
 /// Days for which certificates are valid unless `--days` says otherwise.
 const DEFAULT_DAYS: u32 = 365;
 
+/// Longest time for which a certificate can be valid, in days.
+const MAX_DAYS: u32 = 36_500;
+
 /// A command that ended without success.
 #[derive(Debug)]
 enum Failure {
@@ -49,16 +58,22 @@
     Failed(Vec<String>),
     /// `check` found mistakes, one line each.
     Mistakes(Vec<String>),
+    /// Help or the version was asked for instead.
+    Shown(&'static str),
 }
 
 impl From<lexopt::Error> for Failure {
     fn from(error: lexopt::Error) -> Self {
-        Self::Usage(error.to_string())
+        Self::Usage(format!("{error}; see --help"))
     }
 }
 
-fn failed(error: impl fmt::Display) -> Failure {
-    Failure::Failed(vec![error.to_string()])
+/// A failure on one line: what failed, and each cause after a colon.
+fn failed<E>(error: Report<E>) -> Failure
+where
+    E: fmt::Display,
+{
+    Failure::Failed(vec![format!("{error:#}").replace('\n', " ")])
 }
 
 /// Runs the command that the arguments ask for; they begin with the command's name.
@@ -68,8 +83,12 @@
         Err(failure) => failure,
     };
     let (lines, status) = match failure {
+        Failure::Shown(text) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
         Failure::Usage(line) => (vec![line], EXIT_USAGE),
-        Failure::Failed(lines) => (lines, 1),
+        Failure::Failed(lines) => (lines, EXIT_FAILED),
         Failure::Mistakes(lines) => (lines, EXIT_USAGE),
     };
     for line in lines {
@@ -81,24 +100,29 @@
 fn run_command(mut parser: Parser) -> Result<(), Failure> {
     let missing = || Failure::Usage("a command is missing; see --help".to_owned());
     match parser.next()?.ok_or_else(missing)? {
-        Arg::Long("help") | Arg::Short('h') => println!("{HELP}"),
-        Arg::Long("version") | Arg::Short('V') => {
-            println!("arbutusfall {}", env!("CARGO_PKG_VERSION"));
-        }
         Arg::Value(command) => match command.string()?.as_str() {
-            "serve" => serve(parser)?,
-            "check" => check(parser)?,
-            "publish" => publish(parser)?,
-            "status" => status(parser)?,
-            "keys" => keys(parser)?,
-            other => {
-                let line = format!("there is no command `{other}`; see --help");
-                return Err(Failure::Usage(line));
-            }
+            "serve" => serve(parser),
+            "check" => check(parser),
+            "publish" => publish::publish(parser),
+            "status" => status::status(parser),
+            "keys" => keys(parser),
+            other => Err(Failure::Usage(format!(
+                "there is no command `{other}`; see --help"
+            ))),
         },
-        other => return Err(other.unexpected().into()),
+        other => Err(unexpected(other)),
+    }
+}
+
+/// An argument that the command does not take; help and the version are given after each command too.
+fn unexpected(arg: Arg<'_>) -> Failure {
+    match arg {
+        Arg::Long("help") | Arg::Short('h') => Failure::Shown(HELP),
+        Arg::Long("version") | Arg::Short('V') => {
+            Failure::Shown(concat!("arbutusfall ", env!("CARGO_PKG_VERSION")))
+        }
+        other => other.unexpected().into(),
     }
-    Ok(())
 }
 
 fn required<T>(value: Option<T>, option: &str) -> Result<T, Failure> {
@@ -110,7 +134,7 @@
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Long("settings") => file = Some(parser.value()?.into()),
-            other => return Err(other.unexpected().into()),
+            other => return Err(unexpected(other)),
         }
     }
     let settings = Settings::load(&required(file, "--settings")?).map_err(failed)?;
@@ -124,110 +148,13 @@
         match arg {
             Arg::Long("base") => base = Some(parser.value()?.into()),
             Arg::Long("overlay") => overlays.push(parser.value()?.into()),
-            other => return Err(other.unexpected().into()),
+            other => return Err(unexpected(other)),
         }
     }
     let checked = crate::check_files(&required(base, "--base")?, &overlays);
     checked.map_err(|errors| Failure::Mistakes(errors.iter().map(ToString::to_string).collect()))
 }
 
-fn publish(mut parser: Parser) -> Result<(), Failure> {
-    let mut words: Vec<OsString> = Vec::new();
-    let mut log: Option<SocketAddr> = None;
-    let mut publish_id: Option<Uuid> = None;
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Arg::Value(word) => words.push(word),
-            Arg::Long("log") => log = Some(parser.value()?.parse()?),
-            Arg::Long("publish-id") => publish_id = Some(parser.value()?.parse()?),
-            other => return Err(other.unexpected().into()),
-        }
-    }
-    let usage = || Failure::Usage("expected `base FILE` or `overlay SITE FILE`".to_owned());
-    let (document, file) = match words.as_slice() {
-        [kind, file] if kind == "base" => (Document::Base, PathBuf::from(file)),
-        [kind, site, file] if kind == "overlay" => {
-            let site = site.to_str().ok_or_else(usage)?;
-            (Document::Overlay(site.into()), PathBuf::from(file))
-        }
-        _ => return Err(usage()),
-    };
-    let log = required(log, "--log")?;
-    let content = read_document(&file)?;
-    let publish_id = publish_id.unwrap_or_else(Uuid::now_v7);
-    let executor = Arc::new(Executor::new());
-    let publishing = crate::publish(&executor, log, publish_id, document, content);
-    match future::block_on(executor.run(publishing)).map_err(failed)? {
-        Published::Accepted { revision } => {
-            println!("accepted, revision {revision}");
-            Ok(())
-        }
-        Published::Rejected(rejection) => {
-            let rejection = serde_json::to_string(&rejection).map_err(failed)?;
-            Err(Failure::Failed(vec![format!("rejected: {rejection}")]))
-        }
-    }
-}
-
-fn read_document(file: &Path) -> Result<serde_json::Value, Failure> {
-    let name = file.display();
-    let text = std::fs::read_to_string(file)
-        .map_err(|error| Failure::Failed(vec![format!("{name}: {error}")]))?;
-    arbutusfall_core::config::parse_document(&text)
-        .map_err(|error| Failure::Failed(vec![format!("{name}: {error}")]))
-}
-
-fn status(mut parser: Parser) -> Result<(), Failure> {
-    let mut vm: Option<SocketAddr> = None;
-    let mut json = false;
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Arg::Long("vm") => vm = Some(parser.value()?.parse()?),
-            Arg::Long("json") => json = true,
-            other => return Err(other.unexpected().into()),
-        }
-    }
-    let vm = required(vm, "--vm")?;
-    let executor = Arc::new(Executor::new());
-    let fetched = future::block_on(executor.run(crate::fetch_status(&executor, vm)));
-    let document = fetched.map_err(failed)?;
-    if json {
-        println!(
-            "{}",
-            serde_json::to_string_pretty(&document).map_err(failed)?
-        );
-        return Ok(());
-    }
-    let status = &document.status;
-    println!(
-        "{} ({}, {})",
-        status.identity.vm, status.identity.site, status.identity.data_centre
-    );
-    println!("ready {}, draining {}", status.ready, status.draining);
-    println!(
-        "base {:?}, overlay {:?}",
-        status.base_revision, status.overlay_revision
-    );
-    for vm in &status.vms {
-        println!("vm {} in {}: {:?}", vm.vm, vm.data_centre, vm.state);
-    }
-    for endpoint in &status.endpoints {
-        let name = &endpoint.endpoint;
-        println!(
-            "endpoint {name}: {} of {} slots granted",
-            endpoint.grants, endpoint.slots
-        );
-    }
-    println!(
-        "streams {}, calls {}, claims {}",
-        status.streams, status.calls, status.claims
-    );
-    for (counter, total) in &document.counters {
-        println!("counter {counter} {total}");
-    }
-    Ok(())
-}
-
 fn keys(mut parser: Parser) -> Result<(), Failure> {
     let mut out: Option<PathBuf> = None;
     let mut vms: Vec<String> = Vec::new();
@@ -237,17 +164,22 @@
             Arg::Long("out") => out = Some(parser.value()?.into()),
             Arg::Long("vm") => vms.push(parser.value()?.string()?),
             Arg::Long("days") => days = parser.value()?.parse()?,
-            other => return Err(other.unexpected().into()),
+            other => return Err(unexpected(other)),
         }
     }
     let out = required(out, "--out")?;
+    if !(1..=MAX_DAYS).contains(&days) {
+        let line = format!("--days must be from 1 to {MAX_DAYS}, not {days}");
+        return Err(Failure::Usage(line));
+    }
     let lifetime = Duration::from_secs(u64::from(days) * 24 * 3_600);
     crate::make_authority(&out, lifetime).map_err(failed)?;
     if vms.is_empty() {
         vms.push("vm".to_owned());
     }
     for vm in &vms {
-        crate::make_vm_certificate(&out, vm, lifetime).map_err(failed)?;
+        let files = crate::make_vm_certificate(&out, vm, lifetime).map_err(failed)?;
+        println!("{}", files.certificate_file.display());
     }
     Ok(())
 }
--- /dev/null
+++ b/crates/arbutusfall/src/cli/publish.rs
@@ -0,0 +1,133 @@
+//! `arbutusfall publish`.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use arbutusfall_wire::Document;
+use arbutusfall_wire::Rejection;
+use futures_lite::future;
+use lexopt::Arg;
+use lexopt::Parser;
+use lexopt::ValueExt;
+use uuid::Uuid;
+
+use crate::Executor;
+use crate::Published;
+use crate::Settings;
+
+use super::Failure;
+use super::failed;
+use super::unexpected;
+
+/// Environment variable that says where the platform's log is.
+const LOG_VARIABLE: &str = "ARBUTUSFALL_LOG";
+
+/// Ways of saying where the platform's log is.
+#[derive(Debug, Default)]
+struct LogOptions {
+    address: Option<SocketAddr>,
+    settings: Option<PathBuf>,
+}
+
+impl LogOptions {
+    /// Address of the log by the first way that was used.
+    fn find(self) -> Result<SocketAddr, Failure> {
+        if let Some(address) = self.address {
+            return Ok(address);
+        }
+        if let Some(file) = self.settings {
+            let settings = Settings::load(&file).map_err(failed)?;
+            return Ok(settings.log_service_address);
+        }
+        let missing = || {
+            let ways = format!("--log, --settings or {LOG_VARIABLE}");
+            Failure::Usage(format!("{ways} must say where the log is; see --help"))
+        };
+        let address = std::env::var(LOG_VARIABLE).map_err(|_| missing())?;
+        let unusable = |_| Failure::Usage(format!("{LOG_VARIABLE}: `{address}` is not IP:PORT"));
+        address.parse().map_err(unusable)
+    }
+}
+
+/// Reads the command's arguments and publishes.
+pub(super) fn publish(mut parser: Parser) -> Result<(), Failure> {
+    let mut words: Vec<OsString> = Vec::new();
+    let mut log = LogOptions::default();
+    let mut publish_id: Option<Uuid> = None;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Value(word) => words.push(word),
+            Arg::Long("log") => log.address = Some(parser.value()?.parse()?),
+            Arg::Long("settings") => log.settings = Some(parser.value()?.into()),
+            Arg::Long("publish-id") => publish_id = Some(parser.value()?.parse()?),
+            other => return Err(unexpected(other)),
+        }
+    }
+    let (document, file) = document_of(&words)?;
+    let log = log.find()?;
+    let content = read_document(&file)?;
+    let publish_id = publish_id.unwrap_or_else(Uuid::now_v7);
+    println!("publish id {publish_id}");
+    let executor = Arc::new(Executor::new());
+    let publishing = crate::publish(&executor, log, publish_id, document, content);
+    match future::block_on(executor.run(publishing)).map_err(failed)? {
+        Published::Accepted { revision } => {
+            println!("accepted, revision {revision}");
+            Ok(())
+        }
+        Published::Rejected(rejection) => Err(Failure::Failed(rejection_lines(&rejection))),
+    }
+}
+
+fn document_of(words: &[OsString]) -> Result<(Document, PathBuf), Failure> {
+    let usage = || {
+        let line = "expected `base FILE` or `overlay SITE FILE`; see --help";
+        Failure::Usage(line.to_owned())
+    };
+    match words {
+        [kind, file] if kind == "base" => Ok((Document::Base, PathBuf::from(file))),
+        [kind, site, file] if kind == "overlay" => {
+            let site = site.to_str().ok_or_else(usage)?;
+            Ok((Document::Overlay(site.into()), PathBuf::from(file)))
+        }
+        _ => Err(usage()),
+    }
+}
+
+fn read_document(file: &Path) -> Result<serde_json::Value, Failure> {
+    let name = file.display();
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| Failure::Failed(vec![format!("{name}: {error}")]))?;
+    arbutusfall_core::config::parse_document(&text)
+        .map_err(|error| Failure::Failed(vec![format!("{name}: {error}")]))
+}
+
+/// Why a publication was rejected, one line a reason.
+fn rejection_lines(rejection: &Rejection) -> Vec<String> {
+    match rejection {
+        Rejection::StaleParent {
+            in_force: Some(revision),
+        } => vec![format!(
+            "rejected: another edit came first, revision {revision} is in force"
+        )],
+        Rejection::StaleParent { in_force: None } => {
+            vec!["rejected: the edited revision is no longer in force".to_owned()]
+        }
+        Rejection::Invalid { problems } => {
+            let lines = problems.iter().map(|problem| {
+                let document = match &problem.document {
+                    Document::Base => "base".to_owned(),
+                    Document::Overlay(site) => format!("overlay {site}"),
+                };
+                let path = &problem.path;
+                let found = &problem.found;
+                let allowed = &problem.allowed;
+                format!("rejected: {document}: {path}: {found}; allowed: {allowed}")
+            });
+            lines.collect()
+        }
+    }
+}
--- a/crates/arbutusfall/src/lib.rs
+++ b/crates/arbutusfall/src/lib.rs
@@ -50,6 +50,7 @@
 pub use serve::ServeError;
 pub use serve::serve;
 pub use settings::LogFormat;
+pub use settings::LogLevel;
 pub use settings::Settings;
 pub use settings::SettingsError;
 pub use settings::TlsFiles;
--- a/crates/arbutusfall/src/serve.rs
+++ b/crates/arbutusfall/src/serve.rs
@@ -70,7 +70,7 @@
 ///
 /// [`ServeError`] if the process cannot start.
 pub fn serve(settings: Settings) -> Result<(), Report<ServeError>> {
-    telemetry::start_log(settings.log_format);
+    telemetry::start_log(settings.log_format, settings.log_level);
     let executor = Arc::new(Executor::new());
     let (stop, stopped) = async_channel::bounded::<()>(1);
     std::thread::scope(|scope| {
@@ -99,7 +99,7 @@
         site: settings.site.clone(),
     };
     let (sender, inputs) = async_channel::unbounded();
-    let tls = PeerTls::load(&settings.tls).change_context(ServeError::Tls)?;
+    let tls = PeerTls::load(&settings.tls, &settings.vm).change_context(ServeError::Tls)?;
     let peers = Peers::listen(
         executor.clone(),
         settings.peer_address,
--- a/crates/arbutusfall/src/settings.rs
+++ b/crates/arbutusfall/src/settings.rs
@@ -42,6 +42,9 @@
     /// Form of the log lines.
     #[serde(default)]
     pub log_format: LogFormat,
+    /// Least severe log lines that are written.
+    #[serde(default)]
+    pub log_level: LogLevel,
     /// Threads that run tasks.
     #[serde(default = "default_worker_threads")]
     pub worker_threads: u16,
@@ -70,6 +73,21 @@
     Json,
 }
 
+/// Severity of log lines.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Only failures that need somebody's hand.
+    Error,
+    /// Also what may become a failure.
+    Warn,
+    /// Also changes of state.
+    #[default]
+    Info,
+    /// Also what only developers read.
+    Debug,
+}
+
 fn default_worker_threads() -> u16 {
     2
 }
--- a/crates/arbutusfall/src/telemetry.rs
+++ b/crates/arbutusfall/src/telemetry.rs
@@ -17,11 +17,14 @@
 use fastrace::collector::Config;
 use fastrace::collector::Reporter;
 use fastrace::collector::SpanRecord;
+use logforth::record::Level;
+use logforth::record::LevelFilter;
 use serde_json::Value;
 use serde_json::json;
 
 use crate::Executor;
 use crate::LogFormat;
+use crate::LogLevel;
 use crate::Settings;
 use crate::http;
 
@@ -88,7 +91,13 @@
 }
 
 /// Sets the process's log up.
-pub(crate) fn start_log(format: LogFormat) {
+pub(crate) fn start_log(format: LogFormat, level: LogLevel) {
+    let level = match level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warn => Level::Warn,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    };
     let append = logforth::append::Stderr::default();
     let append = match format {
         LogFormat::Text => append.with_layout(logforth::layout::TextLayout::default().no_color()),
@@ -97,9 +106,9 @@
     // Fails only if a log was set up before, which then stays.
     let _ = logforth::starter_log::builder()
         .dispatch(|dispatch| {
-            let level =
-                logforth::record::LevelFilter::MoreSevereEqual(logforth::record::Level::Info);
-            dispatch.filter(level).append(append)
+            dispatch
+                .filter(LevelFilter::MoreSevereEqual(level))
+                .append(append)
         })
         .try_apply();
 }
--- a/crates/arbutusfall/src/tls.rs
+++ b/crates/arbutusfall/src/tls.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arbutusfall_wire::Name;
 use error_stack::Report;
 use error_stack::ResultExt;
 use quinn::ClientConfig;
@@ -15,9 +16,12 @@
 use quinn::crypto::rustls::QuicClientConfig;
 use quinn::crypto::rustls::QuicServerConfig;
 use rustls::RootCertStore;
+use rustls::server::ParsedCertificate;
 use rustls::server::WebPkiClientVerifier;
 use rustls_pki_types::CertificateDer;
 use rustls_pki_types::PrivateKeyDer;
+use rustls_pki_types::ServerName;
+use rustls_pki_types::UnixTime;
 use rustls_pki_types::pem::PemObject;
 
 use crate::TlsFiles;
@@ -38,6 +42,15 @@
     File(PathBuf),
     /// The certificate and key do not fit together or are not usable.
     Rejected,
+    /// The certificate is expired, or not signed by the authority.
+    NotAccepted(PathBuf),
+    /// The certificate was issued to another VM.
+    WrongVm {
+        /// The certificate.
+        file: PathBuf,
+        /// The VM of the settings.
+        vm: Name,
+    },
 }
 
 impl fmt::Display for TlsError {
@@ -45,6 +58,12 @@
         match self {
             Self::File(file) => write!(f, "{}: no usable certificate or key", file.display()),
             Self::Rejected => f.write_str("certificate and key are not usable together"),
+            Self::NotAccepted(file) => {
+                write!(f, "{}: peers would not accept it", file.display())
+            }
+            Self::WrongVm { file, vm } => {
+                write!(f, "{}: was not issued to the VM {vm}", file.display())
+            }
         }
     }
 }
@@ -59,8 +78,8 @@
 }
 
 impl PeerTls {
-    /// Reads keys and certificates.
-    pub(crate) fn load(files: &TlsFiles) -> Result<Self, Report<TlsError>> {
+    /// Reads the keys and certificates of a VM and checks them as its peers will.
+    pub(crate) fn load(files: &TlsFiles, vm: &Name) -> Result<Self, Report<TlsError>> {
         let authority = read_certificates(&files.authority_file)?;
         let mut roots = RootCertStore::empty();
         for certificate in authority {
@@ -71,6 +90,7 @@
         let chain = read_certificates(&files.certificate_file)?;
         let key = PrivateKeyDer::from_pem_file(&files.key_file)
             .change_context_lazy(|| TlsError::File(files.key_file.clone()))?;
+        check_own(&roots, &chain, files, vm)?;
         let transport = Arc::new(transport());
         let client = client_config(roots.clone(), chain.clone(), key.clone_key(), &transport)?;
         let server = server_config(roots, chain, key, &transport)?;
@@ -78,6 +98,42 @@
     }
 }
 
+/// Checks this VM's own certificate, so that a mistake shows at the start and not at each connection.
+fn check_own(
+    roots: &Arc<RootCertStore>,
+    chain: &[CertificateDer<'static>],
+    files: &TlsFiles,
+    vm: &Name,
+) -> Result<(), Report<TlsError>> {
+    let file = &files.certificate_file;
+    let (own, intermediates) = chain
+        .split_first()
+        .ok_or_else(|| Report::new(TlsError::File(file.clone())))?;
+    let verifier = WebPkiClientVerifier::builder_with_provider(roots.clone(), provider());
+    let verifier = verifier.build().change_context(TlsError::Rejected)?;
+    verifier
+        .verify_client_cert(own, intermediates, UnixTime::now())
+        .change_context_lazy(|| TlsError::NotAccepted(file.clone()))?;
+    if certificate_names(own, vm) {
+        return Ok(());
+    }
+    Err(Report::new(TlsError::WrongVm {
+        file: file.clone(),
+        vm: vm.clone(),
+    }))
+}
+
+/// Whether a certificate was issued to the VM of this name.
+pub(crate) fn certificate_names(certificate: &CertificateDer<'_>, vm: &str) -> bool {
+    let Ok(name) = ServerName::try_from(vm) else {
+        return false;
+    };
+    let Ok(parsed) = ParsedCertificate::try_from(certificate) else {
+        return false;
+    };
+    rustls::client::verify_server_name(&parsed, &name).is_ok()
+}
+
 fn read_certificates(file: &Path) -> Result<Vec<CertificateDer<'static>>, Report<TlsError>> {
     let failed = || TlsError::File(file.to_owned());
     let certificates = CertificateDer::pem_file_iter(file).change_context_lazy(failed)?;
--- a/crates/arbutusfall_standins/src/fleet.rs
+++ b/crates/arbutusfall_standins/src/fleet.rs
@@ -16,6 +16,7 @@
 
 use arbutusfall::Executor;
 use arbutusfall::LogFormat;
+use arbutusfall::LogLevel;
 use arbutusfall::Settings;
 use arbutusfall::http;
 use arbutusfall_core::ListedVm;
@@ -314,6 +315,7 @@
             metrics_address: None,
             trace_address: Some(self.collector.address),
             log_format: LogFormat::Text,
+            log_level: LogLevel::Info,
             worker_threads: 2,
         })
     }
