Confirm a cancel twice when the engine knows nothing, and check whose tokens come

Cause: an order and its cancellation travel over two connections, so an engine can answer "unknown" before the order reaches it and then run it; and nothing in a token stream was compared with the request it should answer.

Ruled out: confirming only by status 200, as an engine that has finished or restarted never gives it.

Change: a cancellation answered with 404 is sent once more after 250 ms. A chunk whose id does not contain the request's id fails the attempt. The engine stand-in keeps working when a connection is lost, as engines do that are told to cancel, and sends ids.

--- a/crates/arbutusfall/src/engines.rs
+++ b/crates/arbutusfall/src/engines.rs
@@ -22,7 +22,9 @@
 use async_executor::Task;
 use fastrace::Span;
 use fastrace::collector::SpanContext;
+use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -53,6 +55,17 @@
 /// Time allowed for short exchanges: cancel, list, load.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Delay before an engine that does not know an attempt is told once more to give it up.
+///
+/// The order may still be on its way over another connection, or wait in an engine that was frozen.
+const CANCEL_AGAIN_AFTER: Duration = Duration::from_millis(250);
+
+/// Status by which an engine says that it does not know a request.
+const UNKNOWN_REQUEST_STATUS: u16 = 404;
+
+/// Longest answer of a prefill engine, in bytes.
+const MAX_PREFILL_ANSWER_BYTES: usize = 1024 * 1024;
+
 /// Status by which an engine says that a KV cache could not be fetched.
 const TRANSFER_LOST_STATUS: u16 = 424;
 
@@ -84,6 +97,15 @@
     cached_tokens: u32,
 }
 
+/// How an engine confirms that it does not hold an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CancelAnswer {
+    /// It held the attempt and gave it up.
+    GivenUp,
+    /// It does not know the attempt.
+    Unknown,
+}
+
 #[derive(Deserialize)]
 struct ActiveAnswer {
     requests: Vec<String>,
@@ -131,8 +153,9 @@
         .merged(body);
         let request = completion_request(order.address, order.attempt, &body, &span);
         let answer = self.open(order.address, request).await?;
-        let body = http::read_body(answer.into_body(), ANSWER_TIMEOUT).await;
-        let body = body.map_err(|_| EngineFailure::Closed)?;
+        let body = Limited::new(answer.into_body(), MAX_PREFILL_ANSWER_BYTES);
+        let body = body.collect().await.map_err(|_| EngineFailure::Closed)?;
+        let body = body.to_bytes();
         let answer: PrefillAnswer =
             serde_json::from_slice(&body).map_err(|_| EngineFailure::Malformed)?;
         let details = answer.usage.and_then(|usage| usage.prompt_tokens_details);
@@ -205,7 +228,7 @@
         from_index: u32,
         body: Incoming,
     ) -> Result<(), EngineFailure> {
-        let mut reader = EventReader::new(body);
+        let mut reader = EventReader::new(body, &attempt.to_string());
         let mut index = from_index;
         loop {
             let texts = reader.next_tokens().await?;
@@ -232,19 +255,34 @@
         self.drop_connection(attempt);
         let engines = self.clone();
         let exchange = async move {
-            let path = format!("/v1/requests/{attempt}");
-            let request = plain_request(Method::DELETE, address, &path);
-            let answer = engines.control(address, request).await;
-            engines.submit(match answer {
-                Ok(answer) if answer.status().is_success() || answer.status() == 404 => {
-                    EngineEvent::Cancelled { attempt }
-                }
-                _ => EngineEvent::CancelFailed { attempt },
+            let mut confirmed = engines.exchange_cancel(attempt, address).await;
+            if confirmed == Some(CancelAnswer::Unknown) {
+                async_io::Timer::after(CANCEL_AGAIN_AFTER).await;
+                confirmed = engines.exchange_cancel(attempt, address).await;
+            }
+            engines.submit(match confirmed {
+                Some(_) => EngineEvent::Cancelled { attempt },
+                None => EngineEvent::CancelFailed { attempt },
             });
         };
         self.executor.spawn(exchange).detach();
     }
 
+    /// Tells an engine once to give an attempt up; none if it did not confirm.
+    async fn exchange_cancel(
+        &self,
+        attempt: AttemptId,
+        address: SocketAddr,
+    ) -> Option<CancelAnswer> {
+        let path = format!("/v1/requests/{attempt}");
+        let request = plain_request(Method::DELETE, address, &path);
+        let status = self.control(address, request).await.ok()?.status();
+        match status.as_u16() {
+            UNKNOWN_REQUEST_STATUS => Some(CancelAnswer::Unknown),
+            _ => status.is_success().then_some(CancelAnswer::GivenUp),
+        }
+    }
+
     /// Asks an engine which attempts it holds.
     pub(crate) fn list_active(self: &Arc<Self>, endpoint: Name, address: SocketAddr) {
         let engines = self.clone();
--- a/crates/arbutusfall/src/engines/events.rs
+++ b/crates/arbutusfall/src/engines/events.rs
@@ -14,6 +14,8 @@
 
 #[derive(Deserialize)]
 struct Chunk {
+    /// Names the request, possibly with a prefix and a suffix; engines may leave it out.
+    id: Option<Name>,
     choices: Vec<Choice>,
 }
 
@@ -28,11 +30,15 @@
     body: Incoming,
     buffer: Vec<u8>,
     done: bool,
+    /// Id under which the request was sent.
+    request_id: Name,
 }
 
 impl EventReader {
-    pub(crate) fn new(body: Incoming) -> Self {
+    /// Reads the answer to the request that was sent under an id.
+    pub(crate) fn new(body: Incoming, request_id: &str) -> Self {
         Self {
+            request_id: request_id.into(),
             body,
             buffer: Vec::new(),
             done: false,
@@ -74,6 +80,11 @@
                 break;
             }
             let chunk: Chunk = serde_json::from_str(data).map_err(|_| EngineFailure::Malformed)?;
+            let id = chunk.id.as_deref();
+            if id.is_some_and(|id| !id.contains(&*self.request_id)) {
+                // These tokens are another request's answer.
+                return Err(EngineFailure::Malformed);
+            }
             let chosen = chunk.choices.into_iter().map(|choice| choice.text);
             texts.extend(chosen.filter(|text| !text.is_empty()));
         }
--- a/crates/arbutusfall_standins/src/engine.rs
+++ b/crates/arbutusfall_standins/src/engine.rs
@@ -182,11 +182,13 @@
             .running
             .values()
             .filter(|running| running.holds_memory());
+        let generated: usize = running.clone().map(|running| running.generated).sum();
         json_answer(
             200,
             &json!({
                 "prefilled_tokens": state.prefilled_tokens,
                 "wasted_tokens": state.wasted_tokens,
+                "generating": generated,
                 "held": state.queue.len() + state.results.len() + running.count(),
             }),
         )
--- a/crates/arbutusfall_standins/src/engine/decode.rs
+++ b/crates/arbutusfall_standins/src/engine/decode.rs
@@ -35,10 +35,12 @@
 
 /// A request that holds a slot or waits for one.
 pub(crate) struct Running {
+    id: String,
     seed: u32,
     first_index: usize,
     length: usize,
-    generated: usize,
+    /// Tokens so far.
+    pub(crate) generated: usize,
     decoding: bool,
     finished_at: Option<Instant>,
     readers: Vec<Reader>,
@@ -69,13 +71,24 @@
             .get("x-request-id")
             .and_then(|value| value.to_str().ok());
         let body = serde_json::from_slice::<Body>(&request.body).ok();
-        let (Some(id), Some(body)) = (id, body) else {
+        let (Some(id), Some(body)) = (id.map(str::to_owned), body) else {
             return json_answer(400, &json!({}));
         };
-        if body.kv_transfer_params["do_remote_decode"] == true {
-            return self.prefill(id, &body.prompt, body.priority).await;
-        }
-        self.decode(id, &body).await
+        // The work goes on when the connection is lost: only a cancellation ends it.
+        let (sender, answer) = async_channel::bounded(1);
+        let engine = self.clone();
+        let work = async move {
+            let answer = if body.kv_transfer_params["do_remote_decode"] == true {
+                engine.prefill(&id, &body.prompt, body.priority).await
+            } else {
+                engine.decode(&id, &body).await
+            };
+            // The connection may be gone.
+            let _ = sender.send(answer).await;
+        };
+        self.executor.spawn(work).detach();
+        let answer = answer.recv().await;
+        answer.unwrap_or_else(|_| json_answer(500, &json!({})))
     }
 
     async fn decode(self: &Arc<Self>, id: &str, body: &Body) -> Response<AnswerBody> {
@@ -110,6 +123,7 @@
             continued(&body.prompt).unwrap_or_else(|| (prompt_seed(&body.prompt), 0));
         let length = generated_length(seed, first_index + body.max_tokens);
         let running = Running {
+            id: id.to_owned(),
             seed,
             first_index,
             length: length.saturating_sub(first_index),
@@ -164,7 +178,7 @@
             let Some(running) = state.running.get_mut(id) else {
                 return;
             };
-            running.generated += 1;
+            running.generated += usize::from(running.generated < running.length);
             if running.generated >= running.length {
                 running.finished_at = Some(Instant::now());
             }
@@ -220,6 +234,7 @@
     /// Writes what each reader has not got yet.
     fn write(&mut self, silent_since: Option<Instant>) {
         let Self {
+            id,
             seed,
             first_index,
             generated,
@@ -233,7 +248,10 @@
             }
             while reader.next < *generated {
                 let text = token_text(*seed, *first_index + reader.next);
-                let event = json!({ "choices": [{ "index": 0, "text": text }] });
+                let event = json!({
+                    "id": format!("cmpl-{id}"),
+                    "choices": [{ "index": 0, "text": text }],
+                });
                 reader.writer.write(format!("data: {event}\n\n"));
                 reader.next += 1;
             }
