--- a/crates/arbutusfall_core/src/node.rs
+++ b/crates/arbutusfall_core/src/node.rs
@@ -48,7 +48,7 @@
 const UNAVAILABLE_RETRY_AFTER: std::time::Duration = std::time::Duration::from_secs(1);
 
 /// One VM's state.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Node {
     identity: Identity,
     members: Membership,
@@ -60,7 +60,7 @@
 }
 
 /// The parts that take events.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Parts {
     config: ConfigReader,
     streams: Streams,
@@ -78,8 +78,8 @@
     /// A node that has seen nothing. `seed` drives the spread of retries.
     pub fn new(identity: Identity, seed: u64) -> Self {
         Self {
+            members: Membership::new(&identity),
             identity,
-            members: Membership::default(),
             timers: Timers::default(),
             rng: fastrand::Rng::with_seed(seed),
             parts: Parts::default(),
@@ -128,6 +128,10 @@
             vm: member.listed.vm.clone(),
             data_centre: member.listed.data_centre.clone(),
             state: member.state,
+            incarnation: self
+                .members
+                .life_of(&member.listed.vm)
+                .map(|(incarnation, _)| incarnation),
         });
         Status {
             identity: self.identity.clone(),
@@ -153,6 +157,7 @@
         self.open_calls.is_empty()
             && self.streams.is_idle(now)
             && self.executions.in_progress() == 0
+            && self.partitions.is_idle()
     }
 
     fn on_event(&mut self, event: Event, ctx: &mut Context<'_>) {
@@ -162,7 +167,10 @@
             Event::Completion(asked) => self.on_completion(asked, ctx),
             Event::ServiceCall(asked) => self.on_service_call(&asked, ctx),
             Event::CallerGone { call } => self.on_caller_gone(call, ctx),
-            Event::Peer { from, message } => self.on_peer(&from, message, ctx),
+            Event::Peer { from, message } => {
+                membership::on_heard(&from, ctx);
+                self.on_peer(&from, message, ctx);
+            }
             Event::Engine(event) => self.on_engine(event, ctx),
             Event::Service(event) => self.on_service(event, ctx),
             Event::Log(event) => self.on_log(event, ctx),
@@ -215,9 +223,19 @@
             Timer::CallOverdue { call, attempt } => self.calls.on_failed(call, attempt, ctx),
             Timer::RetryCall { call, attempt } => self.calls.on_retry(call, attempt, ctx),
             Timer::ProbePeers => membership::on_probe_timer(ctx),
+            Timer::ProbeOverdue { sequence } => membership::on_probe_overdue(sequence, ctx),
+            Timer::SuspectOverdue {
+                vm,
+                incarnation,
+                refutation,
+                due,
+            } => membership::on_suspect_overdue(&vm, incarnation, refutation, due, ctx),
             Timer::SnapshotConfig => self.config.on_snapshot_timer(ctx),
             Timer::SweepEndpoints => self.sweep.on_timer(ctx),
-            Timer::SweepClaims => self.executions.on_sweep_timer(ctx),
+            Timer::SweepClaims => {
+                self.executions.on_sweep_timer(ctx);
+                self.partitions.on_sweep_timer(ctx);
+            }
             Timer::StageOverdue { attempt } => self.streams.on_stage_overdue(attempt, ctx),
             Timer::AnswerOverdue { request } => self.streams.on_answer_overdue(request, ctx),
         }
@@ -244,6 +262,7 @@
 
     fn next_request(&mut self, ctx: &Context<'_>) -> RequestId {
         self.requests += 1;
+        debug_assert!(ctx.members.holds(ctx.identity.incarnation));
         RequestId {
             incarnation: ctx.identity.incarnation,
             sequence: self.requests,
@@ -300,11 +319,10 @@
             PeerMessage::RecordOutcome(record) => self.partitions.on_outcome(record, ctx),
             PeerMessage::AskOutcome(asked) => self.executions.on_ask(&from.vm, asked, ctx),
             PeerMessage::TellOutcome(told) => self.executions.on_told(told, ctx),
-            PeerMessage::PullConfig(_)
-            | PeerMessage::PushConfig(_)
-            | PeerMessage::Probe(_)
-            | PeerMessage::ProbeAck(_)
-            | PeerMessage::ProbeFor(_) => {}
+            PeerMessage::PullConfig(_) | PeerMessage::PushConfig(_) => {}
+            PeerMessage::Probe(probe) => membership::on_probe(&from.vm, probe, ctx),
+            PeerMessage::ProbeAck(ack) => membership::on_ack(&from.vm, ack, ctx),
+            PeerMessage::ProbeFor(asked) => membership::on_probe_for(&from.vm, asked, ctx),
         }
     }
 
--- a/crates/arbutusfall_core/src/streams/cancels.rs
+++ b/crates/arbutusfall_core/src/streams/cancels.rs
@@ -32,12 +32,12 @@
 /// Cancellations that engines have not confirmed.
 ///
 /// Invariant: at most [`MAX_PENDING`].
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Cancels {
     pending: BTreeMap<AttemptId, Cancel>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Cancel {
     endpoint: Name,
     /// Where the engine listened when it was given the attempt.
--- a/crates/arbutusfall_core/src/streams/stream.rs
+++ b/crates/arbutusfall_core/src/streams/stream.rs
@@ -21,7 +21,7 @@
 use crate::placement::shard_count;
 
 /// A model request in progress.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Stream {
     pub(crate) call: CallId,
     asked: CompletionRequest,
@@ -59,7 +59,7 @@
 }
 
 /// How far a request has come.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) enum Phase {
     /// An owner was asked.
     Placing { shard: ShardId },
@@ -74,7 +74,7 @@
 }
 
 /// A request at an engine.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Running {
     shard: ShardId,
     owner: Name,
--- a/crates/arbutusfall_core/src/streams/unanswered.rs
+++ b/crates/arbutusfall_core/src/streams/unanswered.rs
@@ -15,12 +15,12 @@
 use crate::context::Context;
 
 /// Placements that were asked for and given up.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Unanswered {
     placements: BTreeMap<(RequestId, u32), Placement>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Placement {
     shard: ShardId,
     /// Instant from which a grant has lapsed by itself.
--- a/crates/arbutusfall_core/src/sweep.rs
+++ b/crates/arbutusfall_core/src/sweep.rs
@@ -28,7 +28,7 @@
 /// An attempt of another process is given up only if membership knows of no VM that may run this process, and
 /// nothing was heard of it for the lifetime of a grant. A VM that this process does not know yet is heard before
 /// that, as it reports its grants several times within their lifetime.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Sweep {
     /// Last message of each process, or when an attempt of it was first seen.
     quiet_since: BTreeMap<Incarnation, Duration>,
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -1,6 +1,9 @@
 //! Tests of the reducer: golden sessions, properties and explorations.
 
+mod membership;
+mod nodes;
 mod session;
 mod streams_play;
 mod streams_sessions;
+mod sweep;
 mod thin_path;
--- a/crates/arbutusfall_core/tests/it/streams_play.rs
+++ b/crates/arbutusfall_core/tests/it/streams_play.rs
@@ -23,6 +23,7 @@
 use arbutusfall_wire::PlaceDecision;
 use arbutusfall_wire::PlaceReply;
 use arbutusfall_wire::PlaceRequest;
+use arbutusfall_wire::Probe;
 use arbutusfall_wire::RequestId;
 use arbutusfall_wire::Sender;
 use serde_json::Value;
@@ -45,6 +46,11 @@
     pub(crate) session: Session,
 }
 
+/// Life of another VM's process.
+pub(crate) fn incarnation(vm: &str) -> Incarnation {
+    Incarnation(vm.bytes().map(u64::from).sum())
+}
+
 /// Id of the entry VM's request with this number.
 pub(crate) fn request(sequence: u64) -> RequestId {
     RequestId {
@@ -101,13 +107,42 @@
         while let Some(wake_at) = self.session.wake_at.filter(|due| *due <= until) {
             let now = self.session.now.monotonic;
             self.session.advance(wake_at.saturating_sub(now));
-            effects.extend(self.session.apply(Event::Tick));
+            let ticked = self.session.apply(Event::Tick);
+            self.acknowledge_probes(&ticked);
+            effects.extend(ticked);
         }
         let now = self.session.now.monotonic;
         self.session.advance(until - now);
         effects
     }
 
+    /// Has the VMs that are still on the list answer the node's probes.
+    fn acknowledge_probes(&mut self, effects: &[Effect]) {
+        for effect in effects {
+            let Effect::Send {
+                to,
+                message: PeerMessage::Probe(probe),
+            } = effect
+            else {
+                continue;
+            };
+            let ack = Probe {
+                news: Vec::new(),
+                ..probe.clone()
+            };
+            self.peer(to, PeerMessage::ProbeAck(ack));
+        }
+    }
+
+    /// A message of another VM.
+    pub(crate) fn peer(&mut self, vm: &str, message: PeerMessage) -> Vec<Effect> {
+        let from = Sender {
+            vm: vm.into(),
+            incarnation: incarnation(vm),
+        };
+        self.session.apply(Event::Peer { from, message })
+    }
+
     pub(crate) fn wait_ms(&mut self, millis: u64) -> Vec<Effect> {
         self.wait(Duration::from_millis(millis))
     }
@@ -132,16 +167,12 @@
         placement: u32,
         decision: PlaceDecision,
     ) -> Vec<Effect> {
-        let from = Sender {
-            vm: from.into(),
-            incarnation: Incarnation(8),
-        };
-        let message = PeerMessage::Placed(PlaceReply {
+        let reply = PlaceReply {
             request: request(sequence),
             placement,
             decision,
-        });
-        self.session.apply(Event::Peer { from, message })
+        };
+        self.peer(from, PeerMessage::Placed(reply))
     }
 
     /// Grants a placement of the first request, to start at once.
@@ -225,6 +256,8 @@
             let value: Value = serde_json::from_str(line).unwrap_or_default();
             if value["event"] == "tick" {
                 tick = Some(line.clone());
+            } else if !value["event"]["peer"]["message"]["ProbeAck"].is_null() {
+                tick = None;
             } else if value["event"].is_object() {
                 tick = None;
                 kept.push(line.clone());
