Play streams against random engines and killed or frozen VMs

The same events gave the same effects.

On real processes: an entry VM killed, its owner with it, the owner alone, and an entry VM frozen until its attempts were cancelled.

--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod nodes;
 mod session;
 mod streams_play;
+mod streams_random;
 mod streams_sessions;
 mod sweep;
 mod thin_path;
--- a/crates/arbutusfall_core/tests/it/streams_play.rs
+++ b/crates/arbutusfall_core/tests/it/streams_play.rs
@@ -167,12 +167,29 @@
         placement: u32,
         decision: PlaceDecision,
     ) -> Vec<Effect> {
+        let event = Self::placed_event(from, sequence, placement, decision);
+        self.session.apply(event)
+    }
+
+    /// An owner's answer to one placement, as it arrives.
+    pub(crate) fn placed_event(
+        from: &str,
+        sequence: u64,
+        placement: u32,
+        decision: PlaceDecision,
+    ) -> Event {
         let reply = PlaceReply {
             request: request(sequence),
             placement,
             decision,
         };
-        self.peer(from, PeerMessage::Placed(reply))
+        Event::Peer {
+            from: Sender {
+                vm: from.into(),
+                incarnation: incarnation(from),
+            },
+            message: PeerMessage::Placed(reply),
+        }
     }
 
     /// Grants a placement of the first request, to start at once.
--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/streams_random.rs
@@ -0,0 +1,359 @@
+//! Random interleavings of engine, owner and caller events over a few requests, with fixed seeds.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use arbutusfall_core::AttemptId;
+use arbutusfall_core::CallId;
+use arbutusfall_core::Effect;
+use arbutusfall_core::EngineEvent;
+use arbutusfall_core::EngineFailure;
+use arbutusfall_core::Event;
+use arbutusfall_wire::Name;
+use arbutusfall_wire::PeerMessage;
+use arbutusfall_wire::PlaceDecision;
+use proptest::collection::vec;
+use proptest::num::u32::ANY;
+use proptest::prelude::ProptestConfig;
+use proptest::test_runner::RngSeed;
+use proptest::test_runner::TestRunner;
+
+use crate::session::Session;
+use crate::streams_play::ENTRY;
+use crate::streams_play::Play;
+use crate::streams_play::VMS;
+use crate::streams_play::grant;
+
+/// Seed of the generated interleavings.
+const SEED: u64 = 0x5eed_0004;
+
+/// Interleavings that are played.
+const CASES: u32 = 256;
+
+/// Requests of one interleaving.
+const REQUESTS: u64 = 3;
+
+/// Tokens of each request's whole answer.
+const ANSWER_TOKENS: u32 = 7;
+
+/// A decode as its engine sees it.
+#[derive(Debug, Clone)]
+struct Decoding {
+    /// Tokens of the answer that came before this attempt.
+    base: u32,
+    generated: u32,
+    /// Prefill whose result it fetches.
+    fetches: AttemptId,
+}
+
+/// What engines, owners and callers did; the reducer under test sees only their events.
+struct World {
+    play: Play,
+    /// Events with the pauses before them, to be played again.
+    played: Vec<(Duration, Event)>,
+    placing: Vec<(u64, u32)>,
+    prefilling: Vec<AttemptId>,
+    decoding: BTreeMap<AttemptId, Decoding>,
+    cancelling: Vec<AttemptId>,
+    held: BTreeSet<AttemptId>,
+    delivered: BTreeMap<CallId, Vec<Name>>,
+    answered: BTreeSet<CallId>,
+    gone: BTreeSet<CallId>,
+    effects: Vec<Effect>,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            play: Play {
+                session: Session::serving(ENTRY, &VMS),
+            },
+            played: Vec::new(),
+            placing: Vec::new(),
+            prefilling: Vec::new(),
+            decoding: BTreeMap::new(),
+            cancelling: Vec::new(),
+            held: BTreeSet::new(),
+            delivered: BTreeMap::new(),
+            answered: BTreeSet::new(),
+            gone: BTreeSet::new(),
+            effects: Vec::new(),
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        self.played
+            .push((self.play.session.now.monotonic, event.clone()));
+        let effects = self.play.session.apply(event);
+        for effect in &effects {
+            self.observe(effect);
+        }
+        self.effects.extend(effects);
+    }
+
+    fn engine(&mut self, event: EngineEvent) {
+        self.apply(Event::Engine(event));
+    }
+
+    fn observe(&mut self, effect: &Effect) {
+        match effect {
+            Effect::Send {
+                message: PeerMessage::Place(request),
+                ..
+            } => {
+                let number = request.request.sequence;
+                self.placing.push((number, request.placement));
+            }
+            Effect::Prefill(order) => {
+                self.prefilling.push(order.attempt);
+                self.held.insert(order.attempt);
+            }
+            Effect::Decode(order) => {
+                let decoding = Decoding {
+                    base: order.delivered_tokens,
+                    generated: 0,
+                    fetches: order.transfer.parse().expect("transfers name a prefill"),
+                };
+                self.decoding.insert(order.attempt, decoding);
+                self.held.insert(order.attempt);
+            }
+            Effect::Cancel { attempt, .. } => self.cancelling.push(*attempt),
+            Effect::Deliver { call, texts } => {
+                assert!(!self.answered.contains(call), "tokens after the end");
+                let delivered = self.delivered.entry(*call).or_default();
+                delivered.extend(texts.iter().cloned());
+                let expected = answer(call.0, 0..delivered.len() as u32);
+                assert_eq!(*delivered, expected, "each token once, in order");
+            }
+            Effect::Finish { call, .. } => {
+                let whole = self.delivered.get(call).map_or(0, Vec::len);
+                assert_eq!(whole, ANSWER_TOKENS as usize, "the answer is whole");
+                assert!(self.answered.insert(*call), "answered twice");
+            }
+            Effect::Abort { call, .. } | Effect::Refuse { call, .. } => {
+                assert!(self.answered.insert(*call), "answered twice");
+            }
+            _ => {}
+        }
+    }
+
+    /// Plays the action that a number chooses.
+    fn step(&mut self, choice: u32) {
+        let pick = (choice >> 8) as usize;
+        match choice % 16 {
+            0 | 1 => self.answer_placement(pick),
+            2 | 3 => self.end_prefill(pick),
+            4..=8 => self.generate(pick),
+            9 => self.fail_decode(pick),
+            10 => self.answer_cancel(pick, choice & 0x80 != 0),
+            11 => self.repeat_an_event(pick),
+            12 if pick.is_multiple_of(8) => self.leave(pick as u64 % REQUESTS + 1),
+            _ => self.pass(Duration::from_millis(pick as u64 % 300)),
+        }
+    }
+
+    fn pass(&mut self, time: Duration) {
+        let until = self.play.session.now.monotonic + time;
+        while let Some(due) = self.play.session.wake_at.filter(|due| *due <= until) {
+            let now = self.play.session.now.monotonic;
+            self.play.session.advance(due.saturating_sub(now));
+            self.apply(Event::Tick);
+        }
+        let now = self.play.session.now.monotonic;
+        self.play.session.advance(until - now);
+    }
+
+    fn answer_placement(&mut self, pick: usize) {
+        if self.placing.is_empty() {
+            return;
+        }
+        let (number, placement) = self.placing.swap_remove(pick % self.placing.len());
+        let start_after = Duration::from_millis((pick as u64 / 8) % 3 * 40);
+        let granted = grant(1 + (pick % 2) as u8, 1 + (pick / 2 % 2) as u8, start_after);
+        let decision = match pick % 13 {
+            0 => PlaceDecision::Refused {
+                retry_after: Duration::from_secs(1),
+            },
+            _ => PlaceDecision::Granted(granted),
+        };
+        let event = Play::placed_event("milano-a-2", number, placement, decision);
+        self.apply(event);
+    }
+
+    fn end_prefill(&mut self, pick: usize) {
+        if self.prefilling.is_empty() {
+            return;
+        }
+        let attempt = self.prefilling.swap_remove(pick % self.prefilling.len());
+        if !self.held.contains(&attempt) {
+            return;
+        }
+        if pick.is_multiple_of(5) {
+            self.held.remove(&attempt);
+            let failure = EngineFailure::Closed;
+            self.engine(EngineEvent::Failed { attempt, failure });
+            return;
+        }
+        self.engine(EngineEvent::PrefillDone {
+            attempt,
+            transfer: attempt.to_string().into(),
+            cached_tokens: None,
+        });
+    }
+
+    fn a_decode(&self, pick: usize) -> Option<(AttemptId, Decoding)> {
+        let held = self.decoding.iter();
+        let held: Vec<_> = held.filter(|(id, _)| self.held.contains(id)).collect();
+        let (attempt, decoding) = *held.get(pick % held.len().max(1))?;
+        Some((*attempt, decoding.clone()))
+    }
+
+    /// A decode engine generates a token, and sends the last few ones, a gap or the end.
+    fn generate(&mut self, pick: usize) {
+        let Some((attempt, decoding)) = self.a_decode(pick) else {
+            return;
+        };
+        let left = ANSWER_TOKENS - decoding.base;
+        let generated = (decoding.generated + 1).min(left);
+        self.held.remove(&decoding.fetches);
+        if let Some(decoding) = self.decoding.get_mut(&attempt) {
+            decoding.generated = generated;
+        }
+        let first_index = generated.saturating_sub(1 + (pick / 4 % 3) as u32);
+        let call = attempt.request.sequence;
+        let texts = answer(call, decoding.base + first_index..decoding.base + generated);
+        if !pick.is_multiple_of(7) {
+            self.engine(EngineEvent::Tokens {
+                attempt,
+                first_index,
+                texts,
+            });
+        }
+        if decoding.generated == left {
+            self.held.remove(&attempt);
+            self.engine(EngineEvent::DecodeDone {
+                attempt,
+                generated_tokens: left,
+            });
+        }
+    }
+
+    fn fail_decode(&mut self, pick: usize) {
+        let Some((attempt, decoding)) = self.a_decode(pick) else {
+            return;
+        };
+        let failure = match pick / 2 % 3 {
+            0 => EngineFailure::Unreachable,
+            1 => EngineFailure::TransferLost,
+            _ => EngineFailure::Closed,
+        };
+        if failure == EngineFailure::TransferLost {
+            self.held.remove(&decoding.fetches);
+        }
+        if failure != EngineFailure::Closed {
+            self.held.remove(&attempt);
+        }
+        self.engine(EngineEvent::Failed { attempt, failure });
+    }
+
+    fn answer_cancel(&mut self, pick: usize, confirm: bool) {
+        if self.cancelling.is_empty() {
+            return;
+        }
+        let attempt = self.cancelling.swap_remove(pick % self.cancelling.len());
+        if confirm {
+            self.held.remove(&attempt);
+            self.engine(EngineEvent::Cancelled { attempt });
+        } else {
+            self.engine(EngineEvent::CancelFailed { attempt });
+        }
+    }
+
+    /// An engine's or an owner's message comes a second time, late.
+    fn repeat_an_event(&mut self, pick: usize) {
+        let repeatable = |event: &&Event| {
+            let confirmed = matches!(
+                event,
+                Event::Engine(EngineEvent::Cancelled { .. } | EngineEvent::CancelFailed { .. })
+            );
+            matches!(event, Event::Engine(_) | Event::Peer { .. }) && !confirmed
+        };
+        let events = self.played.iter().map(|(_, event)| event);
+        let events: Vec<&Event> = events.filter(repeatable).collect();
+        if let Some(event) = events.get(pick % events.len().max(1)) {
+            let event = (*event).clone();
+            self.apply(event);
+        }
+    }
+
+    fn leave(&mut self, number: u64) {
+        let call = CallId(number);
+        if self.gone.insert(call) {
+            self.answered.insert(call);
+            self.apply(Event::CallerGone { call });
+        }
+    }
+
+    /// All callers leave and engines confirm everything; what they hold then is held for nobody.
+    fn settle(&mut self) {
+        for number in 1..=REQUESTS {
+            self.leave(number);
+        }
+        while !self.cancelling.is_empty() {
+            self.answer_cancel(0, true);
+        }
+        self.pass(Duration::from_secs(5));
+        while !self.cancelling.is_empty() {
+            self.answer_cancel(0, true);
+        }
+        assert_eq!(self.held, BTreeSet::new(), "engines hold nothing");
+    }
+}
+
+/// Tokens of a request's own answer.
+fn answer(call: u64, indexes: std::ops::Range<u32>) -> Vec<Name> {
+    indexes
+        .map(|index| format!("r{call}.{index} ").into())
+        .collect()
+}
+
+fn play(choices: &[u32]) {
+    let mut world = World::new();
+    for number in 1..=REQUESTS {
+        let asked = crate::session::completion(number);
+        world.apply(Event::Completion(asked));
+    }
+    for choice in choices {
+        world.step(*choice);
+    }
+    world.settle();
+    replay(&world);
+}
+
+/// The same events give the same effects.
+fn replay(world: &World) {
+    let mut session = Session::serving(ENTRY, &VMS);
+    let mut effects = Vec::new();
+    for (at, event) in &world.played {
+        session.advance(*at - session.now.monotonic);
+        effects.extend(session.apply(event.clone()));
+    }
+    assert_eq!(effects, world.effects);
+}
+
+#[test]
+fn random_interleavings_keep_answers_whole_and_engines_free() {
+    let config = ProptestConfig {
+        cases: CASES,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..ProptestConfig::default()
+    };
+    let mut runner = TestRunner::new(config);
+    let result = runner.run(&vec(ANY, 40..240), |choices| {
+        play(&choices);
+        Ok(())
+    });
+    assert!(result.is_ok(), "{result:?}");
+}
--- a/crates/arbutusfall_standins/tests/it/streams.rs
+++ b/crates/arbutusfall_standins/tests/it/streams.rs
@@ -2,12 +2,14 @@
 
 use std::path::Path;
 use std::time::Duration;
+use std::time::Instant;
 
 use arbutusfall_standins::Caller;
 use arbutusfall_standins::CallerError;
 use arbutusfall_standins::Completion;
 use arbutusfall_standins::Fleet;
 use arbutusfall_standins::SiteSize;
+use arbutusfall_standins::VmProcess;
 use arbutusfall_standins::expected_text;
 use async_executor::Task;
 use serde_json::json;
@@ -18,6 +20,19 @@
 /// Tokens that a short answer may have.
 const FEW_TOKENS: usize = 60;
 
+/// Tokens that an answer may have which goes on for longer than it takes to notice a dead VM.
+const VERY_MANY_TOKENS: usize = 1_000;
+
+/// Tokens that such an answer has at least.
+const LONG_ANSWER_TOKENS: usize = 950;
+
+/// Longest time from the death of an entry VM until engines hold nothing for it: a grant's lifetime and two sweeps,
+/// with one second for slow machines.
+const FREE_BOUND: Duration = Duration::from_secs(7);
+
+/// The same when the owner dies too: its successor first has to notice.
+const FREE_BOUND_WITH_OWNER: Duration = Duration::from_secs(10);
+
 /// An answer, or why there is none.
 type Answer = Result<Completion, CallerError>;
 
@@ -195,3 +210,93 @@
     assert_eq!(sum(&fleet, "prefill", "wasted_tokens"), 0);
     wait_free(&fleet);
 }
+
+/// The VM that owns the shard: the one with grants.
+fn owner(fleet: &Fleet) -> usize {
+    let with_grants = |vm: &VmProcess| {
+        let status = fleet.get(vm.settings.operator_address, "/status");
+        let status = status.unwrap_or_default();
+        let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
+        endpoints
+            .iter()
+            .any(|endpoint| endpoint["grants"].as_u64() > Some(0))
+    };
+    let mut found = None;
+    fleet
+        .wait_for("a VM owns the shard", || {
+            found = fleet.vms.iter().position(with_grants);
+            found.is_some()
+        })
+        .expect("a grant is in use");
+    found.expect("a grant is in use")
+}
+
+/// Kills VMs and waits until engines hold nothing for them; returns the time that this took.
+fn kill_and_wait_free(fleet: &mut Fleet, vms: &[usize]) -> Duration {
+    for vm in vms {
+        fleet.vms[*vm].process.kill();
+    }
+    let killed_at = Instant::now();
+    wait_free(fleet);
+    killed_at.elapsed()
+}
+
+/// A prompt whose answer takes about fourteen seconds.
+fn long_prompt() -> String {
+    let is_long = |prompt: &String| {
+        let answer = expected_text(prompt, VERY_MANY_TOKENS);
+        answer.split_whitespace().count() >= LONG_ANSWER_TOKENS
+    };
+    let mut prompts = (2..).map(|number| prompt(2_000, number));
+    prompts.find(is_long).expect("some answer is long")
+}
+
+/// Starts a fleet and one long answer that enters by a VM other than the owner.
+fn fleet_with_answer() -> (Fleet, usize, usize, Task<Answer>) {
+    let fleet = start_fleet(4);
+    let first = ask(&fleet, 0, &prompt(2_000, 1), MANY_TOKENS);
+    wait_tokens(&fleet);
+    let owner = owner(&fleet);
+    drop(first);
+    wait_free(&fleet);
+    let entry = (owner + 1) % fleet.vms.len();
+    let task = ask(&fleet, entry, &long_prompt(), VERY_MANY_TOKENS);
+    wait_tokens(&fleet);
+    (fleet, owner, entry, task)
+}
+
+#[test]
+fn killed_entry_vm_leaves_nothing_at_the_engines() {
+    let (mut fleet, _, entry, _task) = fleet_with_answer();
+    let took = kill_and_wait_free(&mut fleet, &[entry]);
+    assert!(took < FREE_BOUND, "engine memory was free after {took:?}");
+    println!("entry VM killed: free after {took:?}");
+}
+
+#[test]
+fn killed_entry_vm_and_owner_leave_nothing_at_the_engines() {
+    let (mut fleet, owner, entry, _task) = fleet_with_answer();
+    let took = kill_and_wait_free(&mut fleet, &[entry, owner]);
+    assert!(took < FREE_BOUND_WITH_OWNER, "free after {took:?}");
+    println!("entry VM and owner killed: free after {took:?}");
+}
+
+#[test]
+fn killed_owner_does_not_touch_the_answers_of_others() {
+    let (mut fleet, owner, _, task) = fleet_with_answer();
+    fleet.vms[owner].process.kill();
+    let answer = fleet.block_on(task).expect("the answer is whole");
+    assert_eq!(answer.text, expected_text(&long_prompt(), VERY_MANY_TOKENS));
+    wait_free(&fleet);
+}
+
+#[test]
+fn frozen_entry_vm_that_goes_on_answers_once_and_whole() {
+    let (fleet, _, entry, task) = fleet_with_answer();
+    fleet.vms[entry].process.freeze();
+    wait_free(&fleet);
+    fleet.vms[entry].process.thaw();
+    let answer = fleet.block_on(task).expect("the answer is whole");
+    assert_eq!(answer.text, expected_text(&long_prompt(), VERY_MANY_TOKENS));
+    wait_free(&fleet);
+}
