--- a/crates/arbutusfall_core/src/streams/progress.rs
+++ b/crates/arbutusfall_core/src/streams/progress.rs
@@ -226,10 +226,14 @@
             (Stage::Decode, EngineFailure::TransferLost) => GrantEnd::TransferFailed,
             (Stage::Decode, _) => GrantEnd::DecodeFailed,
         };
-        if failure == EngineFailure::TransferLost {
+        if failure == EngineFailure::Malformed {
+            // The engine streams, so it has fetched the result.
+            self.release_result(attempt.request, ctx);
+        } else if failure == EngineFailure::TransferLost {
             // The engine said that there is nothing left to fetch.
-            stream.result = None;
-            ctx.count(Counter::PrefillsWasted);
+            if stream.result.take().is_some() {
+                ctx.count(Counter::PrefillsWasted);
+            }
         }
         self.move_on(attempt, end, failure != EngineFailure::Unreachable, ctx);
     }
--- a/crates/arbutusfall_core/tests/it/streams_play.rs
+++ b/crates/arbutusfall_core/tests/it/streams_play.rs
@@ -44,6 +44,8 @@
 /// An entry VM that serves the test's site.
 pub(crate) struct Play {
     pub(crate) session: Session,
+    /// A live VM whose messages do not reach the node; others acknowledge its probes.
+    pub(crate) unheard: Option<&'static str>,
 }
 
 /// Life of another VM's process.
@@ -97,6 +99,7 @@
     pub(crate) fn new() -> Self {
         Self {
             session: Session::serving(ENTRY, &VMS),
+            unheard: None,
         }
     }
 
@@ -119,16 +122,18 @@
     /// Has the VMs that are still on the list answer the node's probes.
     fn acknowledge_probes(&mut self, effects: &[Effect]) {
         for effect in effects {
-            let Effect::Send {
-                to,
-                message: PeerMessage::Probe(probe),
-            } = effect
-            else {
+            let Effect::Send { to, message } = effect else {
                 continue;
             };
+            let sequence = match message {
+                PeerMessage::Probe(probe) if self.unheard != Some(&**to) => probe.sequence,
+                PeerMessage::ProbeFor(asked) if self.unheard != Some(&**to) => asked.sequence,
+                _ => continue,
+            };
             let ack = Probe {
+                sequence,
                 news: Vec::new(),
-                ..probe.clone()
+                config_next: Offset(1),
             };
             self.peer(to, PeerMessage::ProbeAck(ack));
         }
--- a/crates/arbutusfall_core/tests/it/streams_random.rs
+++ b/crates/arbutusfall_core/tests/it/streams_random.rs
@@ -66,9 +66,7 @@
 impl World {
     fn new() -> Self {
         Self {
-            play: Play {
-                session: Session::serving(ENTRY, &VMS),
-            },
+            play: Play::new(),
             played: Vec::new(),
             placing: Vec::new(),
             prefilling: Vec::new(),
--- a/crates/arbutusfall_core/tests/it/sweep.rs
+++ b/crates/arbutusfall_core/tests/it/sweep.rs
@@ -37,6 +37,7 @@
 fn owner() -> Play {
     Play {
         session: Session::serving(OWNER, &VMS),
+        unheard: None,
     }
 }
 
@@ -121,6 +122,16 @@
     assert_eq!(orphans, []);
 }
 
+#[test]
+fn attempt_of_a_live_process_that_only_others_hear_is_left_alone() {
+    let mut play = owner();
+    play.peer(ENTRY, report());
+    play.peer("milano-a-3", report());
+    play.unheard = Some(ENTRY);
+    let (orphans, _) = hold(&mut play, held_for(ENTRY), Duration::from_secs(12));
+    assert_eq!(orphans, []);
+}
+
 #[test]
 fn attempt_of_a_process_that_the_list_does_not_name_yet_is_left_alone() {
     let mut play = owner();
--- a/crates/arbutusfall_standins/src/engine/decode.rs
+++ b/crates/arbutusfall_standins/src/engine/decode.rs
@@ -77,7 +77,9 @@
         // The work goes on when the connection is lost: only a cancellation ends it.
         let (sender, answer) = async_channel::bounded(1);
         let engine = self.clone();
+        let delay = Duration::from_millis(self.lock().faults.slow_orders_ms);
         let work = async move {
+            Timer::after(delay).await;
             let answer = if body.kv_transfer_params["do_remote_decode"] == true {
                 engine.prefill(&id, &body.prompt, body.priority).await
             } else {
@@ -122,7 +124,7 @@
         let (seed, first_index) =
             continued(&body.prompt).unwrap_or_else(|| (prompt_seed(&body.prompt), 0));
         let length = generated_length(seed, first_index + body.max_tokens);
-        let running = Running {
+        let mut running = Running {
             id: id.to_owned(),
             seed,
             first_index,
@@ -136,6 +138,11 @@
         if state.running.contains_key(id) {
             return false;
         }
+        if state.faults.swap_streams > 0 {
+            state.faults.swap_streams -= 1;
+            running.id = format!("{:016x}-1-1-d", seed);
+            running.seed = !seed;
+        }
         state.running.insert(id.to_owned(), running);
         true
     }
--- a/crates/arbutusfall_standins/src/engine/options.rs
+++ b/crates/arbutusfall_standins/src/engine/options.rs
@@ -43,4 +43,8 @@
     pub(crate) ignore_cancels: u32,
     /// Delay of cancellations.
     pub(crate) slow_cancel_ms: u64,
+    /// Time for which orders are on their way.
+    pub(crate) slow_orders_ms: u64,
+    /// Streams that carry another request's id and text.
+    pub(crate) swap_streams: u32,
 }
--- a/crates/arbutusfall_standins/tests/it/streams.rs
+++ b/crates/arbutusfall_standins/tests/it/streams.rs
@@ -33,6 +33,13 @@
 /// The same when the owner dies too: its successor first has to notice.
 const FREE_BOUND_WITH_OWNER: Duration = Duration::from_secs(10);
 
+/// Longest pause of a stream whose connection went silent: the configured silence, with one second for slow machines.
+const SILENT_BOUND: Duration = Duration::from_millis(1_500);
+
+/// Longest pause of a stream whose decode engine died: a placement, a prefill and a transfer, with one second for slow
+/// machines.
+const DEAD_BOUND: Duration = Duration::from_millis(1_500);
+
 /// An answer, or why there is none.
 type Answer = Result<Completion, CallerError>;
 
@@ -138,17 +145,24 @@
     wait_free(&fleet);
     set_faults(&fleet, "prefill", &json!({}));
 
-    set_faults(
-        &fleet,
-        "decode",
-        &json!({ "ignore_cancels": 3, "slow_cancel_ms": 200 }),
-    );
     let decoding = ask(&fleet, 0, &prompt(2_000, 3), MANY_TOKENS);
     wait_tokens(&fleet);
     drop(decoding);
     wait_free(&fleet);
 }
 
+#[test]
+fn engine_that_refuses_to_cancel_is_told_again() {
+    let (fleet, _, _, task) = fleet_with_answer();
+    let refusing = json!({ "ignore_cancels": 3, "slow_cancel_ms": 200 });
+    set_faults(&fleet, "decode", &refusing);
+    drop(task);
+    let began = Instant::now();
+    wait_free(&fleet);
+    let took = began.elapsed();
+    assert!(took < Duration::from_secs(4), "cancelled after {took:?}");
+}
+
 #[test]
 fn caller_of_a_frozen_engine_that_leaves_frees_it_once_it_goes_on() {
     let fleet = start_fleet(2);
@@ -162,6 +176,51 @@
     wait_free(&fleet);
 }
 
+#[test]
+fn cancel_that_overtakes_its_order_frees_the_engine() {
+    let fleet = start_fleet(2);
+    set_faults(&fleet, "prefill", &json!({ "slow_orders_ms": 150 }));
+    let task = ask(&fleet, 0, &prompt(12_000, 1), MANY_TOKENS);
+    let address = fleet.vms[0].settings.operator_address;
+    let entered = || {
+        let status = fleet.get(address, "/status");
+        status.is_ok_and(|status| status["streams"] == 1)
+    };
+    fleet
+        .wait_for("the request has entered", entered)
+        .expect("the request enters");
+    drop(task);
+    wait_held(&fleet, "prefill");
+    let began = Instant::now();
+    wait_free(&fleet);
+    let took = began.elapsed();
+    assert!(
+        took < Duration::from_millis(500),
+        "cancelled after {took:?}"
+    );
+}
+
+#[test]
+fn swapped_streams_reach_no_caller() {
+    let fleet = start_fleet(2);
+    fleet
+        .set_faults(&fleet.endpoints["decode-1"], &json!({ "swap_streams": 1 }))
+        .expect("faults are set");
+    let prompts: Vec<String> = (0..2).map(|number| prompt(500, number)).collect();
+    let tasks: Vec<Task<Answer>> = prompts
+        .iter()
+        .map(|prompt| ask(&fleet, 0, prompt, FEW_TOKENS))
+        .collect();
+    for (task, prompt) in tasks.into_iter().zip(&prompts) {
+        let answer = fleet.block_on(task).expect("the answer is whole");
+        assert_eq!(answer.text, expected_text(prompt, FEW_TOKENS));
+    }
+    let status = fleet.get(fleet.vms[0].settings.operator_address, "/status");
+    let counters = &status.expect("the VM answers")["counters"];
+    assert_eq!(counters["decodes.moved"], 1, "one stream was swapped");
+    wait_free(&fleet);
+}
+
 #[test]
 fn decode_engine_that_dies_does_not_cut_the_answer() {
     let mut fleet = start_fleet(2);
@@ -175,7 +234,9 @@
         .kill();
     let answer = fleet.block_on(task).expect("the answer is whole");
     assert_eq!(answer.text, expected_text(&prompt, MANY_TOKENS));
-    println!("pause: {:?}", longest_pause(&answer));
+    let pause = longest_pause(&answer);
+    println!("dead decode engine: pause of {pause:?}");
+    assert!(pause < DEAD_BOUND, "pause of {pause:?}");
     wait_free(&fleet);
 }
 
@@ -191,7 +252,9 @@
         .expect("the engine's connections go silent");
     let answer = fleet.block_on(task).expect("the answer is whole");
     assert_eq!(answer.text, expected_text(&prompt, MANY_TOKENS));
-    println!("pause: {:?}", longest_pause(&answer));
+    let pause = longest_pause(&answer);
+    println!("silent connection: pause of {pause:?}");
+    assert!(pause < SILENT_BOUND, "pause of {pause:?}");
     let again = sum(&fleet, "prefill", "prefilled_tokens");
     assert!(again <= 2_100, "the stream goes on at the same engine");
     wait_free(&fleet);
