--- a/crates/arbutusfall/src/driver.rs
+++ b/crates/arbutusfall/src/driver.rs
@@ -129,7 +129,12 @@
             }
             Effect::Cancel { attempt, address } => self.engines.cancel(attempt, address),
             Effect::ListActive { endpoint, address } => self.engines.list_active(endpoint, address),
-            Effect::ReadLoad { .. } | Effect::ReadCache { .. } => {}
+            Effect::ReadLoad { endpoint, address } => self.engines.read_load(endpoint, address),
+            Effect::ReadCache {
+                endpoint,
+                address,
+                from,
+            } => self.engines.read_cache(endpoint, address, from),
             Effect::CallService(order) => self.services.call(order),
             Effect::Append {
                 stream,
--- a/crates/arbutusfall/src/engines.rs
+++ b/crates/arbutusfall/src/engines.rs
@@ -89,6 +89,22 @@
     requests: Vec<String>,
 }
 
+/// An engine's load.
+#[derive(Deserialize)]
+struct LoadAnswer {
+    running: u32,
+    queued: u32,
+    queued_tokens: u32,
+}
+
+/// Changes of an engine's prefix cache.
+#[derive(Deserialize)]
+struct CacheAnswer {
+    next: u64,
+    stored: Vec<u64>,
+    removed: Vec<u64>,
+}
+
 impl Engines {
     fn submit(&self, event: EngineEvent) {
         // The channel is closed only while the process exits.
@@ -265,6 +281,43 @@
         self.executor.spawn(exchange).detach();
     }
 
+    /// Asks an engine for its load; one that does not answer is asked again at the next interval.
+    pub(crate) fn read_load(self: &Arc<Self>, endpoint: Name, address: SocketAddr) {
+        let engines = self.clone();
+        let exchange = async move {
+            let answer: Result<LoadAnswer, ClientError> =
+                http::get_json(&engines.executor, address, "/v1/load", CONTROL_TIMEOUT).await;
+            if let Ok(load) = answer {
+                engines.submit(EngineEvent::Load {
+                    endpoint,
+                    running: load.running,
+                    queued: load.queued,
+                    queued_tokens: load.queued_tokens,
+                });
+            }
+        };
+        self.executor.spawn(exchange).detach();
+    }
+
+    /// Asks an engine for changes of its prefix cache; one that does not answer is asked again at the next interval.
+    pub(crate) fn read_cache(self: &Arc<Self>, endpoint: Name, address: SocketAddr, from: u64) {
+        let engines = self.clone();
+        let exchange = async move {
+            let path = format!("/v1/cache-events?from={from}");
+            let answer: Result<CacheAnswer, ClientError> =
+                http::get_json(&engines.executor, address, &path, CONTROL_TIMEOUT).await;
+            if let Ok(changes) = answer {
+                engines.submit(EngineEvent::CacheChanged {
+                    endpoint,
+                    next: changes.next,
+                    stored: changes.stored,
+                    removed: changes.removed,
+                });
+            }
+        };
+        self.executor.spawn(exchange).detach();
+    }
+
     /// The prompt with what was delivered, and a span for the hop.
     fn body(
         &self,
--- a/crates/arbutusfall_core/src/node.rs
+++ b/crates/arbutusfall_core/src/node.rs
@@ -157,7 +157,10 @@
             Event::ServiceCall(asked) => self.on_service_call(&asked, ctx),
             Event::CallerGone { call } => self.on_caller_gone(call, ctx),
             Event::Peer { from, message } => self.on_peer(&from, message, ctx),
-            Event::Engine(event) => self.streams.on_engine(event, ctx),
+            Event::Engine(event) => {
+                self.shards.on_engine(&event, ctx);
+                self.streams.on_engine(event, ctx);
+            }
             Event::Service(event) => self.on_service(event, ctx),
             Event::Log(event) => self.on_log(event, ctx),
             Event::VmList(list) => {
@@ -174,6 +177,7 @@
         self.config.read(ctx);
         self.streams.on_report_grants(ctx);
         self.shards.on_sweep_timer(ctx);
+        self.shards.on_poll_timer(ctx);
         self.executions.on_sweep_timer(ctx);
         self.config.on_snapshot_timer(ctx);
         membership::on_probe_timer(ctx);
@@ -210,6 +214,7 @@
             Timer::RetryCall { call, attempt } => self.calls.on_retry(call, attempt, ctx),
             Timer::ProbePeers => membership::on_probe_timer(ctx),
             Timer::SnapshotConfig => self.config.on_snapshot_timer(ctx),
+            Timer::PollEngines => self.shards.on_poll_timer(ctx),
             Timer::SweepEndpoints => self.shards.on_sweep_timer(ctx),
             Timer::SweepClaims => self.executions.on_sweep_timer(ctx),
             Timer::StageOverdue { attempt, progress } => {
--- a/crates/arbutusfall_core/src/placement.rs
+++ b/crates/arbutusfall_core/src/placement.rs
@@ -1,7 +1,17 @@
 //! Placement: which endpoints a model request uses, decided by the owner of the pool shard.
 
+mod comebacks;
+mod decode_endpoint;
+mod forecast;
+mod health;
+mod outputs;
+mod polls;
+mod pools;
+mod prefill_endpoint;
+mod prefixes;
 mod shard;
 mod shard_map;
+mod shares;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -16,7 +26,9 @@
 
 use crate::Counter;
 use crate::Effect;
+use crate::EngineEvent;
 use crate::Hop;
+use crate::config::PolicyKind;
 use crate::config::SiteConfig;
 use crate::context::Context;
 use crate::status::EndpointStatus;
@@ -27,6 +39,12 @@
 pub(crate) use shard_map::shard_count;
 pub(crate) use shard_map::shard_endpoints;
 
+/// Interval at which engines are asked for their load or for changes of their caches.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time after the last placement for which an owner follows its engines' caches.
+const FOLLOWED_FOR: Duration = Duration::from_secs(10);
+
 /// Shards for which this VM was asked to decide.
 #[derive(Debug, Default)]
 pub(crate) struct ShardOwner {
@@ -37,6 +55,7 @@
     /// Decides a placement and answers the entry VM.
     pub(crate) fn on_place(&mut self, entry: &Name, request: PlaceRequest, ctx: &mut Context<'_>) {
         let shard = self.shards.entry(request.shard.clone()).or_default();
+        shard.asked_at = ctx.now.monotonic;
         let decision = shard.place(&request, ctx);
         if let Some(traceparent) = request.traceparent {
             ctx.push(Effect::Trace {
@@ -70,11 +89,33 @@
         ctx.set_timer(interval, Timer::SweepEndpoints);
     }
 
-    pub(crate) fn endpoints(&self, site: &SiteConfig) -> Vec<EndpointStatus> {
-        let mut all = Vec::new();
-        for (id, shard) in &self.shards {
-            all.extend(shard.endpoints(id, site));
+    /// Asks engines for what the policies in force need to know of them.
+    pub(crate) fn on_poll_timer(&mut self, ctx: &mut Context<'_>) {
+        let site = ctx.site.clone();
+        let now = ctx.now.monotonic;
+        for (id, shard) in &mut self.shards {
+            let Some(model) = site.models.get(&id.model) else {
+                continue;
+            };
+            let followed = now < shard.asked_at + FOLLOWED_FOR;
+            if model.policy.kind == PolicyKind::LeastLoaded {
+                shard.read_loads(&site, ctx);
+            } else if model.policy.kind.has_affinity() && followed {
+                shard.read_caches(&site, ctx);
+            }
         }
-        all
+        ctx.set_timer(POLL_INTERVAL, Timer::PollEngines);
+    }
+
+    /// Takes in what an engine told of its load or its cache.
+    pub(crate) fn on_engine(&mut self, event: &EngineEvent, ctx: &Context<'_>) {
+        for shard in self.shards.values_mut() {
+            shard.on_engine(event, ctx.now.monotonic);
+        }
+    }
+
+    pub(crate) fn endpoints(&self, _site: &SiteConfig) -> Vec<EndpointStatus> {
+        let shards = self.shards.iter();
+        shards.flat_map(|(id, shard)| shard.endpoints(id)).collect()
     }
 }
--- a/crates/arbutusfall_core/src/placement/shard.rs
+++ b/crates/arbutusfall_core/src/placement/shard.rs
@@ -1,4 +1,4 @@
-//! One pool shard as its owner sees it: prefill queues, decode slots and the grants that use them.
+//! One pool shard as its owner sees it: the grants in use and what was learnt of earlier ones.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -6,6 +6,7 @@
 use arbutusfall_wire::ActiveGrant;
 use arbutusfall_wire::EndedGrant;
 use arbutusfall_wire::Grant;
+use arbutusfall_wire::GrantEnd;
 use arbutusfall_wire::GrantReport;
 use arbutusfall_wire::Name;
 use arbutusfall_wire::PlaceDecision;
@@ -14,155 +15,220 @@
 use arbutusfall_wire::ShardId;
 
 use crate::Counter;
-use crate::config::Endpoint;
 use crate::config::Model;
-use crate::config::Role;
-use crate::config::SiteConfig;
+use crate::config::PolicyKind;
 use crate::context::Context;
-use crate::placement::shard_endpoints;
+use crate::placement::comebacks::Comebacks;
+use crate::placement::forecast::Candidate;
+use crate::placement::forecast::Forecast;
+use crate::placement::outputs::OutputLengths;
+use crate::placement::pools::Pools;
+use crate::placement::shares::Shares;
 use crate::status::EndpointStatus;
 
-/// Shortest time after which a refused caller is asked to come back.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
-
-/// Output that is expected of a request, as a share of what it may generate.
-const EXPECTED_OUTPUT_SHARE: f64 = 0.8;
+/// When callers are asked to come back if no endpoint can be used.
+const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// A pool shard.
 #[derive(Debug, Default)]
 pub(crate) struct Shard {
-    grants: BTreeMap<RequestId, OwnedGrant>,
-    /// Instant at which each prefill endpoint will have done what it was given.
-    prefill_free_at: BTreeMap<Name, Duration>,
+    pub(crate) pools: Pools,
+    pub(crate) grants: BTreeMap<RequestId, OwnedGrant>,
+    pub(crate) outputs: OutputLengths,
+    pub(crate) forecast: Forecast,
+    /// Instant of the last request.
+    pub(crate) asked_at: Duration,
+    comebacks: Comebacks,
+    shares: Shares,
 }
 
 /// A grant that is believed to be in use.
 #[derive(Debug)]
-struct OwnedGrant {
+pub(crate) struct OwnedGrant {
     placement: u32,
+    /// Unknown when the grant was adopted from another owner.
+    account: Option<Name>,
+    prefill: Option<Name>,
     decode: Name,
-    /// Instant at which the slot is expected to be free.
-    release_at: Duration,
+    piece_hashes: Vec<u64>,
+    max_output_tokens: u32,
+    /// Estimated time from the start of the prefill to the first token.
+    first_token_after: Option<Duration>,
     /// Instant at which the grant lapses unless it is reported.
     lapses_at: Duration,
 }
 
-/// A pair of endpoints and when they would deliver.
-struct Candidate {
-    prefill: Name,
-    decode: Name,
-    start_at: Duration,
-    prefill_done_at: Duration,
-    first_token_at: Duration,
-}
-
 impl Shard {
     /// Reserves a prefill endpoint and a decode slot, or refuses.
     pub(crate) fn place(&mut self, request: &PlaceRequest, ctx: &mut Context<'_>) -> PlaceDecision {
-        self.drop_lapsed(ctx);
         let site = ctx.site.clone();
         let now = ctx.now.monotonic;
+        self.pools.refresh(&request.shard, &site);
+        self.drop_lapsed(ctx);
+        self.remove(request.request, now);
+        let refused = |retry_after| PlaceDecision::Refused { retry_after };
         let Some(model) = site.models.get(&request.shard.model) else {
-            return PlaceDecision::Refused {
-                retry_after: MIN_RETRY_AFTER,
-            };
+            return refused(NO_ENDPOINT_RETRY_AFTER);
         };
-        let Some(best) = self.best_candidate(request, model, ctx) else {
-            return PlaceDecision::Refused {
-                retry_after: MIN_RETRY_AFTER,
-            };
+        let candidate = match model.policy.kind {
+            PolicyKind::LeastLoaded => self.least_loaded(request, model, now),
+            _ => self.best_candidate(request, model, ctx),
         };
-        let due = now + request.first_token_budget;
-        if best.first_token_at > due && !request.resumed {
-            let late_by = best.first_token_at - due;
-            return PlaceDecision::Refused {
-                retry_after: late_by.max(MIN_RETRY_AFTER),
-            };
-        }
-        let output = f64::from(request.max_output_tokens) * EXPECTED_OUTPUT_SHARE;
-        let release_at = best.first_token_at + model.decode_step().mul_f64(output);
-        let lifetime = Duration::from_millis(site.timing.grant_lifetime_ms);
-        let owned = OwnedGrant {
-            placement: request.placement,
-            decode: best.decode.clone(),
-            release_at,
-            lapses_at: now + (best.start_at - now) + lifetime,
+        let Some(best) = candidate else {
+            return refused(NO_ENDPOINT_RETRY_AFTER);
         };
-        self.grants.insert(request.request, owned);
-        self.prefill_free_at
-            .insert(best.prefill.clone(), best.prefill_done_at);
-        PlaceDecision::Granted(Grant {
-            prefill: best.prefill,
-            decode: best.decode,
-            start_after: best.start_at - now,
-            first_token_after: best.first_token_at - best.start_at,
-            cached_tokens: 0,
-            lifetime,
-        })
+        if model.policy.kind != PolicyKind::LeastLoaded
+            && let Some(late_by) = self.late_by(request, &best, model, ctx)
+        {
+            self.shares.on_refused(&request.account, now);
+            return refused(self.comebacks.next(late_by, now, ctx.rng));
+        }
+        self.comebacks.on_granted(now);
+        PlaceDecision::Granted(self.grant(request, best, model, ctx))
     }
 
-    fn best_candidate(
+    /// How much too late a request would be; none if it may run.
+    fn late_by(
         &self,
         request: &PlaceRequest,
+        best: &Candidate,
         model: &Model,
         ctx: &Context<'_>,
-    ) -> Option<Candidate> {
-        let usable =
-            |entry: &(&Name, &Endpoint)| !entry.1.leaving && !request.avoid.contains(entry.0);
+    ) -> Option<Duration> {
+        if request.resumed {
+            return None;
+        }
         let now = ctx.now.monotonic;
-        let (decode, slot_at) = shard_endpoints(ctx.site, &request.shard, Role::Decode)
-            .filter(usable)
-            .map(|(name, endpoint)| (name, self.slot_free_at(name, endpoint, now)))
-            .min_by_key(|(_, slot_at)| *slot_at)?;
-        let prefill_time = model.prefill_time(request.prompt_tokens);
-        let (prefill, endpoint, queue_end) =
-            shard_endpoints(ctx.site, &request.shard, Role::Prefill)
-                .filter(usable)
-                .map(|(name, endpoint)| {
-                    let free_at = self.prefill_free_at.get(name).copied().unwrap_or_default();
-                    (name, endpoint, free_at.max(now))
-                })
-                .min_by_key(|(_, _, queue_end)| *queue_end)?;
-        let transfer = model.transfer_time(request.prompt_tokens, endpoint.link_bytes_per_s);
-        let ready_at = queue_end + prefill_time + transfer;
-        let held_back = slot_at.saturating_sub(ready_at);
-        let start_at = now + held_back;
-        Some(Candidate {
-            prefill: prefill.clone(),
-            decode: decode.clone(),
-            start_at,
-            prefill_done_at: queue_end + held_back + prefill_time,
-            first_token_at: ready_at + held_back + model.decode_step(),
-        })
+        let contended = !best.wait(now).is_zero();
+        if contended
+            && self
+                .shares
+                .must_yield(&request.account, self.pools.slots(), ctx.site, now)
+        {
+            return Some(best.wait(now));
+        }
+        let margin = self.forecast.margin(&model.policy);
+        let due = now + request.first_token_budget;
+        let late_by = (best.first_token_at + margin).saturating_sub(due);
+        let hopeless = best.alone > request.first_token_budget.saturating_sub(margin);
+        let tolerated = hopeless && !contended;
+        (!late_by.is_zero() && !tolerated).then_some(late_by)
     }
 
-    /// Instant at which an endpoint has a slot that no grant is expected to hold.
-    fn slot_free_at(&self, name: &Name, endpoint: &Endpoint, now: Duration) -> Duration {
-        let held = self.grants.values().filter(|grant| grant.decode == *name);
-        let mut releases: Vec<Duration> = held.map(|grant| grant.release_at.max(now)).collect();
-        let slots = endpoint.slots as usize;
-        if releases.len() < slots {
-            return now;
+    /// Books what a grant uses.
+    fn grant(
+        &mut self,
+        request: &PlaceRequest,
+        best: Candidate,
+        model: &Model,
+        ctx: &Context<'_>,
+    ) -> Grant {
+        let now = ctx.now.monotonic;
+        let lifetime = Duration::from_millis(ctx.site.timing.grant_lifetime_ms);
+        let prefill = &mut self.pools.prefills[best.prefill];
+        prefill.health.on_placed(now);
+        if request.prefilled_on.as_ref() != Some(&prefill.name) {
+            prefill.add(request.request, best.work, best.start_at);
+            prefill.load_tokens += u64::from(request.prompt_tokens);
+            prefill.prefixes.remember(&request.piece_hashes, now);
+        }
+        prefill.link_free_at = best.arrives_at;
+        let prefill = prefill.name.clone();
+        let left = self
+            .outputs
+            .expected_left(Some(&request.account), 0, request.max_output_tokens);
+        let decode = &mut self.pools.decodes[best.decode];
+        decode.health.on_placed(now);
+        decode.load_requests += 1;
+        let release_at = best.first_token_at + model.decode_step().mul_f64(left);
+        decode.hold(request.request, release_at);
+        let decode = decode.name.clone();
+        self.shares.on_granted(&request.account);
+        let first_token_after = best.first_token_at - best.start_at;
+        let owned = OwnedGrant {
+            placement: request.placement,
+            account: Some(request.account.clone()),
+            prefill: Some(prefill.clone()),
+            decode: decode.clone(),
+            piece_hashes: request.piece_hashes.clone(),
+            max_output_tokens: request.max_output_tokens,
+            first_token_after: Some(first_token_after),
+            lapses_at: best.start_at + lifetime,
+        };
+        self.grants.insert(request.request, owned);
+        Grant {
+            prefill,
+            decode,
+            start_after: best.start_at - now,
+            first_token_after,
+            cached_tokens: best.cached_tokens,
+            lifetime,
         }
-        releases.sort_unstable();
-        releases[releases.len() - slots]
     }
 
     /// Renews the grants in use and releases those that ended.
     pub(crate) fn report(&mut self, report: &GrantReport, ctx: &mut Context<'_>) {
+        let site = ctx.site.clone();
+        self.pools.refresh(&report.shard, &site);
         for ended in &report.ended {
-            self.end(ended);
+            self.end(ended, ctx);
         }
         for active in &report.active {
             self.renew(active, &report.shard, ctx);
         }
     }
 
-    fn end(&mut self, ended: &EndedGrant) {
-        if let Some(grant) = self.grants.get(&ended.request)
-            && grant.placement <= ended.placement
+    fn end(&mut self, ended: &EndedGrant, ctx: &Context<'_>) {
+        let now = ctx.now.monotonic;
+        let current = self.grants.get(&ended.request);
+        if current.is_none_or(|grant| grant.placement > ended.placement) {
+            return;
+        }
+        let Some(grant) = self.remove(ended.request, now) else {
+            return;
+        };
+        self.learn(ended, &grant);
+        let prefill = grant.prefill.and_then(|name| self.pools.prefill(&name));
+        match ended.end {
+            GrantEnd::PrefillFailed => {
+                if let Some(endpoint) = prefill {
+                    endpoint.health.on_failure(now);
+                    endpoint.prefixes.clear();
+                }
+            }
+            GrantEnd::DecodeFailed => {
+                if let Some(endpoint) = self.pools.decode(&grant.decode) {
+                    endpoint.health.on_failure(now);
+                }
+            }
+            GrantEnd::TransferFailed => {
+                if let Some(endpoint) = prefill {
+                    endpoint.prefixes.forget(&grant.piece_hashes);
+                }
+            }
+            GrantEnd::Finished => {
+                if let Some(endpoint) = prefill {
+                    endpoint.health.on_success();
+                }
+                if let Some(endpoint) = self.pools.decode(&grant.decode) {
+                    endpoint.health.on_success();
+                }
+            }
+            GrantEnd::Cancelled => {}
+        }
+    }
+
+    fn learn(&mut self, ended: &EndedGrant, grant: &OwnedGrant) {
+        if let (GrantEnd::Finished, Some(account)) = (ended.end, &grant.account) {
+            let max_tokens = grant.max_output_tokens;
+            self.outputs
+                .learn(account, ended.generated_tokens, max_tokens);
+        }
+        let expected = grant.first_token_after;
+        if let (Some(prefill), Some(transfer), Some(expected)) =
+            (ended.prefill_took, ended.transfer_took, expected)
         {
-            self.grants.remove(&ended.request);
+            self.forecast.learn(expected, prefill + transfer);
         }
     }
 
@@ -172,46 +238,86 @@
         let Some(model) = ctx.site.models.get(&shard.model) else {
             return;
         };
-        let left = active
-            .max_output_tokens
-            .saturating_sub(active.generated_tokens);
-        let left = f64::from(left) * EXPECTED_OUTPUT_SHARE;
+        let known = self.grants.contains_key(&active.request);
         let grant = self
             .grants
             .entry(active.request)
             .or_insert_with(|| OwnedGrant {
                 placement: 0,
+                account: None,
+                prefill: active.prefill.clone(),
                 decode: active.decode.clone(),
-                release_at: now + model.decode_step().mul_f64(left),
+                piece_hashes: Vec::new(),
+                max_output_tokens: active.max_output_tokens,
+                first_token_after: None,
                 lapses_at: now,
             });
-        if active.generated_tokens > 0 {
-            grant.release_at = now + model.decode_step().mul_f64(left);
-        }
         grant.lapses_at = now + lifetime;
+        let prefill = grant.prefill.clone();
+        if let Some(endpoint) = prefill.and_then(|name| self.pools.prefill(&name)) {
+            if active.prefill.is_some() {
+                endpoint.is_late(active.request, now);
+            } else {
+                endpoint.remove(active.request, now);
+                endpoint.health.on_success();
+            }
+        }
+        if active.generated_tokens == 0 && known {
+            return;
+        }
+        let account = grant.account.as_ref();
+        let left =
+            self.outputs
+                .expected_left(account, active.generated_tokens, active.max_output_tokens);
+        let release_at = now + model.decode_step().mul_f64(left);
+        if let Some(endpoint) = self.pools.decode(&active.decode) {
+            if active.generated_tokens > 0 {
+                endpoint.health.on_success();
+            }
+            endpoint.hold(active.request, release_at);
+        }
+    }
+
+    /// Takes a grant's bookings back.
+    fn remove(&mut self, request: RequestId, now: Duration) -> Option<OwnedGrant> {
+        let grant = self.grants.remove(&request)?;
+        if let Some(endpoint) = self.pools.decode(&grant.decode) {
+            endpoint.release(request);
+        }
+        let prefill = grant.prefill.as_ref();
+        if let Some(endpoint) = prefill.and_then(|name| self.pools.prefill(name)) {
+            endpoint.remove(request, now);
+        }
+        if let Some(account) = &grant.account {
+            self.shares.on_released(account);
+        }
+        Some(grant)
     }
 
     fn drop_lapsed(&mut self, ctx: &mut Context<'_>) {
         let now = ctx.now.monotonic;
-        let before = self.grants.len();
-        self.grants.retain(|_, grant| grant.lapses_at > now);
-        for _ in self.grants.len()..before {
+        let lapsed = self
+            .grants
+            .iter()
+            .filter(|(_, grant)| grant.lapses_at <= now);
+        let lapsed: Vec<RequestId> = lapsed.map(|(request, _)| *request).collect();
+        for request in lapsed {
+            self.remove(request, now);
             ctx.count(Counter::GrantsLapsed);
         }
+        for endpoint in &mut self.pools.prefills {
+            endpoint.drop_done(now);
+        }
     }
 
-    pub(crate) fn endpoints(&self, id: &ShardId, site: &SiteConfig) -> Vec<EndpointStatus> {
-        let decodes = shard_endpoints(site, id, Role::Decode);
+    pub(crate) fn endpoints(&self, id: &ShardId) -> Vec<EndpointStatus> {
+        let decodes = self.pools.decodes.iter();
         decodes
-            .map(|(name, endpoint)| EndpointStatus {
-                endpoint: name.clone(),
-                serves: endpoint.serves.clone(),
-                slots: endpoint.slots,
-                grants: self
-                    .grants
-                    .values()
-                    .filter(|grant| grant.decode == *name)
-                    .count(),
+            .map(|endpoint| EndpointStatus {
+                endpoint: endpoint.name.clone(),
+                serves: id.model.clone(),
+                slots: u32::try_from(endpoint.slots).unwrap_or(u32::MAX),
+                grants: endpoint.held(),
             })
             .collect()
     }
--- a/crates/arbutusfall_core/src/streams.rs
+++ b/crates/arbutusfall_core/src/streams.rs
@@ -99,7 +99,13 @@
             return;
         };
         let shard = stream.shard(id, ctx.site);
-        let owners = rank_owners(&shard, &ctx.members.live(&ctx.identity.site));
+        let model = ctx.site.models.get(&shard.model);
+        let alone = model.is_some_and(|model| !model.policy.kind.has_owner());
+        let owners = if alone {
+            vec![ctx.identity.vm.clone()]
+        } else {
+            rank_owners(&shard, &ctx.members.live(&ctx.identity.site))
+        };
         let Some(owner) = owners.get(stream.owner_tries).cloned() else {
             self.refuse(id, NO_OWNER_RETRY_AFTER, ctx);
             return;
--- a/crates/arbutusfall_core/src/timers.rs
+++ b/crates/arbutusfall_core/src/timers.rs
@@ -18,6 +18,7 @@
     SnapshotConfig,
     ReportGrants,
     SweepEndpoints,
+    PollEngines,
     SweepClaims,
     PlaceOverdue {
         request: RequestId,
--- a/crates/arbutusfall_standins/src/engine.rs
+++ b/crates/arbutusfall_standins/src/engine.rs
@@ -68,6 +68,8 @@
     results: BTreeMap<String, StoredResult>,
     /// Requests that wait for a slot or hold one.
     running: BTreeMap<String, Running>,
+    /// Decode requests that have arrived so far.
+    arrivals: u64,
     /// Instant until which the link is busy.
     link_free_at: Option<Instant>,
     prefilled_tokens: u64,
@@ -152,6 +154,9 @@
         if let Some(result) = &result {
             state.wasted_tokens += u64::from(result.tokens);
         }
+        if let Some(running) = &running {
+            state.wasted_tokens += running.unused_tokens();
+        }
         let found = queued || result.is_some() || running.is_some();
         json_answer(if found { 200 } else { 404 }, &json!({}))
     }
@@ -182,11 +187,14 @@
             .running
             .values()
             .filter(|running| running.holds_memory());
+        let unused = state.running.values().map(Running::unused_tokens);
+        let unused = unused.chain(state.results.values().map(|result| result.tokens.into()));
         json_answer(
             200,
             &json!({
                 "prefilled_tokens": state.prefilled_tokens,
                 "wasted_tokens": state.wasted_tokens,
+                "unused_tokens": unused.sum::<u64>(),
                 "held": state.queue.len() + state.results.len() + running.count(),
             }),
         )
--- a/crates/arbutusfall_standins/src/engine/decode.rs
+++ b/crates/arbutusfall_standins/src/engine/decode.rs
@@ -39,7 +39,13 @@
     first_index: usize,
     length: usize,
     generated: usize,
+    /// Place in the queue for slots: priority, then order of arrival.
+    turn: (i64, u64),
+    /// Whether a slot is held, from the transfer on.
+    has_slot: bool,
     decoding: bool,
+    /// Prompt tokens that were computed for this request and would be lost with it.
+    computed_tokens: u64,
     finished_at: Option<Instant>,
     readers: Vec<Reader>,
 }
@@ -60,6 +66,22 @@
     kv_transfer_params: Value,
 }
 
+/// Leaves the queue for slots when the connection closes.
+struct Waiting<'a> {
+    engine: &'a Engine,
+    id: &'a str,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut state = self.engine.lock();
+        let waits = |running: &Running| !running.has_slot;
+        if state.running.get(self.id).is_some_and(waits) {
+            state.running.remove(self.id);
+        }
+    }
+}
+
 impl Engine {
     /// Handles a completion in either role.
     pub(crate) async fn complete(self: &Arc<Self>, request: &Received) -> Response<AnswerBody> {
@@ -82,7 +104,8 @@
         if !self.admit(id, body) {
             return json_answer(409, &json!({}));
         }
-        while !self.has_slot(id) {
+        let _waiting = Waiting { engine: self, id };
+        while !self.take_slot(id) {
             if !self.lock().running.contains_key(id) {
                 return json_answer(499, &json!({}));
             }
@@ -93,9 +116,17 @@
             return json_answer(424, &json!({}));
         }
         self.thaw().await;
-        if let Some(running) = self.lock().running.get_mut(id) {
-            running.decoding = true;
+        let computed_tokens = body.kv_transfer_params["remote_computed_tokens"].as_u64();
+        let computed_tokens = computed_tokens.unwrap_or_default();
+        let mut state = self.lock();
+        match state.running.get_mut(id) {
+            Some(running) => {
+                running.decoding = true;
+                running.computed_tokens = computed_tokens;
+            }
+            None => state.wasted_tokens += computed_tokens,
         }
+        drop(state);
         let answer = self.stream(id, 0);
         let engine = self.clone();
         let id = id.to_owned();
@@ -114,7 +145,10 @@
             first_index,
             length: length.saturating_sub(first_index),
             generated: 0,
+            turn: (body.priority, 0),
+            has_slot: false,
             decoding: false,
+            computed_tokens: 0,
             finished_at: None,
             readers: Vec::new(),
         };
@@ -122,21 +156,26 @@
         if state.running.contains_key(id) {
             return false;
         }
-        state.running.insert(id.to_owned(), running);
+        state.arrivals += 1;
+        let turn = (body.priority, state.arrivals);
+        state
+            .running
+            .insert(id.to_owned(), Running { turn, ..running });
         true
     }
 
-    /// Whether a request is among the first for which there are slots.
-    fn has_slot(&self, id: &str) -> bool {
-        let state = self.lock();
-        let held = state.running.values().filter(|running| running.decoding);
-        let busy = held.filter(|running| running.finished_at.is_none()).count();
-        let mut waiting = state
-            .running
-            .iter()
-            .filter(|(_, running)| !running.decoding);
-        let position = waiting.position(|(other, _)| other == id);
-        position.is_some_and(|position| busy + position < self.options.slots)
+    /// Takes a slot if there is one and the request is the next in turn.
+    fn take_slot(&self, id: &str) -> bool {
+        let mut state = self.lock();
+        let held = state.running.values().filter(|running| running.has_slot);
+        let busy = held.filter(|running| running.holds_memory()).count();
+        let waiting = state.running.values().filter(|running| !running.has_slot);
+        let next = waiting.map(|running| running.turn).min();
+        let Some(running) = state.running.get_mut(id) else {
+            return false;
+        };
+        running.has_slot = busy < self.options.slots && next == Some(running.turn);
+        running.has_slot
     }
 
     /// Fetches a KV cache from its prefill engine.
@@ -183,7 +222,7 @@
         let busy = state
             .running
             .values()
-            .filter(|running| running.decoding)
+            .filter(|running| running.decoding && running.holds_memory())
             .count();
         let full = (busy as f64 / self.options.slots as f64).min(1.0);
         let step_ms = self.options.decode_step_ms * (SMALLEST_STEP + (1.0 - SMALLEST_STEP) * full);
@@ -212,6 +251,15 @@
 }
 
 impl Running {
+    /// Tokens of a prefill that are lost if the request ends now.
+    pub(crate) fn unused_tokens(&self) -> u64 {
+        if self.holds_memory() {
+            self.computed_tokens
+        } else {
+            0
+        }
+    }
+
     /// Whether a slot is held or waited for; a finished stream is only kept for late readers.
     pub(crate) fn holds_memory(&self) -> bool {
         self.finished_at.is_none()
--- a/crates/arbutusfall_standins/src/engine/prefill.rs
+++ b/crates/arbutusfall_standins/src/engine/prefill.rs
@@ -28,7 +28,10 @@
 
 /// A result that waits to be fetched.
 pub(crate) struct StoredResult {
+    /// Tokens that were computed, those from the cache left out.
     pub(crate) tokens: u32,
+    /// Tokens of the whole prompt, all of which are transferred.
+    prompt_tokens: u32,
     pub(crate) expires_at: Instant,
     /// Whether a decode engine is fetching it.
     pub(crate) in_transfer: bool,
@@ -115,6 +118,7 @@
         let expires_at = Instant::now() + lifetime;
         let result = StoredResult {
             tokens: computed,
+            prompt_tokens: tokens,
             expires_at,
             in_transfer: false,
         };
@@ -134,6 +138,7 @@
                     "remote_host": self.address.ip().to_string(),
                     "remote_port": self.address.port(),
                     "remote_tokens": tokens,
+                    "remote_computed_tokens": computed,
                 },
             }),
         )
@@ -165,7 +170,7 @@
             return Some(now + Duration::from_secs(3_600));
         }
         result.in_transfer = true;
-        let bytes = f64::from(result.tokens) * self.options.kv_bytes_per_token;
+        let bytes = f64::from(result.prompt_tokens) * self.options.kv_bytes_per_token;
         let took = Duration::from_secs_f64(bytes / self.options.link_bytes_per_s);
         let begins_at = state.link_free_at.unwrap_or(now).max(now);
         let arrives_at = begins_at + took;
--- /dev/null
+++ b/crates/arbutusfall_standins/src/experiment.rs
@@ -0,0 +1,253 @@
+//! Measures policies of admission and placement side by side: real processes, the same arrivals for each policy.
+
+mod faults;
+mod measures;
+mod plots;
+mod run;
+mod workload;
+
+use std::ffi::OsString;
+use std::fmt;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Instant;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use lexopt::ValueExt;
+
+use crate::SiteSize;
+
+use faults::Faults;
+use measures::RunResult;
+use run::RunPlan;
+
+/// How the tool is called.
+const USAGE: &str = "usage: experiment --policies A,B --site vitosha|rinnovo --vms N --load 0.5,1.0 \
+    --faults none|deaths|stalls|log-outage|leaving --seconds N --seed N --repeat N --out DIR";
+
+/// The experiment could not be made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum ExperimentError {
+    /// The command line is not understood.
+    Usage,
+    /// A run did not come to its end.
+    Run,
+    /// The results could not be written.
+    Write,
+}
+
+impl fmt::Display for ExperimentError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Usage => USAGE,
+            Self::Run => "a run did not come to its end",
+            Self::Write => "the results could not be written",
+        })
+    }
+}
+
+impl std::error::Error for ExperimentError {}
+
+/// What to measure.
+#[derive(Debug)]
+struct Options {
+    policies: Vec<String>,
+    sites: Vec<SiteSize>,
+    vms: Vec<usize>,
+    loads: Vec<f64>,
+    faults: Vec<(&'static str, Faults)>,
+    seconds: f64,
+    seed: u64,
+    repeat: u64,
+    out: PathBuf,
+}
+
+/// Runs the experiment that the arguments describe.
+pub fn experiment(arguments: impl Iterator<Item = OsString>) -> ExitCode {
+    match run_all(arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("experiment: {error:?}");
+            ExitCode::from(1)
+        }
+    }
+}
+
+fn run_all(arguments: impl Iterator<Item = OsString>) -> Result<(), Report<ExperimentError>> {
+    let options = parse(arguments).change_context(ExperimentError::Usage)?;
+    std::fs::create_dir_all(&options.out).change_context(ExperimentError::Write)?;
+    let plans = plans(&options);
+    let started = Instant::now();
+    let mut results = Vec::new();
+    for (index, plan) in plans.iter().enumerate() {
+        let result = run::run(plan).change_context(ExperimentError::Run)?;
+        let elapsed_s = started.elapsed().as_secs();
+        println!(
+            "[{}/{} {elapsed_s} s] {}",
+            index + 1,
+            plans.len(),
+            line(&result)
+        );
+        results.push(result);
+        write(&options, &results)?;
+    }
+    for site in &options.sites {
+        print_ratios(site.name, &options, &results);
+    }
+    Ok(())
+}
+
+fn line(result: &RunResult) -> String {
+    format!(
+        "{} {} vms {} load {} faults {} seed {}: offered {} good {} late {} refused {} failed {} refusals {} | \
+         prefilled {} wasted {:.2}% | first {:.0} ms between {:.0} ms | {:.0} B/s {:.2} cpu s/vm | loadavg {:.1}",
+        result.site,
+        result.policy,
+        result.vms,
+        result.load,
+        result.faults,
+        result.seed,
+        result.offered,
+        result.good,
+        result.late,
+        result.refused,
+        result.failed,
+        result.refusals,
+        result.prefilled_tokens,
+        result.wasted_percent(),
+        result.first_token_p95_ms,
+        result.between_tokens_p95_ms,
+        result.control_bytes_per_vm_per_s,
+        result.cpu_seconds_per_vm,
+        result.load_average,
+    )
+}
+
+fn parse(arguments: impl Iterator<Item = OsString>) -> Result<Options, lexopt::Error> {
+    let mut options = Options {
+        policies: vec!["weighted".to_owned()],
+        sites: vec![SiteSize::vitosha()],
+        vms: vec![7],
+        loads: vec![1.0],
+        faults: vec![Faults::NAMES[0]],
+        seconds: 20.0,
+        seed: 1,
+        repeat: 1,
+        out: PathBuf::from("experiment"),
+    };
+    let mut parser = lexopt::Parser::from_args(arguments);
+    while let Some(argument) = parser.next()? {
+        let lexopt::Arg::Long(name) = argument else {
+            return Err(argument.unexpected());
+        };
+        let name = name.to_owned();
+        let value = parser.value()?;
+        let text = value.to_string_lossy().into_owned();
+        let words = text.split(',');
+        match name.as_str() {
+            "policies" => options.policies = words.map(str::to_owned).collect(),
+            "site" => options.sites = words.map(site).collect::<Result<_, _>>()?,
+            "vms" => options.vms = words.map(number).collect::<Result<_, _>>()?,
+            "load" => options.loads = words.map(number).collect::<Result<_, _>>()?,
+            "faults" => options.faults = words.map(faults).collect::<Result<_, _>>()?,
+            "seconds" => options.seconds = value.parse()?,
+            "seed" => options.seed = value.parse()?,
+            "repeat" => options.repeat = value.parse()?,
+            "out" => options.out = value.into(),
+            _ => return Err(lexopt::Error::UnexpectedOption(name)),
+        }
+    }
+    Ok(options)
+}
+
+fn number<T: std::str::FromStr>(word: &str) -> Result<T, lexopt::Error> {
+    word.parse().map_err(|_| USAGE.into())
+}
+
+fn site(word: &str) -> Result<SiteSize, lexopt::Error> {
+    match word {
+        "vitosha" => Ok(SiteSize::vitosha()),
+        "rinnovo" => Ok(SiteSize::rinnovo()),
+        _ => Err(USAGE.into()),
+    }
+}
+
+fn faults(word: &str) -> Result<(&'static str, Faults), lexopt::Error> {
+    let named = Faults::NAMES.into_iter().find(|(name, _)| *name == word);
+    named.ok_or_else(|| USAGE.into())
+}
+
+/// All runs; policies that are compared follow each other.
+fn plans(options: &Options) -> Vec<RunPlan> {
+    let mut plans = Vec::new();
+    for repeat in 0..options.repeat {
+        for site in &options.sites {
+            for faults in &options.faults {
+                for load in &options.loads {
+                    for vms in &options.vms {
+                        plans.extend(options.policies.iter().map(|policy| RunPlan {
+                            policy: policy.clone(),
+                            site: site.clone(),
+                            vms: *vms,
+                            load: *load,
+                            faults: *faults,
+                            seconds: options.seconds,
+                            seed: options.seed + repeat,
+                        }));
+                    }
+                }
+            }
+        }
+    }
+    plans
+}
+
+fn write(options: &Options, results: &[RunResult]) -> Result<(), Report<ExperimentError>> {
+    let text = serde_json::to_string_pretty(results).change_context(ExperimentError::Write)?;
+    std::fs::write(options.out.join("results.json"), text)
+        .change_context(ExperimentError::Write)?;
+    plots::draw(&options.out.join("plots.svg"), results).change_context(ExperimentError::Write)
+}
+
+/// Prints how each policy's goodput and wasted prefill compare with the first policy's, pair by pair.
+fn print_ratios(site: &str, options: &Options, results: &[RunResult]) {
+    let Some((first, others)) = options.policies.split_first() else {
+        return;
+    };
+    for policy in others {
+        for load in &options.loads {
+            let of = |name: &str| -> Vec<&RunResult> {
+                let runs = results.iter().filter(|run| run.site == site);
+                runs.filter(|run| run.policy == name && run.load == *load)
+                    .collect()
+            };
+            let pairs: Vec<_> = of(policy).into_iter().zip(of(first)).collect();
+            let good = pairs
+                .iter()
+                .map(|(run, base)| run.good as f64 / base.good.max(1) as f64);
+            let wasted = pairs.iter().map(|(run, base)| {
+                run.wasted_prefill_tokens as f64 / base.wasted_prefill_tokens.max(1) as f64
+            });
+            println!(
+                "{site} load {load}: {policy} to {first}: goodput {}, wasted prefill {}",
+                spread(good.collect()),
+                spread(wasted.collect()),
+            );
+        }
+    }
+}
+
+/// Median with the least and the greatest value.
+fn spread(mut values: Vec<f64>) -> String {
+    values.sort_by(f64::total_cmp);
+    match (values.first(), values.get(values.len() / 2), values.last()) {
+        (Some(least), Some(median), Some(most)) => {
+            format!(
+                "{median:.2} ({least:.2} to {most:.2}, {} pairs)",
+                values.len()
+            )
+        }
+        _ => "not run".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_standins/src/experiment/plots.rs
@@ -0,0 +1,133 @@
+//! One page of plots against load.
+
+use std::fmt;
+use std::path::Path;
+
+use error_stack::Report;
+use plotters::chart::ChartBuilder;
+use plotters::chart::SeriesLabelPosition;
+use plotters::drawing::IntoDrawingArea;
+use plotters::prelude::Circle;
+use plotters::prelude::PathElement;
+use plotters::prelude::SVGBackend;
+use plotters::series::LineSeries;
+use plotters::style::BLACK;
+use plotters::style::Color;
+use plotters::style::Palette;
+use plotters::style::Palette99;
+use plotters::style::WHITE;
+
+use crate::experiment::measures::RunResult;
+
+/// Size of the page in pixels.
+const PAGE_SIZE: (u32, u32) = (1_500, 520);
+
+/// Size of labels in pixels.
+const LABEL_SIZE: u32 = 15;
+
+/// Size of captions in pixels.
+const CAPTION_SIZE: u32 = 20;
+
+/// The page could not be drawn.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct PlotError;
+
+impl fmt::Display for PlotError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the plots could not be drawn")
+    }
+}
+
+impl std::error::Error for PlotError {}
+
+/// What a plot shows of a run.
+type Measure = fn(&RunResult) -> f64;
+
+/// Draws goodput, latency to the first token and wasted prefill against load.
+pub(crate) fn draw(path: &Path, results: &[RunResult]) -> Result<(), Report<PlotError>> {
+    let page = SVGBackend::new(path, PAGE_SIZE).into_drawing_area();
+    let failed = |_| Report::new(PlotError);
+    page.fill(&WHITE).map_err(failed)?;
+    let plots: [(&str, Measure); 3] = [
+        ("goodput, % of requests", RunResult::goodput_percent),
+        ("first token, p95, ms", |result| result.first_token_p95_ms),
+        ("wasted prefill, % of tokens", RunResult::wasted_percent),
+    ];
+    for (area, (caption, measure)) in page.split_evenly((1, 3)).iter().zip(plots) {
+        let points = results.iter().map(|result| (result.load, measure(result)));
+        let highest = points.clone().map(|(_, value)| value).fold(1.0, f64::max);
+        let heaviest = points.map(|(load, _)| load).fold(1.0, f64::max);
+        let mut chart = ChartBuilder::on(area)
+            .caption(caption, ("sans-serif", CAPTION_SIZE))
+            .margin(14)
+            .x_label_area_size(46)
+            .y_label_area_size(60)
+            .build_cartesian_2d(0.0..heaviest * 1.1, 0.0..highest * 1.25)
+            .map_err(failed)?;
+        chart
+            .configure_mesh()
+            .x_desc("load")
+            .x_labels(8)
+            .y_labels(8)
+            .label_style(("sans-serif", LABEL_SIZE))
+            .axis_desc_style(("sans-serif", LABEL_SIZE))
+            .light_line_style(WHITE)
+            .draw()
+            .map_err(failed)?;
+        for (index, policy) in policies(results).into_iter().enumerate() {
+            let colour = Palette99::pick(index).to_rgba();
+            let line = means(results, &policy, measure);
+            let series = chart
+                .draw_series(LineSeries::new(line.clone(), colour.stroke_width(2)))
+                .map_err(failed)?;
+            series.label(policy).legend(move |(x, y)| {
+                PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2))
+            });
+            let dots = line.into_iter();
+            chart
+                .draw_series(dots.map(|point| Circle::new(point, 3, colour.filled())))
+                .map_err(failed)?;
+        }
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperLeft)
+            .label_font(("sans-serif", LABEL_SIZE))
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK.mix(0.3))
+            .draw()
+            .map_err(failed)?;
+    }
+    page.present().map_err(failed)
+}
+
+/// Policies in the order in which they were run.
+fn policies(results: &[RunResult]) -> Vec<String> {
+    let mut policies: Vec<String> = Vec::new();
+    for result in results {
+        if !policies.contains(&result.policy) {
+            policies.push(result.policy.clone());
+        }
+    }
+    policies
+}
+
+/// Mean of a policy's runs at each load, in the order of loads.
+fn means(results: &[RunResult], policy: &str, measure: Measure) -> Vec<(f64, f64)> {
+    let of_policy = |result: &&RunResult| result.policy == policy;
+    let mut loads: Vec<f64> = results
+        .iter()
+        .filter(of_policy)
+        .map(|result| result.load)
+        .collect();
+    loads.sort_by(f64::total_cmp);
+    loads.dedup();
+    let mean = |load: f64| {
+        let runs = results
+            .iter()
+            .filter(of_policy)
+            .filter(|run| run.load == load);
+        let values: Vec<f64> = runs.map(measure).collect();
+        values.iter().sum::<f64>() / values.len() as f64
+    };
+    loads.into_iter().map(|load| (load, mean(load))).collect()
+}
--- /dev/null
+++ b/crates/arbutusfall_standins/src/experiment/run.rs
@@ -0,0 +1,272 @@
+//! One run: a site is started, callers come by the workload, and what became of them is counted.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use error_stack::Report;
+use error_stack::ResultExt;
+use futures_lite::future;
+use hdrhistogram::Histogram;
+
+use crate::Caller;
+use crate::Completion;
+use crate::Fleet;
+use crate::FleetError;
+use crate::SiteSize;
+use crate::demo::meets_targets;
+use crate::expected_text;
+use crate::experiment::faults::FaultScript;
+use crate::experiment::faults::Faults;
+use crate::experiment::measures::PrefillTotals;
+use crate::experiment::measures::RunResult;
+use crate::experiment::measures::VmTotals;
+use crate::experiment::measures::load_average;
+use crate::experiment::workload::Arrival;
+use crate::experiment::workload::Workload;
+
+/// Part of a run that fills caches and slots and is not counted.
+const WARM_UP: Duration = Duration::from_secs(8);
+
+/// Tries of one request.
+const MAX_TRIES: u32 = 4;
+
+/// Longest time to come back that a caller accepts.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
+
+/// Time allowed for the last answers.
+const LAST_ANSWERS: Duration = Duration::from_secs(40);
+
+/// Time after which results that nobody fetched are gone.
+const LAST_RESULTS: Duration = Duration::from_millis(1_500);
+
+/// Interval at which faults and progress are looked at.
+const POLL: Duration = Duration::from_millis(50);
+
+/// What is run.
+#[derive(Debug, Clone)]
+pub(crate) struct RunPlan {
+    pub(crate) policy: String,
+    pub(crate) site: SiteSize,
+    pub(crate) vms: usize,
+    pub(crate) load: f64,
+    pub(crate) faults: (&'static str, Faults),
+    pub(crate) seconds: f64,
+    pub(crate) seed: u64,
+}
+
+/// What became of the counted requests.
+#[derive(Debug)]
+struct Tally {
+    offered: u64,
+    good: u64,
+    late: u64,
+    refused: u64,
+    failed: u64,
+    refusals: u64,
+    unfinished: u64,
+    first_token_us: Histogram<u64>,
+    between_tokens_us: Histogram<u64>,
+}
+
+/// Callers of one run.
+struct Callers {
+    caller: Caller,
+    addresses: Vec<SocketAddr>,
+    model: &'static str,
+    workload: Workload,
+    tally: Mutex<Tally>,
+}
+
+/// Runs a plan once.
+pub(crate) fn run(plan: &RunPlan) -> Result<RunResult, Report<FleetError>> {
+    let program = std::env::current_exe().change_context(FleetError::Files)?;
+    let mut fleet = Fleet::start_platform(&program, &plan.site)?;
+    fleet.publish_site(&plan.policy)?;
+    fleet.start_vms(plan.vms)?;
+    let seconds = plan.seconds + WARM_UP.as_secs_f64();
+    let callers = Arc::new(Callers {
+        caller: Caller {
+            executor: fleet.executor.clone(),
+            key: plan.site.key.to_owned(),
+        },
+        addresses: fleet.vms.iter().map(|vm| vm.caller_address).collect(),
+        model: plan.site.model,
+        workload: Workload::new(&plan.site, plan.load, seconds, plan.seed),
+        tally: Mutex::new(Tally::new()?),
+    });
+    let (stop, stopped) = async_channel::bounded::<()>(1);
+    let executor = fleet.executor.clone();
+    let background =
+        std::thread::spawn(move || future::block_on(executor.run(stopped.recv())).is_ok());
+    let measured = measure(&mut fleet, plan, &callers);
+    drop(stop);
+    // The thread holds nothing that could fail.
+    let _ = background.join();
+    measured
+}
+
+fn measure(
+    fleet: &mut Fleet,
+    plan: &RunPlan,
+    callers: &Arc<Callers>,
+) -> Result<RunResult, Report<FleetError>> {
+    let started = Instant::now();
+    let executor = fleet.executor.clone();
+    let arrivals = executor.spawn(callers.clone().arrive(started));
+    future::block_on(Timer::after(WARM_UP));
+    let tokens_before = PrefillTotals::default().with_all(fleet);
+    let vms_before = VmTotals::read(fleet);
+    let mut script = FaultScript::new(plan.faults.1, plan.seconds);
+    let counted_from = Instant::now();
+    while !arrivals.is_finished() {
+        script.advance(fleet, counted_from.elapsed());
+        future::block_on(Timer::after(POLL));
+    }
+    let mut until = Instant::now() + LAST_ANSWERS;
+    let vms = VmTotals::read(fleet).since(&vms_before);
+    let lasted_s = counted_from.elapsed().as_secs_f64();
+    let machine_load = load_average();
+    while callers.unfinished() > 0 && Instant::now() < until {
+        script.advance(fleet, counted_from.elapsed());
+        future::block_on(Timer::after(POLL));
+    }
+    until = Instant::now() + LAST_RESULTS;
+    while Instant::now() < until {
+        future::block_on(Timer::after(POLL));
+    }
+    let tokens = script.lost.with_all(fleet);
+    let tally = callers.lock();
+    let p95_ms = |histogram: &Histogram<u64>| histogram.value_at_quantile(0.95) as f64 / 1_000.0;
+    let bytes = vms.counters.get("peers.bytes_sent").copied();
+    Ok(RunResult {
+        policy: plan.policy.clone(),
+        site: plan.site.name.to_owned(),
+        vms: plan.vms,
+        load: plan.load,
+        faults: plan.faults.0.to_owned(),
+        seed: plan.seed,
+        offered: tally.offered,
+        good: tally.good,
+        late: tally.late,
+        refused: tally.refused,
+        failed: tally.failed + tally.unfinished,
+        refusals: tally.refusals,
+        prefilled_tokens: tokens.prefilled_tokens - tokens_before.prefilled_tokens,
+        wasted_prefill_tokens: tokens.wasted_tokens - tokens_before.wasted_tokens,
+        first_token_p95_ms: p95_ms(&tally.first_token_us),
+        between_tokens_p95_ms: p95_ms(&tally.between_tokens_us),
+        control_bytes_per_vm_per_s: bytes.unwrap_or(0) as f64 / plan.vms as f64 / lasted_s,
+        cpu_seconds_per_vm: vms.cpu_s / plan.vms as f64,
+        load_average: machine_load,
+        counters: vms.counters,
+    })
+}
+
+impl Callers {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Tally> {
+        self.tally.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn unfinished(&self) -> u64 {
+        self.lock().unfinished
+    }
+
+    /// Starts every request at its instant.
+    async fn arrive(self: Arc<Self>, started: Instant) {
+        for (number, arrival) in self.workload.arrivals.iter().enumerate() {
+            Timer::at(started + arrival.at).await;
+            let counted = arrival.at >= WARM_UP;
+            if counted {
+                let mut tally = self.lock();
+                tally.offered += 1;
+                tally.unfinished += 1;
+            }
+            let callers = self.clone();
+            let arrival = arrival.clone();
+            let ask = async move { callers.ask(number, &arrival, counted).await };
+            self.caller.executor.spawn(ask).detach();
+        }
+    }
+
+    /// One caller, which comes back when it is told to.
+    async fn ask(&self, number: usize, arrival: &Arrival, counted: bool) {
+        let prompt = self.workload.prompt(arrival);
+        let mut tries = 0;
+        loop {
+            let vm = self.addresses[(number + tries as usize) % self.addresses.len()];
+            tries += 1;
+            let output = arrival.output_tokens;
+            let asked = self.caller.complete(vm, self.model, &prompt, output, None);
+            let answer = asked.await.ok();
+            let retry_after = answer.as_ref().and_then(refused_until);
+            if let Some(after) = retry_after {
+                self.lock().refusals += u64::from(counted);
+                if tries < MAX_TRIES && after <= MAX_RETRY_AFTER {
+                    Timer::after(after).await;
+                    continue;
+                }
+            }
+            if counted {
+                let whole = expected_text(&prompt, output);
+                self.lock().count(answer.as_ref(), retry_after, &whole);
+            }
+            return;
+        }
+    }
+}
+
+/// When a refused caller may come back.
+fn refused_until(answer: &Completion) -> Option<Duration> {
+    if answer.status != 429 {
+        return None;
+    }
+    let exact_ms = answer.problem.as_ref()?["retry_after_ms"].as_u64();
+    exact_ms.map(Duration::from_millis).or(answer.retry_after)
+}
+
+impl Tally {
+    fn new() -> Result<Self, Report<FleetError>> {
+        let histogram = || Histogram::new(3).change_context(FleetError::Files);
+        Ok(Self {
+            offered: 0,
+            good: 0,
+            late: 0,
+            refused: 0,
+            failed: 0,
+            refusals: 0,
+            unfinished: 0,
+            first_token_us: histogram()?,
+            between_tokens_us: histogram()?,
+        })
+    }
+
+    fn count(&mut self, answer: Option<&Completion>, refused: Option<Duration>, whole: &str) {
+        self.unfinished -= 1;
+        if refused.is_some() {
+            self.refused += 1;
+            return;
+        }
+        let Some(answer) = answer.filter(|answer| answer.text == whole) else {
+            self.failed += 1;
+            return;
+        };
+        if meets_targets(answer) {
+            self.good += 1;
+        } else {
+            self.late += 1;
+        }
+        let us = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        // Both histograms resize themselves.
+        if let Some(first) = answer.token_times.first() {
+            let _ = self.first_token_us.record(us(*first));
+        }
+        for pair in answer.token_times.windows(2) {
+            let _ = self.between_tokens_us.record(us(pair[1] - pair[0]));
+        }
+    }
+}
--- a/crates/arbutusfall_standins/src/fleet.rs
+++ b/crates/arbutusfall_standins/src/fleet.rs
@@ -76,6 +76,11 @@
 }
 
 impl Process {
+    /// Number of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
             // The process may have ended by itself.
@@ -360,6 +365,25 @@
         Ok(())
     }
 
+    /// Starts an engine again that was killed, at the same address.
+    ///
+    /// # Errors
+    ///
+    /// [`FleetError::Start`] if there is no such engine or it cannot be started.
+    pub fn restart_endpoint(&mut self, name: &str) -> Result<(), Report<FleetError>> {
+        let failed = || FleetError::Start(name.to_owned());
+        let process = self.endpoints.get_mut(name);
+        let process = process.ok_or_else(|| Report::new(failed()))?;
+        process.kill();
+        let options = serde_json::to_string(&self.site.engine_options()).unwrap_or_default();
+        process.child = Command::new(&self.program)
+            .args(["stand-in", "engine", &process.address.to_string(), &options])
+            .stdin(Stdio::null())
+            .spawn()
+            .change_context_lazy(failed)?;
+        Ok(())
+    }
+
     /// Sets the platform's list to all VMs, some of them leaving.
     ///
     /// # Errors
--- a/crates/arbutusfall_standins/src/main.rs
+++ b/crates/arbutusfall_standins/src/main.rs
@@ -8,10 +8,11 @@
     match command.to_str() {
         Some("demo") => arbutusfall_standins::demo(),
         Some("arbutusfall") => arbutusfall::run_command_line(arguments),
+        Some("experiment") => arbutusfall_standins::experiment(arguments),
         Some("stand-in") => arbutusfall_standins::run_stand_in(arguments),
         _ => {
             eprintln!(
-                "usage: arbutusfall_standins demo | stand-in KIND ADDRESS [JSON] | arbutusfall ..."
+                "usage: arbutusfall_standins demo | experiment ... | stand-in KIND ADDRESS [JSON] | arbutusfall ..."
             );
             ExitCode::from(2)
         }
--- a/crates/arbutusfall_standins/src/site.rs
+++ b/crates/arbutusfall_standins/src/site.rs
@@ -11,16 +11,16 @@
 use crate::engine::EngineOptions;
 
 /// Bytes of prompt text for one token.
-const BYTES_PER_TOKEN: usize = 4;
+pub(crate) const BYTES_PER_TOKEN: usize = 4;
 
 /// Tokens of one piece of an engine's prefix cache.
-const PIECE_TOKENS: usize = 2_000;
+pub(crate) const PIECE_TOKENS: usize = 2_000;
 
 /// Requests in an engine's batch.
-const SLOTS: usize = 20;
+pub(crate) const SLOTS: usize = 20;
 
 /// Time from one token to the next in a full batch.
-const DECODE_STEP_MS: f64 = 25.0;
+pub(crate) const DECODE_STEP_MS: f64 = 25.0;
 
 /// Time for which a prefill result is kept.
 const RESULT_LIFETIME_MS: u64 = 700;
@@ -58,6 +58,25 @@
     pub kv_bytes_per_token: u64,
     /// Rate of each engine's link.
     pub link_bytes_per_s: u64,
+    /// What callers ask for.
+    pub traffic: Traffic,
+}
+
+/// Lengths of prompts and answers; each is spread evenly over its logarithm.
+#[derive(Debug, Clone)]
+pub struct Traffic {
+    /// Number of shop templates or logbooks that prompts begin with.
+    pub documents: usize,
+    /// Shortest and longest of them, in tokens.
+    pub document_tokens: (usize, usize),
+    /// Exponent of their popularity by rank.
+    pub popularity: f64,
+    /// Prompts in a hundred that begin with one of them.
+    pub with_document_percent: u32,
+    /// Shortest and longest part of a prompt that is its own, in tokens.
+    pub own_tokens: (usize, usize),
+    /// Least and most output that is asked for, in tokens.
+    pub output_tokens: (usize, usize),
 }
 
 impl SiteSize {
@@ -67,8 +86,8 @@
             name: "vitosha",
             data_centres: &["plovdiv-a", "plovdiv-b", "stara-zagora", "haskovo"],
             model: "caption-llm",
-            prefill_engines: 5,
-            decode_engines: 4,
+            prefill_engines: 4,
+            decode_engines: 5,
             service: "kiosk-api",
             service_processes: 4,
             non_idempotent_path: "/v1/print-confirmations",
@@ -79,6 +98,14 @@
             prefill_tokens_per_s: 20_000,
             kv_bytes_per_token: 100_000,
             link_bytes_per_s: 10_000_000_000,
+            traffic: Traffic {
+                documents: 48,
+                document_tokens: (2_000, 24_000),
+                popularity: 0.8,
+                with_document_percent: 80,
+                own_tokens: (30, 3_000),
+                output_tokens: (50, 300),
+            },
         }
     }
 
@@ -97,6 +124,14 @@
             goodput_weight: 1.0,
             wasted_prefill_weight: 3.0,
             key: "rinnovo-clerk-key",
+            traffic: Traffic {
+                documents: 60,
+                document_tokens: (6_000, 36_000),
+                popularity: 0.5,
+                with_document_percent: 90,
+                own_tokens: (200, 4_000),
+                output_tokens: (60, 400),
+            },
             ..Self::vitosha()
         }
     }
@@ -109,7 +144,7 @@
             decode_step_ms: DECODE_STEP_MS,
             bytes_per_token: BYTES_PER_TOKEN,
             piece_tokens: PIECE_TOKENS,
-            cache_pieces: 200,
+            cache_pieces: 80,
             kv_bytes_per_token: self.kv_bytes_per_token as f64,
             link_bytes_per_s: self.link_bytes_per_s as f64,
             result_lifetime_ms: RESULT_LIFETIME_MS,
