--- a/crates/arbutusfall_core/src/config_reader.rs
+++ b/crates/arbutusfall_core/src/config_reader.rs
@@ -21,7 +21,7 @@
 use crate::timers::Timer;
 
 /// The configuration stream as this VM reads it.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct ConfigReader {
     fold: ConfigFold,
     /// First offset of the next read; ahead of the fold while a snapshot is searched.
@@ -103,6 +103,7 @@
             }
         }
         let progressed = self.fold.next() > before;
+        ctx.members.set_config_next(self.fold.next());
         self.read_from = if progressed {
             self.fold.next()
         } else {
--- a/crates/arbutusfall_core/src/placement.rs
+++ b/crates/arbutusfall_core/src/placement.rs
@@ -46,7 +46,7 @@
 const FOLLOWED_FOR: Duration = Duration::from_secs(10);
 
 /// Shards for which this VM was asked to decide.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct ShardOwner {
     shards: BTreeMap<ShardId, Shard>,
 }
@@ -83,12 +83,6 @@
             .report(&report, ctx);
     }
 
-    /// Looks at an interval for attempts that engines hold and nobody knows.
-    pub(crate) fn on_sweep_timer(&mut self, ctx: &mut Context<'_>) {
-        let interval = Duration::from_millis(ctx.site.timing.sweep_interval_ms);
-        ctx.set_timer(interval, Timer::SweepEndpoints);
-    }
-
     /// Asks engines for what the policies in force need to know of them.
     pub(crate) fn on_poll_timer(&mut self, ctx: &mut Context<'_>) {
         let site = ctx.site.clone();
--- a/crates/arbutusfall_core/src/placement/comebacks.rs
+++ b/crates/arbutusfall_core/src/placement/comebacks.rs
@@ -18,7 +18,7 @@
 const SPREAD: f64 = 0.2;
 
 /// Instants given to refused callers, one after the other at the rate at which the shard grants.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Comebacks {
     /// Instant before which no further caller is asked back.
     next_at: Duration,
--- a/crates/arbutusfall_core/src/placement/decode_endpoint.rs
+++ b/crates/arbutusfall_core/src/placement/decode_endpoint.rs
@@ -8,7 +8,7 @@
 use crate::placement::health::Health;
 
 /// A decode endpoint and the grants that use its slots.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct DecodeEndpoint {
     pub(crate) name: Name,
     pub(crate) leaving: bool,
--- a/crates/arbutusfall_core/src/placement/forecast.rs
+++ b/crates/arbutusfall_core/src/placement/forecast.rs
@@ -20,7 +20,7 @@
 const MAX_DEVIATIONS: f64 = 3.0;
 
 /// A pair of endpoints and when they would deliver.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Candidate {
     /// Index of the prefill endpoint in its pool.
     pub(crate) prefill: usize,
@@ -47,7 +47,7 @@
 }
 
 /// How far estimates were off.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Forecast {
     /// Mean of what took longer than estimated; negative if it took less.
     error_s: f64,
--- a/crates/arbutusfall_core/src/placement/health.rs
+++ b/crates/arbutusfall_core/src/placement/health.rs
@@ -11,7 +11,7 @@
 /// Failures of one endpoint.
 ///
 /// An endpoint that failed gets one request as a trial when its time is up, and no other until that one succeeded.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Health {
     /// Failures in a row.
     failures: u32,
--- a/crates/arbutusfall_core/src/placement/outputs.rs
+++ b/crates/arbutusfall_core/src/placement/outputs.rs
@@ -14,7 +14,7 @@
 const PRIOR_WEIGHT: f64 = 3.0;
 
 /// Lengths of answers by account.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct OutputLengths {
     by_account: BTreeMap<Name, Shares>,
 }
--- a/crates/arbutusfall_core/src/placement/pools.rs
+++ b/crates/arbutusfall_core/src/placement/pools.rs
@@ -12,7 +12,7 @@
 use crate::placement::shard_endpoints;
 
 /// Endpoints of a shard, in the order of their names.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Pools {
     /// Configuration from which the pools were made.
     site: Option<Arc<SiteConfig>>,
--- a/crates/arbutusfall_core/src/placement/prefill_endpoint.rs
+++ b/crates/arbutusfall_core/src/placement/prefill_endpoint.rs
@@ -10,7 +10,7 @@
 use crate::placement::prefixes::PrefixBeliefs;
 
 /// A prefill endpoint, its queue and its link.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct PrefillEndpoint {
     pub(crate) name: Name,
     pub(crate) leaving: bool,
@@ -30,7 +30,7 @@
 }
 
 /// A prompt that is believed to wait or to be computed.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Job {
     request: RequestId,
     work: Duration,
--- a/crates/arbutusfall_core/src/placement/prefixes.rs
+++ b/crates/arbutusfall_core/src/placement/prefixes.rs
@@ -11,7 +11,7 @@
 const MAX_PIECES: usize = 20_000;
 
 /// Pieces that an endpoint is believed to hold, with the instant of their last use.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct PrefixBeliefs {
     used_at: FastMap<u64, Duration>,
 }
--- a/crates/arbutusfall_core/src/placement/shard.rs
+++ b/crates/arbutusfall_core/src/placement/shard.rs
@@ -30,7 +30,7 @@
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// A pool shard.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Shard {
     pub(crate) pools: Pools,
     pub(crate) grants: BTreeMap<RequestId, OwnedGrant>,
@@ -43,7 +43,7 @@
 }
 
 /// A grant that is believed to be in use.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct OwnedGrant {
     placement: u32,
     /// Unknown when the grant was adopted from another owner.
--- a/crates/arbutusfall_core/src/placement/shares.rs
+++ b/crates/arbutusfall_core/src/placement/shares.rs
@@ -11,7 +11,7 @@
 const WAITING: Duration = Duration::from_secs(2);
 
 /// Slots that accounts hold, and accounts that wait.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Shares {
     held: BTreeMap<Name, usize>,
     refused_at: BTreeMap<Name, Duration>,
--- a/crates/arbutusfall_core/src/timers.rs
+++ b/crates/arbutusfall_core/src/timers.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use arbutusfall_wire::IdempotencyKey;
+use arbutusfall_wire::Incarnation;
+use arbutusfall_wire::Name;
 use arbutusfall_wire::RequestId;
 
 use crate::AttemptId;
@@ -14,6 +16,15 @@
 pub(crate) enum Timer {
     FetchVmList,
     ProbePeers,
+    ProbeOverdue {
+        sequence: u64,
+    },
+    SuspectOverdue {
+        vm: Name,
+        incarnation: Option<Incarnation>,
+        refutation: u32,
+        due: Duration,
+    },
     ReadConfig,
     SnapshotConfig,
     ReportGrants,
@@ -30,7 +41,9 @@
     },
     StageOverdue {
         attempt: AttemptId,
-        progress: u32,
+    },
+    AnswerOverdue {
+        request: RequestId,
     },
     RetryCancel {
         attempt: AttemptId,
@@ -57,7 +70,7 @@
 }
 
 /// Timers by due instant; equal instants keep the order in which they were set.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Timers {
     pending: BTreeMap<(Duration, u64), Timer>,
     sequence: u64,
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -1,4 +1,8 @@
 //! Tests of the reducer: golden sessions, properties and explorations.
 
+mod membership;
+mod nodes;
 mod session;
+mod streams_play;
+mod streams_sessions;
 mod thin_path;
