--- a/crates/arbutusfall_core/src/placement/shard.rs
+++ b/crates/arbutusfall_core/src/placement/shard.rs
@@ -89,7 +89,7 @@
 
     /// How much too late a request would be; none if it may run.
     fn late_by(
-        &self,
+        &mut self,
         request: &PlaceRequest,
         best: &Candidate,
         model: &Model,
@@ -99,11 +99,10 @@
             return None;
         }
         let now = ctx.now.monotonic;
-        let contended = !best.wait(now).is_zero();
-        if contended
-            && self
-                .shares
-                .must_yield(&request.account, self.pools.slots(), ctx.site, now)
+        let slots = self.pools.slots();
+        if self
+            .shares
+            .must_yield(&request.account, slots, ctx.site, now)
         {
             return Some(best.wait(now));
         }
@@ -111,7 +110,7 @@
         let due = now + request.first_token_budget;
         let late_by = (best.first_token_at + margin).saturating_sub(due);
         let hopeless = best.alone > request.first_token_budget.saturating_sub(margin);
-        let tolerated = hopeless && !contended;
+        let tolerated = hopeless && best.wait(now).is_zero();
         (!late_by.is_zero() && !tolerated).then_some(late_by)
     }
 
--- a/crates/arbutusfall_core/src/streams/grants.rs
+++ b/crates/arbutusfall_core/src/streams/grants.rs
@@ -11,7 +11,9 @@
 use arbutusfall_wire::ShardId;
 
 use crate::context::Context;
+use crate::rendezvous::rank_owners;
 use crate::streams::Streams;
+use crate::streams::stream::Phase;
 use crate::timers::Timer;
 
 impl Streams {
@@ -34,6 +36,7 @@
     /// Keeps the grants in use alive.
     pub(crate) fn on_report_grants(&mut self, ctx: &mut Context<'_>) {
         self.unanswered.drop_lapsed(ctx.now.monotonic);
+        self.follow_owners(ctx);
         let mut reports: BTreeMap<(Name, ShardId), GrantReport> = BTreeMap::new();
         for (id, stream) in &self.streams {
             let Some((owner, shard, active)) = stream.active_grant(*id) else {
@@ -53,4 +56,26 @@
         let interval = Duration::from_millis(ctx.site.timing.grant_report_interval_ms);
         ctx.set_timer(interval, Timer::ReportGrants);
     }
+
+    /// Turns to the VMs that own the shards now; they adopt the grants of earlier owners, which let them lapse.
+    fn follow_owners(&mut self, ctx: &Context<'_>) {
+        let live = ctx.members.live(&ctx.identity.site);
+        let mut owners: BTreeMap<ShardId, Option<Name>> = BTreeMap::new();
+        for stream in self.streams.values_mut() {
+            let Phase::Running(running) = &mut stream.phase else {
+                continue;
+            };
+            let model = ctx.site.models.get(&running.shard.model);
+            if !model.is_some_and(|model| model.policy.kind.has_owner()) {
+                continue;
+            }
+            let shard = &running.shard;
+            let owner = owners
+                .entry(shard.clone())
+                .or_insert_with(|| rank_owners(shard, &live).into_iter().next());
+            if let Some(owner) = owner {
+                running.owner = owner.clone();
+            }
+        }
+    }
 }
--- a/crates/arbutusfall_core/src/streams/stream.rs
+++ b/crates/arbutusfall_core/src/streams/stream.rs
@@ -76,8 +76,8 @@
 /// A request at an engine.
 #[derive(Debug, Clone)]
 pub(crate) struct Running {
-    shard: ShardId,
-    owner: Name,
+    pub(crate) shard: ShardId,
+    pub(crate) owner: Name,
     pub(crate) grant: Grant,
     stage: Stage,
     /// Instant at which the current stage was ordered.
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -2,6 +2,8 @@
 
 mod membership;
 mod nodes;
+mod placement_play;
+mod placement_policy;
 mod session;
 mod streams_play;
 mod streams_sessions;
--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/placement_play.rs
@@ -0,0 +1,170 @@
+//! A shard owner that is asked by entry VMs, for sessions about placement.
+
+use std::time::Duration;
+
+use arbutusfall_core::Effect;
+use arbutusfall_core::Event;
+use arbutusfall_wire::ActiveGrant;
+use arbutusfall_wire::EndedGrant;
+use arbutusfall_wire::Grant;
+use arbutusfall_wire::GrantEnd;
+use arbutusfall_wire::GrantReport;
+use arbutusfall_wire::Incarnation;
+use arbutusfall_wire::PeerMessage;
+use arbutusfall_wire::PlaceDecision;
+use arbutusfall_wire::PlaceRequest;
+use arbutusfall_wire::RequestId;
+use arbutusfall_wire::Sender;
+use arbutusfall_wire::ShardId;
+use serde_json::Value;
+
+use crate::session::Session;
+use crate::session::config_read;
+use crate::session::site_base;
+
+/// A VM that owns the test's shard, alone in its site.
+pub(crate) struct Owner {
+    pub(crate) session: Session,
+}
+
+/// The test's shard.
+pub(crate) fn shard() -> ShardId {
+    ShardId {
+        model: "draft-models".into(),
+        index: 0,
+    }
+}
+
+/// Id of a request that entered by another VM.
+pub(crate) fn request(sequence: u64) -> RequestId {
+    RequestId {
+        incarnation: Incarnation(8),
+        sequence,
+    }
+}
+
+/// A request for 40 tokens after a prompt of 100 tokens.
+pub(crate) fn place(sequence: u64) -> PlaceRequest {
+    PlaceRequest {
+        request: request(sequence),
+        placement: 1,
+        shard: shard(),
+        account: "school".into(),
+        prompt_tokens: 100,
+        max_output_tokens: 40,
+        piece_hashes: Vec::new(),
+        first_token_budget: Duration::from_millis(910),
+        resumed: false,
+        prefilled_on: None,
+        avoid: Vec::new(),
+        traceparent: None,
+    }
+}
+
+/// The end of a request's first placement.
+pub(crate) fn ended(sequence: u64, end: GrantEnd) -> EndedGrant {
+    EndedGrant {
+        request: request(sequence),
+        placement: 1,
+        end,
+        prefill_took: None,
+        transfer_took: None,
+        cached_tokens: None,
+        generated_tokens: 32,
+    }
+}
+
+/// A grant that is in use and has generated so many tokens.
+pub(crate) fn active(sequence: u64, grant: &Grant, generated_tokens: u32) -> ActiveGrant {
+    ActiveGrant {
+        request: request(sequence),
+        prefill: None,
+        decode: grant.decode.clone(),
+        prompt_tokens: 100,
+        generated_tokens,
+        max_output_tokens: 40,
+    }
+}
+
+impl Owner {
+    /// An owner of two prefill engines and two decode engines of 20 slots.
+    pub(crate) fn new() -> Self {
+        Self {
+            session: Session::serving("milano-a-1", &["milano-a-1"]),
+        }
+    }
+
+    /// An owner of another site.
+    pub(crate) fn of(base: Value) -> Self {
+        let mut session = Session::new("milano-a-1");
+        session.apply(Event::Started);
+        session.apply(config_read(base));
+        Self { session }
+    }
+
+    /// An owner of the test's site with changes.
+    pub(crate) fn with(change: impl FnOnce(&mut Value)) -> Self {
+        let mut base = site_base();
+        change(&mut base);
+        Self::of(base)
+    }
+
+    pub(crate) fn advance_ms(&mut self, by_ms: u64) {
+        self.session.advance(Duration::from_millis(by_ms));
+    }
+
+    fn from_entry(&mut self, message: PeerMessage) -> Vec<Effect> {
+        let from = Sender {
+            vm: "milano-a-2".into(),
+            incarnation: Incarnation(8),
+        };
+        self.session.apply(Event::Peer { from, message })
+    }
+
+    /// Asks for a placement; the owner must decide within the same event.
+    pub(crate) fn place(&mut self, request: PlaceRequest) -> PlaceDecision {
+        let effects = self.from_entry(PeerMessage::Place(request));
+        let decision = effects.into_iter().find_map(|effect| match effect {
+            Effect::Send {
+                message: PeerMessage::Placed(reply),
+                ..
+            } => Some(reply.decision),
+            _ => None,
+        });
+        decision.expect("an owner decides at once")
+    }
+
+    /// Asks for a placement that must be granted.
+    pub(crate) fn granted(&mut self, request: PlaceRequest) -> Grant {
+        match self.place(request) {
+            PlaceDecision::Granted(grant) => grant,
+            PlaceDecision::Refused { retry_after } => panic!("refused for {retry_after:?}"),
+        }
+    }
+
+    /// Asks for a placement that must be refused, and returns when to come back.
+    pub(crate) fn refused(&mut self, request: PlaceRequest) -> Duration {
+        match self.place(request) {
+            PlaceDecision::Granted(grant) => panic!("granted: {grant:?}"),
+            PlaceDecision::Refused { retry_after } => retry_after,
+        }
+    }
+
+    /// Asks for placements from a number on until one is refused; returns the grants.
+    pub(crate) fn fill(&mut self, make: impl Fn(u64) -> PlaceRequest) -> Vec<Grant> {
+        let mut grants = Vec::new();
+        while let PlaceDecision::Granted(grant) = self.place(make(grants.len() as u64)) {
+            grants.push(grant);
+            assert!(grants.len() < 1_000, "nothing is ever refused");
+        }
+        grants
+    }
+
+    pub(crate) fn report(&mut self, active: Vec<ActiveGrant>, ended: Vec<EndedGrant>) {
+        self.from_entry(PeerMessage::GrantReport(GrantReport {
+            shard: shard(),
+            active,
+            ended,
+        }));
+    }
+}
