--- a/crates/arbutusfall_core/tests/it/placement_play.rs
+++ b/crates/arbutusfall_core/tests/it/placement_play.rs
@@ -113,7 +113,7 @@
         self.session.advance(Duration::from_millis(by_ms));
     }
 
-    fn from_entry(&mut self, message: PeerMessage) -> Vec<Effect> {
+    fn send_from_entry(&mut self, message: PeerMessage) -> Vec<Effect> {
         let from = Sender {
             vm: "milano-a-2".into(),
             incarnation: Incarnation(8),
@@ -123,7 +123,7 @@
 
     /// Asks for a placement; the owner must decide within the same event.
     pub(crate) fn place(&mut self, request: PlaceRequest) -> PlaceDecision {
-        let effects = self.from_entry(PeerMessage::Place(request));
+        let effects = self.send_from_entry(PeerMessage::Place(request));
         let decision = effects.into_iter().find_map(|effect| match effect {
             Effect::Send {
                 message: PeerMessage::Placed(reply),
@@ -161,7 +161,7 @@
     }
 
     pub(crate) fn report(&mut self, active: Vec<ActiveGrant>, ended: Vec<EndedGrant>) {
-        self.from_entry(PeerMessage::GrantReport(GrantReport {
+        self.send_from_entry(PeerMessage::GrantReport(GrantReport {
             shard: shard(),
             active,
             ended,
--- a/crates/arbutusfall_core/tests/it/placement_policy.rs
+++ b/crates/arbutusfall_core/tests/it/placement_policy.rs
@@ -57,11 +57,9 @@
 #[test]
 fn come_back_times_are_spread() {
     let mut owner = Owner::new();
-    let mut sequence = 0;
-    for _ in 0..20 {
+    for sequence in 0..20 {
         owner.advance_ms(50);
         owner.granted(place(sequence));
-        sequence += 1;
     }
     let long = |sequence| PlaceRequest {
         max_output_tokens: 100,
