--- a/crates/arbutusfall_core/src/membership/probe.rs
+++ b/crates/arbutusfall_core/src/membership/probe.rs
@@ -283,7 +283,9 @@
             continue;
         }
         let Some(member) = ctx.members.members.get_mut(&piece.vm) else {
-            ctx.members.remember_unlisted(&piece.vm, piece.incarnation);
+            if piece.state < MemberState::Dead {
+                ctx.members.remember_unlisted(&piece.vm, piece.incarnation);
+            }
             continue;
         };
         if member.life.learn(&piece) {
--- a/crates/arbutusfall_core/src/node.rs
+++ b/crates/arbutusfall_core/src/node.rs
@@ -188,6 +188,7 @@
         self.config.read(ctx);
         self.streams.on_report_grants(ctx);
         self.sweep.on_timer(ctx);
+        self.shards.on_poll_timer(ctx);
         self.executions.on_sweep_timer(ctx);
         self.config.on_snapshot_timer(ctx);
         membership::on_probe_timer(ctx);
@@ -231,6 +232,7 @@
                 due,
             } => membership::on_suspect_overdue(&vm, incarnation, refutation, due, ctx),
             Timer::SnapshotConfig => self.config.on_snapshot_timer(ctx),
+            Timer::PollEngines => self.shards.on_poll_timer(ctx),
             Timer::SweepEndpoints => self.sweep.on_timer(ctx),
             Timer::SweepClaims => {
                 self.executions.on_sweep_timer(ctx);
@@ -330,6 +332,7 @@
         if let EngineEvent::Active { endpoint, attempts } = &event {
             self.sweep.on_active(endpoint, attempts, &self.streams, ctx);
         }
+        self.shards.on_engine(&event, ctx);
         self.streams.on_engine(event, ctx);
     }
 
--- a/crates/arbutusfall_standins/src/engine/decode.rs
+++ b/crates/arbutusfall_standins/src/engine/decode.rs
@@ -35,11 +35,19 @@
 
 /// A request that holds a slot or waits for one.
 pub(crate) struct Running {
+    id: String,
     seed: u32,
     first_index: usize,
     length: usize,
-    generated: usize,
+    /// Tokens so far.
+    pub(crate) generated: usize,
+    /// Place in the queue for slots: priority, then order of arrival.
+    turn: (i64, u64),
+    /// Whether a slot is held, from the transfer on.
+    has_slot: bool,
     decoding: bool,
+    /// Prompt tokens that were computed for this request and would be lost with it.
+    computed_tokens: u64,
     finished_at: Option<Instant>,
     readers: Vec<Reader>,
 }
@@ -60,6 +68,22 @@
     kv_transfer_params: Value,
 }
 
+/// Leaves the queue for slots when the connection closes.
+struct Waiting<'a> {
+    engine: &'a Engine,
+    id: &'a str,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut state = self.engine.lock();
+        let waits = |running: &Running| !running.has_slot;
+        if state.running.get(self.id).is_some_and(waits) {
+            state.running.remove(self.id);
+        }
+    }
+}
+
 impl Engine {
     /// Handles a completion in either role.
     pub(crate) async fn complete(self: &Arc<Self>, request: &Received) -> Response<AnswerBody> {
@@ -69,20 +93,34 @@
             .get("x-request-id")
             .and_then(|value| value.to_str().ok());
         let body = serde_json::from_slice::<Body>(&request.body).ok();
-        let (Some(id), Some(body)) = (id, body) else {
+        let (Some(id), Some(body)) = (id.map(str::to_owned), body) else {
             return json_answer(400, &json!({}));
         };
-        if body.kv_transfer_params["do_remote_decode"] == true {
-            return self.prefill(id, &body.prompt, body.priority).await;
-        }
-        self.decode(id, &body).await
+        // The work goes on when the connection is lost: only a cancellation ends it.
+        let (sender, answer) = async_channel::bounded(1);
+        let engine = self.clone();
+        let delay = Duration::from_millis(self.lock().faults.slow_orders_ms);
+        let work = async move {
+            Timer::after(delay).await;
+            let answer = if body.kv_transfer_params["do_remote_decode"] == true {
+                engine.prefill(&id, &body.prompt, body.priority).await
+            } else {
+                engine.decode(&id, &body).await
+            };
+            // The connection may be gone.
+            let _ = sender.send(answer).await;
+        };
+        self.executor.spawn(work).detach();
+        let answer = answer.recv().await;
+        answer.unwrap_or_else(|_| json_answer(500, &json!({})))
     }
 
     async fn decode(self: &Arc<Self>, id: &str, body: &Body) -> Response<AnswerBody> {
         if !self.admit(id, body) {
             return json_answer(409, &json!({}));
         }
-        while !self.has_slot(id) {
+        let _waiting = Waiting { engine: self, id };
+        while !self.take_slot(id) {
             if !self.lock().running.contains_key(id) {
                 return json_answer(499, &json!({}));
             }
@@ -93,9 +131,17 @@
             return json_answer(424, &json!({}));
         }
         self.thaw().await;
-        if let Some(running) = self.lock().running.get_mut(id) {
-            running.decoding = true;
+        let computed_tokens = body.kv_transfer_params["remote_computed_tokens"].as_u64();
+        let computed_tokens = computed_tokens.unwrap_or_default();
+        let mut state = self.lock();
+        match state.running.get_mut(id) {
+            Some(running) => {
+                running.decoding = true;
+                running.computed_tokens = computed_tokens;
+            }
+            None => state.wasted_tokens += computed_tokens,
         }
+        drop(state);
         let answer = self.stream(id, 0);
         let engine = self.clone();
         let id = id.to_owned();
@@ -109,12 +155,16 @@
         let (seed, first_index) =
             continued(&body.prompt).unwrap_or_else(|| (prompt_seed(&body.prompt), 0));
         let length = generated_length(seed, first_index + body.max_tokens);
-        let running = Running {
+        let mut running = Running {
+            id: id.to_owned(),
             seed,
             first_index,
             length: length.saturating_sub(first_index),
             generated: 0,
+            turn: (body.priority, 0),
+            has_slot: false,
             decoding: false,
+            computed_tokens: 0,
             finished_at: None,
             readers: Vec::new(),
         };
@@ -122,21 +172,29 @@
         if state.running.contains_key(id) {
             return false;
         }
+        if state.faults.swap_streams > 0 {
+            state.faults.swap_streams -= 1;
+            running.id = format!("{:016x}-1-1-d", seed);
+            running.seed = !seed;
+        }
+        state.arrivals += 1;
+        running.turn = (body.priority, state.arrivals);
         state.running.insert(id.to_owned(), running);
         true
     }
 
-    /// Whether a request is among the first for which there are slots.
-    fn has_slot(&self, id: &str) -> bool {
-        let state = self.lock();
-        let held = state.running.values().filter(|running| running.decoding);
-        let busy = held.filter(|running| running.finished_at.is_none()).count();
-        let mut waiting = state
-            .running
-            .iter()
-            .filter(|(_, running)| !running.decoding);
-        let position = waiting.position(|(other, _)| other == id);
-        position.is_some_and(|position| busy + position < self.options.slots)
+    /// Takes a slot if there is one and the request is the next in turn.
+    fn take_slot(&self, id: &str) -> bool {
+        let mut state = self.lock();
+        let held = state.running.values().filter(|running| running.has_slot);
+        let busy = held.filter(|running| running.holds_memory()).count();
+        let waiting = state.running.values().filter(|running| !running.has_slot);
+        let next = waiting.map(|running| running.turn).min();
+        let Some(running) = state.running.get_mut(id) else {
+            return false;
+        };
+        running.has_slot = busy < self.options.slots && next == Some(running.turn);
+        running.has_slot
     }
 
     /// Fetches a KV cache from its prefill engine.
@@ -164,7 +222,7 @@
             let Some(running) = state.running.get_mut(id) else {
                 return;
             };
-            running.generated += 1;
+            running.generated += usize::from(running.generated < running.length);
             if running.generated >= running.length {
                 running.finished_at = Some(Instant::now());
             }
@@ -183,7 +241,7 @@
         let busy = state
             .running
             .values()
-            .filter(|running| running.decoding)
+            .filter(|running| running.decoding && running.holds_memory())
             .count();
         let full = (busy as f64 / self.options.slots as f64).min(1.0);
         let step_ms = self.options.decode_step_ms * (SMALLEST_STEP + (1.0 - SMALLEST_STEP) * full);
@@ -212,6 +270,15 @@
 }
 
 impl Running {
+    /// Tokens of a prefill that are lost if the request ends now.
+    pub(crate) fn unused_tokens(&self) -> u64 {
+        if self.holds_memory() {
+            self.computed_tokens
+        } else {
+            0
+        }
+    }
+
     /// Whether a slot is held or waited for; a finished stream is only kept for late readers.
     pub(crate) fn holds_memory(&self) -> bool {
         self.finished_at.is_none()
@@ -220,6 +287,7 @@
     /// Writes what each reader has not got yet.
     fn write(&mut self, silent_since: Option<Instant>) {
         let Self {
+            id,
             seed,
             first_index,
             generated,
@@ -233,7 +301,10 @@
             }
             while reader.next < *generated {
                 let text = token_text(*seed, *first_index + reader.next);
-                let event = json!({ "choices": [{ "index": 0, "text": text }] });
+                let event = json!({
+                    "id": format!("cmpl-{id}"),
+                    "choices": [{ "index": 0, "text": text }],
+                });
                 reader.writer.write(format!("data: {event}\n\n"));
                 reader.next += 1;
             }
