--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/claims_random.rs
@@ -0,0 +1,97 @@
+//! Random interleavings of faults beyond the sizes that can be explored whole, and the decoder of claim records.
+
+use arbutusfall_wire::ClaimRecord;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::RngSeed;
+
+use crate::claims_world::Budget;
+use crate::claims_world::Call;
+use crate::claims_world::World;
+use crate::claims_world::first;
+use crate::claims_world::repeat;
+
+const CASES: u32 = 400;
+
+fn fixed_seed(cases: u32) -> Config {
+    Config {
+        cases,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(4_711),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+/// Two first attempts, and repeats at other VMs, some of them at once.
+fn calls() -> Vec<Call> {
+    let after_first = Call {
+        after: Some(0),
+        ..repeat(1, 0)
+    };
+    let last = Call {
+        after: Some(4),
+        ..repeat(0, 0)
+    };
+    vec![
+        first(0, 0),
+        repeat(1, 1),
+        repeat(2, 1),
+        repeat(0, 1),
+        after_first,
+        last,
+    ]
+}
+
+proptest! {
+    #![proptest_config(fixed_seed(CASES))]
+
+    #[test]
+    fn three_vms_and_two_keys(
+        choices in prop::collection::vec(any::<prop::sample::Index>(), 10..120),
+        split in any::<bool>(),
+    ) {
+        let views = if split {
+            vec![vec![0], vec![1, 2], vec![0, 1, 2]]
+        } else {
+            vec![vec![0, 1, 2]; 3]
+        };
+        let budget = Budget { ticks: 12, faults: 6, kills: 2, jumps: 1 };
+        let mut world = World::new(views, calls(), budget);
+        for choice in choices {
+            let steps = world.steps();
+            if steps.is_empty() {
+                break;
+            }
+            world.take(*choice.get(&steps));
+        }
+        world.settle();
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_seed(2_000))]
+
+    #[test]
+    fn any_text_is_decoded_or_refused(text in ".{0,200}") {
+        prop_assert!(serde_json::from_str::<ClaimRecord>(&text).is_err());
+    }
+
+    #[test]
+    fn damaged_records_are_decoded_or_refused(
+        position in any::<prop::sample::Index>(),
+        byte in any::<u8>(),
+    ) {
+        let text = r#"{"claim":{"key":"01a0c450-6c00-7101-8101-010101010101","vm":"milano-a-1","request":{"incarnation":7,"sequence":1},"fingerprint":7}}"#;
+        let record: ClaimRecord = serde_json::from_str(text).expect("a record");
+        let mut damaged = text.as_bytes().to_vec();
+        let position = position.index(damaged.len());
+        damaged[position] = byte;
+        // A record that is still of the right form is not of another kind.
+        if let Ok(decoded) = serde_json::from_slice::<ClaimRecord>(&damaged) {
+            let is_claim = |record: &ClaimRecord| matches!(record, ClaimRecord::Claim { .. });
+            prop_assert_eq!(is_claim(&decoded), is_claim(&record));
+        }
+    }
+}
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod claims_exploration;
 mod claims_faults;
+mod claims_random;
 mod claims_sessions;
 mod claims_steps;
 mod claims_world;
