Prove claims on real processes: kills, freezes, log and service faults

Cause: the reducer's tests cannot show that the adapters keep its promises. Change: eleven tests start a site and cause each fault; the plain service's own count of executions is the check. The log stand-in can hold back reads.

--- a/crates/arbutusfall_standins/src/log_service.rs
+++ b/crates/arbutusfall_standins/src/log_service.rs
@@ -55,6 +55,8 @@
     lose_answers: u32,
     /// Appends that are dropped without an answer.
     drop_appends: u32,
+    /// Reads of claims are never answered.
+    hold_reads: bool,
     /// Delay of every answer.
     slow_ms: u64,
     /// Records before this offset are removed from all streams, once.
@@ -172,6 +174,9 @@
             }
             (&Method::POST, ["streams", name, "records"]) => self.append(name, &request.body).await,
             (&Method::GET, ["streams", name, "records"]) => {
+                if faults.hold_reads && name.starts_with("claims") {
+                    return future::pending().await;
+                }
                 let from = query(uri, "from").unwrap_or(0);
                 let max = query(uri, "max").unwrap_or(1_000);
                 let wait = Duration::from_millis(query(uri, "wait_ms").unwrap_or(0));
--- a/crates/arbutusfall_standins/tests/it/main.rs
+++ b/crates/arbutusfall_standins/tests/it/main.rs
@@ -1,4 +1,5 @@
 //! Tests on real processes, driven by causes and not by sleeps.
 
+mod claims;
 mod demo;
 mod streams;
