Refuse as not run only what no engine can have generated

Cause: a request whose decode engine failed before its first token and that was then refused got the answer for requests that were not run, although the engine may have generated. Ruled out: an engine that was not reached and a transfer that was lost, after which nothing was generated.

--- a/crates/arbutusfall_core/src/streams.rs
+++ b/crates/arbutusfall_core/src/streams.rs
@@ -236,11 +236,13 @@
     }
 
     /// Tells the caller at once that its request does not run, and when to come back.
+    ///
+    /// A request that may have run is answered as failed instead.
     fn refuse(&mut self, id: RequestId, retry_after: Duration, ctx: &mut Context<'_>) {
         let Some(stream) = self.streams.get(&id) else {
             return;
         };
-        if stream.delivered_tokens > 0 {
+        if stream.delivered_tokens > 0 || stream.may_have_run {
             self.fail(id, ProblemKind::UpstreamFailed, ctx);
             return;
         }
--- a/crates/arbutusfall_core/src/streams/progress.rs
+++ b/crates/arbutusfall_core/src/streams/progress.rs
@@ -251,6 +251,7 @@
             return;
         };
         stream.failures += 1;
+        stream.may_have_run |= reached && end == GrantEnd::DecodeFailed;
         stream.avoid_failed(end);
         let given_up = stream.failures > MAX_FAILURES;
         let complete = stream.delivered_tokens >= stream.max_output_tokens;
--- a/crates/arbutusfall_core/src/streams/stream.rs
+++ b/crates/arbutusfall_core/src/streams/stream.rs
@@ -36,6 +36,8 @@
     /// Owners that did not answer the current placement.
     pub(crate) owner_tries: usize,
     pub(crate) failures: u32,
+    /// Whether a decode engine that failed may have generated tokens, so that the request counts as run.
+    pub(crate) may_have_run: bool,
     /// Endpoints that failed this request.
     pub(crate) avoid: Vec<Name>,
     pub(crate) phase: Phase,
@@ -150,6 +152,7 @@
             placement: 0,
             owner_tries: 0,
             failures: 0,
+            may_have_run: false,
             avoid: Vec::new(),
             phase: Phase::Placing { shard },
             result: None,
--- a/crates/arbutusfall_core/tests/it/streams_sessions.rs
+++ b/crates/arbutusfall_core/tests/it/streams_sessions.rs
@@ -366,3 +366,26 @@
     }
     assert!(exited, "the sweep takes over after the process is gone");
 }
+
+#[test]
+fn refusal_says_not_run_only_if_no_engine_can_have_generated() {
+    let retry_after = Duration::from_millis(500);
+    let answer_after = |failure| {
+        let mut play = Play::new();
+        play.ask(1);
+        play.granted(1, 1, 1);
+        play.prefill_done(1);
+        play.failed(decode(1, 1), failure);
+        let effects = play.placed("milano-a-2", 1, 2, PlaceDecision::Refused { retry_after });
+        let mut refusals = effects.into_iter().filter_map(|effect| match effect {
+            Effect::Refuse { problem, .. } => Some(problem.kind),
+            _ => None,
+        });
+        refusals.next()
+    };
+    let not_run = Some(ProblemKind::Overloaded);
+    assert_eq!(answer_after(EngineFailure::Unreachable), not_run);
+    assert_eq!(answer_after(EngineFailure::TransferLost), not_run);
+    let failed = Some(ProblemKind::UpstreamFailed);
+    assert_eq!(answer_after(EngineFailure::Closed), failed);
+}
