Retry a call once per failed try, and end all tries at a deadline

Cause: a try that failed and was overdue within the delay before its retry was counted twice against the budget; nothing bounded all tries together. Change: a call knows whether a try is in progress, and its deadline is the site's time for a whole answer. Late answers are counted as stale.

--- a/crates/arbutusfall_core/src/calls.rs
+++ b/crates/arbutusfall_core/src/calls.rs
@@ -56,6 +56,10 @@
 struct Call {
     service: Name,
     timeout: Duration,
+    /// Monotonic instant after which no try goes on.
+    deadline: Duration,
+    /// Whether a try is in progress, as opposed to the delay before the next.
+    trying: bool,
     attempt: u32,
     failed: Vec<Name>,
     endpoint: Name,
@@ -123,6 +127,8 @@
         let call = Call {
             service: service.clone(),
             timeout: route.timeout(),
+            deadline: ctx.now.monotonic + Duration::from_millis(ctx.site.limits.answer_timeout_ms),
+            trying: false,
             attempt: 0,
             failed: Vec::new(),
             endpoint: service.clone(),
@@ -138,21 +144,24 @@
         self.next_endpoint = self.next_endpoint.wrapping_add(1);
         let picked = pick_endpoint(ctx.site, &call.service, &call.failed, self.next_endpoint);
         let Some(endpoint) = picked else {
-            self.give_up(id, ctx);
+            self.give_up(id, ProblemKind::UpstreamFailed, ctx);
             return;
         };
+        let left = call.deadline.saturating_sub(ctx.now.monotonic);
+        let timeout = call.timeout.min(left);
         call.attempt += 1;
+        call.trying = true;
         call.endpoint = endpoint.clone();
         let order = ServiceOrder {
             call: id,
             attempt: call.attempt,
             address: ctx.site.endpoints[&endpoint].address,
             endpoint,
-            timeout: call.timeout,
+            timeout,
             key: None,
         };
         ctx.set_timer(
-            call.timeout,
+            timeout,
             Timer::CallOverdue {
                 call: id,
                 attempt: call.attempt,
@@ -164,6 +173,7 @@
     /// Passes the first answer on, from whichever try it comes; the call may be repeated, so each is as good.
     pub(crate) fn on_answered(&mut self, id: CallId, answer: ServiceAnswer, ctx: &mut Context<'_>) {
         if self.calls.remove(&id).is_none() {
+            ctx.count(Counter::StaleMessages);
             return;
         }
         ctx.count(Counter::CallsAnswered);
@@ -175,12 +185,18 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        if call.attempt != attempt {
+        // The same try may both fail and be overdue.
+        if call.attempt != attempt || !call.trying {
             return;
         }
+        call.trying = false;
         call.failed.push(call.endpoint.clone());
+        if ctx.now.monotonic >= call.deadline {
+            self.give_up(id, ProblemKind::AnswerTimeout, ctx);
+            return;
+        }
         if call.attempt >= MAX_ATTEMPTS || self.retry_tokens < 1.0 {
-            self.give_up(id, ctx);
+            self.give_up(id, ProblemKind::UpstreamFailed, ctx);
             return;
         }
         self.retry_tokens -= 1.0;
@@ -190,10 +206,10 @@
         ctx.set_timer(spread, Timer::RetryCall { call: id, attempt });
     }
 
-    fn give_up(&mut self, id: CallId, ctx: &mut Context<'_>) {
+    fn give_up(&mut self, id: CallId, kind: ProblemKind, ctx: &mut Context<'_>) {
         self.calls.remove(&id);
         ctx.count(Counter::CallsFailed);
-        let problem = Problem::retry(ProblemKind::UpstreamFailed, FAILED_RETRY_AFTER);
+        let problem = Problem::retry(kind, FAILED_RETRY_AFTER);
         ctx.push(Effect::Refuse { call: id, problem });
     }
 
--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/calls.rs
@@ -0,0 +1,122 @@
+//! Idempotent calls: retried within the budget, answered once and in time.
+
+use std::time::Duration;
+
+use arbutusfall_core::CallId;
+use arbutusfall_core::Counter;
+use arbutusfall_core::Effect;
+use arbutusfall_core::Event;
+use arbutusfall_core::ProblemKind;
+use arbutusfall_core::ServiceCall;
+use arbutusfall_core::ServiceOrder;
+use serde_json::json;
+
+use crate::claims_steps::OWN;
+use crate::claims_steps::answered;
+use crate::claims_steps::answers;
+use crate::claims_steps::call_of;
+use crate::claims_steps::refusals;
+use crate::claims_steps::service_failed;
+use crate::claims_steps::wait;
+use crate::session::Session;
+use crate::session::config_read;
+use crate::session::listed;
+use crate::session::site_base;
+
+/// Longer than the delay before a retry.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+fn alone() -> Session {
+    Session::serving(OWN, &[OWN])
+}
+
+fn lookup(call: u64) -> Event {
+    Event::ServiceCall(ServiceCall {
+        method: "GET".into(),
+        path: "/v1/status/4711".into(),
+        idempotency_key: None,
+        ..call_of(call, "", None)
+    })
+}
+
+fn orders(effects: &[Effect]) -> Vec<&ServiceOrder> {
+    let orders = effects.iter().filter_map(|effect| match effect {
+        Effect::CallService(order) => Some(order),
+        _ => None,
+    });
+    orders.collect()
+}
+
+#[test]
+fn failed_call_is_tried_again_at_another_endpoint() {
+    let mut session = alone();
+    let effects = session.apply(lookup(1));
+    let first = orders(&effects)[0].endpoint.clone();
+    session.apply(service_failed(1, 1, true));
+    let effects = wait(&mut session, RETRY_DELAY);
+    let second = orders(&effects)[0];
+    assert_eq!((second.call, second.attempt), (CallId(1), 2));
+    assert_ne!(second.endpoint, first);
+    assert_eq!(answers(&session.apply(answered(1, 2))), [1]);
+}
+
+#[test]
+fn silent_service_is_left_after_the_routes_timeout() {
+    let mut session = alone();
+    session.apply(lookup(1));
+    let effects = wait(&mut session, Duration::from_millis(950));
+    assert!(orders(&effects).is_empty());
+    let effects = wait(&mut session, Duration::from_millis(50) + RETRY_DELAY);
+    assert_eq!(orders(&effects).len(), 1);
+}
+
+#[test]
+fn try_that_fails_and_is_overdue_is_retried_once() {
+    let mut session = alone();
+    session.apply(lookup(1));
+    let mut effects = wait(&mut session, Duration::from_millis(1_000));
+    effects.extend(session.apply(service_failed(1, 1, true)));
+    let retried = effects
+        .iter()
+        .filter(|effect| **effect == Effect::Count(Counter::CallsRetried));
+    assert_eq!(retried.count(), 1);
+}
+
+#[test]
+fn first_of_two_answers_is_passed_on_and_the_late_one_dropped() {
+    let mut session = alone();
+    session.apply(lookup(1));
+    let effects = wait(&mut session, Duration::from_millis(1_000) + RETRY_DELAY);
+    assert_eq!(orders(&effects).len(), 1);
+    assert_eq!(answers(&session.apply(answered(1, 1))), [1]);
+    assert!(answers(&session.apply(answered(1, 2))).is_empty());
+}
+
+#[test]
+fn retries_stay_within_the_budget() {
+    let mut session = alone();
+    let mut retries = 0;
+    for call in 1..=100 {
+        session.apply(lookup(call));
+        session.apply(service_failed(call, 1, true));
+        retries += orders(&wait(&mut session, RETRY_DELAY)).len();
+        session.apply(answered(call, 2));
+    }
+    // Ten retries at the start, and one for each ten calls.
+    assert!((19..=20).contains(&retries), "{retries}");
+}
+
+#[test]
+fn all_tries_together_end_at_the_deadline() {
+    let mut session = Session::new(OWN);
+    let mut base = site_base();
+    base["limits"] = json!({ "answer_timeout_ms": 1_500 });
+    session.apply(Event::Started);
+    session.apply(Event::VmList(vec![listed(OWN)]));
+    session.apply(config_read(base));
+    session.apply(lookup(1));
+    let effects = wait(&mut session, Duration::from_millis(1_450));
+    assert_eq!(refusals(&effects), []);
+    let effects = wait(&mut session, Duration::from_millis(50));
+    assert_eq!(refusals(&effects), [(1, ProblemKind::AnswerTimeout)]);
+}
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the reducer: golden sessions, properties and explorations.
 
+mod calls;
 mod claims_exploration;
 mod claims_faults;
 mod claims_random;
--- /dev/null
+++ b/crates/arbutusfall_standins/examples/claim_cost.rs
@@ -0,0 +1,94 @@
+//! Measures appends and time per claim with several claims in progress, on a site of 7 VMs.
+//!
+//! Run it with `cargo build --release -p arbutusfall_standins` and then
+//! `cargo run --release -p arbutusfall_standins --example claim_cost`.
+
+use std::path::PathBuf;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use arbutusfall_standins::Caller;
+use arbutusfall_standins::Fleet;
+use arbutusfall_standins::FleetError;
+use arbutusfall_standins::SiteSize;
+use error_stack::Report;
+use error_stack::ResultExt;
+use futures_lite::future;
+use hyper::Method;
+
+const VMS: usize = 7;
+
+/// Calls of one measurement.
+const CALLS: usize = 1_400;
+
+fn main() -> Result<(), Report<FleetError>> {
+    let fleet = Fleet::start(&program()?, &SiteSize::vitosha(), VMS)?;
+    for in_progress in [1, 7, 50] {
+        measure(&fleet, in_progress)?;
+    }
+    Ok(())
+}
+
+/// The stand-ins' program, which is built beside the examples.
+fn program() -> Result<PathBuf, Report<FleetError>> {
+    let own = std::env::current_exe().change_context(FleetError::Files)?;
+    let built = own.ancestors().nth(2).unwrap_or(&own);
+    Ok(built.join("arbutusfall_standins"))
+}
+
+fn measure(fleet: &Fleet, in_progress: usize) -> Result<(), Report<FleetError>> {
+    let before = appends(fleet)?;
+    let started = Instant::now();
+    let callers: Vec<_> = (0..in_progress)
+        .map(|index| start_caller(fleet, index, CALLS / in_progress))
+        .collect();
+    let mut times = Vec::new();
+    for caller in callers {
+        let failed = |_| Report::new(FleetError::Command("a caller".to_owned()));
+        times.extend(caller.join().map_err(failed)?);
+    }
+    let elapsed = started.elapsed();
+    times.sort_unstable();
+    let appends = appends(fleet)? - before;
+    let calls = times.len();
+    println!(
+        "{in_progress} in progress: {calls} calls, {:.0} calls/s, {:.2} appends per claim, {:.0} appends/s, \
+         median {:.1?}, 95 in 100 {:.1?}, max {:.1?}",
+        calls as f64 / elapsed.as_secs_f64(),
+        appends as f64 / calls as f64,
+        appends as f64 / elapsed.as_secs_f64(),
+        times[calls / 2],
+        times[calls * 95 / 100],
+        times[calls - 1],
+    );
+    Ok(())
+}
+
+/// Makes calls one after another and returns the time of each.
+fn start_caller(fleet: &Fleet, index: usize, calls: usize) -> thread::JoinHandle<Vec<Duration>> {
+    let caller = Caller {
+        executor: fleet.executor.clone(),
+        key: fleet.site.key.to_owned(),
+    };
+    let vm = fleet.vms[index % VMS].caller_address;
+    let path = fleet.site.non_idempotent_path;
+    thread::spawn(move || {
+        let mut times = Vec::new();
+        for _ in 0..calls {
+            let key = uuid::Uuid::now_v7().to_string();
+            let headers = [("idempotency-key", &*key)];
+            let asked = Instant::now();
+            let call = caller.call(vm, Method::POST, path, &headers);
+            let answer = future::block_on(caller.executor.run(call));
+            assert!(answer.is_ok_and(|answer| answer.status == 200));
+            times.push(asked.elapsed());
+        }
+        times
+    })
+}
+
+fn appends(fleet: &Fleet) -> Result<u64, Report<FleetError>> {
+    let stats = fleet.get(fleet.log.address, "/stats")?;
+    Ok(stats["appends"].as_u64().unwrap_or_default())
+}
