--- a/crates/arbutusfall_core/src/config.rs
+++ b/crates/arbutusfall_core/src/config.rs
@@ -8,6 +8,8 @@
 
 pub use check::check_documents;
 pub use check::effective_site;
+pub(crate) use check::effective_site_like;
+pub(crate) use check::leaves_accounts;
 pub use document::ParseDocumentError;
 pub use document::parse_document;
 pub use fold::ConfigFold;
--- /dev/null
+++ b/crates/arbutusfall_core/src/config/check/entries.rs
@@ -0,0 +1,110 @@
+//! Typed reading of a merged document that names more than the first mistake.
+
+use arbutusfall_wire::ConfigProblem;
+use arbutusfall_wire::Document;
+use serde::de::DeserializeOwned;
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::config::Account;
+use crate::config::Endpoint;
+use crate::config::Model;
+use crate::config::Route;
+use crate::config::Service;
+use crate::config::SiteConfig;
+
+use super::problem;
+
+/// What stands between a mistake and what would be right in messages of the JSON library.
+const EXPECTED: &str = ", expected ";
+
+/// Reads a site's configuration; without success, adds every mistake that can be told from the others.
+pub(super) fn parse_site(
+    value: &Value,
+    document: &Document,
+    problems: &mut Vec<ConfigProblem>,
+) -> Option<SiteConfig> {
+    let error = match serde_path_to_error::deserialize(value) {
+        Ok(config) => return Some(config),
+        Err(error) => error,
+    };
+    let before = problems.len();
+    if let Some(sections) = value.as_object() {
+        let mut search = Search { document, problems };
+        for (name, section) in sections {
+            search.section(name, section);
+        }
+    }
+    if problems.len() == before {
+        problems.push(mistake(document, "", &error));
+    }
+    None
+}
+
+/// Looks for mistakes entry by entry.
+struct Search<'a> {
+    document: &'a Document,
+    problems: &'a mut Vec<ConfigProblem>,
+}
+
+impl Search<'_> {
+    fn section(&mut self, name: &str, section: &Value) {
+        match (name, section.as_object()) {
+            ("accounts", Some(entries)) => self.entries::<Account>(name, entries),
+            ("models", Some(entries)) => self.entries::<Model>(name, entries),
+            ("endpoints", Some(entries)) => self.entries::<Endpoint>(name, entries),
+            ("services", Some(entries)) => self.services(entries),
+            _ => self.read::<SiteConfig>("", &json!({ name: section })),
+        }
+    }
+
+    fn entries<T: DeserializeOwned>(&mut self, section: &str, entries: &Map<String, Value>) {
+        for (name, entry) in entries {
+            self.read::<T>(&format!("{section}.{name}"), entry);
+        }
+    }
+
+    fn services(&mut self, entries: &Map<String, Value>) {
+        for (name, entry) in entries {
+            let path = format!("services.{name}");
+            let Some(routes) = entry.get("routes").and_then(Value::as_array) else {
+                self.read::<Service>(&path, entry);
+                continue;
+            };
+            let mut rest = entry.clone();
+            rest["routes"] = json!([]);
+            self.read::<Service>(&path, &rest);
+            for (index, route) in routes.iter().enumerate() {
+                self.read::<Route>(&format!("{path}.routes[{index}]"), route);
+            }
+        }
+    }
+
+    fn read<T: DeserializeOwned>(&mut self, path: &str, value: &Value) {
+        let read: Result<T, _> = serde_path_to_error::deserialize(value);
+        if let Err(error) = read {
+            self.problems.push(mistake(self.document, path, &error));
+        }
+    }
+}
+
+fn mistake(
+    document: &Document,
+    above: &str,
+    error: &serde_path_to_error::Error<serde_json::Error>,
+) -> ConfigProblem {
+    let below = error.path().to_string();
+    let path = match (above, below.as_str()) {
+        ("", below) => below.to_owned(),
+        (above, ".") => above.to_owned(),
+        (above, below) => format!("{above}.{below}"),
+    };
+    let message = error.inner().to_string();
+    let (found, allowed) = match message.rsplit_once(EXPECTED) {
+        Some((found, allowed)) => (found, allowed.to_owned()),
+        None if message.starts_with("missing field") => (&*message, "the field".to_owned()),
+        None => (&*message, "see docs/OPERATING.md".to_owned()),
+    };
+    problem(document, &path, found.to_owned(), allowed)
+}
--- /dev/null
+++ b/crates/arbutusfall_core/src/config/check/ranges.rs
@@ -0,0 +1,225 @@
+//! Numbers and the ranges in which they make sense.
+
+use std::ops::RangeInclusive;
+
+use arbutusfall_wire::Name;
+
+use crate::config::Account;
+use crate::config::Endpoint;
+use crate::config::Model;
+use crate::config::Role;
+use crate::config::SiteConfig;
+
+const MINUTE_MS: u64 = 60_000;
+const HOUR_MS: u64 = 60 * MINUTE_MS;
+const DAY_S: u64 = 24 * 3_600;
+
+/// A number with its path and its range.
+type Ranged = (String, u64, RangeInclusive<u64>);
+
+/// Reports each number that is out of its range.
+pub(super) fn check_ranges(config: &SiteConfig, report: &mut impl FnMut(String, String, &str)) {
+    let mut check = |(path, value, range): Ranged| {
+        if !range.contains(&value) {
+            let allowed = format!("a number from {} to {}", range.start(), range.end());
+            report(path, value.to_string(), &allowed);
+        }
+    };
+    for (name, account) in &config.accounts {
+        account_ranges(account, |field, value, range| {
+            check((format!("accounts.{name}.{field}"), value, range));
+        });
+    }
+    for (name, endpoint) in &config.endpoints {
+        endpoint_ranges(name, endpoint)
+            .into_iter()
+            .for_each(&mut check);
+    }
+    for (name, model) in &config.models {
+        model_ranges(name, model).into_iter().for_each(&mut check);
+    }
+    for (name, service) in &config.services {
+        for (index, route) in service.routes.iter().enumerate() {
+            let path = format!("services.{name}.routes[{index}].timeout_ms");
+            check((path, route.timeout_ms, 1..=HOUR_MS));
+        }
+    }
+    site_ranges(config).into_iter().for_each(&mut check);
+}
+
+fn account_ranges(account: &Account, mut check: impl FnMut(&str, u64, RangeInclusive<u64>)) {
+    let concurrent = account.max_concurrent_requests;
+    check("max_concurrent_requests", concurrent.into(), 0..=1_000_000);
+    let rate = account.max_requests_per_s;
+    check("max_requests_per_s", rate.into(), 0..=1_000_000);
+    check("share", account.share.into(), 1..=1_000_000);
+}
+
+fn endpoint_ranges(name: &Name, endpoint: &Endpoint) -> Vec<Ranged> {
+    let path = |field: &str| format!("endpoints.{name}.{field}");
+    let slowest = u64::from(endpoint.role != Role::Plain);
+    let rate = endpoint.link_bytes_per_s;
+    vec![
+        (path("slots"), endpoint.slots.into(), 1..=100_000),
+        (
+            path("link_bytes_per_s"),
+            rate,
+            slowest..=1_000_000_000_000_000,
+        ),
+    ]
+}
+
+fn model_ranges(name: &Name, model: &Model) -> Vec<Ranged> {
+    let path = |field: &str| format!("models.{name}.{field}");
+    let first = model.first_token_target_ms;
+    let between = model.between_tokens_target_ms;
+    let rate = u64::from(model.prefill_tokens_per_s);
+    let lifetime = model.prefill_result_lifetime_ms;
+    let shard = u64::from(model.max_endpoints_per_shard);
+    vec![
+        (path("first_token_target_ms"), first, 1..=10 * MINUTE_MS),
+        (path("between_tokens_target_ms"), between, 1..=MINUTE_MS),
+        (
+            path("bytes_per_token"),
+            model.bytes_per_token.into(),
+            1..=64,
+        ),
+        (
+            path("piece_tokens"),
+            model.piece_tokens.into(),
+            1..=1_000_000,
+        ),
+        (path("prefill_tokens_per_s"), rate, 1..=100_000_000),
+        (path("decode_step_ms"), model.decode_step_ms, 1..=MINUTE_MS),
+        (
+            path("kv_bytes_per_token"),
+            model.kv_bytes_per_token,
+            0..=1_000_000_000,
+        ),
+        (
+            path("prefill_result_lifetime_ms"),
+            lifetime,
+            1..=10 * MINUTE_MS,
+        ),
+        (
+            path("max_output_tokens"),
+            model.max_output_tokens.into(),
+            1..=10_000_000,
+        ),
+        (
+            path("max_prompt_tokens"),
+            model.max_prompt_tokens.into(),
+            1..=10_000_000,
+        ),
+        (path("max_endpoints_per_shard"), shard, 1..=1_000),
+    ]
+}
+
+/// Ranges of the sections that are not lists of entries.
+fn site_ranges(config: &SiteConfig) -> Vec<Ranged> {
+    let limits = &config.limits;
+    let claims = &config.claims;
+    let timing = &config.timing;
+    let budget = u64::from(limits.retry_budget_percent);
+    let ranges = [
+        (
+            "limits.max_header_bytes",
+            limits.max_header_bytes.into(),
+            1_024..=1_048_576,
+        ),
+        (
+            "limits.max_body_bytes",
+            limits.max_body_bytes.into(),
+            1..=67_108_864,
+        ),
+        (
+            "limits.receive_timeout_ms",
+            limits.receive_timeout_ms,
+            1..=10 * MINUTE_MS,
+        ),
+        (
+            "limits.max_connections",
+            limits.max_connections.into(),
+            1..=1_000_000,
+        ),
+        (
+            "limits.answer_timeout_ms",
+            limits.answer_timeout_ms,
+            1..=HOUR_MS,
+        ),
+        ("limits.retry_budget_percent", budget, 0..=100),
+        ("claims.window_s", claims.window_s, 1..=30 * DAY_S),
+        ("claims.retention_s", claims.retention_s, 1..=366 * DAY_S),
+        (
+            "claims.max_key_skew_ms",
+            claims.max_key_skew_ms,
+            0..=10 * MINUTE_MS,
+        ),
+        ("claims.partitions", claims.partitions.into(), 1..=4_096),
+        (
+            "claims.claim_timeout_ms",
+            claims.claim_timeout_ms,
+            1..=10 * MINUTE_MS,
+        ),
+        (
+            "timing.vm_list_interval_ms",
+            timing.vm_list_interval_ms,
+            10..=MINUTE_MS,
+        ),
+        (
+            "timing.probe_interval_ms",
+            timing.probe_interval_ms,
+            10..=MINUTE_MS,
+        ),
+        (
+            "timing.probe_timeout_ms",
+            timing.probe_timeout_ms,
+            10..=MINUTE_MS,
+        ),
+        (
+            "timing.suspect_timeout_ms",
+            timing.suspect_timeout_ms,
+            10..=MINUTE_MS,
+        ),
+        (
+            "timing.place_timeout_ms",
+            timing.place_timeout_ms,
+            1..=MINUTE_MS,
+        ),
+        (
+            "timing.grant_report_interval_ms",
+            timing.grant_report_interval_ms,
+            10..=MINUTE_MS,
+        ),
+        (
+            "timing.grant_lifetime_ms",
+            timing.grant_lifetime_ms,
+            10..=10 * MINUTE_MS,
+        ),
+        (
+            "timing.engine_silence_ms",
+            timing.engine_silence_ms,
+            10..=10 * MINUTE_MS,
+        ),
+        (
+            "timing.sweep_interval_ms",
+            timing.sweep_interval_ms,
+            10..=10 * MINUTE_MS,
+        ),
+        (
+            "timing.platform_retry_ms",
+            timing.platform_retry_ms,
+            10..=MINUTE_MS,
+        ),
+        // With the time allowed for an exchange, a read that hangs must end well within 9 s.
+        ("timing.log_wait_ms", timing.log_wait_ms, 0..=6_000),
+        (
+            "timing.snapshot_interval_s",
+            timing.snapshot_interval_s,
+            1..=DAY_S,
+        ),
+    ];
+    ranges
+        .map(|(path, value, range)| (path.to_owned(), value, range))
+        .into()
+}
--- a/crates/arbutusfall_core/src/config/fold.rs
+++ b/crates/arbutusfall_core/src/config/fold.rs
@@ -12,7 +12,8 @@
 use serde_json::Value;
 use uuid::Uuid;
 
-use crate::config::check_documents;
+use crate::config::check::check_base;
+use crate::config::check::check_overlay;
 
 /// Decisions that are remembered for repeats of a publication.
 const MAX_DECIDED: usize = 256;
@@ -24,7 +25,7 @@
     next: Offset,
     /// Documents in force.
     ///
-    /// Invariant: with a base present, all documents together pass [`check_documents`].
+    /// Invariant: with a base present, all documents together pass [`check_documents`](crate::config::check_documents).
     documents: BTreeMap<Document, (Offset, Value)>,
     /// Latest decisions, oldest first.
     decided: Vec<DecidedPublication>,
@@ -92,14 +93,15 @@
         let record = serde_json::from_str(text);
         let gap = offset > self.next;
         match record {
+            // A snapshot covers records before its own; any other was not written by this fold.
             Ok(ConfigRecord::Snapshot {
                 through,
                 documents,
                 decided,
-            }) => {
+            }) if through < offset => {
                 let step = self.restore(through, documents, decided);
-                if through.next() >= offset || !gap {
-                    self.next = self.next.max(offset.next());
+                if self.next == offset {
+                    self.next = offset.next();
                 }
                 step
             }
@@ -112,7 +114,7 @@
                 self.next = offset.next();
                 self.publish(offset, publish_id, document, parent, content)
             }
-            Err(_) if !gap => {
+            _ if !gap => {
                 self.next = offset.next();
                 FoldStep::Unchanged
             }
@@ -121,13 +123,15 @@
     }
 
     /// Takes over a folded state that is further than this one.
+    ///
+    /// A state that would take a document back is not taken over, wherever it comes from.
     pub fn restore(
         &mut self,
         through: Offset,
         documents: Vec<RevisedDocument>,
         decided: Vec<DecidedPublication>,
     ) -> FoldStep {
-        if through.next() <= self.next {
+        if through.next() <= self.next || !self.is_later(through, &documents) {
             return FoldStep::Unchanged;
         }
         self.next = through.next();
@@ -139,6 +143,18 @@
         FoldStep::Restored
     }
 
+    /// Whether a folded state holds every document of this one, at the same revision or a later one.
+    fn is_later(&self, through: Offset, documents: &[RevisedDocument]) -> bool {
+        let consistent = documents.iter().all(|revised| revised.revision <= through);
+        consistent
+            && self.documents.iter().all(|(document, (revision, _))| {
+                let mut found = documents
+                    .iter()
+                    .filter(|revised| revised.document == *document);
+                found.any(|revised| revised.revision >= *revision)
+            })
+    }
+
     fn publish(
         &mut self,
         offset: Offset,
@@ -178,20 +194,24 @@
         if parent != in_force {
             return Err(Rejection::StaleParent { in_force });
         }
-        let absent = Value::Object(serde_json::Map::new());
-        let base = match document {
-            Document::Base => content,
-            Document::Overlay(_) => self.content(&Document::Base).unwrap_or(&absent),
-        };
-        let mut overlays: BTreeMap<Name, Value> = BTreeMap::new();
-        for (other, (_, content)) in &self.documents {
-            if let Document::Overlay(site) = other {
-                overlays.insert(site.clone(), content.clone());
+        let checked = match document {
+            Document::Base => check_base(content, self.overlays()),
+            Document::Overlay(site) => {
+                let absent = Value::Object(serde_json::Map::new());
+                let base = self.content(&Document::Base).unwrap_or(&absent);
+                // The other documents are valid with this base, by the fold's invariant.
+                check_overlay(base, site, content)
             }
-        }
-        if let Document::Overlay(site) = document {
-            overlays.insert(site.clone(), content.clone());
-        }
-        check_documents(base, &overlays).map_err(|problems| Rejection::Invalid { problems })
+        };
+        checked.map_err(|problems| Rejection::Invalid { problems })
+    }
+
+    fn overlays(&self) -> impl Iterator<Item = (&Name, &Value)> {
+        self.documents
+            .iter()
+            .filter_map(|(document, (_, content))| match document {
+                Document::Base => None,
+                Document::Overlay(site) => Some((site, content)),
+            })
     }
 }
--- a/crates/arbutusfall_core/src/config_reader.rs
+++ b/crates/arbutusfall_core/src/config_reader.rs
@@ -1,5 +1,8 @@
 //! Reads the configuration stream and brings what it folds to into force.
 
+mod peers;
+mod snapshots;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,27 +20,57 @@
 use crate::config::FoldStep;
 use crate::config::SiteConfig;
 use crate::config::effective_site;
+use crate::config::effective_site_like;
+use crate::config::leaves_accounts;
 use crate::context::Context;
 use crate::timers::Timer;
 
+use peers::CatchUp;
+use snapshots::Snapshots;
+
+/// Reads that may be in progress at once: the one that waits, and one that was asked for by a peer's news.
+const MAX_READS: u32 = 2;
+
 /// The configuration stream as this VM reads it.
 #[derive(Debug, Default)]
 pub(crate) struct ConfigReader {
     fold: ConfigFold,
     /// First offset of the next read; ahead of the fold while a snapshot is searched.
     read_from: Offset,
-    /// Whether the end of the stream was reached without a gap.
+    /// Whether all that was read is folded, so that the log may wait for something new.
+    at_end: bool,
+    /// Whether the present was reached once, by the log or by a peer.
     caught_up: bool,
-    in_force: Option<Arc<SiteConfig>>,
+    /// Whether the log lost records that no snapshot covers.
+    gap: bool,
     /// Whether the log failed to answer lately.
     down: bool,
     retries: u32,
+    reads_in_progress: u32,
+    in_force: Option<InForce>,
+    catch_up: CatchUp,
+    snapshots: Snapshots,
+}
+
+/// The configuration in force and the revisions that it was made from.
+#[derive(Debug)]
+struct InForce {
+    site: Arc<SiteConfig>,
+    base: Offset,
+    overlay: Option<Offset>,
+    /// Whether the overlay leaves the base's accounts alone.
+    base_accounts: bool,
 }
 
 impl ConfigReader {
     /// This site's configuration, once the stream was read to its end.
     pub(crate) fn in_force(&self) -> Option<&Arc<SiteConfig>> {
-        self.in_force.as_ref()
+        self.in_force.as_ref().map(|in_force| &in_force.site)
+    }
+
+    /// Whether later publications may be missing for good.
+    pub(crate) fn has_gap(&self) -> bool {
+        self.gap
     }
 
     pub(crate) fn base_revision(&self) -> Option<Offset> {
@@ -48,16 +81,23 @@
         self.fold.revision(&Document::Overlay(site.clone()))
     }
 
-    /// Asks for the records that were not read yet.
+    /// Asks for the records that were not read yet, unless the log was asked already.
     pub(crate) fn read(&mut self, ctx: &mut Context<'_>) {
-        let wait = if self.caught_up {
+        if self.reads_in_progress > 0 {
+            return;
+        }
+        let wait = if self.at_end {
             Duration::from_millis(ctx.site.timing.log_wait_ms)
         } else {
             Duration::ZERO
         };
-        let stream = LogStream::Config;
+        self.send_read(wait, ctx);
+    }
+
+    fn send_read(&mut self, wait: Duration, ctx: &mut Context<'_>) {
+        self.reads_in_progress += 1;
         ctx.push(Effect::ReadLog {
-            stream,
+            stream: LogStream::Config,
             from: self.read_from,
             wait,
         });
@@ -67,20 +107,26 @@
     pub(crate) fn on_log(&mut self, event: LogEvent, ctx: &mut Context<'_>) {
         match event {
             LogEvent::Read {
+                from,
                 oldest,
                 end,
                 records,
                 ..
             } => {
-                self.on_read(oldest, end, &records, ctx);
+                self.reads_in_progress = self.reads_in_progress.saturating_sub(1);
+                self.on_read(from, oldest, end, &records, ctx);
+            }
+            LogEvent::ReadFailed { .. } => {
+                self.reads_in_progress = self.reads_in_progress.saturating_sub(1);
+                self.on_failed(ctx);
             }
-            LogEvent::ReadFailed { .. } => self.on_failed(ctx),
             LogEvent::Appended { .. } | LogEvent::AppendFailed { .. } => {}
         }
     }
 
     fn on_read(
         &mut self,
+        from: Offset,
         oldest: Offset,
         end: Offset,
         records: &[LogRecord],
@@ -91,72 +137,120 @@
             self.down = false;
             ctx.note(Notice::LogUp(LogStream::Config));
         }
+        if self.is_ahead_of_log(from, end) {
+            self.start_over(ctx);
+            return;
+        }
         let before = self.fold.next();
-        let mut changed = false;
+        let seen = self.fold_records(records, ctx);
+        let progressed = self.fold.next() > before;
+        self.read_from = if progressed {
+            self.fold.next()
+        } else {
+            seen.max(oldest).max(self.fold.next())
+        };
+        self.at_end = self.read_from >= end;
+        self.set_gap(self.at_end && self.fold.next() < end, oldest, ctx);
+        self.caught_up |= self.fold.next() >= end;
+        self.bring_into_force(ctx);
+        self.snapshots.check_coverage(oldest, ctx);
+        self.read(ctx);
+    }
+
+    /// Folds records and returns the first offset that was not among them.
+    fn fold_records(&mut self, records: &[LogRecord], ctx: &mut Context<'_>) -> Offset {
         let mut seen = self.read_from;
         for record in records {
             seen = record.offset.next();
-            match self.fold.apply(record.offset, &record.text) {
-                FoldStep::Accepted(_) | FoldStep::Restored => changed = true,
-                FoldStep::Rejected(_) => ctx.count(Counter::ConfigRejected),
-                FoldStep::Unchanged => {}
+            self.snapshots.see(record, ctx);
+            if let FoldStep::Rejected(_) = self.fold.apply(record.offset, &record.text) {
+                ctx.count(Counter::ConfigRejected);
             }
         }
-        let progressed = self.fold.next() > before;
         ctx.members.set_config_next(self.fold.next());
-        self.read_from = if progressed {
-            self.fold.next()
-        } else {
-            seen.max(oldest)
-        };
-        let at_end = self.fold.next() >= end;
-        if self.read_from >= end && !at_end && self.caught_up {
+        seen
+    }
+
+    /// Whether a peer brought in a state that the log does not have.
+    fn is_ahead_of_log(&self, from: Offset, end: Offset) -> bool {
+        self.catch_up.unconfirmed && from >= self.fold.next() && end < self.fold.next()
+    }
+
+    /// Forgets what a peer brought in; the configuration in force stays until the log was read.
+    fn start_over(&mut self, ctx: &mut Context<'_>) {
+        ctx.count(Counter::ConfigDiscarded);
+        ctx.note(Notice::ConfigDiscarded {
+            next: self.fold.next(),
+        });
+        self.fold = ConfigFold::default();
+        self.read_from = Offset::default();
+        self.at_end = false;
+        self.caught_up = false;
+        self.catch_up = CatchUp::default();
+        ctx.members.set_config_next(self.fold.next());
+        self.read(ctx);
+    }
+
+    fn set_gap(&mut self, gap: bool, oldest: Offset, ctx: &mut Context<'_>) {
+        if gap == self.gap {
+            return;
+        }
+        self.gap = gap;
+        if gap {
             ctx.note(Notice::ConfigGap {
                 next: self.fold.next(),
                 oldest,
             });
         }
-        if changed || (at_end && !self.caught_up) {
-            self.caught_up |= at_end;
-            self.bring_into_force(ctx);
+        if self.in_force.is_some() {
+            ctx.push(Effect::SetReady(!gap));
         }
-        self.read(ctx);
     }
 
     fn bring_into_force(&mut self, ctx: &mut Context<'_>) {
-        if !self.caught_up {
-            return;
-        }
-        let site = &ctx.identity.site;
-        let Some(base) = self.fold.content(&Document::Base) else {
-            return;
-        };
-        let overlay = self.fold.content(&Document::Overlay(site.clone()));
-        let Ok(config) = effective_site(base, overlay, site) else {
+        let Some(base) = self.base_revision().filter(|_| self.caught_up) else {
             return;
         };
-        if !config.sites.contains(site) {
+        let overlay = self.overlay_revision(&ctx.identity.site);
+        let known = self.in_force.as_ref();
+        if known.is_some_and(|known| (known.base, known.overlay) == (base, overlay)) {
             return;
         }
-        let in_force = Arc::new(config);
-        if self.in_force.as_ref() == Some(&in_force) {
+        let Some(next) = self.make_in_force(base, overlay, &ctx.identity.site) else {
             return;
-        }
-        if self.in_force.is_none() {
+        };
+        if self.in_force.is_none() && !self.gap {
             ctx.push(Effect::SetReady(true));
         }
-        self.in_force = Some(in_force);
-        let base = self.base_revision().unwrap_or_default();
-        let overlay = self.overlay_revision(site);
+        let unchanged = known.is_some_and(|known| known.site == next.site);
+        self.in_force = Some(next);
+        if unchanged {
+            return;
+        }
         ctx.count(Counter::ConfigAccepted);
         ctx.note(Notice::ConfigInForce { base, overlay });
         ctx.push(Effect::ConfigInForce { base, overlay });
     }
 
-    /// Appends the folded state again at an interval, before retention removes its records.
-    pub(crate) fn on_snapshot_timer(&mut self, ctx: &mut Context<'_>) {
-        let interval = Duration::from_secs(ctx.site.timing.snapshot_interval_s);
-        ctx.set_timer(interval, Timer::SnapshotConfig);
+    /// Makes this site's configuration; none if the base does not name the site.
+    fn make_in_force(&self, base: Offset, overlay: Option<Offset>, site: &Name) -> Option<InForce> {
+        let base_content = self.fold.content(&Document::Base)?;
+        let overlay_content = self.fold.content(&Document::Overlay(site.clone()));
+        let base_accounts = leaves_accounts(overlay_content);
+        let known = self.in_force.as_ref();
+        let same_accounts =
+            known.filter(|known| known.base == base && known.base_accounts && base_accounts);
+        let made = match same_accounts {
+            Some(known) => effective_site_like(&known.site, base_content, overlay_content, site),
+            None => effective_site(base_content, overlay_content, site),
+        };
+        let config = made.ok().filter(|config| config.sites.contains(site))?;
+        Some(InForce {
+            site: Arc::new(config),
+            base,
+            overlay,
+            base_accounts,
+        })
     }
 
     fn on_failed(&mut self, ctx: &mut Context<'_>) {
--- a/crates/arbutusfall_core/src/counter.rs
+++ b/crates/arbutusfall_core/src/counter.rs
@@ -85,6 +85,12 @@
     AppendsFailed = "log.appends_failed",
     /// A configuration came into force.
     ConfigAccepted = "config.accepted",
+    /// A peer was asked for its configuration.
+    ConfigPulled = "config.pulled",
+    /// A snapshot of the configuration was offered to the log.
+    ConfigSnapshots = "config.snapshots",
+    /// A configuration from a peer was dropped because the log does not reach it.
+    ConfigDiscarded = "config.discarded",
     /// A publication was rejected.
     ConfigRejected = "config.rejected",
     /// A request exceeded its account's limits.
--- a/crates/arbutusfall_core/src/drain.rs
+++ b/crates/arbutusfall_core/src/drain.rs
@@ -28,6 +28,14 @@
         membership::announce_leaving(ctx);
     }
 
+    /// Keeps the readiness path from answering again once the drain began.
+    pub(crate) fn hold_readiness(self, ctx: &mut Context<'_>) {
+        if self != Self::Serving {
+            ctx.effects
+                .retain(|effect| *effect != Effect::SetReady(true));
+        }
+    }
+
     /// Ends the process once nothing is in progress.
     pub(crate) fn finish_if_idle(&mut self, idle: bool, ctx: &mut Context<'_>) {
         if *self != Self::Draining || !idle {
--- a/crates/arbutusfall_core/src/node.rs
+++ b/crates/arbutusfall_core/src/node.rs
@@ -109,6 +109,7 @@
             self.parts.on_peer(&own, message, &mut ctx);
         }
         self.parts.open_calls.settle(&mut ctx);
+        self.parts.drain.hold_readiness(&mut ctx);
         let idle = self.parts.is_idle();
         self.parts.drain.finish_if_idle(idle, &mut ctx);
         Output {
@@ -131,7 +132,7 @@
         });
         Status {
             identity: self.identity.clone(),
-            ready: self.parts.is_serving(),
+            ready: self.parts.is_serving() && !self.parts.config.has_gap(),
             draining: self.parts.drain != Drain::Serving,
             base_revision: self.parts.config.base_revision(),
             overlay_revision: self.parts.config.overlay_revision(&self.identity.site),
@@ -309,9 +310,18 @@
             PeerMessage::RecordOutcome(record) => self.partitions.on_outcome(record, ctx),
             PeerMessage::AskOutcome(asked) => self.executions.on_ask(&from.vm, asked, ctx),
             PeerMessage::TellOutcome(told) => self.executions.on_told(told, ctx),
-            PeerMessage::PullConfig(_) | PeerMessage::PushConfig(_) => {}
-            PeerMessage::Probe(probe) => membership::on_probe(&from.vm, probe, ctx),
-            PeerMessage::ProbeAck(ack) => membership::on_ack(&from.vm, ack, ctx),
+            PeerMessage::PullConfig(asked) => self.config.on_pull(&from.vm, &asked, ctx),
+            PeerMessage::PushConfig(pushed) => self.config.on_push(&from.vm, &pushed, ctx),
+            PeerMessage::Probe(probe) => {
+                let next = probe.config_next;
+                membership::on_probe(&from.vm, probe, ctx);
+                self.config.on_peer_position(&from.vm, next, ctx);
+            }
+            PeerMessage::ProbeAck(ack) => {
+                let next = ack.config_next;
+                membership::on_ack(&from.vm, ack, ctx);
+                self.config.on_peer_position(&from.vm, next, ctx);
+            }
             PeerMessage::ProbeFor(asked) => membership::on_probe_for(&from.vm, asked, ctx),
         }
     }
--- a/crates/arbutusfall_core/src/notice.rs
+++ b/crates/arbutusfall_core/src/notice.rs
@@ -28,6 +28,11 @@
         /// Oldest offset that the log keeps.
         oldest: Offset,
     },
+    /// A peer brought in configuration that the log does not have; the log is read again.
+    ConfigDiscarded {
+        /// First offset that the peer's state did not cover.
+        next: Offset,
+    },
     /// The log stopped answering.
     LogDown(LogStream),
     /// The log answers again.
@@ -66,6 +71,12 @@
                     "configuration records from {next} to {oldest} are gone from the log"
                 )
             }
+            Self::ConfigDiscarded { next } => {
+                write!(
+                    f,
+                    "the log ends before {next}, which a peer claimed to have read; reading it again"
+                )
+            }
             Self::LogDown(stream) => write!(f, "log stream {stream:?} does not answer"),
             Self::LogUp(stream) => write!(f, "log stream {stream:?} answers again"),
             Self::Member { vm, state } => write!(f, "VM {vm} is now {state:?}"),
--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/config_fold.rs
@@ -0,0 +1,394 @@
+//! The configuration fold over every order of the small cases, and over random histories with lost records.
+
+use std::collections::BTreeMap;
+
+use arbutusfall_core::config::ConfigFold;
+use arbutusfall_core::config::FoldStep;
+use arbutusfall_core::config::check_documents;
+use arbutusfall_wire::ConfigRecord;
+use arbutusfall_wire::Document;
+use arbutusfall_wire::Name;
+use arbutusfall_wire::Offset;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::Value;
+use serde_json::json;
+use uuid::Uuid;
+
+/// Documents in force with their revisions.
+type InForce = BTreeMap<Document, Offset>;
+
+fn overlay_document() -> Document {
+    Document::Overlay("rinnovo".into())
+}
+
+fn record(record: &ConfigRecord) -> String {
+    serde_json::to_string(record).expect("records are JSON")
+}
+
+fn publish(id: u128, document: Document, parent: Option<Offset>, content: Value) -> String {
+    record(&ConfigRecord::Publish {
+        publish_id: Uuid::from_u128(id),
+        document,
+        parent,
+        content,
+    })
+}
+
+fn base(mark: u64) -> Value {
+    json!({ "sites": ["rinnovo"], "limits": { "max_connections": mark } })
+}
+
+fn overlay(mark: u64) -> Value {
+    json!({ "limits": { "max_body_bytes": mark } })
+}
+
+fn in_force(fold: &ConfigFold) -> InForce {
+    let documents = [Document::Base, overlay_document()];
+    let revisions = documents
+        .into_iter()
+        .filter_map(|document| Some((document.clone(), fold.revision(&document)?)));
+    revisions.collect()
+}
+
+/// Fold of a log's records from an offset on.
+fn fold_from(log: &[String], oldest: usize) -> ConfigFold {
+    let mut fold = ConfigFold::default();
+    read_on(&mut fold, log, oldest);
+    fold
+}
+
+/// Reads like the reader: back to the fold's position after each snapshot that was taken over.
+fn read_on(fold: &mut ConfigFold, log: &[String], oldest: usize) {
+    let mut at = oldest.max(fold.next().0 as usize);
+    while at < log.len() {
+        let before = fold.next();
+        fold.apply(Offset(at as u64), &log[at]);
+        let progressed = fold.next() > before;
+        at = if progressed {
+            oldest.max(fold.next().0 as usize).min(at + 1)
+        } else {
+            at + 1
+        };
+    }
+}
+
+/// What one writer does next to the log.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Step {
+    /// An operator reads what is in force.
+    Read(usize),
+    /// An operator's append takes effect.
+    Append(usize),
+    /// A VM reads the log.
+    Fold(usize),
+    /// A VM's snapshot takes effect, however late.
+    Snapshot(usize),
+}
+
+/// Two operators, each editing one document from what it last read, and two VMs.
+#[derive(Debug, Clone)]
+struct World {
+    log: Vec<String>,
+    documents: [Document; 2],
+    parents: [Option<Option<Offset>>; 2],
+    vms: [ConfigFold; 2],
+    seen: [InForce; 2],
+}
+
+impl World {
+    fn new(documents: [Document; 2]) -> Self {
+        let log = vec![publish(1, Document::Base, None, base(1))];
+        Self {
+            vms: [fold_from(&log, 0), ConfigFold::default()],
+            log,
+            documents,
+            parents: [None, None],
+            seen: Default::default(),
+        }
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Read(operator) => {
+                let fold = fold_from(&self.log, 0);
+                self.parents[operator] = Some(fold.revision(&self.documents[operator]));
+            }
+            Step::Append(operator) => {
+                let document = self.documents[operator].clone();
+                let content = match document {
+                    Document::Base => base(10 + operator as u64),
+                    Document::Overlay(_) => overlay(10 + operator as u64),
+                };
+                let parent = self.parents[operator].unwrap_or_default();
+                let id = 10 + operator as u128;
+                self.log.push(publish(id, document, parent, content));
+            }
+            Step::Fold(vm) => {
+                let oldest = 0;
+                read_on(&mut self.vms[vm], &self.log, oldest);
+                self.check(vm);
+            }
+            Step::Snapshot(vm) => {
+                if let Some(snapshot) = self.vms[vm].snapshot() {
+                    self.log.push(record(&snapshot));
+                }
+            }
+        }
+    }
+
+    fn check(&mut self, vm: usize) {
+        let now = in_force(&self.vms[vm]);
+        for (document, revision) in &self.seen[vm] {
+            assert!(now.get(document) >= Some(revision), "{document:?} reverted");
+        }
+        self.seen[vm] = now;
+    }
+
+    /// All folds agree, from wherever they start as long as a snapshot covers what is gone.
+    fn check_end(mut self) {
+        for vm in 0..2 {
+            self.take(Step::Fold(vm));
+        }
+        let whole = fold_from(&self.log, 0);
+        assert_eq!(in_force(&self.vms[0]), in_force(&whole));
+        assert_eq!(in_force(&self.vms[1]), in_force(&whole));
+        for oldest in 1..self.log.len() {
+            let fold = fold_from(&self.log, oldest);
+            if fold.next() == whole.next() {
+                assert_eq!(in_force(&fold), in_force(&whole), "from {oldest}");
+            } else {
+                assert!(fold.next() < whole.next());
+            }
+        }
+        let documents: BTreeMap<Name, Value> = whole
+            .content(&overlay_document())
+            .map(|overlay| (Name::from("rinnovo"), overlay.clone()))
+            .into_iter()
+            .collect();
+        let base = whole.content(&Document::Base).expect("a base");
+        assert!(check_documents(base, &documents).is_ok());
+    }
+}
+
+/// Plays every interleaving of the writers' steps and returns how many there were.
+fn explore(world: &World, left: &[Vec<Step>]) -> u64 {
+    if left.iter().all(Vec::is_empty) {
+        world.clone().check_end();
+        return 1;
+    }
+    let mut cases = 0;
+    for writer in 0..left.len() {
+        let Some((step, rest)) = left[writer].split_first() else {
+            continue;
+        };
+        let mut world = world.clone();
+        world.take(*step);
+        let mut left = left.to_vec();
+        left[writer] = rest.to_vec();
+        cases += explore(&world, &left);
+    }
+    cases
+}
+
+#[test]
+fn every_order_of_two_operators_and_two_vms_gives_one_configuration() {
+    let pairs = [
+        [Document::Base, Document::Base],
+        [Document::Base, overlay_document()],
+        [overlay_document(), overlay_document()],
+    ];
+    let mut cases = 0;
+    for documents in pairs {
+        // Each operator repeats its append, as after a lost answer.
+        let operator = |index| vec![Step::Read(index), Step::Append(index), Step::Append(index)];
+        let writer = vec![Step::Fold(0), Step::Snapshot(0)];
+        let reader = vec![Step::Fold(1)];
+        let writers = vec![operator(0), operator(1), writer, reader];
+        cases += explore(&World::new(documents), &writers);
+    }
+    println!("{cases} interleavings");
+}
+
+#[test]
+fn a_snapshot_written_late_takes_nothing_back() {
+    let mut log = vec![publish(1, Document::Base, None, base(1))];
+    let old = fold_from(&log, 0).snapshot().expect("a record was folded");
+    let parent = Some(Offset(0));
+    log.push(publish(2, Document::Base, parent, base(2)));
+    log.push(record(&old));
+    let mut fold = fold_from(&log, 0);
+    assert_eq!(fold.revision(&Document::Base), Some(Offset(1)));
+    assert_eq!(fold.apply(Offset(3), &record(&old)), FoldStep::Unchanged);
+    assert_eq!(fold.revision(&Document::Base), Some(Offset(1)));
+    // Without the record that it does not cover, the late snapshot is not the present.
+    assert_eq!(fold_from(&log, 2).next(), Offset(1));
+}
+
+#[test]
+fn a_snapshot_that_claims_the_future_is_not_taken_over() {
+    let log = vec![publish(1, Document::Base, None, base(1))];
+    let mut fold = fold_from(&log, 0);
+    let forged = ConfigRecord::Snapshot {
+        through: Offset(9),
+        documents: Vec::new(),
+        decided: Vec::new(),
+    };
+    fold.apply(Offset(1), &record(&forged));
+    assert_eq!(fold.next(), Offset(2));
+    assert_eq!(fold.revision(&Document::Base), Some(Offset(0)));
+    let mut fresh = ConfigFold::default();
+    fresh.apply(Offset(4), &record(&forged));
+    assert_eq!(fresh.next(), Offset(0));
+}
+
+#[test]
+fn a_peers_state_never_takes_a_document_back() {
+    let log = vec![
+        publish(1, Document::Base, None, base(1)),
+        publish(2, Document::Base, Some(Offset(0)), base(2)),
+    ];
+    let mut fold = fold_from(&log, 0);
+    let old = fold_from(&log[..1], 0).snapshot();
+    let Some(ConfigRecord::Snapshot {
+        documents, decided, ..
+    }) = old
+    else {
+        panic!("a record was folded");
+    };
+    let step = fold.restore(Offset(50), documents, decided);
+    assert_eq!(step, FoldStep::Unchanged);
+    assert_eq!(fold.revision(&Document::Base), Some(Offset(1)));
+}
+
+#[test]
+fn a_repeat_that_is_no_longer_remembered_is_not_accepted_again() {
+    let mut log = vec![
+        publish(1, Document::Base, None, base(1)),
+        publish(2, Document::Base, Some(Offset(0)), base(2)),
+    ];
+    for number in 0..300 {
+        let parent = Some(Offset(log.len() as u64 - 1));
+        log.push(publish(1_000 + number, Document::Base, parent, base(3)));
+    }
+    let mut fold = fold_from(&log, 0);
+    assert!(fold.decision(Uuid::from_u128(2)).is_none());
+    let step = fold.apply(fold.next(), &log[1]);
+    assert!(matches!(step, FoldStep::Rejected(_)));
+    assert_eq!(fold.revision(&Document::Base), Some(Offset(301)));
+}
+
+/// What a random history does next.
+#[derive(Debug, Clone)]
+enum Event {
+    Publish {
+        document: bool,
+        stale: bool,
+        bad: bool,
+    },
+    Repeat {
+        age: usize,
+    },
+    Snapshot {
+        vm: usize,
+    },
+    LateSnapshot,
+    Garbage,
+    Fold {
+        vm: usize,
+    },
+    Expire {
+        keep: usize,
+    },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (any::<bool>(), any::<bool>(), prop::bool::weighted(0.2))
+            .prop_map(|(document, stale, bad)| Event::Publish { document, stale, bad }),
+        1 => (0..8usize).prop_map(|age| Event::Repeat { age }),
+        2 => (0..3usize).prop_map(|vm| Event::Snapshot { vm }),
+        1 => Just(Event::LateSnapshot),
+        1 => Just(Event::Garbage),
+        4 => (0..3usize).prop_map(|vm| Event::Fold { vm }),
+        1 => (0..12usize).prop_map(|keep| Event::Expire { keep }),
+    ]
+}
+
+/// Plays a history; VMs that meet a gap stay behind and must not show anything wrong.
+fn play(history: &[Event]) {
+    let mut log = vec![publish(1, Document::Base, None, base(1))];
+    let mut oldest = 0;
+    let mut vms = vec![ConfigFold::default(); 3];
+    let mut seen = vec![InForce::new(); 3];
+    let mut kept_snapshot = None;
+    for (number, event) in history.iter().enumerate() {
+        let truth = fold_from(&log, 0);
+        let mark = 100 + number as u64;
+        match event {
+            Event::Publish {
+                document,
+                stale,
+                bad,
+            } => {
+                let document = if *document {
+                    Document::Base
+                } else {
+                    overlay_document()
+                };
+                let parent = if *stale {
+                    Some(Offset(0))
+                } else {
+                    truth.revision(&document)
+                };
+                let content = match (&document, bad) {
+                    (_, true) => json!({ "limits": { "max_connections": 0 } }),
+                    (Document::Base, false) => base(mark),
+                    (Document::Overlay(_), false) => overlay(mark),
+                };
+                log.push(publish(mark.into(), document, parent, content));
+            }
+            Event::Repeat { age } => {
+                let from = log.len().saturating_sub(age + 1);
+                log.push(log[from].clone());
+            }
+            Event::Snapshot { vm } => log.extend(vms[*vm].snapshot().as_ref().map(record)),
+            Event::LateSnapshot => {
+                log.extend(kept_snapshot.take());
+                kept_snapshot = vms[0].snapshot().as_ref().map(record);
+            }
+            Event::Garbage => log.push("{\"publish\":1}".to_owned()),
+            Event::Fold { vm } => read_on(&mut vms[*vm], &log, oldest),
+            Event::Expire { keep } => oldest = oldest.max(log.len().saturating_sub(*keep)),
+        }
+        for (vm, fold) in vms.iter().enumerate() {
+            let now = in_force(fold);
+            let expected = fold_from(&log[..fold.next().0 as usize], 0);
+            assert_eq!(
+                now,
+                in_force(&expected),
+                "VM {vm} differs from the log's order"
+            );
+            for (document, revision) in &seen[vm] {
+                assert!(now.get(document) >= Some(revision), "{document:?} reverted");
+            }
+            seen[vm] = now;
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(41),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn random_histories_never_differ_from_the_order_of_the_log(
+        history in prop::collection::vec(event(), 1..40)
+    ) {
+        play(&history);
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/config_size.rs
@@ -0,0 +1,113 @@
+//! The configuration at its largest: 27,000 accounts and 39 models in one base, with overlays for six sites.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use arbutusfall_core::config::ConfigFold;
+use arbutusfall_core::config::FoldStep;
+use arbutusfall_core::config::effective_site;
+use arbutusfall_wire::ConfigRecord;
+use arbutusfall_wire::Document;
+use arbutusfall_wire::MAX_FRAME_BYTES;
+use arbutusfall_wire::Name;
+use arbutusfall_wire::Offset;
+use serde_json::Value;
+use serde_json::json;
+use uuid::Uuid;
+
+use crate::session::site_base;
+
+const ACCOUNTS: usize = 27_000;
+const MODELS: usize = 39;
+const SITES: usize = 6;
+
+fn large_base() -> Value {
+    let mut base = site_base();
+    let account = base["accounts"]["school"].clone();
+    let model = base["models"]["draft-models"].clone();
+    for number in 1..=ACCOUNTS {
+        let mut account = account.clone();
+        account["key_sha256"] = json!(format!("{number:064x}"));
+        base["accounts"][format!("account-{number}")] = account;
+    }
+    for number in 0..MODELS {
+        base["models"][format!("model-{number}")] = model.clone();
+    }
+    let sites: Vec<String> = (0..SITES).map(|site| format!("site-{site}")).collect();
+    base["sites"] = json!(sites);
+    base
+}
+
+fn publish(document: Document, parent: Option<Offset>, content: Value) -> String {
+    let record = ConfigRecord::Publish {
+        publish_id: Uuid::now_v7(),
+        document,
+        parent,
+        content,
+    };
+    serde_json::to_string(&record).expect("records are JSON")
+}
+
+/// A fold of the base and of an overlay for each site.
+fn large_fold() -> ConfigFold {
+    let mut fold = ConfigFold::default();
+    let text = publish(Document::Base, None, large_base());
+    assert_eq!(
+        fold.apply(Offset(0), &text),
+        FoldStep::Accepted(Document::Base)
+    );
+    for site in 0..SITES {
+        let overlay = Document::Overlay(format!("site-{site}").into());
+        let limits = json!({ "limits": { "max_connections": 1_000 + site } });
+        let text = publish(overlay.clone(), None, limits);
+        let step = fold.apply(fold.next(), &text);
+        assert_eq!(step, FoldStep::Accepted(overlay));
+    }
+    fold
+}
+
+fn median(mut times: Vec<Duration>) -> Duration {
+    times.sort_unstable();
+    times[times.len() / 2]
+}
+
+#[test]
+fn a_snapshot_of_the_largest_configuration_fits_a_frame() {
+    let snapshot = large_fold().snapshot().expect("records were folded");
+    let text = serde_json::to_string(&snapshot).expect("records are JSON");
+    println!("snapshot of {ACCOUNTS} accounts: {} bytes", text.len());
+    assert!(text.len() < MAX_FRAME_BYTES);
+}
+
+#[test]
+fn the_largest_configuration_is_folded_in_time() {
+    let mut fold = large_fold();
+    let mut overlays = Vec::new();
+    let mut bases = Vec::new();
+    for number in 0..5 {
+        let site = Document::Overlay("site-1".into());
+        let limits = json!({ "limits": { "max_connections": 2_000 + number } });
+        let text = publish(site.clone(), fold.revision(&site), limits);
+        let began = Instant::now();
+        assert_eq!(fold.apply(fold.next(), &text), FoldStep::Accepted(site));
+        overlays.push(began.elapsed());
+        let mut base = large_base();
+        base["limits"] = json!({ "max_connections": 3_000 + number });
+        let text = publish(Document::Base, fold.revision(&Document::Base), base);
+        let began = Instant::now();
+        let step = fold.apply(fold.next(), &text);
+        assert_eq!(step, FoldStep::Accepted(Document::Base));
+        bases.push(began.elapsed());
+    }
+    let overlay = fold.content(&Document::Overlay("site-1".into()));
+    let base = fold.content(&Document::Base).expect("a base");
+    let began = Instant::now();
+    let site = effective_site(base, overlay, &Name::from("site-1"));
+    let effective = began.elapsed();
+    assert!(site.is_ok());
+    println!(
+        "overlay {:?}, base {:?}, effective site {effective:?}",
+        median(overlays),
+        median(bases)
+    );
+}
--- a/crates/arbutusfall_wire/src/codec.rs
+++ b/crates/arbutusfall_wire/src/codec.rs
@@ -5,7 +5,7 @@
 use crate::Frame;
 
 /// Longest frame that is accepted from a peer, in bytes.
-pub const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
+pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
 /// A frame could not be encoded or decoded.
 #[derive(Debug, Clone, PartialEq, Eq)]
