--- a/crates/arbutusfall_core/src/config_reader.rs
+++ b/crates/arbutusfall_core/src/config_reader.rs
@@ -32,7 +32,7 @@
 const MAX_READS: u32 = 2;
 
 /// The configuration stream as this VM reads it.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct ConfigReader {
     fold: ConfigFold,
     /// First offset of the next read; ahead of the fold while a snapshot is searched.
@@ -53,7 +53,7 @@
 }
 
 /// The configuration in force and the revisions that it was made from.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct InForce {
     site: Arc<SiteConfig>,
     base: Offset,
--- a/crates/arbutusfall_core/src/config_reader/peers.rs
+++ b/crates/arbutusfall_core/src/config_reader/peers.rs
@@ -23,7 +23,7 @@
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What was asked of peers.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct CatchUp {
     /// Peer that was asked last, and until when its answer is waited for.
     asked: Option<(Name, Duration)>,
--- a/crates/arbutusfall_core/src/config_reader/snapshots.rs
+++ b/crates/arbutusfall_core/src/config_reader/snapshots.rs
@@ -21,7 +21,7 @@
 const URGENT_SPREAD: Duration = Duration::from_secs(5);
 
 /// Snapshots seen on the stream, and when to look again.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Snapshots {
     latest: Option<Seen>,
     /// Instant of the next regular look.
@@ -32,7 +32,7 @@
 }
 
 /// The latest snapshot on the stream.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Seen {
     offset: Offset,
     through: Offset,
--- a/crates/arbutusfall_core/src/membership.rs
+++ b/crates/arbutusfall_core/src/membership.rs
@@ -37,20 +37,31 @@
 /// Processes off the list whose incarnation is remembered.
 const MAX_UNLISTED: usize = 64;
 
+/// Lists without its VM after which a process that is not heard of is forgotten.
+const MAX_LISTS_WITHOUT: u32 = 5;
+
 /// What this VM knows of the others.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Membership {
     own_vm: Name,
     own: Life,
     members: BTreeMap<Name, Member>,
     /// Processes that sent messages although the list does not name their VM yet.
-    unlisted: BTreeMap<Name, Incarnation>,
+    unlisted: BTreeMap<Name, Unlisted>,
     news: NewsQueue,
     probes: Probes,
     /// Next offset of the configuration stream, as probes tell it to peers.
     config_next: Offset,
 }
 
+/// A process off the list.
+#[derive(Debug, Clone, Copy)]
+struct Unlisted {
+    incarnation: Incarnation,
+    /// Lists that may still come without its VM before it is forgotten.
+    lists_left: u32,
+}
+
 /// One VM, this one included once the list names it.
 #[derive(Debug, Clone)]
 pub(crate) struct Member {
@@ -137,7 +148,7 @@
             || self
                 .unlisted
                 .values()
-                .any(|unlisted| *unlisted == incarnation)
+                .any(|unlisted| unlisted.incarnation == incarnation)
     }
 
     /// Takes over a new list; the answer says what changed.
@@ -167,6 +178,10 @@
             });
         }
         self.members = members;
+        self.unlisted.retain(|_, unlisted| {
+            unlisted.lists_left = unlisted.lists_left.saturating_sub(1);
+            unlisted.lists_left > 0
+        });
         notices
     }
 
@@ -174,7 +189,8 @@
         let life = if listed.vm == self.own_vm {
             self.own.clone()
         } else {
-            Life::unheard(self.unlisted.remove(&listed.vm))
+            let heard = self.unlisted.remove(&listed.vm);
+            Life::unheard(heard.map(|unlisted| unlisted.incarnation))
         };
         let state = if listed.leaving {
             MemberState::Leaving
@@ -191,7 +207,11 @@
     /// Remembers the process of a VM that the list does not name.
     fn remember_unlisted(&mut self, vm: &Name, incarnation: Incarnation) {
         if self.unlisted.len() < MAX_UNLISTED || self.unlisted.contains_key(vm) {
-            self.unlisted.insert(vm.clone(), incarnation);
+            let unlisted = Unlisted {
+                incarnation,
+                lists_left: MAX_LISTS_WITHOUT,
+            };
+            self.unlisted.insert(vm.clone(), unlisted);
         }
     }
 
--- a/crates/arbutusfall_core/src/membership/news.rs
+++ b/crates/arbutusfall_core/src/membership/news.rs
@@ -17,7 +17,7 @@
 const SENDS_PER_DOUBLING: u32 = 4;
 
 /// VMs of which there is news, with the messages that are still to carry it.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct NewsQueue {
     remaining: BTreeMap<Name, u32>,
 }
--- a/crates/arbutusfall_core/src/membership/probe.rs
+++ b/crates/arbutusfall_core/src/membership/probe.rs
@@ -23,7 +23,7 @@
 const HELPERS: usize = 3;
 
 /// Probes that were not acknowledged yet, and whom to probe next.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Probes {
     sequence: u64,
     /// Peers of this round that were not probed yet, so that each is probed once a round.
@@ -32,7 +32,7 @@
 }
 
 /// A probe that was not acknowledged yet.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Pending {
     target: Name,
     due: Duration,
@@ -283,7 +283,9 @@
             continue;
         }
         let Some(member) = ctx.members.members.get_mut(&piece.vm) else {
-            ctx.members.remember_unlisted(&piece.vm, piece.incarnation);
+            if piece.state < MemberState::Dead {
+                ctx.members.remember_unlisted(&piece.vm, piece.incarnation);
+            }
             continue;
         };
         if member.life.learn(&piece) {
--- a/crates/arbutusfall_core/src/timers.rs
+++ b/crates/arbutusfall_core/src/timers.rs
@@ -29,6 +29,7 @@
     SnapshotConfig,
     ReportGrants,
     SweepEndpoints,
+    PollEngines,
     SweepClaims,
     PlaceOverdue {
         request: RequestId,
@@ -40,7 +41,9 @@
     },
     StageOverdue {
         attempt: AttemptId,
-        progress: u32,
+    },
+    AnswerOverdue {
+        request: RequestId,
     },
     RetryCancel {
         attempt: AttemptId,
@@ -67,7 +70,7 @@
 }
 
 /// Timers by due instant; equal instants keep the order in which they were set.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Timers {
     pending: BTreeMap<(Duration, u64), Timer>,
     sequence: u64,
