--- a/crates/arbutusfall_core/tests/it/config_reader.rs
+++ b/crates/arbutusfall_core/tests/it/config_reader.rs
@@ -244,10 +244,13 @@
 
 #[test]
 fn a_stream_that_no_new_vm_could_read_gets_a_snapshot_at_once() {
-    let records = records();
+    let mut records = records();
+    records.push(snapshot_of(&records));
     let mut session = started();
     session.apply(page(0, 0, &records));
-    session.apply(page(10, 4, &records));
+    records.push("{}".to_owned());
+    // The snapshot is recent, and gone.
+    session.apply(page(11, 11, &records));
     session.advance(Duration::from_secs(5));
     let effects = session.apply(Event::Tick);
     assert_eq!(appends(&effects), 1);
