--- a/crates/arbutusfall/src/driver.rs
+++ b/crates/arbutusfall/src/driver.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use arbutusfall_core::Effect;
 use arbutusfall_core::Event;
@@ -27,11 +28,15 @@
 use crate::callers::Callers;
 use crate::engines::Engines;
 use crate::engines::hop_span;
+use crate::http::Listening;
 use crate::peers::Peers;
 use crate::services::Services;
 use crate::telemetry::Telemetry;
 use crate::vm_list;
 
+/// Time that callers have to take the last bytes of their answers.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// What the driver is given.
 #[derive(Debug)]
 pub(crate) enum Input {
@@ -39,6 +44,8 @@
     Event(Event),
     /// An operator asks for the state.
     Status(Sender<Status>),
+    /// All answers are written.
+    Flushed,
 }
 
 /// Owner of the reducer.
@@ -48,6 +55,8 @@
     pub(crate) settings: Settings,
     pub(crate) executor: Arc<Executor>,
     pub(crate) inputs: Receiver<Input>,
+    /// Callers' connections, until they are closed.
+    pub(crate) listening: Option<Listening>,
     pub(crate) sender: Sender<Input>,
     pub(crate) calls: Arc<CallTable>,
     pub(crate) callers: Arc<Callers>,
@@ -68,10 +77,6 @@
                 Some(Input::Event(event)) => {
                     let output = self.node.apply(event, self.clock.now());
                     for effect in output.effects {
-                        if effect == Effect::Exit {
-                            self.peers.close();
-                            return;
-                        }
                         self.perform(effect);
                     }
                     output.wake_at
@@ -81,7 +86,10 @@
                     let _ = answer.try_send(self.node.status());
                     Some(self.clock.now().monotonic)
                 }
-                None => return,
+                Some(Input::Flushed) | None => {
+                    self.peers.close();
+                    return;
+                }
             };
             input = self.next_input(wake_at).await;
         }
@@ -154,10 +162,24 @@
                 }
             }
             Effect::SetReady(ready) => self.ready.store(ready, Ordering::Relaxed),
-            Effect::Exit => {}
+            Effect::Exit => self.flush(),
         }
     }
 
+    /// Has the last answers written before the process ends; requests that still come are refused meanwhile.
+    fn flush(&mut self) {
+        let Some(listening) = self.listening.take() else {
+            return;
+        };
+        let sender = self.sender.clone();
+        let flush = async move {
+            listening.close(FLUSH_TIMEOUT).await;
+            // The channel is closed only while the process exits.
+            let _ = sender.try_send(Input::Flushed);
+        };
+        self.executor.spawn(flush).detach();
+    }
+
     fn stream_name(&self, stream: LogStream) -> String {
         match stream {
             LogStream::Config => "config".to_owned(),
--- a/crates/arbutusfall/src/http.rs
+++ b/crates/arbutusfall/src/http.rs
@@ -12,6 +12,7 @@
 pub use client::post_json;
 pub use client::read_body;
 pub use client::send;
+pub use server::Listening;
 pub use server::ReadBodyError;
 pub use server::ServerLimits;
 pub use server::json_answer;
--- a/crates/arbutusfall/src/http/server.rs
+++ b/crates/arbutusfall/src/http/server.rs
@@ -4,11 +4,14 @@
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_channel::Receiver;
+use async_channel::Sender;
 use async_net::TcpListener;
 use async_net::TcpStream;
 use futures_lite::FutureExt;
@@ -53,7 +56,32 @@
     }
 }
 
-/// Accepts connections for ever; `limits` is asked at each connection, so that it can change.
+/// A listener with its connections; dropping it closes them.
+#[derive(Debug)]
+pub struct Listening {
+    /// Closes when connections are to end.
+    stop: Sender<Infallible>,
+    /// Closes when the last connection has ended.
+    ended: Receiver<Infallible>,
+}
+
+impl Listening {
+    /// Accepts no more connections, closes idle ones and lets each answer in progress be written to its end;
+    /// returns when all connections are closed, or after `within`.
+    pub async fn close(self, within: Duration) {
+        drop(self.stop);
+        let ended = async {
+            // Nothing is ever sent: the channel closes.
+            let _ = self.ended.recv().await;
+        };
+        let expire = async {
+            async_io::Timer::after(within).await;
+        };
+        ended.or(expire).await;
+    }
+}
+
+/// Accepts connections; `limits` is asked at each connection, so that it can change.
 ///
 /// # Errors
 ///
@@ -63,7 +91,7 @@
     address: SocketAddr,
     limits: impl Fn() -> ServerLimits + Send + 'static,
     handler: H,
-) -> std::io::Result<()>
+) -> std::io::Result<Listening>
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<AnswerBody>> + Send + 'static,
@@ -71,9 +99,14 @@
     let listener = TcpListener::bind(address).await?;
     let open = Arc::new(AtomicUsize::new(0));
     let accepting = executor.clone();
+    let (stop, stopped) = async_channel::bounded(1);
+    let (alive, ended) = async_channel::bounded(1);
     let accept = async move {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
+            let Some(accepted) = accept_unless_stopped(&listener, &stopped).await else {
+                return;
+            };
+            let Ok(stream) = accepted else {
                 // Out of descriptors or the like: wait for some to be closed.
                 async_io::Timer::after(Duration::from_millis(50)).await;
                 continue;
@@ -85,19 +118,40 @@
             open.fetch_add(1, Ordering::Relaxed);
             let open = open.clone();
             let handler = handler.clone();
+            let stopped = stopped.clone();
+            let alive: Sender<Infallible> = alive.clone();
             let connection = async move {
-                serve_connection(stream, limits, handler).await;
+                serve_connection(stream, limits, handler, &stopped).await;
                 open.fetch_sub(1, Ordering::Relaxed);
+                drop(alive);
             };
             accepting.spawn(connection).detach();
         }
     };
     executor.spawn(accept).detach();
-    Ok(())
+    Ok(Listening { stop, ended })
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, limits: ServerLimits, handler: H)
-where
+/// The next connection; none once the listener is to stop.
+async fn accept_unless_stopped(
+    listener: &TcpListener,
+    stopped: &Receiver<Infallible>,
+) -> Option<std::io::Result<TcpStream>> {
+    let accept = async { Some(listener.accept().await.map(|(stream, _)| stream)) };
+    let stop = async {
+        // Nothing is ever sent: the channel closes.
+        let _ = stopped.recv().await;
+        None
+    };
+    stop.or(accept).await
+}
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    limits: ServerLimits,
+    handler: H,
+    stopped: &Receiver<Infallible>,
+) where
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<AnswerBody>>,
 {
@@ -112,8 +166,22 @@
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_HEADER_BYTES))
         .serve_connection(FuturesIo::new(stream), service);
-    // A failure means that the other side is gone, which the handler's answer notices.
-    let _ = connection.await;
+    let mut connection = pin!(connection);
+    let serve = async {
+        // A failure means that the other side is gone, which the handler's answer notices.
+        let _ = connection.as_mut().await;
+        false
+    };
+    let stop = async {
+        // Nothing is ever sent: the channel closes.
+        let _ = stopped.recv().await;
+        true
+    };
+    if serve.or(stop).await {
+        connection.as_mut().graceful_shutdown();
+        // As above.
+        let _ = connection.await;
+    }
 }
 
 /// A request's body could not be read.
--- a/crates/arbutusfall/src/serve.rs
+++ b/crates/arbutusfall/src/serve.rs
@@ -30,6 +30,7 @@
 use crate::driver::Input;
 use crate::engines::Engines;
 use crate::http;
+use crate::http::Listening;
 use crate::http::ServerLimits;
 use crate::operators::Operators;
 use crate::peers::Peers;
@@ -116,14 +117,15 @@
         view: RwLock::new(None),
     });
     let ready = Arc::new(AtomicBool::new(false));
-    listen_to_callers(executor, &settings, &callers).await?;
-    listen_to_operators(executor, &settings, &ready, &sender, &telemetry).await?;
+    let listening = listen_to_callers(executor, &settings, &callers).await?;
+    let operators = listen_to_operators(executor, &settings, &ready, &sender, &telemetry).await?;
     watch_signals(executor, sender.clone())?;
     let driver = Driver {
         node: Node::new(identity, fastrand::u64(..)),
         clock: SystemClock::start(),
         executor: executor.clone(),
         inputs,
+        listening: Some(listening),
         calls: calls.clone(),
         callers,
         engines: Arc::new(Engines {
@@ -147,6 +149,7 @@
         settings,
     };
     driver.run().await;
+    drop(operators);
     fastrace::flush();
     Ok(())
 }
@@ -155,7 +158,7 @@
     executor: &Arc<Executor>,
     settings: &Settings,
     callers: &Arc<Callers>,
-) -> Result<(), Report<ServeError>> {
+) -> Result<Listening, Report<ServeError>> {
     let limits = callers.clone();
     let handler = callers.clone();
     let address = settings.caller_address;
@@ -174,7 +177,7 @@
     ready: &Arc<AtomicBool>,
     inputs: &Sender<Input>,
     telemetry: &Arc<Telemetry>,
-) -> Result<(), Report<ServeError>> {
+) -> Result<Listening, Report<ServeError>> {
     let operators = Arc::new(Operators {
         ready: ready.clone(),
         inputs: inputs.clone(),
--- a/crates/arbutusfall_standins/src/stand_in.rs
+++ b/crates/arbutusfall_standins/src/stand_in.rs
@@ -93,7 +93,7 @@
     let listening = http::listen(executor.clone(), address, limits, handler);
     future::block_on(executor.run(async {
         match listening.await {
-            Ok(()) => future::pending().await,
+            Ok(_listening) => future::pending().await,
             Err(_) => ExitCode::from(1),
         }
     }))
