--- a/crates/arbutusfall/src/publish.rs
+++ b/crates/arbutusfall/src/publish.rs
@@ -3,9 +3,11 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use arbutusfall_core::config::ConfigFold;
 use arbutusfall_wire::ConfigRecord;
+use arbutusfall_wire::DecidedPublication;
 use arbutusfall_wire::Document;
 use arbutusfall_wire::Name;
 use arbutusfall_wire::Offset;
@@ -17,6 +19,8 @@
 
 use crate::Executor;
 use crate::LogClient;
+use crate::LogError;
+use crate::log_client::PageRecord;
 
 /// Name of the configuration stream.
 const CONFIG_STREAM: &str = "config";
@@ -27,6 +31,9 @@
 /// Delay between tries.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Uncertainty of the instant at which a record was appended, as told by its age when it was read.
+const AGE_TOLERANCE: Duration = Duration::from_millis(20);
+
 /// How a publication ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Published {
@@ -47,6 +54,16 @@
         /// Id by which a repeat is the same publication.
         publish_id: Uuid,
     },
+    /// The publication was offered before, too long ago for the log to tell how it was decided.
+    Forgotten {
+        /// Its id.
+        publish_id: Uuid,
+    },
+    /// The id does not hold the instant at which it was made.
+    NotVersion7 {
+        /// The id.
+        publish_id: Uuid,
+    },
     /// The log holds records that cannot be folded to the present.
     Gap,
 }
@@ -57,10 +74,24 @@
             Self::LogUnavailable { publish_id } => {
                 write!(
                     f,
-                    "the log does not answer; repeat with --publish-id {publish_id}"
+                    "the log does not answer, so the outcome is not known; \
+                     repeat with --publish-id {publish_id}"
+                )
+            }
+            Self::Forgotten { publish_id } => {
+                write!(
+                    f,
+                    "publication {publish_id} is too old to be repeated; \
+                     see what is in force and publish anew"
                 )
             }
-            Self::Gap => f.write_str("configuration records are gone from the log"),
+            Self::NotVersion7 { publish_id } => {
+                write!(f, "publish id {publish_id} is not a UUID of version 7")
+            }
+            Self::Gap => f.write_str(
+                "configuration records are gone from the log and no snapshot covers them; \
+                 a running VM writes one within seconds",
+            ),
         }
     }
 }
@@ -69,6 +100,8 @@
 
 /// Publishes a document; a repeat with the same id is the same publication.
 ///
+/// A document that was changed after the id was made is not replaced: the edit did not see that change.
+///
 /// # Errors
 ///
 /// [`PublishError`] if the log does not tell how the publication was decided.
@@ -82,20 +115,27 @@
     let log = LogClient {
         address: log_service,
     };
+    let made_at = made_at(publish_id)?;
     let unavailable = PublishError::LogUnavailable { publish_id };
     let mut parent = None;
     for attempt in 0..MAX_TRIES {
         if attempt > 0 {
             async_io::Timer::after(RETRY_AFTER).await;
         }
-        let Ok(fold) = read_fold(executor, log).await? else {
+        let Ok(present) = Present::read(executor, log, publish_id).await? else {
             continue;
         };
-        if let Some(published) = decided(&fold, publish_id) {
+        if let Some(published) = present.published() {
             return Ok(published);
         }
         // The parent is read once: a repeat must not adopt somebody else's edit.
-        let parent = *parent.get_or_insert_with(|| fold.revision(&document));
+        let parent = match parent {
+            Some(parent) => parent,
+            None => match present.parent(&document, publish_id, made_at)? {
+                Ok(read) => *parent.insert(read),
+                Err(rejection) => return Ok(Published::Rejected(rejection)),
+            },
+        };
         let record = ConfigRecord::Publish {
             publish_id,
             document: document.clone(),
@@ -107,8 +147,8 @@
         let _ = log
             .append(executor, CONFIG_STREAM, &[Name::from(text)])
             .await;
-        if let Ok(fold) = read_fold(executor, log).await?
-            && let Some(published) = decided(&fold, publish_id)
+        if let Ok(present) = Present::read(executor, log, publish_id).await?
+            && let Some(published) = present.published()
         {
             return Ok(published);
         }
@@ -116,45 +156,121 @@
     Err(Report::new(unavailable))
 }
 
-fn decided(fold: &ConfigFold, publish_id: Uuid) -> Option<Published> {
-    let decided = fold.decision(publish_id)?;
-    Some(match &decided.rejection {
-        None => Published::Accepted {
-            revision: decided.offset,
-        },
-        Some(rejection) => Published::Rejected(rejection.clone()),
-    })
+/// When an id was made, since the Unix epoch.
+fn made_at(publish_id: Uuid) -> Result<Duration, Report<PublishError>> {
+    let timestamp = publish_id
+        .get_timestamp()
+        .filter(|_| publish_id.get_version_num() == 7);
+    let timestamp = timestamp.ok_or_else(|| PublishError::NotVersion7 { publish_id })?;
+    let (seconds, nanos) = timestamp.to_unix();
+    Ok(Duration::new(seconds, nanos))
 }
 
-/// Folds the whole stream; the inner error means that the log did not answer.
-async fn read_fold(
-    executor: &Executor,
-    log: LogClient,
-) -> Result<Result<ConfigFold, crate::LogError>, Report<PublishError>> {
-    let mut fold = ConfigFold::default();
-    let mut from = Offset(0);
-    loop {
-        let page = match log
-            .read(executor, CONFIG_STREAM, from, Duration::ZERO)
-            .await
-        {
-            Ok(page) => page,
-            Err(error) => return Ok(Err(error)),
+/// The stream folded to its end, and what it tells of one publication.
+#[derive(Debug)]
+struct Present {
+    fold: ConfigFold,
+    publish_id: Uuid,
+    /// How the publication was decided, even if the fold no longer remembers it.
+    decided: Option<DecidedPublication>,
+    /// Whether the stream holds the publication.
+    offered: bool,
+    /// Offsets of the kept records with the instants at which they were appended, since the Unix epoch.
+    appended_at: Vec<(Offset, Duration)>,
+}
+
+impl Present {
+    /// Folds the whole stream; the inner error means that the log did not answer.
+    async fn read(
+        executor: &Executor,
+        log: LogClient,
+        publish_id: Uuid,
+    ) -> Result<Result<Self, LogError>, Report<PublishError>> {
+        let mut present = Self {
+            fold: ConfigFold::default(),
+            publish_id,
+            decided: None,
+            offered: false,
+            appended_at: Vec::new(),
         };
-        let before = fold.next();
-        from = from.max(page.oldest);
-        for record in &page.records {
-            from = record.offset.next();
-            fold.apply(record.offset, &record.text);
+        let mut from = Offset(0);
+        loop {
+            let page = match log
+                .read(executor, CONFIG_STREAM, from, Duration::ZERO)
+                .await
+            {
+                Ok(page) => page,
+                Err(error) => return Ok(Err(error)),
+            };
+            let before = present.fold.next();
+            from = from.max(page.oldest);
+            for record in &page.records {
+                from = record.offset.next();
+                present.take(record);
+            }
+            if present.fold.next() > before {
+                from = present.fold.next();
+            }
+            if present.fold.next() >= page.end {
+                return Ok(Ok(present));
+            }
+            if from >= page.end {
+                return Err(Report::new(PublishError::Gap));
+            }
         }
-        if fold.next() > before {
-            from = fold.next();
+    }
+
+    fn take(&mut self, record: &PageRecord) {
+        let now = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
+        let appended_at = now.saturating_sub(Duration::from_millis(record.age_ms));
+        self.appended_at.push((record.offset, appended_at));
+        self.fold.apply(record.offset, &record.text);
+        if let Some(decided) = self.fold.decision(self.publish_id) {
+            self.decided = Some(decided.clone());
         }
-        if fold.next() >= page.end {
-            return Ok(Ok(fold));
+        if !self.offered && record.text.contains(&self.publish_id.to_string()) {
+            self.offered = true;
         }
-        if from >= page.end {
-            return Err(Report::new(PublishError::Gap));
+    }
+
+    fn published(&self) -> Option<Published> {
+        let decided = self.decided.as_ref()?;
+        Some(match &decided.rejection {
+            None => Published::Accepted {
+                revision: decided.offset,
+            },
+            Some(rejection) => Published::Rejected(rejection.clone()),
+        })
+    }
+
+    /// Revision that an edit made at an instant can have started from, or why there is none.
+    fn parent(
+        &self,
+        document: &Document,
+        publish_id: Uuid,
+        made_at: Duration,
+    ) -> Result<Result<Option<Offset>, Rejection>, Report<PublishError>> {
+        if self.offered {
+            return Err(Report::new(PublishError::Forgotten { publish_id }));
+        }
+        let Some(in_force) = self.fold.revision(document) else {
+            return Ok(Ok(None));
+        };
+        let mut kept = self.appended_at.iter();
+        match kept.find(|(offset, _)| *offset == in_force) {
+            Some((_, appended_at)) if *appended_at > made_at + AGE_TOLERANCE => {
+                Ok(Err(Rejection::StaleParent {
+                    in_force: Some(in_force),
+                }))
+            }
+            Some(_) => Ok(Ok(Some(in_force))),
+            // The record is gone, so it is older than all that are kept.
+            None if self.appended_at.iter().all(|(_, at)| *at > made_at) => {
+                Err(Report::new(PublishError::Forgotten { publish_id }))
+            }
+            None => Ok(Ok(Some(in_force))),
         }
     }
 }
