--- a/crates/arbutusfall_standins/src/engine.rs
+++ b/crates/arbutusfall_standins/src/engine.rs
@@ -74,6 +74,10 @@
     link_free_at: Option<Instant>,
     prefilled_tokens: u64,
     wasted_tokens: u64,
+    /// Orders that came, also those that are delayed by a fault.
+    orders: u64,
+    /// Cancellations that ended something.
+    cancelled: u64,
     lagging_load: Value,
 }
 
@@ -158,6 +162,7 @@
             state.wasted_tokens += running.unused_tokens();
         }
         let found = queued || result.is_some() || running.is_some();
+        state.cancelled += u64::from(found);
         json_answer(if found { 200 } else { 404 }, &json!({}))
     }
 
@@ -196,6 +201,8 @@
                 "prefilled_tokens": state.prefilled_tokens,
                 "wasted_tokens": state.wasted_tokens,
                 "generating": generated,
+                "orders": state.orders,
+                "cancelled": state.cancelled,
                 "unused_tokens": unused.sum::<u64>(),
                 "held": state.queue.len() + state.results.len() + running.count(),
             }),
--- a/crates/arbutusfall_standins/src/engine/decode.rs
+++ b/crates/arbutusfall_standins/src/engine/decode.rs
@@ -99,7 +99,11 @@
         // The work goes on when the connection is lost: only a cancellation ends it.
         let (sender, answer) = async_channel::bounded(1);
         let engine = self.clone();
-        let delay = Duration::from_millis(self.lock().faults.slow_orders_ms);
+        let delay = {
+            let mut state = self.lock();
+            state.orders += 1;
+            Duration::from_millis(state.faults.slow_orders_ms)
+        };
         let work = async move {
             Timer::after(delay).await;
             let answer = if body.kv_transfer_params["do_remote_decode"] == true {
