--- a/crates/arbutusfall_core/tests/it/sweep.rs
+++ b/crates/arbutusfall_core/tests/it/sweep.rs
@@ -144,6 +144,18 @@
     }
 }
 
+#[test]
+fn attempt_of_a_new_process_is_left_alone_until_it_is_heard() {
+    let mut play = owner();
+    play.peer("milano-a-3", report());
+    unlist_entry(&mut play);
+    let (orphans, _) = hold(&mut play, held_for(ENTRY), Duration::from_secs(3));
+    assert_eq!(orphans, []);
+    play.peer(ENTRY, report());
+    let (orphans, _) = hold(&mut play, held_for(ENTRY), Duration::from_secs(3));
+    assert_eq!(orphans, []);
+}
+
 #[test]
 fn late_news_of_a_process_that_is_gone_does_not_keep_its_attempts() {
     for state in [MemberState::Alive, MemberState::Dead] {
