Draw the ports of test processes from below the ephemeral range

Cause: one start of a fleet in about ten failed with a VM that never got ready. Ports were found by binding to port 0 and releasing them, which gives ports of the range that outgoing connections use; with 19,600 sockets open on the machine one of the twenty-odd ports of a fleet is now and then taken before its process listens. Ruled out: slow starts, as the other VMs were ready and 20 s passed.

Ports now come from 10,000 to 32,000.

--- a/crates/arbutusfall_standins/src/fleet.rs
+++ b/crates/arbutusfall_standins/src/fleet.rs
@@ -40,6 +40,13 @@
 /// Time allowed for one exchange with a stand-in.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Ports for listeners; below those that the system gives to outgoing connections, which could take one before its
+/// process listens.
+const LISTENER_PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+/// Ports that are tried for one listener.
+const MAX_PORT_TRIES: usize = 100;
+
 /// A fleet could not be started or asked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FleetError {
@@ -493,8 +500,10 @@
 
 /// An address that nobody listens on at the moment.
 fn free_address() -> Result<SocketAddr, Report<FleetError>> {
+    let mut ports = std::iter::repeat_with(|| fastrand::u16(LISTENER_PORTS)).take(MAX_PORT_TRIES);
+    let listener = ports.find_map(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).ok());
     let failed = || FleetError::Start("a listener".to_owned());
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).change_context_lazy(failed)?;
+    let listener = listener.ok_or_else(|| Report::new(failed()))?;
     listener.local_addr().change_context_lazy(failed)
 }
 
