--- a/crates/arbutusfall_standins/tests/it/main.rs
+++ b/crates/arbutusfall_standins/tests/it/main.rs
@@ -3,3 +3,4 @@
 mod claims;
 mod demo;
 mod streams;
+mod turn;
