--- a/crates/arbutusfall_core/src/placement/decode_endpoint.rs
+++ b/crates/arbutusfall_core/src/placement/decode_endpoint.rs
@@ -57,6 +57,12 @@
         debug_assert!(self.holds.is_sorted());
     }
 
+    /// The grant that should have released its slot first, if that is overdue.
+    pub(crate) fn overdue(&self, now: Duration) -> Option<RequestId> {
+        let (release_at, request) = self.holds.first()?;
+        (*release_at <= now).then_some(*request)
+    }
+
     pub(crate) fn release(&mut self, request: RequestId) {
         self.holds.retain(|(_, held)| *held != request);
     }
--- a/crates/arbutusfall_core/src/placement/shard.rs
+++ b/crates/arbutusfall_core/src/placement/shard.rs
@@ -52,6 +52,8 @@
     decode: Name,
     piece_hashes: Vec<u64>,
     max_output_tokens: u32,
+    /// Instant of the first token, as estimated or worked out from the tokens generated since.
+    first_token_at: Duration,
     /// Estimated time from the start of the prefill to the first token.
     first_token_after: Option<Duration>,
     /// Instant at which the grant lapses unless it is reported.
@@ -70,6 +72,7 @@
         let Some(model) = site.models.get(&request.shard.model) else {
             return refused(NO_ENDPOINT_RETRY_AFTER);
         };
+        self.expect_overdue(model, now);
         let candidate = match model.policy.kind {
             PolicyKind::LeastLoaded => self.least_loaded(request, model, now),
             _ => self.best_candidate(request, model, ctx),
@@ -151,6 +154,7 @@
             decode: decode.clone(),
             piece_hashes: request.piece_hashes.clone(),
             max_output_tokens: request.max_output_tokens,
+            first_token_at: best.first_token_at,
             first_token_after: Some(first_token_after),
             lapses_at: best.start_at + lifetime,
         };
@@ -248,6 +252,7 @@
                 decode: active.decode.clone(),
                 piece_hashes: Vec::new(),
                 max_output_tokens: active.max_output_tokens,
+                first_token_at: now,
                 first_token_after: None,
                 lapses_at: now,
             });
@@ -264,6 +269,8 @@
         if active.generated_tokens == 0 && known {
             return;
         }
+        let generating = model.decode_step() * active.generated_tokens;
+        grant.first_token_at = now.saturating_sub(generating);
         let account = grant.account.as_ref();
         let left =
             self.outputs
@@ -309,6 +316,26 @@
         }
     }
 
+    /// Expects later releases of the slots whose expected release has passed: their answers are longer than most.
+    fn expect_overdue(&mut self, model: &Model, now: Duration) {
+        for endpoint in &mut self.pools.decodes {
+            while let Some(request) = endpoint.overdue(now) {
+                let Some(grant) = self.grants.get(&request) else {
+                    endpoint.release(request);
+                    continue;
+                };
+                let generating = now.saturating_sub(grant.first_token_at);
+                let tokens = generating.as_secs_f64() / model.decode_step().as_secs_f64();
+                let left = self.outputs.expected_left(
+                    grant.account.as_ref(),
+                    tokens as u32,
+                    grant.max_output_tokens,
+                );
+                endpoint.hold(request, now + model.decode_step().mul_f64(left));
+            }
+        }
+    }
+
     pub(crate) fn endpoints(&self, id: &ShardId) -> Vec<EndpointStatus> {
         let decodes = self.pools.decodes.iter();
         decodes
--- a/crates/arbutusfall_standins/src/engine/decode.rs
+++ b/crates/arbutusfall_standins/src/engine/decode.rs
@@ -66,22 +66,6 @@
     kv_transfer_params: Value,
 }
 
-/// Leaves the queue for slots when the connection closes.
-struct Waiting<'a> {
-    engine: &'a Engine,
-    id: &'a str,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        let mut state = self.engine.lock();
-        let waits = |running: &Running| !running.has_slot;
-        if state.running.get(self.id).is_some_and(waits) {
-            state.running.remove(self.id);
-        }
-    }
-}
-
 impl Engine {
     /// Handles a completion in either role.
     pub(crate) async fn complete(self: &Arc<Self>, request: &Received) -> Response<AnswerBody> {
@@ -97,43 +81,56 @@
         if body.kv_transfer_params["do_remote_decode"] == true {
             return self.prefill(id, &body.prompt, body.priority).await;
         }
-        self.decode(id, &body).await
+        self.decode(id, body).await
     }
 
-    async fn decode(self: &Arc<Self>, id: &str, body: &Body) -> Response<AnswerBody> {
-        if !self.admit(id, body) {
+    /// Answers once the stream begins; the request goes on when its connection closes.
+    async fn decode(self: &Arc<Self>, id: &str, body: Body) -> Response<AnswerBody> {
+        if !self.admit(id, &body) {
             return json_answer(409, &json!({}));
         }
-        let _waiting = Waiting { engine: self, id };
+        let (begun, wait) = async_channel::bounded(1);
+        let engine = self.clone();
+        let request = id.to_owned();
+        let run = async move {
+            let status = engine.begin(&request, &body.kv_transfer_params).await;
+            // Nobody waits when the connection is closed.
+            let _ = begun.try_send(status);
+            if status.is_ok() {
+                engine.generate(&request).await;
+            }
+        };
+        self.executor.spawn(run).detach();
+        match wait.recv().await {
+            Ok(Ok(())) => self.stream(id, 0),
+            Ok(Err(status)) => json_answer(status, &json!({})),
+            Err(_) => json_answer(500, &json!({})),
+        }
+    }
+
+    /// Waits for a slot and fetches the KV cache; fails with the status to answer.
+    async fn begin(&self, id: &str, params: &Value) -> Result<(), u16> {
         while !self.take_slot(id) {
             if !self.lock().running.contains_key(id) {
-                return json_answer(499, &json!({}));
+                return Err(499);
             }
             Timer::after(POLL).await;
         }
-        if !self.fetch(&body.kv_transfer_params).await {
+        if !self.fetch(params).await {
             self.lock().running.remove(id);
-            return json_answer(424, &json!({}));
+            return Err(424);
         }
         self.thaw().await;
-        let computed_tokens = body.kv_transfer_params["remote_computed_tokens"].as_u64();
+        let computed_tokens = params["remote_computed_tokens"].as_u64();
         let computed_tokens = computed_tokens.unwrap_or_default();
         let mut state = self.lock();
-        match state.running.get_mut(id) {
-            Some(running) => {
-                running.decoding = true;
-                running.computed_tokens = computed_tokens;
-            }
-            None => state.wasted_tokens += computed_tokens,
-        }
-        drop(state);
-        let answer = self.stream(id, 0);
-        let engine = self.clone();
-        let id = id.to_owned();
-        self.executor
-            .spawn(async move { engine.generate(&id).await })
-            .detach();
-        answer
+        let Some(running) = state.running.get_mut(id) else {
+            state.wasted_tokens += computed_tokens;
+            return Err(499);
+        };
+        running.decoding = true;
+        running.computed_tokens = computed_tokens;
+        Ok(())
     }
 
     fn admit(&self, id: &str, body: &Body) -> bool {
