--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -6,5 +6,7 @@
 mod placement_policy;
 mod session;
 mod streams_play;
+mod streams_random;
 mod streams_sessions;
+mod sweep;
 mod thin_path;
--- a/crates/arbutusfall_core/tests/it/streams_play.rs
+++ b/crates/arbutusfall_core/tests/it/streams_play.rs
@@ -23,6 +23,7 @@
 use arbutusfall_wire::PlaceDecision;
 use arbutusfall_wire::PlaceReply;
 use arbutusfall_wire::PlaceRequest;
+use arbutusfall_wire::Probe;
 use arbutusfall_wire::RequestId;
 use arbutusfall_wire::Sender;
 use serde_json::Value;
@@ -43,6 +44,13 @@
 /// An entry VM that serves the test's site.
 pub(crate) struct Play {
     pub(crate) session: Session,
+    /// A live VM whose messages do not reach the node; others acknowledge its probes.
+    pub(crate) unheard: Option<&'static str>,
+}
+
+/// Life of another VM's process.
+pub(crate) fn incarnation(vm: &str) -> Incarnation {
+    Incarnation(vm.bytes().map(u64::from).sum())
 }
 
 /// Id of the entry VM's request with this number.
@@ -91,6 +99,7 @@
     pub(crate) fn new() -> Self {
         Self {
             session: Session::serving(ENTRY, &VMS),
+            unheard: None,
         }
     }
 
@@ -101,13 +110,44 @@
         while let Some(wake_at) = self.session.wake_at.filter(|due| *due <= until) {
             let now = self.session.now.monotonic;
             self.session.advance(wake_at.saturating_sub(now));
-            effects.extend(self.session.apply(Event::Tick));
+            let ticked = self.session.apply(Event::Tick);
+            self.acknowledge_probes(&ticked);
+            effects.extend(ticked);
         }
         let now = self.session.now.monotonic;
         self.session.advance(until - now);
         effects
     }
 
+    /// Has the VMs that are still on the list answer the node's probes.
+    fn acknowledge_probes(&mut self, effects: &[Effect]) {
+        for effect in effects {
+            let Effect::Send { to, message } = effect else {
+                continue;
+            };
+            let sequence = match message {
+                PeerMessage::Probe(probe) if self.unheard != Some(&**to) => probe.sequence,
+                PeerMessage::ProbeFor(asked) if self.unheard != Some(&**to) => asked.sequence,
+                _ => continue,
+            };
+            let ack = Probe {
+                sequence,
+                news: Vec::new(),
+                config_next: Offset(1),
+            };
+            self.peer(to, PeerMessage::ProbeAck(ack));
+        }
+    }
+
+    /// A message of another VM.
+    pub(crate) fn peer(&mut self, vm: &str, message: PeerMessage) -> Vec<Effect> {
+        let from = Sender {
+            vm: vm.into(),
+            incarnation: incarnation(vm),
+        };
+        self.session.apply(Event::Peer { from, message })
+    }
+
     pub(crate) fn wait_ms(&mut self, millis: u64) -> Vec<Effect> {
         self.wait(Duration::from_millis(millis))
     }
@@ -132,16 +172,29 @@
         placement: u32,
         decision: PlaceDecision,
     ) -> Vec<Effect> {
-        let from = Sender {
-            vm: from.into(),
-            incarnation: Incarnation(8),
-        };
-        let message = PeerMessage::Placed(PlaceReply {
+        let event = Self::placed_event(from, sequence, placement, decision);
+        self.session.apply(event)
+    }
+
+    /// An owner's answer to one placement, as it arrives.
+    pub(crate) fn placed_event(
+        from: &str,
+        sequence: u64,
+        placement: u32,
+        decision: PlaceDecision,
+    ) -> Event {
+        let reply = PlaceReply {
             request: request(sequence),
             placement,
             decision,
-        });
-        self.session.apply(Event::Peer { from, message })
+        };
+        Event::Peer {
+            from: Sender {
+                vm: from.into(),
+                incarnation: incarnation(from),
+            },
+            message: PeerMessage::Placed(reply),
+        }
     }
 
     /// Grants a placement of the first request, to start at once.
@@ -225,6 +278,8 @@
             let value: Value = serde_json::from_str(line).unwrap_or_default();
             if value["event"] == "tick" {
                 tick = Some(line.clone());
+            } else if !value["event"]["peer"]["message"]["ProbeAck"].is_null() {
+                tick = None;
             } else if value["event"].is_object() {
                 tick = None;
                 kept.push(line.clone());
--- a/crates/arbutusfall_standins/src/engine.rs
+++ b/crates/arbutusfall_standins/src/engine.rs
@@ -187,6 +187,7 @@
             .running
             .values()
             .filter(|running| running.holds_memory());
+        let generated: usize = running.clone().map(|running| running.generated).sum();
         let unused = state.running.values().map(Running::unused_tokens);
         let unused = unused.chain(state.results.values().map(|result| result.tokens.into()));
         json_answer(
@@ -194,6 +195,7 @@
             &json!({
                 "prefilled_tokens": state.prefilled_tokens,
                 "wasted_tokens": state.wasted_tokens,
+                "generating": generated,
                 "unused_tokens": unused.sum::<u64>(),
                 "held": state.queue.len() + state.results.len() + running.count(),
             }),
--- a/crates/arbutusfall_standins/src/engine/decode.rs
+++ b/crates/arbutusfall_standins/src/engine/decode.rs
@@ -35,10 +35,12 @@
 
 /// A request that holds a slot or waits for one.
 pub(crate) struct Running {
+    id: String,
     seed: u32,
     first_index: usize,
     length: usize,
-    generated: usize,
+    /// Tokens so far.
+    pub(crate) generated: usize,
     /// Place in the queue for slots: priority, then order of arrival.
     turn: (i64, u64),
     /// Whether a slot is held, from the transfer on.
@@ -75,69 +77,69 @@
             .get("x-request-id")
             .and_then(|value| value.to_str().ok());
         let body = serde_json::from_slice::<Body>(&request.body).ok();
-        let (Some(id), Some(body)) = (id, body) else {
+        let (Some(id), Some(body)) = (id.map(str::to_owned), body) else {
             return json_answer(400, &json!({}));
         };
-        if body.kv_transfer_params["do_remote_decode"] == true {
-            return self.prefill(id, &body.prompt, body.priority).await;
-        }
-        self.decode(id, body).await
-    }
-
-    /// Answers once the stream begins; the request goes on when its connection closes.
-    async fn decode(self: &Arc<Self>, id: &str, body: Body) -> Response<AnswerBody> {
-        if !self.admit(id, &body) {
-            return json_answer(409, &json!({}));
-        }
-        let (begun, wait) = async_channel::bounded(1);
+        // The work goes on when the connection is lost: only a cancellation ends it.
+        let (sender, answer) = async_channel::bounded(1);
         let engine = self.clone();
-        let request = id.to_owned();
-        let run = async move {
-            let status = engine.begin(&request, &body.kv_transfer_params).await;
-            // Nobody waits when the connection is closed.
-            let _ = begun.try_send(status);
-            if status.is_ok() {
-                engine.generate(&request).await;
-            }
+        let delay = Duration::from_millis(self.lock().faults.slow_orders_ms);
+        let work = async move {
+            Timer::after(delay).await;
+            let answer = if body.kv_transfer_params["do_remote_decode"] == true {
+                engine.prefill(&id, &body.prompt, body.priority).await
+            } else {
+                engine.decode(&id, &body).await
+            };
+            // The connection may be gone.
+            let _ = sender.send(answer).await;
         };
-        self.executor.spawn(run).detach();
-        match wait.recv().await {
-            Ok(Ok(())) => self.stream(id, 0),
-            Ok(Err(status)) => json_answer(status, &json!({})),
-            Err(_) => json_answer(500, &json!({})),
-        }
+        self.executor.spawn(work).detach();
+        let answer = answer.recv().await;
+        answer.unwrap_or_else(|_| json_answer(500, &json!({})))
     }
 
-    /// Waits for a slot and fetches the KV cache; fails with the status to answer.
-    async fn begin(&self, id: &str, params: &Value) -> Result<(), u16> {
+    async fn decode(self: &Arc<Self>, id: &str, body: &Body) -> Response<AnswerBody> {
+        if !self.admit(id, body) {
+            return json_answer(409, &json!({}));
+        }
         while !self.take_slot(id) {
             if !self.lock().running.contains_key(id) {
-                return Err(499);
+                return json_answer(499, &json!({}));
             }
             Timer::after(POLL).await;
         }
-        if !self.fetch(params).await {
+        if !self.fetch(&body.kv_transfer_params).await {
             self.lock().running.remove(id);
-            return Err(424);
+            return json_answer(424, &json!({}));
         }
         self.thaw().await;
-        let computed_tokens = params["remote_computed_tokens"].as_u64();
+        let computed_tokens = body.kv_transfer_params["remote_computed_tokens"].as_u64();
         let computed_tokens = computed_tokens.unwrap_or_default();
         let mut state = self.lock();
-        let Some(running) = state.running.get_mut(id) else {
-            state.wasted_tokens += computed_tokens;
-            return Err(499);
-        };
-        running.decoding = true;
-        running.computed_tokens = computed_tokens;
-        Ok(())
+        match state.running.get_mut(id) {
+            Some(running) => {
+                running.decoding = true;
+                running.computed_tokens = computed_tokens;
+            }
+            None => state.wasted_tokens += computed_tokens,
+        }
+        drop(state);
+        let answer = self.stream(id, 0);
+        let engine = self.clone();
+        let id = id.to_owned();
+        self.executor
+            .spawn(async move { engine.generate(&id).await })
+            .detach();
+        answer
     }
 
     fn admit(&self, id: &str, body: &Body) -> bool {
         let (seed, first_index) =
             continued(&body.prompt).unwrap_or_else(|| (prompt_seed(&body.prompt), 0));
         let length = generated_length(seed, first_index + body.max_tokens);
-        let running = Running {
+        let mut running = Running {
+            id: id.to_owned(),
             seed,
             first_index,
             length: length.saturating_sub(first_index),
@@ -153,11 +155,14 @@
         if state.running.contains_key(id) {
             return false;
         }
+        if state.faults.swap_streams > 0 {
+            state.faults.swap_streams -= 1;
+            running.id = format!("{:016x}-1-1-d", seed);
+            running.seed = !seed;
+        }
         state.arrivals += 1;
-        let turn = (body.priority, state.arrivals);
-        state
-            .running
-            .insert(id.to_owned(), Running { turn, ..running });
+        running.turn = (body.priority, state.arrivals);
+        state.running.insert(id.to_owned(), running);
         true
     }
 
@@ -200,7 +205,7 @@
             let Some(running) = state.running.get_mut(id) else {
                 return;
             };
-            running.generated += 1;
+            running.generated += usize::from(running.generated < running.length);
             if running.generated >= running.length {
                 running.finished_at = Some(Instant::now());
             }
@@ -265,6 +270,7 @@
     /// Writes what each reader has not got yet.
     fn write(&mut self, silent_since: Option<Instant>) {
         let Self {
+            id,
             seed,
             first_index,
             generated,
@@ -278,7 +284,10 @@
             }
             while reader.next < *generated {
                 let text = token_text(*seed, *first_index + reader.next);
-                let event = json!({ "choices": [{ "index": 0, "text": text }] });
+                let event = json!({
+                    "id": format!("cmpl-{id}"),
+                    "choices": [{ "index": 0, "text": text }],
+                });
                 reader.writer.write(format!("data: {event}\n\n"));
                 reader.next += 1;
             }
