--- a/crates/arbutusfall_core/src/streams/stream.rs
+++ b/crates/arbutusfall_core/src/streams/stream.rs
@@ -208,16 +208,16 @@
         result.filter(|result| result.expires_at > now)
     }
 
-    /// The engine's work for the request, if an engine works.
     /// Time from the order of the decode to its first token, as the owner estimated it with the waits for link and slot.
     pub(crate) fn expected_first_token(&self) -> Option<Duration> {
         let Phase::Running(running) = &self.phase else {
             return None;
         };
-        let prefill_took = running.prefill_took?;
+        let prefill_took = running.prefill_took.unwrap_or_default();
         Some(running.grant.first_token_after.saturating_sub(prefill_took))
     }
 
+    /// The engine's work for the request, if an engine works.
     pub(crate) fn running(&mut self) -> Option<&mut Running> {
         match &mut self.phase {
             Phase::Running(running) => Some(running),
