Book a slot for the transfer's start, not for its end

Cause: an engine fetches a KV cache once it has a slot for it, so the slot is held while the transfer waits for its link. The owner booked it for the end of the transfer, and results waited that much longer than estimated.

--- a/crates/arbutusfall_core/src/placement/forecast.rs
+++ b/crates/arbutusfall_core/src/placement/forecast.rs
@@ -82,6 +82,9 @@
     work: Duration,
     free_at: Duration,
     transfer: Duration,
+    /// Instant at which the result is there and a slot is free, so that the transfer may begin.
+    done_at: Duration,
+    /// Instant at which the KV cache is at the decode endpoint.
     ready_at: Duration,
     /// What the choice costs: lateness and the endpoint's time.
     cost: Duration,
@@ -98,13 +101,14 @@
         let now = ctx.now.monotonic;
         let (decode, slot_at) = self.first_slot(request, model, ctx)?;
         let prepared = self.prepare(request, model, now, slot_at)?;
-        let held_back = slot_at.saturating_sub(prepared.ready_at);
+        let computed_at = prepared.free_at + prepared.work;
+        let held_back = prepared.done_at - computed_at;
         let start_at = if held_back.is_zero() {
             now
         } else {
             prepared.free_at + held_back
         };
-        let arrives_at = prepared.ready_at + held_back;
+        let arrives_at = prepared.ready_at;
         Some(Candidate {
             prefill: prepared.prefill,
             decode,
@@ -173,7 +177,8 @@
             let work = model.prefill_time(request.prompt_tokens - cached_tokens);
             let free_at = endpoint.free_at(now);
             let transfer = model.transfer_time(request.prompt_tokens, endpoint.link_bytes_per_s);
-            let ready_at = transferred_at(endpoint, kind, free_at + work, transfer);
+            let done_at = slot_at.max(free_at + work);
+            let ready_at = transferred_at(endpoint, kind, done_at, transfer);
             let cost = if kind.has_affinity() {
                 ready_at + work
             } else {
@@ -185,6 +190,7 @@
                 work,
                 free_at,
                 transfer,
+                done_at,
                 ready_at,
                 cost,
             }
@@ -212,13 +218,15 @@
         }
         let endpoint = &self.pools.prefills[prefill];
         let transfer = model.transfer_time(request.prompt_tokens, endpoint.link_bytes_per_s);
-        let ready_at = transferred_at(endpoint, model.policy.kind, now, transfer).max(slot_at);
+        let done_at = slot_at.max(now);
+        let ready_at = transferred_at(endpoint, model.policy.kind, done_at, transfer);
         Some(Prepared {
             prefill,
             cached_tokens: request.prompt_tokens,
             work: Duration::ZERO,
-            free_at: now,
+            free_at: done_at,
             transfer,
+            done_at,
             ready_at,
             cost: ready_at,
         })
