--- a/crates/arbutusfall_core/src/streams/silence.rs
+++ b/crates/arbutusfall_core/src/streams/silence.rs
@@ -178,7 +178,9 @@
     let share = model
         .prefill_result_lifetime()
         .mul_f64(TRANSFER_LIFETIME_SHARE);
-    first_token.max(share)
+    let expected = stream.expected_first_token().unwrap_or_default();
+    let expected = expected + model.decode_step() * RESUME_STEPS;
+    first_token.max(share).max(expected)
 }
 
 /// Time allowed for a token over a new connection.
