--- a/crates/arbutusfall/src/publish.rs
+++ b/crates/arbutusfall/src/publish.rs
@@ -161,7 +161,7 @@
     let timestamp = publish_id
         .get_timestamp()
         .filter(|_| publish_id.get_version_num() == 7);
-    let timestamp = timestamp.ok_or_else(|| PublishError::NotVersion7 { publish_id })?;
+    let timestamp = timestamp.ok_or(PublishError::NotVersion7 { publish_id })?;
     let (seconds, nanos) = timestamp.to_unix();
     Ok(Duration::new(seconds, nanos))
 }
