Append outcomes with the next claims, or 100 ms later

Cause: with 7 calls in progress at 7 VMs a claim cost 1.55 appends, 689 a second, more than the several hundred that the log takes: each outcome went in an append of its own, though nobody waits for it. Change: an outcome waits up to 100 ms for claims to ride with (up to 250 ms if the log is being looked at). Golden files: the outcome's append moved behind the answer, read line by line.

--- a/crates/arbutusfall_core/src/claims/owner.rs
+++ b/crates/arbutusfall_core/src/claims/owner.rs
@@ -46,6 +46,9 @@
 /// Time after which an append without an answer is looked for on the log.
 const APPEND_POLL: Duration = Duration::from_millis(250);
 
+/// Longest time that an outcome waits for claims to be appended with.
+const OUTCOME_DELAY: Duration = Duration::from_millis(100);
+
 /// Most doublings of the delay between retries.
 const MAX_DOUBLINGS: u32 = 4;
 
@@ -140,7 +143,8 @@
             return;
         }
         partition.unsent.push_back(record);
-        self.advance(index, ctx);
+        // Nobody waits for it, so it rides with the next claims or goes a little later.
+        self.look_later(index, OUTCOME_DELAY, ctx);
     }
 
     /// Offers waiting records to the log, one append at a time.
@@ -299,6 +303,7 @@
         if partition.down || partition.in_flight.is_some() {
             self.read(index, ctx);
         }
+        self.advance(index, ctx);
     }
 
     fn on_read(
