--- /dev/null
+++ b/crates/arbutusfall_standins/tests/it/drain.rs
@@ -0,0 +1,180 @@
+//! Graceful shutdown on real processes: nothing in progress is cut, nothing holds the exit.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::path::Path;
+use std::time::Duration;
+
+use arbutusfall_standins::Caller;
+use arbutusfall_standins::CallerError;
+use arbutusfall_standins::Completion;
+use arbutusfall_standins::Fleet;
+use arbutusfall_standins::PlainAnswer;
+use arbutusfall_standins::SiteSize;
+use arbutusfall_standins::expected_text;
+use async_executor::Task;
+use hyper::Method;
+use serde_json::json;
+use uuid::Uuid;
+
+/// Tokens that an answer may have.
+const MAX_TOKENS: usize = 120;
+
+fn start_fleet(vms: usize) -> Fleet {
+    let program = Path::new(env!("CARGO_BIN_EXE_arbutusfall_standins"));
+    Fleet::start(program, &SiteSize::vitosha(), vms).expect("the fleet starts")
+}
+
+fn caller(fleet: &Fleet) -> Caller {
+    Caller {
+        executor: fleet.executor.clone(),
+        key: fleet.site.key.to_owned(),
+    }
+}
+
+fn prompt(number: usize) -> String {
+    format!("{}caption {number}", "abc ".repeat(3_000))
+}
+
+fn stream(fleet: &Fleet, vm: usize, number: usize) -> Task<Result<Completion, CallerError>> {
+    let caller = caller(fleet);
+    let address = fleet.vms[vm].caller_address;
+    let model = fleet.site.model;
+    fleet.executor.spawn(async move {
+        let prompt = prompt(number);
+        caller
+            .complete(address, model, &prompt, MAX_TOKENS, None)
+            .await
+    })
+}
+
+fn call(fleet: &Fleet, vm: usize, claim: bool) -> Task<Result<PlainAnswer, CallerError>> {
+    let caller = caller(fleet);
+    let address = fleet.vms[vm].caller_address;
+    let site = &fleet.site;
+    let (method, path) = if claim {
+        (Method::POST, site.non_idempotent_path)
+    } else {
+        (Method::GET, site.idempotent_path)
+    };
+    fleet.executor.spawn(async move {
+        let key = Uuid::now_v7().to_string();
+        let headers = [("idempotency-key", &*key), ("arbutusfall-attempt", "1")];
+        caller.call(address, method, path, &headers).await
+    })
+}
+
+/// Waits until VMs have so much in progress.
+fn wait_in_progress(fleet: &Fleet, vms: &[usize], field: &str, count: u64) {
+    let in_progress = || {
+        vms.iter().all(|vm| {
+            let address = fleet.vms[*vm].settings.operator_address;
+            let status = fleet.get(address, "/status").unwrap_or_default();
+            status[field].as_u64() >= Some(count)
+        })
+    };
+    fleet
+        .wait_for("requests are in progress", in_progress)
+        .expect("they get there");
+}
+
+fn wait_exit(fleet: &mut Fleet, vm: usize) -> i32 {
+    let mut status = None;
+    let process = &mut fleet.vms[vm].process;
+    for _ in 0..2_000 {
+        status = process.exit_status();
+        if status.is_some() {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    status.expect("the VM exits")
+}
+
+fn slow_service(fleet: &Fleet, slow_ms: u64) {
+    for (name, process) in &fleet.endpoints {
+        if name.starts_with("plain") {
+            let faults = json!({ "slow_ms": slow_ms });
+            fleet.set_faults(process, &faults).expect("a fault");
+        }
+    }
+}
+
+#[test]
+fn two_vms_that_drain_at_once_cut_nothing() {
+    let mut fleet = start_fleet(3);
+    slow_service(&fleet, 700);
+    let mut streams = Vec::new();
+    let mut calls = Vec::new();
+    for vm in 0..2 {
+        for number in 0..6 {
+            let number = vm * 10 + number;
+            streams.push((number, stream(&fleet, vm, number)));
+        }
+        calls.push(call(&fleet, vm, true));
+        calls.push(call(&fleet, vm, false));
+    }
+    wait_in_progress(&fleet, &[0, 1], "streams", 6);
+    wait_in_progress(&fleet, &[0, 1], "calls", 1);
+    for vm in 0..2 {
+        fleet.vms[vm].process.terminate();
+    }
+    for vm in 0..2 {
+        let address = fleet.vms[vm].settings.operator_address;
+        let refused = || fleet.get(address, "/ready").is_err();
+        fleet.wait_for("not ready", refused).expect("not ready");
+    }
+    let late = fleet.block_on(stream(&fleet, 0, 99)).expect("an answer");
+    assert_eq!(late.status, 503);
+    assert!(late.retry_after.is_some());
+    for (number, task) in streams {
+        let answer = fleet.block_on(task).expect("a whole answer");
+        assert_eq!(answer.text, expected_text(&prompt(number), MAX_TOKENS));
+    }
+    for task in calls {
+        let answer = fleet.block_on(task).expect("an answer");
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(wait_exit(&mut fleet, 0), 0);
+    assert_eq!(wait_exit(&mut fleet, 1), 0);
+}
+
+#[test]
+fn the_last_bytes_of_an_answer_leave_before_the_exit() {
+    for round in 0..4 {
+        let mut fleet = start_fleet(1);
+        let task = stream(&fleet, 0, round);
+        wait_in_progress(&fleet, &[0], "streams", 1);
+        fleet.vms[0].process.terminate();
+        let answer = fleet.block_on(task).expect("a whole answer");
+        assert_eq!(answer.text, expected_text(&prompt(round), MAX_TOKENS));
+        assert_eq!(wait_exit(&mut fleet, 0), 0);
+    }
+}
+
+#[test]
+fn an_idle_connection_does_not_hold_the_exit() {
+    let mut fleet = start_fleet(1);
+    let mut idle = TcpStream::connect(fleet.vms[0].caller_address).expect("a connection");
+    let request = b"GET /v1/orders HTTP/1.1\r\nhost: vm\r\n\r\n";
+    idle.write_all(request).expect("a request");
+    let mut answer = [0; 12];
+    idle.read_exact(&mut answer).expect("an answer");
+    assert_eq!(&answer, b"HTTP/1.1 401");
+    fleet.vms[0].process.terminate();
+    assert_eq!(wait_exit(&mut fleet, 0), 0);
+}
+
+#[test]
+fn a_claim_without_the_log_gets_its_final_answer_before_the_exit() {
+    let mut fleet = start_fleet(2);
+    let silent = json!({ "silent": true });
+    fleet.set_faults(&fleet.log, &silent).expect("a fault");
+    let task = call(&fleet, 0, true);
+    wait_in_progress(&fleet, &[0], "claims", 1);
+    fleet.vms[0].process.terminate();
+    let answer = fleet.block_on(task).expect("an answer");
+    assert!([503, 504].contains(&answer.status), "{answer:?}");
+    assert_eq!(wait_exit(&mut fleet, 0), 0);
+}
--- a/crates/arbutusfall_standins/tests/it/main.rs
+++ b/crates/arbutusfall_standins/tests/it/main.rs
@@ -1,4 +1,6 @@
 //! Tests on real processes, driven by causes and not by sleeps.
 
+mod configuration;
 mod demo;
+mod drain;
 mod streams;
