--- a/crates/arbutusfall_standins/src/log_service.rs
+++ b/crates/arbutusfall_standins/src/log_service.rs
@@ -51,6 +51,8 @@
     down: bool,
     /// Never answers.
     silent: bool,
+    /// Reads of the configuration that are never answered.
+    hang_reads: u32,
     /// Appends whose answers are lost although they take effect.
     lose_answers: u32,
     /// Appends that are dropped without an answer.
@@ -73,6 +75,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether a read hangs, which counts.
+    fn takes_hang(&self) -> bool {
+        let mut state = self.lock();
+        let hangs = state.faults.hang_reads > 0;
+        state.faults.hang_reads = state.faults.hang_reads.saturating_sub(1);
+        hangs
+    }
+
     fn set_faults(&self, body: &[u8]) -> Response<AnswerBody> {
         let Ok(faults) = serde_json::from_slice::<LogFaults>(body) else {
             return json_answer(400, &json!({}));
@@ -170,13 +180,21 @@
         }
         match (&request.parts.method, segments(uri).as_slice()) {
             (&Method::GET, ["stats"]) => {
-                json_answer(200, &json!({ "appends": self.lock().appends }))
+                let state = self.lock();
+                let hang_reads = state.faults.hang_reads;
+                json_answer(
+                    200,
+                    &json!({ "appends": state.appends, "hang_reads": hang_reads }),
+                )
             }
             (&Method::POST, ["streams", name, "records"]) => self.append(name, &request.body).await,
             (&Method::GET, ["streams", name, "records"]) => {
                 if faults.hold_reads && name.starts_with("claims") {
                     return future::pending().await;
                 }
+                if *name == "config" && self.takes_hang() {
+                    return future::pending().await;
+                }
                 let from = query(uri, "from").unwrap_or(0);
                 let max = query(uri, "max").unwrap_or(1_000);
                 let wait = Duration::from_millis(query(uri, "wait_ms").unwrap_or(0));
