--- a/crates/arbutusfall_core/src/streams.rs
+++ b/crates/arbutusfall_core/src/streams.rs
@@ -220,8 +220,7 @@
             return;
         };
         ctx.count(Counter::CompletionsCancelled);
-        self.release(id, ctx);
-        self.end_grant(id, GrantEnd::Cancelled, ctx);
+        self.abandon(id, ctx);
         self.remove(id);
     }
 
@@ -230,9 +229,20 @@
         if !self.streams.contains_key(&id) {
             return;
         }
+        self.abandon(id, ctx);
+        self.fail(id, ProblemKind::AnswerTimeout, ctx);
+    }
+
+    /// Frees what is used or reserved for a request in the middle of its way.
+    fn abandon(&mut self, id: RequestId, ctx: &mut Context<'_>) {
+        if let Some(stream) = self.streams.get(&id)
+            && let Phase::Placing { shard } = &stream.phase
+        {
+            let shard = shard.clone();
+            self.unanswered.add(id, stream.placement, shard, ctx);
+        }
         self.release(id, ctx);
         self.end_grant(id, GrantEnd::Cancelled, ctx);
-        self.fail(id, ProblemKind::AnswerTimeout, ctx);
     }
 
     /// Tells the caller at once that its request does not run, and when to come back.
@@ -273,15 +283,11 @@
         self.remove(id);
     }
 
-    /// Has engines give up whatever they may hold for a request, and returns what is reserved for it.
+    /// Has engines give up whatever they may hold for a request.
     fn release(&mut self, id: RequestId, ctx: &mut Context<'_>) {
         let Some(stream) = self.streams.get(&id) else {
             return;
         };
-        if let Phase::Placing { shard } = &stream.phase {
-            self.unanswered
-                .add(id, stream.placement, shard.clone(), ctx);
-        }
         if let Some((attempt, endpoint, address)) = stream.engine_use(id) {
             self.cancels.start(attempt, endpoint, address, ctx);
         }
--- a/crates/arbutusfall_core/src/streams/progress.rs
+++ b/crates/arbutusfall_core/src/streams/progress.rs
@@ -122,6 +122,7 @@
             return;
         };
         let transfer = stream.result.as_ref().map(|result| result.transfer.clone());
+        debug_assert!(transfer.is_some());
         let (Some(transfer), Some(running)) = (transfer, stream.running()) else {
             return;
         };
