--- a/crates/arbutusfall_core/src/placement/forecast.rs
+++ b/crates/arbutusfall_core/src/placement/forecast.rs
@@ -16,8 +16,11 @@
 /// Weight of the newest error in the learnt ones.
 const NEWEST_WEIGHT: f64 = 0.03;
 
-/// Deviations that are allowed for when only wasted prefill counts.
-const MAX_DEVIATIONS: f64 = 3.0;
+/// Deviations that are allowed for when only goodput counts.
+const LEAST_DEVIATIONS: f64 = 1.0;
+
+/// Deviations that are allowed for besides when only wasted prefill counts.
+const FURTHER_DEVIATIONS: f64 = 2.0;
 
 /// A pair of endpoints and when they would deliver.
 #[derive(Debug, Clone)]
@@ -68,11 +71,21 @@
         if !policy.kind.has_weights() {
             return Duration::ZERO;
         }
-        let weights = policy.goodput_weight + policy.wasted_prefill_weight;
-        let caution = policy.wasted_prefill_weight / weights.max(f64::MIN_POSITIVE);
-        let margin_s = self.error_s + self.deviation_s * caution * MAX_DEVIATIONS;
+        let deviations = LEAST_DEVIATIONS + caution(policy) * FURTHER_DEVIATIONS;
+        let margin_s = self.error_s + self.deviation_s * deviations;
         Duration::from_secs_f64(margin_s.max(0.0))
     }
+
+    /// Time by which the release of a slot is expected later, so that a result does not wait for it.
+    pub(crate) fn slot_margin(&self, policy: &Policy) -> Duration {
+        self.margin(policy).mul_f64(caution(policy))
+    }
+}
+
+/// Weight of wasted prefill, as a share of both weights.
+fn caution(policy: &Policy) -> f64 {
+    let weights = policy.goodput_weight + policy.wasted_prefill_weight;
+    policy.wasted_prefill_weight / weights.max(f64::MIN_POSITIVE)
 }
 
 /// A prefill endpoint's part of a candidate.
@@ -144,7 +157,15 @@
             (slot_at, endpoint.held(), index)
         });
         let (slot_at, _, index) = free_at.min()?;
-        (slot_at < Duration::MAX).then_some((index, slot_at))
+        if slot_at == Duration::MAX {
+            return None;
+        }
+        let margin = if slot_at > now {
+            self.forecast.slot_margin(&model.policy)
+        } else {
+            Duration::ZERO
+        };
+        Some((index, slot_at + margin))
     }
 
     /// The prefill endpoint that costs least.
--- a/crates/arbutusfall_core/src/placement/shard.rs
+++ b/crates/arbutusfall_core/src/placement/shard.rs
@@ -29,6 +29,9 @@
 /// When callers are asked to come back if no endpoint can be used.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Interval at which lapsed grants are looked for.
+const LAPSE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// A pool shard.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Shard {
@@ -38,6 +41,8 @@
     pub(crate) forecast: Forecast,
     /// Instant of the last request.
     pub(crate) asked_at: Duration,
+    /// Instant at which lapsed grants were looked for, as this takes time with their number.
+    lapses_checked_at: Duration,
     comebacks: Comebacks,
     shares: Shares,
 }
@@ -311,9 +316,6 @@
             self.remove(request, now);
             ctx.count(Counter::GrantsLapsed);
         }
-        for endpoint in &mut self.pools.prefills {
-            endpoint.drop_done(now);
-        }
     }
 
     /// Expects later releases of the slots whose expected release has passed: their answers are longer than most.
