--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -1,5 +1,15 @@
 //! Tests of the reducer: golden sessions, properties and explorations.
 
+mod calls;
+mod claims_exploration;
+mod claims_faults;
+mod claims_random;
+mod claims_sessions;
+mod claims_steps;
+mod claims_world;
+mod config_fold;
+mod config_reader;
+mod config_size;
 mod membership;
 mod nodes;
 mod placement_play;
