--- a/crates/arbutusfall_core/src/placement/shard.rs
+++ b/crates/arbutusfall_core/src/placement/shard.rs
@@ -307,10 +307,15 @@
 
     fn drop_lapsed(&mut self, ctx: &mut Context<'_>) {
         let now = ctx.now.monotonic;
-        let lapsed = self
-            .grants
-            .iter()
-            .filter(|(_, grant)| grant.lapses_at <= now);
+        for endpoint in &mut self.pools.prefills {
+            endpoint.drop_done(now);
+        }
+        if now < self.lapses_checked_at + LAPSE_INTERVAL {
+            return;
+        }
+        self.lapses_checked_at = now;
+        let grants = self.grants.iter();
+        let lapsed = grants.filter(|(_, grant)| grant.lapses_at <= now);
         let lapsed: Vec<RequestId> = lapsed.map(|(request, _)| *request).collect();
         for request in lapsed {
             self.remove(request, now);
--- a/crates/arbutusfall_standins/src/experiment/measures.rs
+++ b/crates/arbutusfall_standins/src/experiment/measures.rs
@@ -22,7 +22,7 @@
     pub(crate) offered: u64,
     /// Whole, right answers that met both latency targets.
     pub(crate) good: u64,
-    /// Whole, right answers that missed a target.
+    /// Whole, right answers that missed a target, and answers that had not come when the run ended.
     pub(crate) late: u64,
     pub(crate) refused: u64,
     pub(crate) failed: u64,
@@ -46,6 +46,27 @@
         self.good as f64 * 100.0 / self.offered.max(1) as f64
     }
 
+    /// What was run, without load and seed.
+    pub(crate) fn series(&self) -> String {
+        let faults = match self.faults.as_str() {
+            "none" => String::new(),
+            faults => format!(", {faults}"),
+        };
+        let Self {
+            site, policy, vms, ..
+        } = self;
+        format!("{site} {policy}, {vms} VMs{faults}")
+    }
+
+    /// Whether two runs differ in their policy only.
+    pub(crate) fn is_comparable(&self, other: &Self) -> bool {
+        let key = |run: &Self| {
+            let site = (run.site.clone(), run.vms, run.faults.clone());
+            (site, run.seed, run.load.to_bits())
+        };
+        key(self) == key(other)
+    }
+
     /// Wasted tokens in a hundred prefilled ones.
     pub(crate) fn wasted_percent(&self) -> f64 {
         self.wasted_prefill_tokens as f64 * 100.0 / self.prefilled_tokens.max(1) as f64
