--- a/crates/arbutusfall_core/src/streams/silence.rs
+++ b/crates/arbutusfall_core/src/streams/silence.rs
@@ -22,9 +22,6 @@
 /// Token intervals within which a new connection must bring a token that the engine already has.
 const RESUME_STEPS: u32 = 4;
 
-/// Token intervals by which a first token may come later than its owner estimated.
-const ESTIMATE_SLACK_STEPS: u32 = 8;
-
 /// Share of a prefill result's lifetime that a transfer is given at least.
 ///
 /// The rest is left for another decode engine to fetch the same result.
@@ -182,7 +179,7 @@
         .prefill_result_lifetime()
         .mul_f64(TRANSFER_LIFETIME_SHARE);
     let expected = stream.expected_first_token().unwrap_or_default();
-    let expected = expected + model.decode_step() * ESTIMATE_SLACK_STEPS;
+    let expected = expected + model.decode_step() * RESUME_STEPS;
     first_token.max(share).max(expected)
 }
 
