--- a/crates/arbutusfall_core/tests/it/placement_policy.rs
+++ b/crates/arbutusfall_core/tests/it/placement_policy.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use arbutusfall_core::Effect;
 use arbutusfall_core::EngineEvent;
 use arbutusfall_core::Event;
+use arbutusfall_wire::Grant;
 use arbutusfall_wire::GrantEnd;
 use arbutusfall_wire::Name;
 use arbutusfall_wire::PlaceDecision;
@@ -19,6 +21,8 @@
 use crate::placement_play::active;
 use crate::placement_play::ended;
 use crate::placement_play::place;
+use crate::streams_play::Play;
+use crate::streams_play::grant;
 
 /// Slots of the test's decode pool.
 const SLOTS: usize = 40;
@@ -45,7 +49,7 @@
         let grants = owner.fill(sized).len() as u64;
         let retry_after = owner.refused(sized(grants + 1));
         owner.session.advance(retry_after);
-        // What is in use goes on being reported; what was granted ends as expected.
+        // Nothing else has changed: what was granted is expected to end as it was.
         let again = owner.place(sized(grants + 1));
         assert!(
             matches!(again, PlaceDecision::Granted(_)),
@@ -256,6 +260,25 @@
     assert_eq!(owner.granted(with_prefix(1)).cached_tokens, 2_000);
 }
 
+#[test]
+fn entry_vm_waits_for_the_first_token_as_long_as_the_owner_expected() {
+    let mut play = Play::new();
+    play.ask(1);
+    let late = Grant {
+        first_token_after: Duration::from_millis(900),
+        ..grant(1, 1, Duration::ZERO)
+    };
+    play.placed("milano-a-2", 1, 1, PlaceDecision::Granted(late));
+    play.wait_ms(100);
+    play.prefill_done(1);
+    let is_resumed = |effects: &[Effect]| {
+        let mut effects = effects.iter();
+        effects.any(|effect| matches!(effect, Effect::Resume { .. }))
+    };
+    assert!(!is_resumed(&play.wait_ms(850)));
+    assert!(is_resumed(&play.wait_ms(100)));
+}
+
 #[test]
 fn leaving_endpoints_get_nothing_new() {
     let mut owner = Owner::with(|base| {
--- a/crates/arbutusfall_standins/src/experiment/measures.rs
+++ b/crates/arbutusfall_standins/src/experiment/measures.rs
@@ -28,6 +28,8 @@
     pub(crate) failed: u64,
     /// Refusals of single tries.
     pub(crate) refusals: u64,
+    /// Last problems of requests that were not answered whole, by type.
+    pub(crate) problems: BTreeMap<String, u64>,
     pub(crate) prefilled_tokens: u64,
     pub(crate) wasted_prefill_tokens: u64,
     pub(crate) first_token_p95_ms: f64,
--- a/crates/arbutusfall_standins/src/experiment/run.rs
+++ b/crates/arbutusfall_standins/src/experiment/run.rs
@@ -1,5 +1,6 @@
 //! One run: a site is started, callers come by the workload, and what became of them is counted.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -69,6 +70,7 @@
     failed: u64,
     refusals: u64,
     unfinished: u64,
+    problems: BTreeMap<String, u64>,
     first_token_us: Histogram<u64>,
     between_tokens_us: Histogram<u64>,
 }
@@ -156,6 +158,7 @@
         refused: tally.refused,
         failed: tally.failed,
         refusals: tally.refusals,
+        problems: tally.problems.clone(),
         prefilled_tokens: tokens.prefilled_tokens - tokens_before.prefilled_tokens,
         wasted_prefill_tokens: tokens.wasted_tokens - tokens_before.wasted_tokens,
         first_token_p95_ms: p95_ms(&tally.first_token_us),
@@ -203,7 +206,7 @@
             let output = arrival.output_tokens;
             let asked = self.caller.complete(vm, self.model, &prompt, output, None);
             let answer = asked.await.ok();
-            let retry_after = answer.as_ref().and_then(refused_until);
+            let retry_after = answer.as_ref().and_then(come_back_after);
             if let Some(after) = retry_after {
                 self.lock().refusals += u64::from(counted);
                 if tries < MAX_TRIES && after <= MAX_RETRY_AFTER {
@@ -220,9 +223,9 @@
     }
 }
 
-/// When a refused caller may come back.
-fn refused_until(answer: &Completion) -> Option<Duration> {
-    if answer.status != 429 {
+/// When a caller that got no token may come back.
+fn come_back_after(answer: &Completion) -> Option<Duration> {
+    if answer.status == 200 {
         return None;
     }
     let exact_ms = answer.problem.as_ref()?["retry_after_ms"].as_u64();
@@ -240,6 +243,7 @@
             failed: 0,
             refusals: 0,
             unfinished: 0,
+            problems: BTreeMap::new(),
             first_token_us: histogram()?,
             between_tokens_us: histogram()?,
         })
@@ -247,6 +251,11 @@
 
     fn count(&mut self, answer: Option<&Completion>, refused: Option<Duration>, whole: &str) {
         self.unfinished -= 1;
+        let problem = answer.and_then(|answer| answer.problem.as_ref());
+        if let Some(problem) = problem {
+            let kind = problem["type"].as_str().unwrap_or_default();
+            *self.problems.entry(kind.to_owned()).or_default() += 1;
+        }
         if refused.is_some() {
             self.refused += 1;
             return;
