Refuse unusable callers and peers with a typed answer each

Cause: the HTTP library answers a request that it cannot parse without a body, drops one that is too slow without a word, and connections over the limit were closed silently. A second Authorization or Idempotency-Key header was ignored, max_tokens 0 was passed on. A peer's failed connections were not told apart; a foreign authority of the same name shows as a decrypt_error alert, not as unknown_ca.

Ruled out: asking the library for other answers; it has no such setting. Its bare refusal is recognised byte for byte at the connection and replaced by problem details; a timeout is answered 408 if part of a request had arrived.

Batches of spans are bounded.

Not done: headers of plain answers other than content-type are not passed on.

--- a/crates/arbutusfall/src/callers.rs
+++ b/crates/arbutusfall/src/callers.rs
@@ -35,15 +35,20 @@
 use crate::driver::Input;
 use crate::http::AnswerBody;
 use crate::http::ReadBodyError;
+use crate::http::Server;
 use crate::http::ServerLimits;
+use crate::http::problem_answer;
 use crate::http::read_request_body;
+use crate::telemetry::Telemetry;
 
 use answer::answer_stream;
 use answer::answer_whole;
-use answer::problem_answer;
 use answer::service_answer;
 use parse::CompletionBody;
 
+/// Counter of requests whose headers were read.
+const REQUESTS: &str = "callers.requests";
+
 /// Path of completions.
 const COMPLETIONS_PATH: &str = "/v1/completions";
 
@@ -73,6 +78,7 @@
     pub(crate) calls: Arc<CallTable>,
     pub(crate) inputs: Sender<Input>,
     pub(crate) view: RwLock<Option<Arc<CallerView>>>,
+    pub(crate) telemetry: Arc<Telemetry>,
 }
 
 /// Tells the reducer that a caller is gone, unless its answer was complete.
@@ -90,6 +96,36 @@
     }
 }
 
+impl Server for Callers {
+    fn limits(&self) -> ServerLimits {
+        let Some(view) = self.view() else {
+            return ServerLimits::default();
+        };
+        let limits = &view.site.limits;
+        ServerLimits {
+            max_header_bytes: limits.max_header_bytes as usize,
+            header_timeout: Duration::from_millis(limits.receive_timeout_ms),
+            max_connections: limits.max_connections as usize,
+        }
+    }
+
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let telemetry = self.telemetry.clone();
+        telemetry.count(REQUESTS, 1);
+        match self.try_handle(request).await {
+            Ok(answer) => answer,
+            Err(problem) => {
+                telemetry.count(problem_counter(problem.kind), 1);
+                problem_answer(&problem)
+            }
+        }
+    }
+
+    fn on_refused(&self, kind: ProblemKind) {
+        self.telemetry.count(problem_counter(kind), 1);
+    }
+}
+
 impl Callers {
     fn submit(&self, event: Event) {
         // The channel is closed only while the process exits.
@@ -108,30 +144,6 @@
             .clone()
     }
 
-    /// Limits of the listener by the configuration in force.
-    pub(crate) fn server_limits(&self) -> ServerLimits {
-        let Some(view) = self.view() else {
-            return ServerLimits::default();
-        };
-        let limits = &view.site.limits;
-        ServerLimits {
-            max_header_bytes: limits.max_header_bytes as usize,
-            header_timeout: Duration::from_millis(limits.receive_timeout_ms),
-            max_connections: limits.max_connections as usize,
-        }
-    }
-
-    /// Answers one request.
-    pub(crate) async fn handle(
-        self: Arc<Self>,
-        request: Request<Incoming>,
-    ) -> Response<AnswerBody> {
-        match self.try_handle(request).await {
-            Ok(answer) => answer,
-            Err(problem) => problem_answer(&problem),
-        }
-    }
-
     async fn try_handle(
         self: Arc<Self>,
         request: Request<Incoming>,
@@ -140,6 +152,9 @@
         let view = self.view().ok_or(unready)?;
         let account = authenticate(&view, request.headers())?;
         let limits = &view.site.limits;
+        if parse::header_bytes(request.headers()) > limits.max_header_bytes as usize {
+            return Err(Problem::new(ProblemKind::HeadersTooLarge));
+        }
         let (parts, body) = request.into_parts();
         let within = Duration::from_millis(limits.receive_timeout_ms);
         let body = read_request_body(body, limits.max_body_bytes as usize, within);
@@ -164,8 +179,7 @@
         body: &Bytes,
         span: Span,
     ) -> Result<Response<AnswerBody>, Problem> {
-        let body: CompletionBody =
-            serde_json::from_slice(body).map_err(|_| Problem::new(ProblemKind::Malformed))?;
+        let body = CompletionBody::parse(body)?;
         let model = view.site.models.get(&body.model);
         let model = model.ok_or_else(|| Problem::new(ProblemKind::NoModel))?;
         let prompt_tokens = parse::token_count(&body.prompt, model);
@@ -211,13 +225,12 @@
         body: Bytes,
         span: Span,
     ) -> Result<Response<AnswerBody>, Problem> {
-        let header = |name: &str| -> Option<Name> {
-            parts
-                .headers
-                .get(name)
-                .and_then(|value| value.to_str().ok())
-                .map(Name::from)
-        };
+        let headers = &parts.headers;
+        let malformed = ProblemKind::Malformed;
+        let key = parse::single_header(headers, "idempotency-key", ProblemKind::KeyInvalid)?;
+        let attempt = parse::single_header(headers, "arbutusfall-attempt", malformed)?;
+        let attempt = attempt.map(|text| text.parse()).transpose();
+        let attempt = attempt.map_err(|_| Problem::new(malformed))?;
         let traceparent = traceparent_of(&span);
         let target = parts
             .uri
@@ -228,8 +241,8 @@
             account,
             method: parts.method.as_str().into(),
             path: parts.uri.path().into(),
-            idempotency_key: header("idempotency-key"),
-            attempt: header("arbutusfall-attempt").and_then(|text| text.parse().ok()),
+            idempotency_key: key,
+            attempt,
             traceparent: traceparent.clone(),
         };
         let (call, replies) = self.calls.open(Asked::Service {
@@ -262,14 +275,16 @@
 }
 
 fn authenticate(view: &CallerView, headers: &HeaderMap) -> Result<Name, Problem> {
-    let key = headers
-        .get(AUTHORIZATION)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.strip_prefix("Bearer "));
-    let account = key.and_then(|key| view.accounts.get(parse::sha256_hex(key).as_str()));
-    account
-        .cloned()
-        .ok_or_else(|| Problem::new(ProblemKind::Unauthorized))
+    let unauthorized = || Problem::new(ProblemKind::Unauthorized);
+    let name = AUTHORIZATION.as_str();
+    let value = parse::single_header(headers, name, ProblemKind::Unauthorized)?;
+    let value = value.ok_or_else(unauthorized)?;
+    let (scheme, key) = value.split_once(' ').ok_or_else(unauthorized)?;
+    if !scheme.eq_ignore_ascii_case("bearer") {
+        return Err(unauthorized());
+    }
+    let account = view.accounts.get(parse::sha256_hex(key.trim()).as_str());
+    account.cloned().ok_or_else(unauthorized)
 }
 
 /// Span of a caller's request, below the caller's own span if it sent one.
@@ -282,6 +297,28 @@
     Span::root("caller", parent).with_property(|| ("path", path.to_owned()))
 }
 
+/// Counter of requests that were answered with a problem.
+fn problem_counter(kind: ProblemKind) -> &'static str {
+    match kind {
+        ProblemKind::Malformed => "callers.problems.malformed",
+        ProblemKind::Unauthorized => "callers.problems.unauthorized",
+        ProblemKind::NoRoute => "callers.problems.no_route",
+        ProblemKind::NoModel => "callers.problems.no_model",
+        ProblemKind::HeadersTooLarge => "callers.problems.headers_too_large",
+        ProblemKind::BodyTooLarge => "callers.problems.body_too_large",
+        ProblemKind::ReceiveTimeout => "callers.problems.receive_timeout",
+        ProblemKind::PromptTooLong => "callers.problems.prompt_too_long",
+        ProblemKind::KeyInvalid => "callers.problems.key_invalid",
+        ProblemKind::AccountLimited => "callers.problems.account_limited",
+        ProblemKind::Overloaded => "callers.problems.overloaded",
+        ProblemKind::Unavailable => "callers.problems.unavailable",
+        ProblemKind::NotRun => "callers.problems.not_run",
+        ProblemKind::OutcomeUnknown => "callers.problems.outcome_unknown",
+        ProblemKind::UpstreamFailed => "callers.problems.upstream_failed",
+        ProblemKind::AnswerTimeout => "callers.problems.answer_timeout",
+    }
+}
+
 fn traceparent_of(span: &Span) -> Option<Name> {
     SpanContext::from_span(span).map(|context| context.encode_w3c_traceparent().into())
 }
--- a/crates/arbutusfall/src/callers/answer.rs
+++ b/crates/arbutusfall/src/callers/answer.rs
@@ -11,8 +11,6 @@
 use hyper::Response;
 use hyper::body::Bytes;
 use hyper::header::CONTENT_TYPE;
-use hyper::header::RETRY_AFTER;
-use serde_json::Value;
 use serde_json::json;
 
 use crate::call_table::Reply;
@@ -20,38 +18,8 @@
 use crate::callers::Callers;
 use crate::http::AnswerBody;
 use crate::http::json_answer;
-
-/// Namespace of problem types.
-const PROBLEM_TYPE_BASE: &str = "urn:arbutusfall:problem:";
-
-/// Content type of problem details.
-const PROBLEM_CONTENT_TYPE: &str = "application/problem+json";
-
-/// A problem as an answer (RFC 9457).
-pub(crate) fn problem_answer(problem: &Problem) -> Response<AnswerBody> {
-    let body = problem_document(problem).to_string();
-    let mut builder = Response::builder()
-        .status(problem.kind.status())
-        .header(CONTENT_TYPE, PROBLEM_CONTENT_TYPE);
-    if let Some(after) = problem.retry_after {
-        builder = builder.header(RETRY_AFTER, after.as_secs_f64().ceil().max(1.0) as u64);
-    }
-    builder
-        .body(AnswerBody::whole(body))
-        .unwrap_or_else(|_| empty_answer())
-}
-
-fn problem_document(problem: &Problem) -> Value {
-    let mut document = json!({
-        "type": format!("{PROBLEM_TYPE_BASE}{}", problem.kind.slug()),
-        "title": problem.kind.title(),
-        "status": problem.kind.status(),
-    });
-    if let Some(after) = problem.retry_after {
-        document["retry_after_ms"] = json!(u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
-    }
-    document
-}
+use crate::http::problem_answer;
+use crate::http::problem_document;
 
 fn empty_answer() -> Response<AnswerBody> {
     Response::new(AnswerBody::whole(Bytes::new()))
--- a/crates/arbutusfall/src/callers/parse.rs
+++ b/crates/arbutusfall/src/callers/parse.rs
@@ -1,5 +1,7 @@
 //! Reading of callers' requests.
 
+use arbutusfall_core::Problem;
+use arbutusfall_core::ProblemKind;
 use arbutusfall_core::config::Model;
 use arbutusfall_wire::Name;
 use hyper::HeaderMap;
@@ -23,6 +25,51 @@
     pub(crate) stream: bool,
 }
 
+impl CompletionBody {
+    /// Reads a body.
+    ///
+    /// # Errors
+    ///
+    /// [`ProblemKind::Malformed`] if it is not a request that an engine could serve.
+    pub(crate) fn parse(body: &[u8]) -> Result<Self, Problem> {
+        let malformed = || Problem::new(ProblemKind::Malformed);
+        let body: Self = serde_json::from_slice(body).map_err(|_| malformed())?;
+        if body.max_tokens == 0 || body.prompt.is_empty() {
+            return Err(malformed());
+        }
+        Ok(body)
+    }
+}
+
+/// The only value of a header, if it is sent.
+///
+/// # Errors
+///
+/// `kind` if it is sent more than once or is not text: guessing which one counts could run the wrong request.
+pub(crate) fn single_header(
+    headers: &HeaderMap,
+    name: &str,
+    kind: ProblemKind,
+) -> Result<Option<Name>, Problem> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(Problem::new(kind));
+    }
+    let text = value.to_str().map_err(|_| Problem::new(kind))?;
+    Ok(Some(text.into()))
+}
+
+/// Length of a header section in bytes, without its line ends.
+pub(crate) fn header_bytes(headers: &HeaderMap) -> usize {
+    headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum()
+}
+
 fn default_max_tokens() -> u32 {
     16
 }
--- a/crates/arbutusfall/src/http.rs
+++ b/crates/arbutusfall/src/http.rs
@@ -1,7 +1,9 @@
 //! HTTP/1.1 for the process and the stand-ins: hyper on async-io.
 
 mod body;
+mod caller_stream;
 mod client;
+mod problem;
 mod server;
 
 pub use body::AnswerBody;
@@ -12,8 +14,12 @@
 pub use client::post_json;
 pub use client::read_body;
 pub use client::send;
+pub use problem::problem_answer;
+pub(crate) use problem::problem_document;
 pub use server::ReadBodyError;
+pub use server::Server;
 pub use server::ServerLimits;
 pub use server::json_answer;
 pub use server::listen;
 pub use server::read_request_body;
+pub use server::serve;
--- a/crates/arbutusfall/src/http/server.rs
+++ b/crates/arbutusfall/src/http/server.rs
@@ -9,9 +9,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use arbutusfall_core::Problem;
+use arbutusfall_core::ProblemKind;
 use async_net::TcpListener;
 use async_net::TcpStream;
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
 use futures_lite::FutureExt;
+use futures_lite::future;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -28,10 +33,25 @@
 
 use crate::Executor;
 use crate::http::AnswerBody;
+use crate::http::caller_stream::CallerStream;
+use crate::http::caller_stream::Traffic;
+use crate::http::problem::raw_problem;
 
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_HEADER_BYTES: usize = 8 * 1024;
 
+/// Delay before connections are accepted again after a failure.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Refusals that may be on their way at once.
+const MAX_REFUSALS: usize = 256;
+
+/// When callers are asked to come back while too many connections are open.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Time for which a connection that ends is still read.
+const LINGER: Duration = Duration::from_millis(500);
+
 /// Limits of a listener.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
@@ -53,6 +73,44 @@
     }
 }
 
+/// What a listener serves.
+pub trait Server: Send + Sync + 'static {
+    /// Limits for the next connection; asked each time, so that they can change.
+    fn limits(&self) -> ServerLimits;
+
+    /// Answers one request.
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<AnswerBody>> + Send;
+
+    /// A connection was refused, or closed before its request was complete.
+    fn on_refused(&self, kind: ProblemKind) {
+        let _ = kind;
+    }
+}
+
+/// A server made of two functions.
+struct FunctionServer<L, H> {
+    limits: L,
+    handler: H,
+}
+
+impl<L, H, F> Server for FunctionServer<L, H>
+where
+    L: Fn() -> ServerLimits + Send + Sync + 'static,
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    fn limits(&self) -> ServerLimits {
+        (self.limits)()
+    }
+
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        (self.handler)(request).await
+    }
+}
+
 /// Accepts connections for ever; `limits` is asked at each connection, so that it can change.
 ///
 /// # Errors
@@ -61,59 +119,143 @@
 pub async fn listen<H, F>(
     executor: Arc<Executor>,
     address: SocketAddr,
-    limits: impl Fn() -> ServerLimits + Send + 'static,
+    limits: impl Fn() -> ServerLimits + Send + Sync + 'static,
     handler: H,
 ) -> std::io::Result<()>
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<AnswerBody>> + Send + 'static,
 {
+    serve(
+        executor,
+        address,
+        Arc::new(FunctionServer { limits, handler }),
+    )
+    .await
+}
+
+/// Accepts connections for ever.
+///
+/// # Errors
+///
+/// The address cannot be listened on.
+pub async fn serve<S: Server>(
+    executor: Arc<Executor>,
+    address: SocketAddr,
+    server: Arc<S>,
+) -> std::io::Result<()> {
     let listener = TcpListener::bind(address).await?;
-    let open = Arc::new(AtomicUsize::new(0));
-    let accepting = executor.clone();
-    let accept = async move {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                // Out of descriptors or the like: wait for some to be closed.
-                async_io::Timer::after(Duration::from_millis(50)).await;
-                continue;
-            };
-            let limits = limits();
-            if open.load(Ordering::Relaxed) >= limits.max_connections {
-                continue;
-            }
-            open.fetch_add(1, Ordering::Relaxed);
-            let open = open.clone();
-            let handler = handler.clone();
-            let connection = async move {
-                serve_connection(stream, limits, handler).await;
-                open.fetch_sub(1, Ordering::Relaxed);
-            };
-            accepting.spawn(connection).detach();
-        }
-    };
+    let accept = accept_connections(executor.clone(), listener, server);
     executor.spawn(accept).detach();
     Ok(())
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, limits: ServerLimits, handler: H)
-where
-    H: Fn(Request<Incoming>) -> F,
-    F: Future<Output = Response<AnswerBody>>,
-{
+async fn accept_connections<S: Server>(
+    executor: Arc<Executor>,
+    listener: TcpListener,
+    server: Arc<S>,
+) {
+    let open = Arc::new(AtomicUsize::new(0));
+    let refused = Arc::new(AtomicUsize::new(0));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors or the like: wait for some to be closed.
+            async_io::Timer::after(ACCEPT_RETRY).await;
+            continue;
+        };
+        let limits = server.limits();
+        if let Some(slot) = Slot::take(&open, limits.max_connections) {
+            let connection = serve_connection(stream, limits, server.clone(), slot);
+            executor.spawn(connection).detach();
+            continue;
+        }
+        server.on_refused(ProblemKind::Unavailable);
+        // Beyond this many, connections are closed without a word: refusing must stay cheap.
+        if let Some(slot) = Slot::take(&refused, MAX_REFUSALS) {
+            let problem = Problem::retry(ProblemKind::Unavailable, FULL_RETRY_AFTER);
+            let refusal = refuse(stream, problem, slot);
+            executor.spawn(refusal).detach();
+        }
+    }
+}
+
+/// One of a limited number of connections, free again when it is dropped.
+struct Slot(Arc<AtomicUsize>);
+
+impl Slot {
+    fn take(used: &Arc<AtomicUsize>, limit: usize) -> Option<Self> {
+        if used.fetch_add(1, Ordering::Relaxed) >= limit {
+            used.fetch_sub(1, Ordering::Relaxed);
+            return None;
+        }
+        Some(Self(used.clone()))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn refuse(mut stream: TcpStream, problem: Problem, _slot: Slot) {
+    write_last(&mut stream, &raw_problem(&problem)).await;
+}
+
+async fn serve_connection<S: Server>(
+    stream: TcpStream,
+    limits: ServerLimits,
+    server: Arc<S>,
+    _slot: Slot,
+) {
     // Tokens must not wait for acknowledgements; failing to say so only costs time.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(|request| {
-        let answer = handler(request);
-        async { Ok::<_, Infallible>(answer.await) }
+    let traffic = Arc::new(Traffic::default());
+    let handling = traffic.clone();
+    let handler = server.clone();
+    let service = service_fn(move |request| {
+        handling.on_request();
+        let answer = handler.clone().handle(request);
+        Box::pin(async { Ok::<_, Infallible>(answer.await) })
     });
-    let connection = http1::Builder::new()
+    let io = FuturesIo::new(CallerStream::new(stream, traffic.clone()));
+    let mut connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_HEADER_BYTES))
-        .serve_connection(FuturesIo::new(stream), service);
-    // A failure means that the other side is gone, which the handler's answer notices.
-    let _ = connection.await;
+        .serve_connection(io, service);
+    let ended = future::poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+    let mut stream = connection.into_parts().io.into_inner().into_inner();
+    let last = match &ended {
+        // A quiet connection between requests is closed without a word.
+        Err(error) if error.is_timeout() && traffic.has_unanswered() => {
+            server.on_refused(ProblemKind::ReceiveTimeout);
+            raw_problem(&Problem::new(ProblemKind::ReceiveTimeout))
+        }
+        _ => Vec::new(),
+    };
+    if let Some(kind) = traffic.refused() {
+        server.on_refused(kind);
+    }
+    write_last(&mut stream, &last).await;
+}
+
+/// Writes the last bytes of a connection and reads what is still on its way, because closing a connection with
+/// unread bytes would throw the answer away.
+async fn write_last(stream: &mut TcpStream, bytes: &[u8]) {
+    let write = async {
+        stream.write_all(bytes).await?;
+        stream.close().await?;
+        let mut rest = [0; 4 * 1024];
+        while stream.read(&mut rest).await? > 0 {}
+        Ok(())
+    };
+    let expire = async {
+        async_io::Timer::after(LINGER).await;
+        Ok::<(), std::io::Error>(())
+    };
+    // A failure means that the other side is gone.
+    let _ = write.or(expire).await;
 }
 
 /// A request's body could not be read.
--- a/crates/arbutusfall/src/peers/failure.rs
+++ b/crates/arbutusfall/src/peers/failure.rs
@@ -13,6 +13,9 @@
 /// TLS alert of a certificate that the authority did not sign.
 const ALERT_UNKNOWN_CA: u64 = 48;
 
+/// TLS alert of a signature that does not verify, as of an authority that only bears the right name.
+const ALERT_DECRYPT_ERROR: u64 = 51;
+
 /// TLS alert of a missing certificate.
 const ALERT_CERTIFICATE_REQUIRED: u64 = 116;
 
@@ -72,7 +75,7 @@
         };
         match u64::from(code).checked_sub(FIRST_ALERT_CODE) {
             Some(ALERT_CERTIFICATE_EXPIRED) => Self::ExpiredCertificate,
-            Some(ALERT_UNKNOWN_CA) => Self::ForeignCertificate,
+            Some(ALERT_UNKNOWN_CA | ALERT_DECRYPT_ERROR) => Self::ForeignCertificate,
             Some(ALERT_CERTIFICATE_REQUIRED) => Self::MissingCertificate,
             Some(0..=0xff) => Self::Handshake,
             _ => Self::Closed,
--- a/crates/arbutusfall/src/peers/link.rs
+++ b/crates/arbutusfall/src/peers/link.rs
@@ -98,11 +98,9 @@
                 Some(reason) => self.on_closed(&reason),
             }
         }
-        let connecting = self.endpoint.connect_with(
-            self.client.clone(),
-            self.peer.address,
-            &self.peer.vm,
-        );
+        let connecting =
+            self.endpoint
+                .connect_with(self.client.clone(), self.peer.address, &self.peer.vm);
         let connecting = connecting.map_err(|_| ConnectionFailure::Closed)?;
         let connection = connecting
             .await
--- a/crates/arbutusfall/src/serve.rs
+++ b/crates/arbutusfall/src/serve.rs
@@ -91,7 +91,7 @@
 async fn run(executor: &Arc<Executor>, settings: Settings) -> Result<(), Report<ServeError>> {
     let telemetry = Telemetry::new(settings.metrics_address).change_context(ServeError::Metrics)?;
     let telemetry = Arc::new(telemetry);
-    telemetry::start_traces(executor, &settings);
+    telemetry::start_traces(executor, &settings, &telemetry);
     let identity = Identity {
         vm: settings.vm.clone(),
         incarnation: Incarnation(fastrand::u64(1..)),
@@ -114,6 +114,7 @@
         calls: calls.clone(),
         inputs: sender.clone(),
         view: RwLock::new(None),
+        telemetry: telemetry.clone(),
     });
     let ready = Arc::new(AtomicBool::new(false));
     listen_to_callers(executor, &settings, &callers).await?;
@@ -156,15 +157,8 @@
     settings: &Settings,
     callers: &Arc<Callers>,
 ) -> Result<(), Report<ServeError>> {
-    let limits = callers.clone();
-    let handler = callers.clone();
     let address = settings.caller_address;
-    let listening = http::listen(
-        executor.clone(),
-        address,
-        move || limits.server_limits(),
-        move |request| handler.clone().handle(request),
-    );
+    let listening = http::serve(executor.clone(), address, callers.clone());
     listening.await.change_context(ServeError::Listen(address))
 }
 
--- a/crates/arbutusfall/src/telemetry.rs
+++ b/crates/arbutusfall/src/telemetry.rs
@@ -27,6 +27,7 @@
 use crate::LogLevel;
 use crate::Settings;
 use crate::http;
+use crate::http::ClientError;
 
 /// Prefix of all counters.
 const PREFIX: &str = "arbutusfall";
@@ -43,6 +44,12 @@
 /// Batches of spans that may wait; more are dropped.
 const MAX_BATCHES: usize = 64;
 
+/// Most spans of one batch; more are dropped, so that a slow collector costs little memory.
+const MAX_BATCH_SPANS: usize = 2_000;
+
+/// Counter of spans that were dropped or could not be sent.
+const SPANS_LOST: &str = "spans.lost";
+
 /// Counters of one process, kept for `status` and sent to statsd.
 #[derive(Debug)]
 pub(crate) struct Telemetry {
@@ -114,7 +121,11 @@
 }
 
 /// Sends spans to the collector of the settings, if there is one.
-pub(crate) fn start_traces(executor: &Arc<Executor>, settings: &Settings) {
+pub(crate) fn start_traces(
+    executor: &Arc<Executor>,
+    settings: &Settings,
+    telemetry: &Arc<Telemetry>,
+) {
     let Some(address) = settings.trace_address else {
         return;
     };
@@ -122,10 +133,16 @@
     let reporter = ZipkinReporter {
         vm: settings.vm.to_string(),
         batches,
+        telemetry: telemetry.clone(),
     };
     fastrace::set_reporter(reporter, Config::default().report_interval(SPANS_INTERVAL));
     executor
-        .spawn(send_spans(executor.clone(), address, receiver))
+        .spawn(send_spans(
+            executor.clone(),
+            address,
+            receiver,
+            telemetry.clone(),
+        ))
         .detach();
 }
 
@@ -133,16 +150,26 @@
 struct ZipkinReporter {
     vm: String,
     batches: Sender<Vec<Value>>,
+    telemetry: Arc<Telemetry>,
 }
 
 impl Reporter for ZipkinReporter {
     fn report(&mut self, spans: Vec<SpanRecord>) {
-        let batch = spans
+        let batch: Vec<Value> = spans
             .iter()
+            .take(MAX_BATCH_SPANS)
             .map(|span| zipkin_span(&self.vm, span))
             .collect();
-        // Spans may be lost when the collector is slow; that must not harm requests.
-        let _ = self.batches.try_send(batch);
+        let over = spans.len() - batch.len();
+        let kept = batch.len();
+        let lost = match self.batches.try_send(batch) {
+            Ok(()) => over,
+            // Spans may be lost when the collector is slow; that must not harm requests.
+            Err(_) => over + kept,
+        };
+        if lost > 0 {
+            self.telemetry.count(SPANS_LOST, lost as i64);
+        }
     }
 }
 
@@ -164,10 +191,18 @@
     })
 }
 
-async fn send_spans(executor: Arc<Executor>, address: SocketAddr, batches: Receiver<Vec<Value>>) {
+async fn send_spans(
+    executor: Arc<Executor>,
+    address: SocketAddr,
+    batches: Receiver<Vec<Value>>,
+    telemetry: Arc<Telemetry>,
+) {
     while let Ok(batch) = batches.recv().await {
-        // Spans may be lost; that must not harm requests.
-        let _: Result<Value, _> =
+        let sent: Result<Value, _> =
             http::post_json(&executor, address, SPANS_PATH, &batch, SPANS_TIMEOUT).await;
+        // A collector may answer success without a document.
+        if !matches!(sent, Ok(_) | Err(ClientError::Malformed)) {
+            telemetry.count(SPANS_LOST, batch.len() as i64);
+        }
     }
 }
--- /dev/null
+++ b/crates/arbutusfall_standins/tests/it/callers.rs
@@ -0,0 +1,305 @@
+//! What callers are answered when their requests are not as they should be.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+
+use arbutusfall_standins::Fleet;
+use arbutusfall_standins::expected_text;
+use hyper::Method;
+use serde_json::json;
+
+use crate::support::RawAnswer;
+use crate::support::caller;
+use crate::support::counter;
+use crate::support::exchange;
+use crate::support::program;
+use crate::support::read_answers;
+use crate::support::small_site;
+
+/// Connections that the site's limits allow.
+const MAX_CONNECTIONS: usize = 8;
+
+/// A VM whose limits on callers are small.
+fn limited_fleet() -> Fleet {
+    let site = small_site();
+    let mut fleet = Fleet::start_platform(program(), &site).expect("the platform starts");
+    let mut base = site.base("weighted");
+    base["limits"] = json!({
+        "max_header_bytes": 8_192,
+        "max_body_bytes": 4_096,
+        "receive_timeout_ms": 500,
+        "max_connections": MAX_CONNECTIONS,
+    });
+    fleet.publish(&["base"], &base).expect("a base");
+    let addresses = fleet.endpoints.iter();
+    let addresses = addresses.map(|(name, process)| (name.clone(), process.address));
+    let overlay = site.overlay(&addresses.collect());
+    let words = ["overlay", site.name];
+    fleet.publish(&words, &overlay).expect("an overlay");
+    fleet.start_vms(1).expect("a VM");
+    fleet
+}
+
+fn request(fleet: &Fleet, line: &str, headers: &str, body: &str) -> Vec<u8> {
+    let key = fleet.site.key;
+    let length = body.len();
+    let head = format!("{line} HTTP/1.1\r\nhost: vm\r\nauthorization: Bearer {key}\r\n");
+    format!("{head}content-length: {length}\r\nconnection: close\r\n{headers}\r\n{body}").into()
+}
+
+fn ask(address: SocketAddr, bytes: &[u8]) -> RawAnswer {
+    let mut answers = exchange(address, bytes);
+    assert_eq!(answers.len(), 1, "one answer: {answers:?}");
+    answers.remove(0)
+}
+
+#[test]
+fn unusable_requests_get_typed_problems() {
+    let fleet = limited_fleet();
+    let vm = fleet.vms[0].caller_address;
+    let post = "POST /v1/completions";
+    let completion = |body: &str| request(&fleet, post, "", body);
+    let prompt = |max_tokens: &str| {
+        let body = format!("{{\"model\":\"draft-models\",\"prompt\":\"a\",{max_tokens}}}");
+        completion(&body)
+    };
+    let long_header = format!("x-long: {}\r\n", "a".repeat(100_000));
+    let many_headers = "x-many: a\r\n".repeat(300);
+    let key = uuid::Uuid::now_v7();
+    let two_keys = format!("idempotency-key: {key}\r\n").repeat(2);
+    let booking = "POST /v1/bookings";
+    let cases = [
+        (
+            "not HTTP",
+            b"\x16\x03\x01 hello\r\n\r\n".to_vec(),
+            400,
+            "malformed",
+        ),
+        (
+            "bad version",
+            b"GET / HTTP/9\r\n\r\n".to_vec(),
+            400,
+            "malformed",
+        ),
+        (
+            "long header",
+            request(&fleet, post, &long_header, ""),
+            431,
+            "headers-too-large",
+        ),
+        (
+            "many headers",
+            request(&fleet, post, &many_headers, ""),
+            431,
+            "headers-too-large",
+        ),
+        (
+            "no key",
+            b"GET /v1/status HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n".to_vec(),
+            401,
+            "unauthorized",
+        ),
+        (
+            "two keys",
+            request(&fleet, post, "authorization: Bearer b\r\n", ""),
+            401,
+            "unauthorized",
+        ),
+        (
+            "long body",
+            completion(&"a".repeat(5_000)),
+            413,
+            "body-too-large",
+        ),
+        ("not JSON", completion("{"), 400, "malformed"),
+        ("empty body", completion(""), 400, "malformed"),
+        (
+            "prompt of numbers",
+            completion("{\"model\":\"draft-models\",\"prompt\":[1]}"),
+            400,
+            "malformed",
+        ),
+        (
+            "repeated name",
+            completion("{\"model\":\"a\",\"model\":\"b\",\"prompt\":\"c\"}"),
+            400,
+            "malformed",
+        ),
+        (
+            "no such model",
+            completion("{\"model\":\"a\",\"prompt\":\"b\"}"),
+            404,
+            "no-model",
+        ),
+        ("no tokens", prompt("\"max_tokens\":0"), 400, "malformed"),
+        (
+            "too many tokens",
+            prompt("\"max_tokens\":4294967296"),
+            400,
+            "malformed",
+        ),
+        (
+            "no route",
+            request(&fleet, "GET /v2/nothing", "", ""),
+            404,
+            "no-route",
+        ),
+        (
+            "unknown method",
+            request(&fleet, "BREW /v1/status", "", ""),
+            404,
+            "no-route",
+        ),
+        (
+            "no idempotency key",
+            request(&fleet, booking, "", "{}"),
+            400,
+            "key-invalid",
+        ),
+        (
+            "two idempotency keys",
+            request(&fleet, booking, &two_keys, "{}"),
+            400,
+            "key-invalid",
+        ),
+        (
+            "bad attempt",
+            request(&fleet, booking, "arbutusfall-attempt: x\r\n", "{}"),
+            400,
+            "malformed",
+        ),
+    ];
+    for (what, bytes, status, problem) in cases {
+        let answer = ask(vm, &bytes);
+        assert_eq!(answer.status, status, "{what}: {answer:?}");
+        assert_eq!(answer.problem(), problem, "{what}: {answer:?}");
+        let typed = answer
+            .head
+            .contains("content-type: application/problem+json");
+        assert!(typed, "{what}: {answer:?}");
+    }
+    let head = ask(vm, &request(&fleet, "HEAD /v1/status/1", "", ""));
+    assert!(head.body.is_empty(), "{head:?}");
+    let challenge = ask(
+        vm,
+        b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
+    );
+    assert!(
+        challenge.head.contains("www-authenticate: Bearer"),
+        "{challenge:?}"
+    );
+    nothing_is_held(&fleet);
+}
+
+/// The VM still serves, and holds no call or stream.
+fn nothing_is_held(fleet: &Fleet) {
+    let vm = &fleet.vms[0];
+    let held = || {
+        let status = fleet.get(vm.settings.operator_address, "/status");
+        let status = status.unwrap_or_default();
+        status["streams"] == 0 && status["calls"] == 0
+    };
+    fleet
+        .wait_for("nothing is held", held)
+        .expect("nothing is held");
+    let prompt = "a pilot's logbook";
+    let caller = caller(fleet);
+    let completion = caller.complete(vm.caller_address, fleet.site.model, prompt, 3, None);
+    let completion = fleet.block_on(completion).expect("an answer");
+    assert_eq!(completion.text, expected_text(prompt, 3));
+}
+
+#[test]
+fn slow_and_silent_callers_are_timed_out() {
+    let fleet = limited_fleet();
+    let vm = fleet.vms[0].caller_address;
+    let answer = ask(vm, b"GET /v1/status/1 HTTP/1.1\r\nhost: a\r\n");
+    assert_eq!(
+        (answer.status, answer.problem().as_str()),
+        (408, "receive-timeout")
+    );
+    let mut bytes = request(&fleet, "POST /v1/completions", "", "{\"model\":1}");
+    bytes.truncate(bytes.len() - 3);
+    let answer = ask(vm, &bytes);
+    assert_eq!(
+        (answer.status, answer.problem().as_str()),
+        (408, "receive-timeout")
+    );
+    let mut silent = TcpStream::connect(vm).expect("the VM listens");
+    assert!(
+        read_answers(&mut silent).is_empty(),
+        "closed without a word"
+    );
+    nothing_is_held(&fleet);
+}
+
+#[test]
+fn connections_over_the_limit_are_refused_with_a_time_to_come_back() {
+    let fleet = limited_fleet();
+    let vm = fleet.vms[0].caller_address;
+    let held: Vec<TcpStream> = (0..MAX_CONNECTIONS)
+        .map(|_| TcpStream::connect(vm).expect("the VM listens"))
+        .collect();
+    let refused = ask(vm, &request(&fleet, "GET /v1/status/1", "", ""));
+    assert_eq!(
+        (refused.status, refused.problem().as_str()),
+        (503, "unavailable")
+    );
+    assert!(refused.head.contains("retry-after: 1"), "{refused:?}");
+    assert!(counter(&fleet, 0, "callers.problems.unavailable") > 0);
+    drop(held);
+    let served = || {
+        let answers = exchange(vm, &request(&fleet, "GET /v1/status/1", "", ""));
+        answers.first().is_some_and(|answer| answer.status == 200)
+    };
+    fleet
+        .wait_for("slots are free again", served)
+        .expect("slots are free again");
+}
+
+#[test]
+fn answers_on_one_connection_keep_their_order() {
+    let fleet = limited_fleet();
+    let vm = fleet.vms[0].caller_address;
+    let key = fleet.site.key;
+    let get =
+        |path: &str| format!("GET {path} HTTP/1.1\r\nhost: a\r\nauthorization: bearer {key}\r\n");
+    let mut stream = TcpStream::connect(vm).expect("the VM listens");
+    let first = get("/v1/status/first") + "\r\n";
+    let second = get("/v1/status/second") + "connection: close\r\n\r\n";
+    // Both requests are sent before the first answer is read.
+    stream
+        .write_all((first + &second).as_bytes())
+        .expect("a request");
+    let answers = read_answers(&mut stream);
+    let bodies: Vec<&str> = answers.iter().map(|answer| &*answer.body).collect();
+    assert_eq!(
+        bodies,
+        [
+            "{\"status_of\":\"/v1/status/first\"}",
+            "{\"status_of\":\"/v1/status/second\"}"
+        ]
+    );
+    let chunked = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {key}\r\n\
+         transfer-encoding: chunked\r\nconnection: close\r\n\r\n"
+    );
+    let body = json!({ "model": fleet.site.model, "prompt": "a", "max_tokens": 2 }).to_string();
+    let mut stream = TcpStream::connect(vm).expect("the VM listens");
+    stream.write_all(chunked.as_bytes()).expect("a request");
+    for byte in body.as_bytes() {
+        let piece = [b"1\r\n".as_slice(), &[*byte], b"\r\n"].concat();
+        stream.write_all(&piece).expect("a piece");
+    }
+    stream.write_all(b"0\r\n\r\n").expect("the end");
+    let answers = read_answers(&mut stream);
+    assert_eq!(answers[0].status, 200, "{answers:?}");
+    assert!(
+        answers[0].body.contains(&expected_text("a", 2)),
+        "{answers:?}"
+    );
+    let gone = caller(&fleet);
+    let unknown = fleet.block_on(gone.call(vm, Method::DELETE, "/v1/status/1", &[]));
+    assert_eq!(unknown.expect("an answer").status, 404);
+}
--- /dev/null
+++ b/crates/arbutusfall_standins/tests/it/command_line.rs
@@ -0,0 +1,237 @@
+//! The commands of `arbutusfall` as operators run them.
+
+use std::path::Path;
+use std::process::Command;
+
+use arbutusfall_standins::Fleet;
+use serde_json::Value;
+
+use crate::support::caller;
+use crate::support::program;
+use crate::support::small_site;
+
+/// What a command did.
+#[derive(Debug)]
+struct Ran {
+    status: i32,
+    stdout: String,
+    stderr: String,
+}
+
+fn run(arguments: &[&str]) -> Ran {
+    run_with_log(arguments, None)
+}
+
+fn run_with_log(arguments: &[&str], log: Option<&str>) -> Ran {
+    let mut command = Command::new(program());
+    command.arg("arbutusfall").args(arguments);
+    command.env_remove("ARBUTUSFALL_LOG");
+    command.envs(log.map(|log| ("ARBUTUSFALL_LOG", log)));
+    let output = command.output().expect("the program runs");
+    Ran {
+        status: output.status.code().unwrap_or(-1),
+        stdout: String::from_utf8_lossy(&output.stdout).into_owned(),
+        stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
+    }
+}
+
+#[test]
+fn bad_arguments_are_named_on_one_line() {
+    let cases: [&[&str]; 13] = [
+        &[],
+        &["fly"],
+        &["--fly"],
+        &["serve"],
+        &["serve", "--settings"],
+        &["check", "--overlay", "a.json"],
+        &["publish", "base"],
+        &["publish", "base", "a.json"],
+        &["publish", "base", "a.json", "--log", "nowhere"],
+        &[
+            "publish",
+            "base",
+            "a.json",
+            "--log",
+            "127.0.0.1:1",
+            "--publish-id",
+            "x",
+        ],
+        &["status", "--vm", "localhost"],
+        &["keys"],
+        &["keys", "--out", "a", "--days", "0"],
+    ];
+    for arguments in cases {
+        let ran = run(arguments);
+        assert_eq!(ran.status, 2, "{arguments:?}: {ran:?}");
+        assert_eq!(ran.stderr.lines().count(), 1, "{arguments:?}: {ran:?}");
+        assert!(ran.stdout.is_empty(), "{arguments:?}: {ran:?}");
+    }
+}
+
+#[test]
+fn help_and_version_are_shown_everywhere() {
+    for command in ["serve", "check", "publish", "status", "keys", ""] {
+        let words: &[&str] = if command.is_empty() { &[] } else { &[command] };
+        for (option, shown) in [
+            ("--help", "Usage:"),
+            ("-h", "Usage:"),
+            ("--version", "arbutusfall 0"),
+            ("-V", "arbutusfall 0"),
+        ] {
+            let ran = run(&[words, &[option]].concat());
+            assert_eq!(ran.status, 0, "{command} {option}: {ran:?}");
+            assert!(ran.stdout.starts_with(shown), "{command} {option}: {ran:?}");
+        }
+    }
+}
+
+#[test]
+fn settings_and_certificates_that_do_not_fit_fail_at_the_start() {
+    let dir = std::env::temp_dir().join(format!("arbutusfall-{}", uuid::Uuid::now_v7()));
+    let foreign = dir.join("foreign");
+    for out in [&dir, &foreign] {
+        let out = out.display().to_string();
+        let ran = run(&["keys", "--out", &out, "--vm", "one", "--vm", "two"]);
+        assert_eq!(ran.status, 0, "{ran:?}");
+    }
+    let start = |vm: &str, authority: &Path, certificate: &str, key: &str| {
+        let settings = serde_json::json!({
+            "vm": vm, "data_centre": "milano-a", "site": "rinnovo",
+            "caller_address": "127.0.0.1:0", "operator_address": "127.0.0.1:0",
+            "peer_address": "127.0.0.1:0", "log_service_address": "127.0.0.1:1",
+            "vm_list_address": "127.0.0.1:1",
+            "tls": {
+                "authority_file": authority.join("authority.pem"),
+                "certificate_file": dir.join(certificate),
+                "key_file": dir.join(key),
+            },
+        });
+        let file = dir.join("settings.json");
+        std::fs::write(&file, settings.to_string()).expect("a file");
+        run(&["serve", "--settings", &file.display().to_string()])
+    };
+    let cases = [
+        (
+            start("one", &dir, "one.pem", "two-key.pem"),
+            "not usable together",
+        ),
+        (
+            start("one", &foreign, "one.pem", "one-key.pem"),
+            "one.pem: peers would not accept it",
+        ),
+        (
+            start("two", &dir, "one.pem", "one-key.pem"),
+            "not issued to the VM two",
+        ),
+        (
+            start("one", &dir, "absent.pem", "one-key.pem"),
+            "absent.pem",
+        ),
+        (
+            start("one", &dir, "one-key.pem", "one-key.pem"),
+            "one-key.pem",
+        ),
+    ];
+    for (ran, line) in cases {
+        assert_eq!(ran.status, 1, "{ran:?}");
+        assert!(ran.stderr.contains(line), "{line}: {ran:?}");
+        assert_eq!(ran.stderr.lines().count(), 1, "{ran:?}");
+    }
+    let ran = run(&["serve", "--settings", "/nowhere/settings.json"]);
+    assert_eq!((ran.status, ran.stderr.lines().count()), (1, 1), "{ran:?}");
+    std::fs::remove_dir_all(&dir).expect("the directory is removed");
+}
+
+#[test]
+fn operator_publishes_and_sees() {
+    let site = small_site();
+    let mut fleet = Fleet::start_platform(program(), &site).expect("the platform starts");
+    let file = fleet.dir.join("base.json");
+    std::fs::write(&file, site.base("weighted").to_string()).expect("a file");
+    let base = file.display().to_string();
+    let log = fleet.log.address.to_string();
+    let ran = run_with_log(&["publish", "base", &base], Some(&log));
+    assert_eq!(ran.status, 0, "{ran:?}");
+    let lines: Vec<&str> = ran.stdout.lines().collect();
+    let id = lines[0]
+        .strip_prefix("publish id ")
+        .expect("the id comes first");
+    assert_eq!(lines[1], "accepted, revision 0");
+    let repeat = run(&["publish", "base", &base, "--log", &log, "--publish-id", id]);
+    assert_eq!(
+        repeat.stdout, ran.stdout,
+        "a repeat is the same publication"
+    );
+    let wrong = fleet.dir.join("wrong.json");
+    std::fs::write(&wrong, "{\"sites\":[\"rinnovo\"],\"fly\":1}").expect("a file");
+    let wrong = run(&[
+        "publish",
+        "base",
+        &wrong.display().to_string(),
+        "--log",
+        &log,
+    ]);
+    assert_eq!(wrong.status, 1, "{wrong:?}");
+    assert!(wrong.stderr.contains("rejected: "), "{wrong:?}");
+    let unreachable = run(&["publish", "base", &base, "--log", "127.0.0.1:1"]);
+    assert_eq!(unreachable.status, 1, "{unreachable:?}");
+    assert!(
+        unreachable.stdout.starts_with("publish id "),
+        "{unreachable:?}"
+    );
+    assert!(
+        unreachable.stderr.contains("--publish-id"),
+        "{unreachable:?}"
+    );
+    let overlay = fleet.dir.join("rinnovo.json");
+    let addresses = fleet.endpoints.iter();
+    let addresses = addresses.map(|(name, process)| (name.clone(), process.address));
+    let content = site.overlay(&addresses.collect()).to_string();
+    std::fs::write(&overlay, content).expect("a file");
+    let overlay = overlay.display().to_string();
+    let checked = run(&["check", "--base", &base, "--overlay", &overlay]);
+    assert_eq!(checked.status, 0, "{checked:?}");
+    fleet
+        .publish_site("weighted")
+        .expect("the site is published");
+    fleet.start_vms(1).expect("a VM");
+    let settings = fleet.dir.join(format!("{}.json", fleet.vms[0].settings.vm));
+    let settings = settings.display().to_string();
+    let ran = run(&[
+        "publish",
+        "overlay",
+        site.name,
+        &overlay,
+        "--settings",
+        &settings,
+    ]);
+    assert_eq!(ran.status, 0, "{ran:?}");
+    shows_status(&fleet);
+}
+
+fn shows_status(fleet: &Fleet) {
+    let caller_address = fleet.vms[0].caller_address;
+    let caller = caller(fleet);
+    let completion = caller.complete(caller_address, fleet.site.model, "a", 2, None);
+    fleet.block_on(completion).expect("an answer");
+    let vm = fleet.vms[0].settings.operator_address.to_string();
+    let text = run(&["status", "--vm", &vm]).stdout;
+    for part in [
+        "state             ready\n",
+        "site              rinnovo\n",
+        "VM             DATA CENTRE  STATE\nmilano-a-vm-0  milano-a     alive\n",
+        "ENDPOINT  SERVES        GRANTS  SLOTS\n",
+        "decode-1  draft-models  0       20\n",
+        "COUNTER",
+    ] {
+        assert!(text.contains(part), "{part:?} in {text}");
+    }
+    let json = run(&["status", "--vm", &vm, "--json"]).stdout;
+    let json: Value = serde_json::from_str(&json).expect("a JSON document");
+    assert_eq!(json["identity"]["site"], "rinnovo");
+    let unreachable = run(&["status", "--vm", "127.0.0.1:1"]);
+    assert_eq!(
+        (unreachable.status, unreachable.stderr.lines().count()),
+        (1, 1)
+    );
+}
--- a/crates/arbutusfall_standins/tests/it/main.rs
+++ b/crates/arbutusfall_standins/tests/it/main.rs
@@ -1,3 +1,9 @@
 //! Tests on real processes, driven by causes and not by sleeps.
 
+mod callers;
+mod command_line;
 mod demo;
+mod peers;
+mod relay;
+mod support;
+mod telemetry;
--- /dev/null
+++ b/crates/arbutusfall_standins/tests/it/telemetry.rs
@@ -0,0 +1,100 @@
+//! Counters and spans as collectors receive them.
+
+use std::collections::BTreeSet;
+use std::net::UdpSocket;
+use std::time::Duration;
+
+use arbutusfall_standins::Fleet;
+use serde_json::Value;
+
+use crate::support::caller;
+use crate::support::program;
+use crate::support::small_site;
+
+fn spans_of(fleet: &Fleet, trace: &str) -> Vec<Value> {
+    let all = fleet.get(fleet.collector.address, "/spans");
+    let all = all.unwrap_or_default().as_array().cloned();
+    let all = all.unwrap_or_default().into_iter();
+    all.filter(|span| span["traceId"] == trace).collect()
+}
+
+fn hops(spans: &[Value]) -> BTreeSet<&str> {
+    spans
+        .iter()
+        .filter_map(|span| span["name"].as_str())
+        .collect()
+}
+
+/// The VMs whose spans these are; all spans must hang together under the caller's own span.
+fn assert_one_tree(spans: &[Value], parent: &str) -> BTreeSet<String> {
+    let ids: BTreeSet<&str> = spans
+        .iter()
+        .filter_map(|span| span["id"].as_str())
+        .collect();
+    for span in spans {
+        let above = span["parentId"].as_str().expect("a parent");
+        assert!(
+            above == parent || ids.contains(above),
+            "{span} has no parent in {spans:?}"
+        );
+    }
+    let roots = spans.iter().filter(|span| span["parentId"] == parent);
+    assert_eq!(roots.count(), 1, "{spans:?}");
+    let vms = spans
+        .iter()
+        .map(|span| span["localEndpoint"]["serviceName"].as_str());
+    vms.flatten().map(str::to_owned).collect()
+}
+
+#[test]
+fn spans_of_one_caption_are_one_tree_over_two_vms() {
+    let fleet = Fleet::start(program(), &small_site(), 2).expect("a fleet");
+    let parent = "b7ad6b7169203331";
+    let mut widest = 0;
+    // One of the two VMs owns the pool, so one of the two captions is placed by the other VM.
+    for (index, vm) in fleet.vms.iter().enumerate() {
+        let trace = format!("0af7651916cd43dd8448eb211c80319{index}");
+        let traceparent = format!("00-{trace}-{parent}-01");
+        let caller = caller(&fleet);
+        let model = fleet.site.model;
+        let answer = caller.complete(vm.caller_address, model, "a", 3, Some(&traceparent));
+        assert_eq!(fleet.block_on(answer).expect("an answer").status, 200);
+        let expected = BTreeSet::from(["caller", "place", "prefill", "decode"]);
+        let complete = || hops(&spans_of(&fleet, &trace)) == expected;
+        fleet.wait_for("all spans", complete).expect("all spans");
+        let vms = assert_one_tree(&spans_of(&fleet, &trace), parent);
+        widest = widest.max(vms.len());
+    }
+    assert_eq!(widest, 2, "a caption was placed by the other VM");
+}
+
+#[test]
+fn counters_are_received_and_a_dead_collector_harms_nothing() {
+    let mut fleet = Fleet::start(program(), &small_site(), 1).expect("a fleet");
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    let timeout = Some(Duration::from_secs(10));
+    socket.set_read_timeout(timeout).expect("a timeout is set");
+    fleet.vms[0].process.kill();
+    fleet.collector.kill();
+    let mut settings = fleet.vms[0].settings.clone();
+    settings.metrics_address = Some(socket.local_addr().expect("an address"));
+    fleet.vms[0] = fleet.start_vm(settings).expect("the VM starts");
+    fleet.wait_ready(&fleet.vms[0]).expect("the VM is ready");
+    let caller = caller(&fleet);
+    for _ in 0..3 {
+        let vm = fleet.vms[0].caller_address;
+        let answer = caller.complete(vm, fleet.site.model, "a", 3, None);
+        assert_eq!(fleet.block_on(answer).expect("an answer").status, 200);
+    }
+    let mut packet = [0; 2_048];
+    let mut finished = 0;
+    while finished < 3 {
+        let length = socket.recv(&mut packet).expect("a counter");
+        let text = String::from_utf8_lossy(&packet[..length]).into_owned();
+        finished += text.matches("arbutusfall.completions.finished:1|c").count();
+    }
+    let lost = || crate::support::counter(&fleet, 0, "spans.lost") > 0;
+    fleet
+        .wait_for("lost spans are counted", lost)
+        .expect("lost spans are counted");
+}
