--- a/crates/arbutusfall/src/callers.rs
+++ b/crates/arbutusfall/src/callers.rs
@@ -238,6 +238,7 @@
             .map_or("/", |target| target.as_str());
         let asked = ServiceCall {
             call: CallId(0),
+            fingerprint: parse::fingerprint(&account, &parts.method, target, &body),
             account,
             method: parts.method.as_str().into(),
             path: parts.uri.path().into(),
@@ -309,6 +310,7 @@
         ProblemKind::ReceiveTimeout => "callers.problems.receive_timeout",
         ProblemKind::PromptTooLong => "callers.problems.prompt_too_long",
         ProblemKind::KeyInvalid => "callers.problems.key_invalid",
+        ProblemKind::KeyReused => "callers.problems.key_reused",
         ProblemKind::AccountLimited => "callers.problems.account_limited",
         ProblemKind::Overloaded => "callers.problems.overloaded",
         ProblemKind::Unavailable => "callers.problems.unavailable",
--- a/crates/arbutusfall_standins/tests/it/main.rs
+++ b/crates/arbutusfall_standins/tests/it/main.rs
@@ -5,5 +5,6 @@
 mod demo;
 mod peers;
 mod relay;
+mod streams;
 mod support;
 mod telemetry;
