Fuzz what comes from outside, and keep a session of callers as a golden file

Cause: nothing showed what arbitrary bytes do to the codec, the settings, documents, records and callers' requests. A base with a claim window of 18,446,744,073,709,547 s overflowed the check of documents: a debug build panicked at every VM that read the record, a release build compared wrapped numbers. Fleets that start side by side could lose a port between its choice and its use.

--- a/crates/arbutusfall_core/src/config/check.rs
+++ b/crates/arbutusfall_core/src/config/check.rs
@@ -197,8 +197,9 @@
             "a number above 0",
         );
     }
-    let needed_ms = claims.window_s * 1_000 + claims.max_key_skew_ms;
-    if needed_ms >= claims.retention_s * 1_000 {
+    let window_ms = claims.window_s.saturating_mul(1_000);
+    let needed_ms = window_ms.saturating_add(claims.max_key_skew_ms);
+    if needed_ms >= claims.retention_s.saturating_mul(1_000) {
         let found = format!("{} s", claims.window_s);
         report(
             "claims.window_s".to_owned(),
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the reducer: golden sessions, properties and explorations.
 
+mod hostile_records;
 mod membership;
 mod nodes;
 mod placement_play;
--- a/crates/arbutusfall_standins/src/fleet.rs
+++ b/crates/arbutusfall_standins/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::UdpSocket;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -40,6 +41,13 @@
 /// Time allowed for one exchange with a stand-in.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Ports of the processes; below those that the kernel gives to outgoing connections, which would else take a port
+/// between its choice and its use.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+/// Ports that are tried before none counts as free.
+const PORT_TRIES: usize = 1_000;
+
 /// A fleet could not be started or asked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FleetError {
@@ -491,11 +499,15 @@
     std::fs::File::create(dir.join(format!("{vm}.log"))).change_context(FleetError::Files)
 }
 
-/// An address that nobody listens on at the moment.
+/// An address that nobody listens on, by TCP or UDP.
 fn free_address() -> Result<SocketAddr, Report<FleetError>> {
-    let failed = || FleetError::Start("a listener".to_owned());
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).change_context_lazy(failed)?;
-    listener.local_addr().change_context_lazy(failed)
+    for _ in 0..PORT_TRIES {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, fastrand::u16(PORTS)));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(Report::new(FleetError::Start("a listener".to_owned())))
 }
 
 fn wait_until(what: &str, mut condition: impl FnMut() -> bool) -> Result<(), Report<FleetError>> {
--- /dev/null
+++ b/crates/arbutusfall_standins/tests/it/golden.rs
@@ -0,0 +1,71 @@
+//! A whole session as callers see it, as a golden file; values that change from run to run are masked.
+
+use arbutusfall_standins::Fleet;
+
+use crate::support::exchange;
+use crate::support::program;
+use crate::support::small_site;
+
+/// Key of the booking; its time is set when the test runs.
+const MASKED_KEY: &str = "<key>";
+
+/// An answer without its date.
+fn visible(bytes: &str, fleet: &Fleet, vm: usize, key: &str) -> String {
+    let bearer = fleet.site.key;
+    let sent = bytes
+        .replace("<bearer>", bearer)
+        .replace(MASKED_KEY, key)
+        .replace('\n', "\r\n");
+    let answers = exchange(fleet.vms[vm].caller_address, sent.as_bytes());
+    let mut shown = format!("> to VM {vm}\n{bytes}\n");
+    for answer in answers {
+        let head = answer
+            .head
+            .lines()
+            .filter(|line| !line.starts_with("date: "));
+        shown.push_str("< answer\n");
+        for line in head {
+            shown.push_str(&format!("{line}\n"));
+        }
+        shown.push_str(&format!("\n{}\n", answer.body.replace(key, MASKED_KEY)));
+    }
+    shown
+}
+
+fn request(line: &str, headers: &[&str], body: &str) -> String {
+    let mut request = format!("{line} HTTP/1.1\nhost: vm\nconnection: close\n");
+    for header in headers {
+        request.push_str(&format!("{header}\n"));
+    }
+    request.push_str(&format!("content-length: {}\n\n{body}", body.len()));
+    request
+}
+
+#[test]
+fn session_of_captions_a_booking_and_a_lookup() {
+    let fleet = Fleet::start(program(), &small_site(), 2).expect("a fleet");
+    let key = uuid::Uuid::now_v7().to_string();
+    let bearer = "authorization: Bearer <bearer>";
+    let key_header = "idempotency-key: <key>";
+    let whole = r#"{"model":"draft-models","prompt":"logbook","max_tokens":4}"#;
+    let stream = r#"{"model":"draft-models","prompt":"logbook","max_tokens":4,"stream":true}"#;
+    let completions = "POST /v1/completions";
+    let bookings = "POST /v1/bookings";
+    let first = [bearer, key_header, "arbutusfall-attempt: 1"];
+    let repeat = [bearer, key_header, "arbutusfall-attempt: 2"];
+    let steps = [
+        (0, request(completions, &[bearer], whole)),
+        (1, request(completions, &[bearer], stream)),
+        (0, request(bookings, &first, "{}")),
+        (1, request(bookings, &repeat, "{}")),
+        (1, request("GET /v1/status/4711", &[bearer], "")),
+        (0, request(bookings, &[bearer], "{}")),
+        (0, request("GET /v1/elsewhere", &[bearer], "")),
+        (0, request(completions, &[], whole)),
+    ];
+    let shown: Vec<String> = steps
+        .iter()
+        .map(|(vm, request)| visible(request, &fleet, *vm, &key))
+        .collect();
+    insta::assert_snapshot!(shown.join("\n"));
+}
--- a/crates/arbutusfall_standins/tests/it/main.rs
+++ b/crates/arbutusfall_standins/tests/it/main.rs
@@ -3,6 +3,8 @@
 mod callers;
 mod command_line;
 mod demo;
+mod golden;
+mod hostile;
 mod peers;
 mod relay;
 mod streams;
--- a/crates/arbutusfall_standins/tests/it/support.rs
+++ b/crates/arbutusfall_standins/tests/it/support.rs
@@ -79,6 +79,16 @@
     read_answers(&mut stream)
 }
 
+/// A stream of events, the last answer of its connection; how they were cut into pieces is left out.
+fn streamed(head: &str, after: &str) -> RawAnswer {
+    let events = after.lines().filter(|line| line.starts_with("data: "));
+    RawAnswer {
+        status: 200,
+        head: head.to_owned(),
+        body: events.collect::<Vec<_>>().join("\n"),
+    }
+}
+
 /// Reads a connection to its end.
 pub(crate) fn read_answers(stream: &mut TcpStream) -> Vec<RawAnswer> {
     let timeout = Some(Duration::from_secs(10));
@@ -89,6 +99,10 @@
     let mut rest = String::from_utf8_lossy(&bytes).into_owned();
     let mut answers = Vec::new();
     while let Some((head, after)) = rest.split_once("\r\n\r\n") {
+        if head.contains("transfer-encoding: chunked") {
+            answers.push(streamed(head, after));
+            break;
+        }
         let length = head
             .lines()
             .find_map(|line| line.strip_prefix("content-length: "));
--- /dev/null
+++ b/crates/arbutusfall_wire/tests/it/codec.rs
@@ -0,0 +1,241 @@
+//! The peer codec: round trips, and bytes that are no frame.
+
+use std::time::Duration;
+
+use arbutusfall_wire::*;
+use assert_matches::assert_matches;
+use proptest::collection::vec;
+use proptest::option;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Seed of all cases.
+const SEED: u64 = 20;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 2_000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..ProptestConfig::default()
+    }
+}
+
+fn name() -> impl Strategy<Value = Name> {
+    ".{0,12}".prop_map(Name::from)
+}
+
+fn request() -> impl Strategy<Value = RequestId> {
+    any::<(u64, u64)>().prop_map(|(incarnation, sequence)| RequestId {
+        incarnation: Incarnation(incarnation),
+        sequence,
+    })
+}
+
+fn key() -> impl Strategy<Value = IdempotencyKey> {
+    any::<u128>().prop_map(|bits| {
+        let version_7 = (bits & !(0xf << 76)) | (0x7 << 76);
+        let uuid = uuid::Uuid::from_u128(version_7);
+        IdempotencyKey::try_from(uuid).expect("version 7")
+    })
+}
+
+fn duration() -> impl Strategy<Value = Duration> {
+    any::<u32>().prop_map(|micros| Duration::from_micros(micros.into()))
+}
+
+fn shard() -> impl Strategy<Value = ShardId> {
+    (name(), any::<u16>()).prop_map(|(model, index)| ShardId { model, index })
+}
+
+fn place() -> impl Strategy<Value = PeerMessage> {
+    let ids = (request(), any::<u32>(), shard(), name());
+    let sizes = (
+        any::<(u32, u32)>(),
+        vec(any::<u64>(), 0..20),
+        duration(),
+        any::<bool>(),
+    );
+    let names = (option::of(name()), vec(name(), 0..4), option::of(name()));
+    (ids, sizes, names).prop_map(|(ids, sizes, names)| {
+        PeerMessage::Place(PlaceRequest {
+            request: ids.0,
+            placement: ids.1,
+            shard: ids.2,
+            account: ids.3,
+            prompt_tokens: sizes.0.0,
+            max_output_tokens: sizes.0.1,
+            piece_hashes: sizes.1,
+            first_token_budget: sizes.2,
+            resumed: sizes.3,
+            prefilled_on: names.0,
+            avoid: names.1,
+            traceparent: names.2,
+        })
+    })
+}
+
+fn placed() -> impl Strategy<Value = PeerMessage> {
+    let refused = duration().prop_map(|retry_after| PlaceDecision::Refused { retry_after });
+    let granted = (
+        name(),
+        name(),
+        duration(),
+        duration(),
+        any::<u32>(),
+        duration(),
+    );
+    let granted = granted.prop_map(|grant| {
+        PlaceDecision::Granted(Grant {
+            prefill: grant.0,
+            decode: grant.1,
+            start_after: grant.2,
+            first_token_after: grant.3,
+            cached_tokens: grant.4,
+            lifetime: grant.5,
+        })
+    });
+    let decision = prop_oneof![refused, granted];
+    (request(), any::<u32>(), decision).prop_map(|(request, placement, decision)| {
+        PeerMessage::Placed(PlaceReply {
+            request,
+            placement,
+            decision,
+        })
+    })
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    let answered = (any::<u16>(), name(), vec(any::<u8>(), 0..40));
+    let answered = answered.prop_map(|(status, content_type, body)| Outcome::Answered {
+        status,
+        content_type,
+        body: body.into(),
+    });
+    prop_oneof![answered, Just(Outcome::NotRun), Just(Outcome::Unknown)]
+}
+
+fn claims() -> impl Strategy<Value = PeerMessage> {
+    let record = (key(), request(), outcome()).prop_map(|(key, request, outcome)| {
+        PeerMessage::RecordOutcome(RecordOutcome {
+            key,
+            request,
+            outcome,
+        })
+    });
+    let ask = (key(), request(), request()).prop_map(|(key, holder, asker)| {
+        PeerMessage::AskOutcome(AskOutcome { key, holder, asker })
+    });
+    let tell = (key(), request(), outcome()).prop_map(|(key, asker, outcome)| {
+        PeerMessage::TellOutcome(TellOutcome {
+            key,
+            asker,
+            outcome,
+        })
+    });
+    prop_oneof![record, ask, tell]
+}
+
+fn gossip() -> impl Strategy<Value = PeerMessage> {
+    let state = prop_oneof![
+        Just(MemberState::Alive),
+        Just(MemberState::Suspect),
+        Just(MemberState::Leaving),
+        Just(MemberState::Dead),
+    ];
+    let news = (name(), any::<u64>(), any::<u32>(), state).prop_map(|news| MemberNews {
+        vm: news.0,
+        incarnation: Incarnation(news.1),
+        refutation: news.2,
+        state: news.3,
+    });
+    let probe = (any::<u64>(), vec(news, 0..6), any::<u64>(), any::<bool>());
+    let probe = probe.prop_map(|(sequence, news, next, acknowledges)| {
+        let probe = Probe {
+            sequence,
+            news,
+            config_next: Offset(next),
+        };
+        if acknowledges {
+            PeerMessage::ProbeAck(probe)
+        } else {
+            PeerMessage::Probe(probe)
+        }
+    });
+    let pull = option::of(any::<u64>()).prop_map(|next| {
+        PeerMessage::PullConfig(PullConfig {
+            next: next.map(Offset),
+        })
+    });
+    let push =
+        ".{0,60}".prop_map(|snapshot_json| PeerMessage::PushConfig(PushConfig { snapshot_json }));
+    prop_oneof![probe, pull, push,]
+}
+
+fn frame() -> impl Strategy<Value = Frame> {
+    let messages = vec(prop_oneof![place(), placed(), claims(), gossip()], 0..8);
+    (name(), any::<u64>(), messages).prop_map(|(vm, incarnation, messages)| Frame {
+        sender: Sender {
+            vm,
+            incarnation: Incarnation(incarnation),
+        },
+        messages,
+    })
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn frames_come_back_as_they_were_sent(frame in frame()) {
+        let bytes = encode_frame(&frame).expect("a short frame");
+        prop_assert_eq!(decode_frame(&bytes), Ok(frame));
+    }
+
+    #[test]
+    fn bytes_that_are_no_frame_are_refused(bytes in vec(any::<u8>(), 0..200)) {
+        // Whatever decodes must be what its encoding says.
+        if let Ok(frame) = decode_frame(&bytes) {
+            let again = encode_frame(&frame).expect("a short frame");
+            prop_assert_eq!(decode_frame(&again), Ok(frame));
+        }
+    }
+
+    #[test]
+    fn damaged_frames_are_refused_or_whole(
+        frame in frame(),
+        damage in vec((any::<prop::sample::Index>(), any::<u8>()), 1..4),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let bytes = encode_frame(&frame).expect("a short frame");
+        let cut = cut.index(bytes.len());
+        prop_assert!(decode_frame(&bytes[..cut]).is_err(), "a part is no frame");
+        let mut longer = bytes.clone();
+        longer.push(0);
+        prop_assert_eq!(decode_frame(&longer), Err(CodecError::TrailingBytes { count: 1 }));
+        let mut damaged = bytes;
+        for (index, byte) in damage {
+            let index = index.index(damaged.len());
+            damaged[index] = byte;
+        }
+        if let Ok(frame) = decode_frame(&damaged) {
+            prop_assert!(encode_frame(&frame).is_ok());
+        }
+    }
+}
+
+#[test]
+fn frames_over_the_limit_are_not_sent_or_read() {
+    let frame = Frame {
+        sender: Sender {
+            vm: "milano-a-1".into(),
+            incarnation: Incarnation(1),
+        },
+        messages: vec![PeerMessage::PushConfig(PushConfig {
+            snapshot_json: "a".repeat(MAX_FRAME_BYTES),
+        })],
+    };
+    assert_matches!(encode_frame(&frame), Err(CodecError::TooLong { .. }));
+    let bytes = vec![0; MAX_FRAME_BYTES + 1];
+    assert_matches!(decode_frame(&bytes), Err(CodecError::TooLong { .. }));
+}
--- /dev/null
+++ b/crates/arbutusfall_wire/tests/it/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the wire formats.
+
+mod codec;
