Trace the claim of a non-idempotent call

Cause: the spans of a booking showed the caller's request and the service, and nothing of the time between them. Change: a claim span from the request to the dispatch, at the VM by which the call entered; none for idempotent calls. Before: the trace of a booking has caller and service. After: spans_of_one_booking_are_one_tree finds caller, claim and service in one tree.

--- a/crates/arbutusfall/src/call_table.rs
+++ b/crates/arbutusfall/src/call_table.rs
@@ -13,6 +13,7 @@
 use arbutusfall_wire::Name;
 use async_channel::Receiver;
 use async_channel::Sender;
+use fastrace::Span;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::body::Bytes;
@@ -66,6 +67,8 @@
     /// Text that was delivered, for a stream that must be resumed.
     delivered: String,
     replies: Sender<Reply>,
+    /// Span of the claim, from the request to the dispatch, while it is open.
+    claim: Option<Span>,
 }
 
 /// All open calls of a process.
@@ -91,11 +94,24 @@
                 asked,
                 delivered: String::new(),
                 replies,
+                claim: None,
             },
         );
         (call, receiver)
     }
 
+    /// Keeps the span of a call's claim until the claim is decided.
+    pub(crate) fn begin_claim(&self, call: CallId, span: Span) {
+        if let Some(open) = self.lock().get_mut(&call) {
+            open.claim = Some(span);
+        }
+    }
+
+    /// Takes the span of a call's claim.
+    pub(crate) fn end_claim(&self, call: CallId) -> Option<Span> {
+        self.lock().get_mut(&call)?.claim.take()
+    }
+
     /// Removes a call; false if it was gone.
     pub(crate) fn close(&self, call: CallId) -> bool {
         self.lock().remove(&call).is_some()
--- a/crates/arbutusfall/src/callers.rs
+++ b/crates/arbutusfall/src/callers.rs
@@ -33,6 +33,7 @@
 use crate::call_table::CallTable;
 use crate::call_table::Reply;
 use crate::driver::Input;
+use crate::engines::hop_span;
 use crate::http::AnswerBody;
 use crate::http::ReadBodyError;
 use crate::http::Server;
@@ -246,6 +247,10 @@
             attempt,
             traceparent: traceparent.clone(),
         };
+        let claim = asked
+            .idempotency_key
+            .as_ref()
+            .map(|_| hop_span("claim", traceparent.as_deref()));
         let (call, replies) = self.calls.open(Asked::Service {
             method: parts.method.clone(),
             target: target.into(),
@@ -257,6 +262,9 @@
             callers: self.clone(),
             call,
         };
+        if let Some(span) = claim {
+            self.calls.begin_claim(call, span);
+        }
         self.submit(Event::ServiceCall(ServiceCall { call, ..asked }));
         let first = first_reply(&replies).await?;
         self.calls.close(call);
--- a/crates/arbutusfall/src/services.rs
+++ b/crates/arbutusfall/src/services.rs
@@ -78,6 +78,13 @@
         else {
             return Err(ClientError::Connect);
         };
+        // A claim ends where its call is dispatched; a call that needed no claim has no span of one.
+        let claim = self.calls.end_claim(order.call);
+        if order.key.is_none()
+            && let Some(claim) = claim
+        {
+            claim.cancel();
+        }
         let span = hop_span("service", traceparent.as_deref());
         let mut builder = Request::builder().method(method).uri(&*target);
         if let Some(own) = builder.headers_mut() {
--- a/crates/arbutusfall_standins/tests/it/telemetry.rs
+++ b/crates/arbutusfall_standins/tests/it/telemetry.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use arbutusfall_standins::Fleet;
+use hyper::Method;
 use serde_json::Value;
 
 use crate::support::caller;
@@ -68,6 +69,23 @@
     assert_eq!(widest, 2, "a caption was placed by the other VM");
 }
 
+#[test]
+fn spans_of_one_booking_are_one_tree() {
+    let fleet = Fleet::start(program(), &small_site(), 2).expect("a fleet");
+    let trace = "0af7651916cd43dd8448eb211c803199";
+    let parent = "b7ad6b7169203331";
+    let key = uuid::Uuid::now_v7().to_string();
+    let traceparent = format!("00-{trace}-{parent}-01");
+    let headers = [("idempotency-key", &*key), ("traceparent", &*traceparent)];
+    let caller = caller(&fleet);
+    let path = fleet.site.non_idempotent_path;
+    let call = caller.call(fleet.vms[0].caller_address, Method::POST, path, &headers);
+    assert_eq!(fleet.block_on(call).expect("an answer").status, 200);
+    let complete = || hops(&spans_of(&fleet, trace)) == ["caller", "claim", "service"].into();
+    fleet.wait_for("all spans", complete).expect("all spans");
+    assert_one_tree(&spans_of(&fleet, trace), parent);
+}
+
 #[test]
 fn counters_are_received_and_a_dead_collector_harms_nothing() {
     let mut fleet = Fleet::start(program(), &small_site(), 1).expect("a fleet");
