Write the pages for operators and developers

Cause: an operator had only the README's two commands, and nothing tied the counters to a page. Change: README tour, ARCHITECTURE, OPERATING (settings, configuration, counters, log lines, outages), GLOSSARY, STYLE, the design note and the proofs of the interfaces; a test that every counter and notice is on the operators' page.

--- a/crates/arbutusfall_standins/tests/it/main.rs
+++ b/crates/arbutusfall_standins/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod command_line;
 mod demo;
+mod documents;
 mod golden;
 mod hostile;
 mod peers;
