--- a/crates/arbutusfall/src/http.rs
+++ b/crates/arbutusfall/src/http.rs
@@ -16,6 +16,7 @@
 pub use client::send;
 pub use problem::problem_answer;
 pub(crate) use problem::problem_document;
+pub use server::Listening;
 pub use server::ReadBodyError;
 pub use server::Server;
 pub use server::ServerLimits;
--- a/crates/arbutusfall/src/http/server.rs
+++ b/crates/arbutusfall/src/http/server.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -11,6 +12,8 @@
 
 use arbutusfall_core::Problem;
 use arbutusfall_core::ProblemKind;
+use async_channel::Receiver;
+use async_channel::Sender;
 use async_net::TcpListener;
 use async_net::TcpStream;
 use futures_lite::AsyncReadExt;
@@ -73,6 +76,31 @@
     }
 }
 
+/// A listener with its connections; dropping it closes them.
+#[derive(Debug)]
+pub struct Listening {
+    /// Closes when connections are to end.
+    stop: Sender<Infallible>,
+    /// Closes when the last connection has ended.
+    ended: Receiver<Infallible>,
+}
+
+impl Listening {
+    /// Accepts no more connections, closes idle ones and lets each answer in progress be written to its end;
+    /// returns when all connections are closed, or after `within`.
+    pub async fn close(self, within: Duration) {
+        drop(self.stop);
+        let ended = async {
+            // Nothing is ever sent: the channel closes.
+            let _ = self.ended.recv().await;
+        };
+        let expire = async {
+            async_io::Timer::after(within).await;
+        };
+        ended.or(expire).await;
+    }
+}
+
 /// What a listener serves.
 pub trait Server: Send + Sync + 'static {
     /// Limits for the next connection; asked each time, so that they can change.
@@ -111,7 +139,7 @@
     }
 }
 
-/// Accepts connections for ever; `limits` is asked at each connection, so that it can change.
+/// Accepts connections; `limits` is asked at each connection, so that it can change.
 ///
 /// # Errors
 ///
@@ -121,7 +149,7 @@
     address: SocketAddr,
     limits: impl Fn() -> ServerLimits + Send + Sync + 'static,
     handler: H,
-) -> std::io::Result<()>
+) -> std::io::Result<Listening>
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<AnswerBody>> + Send + 'static,
@@ -134,7 +162,7 @@
     .await
 }
 
-/// Accepts connections for ever.
+/// Accepts connections until the listener is closed or dropped.
 ///
 /// # Errors
 ///
@@ -143,40 +171,81 @@
     executor: Arc<Executor>,
     address: SocketAddr,
     server: Arc<S>,
-) -> std::io::Result<()> {
+) -> std::io::Result<Listening> {
     let listener = TcpListener::bind(address).await?;
-    let accept = accept_connections(executor.clone(), listener, server);
+    let (stop, stopped) = async_channel::bounded(1);
+    let (alive, ended) = async_channel::bounded(1);
+    let acceptor = Acceptor {
+        executor: executor.clone(),
+        server,
+        stopped,
+        alive,
+    };
+    let accept = acceptor.accept_connections(listener);
     executor.spawn(accept).detach();
-    Ok(())
+    Ok(Listening { stop, ended })
 }
 
-async fn accept_connections<S: Server>(
+/// What connections are accepted and served with.
+struct Acceptor<S> {
     executor: Arc<Executor>,
-    listener: TcpListener,
     server: Arc<S>,
-) {
-    let open = Arc::new(AtomicUsize::new(0));
-    let refused = Arc::new(AtomicUsize::new(0));
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // Out of descriptors or the like: wait for some to be closed.
-            async_io::Timer::after(ACCEPT_RETRY).await;
-            continue;
-        };
-        let limits = server.limits();
-        if let Some(slot) = Slot::take(&open, limits.max_connections) {
-            let connection = serve_connection(stream, limits, server.clone(), slot);
-            executor.spawn(connection).detach();
-            continue;
-        }
-        server.on_refused(ProblemKind::Unavailable);
-        // Beyond this many, connections are closed without a word: refusing must stay cheap.
-        if let Some(slot) = Slot::take(&refused, MAX_REFUSALS) {
-            let problem = Problem::retry(ProblemKind::Unavailable, FULL_RETRY_AFTER);
-            let refusal = refuse(stream, problem, slot);
-            executor.spawn(refusal).detach();
+    /// Closes when connections are to end.
+    stopped: Receiver<Infallible>,
+    /// Held by each connection that is open.
+    alive: Sender<Infallible>,
+}
+
+impl<S: Server> Acceptor<S> {
+    async fn accept_connections(self, listener: TcpListener) {
+        let open = Arc::new(AtomicUsize::new(0));
+        let refused = Arc::new(AtomicUsize::new(0));
+        while let Some(accepted) = accept_unless_stopped(&listener, &self.stopped).await {
+            let Ok(stream) = accepted else {
+                // Out of descriptors or the like: wait for some to be closed.
+                async_io::Timer::after(ACCEPT_RETRY).await;
+                continue;
+            };
+            let limits = self.server.limits();
+            if let Some(slot) = Slot::take(&open, limits.max_connections) {
+                self.serve(stream, limits, slot);
+                continue;
+            }
+            self.server.on_refused(ProblemKind::Unavailable);
+            // Beyond this many, connections are closed without a word: refusing must stay cheap.
+            if let Some(slot) = Slot::take(&refused, MAX_REFUSALS) {
+                let problem = Problem::retry(ProblemKind::Unavailable, FULL_RETRY_AFTER);
+                let refusal = refuse(stream, problem, slot);
+                self.executor.spawn(refusal).detach();
+            }
         }
     }
+
+    fn serve(&self, stream: TcpStream, limits: ServerLimits, slot: Slot) {
+        let server = self.server.clone();
+        let stopped = self.stopped.clone();
+        let alive = self.alive.clone();
+        let connection = async move {
+            serve_connection(stream, limits, server, &stopped).await;
+            drop(slot);
+            drop(alive);
+        };
+        self.executor.spawn(connection).detach();
+    }
+}
+
+/// The next connection; none once the listener is to stop.
+async fn accept_unless_stopped(
+    listener: &TcpListener,
+    stopped: &Receiver<Infallible>,
+) -> Option<std::io::Result<TcpStream>> {
+    let accept = async { Some(listener.accept().await.map(|(stream, _)| stream)) };
+    let stop = async {
+        // Nothing is ever sent: the channel closes.
+        let _ = stopped.recv().await;
+        None
+    };
+    stop.or(accept).await
 }
 
 /// One of a limited number of connections, free again when it is dropped.
@@ -206,7 +275,7 @@
     stream: TcpStream,
     limits: ServerLimits,
     server: Arc<S>,
-    _slot: Slot,
+    stopped: &Receiver<Infallible>,
 ) {
     // Tokens must not wait for acknowledgements; failing to say so only costs time.
     let _ = stream.set_nodelay(true);
@@ -224,7 +293,19 @@
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_HEADER_BYTES))
         .serve_connection(io, service);
-    let ended = future::poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+    let serve = async { Some(future::poll_fn(|cx| connection.poll_without_shutdown(cx)).await) };
+    let stop = async {
+        // Nothing is ever sent: the channel closes.
+        let _ = stopped.recv().await;
+        None
+    };
+    let ended = match serve.or(stop).await {
+        Some(ended) => ended,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            future::poll_fn(|cx| connection.poll_without_shutdown(cx)).await
+        }
+    };
     let mut stream = connection.into_parts().io.into_inner().into_inner();
     let last = match &ended {
         // A quiet connection between requests is closed without a word.
--- a/crates/arbutusfall/src/serve.rs
+++ b/crates/arbutusfall/src/serve.rs
@@ -30,6 +30,7 @@
 use crate::driver::Input;
 use crate::engines::Engines;
 use crate::http;
+use crate::http::Listening;
 use crate::http::ServerLimits;
 use crate::operators::Operators;
 use crate::peers::Peers;
@@ -117,14 +118,15 @@
         telemetry: telemetry.clone(),
     });
     let ready = Arc::new(AtomicBool::new(false));
-    listen_to_callers(executor, &settings, &callers).await?;
-    listen_to_operators(executor, &settings, &ready, &sender, &telemetry).await?;
+    let listening = listen_to_callers(executor, &settings, &callers).await?;
+    let operators = listen_to_operators(executor, &settings, &ready, &sender, &telemetry).await?;
     watch_signals(executor, sender.clone())?;
     let driver = Driver {
         node: Node::new(identity, fastrand::u64(..)),
         clock: SystemClock::start(),
         executor: executor.clone(),
         inputs,
+        listening: Some(listening),
         calls: calls.clone(),
         callers,
         engines: Arc::new(Engines {
@@ -148,6 +150,7 @@
         settings,
     };
     driver.run().await;
+    drop(operators);
     fastrace::flush();
     Ok(())
 }
@@ -156,7 +159,7 @@
     executor: &Arc<Executor>,
     settings: &Settings,
     callers: &Arc<Callers>,
-) -> Result<(), Report<ServeError>> {
+) -> Result<Listening, Report<ServeError>> {
     let address = settings.caller_address;
     let listening = http::serve(executor.clone(), address, callers.clone());
     listening.await.change_context(ServeError::Listen(address))
@@ -168,7 +171,7 @@
     ready: &Arc<AtomicBool>,
     inputs: &Sender<Input>,
     telemetry: &Arc<Telemetry>,
-) -> Result<(), Report<ServeError>> {
+) -> Result<Listening, Report<ServeError>> {
     let operators = Arc::new(Operators {
         ready: ready.clone(),
         inputs: inputs.clone(),
--- a/crates/arbutusfall_standins/src/engine/decode.rs
+++ b/crates/arbutusfall_standins/src/engine/decode.rs
@@ -68,22 +68,6 @@
     kv_transfer_params: Value,
 }
 
-/// Leaves the queue for slots when the connection closes.
-struct Waiting<'a> {
-    engine: &'a Engine,
-    id: &'a str,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        let mut state = self.engine.lock();
-        let waits = |running: &Running| !running.has_slot;
-        if state.running.get(self.id).is_some_and(waits) {
-            state.running.remove(self.id);
-        }
-    }
-}
-
 impl Engine {
     /// Handles a completion in either role.
     pub(crate) async fn complete(self: &Arc<Self>, request: &Received) -> Response<AnswerBody> {
@@ -99,7 +83,11 @@
         // The work goes on when the connection is lost: only a cancellation ends it.
         let (sender, answer) = async_channel::bounded(1);
         let engine = self.clone();
-        let delay = Duration::from_millis(self.lock().faults.slow_orders_ms);
+        let delay = {
+            let mut state = self.lock();
+            state.orders += 1;
+            Duration::from_millis(state.faults.slow_orders_ms)
+        };
         let work = async move {
             Timer::after(delay).await;
             let answer = if body.kv_transfer_params["do_remote_decode"] == true {
@@ -119,7 +107,6 @@
         if !self.admit(id, body) {
             return json_answer(409, &json!({}));
         }
-        let _waiting = Waiting { engine: self, id };
         while !self.take_slot(id) {
             if !self.lock().running.contains_key(id) {
                 return json_answer(499, &json!({}));
--- a/crates/arbutusfall_standins/tests/it/callers.rs
+++ b/crates/arbutusfall_standins/tests/it/callers.rs
@@ -16,6 +16,7 @@
 use crate::support::program;
 use crate::support::read_answers;
 use crate::support::small_site;
+use crate::turn;
 
 /// Connections that the site's limits allow.
 const MAX_CONNECTIONS: usize = 8;
@@ -56,6 +57,7 @@
 
 #[test]
 fn unusable_requests_get_typed_problems() {
+    let _turn = turn::take();
     let fleet = limited_fleet();
     let vm = fleet.vms[0].caller_address;
     let post = "POST /v1/completions";
@@ -212,6 +214,7 @@
 
 #[test]
 fn slow_and_silent_callers_are_timed_out() {
+    let _turn = turn::take();
     let fleet = limited_fleet();
     let vm = fleet.vms[0].caller_address;
     let answer = ask(vm, b"GET /v1/status/1 HTTP/1.1\r\nhost: a\r\n");
@@ -236,6 +239,7 @@
 
 #[test]
 fn connections_over_the_limit_are_refused_with_a_time_to_come_back() {
+    let _turn = turn::take();
     let fleet = limited_fleet();
     let vm = fleet.vms[0].caller_address;
     let held: Vec<TcpStream> = (0..MAX_CONNECTIONS)
@@ -260,6 +264,7 @@
 
 #[test]
 fn answers_on_one_connection_keep_their_order() {
+    let _turn = turn::take();
     let fleet = limited_fleet();
     let vm = fleet.vms[0].caller_address;
     let key = fleet.site.key;
--- a/crates/arbutusfall_standins/tests/it/command_line.rs
+++ b/crates/arbutusfall_standins/tests/it/command_line.rs
@@ -9,6 +9,7 @@
 use crate::support::caller;
 use crate::support::program;
 use crate::support::small_site;
+use crate::turn;
 
 /// What a command did.
 #[derive(Debug)]
@@ -144,6 +145,7 @@
 
 #[test]
 fn operator_publishes_and_sees() {
+    let _turn = turn::take();
     let site = small_site();
     let mut fleet = Fleet::start_platform(program(), &site).expect("the platform starts");
     let file = fleet.dir.join("base.json");
--- a/crates/arbutusfall_standins/tests/it/documents.rs
+++ b/crates/arbutusfall_standins/tests/it/documents.rs
@@ -28,6 +28,7 @@
             next: offset,
             oldest: offset,
         },
+        Notice::ConfigDiscarded { next: offset },
         Notice::LogDown(LogStream::Config),
         Notice::LogUp(LogStream::Config),
         Notice::Member {
@@ -41,6 +42,7 @@
         match notice {
             Notice::ConfigInForce { .. }
             | Notice::ConfigGap { .. }
+            | Notice::ConfigDiscarded { .. }
             | Notice::LogDown(_)
             | Notice::LogUp(_)
             | Notice::Member { .. }
--- a/crates/arbutusfall_standins/tests/it/golden.rs
+++ b/crates/arbutusfall_standins/tests/it/golden.rs
@@ -5,6 +5,7 @@
 use crate::support::exchange;
 use crate::support::program;
 use crate::support::small_site;
+use crate::turn;
 
 /// Key of the booking; its time is set when the test runs.
 const MASKED_KEY: &str = "<key>";
@@ -43,6 +44,7 @@
 
 #[test]
 fn session_of_captions_a_booking_and_a_lookup() {
+    let _turn = turn::take();
     let fleet = Fleet::start(program(), &small_site(), 2).expect("a fleet");
     let key = uuid::Uuid::now_v7().to_string();
     let bearer = "authorization: Bearer <bearer>";
--- a/crates/arbutusfall_standins/tests/it/hostile.rs
+++ b/crates/arbutusfall_standins/tests/it/hostile.rs
@@ -13,6 +13,7 @@
 use crate::support::caller;
 use crate::support::program;
 use crate::support::small_site;
+use crate::turn;
 
 /// Seed of all cases.
 const SEED: u64 = 22;
@@ -41,6 +42,7 @@
 
 #[test]
 fn damaged_requests_do_not_harm_others() {
+    let _turn = turn::take();
     let mut fleet = Fleet::start(program(), &small_site(), 1).expect("a fleet");
     let vm = fleet.vms[0].caller_address;
     let key = fleet.site.key;
--- a/crates/arbutusfall_standins/tests/it/main.rs
+++ b/crates/arbutusfall_standins/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests on real processes, driven by causes and not by sleeps.
 
 mod callers;
+mod claims;
 mod command_line;
 mod demo;
 mod documents;
@@ -11,3 +12,4 @@
 mod streams;
 mod support;
 mod telemetry;
+mod turn;
--- a/crates/arbutusfall_standins/tests/it/peers.rs
+++ b/crates/arbutusfall_standins/tests/it/peers.rs
@@ -25,6 +25,7 @@
 use crate::support::counter;
 use crate::support::program;
 use crate::support::small_site;
+use crate::turn;
 
 const DAY: Duration = Duration::from_secs(24 * 3_600);
 
@@ -73,6 +74,7 @@
 
 #[test]
 fn certificates_that_are_not_the_deployments_are_refused_and_counted() {
+    let _turn = turn::take();
     let fleet = Fleet::start(program(), &small_site(), 1).expect("a fleet");
     let address = fleet.vms[0].settings.peer_address;
     let foreign = fleet.dir.join("foreign");
@@ -153,6 +155,7 @@
 
 #[test]
 fn silent_peer_connection_is_replaced() {
+    let _turn = turn::take();
     let fleet = Fleet::start(program(), &small_site(), 2).expect("a fleet");
     let relay = Relay::start(fleet.vms[1].settings.peer_address);
     list_second_at(&fleet, relay.address);
@@ -174,6 +177,7 @@
 
 #[test]
 fn restarted_vm_is_reached_at_its_new_address() {
+    let _turn = turn::take();
     let mut fleet = Fleet::start(program(), &small_site(), 2).expect("a fleet");
     fleet.vms[1].process.kill();
     let mut settings = fleet.vms[1].settings.clone();
--- a/crates/arbutusfall_standins/tests/it/telemetry.rs
+++ b/crates/arbutusfall_standins/tests/it/telemetry.rs
@@ -11,6 +11,7 @@
 use crate::support::caller;
 use crate::support::program;
 use crate::support::small_site;
+use crate::turn;
 
 fn spans_of(fleet: &Fleet, trace: &str) -> Vec<Value> {
     let all = fleet.get(fleet.collector.address, "/spans");
@@ -49,6 +50,7 @@
 
 #[test]
 fn spans_of_one_caption_are_one_tree_over_two_vms() {
+    let _turn = turn::take();
     let fleet = Fleet::start(program(), &small_site(), 2).expect("a fleet");
     let parent = "b7ad6b7169203331";
     let mut widest = 0;
@@ -71,6 +73,7 @@
 
 #[test]
 fn spans_of_one_booking_are_one_tree() {
+    let _turn = turn::take();
     let fleet = Fleet::start(program(), &small_site(), 2).expect("a fleet");
     let trace = "0af7651916cd43dd8448eb211c803199";
     let parent = "b7ad6b7169203331";
@@ -88,6 +91,7 @@
 
 #[test]
 fn counters_are_received_and_a_dead_collector_harms_nothing() {
+    let _turn = turn::take();
     let mut fleet = Fleet::start(program(), &small_site(), 1).expect("a fleet");
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
     let timeout = Some(Duration::from_secs(10));
