--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the reducer: golden sessions, properties and explorations.
 
 mod calls;
+mod capacity;
 mod claims_exploration;
 mod claims_faults;
 mod claims_random;
@@ -10,6 +11,7 @@
 mod config_fold;
 mod config_reader;
 mod config_size;
+mod hostile_records;
 mod membership;
 mod nodes;
 mod placement_play;
