--- a/crates/arbutusfall/src/http/server.rs
+++ b/crates/arbutusfall/src/http/server.rs
@@ -4,17 +4,22 @@
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use arbutusfall_core::Problem;
+use arbutusfall_core::ProblemKind;
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_net::TcpListener;
 use async_net::TcpStream;
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
 use futures_lite::FutureExt;
+use futures_lite::future;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -31,10 +36,25 @@
 
 use crate::Executor;
 use crate::http::AnswerBody;
+use crate::http::caller_stream::CallerStream;
+use crate::http::caller_stream::Traffic;
+use crate::http::problem::raw_problem;
 
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_HEADER_BYTES: usize = 8 * 1024;
 
+/// Delay before connections are accepted again after a failure.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Refusals that may be on their way at once.
+const MAX_REFUSALS: usize = 256;
+
+/// When callers are asked to come back while too many connections are open.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Time for which a connection that ends is still read.
+const LINGER: Duration = Duration::from_millis(500);
+
 /// Limits of a listener.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
@@ -81,6 +101,44 @@
     }
 }
 
+/// What a listener serves.
+pub trait Server: Send + Sync + 'static {
+    /// Limits for the next connection; asked each time, so that they can change.
+    fn limits(&self) -> ServerLimits;
+
+    /// Answers one request.
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<AnswerBody>> + Send;
+
+    /// A connection was refused, or closed before its request was complete.
+    fn on_refused(&self, kind: ProblemKind) {
+        let _ = kind;
+    }
+}
+
+/// A server made of two functions.
+struct FunctionServer<L, H> {
+    limits: L,
+    handler: H,
+}
+
+impl<L, H, F> Server for FunctionServer<L, H>
+where
+    L: Fn() -> ServerLimits + Send + Sync + 'static,
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    fn limits(&self) -> ServerLimits {
+        (self.limits)()
+    }
+
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        (self.handler)(request).await
+    }
+}
+
 /// Accepts connections; `limits` is asked at each connection, so that it can change.
 ///
 /// # Errors
@@ -89,47 +147,91 @@
 pub async fn listen<H, F>(
     executor: Arc<Executor>,
     address: SocketAddr,
-    limits: impl Fn() -> ServerLimits + Send + 'static,
+    limits: impl Fn() -> ServerLimits + Send + Sync + 'static,
     handler: H,
 ) -> std::io::Result<Listening>
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<AnswerBody>> + Send + 'static,
 {
+    serve(
+        executor,
+        address,
+        Arc::new(FunctionServer { limits, handler }),
+    )
+    .await
+}
+
+/// Accepts connections until the listener is closed or dropped.
+///
+/// # Errors
+///
+/// The address cannot be listened on.
+pub async fn serve<S: Server>(
+    executor: Arc<Executor>,
+    address: SocketAddr,
+    server: Arc<S>,
+) -> std::io::Result<Listening> {
     let listener = TcpListener::bind(address).await?;
-    let open = Arc::new(AtomicUsize::new(0));
-    let accepting = executor.clone();
     let (stop, stopped) = async_channel::bounded(1);
     let (alive, ended) = async_channel::bounded(1);
-    let accept = async move {
-        loop {
-            let Some(accepted) = accept_unless_stopped(&listener, &stopped).await else {
-                return;
-            };
+    let acceptor = Acceptor {
+        executor: executor.clone(),
+        server,
+        stopped,
+        alive,
+    };
+    let accept = acceptor.accept_connections(listener);
+    executor.spawn(accept).detach();
+    Ok(Listening { stop, ended })
+}
+
+/// What connections are accepted and served with.
+struct Acceptor<S> {
+    executor: Arc<Executor>,
+    server: Arc<S>,
+    /// Closes when connections are to end.
+    stopped: Receiver<Infallible>,
+    /// Held by each connection that is open.
+    alive: Sender<Infallible>,
+}
+
+impl<S: Server> Acceptor<S> {
+    async fn accept_connections(self, listener: TcpListener) {
+        let open = Arc::new(AtomicUsize::new(0));
+        let refused = Arc::new(AtomicUsize::new(0));
+        while let Some(accepted) = accept_unless_stopped(&listener, &self.stopped).await {
             let Ok(stream) = accepted else {
                 // Out of descriptors or the like: wait for some to be closed.
-                async_io::Timer::after(Duration::from_millis(50)).await;
+                async_io::Timer::after(ACCEPT_RETRY).await;
                 continue;
             };
-            let limits = limits();
-            if open.load(Ordering::Relaxed) >= limits.max_connections {
+            let limits = self.server.limits();
+            if let Some(slot) = Slot::take(&open, limits.max_connections) {
+                self.serve(stream, limits, slot);
                 continue;
             }
-            open.fetch_add(1, Ordering::Relaxed);
-            let open = open.clone();
-            let handler = handler.clone();
-            let stopped = stopped.clone();
-            let alive: Sender<Infallible> = alive.clone();
-            let connection = async move {
-                serve_connection(stream, limits, handler, &stopped).await;
-                open.fetch_sub(1, Ordering::Relaxed);
-                drop(alive);
-            };
-            accepting.spawn(connection).detach();
+            self.server.on_refused(ProblemKind::Unavailable);
+            // Beyond this many, connections are closed without a word: refusing must stay cheap.
+            if let Some(slot) = Slot::take(&refused, MAX_REFUSALS) {
+                let problem = Problem::retry(ProblemKind::Unavailable, FULL_RETRY_AFTER);
+                let refusal = refuse(stream, problem, slot);
+                self.executor.spawn(refusal).detach();
+            }
         }
-    };
-    executor.spawn(accept).detach();
-    Ok(Listening { stop, ended })
+    }
+
+    fn serve(&self, stream: TcpStream, limits: ServerLimits, slot: Slot) {
+        let server = self.server.clone();
+        let stopped = self.stopped.clone();
+        let alive = self.alive.clone();
+        let connection = async move {
+            serve_connection(stream, limits, server, &stopped).await;
+            drop(slot);
+            drop(alive);
+        };
+        self.executor.spawn(connection).detach();
+    }
 }
 
 /// The next connection; none once the listener is to stop.
@@ -146,42 +248,95 @@
     stop.or(accept).await
 }
 
-async fn serve_connection<H, F>(
+/// One of a limited number of connections, free again when it is dropped.
+struct Slot(Arc<AtomicUsize>);
+
+impl Slot {
+    fn take(used: &Arc<AtomicUsize>, limit: usize) -> Option<Self> {
+        if used.fetch_add(1, Ordering::Relaxed) >= limit {
+            used.fetch_sub(1, Ordering::Relaxed);
+            return None;
+        }
+        Some(Self(used.clone()))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn refuse(mut stream: TcpStream, problem: Problem, _slot: Slot) {
+    write_last(&mut stream, &raw_problem(&problem)).await;
+}
+
+async fn serve_connection<S: Server>(
     stream: TcpStream,
     limits: ServerLimits,
-    handler: H,
+    server: Arc<S>,
     stopped: &Receiver<Infallible>,
-) where
-    H: Fn(Request<Incoming>) -> F,
-    F: Future<Output = Response<AnswerBody>>,
-{
+) {
     // Tokens must not wait for acknowledgements; failing to say so only costs time.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(|request| {
-        let answer = handler(request);
-        async { Ok::<_, Infallible>(answer.await) }
+    let traffic = Arc::new(Traffic::default());
+    let handling = traffic.clone();
+    let handler = server.clone();
+    let service = service_fn(move |request| {
+        handling.on_request();
+        let answer = handler.clone().handle(request);
+        Box::pin(async { Ok::<_, Infallible>(answer.await) })
     });
-    let connection = http1::Builder::new()
+    let io = FuturesIo::new(CallerStream::new(stream, traffic.clone()));
+    let mut connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_HEADER_BYTES))
-        .serve_connection(FuturesIo::new(stream), service);
-    let mut connection = pin!(connection);
-    let serve = async {
-        // A failure means that the other side is gone, which the handler's answer notices.
-        let _ = connection.as_mut().await;
-        false
-    };
+        .serve_connection(io, service);
+    let serve = async { Some(future::poll_fn(|cx| connection.poll_without_shutdown(cx)).await) };
     let stop = async {
         // Nothing is ever sent: the channel closes.
         let _ = stopped.recv().await;
-        true
+        None
     };
-    if serve.or(stop).await {
-        connection.as_mut().graceful_shutdown();
-        // As above.
-        let _ = connection.await;
+    let ended = match serve.or(stop).await {
+        Some(ended) => ended,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            future::poll_fn(|cx| connection.poll_without_shutdown(cx)).await
+        }
+    };
+    let mut stream = connection.into_parts().io.into_inner().into_inner();
+    let last = match &ended {
+        // A quiet connection between requests is closed without a word.
+        Err(error) if error.is_timeout() && traffic.has_unanswered() => {
+            server.on_refused(ProblemKind::ReceiveTimeout);
+            raw_problem(&Problem::new(ProblemKind::ReceiveTimeout))
+        }
+        _ => Vec::new(),
+    };
+    if let Some(kind) = traffic.refused() {
+        server.on_refused(kind);
     }
+    write_last(&mut stream, &last).await;
+}
+
+/// Writes the last bytes of a connection and reads what is still on its way, because closing a connection with
+/// unread bytes would throw the answer away.
+async fn write_last(stream: &mut TcpStream, bytes: &[u8]) {
+    let write = async {
+        stream.write_all(bytes).await?;
+        stream.close().await?;
+        let mut rest = [0; 4 * 1024];
+        while stream.read(&mut rest).await? > 0 {}
+        Ok(())
+    };
+    let expire = async {
+        async_io::Timer::after(LINGER).await;
+        Ok::<(), std::io::Error>(())
+    };
+    // A failure means that the other side is gone.
+    let _ = write.or(expire).await;
 }
 
 /// A request's body could not be read.
--- a/crates/arbutusfall_core/src/placement/shard.rs
+++ b/crates/arbutusfall_core/src/placement/shard.rs
@@ -29,6 +29,9 @@
 /// When callers are asked to come back if no endpoint can be used.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Interval at which lapsed grants are looked for.
+const LAPSE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// A pool shard.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Shard {
@@ -38,6 +41,8 @@
     pub(crate) forecast: Forecast,
     /// Instant of the last request.
     pub(crate) asked_at: Duration,
+    /// Instant at which lapsed grants were looked for, as this takes time with their number.
+    lapses_checked_at: Duration,
     comebacks: Comebacks,
     shares: Shares,
 }
@@ -302,18 +307,20 @@
 
     fn drop_lapsed(&mut self, ctx: &mut Context<'_>) {
         let now = ctx.now.monotonic;
-        let lapsed = self
-            .grants
-            .iter()
-            .filter(|(_, grant)| grant.lapses_at <= now);
+        for endpoint in &mut self.pools.prefills {
+            endpoint.drop_done(now);
+        }
+        if now < self.lapses_checked_at + LAPSE_INTERVAL {
+            return;
+        }
+        self.lapses_checked_at = now;
+        let grants = self.grants.iter();
+        let lapsed = grants.filter(|(_, grant)| grant.lapses_at <= now);
         let lapsed: Vec<RequestId> = lapsed.map(|(request, _)| *request).collect();
         for request in lapsed {
             self.remove(request, now);
             ctx.count(Counter::GrantsLapsed);
         }
-        for endpoint in &mut self.pools.prefills {
-            endpoint.drop_done(now);
-        }
     }
 
     /// Expects later releases of the slots whose expected release has passed: their answers are longer than most.
