--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod config_fold;
 mod config_reader;
 mod config_size;
+mod leaving;
 mod membership;
 mod nodes;
 mod placement_play;
