--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -12,6 +12,7 @@
 mod config_reader;
 mod config_size;
 mod hostile_records;
+mod leaving;
 mod membership;
 mod nodes;
 mod placement_play;
