--- a/crates/arbutusfall_standins/tests/it/peers.rs
+++ b/crates/arbutusfall_standins/tests/it/peers.rs
@@ -175,6 +175,28 @@
     assert!(counter(&fleet, 0, "peers.connections_failed.timeout") > 0);
 }
 
+/// Time over which a quiet link is measured.
+const QUIET: Duration = Duration::from_secs(3);
+
+#[test]
+fn a_quiet_link_costs_little() {
+    let _turn = turn::take();
+    let fleet = Fleet::start(program(), &small_site(), 2).expect("a fleet");
+    let relay = Relay::start(fleet.vms[1].settings.peer_address);
+    list_second_at(&fleet, relay.address);
+    let relayed = || book(&fleet, 0).is_some() && relay.replies() > 20;
+    fleet
+        .wait_for("the relay is used", relayed)
+        .expect("the relay is used");
+    let sent = counter(&fleet, 0, "peers.bytes_sent");
+    let opening = relay.bytes();
+    std::thread::sleep(QUIET);
+    let per_s = (relay.bytes() - opening) as f64 / QUIET.as_secs_f64();
+    let frames = counter(&fleet, 0, "peers.bytes_sent") - sent;
+    println!("one direction's link: {per_s:.0} B/s of packets, {frames} B of frames in {QUIET:?}");
+    assert!(per_s < 1_000.0, "{per_s} B/s");
+}
+
 #[test]
 fn restarted_vm_is_reached_at_its_new_address() {
     let _turn = turn::take();
--- a/crates/arbutusfall_standins/tests/it/relay.rs
+++ b/crates/arbutusfall_standins/tests/it/relay.rs
@@ -20,6 +20,8 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// Bytes of all packets in both directions.
+    bytes: usize,
     clients: BTreeMap<SocketAddr, Client>,
 }
 
@@ -62,9 +64,15 @@
         relayed.map(|client| client.replies).sum()
     }
 
+    /// Bytes of all packets in both directions, without headers of UDP and IP.
+    pub(crate) fn bytes(&self) -> usize {
+        self.lock().bytes
+    }
+
     fn relay(&self, socket: &Arc<UdpSocket>, target: SocketAddr) {
         let mut packet = [0; MAX_PACKET_BYTES];
         while let Ok((length, client)) = socket.recv_from(&mut packet) {
+            self.lock().bytes += length;
             let upstream = self.upstream(socket, client, target);
             if let Some(upstream) = upstream {
                 // Packets may be lost.
@@ -102,6 +110,7 @@
         let mut packet = [0; MAX_PACKET_BYTES];
         while let Ok(length) = upstream.recv(&mut packet) {
             let mut state = self.lock();
+            state.bytes += length;
             let Some(known) = state.clients.get_mut(&client) else {
                 return;
             };
