Expect the padding that the plain service's stand-in now sends

Cause: the stand-in's answer to a lookup got a field that fills large answers; two tests compare the whole body. Change: the expected bodies name the field, as strictly as before. Before: both failed; after: both pass.

--- a/crates/arbutusfall_standins/tests/it/callers.rs
+++ b/crates/arbutusfall_standins/tests/it/callers.rs
@@ -282,8 +282,8 @@
     assert_eq!(
         bodies,
         [
-            "{\"status_of\":\"/v1/status/first\"}",
-            "{\"status_of\":\"/v1/status/second\"}"
+            "{\"padding\":\"\",\"status_of\":\"/v1/status/first\"}",
+            "{\"padding\":\"\",\"status_of\":\"/v1/status/second\"}"
         ]
     );
     let chunked = format!(
