Poll engines only while a shard is asked

The timer ran in every process from its start, also where no shard is owned or the policy reads nothing. It is set by the first request and not set again when no shard was asked for 10 s.

--- a/crates/arbutusfall_core/src/node.rs
+++ b/crates/arbutusfall_core/src/node.rs
@@ -189,7 +189,6 @@
         self.config.read(ctx);
         self.streams.on_report_grants(ctx);
         self.sweep.on_timer(ctx);
-        self.shards.on_poll_timer(ctx);
         self.executions.on_sweep_timer(ctx);
         self.config.on_snapshot_timer(ctx);
         membership::on_probe_timer(ctx);
--- a/crates/arbutusfall_core/src/placement.rs
+++ b/crates/arbutusfall_core/src/placement.rs
@@ -49,6 +49,8 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct ShardOwner {
     shards: BTreeMap<ShardId, Shard>,
+    /// Whether [`Timer::PollEngines`] is set.
+    polls: bool,
 }
 
 impl ShardOwner {
@@ -56,6 +58,10 @@
     pub(crate) fn on_place(&mut self, entry: &Name, request: PlaceRequest, ctx: &mut Context<'_>) {
         let shard = self.shards.entry(request.shard.clone()).or_default();
         shard.asked_at = ctx.now.monotonic;
+        if !self.polls {
+            self.polls = true;
+            ctx.set_timer(POLL_INTERVAL, Timer::PollEngines);
+        }
         let decision = shard.place(&request, ctx);
         if let Some(traceparent) = request.traceparent {
             ctx.push(Effect::Trace {
@@ -87,18 +93,24 @@
     pub(crate) fn on_poll_timer(&mut self, ctx: &mut Context<'_>) {
         let site = ctx.site.clone();
         let now = ctx.now.monotonic;
+        self.polls = false;
         for (id, shard) in &mut self.shards {
             let Some(model) = site.models.get(&id.model) else {
                 continue;
             };
-            let followed = now < shard.asked_at + FOLLOWED_FOR;
+            if now >= shard.asked_at + FOLLOWED_FOR {
+                continue;
+            }
+            self.polls = true;
             if model.policy.kind == PolicyKind::LeastLoaded {
                 shard.read_loads(&site, ctx);
-            } else if model.policy.kind.has_affinity() && followed {
+            } else if model.policy.kind.has_affinity() {
                 shard.read_caches(&site, ctx);
             }
         }
-        ctx.set_timer(POLL_INTERVAL, Timer::PollEngines);
+        if self.polls {
+            ctx.set_timer(POLL_INTERVAL, Timer::PollEngines);
+        }
     }
 
     /// Takes in what an engine told of its load or its cache.
