Limit appends of claims, keep claim partitions fixed, name the edited revision

Cause: with a log that answers at once, 7 calls in progress made 1,459 appends a second, and 50 made 982, where the platform takes several hundred. A publication could change claims.partitions while keys of the window exist, so that a key's first claim would be looked for in another stream and the key run twice. An operator who published an edit of an older file undid a newer one unknowingly, because the revision in force was taken for the edited one.

Ruled out: fewer partitions alone, because the rate then follows the log's latency; refusing claims above a rate, because group commits can carry them.

--- a/crates/arbutusfall/src/cli.rs
+++ b/crates/arbutusfall/src/cli.rs
@@ -22,8 +22,8 @@
 Usage:
   arbutusfall serve --settings FILE
   arbutusfall check --base FILE [--overlay FILE]...
-  arbutusfall publish base FILE [LOG] [--publish-id UUID]
-  arbutusfall publish overlay SITE FILE [LOG] [--publish-id UUID]
+  arbutusfall publish base FILE [LOG] [--edited-from REVISION] [--publish-id UUID]
+  arbutusfall publish overlay SITE FILE [LOG] [--edited-from REVISION] [--publish-id UUID]
   arbutusfall status --vm IP:PORT [--json]
   arbutusfall keys --out DIR [--vm NAME]... [--days N]
   arbutusfall --help | --version
@@ -31,7 +31,8 @@
 LOG says where the platform's log is: --log IP:PORT, or --settings FILE with the settings of a VM, or the
 environment variable ARBUTUSFALL_LOG=IP:PORT; the first of them that is given is used.
 
-publish prints its publish id first. After a lost answer, repeat it with --publish-id: it is the same publication.
+publish replaces the revision in force, or with --edited-from only that revision, so that an edit of an older file is
+rejected. It prints its publish id first. After a lost answer, repeat it with --publish-id: it is the same publication.
 check takes an overlay's site from the name of its file. status asks a VM's operator address.
 keys keeps an authority that is there, and makes a certificate for the VM `vm` unless --vm names others.
 
--- a/crates/arbutusfall/src/cli/publish.rs
+++ b/crates/arbutusfall/src/cli/publish.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use arbutusfall_wire::Document;
+use arbutusfall_wire::Offset;
 use arbutusfall_wire::Rejection;
 use futures_lite::future;
 use lexopt::Arg;
@@ -57,11 +58,13 @@
     let mut words: Vec<OsString> = Vec::new();
     let mut log = LogOptions::default();
     let mut publish_id: Option<Uuid> = None;
+    let mut edited_from: Option<Offset> = None;
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Value(word) => words.push(word),
             Arg::Long("log") => log.address = Some(parser.value()?.parse()?),
             Arg::Long("settings") => log.settings = Some(parser.value()?.into()),
+            Arg::Long("edited-from") => edited_from = Some(Offset(parser.value()?.parse()?)),
             Arg::Long("publish-id") => publish_id = Some(parser.value()?.parse()?),
             other => return Err(unexpected(other)),
         }
@@ -72,7 +75,7 @@
     let publish_id = publish_id.unwrap_or_else(Uuid::now_v7);
     println!("publish id {publish_id}");
     let executor = Arc::new(Executor::new());
-    let publishing = crate::publish(&executor, log, publish_id, document, content);
+    let publishing = crate::publish(&executor, log, publish_id, document, edited_from, content);
     match future::block_on(executor.run(publishing)).map_err(failed)? {
         Published::Accepted { revision } => {
             println!("accepted, revision {revision}");
--- a/crates/arbutusfall/src/publish.rs
+++ b/crates/arbutusfall/src/publish.rs
@@ -100,7 +100,8 @@
 
 /// Publishes a document; a repeat with the same id is the same publication.
 ///
-/// A document that was changed after the id was made is not replaced: the edit did not see that change.
+/// `edited_from` is the revision that the operator edited; without one it is taken to be the revision in force. Either
+/// way, a document that was changed after the id was made is not replaced: the edit did not see that change.
 ///
 /// # Errors
 ///
@@ -110,6 +111,7 @@
     log_service: SocketAddr,
     publish_id: Uuid,
     document: Document,
+    edited_from: Option<Offset>,
     content: Value,
 ) -> Result<Published, Report<PublishError>> {
     let log = LogClient {
@@ -117,7 +119,7 @@
     };
     let made_at = made_at(publish_id)?;
     let unavailable = PublishError::LogUnavailable { publish_id };
-    let mut parent = None;
+    let mut parent = edited_from.map(Some);
     for attempt in 0..MAX_TRIES {
         if attempt > 0 {
             async_io::Timer::after(RETRY_AFTER).await;
--- a/crates/arbutusfall_core/src/claims/owner.rs
+++ b/crates/arbutusfall_core/src/claims/owner.rs
@@ -28,6 +28,7 @@
 use crate::claims::partition::Waiting;
 use crate::claims::partition::WaitingGoal;
 use crate::claims::partition_of;
+use crate::config::ClaimSettings;
 use crate::context::Context;
 use crate::timers::Timer;
 
@@ -152,7 +153,11 @@
         let Some(partition) = self.partitions.get_mut(&index) else {
             return;
         };
-        if partition.in_flight.is_some() || partition.down {
+        if partition.in_flight.is_some() || partition.down || partition.unsent.is_empty() {
+            return;
+        }
+        if ctx.now.monotonic < partition.append_after {
+            append_later(index, partition, ctx);
             return;
         }
         let mut records = Vec::new();
@@ -173,6 +178,7 @@
             .filter_map(|record| serde_json::to_string(record).ok());
         let texts = texts.map(Name::from).collect();
         partition.in_flight = Some(Flight { append, records });
+        partition.append_after = ctx.now.monotonic + append_interval(&ctx.site.claims);
         ctx.count(Counter::Appends);
         ctx.push(Effect::Append {
             stream: LogStream::Claims(index),
@@ -182,6 +188,14 @@
         self.look_later(index, APPEND_POLL, ctx);
     }
 
+    /// The pause after an append is over.
+    pub(crate) fn on_append_timer(&mut self, index: u16, ctx: &mut Context<'_>) {
+        if let Some(partition) = self.partitions.get_mut(&index) {
+            partition.append_set = false;
+        }
+        self.advance(index, ctx);
+    }
+
     /// Reads back what the log holds.
     fn read(&mut self, index: u16, ctx: &mut Context<'_>) {
         let Some(partition) = self.partitions.get_mut(&index) else {
@@ -360,6 +374,20 @@
     }
 }
 
+/// Time between two appends of one partition, so that all of them together keep to their limit.
+fn append_interval(settings: &ClaimSettings) -> Duration {
+    Duration::from_secs(1) * u32::from(settings.partitions) / settings.max_appends_per_s.max(1)
+}
+
+fn append_later(index: u16, partition: &mut Partition, ctx: &mut Context<'_>) {
+    if partition.append_set {
+        return;
+    }
+    partition.append_set = true;
+    let pause = partition.append_after - ctx.now.monotonic;
+    ctx.set_timer(pause, Timer::AppendClaims { partition: index });
+}
+
 /// Creation time before which keys are forgotten.
 fn forgotten_limit(ctx: &Context<'_>) -> Duration {
     let settings = &ctx.site.claims;
--- a/crates/arbutusfall_core/src/claims/partition.rs
+++ b/crates/arbutusfall_core/src/claims/partition.rs
@@ -38,6 +38,10 @@
     pub(super) retries: u32,
     /// Whether a timer is pending that reads again.
     pub(super) retry_set: bool,
+    /// Instant from which the next append may be made.
+    pub(super) append_after: Duration,
+    /// Whether a timer is pending that appends.
+    pub(super) append_set: bool,
 }
 
 /// The first claim of a key.
--- a/crates/arbutusfall_core/src/config/check.rs
+++ b/crates/arbutusfall_core/src/config/check.rs
@@ -1,6 +1,7 @@
 //! Checks of a base and its overlays, as they would be in force together.
 
 mod entries;
+mod fixed;
 mod ranges;
 mod references;
 
@@ -16,6 +17,8 @@
 
 use entries::parse_site;
 
+pub(super) use fixed::fixed_problem;
+
 /// Section that no other section refers to, and by far the largest.
 const ACCOUNTS: &str = "accounts";
 
--- a/crates/arbutusfall_core/src/config/check/ranges.rs
+++ b/crates/arbutusfall_core/src/config/check/ranges.rs
@@ -156,6 +156,11 @@
             0..=10 * MINUTE_MS,
         ),
         ("claims.partitions", claims.partitions.into(), 1..=4_096),
+        (
+            "claims.max_appends_per_s",
+            claims.max_appends_per_s.into(),
+            1..=100_000,
+        ),
         (
             "claims.claim_timeout_ms",
             claims.claim_timeout_ms,
--- a/crates/arbutusfall_core/src/config/fold.rs
+++ b/crates/arbutusfall_core/src/config/fold.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use arbutusfall_wire::ConfigProblem;
 use arbutusfall_wire::ConfigRecord;
 use arbutusfall_wire::DecidedPublication;
 use arbutusfall_wire::Document;
@@ -14,6 +15,7 @@
 
 use crate::config::check::check_base;
 use crate::config::check::check_overlay;
+use crate::config::check::fixed_problem;
 
 /// Decisions that are remembered for repeats of a publication.
 const MAX_DECIDED: usize = 256;
@@ -203,9 +205,36 @@
                 check_overlay(base, site, content)
             }
         };
+        let checked = checked.and_then(|()| self.check_fixed(document, content));
         checked.map_err(|problems| Rejection::Invalid { problems })
     }
 
+    /// Checks that a valid document leaves as it is what records on the log depend on.
+    fn check_fixed(&self, document: &Document, content: &Value) -> Result<(), Vec<ConfigProblem>> {
+        let Some(base) = self.content(&Document::Base) else {
+            return Ok(());
+        };
+        let problems: Vec<ConfigProblem> = match document {
+            Document::Base => {
+                let overlays = self.overlays().map(|(_, overlay)| Some(overlay));
+                let sites = std::iter::once(None).chain(overlays);
+                let problems = sites
+                    .map(|overlay| fixed_problem(document, (base, overlay), (content, overlay)));
+                problems.flatten().take(1).collect()
+            }
+            Document::Overlay(_) => {
+                let before = (base, self.content(document));
+                let problem = fixed_problem(document, before, (base, Some(content)));
+                problem.into_iter().collect()
+            }
+        };
+        if problems.is_empty() {
+            Ok(())
+        } else {
+            Err(problems)
+        }
+    }
+
     fn overlays(&self) -> impl Iterator<Item = (&Name, &Value)> {
         self.documents
             .iter()
--- a/crates/arbutusfall_core/src/config/schema.rs
+++ b/crates/arbutusfall_core/src/config/schema.rs
@@ -250,7 +250,13 @@
     pub retention_s: u64,
     /// How far in the future a key may lie.
     pub max_key_skew_ms: u64,
+    /// Appends that all partitions together make in a second, so that the log keeps room for others.
+    ///
+    /// Two owners of one partition may for a moment make twice as many.
+    pub max_appends_per_s: u32,
     /// Streams over which keys are spread.
+    ///
+    /// Invariant: never changes, because a key's claims would then be looked for in another stream.
     pub partitions: u16,
     /// Time that a call waits for its claim.
     pub claim_timeout_ms: u64,
@@ -262,6 +268,7 @@
             window_s: 24 * 3600,
             retention_s: 48 * 3600,
             max_key_skew_ms: 5_000,
+            max_appends_per_s: 300,
             partitions: 16,
             claim_timeout_ms: 2_000,
         }
--- a/crates/arbutusfall_core/src/node.rs
+++ b/crates/arbutusfall_core/src/node.rs
@@ -212,6 +212,9 @@
                 self.streams.on_start(request, placement, ctx);
             }
             Timer::RetryCancel { attempt } => self.streams.on_retry_cancel(attempt, ctx),
+            Timer::AppendClaims { partition } => {
+                self.partitions.on_append_timer(partition, ctx);
+            }
             Timer::RetryPartition { partition } => {
                 self.partitions.on_retry(partition, ctx);
             }
--- a/crates/arbutusfall_core/src/timers.rs
+++ b/crates/arbutusfall_core/src/timers.rs
@@ -48,6 +48,9 @@
     RetryCancel {
         attempt: AttemptId,
     },
+    AppendClaims {
+        partition: u16,
+    },
     RetryPartition {
         partition: u16,
     },
--- a/crates/arbutusfall_core/tests/it/config_fold.rs
+++ b/crates/arbutusfall_core/tests/it/config_fold.rs
@@ -9,6 +9,7 @@
 use arbutusfall_wire::Document;
 use arbutusfall_wire::Name;
 use arbutusfall_wire::Offset;
+use arbutusfall_wire::Rejection;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use serde_json::Value;
@@ -392,3 +393,29 @@
         play(&history);
     }
 }
+
+#[test]
+fn claim_partitions_of_a_site_in_force_never_change() {
+    let with = |partitions: u16| json!({ "claims": { "partitions": partitions } });
+    let mut with_sites = with(4);
+    with_sites["sites"] = json!(["rinnovo"]);
+    let mut fold = ConfigFold::default();
+    let first = publish(1, Document::Base, None, with_sites.clone());
+    assert_eq!(
+        fold.apply(Offset(0), &first),
+        FoldStep::Accepted(Document::Base)
+    );
+    let rejected = |step: &FoldStep| {
+        matches!(step, FoldStep::Rejected(Rejection::Invalid { problems })
+            if problems.iter().any(|problem| problem.path == "claims.partitions"))
+    };
+    let overlay = publish(2, overlay_document(), None, with(8));
+    assert!(rejected(&fold.apply(Offset(1), &overlay)), "by an overlay");
+    with_sites["claims"] = json!({ "partitions": 8 });
+    let base = publish(3, Document::Base, Some(Offset(0)), with_sites.clone());
+    assert!(rejected(&fold.apply(Offset(2), &base)), "by a base");
+    with_sites["claims"] = json!({ "partitions": 4, "window_s": 3_600 });
+    let base = publish(4, Document::Base, Some(Offset(0)), with_sites);
+    let step = fold.apply(Offset(3), &base);
+    assert_eq!(step, FoldStep::Accepted(Document::Base), "by neither");
+}
--- a/crates/arbutusfall_standins/tests/it/check_command.rs
+++ b/crates/arbutusfall_standins/tests/it/check_command.rs
@@ -202,3 +202,22 @@
         "{printed}"
     );
 }
+
+#[test]
+fn edit_of_an_older_revision_is_rejected() {
+    let _turn = crate::turn::take();
+    let program = std::path::Path::new(env!("CARGO_BIN_EXE_arbutusfall_standins"));
+    let fleet = Fleet::start_platform(program, &SiteSize::vitosha()).expect("the platform");
+    let files = Files::new();
+    let base = files.write("base.json", &good_base().to_string());
+    let log = fleet.log.address.to_string();
+    let publish = ["publish", "base", &base, "--log", &log];
+    assert_eq!(run(&publish).status.code(), Some(0), "revision 0");
+    assert_eq!(run(&publish).status.code(), Some(0), "revision 1");
+    let edited = |revision| run(&[&publish[..], &["--edited-from", revision]].concat());
+    let output = edited("0");
+    let printed = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(1));
+    assert!(printed.contains("revision 1 is in force"), "{printed}");
+    assert_eq!(edited("1").status.code(), Some(0));
+}
