Give the plots one legend beside them, and claims one way to find owners

Cause: the legend of each plot covered its upper left part, where the goodput of the chosen policy lies at light load. The owners of a key's partition were worked out in two places.

Ruled out: a legend within the plots at another corner, which covers other points.

--- a/crates/arbutusfall_core/src/claims.rs
+++ b/crates/arbutusfall_core/src/claims.rs
@@ -13,10 +13,12 @@
 use std::time::Duration;
 
 use arbutusfall_wire::IdempotencyKey;
+use arbutusfall_wire::Name;
 use arbutusfall_wire::stable_hash;
 
 use crate::config::ClaimSettings;
 use crate::context::Context;
+use crate::rendezvous::rank_owners;
 
 /// Partition of a key.
 pub(crate) fn partition_of(key: IdempotencyKey, settings: &ClaimSettings) -> u16 {
@@ -24,6 +26,13 @@
     u16::try_from(index).unwrap_or_default()
 }
 
+/// VMs that may own a key's partition, from the first choice to the last.
+fn owners_of(key: IdempotencyKey, ctx: &Context<'_>) -> Vec<Name> {
+    let partition = partition_of(key, &ctx.site.claims);
+    let live = ctx.members.live(&ctx.identity.site);
+    rank_owners(&("claims", partition), &live)
+}
+
 /// Whether a key is older than the claim window.
 fn is_expired(key: IdempotencyKey, ctx: &Context<'_>) -> bool {
     let window = Duration::from_secs(ctx.site.claims.window_s);
--- a/crates/arbutusfall_core/src/claims/executions.rs
+++ b/crates/arbutusfall_core/src/claims/executions.rs
@@ -32,10 +32,9 @@
 use crate::claims::outcomes::refuse_not_run;
 use crate::claims::outcomes::refuse_undecided;
 use crate::claims::outcomes::refuse_unknown;
-use crate::claims::partition_of;
+use crate::claims::owners_of;
 use crate::config::Route;
 use crate::context::Context;
-use crate::rendezvous::rank_owners;
 use crate::timers::Timer;
 
 /// Time that a partition owner has before the next one is asked.
@@ -135,9 +134,7 @@
         let Some(execution) = self.executions.get_mut(&key) else {
             return;
         };
-        let partition = partition_of(key, &ctx.site.claims);
-        let live = ctx.members.live(&ctx.identity.site);
-        let owners = rank_owners(&("claims", partition), &live);
+        let owners = owners_of(key, ctx);
         if owners.is_empty() {
             return;
         }
@@ -412,9 +409,7 @@
             request: execution.request,
             outcome: logged(&outcome),
         };
-        let partition = partition_of(key, &ctx.site.claims);
-        let live = ctx.members.live(&ctx.identity.site);
-        if let Some(owner) = rank_owners(&("claims", partition), &live).first() {
+        if let Some(owner) = owners_of(key, ctx).first() {
             ctx.send(owner, PeerMessage::RecordOutcome(record));
         }
         self.learn(key, outcome, ctx);
--- a/crates/arbutusfall_standins/src/experiment/plots.rs
+++ b/crates/arbutusfall_standins/src/experiment/plots.rs
@@ -5,13 +5,15 @@
 
 use error_stack::Report;
 use plotters::chart::ChartBuilder;
-use plotters::chart::SeriesLabelPosition;
+use plotters::coord::Shift;
+use plotters::drawing::DrawingArea;
+use plotters::drawing::DrawingAreaErrorKind;
 use plotters::drawing::IntoDrawingArea;
 use plotters::prelude::Circle;
-use plotters::prelude::PathElement;
+use plotters::prelude::DrawingBackend;
 use plotters::prelude::SVGBackend;
+use plotters::prelude::Text;
 use plotters::series::LineSeries;
-use plotters::style::BLACK;
 use plotters::style::Color;
 use plotters::style::Palette;
 use plotters::style::Palette99;
@@ -22,6 +24,9 @@
 /// Size of the page in pixels.
 const PAGE_SIZE: (u32, u32) = (1_800, 700);
 
+/// Width of the legend in pixels.
+const LEGEND_WIDTH: u32 = 280;
+
 /// Size of labels in pixels.
 const LABEL_SIZE: u32 = 15;
 
@@ -53,7 +58,8 @@
         ("first token, p95, ms", |result| result.first_token_p95_ms),
         ("wasted prefill, % of tokens", RunResult::wasted_percent),
     ];
-    for (area, (caption, measure)) in page.split_evenly((1, 3)).iter().zip(plots) {
+    let (plot_area, legend_area) = page.split_horizontally(PAGE_SIZE.0 - LEGEND_WIDTH);
+    for (area, (caption, measure)) in plot_area.split_evenly((1, 3)).iter().zip(plots) {
         let points = results.iter().map(|result| (result.load, measure(result)));
         let highest = points.clone().map(|(_, value)| value).fold(1.0, f64::max);
         let heaviest = points.map(|(load, _)| load).fold(1.0, f64::max);
@@ -62,7 +68,7 @@
             .margin(14)
             .x_label_area_size(46)
             .y_label_area_size(60)
-            .build_cartesian_2d(0.0..heaviest * 1.1, 0.0..highest * 1.7)
+            .build_cartesian_2d(0.0..heaviest * 1.1, 0.0..highest * 1.1)
             .map_err(failed)?;
         chart
             .configure_mesh()
@@ -77,29 +83,34 @@
         for (index, series) in all_series(results).into_iter().enumerate() {
             let colour = Palette99::pick(index).to_rgba();
             let line = means(results, &series, measure);
-            let drawn = chart
+            chart
                 .draw_series(LineSeries::new(line.clone(), colour.stroke_width(2)))
                 .map_err(failed)?;
-            drawn.label(series).legend(move |(x, y)| {
-                PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2))
-            });
             let dots = line.into_iter();
             chart
-                .draw_series(dots.map(|point| Circle::new(point, 3, colour.filled())))
+                .draw_series(dots.map(|point| Circle::new(point, 4, colour.filled())))
                 .map_err(failed)?;
         }
-        chart
-            .configure_series_labels()
-            .position(SeriesLabelPosition::UpperLeft)
-            .label_font(("sans-serif", LABEL_SIZE))
-            .background_style(WHITE.mix(0.8))
-            .border_style(BLACK.mix(0.3))
-            .draw()
-            .map_err(failed)?;
     }
+    draw_legend(&legend_area, &all_series(results)).map_err(failed)?;
     page.present().map_err(failed)
 }
 
+/// Draws which colour stands for which series.
+fn draw_legend<B: DrawingBackend>(
+    area: &DrawingArea<B, Shift>,
+    series: &[String],
+) -> Result<(), DrawingAreaErrorKind<B::ErrorType>> {
+    for (index, name) in series.iter().enumerate() {
+        let colour = Palette99::pick(index).to_rgba();
+        let y = 60 + 24 * i32::try_from(index).unwrap_or_default();
+        area.draw(&Circle::new((12, y), 5, colour.filled()))?;
+        let label = Text::new(name.clone(), (26, y - 7), ("sans-serif", LABEL_SIZE));
+        area.draw(&label)?;
+    }
+    Ok(())
+}
+
 /// What was run, in its order.
 fn all_series(results: &[RunResult]) -> Vec<String> {
     let mut all: Vec<String> = Vec::new();
