Print the demo's plain answers as status and body

Cause: they were printed in the form for debugging, which a newcomer cannot read. Ruled out: a table, as there are three lines.

--- a/crates/arbutusfall_standins/src/demo.rs
+++ b/crates/arbutusfall_standins/src/demo.rs
@@ -10,9 +10,11 @@
 use serde_json::Value;
 
 use crate::Caller;
+use crate::CallerError;
 use crate::Completion;
 use crate::Fleet;
 use crate::FleetError;
+use crate::PlainAnswer;
 use crate::SiteSize;
 use crate::expected_text;
 
@@ -143,7 +145,7 @@
         ];
         let call = caller.call(vm.caller_address, Method::POST, path, &headers);
         let answer = fleet.block_on(call);
-        println!("print confirmation, attempt {attempt}: {answer:?}");
+        println!("print confirmation, attempt {attempt}: {}", shown(&answer));
         answers.push(answer.ok());
     }
     if answers[0].is_none() || answers[0] != answers[1] {
@@ -156,10 +158,18 @@
     let path = format!("{}/4711", fleet.site.idempotent_path);
     let vm = fleet.vms[VMS - 1].caller_address;
     let answer = fleet.block_on(caller.call(vm, Method::GET, &path, &[]));
-    println!("status lookup: {answer:?}");
+    println!("status lookup: {}", shown(&answer));
     wrong + usize::from(!answer.is_ok_and(|answer| answer.status == 200))
 }
 
+/// A plain answer as one line.
+fn shown(answer: &Result<PlainAnswer, CallerError>) -> String {
+    match answer {
+        Ok(answer) => format!("{} {}", answer.status, answer.body),
+        Err(error) => format!("WRONG, no answer: {error}"),
+    }
+}
+
 /// How often the plain service's processes executed a key, all together.
 fn executions(fleet: &Fleet, key: &str) -> u64 {
     let plain = fleet
