Allow for the clocks' uncertainty when an edited record is gone from the log

Where the record in force is kept, 20 ms are allowed for that; where it is gone, nothing was.

Ruled out: a lost append and a gap, which the log's stand-in had no fault for.

The same 20 ms now count in both cases.

--- a/crates/arbutusfall/src/publish.rs
+++ b/crates/arbutusfall/src/publish.rs
@@ -269,10 +269,15 @@
             }
             Some(_) => Ok(Ok(Some(in_force))),
             // The record is gone, so it is older than all that are kept.
-            None if self.appended_at.iter().all(|(_, at)| *at > made_at) => {
+            None if self.all_kept_came_after(made_at) => {
                 Err(Report::new(PublishError::Forgotten { publish_id }))
             }
             None => Ok(Ok(Some(in_force))),
         }
     }
+
+    fn all_kept_came_after(&self, made_at: Duration) -> bool {
+        let mut kept = self.appended_at.iter();
+        kept.all(|(_, appended_at)| *appended_at > made_at + AGE_TOLERANCE)
+    }
 }
--- a/crates/arbutusfall_standins/tests/it/configuration.rs
+++ b/crates/arbutusfall_standins/tests/it/configuration.rs
@@ -3,6 +3,8 @@
 use std::path::Path;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use arbutusfall::Published;
 use arbutusfall_standins::Caller;
@@ -12,6 +14,8 @@
 use hyper::Method;
 use serde_json::Value;
 use serde_json::json;
+use uuid::NoContext;
+use uuid::Timestamp;
 use uuid::Uuid;
 
 /// Longest time from a publication until it is in force on every VM.
@@ -262,3 +266,32 @@
     let after = [work(&fleet, "prefill-1"), work(&fleet, "plain-1")];
     assert_eq!(before, after);
 }
+
+#[test]
+fn a_snapshot_at_the_instant_of_an_edit_does_not_make_the_edit_too_old() {
+    let _turn = crate::turn::take();
+    let program = Path::new(env!("CARGO_BIN_EXE_arbutusfall_standins"));
+    let fleet = Fleet::start_platform(program, &SiteSize::vitosha()).expect("the platform");
+    let content = base(&fleet, 601);
+    assert_eq!(accepted(&fleet, Document::Base, content.clone()), 0);
+    let documents = json!([{ "document": "base", "revision": 0, "content": content }]);
+    let snapshot = json!({ "through": 0, "documents": documents, "decided": [] });
+    let record = json!({ "snapshot": snapshot }).to_string();
+    let path = "/streams/config/records";
+    let appended = fleet.post(fleet.log.address, path, &json!({ "records": [record] }));
+    appended.expect("append");
+    // By the clocks' uncertainty, the id may seem to be a little older than the snapshot.
+    let before = SystemTime::now() - Duration::from_millis(3);
+    let before = before
+        .duration_since(UNIX_EPOCH)
+        .expect("a time of this century");
+    let before = Timestamp::from_unix(NoContext, before.as_secs(), before.subsec_nanos());
+    let id = Uuid::new_v7(before);
+    let expire = json!({ "expire_before": 1 });
+    fleet.set_faults(&fleet.log, &expire).expect("a fault");
+    let published = publish(&fleet, id, Document::Base, base(&fleet, 602));
+    assert!(
+        matches!(published, Some(Published::Accepted { .. })),
+        "{published:?}"
+    );
+}
