Relay requests on the users' platform: first thin path

Cause: the router spoke only its own interface, so nothing of the platform's could be served. Ruled out: passing the platform's streams through the parsing of completions, because events and their signatures must arrive unchanged. Change: a second reducer, arbutusfall_core::relay, decides for requests that are passed on as they are; platform/ translates; `arbutusfall relay` drives both.

--- a/crates/arbutusfall/src/callers/answer.rs
+++ b/crates/arbutusfall/src/callers/answer.rs
@@ -119,7 +119,7 @@
     };
     let stream = futures_lite::stream::unfold(state, |mut state| async {
         let piece = state.next_piece().await?;
-        Some((piece, state))
+        Some((Ok(piece), state))
     });
     AnswerBody::Stream(Box::pin(stream))
 }
--- a/crates/arbutusfall/src/cli.rs
+++ b/crates/arbutusfall/src/cli.rs
@@ -16,11 +16,13 @@
 use lexopt::Parser;
 use lexopt::ValueExt;
 
+use crate::RelayFileSettings;
 use crate::Settings;
 
 const HELP: &str = "\
 Usage:
   arbutusfall serve --settings FILE
+  arbutusfall relay --settings FILE
   arbutusfall check --base FILE [--overlay FILE]...
   arbutusfall publish base FILE [LOG] [--edited-from REVISION] [--publish-id UUID]
   arbutusfall publish overlay SITE FILE [LOG] [--edited-from REVISION] [--publish-id UUID]
@@ -33,6 +35,7 @@
 
 publish replaces the revision in force, or with --edited-from only that revision, so that an edit of an older file is
 rejected. It prints its publish id first. After a lost answer, repeat it with --publish-id: it is the same publication.
+relay runs a VM on the users' platform; serve runs one with the router's own interface.
 check takes an overlay's site from the name of its file. status asks a VM's operator address.
 keys keeps an authority that is there, and makes a certificate for the VM `vm` unless --vm names others.
 
@@ -103,6 +106,7 @@
     match parser.next()?.ok_or_else(missing)? {
         Arg::Value(command) => match command.string()?.as_str() {
             "serve" => serve(parser),
+            "relay" => relay(parser),
             "check" => check(parser),
             "publish" => publish::publish(parser),
             "status" => status::status(parser),
@@ -130,7 +134,18 @@
     value.ok_or_else(|| Failure::Usage(format!("{option} is missing; see --help")))
 }
 
-fn serve(mut parser: Parser) -> Result<(), Failure> {
+fn serve(parser: Parser) -> Result<(), Failure> {
+    let settings = Settings::load(&settings_file(parser)?).map_err(failed)?;
+    crate::serve(settings).map_err(failed)
+}
+
+fn relay(parser: Parser) -> Result<(), Failure> {
+    let settings = RelayFileSettings::load(&settings_file(parser)?).map_err(failed)?;
+    crate::serve_relay(settings).map_err(failed)
+}
+
+/// The value of `--settings`, which must be the only option.
+fn settings_file(mut parser: Parser) -> Result<PathBuf, Failure> {
     let mut file: Option<PathBuf> = None;
     while let Some(arg) = parser.next()? {
         match arg {
@@ -138,8 +153,7 @@
             other => return Err(unexpected(other)),
         }
     }
-    let settings = Settings::load(&required(file, "--settings")?).map_err(failed)?;
-    crate::serve(settings).map_err(failed)
+    required(file, "--settings")
 }
 
 fn check(mut parser: Parser) -> Result<(), Failure> {
--- a/crates/arbutusfall/src/http.rs
+++ b/crates/arbutusfall/src/http.rs
@@ -3,17 +3,23 @@
 mod body;
 mod caller_stream;
 mod client;
+mod event_splitter;
 mod problem;
 mod server;
 
 pub use body::AnswerBody;
 pub use body::BodyWriter;
+pub use body::BrokenOff;
+pub use body::Piece;
 pub use client::ClientError;
 pub use client::Exchange;
+pub use client::exchange;
 pub use client::get_json;
 pub use client::post_json;
 pub use client::read_body;
 pub use client::send;
+pub use event_splitter::EventSplitter;
+pub use event_splitter::WholeEvents;
 pub use problem::problem_answer;
 pub(crate) use problem::problem_document;
 pub use server::Listening;
--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -169,6 +169,33 @@
     body: Bytes,
     within: Duration,
 ) -> Result<T, ClientError> {
+    let body = exchange_body(executor, address, method, path, body, within).await?;
+    serde_json::from_slice(&body).map_err(|_| ClientError::Malformed)
+}
+
+/// Sends a request without a body and reads the body of the answer.
+///
+/// # Errors
+///
+/// Any [`ClientError`]; a status other than 2xx is [`ClientError::Status`].
+pub async fn exchange(
+    executor: &Executor,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    within: Duration,
+) -> Result<Bytes, ClientError> {
+    exchange_body(executor, address, method, path, Bytes::new(), within).await
+}
+
+async fn exchange_body(
+    executor: &Executor,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+    within: Duration,
+) -> Result<Bytes, ClientError> {
     let request = Request::builder()
         .method(method)
         .uri(path)
@@ -188,5 +215,5 @@
     if !status.is_success() {
         return Err(ClientError::Status(status.as_u16()));
     }
-    serde_json::from_slice(&body).map_err(|_| ClientError::Malformed)
+    Ok(body)
 }
--- /dev/null
+++ b/crates/arbutusfall/src/http/event_splitter.rs
@@ -0,0 +1,55 @@
+//! Splits a stream of server-sent events into whole events.
+
+use hyper::body::Bytes;
+
+/// Whole events, with the line that ends each.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WholeEvents {
+    /// Their bytes.
+    pub bytes: Bytes,
+    /// Number in the last `id` line among them.
+    pub last_id: Option<u64>,
+}
+
+/// Holds back what does not yet end an event.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    pending: Vec<u8>,
+}
+
+impl EventSplitter {
+    /// Takes bytes in; returns the events that are whole with them.
+    pub fn push(&mut self, bytes: &[u8]) -> Option<WholeEvents> {
+        self.pending.extend_from_slice(bytes);
+        let end = end_of_last_event(&self.pending)?;
+        let whole: Vec<u8> = self.pending.drain(..end).collect();
+        let last_id = last_id(&whole);
+        Some(WholeEvents {
+            bytes: whole.into(),
+            last_id,
+        })
+    }
+
+    /// What is left when the stream ends.
+    pub fn finish(self) -> Bytes {
+        self.pending.into()
+    }
+}
+
+/// Position after the last blank line.
+fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
+    let ends_at = |end: usize| {
+        let before = &bytes[..end];
+        before.ends_with(b"\n\n") || before.ends_with(b"\r\n\r\n")
+    };
+    (1..=bytes.len()).rev().find(|end| ends_at(*end))
+}
+
+fn last_id(events: &[u8]) -> Option<u64> {
+    let lines = events.rsplit(|byte| *byte == b'\n');
+    let ids = lines.filter_map(|line| {
+        let value = line.strip_prefix(b"id:")?;
+        std::str::from_utf8(value).ok()?.trim().parse().ok()
+    });
+    ids.into_iter().next()
+}
--- /dev/null
+++ b/crates/arbutusfall/src/relay.rs
@@ -0,0 +1,12 @@
+//! Runs the relay of `arbutusfall_core` on the users' platform: sockets and clocks around it.
+
+mod callers;
+mod driver;
+mod exchange;
+mod open_calls;
+mod serve;
+mod settings;
+mod store_watch;
+
+pub use serve::serve_relay;
+pub use settings::RelayFileSettings;
--- /dev/null
+++ b/crates/arbutusfall/src/relay/callers.rs
@@ -0,0 +1,121 @@
+//! Callers' connections on the platform.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutusfall_core::CallId;
+use arbutusfall_core::Problem;
+use arbutusfall_core::ProblemKind;
+use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_platform::callers;
+use arbutusfall_platform::endpoints::ForwardedRequest;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+
+use crate::http::AnswerBody;
+use crate::http::ReadBodyError;
+use crate::http::Server;
+use crate::http::ServerLimits;
+use crate::http::problem_answer;
+use crate::http::read_request_body;
+use crate::relay::driver::Driver;
+use crate::relay::open_calls::Reply;
+
+/// Descriptors that are left to endpoints, the store and operators.
+const MAX_CALLER_CONNECTIONS: usize = 2_000;
+
+/// The callers' interface of one process.
+pub(super) struct Callers {
+    pub(super) driver: Arc<Driver>,
+}
+
+/// Tells the relay that a caller is gone, unless its answer was complete.
+struct CallGuard {
+    driver: Arc<Driver>,
+    call: CallId,
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        if self.driver.calls.close(self.call) {
+            let call = self.call;
+            self.driver.submit(RelayEvent::CallerGone { call });
+        }
+    }
+}
+
+impl Server for Callers {
+    fn limits(&self) -> ServerLimits {
+        let limits = self.driver.limits();
+        ServerLimits {
+            max_header_bytes: limits.max_header_bytes,
+            // One timer covers the time between requests and the headers of the next.
+            header_timeout: limits.idle_timeout + limits.receive_timeout,
+            max_connections: MAX_CALLER_CONNECTIONS,
+        }
+    }
+
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let mut answer = match self.try_handle(request).await {
+            Ok(answer) => answer,
+            Err(problem) => own_answer(&problem),
+        };
+        if !self.driver.is_ready() {
+            let close = HeaderValue::from_static("close");
+            answer.headers_mut().insert(CONNECTION, close);
+        }
+        answer
+    }
+}
+
+impl Callers {
+    async fn try_handle(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, Problem> {
+        let limits = self.driver.limits();
+        let (parts, body) = request.into_parts();
+        let within = limits.receive_timeout.max(Duration::from_secs(1));
+        let body = read_request_body(body, limits.max_body_bytes, within);
+        let body = body.await.map_err(|error| {
+            Problem::new(match error {
+                ReadBodyError::TooLong => ProblemKind::BodyTooLarge,
+                ReadBodyError::Timeout => ProblemKind::ReceiveTimeout,
+                ReadBodyError::Broken => ProblemKind::Malformed,
+            })
+        })?;
+        let call = self.driver.calls.next_id();
+        let asked = callers::relay_request(call, &parts);
+        let forwarded = ForwardedRequest::new(parts.method, &parts.uri, parts.headers, body);
+        let replies = self.driver.calls.open(call, forwarded);
+        let guard = CallGuard {
+            driver: self.driver.clone(),
+            call,
+        };
+        self.driver.submit(RelayEvent::Asked(asked));
+        match replies.recv().await {
+            Ok(Reply::Endpoint(head, body)) => {
+                let mut answer = Response::new(body.keeping(guard));
+                *answer.status_mut() = head.status;
+                *answer.headers_mut() = head.headers;
+                Ok(answer)
+            }
+            Ok(Reply::Problem(problem)) => Err(problem),
+            // The relay ends each call with a reply.
+            Err(_) => Err(Problem::new(ProblemKind::UpstreamFailed)),
+        }
+    }
+}
+
+fn own_answer(problem: &Problem) -> Response<AnswerBody> {
+    let mut answer = problem_answer(problem);
+    let retry_after = callers::retry_after(problem);
+    if let Some(value) = retry_after.and_then(|text| HeaderValue::from_str(&text).ok()) {
+        answer.headers_mut().insert(RETRY_AFTER, value);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -0,0 +1,111 @@
+//! Starts and ends a relaying process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutusfall_core::relay::Relay;
+use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_core::relay::RelaySettings;
+use arbutusfall_platform::store::Topic;
+use async_signal::Signal;
+use async_signal::Signals;
+use error_stack::Report;
+use error_stack::ResultExt;
+use futures_lite::StreamExt;
+use hyper::Response;
+
+use crate::Executor;
+use crate::LogFormat;
+use crate::ServeError;
+use crate::http;
+use crate::http::AnswerBody;
+use crate::http::ServerLimits;
+use crate::relay::RelayFileSettings;
+use crate::relay::callers::Callers;
+use crate::relay::driver::Driver;
+use crate::relay::store_watch::StoreWatch;
+use crate::telemetry;
+
+/// Time at the end of a drain that is kept for the exit itself.
+const EXIT_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// Runs a VM on the users' platform until SIGTERM and the end of all work in progress.
+///
+/// # Errors
+///
+/// [`ServeError`] if the process cannot start.
+pub fn serve_relay(settings: RelayFileSettings) -> Result<(), Report<ServeError>> {
+    telemetry::start_log(LogFormat::Json, settings.log_level);
+    let executor = Arc::new(Executor::new());
+    // One thread runs the tasks and waits for sockets and timers.
+    async_io::block_on(executor.clone().run(run(executor, settings)))
+}
+
+async fn run(
+    executor: Arc<Executor>,
+    settings: RelayFileSettings,
+) -> Result<(), Report<ServeError>> {
+    let relay_settings = RelaySettings {
+        retry_ratio: settings.retry_ratio,
+    };
+    let relay = Relay::new(&relay_settings, fastrand::u64(..));
+    let driver = Arc::new(Driver::new(relay, executor.clone()));
+    for topic in [Topic::Config, Topic::Endpoints] {
+        let watch = StoreWatch {
+            driver: driver.clone(),
+            address: settings.store_address,
+            topic,
+        };
+        executor.spawn(watch.run()).detach();
+    }
+    watch_signals(&driver)?;
+    let operators = listen_to_operators(&driver, &settings).await?;
+    let callers = Arc::new(Callers {
+        driver: driver.clone(),
+    });
+    let address = settings.caller_address;
+    let listening = http::serve(executor, address, callers);
+    let listening = listening.await.change_context(ServeError::Listen(address))?;
+    log::info!("started {} in {}", settings.vm, settings.data_centre);
+    driver.run_timers().await;
+    let drain = Duration::from_secs(settings.drain_timeout_s);
+    listening.close(drain.saturating_sub(EXIT_MARGIN)).await;
+    drop(operators);
+    log::info!("stopped {}", settings.vm);
+    Ok(())
+}
+
+async fn listen_to_operators(
+    driver: &Arc<Driver>,
+    settings: &RelayFileSettings,
+) -> Result<http::Listening, Report<ServeError>> {
+    let address = settings.operator_address;
+    let driver = driver.clone();
+    let executor = driver.executor.clone();
+    let listening = http::listen(executor, address, ServerLimits::default, move |_| {
+        let status = if driver.is_ready() { 200 } else { 503 };
+        async move {
+            let mut answer = Response::new(AnswerBody::whole(""));
+            *answer.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
+            answer
+        }
+    });
+    listening.await.change_context(ServeError::Listen(address))
+}
+
+fn watch_signals(driver: &Arc<Driver>) -> Result<(), Report<ServeError>> {
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+    let mut signals = signals.change_context(ServeError::Signals)?;
+    let watching = driver.clone();
+    let watch = async move {
+        while let Some(Ok(signal)) = signals.next().await {
+            if signal == Signal::Hup {
+                log::info!("the settings file may have changed; it is read at the next start");
+            } else {
+                watching.submit(RelayEvent::Terminate);
+            }
+        }
+    };
+    driver.executor.spawn(watch).detach();
+    Ok(())
+}
--- /dev/null
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -0,0 +1,47 @@
+//! Settings of a relaying process, from a JSON file that the platform fills in.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use arbutusfall_wire::Name;
+use error_stack::Report;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::LogLevel;
+use crate::SettingsError;
+use crate::settings::read_settings;
+
+/// What a relaying process must know before it can read its configuration.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RelayFileSettings {
+    /// Name of the VM.
+    pub vm: Name,
+    /// Data centre in which the VM runs.
+    pub data_centre: Name,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where the platform asks whether the VM takes connections, and for counters.
+    pub operator_address: SocketAddr,
+    /// Where the platform's store listens.
+    pub store_address: SocketAddr,
+    /// Requests that may be sent again, as a share of all.
+    pub retry_ratio: f64,
+    /// Time that the process has to end after SIGTERM.
+    pub drain_timeout_s: u64,
+    /// Least severe log lines that are written.
+    #[serde(default)]
+    pub log_level: LogLevel,
+}
+
+impl RelayFileSettings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] names the file, the place and what is wrong.
+    pub fn load(file: &Path) -> Result<Self, Report<SettingsError>> {
+        read_settings(file)
+    }
+}
--- a/crates/arbutusfall/src/settings.rs
+++ b/crates/arbutusfall/src/settings.rs
@@ -10,6 +10,7 @@
 use error_stack::ResultExt;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 /// What a process must know before it can read its configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -129,25 +130,33 @@
     ///
     /// [`SettingsError`] names the file, the place and what is wrong.
     pub fn load(file: &Path) -> Result<Self, Report<SettingsError>> {
-        let unreadable = || SettingsError::Unreadable {
-            file: file.to_owned(),
-        };
-        let text = std::fs::read_to_string(file).change_context_lazy(unreadable)?;
-        let invalid = |path: String, found: String| {
-            Report::new(SettingsError::Invalid {
-                file: file.to_owned(),
-                path,
-                found,
-            })
-        };
-        let value = arbutusfall_core::config::parse_document(&text)
-            .map_err(|error| invalid(error.path, error.found))?;
-        let settings: Self = serde_path_to_error::deserialize(&value)
-            .map_err(|error| invalid(error.path().to_string(), error.inner().to_string()))?;
+        let settings: Self = read_settings(file)?;
         if settings.worker_threads == 0 {
-            let found = "0; at least one thread is needed".to_owned();
-            return Err(invalid("worker_threads".to_owned(), found));
+            return Err(Report::new(SettingsError::Invalid {
+                file: file.to_owned(),
+                path: "worker_threads".to_owned(),
+                found: "0; at least one thread is needed".to_owned(),
+            }));
         }
         Ok(settings)
     }
 }
+
+/// Reads a JSON file of settings.
+pub(crate) fn read_settings<T: DeserializeOwned>(file: &Path) -> Result<T, Report<SettingsError>> {
+    let unreadable = || SettingsError::Unreadable {
+        file: file.to_owned(),
+    };
+    let text = std::fs::read_to_string(file).change_context_lazy(unreadable)?;
+    let invalid = |path: String, found: String| {
+        Report::new(SettingsError::Invalid {
+            file: file.to_owned(),
+            path,
+            found,
+        })
+    };
+    let value = arbutusfall_core::config::parse_document(&text)
+        .map_err(|error| invalid(error.path, error.found))?;
+    serde_path_to_error::deserialize(&value)
+        .map_err(|error| invalid(error.path().to_string(), error.inner().to_string()))
+}
--- a/crates/arbutusfall_core/src/lib.rs
+++ b/crates/arbutusfall_core/src/lib.rs
@@ -24,6 +24,7 @@
 //! `docs/DESIGN.md` says how to drive the reducer from a test bench.
 
 pub mod config;
+pub mod relay;
 
 mod calls;
 mod claims;
--- a/crates/arbutusfall_core/src/placement/health.rs
+++ b/crates/arbutusfall_core/src/placement/health.rs
@@ -44,6 +44,11 @@
         self.avoid_until = now + self.avoidance();
     }
 
+    /// Time for which no request is placed; none if one may be.
+    pub(crate) fn avoided_for(&self, now: Duration) -> Option<Duration> {
+        (!self.is_usable(now)).then(|| self.avoid_until - now)
+    }
+
     fn avoidance(&self) -> Duration {
         let doublings = self.failures.saturating_sub(1).min(8);
         (FIRST_AVOIDANCE * (1 << doublings)).min(MAX_AVOIDANCE)
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -0,0 +1,206 @@
+//! Relayed requests: callers' requests passed on unchanged to endpoints that the platform lists.
+//!
+//! A [`Relay`] takes one [`RelayEvent`] at a time and returns [`RelayEffect`]s as data, like [`crate::Node`]. The text
+//! of requests and answers stays with whoever drives it; the relay sees sizes, outcomes and times.
+
+mod balance;
+mod budget;
+mod call;
+mod calls;
+mod endpoints;
+mod event;
+mod notice;
+mod routes;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutusfall_wire::FastMap;
+
+use crate::CallId;
+use crate::timers::Timers;
+
+use budget::RetryBudget;
+use call::Call;
+use endpoints::Endpoints;
+
+pub use event::*;
+pub use notice::RelayNotice;
+pub use routes::*;
+
+/// What a relay must know before it reads the configuration.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RelaySettings {
+    /// Repeated sends that one request earns, as a share of a send.
+    pub retry_ratio: f64,
+}
+
+/// What to look at again. A timer that finds nothing to do is ignored.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum RelayTimer {
+    /// The caller's time is up.
+    CallDue(CallId),
+    /// An exchange may have been silent for too long.
+    Silent(ExchangeId),
+    /// Entries that the list dropped may be forgotten.
+    DropGone,
+}
+
+/// One VM's relayed requests and what it knows of the endpoints.
+#[derive(Debug)]
+pub struct Relay {
+    /// Newest configuration; none before the first was read.
+    routes: Option<Arc<RouteTable>>,
+    endpoints: Endpoints,
+    /// Whether the list of endpoints was read.
+    has_directory: bool,
+    is_store_reachable: bool,
+    is_draining: bool,
+    is_ready: bool,
+    has_exited: bool,
+    calls: FastMap<CallId, Call>,
+    /// Calls by the exchange that works for them now.
+    by_exchange: FastMap<ExchangeId, CallId>,
+    exchanges: u64,
+    budget: RetryBudget,
+    timers: Timers<RelayTimer>,
+    rng: fastrand::Rng,
+    /// Time of the event that is handled.
+    now: Duration,
+    effects: Vec<RelayEffect>,
+}
+
+impl Relay {
+    /// A relay that knows neither configuration nor endpoints.
+    pub fn new(settings: &RelaySettings, seed: u64) -> Self {
+        Self {
+            routes: None,
+            endpoints: Endpoints::default(),
+            has_directory: false,
+            is_store_reachable: true,
+            is_draining: false,
+            is_ready: false,
+            has_exited: false,
+            calls: FastMap::default(),
+            by_exchange: FastMap::default(),
+            exchanges: 0,
+            budget: RetryBudget::new(settings.retry_ratio),
+            timers: Timers::default(),
+            rng: fastrand::Rng::with_seed(seed),
+            now: Duration::ZERO,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Handles one event at a monotonic time.
+    pub fn apply(&mut self, event: RelayEvent, now: Duration) -> RelayOutput {
+        self.now = now;
+        self.on_event(event);
+        self.update_ready();
+        self.exit_when_idle();
+        RelayOutput {
+            effects: std::mem::take(&mut self.effects),
+            wake_at: self.timers.next_due(),
+        }
+    }
+
+    /// Limits on callers' requests by the newest configuration.
+    pub fn limits(&self) -> CallerLimits {
+        let routes = self.routes.as_ref();
+        routes.map_or_else(CallerLimits::default, |routes| routes.limits.clone())
+    }
+
+    fn on_event(&mut self, event: RelayEvent) {
+        match event {
+            RelayEvent::Tick => self.on_tick(),
+            RelayEvent::Routes(routes) => self.on_routes(routes),
+            RelayEvent::Directory(changes) => self.on_directory(changes),
+            RelayEvent::StoreReachable(reachable) => self.on_store(reachable),
+            RelayEvent::Asked(request) => self.on_asked(request),
+            RelayEvent::CallerGone { call } => self.on_caller_gone(call),
+            RelayEvent::Exchange { exchange, event } => self.on_exchange(exchange, event),
+            RelayEvent::Terminate => self.on_terminate(),
+        }
+    }
+
+    fn on_tick(&mut self) {
+        while let Some(timer) = self.timers.pop_due(self.now) {
+            match timer {
+                RelayTimer::CallDue(call) => self.on_call_due(call),
+                RelayTimer::Silent(exchange) => self.on_maybe_silent(exchange),
+                RelayTimer::DropGone => self.drop_gone(),
+            }
+        }
+    }
+
+    /// Puts a version in force; an older one than before is ignored.
+    fn on_routes(&mut self, routes: Arc<RouteTable>) {
+        let current = self.routes.as_ref().map(|routes| routes.version);
+        if current.is_some_and(|current| current >= routes.version) {
+            return;
+        }
+        self.note(RelayNotice::ConfigInForce {
+            version: routes.version,
+            routes: routes.routes.len(),
+        });
+        self.routes = Some(routes);
+    }
+
+    fn on_directory(&mut self, changes: Vec<DirectoryChange>) {
+        self.has_directory = true;
+        let removes = changes
+            .iter()
+            .any(|change| !matches!(change, DirectoryChange::Listed(_)));
+        for notice in self.endpoints.apply(changes, self.now) {
+            self.note(notice);
+        }
+        if removes {
+            let due = self.endpoints.settled_at();
+            self.timers.set(due.max(self.now), RelayTimer::DropGone);
+        }
+    }
+
+    fn drop_gone(&mut self) {
+        for notice in self.endpoints.drop_gone(self.now) {
+            self.note(notice);
+        }
+    }
+
+    fn on_store(&mut self, reachable: bool) {
+        if reachable == self.is_store_reachable {
+            return;
+        }
+        self.is_store_reachable = reachable;
+        if reachable {
+            self.endpoints.on_store_returned(self.now);
+        }
+        self.note(RelayNotice::Store { reachable });
+    }
+
+    fn on_terminate(&mut self) {
+        self.is_draining = true;
+        let in_progress = self.calls.len();
+        self.note(RelayNotice::Draining { in_progress });
+    }
+
+    fn update_ready(&mut self) {
+        let ready = self.routes.is_some() && self.has_directory && !self.is_draining;
+        if ready == self.is_ready {
+            return;
+        }
+        self.is_ready = ready;
+        self.effects.push(RelayEffect::SetReady(ready));
+        self.note(RelayNotice::Ready { ready });
+    }
+
+    fn exit_when_idle(&mut self) {
+        if self.is_draining && self.calls.is_empty() && !self.has_exited {
+            self.has_exited = true;
+            self.effects.push(RelayEffect::Exit);
+        }
+    }
+
+    fn note(&mut self, notice: RelayNotice) {
+        self.effects.push(RelayEffect::Note(notice));
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -0,0 +1,101 @@
+//! One relayed request in progress.
+
+use std::time::Duration;
+
+use arbutusfall_wire::Name;
+
+use crate::relay::ExchangeId;
+use crate::relay::Prompt;
+use crate::relay::RelayRequest;
+use crate::relay::RelayRoute;
+use crate::relay::StoredPrefill;
+
+/// A request from its arrival to its final answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    pub(crate) request: RelayRequest,
+    pub(crate) route: RelayRoute,
+    /// Service that was picked among the route's.
+    pub(crate) service: Name,
+    /// Version of the configuration under which the request is handled.
+    pub(crate) config_version: u64,
+    pub(crate) arrived_at: Duration,
+    /// Instant of the final answer at the latest.
+    pub(crate) due_at: Duration,
+    /// Exchanges that an endpoint may have run.
+    pub(crate) attempts: u32,
+    /// Exchanges in all, prefills among them.
+    pub(crate) exchanges: u32,
+    /// Endpoints that failed or refused the request.
+    pub(crate) tried: Vec<Name>,
+    /// Whether an endpoint may have begun to run the request.
+    pub(crate) may_have_run: bool,
+    /// Last event that was passed on.
+    pub(crate) last_event_id: Option<u64>,
+    /// Whether the caller was sent the head of a stream.
+    pub(crate) is_forwarded: bool,
+    pub(crate) first_event_at: Option<Duration>,
+    /// Prefill's result that no engine is known to have fetched.
+    pub(crate) prefilled: Option<Prefilled>,
+    pub(crate) current: Option<Current>,
+}
+
+/// A prefill's result.
+#[derive(Debug, Clone)]
+pub(crate) struct Prefilled {
+    pub(crate) stored: StoredPrefill,
+    /// Instant from which it may be gone.
+    pub(crate) expires_at: Duration,
+}
+
+/// The exchange that works for a call now.
+#[derive(Debug, Clone)]
+pub(crate) struct Current {
+    pub(crate) exchange: ExchangeId,
+    pub(crate) instance: Name,
+    pub(crate) stage: CallStage,
+    pub(crate) sent_at: Duration,
+    /// Instant of the endpoint's last sign.
+    pub(crate) heard_at: Duration,
+    /// Tokens booked at the endpoint.
+    pub(crate) booked_tokens: u64,
+}
+
+/// What an exchange is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallStage {
+    Plain,
+    Prefill,
+    Decode { has_source: bool },
+}
+
+impl CallStage {
+    /// Name in log lines.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Plain => "plain",
+            Self::Prefill => "prefill",
+            Self::Decode { has_source: true } => "decode",
+            Self::Decode { has_source: false } => "prefill_and_decode",
+        }
+    }
+}
+
+impl Call {
+    pub(crate) fn prompt(&self) -> Prompt {
+        self.request.prompt.unwrap_or_default()
+    }
+
+    /// Time that the caller still waits.
+    pub(crate) fn left(&self, now: Duration) -> Duration {
+        self.due_at.saturating_sub(now)
+    }
+
+    /// Whether the request may be sent once more from where it stands.
+    pub(crate) fn may_be_sent_again(&self) -> bool {
+        if self.attempts >= self.route.max_attempts {
+            return false;
+        }
+        !self.may_have_run || self.route.may_repeat()
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -0,0 +1,220 @@
+//! The endpoints that the platform lists, with what this VM learnt of each.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use arbutusfall_wire::Name;
+
+use crate::config::Role;
+use crate::placement::Health;
+use crate::relay::DirectoryChange;
+use crate::relay::ListedEndpoint;
+use crate::relay::RelayNotice;
+use crate::relay::notice::millis;
+
+/// Time after the store's return for which a removal from the list is not believed: endpoints whose entries lapsed
+/// meanwhile are listed again in that time.
+const SETTLING: Duration = Duration::from_millis(2_500);
+
+/// Weight of the newest sample in a running mean.
+const NEWEST_WEIGHT: f64 = 0.2;
+
+/// Prompt tokens that an engine is taken to prefill in a millisecond until it showed its rate.
+const INITIAL_PREFILL_RATE: f64 = 40.0;
+
+/// An endpoint as this VM sees it.
+#[derive(Debug, Clone)]
+pub(crate) struct Endpoint {
+    pub(crate) listed: ListedEndpoint,
+    pub(crate) health: Health,
+    /// Exchanges of this VM that are in progress.
+    pub(crate) in_flight: u32,
+    /// Tokens of this VM's prompts and expected answers that the engine holds.
+    pub(crate) booked_tokens: u64,
+    /// Instant at which this VM's prefills at the engine are expected to be done.
+    pub(crate) prefilled_at: Duration,
+    /// Running mean of the time to an answer; none before the first.
+    latency: Option<Duration>,
+    /// Running mean of failures, 1 being all.
+    failure_rate: f64,
+    /// Running mean of prompt tokens prefilled in a millisecond.
+    pub(crate) prefill_rate: f64,
+    /// Instant from which the endpoint counts as gone, if the list dropped it.
+    gone_at: Option<Duration>,
+}
+
+impl Endpoint {
+    fn new(listed: ListedEndpoint) -> Self {
+        Self {
+            listed,
+            health: Health::default(),
+            in_flight: 0,
+            booked_tokens: 0,
+            prefilled_at: Duration::ZERO,
+            latency: None,
+            failure_rate: 0.0,
+            prefill_rate: INITIAL_PREFILL_RATE,
+            gone_at: None,
+        }
+    }
+
+    /// Relative cost of one more request: what it would wait, and how likely it fails.
+    pub(crate) fn cost(&self, unknown_latency: Duration) -> f64 {
+        let latency = self.latency.unwrap_or(unknown_latency).as_secs_f64();
+        let load = f64::from(self.in_flight + 1);
+        load * latency * (1.0 + FAILURE_COST * self.failure_rate)
+    }
+
+    /// Running mean of the time to an answer.
+    pub(crate) fn latency(&self) -> Option<Duration> {
+        self.latency
+    }
+
+    pub(crate) fn on_answered(&mut self, after: Duration) {
+        self.health.on_success();
+        self.failure_rate *= 1.0 - NEWEST_WEIGHT;
+        let mean = self.latency.unwrap_or(after);
+        self.latency = Some(mean.mul_f64(1.0 - NEWEST_WEIGHT) + after.mul_f64(NEWEST_WEIGHT));
+    }
+
+    pub(crate) fn on_failed(&mut self) {
+        self.failure_rate += (1.0 - self.failure_rate) * NEWEST_WEIGHT;
+    }
+
+    pub(crate) fn on_prefilled(&mut self, tokens: u32, after: Duration) {
+        self.health.on_success();
+        let rate = f64::from(tokens) / (after.as_secs_f64() * 1_000.0).max(1.0);
+        self.prefill_rate += (rate - self.prefill_rate) * NEWEST_WEIGHT;
+    }
+
+    /// Time that the engine takes to prefill so many tokens.
+    pub(crate) fn prefill_time(&self, tokens: u32) -> Duration {
+        Duration::from_secs_f64(f64::from(tokens) / self.prefill_rate.max(0.1) / 1_000.0)
+    }
+}
+
+/// How much more a request costs at an endpoint that always fails.
+const FAILURE_COST: f64 = 12.0;
+
+/// Endpoints by instance.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Endpoints {
+    by_instance: BTreeMap<Name, Endpoint>,
+    /// Instant until which removals are not believed.
+    settled_at: Duration,
+}
+
+impl Endpoints {
+    pub(crate) fn get_mut(&mut self, instance: &Name) -> Option<&mut Endpoint> {
+        self.by_instance.get_mut(instance)
+    }
+
+    pub(crate) fn get(&self, instance: &Name) -> Option<&Endpoint> {
+        self.by_instance.get(instance)
+    }
+
+    /// Endpoints of a service in one role that may be given new work.
+    pub(crate) fn serving<'a>(
+        &'a self,
+        service: &'a Name,
+        role: Role,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        self.by_instance.values().filter(move |endpoint| {
+            let listed = &endpoint.listed;
+            listed.service == *service && listed.role == role && !listed.is_leaving
+        })
+    }
+
+    /// The store answers again: lapsed entries have time to come back.
+    pub(crate) fn on_store_returned(&mut self, now: Duration) {
+        self.settled_at = now + SETTLING;
+    }
+
+    /// Instant until which removals are not believed.
+    pub(crate) fn settled_at(&self) -> Duration {
+        self.settled_at
+    }
+
+    /// Takes changes of the list in; returns what is worth a log line.
+    pub(crate) fn apply(
+        &mut self,
+        changes: Vec<DirectoryChange>,
+        now: Duration,
+    ) -> Vec<RelayNotice> {
+        let mut notices = Vec::new();
+        for change in changes {
+            match change {
+                DirectoryChange::Listed(listed) => notices.extend(self.list(listed)),
+                DirectoryChange::Removed { instance } => self.unlist(&instance, now),
+                DirectoryChange::Only(instances) => {
+                    let all: Vec<Name> = self.by_instance.keys().cloned().collect();
+                    for instance in all {
+                        if !instances.contains(&instance) {
+                            self.unlist(&instance, now);
+                        }
+                    }
+                }
+            }
+        }
+        notices.extend(self.drop_gone(now));
+        notices
+    }
+
+    fn list(&mut self, listed: ListedEndpoint) -> Option<RelayNotice> {
+        let notice = RelayNotice::EndpointListed {
+            instance: listed.instance.clone(),
+            service: listed.service.clone(),
+            is_leaving: listed.is_leaving,
+        };
+        let Some(known) = self.by_instance.get_mut(&listed.instance) else {
+            let instance = listed.instance.clone();
+            self.by_instance.insert(instance, Endpoint::new(listed));
+            return Some(notice);
+        };
+        known.gone_at = None;
+        let has_restarted = known.listed.started_unix_ms != listed.started_unix_ms;
+        let is_new = has_restarted || known.listed.address != listed.address;
+        let is_changed = is_new
+            || known.listed.is_leaving != listed.is_leaving
+            || known.listed.role != listed.role;
+        if is_new {
+            *known = Endpoint::new(listed);
+        } else {
+            known.listed = listed;
+        }
+        is_changed.then_some(notice)
+    }
+
+    fn unlist(&mut self, instance: &Name, now: Duration) {
+        if let Some(endpoint) = self.by_instance.get_mut(instance) {
+            endpoint.gone_at.get_or_insert(self.settled_at.max(now));
+        }
+    }
+
+    /// Forgets endpoints that the list dropped.
+    pub(crate) fn drop_gone(&mut self, now: Duration) -> Vec<RelayNotice> {
+        let mut notices = Vec::new();
+        self.by_instance.retain(|instance, endpoint| {
+            let is_gone = endpoint.gone_at.is_some_and(|gone_at| now >= gone_at);
+            if is_gone {
+                notices.push(RelayNotice::EndpointGone {
+                    instance: instance.clone(),
+                });
+            }
+            !is_gone
+        });
+        notices
+    }
+
+    /// An exchange failed by the endpoint's fault; returns what is worth a log line.
+    pub(crate) fn on_failed(&mut self, instance: &Name, now: Duration) -> Option<RelayNotice> {
+        let endpoint = self.by_instance.get_mut(instance)?;
+        endpoint.on_failed();
+        endpoint.health.on_failure(now);
+        let avoided = endpoint.health.avoided_for(now)?;
+        Some(RelayNotice::EndpointAvoided {
+            instance: instance.clone(),
+            avoided_ms: millis(avoided),
+        })
+    }
+}
--- a/crates/arbutusfall_core/src/timers.rs
+++ b/crates/arbutusfall_core/src/timers.rs
@@ -73,20 +73,29 @@
 }
 
 /// Timers by due instant; equal instants keep the order in which they were set.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Timers {
-    pending: BTreeMap<(Duration, u64), Timer>,
+#[derive(Debug, Clone)]
+pub(crate) struct Timers<T = Timer> {
+    pending: BTreeMap<(Duration, u64), T>,
     sequence: u64,
 }
 
-impl Timers {
-    pub(crate) fn set(&mut self, due: Duration, timer: Timer) {
+impl<T> Default for Timers<T> {
+    fn default() -> Self {
+        Self {
+            pending: BTreeMap::new(),
+            sequence: 0,
+        }
+    }
+}
+
+impl<T> Timers<T> {
+    pub(crate) fn set(&mut self, due: Duration, timer: T) {
         self.sequence += 1;
         self.pending.insert((due, self.sequence), timer);
     }
 
     /// Removes and returns the first timer that is due.
-    pub(crate) fn pop_due(&mut self, now: Duration) -> Option<Timer> {
+    pub(crate) fn pop_due(&mut self, now: Duration) -> Option<T> {
         let entry = self.pending.first_entry()?;
         if entry.key().0 > now {
             return None;
