Reserve decode memory before the prefill

Ruled out: the links (the transfers took milliseconds) and the prefill engines (0.1 to 0.2 s a prompt). Change: memory is reserved at a decode engine first; requests that find none wait, those that can be on time first. Conclusion: memory of the decode engines binds; how much to reserve comes next.

--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -1,6 +1,7 @@
 //! Feeds events to the relay and carries its effects out.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -15,11 +16,13 @@
 use arbutusfall_core::relay::Relay;
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_platform::endpoints;
 use arbutusfall_wire::FastMap;
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_executor::Task;
 use futures_lite::FutureExt;
+use hyper::Request;
 use hyper::body::Bytes;
 
 use crate::Clock;
@@ -165,8 +168,15 @@
             }
             RelayEffect::Close { exchange } => self.forget_exchange(exchange),
             RelayEffect::FreeResult(stored) => {
-                let free = exchange::free_result(self.clone(), stored);
-                self.executor.spawn(free).detach();
+                let request = endpoints::free_result_request(&stored);
+                self.free(stored.address, request);
+            }
+            RelayEffect::FreeReservation {
+                address,
+                reservation,
+            } => {
+                let request = endpoints::free_reservation_request(address, &reservation);
+                self.free(address, request);
             }
             RelayEffect::Answer { call, exchange } => {
                 let open = lock(&self.exchanges).remove(&exchange);
@@ -198,6 +208,11 @@
         }
     }
 
+    fn free(self: &Arc<Self>, address: SocketAddr, request: Request<Bytes>) {
+        let free = exchange::free(self.clone(), address, request);
+        self.executor.spawn(free).detach();
+    }
+
     /// Keeps the head of an exchange's answer until the relay decides about it.
     pub(super) fn store_head(&self, exchange: ExchangeId, head: AnswerHead) {
         if let Some(open) = lock(&self.exchanges).get_mut(&exchange) {
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -1,5 +1,6 @@
 //! One exchange with an endpoint, over a connection of its own.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,11 +9,11 @@
 use arbutusfall_core::relay::ExchangeFailure;
 use arbutusfall_core::relay::ExchangeId;
 use arbutusfall_core::relay::SendOrder;
-use arbutusfall_core::relay::StoredPrefill;
 use arbutusfall_platform::endpoints;
 use arbutusfall_platform::endpoints::HeadMeaning;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::Request;
 use hyper::Response;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
@@ -27,7 +28,7 @@
 /// Time allowed for opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time allowed for an engine to confirm that it dropped a KV cache.
+/// Time allowed for an engine to confirm that it freed memory.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Carries an exchange out and tells the relay what happens.
@@ -59,6 +60,7 @@
     match meaning {
         HeadMeaning::NotRun(reason) => Ok(ExchangeEvent::NotRun { reason }),
         HeadMeaning::Malformed => Err(ExchangeFailure::Malformed),
+        HeadMeaning::Reserved => read_reservation(answer, order.patience).await,
         HeadMeaning::Prefilled => read_prefill(answer, order.patience).await,
         HeadMeaning::Whole => read_whole(driver, order, answer).await,
         HeadMeaning::Stream => pass_stream(driver, order.exchange, order.call, answer).await,
@@ -75,6 +77,17 @@
     }
 }
 
+async fn read_reservation(
+    answer: Response<Incoming>,
+    within: Duration,
+) -> Result<ExchangeEvent, ExchangeFailure> {
+    let body = http::read_body(answer.into_body(), within)
+        .await
+        .map_err(failure)?;
+    let reservation = endpoints::reservation(&body).ok_or(ExchangeFailure::Malformed)?;
+    Ok(ExchangeEvent::Reserved { reservation })
+}
+
 async fn read_prefill(
     answer: Response<Incoming>,
     within: Duration,
@@ -142,15 +155,15 @@
     Ok(ExchangeEvent::Complete { status })
 }
 
-/// Has an engine drop a prefill's result; if that fails the result expires by itself.
-pub(super) async fn free_result(driver: Arc<Driver>, stored: StoredPrefill) {
+/// Has an engine free something; what it does not free lapses by itself.
+pub(super) async fn free(driver: Arc<Driver>, address: SocketAddr, request: Request<Bytes>) {
     let sent = Exchange {
-        address: stored.address,
-        request: endpoints::free_request(&stored).map(Full::<Bytes>::new),
+        address,
+        request: request.map(Full::new),
         connect_timeout: CONNECT_TIMEOUT,
         answer_timeout: FREE_TIMEOUT,
     };
     if let Err(error) = http::send(&driver.executor, sent).await {
-        log::info!("an engine did not confirm that it dropped a KV cache: {error}");
+        log::info!("an engine did not confirm that it freed memory: {error}");
     }
 }
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -10,12 +10,16 @@
 mod endpoints;
 mod event;
 mod notice;
+mod outcomes;
 mod routes;
+mod sending;
+mod waiting;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use arbutusfall_wire::FastMap;
+use arbutusfall_wire::Name;
 
 use crate::CallId;
 use crate::timers::Timers;
@@ -23,6 +27,7 @@
 use budget::RetryBudget;
 use call::Call;
 use endpoints::Endpoints;
+use waiting::Waiting;
 
 pub use event::*;
 pub use notice::RelayNotice;
@@ -42,6 +47,8 @@
     CallDue(CallId),
     /// An exchange may have been silent for too long.
     Silent(ExchangeId),
+    /// Engines that were full may have room again.
+    AskForRoom,
     /// Entries that the list dropped may be forgotten.
     DropGone,
 }
@@ -62,6 +69,10 @@
     /// Calls by the exchange that works for them now.
     by_exchange: FastMap<ExchangeId, CallId>,
     exchanges: u64,
+    /// Model requests that wait for room.
+    waiting: Waiting,
+    /// Longest time that callers of each route waited for an answer; less is left to those that come again.
+    longest_patience: FastMap<Name, Duration>,
     budget: RetryBudget,
     timers: Timers<RelayTimer>,
     rng: fastrand::Rng,
@@ -84,6 +95,8 @@
             calls: FastMap::default(),
             by_exchange: FastMap::default(),
             exchanges: 0,
+            waiting: Waiting::default(),
+            longest_patience: FastMap::default(),
             budget: RetryBudget::new(settings.retry_ratio),
             timers: Timers::default(),
             rng: fastrand::Rng::with_seed(seed),
@@ -128,6 +141,7 @@
             match timer {
                 RelayTimer::CallDue(call) => self.on_call_due(call),
                 RelayTimer::Silent(exchange) => self.on_maybe_silent(exchange),
+                RelayTimer::AskForRoom => self.on_room_timer(),
                 RelayTimer::DropGone => self.drop_gone(),
             }
         }
--- a/crates/arbutusfall_core/src/relay/balance.rs
+++ b/crates/arbutusfall_core/src/relay/balance.rs
@@ -36,7 +36,9 @@
 ) -> Option<Name> {
     let serving: Vec<&Endpoint> = endpoints.serving(choice.service, choice.role).collect();
     let fresh = |endpoint: &&Endpoint| !choice.tried.contains(&endpoint.listed.instance);
-    let usable = |endpoint: &&Endpoint| endpoint.health.is_usable(choice.now);
+    let usable = |endpoint: &&Endpoint| {
+        endpoint.health.is_usable(choice.now) && !endpoint.is_full(choice.now)
+    };
     let best: Vec<&Endpoint> = serving
         .iter()
         .copied()
--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -1,5 +1,6 @@
 //! One relayed request in progress.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use arbutusfall_wire::Name;
@@ -24,8 +25,16 @@
     pub(crate) due_at: Duration,
     /// Exchanges that an endpoint may have run.
     pub(crate) attempts: u32,
-    /// Exchanges in all, prefills among them.
+    /// Prefills that were ordered.
+    pub(crate) prefills: u32,
+    /// Exchanges in all, reservations and prefills among them.
     pub(crate) exchanges: u32,
+    /// Time that the caller already spent on earlier tries of the request, as far as this can be told.
+    pub(crate) spent_before: Duration,
+    /// Time for which engines keep a reservation that is not used.
+    pub(crate) reservation_lifetime: Duration,
+    /// Memory that is set aside at a decode engine.
+    pub(crate) booking: Option<Booking>,
     /// Endpoints that failed or refused the request.
     pub(crate) tried: Vec<Name>,
     /// Whether an endpoint may have begun to run the request.
@@ -40,6 +49,22 @@
     pub(crate) current: Option<Current>,
 }
 
+/// Memory of a decode engine that is set aside for a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Booking {
+    pub(crate) instance: Name,
+    pub(crate) address: SocketAddr,
+    pub(crate) tokens: u64,
+    /// The engine's name for the reservation, once it agreed and as long as the request has not begun there.
+    pub(crate) reservation: Option<Name>,
+}
+
+impl Booking {
+    pub(crate) fn is_reserved(&self) -> bool {
+        self.reservation.is_some()
+    }
+}
+
 /// A prefill's result.
 #[derive(Debug, Clone)]
 pub(crate) struct Prefilled {
@@ -57,23 +82,28 @@
     pub(crate) sent_at: Duration,
     /// Instant of the endpoint's last sign.
     pub(crate) heard_at: Duration,
-    /// Tokens booked at the endpoint.
-    pub(crate) booked_tokens: u64,
 }
 
 /// What an exchange is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum CallStage {
     Plain,
+    Reserve,
     Prefill,
     Decode { has_source: bool },
 }
 
 impl CallStage {
+    /// Whether an endpoint that failed in this stage may have run the request.
+    pub(crate) fn runs_request(self) -> bool {
+        matches!(self, Self::Plain | Self::Decode { .. })
+    }
+
     /// Name in log lines.
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Plain => "plain",
+            Self::Reserve => "reserve",
             Self::Prefill => "prefill",
             Self::Decode { has_source: true } => "decode",
             Self::Decode { has_source: false } => "prefill_and_decode",
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -39,6 +39,8 @@
     failure_rate: f64,
     /// Running mean of prompt tokens prefilled in a millisecond.
     pub(crate) prefill_rate: f64,
+    /// Instant until which the engine is taken to have no room.
+    full_until: Duration,
     /// Instant from which the endpoint counts as gone, if the list dropped it.
     gone_at: Option<Duration>,
 }
@@ -54,10 +56,21 @@
             latency: None,
             failure_rate: 0.0,
             prefill_rate: INITIAL_PREFILL_RATE,
+            full_until: Duration::ZERO,
             gone_at: None,
         }
     }
 
+    /// Whether the engine is taken to have no room.
+    pub(crate) fn is_full(&self, now: Duration) -> bool {
+        now < self.full_until
+    }
+
+    /// The engine refused for want of room.
+    pub(crate) fn set_full_until(&mut self, instant: Duration) {
+        self.full_until = instant;
+    }
+
     /// Relative cost of one more request: what it would wait, and how likely it fails.
     pub(crate) fn cost(&self, unknown_latency: Duration) -> f64 {
         let latency = self.latency.unwrap_or(unknown_latency).as_secs_f64();
@@ -65,11 +78,6 @@
         load * latency * (1.0 + FAILURE_COST * self.failure_rate)
     }
 
-    /// Running mean of the time to an answer.
-    pub(crate) fn latency(&self) -> Option<Duration> {
-        self.latency
-    }
-
     pub(crate) fn on_answered(&mut self, after: Duration) {
         self.health.on_success();
         self.failure_rate *= 1.0 - NEWEST_WEIGHT;
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -106,9 +106,21 @@
     pub max_output_tokens: u32,
 }
 
+impl Prompt {
+    /// Tokens that the request needs in an engine's memory at the most.
+    pub fn memory_tokens(self) -> u64 {
+        u64::from(self.prompt_tokens) + u64::from(self.max_output_tokens)
+    }
+}
+
 /// What happened to an exchange.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ExchangeEvent {
+    /// The engine set memory aside.
+    Reserved {
+        /// Its name for the reservation.
+        reservation: Name,
+    },
     /// The prompt's KV cache is ready for transfer.
     PrefillDone {
         /// Name under which the engine keeps the KV cache.
@@ -170,6 +182,13 @@
     },
     /// Have an engine drop a prefill's result that nobody will fetch.
     FreeResult(StoredPrefill),
+    /// Have an engine drop a reservation that will not be used.
+    FreeReservation {
+        /// Where the engine listens.
+        address: SocketAddr,
+        /// Its name for the reservation.
+        reservation: Name,
+    },
     /// Answer a call with the whole answer of an exchange; the call is over.
     Answer {
         /// The caller's open request.
@@ -233,12 +252,21 @@
 pub enum Work {
     /// Answer it as a whole.
     Plain,
+    /// Set memory and a place in the batch aside for it.
+    Reserve {
+        /// Tokens of memory.
+        tokens: u64,
+        /// Time after which the reservation lapses if it is not used.
+        lifetime: Duration,
+    },
     /// Compute its KV cache.
     Prefill,
     /// Stream the answer; without a source, the engine prefills the prompt itself.
     Decode {
         /// Where the KV cache is fetched from.
         source: Option<StoredPrefill>,
+        /// Reservation that the request uses.
+        reservation: Option<Name>,
     },
 }
 
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -0,0 +1,329 @@
+//! What exchanges led to: the next step of a request, a repeat where that is allowed, or its answer.
+
+use std::time::Duration;
+
+use arbutusfall_wire::Name;
+
+use crate::CallId;
+use crate::relay::ExchangeEvent;
+use crate::relay::ExchangeFailure;
+use crate::relay::ExchangeId;
+use crate::relay::NotRunReason;
+use crate::relay::Relay;
+use crate::relay::RelayEffect;
+use crate::relay::RelayNotice;
+use crate::relay::StoredPrefill;
+use crate::relay::call::CallStage;
+use crate::relay::call::Prefilled;
+use crate::relay::notice::millis;
+use crate::relay::waiting::FULL_FOR;
+
+/// Exchanges of one request in all that may fail or be refused.
+const MAX_TRIED: usize = 6;
+
+impl Relay {
+    pub(super) fn on_exchange(&mut self, exchange: ExchangeId, event: ExchangeEvent) {
+        let Some(id) = self.by_exchange.get(&exchange).copied() else {
+            // The relay left the exchange before this happened.
+            return;
+        };
+        match event {
+            ExchangeEvent::Reserved { reservation } => self.on_reserved(id, reservation),
+            ExchangeEvent::PrefillDone { handle } => self.on_prefill_done(id, handle),
+            ExchangeEvent::StreamBegan => self.on_stream_began(id, exchange),
+            ExchangeEvent::Progress { last_event_id } => self.on_progress(id, last_event_id),
+            ExchangeEvent::Complete { status } => self.on_complete(id, exchange, status),
+            ExchangeEvent::NotRun { reason } => self.on_not_run(id, reason),
+            ExchangeEvent::Failed { failure } => self.on_failed(id, failure),
+        }
+    }
+
+    fn on_reserved(&mut self, id: CallId, reservation: Name) {
+        if let Some(booking) = self.calls.get_mut(&id).and_then(|call| call.booking.as_mut()) {
+            booking.reservation = Some(reservation);
+        }
+        self.end_exchange(id);
+        self.send_next(id);
+    }
+
+    /// The engine has no room: asks another, or waits.
+    fn on_no_room(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let instance = call.current.as_ref().map(|current| current.instance.clone());
+        self.end_exchange(id);
+        self.end_booking(id);
+        if let Some(endpoint) = instance.and_then(|name| self.endpoints.get_mut(&name)) {
+            endpoint.set_full_until(self.now + FULL_FOR);
+        }
+        self.send_next(id);
+    }
+
+    pub(super) fn on_prefill_done(&mut self, id: CallId, handle: Name) {
+        let lifetime = self.result_lifetime(id);
+        let now = self.now;
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(current) = &call.current else {
+            return;
+        };
+        let tokens = call.prompt().prompt_tokens;
+        if let Some(endpoint) = self.endpoints.get_mut(&current.instance) {
+            endpoint.on_prefilled(tokens, now.saturating_sub(current.sent_at));
+            call.prefilled = Some(Prefilled {
+                stored: StoredPrefill {
+                    address: endpoint.listed.address,
+                    handle,
+                },
+                expires_at: now + lifetime,
+            });
+        }
+        self.end_exchange(id);
+        self.send_next(id);
+    }
+
+    pub(super) fn result_lifetime(&self, id: CallId) -> Duration {
+        let service = self.calls.get(&id).map(|call| &call.service);
+        let engine = service.and_then(|service| {
+            let routes = self.routes.as_ref()?;
+            routes.services.get(service)?.engine.as_ref()
+        });
+        engine.map_or(Duration::ZERO, |engine| engine.result_lifetime)
+    }
+
+    pub(super) fn on_stream_began(&mut self, id: CallId, exchange: ExchangeId) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        // The engine has fetched the prefill's result.
+        call.prefilled = None;
+        if let Some(booking) = &mut call.booking {
+            booking.reservation = None;
+        }
+        call.may_have_run = true;
+        call.is_forwarded = true;
+        if let Some(current) = &mut call.current {
+            current.heard_at = self.now;
+        }
+        self.effects
+            .push(RelayEffect::Forward { call: id, exchange });
+    }
+
+    pub(super) fn on_progress(&mut self, id: CallId, last_event_id: Option<u64>) {
+        let now = self.now;
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.last_event_id = last_event_id.or(call.last_event_id);
+        let is_first = call.first_event_at.is_none();
+        call.first_event_at.get_or_insert(now);
+        let Some(current) = &mut call.current else {
+            return;
+        };
+        current.heard_at = now;
+        if is_first && let Some(endpoint) = self.endpoints.get_mut(&current.instance) {
+            endpoint.on_answered(now.saturating_sub(current.sent_at));
+        }
+    }
+
+    pub(super) fn on_complete(&mut self, id: CallId, exchange: ExchangeId, status: u16) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.may_have_run = true;
+        let Some(current) = &call.current else {
+            return;
+        };
+        let instance = current.instance.clone();
+        let after = self.now.saturating_sub(current.sent_at);
+        let is_failure = status >= 500;
+        let may_try = is_failure && call.may_be_sent_again() && !call.is_forwarded;
+        let service = call.service.clone();
+        let is_plain = current.stage == CallStage::Plain;
+        if may_try && self.budget.take(&service) {
+            self.leave_endpoint(id, "error_status", false);
+            self.send_next(id);
+            return;
+        }
+        if let Some(endpoint) = self.endpoints.get_mut(&instance)
+            && is_plain
+            && !is_failure
+        {
+            endpoint.on_answered(after);
+        }
+        self.end_exchange(id);
+        let has_freed = self.end_booking(id);
+        self.answer(id, exchange, status);
+        if has_freed {
+            self.ask_for_room();
+        }
+    }
+
+    pub(super) fn answer(&mut self, id: CallId, exchange: ExchangeId, status: u16) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        self.note(RelayNotice::Answered {
+            request_id: call.request.request_id.clone(),
+            status,
+            after_ms: millis(self.now.saturating_sub(call.arrived_at)),
+            first_event_ms: call
+                .first_event_at
+                .map(|at| millis(at.saturating_sub(call.arrived_at))),
+        });
+        self.effects.push(if call.is_forwarded {
+            RelayEffect::Finish { call: id }
+        } else {
+            RelayEffect::Answer { call: id, exchange }
+        });
+    }
+
+    /// The endpoint did not run the request: it may be sent elsewhere, whatever its kind.
+    pub(super) fn on_not_run(&mut self, id: CallId, reason: NotRunReason) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(current) = &call.current else {
+            return;
+        };
+        let stage = current.stage;
+        if stage == CallStage::Reserve && reason == NotRunReason::Refused {
+            self.on_no_room(id);
+            return;
+        }
+        if stage.runs_request() {
+            call.attempts = call.attempts.saturating_sub(1);
+        }
+        if reason == NotRunReason::Refused && stage == (CallStage::Decode { has_source: true }) {
+            // Either the engine is full or the result is lost; the engine does not say which.
+            call.prefilled = None;
+        }
+        let service = call.service.clone();
+        let label = match reason {
+            NotRunReason::Refused => "not_run",
+            NotRunReason::Misdirected => "misdirected",
+        };
+        self.leave_endpoint(id, label, reason == NotRunReason::Misdirected);
+        self.send_again(id, &service);
+    }
+
+    pub(super) fn on_failed(&mut self, id: CallId, failure: ExchangeFailure) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(current) = &call.current else {
+            return;
+        };
+        let stage = current.stage;
+        let service = call.service.clone();
+        let label = match failure {
+            ExchangeFailure::Unreachable => "unreachable",
+            ExchangeFailure::Closed => "closed",
+            ExchangeFailure::Malformed => "malformed",
+        };
+        if failure == ExchangeFailure::Unreachable {
+            if stage.runs_request() {
+                call.attempts = call.attempts.saturating_sub(1);
+            }
+        } else {
+            self.mark_run(id, stage);
+        }
+        self.leave_endpoint(id, label, true);
+        if failure == ExchangeFailure::Unreachable {
+            // Nothing arrived anywhere, so this is no retry.
+            self.send_unless_spent(id);
+        } else {
+            self.send_again(id, &service);
+        }
+    }
+
+    pub(super) fn mark_run(&mut self, id: CallId, stage: CallStage) {
+        if stage.runs_request()
+            && let Some(call) = self.calls.get_mut(&id)
+        {
+            call.may_have_run = true;
+        }
+    }
+
+    pub(super) fn send_again(&mut self, id: CallId, service: &Name) {
+        if self.budget.take(service) {
+            self.send_unless_spent(id);
+        } else {
+            self.give_up(id, "retry_budget");
+        }
+    }
+
+    pub(super) fn send_unless_spent(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let is_spent = call.tried.len() >= MAX_TRIED || !call.may_be_sent_again();
+        let cannot_resume =
+            call.is_forwarded && (!call.route.is_resumable || call.last_event_id.is_none());
+        if is_spent || cannot_resume {
+            self.give_up(id, "attempts_spent");
+        } else {
+            self.send_next(id);
+        }
+    }
+
+    /// Ends the call's exchange as failed, and remembers the endpoint as tried.
+    pub(super) fn leave_endpoint(&mut self, id: CallId, reason: &'static str, is_fault: bool) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(current) = call.current.clone() else {
+            return;
+        };
+        call.tried.push(current.instance.clone());
+        let request_id = call.request.request_id.clone();
+        self.end_exchange(id);
+        if current.stage != CallStage::Prefill {
+            self.end_booking(id);
+        }
+        self.note(RelayNotice::ExchangeFailed {
+            request_id,
+            instance: current.instance.clone(),
+            reason,
+            after_ms: millis(self.now.saturating_sub(current.sent_at)),
+        });
+        if is_fault && let Some(notice) = self.endpoints.on_failed(&current.instance, self.now) {
+            self.note(notice);
+        }
+    }
+
+    /// Forgets the call's exchange.
+    pub(super) fn end_exchange(&mut self, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(current) = call.current.take() else {
+            return;
+        };
+        self.by_exchange.remove(&current.exchange);
+        if let Some(endpoint) = self.endpoints.get_mut(&current.instance) {
+            endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Gives back the memory that was set aside for the call; false if there was none.
+    pub(super) fn end_booking(&mut self, id: CallId) -> bool {
+        let booking = self.calls.get_mut(&id).and_then(|call| call.booking.take());
+        let Some(booking) = booking else {
+            return false;
+        };
+        if let Some(endpoint) = self.endpoints.get_mut(&booking.instance) {
+            endpoint.booked_tokens = endpoint.booked_tokens.saturating_sub(booking.tokens);
+            endpoint.set_full_until(Duration::ZERO);
+        }
+        if let Some(reservation) = booking.reservation {
+            self.effects.push(RelayEffect::FreeReservation {
+                address: booking.address,
+                reservation,
+            });
+        }
+        true
+    }
+}
--- a/crates/arbutusfall_core/src/relay/routes.rs
+++ b/crates/arbutusfall_core/src/relay/routes.rs
@@ -76,6 +76,8 @@
     pub memory_tokens: u64,
     /// Time for which a prefill's result is kept if nobody fetches it.
     pub result_lifetime: Duration,
+    /// Longest time for which an engine keeps a reservation that is not used.
+    pub reservation_lifetime: Duration,
     /// Time that a change of role takes.
     pub role_switch: Duration,
 }
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -0,0 +1,248 @@
+//! Sends requests to endpoints: which step is next, at which endpoint, and how long it may be silent.
+
+use std::time::Duration;
+
+use arbutusfall_wire::Name;
+
+use crate::CallId;
+use crate::config::Role;
+use crate::relay::ExchangeId;
+use crate::relay::Relay;
+use crate::relay::RelayEffect;
+use crate::relay::RelayNotice;
+use crate::relay::RelayTimer;
+use crate::relay::SendOrder;
+use crate::relay::Work;
+use crate::relay::balance::Choice;
+use crate::relay::balance::choose;
+use crate::relay::call::Booking;
+use crate::relay::call::Call;
+use crate::relay::call::CallStage;
+use crate::relay::call::Current;
+use crate::relay::notice::millis;
+
+/// Silence of an engine in the middle of a stream after which a resumable stream goes on elsewhere.
+const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Time allowed for a prefill beyond its estimate before another engine is tried.
+const PREFILL_SLACK: Duration = Duration::from_millis(600);
+
+/// Time allowed for an engine to reserve memory.
+const RESERVE_PATIENCE: Duration = Duration::from_millis(300);
+
+/// Prefills that are tried for one request before a decode engine does it itself.
+const MAX_PREFILLS: u32 = 2;
+
+impl Relay {
+    /// Sends a call to the endpoint that suits it best now, or refuses it.
+    pub(super) fn send_next(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let stage = if call.route.has_prompt {
+            self.model_stage(call)
+        } else {
+            CallStage::Plain
+        };
+        let role = match stage {
+            CallStage::Plain => Role::Plain,
+            CallStage::Prefill => Role::Prefill,
+            CallStage::Reserve | CallStage::Decode { .. } => Role::Decode,
+        };
+        let service = call.service.clone();
+        if stage == CallStage::Reserve && !self.may_have_room(&service) {
+            let serves = self.endpoints.serving(&service, Role::Decode).next().is_some();
+            if serves {
+                self.wait(id);
+            } else {
+                self.give_up(id, "no_endpoint");
+            }
+            return;
+        }
+        let reserved_at = call.booking.as_ref().filter(|booking| booking.is_reserved());
+        if let (CallStage::Decode { .. }, Some(booking)) = (stage, reserved_at) {
+            let instance = booking.instance.clone();
+            self.send(id, instance, stage);
+            return;
+        }
+        let choice = Choice {
+            service: &call.service,
+            role,
+            tried: &call.tried,
+            prompt_tokens: call.prompt().prompt_tokens,
+            now: self.now,
+        };
+        let Some(instance) = choose(&self.endpoints, choice, &mut self.rng) else {
+            self.give_up(id, "no_endpoint");
+            return;
+        };
+        self.send(id, instance, stage);
+    }
+
+    /// The next step of a model request: room at a decode engine first, so that no prefill is made in vain.
+    fn model_stage(&self, call: &Call) -> CallStage {
+        let is_reserved = call
+            .booking
+            .as_ref()
+            .is_some_and(|booking| booking.reservation.is_some());
+        if !is_reserved {
+            return CallStage::Reserve;
+        }
+        let prefilled = call.prefilled.as_ref();
+        if prefilled.is_some_and(|result| self.now < result.expires_at) {
+            return CallStage::Decode { has_source: true };
+        }
+        let has_prefill = self
+            .endpoints
+            .serving(&call.service, Role::Prefill)
+            .any(|endpoint| endpoint.health.is_usable(self.now));
+        if has_prefill && call.prefills < MAX_PREFILLS {
+            CallStage::Prefill
+        } else {
+            CallStage::Decode { has_source: false }
+        }
+    }
+
+    fn send(&mut self, id: CallId, instance: Name, stage: CallStage) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(endpoint) = self.endpoints.get_mut(&instance) else {
+            self.give_up(id, "no_endpoint");
+            return;
+        };
+        self.exchanges += 1;
+        let exchange = ExchangeId(self.exchanges);
+        let prompt = call.prompt();
+        endpoint.in_flight += 1;
+        endpoint.health.on_placed(self.now);
+        match stage {
+            CallStage::Plain | CallStage::Decode { .. } => call.attempts += 1,
+            CallStage::Prefill => {
+                call.prefills += 1;
+                let work = endpoint.prefill_time(prompt.prompt_tokens);
+                endpoint.prefilled_at = endpoint.prefilled_at.max(self.now) + work;
+            }
+            CallStage::Reserve => {
+                let tokens = prompt.memory_tokens();
+                endpoint.booked_tokens += tokens;
+                call.booking = Some(Booking {
+                    instance: instance.clone(),
+                    address: endpoint.listed.address,
+                    tokens,
+                    reservation: None,
+                });
+            }
+        }
+        call.exchanges += 1;
+        call.current = Some(Current {
+            exchange,
+            instance: instance.clone(),
+            stage,
+            sent_at: self.now,
+            heard_at: self.now,
+        });
+        let order = SendOrder {
+            exchange,
+            call: id,
+            instance: instance.clone(),
+            address: endpoint.listed.address,
+            work: call.work(stage),
+            patience: call.left(self.now),
+            after_event_id: call.last_event_id,
+        };
+        let notice = RelayNotice::Sent {
+            request_id: call.request.request_id.clone(),
+            instance,
+            work: stage.name(),
+            attempt: call.exchanges,
+            left_ms: millis(call.left(self.now)),
+            config_version: call.config_version,
+        };
+        self.by_exchange.insert(exchange, id);
+        self.set_silence_timer(id);
+        self.effects.push(RelayEffect::Send(order));
+        self.note(notice);
+    }
+
+    /// Looks at the exchange again when it has been silent for as long as it may.
+    fn set_silence_timer(&mut self, id: CallId) {
+        let Some((exchange, silent_at)) = self.calls.get(&id).and_then(|call| {
+            let current = call.current.as_ref()?;
+            let patience = self.patience(call, current)?;
+            Some((current.exchange, current.heard_at + patience))
+        }) else {
+            return;
+        };
+        self.timers.set(silent_at, RelayTimer::Silent(exchange));
+    }
+
+    /// Silence after which something else is tried; none if nothing else may be tried.
+    fn patience(&self, call: &Call, current: &Current) -> Option<Duration> {
+        let may_repeat = call.route.may_repeat() && call.attempts < call.route.max_attempts;
+        match current.stage {
+            CallStage::Reserve => Some(RESERVE_PATIENCE),
+            CallStage::Prefill => {
+                let endpoint = self.endpoints.get(&current.instance)?;
+                let work = endpoint.prefilled_at.saturating_sub(current.sent_at);
+                Some(work * 2 + PREFILL_SLACK)
+            }
+            CallStage::Plain => may_repeat.then(|| call.route.target * 2),
+            CallStage::Decode { .. } => {
+                let silence = STREAM_SILENCE.max(call.route.max_pause * 3);
+                let first = silence + call.route.target;
+                may_repeat.then_some(if call.is_forwarded { silence } else { first })
+            }
+        }
+    }
+
+    /// An exchange may have been silent for too long: leaves it for another endpoint.
+    pub(super) fn on_maybe_silent(&mut self, exchange: ExchangeId) {
+        let Some(id) = self.by_exchange.get(&exchange).copied() else {
+            return;
+        };
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let Some(current) = &call.current else {
+            return;
+        };
+        let Some(patience) = self.patience(call, current) else {
+            return;
+        };
+        if self.now < current.heard_at + patience {
+            self.set_silence_timer(id);
+            return;
+        }
+        let stage = current.stage;
+        let service = call.service.clone();
+        if stage != CallStage::Reserve && !self.budget.take(&service) {
+            return;
+        }
+        self.effects.push(RelayEffect::Close { exchange });
+        self.mark_run(id, stage);
+        self.leave_endpoint(id, "silent", true);
+        self.send_unless_spent(id);
+    }
+}
+
+impl Call {
+    fn work(&self, stage: CallStage) -> Work {
+        match stage {
+            CallStage::Plain => Work::Plain,
+            CallStage::Reserve => Work::Reserve {
+                tokens: self.prompt().memory_tokens(),
+                lifetime: self.reservation_lifetime,
+            },
+            CallStage::Prefill => Work::Prefill,
+            CallStage::Decode { has_source } => {
+                let prefilled = self.prefilled.as_ref().filter(|_| has_source);
+                let booking = self.booking.as_ref();
+                Work::Decode {
+                    source: prefilled.map(|result| result.stored.clone()),
+                    reservation: booking.and_then(|booking| booking.reservation.clone()),
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -0,0 +1,123 @@
+//! Model requests that wait for room in the memory of a decode engine.
+//!
+//! Those that can still be on time go first, in the order of their arrival; after them those that are late already.
+
+use std::time::Duration;
+
+use arbutusfall_wire::Name;
+
+use crate::CallId;
+use crate::config::Role;
+use crate::relay::Relay;
+use crate::relay::RelayTimer;
+use crate::relay::call::Call;
+
+/// Time for which an engine that refused a reservation is not asked again, unless one of this VM's streams ends there.
+pub(super) const FULL_FOR: Duration = Duration::from_millis(70);
+
+/// Time from a request's start at the engines to its first event beyond the prefill itself.
+const START_MARGIN: Duration = Duration::from_millis(120);
+
+/// Multiple of the target for which a request may wait: callers give silent streams up after about four times it.
+const MAX_WAIT_TARGETS: f64 = 3.0;
+
+/// Requests that wait, in the order of their arrival.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Waiting {
+    calls: Vec<CallId>,
+    has_timer: bool,
+}
+
+impl Waiting {
+    pub(crate) fn remove(&mut self, id: CallId) {
+        self.calls.retain(|waiting| *waiting != id);
+    }
+}
+
+impl Call {
+    /// Instant until which a request may wait for room.
+    pub(crate) fn wait_until(&self) -> Duration {
+        let wait = self.route.target.mul_f64(MAX_WAIT_TARGETS);
+        (self.arrived_at + wait).min(self.due_at)
+    }
+}
+
+impl Relay {
+    /// Has a request wait for room.
+    pub(super) fn wait(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        if self.now >= call.wait_until() {
+            self.give_up(id, "no_room");
+            return;
+        }
+        if !self.waiting.calls.contains(&id) {
+            self.waiting.calls.push(id);
+        }
+        self.set_room_timer();
+    }
+
+    fn set_room_timer(&mut self) {
+        if self.waiting.has_timer || self.waiting.calls.is_empty() {
+            return;
+        }
+        self.waiting.has_timer = true;
+        self.timers
+            .set(self.now + FULL_FOR, RelayTimer::AskForRoom);
+    }
+
+    /// Asks again for room for those that wait.
+    pub(super) fn on_room_timer(&mut self) {
+        self.waiting.has_timer = false;
+        self.ask_for_room();
+        self.set_room_timer();
+    }
+
+    /// An engine may have room: asks for those that wait, as long as an engine is not known to be full.
+    pub(super) fn ask_for_room(&mut self) {
+        for id in self.waiting_in_order() {
+            let Some(call) = self.calls.get(&id) else {
+                self.waiting.remove(id);
+                continue;
+            };
+            if self.now >= call.wait_until() {
+                self.waiting.remove(id);
+                self.give_up(id, "no_room");
+                continue;
+            }
+            let service = call.service.clone();
+            if !self.may_have_room(&service) {
+                continue;
+            }
+            self.waiting.remove(id);
+            self.send_next(id);
+        }
+    }
+
+    fn waiting_in_order(&self) -> Vec<CallId> {
+        let mut order: Vec<(bool, CallId)> = self
+            .waiting
+            .calls
+            .iter()
+            .map(|id| (self.is_late(*id), *id))
+            .collect();
+        order.sort_by_key(|(is_late, _)| *is_late);
+        order.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Whether a request that starts now would miss its target.
+    fn is_late(&self, id: CallId) -> bool {
+        self.calls.get(&id).is_none_or(|call| {
+            let started_by = (call.arrived_at + call.route.target).saturating_sub(call.spent_before);
+            self.now + START_MARGIN > started_by
+        })
+    }
+
+    /// Whether an engine of the service is not known to be full.
+    pub(super) fn may_have_room(&self, service: &Name) -> bool {
+        self.endpoints
+            .serving(service, Role::Decode)
+            .any(|endpoint| endpoint.health.is_usable(self.now) && !endpoint.is_full(self.now))
+    }
+}
