--- a/crates/arbutusfall_core/src/placement.rs
+++ b/crates/arbutusfall_core/src/placement.rs
@@ -36,6 +36,7 @@
 
 use shard::Shard;
 
+pub(crate) use comebacks::Comebacks;
 pub(crate) use health::Health;
 pub(crate) use shard_map::shard_count;
 pub(crate) use shard_map::shard_endpoints;
--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -31,6 +31,8 @@
     pub(crate) exchanges: u32,
     /// Time that the caller already spent on earlier tries of the request, as far as this can be told.
     pub(crate) spent_before: Duration,
+    /// Whether it waited for room.
+    pub(crate) has_waited: bool,
     /// Time for which engines keep a reservation that is not used.
     pub(crate) reservation_lifetime: Duration,
     /// Memory that is set aside at a decode engine.
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -20,6 +20,12 @@
 /// When callers are asked to come back while this VM knows no configuration or no endpoint.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Time after which an overload is expected to be over.
+const OVERLOAD_LASTS: Duration = Duration::from_millis(1_500);
+
+/// Share of a caller's time that it is asked to stay away at most; callers do not heed more than a third.
+const HEEDED_SHARE: f64 = 0.3;
+
 /// When callers are asked to come back whose request no endpoint accepted.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -59,6 +65,7 @@
             prefills: 0,
             exchanges: 0,
             booking: None,
+            has_waited: false,
             tried: Vec::new(),
             may_have_run: false,
             last_event_id: None,
@@ -160,7 +167,15 @@
         let Some(call) = self.calls.remove(&id) else {
             return;
         };
-        let problem = problem_of(may_have_run, reason);
+        let problem = if may_have_run {
+            Problem::new(match reason {
+                "timeout" => ProblemKind::AnswerTimeout,
+                _ => ProblemKind::UpstreamFailed,
+            })
+        } else {
+            let left = call.left(self.now);
+            Problem::retry(ProblemKind::NotRun, self.come_back_after(reason, left))
+        };
         let effect = if call.is_forwarded {
             RelayEffect::Abort { call: id }
         } else {
@@ -178,12 +193,14 @@
         });
         self.effects.push(effect);
     }
-}
-fn problem_of(may_have_run: bool, reason: &str) -> Problem {
-    match (may_have_run, reason) {
-        (false, _) => Problem::retry(ProblemKind::NotRun, REFUSED_RETRY_AFTER),
-        (true, "timeout") => Problem::new(ProblemKind::AnswerTimeout),
-        (true, _) => Problem::new(ProblemKind::UpstreamFailed),
+
+    /// When a caller whose request did not run is asked to come back.
+    fn come_back_after(&mut self, reason: &str, left: Duration) -> Duration {
+        if !matches!(reason, "overloaded" | "no_room") {
+            return REFUSED_RETRY_AFTER;
+        }
+        let comebacks = &mut self.waiting.comebacks;
+        let after = comebacks.next(OVERLOAD_LASTS, self.now, &mut self.rng);
+        after.min(left.mul_f64(HEEDED_SHARE))
     }
 }
-
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -42,6 +42,7 @@
         if let Some(booking) = self.calls.get_mut(&id).and_then(|call| call.booking.as_mut()) {
             booking.reservation = Some(reservation);
         }
+        self.waiting.comebacks.on_granted(self.now);
         self.end_exchange(id);
         self.send_next(id);
     }
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -8,12 +8,13 @@
 
 use crate::CallId;
 use crate::config::Role;
+use crate::placement::Comebacks;
 use crate::relay::Relay;
 use crate::relay::RelayTimer;
 use crate::relay::call::Call;
 
 /// Time for which an engine that refused a reservation is not asked again, unless one of this VM's streams ends there.
-pub(super) const FULL_FOR: Duration = Duration::from_millis(70);
+pub(super) const FULL_FOR: Duration = Duration::from_millis(150);
 
 /// Time from a request's start at the engines to its first event beyond the prefill itself.
 const START_MARGIN: Duration = Duration::from_millis(120);
@@ -21,11 +22,16 @@
 /// Multiple of the target for which a request may wait: callers give silent streams up after about four times it.
 const MAX_WAIT_TARGETS: f64 = 3.0;
 
+/// Requests that may wait whatever the rate at which room is found.
+const MIN_WAITING: usize = 2;
+
 /// Requests that wait, in the order of their arrival.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Waiting {
     calls: Vec<CallId>,
     has_timer: bool,
+    /// Rate at which room is found, and when refused callers are asked back.
+    pub(super) comebacks: Comebacks,
 }
 
 impl Waiting {
@@ -53,11 +59,27 @@
             return;
         }
         if !self.waiting.calls.contains(&id) {
+            if !call.has_waited && call.spent_before.is_zero() && self.is_crowded(call) {
+                self.give_up(id, "overloaded");
+                return;
+            }
             self.waiting.calls.push(id);
         }
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.has_waited = true;
+        }
         self.set_room_timer();
     }
 
+    /// Whether more requests wait than find room before the newest of them would be late.
+    fn is_crowded(&self, call: &Call) -> bool {
+        let within = call.route.target.saturating_sub(START_MARGIN);
+        let rate = self.waiting.comebacks.grants_per_s(self.now);
+        let served = (rate * within.as_secs_f64()) as usize;
+        let ahead = self.waiting.calls.iter().filter(|id| !self.is_late(**id));
+        ahead.count() >= served.max(MIN_WAITING)
+    }
+
     fn set_room_timer(&mut self) {
         if self.waiting.has_timer || self.waiting.calls.is_empty() {
             return;
