Record spans without the library that calibrates clocks before main

Cause: two VMs of six needed 13 s from their start to their first log line; all of it passed before main. A constructor of the tracing library's clock compares the processor's counter with the system's clock until two samples agree to 0.001 %, which on a shared quarter of a core takes seconds. Ruled out: the size of the program (stripped: no change), the log, the signals, the executor (each under 10 ms). Change: spans are recorded by trace.rs; nothing runs before main.

--- a/crates/arbutusfall/src/call_table.rs
+++ b/crates/arbutusfall/src/call_table.rs
@@ -13,11 +13,12 @@
 use arbutusfall_wire::Name;
 use async_channel::Receiver;
 use async_channel::Sender;
-use fastrace::Span;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::body::Bytes;
 
+use crate::trace::Span;
+
 /// What a caller asked for, as engines and services need it.
 #[derive(Debug, Clone)]
 pub(crate) enum Asked {
--- a/crates/arbutusfall/src/callers.rs
+++ b/crates/arbutusfall/src/callers.rs
@@ -20,8 +20,6 @@
 use arbutusfall_wire::piece_hashes;
 use async_channel::Receiver;
 use async_channel::Sender;
-use fastrace::Span;
-use fastrace::collector::SpanContext;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
@@ -41,6 +39,8 @@
 use crate::http::problem_answer;
 use crate::http::read_request_body;
 use crate::telemetry::Telemetry;
+use crate::trace::Span;
+use crate::trace::SpanContext;
 
 use answer::answer_stream;
 use answer::answer_whole;
@@ -303,7 +303,7 @@
         .and_then(|value| value.to_str().ok())
         .and_then(SpanContext::decode_w3c_traceparent)
         .unwrap_or_else(SpanContext::random);
-    Span::root("caller", parent).with_property(|| ("path", path.to_owned()))
+    Span::root("caller", parent).with_property("path", path.to_owned())
 }
 
 /// Counter of requests that were answered with a problem.
--- a/crates/arbutusfall/src/callers/answer.rs
+++ b/crates/arbutusfall/src/callers/answer.rs
@@ -7,7 +7,6 @@
 use arbutusfall_core::ServiceAnswer;
 use arbutusfall_wire::Name;
 use async_channel::Receiver;
-use fastrace::Span;
 use hyper::Response;
 use hyper::body::Bytes;
 use hyper::header::CONTENT_TYPE;
@@ -20,6 +19,7 @@
 use crate::http::json_answer;
 use crate::http::problem_answer;
 use crate::http::problem_document;
+use crate::trace::Span;
 
 fn empty_answer() -> Response<AnswerBody> {
     Response::new(AnswerBody::whole(Bytes::new()))
--- a/crates/arbutusfall/src/engines.rs
+++ b/crates/arbutusfall/src/engines.rs
@@ -20,8 +20,6 @@
 use arbutusfall_wire::Name;
 use async_channel::Sender;
 use async_executor::Task;
-use fastrace::Span;
-use fastrace::collector::SpanContext;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -43,6 +41,8 @@
 use crate::http;
 use crate::http::ClientError;
 use crate::http::Exchange;
+use crate::trace::Span;
+use crate::trace::SpanContext;
 
 use events::EventReader;
 
--- a/crates/arbutusfall/src/lib.rs
+++ b/crates/arbutusfall/src/lib.rs
@@ -29,6 +29,7 @@
 mod status;
 mod telemetry;
 mod tls;
+mod trace;
 mod vm_list;
 
 pub mod http;
--- a/crates/arbutusfall/src/serve.rs
+++ b/crates/arbutusfall/src/serve.rs
@@ -151,7 +151,6 @@
     };
     driver.run().await;
     drop(operators);
-    fastrace::flush();
     Ok(())
 }
 
--- a/crates/arbutusfall/src/services.rs
+++ b/crates/arbutusfall/src/services.rs
@@ -7,7 +7,6 @@
 use arbutusfall_core::ServiceEvent;
 use arbutusfall_core::ServiceOrder;
 use async_channel::Sender;
-use fastrace::collector::SpanContext;
 use futures_lite::FutureExt;
 use http_body_util::Full;
 use hyper::Request;
@@ -22,6 +21,7 @@
 use crate::http;
 use crate::http::ClientError;
 use crate::http::Exchange;
+use crate::trace::SpanContext;
 
 /// Longest time allowed for opening a connection to a service.
 const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(500);
--- a/crates/arbutusfall/src/telemetry.rs
+++ b/crates/arbutusfall/src/telemetry.rs
@@ -9,14 +9,10 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
-use async_channel::Sender;
 use cadence::Counted;
 use cadence::QueuingMetricSink;
 use cadence::StatsdClient;
 use cadence::UdpMetricSink;
-use fastrace::collector::Config;
-use fastrace::collector::Reporter;
-use fastrace::collector::SpanRecord;
 use logforth::record::Level;
 use logforth::record::LevelFilter;
 use serde_json::Value;
@@ -28,6 +24,8 @@
 use crate::Settings;
 use crate::http;
 use crate::http::ClientError;
+use crate::trace;
+use crate::trace::SpanRecord;
 
 /// Prefix of all counters.
 const PREFIX: &str = "arbutusfall";
@@ -41,10 +39,7 @@
 /// Interval at which spans are sent.
 const SPANS_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Batches of spans that may wait; more are dropped.
-const MAX_BATCHES: usize = 64;
-
-/// Most spans of one batch; more are dropped, so that a slow collector costs little memory.
+/// Most spans of one batch.
 const MAX_BATCH_SPANS: usize = 2_000;
 
 /// Counter of spans that were dropped or could not be sent.
@@ -129,46 +124,52 @@
     let Some(address) = settings.trace_address else {
         return;
     };
-    let (batches, receiver) = async_channel::bounded(MAX_BATCHES);
-    let reporter = ZipkinReporter {
+    let Some(spans) = trace::collect() else {
+        return;
+    };
+    let sender = SpanSender {
+        executor: executor.clone(),
+        address,
         vm: settings.vm.to_string(),
-        batches,
         telemetry: telemetry.clone(),
     };
-    fastrace::set_reporter(reporter, Config::default().report_interval(SPANS_INTERVAL));
-    executor
-        .spawn(send_spans(
-            executor.clone(),
-            address,
-            receiver,
-            telemetry.clone(),
-        ))
-        .detach();
+    executor.spawn(sender.run(spans)).detach();
 }
 
-/// Turns spans into Zipkin's form.
-struct ZipkinReporter {
+/// Sends spans in Zipkin's form.
+struct SpanSender {
+    executor: Arc<Executor>,
+    address: SocketAddr,
     vm: String,
-    batches: Sender<Vec<Value>>,
     telemetry: Arc<Telemetry>,
 }
 
-impl Reporter for ZipkinReporter {
-    fn report(&mut self, spans: Vec<SpanRecord>) {
-        let batch: Vec<Value> = spans
-            .iter()
-            .take(MAX_BATCH_SPANS)
-            .map(|span| zipkin_span(&self.vm, span))
-            .collect();
-        let over = spans.len() - batch.len();
-        let kept = batch.len();
-        let lost = match self.batches.try_send(batch) {
-            Ok(()) => over,
-            // Spans may be lost when the collector is slow; that must not harm requests.
-            Err(_) => over + kept,
-        };
-        if lost > 0 {
-            self.telemetry.count(SPANS_LOST, lost as i64);
+impl SpanSender {
+    async fn run(self, spans: Receiver<SpanRecord>) {
+        while let Ok(first) = spans.recv().await {
+            async_io::Timer::after(SPANS_INTERVAL).await;
+            let mut batch = vec![zipkin_span(&self.vm, &first)];
+            while batch.len() < MAX_BATCH_SPANS
+                && let Ok(span) = spans.try_recv()
+            {
+                batch.push(zipkin_span(&self.vm, &span));
+            }
+            self.send(&batch).await;
+        }
+    }
+
+    async fn send(&self, batch: &[Value]) {
+        let sent: Result<Value, _> = http::post_json(
+            &self.executor,
+            self.address,
+            SPANS_PATH,
+            &batch,
+            SPANS_TIMEOUT,
+        )
+        .await;
+        // A collector may answer success without a document.
+        if !matches!(sent, Ok(_) | Err(ClientError::Malformed)) {
+            self.telemetry.count(SPANS_LOST, batch.len() as i64);
         }
     }
 }
@@ -177,32 +178,16 @@
     let tags: serde_json::Map<String, Value> = span
         .properties
         .iter()
-        .map(|(name, value)| (name.to_string(), json!(value)))
+        .map(|(name, value)| ((*name).to_owned(), json!(value)))
         .collect();
     json!({
-        "traceId": format!("{:032x}", span.trace_id.0),
-        "id": format!("{:016x}", span.span_id.0),
-        "parentId": format!("{:016x}", span.parent_id.0),
+        "traceId": format!("{:032x}", span.trace_id),
+        "id": format!("{:016x}", span.span_id),
+        "parentId": format!("{:016x}", span.parent_id),
         "name": span.name,
-        "timestamp": span.begin_time_unix_ns / 1_000,
-        "duration": (span.duration_ns / 1_000).max(1),
+        "timestamp": u64::try_from(span.began_unix.as_micros()).unwrap_or(u64::MAX),
+        "duration": u64::try_from(span.took.as_micros()).unwrap_or(u64::MAX).max(1),
         "localEndpoint": { "serviceName": vm },
         "tags": tags,
     })
 }
-
-async fn send_spans(
-    executor: Arc<Executor>,
-    address: SocketAddr,
-    batches: Receiver<Vec<Value>>,
-    telemetry: Arc<Telemetry>,
-) {
-    while let Ok(batch) = batches.recv().await {
-        let sent: Result<Value, _> =
-            http::post_json(&executor, address, SPANS_PATH, &batch, SPANS_TIMEOUT).await;
-        // A collector may answer success without a document.
-        if !matches!(sent, Ok(_) | Err(ClientError::Malformed)) {
-            telemetry.count(SPANS_LOST, batch.len() as i64);
-        }
-    }
-}
