Tell first tries from comebacks, refuse what cannot be on time, close idle connections while draining

Cause: callers' patience differs by some 15 %, so most first tries were taken for comebacks and waited behind the others; requests waited 2.7 s and were refused then. Ruled out: the interval of asking for room (engines were asked every 20 ms by some VM or other). Change: a request counts as a comeback below 0.82 of the longest patience seen; first tries wait only while they can be on time; idle connections are closed 2.3 s after SIGTERM.

--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -57,8 +57,8 @@
     /// Instant of the next tick, for the task that waits for it.
     wake_at: Sender<Option<Duration>>,
     wakes: Receiver<Option<Duration>>,
-    exit: Sender<()>,
-    exited: Receiver<()>,
+    close: Sender<()>,
+    closes: Receiver<()>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -68,7 +68,7 @@
 impl Driver {
     pub(super) fn new(relay: Relay, executor: Arc<Executor>) -> Self {
         let (wake_at, wakes) = async_channel::unbounded();
-        let (exit, exited) = async_channel::bounded(1);
+        let (close, closes) = async_channel::bounded(1);
         let limits = relay.limits();
         Self {
             relay: Mutex::new(relay),
@@ -81,8 +81,8 @@
             limits: Mutex::new(limits),
             wake_at,
             wakes,
-            exit,
-            exited,
+            close,
+            closes,
         }
     }
 
@@ -122,8 +122,14 @@
         }
     }
 
-    /// Submits a tick whenever one is due; returns when the process is to end.
-    pub(super) async fn run_timers(self: &Arc<Self>) {
+    /// Waits until callers' connections are to be closed.
+    pub(super) async fn until_close(&self) {
+        // The channel lives as long as the driver.
+        let _ = self.closes.recv().await;
+    }
+
+    /// Submits a tick whenever one is due.
+    pub(super) async fn run_timers(self: Arc<Self>) {
         let mut wake_at: Option<Duration> = None;
         loop {
             let changed = async { self.wakes.recv().await.ok().map(Wake::Changed) };
@@ -136,12 +142,7 @@
                 }
                 Some(Wake::Due)
             };
-            let exit = async {
-                // The channel lives as long as the driver.
-                let _ = self.exited.recv().await;
-                None
-            };
-            match exit.or(tick).or(changed).await {
+            match tick.or(changed).await {
                 Some(Wake::Changed(due)) => {
                     wake_at = due;
                     while let Ok(due) = self.wakes.try_recv() {
@@ -201,9 +202,9 @@
                 Ok(line) => log::info!("{line}"),
                 Err(error) => log::error!("a log line could not be written: {error}"),
             },
-            RelayEffect::Exit => {
-                // One exit is enough.
-                let _ = self.exit.try_send(());
+            RelayEffect::CloseConnections => {
+                // The first order is enough.
+                let _ = self.close.try_send(());
             }
         }
     }
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -26,8 +26,8 @@
 use crate::relay::store_watch::StoreWatch;
 use crate::telemetry;
 
-/// Time at the end of a drain that is kept for the exit itself.
-const EXIT_MARGIN: Duration = Duration::from_millis(1_000);
+/// Time of a drain that is not left to answers in progress: what passed before connections were closed, and the exit.
+const EXIT_MARGIN: Duration = Duration::from_millis(2_500);
 
 /// Runs a VM on the users' platform until SIGTERM and the end of all work in progress.
 ///
@@ -67,7 +67,8 @@
     let listening = http::serve(executor, address, callers);
     let listening = listening.await.change_context(ServeError::Listen(address))?;
     log::info!("started {} in {}", settings.vm, settings.data_centre);
-    driver.run_timers().await;
+    driver.executor.spawn(driver.clone().run_timers()).detach();
+    driver.until_close().await;
     let drain = Duration::from_secs(settings.drain_timeout_s);
     listening.close(drain.saturating_sub(EXIT_MARGIN)).await;
     drop(operators);
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -33,6 +33,10 @@
 pub use notice::RelayNotice;
 pub use routes::*;
 
+/// Time from the order to stop until callers' connections are closed as soon as they are idle: the platform stops sending
+/// new ones after two questions that are not answered with success.
+const CLOSE_AFTER: Duration = Duration::from_millis(2_300);
+
 /// What a relay must know before it reads the configuration.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RelaySettings {
@@ -51,6 +55,8 @@
     AskForRoom,
     /// Entries that the list dropped may be forgotten.
     DropGone,
+    /// The platform had time to stop sending new connections.
+    CloseConnections,
 }
 
 /// One VM's relayed requests and what it knows of the endpoints.
@@ -64,7 +70,6 @@
     is_store_reachable: bool,
     is_draining: bool,
     is_ready: bool,
-    has_exited: bool,
     calls: FastMap<CallId, Call>,
     /// Calls by the exchange that works for them now.
     by_exchange: FastMap<ExchangeId, CallId>,
@@ -91,7 +96,6 @@
             is_store_reachable: true,
             is_draining: false,
             is_ready: false,
-            has_exited: false,
             calls: FastMap::default(),
             by_exchange: FastMap::default(),
             exchanges: 0,
@@ -110,7 +114,6 @@
         self.now = now;
         self.on_event(event);
         self.update_ready();
-        self.exit_when_idle();
         RelayOutput {
             effects: std::mem::take(&mut self.effects),
             wake_at: self.timers.next_due(),
@@ -142,6 +145,7 @@
                 RelayTimer::CallDue(call) => self.on_call_due(call),
                 RelayTimer::Silent(exchange) => self.on_maybe_silent(exchange),
                 RelayTimer::AskForRoom => self.on_room_timer(),
+                RelayTimer::CloseConnections => self.effects.push(RelayEffect::CloseConnections),
                 RelayTimer::DropGone => self.drop_gone(),
             }
         }
@@ -192,7 +196,12 @@
     }
 
     fn on_terminate(&mut self) {
+        if self.is_draining {
+            return;
+        }
         self.is_draining = true;
+        let due = self.now + CLOSE_AFTER;
+        self.timers.set(due, RelayTimer::CloseConnections);
         let in_progress = self.calls.len();
         self.note(RelayNotice::Draining { in_progress });
     }
@@ -207,13 +216,6 @@
         self.note(RelayNotice::Ready { ready });
     }
 
-    fn exit_when_idle(&mut self) {
-        if self.is_draining && self.calls.is_empty() && !self.has_exited {
-            self.has_exited = true;
-            self.effects.push(RelayEffect::Exit);
-        }
-    }
-
     fn note(&mut self, notice: RelayNotice) {
         self.effects.push(RelayEffect::Note(notice));
     }
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -20,8 +20,12 @@
 /// When callers are asked to come back while this VM knows no configuration or no endpoint.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Share of the longest patience of a route's callers from which on a request is taken for a first try; callers differ in
+/// their patience.
+const FIRST_TRY_PATIENCE: f64 = 0.82;
+
 /// Time after which an overload is expected to be over.
-const OVERLOAD_LASTS: Duration = Duration::from_millis(1_500);
+const OVERLOAD_LASTS: Duration = Duration::from_millis(2_500);
 
 /// Share of a caller's time that it is asked to stay away at most; callers do not heed more than a third.
 const HEEDED_SHARE: f64 = 0.3;
@@ -81,6 +85,9 @@
     fn spent_before(&mut self, route: &RelayRoute, patience: Duration) -> Duration {
         let longest = self.longest_patience.entry(route.name.clone()).or_default();
         *longest = patience.max(*longest);
+        if patience > longest.mul_f64(FIRST_TRY_PATIENCE) {
+            return Duration::ZERO;
+        }
         longest.saturating_sub(patience)
     }
 
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -237,8 +237,8 @@
     SetReady(bool),
     /// Write a log line.
     Note(RelayNotice),
-    /// End the process.
-    Exit,
+    /// Accept no more connections, close idle ones, and end the process when the others are done.
+    CloseConnections,
 }
 
 /// A request to an endpoint.
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -19,8 +19,9 @@
 /// Time from a request's start at the engines to its first event beyond the prefill itself.
 const START_MARGIN: Duration = Duration::from_millis(120);
 
-/// Multiple of the target for which a request may wait: callers give silent streams up after about four times it.
-const MAX_WAIT_TARGETS: f64 = 3.0;
+/// Multiple of the target for which a request may wait whose caller came again: it is late already, and callers give
+/// silent streams up after about four times the target.
+const MAX_WAIT_TARGETS: f64 = 2.5;
 
 /// Requests that may wait whatever the rate at which room is found.
 const MIN_WAITING: usize = 2;
@@ -41,9 +42,13 @@
 }
 
 impl Call {
-    /// Instant until which a request may wait for room.
+    /// Instant until which a request may wait for room: as long as it can be on time, if it still can.
     pub(crate) fn wait_until(&self) -> Duration {
-        let wait = self.route.target.mul_f64(MAX_WAIT_TARGETS);
+        let wait = if self.spent_before.is_zero() {
+            self.route.target.saturating_sub(START_MARGIN)
+        } else {
+            self.route.target.mul_f64(MAX_WAIT_TARGETS)
+        };
         (self.arrived_at + wait).min(self.due_at)
     }
 }
