Let the roles of engines follow their use, ordered by one VM under a lease

Cause: four of nine engines prefilled, and were used for a third of their time; the five that decode were full. Ruled out: more decode engines by a fixed share, because deployments differ; a split from the site's figures, because none tells the time of an answer. Change: the store's group deals one lease; its holder compares its own use of prefill and decode engines and changes one role at a time, with the group's generation as fencing token and the engine's count of orders as condition.

--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod driver;
+mod duties;
 mod exchange;
 mod open_calls;
 mod serve;
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -29,6 +29,7 @@
 use crate::Executor;
 use crate::SystemClock;
 use crate::http::AnswerBody;
+use crate::relay::duties::Duties;
 use crate::relay::exchange;
 use crate::relay::open_calls::AnswerHead;
 use crate::relay::open_calls::OpenCalls;
@@ -51,6 +52,7 @@
     exchanges: Mutex<FastMap<ExchangeId, OpenExchange>>,
     pub(super) calls: OpenCalls,
     pub(super) executor: Arc<Executor>,
+    duties: Duties,
     clock: SystemClock,
     ready: AtomicBool,
     limits: Mutex<CallerLimits>,
@@ -66,7 +68,7 @@
 }
 
 impl Driver {
-    pub(super) fn new(relay: Relay, executor: Arc<Executor>) -> Self {
+    pub(super) fn new(relay: Relay, duties: Duties, executor: Arc<Executor>) -> Self {
         let (wake_at, wakes) = async_channel::unbounded();
         let (close, closes) = async_channel::bounded(1);
         let limits = relay.limits();
@@ -76,6 +78,7 @@
             exchanges: Mutex::default(),
             calls: OpenCalls::default(),
             executor,
+            duties,
             clock: SystemClock::start(),
             ready: AtomicBool::new(false),
             limits: Mutex::new(limits),
@@ -197,6 +200,24 @@
             RelayEffect::Finish { call } => self.calls.finish(call),
             RelayEffect::Abort { call } => self.calls.abort(call),
             RelayEffect::Refuse { call, problem } => self.calls.end(call, Reply::Problem(problem)),
+            RelayEffect::RenewLease { token, lifetime } => {
+                let renew = self.duties.clone().renew_lease(self.clone(), token, lifetime);
+                self.executor.spawn(renew).detach();
+            }
+            RelayEffect::ReleaseLease => {
+                let release = self.duties.clone().release_lease(self.clone());
+                self.executor.spawn(release).detach();
+            }
+            RelayEffect::OrderRole {
+                instance,
+                address,
+                role,
+                token,
+            } => {
+                let duties = self.duties.clone();
+                let order = duties.order_role(self.clone(), instance, address, role, token);
+                self.executor.spawn(order).detach();
+            }
             RelayEffect::SetReady(ready) => self.ready.store(ready, Ordering::Relaxed),
             RelayEffect::Note(notice) => match serde_json::to_string(&notice) {
                 Ok(line) => log::info!("{line}"),
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -23,6 +23,7 @@
 use crate::relay::RelayFileSettings;
 use crate::relay::callers::Callers;
 use crate::relay::driver::Driver;
+use crate::relay::duties::Duties;
 use crate::relay::store_watch::StoreWatch;
 use crate::telemetry;
 
@@ -47,9 +48,14 @@
 ) -> Result<(), Report<ServeError>> {
     let relay_settings = RelaySettings {
         retry_ratio: settings.retry_ratio,
+        lease_lifetime: Duration::from_millis(settings.lease_lifetime_ms),
+    };
+    let duties = Duties {
+        store_address: settings.store_address,
+        member: format!("{}-{:016x}", settings.vm, fastrand::u64(..)).into(),
     };
     let relay = Relay::new(&relay_settings, fastrand::u64(..));
-    let driver = Arc::new(Driver::new(relay, executor.clone()));
+    let driver = Arc::new(Driver::new(relay, duties, executor.clone()));
     for topic in [Topic::Config, Topic::Endpoints] {
         let watch = StoreWatch {
             driver: driver.clone(),
@@ -67,6 +73,7 @@
     let listening = http::serve(executor, address, callers);
     let listening = listening.await.change_context(ServeError::Listen(address))?;
     log::info!("started {} in {}", settings.vm, settings.data_centre);
+    driver.submit(RelayEvent::Started);
     driver.executor.spawn(driver.clone().run_timers()).detach();
     driver.until_close().await;
     let drain = Duration::from_secs(settings.drain_timeout_s);
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -27,14 +27,31 @@
     /// Where the platform's store listens.
     pub store_address: SocketAddr,
     /// Requests that may be sent again, as a share of all.
+    #[serde(default = "default_retry_ratio")]
     pub retry_ratio: f64,
+    /// Lifetime of the lease under which one VM at a time gives orders to engines.
+    #[serde(default = "default_lease_lifetime_ms")]
+    pub lease_lifetime_ms: u64,
     /// Time that the process has to end after SIGTERM.
+    #[serde(default = "default_drain_timeout_s")]
     pub drain_timeout_s: u64,
     /// Least severe log lines that are written.
     #[serde(default)]
     pub log_level: LogLevel,
 }
 
+fn default_retry_ratio() -> f64 {
+    0.1
+}
+
+fn default_lease_lifetime_ms() -> u64 {
+    3_000
+}
+
+fn default_drain_timeout_s() -> u64 {
+    8
+}
+
 impl RelayFileSettings {
     /// Reads and checks a file.
     ///
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -9,8 +9,10 @@
 mod calls;
 mod endpoints;
 mod event;
+mod lease;
 mod notice;
 mod outcomes;
+mod roles;
 mod routes;
 mod sending;
 mod waiting;
@@ -27,9 +29,12 @@
 use budget::RetryBudget;
 use call::Call;
 use endpoints::Endpoints;
+use lease::Lease;
+use roles::Roles;
 use waiting::Waiting;
 
 pub use event::*;
+pub use lease::LeaseAnswer;
 pub use notice::RelayNotice;
 pub use routes::*;
 
@@ -42,6 +47,8 @@
 pub struct RelaySettings {
     /// Repeated sends that one request earns, as a share of a send.
     pub retry_ratio: f64,
+    /// Lifetime of the lease under which orders are given to engines.
+    pub lease_lifetime: Duration,
 }
 
 /// What to look at again. A timer that finds nothing to do is ignored.
@@ -55,6 +62,10 @@
     AskForRoom,
     /// Entries that the list dropped may be forgotten.
     DropGone,
+    /// The lease is to be renewed.
+    RenewLease,
+    /// The roles of engines are to be looked at.
+    ReviewRoles,
     /// The platform had time to stop sending new connections.
     CloseConnections,
 }
@@ -79,6 +90,8 @@
     /// Longest time that callers of each route waited for an answer; less is left to those that come again.
     longest_patience: FastMap<Name, Duration>,
     budget: RetryBudget,
+    lease: Lease,
+    roles: Roles,
     timers: Timers<RelayTimer>,
     rng: fastrand::Rng,
     /// Time of the event that is handled.
@@ -102,6 +115,8 @@
             waiting: Waiting::default(),
             longest_patience: FastMap::default(),
             budget: RetryBudget::new(settings.retry_ratio),
+            lease: Lease::new(settings.lease_lifetime),
+            roles: Roles::default(),
             timers: Timers::default(),
             rng: fastrand::Rng::with_seed(seed),
             now: Duration::ZERO,
@@ -128,6 +143,7 @@
 
     fn on_event(&mut self, event: RelayEvent) {
         match event {
+            RelayEvent::Started => self.on_started(),
             RelayEvent::Tick => self.on_tick(),
             RelayEvent::Routes(routes) => self.on_routes(routes),
             RelayEvent::Directory(changes) => self.on_directory(changes),
@@ -135,16 +151,27 @@
             RelayEvent::Asked(request) => self.on_asked(request),
             RelayEvent::CallerGone { call } => self.on_caller_gone(call),
             RelayEvent::Exchange { exchange, event } => self.on_exchange(exchange, event),
+            RelayEvent::Lease(answer) => self.on_lease(answer),
+            RelayEvent::RoleOutcome { instance, outcome } => {
+                self.on_role_outcome(instance, outcome);
+            }
             RelayEvent::Terminate => self.on_terminate(),
         }
     }
 
+    fn on_started(&mut self) {
+        self.on_lease_timer();
+        self.on_roles_timer();
+    }
+
     fn on_tick(&mut self) {
         while let Some(timer) = self.timers.pop_due(self.now) {
             match timer {
                 RelayTimer::CallDue(call) => self.on_call_due(call),
                 RelayTimer::Silent(exchange) => self.on_maybe_silent(exchange),
                 RelayTimer::AskForRoom => self.on_room_timer(),
+                RelayTimer::RenewLease => self.on_lease_timer(),
+                RelayTimer::ReviewRoles => self.on_roles_timer(),
                 RelayTimer::CloseConnections => self.effects.push(RelayEffect::CloseConnections),
                 RelayTimer::DropGone => self.drop_gone(),
             }
@@ -202,6 +229,7 @@
         self.is_draining = true;
         let due = self.now + CLOSE_AFTER;
         self.timers.set(due, RelayTimer::CloseConnections);
+        self.effects.push(RelayEffect::ReleaseLease);
         let in_progress = self.calls.len();
         self.note(RelayNotice::Draining { in_progress });
     }
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -9,6 +9,7 @@
 use crate::CallId;
 use crate::Problem;
 use crate::config::Role;
+use crate::relay::LeaseAnswer;
 use crate::relay::RelayNotice;
 use crate::relay::RouteTable;
 
@@ -19,6 +20,8 @@
 /// An input of the relay.
 #[derive(Debug, Clone)]
 pub enum RelayEvent {
+    /// The process starts; the first event.
+    Started,
     /// The instant asked for by the last output has come.
     Tick,
     /// A version of the configuration was read.
@@ -41,6 +44,15 @@
         /// What happened.
         event: ExchangeEvent,
     },
+    /// The store answered about the lease, or did not.
+    Lease(LeaseAnswer),
+    /// An engine answered an order, or did not.
+    RoleOutcome {
+        /// The engine.
+        instance: Name,
+        /// What became of the order.
+        outcome: RoleOutcome,
+    },
     /// The process was told to stop.
     Terminate,
 }
@@ -172,6 +184,31 @@
     Misdirected,
 }
 
+/// What became of an order to an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RoleOutcome {
+    /// The engine carries it out, or has the role already.
+    Accepted,
+    /// The engine has seen a newer token.
+    OldToken,
+    /// The engine refused it for another reason.
+    Refused,
+    /// No answer: it may be carried out, also later.
+    Unknown,
+}
+
+impl RoleOutcome {
+    /// Name in log lines.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::OldToken => "old_token",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// How an exchange failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExchangeFailure {
@@ -233,6 +270,26 @@
         /// What to answer.
         problem: Problem,
     },
+    /// Ask the store for the lease, or renew it.
+    RenewLease {
+        /// Newest token that the store told.
+        token: u64,
+        /// Time after which the lease lapses unless it is renewed.
+        lifetime: Duration,
+    },
+    /// Give the lease up.
+    ReleaseLease,
+    /// Order an engine to change its role.
+    OrderRole {
+        /// The engine.
+        instance: Name,
+        /// Where it listens.
+        address: SocketAddr,
+        /// Role that it is to take.
+        role: Role,
+        /// Fencing token of the order.
+        token: u64,
+    },
     /// Whether the VM takes new connections.
     SetReady(bool),
     /// Write a log line.
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -99,6 +99,29 @@
         /// Time since it arrived.
         after_ms: u64,
     },
+    /// The lease for orders to engines was gained or lost.
+    Lease {
+        /// Whether this VM holds it.
+        held: bool,
+        /// Fencing token.
+        token: u64,
+    },
+    /// An engine was ordered to change its role.
+    RoleOrdered {
+        /// Instance.
+        instance: Name,
+        /// Role that it is to take.
+        role: &'static str,
+        /// Fencing token.
+        token: u64,
+    },
+    /// An engine answered an order, or did not.
+    RoleOutcome {
+        /// Instance.
+        instance: Name,
+        /// What became of the order.
+        outcome: &'static str,
+    },
     /// The VM takes new connections, or does not.
     Ready {
         /// Whether it does.
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -72,7 +72,9 @@
         };
         let tokens = call.prompt().prompt_tokens;
         if let Some(endpoint) = self.endpoints.get_mut(&current.instance) {
-            endpoint.on_prefilled(tokens, now.saturating_sub(current.sent_at));
+            let took = now.saturating_sub(current.sent_at);
+            endpoint.on_prefilled(tokens, took);
+            self.roles.on_prefill(&call.service, took);
             call.prefilled = Some(Prefilled {
                 stored: StoredPrefill {
                     address: endpoint.listed.address,
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/roles.rs
@@ -0,0 +1,169 @@
+//! How many engines prefill and how many decode, decided by the holder of the lease from its own requests.
+//!
+//! Requests reach VMs at random, so the share of prefill in a VM's own use of the engines is that of all VMs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use arbutusfall_wire::Name;
+
+use crate::config::Role;
+use crate::relay::Relay;
+use crate::relay::RelayEffect;
+use crate::relay::RelayNotice;
+use crate::relay::RelayTimer;
+use crate::relay::RoleOutcome;
+
+/// Interval at which the split is looked at.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time over which use is averaged.
+const AVERAGED_OVER: Duration = Duration::from_secs(8);
+
+/// Prefills of this VM before its averages are trusted.
+const MIN_PREFILLS: u32 = 8;
+
+/// How much more prefill is provided than is used, because first tokens wait while prefills queue.
+const PREFILL_HEADROOM: f64 = 1.3;
+
+/// Engines by which the split must be off before a role is changed.
+const TOLERANCE: f64 = 0.6;
+
+/// Time between two changes beyond the time that one takes.
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// Use of a service's engines by this VM, in engines, averaged.
+#[derive(Debug, Clone, Default)]
+struct Use {
+    prefill: f64,
+    decode: f64,
+    prefills: u32,
+}
+
+/// What the split is decided from, and the order that is in progress.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Roles {
+    by_service: BTreeMap<Name, Use>,
+    /// Instant until which no further order is given.
+    pause_until: Duration,
+}
+
+impl Roles {
+    /// A prefill of this VM took so long.
+    pub(crate) fn on_prefill(&mut self, service: &Name, took: Duration) {
+        let used = self.by_service.entry(service.clone()).or_default();
+        used.prefill += took.as_secs_f64() / AVERAGED_OVER.as_secs_f64();
+        used.prefills = used.prefills.saturating_add(1);
+    }
+}
+
+impl Relay {
+    pub(super) fn on_roles_timer(&mut self) {
+        self.timers
+            .set(self.now + REVIEW_INTERVAL, RelayTimer::ReviewRoles);
+        self.average_use();
+        let Some(token) = self.lease.token(self.now) else {
+            return;
+        };
+        if self.now < self.roles.pause_until {
+            return;
+        }
+        let services: Vec<Name> = self.roles.by_service.keys().cloned().collect();
+        for service in services {
+            if let Some((instance, role)) = self.role_to_change(&service) {
+                self.order_role(&service, instance, role, token);
+                return;
+            }
+        }
+    }
+
+    /// Adds the memory that is booked now to the averages, and lets old use fade.
+    fn average_use(&mut self) {
+        let Some(routes) = self.routes.clone() else {
+            return;
+        };
+        let step = REVIEW_INTERVAL.as_secs_f64() / AVERAGED_OVER.as_secs_f64();
+        for (name, service) in &routes.services {
+            let Some(engine) = &service.engine else {
+                continue;
+            };
+            let serving = self.endpoints.serving(name, Role::Decode);
+            let booked: u64 = serving.map(|endpoint| endpoint.booked_tokens).sum();
+            let used = self.roles.by_service.entry(name.clone()).or_default();
+            let decode = booked as f64 / engine.memory_tokens.max(1) as f64;
+            used.decode += (decode - used.decode) * step;
+            used.prefill *= 1.0 - step;
+        }
+    }
+
+    /// An engine whose role does not fit the use of the service, and the role that does.
+    fn role_to_change(&self, service: &Name) -> Option<(Name, Role)> {
+        let used = self.roles.by_service.get(service)?;
+        let prefill = self.endpoints.serving(service, Role::Prefill).count();
+        let decode = self.endpoints.serving(service, Role::Decode).count();
+        let engines = prefill + decode;
+        if engines < 2 || used.prefills < MIN_PREFILLS {
+            return None;
+        }
+        let wanted = used.prefill * PREFILL_HEADROOM;
+        let share = wanted / (wanted + used.decode).max(f64::MIN_POSITIVE);
+        let target = (share * engines as f64).clamp(1.0, engines as f64 - 1.0);
+        let surplus = prefill as f64 - target;
+        if surplus > TOLERANCE && prefill > 1 {
+            let instance = self.least_used(service, Role::Prefill)?;
+            return Some((instance, Role::Decode));
+        }
+        if -surplus > TOLERANCE && decode > 1 {
+            let instance = self.least_used(service, Role::Decode)?;
+            return Some((instance, Role::Prefill));
+        }
+        None
+    }
+
+    fn least_used(&self, service: &Name, role: Role) -> Option<Name> {
+        let serving = self.endpoints.serving(service, role);
+        let usable = serving.filter(|endpoint| endpoint.health.is_usable(self.now));
+        let least = usable.min_by_key(|endpoint| (endpoint.in_flight, endpoint.booked_tokens));
+        least.map(|endpoint| endpoint.listed.instance.clone())
+    }
+
+    fn order_role(&mut self, service: &Name, instance: Name, role: Role, token: u64) {
+        let Some(endpoint) = self.endpoints.get(&instance) else {
+            return;
+        };
+        let address = endpoint.listed.address;
+        let routes = self.routes.as_ref();
+        let engine = routes.and_then(|routes| routes.services.get(service)?.engine.as_ref());
+        let switch = engine.map_or(Duration::ZERO, |engine| engine.role_switch);
+        self.roles.pause_until = self.now + switch + PAUSE;
+        self.note(RelayNotice::RoleOrdered {
+            instance: instance.clone(),
+            role: role_name(role),
+            token,
+        });
+        self.effects.push(RelayEffect::OrderRole {
+            instance,
+            address,
+            role,
+            token,
+        });
+    }
+
+    pub(super) fn on_role_outcome(&mut self, instance: Name, outcome: RoleOutcome) {
+        if outcome == RoleOutcome::OldToken {
+            self.lease.on_refused();
+        }
+        self.note(RelayNotice::RoleOutcome {
+            instance,
+            outcome: outcome.name(),
+        });
+    }
+}
+
+fn role_name(role: Role) -> &'static str {
+    match role {
+        Role::Prefill => "prefill",
+        Role::Decode => "decode",
+        Role::Plain => "plain",
+    }
+}
