Keep more headroom for prefill

Cause: with two prefill engines of nine, prefills waited longer than their reservations lasted; 51 results were lost. Ruled out: the lifetime of results (they are fetched at once). Change: 1.9 times the prefill that is used is provided, where it was 1.3.

--- a/crates/arbutusfall_core/src/relay/roles.rs
+++ b/crates/arbutusfall_core/src/relay/roles.rs
@@ -24,7 +24,7 @@
 const MIN_PREFILLS: u32 = 8;
 
 /// How much more prefill is provided than is used, because first tokens wait while prefills queue.
-const PREFILL_HEADROOM: f64 = 1.3;
+const PREFILL_HEADROOM: f64 = 1.9;
 
 /// Engines by which the split must be off before a role is changed.
 const TOLERANCE: f64 = 0.6;
