Notice silence in a stream from its first event on, and test the relay's decisions

Cause: the timer for silence was set for the time before the first event and not again when the stream began, so a stream that fell silent early was left up to 0.9 s late (found by a test). Ruled out: the timer's order (a tick goes before events).

--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -192,7 +192,9 @@
             }
             RelayEffect::Forward { call, exchange } => {
                 let mut exchanges = lock(&self.exchanges);
-                let head = exchanges.get_mut(&exchange).and_then(|open| open.head.take());
+                let head = exchanges
+                    .get_mut(&exchange)
+                    .and_then(|open| open.head.take());
                 if let Some(head) = head {
                     self.calls.begin_stream(call, head);
                 }
@@ -201,7 +203,10 @@
             RelayEffect::Abort { call } => self.calls.abort(call),
             RelayEffect::Refuse { call, problem } => self.calls.end(call, Reply::Problem(problem)),
             RelayEffect::RenewLease { token, lifetime } => {
-                let renew = self.duties.clone().renew_lease(self.clone(), token, lifetime);
+                let renew = self
+                    .duties
+                    .clone()
+                    .renew_lease(self.clone(), token, lifetime);
                 self.executor.spawn(renew).detach();
             }
             RelayEffect::ReleaseLease => {
--- a/crates/arbutusfall/src/relay/duties.rs
+++ b/crates/arbutusfall/src/relay/duties.rs
@@ -111,12 +111,7 @@
 }
 
 impl EngineOrder<'_> {
-    async fn send(
-        &self,
-        role: Role,
-        holder: Name,
-        token: u64,
-    ) -> Result<RoleOutcome, ClientError> {
+    async fn send(&self, role: Role, holder: Name, token: u64) -> Result<RoleOutcome, ClientError> {
         let report = self.exchange(Method::GET, orders::REPORT_PATH, Bytes::new());
         let body = http::read_body(report.await?.into_body(), ORDER_TIMEOUT).await?;
         let report: Report = serde_json::from_slice(&body).map_err(|_| ClientError::Malformed)?;
@@ -135,8 +130,7 @@
         body: Bytes,
     ) -> Result<Response<Incoming>, ClientError> {
         let path = path.to_owned();
-        let request =
-            endpoints::instance_request(method, self.address, self.instance, path, body);
+        let request = endpoints::instance_request(method, self.address, self.instance, path, body);
         let exchange = Exchange {
             address: self.address,
             request: request.map(Full::new),
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -55,8 +55,7 @@
         answer_timeout: order.patience,
     };
     let answer = http::send(&driver.executor, sent).await.map_err(failure)?;
-    let meaning =
-        endpoints::head_meaning(&request, &order.work, answer.status(), answer.headers());
+    let meaning = endpoints::head_meaning(&request, &order.work, answer.status(), answer.headers());
     match meaning {
         HeadMeaning::NotRun(reason) => Ok(ExchangeEvent::NotRun { reason }),
         HeadMeaning::Malformed => Err(ExchangeFailure::Malformed),
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -71,7 +71,9 @@
     });
     let address = settings.caller_address;
     let listening = http::serve(executor, address, callers);
-    let listening = listening.await.change_context(ServeError::Listen(address))?;
+    let listening = listening
+        .await
+        .change_context(ServeError::Listen(address))?;
     log::info!("started {} in {}", settings.vm, settings.data_centre);
     driver.submit(RelayEvent::Started);
     driver.executor.spawn(driver.clone().run_timers()).detach();
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -115,8 +115,8 @@
             ClientError::Status(status) if store::is_deleted(status) => Lost::Deleted,
             error => Lost::Failed(error),
         })?;
-        let page = store::parse_tail(&body, from)
-            .map_err(|_| Lost::Failed(ClientError::Malformed))?;
+        let page =
+            store::parse_tail(&body, from).map_err(|_| Lost::Failed(ClientError::Malformed))?;
         self.take(page.records, false);
         Ok(page.next)
     }
@@ -129,8 +129,13 @@
     }
 
     fn take_config(&self, records: Vec<KeyedRecord>) {
-        let documents = records.iter().filter(|record| *record.key == *store::CONFIG_KEY);
-        let Some(document) = documents.filter_map(|record| record.value.as_deref()).last() else {
+        let documents = records
+            .iter()
+            .filter(|record| *record.key == *store::CONFIG_KEY);
+        let Some(document) = documents
+            .filter_map(|record| record.value.as_deref())
+            .last()
+        else {
             return;
         };
         match parse_config(document) {
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -51,7 +51,12 @@
         self.send_next(id);
     }
 
-    pub(super) fn new_call(&mut self, request: RelayRequest, route: &RelayRoute, routes: &RouteTable) -> Call {
+    pub(super) fn new_call(
+        &mut self,
+        request: RelayRequest,
+        route: &RelayRoute,
+        routes: &RouteTable,
+    ) -> Call {
         let patience = request.patience.unwrap_or(route.timeout);
         let service = self.pick_service(route);
         let engine = routes.services.get(&service);
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -39,7 +39,11 @@
     }
 
     fn on_reserved(&mut self, id: CallId, reservation: Name) {
-        if let Some(booking) = self.calls.get_mut(&id).and_then(|call| call.booking.as_mut()) {
+        if let Some(booking) = self
+            .calls
+            .get_mut(&id)
+            .and_then(|call| call.booking.as_mut())
+        {
             booking.reservation = Some(reservation);
         }
         self.waiting.comebacks.on_granted(self.now);
@@ -52,7 +56,10 @@
         let Some(call) = self.calls.get(&id) else {
             return;
         };
-        let instance = call.current.as_ref().map(|current| current.instance.clone());
+        let instance = call
+            .current
+            .as_ref()
+            .map(|current| current.instance.clone());
         self.end_exchange(id);
         self.end_booking(id);
         if let Some(endpoint) = instance.and_then(|name| self.endpoints.get_mut(&name)) {
@@ -112,6 +119,8 @@
         }
         self.effects
             .push(RelayEffect::Forward { call: id, exchange });
+        // Less silence is allowed within a stream than before it.
+        self.set_silence_timer(id);
     }
 
     pub(super) fn on_progress(&mut self, id: CallId, last_event_id: Option<u64>) {
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -51,7 +51,11 @@
         };
         let service = call.service.clone();
         if stage == CallStage::Reserve && !self.may_have_room(&service) {
-            let serves = self.endpoints.serving(&service, Role::Decode).next().is_some();
+            let serves = self
+                .endpoints
+                .serving(&service, Role::Decode)
+                .next()
+                .is_some();
             if serves {
                 self.wait(id);
             } else {
@@ -59,7 +63,10 @@
             }
             return;
         }
-        let reserved_at = call.booking.as_ref().filter(|booking| booking.is_reserved());
+        let reserved_at = call
+            .booking
+            .as_ref()
+            .filter(|booking| booking.is_reserved());
         if let (CallStage::Decode { .. }, Some(booking)) = (stage, reserved_at) {
             let instance = booking.instance.clone();
             self.send(id, instance, stage);
@@ -166,7 +173,7 @@
     }
 
     /// Looks at the exchange again when it has been silent for as long as it may.
-    fn set_silence_timer(&mut self, id: CallId) {
+    pub(super) fn set_silence_timer(&mut self, id: CallId) {
         let Some((exchange, silent_at)) = self.calls.get(&id).and_then(|call| {
             let current = call.current.as_ref()?;
             let patience = self.patience(call, current)?;
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -90,8 +90,7 @@
             return;
         }
         self.waiting.has_timer = true;
-        self.timers
-            .set(self.now + FULL_FOR, RelayTimer::AskForRoom);
+        self.timers.set(self.now + FULL_FOR, RelayTimer::AskForRoom);
     }
 
     /// Asks again for room for those that wait.
@@ -136,7 +135,8 @@
     /// Whether a request that starts now would miss its target.
     fn is_late(&self, id: CallId) -> bool {
         self.calls.get(&id).is_none_or(|call| {
-            let started_by = (call.arrived_at + call.route.target).saturating_sub(call.spent_before);
+            let started_by =
+                (call.arrived_at + call.route.target).saturating_sub(call.spent_before);
             self.now + START_MARGIN > started_by
         })
     }
--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/relay_roles.rs
@@ -0,0 +1,162 @@
+//! The lease for orders, and how many engines prefill.
+
+use std::time::Duration;
+
+use arbutusfall_core::config::Role;
+use arbutusfall_core::relay::ExchangeEvent;
+use arbutusfall_core::relay::LeaseAnswer;
+use arbutusfall_core::relay::RelayEffect;
+use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_core::relay::RoleOutcome;
+
+use crate::relay_world::LEASE;
+use crate::relay_world::World;
+use crate::relay_world::listed;
+use crate::relay_world::ms;
+
+/// Role orders since the last look: role and token.
+fn take_orders(world: &mut World) -> Vec<(Role, u64)> {
+    let effects = std::mem::take(&mut world.effects);
+    let orders = effects.into_iter().filter_map(|effect| match effect {
+        RelayEffect::OrderRole { role, token, .. } => Some((role, token)),
+        _ => None,
+    });
+    orders.collect()
+}
+
+/// Lets time pass while the store answers each question about the lease the same way.
+fn pass_with_lease(world: &mut World, time: Duration, answer: LeaseAnswer) {
+    let until = world.now + time;
+    while world.now < until {
+        world.pass(ms(100));
+        let asks = |effect: &RelayEffect| matches!(effect, RelayEffect::RenewLease { .. });
+        if world.effects.iter().any(asks) {
+            world.effects.retain(|effect| !asks(effect));
+            world.apply(RelayEvent::Lease(answer));
+        }
+    }
+}
+
+/// Streams that use much decode memory and little prefill, as prompts of 5,000 tokens with answers of as many do.
+fn use_decode(world: &mut World, streams: usize) {
+    for index in 0..streams {
+        world.begin_stream(&format!("/album/{index}"));
+        world.now += ms(100);
+    }
+}
+
+fn world_with_idle_prefill() -> World {
+    let mut world = World::start(1);
+    let more = (3..6).map(|index| listed(&format!("prefill-{index}"), "captions", Role::Prefill));
+    let more = more.map(arbutusfall_core::relay::DirectoryChange::Listed);
+    world.apply(RelayEvent::Directory(more.collect()));
+    world
+}
+
+#[test]
+fn holder_turns_idle_prefill_engines_into_decode_engines() {
+    let mut world = world_with_idle_prefill();
+    pass_with_lease(&mut world, LEASE, LeaseAnswer::Held { token: 7 });
+    use_decode(&mut world, 10);
+    pass_with_lease(&mut world, ms(4_000), LeaseAnswer::Held { token: 7 });
+    assert_eq!(take_orders(&mut world), vec![(Role::Decode, 7)]);
+}
+
+#[test]
+fn only_the_holder_gives_orders() {
+    let mut world = world_with_idle_prefill();
+    pass_with_lease(&mut world, LEASE, LeaseAnswer::NotHeld { token: 7 });
+    use_decode(&mut world, 10);
+    pass_with_lease(&mut world, ms(10_000), LeaseAnswer::NotHeld { token: 7 });
+    assert!(take_orders(&mut world).is_empty());
+}
+
+#[test]
+fn new_holder_waits_for_a_lifetime() {
+    let mut world = world_with_idle_prefill();
+    use_decode(&mut world, 10);
+    pass_with_lease(&mut world, ms(3_000), LeaseAnswer::Held { token: 7 });
+    assert!(take_orders(&mut world).is_empty());
+    pass_with_lease(&mut world, ms(2_000), LeaseAnswer::Held { token: 7 });
+    assert_eq!(take_orders(&mut world).len(), 1);
+}
+
+#[test]
+fn holder_without_the_store_gives_no_orders() {
+    let mut world = world_with_idle_prefill();
+    pass_with_lease(
+        &mut world,
+        LEASE + ms(1_000),
+        LeaseAnswer::Held { token: 7 },
+    );
+    pass_with_lease(&mut world, ms(2_000), LeaseAnswer::Failed);
+    use_decode(&mut world, 10);
+    pass_with_lease(&mut world, ms(10_000), LeaseAnswer::Failed);
+    assert!(take_orders(&mut world).is_empty());
+}
+
+#[test]
+fn holder_that_was_frozen_past_its_lease_waits_again() {
+    let mut world = world_with_idle_prefill();
+    pass_with_lease(&mut world, LEASE + ms(500), LeaseAnswer::Held { token: 7 });
+    use_decode(&mut world, 10);
+    // No tick is handled while the VM stands still.
+    world.now += ms(5_000);
+    world.effects.clear();
+    pass_with_lease(&mut world, ms(2_500), LeaseAnswer::Held { token: 9 });
+    assert!(take_orders(&mut world).is_empty());
+}
+
+#[test]
+fn holder_whose_token_is_old_stops_until_it_has_a_newer_one() {
+    let mut world = world_with_idle_prefill();
+    pass_with_lease(&mut world, LEASE + ms(500), LeaseAnswer::Held { token: 7 });
+    world.apply(RelayEvent::RoleOutcome {
+        instance: "prefill-1".into(),
+        outcome: RoleOutcome::OldToken,
+    });
+    use_decode(&mut world, 10);
+    pass_with_lease(&mut world, ms(5_000), LeaseAnswer::Held { token: 7 });
+    assert!(take_orders(&mut world).is_empty());
+    pass_with_lease(&mut world, ms(2_000), LeaseAnswer::Held { token: 8 });
+    assert_eq!(take_orders(&mut world), vec![(Role::Decode, 8)]);
+}
+
+#[test]
+fn last_prefill_engine_keeps_its_role() {
+    let mut world = World::start(1);
+    let gone = ["prefill-2"].map(|instance| {
+        let instance = instance.into();
+        arbutusfall_core::relay::DirectoryChange::Removed { instance }
+    });
+    world.apply(RelayEvent::Directory(gone.into()));
+    pass_with_lease(&mut world, LEASE, LeaseAnswer::Held { token: 7 });
+    use_decode(&mut world, 12);
+    pass_with_lease(&mut world, ms(10_000), LeaseAnswer::Held { token: 7 });
+    assert!(take_orders(&mut world).is_empty());
+}
+
+#[test]
+fn prefill_that_takes_long_gets_more_engines() {
+    let mut world = World::start(1);
+    let more = (3..9).map(|index| listed(&format!("decode-{index}"), "captions", Role::Decode));
+    let more = more.map(arbutusfall_core::relay::DirectoryChange::Listed);
+    world.apply(RelayEvent::Directory(more.collect()));
+    pass_with_lease(&mut world, LEASE, LeaseAnswer::Held { token: 7 });
+    for index in 0..30 {
+        world.ask(&format!("/album/{index}"));
+        let reserve = world.take_send();
+        let reservation = "r".into();
+        world.tell(reserve.exchange, ExchangeEvent::Reserved { reservation });
+        let prefill = world.take_send();
+        world.pass(ms(500));
+        let handle = "h".into();
+        world.tell(prefill.exchange, ExchangeEvent::PrefillDone { handle });
+        let decode = world.take_send();
+        world.tell(decode.exchange, ExchangeEvent::StreamBegan);
+        world.tell(decode.exchange, ExchangeEvent::Complete { status: 200 });
+        world.apply(RelayEvent::Lease(LeaseAnswer::Held { token: 7 }));
+    }
+    let orders = take_orders(&mut world);
+    assert!(orders.contains(&(Role::Prefill, 7)), "{orders:?}");
+}
