Start no prefill that would be late, and leave refusing engines alone

Ruled out: the retry budget itself (each VM kept its own); lost handles (they were taken within milliseconds). Change: an endpoint that refused is left alone for 0.5 s; a prefill starts only when it is expected to be in time, by the queue that was seen last; the split counts an engine's own work, and takes no engine that leaves less than the target; streams that broke midway wait for room until their caller's time is up.

--- a/crates/arbutusfall_core/src/relay/balance.rs
+++ b/crates/arbutusfall_core/src/relay/balance.rs
@@ -58,7 +58,7 @@
     match choice.role {
         Role::Plain => endpoint.cost(UNKNOWN_LATENCY),
         Role::Prefill => {
-            let wait = endpoint.prefilled_at.saturating_sub(choice.now);
+            let wait = endpoint.expected_prefill_wait(choice.now);
             let own = endpoint.prefill_time(choice.prompt_tokens.max(1));
             (wait + own).as_secs_f64()
         }
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -19,6 +19,12 @@
 /// Weight of the newest sample in a running mean.
 const NEWEST_WEIGHT: f64 = 0.2;
 
+/// Share by which the best rate of an engine fades with each prefill.
+const BEST_RATE_FADES: f64 = 0.02;
+
+/// Time over which a queue that was seen is forgotten.
+const WAIT_FADES_OVER: Duration = Duration::from_millis(600);
+
 /// Prompt tokens that an engine is taken to prefill in a millisecond until it showed its rate.
 const INITIAL_PREFILL_RATE: f64 = 40.0;
 
@@ -37,8 +43,12 @@
     latency: Option<Duration>,
     /// Running mean of failures, 1 being all.
     failure_rate: f64,
-    /// Running mean of prompt tokens prefilled in a millisecond.
-    pub(crate) prefill_rate: f64,
+    /// Prompt tokens that the engine prefills in a millisecond when nothing waits there.
+    prefill_rate: f64,
+    /// Time that the last prefill waited beyond its own work.
+    prefill_wait: Duration,
+    /// Instant at which that was seen.
+    prefill_waited_at: Duration,
     /// Instant until which the engine is taken to have no room.
     full_until: Duration,
     /// Instant from which the endpoint counts as gone, if the list dropped it.
@@ -56,6 +66,8 @@
             latency: None,
             failure_rate: 0.0,
             prefill_rate: INITIAL_PREFILL_RATE,
+            prefill_wait: Duration::ZERO,
+            prefill_waited_at: Duration::ZERO,
             full_until: Duration::ZERO,
             gone_at: None,
         }
@@ -89,10 +101,25 @@
         self.failure_rate += (1.0 - self.failure_rate) * NEWEST_WEIGHT;
     }
 
-    pub(crate) fn on_prefilled(&mut self, tokens: u32, after: Duration) {
+    /// A prefill of this VM is done.
+    pub(crate) fn on_prefilled(&mut self, tokens: u32, after: Duration, now: Duration) {
         self.health.on_success();
         let rate = f64::from(tokens) / (after.as_secs_f64() * 1_000.0).max(1.0);
-        self.prefill_rate += (rate - self.prefill_rate) * NEWEST_WEIGHT;
+        // The best rate is the engine's own; others tell of a queue.
+        let faded = self.prefill_rate * (1.0 - BEST_RATE_FADES);
+        self.prefill_rate = rate.max(faded);
+        self.prefill_wait = after.saturating_sub(self.prefill_time(tokens));
+        self.prefill_waited_at = now;
+    }
+
+    /// Time that a prefill would wait: for this VM's own, or for what others have queued as far as it was seen lately.
+    pub(crate) fn expected_prefill_wait(&self, now: Duration) -> Duration {
+        let own = self.prefilled_at.saturating_sub(now);
+        let age = now.saturating_sub(self.prefill_waited_at).as_secs_f64();
+        let seen = self
+            .prefill_wait
+            .mul_f64((-age / WAIT_FADES_OVER.as_secs_f64()).exp());
+        own.max(seen)
     }
 
     /// Time that the engine takes to prefill so many tokens.
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -18,6 +18,9 @@
 use crate::relay::notice::millis;
 use crate::relay::waiting::FULL_FOR;
 
+/// Time for which an endpoint that refused a request is left alone: it is full, or changes its role.
+const REFUSING_FOR: Duration = Duration::from_millis(500);
+
 /// Exchanges of one request in all that may fail or be refused.
 const MAX_TRIED: usize = 6;
 
@@ -80,8 +83,9 @@
         let tokens = call.prompt().prompt_tokens;
         if let Some(endpoint) = self.endpoints.get_mut(&current.instance) {
             let took = now.saturating_sub(current.sent_at);
-            endpoint.on_prefilled(tokens, took);
-            self.roles.on_prefill(&call.service, took);
+            endpoint.on_prefilled(tokens, took, now);
+            let work = endpoint.prefill_time(tokens);
+            self.roles.on_prefill(&call.service, work);
             call.prefilled = Some(Prefilled {
                 stored: StoredPrefill {
                     address: endpoint.listed.address,
@@ -212,6 +216,11 @@
             // Either the engine is full or the result is lost; the engine does not say which.
             call.prefilled = None;
         }
+        if reason == NotRunReason::Refused
+            && let Some(endpoint) = self.endpoints.get_mut(&current.instance)
+        {
+            endpoint.set_full_until(self.now + REFUSING_FOR);
+        }
         let service = call.service.clone();
         let label = match reason {
             NotRunReason::Refused => "not_run",
--- a/crates/arbutusfall_core/src/relay/roles.rs
+++ b/crates/arbutusfall_core/src/relay/roles.rs
@@ -24,10 +24,13 @@
 const MIN_PREFILLS: u32 = 8;
 
 /// How much more prefill is provided than is used, because first tokens wait while prefills queue.
-const PREFILL_HEADROOM: f64 = 1.9;
+const PREFILL_HEADROOM: f64 = 1.5;
 
-/// Engines by which the split must be off before a role is changed.
-const TOLERANCE: f64 = 0.6;
+/// Engines by which prefill must fall short of its target before an engine is added.
+const SHORTAGE: f64 = 0.6;
+
+/// Engines by which prefill must exceed its target before one is taken away, so that the rest still reach it.
+const SURPLUS: f64 = 1.0;
 
 /// Time between two changes beyond the time that one takes.
 const PAUSE: Duration = Duration::from_secs(2);
@@ -49,10 +52,10 @@
 }
 
 impl Roles {
-    /// A prefill of this VM took so long.
-    pub(crate) fn on_prefill(&mut self, service: &Name, took: Duration) {
+    /// A prefill of this VM was done that took an engine so long.
+    pub(crate) fn on_prefill(&mut self, service: &Name, work: Duration) {
         let used = self.by_service.entry(service.clone()).or_default();
-        used.prefill += took.as_secs_f64() / AVERAGED_OVER.as_secs_f64();
+        used.prefill += work.as_secs_f64() / AVERAGED_OVER.as_secs_f64();
         used.prefills = used.prefills.saturating_add(1);
     }
 }
@@ -109,11 +112,11 @@
         let share = wanted / (wanted + used.decode).max(f64::MIN_POSITIVE);
         let target = (share * engines as f64).clamp(1.0, engines as f64 - 1.0);
         let surplus = prefill as f64 - target;
-        if surplus > TOLERANCE && prefill > 1 {
+        if surplus >= SURPLUS && prefill > 1 {
             let instance = self.least_used(service, Role::Prefill)?;
             return Some((instance, Role::Decode));
         }
-        if -surplus > TOLERANCE && decode > 1 {
+        if -surplus >= SHORTAGE && decode > 1 {
             let instance = self.least_used(service, Role::Decode)?;
             return Some((instance, Role::Prefill));
         }
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -50,7 +50,7 @@
             CallStage::Reserve | CallStage::Decode { .. } => Role::Decode,
         };
         let service = call.service.clone();
-        if stage == CallStage::Reserve && !self.may_have_room(&service) {
+        if stage == CallStage::Reserve && !(self.may_have_room(&service) && self.may_start(call)) {
             let serves = self
                 .endpoints
                 .serving(&service, Role::Decode)
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -23,6 +23,9 @@
 /// silent streams up after about four times the target.
 const MAX_WAIT_TARGETS: f64 = 2.5;
 
+/// Share of the target up to which prefills may queue for requests that are late.
+const LATE_SHARE: f64 = 0.4;
+
 /// Requests that may wait whatever the rate at which room is found.
 const MIN_WAITING: usize = 2;
 
@@ -44,6 +47,10 @@
 impl Call {
     /// Instant until which a request may wait for room: as long as it can be on time, if it still can.
     pub(crate) fn wait_until(&self) -> Duration {
+        if self.is_forwarded {
+            // The caller has part of its answer; only the rest is worth anything to it.
+            return self.due_at;
+        }
         let wait = if self.spent_before.is_zero() {
             self.route.target.saturating_sub(START_MARGIN)
         } else {
@@ -112,8 +119,7 @@
                 self.give_up(id, "no_room");
                 continue;
             }
-            let service = call.service.clone();
-            if !self.may_have_room(&service) {
+            if !self.may_have_room(&call.service) || !self.may_start(call) {
                 continue;
             }
             self.waiting.remove(id);
@@ -128,10 +134,15 @@
             .iter()
             .map(|id| (self.is_late(*id), *id))
             .collect();
-        order.sort_by_key(|(is_late, _)| *is_late);
+        // Streams that broke in the middle are late by now, and still go before others that are.
+        order.sort_by_key(|(is_late, id)| (*is_late, !self.has_begun(*id)));
         order.into_iter().map(|(_, id)| id).collect()
     }
 
+    fn has_begun(&self, id: CallId) -> bool {
+        self.calls.get(&id).is_some_and(|call| call.is_forwarded)
+    }
+
     /// Whether a request that starts now would miss its target.
     fn is_late(&self, id: CallId) -> bool {
         self.calls.get(&id).is_none_or(|call| {
@@ -141,6 +152,25 @@
         })
     }
 
+    /// Whether a prefill that is ordered now is expected to be done while its request is on time, or soon.
+    pub(super) fn may_start(&self, call: &Call) -> bool {
+        let serving = self.endpoints.serving(&call.service, Role::Prefill);
+        let usable = serving.filter(|endpoint| endpoint.health.is_usable(self.now));
+        let waits = usable.map(|endpoint| {
+            let work = endpoint.prefill_time(call.prompt().prompt_tokens);
+            endpoint.expected_prefill_wait(self.now) + work
+        });
+        let Some(least) = waits.min() else {
+            // A decode engine prefills then.
+            return true;
+        };
+        let target = call.route.target.saturating_sub(START_MARGIN);
+        let on_time_until = call.arrived_at + target;
+        let is_on_time = call.spent_before.is_zero() && self.now + least <= on_time_until;
+        // One that is late anyway must not hold up others that are not.
+        is_on_time || least <= target.mul_f64(LATE_SHARE)
+    }
+
     /// Whether an engine of the service is not known to be full.
     pub(super) fn may_have_room(&self, service: &Name) -> bool {
         self.endpoints
