Limit each VM's prefills at an engine by how long they wait, and wait longer for averages

Change: prefills in progress at an engine are limited as a sender's window is, halved after a long wait; a prefill that is refused makes its engine avoided for longer each time; roles are ordered after eight seconds of use; refusals come when the wait ends and not at the next look; a prefill may take 1.2 s more than expected.

--- a/crates/arbutusfall_core/src/relay/balance.rs
+++ b/crates/arbutusfall_core/src/relay/balance.rs
@@ -17,6 +17,9 @@
 /// Tokens that one request in progress weighs beside the tokens that are booked.
 const REQUEST_WEIGHT_TOKENS: f64 = 500.0;
 
+/// Cost of a prefill engine that has as many of this VM's prefills as it may have.
+const OVER_LIMIT_COST: f64 = 10.0;
+
 /// What is asked for.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Choice<'a> {
@@ -59,8 +62,13 @@
         Role::Plain => endpoint.cost(UNKNOWN_LATENCY),
         Role::Prefill => {
             let wait = endpoint.expected_prefill_wait(choice.now);
+            let over = if endpoint.may_prefill() {
+                0.0
+            } else {
+                OVER_LIMIT_COST
+            };
             let own = endpoint.prefill_time(choice.prompt_tokens.max(1));
-            (wait + own).as_secs_f64()
+            (wait + own).as_secs_f64() + over
         }
         Role::Decode => {
             let booked = endpoint.booked_tokens as f64;
--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -86,6 +86,8 @@
     pub(crate) sent_at: Duration,
     /// Instant of the endpoint's last sign.
     pub(crate) heard_at: Duration,
+    /// Instant at which a prefill was expected to be done.
+    pub(crate) prefill_due: Duration,
 }
 
 /// What an exchange is for.
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -22,8 +22,23 @@
 /// Share by which the best rate of an engine fades with each prefill.
 const BEST_RATE_FADES: f64 = 0.02;
 
+/// Prefills that a VM may have in progress at an engine before it saw how long they wait.
+const INITIAL_PREFILLS: f64 = 2.0;
+
+/// Most prefills that a VM may have in progress at an engine.
+const MAX_PREFILLS: f64 = 8.0;
+
+/// Wait of a prefill from which on fewer are sent.
+const LONG_WAIT: Duration = Duration::from_millis(300);
+
+/// Factor by which fewer prefills are allowed after a long wait.
+const FEWER_PREFILLS: f64 = 0.5;
+
+/// Prefills by which more are allowed after each that did not wait long.
+const MORE_PREFILLS: f64 = 0.2;
+
 /// Time over which a queue that was seen is forgotten.
-const WAIT_FADES_OVER: Duration = Duration::from_millis(600);
+const WAIT_FADES_OVER: Duration = Duration::from_millis(2_000);
 
 /// Prompt tokens that an engine is taken to prefill in a millisecond until it showed its rate.
 const INITIAL_PREFILL_RATE: f64 = 40.0;
@@ -49,6 +64,10 @@
     prefill_wait: Duration,
     /// Instant at which that was seen.
     prefill_waited_at: Duration,
+    /// Prefills that this VM may have in progress at the engine, as others use it too.
+    ///
+    /// Invariant: between 1 and [`MAX_PREFILLS`].
+    prefill_limit: f64,
     /// Instant until which the engine is taken to have no room.
     full_until: Duration,
     /// Instant from which the endpoint counts as gone, if the list dropped it.
@@ -68,6 +87,7 @@
             prefill_rate: INITIAL_PREFILL_RATE,
             prefill_wait: Duration::ZERO,
             prefill_waited_at: Duration::ZERO,
+            prefill_limit: INITIAL_PREFILLS,
             full_until: Duration::ZERO,
             gone_at: None,
         }
@@ -110,6 +130,16 @@
         self.prefill_rate = rate.max(faded);
         self.prefill_wait = after.saturating_sub(self.prefill_time(tokens));
         self.prefill_waited_at = now;
+        self.prefill_limit = if self.prefill_wait > LONG_WAIT {
+            (self.prefill_limit * FEWER_PREFILLS).max(1.0)
+        } else {
+            (self.prefill_limit + MORE_PREFILLS).min(MAX_PREFILLS)
+        };
+    }
+
+    /// Whether this VM may have one more prefill in progress at the engine.
+    pub(crate) fn may_prefill(&self) -> bool {
+        f64::from(self.in_flight) < self.prefill_limit.floor()
     }
 
     /// Time that a prefill would wait: for this VM's own, or for what others have queued as far as it was seen lately.
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -86,7 +86,7 @@
             let took = now.saturating_sub(current.sent_at);
             endpoint.on_prefilled(tokens, took, now);
             let work = endpoint.prefill_time(tokens);
-            self.roles.on_prefill(&call.service, work);
+            self.roles.on_prefill(&call.service, work, now);
             call.prefilled = Some(Prefilled {
                 stored: StoredPrefill {
                     address: endpoint.listed.address,
@@ -97,6 +97,7 @@
         }
         self.end_exchange(id);
         self.send_next(id);
+        self.ask_for_room();
     }
 
     pub(super) fn result_lifetime(&self, id: CallId) -> Duration {
@@ -221,6 +222,10 @@
             && let Some(endpoint) = self.endpoints.get_mut(&current.instance)
         {
             endpoint.set_full_until(self.now + REFUSING_FOR);
+            if stage == CallStage::Prefill {
+                // Most likely it changes its role, which takes seconds.
+                endpoint.health.on_failure(self.now);
+            }
         }
         let service = call.service.clone();
         let label = match reason {
--- a/crates/arbutusfall_core/src/relay/roles.rs
+++ b/crates/arbutusfall_core/src/relay/roles.rs
@@ -40,6 +40,8 @@
 struct Use {
     prefill: f64,
     decode: f64,
+    /// Instant of the first prefill; none before it.
+    since: Option<Duration>,
     prefills: u32,
 }
 
@@ -53,8 +55,9 @@
 
 impl Roles {
     /// A prefill of this VM was done that took an engine so long.
-    pub(crate) fn on_prefill(&mut self, service: &Name, work: Duration) {
+    pub(crate) fn on_prefill(&mut self, service: &Name, work: Duration, now: Duration) {
         let used = self.by_service.entry(service.clone()).or_default();
+        used.since.get_or_insert(now);
         used.prefill += work.as_secs_f64() / AVERAGED_OVER.as_secs_f64();
         used.prefills = used.prefills.saturating_add(1);
     }
@@ -105,7 +108,10 @@
         let prefill = self.endpoints.serving(service, Role::Prefill).count();
         let decode = self.endpoints.serving(service, Role::Decode).count();
         let engines = prefill + decode;
-        if engines < 2 || used.prefills < MIN_PREFILLS {
+        let has_averages = used
+            .since
+            .is_some_and(|since| self.now >= since + AVERAGED_OVER);
+        if engines < 2 || used.prefills < MIN_PREFILLS || !has_averages {
             return None;
         }
         let wanted = used.prefill * PREFILL_HEADROOM;
@@ -139,6 +145,9 @@
         let engine = routes.and_then(|routes| routes.services.get(service)?.engine.as_ref());
         let switch = engine.map_or(Duration::ZERO, |engine| engine.role_switch);
         self.roles.pause_until = self.now + switch + PAUSE;
+        if let Some(endpoint) = self.endpoints.get_mut(&instance) {
+            endpoint.set_full_until(self.now + switch);
+        }
         self.note(RelayNotice::RoleOrdered {
             instance: instance.clone(),
             role: role_name(role),
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -25,7 +25,7 @@
 const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
 
 /// Time allowed for a prefill beyond its estimate before another engine is tried.
-const PREFILL_SLACK: Duration = Duration::from_millis(600);
+const PREFILL_SLACK: Duration = Duration::from_millis(1_200);
 
 /// Time allowed for an engine to reserve memory.
 const RESERVE_PATIENCE: Duration = Duration::from_millis(300);
@@ -128,11 +128,13 @@
         let prompt = call.prompt();
         endpoint.in_flight += 1;
         endpoint.health.on_placed(self.now);
+        let mut prefill_due = self.now;
         match stage {
             CallStage::Plain | CallStage::Decode { .. } => call.attempts += 1,
             CallStage::Prefill => {
                 call.prefills += 1;
                 let work = endpoint.prefill_time(prompt.prompt_tokens);
+                prefill_due = self.now + endpoint.expected_prefill_wait(self.now) + work;
                 endpoint.prefilled_at = endpoint.prefilled_at.max(self.now) + work;
             }
             CallStage::Reserve => {
@@ -153,6 +155,7 @@
             stage,
             sent_at: self.now,
             heard_at: self.now,
+            prefill_due,
         });
         let order = SendOrder {
             exchange,
@@ -195,9 +198,8 @@
         match current.stage {
             CallStage::Reserve => Some(RESERVE_PATIENCE),
             CallStage::Prefill => {
-                let endpoint = self.endpoints.get(&current.instance)?;
-                let work = endpoint.prefilled_at.saturating_sub(current.sent_at);
-                Some(work * 2 + PREFILL_SLACK)
+                let expected = current.prefill_due.saturating_sub(current.sent_at);
+                Some(expected * 2 + PREFILL_SLACK)
             }
             CallStage::Plain => may_repeat.then(|| call.route.target * 2),
             CallStage::Decode { .. } => {
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -33,7 +33,8 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Waiting {
     calls: Vec<CallId>,
-    has_timer: bool,
+    /// Instant of the timer that is set.
+    timer_due: Option<Duration>,
     /// Rate at which room is found, and when refused callers are asked back.
     pub(super) comebacks: Comebacks,
 }
@@ -92,17 +93,28 @@
         ahead.count() >= served.max(MIN_WAITING)
     }
 
+    /// Asks again after a while, or when the first of those that wait has waited long enough.
     fn set_room_timer(&mut self) {
-        if self.waiting.has_timer || self.waiting.calls.is_empty() {
+        let calls = self.waiting.calls.iter();
+        let ends = calls.filter_map(|id| Some(self.calls.get(id)?.wait_until()));
+        let Some(first_end) = ends.min() else {
+            return;
+        };
+        let due = first_end.min(self.now + FULL_FOR).max(self.now);
+        if self.waiting.timer_due.is_some_and(|set| set <= due) {
             return;
         }
-        self.waiting.has_timer = true;
-        self.timers.set(self.now + FULL_FOR, RelayTimer::AskForRoom);
+        self.waiting.timer_due = Some(due);
+        self.timers.set(due, RelayTimer::AskForRoom);
     }
 
     /// Asks again for room for those that wait.
     pub(super) fn on_room_timer(&mut self) {
-        self.waiting.has_timer = false;
+        if self.waiting.timer_due.is_some_and(|due| due > self.now) {
+            // An earlier timer took this one's place.
+            return;
+        }
+        self.waiting.timer_due = None;
         self.ask_for_room();
         self.set_room_timer();
     }
@@ -156,13 +168,18 @@
     pub(super) fn may_start(&self, call: &Call) -> bool {
         let serving = self.endpoints.serving(&call.service, Role::Prefill);
         let usable = serving.filter(|endpoint| endpoint.health.is_usable(self.now));
-        let waits = usable.map(|endpoint| {
+        let usable: Vec<_> = usable.collect();
+        if usable.is_empty() {
+            // A decode engine prefills then.
+            return true;
+        }
+        let free = usable.iter().filter(|endpoint| endpoint.may_prefill());
+        let waits = free.map(|endpoint| {
             let work = endpoint.prefill_time(call.prompt().prompt_tokens);
             endpoint.expected_prefill_wait(self.now) + work
         });
         let Some(least) = waits.min() else {
-            // A decode engine prefills then.
-            return true;
+            return false;
         };
         let target = call.route.target.saturating_sub(START_MARGIN);
         let on_time_until = call.arrived_at + target;
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -18,6 +18,8 @@
 mod placement_play;
 mod placement_policy;
 mod relay_calls;
+mod relay_load;
+mod relay_play;
 mod relay_roles;
 mod relay_world;
 mod session;
