--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -68,6 +68,17 @@
         /// Version of the configuration.
         config_version: u64,
     },
+    /// A model request found no room, or prefill engines too busy, and waits.
+    Waiting {
+        /// Id of the request.
+        request_id: Name,
+        /// Requests that wait at this VM, this one included.
+        waiting: usize,
+        /// Requests a second that found room lately.
+        grants_per_s: f64,
+        /// Longest time for which it waits.
+        at_most_ms: u64,
+    },
     /// An exchange ended without the answer.
     ExchangeFailed {
         /// Id of the request.
@@ -150,7 +161,10 @@
     pub fn is_routine(&self) -> bool {
         matches!(
             self,
-            Self::Sent { .. } | Self::Answered { .. } | Self::CallerGone { .. }
+            Self::Sent { .. }
+                | Self::Waiting { .. }
+                | Self::Answered { .. }
+                | Self::CallerGone { .. }
         )
     }
 
@@ -166,6 +180,7 @@
             Self::EndpointAvoided { .. } => "endpoint_avoided",
             Self::Store { .. } => "store",
             Self::Sent { .. } => "sent",
+            Self::Waiting { .. } => "waiting",
             Self::ExchangeFailed { .. } => "exchange_failed",
             Self::Answered { .. } => "answered",
             Self::GivenUp { .. } => "given_up",
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -177,7 +177,10 @@
         self.by_exchange.insert(exchange, id);
         self.set_silence_timer(id);
         self.effects.push(RelayEffect::Send(order));
-        self.note(notice);
+        if stage != CallStage::Reserve {
+            // A request may ask many engines for room; the line of its decode names the one that had it.
+            self.note(notice);
+        }
     }
 
     /// Looks at the exchange again when it has been silent for as long as it may.
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -10,8 +10,10 @@
 use crate::config::Role;
 use crate::placement::Comebacks;
 use crate::relay::Relay;
+use crate::relay::RelayNotice;
 use crate::relay::RelayTimer;
 use crate::relay::call::Call;
+use crate::relay::notice::millis;
 
 /// Time for which an engine that refused a reservation is not asked again, unless one of this VM's streams ends there.
 pub(super) const FULL_FOR: Duration = Duration::from_millis(150);
@@ -78,12 +80,28 @@
             }
             self.waiting.calls.push(id);
         }
-        if let Some(call) = self.calls.get_mut(&id) {
-            call.has_waited = true;
-        }
+        self.note_waiting(id);
         self.set_room_timer();
     }
 
+    /// Writes a line when a request waits for the first time.
+    fn note_waiting(&mut self, id: CallId) {
+        let grants_per_s = self.waiting.comebacks.grants_per_s(self.now);
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if std::mem::replace(&mut call.has_waited, true) {
+            return;
+        }
+        let notice = RelayNotice::Waiting {
+            request_id: call.request.request_id.clone(),
+            waiting: self.waiting.calls.len(),
+            grants_per_s,
+            at_most_ms: millis(call.wait_until().saturating_sub(self.now)),
+        };
+        self.note(notice);
+    }
+
     /// Whether more requests wait than find room before the newest of them would be late.
     fn is_crowded(&self, call: &Call) -> bool {
         let within = call.route.target.saturating_sub(START_MARGIN);
