Avoid endpoints that leave requests unanswered

Ruled out: full endpoints (they refuse at once), slow ones (answers of others took 60 ms). Change: an endpoint that gave no sign for three targets when a request's time is up counts as failed.

--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -20,6 +20,9 @@
 /// When callers are asked to come back while this VM knows no configuration or no endpoint.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Targets after which an endpoint that gave no sign counts as failed.
+const SILENT_TARGETS: u32 = 3;
+
 /// Share of the longest patience of a route's callers from which on a request is taken for a first try; callers differ in
 /// their patience.
 const FIRST_TRY_PATIENCE: f64 = 0.82;
@@ -132,9 +135,28 @@
     }
 
     pub(super) fn on_call_due(&mut self, id: CallId) {
+        self.blame_silent_endpoint(id);
         self.give_up(id, "timeout");
     }
 
+    /// Counts a request that its endpoint left without a sign for far longer than the target as the endpoint's failure.
+    fn blame_silent_endpoint(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let Some(current) = &call.current else {
+            return;
+        };
+        let silence = self.now.saturating_sub(current.heard_at);
+        if silence < call.route.target * SILENT_TARGETS {
+            return;
+        }
+        let instance = current.instance.clone();
+        if let Some(notice) = self.endpoints.on_failed(&instance, self.now) {
+            self.note(notice);
+        }
+    }
+
     pub(super) fn on_caller_gone(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else {
             return;
--- a/crates/arbutusfall_core/tests/it/relay_calls.rs
+++ b/crates/arbutusfall_core/tests/it/relay_calls.rs
@@ -421,3 +421,31 @@
     world.pass(Duration::from_millis(2_300));
     assert!(world.effects.contains(&RelayEffect::CloseConnections));
 }
+
+#[test]
+fn endpoint_that_leaves_requests_unanswered_is_avoided() {
+    let mut world = World::start(1);
+    world.ask("/pay/1");
+    let silent = world.take_send();
+    world.pass(ms(1_500));
+    world.effects.clear();
+    for index in 0..10 {
+        world.ask(&format!("/pay/{index}"));
+    }
+    let sends = world.take_sends();
+    assert!(sends.iter().all(|sent| sent.instance != silent.instance));
+}
+
+#[test]
+fn endpoint_is_not_blamed_for_a_caller_with_little_time() {
+    let mut world = World::start(1);
+    world.ask_with("/pay/1", ms(50));
+    let first = world.take_send();
+    world.pass(ms(50));
+    world.effects.clear();
+    for index in 0..10 {
+        world.ask(&format!("/pay/{index}"));
+    }
+    let sends = world.take_sends();
+    assert!(sends.iter().any(|sent| sent.instance == first.instance));
+}
