--- a/crates/arbutusfall_core/src/config/check/entries.rs
+++ b/crates/arbutusfall_core/src/config/check/entries.rs
@@ -104,7 +104,7 @@
     let (found, allowed) = match message.rsplit_once(EXPECTED) {
         Some((found, allowed)) => (found, allowed.to_owned()),
         None if message.starts_with("missing field") => (&*message, "the field".to_owned()),
-        None => (&*message, "see docs/OPERATING.md".to_owned()),
+        None => (&*message, "see docs/OPERATIONS.md".to_owned()),
     };
     problem(document, &path, found.to_owned(), allowed)
 }
--- a/crates/arbutusfall_standins/tests/it/documents.rs
+++ b/crates/arbutusfall_standins/tests/it/documents.rs
@@ -6,7 +6,7 @@
 use arbutusfall_wire::MemberState;
 use arbutusfall_wire::Offset;
 
-const OPERATING: &str = include_str!("../../../../docs/OPERATING.md");
+const OPERATING: &str = include_str!("../../../../docs/OPERATIONS.md");
 
 #[test]
 fn every_counter_is_on_the_operators_page() {
