--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -134,7 +134,7 @@
             .filter(|record| *record.key == *store::CONFIG_KEY);
         let Some(document) = documents
             .filter_map(|record| record.value.as_deref())
-            .last()
+            .next_back()
         else {
             return;
         };
