--- a/crates/arbutusfall_standins/src/fleet.rs
+++ b/crates/arbutusfall_standins/src/fleet.rs
@@ -11,6 +11,9 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Arc;
+use std::sync::LazyLock;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -498,9 +501,18 @@
     std::fs::File::create(dir.join(format!("{vm}.log"))).change_context(FleetError::Files)
 }
 
-/// An address that nobody listens on at the moment.
+/// An address that nobody listens on at the moment, and that no other call in this process was given before.
 fn free_address() -> Result<SocketAddr, Report<FleetError>> {
-    let mut ports = std::iter::repeat_with(|| fastrand::u16(LISTENER_PORTS)).take(MAX_PORT_TRIES);
+    // Ports are taken in turn: one drawn at random could be drawn by another test before its process listens.
+    static TAKEN: AtomicU16 = AtomicU16::new(0);
+    static FIRST: LazyLock<u16> = LazyLock::new(|| fastrand::u16(LISTENER_PORTS));
+    let count = LISTENER_PORTS.end - LISTENER_PORTS.start;
+    let next = || {
+        let offset = *FIRST - LISTENER_PORTS.start;
+        let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
+        LISTENER_PORTS.start + offset.wrapping_add(taken) % count
+    };
+    let mut ports = std::iter::repeat_with(next).take(MAX_PORT_TRIES);
     let listener = ports.find_map(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).ok());
     let failed = || FleetError::Start("a listener".to_owned());
     let listener = listener.ok_or_else(|| Report::new(failed()))?;
--- a/crates/arbutusfall_standins/src/stand_in.rs
+++ b/crates/arbutusfall_standins/src/stand_in.rs
@@ -94,7 +94,10 @@
     future::block_on(executor.run(async {
         match listening.await {
             Ok(_listening) => future::pending().await,
-            Err(_) => ExitCode::from(1),
+            Err(error) => {
+                eprintln!("the stand-in cannot listen on {address}: {error}");
+                ExitCode::from(1)
+            }
         }
     }))
 }
