Refuse at once whoever more go before than find room in time

Ruled out: the interval of asking; the size of reservations (four streams fill an engine there either way). Change: a request is refused at once if more go before it than find room while it may wait, comebacks too; roles are ordered after three prefills of a VM.

--- a/crates/arbutusfall_core/src/relay/roles.rs
+++ b/crates/arbutusfall_core/src/relay/roles.rs
@@ -21,7 +21,7 @@
 const AVERAGED_OVER: Duration = Duration::from_secs(8);
 
 /// Prefills of this VM before its averages are trusted.
-const MIN_PREFILLS: u32 = 8;
+const MIN_PREFILLS: u32 = 3;
 
 /// How much more prefill is provided than is used, because first tokens wait while prefills queue.
 const PREFILL_HEADROOM: f64 = 1.5;
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -29,7 +29,7 @@
 const LATE_SHARE: f64 = 0.4;
 
 /// Requests that may wait whatever the rate at which room is found.
-const MIN_WAITING: usize = 2;
+const MIN_WAITING: usize = 1;
 
 /// Requests that wait, in the order of their arrival.
 #[derive(Debug, Clone, Default)]
@@ -74,7 +74,7 @@
             return;
         }
         if !self.waiting.calls.contains(&id) {
-            if !call.has_waited && call.spent_before.is_zero() && self.is_crowded(call) {
+            if !call.has_waited && !call.is_forwarded && self.is_crowded(call) {
                 self.give_up(id, "overloaded");
                 return;
             }
@@ -102,12 +102,14 @@
         self.note(notice);
     }
 
-    /// Whether more requests wait than find room before the newest of them would be late.
+    /// Whether more requests go before this one than find room while it may wait.
     fn is_crowded(&self, call: &Call) -> bool {
-        let within = call.route.target.saturating_sub(START_MARGIN);
+        let within = call.wait_until().saturating_sub(self.now);
         let rate = self.waiting.comebacks.grants_per_s(self.now);
         let served = (rate * within.as_secs_f64()) as usize;
-        let ahead = self.waiting.calls.iter().filter(|id| !self.is_late(**id));
+        let is_first_try = call.spent_before.is_zero();
+        let ahead = self.waiting.calls.iter();
+        let ahead = ahead.filter(|id| !is_first_try || !self.is_late(**id));
         ahead.count() >= served.max(MIN_WAITING)
     }
 
