Take no connections without a single endpoint, and ask callers back when the list had time to return

Ruled out: entries dropped too early (none was listed). Change: ready needs an endpoint; Retry-After is a second without one.

--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -76,8 +76,6 @@
     /// Newest configuration; none before the first was read.
     routes: Option<Arc<RouteTable>>,
     endpoints: Endpoints,
-    /// Whether the list of endpoints was read.
-    has_directory: bool,
     is_store_reachable: bool,
     is_draining: bool,
     is_ready: bool,
@@ -105,7 +103,6 @@
         Self {
             routes: None,
             endpoints: Endpoints::default(),
-            has_directory: false,
             is_store_reachable: true,
             is_draining: false,
             is_ready: false,
@@ -192,7 +189,6 @@
     }
 
     fn on_directory(&mut self, changes: Vec<DirectoryChange>) {
-        self.has_directory = true;
         let removes = changes
             .iter()
             .any(|change| !matches!(change, DirectoryChange::Listed(_)));
@@ -235,7 +231,9 @@
     }
 
     fn update_ready(&mut self) {
-        let ready = self.routes.is_some() && self.has_directory && !self.is_draining;
+        // Without a single endpoint, other VMs serve callers better.
+        let knows_all = self.routes.is_some() && !self.endpoints.is_empty();
+        let ready = knows_all && !self.is_draining;
         if ready == self.is_ready {
             return;
         }
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -27,6 +27,9 @@
 /// their patience.
 const FIRST_TRY_PATIENCE: f64 = 0.82;
 
+/// When callers are asked to come back while no endpoint is listed: endpoints are listed anew in about this time.
+const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+
 /// Time after which an overload is expected to be over.
 const OVERLOAD_LASTS: Duration = Duration::from_millis(2_500);
 
@@ -231,8 +234,10 @@
 
     /// When a caller whose request did not run is asked to come back.
     fn come_back_after(&mut self, reason: &str, left: Duration) -> Duration {
-        if !matches!(reason, "overloaded" | "no_room") {
-            return REFUSED_RETRY_AFTER;
+        match reason {
+            "overloaded" | "no_room" => {}
+            "no_endpoint" => return NO_ENDPOINT_RETRY_AFTER,
+            _ => return REFUSED_RETRY_AFTER,
         }
         let comebacks = &mut self.waiting.comebacks;
         let after = comebacks.next(OVERLOAD_LASTS, self.now, &mut self.rng);
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -178,6 +178,10 @@
         self.by_instance.get(instance)
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.by_instance.is_empty()
+    }
+
     /// Endpoints of a service in one role that may be given new work.
     pub(crate) fn serving<'a>(
         &'a self,
--- a/crates/arbutusfall_core/tests/it/relay_calls.rs
+++ b/crates/arbutusfall_core/tests/it/relay_calls.rs
@@ -449,3 +449,18 @@
     let sends = world.take_sends();
     assert!(sends.iter().any(|sent| sent.instance == first.instance));
 }
+
+#[test]
+fn vm_without_any_endpoint_is_not_ready_and_tells_callers_to_wait_for_the_list() {
+    let mut world = World::empty(1);
+    world.apply(RelayEvent::Routes(Arc::new(routes(1))));
+    world.apply(RelayEvent::Directory(vec![DirectoryChange::Only(vec![])]));
+    assert!(!world.effects.contains(&RelayEffect::SetReady(true)));
+    let call = world.ask("/pay/1");
+    let problem = world.refusal(call).expect("refused");
+    assert_eq!(problem.kind, ProblemKind::NotRun);
+    assert!(problem.retry_after.unwrap() >= ms(1_000));
+    let entry = DirectoryChange::Listed(listed("shop-1", "shop", Role::Plain));
+    world.apply(RelayEvent::Directory(vec![entry]));
+    assert!(world.effects.contains(&RelayEffect::SetReady(true)));
+}
