Split the relay's events from its effects, and drop fields that nothing reads

Cause: event.rs held both and the prompt; two exchanges read names in the same way; rank, slots, connections and data centre were decoded and not used. Change: effect.rs and prompt.rs; one read_name; the fields are gone. Figures: all tests of the relay and the adapter pass; no behaviour changed.

--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -11,6 +11,7 @@
 use arbutusfall_core::relay::SendOrder;
 use arbutusfall_platform::endpoints;
 use arbutusfall_platform::endpoints::HeadMeaning;
+use arbutusfall_wire::Name;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
@@ -59,8 +60,14 @@
     match meaning {
         HeadMeaning::NotRun(reason) => Ok(ExchangeEvent::NotRun { reason }),
         HeadMeaning::Malformed => Err(ExchangeFailure::Malformed),
-        HeadMeaning::Reserved => read_reservation(answer, order.patience).await,
-        HeadMeaning::Prefilled => read_prefill(answer, order.patience).await,
+        HeadMeaning::Reserved => {
+            let reservation = read_name(answer, order.patience, endpoints::reservation).await?;
+            Ok(ExchangeEvent::Reserved { reservation })
+        }
+        HeadMeaning::Prefilled => {
+            let handle = read_name(answer, order.patience, endpoints::prefill_handle).await?;
+            Ok(ExchangeEvent::PrefillDone { handle })
+        }
         HeadMeaning::Whole => read_whole(driver, order, answer).await,
         HeadMeaning::Stream => pass_stream(driver, order.exchange, order.call, answer).await,
     }
@@ -76,26 +83,16 @@
     }
 }
 
-async fn read_reservation(
+/// Reads the name that an engine gave to what it keeps.
+async fn read_name(
     answer: Response<Incoming>,
     within: Duration,
-) -> Result<ExchangeEvent, ExchangeFailure> {
-    let body = http::read_body(answer.into_body(), within)
-        .await
-        .map_err(failure)?;
-    let reservation = endpoints::reservation(&body).ok_or(ExchangeFailure::Malformed)?;
-    Ok(ExchangeEvent::Reserved { reservation })
-}
-
-async fn read_prefill(
-    answer: Response<Incoming>,
-    within: Duration,
-) -> Result<ExchangeEvent, ExchangeFailure> {
+    parse: impl Fn(&[u8]) -> Option<Name>,
+) -> Result<Name, ExchangeFailure> {
     let body = http::read_body(answer.into_body(), within)
         .await
         .map_err(failure)?;
-    let handle = endpoints::prefill_handle(&body).ok_or(ExchangeFailure::Malformed)?;
-    Ok(ExchangeEvent::PrefillDone { handle })
+    parse(&body).ok_or(ExchangeFailure::Malformed)
 }
 
 fn split_head(answer: Response<Incoming>) -> (AnswerHead, Incoming) {
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -7,11 +7,13 @@
 mod budget;
 mod call;
 mod calls;
+mod effect;
 mod endpoints;
 mod event;
 mod lease;
 mod notice;
 mod outcomes;
+mod prompt;
 mod roles;
 mod routes;
 mod sending;
@@ -33,9 +35,11 @@
 use roles::Roles;
 use waiting::Waiting;
 
+pub use effect::*;
 pub use event::*;
 pub use lease::LeaseAnswer;
 pub use notice::RelayNotice;
+pub use prompt::Prompt;
 pub use routes::*;
 
 /// Time from the order to stop until callers' connections are closed as soon as they are idle: the platform stops sending
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -40,6 +40,9 @@
 /// Time over which a queue that was seen is forgotten.
 const WAIT_FADES_OVER: Duration = Duration::from_millis(2_000);
 
+/// How much more a request costs at an endpoint that always fails.
+const FAILURE_COST: f64 = 12.0;
+
 /// Prompt tokens that an engine is taken to prefill in a millisecond until it showed its rate.
 const INITIAL_PREFILL_RATE: f64 = 40.0;
 
@@ -158,9 +161,6 @@
     }
 }
 
-/// How much more a request costs at an endpoint that always fails.
-const FAILURE_COST: f64 = 12.0;
-
 /// Endpoints by instance.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Endpoints {
--- a/crates/arbutusfall_core/src/relay/routes.rs
+++ b/crates/arbutusfall_core/src/relay/routes.rs
@@ -35,8 +35,6 @@
     pub timeout: Duration,
     /// Time to the answer, or to the first event of a stream, for which it is on time.
     pub target: Duration,
-    /// Rank of the route; 0 is the most urgent.
-    pub priority: u32,
     /// Services with their weights; at least one.
     pub services: Vec<(Name, u32)>,
     /// Most endpoints to which one request may be sent.
@@ -61,8 +59,6 @@
 /// A service behind routes.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct RelayService {
-    /// Connections that one endpoint accepts from all VMs together.
-    pub max_connections: u32,
     /// Figures of the engines, if endpoints of the service are model engines.
     pub engine: Option<EngineFigures>,
 }
@@ -70,8 +66,6 @@
 /// What is known of a service's model engines.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineFigures {
-    /// Requests that an engine runs at once.
-    pub slots: u32,
     /// Tokens that an engine's memory holds.
     pub memory_tokens: u64,
     /// Time for which a prefill's result is kept if nobody fetches it.
--- a/crates/arbutusfall_core/tests/it/relay_world.rs
+++ b/crates/arbutusfall_core/tests/it/relay_world.rs
@@ -54,7 +54,6 @@
         semantics,
         timeout: ms(1_500),
         target: ms(300),
-        priority: 2,
         services: vec![(service.into(), 1)],
         max_attempts: 2,
         has_prompt: false,
@@ -81,14 +80,12 @@
 /// Routes of a payment, a lookup, and streams that may and may not be resumed.
 pub(crate) fn routes(version: u64) -> RouteTable {
     let engine = EngineFigures {
-        slots: 48,
         memory_tokens: 100_000,
         result_lifetime: ms(500),
         reservation_lifetime: ms(2_000),
         role_switch: ms(6_000),
     };
     let captions = RelayService {
-        max_connections: 290,
         engine: Some(engine),
     };
     RouteTable {
@@ -115,9 +112,7 @@
         instance: instance.into(),
         address: ([10, 0, 0, 1], port).into(),
         service: service.into(),
-        data_centre: "plovdiv-a".into(),
         role,
-        slots: 6,
         is_leaving: false,
         started_unix_ms: Some(1),
     }
