--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -20,6 +20,7 @@
 mod relay_calls;
 mod relay_load;
 mod relay_play;
+mod relay_random;
 mod relay_roles;
 mod relay_world;
 mod session;
