Pass a failure on, or go back, when a service has one endpoint left

Ruled out: entries lost with the store (the list was right: three of four endpoints had left or died). Change: an answer is only dropped if another endpoint serves; a connection that closed leads back to the only endpoint.

--- a/crates/arbutusfall_core/src/relay/balance.rs
+++ b/crates/arbutusfall_core/src/relay/balance.rs
@@ -27,6 +27,8 @@
     pub(crate) role: Role,
     /// Endpoints that failed the request already.
     pub(crate) tried: &'a [Name],
+    /// Whether one of them may be asked again if there is no other.
+    pub(crate) may_go_back: bool,
     pub(crate) prompt_tokens: u32,
     pub(crate) now: Duration,
 }
@@ -47,8 +49,14 @@
         .copied()
         .filter(|endpoint| fresh(endpoint) && usable(endpoint))
         .collect();
-    let untried: Vec<&Endpoint> = serving.into_iter().filter(fresh).collect();
-    let among = if best.is_empty() { untried } else { best };
+    let untried: Vec<&Endpoint> = serving.iter().copied().filter(fresh).collect();
+    let among = match (best.is_empty(), untried.is_empty()) {
+        (false, _) => best,
+        (true, false) => untried,
+        // An endpoint whose connection closed is better than none.
+        (true, true) if choice.may_go_back => serving,
+        (true, true) => Vec::new(),
+    };
     let costs = among.into_iter().map(|endpoint| {
         let jitter = 1.0 + rng.f64() * JITTER;
         (cost(endpoint, choice) * jitter, endpoint)
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -5,6 +5,7 @@
 use arbutusfall_wire::Name;
 
 use crate::CallId;
+use crate::config::Role;
 use crate::relay::ExchangeEvent;
 use crate::relay::ExchangeFailure;
 use crate::relay::ExchangeId;
@@ -157,6 +158,7 @@
         let may_try = is_failure && call.may_be_sent_again() && !call.is_forwarded;
         let service = call.service.clone();
         let is_plain = current.stage == CallStage::Plain;
+        let may_try = may_try && self.has_another(id);
         if may_try && self.budget.take(&service, self.now) {
             self.leave_endpoint(id, "error_status", false);
             self.send_next(id);
@@ -176,6 +178,23 @@
         }
     }
 
+    /// Whether an endpoint serves a call that was not asked yet.
+    fn has_another(&self, id: CallId) -> bool {
+        let Some(call) = self.calls.get(&id) else {
+            return false;
+        };
+        let current = call.current.as_ref().map(|current| &current.instance);
+        let role = if call.route.has_prompt {
+            Role::Decode
+        } else {
+            Role::Plain
+        };
+        self.endpoints.serving(&call.service, role).any(|endpoint| {
+            let instance = &endpoint.listed.instance;
+            current != Some(instance) && !call.tried.contains(instance)
+        })
+    }
+
     pub(super) fn answer(&mut self, id: CallId, exchange: ExchangeId, status: u16) {
         let Some(call) = self.calls.remove(&id) else {
             return;
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -81,6 +81,7 @@
             service: &call.service,
             role,
             tried: &call.tried,
+            may_go_back: call.may_have_run && call.route.may_repeat(),
             prompt_tokens: call.prompt().prompt_tokens,
             now: self.now,
         };
--- a/crates/arbutusfall_core/tests/it/relay_calls.rs
+++ b/crates/arbutusfall_core/tests/it/relay_calls.rs
@@ -464,3 +464,34 @@
     world.apply(RelayEvent::Directory(vec![entry]));
     assert!(world.effects.contains(&RelayEffect::SetReady(true)));
 }
+
+/// A world in which one endpoint of the shop is left.
+fn world_with_one_shop() -> World {
+    let mut world = World::start(1);
+    let instance = "shop-2".into();
+    world.apply(RelayEvent::Directory(vec![DirectoryChange::Removed {
+        instance,
+    }]));
+    world.effects.clear();
+    world
+}
+
+#[test]
+fn failure_of_the_only_endpoint_is_passed_on_as_it_is() {
+    let mut world = world_with_one_shop();
+    let call = world.ask("/look/1");
+    let sent = world.take_send();
+    world.tell(sent.exchange, ExchangeEvent::Complete { status: 500 });
+    assert!(world.take_sends().is_empty());
+    assert_matches!(world.end_of(call), Some(RelayEffect::Answer { .. }));
+}
+
+#[test]
+fn lookup_whose_connection_closed_goes_back_to_the_only_endpoint() {
+    let mut world = world_with_one_shop();
+    world.ask("/look/1");
+    let first = world.take_send();
+    world.tell(first.exchange, CLOSED);
+    let second = world.take_send();
+    assert_eq!(first.instance, second.instance);
+}
