Split the sending of requests into steps

Change: step, endpoint, booking, order and log line are functions of their own; no behaviour changed.

--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -5,6 +5,7 @@
 
 use arbutusfall_wire::Name;
 
+use crate::config::Role;
 use crate::relay::ExchangeId;
 use crate::relay::Prompt;
 use crate::relay::RelayRequest;
@@ -108,6 +109,15 @@
         matches!(self, Self::Plain | Self::Decode { .. })
     }
 
+    /// Role of the endpoints that do it.
+    pub(crate) fn role(self) -> Role {
+        match self {
+            Self::Plain => Role::Plain,
+            Self::Prefill => Role::Prefill,
+            Self::Reserve | Self::Decode { .. } => Role::Decode,
+        }
+    }
+
     /// Name in log lines.
     pub(crate) fn name(self) -> &'static str {
         match self {
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -19,6 +19,7 @@
 use crate::relay::call::Call;
 use crate::relay::call::CallStage;
 use crate::relay::call::Current;
+use crate::relay::endpoints::Endpoint;
 use crate::relay::notice::millis;
 
 /// Silence of an engine in the middle of a stream after which a resumable stream goes on elsewhere.
@@ -34,62 +35,62 @@
 const MAX_PREFILLS: u32 = 2;
 
 impl Relay {
-    /// Sends a call to the endpoint that suits it best now, or refuses it.
+    /// Sends a call to the endpoint that suits it best now, has it wait, or refuses it.
     pub(super) fn send_next(&mut self, id: CallId) {
-        let Some(call) = self.calls.get(&id) else {
+        let Some(stage) = self.next_stage(id) else {
             return;
         };
-        let mut stage = if call.route.has_prompt {
-            self.model_stage(call)
-        } else {
-            CallStage::Plain
-        };
+        if stage == CallStage::Reserve && self.must_wait(id) {
+            self.wait(id);
+            return;
+        }
+        match self.next_instance(id, stage) {
+            Some(instance) => self.send(id, instance, stage),
+            None => self.give_up(id, "no_endpoint"),
+        }
+    }
+
+    /// The next step of a call.
+    fn next_stage(&mut self, id: CallId) -> Option<CallStage> {
+        let call = self.calls.get(&id)?;
+        if !call.route.has_prompt {
+            return Some(CallStage::Plain);
+        }
+        let stage = self.model_stage(call);
         let is_repeat = stage == CallStage::Prefill && call.was_prefilled;
         if is_repeat && !self.budget.take(&call.service, self.now) {
             // The decode engine prefills the prompt itself.
-            stage = CallStage::Decode { has_source: false };
+            return Some(CallStage::Decode { has_source: false });
         }
-        let role = match stage {
-            CallStage::Plain => Role::Plain,
-            CallStage::Prefill => Role::Prefill,
-            CallStage::Reserve | CallStage::Decode { .. } => Role::Decode,
+        Some(stage)
+    }
+
+    /// Whether engines serve a call, but none of them has room now or would be done in time.
+    fn must_wait(&self, id: CallId) -> bool {
+        let Some(call) = self.calls.get(&id) else {
+            return false;
         };
-        let service = call.service.clone();
-        if stage == CallStage::Reserve && !(self.may_have_room(&service) && self.may_start(call)) {
-            let serves = self
-                .endpoints
-                .serving(&service, Role::Decode)
-                .next()
-                .is_some();
-            if serves {
-                self.wait(id);
-            } else {
-                self.give_up(id, "no_endpoint");
-            }
-            return;
-        }
-        let reserved_at = call
-            .booking
-            .as_ref()
-            .filter(|booking| booking.is_reserved());
-        if let (CallStage::Decode { .. }, Some(booking)) = (stage, reserved_at) {
-            let instance = booking.instance.clone();
-            self.send(id, instance, stage);
-            return;
+        let mut engines = self.endpoints.serving(&call.service, Role::Decode);
+        engines.next().is_some() && !(self.may_have_room(&call.service) && self.may_start(call))
+    }
+
+    /// The endpoint for the next step: the one where memory is reserved, or the best.
+    fn next_instance(&mut self, id: CallId, stage: CallStage) -> Option<Name> {
+        let call = self.calls.get(&id)?;
+        let reserved = call.booking.as_ref();
+        let reserved = reserved.filter(|booking| booking.is_reserved());
+        if let (CallStage::Decode { .. }, Some(booking)) = (stage, reserved) {
+            return Some(booking.instance.clone());
         }
         let choice = Choice {
             service: &call.service,
-            role,
+            role: stage.role(),
             tried: &call.tried,
             may_go_back: call.may_have_run && call.route.may_repeat(),
             prompt_tokens: call.prompt().prompt_tokens,
             now: self.now,
         };
-        let Some(instance) = choose(&self.endpoints, choice, &mut self.rng) else {
-            self.give_up(id, "no_endpoint");
-            return;
-        };
-        self.send(id, instance, stage);
+        choose(&self.endpoints, choice, &mut self.rng)
     }
 
     /// The next step of a model request: room at a decode engine first, so that no prefill is made in vain.
@@ -126,55 +127,16 @@
         };
         self.exchanges += 1;
         let exchange = ExchangeId(self.exchanges);
-        let prompt = call.prompt();
-        endpoint.in_flight += 1;
-        endpoint.health.on_placed(self.now);
-        let mut prefill_due = self.now;
-        match stage {
-            CallStage::Plain | CallStage::Decode { .. } => call.attempts += 1,
-            CallStage::Prefill => {
-                call.prefills += 1;
-                let work = endpoint.prefill_time(prompt.prompt_tokens);
-                prefill_due = self.now + endpoint.expected_prefill_wait(self.now) + work;
-                endpoint.prefilled_at = endpoint.prefilled_at.max(self.now) + work;
-            }
-            CallStage::Reserve => {
-                let tokens = prompt.memory_tokens();
-                endpoint.booked_tokens += tokens;
-                call.booking = Some(Booking {
-                    instance: instance.clone(),
-                    address: endpoint.listed.address,
-                    tokens,
-                    reservation: None,
-                });
-            }
-        }
-        call.exchanges += 1;
         call.current = Some(Current {
             exchange,
-            instance: instance.clone(),
+            instance,
             stage,
             sent_at: self.now,
             heard_at: self.now,
-            prefill_due,
+            prefill_due: book(call, endpoint, stage, self.now),
         });
-        let order = SendOrder {
-            exchange,
-            call: id,
-            instance: instance.clone(),
-            address: endpoint.listed.address,
-            work: call.work(stage),
-            patience: call.left(self.now),
-            after_event_id: call.last_event_id,
-        };
-        let notice = RelayNotice::Sent {
-            request_id: call.request.request_id.clone(),
-            instance,
-            work: stage.name(),
-            attempt: call.exchanges,
-            left_ms: millis(call.left(self.now)),
-            config_version: call.config_version,
-        };
+        let order = call.order(exchange, endpoint, stage, self.now);
+        let notice = call.sent_notice(&order, stage);
         self.by_exchange.insert(exchange, id);
         self.set_silence_timer(id);
         self.effects.push(RelayEffect::Send(order));
@@ -244,7 +206,68 @@
     }
 }
 
+/// Counts an exchange at its endpoint and its call; returns when a prefill is expected to be done.
+fn book(call: &mut Call, endpoint: &mut Endpoint, stage: CallStage, now: Duration) -> Duration {
+    let prompt = call.prompt();
+    call.exchanges += 1;
+    endpoint.in_flight += 1;
+    endpoint.health.on_placed(now);
+    match stage {
+        CallStage::Plain | CallStage::Decode { .. } => {
+            call.attempts += 1;
+            now
+        }
+        CallStage::Prefill => {
+            call.prefills += 1;
+            let work = endpoint.prefill_time(prompt.prompt_tokens);
+            let due = now + endpoint.expected_prefill_wait(now) + work;
+            endpoint.prefilled_at = endpoint.prefilled_at.max(now) + work;
+            due
+        }
+        CallStage::Reserve => {
+            let tokens = prompt.memory_tokens();
+            endpoint.booked_tokens += tokens;
+            call.booking = Some(Booking {
+                instance: endpoint.listed.instance.clone(),
+                address: endpoint.listed.address,
+                tokens,
+                reservation: None,
+            });
+            now
+        }
+    }
+}
+
 impl Call {
+    fn order(
+        &self,
+        exchange: ExchangeId,
+        endpoint: &Endpoint,
+        stage: CallStage,
+        now: Duration,
+    ) -> SendOrder {
+        SendOrder {
+            exchange,
+            call: self.request.call,
+            instance: endpoint.listed.instance.clone(),
+            address: endpoint.listed.address,
+            work: self.work(stage),
+            patience: self.left(now),
+            after_event_id: self.last_event_id,
+        }
+    }
+
+    fn sent_notice(&self, order: &SendOrder, stage: CallStage) -> RelayNotice {
+        RelayNotice::Sent {
+            request_id: self.request.request_id.clone(),
+            instance: order.instance.clone(),
+            work: stage.name(),
+            attempt: self.exchanges,
+            left_ms: millis(order.patience),
+            config_version: self.config_version,
+        }
+    }
+
     fn work(&self, stage: CallStage) -> Work {
         match stage {
             CallStage::Plain => Work::Plain,
