--- a/crates/arbutusfall/src/relay/callers.rs
+++ b/crates/arbutusfall/src/relay/callers.rs
@@ -25,7 +25,7 @@
 use crate::relay::driver::Driver;
 use crate::relay::open_calls::Reply;
 
-/// Descriptors that are left to endpoints, the store and operators.
+/// Connections of callers that are open at once; the other descriptors are left to endpoints, the store and operators.
 const MAX_CALLER_CONNECTIONS: usize = 2_000;
 
 /// The callers' interface of one process.
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -102,6 +102,11 @@
         self.log.write(notice, self.clock.now());
     }
 
+    /// Has the last lines written before the process ends.
+    pub(super) async fn finish_log(&self, within: Duration) {
+        self.log.finish(within).await;
+    }
+
     /// Whether the VM takes new connections.
     pub(super) fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Relaxed)
--- a/crates/arbutusfall/src/relay/line_log.rs
+++ b/crates/arbutusfall/src/relay/line_log.rs
@@ -1,5 +1,6 @@
 //! The log of decisions: JSON lines on standard output, bounded, and never waited for.
 
+use std::convert::Infallible;
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -13,6 +14,7 @@
 use arbutusfall_wire::Name;
 use async_channel::Receiver;
 use async_channel::Sender;
+use futures_lite::FutureExt;
 use serde::Serialize;
 
 /// Lines that may wait for standard output; more are dropped and counted.
@@ -78,6 +80,8 @@
 pub(super) struct LineLog {
     vm: Name,
     lines: Sender<Vec<u8>>,
+    /// Closes when the last line is written.
+    written: Receiver<Infallible>,
     budget: Mutex<Budget>,
     dropped: Arc<AtomicU64>,
 }
@@ -95,9 +99,11 @@
     ) -> std::io::Result<Self> {
         let (lines, waiting) = async_channel::bounded(MAX_WAITING_LINES);
         let dropped = Arc::new(AtomicU64::new(0));
+        let (done, written) = async_channel::bounded(1);
         let writer = Writer {
             vm: vm.clone(),
             waiting,
+            _done: done,
             dropped: dropped.clone(),
             output,
         };
@@ -113,11 +119,25 @@
         Ok(Self {
             vm,
             lines,
+            written,
             budget: Mutex::new(budget),
             dropped,
         })
     }
 
+    /// Takes no more lines and waits until those that wait are written, or as long as `within`.
+    pub(super) async fn finish(&self, within: Duration) {
+        self.lines.close();
+        let written = async {
+            // Nothing is ever sent: the channel closes.
+            let _ = self.written.recv().await;
+        };
+        let expire = async {
+            async_io::Timer::after(within).await;
+        };
+        written.or(expire).await;
+    }
+
     /// Writes a decision, or counts it as dropped.
     pub(super) fn write(&self, notice: &RelayNotice, now: Now) {
         let line = Line {
@@ -142,6 +162,8 @@
 struct Writer<W> {
     vm: Name,
     waiting: Receiver<Vec<u8>>,
+    /// Held until the last line is written.
+    _done: Sender<Infallible>,
     dropped: Arc<AtomicU64>,
     output: W,
 }
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -35,6 +35,9 @@
 /// Path of counters and histograms at the operators' address; any other path there tells whether the VM is ready.
 const METRICS_PATH: &str = "/metrics";
 
+/// Time allowed for the last lines of the log.
+const LOG_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Time of a drain that is not left to answers in progress: what passed before connections were closed, and the exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(2_900);
 
@@ -99,6 +102,7 @@
     listening.close(drain.saturating_sub(EXIT_MARGIN)).await;
     drop(operators);
     driver.note(&RelayNotice::Stopped);
+    driver.finish_log(LOG_TIMEOUT).await;
     Ok(())
 }
 
