--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -145,6 +145,6 @@
 pub struct RelayOutput {
     /// Effects, to be carried out in this order.
     pub effects: Vec<RelayEffect>,
-    /// Monotonic instant at which [`RelayEvent::Tick`] is due.
+    /// Monotonic instant at which [`crate::relay::RelayEvent::Tick`] is due.
     pub wake_at: Option<Duration>,
 }
