--- a/crates/arbutusfall_standins/src/caller.rs
+++ b/crates/arbutusfall_standins/src/caller.rs
@@ -63,6 +63,8 @@
     pub problem: Option<Value>,
     /// When to come back, if the answer says so.
     pub retry_after: Option<Duration>,
+    /// Times that the caller was refused before and came back when it was told.
+    pub comebacks: u32,
 }
 
 /// An answer to a plain call.
@@ -91,7 +93,38 @@
     pub key: String,
 }
 
+/// Times that a caller comes back after it was refused.
+const MAX_COMEBACKS: u32 = 5;
+
 impl Caller {
+    /// Asks for a completion, and comes back when a refusal says so.
+    ///
+    /// # Errors
+    ///
+    /// [`CallerError`] if there is no answer or it is cut.
+    pub async fn complete_coming_back(
+        &self,
+        vm: SocketAddr,
+        model: &str,
+        prompt: &str,
+        max_tokens: usize,
+        traceparent: Option<&str>,
+    ) -> Result<Completion, CallerError> {
+        let mut comebacks = 0;
+        loop {
+            let completion = self.complete(vm, model, prompt, max_tokens, traceparent);
+            let completion = completion.await?;
+            let Some(after) = completion.retry_after.filter(|_| comebacks < MAX_COMEBACKS) else {
+                return Ok(Completion {
+                    comebacks,
+                    ..completion
+                });
+            };
+            async_io::Timer::after(after).await;
+            comebacks += 1;
+        }
+    }
+
     /// Asks for a completion and reads its stream to the end.
     ///
     /// # Errors
@@ -124,6 +157,7 @@
             token_times: Vec::new(),
             problem: None,
             retry_after: retry_after(&answer),
+            comebacks: 0,
         };
         if completion.status == 200 {
             read_stream(answer.into_body(), started, &mut completion).await?;
--- a/crates/arbutusfall_standins/src/demo.rs
+++ b/crates/arbutusfall_standins/src/demo.rs
@@ -79,7 +79,7 @@
                 let traceparent = format!("00-{TRACE_ID}-b7ad6b7169203331-01");
                 let traceparent = (number == 0).then_some(traceparent);
                 let answer = caller
-                    .complete(vm, model, &prompt, MAX_TOKENS, traceparent.as_deref())
+                    .complete_coming_back(vm, model, &prompt, MAX_TOKENS, traceparent.as_deref())
                     .await;
                 (number, prompt, answer)
             })
@@ -129,7 +129,8 @@
     gaps.sort_unstable();
     let rank = (gaps.len() * 95).div_ceil(100).saturating_sub(1);
     let between = gaps.get(rank).copied().unwrap_or_default();
-    *first <= first_token_target && between <= between_tokens_target
+    let is_first_try = answer.comebacks == 0;
+    is_first_try && *first <= first_token_target && between <= between_tokens_target
 }
 
 fn show_calls(fleet: &Fleet, caller: &Caller) -> usize {
