--- a/crates/arbutusfall_standins/src/demo.rs
+++ b/crates/arbutusfall_standins/src/demo.rs
@@ -204,15 +204,22 @@
         "spans of caption 0, complete after {:.0?}:",
         began.elapsed()
     );
-    let Some(root) = spans.iter().find(|span| span["name"] == "caller") else {
+    // A try that was refused has a caller's span of its own; the answered one is above the decode.
+    let decode = spans.iter().find(|span| span["name"] == "decode");
+    let callers = || spans.iter().filter(|span| span["name"] == "caller");
+    let root = decode.and_then(|decode| callers().find(|span| span["id"] == decode["parentId"]));
+    let Some(root) = root else {
         return Ok(1);
     };
     print_span(root, &spans, 1);
-    let below_root = spans
-        .iter()
-        .filter(|span| span["parentId"] == root["id"])
-        .count();
-    Ok(usize::from(below_root + 1 != spans.len()))
+    let is_below = |span: &Value, root: &Value| span["parentId"] == root["id"];
+    let has_all_hops = hops[1..].iter().all(|hop| {
+        let mut below = spans.iter().filter(|span| is_below(span, root));
+        below.any(|span| span["name"] == *hop)
+    });
+    let others = spans.iter().filter(|span| span["name"] != "caller");
+    let mut strays = others.filter(|span| !callers().any(|caller| is_below(span, caller)));
+    Ok(usize::from(!has_all_hops || strays.next().is_some()))
 }
 
 fn print_span(span: &Value, spans: &[Value], depth: usize) {
