--- a/crates/arbutusfall_standins/src/fleet.rs
+++ b/crates/arbutusfall_standins/src/fleet.rs
@@ -502,7 +502,11 @@
 }
 
 /// An address that nobody listens on at the moment, and that no other call in this process was given before.
-fn free_address() -> Result<SocketAddr, Report<FleetError>> {
+///
+/// # Errors
+///
+/// [`FleetError::Start`] if no port is free.
+pub fn free_address() -> Result<SocketAddr, Report<FleetError>> {
     // Ports are taken in turn: one drawn at random could be drawn by another test before its process listens.
     static TAKEN: AtomicU16 = AtomicU16::new(0);
     static FIRST: LazyLock<u16> = LazyLock::new(|| fastrand::u16(LISTENER_PORTS));
