Tell readiness after the configuration is in force

The effect that sets readiness stood before the one that gives callers the configuration (telemetry test, once). Ruled out: the drain (nothing had stopped), the store. Change: readiness is the last effect. Figures: test red before, green after.

--- a/crates/arbutusfall_core/src/config_reader.rs
+++ b/crates/arbutusfall_core/src/config_reader.rs
@@ -219,9 +219,7 @@
         let Some(next) = self.make_in_force(base, overlay, &ctx.identity.site) else {
             return;
         };
-        if self.in_force.is_none() && !self.gap {
-            ctx.push(Effect::SetReady(true));
-        }
+        let is_first = self.in_force.is_none();
         let unchanged = known.is_some_and(|known| known.site == next.site);
         self.in_force = Some(next);
         if unchanged {
@@ -230,6 +228,10 @@
         ctx.count(Counter::ConfigAccepted);
         ctx.note(Notice::ConfigInForce { base, overlay });
         ctx.push(Effect::ConfigInForce { base, overlay });
+        if is_first && !self.gap {
+            // Last, so that who is told ready finds the configuration in force.
+            ctx.push(Effect::SetReady(true));
+        }
     }
 
     /// Makes this site's configuration; none if the base does not name the site.
--- a/crates/arbutusfall_core/tests/it/config_reader.rs
+++ b/crates/arbutusfall_core/tests/it/config_reader.rs
@@ -263,3 +263,14 @@
     let effects = session.apply(config_read(site_base()));
     assert!(!effects.contains(&Effect::SetReady(true)));
 }
+
+#[test]
+fn ready_is_told_after_the_configuration() {
+    let mut session = Session::new("plovdiv-a-1");
+    session.apply(Event::Started);
+    let effects = session.apply(config_read(crate::session::site_base()));
+    let position = |wanted: fn(&Effect) -> bool| effects.iter().position(wanted);
+    let in_force = position(|effect| matches!(effect, Effect::ConfigInForce { .. }));
+    let ready = position(|effect| *effect == Effect::SetReady(true));
+    assert!(in_force.is_some() && in_force < ready, "{effects:?}");
+}
