Give four pieces of logic that stood twice one place each

Cause: read through the whole change: the engines of a service were looked up in three ways, the errors of a request's body turned into problems at both interfaces of callers, the role of a step was worked out twice, a reservation was tested for beside its own method; a limit had no unit in its name. Change: RouteTable::engine, ReadBodyError::problem, CallStage::role and Booking::is_reserved serve all; the limit is max_own_prefills. No behaviour changed.

--- a/crates/arbutusfall/src/callers.rs
+++ b/crates/arbutusfall/src/callers.rs
@@ -159,13 +159,7 @@
         let (parts, body) = request.into_parts();
         let within = Duration::from_millis(limits.receive_timeout_ms);
         let body = read_request_body(body, limits.max_body_bytes as usize, within);
-        let body = body.await.map_err(|error| {
-            Problem::new(match error {
-                ReadBodyError::TooLong => ProblemKind::BodyTooLarge,
-                ReadBodyError::Timeout => ProblemKind::ReceiveTimeout,
-                ReadBodyError::Broken => ProblemKind::Malformed,
-            })
-        })?;
+        let body = body.await.map_err(ReadBodyError::problem)?;
         let span = root_span(&parts.headers, parts.uri.path());
         if parts.uri.path() == COMPLETIONS_PATH && parts.method == hyper::Method::POST {
             return self.complete(&view, account, &body, span).await;
--- a/crates/arbutusfall/src/http/server.rs
+++ b/crates/arbutusfall/src/http/server.rs
@@ -362,6 +362,17 @@
 
 impl std::error::Error for ReadBodyError {}
 
+impl ReadBodyError {
+    /// What the caller is told.
+    pub(crate) fn problem(self) -> Problem {
+        Problem::new(match self {
+            Self::TooLong => ProblemKind::BodyTooLarge,
+            Self::Timeout => ProblemKind::ReceiveTimeout,
+            Self::Broken => ProblemKind::Malformed,
+        })
+    }
+}
+
 /// Reads a request's body.
 ///
 /// # Errors
--- a/crates/arbutusfall/src/relay/callers.rs
+++ b/crates/arbutusfall/src/relay/callers.rs
@@ -81,13 +81,7 @@
         let (parts, body) = request.into_parts();
         let within = limits.receive_timeout.max(Duration::from_secs(1));
         let body = read_request_body(body, limits.max_body_bytes, within);
-        let body = body.await.map_err(|error| {
-            Problem::new(match error {
-                ReadBodyError::TooLong => ProblemKind::BodyTooLarge,
-                ReadBodyError::Timeout => ProblemKind::ReceiveTimeout,
-                ReadBodyError::Broken => ProblemKind::Malformed,
-            })
-        })?;
+        let body = body.await.map_err(ReadBodyError::problem)?;
         let call = self.driver.calls.next_id();
         let asked = callers::relay_request(call, &parts);
         let forwarded = ForwardedRequest::new(parts.method, &parts.uri, parts.headers, body);
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -65,8 +65,7 @@
     ) -> Call {
         let patience = request.patience.unwrap_or(route.timeout);
         let service = self.pick_service(route);
-        let engine = routes.services.get(&service);
-        let engine = engine.and_then(|service| service.engine.as_ref());
+        let engine = routes.engine(&service);
         Call {
             reservation_lifetime: engine
                 .map_or(Duration::ZERO, |engine| engine.reservation_lifetime),
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -70,7 +70,7 @@
     /// Prefills that this VM may have in progress at the engine, as others use it too.
     ///
     /// Invariant: between 1 and [`MAX_PREFILLS`].
-    prefill_limit: f64,
+    max_own_prefills: f64,
     /// Instant until which the engine is taken to have no room.
     full_until: Duration,
     /// Instant from which the endpoint counts as gone, if the list dropped it.
@@ -90,7 +90,7 @@
             prefill_rate: INITIAL_PREFILL_RATE,
             prefill_wait: Duration::ZERO,
             prefill_waited_at: Duration::ZERO,
-            prefill_limit: INITIAL_PREFILLS,
+            max_own_prefills: INITIAL_PREFILLS,
             full_until: Duration::ZERO,
             gone_at: None,
         }
@@ -133,16 +133,16 @@
         self.prefill_rate = rate.max(faded);
         self.prefill_wait = after.saturating_sub(self.prefill_time(tokens));
         self.prefill_waited_at = now;
-        self.prefill_limit = if self.prefill_wait > LONG_WAIT {
-            (self.prefill_limit * FEWER_PREFILLS).max(1.0)
+        self.max_own_prefills = if self.prefill_wait > LONG_WAIT {
+            (self.max_own_prefills * FEWER_PREFILLS).max(1.0)
         } else {
-            (self.prefill_limit + MORE_PREFILLS).min(MAX_PREFILLS)
+            (self.max_own_prefills + MORE_PREFILLS).min(MAX_PREFILLS)
         };
     }
 
     /// Whether this VM may have one more prefill in progress at the engine.
     pub(crate) fn may_prefill(&self) -> bool {
-        f64::from(self.in_flight) < self.prefill_limit.floor()
+        f64::from(self.in_flight) < self.max_own_prefills.floor()
     }
 
     /// Time that a prefill would wait: for this VM's own, or for what others have queued as far as it was seen lately.
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -99,11 +99,9 @@
     }
 
     pub(super) fn result_lifetime(&self, id: CallId) -> Duration {
-        let service = self.calls.get(&id).map(|call| &call.service);
-        let engine = service.and_then(|service| {
-            let routes = self.routes.as_ref()?;
-            routes.services.get(service)?.engine.as_ref()
-        });
+        let routes = self.routes.as_ref();
+        let call = self.calls.get(&id);
+        let engine = call.and_then(|call| routes?.engine(&call.service));
         engine.map_or(Duration::ZERO, |engine| engine.result_lifetime)
     }
 
@@ -155,17 +153,16 @@
         let instance = current.instance.clone();
         let after = self.now.saturating_sub(current.sent_at);
         let is_failure = status >= 500;
+        let stage = current.stage;
         let may_try = is_failure && call.may_be_sent_again() && !call.is_forwarded;
         let service = call.service.clone();
-        let is_plain = current.stage == CallStage::Plain;
-        let may_try = may_try && self.has_another(id);
-        if may_try && self.budget.take(&service, self.now) {
+        if may_try && self.has_another(id, stage.role()) && self.budget.take(&service, self.now) {
             self.leave_endpoint(id, "error_status", false);
             self.send_next(id);
             return;
         }
         if let Some(endpoint) = self.endpoints.get_mut(&instance)
-            && is_plain
+            && stage == CallStage::Plain
             && !is_failure
         {
             endpoint.on_answered(after);
@@ -179,16 +176,11 @@
     }
 
     /// Whether an endpoint serves a call that was not asked yet.
-    fn has_another(&self, id: CallId) -> bool {
+    fn has_another(&self, id: CallId, role: Role) -> bool {
         let Some(call) = self.calls.get(&id) else {
             return false;
         };
         let current = call.current.as_ref().map(|current| &current.instance);
-        let role = if call.route.has_prompt {
-            Role::Decode
-        } else {
-            Role::Plain
-        };
         self.endpoints.serving(&call.service, role).any(|endpoint| {
             let instance = &endpoint.listed.instance;
             current != Some(instance) && !call.tried.contains(instance)
--- a/crates/arbutusfall_core/src/relay/roles.rs
+++ b/crates/arbutusfall_core/src/relay/roles.rs
@@ -142,7 +142,7 @@
         };
         let address = endpoint.listed.address;
         let routes = self.routes.as_ref();
-        let engine = routes.and_then(|routes| routes.services.get(service)?.engine.as_ref());
+        let engine = routes.and_then(|routes| routes.engine(service));
         let switch = engine.map_or(Duration::ZERO, |engine| engine.role_switch);
         self.roles.pause_until = self.now + switch + PAUSE;
         if let Some(endpoint) = self.endpoints.get_mut(&instance) {
--- a/crates/arbutusfall_core/src/relay/routes.rs
+++ b/crates/arbutusfall_core/src/relay/routes.rs
@@ -101,6 +101,11 @@
 }
 
 impl RouteTable {
+    /// Figures of a service's engines; none if it is no service of model engines.
+    pub fn engine(&self, service: &str) -> Option<&EngineFigures> {
+        self.services.get(service)?.engine.as_ref()
+    }
+
     /// The route of a request: among those of the host, the one with the longest prefix of the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&RelayRoute> {
         let of_host = self.routes.iter().filter(|route| *route.host == *host);
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -95,10 +95,7 @@
 
     /// The next step of a model request: room at a decode engine first, so that no prefill is made in vain.
     fn model_stage(&self, call: &Call) -> CallStage {
-        let is_reserved = call
-            .booking
-            .as_ref()
-            .is_some_and(|booking| booking.reservation.is_some());
+        let is_reserved = call.booking.as_ref().is_some_and(Booking::is_reserved);
         if !is_reserved {
             return CallStage::Reserve;
         }
