Change the roles of many engines at a time

Ruled out: too few prefill engines (their queues were short: median 113 ms from order to result). Change: the whole surplus changes at once, a quarter of the engines at most, from four seconds after the first prefill on.

--- a/crates/arbutusfall_core/src/relay/roles.rs
+++ b/crates/arbutusfall_core/src/relay/roles.rs
@@ -32,6 +32,12 @@
 /// Engines by which prefill must exceed its target before one is taken away, so that the rest still reach it.
 const SURPLUS: f64 = 1.0;
 
+/// Time from the first prefill until the averages are trusted: some streams have ended by then.
+const SETTLED_AFTER: Duration = Duration::from_secs(4);
+
+/// Share of a service's engines that change their role at the same time at most; one always may.
+const MAX_CHANGED_SHARE: f64 = 0.25;
+
 /// Time between two changes beyond the time that one takes.
 const PAUSE: Duration = Duration::from_secs(2);
 
@@ -76,10 +82,13 @@
         }
         let services: Vec<Name> = self.roles.by_service.keys().cloned().collect();
         for service in services {
-            if let Some((instance, role)) = self.role_to_change(&service) {
+            let Some((role, instances)) = self.roles_to_change(&service) else {
+                continue;
+            };
+            for instance in instances {
                 self.order_role(&service, instance, role, token);
-                return;
             }
+            return;
         }
     }
 
@@ -102,38 +111,44 @@
         }
     }
 
-    /// An engine whose role does not fit the use of the service, and the role that does.
-    fn role_to_change(&self, service: &Name) -> Option<(Name, Role)> {
+    /// The role that too few engines of a service have, and the engines that are to take it.
+    fn roles_to_change(&self, service: &Name) -> Option<(Role, Vec<Name>)> {
         let used = self.roles.by_service.get(service)?;
         let prefill = self.endpoints.serving(service, Role::Prefill).count();
         let decode = self.endpoints.serving(service, Role::Decode).count();
         let engines = prefill + decode;
-        let has_averages = used
+        let is_settled = used
             .since
-            .is_some_and(|since| self.now >= since + AVERAGED_OVER);
-        if engines < 2 || used.prefills < MIN_PREFILLS || !has_averages {
+            .is_some_and(|since| self.now >= since + SETTLED_AFTER);
+        if engines < 2 || used.prefills < MIN_PREFILLS || !is_settled {
             return None;
         }
         let wanted = used.prefill * PREFILL_HEADROOM;
         let share = wanted / (wanted + used.decode).max(f64::MIN_POSITIVE);
         let target = (share * engines as f64).clamp(1.0, engines as f64 - 1.0);
         let surplus = prefill as f64 - target;
-        if surplus >= SURPLUS && prefill > 1 {
-            let instance = self.least_used(service, Role::Prefill)?;
-            return Some((instance, Role::Decode));
-        }
-        if -surplus >= SHORTAGE && decode > 1 {
-            let instance = self.least_used(service, Role::Decode)?;
-            return Some((instance, Role::Prefill));
-        }
-        None
+        let (from, to) = if surplus >= SURPLUS && prefill > 1 {
+            (Role::Prefill, Role::Decode)
+        } else if -surplus >= SHORTAGE && decode > 1 {
+            (Role::Decode, Role::Prefill)
+        } else {
+            return None;
+        };
+        let most = engines as f64 * MAX_CHANGED_SHARE;
+        let changed = surplus.abs().min(most).floor().max(1.0) as usize;
+        Some((to, self.least_used(service, from, changed)))
     }
 
-    fn least_used(&self, service: &Name, role: Role) -> Option<Name> {
+    /// The engines of a role with the least of this VM's work, that many at most.
+    fn least_used(&self, service: &Name, role: Role, count: usize) -> Vec<Name> {
         let serving = self.endpoints.serving(service, role);
         let usable = serving.filter(|endpoint| endpoint.health.is_usable(self.now));
-        let least = usable.min_by_key(|endpoint| (endpoint.in_flight, endpoint.booked_tokens));
-        least.map(|endpoint| endpoint.listed.instance.clone())
+        let mut usable: Vec<_> = usable.collect();
+        usable.sort_by_key(|endpoint| (endpoint.in_flight, endpoint.booked_tokens));
+        let least = usable.into_iter().take(count);
+        least
+            .map(|endpoint| endpoint.listed.instance.clone())
+            .collect()
     }
 
     fn order_role(&mut self, service: &Name, instance: Name, role: Role, token: u64) {
--- a/crates/arbutusfall_core/tests/it/relay_roles.rs
+++ b/crates/arbutusfall_core/tests/it/relay_roles.rs
@@ -65,6 +65,25 @@
     assert_eq!(take_orders(&mut world), vec![(Role::Decode, 7)]);
 }
 
+/// Many engines, a third of which prefill while hardly any prefill is needed: the surplus changes its role at once, a
+/// quarter of all engines at the most, and some prefill engines stay.
+#[test]
+fn many_idle_prefill_engines_change_together() {
+    let mut world = World::start(1);
+    let prefill =
+        (3..20).map(|index| listed(&format!("prefill-{index}"), "captions", Role::Prefill));
+    let decode = (3..38).map(|index| listed(&format!("decode-{index}"), "captions", Role::Decode));
+    let more = prefill.chain(decode);
+    let more = more.map(arbutusfall_core::relay::DirectoryChange::Listed);
+    world.apply(RelayEvent::Directory(more.collect()));
+    pass_with_lease(&mut world, LEASE, LeaseAnswer::Held { token: 7 });
+    use_decode(&mut world, 10);
+    pass_with_lease(&mut world, ms(4_000), LeaseAnswer::Held { token: 7 });
+    let orders = take_orders(&mut world);
+    assert!((8..=14).contains(&orders.len()), "{orders:?}");
+    assert!(orders.iter().all(|order| *order == (Role::Decode, 7)));
+}
+
 #[test]
 fn only_the_holder_gives_orders() {
     let mut world = world_with_idle_prefill();
