Pace the asks for room by their outcome, and let who can be on time go first

Ruled out: slow prefill (median 113 ms) and slow starts of decode (11 ms). Change: an interval between asks that grows by an eighth with each refusal and halves with each grant, so that about one ask in seven is granted whatever the number of VMs; requests that are late already ask an engine only after eight such intervals without a refusal and leave to others what their VM's streams free. Open: refused callers that are refused again, and their wait before it.

--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -13,6 +13,7 @@
 mod lease;
 mod notice;
 mod outcomes;
+mod pacing;
 mod prompt;
 mod roles;
 mod routes;
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -83,6 +83,8 @@
     max_own_prefills: f64,
     /// Instant until which the engine is taken to have no room.
     full_until: Duration,
+    /// Whether a stream of this VM left the engine since it last refused.
+    has_freed: bool,
     /// Instant until which the engine is taken to refuse requests although it reserves memory for them.
     refusing_until: Duration,
     /// Requests in a row that it refused although it had reserved memory.
@@ -108,6 +110,7 @@
             prefill_waited_at: Duration::ZERO,
             max_own_prefills: INITIAL_PREFILLS,
             full_until: Duration::ZERO,
+            has_freed: false,
             refusing_until: Duration::ZERO,
             refusals: 0,
             lost_results: 0,
@@ -115,9 +118,15 @@
         }
     }
 
-    /// Whether the engine is taken to have no room, or to refuse whatever it has room for.
-    pub(crate) fn is_full(&self, now: Duration) -> bool {
-        now < self.full_until.max(self.refusing_until)
+    /// Instant from which the engine may be asked for room. Requests that are late already ask so much later after a
+    /// refusal, and leave to others what this VM's streams free.
+    pub(crate) fn ask_at(&self, late_delay: Option<Duration>) -> Duration {
+        let room_at = match late_delay {
+            Some(delay) => self.full_until + delay,
+            None if self.has_freed => Duration::ZERO,
+            None => self.full_until,
+        };
+        room_at.max(self.refusing_until)
     }
 
     /// The engine refused a request for which it had reserved memory.
@@ -150,6 +159,12 @@
     /// The engine refused for want of room.
     pub(crate) fn set_full_until(&mut self, instant: Duration) {
         self.full_until = instant;
+        self.has_freed = false;
+    }
+
+    /// A stream of this VM left the engine.
+    pub(crate) fn on_freed(&mut self) {
+        self.has_freed = true;
     }
 
     /// Relative cost of one more request: what it would wait, and how likely it fails.
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -18,7 +18,6 @@
 use crate::relay::call::Prefilled;
 use crate::relay::notice::millis;
 use crate::relay::roles::StreamUse;
-use crate::relay::waiting::FULL_FOR;
 
 /// Time for which an endpoint that refused a request is left alone: it is full, or changes its role.
 const REFUSING_FOR: Duration = Duration::from_millis(500);
@@ -49,6 +48,7 @@
             booking.reservation = Some(reservation);
         }
         self.waiting.comebacks.on_granted(self.now);
+        self.waiting.pacing.on_granted();
         self.end_exchange(id);
         self.send_next(id);
     }
@@ -65,7 +65,8 @@
         self.end_exchange(id);
         self.end_booking(id);
         if let Some(endpoint) = instance.and_then(|name| self.endpoints.get_mut(&name)) {
-            endpoint.set_full_until(self.now + FULL_FOR);
+            let full_for = self.waiting.pacing.on_refused(&mut self.rng);
+            endpoint.set_full_until(self.now + full_for);
         }
         self.send_next(id);
     }
@@ -390,7 +391,7 @@
         }
         if let Some(endpoint) = self.endpoints.get_mut(&booking.instance) {
             endpoint.booked_tokens = endpoint.booked_tokens.saturating_sub(booking.tokens);
-            endpoint.set_full_until(Duration::ZERO);
+            endpoint.on_freed();
         }
         if let Some(reservation) = booking.reservation {
             self.effects.push(RelayEffect::FreeReservation {
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/pacing.rs
@@ -0,0 +1,64 @@
+//! How often full engines are asked for room.
+//!
+//! Every VM asks on its own and most asks are refused while memory is scarce. So that the asks of all VMs together stay in
+//! proportion to the room there is, each VM asks less often after a refusal and more often after a grant.
+
+use std::time::Duration;
+
+/// Time for which an engine that refused is not asked again, at first.
+const INITIAL_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Shortest such time.
+const MIN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest such time.
+const MAX_INTERVAL: Duration = Duration::from_millis(3_000);
+
+/// Factor of the interval after a refusal. With [`GRANTED_FACTOR`], about one ask in seven is granted in the long run.
+const REFUSED_FACTOR: f64 = 1.12;
+
+/// Factor of the interval after a grant.
+const GRANTED_FACTOR: f64 = 0.5;
+
+/// Share by which intervals differ at random, so that VMs do not ask at the same time.
+const SPREAD: f64 = 0.5;
+
+/// Intervals for which an engine must not have refused before a request asks it that is late already. While memory is
+/// scarce, others ask sooner and get what becomes free.
+const LATE_INTERVALS: u32 = 8;
+
+/// Interval between two asks at one engine.
+#[derive(Debug, Clone)]
+pub(crate) struct Pacing {
+    /// Invariant: between [`MIN_INTERVAL`] and [`MAX_INTERVAL`].
+    interval: Duration,
+}
+
+impl Default for Pacing {
+    fn default() -> Self {
+        Self {
+            interval: INITIAL_INTERVAL,
+        }
+    }
+}
+
+impl Pacing {
+    /// An engine refused; returns the time for which it is not asked again.
+    pub(crate) fn on_refused(&mut self, rng: &mut fastrand::Rng) -> Duration {
+        let interval = self.interval.mul_f64(REFUSED_FACTOR);
+        self.interval = interval.min(MAX_INTERVAL);
+        let spread = 1.0 + SPREAD * (rng.f64() - 0.5);
+        self.interval.mul_f64(spread)
+    }
+
+    /// An engine granted room.
+    pub(crate) fn on_granted(&mut self) {
+        let interval = self.interval.mul_f64(GRANTED_FACTOR);
+        self.interval = interval.max(MIN_INTERVAL);
+    }
+
+    /// Time beyond the interval after which a late request may ask.
+    pub(crate) fn late_delay(&self) -> Duration {
+        self.interval * (LATE_INTERVALS - 1)
+    }
+}
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -71,7 +71,7 @@
             return false;
         };
         let mut engines = self.endpoints.serving(&call.service, Role::Decode);
-        engines.next().is_some() && !(self.may_have_room(&call.service) && self.may_start(call))
+        engines.next().is_some() && !(self.may_have_room(call) && self.may_start(call))
     }
 
     /// The endpoint for the next step: the one where memory is reserved, or the best.
@@ -88,6 +88,10 @@
             tried: &call.tried,
             may_go_back: call.may_have_run && call.route.may_repeat(),
             prompt_tokens: call.prompt().prompt_tokens,
+            late_delay: match stage {
+                CallStage::Reserve => self.late_delay(call),
+                _ => None,
+            },
             now: self.now,
         };
         choose(&self.endpoints, choice, &mut self.rng)
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -4,8 +4,6 @@
 
 use std::time::Duration;
 
-use arbutusfall_wire::Name;
-
 use crate::CallId;
 use crate::config::Role;
 use crate::placement::Comebacks;
@@ -14,9 +12,10 @@
 use crate::relay::RelayTimer;
 use crate::relay::call::Call;
 use crate::relay::notice::millis;
+use crate::relay::pacing::Pacing;
 
-/// Time for which an engine that refused a reservation is not asked again, unless one of this VM's streams ends there.
-pub(super) const FULL_FOR: Duration = Duration::from_millis(150);
+/// Shortest time between two looks at those that wait.
+const MIN_LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time from a request's start at the engines to its first event beyond the prefill itself.
 const START_MARGIN: Duration = Duration::from_millis(120);
@@ -37,6 +36,8 @@
     calls: Vec<CallId>,
     /// Instant of the timer that is set.
     timer_due: Option<Duration>,
+    /// How often engines are asked.
+    pub(super) pacing: Pacing,
     /// Rate at which room is found, and when refused callers are asked back.
     pub(super) comebacks: Comebacks,
 }
@@ -120,7 +121,10 @@
         let Some(first_end) = ends.min() else {
             return;
         };
-        let due = first_end.min(self.now + FULL_FOR).max(self.now);
+        let calls = self.waiting.calls.iter();
+        let room = calls.filter_map(|id| self.room_at(self.calls.get(id)?));
+        let earliest = self.now + MIN_LOOK_INTERVAL;
+        let due = room.fold(first_end, Duration::min).max(earliest);
         if self.waiting.timer_due.is_some_and(|set| set <= due) {
             return;
         }
@@ -151,7 +155,7 @@
                 self.give_up(id, "no_room");
                 continue;
             }
-            if !self.may_have_room(&call.service) || !self.may_start(call) {
+            if !self.may_have_room(call) || !self.may_start(call) {
                 continue;
             }
             self.waiting.remove(id);
@@ -208,10 +212,23 @@
         is_on_time || least <= target.mul_f64(LATE_SHARE)
     }
 
-    /// Whether an engine of the service is not known to be full.
-    pub(super) fn may_have_room(&self, service: &Name) -> bool {
-        self.endpoints
-            .serving(service, Role::Decode)
-            .any(|endpoint| endpoint.health.is_usable(self.now) && !endpoint.is_full(self.now))
+    /// Whether a call may ask an engine for room now.
+    pub(super) fn may_have_room(&self, call: &Call) -> bool {
+        self.room_at(call)
+            .is_some_and(|room_at| room_at <= self.now)
+    }
+
+    /// Instant from which a call may ask an engine for room; none if no engine is usable.
+    fn room_at(&self, call: &Call) -> Option<Duration> {
+        let engines = self.endpoints.serving(&call.service, Role::Decode);
+        let usable = engines.filter(|engine| engine.health.is_usable(self.now));
+        let late_delay = self.late_delay(call);
+        usable.map(|engine| engine.ask_at(late_delay)).min()
+    }
+
+    /// Time by which a call that is late already asks later than others; none if it can be on time, or has begun.
+    pub(super) fn late_delay(&self, call: &Call) -> Option<Duration> {
+        let is_late = self.is_late(call.request.call) && !call.is_forwarded;
+        is_late.then(|| self.waiting.pacing.late_delay())
     }
 }
--- a/crates/arbutusfall_core/tests/it/relay_calls.rs
+++ b/crates/arbutusfall_core/tests/it/relay_calls.rs
@@ -229,6 +229,8 @@
     }
     assert!(world.take_sends().is_empty());
     assert!(world.end_of(call).is_none(), "the request waits for room");
+    world.pass(ms(100));
+    assert!(world.take_sends().is_empty(), "a full engine has time");
     world.pass(ms(150));
     assert_matches!(world.take_send().work, Work::Reserve { .. });
 }
--- a/crates/arbutusfall_core/tests/it/relay_load.rs
+++ b/crates/arbutusfall_core/tests/it/relay_load.rs
@@ -64,3 +64,36 @@
         );
     }
 }
+
+/// Many VMs before many engines, and twice the requests that the memory holds: each engine is asked by all VMs, and the
+/// asks of all together stay in proportion to the room that is found.
+#[test]
+fn asks_of_many_vms_stay_in_proportion_to_the_room() {
+    for seed in SEEDS {
+        let mut play = Play::new(40, 4, 24, seed);
+        play.arrive(80.0, Duration::from_secs(12));
+        play.finish();
+        let outcomes = &play.outcomes;
+        assert!(
+            outcomes.asks < outcomes.decodes * 15,
+            "seed {seed}: {outcomes:?}"
+        );
+    }
+}
+
+/// An overload that lasts, and callers that come back when they are told: who can still be served in time goes before who
+/// is late already.
+#[test]
+fn first_tries_go_before_callers_that_come_back() {
+    for seed in SEEDS {
+        let mut play = Play::new(20, 4, 16, seed);
+        play.callers_return = true;
+        play.arrive(60.0, Duration::from_secs(12));
+        let outcomes = &play.outcomes;
+        assert!(outcomes.returned > 0, "seed {seed}: {outcomes:?}");
+        assert!(
+            outcomes.late * 5 < outcomes.on_time,
+            "seed {seed}: {outcomes:?}"
+        );
+    }
+}
--- a/crates/arbutusfall_core/tests/it/relay_play.rs
+++ b/crates/arbutusfall_core/tests/it/relay_play.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use arbutusfall_core::CallId;
+use arbutusfall_core::Problem;
 use arbutusfall_core::config::Role;
 use arbutusfall_core::relay::DirectoryChange;
 use arbutusfall_core::relay::ExchangeEvent;
@@ -51,15 +52,23 @@
     pub(crate) longest_refusal: Duration,
     pub(crate) prefills: usize,
     pub(crate) decodes: usize,
+    /// Asks for room.
+    pub(crate) asks: usize,
+    /// Callers that came back after a refusal.
+    pub(crate) returned: usize,
     /// Connections to engines.
     pub(crate) exchanges: usize,
 }
 
 /// A request that is open.
+#[derive(Clone, Copy)]
 struct Open {
+    /// Instant of the caller's first try.
+    first_asked_at: Duration,
     asked_at: Duration,
     prompt_tokens: u32,
     events: u64,
+    prompt: Prompt,
 }
 
 /// What an engine does for one exchange.
@@ -75,6 +84,10 @@
     queue: BTreeMap<(Duration, u64), (usize, ExchangeId, ExchangeEvent)>,
     sequence: u64,
     open: BTreeMap<(usize, CallId), Open>,
+    /// Whether refused callers come back once, when they are told to.
+    pub(crate) callers_return: bool,
+    /// Requests of callers that will come back.
+    returns: BTreeMap<(Duration, u64), Open>,
     /// Memory in use and reserved at each decode engine.
     memory: BTreeMap<Arc<str>, u64>,
     /// Instant from which each prefill engine is free.
@@ -114,6 +127,8 @@
             queue: BTreeMap::new(),
             sequence: 0,
             open: BTreeMap::new(),
+            callers_return: false,
+            returns: BTreeMap::new(),
             memory: decodes.into_iter().map(|name| (name, 0)).collect(),
             free_at: prefills
                 .into_iter()
@@ -153,9 +168,6 @@
     }
 
     fn ask(&mut self) {
-        let vm = self.rng.usize(..self.vms.len());
-        self.calls += 1;
-        let call = CallId(self.calls);
         let events = 20 + self.rng.u64(..100);
         let hint = events as f64 * (0.5 + self.rng.f64());
         let prompt = Prompt {
@@ -163,34 +175,75 @@
             max_output_tokens: 130 * EVENT_TOKENS as u32,
             expected_output_tokens: Some(hint as u32 * EVENT_TOKENS as u32),
         };
-        let open = Open {
+        self.outcomes.asked += 1;
+        self.send_request(Open {
+            first_asked_at: self.now,
             asked_at: self.now,
             prompt_tokens: prompt.prompt_tokens,
             events,
-        };
+            prompt,
+        });
+    }
+
+    /// Sends a caller's first or second try to a VM at random.
+    fn send_request(&mut self, open: Open) {
+        let vm = self.rng.usize(..self.vms.len());
+        self.calls += 1;
+        let call = CallId(self.calls);
         self.open.insert((vm, call), open);
-        self.outcomes.asked += 1;
+        let waited = open.asked_at - open.first_asked_at;
         let request = RelayRequest {
             call,
             request_id: format!("request-{}", call.0).into(),
             host: HOST.into(),
             path: "/album/1".into(),
-            patience: Some(ms(14_000)),
-            prompt: Some(prompt),
+            patience: Some(ms(14_000) - waited),
+            prompt: Some(open.prompt),
         };
         self.apply(vm, RelayEvent::Asked(request));
     }
 
+    fn on_refused(&mut self, open: Open, problem: &Problem) {
+        let after = self.now - open.asked_at;
+        self.outcomes.longest_refusal = self.outcomes.longest_refusal.max(after);
+        let is_first = open.asked_at == open.first_asked_at;
+        let retry_after = problem
+            .retry_after
+            .filter(|_| self.callers_return && is_first);
+        if let Some(retry_after) = retry_after {
+            self.outcomes.returned += 1;
+            self.sequence += 1;
+            let at = self.now + retry_after;
+            let asked_at = at;
+            let open = Open { asked_at, ..open };
+            self.returns.insert((at, self.sequence), open);
+        } else {
+            self.outcomes.refused += 1;
+        }
+    }
+
     /// The next instant at which something happens.
     fn next_at(&self) -> Option<Duration> {
         let queued = self.queue.keys().next().map(|(at, _)| *at);
         let ticks = self.vms.iter().filter_map(|vm| vm.wake_at);
-        ticks.chain(queued).min()
+        let returns = self.returns.keys().next().map(|(at, _)| *at);
+        ticks.chain(queued).chain(returns).min()
     }
 
     fn run_until(&mut self, until: Duration) {
         while let Some(at) = self.next_at().filter(|at| *at <= until) {
             self.now = at.max(self.now);
+            if self
+                .returns
+                .keys()
+                .next()
+                .is_some_and(|(due, _)| *due <= at)
+            {
+                if let Some((_, open)) = self.returns.pop_first() {
+                    self.send_request(open);
+                }
+                continue;
+            }
             if self.queue.keys().next().is_some_and(|(due, _)| *due <= at) {
                 if let Some((_, (vm, exchange, event))) = self.queue.pop_first() {
                     self.apply(vm, RelayEvent::Exchange { exchange, event });
@@ -243,7 +296,7 @@
             }
             RelayEffect::Forward { call, .. } => {
                 if let Some(open) = self.open.get(&(vm, call)) {
-                    let is_on_time = self.now <= open.asked_at + ms(900);
+                    let is_on_time = self.now <= open.first_asked_at + ms(900);
                     self.outcomes.on_time += usize::from(is_on_time);
                     self.outcomes.late += usize::from(!is_on_time);
                 }
@@ -255,12 +308,10 @@
                 self.open.remove(&(vm, call));
                 self.outcomes.failed += 1;
             }
-            RelayEffect::Refuse { call, .. } => {
+            RelayEffect::Refuse { call, problem } => {
                 if let Some(open) = self.open.remove(&(vm, call)) {
-                    let after = self.now - open.asked_at;
-                    self.outcomes.longest_refusal = self.outcomes.longest_refusal.max(after);
+                    self.on_refused(open, &problem);
                 }
-                self.outcomes.refused += 1;
             }
             _ => {}
         }
@@ -295,6 +346,7 @@
     }
 
     fn reserve(&mut self, vm: usize, order: &SendOrder, tokens: u64) {
+        self.outcomes.asks += 1;
         let used = self.memory.entry(order.instance.clone()).or_default();
         if *used + tokens > MEMORY_TOKENS {
             let reason = NotRunReason::Refused;
