Ask for small requests before large ones while memory is scarce

Cause: while more is asked than fits (bursts of twice the load), requests were taken as they came, though the memory and time of one long answer serve several short ones, and each counts as one caller on time. Ruled out: more capacity by smaller reservations (measured before), faster prefill (its queue is short). Change: requests expected to take more than the mean ask a full engine later, in proportion, two and a half intervals at the most, so that large ones are served too. The new load test was not seen red: small requests had an advantage before, since they fit more often.

--- a/crates/arbutusfall_core/src/relay/balance.rs
+++ b/crates/arbutusfall_core/src/relay/balance.rs
@@ -30,8 +30,8 @@
     /// Whether one of them may be asked again if there is no other.
     pub(crate) may_go_back: bool,
     pub(crate) prompt_tokens: u32,
-    /// Time by which engines that refused are asked later; none for requests that can be on time.
-    pub(crate) late_delay: Option<Duration>,
+    /// Time by which engines that refused are asked later than by most requests, if at all.
+    pub(crate) ask_delay: Option<Duration>,
     pub(crate) now: Duration,
 }
 
@@ -44,7 +44,7 @@
     let serving: Vec<&Endpoint> = endpoints.serving(choice.service, choice.role).collect();
     let fresh = |endpoint: &&Endpoint| !choice.tried.contains(&endpoint.listed.instance);
     let usable = |endpoint: &&Endpoint| {
-        endpoint.health.is_usable(choice.now) && endpoint.ask_at(choice.late_delay) <= choice.now
+        endpoint.health.is_usable(choice.now) && endpoint.ask_at(choice.ask_delay) <= choice.now
     };
     let best: Vec<&Endpoint> = serving
         .iter()
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -51,6 +51,9 @@
         };
         let call = self.new_call(request, route, &routes);
         self.budget.on_request(&call.service, self.now);
+        if call.route.has_prompt {
+            self.waiting.pacing.on_asked(call.prompt().expected_cost());
+        }
         let id = call.request.call;
         self.timers.set(call.due_at, RelayTimer::CallDue(id));
         self.calls.insert(id, call);
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -118,10 +118,10 @@
         }
     }
 
-    /// Instant from which the engine may be asked for room. Requests that are late already ask so much later after a
-    /// refusal, and leave to others what this VM's streams free.
-    pub(crate) fn ask_at(&self, late_delay: Option<Duration>) -> Duration {
-        let room_at = match late_delay {
+    /// Instant from which the engine may be asked for room. Requests with a delay ask so much later after a refusal, and
+    /// leave to others what this VM's streams free.
+    pub(crate) fn ask_at(&self, delay: Option<Duration>) -> Duration {
+        let room_at = match delay {
             Some(delay) => self.full_until + delay,
             None if self.has_freed => Duration::ZERO,
             None => self.full_until,
--- a/crates/arbutusfall_core/src/relay/pacing.rs
+++ b/crates/arbutusfall_core/src/relay/pacing.rs
@@ -25,7 +25,14 @@
 
 /// Intervals for which an engine must not have refused before a request asks it that is late already. While memory is
 /// scarce, others ask sooner and get what becomes free.
-pub(crate) const LATE_INTERVALS: u32 = 8;
+const LATE_INTERVALS: f64 = 8.0;
+
+/// Most intervals for which an engine must not have refused before a large request asks it. A small limit, so that large
+/// requests are served too.
+const MAX_LARGE_INTERVALS: f64 = 2.5;
+
+/// Weight of the newest request in the mean cost.
+const NEWEST_COST_WEIGHT: f64 = 0.05;
 
 /// Share of asks that is taken to be granted at first.
 const INITIAL_GRANTED_SHARE: f64 = 0.5;
@@ -40,6 +47,8 @@
     interval: Duration,
     /// Running mean of the outcomes, 1 being all granted.
     granted_share: f64,
+    /// Running mean of what requests are expected to take; none before the first.
+    mean_cost: Option<f64>,
 }
 
 impl Default for Pacing {
@@ -47,6 +56,7 @@
         Self {
             interval: INITIAL_INTERVAL,
             granted_share: INITIAL_GRANTED_SHARE,
+            mean_cost: None,
         }
     }
 }
@@ -73,8 +83,24 @@
         self.granted_share * engines as f64 / self.interval.as_secs_f64()
     }
 
-    /// Time beyond the interval after which a late request may ask.
-    pub(crate) fn late_delay(&self) -> Duration {
-        self.interval * (LATE_INTERVALS - 1)
+    /// A request arrived that is expected to take so much.
+    pub(crate) fn on_asked(&mut self, cost: f64) {
+        let mean = self.mean_cost.unwrap_or(cost);
+        self.mean_cost = Some(mean + (cost - mean) * NEWEST_COST_WEIGHT);
+    }
+
+    /// Intervals after a refusal after which a request asks the engine again: one for small requests, more for those that
+    /// take more than the mean, since several small ones are served in the place of a large one; most for late ones.
+    pub(crate) fn intervals(&self, cost: f64, is_late: bool) -> f64 {
+        if is_late {
+            return LATE_INTERVALS;
+        }
+        let mean = self.mean_cost.unwrap_or(cost).max(1.0);
+        (cost / mean).clamp(1.0, MAX_LARGE_INTERVALS)
+    }
+
+    /// So many intervals as a time.
+    pub(crate) fn time(&self, intervals: f64) -> Duration {
+        self.interval.mul_f64(intervals)
     }
 }
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -88,8 +88,8 @@
             tried: &call.tried,
             may_go_back: call.may_have_run && call.route.may_repeat(),
             prompt_tokens: call.prompt().prompt_tokens,
-            late_delay: match stage {
-                CallStage::Reserve => self.late_delay(call),
+            ask_delay: match stage {
+                CallStage::Reserve => self.ask_delay(call),
                 _ => None,
             },
             now: self.now,
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -12,7 +12,6 @@
 use crate::relay::RelayTimer;
 use crate::relay::call::Call;
 use crate::relay::notice::millis;
-use crate::relay::pacing::LATE_INTERVALS;
 use crate::relay::pacing::Pacing;
 
 /// Shortest time between two looks at those that wait.
@@ -114,11 +113,7 @@
     fn is_crowded(&self, call: &Call) -> bool {
         let within = call.wait_until().saturating_sub(self.now);
         let is_first_try = call.spent_before.is_zero();
-        let grants_per_s = if is_first_try {
-            self.grants_per_s(call)
-        } else {
-            self.grants_per_s(call) / f64::from(LATE_INTERVALS)
-        };
+        let grants_per_s = self.grants_per_s(call) / self.ask_intervals(call);
         let expected = grants_per_s * within.as_secs_f64();
         let ahead = self.waiting.calls.iter();
         let ahead = ahead.filter(|id| !is_first_try || !self.is_late(**id));
@@ -239,10 +234,9 @@
     fn room_at(&self, call: &Call) -> Option<Duration> {
         let engines = self.endpoints.serving(&call.service, Role::Decode);
         let usable = engines.filter(|engine| engine.health.is_usable(self.now));
-        let late_delay = self.late_delay(call);
-        let earliest = usable.map(|engine| engine.ask_at(late_delay)).min()?;
-        let is_late = late_delay.is_some();
-        Some(if is_late {
+        let delay = self.ask_delay(call);
+        let earliest = usable.map(|engine| engine.ask_at(delay)).min()?;
+        Some(if self.is_late_start(call) {
             earliest.max(self.waiting.late_from)
         } else {
             earliest
@@ -251,16 +245,31 @@
 
     /// An engine refused a call for want of room; returns the time for which it is not asked again.
     pub(super) fn on_room_refused(&mut self, id: CallId) -> Duration {
-        let late_delay = self.calls.get(&id).and_then(|call| self.late_delay(call));
-        if let Some(delay) = late_delay {
+        let late = self.calls.get(&id).filter(|call| self.is_late_start(call));
+        if let Some(delay) = late.and_then(|call| self.ask_delay(call)) {
             self.waiting.late_from = self.now + delay;
         }
         self.waiting.pacing.on_refused(&mut self.rng)
     }
 
-    /// Time by which a call that is late already asks later than others; none if it can be on time, or has begun.
-    pub(super) fn late_delay(&self, call: &Call) -> Option<Duration> {
-        let is_late = self.is_late(call.request.call) && !call.is_forwarded;
-        is_late.then(|| self.waiting.pacing.late_delay())
+    /// Time by which a call asks later than others after a refusal; none if it is small and can be on time, or has begun.
+    pub(super) fn ask_delay(&self, call: &Call) -> Option<Duration> {
+        let beyond = self.ask_intervals(call) - 1.0;
+        (beyond > 0.0).then(|| self.waiting.pacing.time(beyond))
+    }
+
+    /// Intervals after a refusal after which a call asks an engine again.
+    fn ask_intervals(&self, call: &Call) -> f64 {
+        if call.is_forwarded {
+            return 1.0;
+        }
+        let cost = call.prompt().expected_cost();
+        let pacing = &self.waiting.pacing;
+        pacing.intervals(cost, self.is_late_start(call))
+    }
+
+    /// Whether a call has not begun and would miss its target.
+    fn is_late_start(&self, call: &Call) -> bool {
+        !call.is_forwarded && self.is_late(call.request.call)
     }
 }
--- a/crates/arbutusfall_core/tests/it/relay_load.rs
+++ b/crates/arbutusfall_core/tests/it/relay_load.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::relay_play::Play;
+use crate::relay_play::Sizes;
 use crate::relay_world::ms;
 
 const SEEDS: std::ops::Range<u64> = 0..5;
@@ -97,3 +98,23 @@
         );
     }
 }
+
+/// An overload that lasts, with requests of all sizes: more small ones are served than large ones, and large ones still
+/// get a good part.
+#[test]
+fn small_requests_go_first_and_large_ones_are_served_too() {
+    for seed in SEEDS {
+        let mut play = Play::new(20, 4, 16, seed);
+        play.arrive(60.0, Duration::from_secs(30));
+        play.finish();
+        let [small, large] = &play.outcomes.by_size;
+        let share = |size: &Sizes| size.served as f64 / size.asked.max(1) as f64;
+        let (of_small, of_large) = (share(small), share(large));
+        assert!(of_small > of_large, "seed {seed}: {:?}", play.outcomes);
+        assert!(
+            of_large > of_small * 0.5,
+            "seed {seed}: {:?}",
+            play.outcomes
+        );
+    }
+}
--- a/crates/arbutusfall_core/tests/it/relay_play.rs
+++ b/crates/arbutusfall_core/tests/it/relay_play.rs
@@ -39,6 +39,16 @@
 /// Tokens that an engine's memory holds.
 const MEMORY_TOKENS: u64 = 107_368;
 
+/// Prompt tokens from which on a request is counted as large.
+const LARGE_PROMPT_TOKENS: u32 = 6_500;
+
+/// Requests of one size.
+#[derive(Debug, Default)]
+pub(crate) struct Sizes {
+    pub(crate) asked: usize,
+    pub(crate) served: usize,
+}
+
 /// What became of the requests.
 #[derive(Debug, Default)]
 pub(crate) struct Outcomes {
@@ -52,6 +62,8 @@
     pub(crate) longest_refusal: Duration,
     pub(crate) prefills: usize,
     pub(crate) decodes: usize,
+    /// Requests with small prompts, and with large ones.
+    pub(crate) by_size: [Sizes; 2],
     /// Asks for room.
     pub(crate) asks: usize,
     /// Callers that came back after a refusal.
@@ -176,6 +188,7 @@
             expected_output_tokens: Some(hint as u32 * EVENT_TOKENS as u32),
         };
         self.outcomes.asked += 1;
+        self.outcomes.by_size[size_of(prompt.prompt_tokens)].asked += 1;
         self.send_request(Open {
             first_asked_at: self.now,
             asked_at: self.now,
@@ -299,6 +312,7 @@
                     let is_on_time = self.now <= open.first_asked_at + ms(900);
                     self.outcomes.on_time += usize::from(is_on_time);
                     self.outcomes.late += usize::from(!is_on_time);
+                    self.outcomes.by_size[size_of(open.prompt_tokens)].served += 1;
                 }
             }
             RelayEffect::Finish { call } => {
@@ -401,3 +415,7 @@
         }
     }
 }
+
+fn size_of(prompt_tokens: u32) -> usize {
+    usize::from(prompt_tokens >= LARGE_PROMPT_TOKENS)
+}
