--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -129,11 +129,17 @@
         room_at.max(self.refusing_until)
     }
 
-    /// The engine refused a request for which it had reserved memory.
-    pub(crate) fn on_reservation_refused(&mut self, now: Duration) {
+    /// The engine refused a request for which it had reserved memory; returns what is worth a log line.
+    pub(crate) fn on_reservation_refused(&mut self, now: Duration) -> RelayNotice {
         let refusing = FIRST_REFUSING * (1 << self.refusals.min(8));
-        self.refusing_until = now + refusing.min(MAX_REFUSING);
+        let avoided = refusing.min(MAX_REFUSING);
+        self.refusing_until = now + avoided;
         self.refusals += 1;
+        RelayNotice::EngineRefusing {
+            instance: self.listed.instance.clone(),
+            refusals: self.refusals,
+            avoided_ms: millis(avoided),
+        }
     }
 
     /// The engine began a stream.
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -48,6 +48,15 @@
         /// Time for which it is avoided.
         avoided_ms: u64,
     },
+    /// An engine refused a request for which it had reserved memory, and is left alone for a while.
+    EngineRefusing {
+        /// Instance.
+        instance: Name,
+        /// Such refusals in a row.
+        refusals: u32,
+        /// Time for which it is left alone.
+        avoided_ms: u64,
+    },
     /// The platform's store answers, or does not.
     Store {
         /// Whether it answers.
@@ -178,6 +187,7 @@
             Self::EndpointListed { .. } => "endpoint_listed",
             Self::EndpointGone { .. } => "endpoint_gone",
             Self::EndpointAvoided { .. } => "endpoint_avoided",
+            Self::EngineRefusing { .. } => "engine_refusing",
             Self::Store { .. } => "store",
             Self::Sent { .. } => "sent",
             Self::Waiting { .. } => "waiting",
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -256,10 +256,11 @@
             return;
         };
         endpoint.set_full_until(now + REFUSING_FOR);
+        let mut notice = None;
         match current.stage {
             // Most likely it changes its role, which takes seconds.
             CallStage::Prefill => endpoint.health.on_failure(now),
-            CallStage::Decode { .. } => endpoint.on_reservation_refused(now),
+            CallStage::Decode { .. } => notice = Some(endpoint.on_reservation_refused(now)),
             CallStage::Plain | CallStage::Reserve => {}
         }
         let is_sourced = current.stage == (CallStage::Decode { has_source: true });
@@ -268,6 +269,9 @@
         {
             source.on_result_refused(now);
         }
+        if let Some(notice) = notice {
+            self.note(notice);
+        }
     }
 
     pub(super) fn on_failed(&mut self, id: CallId, failure: ExchangeFailure) {
--- a/crates/arbutusfall_core/tests/it/relay_calls.rs
+++ b/crates/arbutusfall_core/tests/it/relay_calls.rs
@@ -518,6 +518,8 @@
     world.ask("/draft/1");
     let refused = world.bring_to_decode();
     world.tell(refused.exchange, REFUSED);
+    let is_told = |effect: &RelayEffect| matches!(effect, RelayEffect::Note(notice) if notice.name() == "engine_refusing");
+    assert!(world.effects.iter().any(is_told), "the log tells");
     world.take_sends();
     for index in 0..10 {
         world.pass(ms(150));
