--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -16,6 +16,7 @@
 mod pacing;
 mod prompt;
 mod roles;
+mod room;
 mod routes;
 mod sending;
 mod waiting;
