--- a/crates/arbutusfall_core/tests/it/relay_roles.rs
+++ b/crates/arbutusfall_core/tests/it/relay_roles.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use arbutusfall_core::config::Role;
+use arbutusfall_core::relay::DirectoryChange;
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::LeaseAnswer;
 use arbutusfall_core::relay::RelayEffect;
@@ -48,14 +49,22 @@
     }
 }
 
-fn world_with_idle_prefill() -> World {
+/// A relay that knows so many prefill engines and decode engines, two of each at least.
+fn world_with(prefill: usize, decode: usize) -> World {
     let mut world = World::start(1);
-    let more = (3..6).map(|index| listed(&format!("prefill-{index}"), "captions", Role::Prefill));
-    let more = more.map(arbutusfall_core::relay::DirectoryChange::Listed);
+    let engine =
+        |name: &str, index: usize, role| listed(&format!("{name}-{index}"), "captions", role);
+    let prefill = (3..=prefill).map(|index| engine("prefill", index, Role::Prefill));
+    let decode = (3..=decode).map(|index| engine("decode", index, Role::Decode));
+    let more = prefill.chain(decode).map(DirectoryChange::Listed);
     world.apply(RelayEvent::Directory(more.collect()));
     world
 }
 
+fn world_with_idle_prefill() -> World {
+    world_with(5, 2)
+}
+
 #[test]
 fn holder_turns_idle_prefill_engines_into_decode_engines() {
     let mut world = world_with_idle_prefill();
@@ -69,13 +78,7 @@
 /// quarter of all engines at the most, and some prefill engines stay.
 #[test]
 fn many_idle_prefill_engines_change_together() {
-    let mut world = World::start(1);
-    let prefill =
-        (3..20).map(|index| listed(&format!("prefill-{index}"), "captions", Role::Prefill));
-    let decode = (3..38).map(|index| listed(&format!("decode-{index}"), "captions", Role::Decode));
-    let more = prefill.chain(decode);
-    let more = more.map(arbutusfall_core::relay::DirectoryChange::Listed);
-    world.apply(RelayEvent::Directory(more.collect()));
+    let mut world = world_with(19, 37);
     pass_with_lease(&mut world, LEASE, LeaseAnswer::Held { token: 7 });
     use_decode(&mut world, 10);
     pass_with_lease(&mut world, ms(4_000), LeaseAnswer::Held { token: 7 });
@@ -87,22 +90,12 @@
 /// Load that begins: prefills come first, and streams of seconds end only later. Roles that fit the load stay.
 #[test]
 fn start_of_a_load_changes_no_role_that_fits_it() {
-    let mut world = World::start(1);
-    let more = (3..8).map(|index| listed(&format!("decode-{index}"), "captions", Role::Decode));
-    let more = more.map(arbutusfall_core::relay::DirectoryChange::Listed);
-    world.apply(RelayEvent::Directory(more.collect()));
+    let mut world = world_with(2, 7);
     pass_with_lease(&mut world, LEASE, LeaseAnswer::Held { token: 7 });
     let mut streams = std::collections::VecDeque::new();
     for index in 0..60 {
         world.ask(&format!("/album/{index}"));
-        let reserve = world.take_send();
-        let reservation = "r".into();
-        world.tell(reserve.exchange, ExchangeEvent::Reserved { reservation });
-        let prefill = world.take_send();
-        world.pass(ms(94));
-        let handle = "h".into();
-        world.tell(prefill.exchange, ExchangeEvent::PrefillDone { handle });
-        let decode = world.take_send();
+        let decode = world.bring_to_decode_in(ms(94));
         world.tell(decode.exchange, ExchangeEvent::StreamBegan);
         streams.push_back((world.now, decode.exchange));
         pass_with_lease(&mut world, ms(150), LeaseAnswer::Held { token: 7 });
@@ -186,7 +179,7 @@
     let mut world = World::start(1);
     let gone = ["prefill-2"].map(|instance| {
         let instance = instance.into();
-        arbutusfall_core::relay::DirectoryChange::Removed { instance }
+        DirectoryChange::Removed { instance }
     });
     world.apply(RelayEvent::Directory(gone.into()));
     pass_with_lease(&mut world, LEASE, LeaseAnswer::Held { token: 7 });
@@ -197,21 +190,11 @@
 
 #[test]
 fn prefill_that_takes_long_gets_more_engines() {
-    let mut world = World::start(1);
-    let more = (3..9).map(|index| listed(&format!("decode-{index}"), "captions", Role::Decode));
-    let more = more.map(arbutusfall_core::relay::DirectoryChange::Listed);
-    world.apply(RelayEvent::Directory(more.collect()));
+    let mut world = world_with(2, 8);
     pass_with_lease(&mut world, LEASE, LeaseAnswer::Held { token: 7 });
     for index in 0..30 {
         world.ask(&format!("/album/{index}"));
-        let reserve = world.take_send();
-        let reservation = "r".into();
-        world.tell(reserve.exchange, ExchangeEvent::Reserved { reservation });
-        let prefill = world.take_send();
-        world.pass(ms(500));
-        let handle = "h".into();
-        world.tell(prefill.exchange, ExchangeEvent::PrefillDone { handle });
-        let decode = world.take_send();
+        let decode = world.bring_to_decode_in(ms(500));
         world.tell(decode.exchange, ExchangeEvent::StreamBegan);
         world.tell(decode.exchange, ExchangeEvent::Complete { status: 200 });
         world.apply(RelayEvent::Lease(LeaseAnswer::Held { token: 7 }));
@@ -223,26 +206,13 @@
 /// Streams of one VM are a small sample: a split that is off by less than the sample tells stays as it is.
 #[test]
 fn split_that_is_nearly_right_stays() {
-    let mut world = World::start(1);
-    let prefill =
-        (3..9).map(|index| listed(&format!("prefill-{index}"), "captions", Role::Prefill));
-    let decode = (3..39).map(|index| listed(&format!("decode-{index}"), "captions", Role::Decode));
-    let more = prefill.chain(decode);
-    let more = more.map(arbutusfall_core::relay::DirectoryChange::Listed);
-    world.apply(RelayEvent::Directory(more.collect()));
+    let mut world = world_with(8, 38);
     pass_with_lease(&mut world, LEASE, LeaseAnswer::Held { token: 7 });
     for index in 0..40 {
         // Answers of five seconds and, by turns, of four.
         let streams_for = if index / 8 % 2 == 0 { 5_000 } else { 4_000 };
         world.ask(&format!("/album/{index}"));
-        let reserve = world.take_send();
-        let reservation = "r".into();
-        world.tell(reserve.exchange, ExchangeEvent::Reserved { reservation });
-        let prefill = world.take_send();
-        world.pass(ms(94));
-        let handle = "h".into();
-        world.tell(prefill.exchange, ExchangeEvent::PrefillDone { handle });
-        let decode = world.take_send();
+        let decode = world.bring_to_decode_in(ms(94));
         world.tell(decode.exchange, ExchangeEvent::StreamBegan);
         pass_with_lease(&mut world, ms(streams_for), LeaseAnswer::Held { token: 7 });
         world.tell(decode.exchange, ExchangeEvent::Complete { status: 200 });
--- a/crates/arbutusfall_core/tests/it/relay_world.rs
+++ b/crates/arbutusfall_core/tests/it/relay_world.rs
@@ -233,12 +233,20 @@
 
     /// Lets the newest model request be reserved and prefilled.
     pub(crate) fn bring_to_decode(&mut self) -> SendOrder {
+        self.bring_to_decode_in(Duration::ZERO)
+    }
+
+    /// The same with a prefill that takes some time.
+    pub(crate) fn bring_to_decode_in(&mut self, prefill_time: Duration) -> SendOrder {
         let reserve = self.take_send();
         assert!(matches!(reserve.work, Work::Reserve { .. }));
         let reservation = "reservation".into();
         self.tell(reserve.exchange, ExchangeEvent::Reserved { reservation });
         let prefill = self.take_send();
         assert_eq!(prefill.work, Work::Prefill);
+        if !prefill_time.is_zero() {
+            self.pass(prefill_time);
+        }
         let handle = "handle".into();
         self.tell(prefill.exchange, ExchangeEvent::PrefillDone { handle });
         let decode = self.take_send();
--- a/crates/arbutusfall_standins/tests/it/drain.rs
+++ b/crates/arbutusfall_standins/tests/it/drain.rs
@@ -37,32 +37,27 @@
     format!("{}caption {number}", "abc ".repeat(3_000))
 }
 
-/// Asks for a stream; comes back when a VM says so, as callers do: a VM refuses in truth when no owner answers it in time.
-fn patient_stream(
+/// Asks for a stream. Some callers come back when a VM tells them to: it refuses in truth when no owner answers it in time.
+fn stream(
     fleet: &Fleet,
     vm: usize,
     number: usize,
+    comes_back: bool,
 ) -> Task<Result<Completion, CallerError>> {
     let caller = caller(fleet);
     let address = fleet.vms[vm].caller_address;
     let model = fleet.site.model;
     fleet.executor.spawn(async move {
         let prompt = prompt(number);
-        caller
-            .complete_coming_back(address, model, &prompt, MAX_TOKENS, None)
-            .await
-    })
-}
-
-fn stream(fleet: &Fleet, vm: usize, number: usize) -> Task<Result<Completion, CallerError>> {
-    let caller = caller(fleet);
-    let address = fleet.vms[vm].caller_address;
-    let model = fleet.site.model;
-    fleet.executor.spawn(async move {
-        let prompt = prompt(number);
-        caller
-            .complete(address, model, &prompt, MAX_TOKENS, None)
-            .await
+        if comes_back {
+            caller
+                .complete_coming_back(address, model, &prompt, MAX_TOKENS, None)
+                .await
+        } else {
+            caller
+                .complete(address, model, &prompt, MAX_TOKENS, None)
+                .await
+        }
     })
 }
 
@@ -128,7 +123,7 @@
     for vm in 0..2 {
         for number in 0..6 {
             let number = vm * 10 + number;
-            streams.push((number, patient_stream(&fleet, vm, number)));
+            streams.push((number, stream(&fleet, vm, number, true)));
         }
     }
     wait_in_progress(&fleet, &[0, 1], "streams", 6);
@@ -146,7 +141,9 @@
         let refused = || fleet.get(address, "/ready").is_err();
         fleet.wait_for("not ready", refused).expect("not ready");
     }
-    let late = fleet.block_on(stream(&fleet, 0, 99)).expect("an answer");
+    let late = fleet
+        .block_on(stream(&fleet, 0, 99, false))
+        .expect("an answer");
     assert_eq!(late.status, 503);
     assert!(late.retry_after.is_some());
     for (number, task) in streams {
