Relay: log lines and metrics tell a late, an ignored and an overdue configuration apart

Cause: from the lines of a VM nobody could tell which topic's reads failed, how long the configuration had been unread, whether a version was read and ignored, or which version and route a refused request had; and requests on added routes were not counted apart.

Change: 'store' per topic with reason and time without a read; config_in_force with the replaced version and the time without a read; config_ignored; route and version on request lines; late_ms; counters of requests on first and on added routes; version in force and its age as metrics. No logic is changed: the relay still takes the last read of either topic as the store's state.

Result: five new tests of the lines pass; core, platform and process tests pass.

--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -57,7 +57,7 @@
     pub(super) executor: Arc<Executor>,
     control: ControlClient,
     log: DecisionLog,
-    pub(super) metrics: Metrics,
+    metrics: Metrics,
     clock: SystemClock,
     ready: AtomicBool,
     limits: Mutex<CallerLimits>,
@@ -122,6 +122,12 @@
         lock(&self.limits).clone()
     }
 
+    /// Returns the counters, quantiles and the configuration in force as text.
+    pub(super) fn metrics_text(&self) -> String {
+        let config = lock(&self.relay).config_status(self.clock.now().monotonic);
+        self.metrics.text(config)
+    }
+
     /// Queues an event and handles all queued events. A nested call, made while an effect is performed, only queues the
     /// event.
     pub(super) fn submit(self: &Arc<Self>, event: RelayEvent) {
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
+use arbutusfall_core::relay::ConfigStatus;
 use arbutusfall_core::relay::RelayNotice;
 use hdrhistogram::Histogram;
 
@@ -26,6 +27,8 @@
 #[derive(Debug, Default)]
 struct State {
     notice_counts: BTreeMap<(&'static str, &'static str), u64>,
+    /// Ended requests by whether their route was added, and their outcome.
+    request_counts: BTreeMap<(bool, &'static str), u64>,
     latencies: BTreeMap<&'static str, Histogram<u32>>,
 }
 
@@ -35,6 +38,11 @@
         *self.notice_counts.entry((event, reason)).or_default() += 1;
     }
 
+    fn count_request(&mut self, is_added_route: bool, outcome: &'static str) {
+        let count = self.request_counts.entry((is_added_route, outcome));
+        *count.or_default() += 1;
+    }
+
     fn record(&mut self, name: &'static str, latency_ms: u64) {
         if !self.latencies.contains_key(name) {
             // Never fails, because the constant bounds are valid.
@@ -55,15 +63,33 @@
     pub(super) fn on_notice(&self, notice: &RelayNotice) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         match notice {
-            RelayNotice::GivenUp { reason, .. } => state.count(notice.name(), reason),
+            RelayNotice::GivenUp {
+                reason,
+                route,
+                is_added_route,
+                late_ms,
+                ..
+            } => {
+                state.count(notice.name(), reason);
+                if route.is_some() {
+                    state.count_request(*is_added_route, "given_up");
+                }
+                if *reason == "timeout" {
+                    state.record("late", *late_ms);
+                }
+            }
             RelayNotice::ExchangeFailed { reason, .. } => state.count(notice.name(), reason),
             RelayNotice::Sent { work, .. } => state.count(notice.name(), work),
+            RelayNotice::ConfigIgnored { reason, .. } => state.count(notice.name(), reason),
+            RelayNotice::Store { topic, .. } => state.count(notice.name(), topic.name()),
             RelayNotice::Answered {
+                is_added_route,
                 after_ms,
                 first_event_ms,
                 ..
             } => {
                 state.count(notice.name(), "");
+                state.count_request(*is_added_route, "answered");
                 state.record("answer", *after_ms);
                 if let Some(first_event_ms) = first_event_ms {
                     state.record("first_event", *first_event_ms);
@@ -73,19 +99,43 @@
         }
     }
 
-    /// Returns all counters and quantiles in the exposition format.
-    pub(super) fn text(&self) -> String {
+    /// Returns all counters, quantiles and values of the configuration in force in the exposition format.
+    pub(super) fn text(&self, config: Option<ConfigStatus>) -> String {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut text = String::from("# TYPE arbutusfall_events_total counter\n");
-        for ((event, reason), count) in &state.notice_counts {
-            // Writing to a string cannot fail.
+        let mut text = String::new();
+        state.write_counters(&mut text);
+        state.write_latencies(&mut text);
+        if let Some(config) = config {
+            write_config(&mut text, config);
+        }
+        text
+    }
+}
+
+// Writing to a string cannot fail.
+
+impl State {
+    fn write_counters(&self, text: &mut String) {
+        text.push_str("# TYPE arbutusfall_events_total counter\n");
+        for ((event, reason), count) in &self.notice_counts {
             let _ = writeln!(
                 text,
                 "arbutusfall_events_total{{event=\"{event}\",reason=\"{reason}\"}} {count}"
             );
         }
+        text.push_str("# TYPE arbutusfall_requests_total counter\n");
+        for ((is_added_route, outcome), count) in &self.request_counts {
+            let routes = if *is_added_route { "added" } else { "first" };
+            let _ = writeln!(
+                text,
+                "arbutusfall_requests_total{{routes=\"{routes}\",outcome=\"{outcome}\"}} {count}"
+            );
+        }
+    }
+
+    fn write_latencies(&self, text: &mut String) {
         text.push_str("# TYPE arbutusfall_latency_milliseconds summary\n");
-        for (name, histogram) in &state.latencies {
+        for (name, histogram) in &self.latencies {
             for quantile in QUANTILES {
                 let value = histogram.value_at_quantile(quantile);
                 let _ = writeln!(
@@ -99,6 +149,16 @@
                 "arbutusfall_latency_milliseconds_count{{of=\"{name}\"}} {count}"
             );
         }
-        text
     }
 }
+
+fn write_config(text: &mut String, config: ConfigStatus) {
+    let unread_ms = config.unread_for.as_millis();
+    let _ = writeln!(
+        text,
+        "# TYPE arbutusfall_config_version gauge\narbutusfall_config_version {}\n\
+         # TYPE arbutusfall_config_routes gauge\narbutusfall_config_routes {}\n\
+         # TYPE arbutusfall_config_unread_milliseconds gauge\narbutusfall_config_unread_milliseconds {unread_ms}",
+        config.version, config.routes
+    );
+}
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -7,7 +7,7 @@
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayNotice;
 use arbutusfall_core::relay::RelaySettings;
-use arbutusfall_platform::store::Topic;
+use arbutusfall_core::relay::StoreTopic;
 use async_signal::Signal;
 use async_signal::Signals;
 use error_stack::Report;
@@ -75,9 +75,9 @@
     let log = log.change_context(ServeError::Log)?;
     let driver = Arc::new(Driver::new(relay, control, log, executor.clone()));
     let topics = [
-        (Topic::Config, settings.config_wait(), Duration::ZERO),
+        (StoreTopic::Config, settings.config_wait(), Duration::ZERO),
         (
-            Topic::Endpoints,
+            StoreTopic::Endpoints,
             Duration::ZERO,
             settings.endpoint_list_pause(),
         ),
@@ -126,7 +126,7 @@
     let executor = driver.executor.clone();
     let handler = move |request: Request<Incoming>| {
         let answer = if request.uri().path() == METRICS_PATH {
-            Response::new(AnswerBody::whole(driver.metrics.text()))
+            Response::new(AnswerBody::whole(driver.metrics_text()))
         } else {
             readiness(driver.is_ready())
         };
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -6,11 +6,12 @@
 
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_core::relay::StoreReadFailure;
+use arbutusfall_core::relay::StoreTopic;
 use arbutusfall_platform::config::parse_config;
 use arbutusfall_platform::directory::parse_entry;
 use arbutusfall_platform::store;
 use arbutusfall_platform::store::KeyedRecord;
-use arbutusfall_platform::store::Topic;
 use arbutusfall_wire::Offset;
 use hyper::Method;
 use hyper::body::Bytes;
@@ -30,7 +31,7 @@
 pub(super) struct StoreWatch {
     pub(super) driver: Arc<Driver>,
     pub(super) address: SocketAddr,
-    pub(super) topic: Topic,
+    pub(super) topic: StoreTopic,
     /// Long-polling wait of a tail read.
     pub(super) wait: Duration,
     /// Delay between two successful reads.
@@ -56,7 +57,7 @@
             };
             match read {
                 Ok(next) => {
-                    self.driver.submit(RelayEvent::StoreReachable(true));
+                    self.submit_read(None);
                     delay = FIRST_RETRY_DELAY;
                     from = Some(next);
                     if !self.pause.is_zero() {
@@ -66,7 +67,7 @@
                 Err(WatchError::Deleted) => from = None,
                 Err(WatchError::Failed(error)) => {
                     log::debug!("reading from the store failed: {error}");
-                    self.driver.submit(RelayEvent::StoreReachable(false));
+                    self.submit_read(Some(read_failure(&error)));
                     async_io::Timer::after(delay).await;
                     delay = (delay * 2).min(MAX_RETRY_DELAY);
                 }
@@ -74,6 +75,11 @@
         }
     }
 
+    fn submit_read(&self, failure: Option<StoreReadFailure>) {
+        let topic = self.topic;
+        self.driver.submit(RelayEvent::StoreRead { topic, failure });
+    }
+
     async fn get(&self, path: &str, wait: Duration) -> Result<Bytes, ClientError> {
         let timeout = wait + STORE_REQUEST_TIMEOUT;
         let executor = &self.driver.executor;
@@ -120,8 +126,8 @@
 
     fn submit_records(&self, records: Vec<KeyedRecord>, is_full_list: bool) {
         match self.topic {
-            Topic::Config => self.submit_config(records),
-            Topic::Endpoints => self.submit_endpoints(records, is_full_list),
+            StoreTopic::Config => self.submit_config(records),
+            StoreTopic::Endpoints => self.submit_endpoints(records, is_full_list),
         }
     }
 
@@ -138,7 +144,8 @@
         match parse_config(document) {
             Ok(config) => self.driver.submit(RelayEvent::NewConfig(Arc::new(config))),
             Err(error) => {
-                log::error!("a configuration version cannot be parsed and is ignored: {error}")
+                log::error!("a configuration version cannot be parsed and is ignored: {error}");
+                self.driver.submit(RelayEvent::UnreadableConfig);
             }
         }
     }
@@ -169,3 +176,13 @@
         }
     }
 }
+
+fn read_failure(error: &ClientError) -> StoreReadFailure {
+    match error {
+        ClientError::Connect => StoreReadFailure::Unreachable,
+        ClientError::Broken => StoreReadFailure::Closed,
+        ClientError::Timeout => StoreReadFailure::Silent,
+        ClientError::Status(_) => StoreReadFailure::ErrorStatus,
+        ClientError::Malformed => StoreReadFailure::Malformed,
+    }
+}
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -13,6 +13,7 @@
 mod budget;
 mod call;
 mod calls;
+mod configuration;
 mod effect;
 mod endpoints;
 mod event;
@@ -23,6 +24,7 @@
 mod roles;
 mod routes;
 mod sending;
+mod store_view;
 mod token_counts;
 mod waiting;
 
@@ -30,6 +32,7 @@
 use std::time::Duration;
 
 use arbutusfall_wire::FastMap;
+use arbutusfall_wire::FastSet;
 use arbutusfall_wire::Name;
 
 use crate::CallId;
@@ -40,8 +43,10 @@
 use endpoints::Endpoints;
 use lease::Lease;
 use roles::Roles;
+use store_view::StoreView;
 use waiting::WaitQueue;
 
+pub use configuration::ConfigStatus;
 pub use effect::*;
 pub use event::*;
 pub use lease::LeaseAnswer;
@@ -86,8 +91,10 @@
 pub struct Relay {
     /// Newest configuration; none until the first is read.
     routes: Option<Arc<RouteTable>>,
+    /// Routes of the first configuration.
+    first_routes: FastSet<Name>,
     endpoints: Endpoints,
-    is_store_reachable: bool,
+    store: StoreView,
     is_draining: bool,
     is_ready: bool,
     calls: FastMap<CallId, Call>,
@@ -113,8 +120,9 @@
     pub fn new(settings: &RelaySettings, seed: u64) -> Self {
         Self {
             routes: None,
+            first_routes: FastSet::default(),
             endpoints: Endpoints::default(),
-            is_store_reachable: true,
+            store: StoreView::default(),
             is_draining: false,
             is_ready: false,
             calls: FastMap::default(),
@@ -153,9 +161,10 @@
         match event {
             RelayEvent::Started => self.on_started(),
             RelayEvent::Tick => self.on_tick(),
-            RelayEvent::NewConfig(routes) => self.on_routes(routes),
+            RelayEvent::NewConfig(routes) => self.on_new_config(routes),
+            RelayEvent::UnreadableConfig => self.on_unreadable_config(),
             RelayEvent::EndpointChanges(changes) => self.on_endpoint_changes(changes),
-            RelayEvent::StoreReachable(reachable) => self.on_store_reachable(reachable),
+            RelayEvent::StoreRead { topic, failure } => self.on_store_read(topic, failure),
             RelayEvent::RequestReceived(request) => self.on_request(request),
             RelayEvent::CallerGone { call } => self.on_caller_gone(call),
             RelayEvent::Exchange { exchange, event } => self.on_exchange(exchange, event),
@@ -186,19 +195,6 @@
         }
     }
 
-    /// Puts a configuration in force unless one of the same or a newer version already is.
-    fn on_routes(&mut self, routes: Arc<RouteTable>) {
-        let current = self.routes.as_ref().map(|routes| routes.version);
-        if current.is_some_and(|current| current >= routes.version) {
-            return;
-        }
-        self.note(RelayNotice::ConfigInForce {
-            version: routes.version,
-            routes: routes.routes.len(),
-        });
-        self.routes = Some(routes);
-    }
-
     fn on_endpoint_changes(&mut self, changes: Vec<EndpointListChange>) {
         let removes = changes
             .iter()
@@ -219,17 +215,6 @@
         }
     }
 
-    fn on_store_reachable(&mut self, reachable: bool) {
-        if reachable == self.is_store_reachable {
-            return;
-        }
-        self.is_store_reachable = reachable;
-        if reachable {
-            self.endpoints.on_store_recovered(self.now);
-        }
-        self.note(RelayNotice::Store { reachable });
-    }
-
     fn on_terminate(&mut self) {
         if self.is_draining {
             return;
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -137,10 +137,14 @@
         };
         self.note(RelayNotice::GivenUp {
             request_id: request.request_id.clone(),
+            route: None,
+            is_added_route: false,
+            config_version: self.config_version(),
             status: Some(kind.status()),
             reason: kind.slug(),
             retry_after_ms: problem.retry_after.map(millis),
             after_ms: 0,
+            late_ms: 0,
         });
         self.effects.push(RelayEffect::AnswerProblem {
             call: request.call,
@@ -236,10 +240,14 @@
         };
         self.note(RelayNotice::GivenUp {
             request_id: call.request.request_id.clone(),
+            route: Some(call.route.name.clone()),
+            is_added_route: self.is_added_route(&call.route),
+            config_version: Some(call.config_version),
             status: (!call.has_stream_started).then(|| problem.kind.status()),
             reason,
             retry_after_ms: problem.retry_after.map(millis),
             after_ms: millis(self.now.saturating_sub(call.arrived_at)),
+            late_ms: millis(self.now.saturating_sub(call.due_at)),
         });
         self.effects.push(effect);
     }
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use arbutusfall_wire::Name;
+use serde::Serialize;
 
 use crate::CallId;
 use crate::config::Role;
@@ -25,10 +26,17 @@
     Tick,
     /// A version of the configuration was read.
     NewConfig(Arc<RouteTable>),
+    /// A version of the configuration was read that cannot be parsed.
+    UnreadableConfig,
     /// Changes to the endpoint list were read, oldest first.
     EndpointChanges(Vec<EndpointListChange>),
-    /// The platform's store became reachable (true) or unreachable (false).
-    StoreReachable(bool),
+    /// A read of the platform's store succeeded or failed.
+    StoreRead {
+        /// Topic that was read.
+        topic: StoreTopic,
+        /// Why the read failed; `None` if it succeeded.
+        failure: Option<StoreReadFailure>,
+    },
     /// A caller sent a request.
     RequestReceived(RelayRequest),
     /// The caller's connection closed before its answer was complete.
@@ -56,6 +64,42 @@
     Terminate,
 }
 
+/// A topic of the platform's store that the relay follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StoreTopic {
+    /// The operator's configuration.
+    Config,
+    /// The list of endpoints.
+    Endpoints,
+}
+
+impl StoreTopic {
+    /// Returns the name in log lines and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Endpoints => "endpoints",
+        }
+    }
+}
+
+/// Why a read of the store failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StoreReadFailure {
+    /// No connection could be opened.
+    Unreachable,
+    /// The connection failed.
+    Closed,
+    /// No complete answer arrived in time.
+    Silent,
+    /// The store answered with an error status.
+    ErrorStatus,
+    /// The answer is malformed.
+    Malformed,
+}
+
 /// A change to the endpoint list.
 #[derive(Debug, Clone, PartialEq)]
 pub enum EndpointListChange {
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -5,6 +5,9 @@
 use arbutusfall_wire::Name;
 use serde::Serialize;
 
+use crate::relay::StoreReadFailure;
+use crate::relay::StoreTopic;
+
 /// A log line: a decision about a request, or a change in the VM's state.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -26,6 +29,20 @@
         version: u64,
         /// Number of routes.
         routes: usize,
+        /// Version that it replaces; none for the first one.
+        replaced_version: Option<u64>,
+        /// Time since the read of the configuration before this one: the longest time for which the version may have
+        /// been in the store without being read. None for the first read.
+        unread_ms: Option<u64>,
+    },
+    /// A version of the configuration was read but not put in force.
+    ConfigIgnored {
+        /// The version, if it could be parsed.
+        version: Option<u64>,
+        /// Version that stays in force.
+        in_force: Option<u64>,
+        /// `older` or `malformed`.
+        reason: &'static str,
     },
     /// An endpoint is listed for the first time or with changed values.
     EndpointListed {
@@ -57,10 +74,16 @@
         /// Time for which it is avoided.
         avoided_ms: u64,
     },
-    /// The platform's store became reachable or unreachable.
+    /// Reads of a topic of the platform's store start to succeed or to fail.
     Store {
+        /// The topic.
+        topic: StoreTopic,
         /// Whether it is reachable.
         reachable: bool,
+        /// Why the read failed; none if it succeeded.
+        reason: Option<StoreReadFailure>,
+        /// Time since the topic's last successful read; none if there was none.
+        unread_ms: Option<u64>,
     },
     /// A request was sent to an endpoint.
     Sent {
@@ -68,6 +91,8 @@
         request_id: Name,
         /// Instance that it was sent to.
         instance: Name,
+        /// Name of the request's route.
+        route: Name,
         /// Work requested of the endpoint.
         work: &'static str,
         /// Number of exchanges sent for the request so far, including this one.
@@ -103,6 +128,8 @@
     Answered {
         /// Id that the caller gave to the request.
         request_id: Name,
+        /// Whether the request's route is missing in the first configuration that this process read.
+        is_added_route: bool,
         /// HTTP status.
         status: u16,
         /// Time since the request arrived.
@@ -114,6 +141,12 @@
     GivenUp {
         /// Id that the caller gave to the request.
         request_id: Name,
+        /// Name of the request's route; none if no route matches.
+        route: Option<Name>,
+        /// Whether the request's route is missing in the first configuration that this process read.
+        is_added_route: bool,
+        /// Version of the configuration that applies to the request; none before the first.
+        config_version: Option<u64>,
         /// HTTP status; none if a started stream was aborted.
         status: Option<u16>,
         /// Reason of the refusal or failure.
@@ -122,6 +155,8 @@
         retry_after_ms: Option<u64>,
         /// Time since the request arrived.
         after_ms: u64,
+        /// Time since the request's deadline; 0 before it.
+        late_ms: u64,
     },
     /// The caller disconnected before its answer was complete.
     CallerGone {
@@ -184,6 +219,7 @@
             Self::Stopped => "stopped",
             Self::SettingsChanged => "settings_changed",
             Self::ConfigInForce { .. } => "config_in_force",
+            Self::ConfigIgnored { .. } => "config_ignored",
             Self::EndpointListed { .. } => "endpoint_listed",
             Self::EndpointGone { .. } => "endpoint_gone",
             Self::EndpointAvoided { .. } => "endpoint_avoided",
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -205,6 +205,7 @@
         };
         self.note(RelayNotice::Answered {
             request_id: call.request.request_id.clone(),
+            is_added_route: self.is_added_route(&call.route),
             status,
             after_ms: millis(self.now.saturating_sub(call.arrived_at)),
             first_event_ms: call
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -280,6 +280,7 @@
         RelayNotice::Sent {
             request_id: self.request.request_id.clone(),
             instance: command.instance.clone(),
+            route: self.route.name.clone(),
             work: stage.name(),
             attempt: self.exchange_count,
             left_ms: millis(command.time_left),
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -18,6 +18,7 @@
 mod placement_harness;
 mod placement_policy;
 mod relay_calls;
+mod relay_configuration;
 mod relay_harness;
 mod relay_load;
 mod relay_random;
--- a/crates/arbutusfall_core/tests/it/relay_calls.rs
+++ b/crates/arbutusfall_core/tests/it/relay_calls.rs
@@ -19,6 +19,7 @@
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
 use crate::relay_harness::routes;
+use crate::relay_harness::store_read;
 
 const CLOSED: ExchangeEvent = ExchangeEvent::Failed {
     failure: ExchangeFailure::Closed,
@@ -404,9 +405,9 @@
 #[test]
 fn endpoints_missing_after_a_store_outage_are_kept_for_a_grace_period() {
     let mut harness = RelayHarness::configured(1);
-    harness.apply(RelayEvent::StoreReachable(false));
+    harness.apply(store_read(false));
     harness.advance(ms(5_000));
-    harness.apply(RelayEvent::StoreReachable(true));
+    harness.apply(store_read(true));
     harness.apply(RelayEvent::EndpointChanges(vec![
         EndpointListChange::FullList(vec!["shop-1".into()]),
     ]));
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -22,6 +22,8 @@
 use arbutusfall_core::relay::RelaySettings;
 use arbutusfall_core::relay::RouteTable;
 use arbutusfall_core::relay::SendCommand;
+use arbutusfall_core::relay::StoreReadFailure;
+use arbutusfall_core::relay::StoreTopic;
 use arbutusfall_core::relay::TokenCounts;
 use arbutusfall_core::relay::Work;
 
@@ -132,6 +134,14 @@
     all.into_iter().map(EndpointListChange::Listed).collect()
 }
 
+/// Returns the event of a read of the endpoint list that succeeded or got no answer.
+pub(crate) fn store_read(succeeded: bool) -> RelayEvent {
+    RelayEvent::StoreRead {
+        topic: StoreTopic::Endpoints,
+        failure: (!succeeded).then_some(StoreReadFailure::Silent),
+    }
+}
+
 impl RelayHarness {
     /// Creates a relay without routes or endpoints.
     pub(crate) fn unconfigured(seed: u64) -> Self {
--- a/crates/arbutusfall_core/tests/it/relay_random.rs
+++ b/crates/arbutusfall_core/tests/it/relay_random.rs
@@ -21,6 +21,7 @@
 use crate::relay_harness::endpoints;
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
+use crate::relay_harness::store_read;
 
 const SEEDS: std::ops::Range<u64> = 0..300;
 
@@ -70,7 +71,7 @@
             17 => self.change_endpoints(),
             18 => {
                 let reachable = self.rng.bool();
-                self.harness.apply(RelayEvent::StoreReachable(reachable));
+                self.harness.apply(store_read(reachable));
             }
             _ => self.disconnect_caller(),
         }
