HTTP client: one timeout covers connecting, head and body

Cause: get_json, post_json and request_bytes started their timeout again for each step, while their callers (reads of the store, the lease, the log, the VM list, engines' reports) assume that it limits the whole request. A read could last three times as long as its caller allowed.

Change: one timer, started before connecting, limits the whole request. While connecting, its expiry is still Connect (nothing was sent), later Timeout, so what an append may have done is judged as before.

--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -3,8 +3,10 @@
 //! Connections are not reused, so that a silent connection affects only one request.
 
 use std::fmt;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_net::TcpStream;
 use futures_lite::FutureExt;
@@ -90,32 +92,46 @@
     executor: &Executor,
     outgoing: OutgoingRequest,
 ) -> Result<Response<Incoming>, ClientError> {
+    let connect_limit = async_io::Timer::after(outgoing.connect_timeout);
+    let stream = connect(outgoing.address, connect_limit).await?;
+    let exchange = exchange(executor, stream, outgoing.request);
+    exchange.or(fail_after(outgoing.answer_timeout)).await
+}
+
+async fn connect(
+    address: SocketAddr,
+    limit: impl Future<Output = Instant>,
+) -> Result<TcpStream, ClientError> {
     let connect = async {
-        TcpStream::connect(outgoing.address)
+        TcpStream::connect(address)
             .await
             .map_err(|_| ClientError::Connect)
     };
     let expire = async {
-        async_io::Timer::after(outgoing.connect_timeout).await;
+        limit.await;
         Err(ClientError::Connect)
     };
     let stream = connect.or(expire).await?;
     // Disables Nagle's algorithm, so that small writes are sent without delay; a failure only adds latency.
     let _ = stream.set_nodelay(true);
-    let answered = async {
-        let handshake = hyper::client::conn::http1::handshake(FuturesIo::new(stream));
-        let (mut sender, connection) = handshake.await.map_err(|_| ClientError::Connect)?;
-        let task = executor.spawn(async move {
-            // A failure is reported to the pending request.
-            let _ = connection.await;
-        });
-        task.detach();
-        sender
-            .send_request(outgoing.request)
-            .await
-            .map_err(|_| ClientError::Broken)
-    };
-    answered.or(fail_after(outgoing.answer_timeout)).await
+    Ok(stream)
+}
+
+/// Sends a request on an open connection and reads the answer's headers.
+async fn exchange(
+    executor: &Executor,
+    stream: TcpStream,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, ClientError> {
+    let handshake = hyper::client::conn::http1::handshake(FuturesIo::new(stream));
+    let (mut sender, connection) = handshake.await.map_err(|_| ClientError::Connect)?;
+    let task = executor.spawn(async move {
+        // A failure is reported to the pending request.
+        let _ = connection.await;
+    });
+    task.detach();
+    let answer = sender.send_request(request).await;
+    answer.map_err(|_| ClientError::Broken)
 }
 
 /// Reads a complete body.
@@ -125,16 +141,17 @@
 /// [`ClientError::Broken`] if the connection fails or the body is longer than 64 MiB, [`ClientError::Timeout`] if it is
 /// not complete in time.
 pub async fn read_body(body: Incoming, timeout: Duration) -> Result<Bytes, ClientError> {
-    let read = async {
-        let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
-        Ok(collected.map_err(|_| ClientError::Broken)?.to_bytes())
-    };
-    read.or(fail_after(timeout)).await
+    collect_body(body).or(fail_after(timeout)).await
+}
+
+async fn collect_body(body: Incoming) -> Result<Bytes, ClientError> {
+    let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    Ok(collected.map_err(|_| ClientError::Broken)?.to_bytes())
 }
 
 /// Sends a GET request and parses the answer as JSON.
 ///
-/// `timeout` applies separately to connecting, to the answer's headers and to its body.
+/// `timeout` applies to the whole exchange: connecting, the answer's headers and its body.
 ///
 /// # Errors
 ///
@@ -150,7 +167,7 @@
 
 /// Sends a POST request with a JSON document and parses the answer as JSON.
 ///
-/// `timeout` applies separately to connecting, to the answer's headers and to its body.
+/// `timeout` applies to the whole exchange: connecting, the answer's headers and its body.
 ///
 /// # Errors
 ///
@@ -180,7 +197,7 @@
 
 /// Sends a request without a body and reads the body of the answer.
 ///
-/// `timeout` applies separately to connecting, to the answer's headers and to its body.
+/// `timeout` applies to the whole exchange: connecting, the answer's headers and its body.
 ///
 /// # Errors
 ///
@@ -210,17 +227,21 @@
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(body))
         .map_err(|_| ClientError::Malformed)?;
-    let outgoing = OutgoingRequest {
-        address,
-        request,
-        connect_timeout: timeout,
-        answer_timeout: timeout,
+    // One limit for the whole exchange: a limit for each step would let a request last several times as long.
+    let mut limit = async_io::Timer::after(timeout);
+    let stream = connect(address, &mut limit).await?;
+    let exchange = async {
+        let answer = exchange(executor, stream, request).await?;
+        let status = answer.status();
+        let body = collect_body(answer.into_body()).await?;
+        if !status.is_success() {
+            return Err(ClientError::Status(status.as_u16()));
+        }
+        Ok(body)
     };
-    let answer = send(executor, outgoing).await?;
-    let status = answer.status();
-    let body = read_body(answer.into_body(), timeout).await?;
-    if !status.is_success() {
-        return Err(ClientError::Status(status.as_u16()));
-    }
-    Ok(body)
+    let expire = async {
+        limit.await;
+        Err(ClientError::Timeout)
+    };
+    exchange.or(expire).await
 }
--- a/crates/arbutusfall/src/relay/control_client.rs
+++ b/crates/arbutusfall/src/relay/control_client.rs
@@ -29,7 +29,7 @@
 use crate::http::OutgoingRequest;
 use crate::relay::driver::Driver;
 
-/// Timeout of each step of a lease request to the store: connecting, the answer's headers and its body.
+/// Timeout of a lease request to the store.
 const LEASE_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Timeout of each step of a request to an engine: connecting, the answer's headers and its body, if it is read.
