Relay: reads of the store end and start again within the silence bound

Cause: the times of a read were chosen one by one. The long-polling wait and the timeout together were as long as silence_bound_ms, the whole time allowed after the store's recovery. A read that began just before the recovery and was never answered used it up; the retry delay (0.1 to 0.5 s) and the next read came on top. The test of it repeated the code's sum and left out the last two.

Change: ReadTiming derives wait, answer timeout and the room for a fresh read from the bound together, for every bound (there was a minimum wait that exceeded small bounds). A read after a failed one does not wait for records, so that a silent store is found within the answer timeout. The retry interval counts from the start of the failed read, so nothing is added after a silent one.

--- a/crates/arbutusfall/src/lib.rs
+++ b/crates/arbutusfall/src/lib.rs
@@ -49,6 +49,7 @@
 pub use publish::PublishError;
 pub use publish::PublishOutcome;
 pub use publish::publish;
+pub use relay::ReadTiming;
 pub use relay::RelayProcessSettings;
 pub use relay::serve_relay;
 pub use serve::ServeError;
--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -7,9 +7,11 @@
 mod exchange;
 mod metrics;
 mod open_calls;
+mod read_timing;
 mod serve;
 mod settings;
 mod store_watch;
 
+pub use read_timing::ReadTiming;
 pub use serve::serve_relay;
 pub use settings::RelayProcessSettings;
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -75,20 +75,15 @@
     let log = log.change_context(ServeError::Log)?;
     let driver = Arc::new(Driver::new(relay, control, log, executor.clone()));
     let topics = [
-        (StoreTopic::Config, settings.config_wait(), Duration::ZERO),
-        (
-            StoreTopic::Endpoints,
-            Duration::ZERO,
-            settings.endpoint_list_pause(),
-        ),
+        (StoreTopic::Config, settings.config_timing()),
+        (StoreTopic::Endpoints, settings.endpoint_list_timing()),
     ];
-    for (topic, wait, pause) in topics {
+    for (topic, timing) in topics {
         let watch = StoreWatch {
             driver: driver.clone(),
             address: settings.store_address,
             topic,
-            wait,
-            pause,
+            timing,
         };
         executor.spawn(watch.run()).detach();
     }
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -11,19 +11,9 @@
 
 use crate::LogLevel;
 use crate::SettingsError;
+use crate::relay::read_timing::ReadTiming;
 use crate::settings::read_settings;
 
-/// Timeout of each step of a store request (connecting, the answer's headers and its body), in addition to its
-/// long-polling wait.
-pub(super) const STORE_REQUEST_TIMEOUT: Duration = Duration::from_millis(1_000);
-
-/// Shortest long-polling wait of a configuration read.
-const MIN_CONFIG_WAIT: Duration = Duration::from_millis(200);
-
-/// Pause between two reads of the endpoint list, as a share of `leaving_bound_ms`; the rest of the bound is for a slow
-/// answer.
-const ENDPOINT_LIST_PAUSE_SHARE: f64 = 0.55;
-
 /// Contents of the settings file of a relay process.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -95,18 +85,13 @@
         read_settings(file)
     }
 
-    /// Returns the pause between two reads of the endpoint list. It is not long-polled, because endpoints write to it
-    /// too often.
-    pub fn endpoint_list_pause(&self) -> Duration {
-        Duration::from_millis(self.leaving_bound_ms).mul_f64(ENDPOINT_LIST_PAUSE_SHARE)
+    /// Returns the times of reads of the endpoint list.
+    pub fn endpoint_list_timing(&self) -> ReadTiming {
+        ReadTiming::of_endpoint_list(Duration::from_millis(self.leaving_bound_ms))
     }
 
-    /// Returns the long-polling wait of a configuration read: `silence_bound_ms` less the request timeout, but at least
-    /// 200 ms. A connection on which the store sends nothing is detected only after this wait plus the timeout.
-    pub fn config_wait(&self) -> Duration {
-        let bound = Duration::from_millis(self.silence_bound_ms);
-        bound
-            .saturating_sub(STORE_REQUEST_TIMEOUT)
-            .max(MIN_CONFIG_WAIT)
+    /// Returns the times of reads of the configuration.
+    pub fn config_timing(&self) -> ReadTiming {
+        ReadTiming::of_config(Duration::from_millis(self.silence_bound_ms))
     }
 }
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -19,23 +19,30 @@
 use crate::http;
 use crate::http::ClientError;
 use crate::relay::driver::Driver;
-use crate::relay::settings::STORE_REQUEST_TIMEOUT;
+use crate::relay::read_timing::ReadTiming;
 
-/// Delay before the first retry of a failed read; doubles up to [`MAX_RETRY_DELAY`].
-const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Minimum time between the starts of a failed read and the next one; doubles up to [`MAX_RETRY_INTERVAL`].
+const FIRST_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Maximum delay before a retry of a failed read.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Maximum of the minimum time between the starts of a failed read and the next one.
+const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Task that follows one topic.
 pub(super) struct StoreWatch {
     pub(super) driver: Arc<Driver>,
     pub(super) address: SocketAddr,
     pub(super) topic: StoreTopic,
-    /// Long-polling wait of a tail read.
-    pub(super) wait: Duration,
-    /// Delay between two successful reads.
-    pub(super) pause: Duration,
+    pub(super) timing: ReadTiming,
+}
+
+/// Where and how the next read begins.
+struct NextRead {
+    /// Offset to continue from; none if the newest records must be read.
+    from: Option<Offset>,
+    /// Long-polling wait.
+    wait: Duration,
+    /// Minimum time from its start to the next read if it fails.
+    retry_interval: Duration,
 }
 
 /// Why a read failed.
@@ -48,40 +55,52 @@
 
 impl StoreWatch {
     pub(super) async fn run(self) {
-        let mut from: Option<Offset> = None;
-        let mut delay = FIRST_RETRY_DELAY;
+        let mut next = NextRead {
+            from: None,
+            wait: Duration::ZERO,
+            retry_interval: FIRST_RETRY_INTERVAL,
+        };
         loop {
-            let read = match from {
-                Some(from) => self.read_tail(from).await,
-                None => self.read_newest().await.map_err(WatchError::Failed),
-            };
-            match read {
-                Ok(next) => {
+            // Measured from the start of the read: after a silent read, which took long, the next one begins at once.
+            let retry_timer = async_io::Timer::after(next.retry_interval);
+            match self.read(&next).await {
+                Ok(from) => {
                     self.submit_read(None);
-                    delay = FIRST_RETRY_DELAY;
-                    from = Some(next);
-                    if !self.pause.is_zero() {
-                        async_io::Timer::after(self.pause).await;
+                    next = NextRead {
+                        from: Some(from),
+                        wait: self.timing.wait,
+                        retry_interval: FIRST_RETRY_INTERVAL,
+                    };
+                    if !self.timing.pause.is_zero() {
+                        async_io::Timer::after(self.timing.pause).await;
                     }
                 }
-                Err(WatchError::Deleted) => from = None,
+                Err(WatchError::Deleted) => next.from = None,
                 Err(WatchError::Failed(error)) => {
                     log::debug!("reading from the store failed: {error}");
                     self.submit_read(Some(read_failure(&error)));
-                    async_io::Timer::after(delay).await;
-                    delay = (delay * 2).min(MAX_RETRY_DELAY);
+                    retry_timer.await;
+                    next.wait = Duration::ZERO;
+                    next.retry_interval = (next.retry_interval * 2).min(MAX_RETRY_INTERVAL);
                 }
             }
         }
     }
 
+    async fn read(&self, next: &NextRead) -> Result<Offset, WatchError> {
+        match next.from {
+            Some(from) => self.read_tail(from, next.wait).await,
+            None => self.read_newest().await.map_err(WatchError::Failed),
+        }
+    }
+
     fn submit_read(&self, failure: Option<StoreReadFailure>) {
         let topic = self.topic;
         self.driver.submit(RelayEvent::StoreRead { topic, failure });
     }
 
     async fn get(&self, path: &str, wait: Duration) -> Result<Bytes, ClientError> {
-        let timeout = wait + STORE_REQUEST_TIMEOUT;
+        let timeout = wait + self.timing.answer_timeout;
         let executor = &self.driver.executor;
         http::request_bytes(executor, self.address, Method::GET, path, timeout).await
     }
@@ -107,17 +126,14 @@
         }
     }
 
-    async fn read_tail(&self, from: Offset) -> Result<Offset, WatchError> {
-        let path = store::tail_path(self.topic, from, self.wait);
-        let body = self
-            .get(&path, self.wait)
-            .await
-            .map_err(|error| match error {
-                ClientError::Status(status) if store::means_records_deleted(status) => {
-                    WatchError::Deleted
-                }
-                error => WatchError::Failed(error),
-            })?;
+    async fn read_tail(&self, from: Offset, wait: Duration) -> Result<Offset, WatchError> {
+        let path = store::tail_path(self.topic, from, wait);
+        let body = self.get(&path, wait).await.map_err(|error| match error {
+            ClientError::Status(status) if store::means_records_deleted(status) => {
+                WatchError::Deleted
+            }
+            error => WatchError::Failed(error),
+        })?;
         let page = store::parse_tail(&body, from)
             .map_err(|_| WatchError::Failed(ClientError::Malformed))?;
         self.submit_records(page.records, false);
