Configuration reader: a read after a failed one does not wait for records

After a failed read it asked again with the whole long-polling wait (5 s, at most 6 s), so that a log which recovered just after that read began was read again only after wait, timeout (2 s) and retry delay (up to 1.6 s): 8.6 s of the 9 s in which a change must be in force, and more with a longer wait.

Change: after a failed read the next one returns at once, with or without records; the log's recovery is then noticed within 2 s and the retry delay.

Result: config_reader::a_read_after_a_failed_one_does_not_wait_for_records failed before (wait of 5 s) and passes now. The bound of 9 s itself is not played by any test of outages.

--- a/crates/arbutusfall_core/src/config_reader.rs
+++ b/crates/arbutusfall_core/src/config_reader.rs
@@ -37,7 +37,7 @@
     fold: ConfigFold,
     /// First offset of the next read; ahead of the fold while the reader looks for a snapshot.
     read_from: Offset,
-    /// Whether the last read reached the end of the stream, so that the next one may wait for new records.
+    /// Whether the last read succeeded and reached the end of the stream, so that the next one may wait for new records.
     at_end: bool,
     /// Whether the fold reached the end of the stream at least once, through the log or a peer.
     caught_up: bool,
@@ -277,6 +277,8 @@
             self.log_down = true;
             ctx.note(Notice::LogDown(LogStream::Config));
         }
+        // The next read must not wait for records, so that the log's recovery is noticed soon.
+        self.at_end = false;
         let initial_delay = Duration::from_millis(ctx.site_config.timing.platform_retry_ms);
         ctx.set_timer(
             initial_delay * 2u32.pow(self.backoff_doublings),
--- a/crates/arbutusfall_core/tests/it/config_reader.rs
+++ b/crates/arbutusfall_core/tests/it/config_reader.rs
@@ -241,6 +241,28 @@
     assert_eq!(count_reads(&effects), 1, "the failed read is retried");
 }
 
+// Guards against a reader that asks a silent log to wait for new records again and again, so that it notices the log's
+// recovery only when that wait has passed (the cause of incident CONFIG, in the other reader).
+#[test]
+fn a_read_after_a_failed_one_does_not_wait_for_records() {
+    let records = records();
+    let mut session = started();
+    let waits: Vec<Duration> = read_waits(&session.apply(log_read(0, 0, &records)));
+    assert_eq!(waits, [Duration::from_secs(5)]);
+    session.apply(read_failed());
+    session.advance(Duration::from_secs(1));
+    let waits = read_waits(&session.apply(Event::Tick));
+    assert_eq!(waits, [Duration::ZERO]);
+}
+
+fn read_waits(effects: &[Effect]) -> Vec<Duration> {
+    let waits = effects.iter().filter_map(|effect| match effect {
+        Effect::ReadLog { wait, .. } => Some(*wait),
+        _ => None,
+    });
+    waits.collect()
+}
+
 #[test]
 fn a_snapshot_is_written_when_due_unless_a_recent_one_exists() {
     let mut records = records();
