Relay: topics of the store fail and recover separately

A VM could drop all endpoints whose entries had expired while the endpoint list could not be read, though live ones are listed again within about two seconds; or it kept endpoints that were gone for longer than that.

Cause: one flag stood for two topics, and a read's success was reported after what it contained. A successful read of the configuration ended the outage of the list, so that the grace period for missing endpoints ran out before the list was back; a failed one began a new outage, and a new grace period.

Change: reachability is kept per topic, the grace period begins when the list itself is read again, and StoreRead comes before the records.

--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -65,7 +65,6 @@
             let retry_timer = async_io::Timer::after(next.retry_interval);
             match self.read(&next).await {
                 Ok(from) => {
-                    self.submit_read(None);
                     next = NextRead {
                         from: Some(from),
                         wait: self.timing.wait,
@@ -140,7 +139,9 @@
         Ok(page.next)
     }
 
+    /// Reports a successful read and what it contains.
     fn submit_records(&self, records: Vec<KeyedRecord>, is_full_list: bool) {
+        self.submit_read(None);
         match self.topic {
             StoreTopic::Config => self.submit_config(records),
             StoreTopic::Endpoints => self.submit_endpoints(records, is_full_list),
--- a/crates/arbutusfall_core/src/relay/configuration.rs
+++ b/crates/arbutusfall_core/src/relay/configuration.rs
@@ -40,7 +40,7 @@
             self.note_if_older(routes.version);
             return;
         }
-        let unread_for = self.store.unread_for(StoreTopic::Config, self.now);
+        let unread_for = self.store.read_gap(StoreTopic::Config);
         self.note(RelayNotice::ConfigInForce {
             version: routes.version,
             routes: routes.routes.len(),
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -239,7 +239,7 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Endpoints {
     by_instance: BTreeMap<Name, Endpoint>,
-    /// Instant until which removals are delayed after the store recovered.
+    /// Instant until which removals are delayed after the list could be read again.
     removals_delayed_until: Duration,
 }
 
@@ -268,12 +268,12 @@
         })
     }
 
-    /// Delays removals, so that endpoints whose entries expired during the store's outage can be listed again.
-    pub(crate) fn on_store_recovered(&mut self, now: Duration) {
+    /// Delays removals, so that endpoints whose entries expired while the list could not be read can be listed again.
+    pub(crate) fn on_list_recovered(&mut self, now: Duration) {
         self.removals_delayed_until = now + STORE_RECOVERY_GRACE;
     }
 
-    /// Instant until which removals are delayed after the store recovered.
+    /// Instant until which removals are delayed after the list could be read again.
     pub(crate) fn removals_delayed_until(&self) -> Duration {
         self.removals_delayed_until
     }
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -30,7 +30,7 @@
     UnreadableConfig,
     /// Changes to the endpoint list were read, oldest first.
     EndpointChanges(Vec<EndpointListChange>),
-    /// A read of the platform's store succeeded or failed.
+    /// A read of the platform's store succeeded or failed; comes before what was read.
     StoreRead {
         /// Topic that was read.
         topic: StoreTopic,
--- a/crates/arbutusfall_core/src/relay/store_view.rs
+++ b/crates/arbutusfall_core/src/relay/store_view.rs
@@ -15,25 +15,16 @@
     is_reachable: bool,
     /// Time of the last successful read.
     read_at: Option<Duration>,
+    /// Time between the last successful read and the one before it.
+    read_gap: Option<Duration>,
 }
 
-/// Outcome of the last reads of the store.
-#[derive(Debug)]
+/// Outcome of the last reads of the store. Topics can fail and recover separately.
+#[derive(Debug, Default)]
 pub(crate) struct StoreView {
-    /// Whether the last read of any topic succeeded.
-    is_reachable: bool,
     topics: BTreeMap<StoreTopic, TopicView>,
 }
 
-impl Default for StoreView {
-    fn default() -> Self {
-        Self {
-            is_reachable: true,
-            topics: BTreeMap::new(),
-        }
-    }
-}
-
 impl StoreView {
     /// Returns the time since the topic was last read, if it ever was.
     pub(crate) fn unread_for(&self, topic: StoreTopic, now: Duration) -> Option<Duration> {
@@ -41,14 +32,21 @@
         Some(now.saturating_sub(read_at))
     }
 
+    /// Returns the time between the topic's last successful read and the one before it, if there were two.
+    pub(crate) fn read_gap(&self, topic: StoreTopic) -> Option<Duration> {
+        self.topics.get(&topic)?.read_gap
+    }
+
     /// Records a read of a topic; returns whether the topic's reachability changed.
     fn record(&mut self, topic: StoreTopic, is_reachable: bool, now: Duration) -> bool {
         let view = self.topics.entry(topic).or_insert(TopicView {
             is_reachable: true,
             read_at: None,
+            read_gap: None,
         });
         let was_reachable = std::mem::replace(&mut view.is_reachable, is_reachable);
         if is_reachable {
+            view.read_gap = view.read_at.map(|read_at| now.saturating_sub(read_at));
             view.read_at = Some(now);
         }
         was_reachable != is_reachable
@@ -59,17 +57,17 @@
     pub(super) fn on_store_read(&mut self, topic: StoreTopic, failure: Option<StoreReadFailure>) {
         let is_reachable = failure.is_none();
         let unread_for = self.store.unread_for(topic, self.now);
-        if self.store.record(topic, is_reachable, self.now) {
-            self.note(RelayNotice::Store {
-                topic,
-                reachable: is_reachable,
-                reason: failure,
-                unread_ms: unread_for.map(millis),
-            });
+        if !self.store.record(topic, is_reachable, self.now) {
+            return;
         }
-        let was_reachable = std::mem::replace(&mut self.store.is_reachable, is_reachable);
-        if is_reachable && !was_reachable {
-            self.endpoints.on_store_recovered(self.now);
+        if is_reachable && topic == StoreTopic::Endpoints {
+            self.endpoints.on_list_recovered(self.now);
         }
+        self.note(RelayNotice::Store {
+            topic,
+            reachable: is_reachable,
+            reason: failure,
+            unread_ms: unread_for.map(millis),
+        });
     }
 }
--- a/crates/arbutusfall_core/tests/it/relay_calls.rs
+++ b/crates/arbutusfall_core/tests/it/relay_calls.rs
@@ -12,6 +12,7 @@
 use arbutusfall_core::relay::NotRunReason;
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_core::relay::StoreTopic;
 use arbutusfall_core::relay::Work;
 use assert_matches::assert_matches;
 
@@ -420,6 +421,26 @@
     assert_eq!(harness.problem(call).unwrap().kind, ProblemKind::NotRun);
 }
 
+// Guards against removing endpoints at once when the endpoint list is back, because the configuration could be read
+// before: topics of the store can fail and recover separately.
+#[test]
+fn grace_period_begins_when_the_endpoint_list_is_back() {
+    let mut harness = RelayHarness::configured(1);
+    harness.apply(store_read(false));
+    harness.apply(RelayEvent::StoreRead {
+        topic: StoreTopic::Config,
+        failure: None,
+    });
+    harness.advance(ms(5_000));
+    harness.apply(store_read(true));
+    harness.apply(RelayEvent::EndpointChanges(vec![
+        EndpointListChange::FullList(vec!["shop-1".into()]),
+    ]));
+    harness.advance(ms(1_900));
+    harness.submit("/stream/1");
+    assert_matches!(harness.take_only_send().work, Work::Reserve { .. });
+}
+
 #[test]
 fn failed_endpoint_is_avoided() {
     let mut harness = RelayHarness::configured(1);
--- a/crates/arbutusfall_core/tests/it/relay_configuration.rs
+++ b/crates/arbutusfall_core/tests/it/relay_configuration.rs
@@ -48,6 +48,7 @@
     };
     assert_eq!(store, [expected]);
     harness.advance(ms(500));
+    harness.apply(config_read(None));
     harness.apply(RelayEvent::NewConfig(Arc::new(routes(4))));
     let in_force = take_notices(&mut harness, "config_in_force");
     let expected = RelayNotice::ConfigInForce {
