Relay: reads of the endpoint list and the grace period fit into the silence bound

A read of the list that is never answered (1 s), the next one and the grace period for missing endpoints (2.5 s) came to 3.55 s, while 3 s are allowed on the sites with the default bound; so an endpoint that left unseen during an outage could get requests when the VM counted as in touch again. With a leaving bound of 3 s the grace period ended before the list was read again after live endpoints are back (2 s): read at 1.7 s and 3.4 s, removed at 2.5 s.

Change: the answer timeout follows from the silence bound, the grace period is 2.3 s, and the two reads after a failed one come 1.05 s apart at most, so that the list is read between the two.

Result: relay_settings::missing_endpoints_are_removed_within_the_silence_bound and list_is_read_again_within_the_grace_period failed before and pass now.

--- a/crates/arbutusfall/src/relay/read_timing.rs
+++ b/crates/arbutusfall/src/relay/read_timing.rs
@@ -2,9 +2,21 @@
 
 use std::time::Duration;
 
+use arbutusfall_core::relay::LIST_RECOVERY_GRACE;
+
 /// Maximum time for the answer to a read, in addition to its long-polling wait.
 const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Minimum time for the answer to a read of the endpoint list.
+const MIN_ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Maximum pause between reads of the endpoint list after a failed one: the second of them must come after endpoints are
+/// listed again and within [`LIST_RECOVERY_GRACE`].
+const MAX_PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(1_050);
+
+/// Time for the first read of the endpoint list that the recovered store answers.
+const FRESH_LIST_READ: Duration = Duration::from_millis(150);
+
 /// Maximum answer timeout of a read of the configuration, as a share of the silence bound.
 const ANSWER_TIMEOUT_SHARE: f64 = 1.0 / 3.0;
 
@@ -15,6 +27,9 @@
 /// answer.
 const ENDPOINT_LIST_PAUSE_SHARE: f64 = 0.55;
 
+/// Successful reads after a failed one that are followed by a shorter pause.
+pub(super) const READS_AFTER_FAILURE: u32 = 2;
+
 /// Times of the reads of one topic.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReadTiming {
@@ -25,6 +40,8 @@
     pub answer_timeout: Duration,
     /// Pause after a successful read.
     pub pause: Duration,
+    /// Pause after each of the first [`READS_AFTER_FAILURE`] successful reads that follow a failed one.
+    pub pause_after_failure: Duration,
 }
 
 impl ReadTiming {
@@ -41,15 +58,23 @@
             wait: silence_bound.saturating_sub(answer_timeout + fresh_read),
             answer_timeout,
             pause: Duration::ZERO,
+            pause_after_failure: Duration::ZERO,
         }
     }
 
     /// Returns the times of reads of the endpoint list. It is not long-polled, because endpoints write to it too often.
-    pub fn of_endpoint_list(leaving_bound: Duration) -> Self {
+    ///
+    /// Endpoints that left unseen during an outage must be removed within `silence_bound` after it: a read that is never
+    /// answered, the next one and the grace period for missing endpoints add up.
+    pub fn of_endpoint_list(leaving_bound: Duration, silence_bound: Duration) -> Self {
+        let pause = leaving_bound.mul_f64(ENDPOINT_LIST_PAUSE_SHARE);
         Self {
             wait: Duration::ZERO,
-            answer_timeout: MAX_ANSWER_TIMEOUT,
-            pause: leaving_bound.mul_f64(ENDPOINT_LIST_PAUSE_SHARE),
+            answer_timeout: silence_bound
+                .saturating_sub(LIST_RECOVERY_GRACE + FRESH_LIST_READ)
+                .clamp(MIN_ANSWER_TIMEOUT, MAX_ANSWER_TIMEOUT),
+            pause,
+            pause_after_failure: pause.min(MAX_PAUSE_AFTER_FAILURE),
         }
     }
 
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -87,7 +87,10 @@
 
     /// Returns the times of reads of the endpoint list.
     pub fn endpoint_list_timing(&self) -> ReadTiming {
-        ReadTiming::of_endpoint_list(Duration::from_millis(self.leaving_bound_ms))
+        ReadTiming::of_endpoint_list(
+            Duration::from_millis(self.leaving_bound_ms),
+            Duration::from_millis(self.silence_bound_ms),
+        )
     }
 
     /// Returns the times of reads of the configuration.
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -19,6 +19,7 @@
 use crate::http;
 use crate::http::ClientError;
 use crate::relay::driver::Driver;
+use crate::relay::read_timing::READS_AFTER_FAILURE;
 use crate::relay::read_timing::ReadTiming;
 
 /// Minimum time between the starts of a failed read and the next one; doubles up to [`MAX_RETRY_INTERVAL`].
@@ -43,6 +44,8 @@
     wait: Duration,
     /// Minimum time from its start to the next read if it fails.
     retry_interval: Duration,
+    /// Number of successful reads, from this one on, that are followed by the shorter pause.
+    short_pauses: u32,
 }
 
 /// Why a read failed.
@@ -59,33 +62,48 @@
             from: None,
             wait: Duration::ZERO,
             retry_interval: FIRST_RETRY_INTERVAL,
+            short_pauses: 0,
         };
         loop {
             // Measured from the start of the read: after a silent read, which took long, the next one begins at once.
             let retry_timer = async_io::Timer::after(next.retry_interval);
             match self.read(&next).await {
                 Ok(from) => {
+                    self.pause(next.short_pauses > 0).await;
                     next = NextRead {
                         from: Some(from),
                         wait: self.timing.wait,
                         retry_interval: FIRST_RETRY_INTERVAL,
+                        short_pauses: next.short_pauses.saturating_sub(1),
                     };
-                    if !self.timing.pause.is_zero() {
-                        async_io::Timer::after(self.timing.pause).await;
-                    }
                 }
                 Err(WatchError::Deleted) => next.from = None,
                 Err(WatchError::Failed(error)) => {
                     log::debug!("reading from the store failed: {error}");
                     self.submit_read(Some(read_failure(&error)));
                     retry_timer.await;
-                    next.wait = Duration::ZERO;
-                    next.retry_interval = (next.retry_interval * 2).min(MAX_RETRY_INTERVAL);
+                    next = NextRead {
+                        from: next.from,
+                        wait: Duration::ZERO,
+                        retry_interval: (next.retry_interval * 2).min(MAX_RETRY_INTERVAL),
+                        short_pauses: READS_AFTER_FAILURE,
+                    };
                 }
             }
         }
     }
 
+    async fn pause(&self, is_short: bool) {
+        let pause = if is_short {
+            self.timing.pause_after_failure
+        } else {
+            self.timing.pause
+        };
+        if !pause.is_zero() {
+            async_io::Timer::after(pause).await;
+        }
+    }
+
     async fn read(&self, next: &NextRead) -> Result<Offset, WatchError> {
         match next.from {
             Some(from) => self.read_tail(from, next.wait).await,
--- a/crates/arbutusfall/tests/it/relay_settings.rs
+++ b/crates/arbutusfall/tests/it/relay_settings.rs
@@ -3,11 +3,18 @@
 use std::time::Duration;
 
 use arbutusfall::RelayProcessSettings;
+use arbutusfall_core::relay::LIST_RECOVERY_GRACE;
 use serde_json::json;
 
 /// Duration of a store request while the store is slow.
 const SLOW_REQUEST_TIME: Duration = Duration::from_millis(400);
 
+/// Duration of a store request without faults, on a small VM.
+const NORMAL_REQUEST_TIME: Duration = Duration::from_millis(50);
+
+/// Time after an outage within which live endpoints are listed again, as the platform states it.
+const RELISTING_TIME: Duration = Duration::from_secs(2);
+
 fn settings(leaving_bound_ms: u64, silence_bound_ms: u64) -> RelayProcessSettings {
     let document = json!({
         "vm": "plovdiv-a-1",
@@ -52,6 +59,34 @@
     }
 }
 
+// Guards against endpoints that left unseen during an outage and are still used when the silence bound has passed: the
+// times of a silent read, a slow one and the grace period add up.
+#[test]
+fn missing_endpoints_are_removed_within_the_silence_bound() {
+    for (leaving_ms, silence_ms) in [(2_000, 3_000), (3_000, 4_000)] {
+        let timing = settings(leaving_ms, silence_ms).endpoint_list_timing();
+        let fresh_read_at = timing.wait + timing.answer_timeout;
+        let removed_after = fresh_read_at + NORMAL_REQUEST_TIME + LIST_RECOVERY_GRACE;
+        assert!(
+            removed_after <= Duration::from_millis(silence_ms),
+            "removed after {removed_after:?}"
+        );
+    }
+}
+
+// Guards against removing an endpoint that is listed again in time: the list must be read between the platform's
+// relisting time and the end of the grace period.
+#[test]
+fn list_is_read_again_within_the_grace_period() {
+    for (leaving_ms, silence_ms) in [(2_000, 3_000), (3_000, 4_000)] {
+        let timing = settings(leaving_ms, silence_ms).endpoint_list_timing();
+        let cycle = timing.pause_after_failure + NORMAL_REQUEST_TIME;
+        let mut reads = (1..10).map(|number| cycle * number);
+        let last_read = reads.rfind(|at| *at <= LIST_RECOVERY_GRACE);
+        assert!(last_read >= Some(RELISTING_TIME), "{last_read:?}");
+    }
+}
+
 #[test]
 fn silent_connection_is_noticed_within_the_silence_bound() {
     for bound_ms in [200, 500, 1_000, 1_500, 3_000, 4_000] {
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -48,6 +48,7 @@
 
 pub use configuration::ConfigStatus;
 pub use effect::*;
+pub use endpoints::LIST_RECOVERY_GRACE;
 pub use event::*;
 pub use lease::LeaseAnswer;
 pub use notice::RelayNotice;
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -12,9 +12,9 @@
 use crate::relay::RelayNotice;
 use crate::relay::notice::millis;
 
-/// Grace period after the store recovers in which removals from the list are delayed: endpoints whose entries expired
-/// during the outage are listed again within it.
-const STORE_RECOVERY_GRACE: Duration = Duration::from_millis(2_500);
+/// Grace period after the list could be read again in which removals from it are delayed: endpoints whose entries
+/// expired during the outage are listed again within it.
+pub const LIST_RECOVERY_GRACE: Duration = Duration::from_millis(2_300);
 
 /// Weight of the newest sample in a running mean.
 const NEWEST_WEIGHT: f64 = 0.2;
@@ -270,7 +270,7 @@
 
     /// Delays removals, so that endpoints whose entries expired while the list could not be read can be listed again.
     pub(crate) fn on_list_recovered(&mut self, now: Duration) {
-        self.removals_delayed_until = now + STORE_RECOVERY_GRACE;
+        self.removals_delayed_until = now + LIST_RECOVERY_GRACE;
     }
 
     /// Instant until which removals are delayed after the list could be read again.
