Retry budget: exact spans and a shared slack in place of a decaying count

Cause: each VM kept the limit with exponentially decaying counts, so that requests of a burst still paid for retries after it, and had two retries of its own for each service whatever the number of VMs.

Change: buckets of 0.25 s over two spans. A retry is sent only if the retries of the span that ends now fit the requests that count in every span around this instant, plus this VM's part of half of the slack.

The test harness keeps its two free retries by its settings.

--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -59,7 +59,7 @@
     settings: RelayProcessSettings,
 ) -> Result<(), Report<ServeError>> {
     let relay_settings = RelaySettings {
-        retry_ratio: settings.retry_ratio,
+        retry_limit: settings.retry_limit(),
         lease_lifetime: Duration::from_millis(settings.lease_lifetime_ms),
     };
     let control = ControlClient {
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use arbutusfall_core::relay::RetryLimit;
 use arbutusfall_wire::Name;
 use error_stack::Report;
 use serde::Deserialize;
@@ -14,6 +15,9 @@
 use crate::relay::read_timing::ReadTiming;
 use crate::settings::read_settings;
 
+/// Part of `retry_slack` that each VM is assumed to add to it if the number of VMs is not given.
+const SLACK_PER_VM: f64 = 2.0;
+
 /// Contents of the settings file of a relay process.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -31,6 +35,12 @@
     /// Maximum number of retries, as a share of all requests.
     #[serde(default = "default_retry_ratio")]
     pub retry_ratio: f64,
+    /// Retries to a service that all VMs together may send in 10 s besides `retry_ratio`.
+    #[serde(default = "default_retry_slack")]
+    pub retry_slack: f64,
+    /// Number of VMs that share `retry_slack`; half of `retry_slack` if it is not given.
+    #[serde(default)]
+    pub vm_count: Option<u32>,
     /// Lifetime of the lease whose holder is the only VM to order role changes of engines.
     #[serde(default = "default_lease_lifetime_ms")]
     pub lease_lifetime_ms: u64,
@@ -55,6 +65,10 @@
     0.1
 }
 
+fn default_retry_slack() -> f64 {
+    40.0
+}
+
 fn default_lease_lifetime_ms() -> u64 {
     3_000
 }
@@ -85,6 +99,16 @@
         read_settings(file)
     }
 
+    /// Returns the limit of the retries of all VMs together.
+    pub fn retry_limit(&self) -> RetryLimit {
+        let vm_count = self.vm_count;
+        RetryLimit {
+            ratio: self.retry_ratio,
+            slack: self.retry_slack,
+            vm_count: vm_count.unwrap_or((self.retry_slack / SLACK_PER_VM).ceil() as u32),
+        }
+    }
+
     /// Returns the times of reads of the endpoint list.
     pub fn endpoint_list_timing(&self) -> ReadTiming {
         ReadTiming::of_endpoint_list(
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -46,6 +46,7 @@
 use store_view::StoreView;
 use waiting::WaitQueue;
 
+pub use budget::RetryLimit;
 pub use configuration::ConfigStatus;
 pub use effect::*;
 pub use endpoints::LIST_RECOVERY_GRACE;
@@ -62,8 +63,8 @@
 /// Settings that a relay needs before any configuration is read.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RelaySettings {
-    /// Retries that each request adds to the retry budget, as a fraction of one retry.
-    pub retry_ratio: f64,
+    /// Limit of the retries of all VMs together.
+    pub retry_limit: RetryLimit,
     /// Lifetime of the lease whose holder orders role changes.
     pub lease_lifetime: Duration,
 }
@@ -131,7 +132,7 @@
             last_exchange: 0,
             wait_queue: WaitQueue::default(),
             longest_caller_timeout: FastMap::default(),
-            budget: RetryBudget::new(settings.retry_ratio),
+            budget: RetryBudget::new(settings.retry_limit),
             lease: Lease::new(settings.lease_lifetime),
             roles: Roles::default(),
             timers: Timers::default(),
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -20,6 +20,7 @@
 use arbutusfall_core::relay::RelayRoute;
 use arbutusfall_core::relay::RelayService;
 use arbutusfall_core::relay::RelaySettings;
+use arbutusfall_core::relay::RetryLimit;
 use arbutusfall_core::relay::RouteTable;
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::StoreReadFailure;
@@ -33,6 +34,13 @@
 /// Lifetime of the lease for role orders.
 pub(crate) const LEASE_LIFETIME: Duration = Duration::from_secs(3);
 
+/// Retry limit of most tests: two retries in 10 s regardless of the number of requests.
+const RETRY_LIMIT: RetryLimit = RetryLimit {
+    ratio: 0.2,
+    slack: 52.0,
+    vm_count: 13,
+};
+
 /// Returns a duration in milliseconds.
 pub(crate) fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -145,8 +153,13 @@
 impl RelayHarness {
     /// Creates a relay without routes or endpoints.
     pub(crate) fn unconfigured(seed: u64) -> Self {
+        Self::with_retry_limit(seed, RETRY_LIMIT)
+    }
+
+    /// Creates a relay without routes or endpoints that has this retry limit.
+    pub(crate) fn with_retry_limit(seed: u64, retry_limit: RetryLimit) -> Self {
         let settings = RelaySettings {
-            retry_ratio: 0.2,
+            retry_limit,
             lease_lifetime: LEASE_LIFETIME,
         };
         let mut harness = Self {
--- a/crates/arbutusfall_core/tests/it/relay_retry_budget.rs
+++ b/crates/arbutusfall_core/tests/it/relay_retry_budget.rs
@@ -10,6 +10,7 @@
 use arbutusfall_core::relay::ExchangeId;
 use arbutusfall_core::relay::NotRunReason;
 use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_core::relay::RetryLimit;
 use arbutusfall_core::relay::SendCommand;
 
 use crate::relay_harness::RelayHarness;
@@ -64,13 +65,18 @@
 }
 
 impl Simulation {
-    fn new(vm_count: usize, seed: u64) -> Self {
+    fn new(vm_count: u32, slack: f64, seed: u64) -> Self {
+        let limit = RetryLimit {
+            ratio: RATIO,
+            slack,
+            vm_count,
+        };
         let endpoints: Vec<_> = (0..ENDPOINTS)
             .map(|index| listed(&format!("shop-{index}"), "shop", Role::Plain))
             .map(EndpointListChange::Listed)
             .collect();
-        let new_vm = |index: usize| {
-            let mut vm = RelayHarness::unconfigured(seed + index as u64);
+        let new_vm = |index: u32| {
+            let mut vm = RelayHarness::with_retry_limit(seed + u64::from(index), limit);
             vm.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
             vm.apply(RelayEvent::EndpointChanges(endpoints.clone()));
             vm.effects.clear();
@@ -154,7 +160,7 @@
             .insert((self.now + after, self.sends), outcome);
     }
 
-    /// Returns by how many retries the worst span exceeds the allowed number; negative if none does.
+    /// Returns by how many retries the worst span exceeds the limit; negative if none does.
     ///
     /// The requests of a span are those of the span itself, of the one before it or of the one half a span before it,
     /// whichever has most.
@@ -170,7 +176,7 @@
             let most = requests.into_iter().max().unwrap_or_default();
             retries as f64 - (RATIO * most as f64 + slack)
         });
-        excess.fold(-slack, f64::max)
+        excess.fold(f64::NEG_INFINITY, f64::max)
     }
 
     fn requests_between(&self, from: Duration, until: Duration) -> usize {
@@ -197,9 +203,9 @@
 }
 
 /// Returns the worst excess over all spans of bursts with falling edges, at several shares of refused requests.
-fn worst_excess_of_bursts(vm_count: usize, base_per_s: f64, slack: f64) -> f64 {
+fn worst_excess_of_bursts(vm_count: u32, base_per_s: f64, slack: f64) -> f64 {
     let excess = [0.3, 0.6, 1.0].map(|refused_share| {
-        let mut simulation = Simulation::new(vm_count, 7);
+        let mut simulation = Simulation::new(vm_count, slack, 7);
         for phase in falling_bursts(base_per_s, refused_share) {
             simulation.run(&phase);
         }
