Relay: no retry of a plain request that the whole service refuses

Change: a refused plain request is refused to its caller at once, with Retry-After, if no endpoint is outside its refusal backoff and the service has refused more than 0.8 of the last sends.

Ruled out: the first condition alone.

--- a/crates/arbutusfall_core/src/relay/budget.rs
+++ b/crates/arbutusfall_core/src/relay/budget.rs
@@ -29,6 +29,12 @@
 /// VMs count different requests.
 const USED_SLACK_SHARE: f64 = 0.5;
 
+/// Weight of the newest outcome in the running mean of refusals.
+const NEWEST_OUTCOME_WEIGHT: f64 = 0.1;
+
+/// Share of refused sends above which a service refuses nearly all requests.
+const NEARLY_ALL_SHARE: f64 = 0.8;
+
 /// Limit of the retries of all VMs together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryLimit {
@@ -65,6 +71,8 @@
     newest: u64,
     /// Counts up to the newest bucket, oldest first; at least 1 and at most [`KEPT_BUCKETS`].
     buckets: VecDeque<Counts>,
+    /// Running mean of the share of sends that endpoints refused.
+    refused_share: f64,
 }
 
 impl History {
@@ -72,6 +80,7 @@
         Self {
             newest: bucket_number(now),
             buckets: VecDeque::from([Counts::default()]),
+            refused_share: 0.0,
         }
     }
 
@@ -163,6 +172,19 @@
         self.history(service, now).newest_bucket(now).requests += 1;
     }
 
+    /// Records whether an endpoint refused a request or answered it.
+    pub(crate) fn on_outcome(&mut self, service: &Name, is_refused: bool, now: Duration) {
+        let newest = if is_refused { 1.0 } else { 0.0 };
+        let share = &mut self.history(service, now).refused_share;
+        *share += (newest - *share) * NEWEST_OUTCOME_WEIGHT;
+    }
+
+    /// Returns whether the service's endpoints have refused nearly all requests of late.
+    pub(crate) fn refuses_nearly_all(&self, service: &Name) -> bool {
+        let history = self.histories.get(service);
+        history.is_some_and(|history| history.refused_share > NEARLY_ALL_SHARE)
+    }
+
     /// Spends one retry and returns true if the budget allows it.
     pub(crate) fn try_take(&mut self, service: &Name, now: Duration) -> bool {
         let limit = self.limit;
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -178,6 +178,7 @@
             && !is_failure
         {
             endpoint.on_answered(after);
+            self.budget.on_outcome(&service, false, self.now);
         }
         self.end_exchange(id);
         let has_released = self.release_allocation(id);
@@ -238,15 +239,36 @@
         }
         if reason == NotRunReason::Refused {
             self.record_refusal(id);
+            self.budget.on_outcome(&service, true, self.now);
         }
         let label = match reason {
             NotRunReason::Refused => "not_run",
             NotRunReason::Misdirected => "misdirected",
         };
         self.fail_exchange(id, label, reason == NotRunReason::Misdirected);
+        if stage == CallStage::Plain && self.is_refused_by_whole_service(id) {
+            // A retry would only add to the load of the service.
+            self.fail_call(id, "service_refuses");
+            return;
+        }
         self.retry_within_budget(id, &service);
     }
 
+    /// Returns whether a retry of a plain request would most likely be refused too: no endpoint is known to accept
+    /// requests, and the service has refused nearly all of late.
+    fn is_refused_by_whole_service(&self, id: CallId) -> bool {
+        let Some(call) = self.calls.get(&id) else {
+            return false;
+        };
+        let mut serving = self.endpoints.serving(&call.service, Role::Plain);
+        let is_any_available = serving.any(|endpoint| {
+            !call.failed_endpoints.contains(&endpoint.listed.instance)
+                && endpoint.health.is_usable(self.now)
+                && endpoint.available_at(None) <= self.now
+        });
+        !is_any_available && self.budget.refuses_nearly_all(&call.service)
+    }
+
     /// Records a refusal at the endpoint, and at the prefill engine whose result the endpoint may have failed to fetch.
     fn record_refusal(&mut self, id: CallId) {
         let now = self.now;
--- a/crates/arbutusfall_core/tests/it/relay_calls.rs
+++ b/crates/arbutusfall_core/tests/it/relay_calls.rs
@@ -144,6 +144,46 @@
     assert!(harness.effects.contains(&RelayEffect::Close { exchange }));
 }
 
+// Guards against retries that spend the budget on a service all of whose endpoints refuse requests.
+#[test]
+fn request_that_the_whole_service_refuses_is_not_retried() {
+    let mut harness = RelayHarness::configured(1);
+    for _ in 0..20 {
+        refuse_all_sends(&mut harness, "/pay/1");
+    }
+    assert_eq!(refuse_all_sends(&mut harness, "/pay/2"), 1);
+}
+
+#[test]
+fn request_that_one_endpoint_refuses_is_retried_at_another() {
+    let mut harness = RelayHarness::configured(1);
+    for _ in 0..20 {
+        harness.submit("/pay/1");
+        let sent = harness.take_only_send();
+        harness.deliver(sent.exchange, ExchangeEvent::Complete { status: 200 });
+    }
+    assert_eq!(refuse_all_sends(&mut harness, "/pay/2"), 2);
+}
+
+/// Submits a request and refuses each send of it; returns the number of sends.
+fn refuse_all_sends(harness: &mut RelayHarness, path: &str) -> usize {
+    let call = harness.submit(path);
+    let mut sends = 0;
+    loop {
+        let newest = harness.take_sends();
+        if newest.is_empty() {
+            break;
+        }
+        sends += newest.len();
+        for sent in newest {
+            harness.deliver(sent.exchange, REFUSED);
+        }
+    }
+    let problem = harness.problem(call).expect("the call was refused");
+    assert_eq!(problem.kind, ProblemKind::NotRun);
+    sends
+}
+
 #[test]
 fn retries_stay_within_the_budget() {
     let mut harness = RelayHarness::configured(1);
