Stand-ins: a free address is tested without listening on it

Cause (KNOWN-RED, claims::service_dies_after_it_took_the_call: a stand-in found its port in use): free_address listened on the port to test it. A process that another thread was starting held a copy of that socket between fork and exec, and a listening copy keeps others from listening. What was an idea in the entry is shown by a test now.

Change: the address is tested by binding a socket that does not listen; copies of it keep nobody from listening. A listener of another process is still found. The function moves into a file of its own.

--- a/crates/arbutusfall_standins/src/fleet.rs
+++ b/crates/arbutusfall_standins/src/fleet.rs
@@ -2,18 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Arc;
-use std::sync::LazyLock;
-use std::sync::atomic::AtomicU16;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -33,6 +28,7 @@
 use serde_json::Value;
 
 use crate::SiteSpec;
+use crate::free_address::free_address;
 
 /// Timeout for an awaited condition, such as that a VM is ready.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -43,13 +39,6 @@
 /// Timeout for each step (connecting, headers, body) of an HTTP exchange with a stand-in or a VM's operator address.
 const STEP_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Ports for listeners. They are below the system's ephemeral ports, because an outgoing connection could otherwise
-/// take a port before its process listens.
-const LISTENER_PORTS: std::ops::Range<u16> = 10_000..32_000;
-
-/// Maximum number of ports tried for one listener.
-const MAX_PORT_ATTEMPTS: usize = 100;
-
 /// Error of starting or controlling a fleet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FleetError {
@@ -510,29 +499,6 @@
     std::fs::File::create(dir.join(format!("{vm}.log"))).change_context(FleetError::Setup)
 }
 
-/// Returns a loopback address on which no process listens at the moment; no two calls in this process return the same
-/// one until the port range is used up.
-///
-/// # Errors
-///
-/// [`FleetError::Start`] if no port is free.
-pub fn free_address() -> Result<SocketAddr, Report<FleetError>> {
-    // Ports are allocated in sequence: a random port could be drawn again by another test before its process listens.
-    static ALLOCATED: AtomicU16 = AtomicU16::new(0);
-    static FIRST_PORT: LazyLock<u16> = LazyLock::new(|| fastrand::u16(LISTENER_PORTS));
-    let count = LISTENER_PORTS.end - LISTENER_PORTS.start;
-    let next = || {
-        let offset = *FIRST_PORT - LISTENER_PORTS.start;
-        let allocated = ALLOCATED.fetch_add(1, Ordering::Relaxed);
-        LISTENER_PORTS.start + offset.wrapping_add(allocated) % count
-    };
-    let mut ports = std::iter::repeat_with(next).take(MAX_PORT_ATTEMPTS);
-    let listener = ports.find_map(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).ok());
-    let failed = || FleetError::Start("a listener on a free port".to_owned());
-    let listener = listener.ok_or_else(|| Report::new(failed()))?;
-    listener.local_addr().change_context_lazy(failed)
-}
-
 fn wait_until(
     awaited: &str,
     mut condition: impl FnMut() -> bool,
--- a/crates/arbutusfall_standins/tests/it/main.rs
+++ b/crates/arbutusfall_standins/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod demo;
 mod drain;
 mod fleet_lock;
+mod free_address;
 mod golden;
 mod operations_page;
 mod peers;
