Relay: the silence of an exchange is checked again when the budget was spent

Change: the check is repeated after the same silence.

Result: silent_lookup_is_retried_once_the_budget_allows_it failed before (no send) and passes.

--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -190,7 +190,7 @@
     }
 
     /// Fails an exchange that exceeded its allowed silence, and sends the request again or fails the call. If the retry
-    /// budget is spent, the exchange goes on; a reservation needs no budget.
+    /// budget is spent, the exchange goes on and is checked again later; a reservation needs no budget.
     pub(super) fn check_silence(&mut self, exchange: ExchangeId) {
         let Some(id) = self.calls_by_exchange.get(&exchange).copied() else {
             return;
@@ -211,6 +211,9 @@
         let stage = current.stage;
         let service = call.service.clone();
         if stage != CallStage::Reserve && !self.budget.try_take(&service, self.now) {
+            let check_again_at = self.now + silence_limit;
+            self.timers
+                .set(check_again_at, RelayTimer::CheckSilence(exchange));
             return;
         }
         self.effects.push(RelayEffect::Close { exchange });
--- a/crates/arbutusfall_core/tests/it/relay_calls.rs
+++ b/crates/arbutusfall_core/tests/it/relay_calls.rs
@@ -12,6 +12,7 @@
 use arbutusfall_core::relay::NotRunReason;
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::StoreTopic;
 use arbutusfall_core::relay::Work;
 use assert_matches::assert_matches;
@@ -144,6 +145,35 @@
     assert!(harness.effects.contains(&RelayEffect::Close { exchange }));
 }
 
+// Guards against a silent exchange that is never retried because the budget was spent when its silence was first noticed.
+#[test]
+fn silent_lookup_is_retried_once_the_budget_allows_it() {
+    let mut harness = RelayHarness::configured(1);
+    spend_budget(&mut harness);
+    harness.submit("/look/1");
+    let silent = harness.take_only_send();
+    harness.advance(ms(700));
+    assert_eq!(harness.take_sends(), [], "the budget is spent");
+    for _ in 0..20 {
+        harness.submit("/pay/1");
+    }
+    harness.take_sends();
+    harness.advance(ms(700));
+    let sends = harness.take_sends();
+    let is_retry = |sent: &SendCommand| sent.call == silent.call;
+    assert!(sends.iter().any(is_retry), "{sends:?}");
+}
+
+/// Fails requests until no retry is allowed.
+fn spend_budget(harness: &mut RelayHarness) {
+    for _ in 0..10 {
+        harness.submit("/look/1");
+        while let Some(sent) = harness.take_sends().pop() {
+            harness.deliver(sent.exchange, CLOSED);
+        }
+    }
+}
+
 // Guards against retries that spend the budget on a service all of whose endpoints refuse requests.
 #[test]
 fn request_that_the_whole_service_refuses_is_not_retried() {
