A VM of 'serve' is not ready before it has read the VM list

What callers saw: a VM that had just become ready refused model requests with 429 and Retry-After 1 s.

Until the VM list is read, a VM knows no owner and refuses every model request at once. Traced: in 3 of 3 failures the VM's status shows no VM, no placement overdue and one refusal.

Change: readiness is derived in one place after each event: configuration in force, no gap, an owner known, not draining. It is still reported after the effects that lead to it. The test of that order now reads the VM list first, as a process does; what it checks is unchanged.

--- a/crates/arbutusfall_core/src/config_reader.rs
+++ b/crates/arbutusfall_core/src/config_reader.rs
@@ -206,9 +206,6 @@
                 oldest,
             });
         }
-        if self.in_force.is_some() {
-            ctx.push(Effect::SetReady(!gap));
-        }
     }
 
     fn apply_config(&mut self, ctx: &mut Context<'_>) {
@@ -225,7 +222,6 @@
         let Some(new) = self.build_in_force(base, overlay, &ctx.identity.site) else {
             return;
         };
-        let is_first = self.in_force.is_none();
         let unchanged = current.is_some_and(|current| current.config == new.config);
         self.in_force = Some(new);
         if unchanged {
@@ -234,10 +230,6 @@
         ctx.count(Counter::ConfigAccepted);
         ctx.note(Notice::ConfigInForce { base, overlay });
         ctx.push(Effect::ConfigInForce { base, overlay });
-        if is_first && !self.gap {
-            // Pushed last, so that the configuration is in force before readiness is reported.
-            ctx.push(Effect::SetReady(true));
-        }
     }
 
     /// Builds this site's configuration; `None` if it is invalid or the base does not name the site.
--- a/crates/arbutusfall_core/src/drain.rs
+++ b/crates/arbutusfall_core/src/drain.rs
@@ -25,18 +25,9 @@
         }
         *self = Self::Draining;
         ctx.note(Notice::Draining);
-        ctx.push(Effect::SetReady(false));
         membership::announce_draining(ctx);
     }
 
-    /// Removes effects that would report the VM as ready after the drain began.
-    pub(crate) fn suppress_ready(self, ctx: &mut Context<'_>) {
-        if self != Self::Serving {
-            ctx.effects
-                .retain(|effect| *effect != Effect::SetReady(true));
-        }
-    }
-
     /// Ends the process once nothing is in progress.
     pub(crate) fn finish_if_idle(&mut self, idle: bool, ctx: &mut Context<'_>) {
         if *self != Self::Draining || !idle {
--- a/crates/arbutusfall_core/src/membership.rs
+++ b/crates/arbutusfall_core/src/membership.rs
@@ -73,6 +73,10 @@
 }
 
 impl Member {
+    fn may_own(&self, site: &Name) -> bool {
+        self.listed.site == *site && self.state <= MemberState::Suspect
+    }
+
     /// Derives the state from the list and the probes; returns a notice if it changed.
     fn recompute_state(&mut self) -> Option<Notice> {
         let leaving = self.listed.leaving && self.liveness.state < MemberState::Leaving;
@@ -108,11 +112,14 @@
 
     /// Returns the VMs of a site that may own shards and partitions, sorted by name.
     pub(crate) fn owner_candidates(&self, site: &Name) -> Vec<Name> {
-        self.members
-            .values()
-            .filter(|member| member.listed.site == *site && member.state <= MemberState::Suspect)
-            .map(|member| member.listed.vm.clone())
-            .collect()
+        let may_own = |member: &&Member| member.may_own(site);
+        let owners = self.members.values().filter(may_own);
+        owners.map(|member| member.listed.vm.clone()).collect()
+    }
+
+    /// Returns whether any VM of a site may own shards and partitions.
+    pub(crate) fn has_owner_candidate(&self, site: &Name) -> bool {
+        self.members.values().any(|member| member.may_own(site))
     }
 
     pub(crate) fn members(&self) -> impl Iterator<Item = &Member> {
--- a/crates/arbutusfall_core/src/node.rs
+++ b/crates/arbutusfall_core/src/node.rs
@@ -70,6 +70,8 @@
     partitions: PartitionOwner,
     idempotent_calls: IdempotentCalls,
     drain: DrainState,
+    /// Whether readiness was reported last.
+    is_ready: bool,
     open_calls: OpenCalls,
     /// Sequence number of the last request that entered through this VM.
     last_sequence: u64,
@@ -120,7 +122,7 @@
             self.components.on_peer(&own, message, &mut ctx);
         }
         self.components.open_calls.close_answered_calls(&mut ctx);
-        self.components.drain.suppress_ready(&mut ctx);
+        self.components.update_ready(&mut ctx);
         let idle = self.components.is_idle(now.monotonic);
         self.components.drain.finish_if_idle(idle, &mut ctx);
         Output {
@@ -147,7 +149,7 @@
         });
         Status {
             identity: self.identity.clone(),
-            ready: self.components.is_serving() && !self.components.config.has_gap(),
+            ready: self.components.is_ready,
             draining: self.components.drain != DrainState::Serving,
             base_revision: self.components.config.base_revision(),
             overlay_revision: self.components.config.overlay_revision(&self.identity.site),
@@ -165,6 +167,17 @@
         self.config.in_force().is_some() && self.drain == DrainState::Serving
     }
 
+    /// Reports a change of readiness, after the effects that lead to it. Without the VM list there is no owner to place
+    /// requests, so this VM could only refuse them.
+    fn update_ready(&mut self, ctx: &mut Context<'_>) {
+        let has_owner = ctx.members.has_owner_candidate(&ctx.identity.site);
+        let ready = self.is_serving() && !self.config.has_gap() && has_owner;
+        if ready != self.is_ready {
+            self.is_ready = ready;
+            ctx.push(Effect::SetReady(ready));
+        }
+    }
+
     fn is_idle(&self, now: Duration) -> bool {
         self.open_calls.is_empty()
             && self.streams.is_idle(now)
--- a/crates/arbutusfall_core/tests/it/config_reader.rs
+++ b/crates/arbutusfall_core/tests/it/config_reader.rs
@@ -304,9 +304,21 @@
 fn readiness_is_reported_after_the_configuration_is_in_force() {
     let mut session = Session::new("plovdiv-a-1");
     session.apply(Event::Started);
+    session.apply(Event::VmList(vec![listed("plovdiv-a-1")]));
     let effects = session.apply(config_read(crate::session::site_base()));
     let position = |wanted: fn(&Effect) -> bool| effects.iter().position(wanted);
     let in_force = position(|effect| matches!(effect, Effect::ConfigInForce { .. }));
     let ready = position(|effect| *effect == Effect::SetReady(true));
     assert!(in_force.is_some() && in_force < ready, "{effects:?}");
 }
+
+// Guards against a VM that is ready before it has read the VM list: it knows no owner and refuses every model request.
+#[test]
+fn readiness_is_reported_after_the_vm_list_is_read() {
+    let mut session = Session::new("plovdiv-a-1");
+    session.apply(Event::Started);
+    let effects = session.apply(config_read(site_base()));
+    assert!(!effects.contains(&Effect::SetReady(true)), "{effects:?}");
+    let effects = session.apply(Event::VmList(vec![listed("plovdiv-a-1")]));
+    assert!(effects.contains(&Effect::SetReady(true)), "{effects:?}");
+}
