--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -21,6 +21,7 @@
 mod notice;
 mod outcomes;
 mod pacing;
+mod retries;
 mod roles;
 mod routes;
 mod sending;
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -5,7 +5,6 @@
 use arbutusfall_wire::Name;
 
 use crate::CallId;
-use crate::config::Role;
 use crate::relay::ExchangeEvent;
 use crate::relay::ExchangeFailure;
 use crate::relay::ExchangeId;
@@ -188,18 +187,6 @@
         }
     }
 
-    /// Returns whether, besides the current endpoint, one of this role serves the call and has not failed for it.
-    fn has_other_endpoint(&self, id: CallId, role: Role) -> bool {
-        let Some(call) = self.calls.get(&id) else {
-            return false;
-        };
-        let current = call.current.as_ref().map(|current| &current.instance);
-        self.endpoints.serving(&call.service, role).any(|endpoint| {
-            let instance = &endpoint.listed.instance;
-            current != Some(instance) && !call.failed_endpoints.contains(instance)
-        })
-    }
-
     pub(super) fn answer(&mut self, id: CallId, exchange: ExchangeId, status: u16) {
         let Some(call) = self.calls.remove(&id) else {
             return;
@@ -254,21 +241,6 @@
         self.retry_within_budget(id, &service);
     }
 
-    /// Returns whether a retry of a plain request would most likely be refused too: no endpoint is known to accept
-    /// requests, and the service has refused nearly all of late.
-    fn is_refused_by_whole_service(&self, id: CallId) -> bool {
-        let Some(call) = self.calls.get(&id) else {
-            return false;
-        };
-        let mut serving = self.endpoints.serving(&call.service, Role::Plain);
-        let is_any_available = serving.any(|endpoint| {
-            !call.failed_endpoints.contains(&endpoint.listed.instance)
-                && endpoint.health.is_usable(self.now)
-                && endpoint.available_at(None) <= self.now
-        });
-        !is_any_available && self.budget.refuses_nearly_all(&call.service)
-    }
-
     /// Records a refusal at the endpoint, and at the prefill engine whose result the endpoint may have failed to fetch.
     fn record_refusal(&mut self, id: CallId) {
         let now = self.now;
@@ -338,31 +310,6 @@
         }
     }
 
-    /// Sends a request again if that is allowed and within the retry budget; otherwise fails the call.
-    pub(super) fn retry_within_budget(&mut self, id: CallId, service: &Name) {
-        if self
-            .calls
-            .get(&id)
-            .is_some_and(|call| call.no_retry_reason().is_none())
-            && !self.budget.try_take(service, self.now)
-        {
-            self.fail_call(id, "retry_budget");
-            return;
-        }
-        self.retry_or_fail(id);
-    }
-
-    /// Sends a request again if that is allowed; otherwise fails the call.
-    pub(super) fn retry_or_fail(&mut self, id: CallId) {
-        let Some(call) = self.calls.get(&id) else {
-            return;
-        };
-        match call.no_retry_reason() {
-            Some(reason) => self.fail_call(id, reason),
-            None => self.send_next(id),
-        }
-    }
-
     /// Ends the call's exchange as failed and adds its endpoint to the call's failed ones; if `is_endpoint_failure`,
     /// also records a failure of the endpoint, which other calls then avoid.
     pub(super) fn fail_exchange(
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/retries.rs
@@ -0,0 +1,61 @@
+//! Whether a request is sent again: allowed by its route, within the retry budget, and worth it.
+
+use arbutusfall_wire::Name;
+
+use crate::CallId;
+use crate::config::Role;
+use crate::relay::Relay;
+
+impl Relay {
+    /// Sends a request again if that is allowed and within the retry budget; otherwise fails the call.
+    pub(super) fn retry_within_budget(&mut self, id: CallId, service: &Name) {
+        if self
+            .calls
+            .get(&id)
+            .is_some_and(|call| call.no_retry_reason().is_none())
+            && !self.budget.try_take(service, self.now)
+        {
+            self.fail_call(id, "retry_budget");
+            return;
+        }
+        self.retry_or_fail(id);
+    }
+
+    /// Sends a request again if that is allowed; otherwise fails the call.
+    pub(super) fn retry_or_fail(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        match call.no_retry_reason() {
+            Some(reason) => self.fail_call(id, reason),
+            None => self.send_next(id),
+        }
+    }
+
+    /// Returns whether, besides the current endpoint, one of this role serves the call and has not failed for it.
+    pub(super) fn has_other_endpoint(&self, id: CallId, role: Role) -> bool {
+        let Some(call) = self.calls.get(&id) else {
+            return false;
+        };
+        let current = call.current.as_ref().map(|current| &current.instance);
+        self.endpoints.serving(&call.service, role).any(|endpoint| {
+            let instance = &endpoint.listed.instance;
+            current != Some(instance) && !call.failed_endpoints.contains(instance)
+        })
+    }
+
+    /// Returns whether a retry of a plain request would most likely be refused too: no endpoint is known to accept
+    /// requests, and the service has refused nearly all of late.
+    pub(super) fn is_refused_by_whole_service(&self, id: CallId) -> bool {
+        let Some(call) = self.calls.get(&id) else {
+            return false;
+        };
+        let mut serving = self.endpoints.serving(&call.service, Role::Plain);
+        let is_any_available = serving.any(|endpoint| {
+            !call.failed_endpoints.contains(&endpoint.listed.instance)
+                && endpoint.health.is_usable(self.now)
+                && endpoint.available_at(None) <= self.now
+        });
+        !is_any_available && self.budget.refuses_nearly_all(&call.service)
+    }
+}
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -22,6 +22,7 @@
 mod relay_harness;
 mod relay_load;
 mod relay_random;
+mod relay_retries;
 mod relay_retry_budget;
 mod relay_roles;
 mod relay_simulation;
