Relay: the time to receive a request's body counts towards its timeout

Cause: a request's deadline was counted from the end of its body.

Change: the relay gets the time from the head's arrival to the body's end; a request whose time is over then is refused without being sent.

Result: time_to_receive_the_body_counts_towards_the_timeout (1.4 s left instead of 0.4 s) and request_whose_body_arrives_after_the_timeout_is_not_sent failed before and pass.

--- a/crates/arbutusfall/src/relay/callers.rs
+++ b/crates/arbutusfall/src/relay/callers.rs
@@ -79,12 +79,14 @@
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Problem> {
         let limits = self.driver.limits();
+        let arrived_at = self.driver.now();
         let (parts, body) = request.into_parts();
         let timeout = limits.receive_timeout.max(Duration::from_secs(1));
         let body = read_request_body(body, limits.max_body_bytes, timeout);
         let body = body.await.map_err(ReadBodyError::problem)?;
         let call = self.driver.calls.next_id();
-        let relay_request = callers::relay_request(call, &parts);
+        let receive_time = self.driver.now().saturating_sub(arrived_at);
+        let relay_request = callers::relay_request(call, &parts, receive_time);
         let forwarded = ForwardedRequest::new(parts.method, &parts.uri, parts.headers, body);
         let replies = self.driver.calls.open(call, forwarded);
         let guard = CallGuard {
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -122,9 +122,14 @@
         lock(&self.limits).clone()
     }
 
+    /// Returns the monotonic time.
+    pub(super) fn now(&self) -> Duration {
+        self.clock.now().monotonic
+    }
+
     /// Returns the counters, quantiles and the configuration in force as text.
     pub(super) fn metrics_text(&self) -> String {
-        let config = lock(&self.relay).config_status(self.clock.now().monotonic);
+        let config = lock(&self.relay).config_status(self.now());
         self.metrics.text(config)
     }
 
@@ -142,7 +147,7 @@
                 return;
             };
             let is_config = matches!(event, RelayEvent::NewConfig(_));
-            let output = relay.apply(event, self.clock.now().monotonic);
+            let output = relay.apply(event, self.now());
             if is_config {
                 *lock(&self.limits) = relay.limits();
             }
--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -24,6 +24,7 @@
     pub(crate) service: Name,
     /// Version of the configuration that applies to the request.
     pub(crate) config_version: u64,
+    /// Arrival of the request's head.
     pub(crate) arrived_at: Duration,
     /// Deadline of the final answer.
     pub(crate) due_at: Duration,
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -58,8 +58,13 @@
                 .on_request(call.token_counts().expected_decode_cost());
         }
         let id = call.request.call;
-        self.timers.set(call.due_at, RelayTimer::CallDeadline(id));
+        let due_at = call.due_at;
         self.calls.insert(id, call);
+        if due_at <= self.now {
+            self.fail_call(id, "timeout");
+            return;
+        }
+        self.timers.set(due_at, RelayTimer::CallDeadline(id));
         self.send_next(id);
     }
 
@@ -70,6 +75,7 @@
         routes: &RouteTable,
     ) -> Call {
         let caller_timeout = request.caller_timeout.unwrap_or(route.timeout);
+        let arrived_at = self.now.saturating_sub(request.receive_time);
         let service = self.pick_service(route);
         let engine = routes.engine(&service);
         Call {
@@ -79,8 +85,8 @@
             service,
             route: route.clone(),
             config_version: routes.version,
-            arrived_at: self.now,
-            due_at: self.now + caller_timeout.min(route.timeout),
+            arrived_at,
+            due_at: arrived_at + caller_timeout.min(route.timeout),
             attempts: 0,
             prefills: 0,
             was_prefilled: false,
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -144,6 +144,8 @@
     pub path: Name,
     /// Time for which the caller waits, if stated.
     pub caller_timeout: Option<Duration>,
+    /// Time from the arrival of the request's head until its body was complete.
+    pub receive_time: Duration,
     /// Token counts, if the request is for a model.
     pub token_counts: Option<TokenCounts>,
 }
--- a/crates/arbutusfall_core/tests/it/relay_calls.rs
+++ b/crates/arbutusfall_core/tests/it/relay_calls.rs
@@ -117,6 +117,27 @@
     assert!(harness.effects.contains(&RelayEffect::Close { exchange }));
 }
 
+// Guards against holding a request past its timeout by the time that its body took to arrive, and against giving endpoints
+// more time than the caller has left.
+#[test]
+fn time_to_receive_the_body_counts_towards_the_timeout() {
+    let mut harness = RelayHarness::configured(1);
+    let call = harness.submit_received_in("/look/1", ms(1_400), ms(1_000));
+    assert_eq!(harness.take_only_send().time_left, ms(400));
+    harness.advance(ms(399));
+    assert_eq!(harness.problem(call), None);
+    harness.advance(ms(1));
+    assert!(harness.problem(call).is_some());
+}
+
+#[test]
+fn request_whose_body_arrives_after_the_timeout_is_not_sent() {
+    let mut harness = RelayHarness::configured(1);
+    let call = harness.submit_received_in("/pay/1", ms(1_000), ms(1_000));
+    assert_eq!(harness.take_sends(), []);
+    assert_eq!(harness.problem(call).unwrap().kind, ProblemKind::NotRun);
+}
+
 #[test]
 fn memory_is_reserved_before_the_prompt_is_prefilled() {
     let mut harness = RelayHarness::configured(1);
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -200,6 +200,16 @@
 
     /// Submits a request with a caller timeout.
     pub(crate) fn submit_with_timeout(&mut self, path: &str, caller_timeout: Duration) -> CallId {
+        self.submit_received_in(path, caller_timeout, Duration::ZERO)
+    }
+
+    /// Submits a request with a caller timeout whose body took `receive_time` to arrive.
+    pub(crate) fn submit_received_in(
+        &mut self,
+        path: &str,
+        caller_timeout: Duration,
+        receive_time: Duration,
+    ) -> CallId {
         self.calls += 1;
         let call = CallId(self.calls);
         let is_model = path.starts_with("/stream") || path.starts_with("/resumable");
@@ -209,6 +219,7 @@
             host: HOST.into(),
             path: path.into(),
             caller_timeout: Some(caller_timeout),
+            receive_time,
             token_counts: is_model.then_some(TokenCounts {
                 prompt_tokens: 5_000,
                 max_output_tokens: 9_000,
--- a/crates/arbutusfall_core/tests/it/relay_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/relay_simulation.rs
@@ -211,6 +211,7 @@
             host: HOST.into(),
             path: "/stream/1".into(),
             caller_timeout: Some(ms(14_000) - waited),
+            receive_time: Duration::ZERO,
             token_counts: Some(open.token_counts),
         };
         self.apply(vm, RelayEvent::RequestReceived(request));
