--- a/crates/arbutusfall/src/relay/read_timing.rs
+++ b/crates/arbutusfall/src/relay/read_timing.rs
@@ -40,7 +40,7 @@
     pub answer_timeout: Duration,
     /// Pause after a successful read.
     pub pause: Duration,
-    /// Pause after each of the first [`READS_AFTER_FAILURE`] successful reads that follow a failed one.
+    /// Pause after each of the first two successful reads that follow a failed one.
     pub pause_after_failure: Duration,
 }
 
