Retry budget: one retry is kept for streams that have started

Cause: requests whose callers had received nothing could spend the whole budget, so that a broken stream could not resume.

Change: requests that have not started leave one retry of the budget to streams that have. VMs use three quarters of the slack instead of half, so that requests that have not started are allowed about as many retries as before.

--- a/crates/arbutusfall_core/src/relay/budget.rs
+++ b/crates/arbutusfall_core/src/relay/budget.rs
@@ -27,7 +27,7 @@
 
 /// Share of the slack that VMs may use. The rest is for spans in which the load moves from some VMs to others, so that the
 /// VMs count different requests.
-const USED_SLACK_SHARE: f64 = 0.5;
+const USED_SLACK_SHARE: f64 = 0.75;
 
 /// Weight of the newest outcome in the running mean of refusals.
 const NEWEST_OUTCOME_WEIGHT: f64 = 0.1;
@@ -35,6 +35,18 @@
 /// Share of refused sends above which a service refuses nearly all requests.
 const NEARLY_ALL_SHARE: f64 = 0.8;
 
+/// Retries kept for streams that have started: their callers have part of an answer, which would be lost.
+const STARTED_STREAM_RESERVE: f64 = 1.0;
+
+/// What a retry is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RetryUse {
+    /// A request whose caller has received nothing yet.
+    NotStarted,
+    /// A stream whose caller has received part of it.
+    StartedStream,
+}
+
 /// Limit of the retries of all VMs together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryLimit {
@@ -186,13 +198,17 @@
     }
 
     /// Spends one retry and returns true if the budget allows it.
-    pub(crate) fn try_take(&mut self, service: &Name, now: Duration) -> bool {
+    pub(crate) fn try_take(&mut self, service: &Name, retry_use: RetryUse, now: Duration) -> bool {
         let limit = self.limit;
         let history = self.history(service, now);
         history.newest_bucket(now);
         let requests = f64::from(history.requests_of_every_span());
         let allowed = limit.free_retries() + limit.ratio * requests;
-        if f64::from(history.retries_in_span() + 1) > allowed {
+        let reserve = match retry_use {
+            RetryUse::NotStarted => STARTED_STREAM_RESERVE,
+            RetryUse::StartedStream => 0.0,
+        };
+        if f64::from(history.retries_in_span() + 1) > allowed - reserve {
             return false;
         }
         history.newest_bucket(now).retries += 1;
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -164,10 +164,7 @@
         let stage = current.stage;
         let is_retryable = is_failure && call.may_retry() && !call.has_stream_started;
         let service = call.service.clone();
-        if is_retryable
-            && self.has_other_endpoint(id, stage.role())
-            && self.budget.try_take(&service, self.now)
-        {
+        if is_retryable && self.has_other_endpoint(id, stage.role()) && self.take_retry(id) {
             self.fail_exchange(id, "error_status", false);
             self.send_next(id);
             return;
@@ -238,7 +235,7 @@
             self.fail_call(id, "service_refuses");
             return;
         }
-        self.retry_within_budget(id, &service);
+        self.retry_within_budget(id);
     }
 
     /// Records a refusal at the endpoint, and at the prefill engine whose result the endpoint may have failed to fetch.
@@ -280,7 +277,6 @@
             return;
         };
         let stage = current.stage;
-        let service = call.service.clone();
         let label = match failure {
             ExchangeFailure::Unreachable => "unreachable",
             ExchangeFailure::Closed => "closed",
@@ -298,7 +294,7 @@
             // No endpoint received the request, so this does not count as a retry.
             self.retry_or_fail(id);
         } else {
-            self.retry_within_budget(id, &service);
+            self.retry_within_budget(id);
         }
     }
 
--- a/crates/arbutusfall_core/src/relay/retries.rs
+++ b/crates/arbutusfall_core/src/relay/retries.rs
@@ -1,19 +1,31 @@
 //! Whether a request is sent again: allowed by its route, within the retry budget, and worth it.
 
-use arbutusfall_wire::Name;
-
 use crate::CallId;
 use crate::config::Role;
 use crate::relay::Relay;
+use crate::relay::budget::RetryUse;
 
 impl Relay {
+    /// Spends one retry of the call's service and returns true if the budget allows it.
+    pub(super) fn take_retry(&mut self, id: CallId) -> bool {
+        let Some(call) = self.calls.get(&id) else {
+            return false;
+        };
+        let retry_use = if call.has_stream_started {
+            RetryUse::StartedStream
+        } else {
+            RetryUse::NotStarted
+        };
+        self.budget.try_take(&call.service, retry_use, self.now)
+    }
+
     /// Sends a request again if that is allowed and within the retry budget; otherwise fails the call.
-    pub(super) fn retry_within_budget(&mut self, id: CallId, service: &Name) {
+    pub(super) fn retry_within_budget(&mut self, id: CallId) {
         if self
             .calls
             .get(&id)
             .is_some_and(|call| call.no_retry_reason().is_none())
-            && !self.budget.try_take(service, self.now)
+            && !self.take_retry(id)
         {
             self.fail_call(id, "retry_budget");
             return;
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -58,7 +58,7 @@
         }
         let stage = self.model_stage(call);
         let is_repeat = stage == CallStage::Prefill && call.was_prefilled;
-        if is_repeat && !self.budget.try_take(&call.service, self.now) {
+        if is_repeat && !self.take_retry(id) {
             // The decode engine prefills the prompt itself.
             return Some(CallStage::Decode { has_source: false });
         }
@@ -209,8 +209,7 @@
             return;
         }
         let stage = current.stage;
-        let service = call.service.clone();
-        if stage != CallStage::Reserve && !self.budget.try_take(&service, self.now) {
+        if stage != CallStage::Reserve && !self.take_retry(id) {
             let check_again_at = self.now + silence_limit;
             self.timers
                 .set(check_again_at, RelayTimer::CheckSilence(exchange));
--- a/crates/arbutusfall_core/tests/it/relay_retries.rs
+++ b/crates/arbutusfall_core/tests/it/relay_retries.rs
@@ -166,3 +166,24 @@
         "{extra} repeated prefills and decodes for 50 requests"
     );
 }
+
+// Guards against cutting off a caller's stream because requests whose streams had not started spent the whole budget.
+#[test]
+fn broken_stream_resumes_although_other_requests_spent_their_budget() {
+    let mut harness = RelayHarness::configured(1);
+    let (call, decode) = harness.start_stream("/resumable/1");
+    for event_id in 1..5 {
+        let last_event_id = Some(event_id);
+        let progress = ExchangeEvent::Progress { last_event_id };
+        harness.deliver(decode.exchange, progress);
+        harness.submit("/resumable/2");
+        let other = harness.advance_to_decode();
+        harness.deliver(other.exchange, CLOSED);
+        harness.take_sends();
+        harness.advance(ms(1_000));
+        harness.take_sends();
+    }
+    harness.effects.clear();
+    harness.deliver(decode.exchange, CLOSED);
+    assert_eq!(harness.final_effect(call), None);
+}
