--- a/crates/arbutusfall/tests/it/client_timeout.rs
+++ b/crates/arbutusfall/tests/it/client_timeout.rs
@@ -36,7 +36,7 @@
 }
 
 // Guards against a timeout that starts again for each part of an answer, so that a read lasts several times as long as
-// its caller assumes (incident CONFIG).
+// its caller assumes.
 #[test]
 fn timeout_covers_connecting_head_and_body_together() {
     let address = start_slow_server();
--- a/crates/arbutusfall/tests/it/relay_settings.rs
+++ b/crates/arbutusfall/tests/it/relay_settings.rs
@@ -44,7 +44,7 @@
 }
 
 // Guards against a read that begins just before the store recovers, is never answered and leaves no time for another one
-// within the bound (incident CONFIG).
+// within the bound.
 #[test]
 fn fresh_read_fits_into_the_silence_bound() {
     for bound_ms in [200, 500, 1_000, 1_500, 3_000, 4_000] {
--- a/crates/arbutusfall_core/tests/it/config_reader.rs
+++ b/crates/arbutusfall_core/tests/it/config_reader.rs
@@ -242,7 +242,7 @@
 }
 
 // Guards against a reader that asks a silent log to wait for new records again and again, so that it notices the log's
-// recovery only when that wait has passed (the cause of incident CONFIG, in the other reader).
+// recovery only when that wait has passed.
 #[test]
 fn a_read_after_a_failed_one_does_not_wait_for_records() {
     let records = records();
