--- a/crates/arbutusfall/src/http.rs
+++ b/crates/arbutusfall/src/http.rs
@@ -4,6 +4,7 @@
 mod client;
 mod error_replacing_stream;
 mod event_splitter;
+mod framing;
 mod problem;
 mod server;
 
@@ -20,6 +21,7 @@
 pub use client::send;
 pub use event_splitter::EventSplitter;
 pub use event_splitter::WholeEvents;
+pub use framing::body_framing;
 pub use problem::problem_answer;
 pub(crate) use problem::problem_document;
 pub use server::ListenerHandle;
--- a/crates/arbutusfall/src/http/event_splitter.rs
+++ b/crates/arbutusfall/src/http/event_splitter.rs
@@ -30,6 +30,11 @@
         })
     }
 
+    /// Returns the number of bytes after the last whole event.
+    pub fn partial_event_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns the bytes after the last whole event.
     pub fn finish(self) -> Bytes {
         self.pending.into()
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutusfall_core::CallId;
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ExchangeFailure;
-use arbutusfall_core::relay::ExchangeId;
+use arbutusfall_core::relay::RelayNotice;
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_platform::endpoints;
 use arbutusfall_platform::endpoints::AnswerKind;
+use arbutusfall_platform::endpoints::ForwardedRequest;
 use arbutusfall_wire::Name;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -76,7 +76,7 @@
             Ok(ExchangeEvent::PrefillDone { handle })
         }
         AnswerKind::Whole => read_whole(driver, command, answer).await,
-        AnswerKind::Stream => forward_stream(driver, command.exchange, command.call, answer).await,
+        AnswerKind::Stream => forward_stream(driver, command, &request, answer).await,
     }
 }
 
@@ -130,35 +130,70 @@
 /// events.
 async fn forward_stream(
     driver: &Arc<Driver>,
-    exchange: ExchangeId,
-    call: CallId,
+    command: &SendCommand,
+    request: &ForwardedRequest,
     answer: Response<Incoming>,
 ) -> Result<ExchangeEvent, ExchangeFailure> {
-    let (head, mut body) = split_head(answer);
+    let framing = http::body_framing(&answer);
+    let (head, body) = split_head(answer);
     let status = head.status.as_u16();
-    driver.store_head(exchange, head);
-    driver.submit_exchange_event(exchange, ExchangeEvent::StreamBegan);
-    let mut splitter = EventSplitter::default();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| ExchangeFailure::Closed)?;
-        let Ok(bytes) = frame.into_data() else {
-            // Trailers are not forwarded: they carry nothing that callers need.
-            continue;
-        };
-        let Some(events) = splitter.push(&bytes) else {
-            continue;
-        };
-        driver.calls.write(call, events.bytes);
-        let last_event_id = events.last_id;
-        driver.submit_exchange_event(exchange, ExchangeEvent::Progress { last_event_id });
-    }
-    let rest = splitter.finish();
+    driver.store_head(command.exchange, head);
+    driver.submit_exchange_event(command.exchange, ExchangeEvent::StreamBegan);
+    let mut stream = EventStream {
+        body,
+        splitter: EventSplitter::default(),
+        last_event_id: None,
+    };
+    let forwarded = stream.forward(driver, command).await;
+    driver.record_notice(&RelayNotice::StreamEnded {
+        request_id: request.request_id_text(),
+        instance: command.instance.clone(),
+        framing,
+        reached_end: forwarded.is_ok(),
+        last_event_id: stream.last_event_id,
+        partial_event_bytes: stream.splitter.partial_event_bytes(),
+    });
+    forwarded?;
+    let rest = stream.splitter.finish();
     if !rest.is_empty() {
-        driver.calls.write(call, rest);
+        driver.calls.write(command.call, rest);
     }
     Ok(ExchangeEvent::Complete { status })
 }
 
+/// An endpoint's stream of events while it is forwarded.
+struct EventStream {
+    body: Incoming,
+    splitter: EventSplitter,
+    last_event_id: Option<u64>,
+}
+
+impl EventStream {
+    /// Forwards whole events until the body ends.
+    async fn forward(
+        &mut self,
+        driver: &Arc<Driver>,
+        command: &SendCommand,
+    ) -> Result<(), ExchangeFailure> {
+        while let Some(frame) = self.body.frame().await {
+            let frame = frame.map_err(|_| ExchangeFailure::Closed)?;
+            let Ok(bytes) = frame.into_data() else {
+                // Trailers are not forwarded: they carry nothing that callers need.
+                continue;
+            };
+            let Some(events) = self.splitter.push(&bytes) else {
+                continue;
+            };
+            driver.calls.write(command.call, events.bytes);
+            let last_event_id = events.last_id;
+            self.last_event_id = last_event_id.or(self.last_event_id);
+            driver
+                .submit_exchange_event(command.exchange, ExchangeEvent::Progress { last_event_id });
+        }
+        Ok(())
+    }
+}
+
 /// Sends a request to free engine memory; if it fails, the engine frees the memory when the reservation or
 /// KV cache expires.
 pub(super) async fn send_free_request(
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -187,6 +187,29 @@
     },
 }
 
+/// How the end of an answer's body is marked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BodyFraming {
+    /// By its length, stated in the head.
+    Length,
+    /// By a final chunk.
+    Chunks,
+    /// Not at all: the body ends with its connection.
+    ConnectionEnd,
+}
+
+impl BodyFraming {
+    /// Returns the name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::ConnectionEnd => "connection_end",
+        }
+    }
+}
+
 /// Why an endpoint did not run a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NotRunReason {
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -5,6 +5,7 @@
 use arbutusfall_wire::Name;
 use serde::Serialize;
 
+use crate::relay::BodyFraming;
 use crate::relay::StoreReadFailure;
 use crate::relay::StoreTopic;
 
@@ -113,6 +114,22 @@
         /// Longest time for which it waits.
         at_most_ms: u64,
     },
+    /// An endpoint's stream ended or failed; not written if the relay abandoned it.
+    StreamEnded {
+        /// Id that the caller gave to the request.
+        request_id: Name,
+        /// Instance that it was sent to.
+        instance: Name,
+        /// How the end of the stream is marked.
+        framing: BodyFraming,
+        /// Whether the end was reached: the stream has its length, its final chunk or, with neither, its connection
+        /// ended without a failure.
+        reached_end: bool,
+        /// Id of the last whole event, if any had one.
+        last_event_id: Option<u64>,
+        /// Bytes after the last whole event.
+        partial_event_bytes: usize,
+    },
     /// An exchange ended without an answer to forward.
     ExchangeFailed {
         /// Id that the caller gave to the request.
@@ -207,6 +224,7 @@
             self,
             Self::Sent { .. }
                 | Self::Waiting { .. }
+                | Self::StreamEnded { .. }
                 | Self::Answered { .. }
                 | Self::CallerGone { .. }
         )
@@ -227,6 +245,7 @@
             Self::Store { .. } => "store",
             Self::Sent { .. } => "sent",
             Self::Waiting { .. } => "waiting",
+            Self::StreamEnded { .. } => "stream_ended",
             Self::ExchangeFailed { .. } => "exchange_failed",
             Self::Answered { .. } => "answered",
             Self::GivenUp { .. } => "given_up",
