Relay: a stream that ends inside an event is broken off, whatever its framing

Cause: the relay took the end of an endpoint's body for the end of the answer. For an answer with neither length nor chunks, the body ends with its connection, also when the engine crashes; the part of the last event was even forwarded, followed by a final chunk.

A stream is complete only if its body reached its end after a whole event; with neither length nor chunks it must have brought one. Otherwise the exchange fails as 'truncated': the part of an event is dropped, the stream is resumed or aborted.

--- a/crates/arbutusfall/src/http/event_splitter.rs
+++ b/crates/arbutusfall/src/http/event_splitter.rs
@@ -35,6 +35,13 @@
         self.pending.len()
     }
 
+    /// Returns whether an event has begun and its end has not arrived; blank lines between events begin none.
+    pub fn is_inside_event(&self) -> bool {
+        self.pending
+            .iter()
+            .any(|byte| !matches!(byte, b'\r' | b'\n'))
+    }
+
     /// Returns the bytes after the last whole event.
     pub fn finish(self) -> Bytes {
         self.pending.into()
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arbutusfall_core::relay::BodyFraming;
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ExchangeFailure;
 use arbutusfall_core::relay::RelayNotice;
@@ -142,6 +143,7 @@
     let mut stream = EventStream {
         body,
         splitter: EventSplitter::default(),
+        has_events: false,
         last_event_id: None,
     };
     let forwarded = stream.forward(driver, command).await;
@@ -154,6 +156,9 @@
         partial_event_bytes: stream.splitter.partial_event_bytes(),
     });
     forwarded?;
+    if stream.is_truncated(framing) {
+        return Err(ExchangeFailure::Truncated);
+    }
     let rest = stream.splitter.finish();
     if !rest.is_empty() {
         driver.calls.write(command.call, rest);
@@ -165,6 +170,7 @@
 struct EventStream {
     body: Incoming,
     splitter: EventSplitter,
+    has_events: bool,
     last_event_id: Option<u64>,
 }
 
@@ -184,6 +190,7 @@
             let Some(events) = self.splitter.push(&bytes) else {
                 continue;
             };
+            self.has_events = true;
             driver.calls.write(command.call, events.bytes);
             let last_event_id = events.last_id;
             self.last_event_id = last_event_id.or(self.last_event_id);
@@ -192,6 +199,13 @@
         }
         Ok(())
     }
+
+    /// Returns whether a stream whose end was reached was broken off. The end of a connection says nothing about the end
+    /// of the stream, and even a stream with its length or its final chunk is broken off if it ends inside an event.
+    fn is_truncated(&self, framing: BodyFraming) -> bool {
+        let is_empty = !self.has_events && framing == BodyFraming::ConnectionEnd;
+        is_empty || self.splitter.is_inside_event()
+    }
 }
 
 /// Sends a request to free engine memory; if it fails, the engine frees the memory when the reservation or
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -251,6 +251,8 @@
     Unreachable,
     /// The connection closed before the answer was complete.
     Closed,
+    /// The stream ended inside an event, or before its first one without stating that it is complete.
+    Truncated,
     /// The answer is malformed or belongs to another request.
     Malformed,
 }
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -280,6 +280,7 @@
         let label = match failure {
             ExchangeFailure::Unreachable => "unreachable",
             ExchangeFailure::Closed => "closed",
+            ExchangeFailure::Truncated => "truncated",
             ExchangeFailure::Malformed => "malformed",
         };
         if failure == ExchangeFailure::Unreachable {
