Relay: a resumable stream without an event so far is sent again

A stream whose engine broke off after the head and before the first whole event was aborted ('not_resumable') although its route allows a resumption, because the relay has no event id to resume from. Without a delivered event the new run begins where the request itself does. The test of resumptions with every framing failed for this case and passes.

--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -155,7 +155,9 @@
         if self.failed_endpoints.len() >= MAX_FAILED_EXCHANGES || !self.may_retry() {
             return Some("attempts_spent");
         }
-        let can_resume = self.route.is_resumable && self.last_event_id.is_some();
+        // Without an event, the new run begins where the request does.
+        let has_position = self.last_event_id.is_some() || self.first_event_at.is_none();
+        let can_resume = self.route.is_resumable && has_position;
         (self.has_stream_started && !can_resume).then_some("not_resumable")
     }
 
