HTTP server: an aborted answer to a caller of HTTP/1.0 ends with a reset

Such an answer has neither length nor chunks, so its end is the end of the connection. After an abort the connection was closed like after a complete answer: the same cause as on the engines' side of the relay, towards callers. Now it is reset, in 'relay' and in 'serve', which share this server.

--- a/crates/arbutusfall/src/http/error_replacing_stream.rs
+++ b/crates/arbutusfall/src/http/error_replacing_stream.rs
@@ -15,6 +15,7 @@
 use arbutusfall_core::ProblemKind;
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
+use hyper::Version;
 
 use crate::http::problem::raw_problem;
 
@@ -24,6 +25,9 @@
     /// Whether bytes were received since the last request was passed to the handler or the last answer bytes were
     /// written. If the headers of a request time out, these bytes are part of them.
     received_part_of_request: AtomicBool,
+    /// Whether the last request's HTTP version has no chunks, so that an answer without a length ends with the
+    /// connection.
+    answer_ends_with_connection: AtomicBool,
     /// Kind of the problem that replaced an error answer of hyper, if any.
     replacement_kind: Mutex<Option<ProblemKind>>,
 }
@@ -35,8 +39,21 @@
         }
     }
 
+    /// Records that a request was passed to the handler.
+    pub(super) fn on_request(&self, version: Version) {
+        let ends_with_connection = version < Version::HTTP_11;
+        self.answer_ends_with_connection
+            .store(ends_with_connection, Ordering::Relaxed);
+        self.on_request_or_answer();
+    }
+
+    /// Returns whether an answer without a length to the last request ends with the connection.
+    pub(super) fn answer_ends_with_connection(&self) -> bool {
+        self.answer_ends_with_connection.load(Ordering::Relaxed)
+    }
+
     /// Records that a request was passed to the handler or that an answer was written.
-    pub(super) fn on_request_or_answer(&self) {
+    fn on_request_or_answer(&self) {
         self.received_part_of_request
             .store(false, Ordering::Relaxed);
     }
--- a/crates/arbutusfall/src/http/server.rs
+++ b/crates/arbutusfall/src/http/server.rs
@@ -33,6 +33,7 @@
 use serde::Serialize;
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
+use socket2::SockRef;
 
 use crate::Executor;
 use crate::http::AnswerBody;
@@ -288,7 +289,7 @@
     let request_state = state.clone();
     let request_handler = handler.clone();
     let service = service_fn(move |request| {
-        request_state.on_request_or_answer();
+        request_state.on_request(request.version());
         let answer = request_handler.clone().handle(request);
         Box::pin(async { Ok::<_, Infallible>(answer.await) })
     });
@@ -312,6 +313,11 @@
         }
     };
     let mut stream = connection.into_parts().io.into_inner().into_inner();
+    let is_aborted = matches!(&ended, Err(error) if error.is_user());
+    if is_aborted && state.answer_ends_with_connection() {
+        reset(stream);
+        return;
+    }
     let last = match &ended {
         // A request head did not arrive in time.
         Err(error) if error.is_timeout() && state.received_part_of_request() => {
@@ -327,6 +333,15 @@
     write_last(&mut stream, &last).await;
 }
 
+/// Resets a connection, so that an aborted answer whose end is the connection's end does not look complete.
+fn reset(stream: TcpStream) {
+    if let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
+        log::warn!(
+            "an aborted answer looks complete, because its connection was not reset: {error}"
+        );
+    }
+}
+
 /// Writes the last bytes of a connection and discards incoming bytes, because closing a connection with unread bytes
 /// would lose the answer.
 async fn write_last(stream: &mut TcpStream, bytes: &[u8]) {
