Relay: log lines name versions of endpoints and streams that callers take up

New: 'version' in endpoint_listed and sent, and the line 'resuming' with Resumes and Last-Event-Id. No decision depends on them yet.

--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -50,6 +50,13 @@
             self.refuse_unrouted(&request, ProblemKind::NoRoute);
             return;
         };
+        if let Some(resumption) = &request.resumption {
+            self.note(RelayNotice::Resuming {
+                request_id: request.request_id.clone(),
+                first_attempt: resumption.first_attempt.clone(),
+                last_event_id: resumption.last_event_id.clone(),
+            });
+        }
         let call = self.new_call(request, route, &routes);
         self.budget.on_request(&call.service, self.now);
         if call.route.is_model_route {
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -307,6 +307,7 @@
         let notice = RelayNotice::EndpointListed {
             instance: listed.instance.clone(),
             service: listed.service.clone(),
+            version: listed.version.clone(),
             is_leaving: listed.is_leaving,
         };
         let Some(existing) = self.by_instance.get_mut(&listed.instance) else {
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -123,6 +123,8 @@
     pub address: SocketAddr,
     /// Service that it belongs to.
     pub service: Name,
+    /// Version of its software; empty if it is not listed.
+    pub version: Name,
     /// Kind of work that it does.
     pub role: Role,
     /// Whether it takes no new work.
@@ -148,6 +150,17 @@
     pub receive_time: Duration,
     /// Token counts, if the request is for a model.
     pub token_counts: Option<TokenCounts>,
+    /// Stream that the request goes on with, if any.
+    pub resumption: Option<Resumption>,
+}
+
+/// A stream that a caller takes up again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Resumption {
+    /// Id that the caller gave to the attempt that brought the stream's first event, if stated.
+    pub first_attempt: Option<Name>,
+    /// Id of the last event that the caller has.
+    pub last_event_id: Name,
 }
 
 /// Progress or end of an exchange.
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -51,6 +51,8 @@
         instance: Name,
         /// Service that it belongs to.
         service: Name,
+        /// Version of its software.
+        version: Name,
         /// Whether it takes no new work.
         is_leaving: bool,
     },
@@ -86,12 +88,23 @@
         /// Time since the topic's last successful read; none if there was none.
         unread_ms: Option<u64>,
     },
+    /// A caller takes a broken-off stream up again.
+    Resuming {
+        /// Id that the caller gave to the request.
+        request_id: Name,
+        /// Id of the attempt that brought the stream's first event, if stated.
+        first_attempt: Option<Name>,
+        /// Id of the last event that the caller has.
+        last_event_id: Name,
+    },
     /// A request was sent to an endpoint.
     Sent {
         /// Id that the caller gave to the request.
         request_id: Name,
         /// Instance that it was sent to.
         instance: Name,
+        /// Version of the instance's software.
+        version: Name,
         /// Name of the request's route.
         route: Name,
         /// Work requested of the endpoint.
@@ -223,6 +236,7 @@
         matches!(
             self,
             Self::Sent { .. }
+                | Self::Resuming { .. }
                 | Self::Waiting { .. }
                 | Self::StreamEnded { .. }
                 | Self::Answered { .. }
@@ -243,6 +257,7 @@
             Self::EndpointAvoided { .. } => "endpoint_avoided",
             Self::EngineRefusing { .. } => "engine_refusing",
             Self::Store { .. } => "store",
+            Self::Resuming { .. } => "resuming",
             Self::Sent { .. } => "sent",
             Self::Waiting { .. } => "waiting",
             Self::StreamEnded { .. } => "stream_ended",
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -142,7 +142,7 @@
             prefill_due: record_send(call, endpoint, stage, self.now),
         });
         let command = call.send_command(exchange, endpoint, stage, self.now);
-        let notice = call.sent_notice(&command, stage);
+        let notice = call.sent_notice(&command, endpoint, stage);
         self.calls_by_exchange.insert(exchange, id);
         self.set_silence_timer(id);
         self.effects.push(RelayEffect::Send(command));
@@ -278,10 +278,16 @@
         }
     }
 
-    fn sent_notice(&self, command: &SendCommand, stage: CallStage) -> RelayNotice {
+    fn sent_notice(
+        &self,
+        command: &SendCommand,
+        endpoint: &Endpoint,
+        stage: CallStage,
+    ) -> RelayNotice {
         RelayNotice::Sent {
             request_id: self.request.request_id.clone(),
             instance: command.instance.clone(),
+            version: endpoint.listed.version.clone(),
             route: self.route.name.clone(),
             work: stage.name(),
             attempt: self.exchange_count,
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -123,6 +123,7 @@
         instance: instance.into(),
         address: ([10, 0, 0, 1], port).into(),
         service: service.into(),
+        version: "v1".into(),
         role,
         is_leaving: false,
         started_unix_ms: Some(1),
@@ -225,6 +226,7 @@
                 max_output_tokens: 9_000,
                 expected_output_tokens: Some(5_000),
             }),
+            resumption: None,
         }));
         call
     }
--- a/crates/arbutusfall_core/tests/it/relay_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/relay_simulation.rs
@@ -213,6 +213,7 @@
             caller_timeout: Some(ms(14_000) - waited),
             receive_time: Duration::ZERO,
             token_counts: Some(open.token_counts),
+            resumption: None,
         };
         self.apply(vm, RelayEvent::RequestReceived(request));
     }
