Relay: a waiting request is woken when an engine that failed is usable again

The timer of the queue left out engines that are avoided after a failure. A request whose every engine was avoided waited until another event, or its deadline; with one engine of its version left that is the usual case.

--- a/crates/arbutusfall_core/src/relay/admission.rs
+++ b/crates/arbutusfall_core/src/relay/admission.rs
@@ -48,9 +48,12 @@
     /// Returns the instant from which a call may try to reserve memory; none if no engine serves it.
     pub(super) fn reservation_allowed_at(&self, call: &Call) -> Option<Duration> {
         let engines = self.endpoints.serving_call(call, Role::Decode);
-        let usable = engines.filter(|engine| engine.health.is_usable(self.now));
         let delay = self.extra_delay_after_refusal(call);
-        let earliest = usable.map(|engine| engine.available_at(delay)).min()?;
+        let allowed_at = engines.map(|engine| {
+            let avoided_for = engine.health.avoided_for(self.now).unwrap_or_default();
+            engine.available_at(delay).max(self.now + avoided_for)
+        });
+        let earliest = allowed_at.min()?;
         Some(if self.is_late_and_not_started(call) {
             earliest.max(self.wait_queue.late_reservations_at)
         } else {
