Relay: the store's era tells a return from an older copy

Cause: an offset was taken as valid for ever; 'Store-Era' was not read.

One client now makes all calls to the store and watches the era of every answer, error answers included. A position belongs to an era; a new era, seen on any call, ends waiting reads and makes every topic read its newest records. Answers of an older era are failures. The lease is given up and counts again only with a higher token than any known before; a lower one is released.

--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -13,9 +13,11 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
@@ -183,6 +185,45 @@
     request_json(executor, address, Method::POST, path, body.into(), timeout).await
 }
 
+/// A request whose answer is read completely.
+#[derive(Debug, Clone)]
+pub struct WholeRequest<'a> {
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// Method.
+    pub method: Method,
+    /// Path with the query.
+    pub path: &'a str,
+    /// Body; empty for none.
+    pub body: Bytes,
+}
+
+/// A complete answer.
+#[derive(Debug, Clone)]
+pub struct WholeAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl WholeAnswer {
+    /// Returns the body.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError::Status`] if the status is not 2xx.
+    pub fn into_successful_body(self) -> Result<Bytes, ClientError> {
+        if self.status.is_success() {
+            Ok(self.body)
+        } else {
+            Err(ClientError::Status(self.status.as_u16()))
+        }
+    }
+}
+
 async fn request_json<T: DeserializeOwned>(
     executor: &Executor,
     address: SocketAddr,
@@ -191,70 +232,48 @@
     body: Bytes,
     timeout: Duration,
 ) -> Result<T, ClientError> {
-    let body = request_bytes_with_body(executor, address, method, path, body, timeout).await?;
+    let request = WholeRequest {
+        address,
+        method,
+        path,
+        body,
+    };
+    let answer = request_whole(executor, request, timeout).await?;
+    let body = answer.into_successful_body()?;
     serde_json::from_slice(&body).map_err(|_| ClientError::Malformed)
 }
 
-/// Sends a request without a body and reads the body of the answer.
+/// Sends a request and reads its answer completely, whatever the status.
 ///
 /// `timeout` applies to the whole exchange: connecting, the answer's headers and its body.
 ///
 /// # Errors
 ///
-/// Any [`ClientError`]; a status other than 2xx is [`ClientError::Status`].
-pub async fn request_bytes(
+/// Any [`ClientError`] but [`ClientError::Status`].
+pub async fn request_whole(
     executor: &Executor,
-    address: SocketAddr,
-    method: Method,
-    path: &str,
+    request: WholeRequest<'_>,
     timeout: Duration,
-) -> Result<Bytes, ClientError> {
-    request_bytes_with_body(executor, address, method, path, Bytes::new(), timeout).await
-}
-
-/// Sends a POST request and reads the body of the answer.
-///
-/// `timeout` applies to the whole exchange: connecting, the answer's headers and its body.
-///
-/// # Errors
-///
-/// Any [`ClientError`]; a status other than 2xx is [`ClientError::Status`].
-pub async fn post_bytes(
-    executor: &Executor,
-    address: SocketAddr,
-    path: &str,
-    body: Bytes,
-    timeout: Duration,
-) -> Result<Bytes, ClientError> {
-    request_bytes_with_body(executor, address, Method::POST, path, body, timeout).await
-}
-
-async fn request_bytes_with_body(
-    executor: &Executor,
-    address: SocketAddr,
-    method: Method,
-    path: &str,
-    body: Bytes,
-    timeout: Duration,
-) -> Result<Bytes, ClientError> {
+) -> Result<WholeAnswer, ClientError> {
+    let address = request.address;
     let request = Request::builder()
-        .method(method)
-        .uri(path)
+        .method(request.method)
+        .uri(request.path)
         .header(HOST, address.to_string())
         .header(CONTENT_TYPE, "application/json")
-        .body(Full::new(body))
+        .body(Full::new(request.body))
         .map_err(|_| ClientError::Malformed)?;
     // One limit for the whole exchange: a limit for each step would let a request last several times as long.
     let mut limit = async_io::Timer::after(timeout);
     let stream = connect(address, &mut limit).await?;
     let exchange = async {
         let answer = exchange(executor, stream, request).await?;
-        let status = answer.status();
-        let body = collect_body(answer.into_body()).await?;
-        if !status.is_success() {
-            return Err(ClientError::Status(status.as_u16()));
-        }
-        Ok(body)
+        let (parts, body) = answer.into_parts();
+        Ok(WholeAnswer {
+            status: parts.status,
+            headers: parts.headers,
+            body: collect_body(body).await?,
+        })
     };
     let expire = async {
         limit.await;
--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -10,6 +10,8 @@
 mod read_timing;
 mod serve;
 mod settings;
+mod store_client;
+mod store_era;
 mod store_watch;
 mod stream_records;
 
--- a/crates/arbutusfall/src/relay/control_client.rs
+++ b/crates/arbutusfall/src/relay/control_client.rs
@@ -28,6 +28,7 @@
 use crate::http::ClientError;
 use crate::http::OutgoingRequest;
 use crate::relay::driver::Driver;
+use crate::relay::store_client::StoreError;
 
 /// Timeout of a lease request to the store.
 const LEASE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -38,7 +39,6 @@
 /// Acquires and releases the lease for role changes, and orders role changes.
 #[derive(Debug, Clone)]
 pub(super) struct ControlClient {
-    pub(super) store_address: SocketAddr,
     /// Name under which this process competes for the lease; new in each run.
     pub(super) member: Name,
 }
@@ -47,14 +47,10 @@
     /// Acquires or renews the lease.
     pub(super) async fn renew_lease(self, driver: Arc<Driver>, token: u64, lifetime: Duration) {
         let body = JoinBody::new(self.member, token, lifetime);
-        let answer: Result<JoinAnswer, ClientError> = http::post_json(
-            &driver.executor,
-            self.store_address,
-            store::JOIN_PATH,
-            &body,
-            LEASE_TIMEOUT,
-        )
-        .await;
+        let join = driver
+            .store
+            .post_json(&driver, store::JOIN_PATH, &body, LEASE_TIMEOUT);
+        let answer: Result<JoinAnswer, StoreError> = join.await;
         let answer = match answer {
             Ok(answer) => answer.lease(),
             Err(error) => {
@@ -68,14 +64,10 @@
     /// Releases the lease. If the request fails, the lease expires by itself.
     pub(super) async fn release_lease(self, driver: Arc<Driver>) {
         let body = LeaveBody::new(self.member);
-        let answer: Result<Value, ClientError> = http::post_json(
-            &driver.executor,
-            self.store_address,
-            store::LEAVE_PATH,
-            &body,
-            LEASE_TIMEOUT,
-        )
-        .await;
+        let leave = driver
+            .store
+            .post_json(&driver, store::LEAVE_PATH, &body, LEASE_TIMEOUT);
+        let answer: Result<Value, StoreError> = leave.await;
         if let Err(error) = answer {
             log::info!("the store did not confirm the release of the lease: {error}");
         }
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -37,7 +37,8 @@
 use crate::relay::open_calls::AnswerHead;
 use crate::relay::open_calls::OpenCalls;
 use crate::relay::open_calls::Reply;
-use crate::relay::stream_records::StreamRecords;
+use crate::relay::store_client::StoreClient;
+use crate::relay::stream_records;
 
 /// An exchange in progress.
 #[derive(Default)]
@@ -57,7 +58,7 @@
     pub(super) calls: OpenCalls,
     pub(super) executor: Arc<Executor>,
     control: ControlClient,
-    stream_records: StreamRecords,
+    pub(super) store: StoreClient,
     log: DecisionLog,
     metrics: Metrics,
     clock: SystemClock,
@@ -78,7 +79,7 @@
     pub(super) fn new(
         relay: Relay,
         control: ControlClient,
-        stream_records: StreamRecords,
+        store: StoreClient,
         log: DecisionLog,
         executor: Arc<Executor>,
     ) -> Self {
@@ -92,7 +93,7 @@
             calls: OpenCalls::default(),
             executor,
             control,
-            stream_records,
+            store,
             log,
             metrics: Metrics::default(),
             clock: SystemClock::start(),
@@ -134,7 +135,7 @@
     /// Returns the counters, quantiles and the configuration in force as text.
     pub(super) fn metrics_text(&self) -> String {
         let config = lock(&self.relay).config_status(self.now());
-        self.metrics.text(config)
+        self.metrics.text(config, self.store.era.newest())
     }
 
     /// Queues an event and handles all queued events. A nested call, made while an effect is performed, only queues the
@@ -261,11 +262,11 @@
                 self.executor.spawn(release).detach();
             }
             RelayEffect::FindStream { call, attempt } => {
-                let find = self.stream_records.find(self.clone(), call, attempt);
+                let find = stream_records::find(self.clone(), call, attempt);
                 self.executor.spawn(find).detach();
             }
             RelayEffect::RecordStreams(records) => {
-                let append = self.stream_records.append(self.clone(), records);
+                let append = stream_records::append(self.clone(), records);
                 self.executor.spawn(append).detach();
             }
             RelayEffect::OrderRole {
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -100,8 +100,8 @@
         }
     }
 
-    /// Returns all counters, quantiles and values of the configuration in force in the exposition format.
-    pub(super) fn text(&self, config: Option<ConfigStatus>) -> String {
+    /// Returns all counters, quantiles, values of the configuration in force and the era of the store in the exposition format.
+    pub(super) fn text(&self, config: Option<ConfigStatus>, store_era: Option<u64>) -> String {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let mut text = String::new();
         state.write_counters(&mut text);
@@ -109,6 +109,12 @@
         if let Some(config) = config {
             write_config(&mut text, config);
         }
+        if let Some(era) = store_era {
+            let _ = writeln!(
+                text,
+                "# TYPE arbutusfall_store_era gauge\narbutusfall_store_era {era}"
+            );
+        }
         text
     }
 }
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -29,8 +29,8 @@
 use crate::relay::control_client::ControlClient;
 use crate::relay::decision_log::DecisionLog;
 use crate::relay::driver::Driver;
+use crate::relay::store_client::StoreClient;
 use crate::relay::store_watch::StoreWatch;
-use crate::relay::stream_records::StreamRecords;
 use crate::telemetry;
 
 /// Path of counters and latency quantiles at the operators' address; any other path returns readiness.
@@ -64,12 +64,9 @@
         lease_lifetime: Duration::from_millis(settings.lease_lifetime_ms),
     };
     let control = ControlClient {
-        store_address: settings.store_address,
         member: format!("{}-{:016x}", settings.vm, fastrand::u64(..)).into(),
     };
-    let stream_records = StreamRecords {
-        store_address: settings.store_address,
-    };
+    let store = StoreClient::new(settings.store_address);
     let relay = Relay::new(&relay_settings, fastrand::u64(..));
     let log = DecisionLog::start(
         settings.vm.clone(),
@@ -77,13 +74,7 @@
         std::io::stdout(),
     );
     let log = log.change_context(ServeError::Log)?;
-    let driver = Arc::new(Driver::new(
-        relay,
-        control,
-        stream_records,
-        log,
-        executor.clone(),
-    ));
+    let driver = Arc::new(Driver::new(relay, control, store, log, executor.clone()));
     let topics = [
         (StoreTopic::Config, settings.config_timing()),
         (StoreTopic::Endpoints, settings.endpoint_list_timing()),
@@ -91,7 +82,6 @@
     for (topic, timing) in topics {
         let watch = StoreWatch {
             driver: driver.clone(),
-            address: settings.store_address,
             topic,
             timing,
         };
--- /dev/null
+++ b/crates/arbutusfall/src/relay/store_client.rs
@@ -0,0 +1,134 @@
+//! Client of the platform's store, which watches the store's era.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_platform::store;
+use hyper::Method;
+use hyper::body::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::http;
+use crate::http::ClientError;
+use crate::http::WholeRequest;
+use crate::relay::driver::Driver;
+use crate::relay::store_era::EraObservation;
+use crate::relay::store_era::StoreEra;
+
+/// Error of a request to the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum StoreError {
+    /// The request failed.
+    Failed(ClientError),
+    /// The answer is from before the store's last return from an older copy.
+    OldEra,
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Failed(error) => error.fmt(f),
+            Self::OldEra => f.write_str("the answer is from before the store's last return"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+impl From<ClientError> for StoreError {
+    fn from(error: ClientError) -> Self {
+        Self::Failed(error)
+    }
+}
+
+/// A successful answer of the store.
+#[derive(Debug, Clone)]
+pub(super) struct StoreAnswer {
+    pub(super) body: Bytes,
+    /// Era of the store; `None` if it states none.
+    pub(super) era: Option<u64>,
+}
+
+/// Client of the store.
+#[derive(Debug)]
+pub(super) struct StoreClient {
+    address: SocketAddr,
+    pub(super) era: StoreEra,
+}
+
+impl StoreClient {
+    pub(super) fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            era: StoreEra::default(),
+        }
+    }
+
+    /// Sends a GET request; `timeout` applies to the whole exchange.
+    pub(super) async fn get(
+        &self,
+        driver: &Arc<Driver>,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<StoreAnswer, StoreError> {
+        let body = Bytes::new();
+        self.send(driver, Method::GET, path, body, timeout).await
+    }
+
+    /// Sends a POST request; `timeout` applies to the whole exchange.
+    pub(super) async fn post(
+        &self,
+        driver: &Arc<Driver>,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<StoreAnswer, StoreError> {
+        self.send(driver, Method::POST, path, body, timeout).await
+    }
+
+    /// Sends a POST request with a JSON document and parses the answer as JSON.
+    pub(super) async fn post_json<T: DeserializeOwned>(
+        &self,
+        driver: &Arc<Driver>,
+        path: &str,
+        document: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<T, StoreError> {
+        let body = serde_json::to_vec(document).map_err(|_| ClientError::Malformed)?;
+        let answer = self.post(driver, path, body.into(), timeout).await?;
+        let parsed = serde_json::from_slice(&answer.body);
+        Ok(parsed.map_err(|_| ClientError::Malformed)?)
+    }
+
+    async fn send(
+        &self,
+        driver: &Arc<Driver>,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<StoreAnswer, StoreError> {
+        let request = WholeRequest {
+            address: self.address,
+            method,
+            path,
+            body,
+        };
+        let answer = http::request_whole(&driver.executor, request, timeout).await?;
+        let era = store::era(&answer.headers);
+        // Error answers have an era too.
+        match era.map(|era| (era, self.era.observe(era))) {
+            Some((_, EraObservation::Older)) => return Err(StoreError::OldEra),
+            Some((era, EraObservation::Newer { previous })) => {
+                driver.submit(RelayEvent::StoreReturned { previous, era });
+            }
+            Some((_, EraObservation::Current)) | None => {}
+        }
+        let body = answer.into_successful_body()?;
+        Ok(StoreAnswer { body, era })
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall/src/relay/store_era.rs
@@ -0,0 +1,73 @@
+//! Era of the platform's store: it rises by one each time the store returns from an older copy of its contents.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use async_channel::Sender;
+
+/// What an answer's era says about the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum EraObservation {
+    /// The answer is of the newest era known, or the first one with an era.
+    Current,
+    /// The store has returned from an older copy since `previous`.
+    Newer {
+        /// Newest era known before.
+        previous: u64,
+    },
+    /// The answer is from before the store's last return: what it says may be lost.
+    Older,
+}
+
+/// Newest era seen in any answer of the store.
+#[derive(Debug, Default)]
+pub(super) struct StoreEra(Mutex<State>);
+
+#[derive(Debug, Default)]
+struct State {
+    newest: Option<u64>,
+    /// Senders that are closed when the era rises.
+    waiters: Vec<Sender<()>>,
+}
+
+impl StoreEra {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the newest era seen; `None` if no answer had one.
+    pub(super) fn newest(&self) -> Option<u64> {
+        self.state().newest
+    }
+
+    /// Takes the era of an answer.
+    pub(super) fn observe(&self, era: u64) -> EraObservation {
+        let mut state = self.state();
+        let newest = state.newest.unwrap_or(era);
+        if era < newest {
+            return EraObservation::Older;
+        }
+        state.newest = Some(era);
+        if era == newest {
+            return EraObservation::Current;
+        }
+        state.waiters.clear();
+        EraObservation::Newer { previous: newest }
+    }
+
+    /// Waits until the newest era is another one than `era`.
+    pub(super) async fn changed_from(&self, era: Option<u64>) {
+        let (sender, receiver) = async_channel::bounded(1);
+        {
+            let mut state = self.state();
+            if state.newest != era {
+                return;
+            }
+            state.waiters.retain(|waiter| !waiter.is_closed());
+            state.waiters.push(sender);
+        }
+        // Nothing is ever sent; this returns when the channel closes.
+        let _ = receiver.recv().await;
+    }
+}
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -1,6 +1,5 @@
 //! Reads the configuration and the endpoint list from the platform's store and follows their changes.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,14 +12,14 @@
 use arbutusfall_platform::store;
 use arbutusfall_platform::store::KeyedRecord;
 use arbutusfall_wire::Offset;
-use hyper::Method;
-use hyper::body::Bytes;
+use futures_lite::FutureExt;
 
-use crate::http;
 use crate::http::ClientError;
 use crate::relay::driver::Driver;
 use crate::relay::read_timing::READS_AFTER_FAILURE;
 use crate::relay::read_timing::ReadTiming;
+use crate::relay::store_client::StoreAnswer;
+use crate::relay::store_client::StoreError;
 
 /// Minimum time between the starts of a failed read and the next one; doubles up to [`MAX_RETRY_INTERVAL`].
 const FIRST_RETRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -31,15 +30,22 @@
 /// Task that follows one topic.
 pub(super) struct StoreWatch {
     pub(super) driver: Arc<Driver>,
-    pub(super) address: SocketAddr,
     pub(super) topic: StoreTopic,
     pub(super) timing: ReadTiming,
 }
 
+/// Position in a topic.
+#[derive(Debug, Clone, Copy)]
+struct Position {
+    offset: Offset,
+    /// Era of the store in which it was read: in another one the offset has other records.
+    era: Option<u64>,
+}
+
 /// Where and how the next read begins.
 struct NextRead {
-    /// Offset to continue from; none if the newest records must be read.
-    from: Option<Offset>,
+    /// Position to continue from; none if the newest records must be read.
+    from: Option<Position>,
     /// Long-polling wait.
     wait: Duration,
     /// Minimum time from its start to the next read if it fails.
@@ -50,10 +56,30 @@
 
 /// Why a read failed.
 enum WatchError {
-    /// Records that were not yet read have been deleted, so the newest records must be read again.
-    Deleted,
+    /// Records that were not yet read have been deleted, or the store has returned from an older copy, so the newest
+    /// records must be read again.
+    PositionLost,
     /// The request failed, or its answer is malformed.
-    Failed(ClientError),
+    Failed(StoreError),
+}
+
+impl From<StoreError> for WatchError {
+    fn from(error: StoreError) -> Self {
+        match error {
+            StoreError::Failed(ClientError::Status(status))
+                if store::means_records_deleted(status) =>
+            {
+                Self::PositionLost
+            }
+            error => Self::Failed(error),
+        }
+    }
+}
+
+impl From<ClientError> for WatchError {
+    fn from(error: ClientError) -> Self {
+        Self::Failed(error.into())
+    }
 }
 
 impl StoreWatch {
@@ -77,7 +103,7 @@
                         short_pauses: next.short_pauses.saturating_sub(1),
                     };
                 }
-                Err(WatchError::Deleted) => next.from = None,
+                Err(WatchError::PositionLost) => next.from = None,
                 Err(WatchError::Failed(error)) => {
                     log::debug!("reading from the store failed: {error}");
                     self.submit_read(Some(read_failure(&error)));
@@ -104,11 +130,16 @@
         }
     }
 
-    async fn read(&self, next: &NextRead) -> Result<Offset, WatchError> {
-        match next.from {
-            Some(from) => self.read_tail(from, next.wait).await,
-            None => self.read_newest().await.map_err(WatchError::Failed),
-        }
+    async fn read(&self, next: &NextRead) -> Result<Position, WatchError> {
+        let Some(from) = next.from else {
+            return self.read_newest().await;
+        };
+        let returned = async {
+            self.driver.store.era.changed_from(from.era).await;
+            Err(WatchError::PositionLost)
+        };
+        // Another topic's answer may show first that the store has returned.
+        self.read_tail(from, next.wait).or(returned).await
     }
 
     fn submit_read(&self, failure: Option<StoreReadFailure>) {
@@ -116,24 +147,30 @@
         self.driver.submit(RelayEvent::StoreRead { topic, failure });
     }
 
-    async fn get(&self, path: &str, wait: Duration) -> Result<Bytes, ClientError> {
+    async fn get(&self, path: &str, wait: Duration) -> Result<StoreAnswer, StoreError> {
         let timeout = wait + self.timing.answer_timeout;
-        let executor = &self.driver.executor;
-        http::request_bytes(executor, self.address, Method::GET, path, timeout).await
+        self.driver.store.get(&self.driver, path, timeout).await
     }
 
-    /// Reads the newest record of each key; returns the offset at which to continue with the tail.
-    async fn read_newest(&self) -> Result<Offset, ClientError> {
+    /// Reads the newest record of each key; returns the position at which to continue with the tail.
+    async fn read_newest(&self) -> Result<Position, WatchError> {
         let mut records = Vec::new();
         let mut after = None;
         let mut first_end = None;
         loop {
             let path = store::newest_path(self.topic, after.as_deref());
-            let body = self.get(&path, Duration::ZERO).await?;
-            let page = store::parse_newest(&body).map_err(|_| ClientError::Malformed)?;
+            let answer = self.get(&path, Duration::ZERO).await?;
+            let page = store::parse_newest(&answer.body).map_err(|_| ClientError::Malformed)?;
             // Records may be written between two pages. Continuing from the first page's end reads all of them, some
             // for the second time.
-            let end = *first_end.get_or_insert(page.end);
+            let end = *first_end.get_or_insert(Position {
+                offset: page.end,
+                era: answer.era,
+            });
+            if end.era != answer.era {
+                // The store has returned between two pages.
+                return Err(WatchError::PositionLost);
+            }
             records.extend(page.records);
             after = page.next_after;
             if after.is_none() {
@@ -143,18 +180,19 @@
         }
     }
 
-    async fn read_tail(&self, from: Offset, wait: Duration) -> Result<Offset, WatchError> {
-        let path = store::tail_path(self.topic, from, wait);
-        let body = self.get(&path, wait).await.map_err(|error| match error {
-            ClientError::Status(status) if store::means_records_deleted(status) => {
-                WatchError::Deleted
-            }
-            error => WatchError::Failed(error),
-        })?;
-        let page = store::parse_tail(&body, from)
-            .map_err(|_| WatchError::Failed(ClientError::Malformed))?;
+    async fn read_tail(&self, from: Position, wait: Duration) -> Result<Position, WatchError> {
+        let path = store::tail_path(self.topic, from.offset, wait);
+        let answer = self.get(&path, wait).await?;
+        if answer.era != from.era {
+            return Err(WatchError::PositionLost);
+        }
+        let page =
+            store::parse_tail(&answer.body, from.offset).map_err(|_| ClientError::Malformed)?;
         self.submit_records(page.records, false);
-        Ok(page.next)
+        Ok(Position {
+            offset: page.next,
+            era: from.era,
+        })
     }
 
     /// Reports a successful read and what it contains.
@@ -212,7 +250,11 @@
     }
 }
 
-fn read_failure(error: &ClientError) -> StoreReadFailure {
+fn read_failure(error: &StoreError) -> StoreReadFailure {
+    let error = match error {
+        StoreError::Failed(error) => error,
+        StoreError::OldEra => return StoreReadFailure::OldEra,
+    };
     match error {
         ClientError::Connect => StoreReadFailure::Unreachable,
         ClientError::Broken => StoreReadFailure::Closed,
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -180,6 +180,7 @@
             RelayEvent::UnreadableConfig => self.on_unreadable_config(),
             RelayEvent::EndpointChanges(changes) => self.on_endpoint_changes(changes),
             RelayEvent::StoreRead { topic, failure } => self.on_store_read(topic, failure),
+            RelayEvent::StoreReturned { previous, era } => self.on_store_returned(previous, era),
             RelayEvent::RequestReceived(request) => self.on_request(request),
             RelayEvent::CallerGone { call } => self.on_caller_gone(call),
             RelayEvent::Exchange { exchange, event } => self.on_exchange(exchange, event),
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -37,6 +37,14 @@
         /// Why the read failed; `None` if it succeeded.
         failure: Option<StoreReadFailure>,
     },
+    /// The store has returned from an older copy of its contents: what was written to it since that copy is lost unless
+    /// it is written again.
+    StoreReturned {
+        /// Its era before.
+        previous: u64,
+        /// Its era now.
+        era: u64,
+    },
     /// A caller sent a request.
     RequestReceived(RelayRequest),
     /// The caller's connection closed before its answer was complete.
@@ -108,6 +116,8 @@
     Silent,
     /// The store answered with an error status.
     ErrorStatus,
+    /// The answer is from before the store's last return from an older copy.
+    OldEra,
     /// The answer is malformed.
     Malformed,
 }
--- a/crates/arbutusfall_core/src/relay/lease.rs
+++ b/crates/arbutusfall_core/src/relay/lease.rs
@@ -36,6 +36,9 @@
     lifetime: Duration,
     /// Newest token that the store has returned.
     token: u64,
+    /// Lowest token with which this VM may give orders: the store may give out tokens again after its return from an older
+    /// copy.
+    min_order_token: u64,
     /// Instant at which the last renewal was sent.
     renewal_sent_at: Duration,
     /// Start of this VM's uninterrupted hold of the lease; none if it is not the holder.
@@ -51,6 +54,7 @@
         Self {
             lifetime,
             token: 0,
+            min_order_token: 0,
             renewal_sent_at: Duration::ZERO,
             held_since: None,
             valid_until: Duration::ZERO,
@@ -67,6 +71,17 @@
         (is_settled && is_valid).then_some(self.token)
     }
 
+    /// Takes a token that the store returned; returns whether orders may be given with it.
+    fn accept_token(&mut self, token: u64) -> bool {
+        self.token = token;
+        token >= self.min_order_token
+    }
+
+    /// Handles the store's return from an older copy: tokens up to the newest one known may have been used.
+    fn on_store_returned(&mut self) {
+        self.min_order_token = self.min_order_token.max(self.token + 1);
+    }
+
     /// Stops orders under the current token, because an engine refused it as stale.
     pub(crate) fn on_token_refused(&mut self) {
         self.refused_token = Some(self.token);
@@ -90,7 +105,7 @@
     pub(super) fn on_lease(&mut self, answer: LeaseAnswer) {
         let was_held = self.lease.held_since.is_some();
         match answer {
-            LeaseAnswer::Held { token } => {
+            LeaseAnswer::Held { token } if self.lease.accept_token(token) => {
                 // `valid_until` counts from the sending of the renewal, not from this answer: the store may count from
                 // the renewal's arrival, and this VM must stop before the lease expires there.
                 let renewal_sent_at = self.lease.renewal_sent_at;
@@ -98,16 +113,31 @@
                 if !was_held || lapsed {
                     self.lease.held_since = Some(self.now);
                 }
-                self.lease.token = token;
                 self.lease.valid_until =
                     renewal_sent_at + self.lease.lifetime.mul_f64(VALID_FRACTION);
             }
+            LeaseAnswer::Held { .. } => {
+                self.lease.held_since = None;
+                // The next holder gets a higher token.
+                self.effects.push(RelayEffect::ReleaseLease);
+            }
             LeaseAnswer::NotHeld { token } => {
                 self.lease.token = token;
                 self.lease.held_since = None;
             }
             LeaseAnswer::Failed => {}
         }
+        self.note_lease_change(was_held);
+    }
+
+    /// Gives the lease up after the store's return from an older copy, which may not know it.
+    pub(super) fn lose_lease(&mut self) {
+        let was_held = self.lease.held_since.take().is_some();
+        self.lease.on_store_returned();
+        self.note_lease_change(was_held);
+    }
+
+    fn note_lease_change(&mut self, was_held: bool) {
         let is_held = self.lease.held_since.is_some();
         if was_held != is_held {
             let token = self.lease.token;
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -88,6 +88,13 @@
         /// Time since the topic's last successful read; none if there was none.
         unread_ms: Option<u64>,
     },
+    /// The store has returned from an older copy of its contents; its topics are read again.
+    StoreReturned {
+        /// Its era before.
+        previous_era: u64,
+        /// Its era now.
+        era: u64,
+    },
     /// A caller takes a broken-off stream up again.
     Resuming {
         /// Id that the caller gave to the request.
@@ -267,6 +274,7 @@
             Self::EndpointAvoided { .. } => "endpoint_avoided",
             Self::EngineRefusing { .. } => "engine_refusing",
             Self::Store { .. } => "store",
+            Self::StoreReturned { .. } => "store_returned",
             Self::Resuming { .. } => "resuming",
             Self::GoesOn { .. } => "goes_on",
             Self::Sent { .. } => "sent",
--- a/crates/arbutusfall_core/src/relay/store_view.rs
+++ b/crates/arbutusfall_core/src/relay/store_view.rs
@@ -63,6 +63,19 @@
 }
 
 impl Relay {
+    /// Handles the loss of what was written to the store since its copy. Endpoints that are missing in the list are kept
+    /// until they have had time to write their entries again; this VM's own records are written again.
+    pub(super) fn on_store_returned(&mut self, previous: u64, era: u64) {
+        self.endpoints.on_list_recovered(self.now);
+        self.stream_versions.on_records_lost();
+        self.set_record_timer();
+        self.lose_lease();
+        self.note(RelayNotice::StoreReturned {
+            previous_era: previous,
+            era,
+        });
+    }
+
     pub(super) fn on_store_read(&mut self, topic: StoreTopic, failure: Option<StoreReadFailure>) {
         let is_reachable = failure.is_none();
         let unread_for = self.store.unread_for(topic, self.now);
--- a/crates/arbutusfall_core/src/relay/stream_versions.rs
+++ b/crates/arbutusfall_core/src/relay/stream_versions.rs
@@ -234,6 +234,15 @@
         });
     }
 
+    /// Handles the loss of the records in the store: those of streams that may still be resumed are missing again.
+    pub(crate) fn on_records_lost(&mut self) {
+        for stream in self.streams.values_mut() {
+            if stream.record == RecordState::Written {
+                stream.record = RecordState::Missing;
+            }
+        }
+    }
+
     /// Handles the end of an append. After a failure its origins are recorded again; its deletions are not repeated, so
     /// that records may stay behind in the store.
     pub(crate) fn on_appended(&mut self, succeeded: bool, now: Duration) {
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -26,6 +26,7 @@
 mod relay_retry_budget;
 mod relay_roles;
 mod relay_simulation;
+mod relay_store_return;
 mod relay_stream_versions;
 mod session;
 mod single_completion;
