Relay: an endpoint that is leaving stays so although an older copy says it is ready

A VM that has read an endpoint's leaving is bound by it. After the store's return from an older copy, the list may say 'ready' again, also after the entry was removed. Leaving is now remembered for 60 s for each run of an endpoint's process (its start time); a restart under the same id is not affected.

--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -17,6 +17,9 @@
 /// expired during the outage are listed again within it.
 pub const LIST_RECOVERY_GRACE: Duration = Duration::from_millis(2_300);
 
+/// Time for which an instance that was listed as leaving is remembered; the platform's copies are some seconds old.
+const LEAVING_LIFETIME: Duration = Duration::from_secs(60);
+
 /// Weight of the newest sample in a running mean.
 const NEWEST_WEIGHT: f64 = 0.2;
 
@@ -242,6 +245,16 @@
     by_instance: BTreeMap<Name, Endpoint>,
     /// Instant until which removals are delayed after the list could be read again.
     removals_delayed_until: Duration,
+    /// Instances that were listed as leaving, also after their removal. An endpoint that leaves never becomes ready again, but
+    /// a store that returned from an older copy may say so.
+    leaving: BTreeMap<Name, LeavingInstance>,
+}
+
+/// An instance that was listed as leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct LeavingInstance {
+    started_unix_ms: Option<u64>,
+    listed_at: Duration,
 }
 
 impl Endpoints {
@@ -308,7 +321,10 @@
         let mut notices = Vec::new();
         for change in changes {
             match change {
-                EndpointListChange::Listed(listed) => notices.extend(self.add_or_update(listed)),
+                EndpointListChange::Listed(listed) => {
+                    let listed = self.with_known_leaving(listed, now);
+                    notices.extend(self.add_or_update(listed));
+                }
                 EndpointListChange::Removed { instance } => self.mark_unlisted(&instance, now),
                 EndpointListChange::FullList(instances) => {
                     let all: Vec<Name> = self.by_instance.keys().cloned().collect();
@@ -324,6 +340,25 @@
         notices
     }
 
+    /// Returns the entry as leaving if this run of the endpoint's process was listed as leaving before.
+    fn with_known_leaving(&mut self, mut listed: ListedEndpoint, now: Duration) -> ListedEndpoint {
+        self.leaving
+            .retain(|_, leaving| now < leaving.listed_at + LEAVING_LIFETIME);
+        if listed.is_leaving {
+            let leaving = LeavingInstance {
+                started_unix_ms: listed.started_unix_ms,
+                listed_at: now,
+            };
+            self.leaving.insert(listed.instance.clone(), leaving);
+            return listed;
+        }
+        let known = self.leaving.get(&listed.instance);
+        listed.is_leaving = known.is_some_and(|known| {
+            known.started_unix_ms.is_some() && known.started_unix_ms == listed.started_unix_ms
+        });
+        listed
+    }
+
     fn add_or_update(&mut self, listed: ListedEndpoint) -> Option<RelayNotice> {
         let notice = RelayNotice::EndpointListed {
             instance: listed.instance.clone(),
