--- a/crates/arbutusfall_core/tests/it/relay_store_return.rs
+++ b/crates/arbutusfall_core/tests/it/relay_store_return.rs
@@ -28,7 +28,7 @@
         RelayEffect::Note(RelayNotice::Lease { held, .. }) => Some(*held),
         _ => None,
     });
-    held.last()
+    held.reduce(|_, last| last)
 }
 
 // Guards against orders with a fencing token that may have been given out before the return, to this VM or another.
