HTTP client: bounded memory for answers without end

Causes: a plain answer was read completely up to 64 MiB, with no limit for all together; events waited in a queue without a limit while the caller did not read; the HTTP library read interim answers (1xx) in a loop without letting other tasks run; an incomplete event had no limit.

The first 16 KiB of each do not count towards the total, so that short answers pass beside endless ones. - Control answers: 64 KiB, reports 1 MiB, the store, the log and the VM list 16 MiB. One event: 256 KiB. Read buffers: 64 KiB. - A stream whose caller is slow is held back after eight queued pieces. Past a limit the exchange ends as 'too_long' and counts as the endpoint's failure; a request that may have run is never called not run. 'serve' has the same limits for its plain services, with defaults of 16 and 64 MiB.

--- a/crates/arbutusfall/src/http.rs
+++ b/crates/arbutusfall/src/http.rs
@@ -1,13 +1,17 @@
 //! HTTP/1.1 client and server for the router and the stand-ins: hyper on async-io.
 
+mod answer_memory;
 mod body;
 mod client;
 mod error_replacing_stream;
 mod event_splitter;
 mod framing;
+mod head_limit;
 mod problem;
 mod server;
 
+pub use answer_memory::AnswerLimits;
+pub use answer_memory::AnswerMemory;
 pub use body::AnswerBody;
 pub use body::BodyAborted;
 pub use body::BodyChunk;
@@ -19,9 +23,11 @@
 pub use client::get_json;
 pub use client::post_json;
 pub use client::read_body;
+pub use client::read_control_body;
 pub use client::request_whole;
 pub use client::send;
 pub use event_splitter::EventSplitter;
+pub use event_splitter::EventTooLong;
 pub use event_splitter::WholeEvents;
 pub use framing::body_framing;
 pub use problem::problem_answer;
--- /dev/null
+++ b/crates/arbutusfall/src/http/answer_memory.rs
@@ -0,0 +1,85 @@
+//! Limit of the memory for answers that are read completely before they are forwarded.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+/// Bytes of each answer that do not count towards the total, so that answers without end do not keep short ones out.
+const UNCOUNTED_BYTES: usize = 16 * 1024;
+
+/// Limits of the bytes of answers in memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerLimits {
+    /// Largest answer.
+    pub per_answer_bytes: usize,
+    /// Bytes of all answers that are being read, beyond the first 16 KiB of each.
+    pub total_bytes: usize,
+}
+
+impl Default for AnswerLimits {
+    fn default() -> Self {
+        Self {
+            per_answer_bytes: 16 * 1024 * 1024,
+            total_bytes: 64 * 1024 * 1024,
+        }
+    }
+}
+
+/// Bytes of all answers that are being read.
+#[derive(Debug, Default)]
+pub struct AnswerMemory {
+    limits: AnswerLimits,
+    used_bytes: AtomicUsize,
+}
+
+impl AnswerMemory {
+    /// Creates an empty count with these limits.
+    pub fn new(limits: AnswerLimits) -> Self {
+        Self {
+            limits,
+            used_bytes: AtomicUsize::new(0),
+        }
+    }
+
+    /// Returns the count of an answer that is about to be read.
+    pub(super) fn begin(self: &Arc<Self>) -> HeldBytes {
+        HeldBytes {
+            memory: self.clone(),
+            bytes: 0,
+            counted_bytes: 0,
+        }
+    }
+}
+
+/// Bytes of one answer; they no longer count once this is dropped.
+#[derive(Debug)]
+pub(super) struct HeldBytes {
+    memory: Arc<AnswerMemory>,
+    bytes: usize,
+    /// Part of `bytes` that counts towards the total.
+    counted_bytes: usize,
+}
+
+impl HeldBytes {
+    /// Adds bytes; returns false if they exceed a limit.
+    pub(super) fn try_add(&mut self, bytes: usize) -> bool {
+        let limits = self.memory.limits;
+        self.bytes += bytes;
+        if self.bytes > limits.per_answer_bytes {
+            return false;
+        }
+        let counted_bytes = self.bytes.saturating_sub(UNCOUNTED_BYTES);
+        let added = counted_bytes - self.counted_bytes;
+        let used = self.memory.used_bytes.fetch_add(added, Ordering::Relaxed);
+        self.counted_bytes = counted_bytes;
+        used + added <= limits.total_bytes
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.memory
+            .used_bytes
+            .fetch_sub(self.counted_bytes, Ordering::Relaxed);
+    }
+}
--- a/crates/arbutusfall/src/http/body.rs
+++ b/crates/arbutusfall/src/http/body.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use async_channel::Sender;
 use futures_lite::Stream;
@@ -13,6 +14,12 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
+/// Number of queued chunks from which a writer that waits for room is held back.
+const MAX_QUEUED_CHUNKS: usize = 8;
+
+/// Interval at which a writer that is held back checks for room.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Body of an answer.
 pub enum AnswerBody {
     /// All bytes; `None` once they were polled.
@@ -66,6 +73,13 @@
 }
 
 impl BodyWriter {
+    /// Waits while many chunks are queued because the receiver is slow.
+    pub async fn wait_for_room(&self) {
+        while self.0.len() >= MAX_QUEUED_CHUNKS && !self.0.is_closed() {
+            async_io::Timer::after(ROOM_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Appends a chunk; returns false if the body was dropped.
     pub fn write(&self, chunk: impl Into<Bytes>) -> bool {
         self.0.try_send(Ok(chunk.into())).is_ok()
--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -5,6 +5,7 @@
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,6 +13,7 @@
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -20,6 +22,7 @@
 use hyper::StatusCode;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
+use hyper::client::conn::http1;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
 use serde::Serialize;
@@ -27,17 +30,25 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::Executor;
+use crate::http::AnswerMemory;
+use crate::http::head_limit::HeadLimit;
+use crate::http::head_limit::HeadLimitedStream;
 
-/// Maximum size of a body that is read completely, in bytes.
-const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+/// Maximum size of an answer of the store, the log or the VM list, in bytes.
+const MAX_WHOLE_BYTES: usize = 16 * 1024 * 1024;
+
+/// Maximum size of a connection's read buffer, in bytes; it bounds the head of an answer and the pieces of its body.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Error of a request, or of reading its answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ClientError {
     /// The connection could not be opened, so no byte was sent.
     Connect,
-    /// The connection failed after bytes may have been sent, or the answer's body is too long.
+    /// The connection failed after bytes may have been sent, or the answer's head is too long.
     Broken,
+    /// The answer's body is too long.
+    TooLong,
     /// The answer did not arrive in time; bytes may have been sent.
     Timeout,
     /// The server answered with a status other than 2xx.
@@ -50,7 +61,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Connect => f.write_str("the connection could not be opened"),
-            Self::Broken => f.write_str("the connection failed or the answer is too long"),
+            Self::Broken => f.write_str("the connection failed or the answer's head is too long"),
+            Self::TooLong => f.write_str("the answer is too long"),
             Self::Timeout => f.write_str("no answer in time"),
             Self::Status(status) => write!(f, "the server answered with status {status}"),
             Self::Malformed => f.write_str("malformed request or answer"),
@@ -125,7 +137,14 @@
     stream: TcpStream,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, ClientError> {
-    let handshake = hyper::client::conn::http1::handshake(FuturesIo::new(stream));
+    let limit = HeadLimit::new();
+    let stream = HeadLimitedStream {
+        inner: stream,
+        limit: limit.clone(),
+    };
+    let handshake = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(FuturesIo::new(stream));
     let (mut sender, connection) = handshake.await.map_err(|_| ClientError::Connect)?;
     let task = executor.spawn(async move {
         // A failure is reported to the pending request.
@@ -133,22 +152,61 @@
     });
     task.detach();
     let answer = sender.send_request(request).await;
+    limit.lift();
     answer.map_err(|_| ClientError::Broken)
 }
 
-/// Reads a complete body.
+/// Reads a complete body of an answer to forward.
+///
+/// # Errors
+///
+/// [`ClientError::Broken`] if the connection fails, [`ClientError::TooLong`] if the body exceeds a limit of `memory`,
+/// [`ClientError::Timeout`] if it is not complete in time.
+pub async fn read_body(
+    body: Incoming,
+    timeout: Duration,
+    memory: &Arc<AnswerMemory>,
+) -> Result<Bytes, ClientError> {
+    read_within(body, memory).or(fail_after(timeout)).await
+}
+
+async fn read_within(mut body: Incoming, memory: &Arc<AnswerMemory>) -> Result<Bytes, ClientError> {
+    let mut held = memory.begin();
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| ClientError::Broken)?;
+        let Ok(data) = frame.into_data() else {
+            // Trailers are not forwarded: they carry nothing that callers need.
+            continue;
+        };
+        if !held.try_add(data.len()) {
+            return Err(ClientError::TooLong);
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.into())
+}
+
+/// Reads a complete body of an answer to the router itself.
 ///
 /// # Errors
 ///
-/// [`ClientError::Broken`] if the connection fails or the body is longer than 64 MiB, [`ClientError::Timeout`] if it is
-/// not complete in time.
-pub async fn read_body(body: Incoming, timeout: Duration) -> Result<Bytes, ClientError> {
-    collect_body(body).or(fail_after(timeout)).await
+/// [`ClientError::Broken`] if the connection fails, [`ClientError::TooLong`] if the body is longer than `max_bytes`,
+/// [`ClientError::Timeout`] if it is not complete in time.
+pub async fn read_control_body(
+    body: Incoming,
+    timeout: Duration,
+    max_bytes: usize,
+) -> Result<Bytes, ClientError> {
+    collect_body(body, max_bytes).or(fail_after(timeout)).await
 }
 
-async fn collect_body(body: Incoming) -> Result<Bytes, ClientError> {
-    let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    Ok(collected.map_err(|_| ClientError::Broken)?.to_bytes())
+async fn collect_body(body: Incoming, max_bytes: usize) -> Result<Bytes, ClientError> {
+    match Limited::new(body, max_bytes).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(ClientError::TooLong),
+        Err(_) => Err(ClientError::Broken),
+    }
 }
 
 /// Sends a GET request and parses the answer as JSON.
@@ -272,7 +330,7 @@
         Ok(WholeAnswer {
             status: parts.status,
             headers: parts.headers,
-            body: collect_body(body).await?,
+            body: collect_body(body, MAX_WHOLE_BYTES).await?,
         })
     };
     let expire = async {
--- a/crates/arbutusfall/src/http/event_splitter.rs
+++ b/crates/arbutusfall/src/http/event_splitter.rs
@@ -2,6 +2,9 @@
 
 use hyper::body::Bytes;
 
+/// Maximum size of an incomplete event, in bytes.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// One or more whole events.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WholeEvents {
@@ -11,6 +14,10 @@
     pub last_id: Option<u64>,
 }
 
+/// An event is longer than the splitter buffers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventTooLong;
+
 /// Splits a byte stream of server-sent events into chunks of whole events; buffers an incomplete event.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -19,15 +26,25 @@
 
 impl EventSplitter {
     /// Adds bytes; returns the events that they complete, if any.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<WholeEvents> {
+    ///
+    /// # Errors
+    ///
+    /// [`EventTooLong`] if an incomplete event is longer than 256 KiB.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<WholeEvents>, EventTooLong> {
         self.pending.extend_from_slice(bytes);
-        let end = end_of_last_event(&self.pending)?;
+        let Some(end) = end_of_last_event(&self.pending) else {
+            return if self.pending.len() > MAX_EVENT_BYTES {
+                Err(EventTooLong)
+            } else {
+                Ok(None)
+            };
+        };
         let whole: Vec<u8> = self.pending.drain(..end).collect();
         let last_id = last_id(&whole);
-        Some(WholeEvents {
+        Ok(Some(WholeEvents {
             bytes: whole.into(),
             last_id,
-        })
+        }))
     }
 
     /// Returns the number of bytes after the last whole event.
--- a/crates/arbutusfall/src/relay/control_client.rs
+++ b/crates/arbutusfall/src/relay/control_client.rs
@@ -36,6 +36,9 @@
 /// Timeout of each step of a request to an engine: connecting, the answer's headers and its body, if it is read.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Maximum size of an engine's report, in bytes; it lists all its requests.
+const MAX_REPORT_BYTES: usize = 1024 * 1024;
+
 /// Acquires and releases the lease for role changes, and orders role changes.
 #[derive(Debug, Clone)]
 pub(super) struct ControlClient {
@@ -112,7 +115,8 @@
         token: u64,
     ) -> Result<RoleOutcome, ClientError> {
         let report = self.send_request(Method::GET, orders::REPORT_PATH, Bytes::new());
-        let body = http::read_body(report.await?.into_body(), ORDER_TIMEOUT).await?;
+        let body = report.await?.into_body();
+        let body = http::read_control_body(body, ORDER_TIMEOUT, MAX_REPORT_BYTES).await?;
         let report: Report = serde_json::from_slice(&body).map_err(|_| ClientError::Malformed)?;
         let Some(order) = RoleOrder::new(&report, role, member, token) else {
             // No order was sent: a role change is in progress, or the role is `Role::Plain`. This is reported as a
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -30,6 +30,7 @@
 use crate::Executor;
 use crate::SystemClock;
 use crate::http::AnswerBody;
+use crate::http::AnswerMemory;
 use crate::relay::control_client::ControlClient;
 use crate::relay::decision_log::DecisionLog;
 use crate::relay::exchange;
@@ -59,6 +60,7 @@
     pub(super) executor: Arc<Executor>,
     control: ControlClient,
     pub(super) store: StoreClient,
+    pub(super) answer_memory: Arc<AnswerMemory>,
     log: DecisionLog,
     metrics: Metrics,
     clock: SystemClock,
@@ -80,6 +82,7 @@
         relay: Relay,
         control: ControlClient,
         store: StoreClient,
+        answer_memory: Arc<AnswerMemory>,
         log: DecisionLog,
         executor: Arc<Executor>,
     ) -> Self {
@@ -94,6 +97,7 @@
             executor,
             control,
             store,
+            answer_memory,
             log,
             metrics: Metrics::default(),
             clock: SystemClock::start(),
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -30,6 +30,9 @@
 /// Timeout for opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Maximum size of an engine's answer to a reservation or a prefill, in bytes.
+const MAX_CONTROL_BYTES: usize = 64 * 1024;
+
 /// Timeout for an engine to confirm that it freed memory.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -85,6 +88,7 @@
     match error {
         ClientError::Connect => ExchangeFailure::Unreachable,
         ClientError::Malformed => ExchangeFailure::Malformed,
+        ClientError::TooLong => ExchangeFailure::TooLong,
         ClientError::Broken | ClientError::Timeout | ClientError::Status(_) => {
             ExchangeFailure::Closed
         }
@@ -97,7 +101,7 @@
     timeout: Duration,
     parse: impl Fn(&[u8]) -> Option<Name>,
 ) -> Result<Name, ExchangeFailure> {
-    let body = http::read_body(answer.into_body(), timeout)
+    let body = http::read_control_body(answer.into_body(), timeout, MAX_CONTROL_BYTES)
         .await
         .map_err(exchange_failure)?;
     parse(&body).ok_or(ExchangeFailure::Malformed)
@@ -119,7 +123,7 @@
 ) -> Result<ExchangeEvent, ExchangeFailure> {
     let (head, body) = split_head(answer);
     let status = head.status.as_u16();
-    let body = http::read_body(body, command.time_left)
+    let body = http::read_body(body, command.time_left, &driver.answer_memory)
         .await
         .map_err(exchange_failure)?;
     driver.store_head(command.exchange, head);
@@ -161,7 +165,7 @@
     }
     let rest = stream.splitter.finish();
     if !rest.is_empty() {
-        driver.calls.write(command.call, rest);
+        driver.calls.write(command.call, rest).await;
     }
     Ok(ExchangeEvent::Complete { status })
 }
@@ -187,11 +191,13 @@
                 // Trailers are not forwarded: they carry nothing that callers need.
                 continue;
             };
-            let Some(events) = self.splitter.push(&bytes) else {
+            let events = self.splitter.push(&bytes);
+            let events = events.map_err(|_| ExchangeFailure::TooLong)?;
+            let Some(events) = events else {
                 continue;
             };
             self.has_events = true;
-            driver.calls.write(command.call, events.bytes);
+            driver.calls.write(command.call, events.bytes).await;
             let last_event_id = events.last_id;
             self.last_event_id = last_event_id.or(self.last_event_id);
             driver
--- a/crates/arbutusfall/src/relay/open_calls.rs
+++ b/crates/arbutusfall/src/relay/open_calls.rs
@@ -109,17 +109,19 @@
         let _ = open_call.reply.try_send(Reply::Endpoint(head, body));
     }
 
-    /// Writes a chunk to a call's stream.
-    pub(super) fn write(&self, call: CallId, chunk: Bytes) {
+    /// Writes a chunk to a call's stream, once the caller has received enough of it.
+    pub(super) async fn write(&self, call: CallId, chunk: Bytes) {
+        let Some(writer) = self.writer(call) else {
+            return;
+        };
+        writer.wait_for_room().await;
+        // Fails only if the caller disconnected, which is reported separately.
+        let _ = writer.write(chunk);
+    }
+
+    fn writer(&self, call: CallId) -> Option<BodyWriter> {
         let state = self.lock();
-        if let Some(writer) = state
-            .calls
-            .get(&call)
-            .and_then(|open_call| open_call.writer.as_ref())
-        {
-            // Fails only if the caller disconnected, which is reported separately.
-            let _ = writer.write(chunk);
-        }
+        state.calls.get(&call)?.writer.clone()
     }
 
     /// Ends a call's stream as complete.
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -23,6 +23,7 @@
 use crate::ServeError;
 use crate::http;
 use crate::http::AnswerBody;
+use crate::http::AnswerMemory;
 use crate::http::ServerLimits;
 use crate::relay::RelayProcessSettings;
 use crate::relay::callers::RelayCallerServer;
@@ -67,6 +68,7 @@
         member: format!("{}-{:016x}", settings.vm, fastrand::u64(..)).into(),
     };
     let store = StoreClient::new(settings.store_address);
+    let answer_memory = Arc::new(AnswerMemory::new(settings.answer_limits()));
     let relay = Relay::new(&relay_settings, fastrand::u64(..));
     let log = DecisionLog::start(
         settings.vm.clone(),
@@ -74,7 +76,14 @@
         std::io::stdout(),
     );
     let log = log.change_context(ServeError::Log)?;
-    let driver = Arc::new(Driver::new(relay, control, store, log, executor.clone()));
+    let driver = Arc::new(Driver::new(
+        relay,
+        control,
+        store,
+        answer_memory,
+        log,
+        executor.clone(),
+    ));
     let topics = [
         (StoreTopic::Config, settings.config_timing()),
         (StoreTopic::Endpoints, settings.endpoint_list_timing()),
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a relay process, from a JSON file that the platform writes.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 use std::time::Duration;
 
@@ -8,16 +9,28 @@
 use arbutusfall_wire::Name;
 use error_stack::Report;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::de::Error;
 
 use crate::LogLevel;
 use crate::SettingsError;
+use crate::http::AnswerLimits;
 use crate::relay::read_timing::ReadTiming;
 use crate::settings::read_settings;
 
 /// Part of `retry_slack` that each VM is assumed to add to it if the number of VMs is not given.
 const SLACK_PER_VM: f64 = 2.0;
 
+/// Allowed values of `memory_limit_mb`.
+const MEMORY_LIMIT_RANGE_MB: RangeInclusive<u32> = 32..=1_048_576;
+
+/// Part of the memory that answers may take: one of this many.
+const ANSWER_MEMORY_DIVISOR: usize = 8;
+
+/// Number of answers of the largest size that the memory for answers can hold.
+const MIN_CONCURRENT_ANSWERS: usize = 4;
+
 /// Contents of the settings file of a relay process.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -53,6 +66,12 @@
     /// Time within which a silent connection to the store must be detected.
     #[serde(default = "default_silence_bound_ms")]
     pub silence_bound_ms: u64,
+    /// Memory that the VM may use; a part of it is for answers that are read completely before they are forwarded.
+    #[serde(
+        default = "default_memory_limit_mb",
+        deserialize_with = "memory_limit_mb"
+    )]
+    pub memory_limit_mb: u32,
     /// Rate limit of the decision log in bytes per second. Excess lines are dropped and counted, routine ones first.
     #[serde(default = "default_log_bytes_per_s")]
     pub log_bytes_per_s: u32,
@@ -81,6 +100,21 @@
     3_000
 }
 
+fn default_memory_limit_mb() -> u32 {
+    110
+}
+
+fn memory_limit_mb<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
+    let value = u32::deserialize(deserializer)?;
+    if MEMORY_LIMIT_RANGE_MB.contains(&value) {
+        return Ok(value);
+    }
+    let (least, most) = (MEMORY_LIMIT_RANGE_MB.start(), MEMORY_LIMIT_RANGE_MB.end());
+    Err(D::Error::custom(format!(
+        "{value} is not from {least} to {most}"
+    )))
+}
+
 fn default_log_bytes_per_s() -> u32 {
     64 * 1024
 }
@@ -109,6 +143,16 @@
         }
     }
 
+    /// Returns the limits of the memory for answers.
+    pub fn answer_limits(&self) -> AnswerLimits {
+        let memory_bytes = self.memory_limit_mb as usize * 1_000_000;
+        let total_bytes = memory_bytes / ANSWER_MEMORY_DIVISOR;
+        AnswerLimits {
+            per_answer_bytes: total_bytes / MIN_CONCURRENT_ANSWERS,
+            total_bytes,
+        }
+    }
+
     /// Returns the times of reads of the endpoint list.
     pub fn endpoint_list_timing(&self) -> ReadTiming {
         ReadTiming::of_endpoint_list(
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -257,7 +257,7 @@
     };
     match error {
         ClientError::Connect => StoreReadFailure::Unreachable,
-        ClientError::Broken => StoreReadFailure::Closed,
+        ClientError::Broken | ClientError::TooLong => StoreReadFailure::Closed,
         ClientError::Timeout => StoreReadFailure::Silent,
         ClientError::Status(_) => StoreReadFailure::ErrorStatus,
         ClientError::Malformed => StoreReadFailure::Malformed,
--- a/crates/arbutusfall/src/serve.rs
+++ b/crates/arbutusfall/src/serve.rs
@@ -140,6 +140,7 @@
             tasks: Mutex::new(FastMap::default()),
         }),
         services: Arc::new(Services {
+            answer_memory: Arc::default(),
             executor: executor.clone(),
             calls,
             input_sender: input_sender.clone(),
--- a/crates/arbutusfall/src/services.rs
+++ b/crates/arbutusfall/src/services.rs
@@ -19,6 +19,7 @@
 use crate::driver::Input;
 use crate::engines::child_span;
 use crate::http;
+use crate::http::AnswerMemory;
 use crate::http::ClientError;
 use crate::http::OutgoingRequest;
 use crate::trace::SpanContext;
@@ -30,6 +31,7 @@
 #[derive(Debug)]
 pub(crate) struct Services {
     pub(crate) executor: Arc<Executor>,
+    pub(crate) answer_memory: Arc<AnswerMemory>,
     pub(crate) calls: Arc<CallTable>,
     pub(crate) input_sender: Sender<Input>,
 }
@@ -113,7 +115,8 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or("");
         let content_type = content_type.into();
-        let body = http::read_body(answer.into_body(), command.timeout).await?;
+        let body =
+            http::read_body(answer.into_body(), command.timeout, &self.answer_memory).await?;
         Ok(ServiceAnswer {
             status,
             content_type,
--- a/crates/arbutusfall/tests/it/client_timeout.rs
+++ b/crates/arbutusfall/tests/it/client_timeout.rs
@@ -10,7 +10,9 @@
 use arbutusfall::Executor;
 use arbutusfall::http;
 use arbutusfall::http::ClientError;
+use arbutusfall::http::WholeRequest;
 use hyper::Method;
+use hyper::body::Bytes;
 
 /// Timeout of the request.
 const TIMEOUT: Duration = Duration::from_millis(500);
@@ -42,9 +44,15 @@
     let address = start_slow_server();
     let executor = Executor::new();
     let started = Instant::now();
-    let request = http::request_bytes(&executor, address, Method::GET, "/", TIMEOUT);
+    let request = WholeRequest {
+        address,
+        method: Method::GET,
+        path: "/",
+        body: Bytes::new(),
+    };
+    let request = http::request_whole(&executor, request, TIMEOUT);
     let answer = async_io::block_on(executor.run(request));
-    assert_eq!(answer, Err(ClientError::Timeout));
+    assert_eq!(answer.err(), Some(ClientError::Timeout));
     assert!(
         started.elapsed() < TIMEOUT + PAUSE,
         "{:?}",
--- a/crates/arbutusfall/tests/it/relay_settings.rs
+++ b/crates/arbutusfall/tests/it/relay_settings.rs
@@ -118,3 +118,28 @@
         );
     }
 }
+
+// Guards against a memory limit that leaves no room for answers, or that is taken in another unit.
+#[test]
+fn memory_for_answers_follows_from_the_memory_limit_of_the_vm() {
+    let document = |memory_limit_mb: u64| {
+        json!({
+            "vm": "plovdiv-a-1",
+            "data_centre": "plovdiv-a",
+            "caller_address": "10.0.0.1:8080",
+            "operator_address": "10.0.0.1:8081",
+            "store_address": "10.0.9.1:7000",
+            "memory_limit_mb": memory_limit_mb,
+        })
+    };
+    for memory_limit_mb in [0, 31, 110_000_000] {
+        let parsed = serde_json::from_value::<RelayProcessSettings>(document(memory_limit_mb));
+        let error = parsed.expect_err("out of range").to_string();
+        assert!(error.contains("is not from 32 to"), "{error}");
+    }
+    let settings: RelayProcessSettings =
+        serde_json::from_value(document(110)).expect("valid settings");
+    let limits = settings.answer_limits();
+    assert!(limits.total_bytes < 110_000_000 / 4);
+    assert!(limits.per_answer_bytes * 4 <= limits.total_bytes);
+}
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -308,6 +308,8 @@
     Closed,
     /// The stream ended inside an event, or before its first one without stating that it is complete.
     Truncated,
+    /// The answer is longer than the VM may hold in memory.
+    TooLong,
     /// The answer is malformed or belongs to another request.
     Malformed,
 }
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -285,6 +285,7 @@
             ExchangeFailure::Unreachable => "unreachable",
             ExchangeFailure::Closed => "closed",
             ExchangeFailure::Truncated => "truncated",
+            ExchangeFailure::TooLong => "too_long",
             ExchangeFailure::Malformed => "malformed",
         };
         if failure == ExchangeFailure::Unreachable {
--- a/crates/arbutusfall_standins/src/caller.rs
+++ b/crates/arbutusfall_standins/src/caller.rs
@@ -30,6 +30,9 @@
 /// Timeout for each of connecting, receiving the response headers, and reading a JSON body.
 const STEP_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Maximum size of an answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
 /// Error of a request without a complete answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallerError {
@@ -231,7 +234,7 @@
 }
 
 async fn read_json(body: Incoming) -> Result<Value, CallerError> {
-    let body = http::read_body(body, STEP_TIMEOUT)
+    let body = http::read_control_body(body, STEP_TIMEOUT, MAX_ANSWER_BYTES)
         .await
         .map_err(CallerError::Exchange)?;
     Ok(serde_json::from_slice(&body).unwrap_or_default())
