--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -23,7 +23,7 @@
 const SLACK_PER_VM: f64 = 2.0;
 
 /// Allowed values of `memory_limit_mb`.
-const MEMORY_LIMIT_RANGE_MB: RangeInclusive<u32> = 32..=1_048_576;
+const MEMORY_LIMIT_RANGE_MB: RangeInclusive<u32> = 8..=1_048_576;
 
 /// Part of the memory that answers may take: one of this many.
 const ANSWER_MEMORY_DIVISOR: usize = 8;
@@ -105,7 +105,8 @@
 }
 
 fn memory_limit_mb<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
-    let value = u32::deserialize(deserializer)?;
+    // The platform may state fractions.
+    let value = f64::deserialize(deserializer)?.round() as u32;
     if MEMORY_LIMIT_RANGE_MB.contains(&value) {
         return Ok(value);
     }
