--- a/crates/arbutusfall/src/relay/stream_records.rs
+++ b/crates/arbutusfall/src/relay/stream_records.rs
@@ -25,7 +25,7 @@
 pub(super) async fn find(driver: Arc<Driver>, call: CallId, attempt: Name) {
     let lookup = try_find(&driver, &attempt).await;
     let lookup = lookup.unwrap_or_else(|error| {
-        log::info!("the origin of the stream of attempt {attempt} was not looked up: {error}");
+        log::debug!("the origin of the stream of attempt {attempt} was not looked up: {error}");
         StreamLookup::Failed
     });
     driver.submit(RelayEvent::StreamLookup { call, lookup });
@@ -55,7 +55,7 @@
     let answer = append.await;
     if let Err(error) = &answer {
         let count = records.len();
-        log::info!("an append of {count} records of streams was not confirmed: {error}");
+        log::debug!("an append of {count} records of streams was not confirmed: {error}");
     }
     let succeeded = answer.is_ok();
     driver.submit(RelayEvent::StreamsRecorded { succeeded });
