Stream origins: recorded at once while appends are rare

An open stream was recorded only after a fixed delay, so that a VM killed within it lost the stream's version although the store had nothing to do.

--- a/crates/arbutusfall_core/src/relay/stream_versions.rs
+++ b/crates/arbutusfall_core/src/relay/stream_versions.rs
@@ -1,8 +1,8 @@
 //! Software versions of streams, so that a stream that broke off goes on only at the version that began it.
 //!
 //! This VM keeps the origin of each resumable stream that has brought an event. While a service has endpoints of several
-//! versions, origins are also recorded in the platform's store, where other VMs find them: those of open streams after a
-//! delay, in groups, and those of broken-off streams at once.
+//! versions, origins are also recorded in the platform's store, where other VMs find them: those of broken-off streams at
+//! once, those of open streams as soon as this VM's share of the appends allows it, in groups.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -16,13 +16,13 @@
 /// longer than callers wait for an answer.
 pub(crate) const ORIGIN_LIFETIME: Duration = Duration::from_secs(30);
 
-/// Shortest time from a stream's first event until its origin is recorded.
-const MIN_RECORD_DELAY: Duration = Duration::from_millis(100);
+/// Shortest time between two appends with origins of open streams.
+const MIN_APPEND_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time that the recording delay grows by with each VM, so that all VMs together make at most 200 appends a second.
-const RECORD_DELAY_PER_VM: Duration = Duration::from_millis(5);
+/// Time that the interval grows by with each VM, so that all VMs together make fewer than 200 appends a second.
+const APPEND_INTERVAL_PER_VM: Duration = Duration::from_millis(6);
 
-/// Time for which origins of streams that break off together are collected.
+/// Time for which origins of streams that begin or break off together are collected.
 const GROUP_DELAY: Duration = Duration::from_millis(5);
 
 /// Time after a failed append until the next one.
@@ -69,8 +69,9 @@
     deletions: Vec<Name>,
     /// Versions of each service that are listed or were within [`ORIGIN_LIFETIME`].
     versions: BTreeMap<Name, BTreeMap<Name, VersionPresence>>,
-    /// Time from a stream's first event until its origin is recorded.
-    record_delay: Duration,
+    /// Time between two appends with origins of open streams.
+    append_interval: Duration,
+    last_append_at: Option<Duration>,
     is_appending: bool,
     /// No append is made before this instant.
     append_not_before: Duration,
@@ -83,7 +84,8 @@
             streams: BTreeMap::new(),
             deletions: Vec::new(),
             versions: BTreeMap::new(),
-            record_delay: (RECORD_DELAY_PER_VM * vm_count).max(MIN_RECORD_DELAY),
+            append_interval: (APPEND_INTERVAL_PER_VM * vm_count).max(MIN_APPEND_INTERVAL),
+            last_append_at: None,
             is_appending: false,
             append_not_before: Duration::ZERO,
         }
@@ -170,13 +172,16 @@
         if self.is_appending {
             return expiry;
         }
+        let open_streams_at = self
+            .last_append_at
+            .map_or(Duration::ZERO, |at| at + self.append_interval);
         let records = self
             .streams
             .values()
             .filter(|stream| self.must_record(stream, now))
             .map(|stream| match stream.broke_off_at {
                 Some(at) => at + GROUP_DELAY,
-                None => stream.began_at + self.record_delay,
+                None => (stream.began_at + GROUP_DELAY).max(open_streams_at),
             });
         let deletion = (!self.deletions.is_empty()).then_some(now + DELETION_DELAY);
         let append = records.chain(deletion).min();
@@ -218,7 +223,10 @@
             attempt,
             origin: None,
         }));
-        self.is_appending = !records.is_empty();
+        if !records.is_empty() {
+            self.is_appending = true;
+            self.last_append_at = Some(now);
+        }
         records
     }
 
