--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -172,7 +172,8 @@
 
 async fn read_within(mut body: Incoming, memory: &Arc<AnswerMemory>) -> Result<Bytes, ClientError> {
     let mut held = memory.begin();
-    let mut bytes = Vec::new();
+    // Joined at the end: a buffer that grows could take twice the counted bytes.
+    let mut pieces: Vec<Bytes> = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| ClientError::Broken)?;
         let Ok(data) = frame.into_data() else {
@@ -182,9 +183,9 @@
         if !held.try_add(data.len()) {
             return Err(ClientError::TooLong);
         }
-        bytes.extend_from_slice(&data);
+        pieces.push(data);
     }
-    Ok(bytes.into())
+    Ok(pieces.concat().into())
 }
 
 /// Reads a complete body of an answer to the router itself.
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -26,7 +26,7 @@
 const MEMORY_LIMIT_RANGE_MB: RangeInclusive<u32> = 8..=1_048_576;
 
 /// Part of the memory that answers may take: one of this many.
-const ANSWER_MEMORY_DIVISOR: usize = 8;
+const ANSWER_MEMORY_DIVISOR: usize = 12;
 
 /// Number of answers of the largest size that the memory for answers can hold.
 const MIN_CONCURRENT_ANSWERS: usize = 4;
--- a/crates/arbutusfall_core/src/relay/balance.rs
+++ b/crates/arbutusfall_core/src/relay/balance.rs
@@ -5,7 +5,7 @@
 use arbutusfall_wire::Name;
 
 use crate::config::Role;
-use crate::relay::endpoints::Endpoint;
+use crate::relay::endpoint::Endpoint;
 use crate::relay::endpoints::Endpoints;
 
 /// Largest random increase of a cost, as a fraction, so that VMs do not all pick the same of several equal endpoints.
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/endpoint.rs
@@ -0,0 +1,227 @@
+//! A listed endpoint with this VM's measurements of it.
+
+use std::time::Duration;
+
+use crate::placement::Health;
+use crate::relay::ListedEndpoint;
+use crate::relay::RelayNotice;
+use crate::relay::notice::millis;
+
+/// Weight of the newest sample in a running mean.
+const NEWEST_WEIGHT: f64 = 0.2;
+
+/// Fraction by which an engine's best prefill rate decays with each prefill.
+const BEST_RATE_DECAY: f64 = 0.02;
+
+/// Initial limit of a VM's prefills in flight at an engine, before their queueing time is known.
+const INITIAL_PREFILL_LIMIT: f64 = 2.0;
+
+/// Maximum number of a VM's prefills in flight at an engine.
+const MAX_PREFILL_LIMIT: f64 = 8.0;
+
+/// Queueing time of a prefill above which the limit is lowered.
+const LONG_PREFILL_WAIT: Duration = Duration::from_millis(300);
+
+/// Factor of the limit after a prefill that queued for long.
+const PREFILL_LIMIT_DECREASE_FACTOR: f64 = 0.5;
+
+/// Increase of the limit after a prefill that did not queue for long.
+const PREFILL_LIMIT_INCREASE: f64 = 0.2;
+
+/// Time constant of the exponential decay of an observed queueing time.
+const PREFILL_WAIT_DECAY_TIME: Duration = Duration::from_millis(2_000);
+
+/// Time for which an engine is avoided after it refused a request for which it had reserved memory: it is most likely
+/// changing its role, which takes seconds. Doubles with each further refusal.
+const DECODE_REFUSAL_BACKOFF: Duration = Duration::from_millis(2_000);
+
+/// Upper limit of [`DECODE_REFUSAL_BACKOFF`] when doubled.
+const MAX_DECODE_REFUSAL_BACKOFF: Duration = Duration::from_millis(8_000);
+
+/// A prefill engine counts as failed after the decodes of this many of its results in a row were refused.
+const MAX_SUSPECTED_LOSSES: u32 = 2;
+
+/// Relative extra cost of an endpoint that always fails.
+const FAILURE_COST_FACTOR: f64 = 12.0;
+
+/// Prefill rate assumed for an engine before its first prefill, in prompt tokens per millisecond.
+const INITIAL_PREFILL_TOKENS_PER_MS: f64 = 40.0;
+
+/// A listed endpoint with this VM's load on it and observations of it.
+#[derive(Debug, Clone)]
+pub(crate) struct Endpoint {
+    pub(crate) listed: ListedEndpoint,
+    pub(crate) health: Health,
+    /// This VM's exchanges in flight.
+    pub(crate) in_flight: u32,
+    /// Engine memory allocated to this VM's requests, in tokens.
+    pub(crate) allocated_tokens: u64,
+    /// Expected completion of this VM's prefills at the engine.
+    pub(crate) prefills_done_at: Duration,
+    /// Running mean of the time to an answer or to a stream's first event; none before the first.
+    latency: Option<Duration>,
+    /// Running mean of the fraction of failures.
+    failure_fraction: f64,
+    /// Estimated prefill rate without queueing, in prompt tokens per millisecond.
+    prefill_tokens_per_ms: f64,
+    /// Queueing time of the last prefill.
+    prefill_wait: Duration,
+    /// Instant at which `prefill_wait` was observed.
+    prefill_wait_observed_at: Duration,
+    /// Limit of this VM's prefills in flight, because other VMs use the engine too.
+    ///
+    /// Invariant: between 1 and [`MAX_PREFILL_LIMIT`].
+    prefill_limit: f64,
+    /// Instant until which the endpoint is assumed to refuse requests: it is full or is changing its role.
+    unavailable_until: Duration,
+    /// Whether this VM has released memory at the engine since the engine last refused.
+    has_released_memory: bool,
+    /// Instant until which the engine is avoided because it refused a decode with a reservation.
+    decode_backoff_until: Duration,
+    /// Consecutive refusals of decodes with a reservation.
+    decode_refusals: u32,
+    /// Number of the engine's consecutive prefill results whose decode was refused.
+    suspected_losses: u32,
+    /// Instant from which the endpoint may be removed; none while it is listed.
+    pub(crate) remove_at: Option<Duration>,
+}
+
+impl Endpoint {
+    pub(crate) fn new(listed: ListedEndpoint) -> Self {
+        Self {
+            listed,
+            health: Health::default(),
+            in_flight: 0,
+            allocated_tokens: 0,
+            prefills_done_at: Duration::ZERO,
+            latency: None,
+            failure_fraction: 0.0,
+            prefill_tokens_per_ms: INITIAL_PREFILL_TOKENS_PER_MS,
+            prefill_wait: Duration::ZERO,
+            prefill_wait_observed_at: Duration::ZERO,
+            prefill_limit: INITIAL_PREFILL_LIMIT,
+            unavailable_until: Duration::ZERO,
+            has_released_memory: false,
+            decode_backoff_until: Duration::ZERO,
+            decode_refusals: 0,
+            suspected_losses: 0,
+            remove_at: None,
+        }
+    }
+
+    /// Returns the instant from which a request may be sent to the endpoint: `unavailable_until` plus the `delay`, or
+    /// without a `delay` immediately if this VM has released memory there since the refusal. Never before
+    /// `decode_backoff_until`.
+    pub(crate) fn available_at(&self, delay: Option<Duration>) -> Duration {
+        let retry_at = match delay {
+            Some(delay) => self.unavailable_until + delay,
+            None if self.has_released_memory => Duration::ZERO,
+            None => self.unavailable_until,
+        };
+        retry_at.max(self.decode_backoff_until)
+    }
+
+    /// Records that the engine refused a decode for which it had reserved memory; returns a notice to log.
+    pub(crate) fn on_decode_refused(&mut self, now: Duration) -> RelayNotice {
+        let backoff = DECODE_REFUSAL_BACKOFF * (1 << self.decode_refusals.min(8));
+        let avoided = backoff.min(MAX_DECODE_REFUSAL_BACKOFF);
+        self.decode_backoff_until = now + avoided;
+        self.decode_refusals += 1;
+        RelayNotice::EngineRefusing {
+            instance: self.listed.instance.clone(),
+            refusals: self.decode_refusals,
+            avoided_ms: millis(avoided),
+        }
+    }
+
+    /// Resets the backoff after refused decodes, because the engine started a stream.
+    pub(crate) fn on_stream_began(&mut self) {
+        self.decode_backoff_until = Duration::ZERO;
+        self.decode_refusals = 0;
+    }
+
+    /// Records that a decode engine fetched a prefill result from this engine.
+    pub(crate) fn on_result_fetched(&mut self) {
+        self.health.on_success();
+        self.suspected_losses = 0;
+    }
+
+    /// Records that a decode engine refused a request whose prefill result is at this engine: the result may be lost.
+    pub(crate) fn on_suspected_loss(&mut self, now: Duration) {
+        self.suspected_losses += 1;
+        if self.suspected_losses >= MAX_SUSPECTED_LOSSES {
+            self.health.on_failure(now);
+        }
+    }
+
+    /// Marks the endpoint as full or changing its role until an instant.
+    pub(crate) fn set_unavailable_until(&mut self, instant: Duration) {
+        self.unavailable_until = instant;
+        self.has_released_memory = false;
+    }
+
+    /// Records that this VM released memory at the engine.
+    pub(crate) fn on_memory_released(&mut self) {
+        self.has_released_memory = true;
+    }
+
+    /// Returns the cost of one more request: expected latency times requests in flight, in seconds, increased by
+    /// failures.
+    pub(crate) fn load_cost(&self, unknown_latency: Duration) -> f64 {
+        let latency = self.latency.unwrap_or(unknown_latency).as_secs_f64();
+        let load = f64::from(self.in_flight + 1);
+        load * latency * (1.0 + FAILURE_COST_FACTOR * self.failure_fraction)
+    }
+
+    pub(crate) fn on_answered(&mut self, after: Duration) {
+        self.health.on_success();
+        self.failure_fraction *= 1.0 - NEWEST_WEIGHT;
+        let mean = self.latency.unwrap_or(after);
+        self.latency = Some(mean.mul_f64(1.0 - NEWEST_WEIGHT) + after.mul_f64(NEWEST_WEIGHT));
+    }
+
+    pub(crate) fn raise_failure_fraction(&mut self) {
+        self.failure_fraction += (1.0 - self.failure_fraction) * NEWEST_WEIGHT;
+    }
+
+    /// Records a completed prefill of this VM: updates the rate, the queueing time and the limit of prefills in flight.
+    pub(crate) fn on_prefilled(&mut self, tokens: u32, after: Duration, now: Duration) {
+        if self.suspected_losses == 0 {
+            self.health.on_success();
+        }
+        let rate = f64::from(tokens) / (after.as_secs_f64() * 1_000.0).max(1.0);
+        // The best rate is that of the engine itself; lower rates include queueing.
+        let faded = self.prefill_tokens_per_ms * (1.0 - BEST_RATE_DECAY);
+        self.prefill_tokens_per_ms = rate.max(faded);
+        self.prefill_wait = after.saturating_sub(self.prefill_time(tokens));
+        self.prefill_wait_observed_at = now;
+        self.prefill_limit = if self.prefill_wait > LONG_PREFILL_WAIT {
+            (self.prefill_limit * PREFILL_LIMIT_DECREASE_FACTOR).max(1.0)
+        } else {
+            (self.prefill_limit + PREFILL_LIMIT_INCREASE).min(MAX_PREFILL_LIMIT)
+        };
+    }
+
+    /// Returns whether this VM may have one more prefill in flight at the engine.
+    pub(crate) fn may_prefill(&self) -> bool {
+        f64::from(self.in_flight) < self.prefill_limit.floor()
+    }
+
+    /// Returns the expected queueing time of a prefill: behind this VM's own prefills, or as recently observed if that
+    /// is longer, because other VMs queue prefills too.
+    pub(crate) fn expected_prefill_wait(&self, now: Duration) -> Duration {
+        let own = self.prefills_done_at.saturating_sub(now);
+        let age = now
+            .saturating_sub(self.prefill_wait_observed_at)
+            .as_secs_f64();
+        let seen = self
+            .prefill_wait
+            .mul_f64((-age / PREFILL_WAIT_DECAY_TIME.as_secs_f64()).exp());
+        own.max(seen)
+    }
+
+    /// Returns the time to prefill `tokens` without queueing.
+    pub(crate) fn prefill_time(&self, tokens: u32) -> Duration {
+        Duration::from_secs_f64(f64::from(tokens) / self.prefill_tokens_per_ms.max(0.1) / 1_000.0)
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/exchange_end.rs
@@ -0,0 +1,87 @@
+//! Ends of exchanges: what a call and its endpoint are freed of.
+
+use crate::CallId;
+use crate::relay::Relay;
+use crate::relay::RelayEffect;
+use crate::relay::RelayNotice;
+use crate::relay::call::CallStage;
+use crate::relay::notice::millis;
+use crate::relay::roles::StreamUsage;
+
+impl Relay {
+    /// Ends the call's exchange as failed and adds its endpoint to the call's failed ones; if `is_endpoint_failure`,
+    /// also records a failure of the endpoint, which other calls then avoid.
+    pub(super) fn fail_exchange(
+        &mut self,
+        id: CallId,
+        reason: &'static str,
+        is_endpoint_failure: bool,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(current) = call.current.clone() else {
+            return;
+        };
+        call.failed_endpoints.push(current.instance.clone());
+        let request_id = call.request.request_id.clone();
+        self.end_exchange(id);
+        if current.stage != CallStage::Prefill {
+            self.release_allocation(id);
+        }
+        self.note(RelayNotice::ExchangeFailed {
+            request_id,
+            instance: current.instance.clone(),
+            reason,
+            after_ms: millis(self.now.saturating_sub(current.sent_at)),
+        });
+        if is_endpoint_failure
+            && let Some(notice) = self.endpoints.on_failed(&current.instance, self.now)
+        {
+            self.note(notice);
+        }
+    }
+
+    /// Removes the call's exchange and takes it off the endpoint's load.
+    pub(super) fn end_exchange(&mut self, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(current) = call.current.take() else {
+            return;
+        };
+        self.calls_by_exchange.remove(&current.exchange);
+        if let Some(endpoint) = self.endpoints.get_mut(&current.instance) {
+            endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Releases the call's memory allocation and records the usage of its stream; returns false if there was none.
+    pub(super) fn release_allocation(&mut self, id: CallId) -> bool {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return false;
+        };
+        let Some(allocation) = call.allocation.take() else {
+            return false;
+        };
+        if let Some(began_at) = call.stream_began_at.take() {
+            let usage = StreamUsage {
+                prefill: call.prefill_work,
+                memory_tokens: allocation.tokens,
+                decode: self.now.saturating_sub(began_at),
+            };
+            self.roles.on_stream_ended(&call.service, usage, self.now);
+        }
+        if let Some(endpoint) = self.endpoints.get_mut(&allocation.instance) {
+            endpoint.allocated_tokens = endpoint.allocated_tokens.saturating_sub(allocation.tokens);
+            endpoint.on_memory_released();
+        }
+        if let Some(reservation) = allocation.reservation {
+            self.effects.push(RelayEffect::FreeReservation {
+                address: allocation.address,
+                reservation,
+            });
+        }
+        true
+    }
+}
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -19,7 +19,7 @@
 use crate::relay::call::CallStage;
 use crate::relay::call::CurrentExchange;
 use crate::relay::call::MemoryAllocation;
-use crate::relay::endpoints::Endpoint;
+use crate::relay::endpoint::Endpoint;
 use crate::relay::notice::millis;
 
 /// Shortest silence in the middle of a stream after which a resumable stream is moved to another engine.
