--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -243,33 +243,37 @@
 
     /// Records a refusal at the endpoint, and at the prefill engine whose result the endpoint may have failed to fetch.
     fn record_refusal(&mut self, id: CallId) {
-        let now = self.now;
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
         let Some(current) = &call.current else {
             return;
         };
-        let Some(endpoint) = self.endpoints.get_mut(&current.instance) else {
+        let (instance, stage) = (current.instance.clone(), current.stage);
+        let is_sourced = stage == (CallStage::Decode { has_source: true });
+        if let Some(result) = call.prefill_result.take_if(|_| is_sourced)
+            && let Some(source) = self.endpoints.get_mut(&result.instance)
+        {
+            source.on_suspected_loss(self.now);
+        }
+        self.record_refusal_by(&instance, stage);
+    }
+
+    fn record_refusal_by(&mut self, instance: &Name, stage: CallStage) {
+        let now = self.now;
+        let Some(endpoint) = self.endpoints.get_mut(instance) else {
             return;
         };
         endpoint.set_unavailable_until(now + REFUSAL_BACKOFF);
-        let mut notice = None;
-        match current.stage {
+        match stage {
             // The engine is most likely changing its role, which takes seconds.
             CallStage::Prefill => endpoint.health.on_failure(now),
-            CallStage::Decode { .. } => notice = Some(endpoint.on_decode_refused(now)),
+            CallStage::Decode { .. } => {
+                let notice = endpoint.on_decode_refused(now);
+                self.note(notice);
+            }
             CallStage::Plain | CallStage::Reserve => {}
         }
-        let is_sourced = current.stage == (CallStage::Decode { has_source: true });
-        if let Some(result) = call.prefill_result.take_if(|_| is_sourced)
-            && let Some(source) = self.endpoints.get_mut(&result.instance)
-        {
-            source.on_suspected_loss(now);
-        }
-        if let Some(notice) = notice {
-            self.note(notice);
-        }
     }
 
     pub(super) fn on_exchange_failed(&mut self, id: CallId, failure: ExchangeFailure) {
--- a/crates/arbutusfall_core/tests/it/relay_retries.rs
+++ b/crates/arbutusfall_core/tests/it/relay_retries.rs
@@ -1,10 +1,12 @@
 //! Retries of the relay: when a request is sent again, and the retry budget.
 
 use arbutusfall_core::ProblemKind;
+use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ExchangeFailure;
 use arbutusfall_core::relay::NotRunReason;
 use arbutusfall_core::relay::RelayEffect;
+use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::Work;
 use assert_matches::assert_matches;
@@ -187,3 +189,21 @@
     harness.deliver(decode.exchange, CLOSED);
     assert_eq!(harness.final_effect(call), None);
 }
+
+// Guards against fetching a prefill result a second time after a decode engine refused it and left the endpoint list.
+#[test]
+fn refused_prefill_result_is_not_used_again_when_the_engine_has_left_the_list() {
+    let mut harness = RelayHarness::configured(1);
+    harness.submit("/resumable/1");
+    let decode = harness.advance_to_decode();
+    let instance = decode.instance.clone();
+    let removed = EndpointListChange::Removed { instance };
+    harness.apply(RelayEvent::EndpointChanges(vec![removed]));
+    let reason = NotRunReason::Refused;
+    harness.deliver(decode.exchange, ExchangeEvent::NotRun { reason });
+    let reserve = harness.take_only_send();
+    let reservation = "second".into();
+    harness.deliver(reserve.exchange, ExchangeEvent::Reserved { reservation });
+    let next = harness.take_only_send();
+    assert_eq!(next.work, Work::Prefill);
+}
