--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -198,6 +198,7 @@
         let avoided = endpoint.health.avoided_for(now)?;
         Some(RelayNotice::EndpointAvoided {
             instance: instance.clone(),
+            service: endpoint.listed.service.clone(),
             avoided_ms: millis(avoided),
         })
     }
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -65,6 +65,8 @@
     EndpointAvoided {
         /// Instance.
         instance: Name,
+        /// Service that it belongs to.
+        service: Name,
         /// Time for which it is avoided.
         avoided_ms: u64,
     },
