serve: plain answers of up to 64 MiB, as before the limit for all together

The default limit of 16 MiB for each answer refused large answers that 'serve' forwards; answer_is_sent_to_its_last_byte_before_the_exit showed it.

--- a/crates/arbutusfall/src/http/answer_memory.rs
+++ b/crates/arbutusfall/src/http/answer_memory.rs
@@ -19,8 +19,8 @@
 impl Default for AnswerLimits {
     fn default() -> Self {
         Self {
-            per_answer_bytes: 16 * 1024 * 1024,
-            total_bytes: 64 * 1024 * 1024,
+            per_answer_bytes: 64 * 1024 * 1024,
+            total_bytes: 128 * 1024 * 1024,
         }
     }
 }
