Stream origins: broken-off streams are always recorded

A VM reads the endpoint list about once a second. In the first second of a release, the VM at which a caller takes a stream up may know of the second version while the one that began it does not, and so has recorded nothing: the caller was refused. A broken-off stream is now recorded whatever the VM knows; streams that are complete still cost nothing. The test shows no append on the code before. Failed appends are repeated after 0.4 s.

--- a/crates/arbutusfall_core/src/relay/stream_versions.rs
+++ b/crates/arbutusfall_core/src/relay/stream_versions.rs
@@ -1,8 +1,8 @@
 //! Software versions of streams, so that a stream that broke off goes on only at the version that began it.
 //!
-//! This VM keeps the origin of each resumable stream that has brought an event. While a service has endpoints of several
-//! versions, origins are also recorded in the platform's store, where other VMs find them: those of broken-off streams at
-//! once, those of open streams as soon as this VM's share of the appends allows it, in groups.
+//! This VM keeps the origin of each resumable stream that has brought an event. Origins are also recorded in the platform's
+//! store, where other VMs find them: those of broken-off streams at once; those of open streams while a service has
+//! endpoints of several versions, in groups, as soon as this VM's share of the appends allows it.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -26,7 +26,7 @@
 const GROUP_DELAY: Duration = Duration::from_millis(5);
 
 /// Time after a failed append until the next one.
-const RETRY_DELAY: Duration = Duration::from_millis(200);
+const RETRY_DELAY: Duration = Duration::from_millis(400);
 
 /// Longest time for which a deletion waits for an append with origins to record.
 const DELETION_DELAY: Duration = Duration::from_secs(5);
@@ -190,7 +190,9 @@
     }
 
     fn must_record(&self, stream: &KnownStream, now: Duration) -> bool {
-        stream.record == RecordState::Missing && self.has_several(&stream.origin.service, now)
+        let must_be_known =
+            stream.broke_off_at.is_some() || self.has_several(&stream.origin.service, now);
+        must_be_known && stream.record == RecordState::Missing
     }
 
     /// Removes the origins of streams that broke off long ago. Returns what to append to the store now: every origin that
--- a/crates/arbutusfall_core/tests/it/relay_stream_versions.rs
+++ b/crates/arbutusfall_core/tests/it/relay_stream_versions.rs
@@ -138,6 +138,22 @@
     assert_eq!(take_appends(&mut harness), [vec![deletion]]);
 }
 
+// Guards against an unknown origin when the VM that began the stream has not read of the second version yet, but the one
+// at which the caller takes it up has.
+#[test]
+fn stream_that_broke_off_is_recorded_although_only_one_version_is_known() {
+    let mut harness = relay_with_engines(1, &[("decode-1", "v1")]);
+    let (call, decode) = harness.start_stream("/resumable/1");
+    harness.deliver(decode.exchange, progress(1));
+    harness.apply(RelayEvent::CallerGone { call });
+    harness.advance(ms(10));
+    let expected = StreamRecord {
+        attempt: "request-1".into(),
+        origin: Some(origin("v1")),
+    };
+    assert_eq!(take_appends(&mut harness), [vec![expected]]);
+}
+
 // Guards against an origin that is recorded only after the delay although its caller is about to return.
 #[test]
 fn streams_that_break_off_together_are_recorded_at_once_in_one_append() {
