--- a/crates/arbutusfall_core/src/relay/resumptions.rs
+++ b/crates/arbutusfall_core/src/relay/resumptions.rs
@@ -21,7 +21,7 @@
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(60);
 
 /// Age of the endpoint list up to which it shows whether there is only one version.
-const MAX_LIST_AGE: Duration = Duration::from_secs(3);
+const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 
 impl Relay {
     /// Sends a new request, or first finds the version of the stream that it goes on with.
