Relay: an answer without a content type on a stream route is a stream, also of a plain service

A decode engine's was already; a plain service's stream without a content type was read as a plain answer, so that one broken off inside an event reached its caller as complete.

--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -65,8 +65,7 @@
     let answer = http::send(&driver.executor, outgoing)
         .await
         .map_err(exchange_failure)?;
-    let kind =
-        endpoints::classify_answer(&request, &command.work, answer.status(), answer.headers());
+    let kind = endpoints::classify_answer(&request, command, answer.status(), answer.headers());
     match kind {
         AnswerKind::NotRun(reason) => Ok(ExchangeEvent::NotRun { reason }),
         AnswerKind::Malformed => Err(ExchangeFailure::Malformed),
--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -122,6 +122,8 @@
     pub address: SocketAddr,
     /// Work requested of the endpoint.
     pub work: Work,
+    /// Whether the answer to the request's run is a stream of events.
+    pub expects_stream: bool,
     /// Time until the call's deadline, which is never later than the caller's own; the endpoint may abandon the request
     /// after it.
     pub time_left: Duration,
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -275,6 +275,7 @@
             instance: endpoint.listed.instance.clone(),
             address: endpoint.listed.address,
             work: self.work(stage),
+            expects_stream: self.route.is_stream,
             time_left: self.time_left(now),
             after_event_id: self.last_event_id,
         }
