Relay: an engine is not silent while its stream waits for a slow caller

Since a stream is held back while its caller does not read, no event arrives from its engine meanwhile: a resumable stream was taken for silent, moved to another engine, and the engine was avoided. A stream that waits for its caller now reports so. A refused read of the newest records is a failure with its delay, whatever its status.

--- a/crates/arbutusfall/src/http/body.rs
+++ b/crates/arbutusfall/src/http/body.rs
@@ -73,11 +73,18 @@
 }
 
 impl BodyWriter {
-    /// Waits while many chunks are queued because the receiver is slow.
-    pub async fn wait_for_room(&self) {
+    /// Waits while many chunks are queued because the receiver is slow, at most for `timeout`; returns whether there is
+    /// room.
+    pub async fn wait_for_room(&self, timeout: Duration) -> bool {
+        let mut waited = Duration::ZERO;
         while self.0.len() >= MAX_QUEUED_CHUNKS && !self.0.is_closed() {
+            if waited >= timeout {
+                return false;
+            }
             async_io::Timer::after(ROOM_CHECK_INTERVAL).await;
+            waited += ROOM_CHECK_INTERVAL;
         }
+        true
     }
 
     /// Appends a chunk; returns false if the body was dropped.
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -33,6 +33,9 @@
 /// Maximum size of an engine's answer to a reservation or a prefill, in bytes.
 const MAX_CONTROL_BYTES: usize = 64 * 1024;
 
+/// Interval at which a stream that waits for its caller is reported as held back.
+const HELD_BACK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Timeout for an engine to confirm that it freed memory.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -164,11 +167,23 @@
     }
     let rest = stream.splitter.finish();
     if !rest.is_empty() {
-        driver.calls.write(command.call, rest).await;
+        write_to_caller(driver, command, rest).await;
     }
     Ok(ExchangeEvent::Complete { status })
 }
 
+/// Writes a piece of a stream once its caller has received enough of what is queued.
+async fn write_to_caller(driver: &Arc<Driver>, command: &SendCommand, piece: Bytes) {
+    let Some(writer) = driver.calls.writer(command.call) else {
+        return;
+    };
+    while !writer.wait_for_room(HELD_BACK_INTERVAL).await {
+        driver.submit_exchange_event(command.exchange, ExchangeEvent::HeldBack);
+    }
+    // Fails only if the caller disconnected, which is reported separately.
+    let _ = writer.write(piece);
+}
+
 /// An endpoint's stream of events while it is forwarded.
 struct EventStream {
     body: Incoming,
@@ -196,7 +211,7 @@
                 continue;
             };
             self.has_events = true;
-            driver.calls.write(command.call, events.bytes).await;
+            write_to_caller(driver, command, events.bytes).await;
             let last_event_id = events.last_id;
             self.last_event_id = last_event_id.or(self.last_event_id);
             driver
--- a/crates/arbutusfall/src/relay/open_calls.rs
+++ b/crates/arbutusfall/src/relay/open_calls.rs
@@ -13,7 +13,6 @@
 use async_channel::Sender;
 use hyper::HeaderMap;
 use hyper::StatusCode;
-use hyper::body::Bytes;
 
 use crate::http::AnswerBody;
 use crate::http::BodyWriter;
@@ -109,17 +108,8 @@
         let _ = open_call.reply.try_send(Reply::Endpoint(head, body));
     }
 
-    /// Writes a chunk to a call's stream, once the caller has received enough of it.
-    pub(super) async fn write(&self, call: CallId, chunk: Bytes) {
-        let Some(writer) = self.writer(call) else {
-            return;
-        };
-        writer.wait_for_room().await;
-        // Fails only if the caller disconnected, which is reported separately.
-        let _ = writer.write(chunk);
-    }
-
-    fn writer(&self, call: CallId) -> Option<BodyWriter> {
+    /// Returns the writer of a call's stream; none if the call has ended or its stream has not started.
+    pub(super) fn writer(&self, call: CallId) -> Option<BodyWriter> {
         let state = self.lock();
         state.calls.get(&call)?.writer.clone()
     }
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -159,7 +159,8 @@
         let mut first_end = None;
         loop {
             let path = store::newest_path(self.topic, after.as_deref());
-            let answer = self.get(&path, Duration::ZERO).await?;
+            let answer = self.get(&path, Duration::ZERO).await;
+            let answer = answer.map_err(WatchError::Failed)?;
             let page = store::parse_newest(&answer.body).map_err(|_| ClientError::Malformed)?;
             // Records may be written between two pages. Continuing from the first page's end reads all of them, some
             // for the second time.
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -225,6 +225,8 @@
         /// Id of the last of these events, if it has one.
         last_event_id: Option<u64>,
     },
+    /// The stream is held back because its caller does not read: the endpoint is not silent.
+    HeldBack,
     /// The complete answer arrived.
     Complete {
         /// HTTP status.
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -31,6 +31,7 @@
             ExchangeEvent::PrefillDone { handle } => self.on_prefill_done(id, handle),
             ExchangeEvent::StreamBegan => self.on_stream_began(id, exchange),
             ExchangeEvent::Progress { last_event_id } => self.on_progress(id, last_event_id),
+            ExchangeEvent::HeldBack => self.on_held_back(id),
             ExchangeEvent::Complete { status } => self.on_complete(id, exchange, status),
             ExchangeEvent::NotRun { reason } => self.on_not_run(id, reason),
             ExchangeEvent::Failed { failure } => self.on_exchange_failed(id, failure),
@@ -152,6 +153,13 @@
         }
     }
 
+    fn on_held_back(&mut self, id: CallId) {
+        let call = self.calls.get_mut(&id);
+        if let Some(current) = call.and_then(|call| call.current.as_mut()) {
+            current.last_activity_at = self.now;
+        }
+    }
+
     pub(super) fn on_complete(&mut self, id: CallId, exchange: ExchangeId, status: u16) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
