--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -23,6 +23,7 @@
 mod notice;
 mod outcomes;
 mod pacing;
+mod prompt_part;
 mod resumptions;
 mod retries;
 mod roles;
@@ -59,6 +60,8 @@
 pub use event::*;
 pub use lease::LeaseAnswer;
 pub use notice::RelayNotice;
+pub use prompt_part::PartId;
+pub use prompt_part::SharedParts;
 pub use routes::*;
 pub use token_counts::TokenCounts;
 
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -11,6 +11,7 @@
 use crate::config::Role;
 use crate::relay::LeaseAnswer;
 use crate::relay::RouteTable;
+use crate::relay::SharedParts;
 use crate::relay::TokenCounts;
 
 /// Number of an exchange with an endpoint, assigned by the relay.
@@ -172,6 +173,8 @@
     pub receive_time: Duration,
     /// Token counts, if the request is for a model.
     pub token_counts: Option<TokenCounts>,
+    /// Parts of the prompt that other requests may have too.
+    pub shared_parts: SharedParts,
     /// Stream that the request goes on with, if any.
     pub resumption: Option<Resumption>,
 }
--- a/crates/arbutusfall_core/src/relay/exchange_end.rs
+++ b/crates/arbutusfall_core/src/relay/exchange_end.rs
@@ -4,6 +4,7 @@
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
+use crate::relay::SharedParts;
 use crate::relay::call::CallStage;
 use crate::relay::notice::millis;
 use crate::relay::roles::StreamUsage;
@@ -25,6 +26,10 @@
         };
         call.failed_endpoints.push(current.instance.clone());
         let request_id = call.request.request_id.clone();
+        let parts = match current.stage {
+            CallStage::Decode { .. } => call.request.shared_parts.clone(),
+            CallStage::Plain | CallStage::Reserve | CallStage::Prefill => SharedParts::default(),
+        };
         self.end_exchange(id);
         if current.stage != CallStage::Prefill {
             self.release_allocation(id);
@@ -34,6 +39,7 @@
             instance: current.instance.clone(),
             reason,
             after_ms: millis(self.now.saturating_sub(current.sent_at)),
+            parts,
         });
         if is_endpoint_failure
             && let Some(notice) = self.endpoints.on_failed(&current.instance, self.now)
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::relay::BodyFraming;
+use crate::relay::SharedParts;
 use crate::relay::StoreReadFailure;
 use crate::relay::StoreTopic;
 
@@ -171,6 +172,8 @@
         reason: &'static str,
         /// Time since the exchange was sent.
         after_ms: u64,
+        /// Shared parts of the prompt, if the endpoint was to write the answer to it.
+        parts: SharedParts,
     },
     /// An endpoint's answer was forwarded to the caller.
     Answered {
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -24,6 +24,7 @@
 use arbutusfall_core::relay::RetryLimit;
 use arbutusfall_core::relay::RouteTable;
 use arbutusfall_core::relay::SendCommand;
+use arbutusfall_core::relay::SharedParts;
 use arbutusfall_core::relay::StoreReadFailure;
 use arbutusfall_core::relay::StoreTopic;
 use arbutusfall_core::relay::TokenCounts;
@@ -227,6 +228,7 @@
                 max_output_tokens: 9_000,
                 expected_output_tokens: Some(5_000),
             }),
+            shared_parts: SharedParts::default(),
             resumption: None,
         }));
         call
@@ -248,6 +250,7 @@
                 max_output_tokens: 9_000,
                 expected_output_tokens: Some(5_000),
             }),
+            shared_parts: SharedParts::default(),
             resumption: Some(Resumption {
                 first_attempt: first_attempt.map(Into::into),
                 last_event_id: "1".into(),
--- a/crates/arbutusfall_core/tests/it/relay_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/relay_simulation.rs
@@ -15,6 +15,7 @@
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayRequest;
 use arbutusfall_core::relay::SendCommand;
+use arbutusfall_core::relay::SharedParts;
 use arbutusfall_core::relay::TokenCounts;
 use arbutusfall_core::relay::Work;
 
@@ -213,6 +214,7 @@
             caller_timeout: Some(ms(14_000) - waited),
             receive_time: Duration::ZERO,
             token_counts: Some(open.token_counts),
+            shared_parts: SharedParts::default(),
             resumption: None,
         };
         self.apply(vm, RelayEvent::RequestReceived(request));
