--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -10,8 +10,10 @@
 mod read_timing;
 mod serve;
 mod settings;
+mod shared_records;
 mod store_client;
 mod store_era;
+mod store_silence;
 mod store_watch;
 mod stream_records;
 
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -13,6 +13,7 @@
 use arbutusfall_core::relay::CallerLimits;
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ExchangeId;
+use arbutusfall_core::relay::PartId;
 use arbutusfall_core::relay::Relay;
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
@@ -25,6 +26,8 @@
 use futures_lite::FutureExt;
 use hyper::Request;
 use hyper::body::Bytes;
+use serde_json::Value;
+use serde_json::json;
 
 use crate::Clock;
 use crate::Executor;
@@ -35,9 +38,11 @@
 use crate::relay::decision_log::DecisionLog;
 use crate::relay::exchange;
 use crate::relay::metrics::Metrics;
+use crate::relay::metrics::StateMetrics;
 use crate::relay::open_calls::AnswerHead;
 use crate::relay::open_calls::OpenCalls;
 use crate::relay::open_calls::Reply;
+use crate::relay::shared_records;
 use crate::relay::store_client::StoreClient;
 use crate::relay::stream_records;
 
@@ -138,8 +143,34 @@
 
     /// Returns the counters, quantiles and the configuration in force as text.
     pub(super) fn metrics_text(&self) -> String {
-        let config = lock(&self.relay).config_status(self.now());
-        self.metrics.text(config, self.store.era.newest())
+        let relay = lock(&self.relay);
+        let state = StateMetrics {
+            config: relay.config_status(self.now()),
+            store_era: self.store.era.newest(),
+            blocked_parts: relay.blocked_parts().count(),
+        };
+        drop(relay);
+        self.metrics.text(&state)
+    }
+
+    /// Returns the parts whose prompts are refused as a JSON document.
+    pub(super) fn blocked_parts(&self) -> Value {
+        let relay = lock(&self.relay);
+        let blocks = relay.blocked_parts().map(
+            |(part, block)| json!({ "part": part, "with": block.with, "crashed": block.instances }),
+        );
+        blocks.collect()
+    }
+
+    /// Unblocks a part at all VMs; returns whether it was blocked at this VM.
+    pub(super) fn unblock_part(self: &Arc<Self>, part: &str) -> bool {
+        let part = PartId(part.into());
+        let is_known = {
+            let relay = lock(&self.relay);
+            relay.blocked_parts().any(|(known, _)| *known == part)
+        };
+        self.submit(RelayEvent::UnblockPart { part });
+        is_known
     }
 
     /// Queues an event and handles all queued events. A nested call, made while an effect is performed, only queues the
@@ -273,6 +304,10 @@
                 let append = stream_records::append(self.clone(), records);
                 self.executor.spawn(append).detach();
             }
+            RelayEffect::AppendShared(records) => {
+                let append = shared_records::append_shared(self.clone(), records);
+                self.executor.spawn(append).detach();
+            }
             RelayEffect::OrderRole {
                 instance,
                 address,
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -165,6 +165,9 @@
     if stream.is_truncated(framing) {
         return Err(ExchangeFailure::Truncated);
     }
+    if framing == BodyFraming::ConnectionEnd {
+        driver.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
+    }
     let rest = stream.splitter.finish();
     if !rest.is_empty() {
         write_to_caller(driver, command, rest).await;
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -18,6 +18,17 @@
 /// Reported quantiles.
 const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
 
+/// Values of a process's state.
+#[derive(Debug)]
+pub(super) struct StateMetrics {
+    /// Configuration in force, if any.
+    pub(super) config: Option<ConfigStatus>,
+    /// Newest era of the store, if it states any.
+    pub(super) store_era: Option<u64>,
+    /// Number of parts whose prompts are refused.
+    pub(super) blocked_parts: usize,
+}
+
 /// Counters and histograms of one process.
 #[derive(Debug, Default)]
 pub(super) struct Metrics {
@@ -100,21 +111,19 @@
         }
     }
 
-    /// Returns all counters, quantiles, values of the configuration in force and the era of the store in the exposition format.
-    pub(super) fn text(&self, config: Option<ConfigStatus>, store_era: Option<u64>) -> String {
+    /// Returns all counters, quantiles and values of the state in the exposition format.
+    pub(super) fn text(&self, values: &StateMetrics) -> String {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let mut text = String::new();
         state.write_counters(&mut text);
         state.write_latencies(&mut text);
-        if let Some(config) = config {
+        if let Some(config) = values.config {
             write_config(&mut text, config);
         }
-        if let Some(era) = store_era {
-            let _ = writeln!(
-                text,
-                "# TYPE arbutusfall_store_era gauge\narbutusfall_store_era {era}"
-            );
+        if let Some(era) = values.store_era {
+            write_gauge(&mut text, "store_era", era);
         }
+        write_gauge(&mut text, "blocked_parts", values.blocked_parts as u64);
         text
     }
 }
@@ -159,6 +168,13 @@
     }
 }
 
+fn write_gauge(text: &mut String, name: &str, value: u64) {
+    let _ = writeln!(
+        text,
+        "# TYPE arbutusfall_{name} gauge\narbutusfall_{name} {value}"
+    );
+}
+
 fn write_config(text: &mut String, config: ConfigStatus) {
     let unread_ms = config.unread_for.as_millis();
     let _ = writeln!(
--- a/crates/arbutusfall/src/relay/read_timing.rs
+++ b/crates/arbutusfall/src/relay/read_timing.rs
@@ -27,6 +27,12 @@
 /// answer.
 const ENDPOINT_LIST_PAUSE_SHARE: f64 = 0.55;
 
+/// Long-polling wait of a read of the records that VMs share: they seldom change.
+const SHARED_WAIT: Duration = Duration::from_secs(25);
+
+/// Pause between reads of the records that VMs share, which limits the reads of all VMs while many records are written.
+const SHARED_PAUSE: Duration = Duration::from_millis(400);
+
 /// Successful reads after a failed one that are followed by a shorter pause.
 pub(super) const READS_AFTER_FAILURE: u32 = 2;
 
@@ -62,6 +68,16 @@
         }
     }
 
+    /// Returns the times of reads of the records that VMs share.
+    pub fn of_shared_records() -> Self {
+        Self {
+            wait: SHARED_WAIT,
+            answer_timeout: MAX_ANSWER_TIMEOUT,
+            pause: SHARED_PAUSE,
+            pause_after_failure: SHARED_PAUSE,
+        }
+    }
+
     /// Returns the times of reads of the endpoint list. It is not long-polled, because endpoints write to it too often.
     ///
     /// Endpoints that left unseen during an outage must be removed within `silence_bound` after it: a read that is never
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -13,10 +13,12 @@
 use error_stack::Report;
 use error_stack::ResultExt;
 use futures_lite::StreamExt;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use serde_json::json;
 
 use crate::Executor;
 use crate::LogFormat;
@@ -25,6 +27,7 @@
 use crate::http::AnswerBody;
 use crate::http::AnswerMemory;
 use crate::http::ServerLimits;
+use crate::relay::ReadTiming;
 use crate::relay::RelayProcessSettings;
 use crate::relay::callers::RelayCallerServer;
 use crate::relay::control_client::ControlClient;
@@ -34,9 +37,15 @@
 use crate::relay::store_watch::StoreWatch;
 use crate::telemetry;
 
-/// Path of counters and latency quantiles at the operators' address; any other path returns readiness.
+/// Path of counters and latency quantiles at the operators' address; any unknown path returns readiness.
 const METRICS_PATH: &str = "/metrics";
 
+/// Path of the parts whose prompts are refused.
+const BLOCKED_PARTS_PATH: &str = "/blocked-parts";
+
+/// Path of one such part, before its id; `DELETE` unblocks it.
+const BLOCKED_PART_PREFIX: &str = "/blocked-parts/";
+
 /// Timeout for writing the last log lines.
 const LOG_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -87,6 +96,7 @@
     let topics = [
         (StoreTopic::Config, settings.config_timing()),
         (StoreTopic::Endpoints, settings.endpoint_list_timing()),
+        (StoreTopic::Shared, ReadTiming::of_shared_records()),
     ];
     for (topic, timing) in topics {
         let watch = StoreWatch {
@@ -129,17 +139,28 @@
     let driver = driver.clone();
     let executor = driver.executor.clone();
     let handler = move |request: Request<Incoming>| {
-        let answer = if request.uri().path() == METRICS_PATH {
-            Response::new(AnswerBody::whole(driver.metrics_text()))
-        } else {
-            readiness(driver.is_ready())
-        };
+        let answer = answer_operator(&driver, request.method(), request.uri().path());
         async move { answer }
     };
     let listener = http::serve_with_closures(executor, address, ServerLimits::default, handler);
     listener.await.change_context(ServeError::Listen(address))
 }
 
+fn answer_operator(driver: &Arc<Driver>, method: &Method, path: &str) -> Response<AnswerBody> {
+    if path == METRICS_PATH {
+        return Response::new(AnswerBody::whole(driver.metrics_text()));
+    }
+    if path == BLOCKED_PARTS_PATH {
+        return http::json_answer(200, &driver.blocked_parts());
+    }
+    let Some(part) = path.strip_prefix(BLOCKED_PART_PREFIX) else {
+        return readiness(driver.is_ready());
+    };
+    let is_unblocked = method == Method::DELETE && driver.unblock_part(part);
+    let status = if is_unblocked { 200 } else { 404 };
+    http::json_answer(status, &json!({ "unblocked": is_unblocked }))
+}
+
 fn readiness(is_ready: bool) -> Response<AnswerBody> {
     let mut answer = Response::new(AnswerBody::whole(""));
     if !is_ready {
--- a/crates/arbutusfall/src/relay/store_client.rs
+++ b/crates/arbutusfall/src/relay/store_client.rs
@@ -18,6 +18,10 @@
 use crate::relay::driver::Driver;
 use crate::relay::store_era::EraObservation;
 use crate::relay::store_era::StoreEra;
+use crate::relay::store_silence::StoreSilence;
+
+/// Timeout of an append.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Error of a request to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -58,6 +62,7 @@
 pub(super) struct StoreClient {
     address: SocketAddr,
     pub(super) era: StoreEra,
+    pub(super) silence: StoreSilence,
 }
 
 impl StoreClient {
@@ -65,6 +70,7 @@
         Self {
             address,
             era: StoreEra::default(),
+            silence: StoreSilence::default(),
         }
     }
 
@@ -104,6 +110,17 @@
         Ok(parsed.map_err(|_| ClientError::Malformed)?)
     }
 
+    /// Appends encoded records to a topic.
+    pub(super) async fn append(
+        &self,
+        driver: &Arc<Driver>,
+        path: &str,
+        records: Vec<u8>,
+    ) -> Result<StoreAnswer, StoreError> {
+        self.post(driver, path, records.into(), APPEND_TIMEOUT)
+            .await
+    }
+
     async fn send(
         &self,
         driver: &Arc<Driver>,
@@ -118,7 +135,11 @@
             path,
             body,
         };
-        let answer = http::request_whole(&driver.executor, request, timeout).await?;
+        let answer = http::request_whole(&driver.executor, request, timeout).await;
+        if matches!(answer, Err(ClientError::Timeout)) {
+            self.silence.report();
+        }
+        let answer = answer?;
         let era = store::era(&answer.headers);
         // Error answers have an era too.
         match era.map(|era| (era, self.era.observe(era))) {
@@ -132,3 +153,17 @@
         Ok(StoreAnswer { body, era })
     }
 }
+
+/// Appends `count` encoded records to a topic; returns whether the store confirmed it.
+pub(super) async fn append(
+    driver: &Arc<Driver>,
+    path: &str,
+    records: Vec<u8>,
+    count: usize,
+) -> bool {
+    let answer = driver.store.append(driver, path, records).await;
+    if let Err(error) = &answer {
+        log::debug!("an append of {count} records to {path} was not confirmed: {error}");
+    }
+    answer.is_ok()
+}
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -5,10 +5,12 @@
 
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_core::relay::SharedRecord;
 use arbutusfall_core::relay::StoreReadFailure;
 use arbutusfall_core::relay::StoreTopic;
 use arbutusfall_platform::config::parse_config;
 use arbutusfall_platform::directory::parse_entry;
+use arbutusfall_platform::shared::parse_record;
 use arbutusfall_platform::store;
 use arbutusfall_platform::store::KeyedRecord;
 use arbutusfall_wire::Offset;
@@ -18,6 +20,7 @@
 use crate::relay::driver::Driver;
 use crate::relay::read_timing::READS_AFTER_FAILURE;
 use crate::relay::read_timing::ReadTiming;
+use crate::relay::shared_records;
 use crate::relay::store_client::StoreAnswer;
 use crate::relay::store_client::StoreError;
 
@@ -138,8 +141,19 @@
             self.driver.store.era.changed_from(from.era).await;
             Err(WatchError::PositionLost)
         };
+        let silenced = async {
+            if self.topic != StoreTopic::Shared {
+                return std::future::pending().await;
+            }
+            // This read waits for long, so another topic's read shows first that connections are silent.
+            self.driver.store.silence.reported().await;
+            Err(ClientError::Timeout.into())
+        };
         // Another topic's answer may show first that the store has returned.
-        self.read_tail(from, next.wait).or(returned).await
+        self.read_tail(from, next.wait)
+            .or(returned)
+            .or(silenced)
+            .await
     }
 
     fn submit_read(&self, failure: Option<StoreReadFailure>) {
@@ -159,7 +173,11 @@
         let mut first_end = None;
         loop {
             let path = store::newest_path(self.topic, after.as_deref());
-            let answer = self.get(&path, Duration::ZERO).await;
+            let mut answer = self.get(&path, Duration::ZERO).await;
+            if self.topic == StoreTopic::Shared && is_missing(&answer) {
+                shared_records::create_topic(&self.driver).await?;
+                answer = self.get(&path, Duration::ZERO).await;
+            }
             let answer = answer.map_err(WatchError::Failed)?;
             let page = store::parse_newest(&answer.body).map_err(|_| ClientError::Malformed)?;
             // Records may be written between two pages. Continuing from the first page's end reads all of them, some
@@ -202,7 +220,17 @@
         match self.topic {
             StoreTopic::Config => self.submit_config(records),
             StoreTopic::Endpoints => self.submit_endpoints(records, is_full_list),
+            StoreTopic::Shared => self.submit_shared(&records, is_full_list),
+        }
+    }
+
+    fn submit_shared(&self, records: &[KeyedRecord], is_full: bool) {
+        if records.is_empty() && !is_full {
+            return;
         }
+        let records: Vec<SharedRecord> = records.iter().filter_map(parse_record).collect();
+        self.driver
+            .submit(RelayEvent::SharedRecords { records, is_full });
     }
 
     fn submit_config(&self, records: Vec<KeyedRecord>) {
@@ -251,6 +279,14 @@
     }
 }
 
+/// Returns whether a read failed because the topic does not exist.
+fn is_missing(answer: &Result<StoreAnswer, StoreError>) -> bool {
+    match answer {
+        Err(StoreError::Failed(ClientError::Status(status))) => store::means_no_topic(*status),
+        Ok(_) | Err(_) => false,
+    }
+}
+
 fn read_failure(error: &StoreError) -> StoreReadFailure {
     let error = match error {
         StoreError::Failed(error) => error,
--- a/crates/arbutusfall/src/relay/stream_records.rs
+++ b/crates/arbutusfall/src/relay/stream_records.rs
@@ -13,14 +13,12 @@
 
 use crate::http::ClientError;
 use crate::relay::driver::Driver;
+use crate::relay::store_client;
 use crate::relay::store_client::StoreError;
 
 /// Timeout of a lookup, for which a caller waits.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Timeout of an append.
-const APPEND_TIMEOUT: Duration = Duration::from_millis(900);
-
 /// Looks up the origin of a stream and reports it to the relay.
 pub(super) async fn find(driver: Arc<Driver>, call: CallId, attempt: Name) {
     let lookup = try_find(&driver, &attempt).await;
@@ -34,9 +32,7 @@
 async fn try_find(driver: &Arc<Driver>, attempt: &str) -> Result<StreamLookup, StoreError> {
     let path = streams::find_path(attempt);
     let answer = match driver.store.get(driver, &path, LOOKUP_TIMEOUT).await {
-        Err(StoreError::Failed(ClientError::Status(status)))
-            if streams::means_no_records(status) =>
-        {
+        Err(StoreError::Failed(ClientError::Status(status))) if store::means_no_topic(status) => {
             return Ok(StreamLookup::NotFound);
         }
         answer => answer?,
@@ -49,14 +45,6 @@
 /// Appends records and reports to the relay whether the store confirmed it.
 pub(super) async fn append(driver: Arc<Driver>, records: Vec<StreamRecord>) {
     let body = streams::encode_records(&records);
-    let append = driver
-        .store
-        .post(&driver, streams::APPEND_PATH, body.into(), APPEND_TIMEOUT);
-    let answer = append.await;
-    if let Err(error) = &answer {
-        let count = records.len();
-        log::debug!("an append of {count} records of streams was not confirmed: {error}");
-    }
-    let succeeded = answer.is_ok();
+    let succeeded = store_client::append(&driver, streams::APPEND_PATH, body, records.len()).await;
     driver.submit(RelayEvent::StreamsRecorded { succeeded });
 }
--- a/crates/arbutusfall_core/src/problem.rs
+++ b/crates/arbutusfall_core/src/problem.rs
@@ -34,6 +34,8 @@
     ReceiveTimeout,
     /// The prompt is longer than the model allows.
     PromptTooLong,
+    /// The prompt has a part that crashes engines; it was not run.
+    CrashingPrompt,
     /// A non-idempotent request has no usable idempotency key.
     KeyInvalid,
     /// The idempotency key was already used for a different request.
@@ -58,7 +60,7 @@
     /// Returns the HTTP status.
     pub fn status(self) -> u16 {
         match self {
-            Self::Malformed | Self::KeyInvalid => 400,
+            Self::Malformed | Self::KeyInvalid | Self::CrashingPrompt => 400,
             Self::Unauthorized => 401,
             Self::NoRoute | Self::NoModel => 404,
             Self::ReceiveTimeout => 408,
@@ -83,6 +85,7 @@
             Self::BodyTooLarge => "body-too-large",
             Self::ReceiveTimeout => "receive-timeout",
             Self::PromptTooLong => "prompt-too-long",
+            Self::CrashingPrompt => "crashing-prompt",
             Self::KeyInvalid => "key-invalid",
             Self::KeyReused => "key-reused",
             Self::AccountLimited => "account-limited",
@@ -106,6 +109,9 @@
             Self::BodyTooLarge => "The body is too long",
             Self::ReceiveTimeout => "The request did not arrive in time",
             Self::PromptTooLong => "The prompt is longer than the model allows",
+            Self::CrashingPrompt => {
+                "A part of the prompt crashes the engines; do not send it again"
+            }
             Self::KeyInvalid => "The Idempotency-Key header must hold a recent UUID of version 7",
             Self::KeyReused => "The Idempotency-Key was used for a request for something else",
             Self::AccountLimited => "The account's limits are used up",
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -14,9 +14,12 @@
 mod call;
 mod calls;
 mod configuration;
+mod crash_handling;
+mod crashing_parts;
 mod effect;
 mod endpoint;
 mod endpoints;
+mod engine_ends;
 mod event;
 mod exchange_end;
 mod lease;
@@ -29,6 +32,8 @@
 mod roles;
 mod routes;
 mod sending;
+mod shared_outbox;
+mod shared_record;
 mod store_view;
 mod stream_versions;
 mod token_counts;
@@ -46,9 +51,12 @@
 
 use budget::RetryBudget;
 use call::Call;
+use crashing_parts::CrashingParts;
 use endpoints::Endpoints;
+use engine_ends::EngineEnds;
 use lease::Lease;
 use roles::Roles;
+use shared_outbox::SharedOutbox;
 use store_view::StoreView;
 use stream_versions::StreamVersions;
 use waiting::WaitQueue;
@@ -63,6 +71,7 @@
 pub use prompt_part::PartId;
 pub use prompt_part::SharedParts;
 pub use routes::*;
+pub use shared_record::*;
 pub use token_counts::TokenCounts;
 
 /// Time from the signal to stop until idle caller connections are closed: the platform stops sending new connections
@@ -93,6 +102,8 @@
     FindStream(CallId),
     /// Origins of streams may be due for recording.
     RecordStreams,
+    /// Crashes may be due for review, or records that VMs share for appending.
+    Shared,
     /// The lease is due for renewal.
     RenewLease,
     /// The split of engines between prefill and decode is due for review.
@@ -124,6 +135,18 @@
     stream_versions: StreamVersions,
     /// Instant of the earliest timer to record origins of streams.
     record_timer_due: Option<Duration>,
+    /// Streams that broke off with their engines and have not been reviewed yet.
+    engine_ends: EngineEnds,
+    crashing_parts: CrashingParts,
+    shared_outbox: SharedOutbox,
+    /// Instant of the earliest timer for crashes and shared records.
+    shared_timer_due: Option<Duration>,
+    /// Whether the records that VMs share have been read, or could not be.
+    is_shared_known: bool,
+    /// Whether the store has returned from an older copy since the shared records were read.
+    has_store_returned: bool,
+    /// Number of VMs, as far as it is known.
+    vm_count: u32,
     lease: Lease,
     roles: Roles,
     timers: Timers<RelayTimer>,
@@ -151,6 +174,13 @@
             budget: RetryBudget::new(settings.retry_limit),
             stream_versions: StreamVersions::new(settings.retry_limit.vm_count),
             record_timer_due: None,
+            engine_ends: EngineEnds::default(),
+            crashing_parts: CrashingParts::default(),
+            shared_outbox: SharedOutbox::new(settings.retry_limit.vm_count),
+            shared_timer_due: None,
+            is_shared_known: false,
+            has_store_returned: false,
+            vm_count: settings.retry_limit.vm_count,
             lease: Lease::new(settings.lease_lifetime),
             roles: Roles::default(),
             timers: Timers::default(),
@@ -191,6 +221,12 @@
             RelayEvent::Exchange { exchange, event } => self.on_exchange(exchange, event),
             RelayEvent::StreamLookup { call, lookup } => self.on_stream_lookup(call, lookup),
             RelayEvent::StreamsRecorded { succeeded } => self.on_streams_recorded(succeeded),
+            RelayEvent::SharedRecords { records, is_full } if is_full => {
+                self.on_all_shared_records(records);
+            }
+            RelayEvent::SharedRecords { records, .. } => self.on_shared_records(records),
+            RelayEvent::UnblockPart { part } => self.unblock_part(&part),
+            RelayEvent::SharedAppended { succeeded } => self.on_shared_appended(succeeded),
             RelayEvent::Lease(answer) => self.on_lease(answer),
             RelayEvent::RoleOutcome { instance, outcome } => {
                 self.on_role_outcome(instance, outcome);
@@ -212,6 +248,7 @@
                 RelayTimer::RetryReservations => self.on_retry_reservations(),
                 RelayTimer::FindStream(call) => self.find_stream_again(call),
                 RelayTimer::RecordStreams => self.record_streams(),
+                RelayTimer::Shared => self.on_shared_timer(),
                 RelayTimer::RenewLease => self.renew_lease(),
                 RelayTimer::ReviewRoles => self.review_roles(),
                 RelayTimer::CloseConnections => self.effects.push(RelayEffect::CloseConnections),
@@ -264,7 +301,8 @@
     fn update_ready(&mut self) {
         // Without endpoints this VM can only refuse requests; while it is not ready, the platform sends callers to
         // other VMs.
-        let can_serve = self.routes.is_some() && !self.endpoints.is_empty();
+        // A VM that starts must not send prompts that others refuse.
+        let can_serve = self.routes.is_some() && !self.endpoints.is_empty() && self.is_shared_known;
         let ready = can_serve && !self.is_draining;
         if ready == self.is_ready {
             return;
--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -51,6 +51,12 @@
     pub(crate) allocation: Option<MemoryAllocation>,
     /// Endpoints of failed exchanges, one entry per exchange; refused reservations do not count.
     pub(crate) failed_endpoints: Vec<Name>,
+    /// Number of decode engines whose streams of this request broke off.
+    pub(crate) engine_ends: u32,
+    /// Whether a stream of this request lasted long enough to clear its prompt's parts.
+    pub(crate) has_survived: bool,
+    /// Whether the end of the current exchange's stream was not marked.
+    pub(crate) is_end_unmarked: bool,
     /// Whether an endpoint may have begun to run the request.
     pub(crate) may_have_run: bool,
     /// Version of the endpoint that brought the stream's first event, at this VM or at another; the stream goes on only at
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -15,6 +15,7 @@
 use crate::relay::RelayTimer;
 use crate::relay::RouteTable;
 use crate::relay::call::Call;
+use crate::relay::crash_handling::CRASHING_PART;
 use crate::relay::notice::millis;
 
 /// Retry delay sent to callers while this VM has no configuration.
@@ -103,6 +104,9 @@
             allocation: None,
             has_waited: false,
             failed_endpoints: Vec::new(),
+            engine_ends: 0,
+            has_survived: false,
+            is_end_unmarked: false,
             may_have_run: false,
             stream_version: None,
             last_event_id: None,
@@ -238,7 +242,9 @@
             return;
         };
         self.on_stream_end(&call.request.request_id, false);
-        let problem = if may_have_run {
+        let problem = if reason == CRASHING_PART && !may_have_run {
+            Problem::new(ProblemKind::CrashingPrompt)
+        } else if may_have_run {
             Problem::new(match reason {
                 "timeout" => ProblemKind::AnswerTimeout,
                 _ => ProblemKind::UpstreamFailed,
--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -10,6 +10,7 @@
 use crate::config::Role;
 use crate::relay::ExchangeId;
 use crate::relay::RelayNotice;
+use crate::relay::SharedRecord;
 use crate::relay::StreamOrigin;
 
 /// An output of the relay.
@@ -80,6 +81,8 @@
     },
     /// Append records of streams to the store.
     RecordStreams(Vec<StreamRecord>),
+    /// Append records that VMs share to the store.
+    AppendShared(Vec<SharedRecord>),
     /// Order an engine to change its role.
     OrderRole {
         /// The engine.
--- a/crates/arbutusfall_core/src/relay/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint.rs
@@ -5,6 +5,7 @@
 use crate::placement::Health;
 use crate::relay::ListedEndpoint;
 use crate::relay::RelayNotice;
+use crate::relay::SharedParts;
 use crate::relay::notice::millis;
 
 /// Weight of the newest sample in a running mean.
@@ -47,6 +48,12 @@
 /// Prefill rate assumed for an engine before its first prefill, in prompt tokens per millisecond.
 const INITIAL_PREFILL_TOKENS_PER_MS: f64 = 40.0;
 
+/// Time within which an answer of an engine proves that it did not end before; after it, the engine may have started again.
+const UNMARKED_END_LIFETIME: Duration = Duration::from_millis(1_000);
+
+/// Answers without a marked end that are remembered for an endpoint.
+const MAX_UNMARKED_ENDS: usize = 64;
+
 /// A listed endpoint with this VM's load on it and observations of it.
 #[derive(Debug, Clone)]
 pub(crate) struct Endpoint {
@@ -82,6 +89,8 @@
     decode_refusals: u32,
     /// Number of the engine's consecutive prefill results whose decode was refused.
     suspected_losses: u32,
+    /// Parts of prompts whose answers ended with their connections, with the instants of these ends.
+    unmarked_ends: Vec<(Duration, SharedParts)>,
     /// Instant from which the endpoint may be removed; none while it is listed.
     pub(crate) remove_at: Option<Duration>,
 }
@@ -105,6 +114,7 @@
             decode_backoff_until: Duration::ZERO,
             decode_refusals: 0,
             suspected_losses: 0,
+            unmarked_ends: Vec::new(),
             remove_at: None,
         }
     }
@@ -154,6 +164,34 @@
         }
     }
 
+    /// Records an answer that ended with its connection: whether the engine ended shows only later.
+    pub(crate) fn on_unmarked_end(&mut self, parts: SharedParts, now: Duration) {
+        self.unmarked_ends
+            .retain(|(ended_at, _)| now <= *ended_at + UNMARKED_END_LIFETIME);
+        if self.unmarked_ends.len() < MAX_UNMARKED_ENDS {
+            self.unmarked_ends.push((now, parts));
+        }
+    }
+
+    /// Takes the parts of prompts that an answer to a request of `sent_at` proves to have been answered completely: the
+    /// engine still ran after them.
+    pub(crate) fn take_proved_parts(
+        &mut self,
+        sent_at: Duration,
+        now: Duration,
+    ) -> Vec<SharedParts> {
+        let mut proved = Vec::new();
+        self.unmarked_ends.retain(|(ended_at, parts)| {
+            let is_recent = now <= *ended_at + UNMARKED_END_LIFETIME;
+            let is_proved = is_recent && sent_at > *ended_at;
+            if is_proved {
+                proved.push(parts.clone());
+            }
+            is_recent && !is_proved
+        });
+        proved
+    }
+
     /// Marks the endpoint as full or changing its role until an instant.
     pub(crate) fn set_unavailable_until(&mut self, instant: Duration) {
         self.unavailable_until = instant;
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -10,8 +10,10 @@
 use crate::CallId;
 use crate::config::Role;
 use crate::relay::LeaseAnswer;
+use crate::relay::PartId;
 use crate::relay::RouteTable;
 use crate::relay::SharedParts;
+use crate::relay::SharedRecord;
 use crate::relay::TokenCounts;
 
 /// Number of an exchange with an endpoint, assigned by the relay.
@@ -74,6 +76,23 @@
         /// Whether it was confirmed.
         succeeded: bool,
     },
+    /// Records that VMs share were read, oldest first.
+    SharedRecords {
+        /// The records.
+        records: Vec<SharedRecord>,
+        /// Whether these are all records.
+        is_full: bool,
+    },
+    /// An operator unblocks a part.
+    UnblockPart {
+        /// The part.
+        part: PartId,
+    },
+    /// An append of shared records to the store was confirmed, or failed: it may still have taken effect.
+    SharedAppended {
+        /// Whether it was confirmed.
+        succeeded: bool,
+    },
     /// A role order to an engine was answered or failed.
     RoleOutcome {
         /// The engine.
@@ -93,6 +112,8 @@
     Config,
     /// The list of endpoints.
     Endpoints,
+    /// The records that VMs share.
+    Shared,
 }
 
 impl StoreTopic {
@@ -101,6 +122,7 @@
         match self {
             Self::Config => "config",
             Self::Endpoints => "endpoints",
+            Self::Shared => "shared",
         }
     }
 }
@@ -230,6 +252,8 @@
     },
     /// The stream is held back because its caller does not read: the endpoint is not silent.
     HeldBack,
+    /// The stream ended with its connection, after all its events; follows them. The engine may have ended instead.
+    EndUnmarked,
     /// The complete answer arrived.
     Complete {
         /// HTTP status.
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::relay::BodyFraming;
+use crate::relay::PartId;
 use crate::relay::SharedParts;
 use crate::relay::StoreReadFailure;
 use crate::relay::StoreTopic;
@@ -98,6 +99,24 @@
         /// Its era now.
         era: u64,
     },
+    /// Prompts with a part are refused from now on, because engines ended under it.
+    PartBlocked {
+        /// The part.
+        part: PartId,
+        /// Parts that a prompt must have besides to be refused.
+        with: Vec<PartId>,
+        /// Engines that ended while a prompt with the part was in progress.
+        crashed: Vec<Name>,
+        /// `own` (decided by this VM) or `other_vm`.
+        source: &'static str,
+    },
+    /// Prompts with a part are no longer refused.
+    PartUnblocked {
+        /// The part.
+        part: PartId,
+        /// `answered` (an engine completed such a prompt), `operator` or `other_vm`.
+        reason: &'static str,
+    },
     /// A caller takes a broken-off stream up again.
     Resuming {
         /// Id that the caller gave to the request.
@@ -280,6 +299,8 @@
             Self::EngineRefusing { .. } => "engine_refusing",
             Self::Store { .. } => "store",
             Self::StoreReturned { .. } => "store_returned",
+            Self::PartBlocked { .. } => "part_blocked",
+            Self::PartUnblocked { .. } => "part_unblocked",
             Self::Resuming { .. } => "resuming",
             Self::GoesOn { .. } => "goes_on",
             Self::Sent { .. } => "sent",
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -26,12 +26,16 @@
             // The relay has already ended this exchange.
             return;
         };
+        if is_sign_of_life(&event) {
+            self.on_engine_alive(id);
+        }
         match event {
             ExchangeEvent::Reserved { reservation } => self.on_reserved(id, reservation),
             ExchangeEvent::PrefillDone { handle } => self.on_prefill_done(id, handle),
             ExchangeEvent::StreamBegan => self.on_stream_began(id, exchange),
             ExchangeEvent::Progress { last_event_id } => self.on_progress(id, last_event_id),
             ExchangeEvent::HeldBack => self.on_held_back(id),
+            ExchangeEvent::EndUnmarked => self.on_end_unmarked(id),
             ExchangeEvent::Complete { status } => self.on_complete(id, exchange, status),
             ExchangeEvent::NotRun { reason } => self.on_not_run(id, reason),
             ExchangeEvent::Failed { failure } => self.on_exchange_failed(id, failure),
@@ -151,6 +155,13 @@
         if is_first {
             self.on_first_event(id);
         }
+        self.on_stream_lasting(id);
+    }
+
+    fn on_end_unmarked(&mut self, id: CallId) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.is_end_unmarked = true;
+        }
     }
 
     fn on_held_back(&mut self, id: CallId) {
@@ -186,6 +197,9 @@
             endpoint.on_answered(after);
             self.budget.on_outcome(&service, false, self.now);
         }
+        if !is_failure {
+            self.on_prompt_answered(id);
+        }
         self.end_exchange(id);
         let has_released = self.release_allocation(id);
         self.answer(id, exchange, status);
@@ -306,7 +320,18 @@
         } else {
             self.mark_may_have_run(id, stage);
         }
+        let has_ended = matches!(
+            failure,
+            ExchangeFailure::Closed | ExchangeFailure::Truncated
+        );
+        if has_ended {
+            self.record_broken_stream(id);
+        }
         self.fail_exchange(id, label, true);
+        if has_ended && self.may_crash_next_engine(id) {
+            self.fail_call(id, "suspect_part");
+            return;
+        }
         if failure == ExchangeFailure::Unreachable {
             // No endpoint received the request, so this does not count as a retry.
             self.retry_or_fail(id);
@@ -323,3 +348,13 @@
         }
     }
 }
+
+/// Returns whether an event shows that the engine's process runs.
+fn is_sign_of_life(event: &ExchangeEvent) -> bool {
+    matches!(
+        event,
+        ExchangeEvent::Reserved { .. }
+            | ExchangeEvent::PrefillDone { .. }
+            | ExchangeEvent::StreamBegan
+    )
+}
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -19,6 +19,7 @@
 use crate::relay::call::CallStage;
 use crate::relay::call::CurrentExchange;
 use crate::relay::call::MemoryAllocation;
+use crate::relay::crash_handling::CRASHING_PART;
 use crate::relay::endpoint::Endpoint;
 use crate::relay::notice::millis;
 
@@ -37,6 +38,10 @@
 impl Relay {
     /// Sends the call's next stage to the best endpoint, queues the call, or fails it if no endpoint can take it.
     pub(super) fn send_next(&mut self, id: CallId) {
+        if self.has_crashing_part(id) {
+            self.fail_call(id, CRASHING_PART);
+            return;
+        }
         let Some(stage) = self.next_stage(id) else {
             return;
         };
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/shared_record.rs
@@ -0,0 +1,75 @@
+//! Records that VMs share through the platform's store: each VM reads all of them, and any VM may write or delete one.
+
+use arbutusfall_wire::Name;
+
+use crate::relay::PartId;
+
+/// Id of one crash of an engine: the same at all VMs that had streams on it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CrashId(pub Name);
+
+/// What one VM knows of a part and a crash: a stream whose prompt has the part was in progress when the engine ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashEvidence {
+    /// The engine.
+    pub instance: Name,
+    /// Other parts that all such streams of the VM had.
+    pub with: Vec<PartId>,
+}
+
+/// Block on a part: prompts with it crash engines.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PartBlock {
+    /// Parts that a prompt must have besides: they cannot be told from the part by what is known.
+    pub with: Vec<PartId>,
+    /// Engines that ended under the part.
+    pub instances: Vec<Name>,
+}
+
+/// A record, or its deletion.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SharedRecord {
+    /// Evidence that a part crashes engines.
+    Crash {
+        /// The part.
+        part: PartId,
+        /// The crash.
+        crash: CrashId,
+        /// The evidence; `None` if the part is cleared of it.
+        evidence: Option<CrashEvidence>,
+    },
+    /// The block on a part.
+    Block {
+        /// The part.
+        part: PartId,
+        /// The block; `None` if the part is unblocked.
+        block: Option<PartBlock>,
+    },
+}
+
+/// Key of a record: a newer record replaces an older one with the same key.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SharedKey {
+    /// Key of [`SharedRecord::Crash`].
+    Crash(PartId, CrashId),
+    /// Key of [`SharedRecord::Block`].
+    Block(PartId),
+}
+
+impl SharedRecord {
+    /// Returns whether the record deletes its key.
+    pub fn is_deletion(&self) -> bool {
+        match self {
+            Self::Crash { evidence, .. } => evidence.is_none(),
+            Self::Block { block, .. } => block.is_none(),
+        }
+    }
+
+    /// Returns the record's key.
+    pub fn key(&self) -> SharedKey {
+        match self {
+            Self::Crash { part, crash, .. } => SharedKey::Crash(part.clone(), crash.clone()),
+            Self::Block { part, .. } => SharedKey::Block(part.clone()),
+        }
+    }
+}
--- a/crates/arbutusfall_core/src/relay/store_view.rs
+++ b/crates/arbutusfall_core/src/relay/store_view.rs
@@ -68,6 +68,7 @@
     pub(super) fn on_store_returned(&mut self, previous: u64, era: u64) {
         self.endpoints.on_list_recovered(self.now);
         self.stream_versions.on_records_lost();
+        self.has_store_returned = true;
         self.set_record_timer();
         self.lose_lease();
         self.note(RelayNotice::StoreReturned {
@@ -78,6 +79,8 @@
 
     pub(super) fn on_store_read(&mut self, topic: StoreTopic, failure: Option<StoreReadFailure>) {
         let is_reachable = failure.is_none();
+        // Without the store, this VM decides by what it sees itself.
+        self.is_shared_known |= topic == StoreTopic::Shared && !is_reachable;
         let unread_for = self.store.unread_for(topic, self.now);
         if !self.store.record(topic, is_reachable, self.now) {
             return;
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -19,6 +19,8 @@
 mod placement_policy;
 mod relay_calls;
 mod relay_configuration;
+mod relay_crashing_parts;
+mod relay_fleet;
 mod relay_harness;
 mod relay_load;
 mod relay_random;
--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/relay_crashing_parts.rs
@@ -0,0 +1,699 @@
+//! Parts of prompts that crash engines: which are blocked, which are not, and what it costs at many VMs.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutusfall_core::CallId;
+use arbutusfall_core::ProblemKind;
+use arbutusfall_core::config::Role;
+use arbutusfall_core::relay::CrashEvidence;
+use arbutusfall_core::relay::CrashId;
+use arbutusfall_core::relay::EndpointListChange;
+use arbutusfall_core::relay::ExchangeEvent;
+use arbutusfall_core::relay::ExchangeFailure;
+use arbutusfall_core::relay::ExchangeId;
+use arbutusfall_core::relay::PartBlock;
+use arbutusfall_core::relay::PartId;
+use arbutusfall_core::relay::RelayEffect;
+use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_core::relay::SendCommand;
+use arbutusfall_core::relay::SharedRecord;
+use arbutusfall_core::relay::StoreReadFailure;
+use arbutusfall_core::relay::StoreTopic;
+use arbutusfall_core::relay::Work;
+
+use crate::relay_fleet::Fleet;
+use crate::relay_fleet::most_in_one_second;
+use crate::relay_harness::RelayHarness;
+use crate::relay_harness::listed;
+use crate::relay_harness::ms;
+use crate::relay_harness::routes;
+
+/// Step of the simulations.
+const STEP: Duration = Duration::from_millis(10);
+
+/// Time from the start of a decode to the crash of its engine.
+const CRASH_TIME: Duration = Duration::from_millis(100);
+
+/// Time from the start of a decode to the end of its stream.
+const STREAM_TIME: Duration = Duration::from_millis(800);
+
+/// Time from a crash until the engine is back under another id.
+const DOWN_TIME: Duration = Duration::from_secs(2);
+
+/// Time for a VM to read a change of the endpoint list.
+const LIST_TIME: Duration = Duration::from_millis(1_000);
+
+fn parts(ids: &[&str]) -> Vec<PartId> {
+    ids.iter().map(|id| PartId((*id).into())).collect()
+}
+
+/// An exchange in progress at an engine of the simulation.
+struct OpenExchange {
+    vm: usize,
+    exchange: ExchangeId,
+    instance: String,
+    /// Instant and event of the next thing that happens to it.
+    next: (Duration, ExchangeEvent),
+    crashes: bool,
+}
+
+/// What a request of the simulation is.
+#[derive(Debug, Clone)]
+struct Sent {
+    sent_at: Duration,
+    is_crashing: bool,
+    has_begun: bool,
+    is_refused: bool,
+}
+
+/// A site with engines that crash, and the load on it.
+struct CrashingSite {
+    fleet: Fleet,
+    engines: BTreeMap<String, bool>,
+    /// Changes of the list that VMs read later.
+    list_changes: Vec<(Duration, EndpointListChange)>,
+    starts: Vec<Duration>,
+    open: Vec<OpenExchange>,
+    sent: BTreeMap<(usize, CallId), Sent>,
+    crashes: Vec<Duration>,
+    /// Prefills and decodes of prompts with the crashing part.
+    crashing_sends: Vec<Duration>,
+    started_engines: usize,
+}
+
+impl CrashingSite {
+    fn start(vm_count: u32, engine_count: usize, seed: u64) -> Self {
+        let mut site = Self {
+            fleet: Fleet::start(vm_count, seed),
+            engines: BTreeMap::new(),
+            list_changes: Vec::new(),
+            starts: vec![Duration::ZERO; engine_count],
+            open: Vec::new(),
+            sent: BTreeMap::new(),
+            crashes: Vec::new(),
+            crashing_sends: Vec::new(),
+            started_engines: 0,
+        };
+        let prefill = listed("prefill", "model", Role::Prefill);
+        for vm in &mut site.fleet.vms {
+            vm.harness.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
+            let list = vec![EndpointListChange::Listed(prefill.clone())];
+            vm.harness.apply(RelayEvent::EndpointChanges(list));
+        }
+        site.run(LIST_TIME + STEP * 2);
+        site
+    }
+
+    fn run(&mut self, time: Duration) {
+        let until = self.fleet.now + time;
+        while self.fleet.now < until {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.fleet.advance(STEP);
+        self.start_engines();
+        self.deliver_list();
+        self.play_exchanges();
+        for vm in 0..self.fleet.vms.len() {
+            self.take_effects(vm);
+        }
+    }
+
+    fn start_engines(&mut self) {
+        let now = self.fleet.now;
+        let due = self.starts.iter().filter(|at| **at <= now).count();
+        self.starts.retain(|at| *at > now);
+        for _ in 0..due {
+            self.started_engines += 1;
+            let instance = format!("decode-{}", self.started_engines);
+            let engine = listed(&instance, "model", Role::Decode);
+            self.engines.insert(instance, true);
+            let change = EndpointListChange::Listed(engine);
+            self.list_changes.push((now + LIST_TIME, change));
+        }
+    }
+
+    fn deliver_list(&mut self) {
+        let now = self.fleet.now;
+        let (due, left): (Vec<_>, Vec<_>) = std::mem::take(&mut self.list_changes)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.list_changes = left;
+        if due.is_empty() {
+            return;
+        }
+        let changes: Vec<EndpointListChange> = due.into_iter().map(|(_, change)| change).collect();
+        for vm in &mut self.fleet.vms {
+            let changes = changes.clone();
+            vm.harness.apply(RelayEvent::EndpointChanges(changes));
+        }
+    }
+
+    fn play_exchanges(&mut self) {
+        let now = self.fleet.now;
+        let mut index = 0;
+        while index < self.open.len() {
+            if self.open[index].next.0 > now {
+                index += 1;
+                continue;
+            }
+            if self.open[index].crashes && self.open[index].next.1 == failed() {
+                let instance = self.open[index].instance.clone();
+                self.crash(&instance);
+                index = 0;
+                continue;
+            }
+            let (vm, exchange) = (self.open[index].vm, self.open[index].exchange);
+            let event = self.open[index].next.1.clone();
+            match event {
+                ExchangeEvent::StreamBegan => {
+                    let open = &mut self.open[index];
+                    open.next = if open.crashes {
+                        (now + CRASH_TIME, failed())
+                    } else {
+                        let last_event_id = Some(1);
+                        (now + STEP, ExchangeEvent::Progress { last_event_id })
+                    };
+                }
+                ExchangeEvent::Progress { .. } => {
+                    let end = ExchangeEvent::Complete { status: 200 };
+                    self.open[index].next = (now + STREAM_TIME, end);
+                }
+                _ => drop(self.open.swap_remove(index)),
+            }
+            self.fleet.vms[vm].harness.deliver(exchange, event);
+        }
+    }
+
+    /// Ends an engine with all its streams.
+    fn crash(&mut self, instance: &str) {
+        let now = self.fleet.now;
+        self.crashes.push(now);
+        self.engines.insert(instance.to_owned(), false);
+        self.starts.push(now + DOWN_TIME);
+        let removed = EndpointListChange::Removed {
+            instance: instance.into(),
+        };
+        self.list_changes.push((now + LIST_TIME, removed));
+        let (ended, left): (Vec<_>, Vec<_>) = std::mem::take(&mut self.open)
+            .into_iter()
+            .partition(|open| open.instance == instance);
+        self.open = left;
+        for open in ended {
+            self.fleet.vms[open.vm]
+                .harness
+                .deliver(open.exchange, failed());
+        }
+    }
+
+    fn take_effects(&mut self, vm: usize) {
+        let effects = std::mem::take(&mut self.fleet.vms[vm].harness.effects);
+        for effect in effects {
+            match effect {
+                RelayEffect::Send(command) => self.on_send(vm, command),
+                RelayEffect::Close { exchange } => {
+                    self.open
+                        .retain(|open| open.vm != vm || open.exchange != exchange);
+                }
+                RelayEffect::Forward { call, .. } => {
+                    if let Some(sent) = self.sent.get_mut(&(vm, call)) {
+                        sent.has_begun = true;
+                    }
+                }
+                RelayEffect::AnswerProblem { call, problem } => {
+                    if let Some(sent) = self.sent.get_mut(&(vm, call)) {
+                        sent.is_refused = problem.kind == ProblemKind::CrashingPrompt;
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn on_send(&mut self, vm: usize, command: SendCommand) {
+        let now = self.fleet.now;
+        let sent = self.sent.get(&(vm, command.call));
+        let is_crashing = sent.is_some_and(|sent| sent.is_crashing);
+        let has_parts = !matches!(command.work, Work::Reserve { .. });
+        if is_crashing && has_parts {
+            self.crashing_sends.push(now);
+        }
+        let is_up = self.engines.get(&*command.instance) == Some(&true);
+        let is_up = is_up || &*command.instance == "prefill";
+        let event = match command.work {
+            _ if !is_up => ExchangeEvent::Failed {
+                failure: ExchangeFailure::Unreachable,
+            },
+            Work::Reserve { .. } => ExchangeEvent::Reserved {
+                reservation: "reservation".into(),
+            },
+            Work::Prefill => ExchangeEvent::PrefillDone {
+                handle: "handle".into(),
+            },
+            Work::Plain | Work::Decode { .. } => ExchangeEvent::StreamBegan,
+        };
+        let crashes = is_crashing && event == ExchangeEvent::StreamBegan;
+        self.open.push(OpenExchange {
+            vm,
+            exchange: command.exchange,
+            instance: command.instance.to_string(),
+            next: (now + STEP, event),
+            crashes,
+        });
+    }
+
+    /// Sends a request to a VM.
+    fn send(&mut self, vm: usize, path: &str, ids: &[&str], is_crashing: bool) {
+        let harness = &mut self.fleet.vms[vm].harness;
+        let call = harness.submit_with_parts(path, parts(ids));
+        let sent = Sent {
+            sent_at: self.fleet.now,
+            is_crashing,
+            has_begun: false,
+            is_refused: false,
+        };
+        self.sent.insert((vm, call), sent);
+        self.take_effects(vm);
+    }
+
+    /// Sends requests to all VMs in turn; one in eight has the crashing part.
+    fn run_load(&mut self, path: &str, time: Duration, requests_per_s: u64) {
+        let until = self.fleet.now + time;
+        let mut number = 0u64;
+        let mut next_at = self.fleet.now;
+        while self.fleet.now < until {
+            self.step();
+            while next_at <= self.fleet.now {
+                let vm = (number as usize * 7 + 3) % self.fleet.vms.len();
+                let other = format!("other-{}", number % 5);
+                if number % 8 == 3 {
+                    self.send(vm, path, &["first", &other, "crashing"], true);
+                } else {
+                    self.send(vm, path, &["first", &other], false);
+                }
+                number += 1;
+                next_at += Duration::from_secs(1) / requests_per_s as u32;
+            }
+        }
+    }
+
+    /// Returns when requests with the part reached engines later than 3 s after the fifth crash.
+    fn late_sends(&self) -> usize {
+        let from = self.crashes[4] + ms(3_000);
+        let late = self.crashing_sends.iter().filter(|at| **at > from);
+        late.count()
+    }
+}
+
+fn failed() -> ExchangeEvent {
+    ExchangeEvent::Failed {
+        failure: ExchangeFailure::Closed,
+    }
+}
+
+fn check_fleet(vm_count: u32, engine_count: usize, requests_per_s: u64, path: &str) {
+    let mut site = CrashingSite::start(vm_count, engine_count, u64::from(vm_count));
+    site.run_load(path, ms(12_000), requests_per_s);
+    assert!(site.crashes.len() >= 4, "{} crashes", site.crashes.len());
+    if site.crashes.len() > 4 {
+        assert!(site.late_sends() <= 3, "{} late sends", site.late_sends());
+    }
+    let last = site.fleet.now - ms(6_000);
+    let late = || site.sent.values().filter(|sent| sent.sent_at > last);
+    let refused = late().filter(|sent| sent.is_crashing);
+    assert!(refused.clone().count() > 3);
+    assert!(refused.clone().all(|sent| sent.is_refused));
+    let sound =
+        late().filter(|sent| !sent.is_crashing && sent.sent_at < site.fleet.now - ms(1_000));
+    let sound: Vec<&Sent> = sound.collect();
+    let begun = sound.iter().filter(|sent| sent.has_begun).count();
+    assert!(begun == sound.len(), "{begun} of {} begun", sound.len());
+    let appends = most_in_one_second(&site.fleet.appends);
+    let reads = most_in_one_second(&site.fleet.reads);
+    assert!(appends <= 400, "{appends} appends in a second");
+    assert!(reads <= 2_000, "{reads} reads in a second");
+}
+
+// Guards against parts that are blocked at none or only at some VMs.
+#[test]
+fn crashing_part_is_blocked_at_one_vm() {
+    check_fleet(1, 10, 20, "/stream/");
+}
+
+#[test]
+fn crashing_part_is_blocked_at_6_vms() {
+    check_fleet(6, 10, 20, "/resumable/");
+}
+
+// Guards against a memory in each VM alone: no VM sees a second crash.
+#[test]
+fn crashing_part_is_blocked_at_77_vms() {
+    check_fleet(77, 40, 40, "/stream/");
+}
+
+#[test]
+fn crashing_part_is_blocked_at_410_vms() {
+    check_fleet(410, 100, 60, "/resumable/");
+}
+
+// Guards against a block that ends with the requests, or that VMs do not know that start later.
+#[test]
+fn block_outlasts_a_quiet_spell_and_the_vms_that_decided_it() {
+    let mut site = CrashingSite::start(6, 10, 4);
+    site.run_load("/stream/", ms(8_000), 20);
+    let crashes = site.crashes.len();
+    site.run(Duration::from_secs(1_200));
+    for vm in 0..6 {
+        site.send(vm, "/stream/", &["first", "crashing"], true);
+    }
+    let mut new = Fleet::start(1, 99);
+    let newest = site.fleet.newest();
+    new.vms[0].harness.apply(RelayEvent::SharedRecords {
+        records: newest,
+        is_full: true,
+    });
+    site.run(ms(1_000));
+    assert_eq!(site.crashes.len(), crashes);
+    let harness = &mut new.vms[0].harness;
+    harness.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
+    let call = harness.submit_with_parts("/stream/", parts(&["crashing"]));
+    let kind = harness.problem(call).map(|problem| problem.kind);
+    assert_eq!(kind, Some(ProblemKind::CrashingPrompt));
+}
+
+/// Returns a record of evidence on a part.
+fn evidence(part: &str, crash: u32, with: &[&str]) -> SharedRecord {
+    SharedRecord::Crash {
+        part: PartId(part.into()),
+        crash: CrashId(format!("{crash:016x}.0").into()),
+        evidence: Some(CrashEvidence {
+            instance: format!("decode-{crash}").into(),
+            with: parts(with),
+        }),
+    }
+}
+
+fn read(harness: &mut RelayHarness, records: Vec<SharedRecord>) {
+    let is_full = false;
+    harness.apply(RelayEvent::SharedRecords { records, is_full });
+}
+
+/// Returns whether a prompt with these parts is refused.
+fn is_refused(harness: &mut RelayHarness, ids: &[&str]) -> bool {
+    let call = harness.submit_with_parts("/stream/", parts(ids));
+    let problem = harness.problem(call).map(|problem| problem.kind);
+    harness.apply(RelayEvent::CallerGone { call });
+    harness.take_sends();
+    problem == Some(ProblemKind::CrashingPrompt)
+}
+
+/// Completes a prompt with these parts at this VM.
+fn answer_prompt(harness: &mut RelayHarness, ids: &[&str]) {
+    harness.take_sends();
+    harness.submit_with_parts("/stream/", parts(ids));
+    let decode = harness.advance_to_decode();
+    harness.deliver(decode.exchange, ExchangeEvent::StreamBegan);
+    let end = ExchangeEvent::Complete { status: 200 };
+    harness.deliver(decode.exchange, end);
+}
+
+fn blocked_harness(with: &[&str]) -> RelayHarness {
+    let mut harness = RelayHarness::configured(1);
+    let records = (1..=4).map(|crash| evidence("bad", crash, with));
+    read(&mut harness, records.collect());
+    harness.advance(ms(2_000));
+    harness
+}
+
+// Guards against popular parts that are blocked because engines crash for other reasons.
+#[test]
+fn answered_prompt_clears_its_parts() {
+    let mut harness = RelayHarness::configured(1);
+    read(
+        &mut harness,
+        (1..=4)
+            .map(|crash| evidence("popular", crash, &[]))
+            .collect(),
+    );
+    harness.advance(ms(1_000));
+    answer_prompt(&mut harness, &["popular"]);
+    harness.advance(ms(3_000));
+    assert!(!is_refused(&mut harness, &["popular"]));
+    let appended = harness.effects.iter().any(|effect| match effect {
+        RelayEffect::AppendShared(records) => records.iter().all(SharedRecord::is_deletion),
+        _ => false,
+    });
+    assert!(appended, "the other VMs are not told");
+}
+
+// Guards against evidence on parts that this VM knows to be sound.
+#[test]
+fn part_answered_just_before_is_not_blocked() {
+    let mut harness = RelayHarness::configured(1);
+    answer_prompt(&mut harness, &["popular"]);
+    read(
+        &mut harness,
+        (1..=6)
+            .map(|crash| evidence("popular", crash, &[]))
+            .collect(),
+    );
+    harness.advance(ms(3_000));
+    assert!(!is_refused(&mut harness, &["popular"]));
+}
+
+// Guards against a caller that gets another caller's part blocked by sending it along with its own.
+#[test]
+fn part_that_was_only_sent_along_is_served_and_cleared() {
+    let mut harness = RelayHarness::configured(1);
+    for crash in 1..=4 {
+        read(
+            &mut harness,
+            vec![
+                evidence("bad", crash, &["victim"]),
+                evidence("victim", crash, &["bad"]),
+            ],
+        );
+    }
+    harness.advance(ms(2_000));
+    assert!(is_refused(&mut harness, &["bad", "victim"]));
+    assert!(!is_refused(&mut harness, &["victim"]));
+    answer_prompt(&mut harness, &["victim"]);
+    assert!(is_refused(&mut harness, &["bad"]));
+    assert!(is_refused(&mut harness, &["bad", "victim"]));
+    assert!(!is_refused(&mut harness, &["victim"]));
+}
+
+// Guards against prompts that evade a block by leaving out a part that was only sent along.
+#[test]
+fn crash_without_the_parts_sent_along_narrows_the_block() {
+    let mut harness = RelayHarness::configured(1);
+    for crash in 1..=4 {
+        read(
+            &mut harness,
+            vec![
+                evidence("bad", crash, &["along"]),
+                evidence("along", crash, &["bad"]),
+            ],
+        );
+    }
+    harness.advance(ms(2_000));
+    assert!(!is_refused(&mut harness, &["bad"]));
+    read(&mut harness, vec![evidence("bad", 5, &[])]);
+    assert!(is_refused(&mut harness, &["bad"]));
+}
+
+// Guards against engines that all end at once, for example because of the VM's own link.
+#[test]
+fn engines_that_end_together_count_as_one_crash() {
+    let mut harness = RelayHarness::configured(1);
+    let engines = (3..=8).map(|number| listed(&format!("decode-{number}"), "model", Role::Decode));
+    let changes = engines.map(EndpointListChange::Listed).collect();
+    harness.apply(RelayEvent::EndpointChanges(changes));
+    let mut exchanges = Vec::new();
+    let mut instances = Vec::new();
+    for _ in 0..24 {
+        harness.submit_with_parts("/stream/", parts(&["rare"]));
+        let decode = harness.advance_to_decode();
+        harness.deliver(decode.exchange, ExchangeEvent::StreamBegan);
+        exchanges.push(decode.exchange);
+        instances.push(decode.instance);
+    }
+    instances.sort();
+    instances.dedup();
+    assert!(instances.len() >= 5, "{instances:?}");
+    harness.advance(ms(10));
+    for exchange in exchanges {
+        harness.deliver(exchange, failed());
+    }
+    harness.advance(ms(3_000));
+    assert!(!is_refused(&mut harness, &["rare"]));
+}
+
+/// Takes the records that a VM has appended.
+fn take_appended(harness: &mut RelayHarness) -> Vec<SharedRecord> {
+    let effects = std::mem::take(&mut harness.effects);
+    let appended = effects.into_iter().filter_map(|effect| match effect {
+        RelayEffect::AppendShared(records) => Some(records),
+        _ => None,
+    });
+    let appended: Vec<SharedRecord> = appended.flatten().collect();
+    harness.apply(RelayEvent::SharedAppended { succeeded: true });
+    appended
+}
+
+// Guards against connections that are reset while their engine runs on.
+#[test]
+fn answer_of_the_engine_to_another_vm_disproves_its_end() {
+    let mut harness = RelayHarness::configured(1);
+    let mut other = RelayHarness::configured(2);
+    for _ in 0..6 {
+        harness.submit_with_parts("/stream/", parts(&["rare"]));
+        let decode = harness.advance_to_decode();
+        harness.deliver(decode.exchange, ExchangeEvent::StreamBegan);
+        harness.deliver(decode.exchange, failed());
+        harness.advance(ms(200));
+        let found = take_appended(&mut harness);
+        assert!(!found.is_empty());
+        read(&mut other, found);
+        other.advance(ms(10));
+        for _ in 0..8 {
+            // Both engines get some of these.
+            let call = other.submit("/stream/");
+            let reserve = other.take_only_send();
+            let reservation = "reservation".into();
+            other.deliver(reserve.exchange, ExchangeEvent::Reserved { reservation });
+            other.apply(RelayEvent::CallerGone { call });
+            other.take_sends();
+        }
+        other.advance(ms(300));
+        read(&mut harness, take_appended(&mut other));
+        harness.advance(ms(10_000));
+        other.advance(ms(9_900));
+    }
+    assert!(!is_refused(&mut harness, &["rare"]));
+}
+
+// Guards against a stream without a marked end that is taken for an answer although its engine crashed.
+#[test]
+fn unmarked_end_clears_a_part_only_if_the_engine_runs_on() {
+    for runs_on in [false, true] {
+        let mut harness = blocked_harness(&[]);
+        assert!(is_refused(&mut harness, &["bad"]));
+        let unblock = SharedRecord::Block {
+            part: PartId("bad".into()),
+            block: None,
+        };
+        read(&mut harness, vec![unblock]);
+        harness.submit_with_parts("/stream/", parts(&["bad"]));
+        let decode = harness.advance_to_decode();
+        harness.deliver(decode.exchange, ExchangeEvent::StreamBegan);
+        harness.deliver(decode.exchange, ExchangeEvent::EndUnmarked);
+        let end = ExchangeEvent::Complete { status: 200 };
+        harness.deliver(decode.exchange, end);
+        harness.advance(ms(20));
+        if runs_on {
+            // Both engines get a request, so that the one of the stream does.
+            for _ in 0..8 {
+                harness.submit("/stream/");
+                harness.advance_to_decode();
+            }
+        }
+        let records = (11..=14).map(|crash| evidence("bad", crash, &[]));
+        read(&mut harness, records.collect());
+        harness.advance(ms(2_000));
+        assert_eq!(is_refused(&mut harness, &["bad"]), !runs_on);
+    }
+}
+
+// Guards against a block that the store has lost with its newest records.
+#[test]
+fn block_is_written_again_after_the_store_returned_from_an_older_copy() {
+    let mut harness = blocked_harness(&[]);
+    harness.advance(ms(5_000));
+    harness.apply(RelayEvent::SharedAppended { succeeded: true });
+    harness.effects.clear();
+    harness.apply(RelayEvent::StoreReturned {
+        previous: 0,
+        era: 1,
+    });
+    harness.apply(RelayEvent::SharedRecords {
+        records: Vec::new(),
+        is_full: true,
+    });
+    harness.advance(ms(2_000));
+    assert!(is_refused(&mut harness, &["bad"]));
+    let is_block =
+        |record: &SharedRecord| matches!(record, SharedRecord::Block { block: Some(_), .. });
+    let appended = harness.effects.iter().any(|effect| match effect {
+        RelayEffect::AppendShared(records) => records.iter().any(is_block),
+        _ => false,
+    });
+    assert!(appended);
+}
+
+// Guards against a block that an operator cannot end.
+#[test]
+fn unblocked_part_is_served_at_all_vms_and_can_be_blocked_again() {
+    let mut harness = blocked_harness(&[]);
+    let part = PartId("bad".into());
+    harness.apply(RelayEvent::UnblockPart { part });
+    assert!(!is_refused(&mut harness, &["bad"]));
+    let mut other = blocked_harness(&[]);
+    let block = None;
+    let part = PartId("bad".into());
+    read(&mut other, vec![SharedRecord::Block { part, block }]);
+    assert!(!is_refused(&mut other, &["bad"]));
+    let records = (21..=24).map(|crash| evidence("bad", crash, &[]));
+    read(&mut other, records.collect());
+    other.advance(ms(2_000));
+    assert!(is_refused(&mut other, &["bad"]));
+}
+
+// Guards against parts of many callers that push out those that crash engines.
+#[test]
+fn many_parts_do_not_push_out_a_suspect() {
+    let mut harness = RelayHarness::configured(1);
+    let records = (1..=3).map(|crash| evidence("bad", crash, &[]));
+    read(&mut harness, records.collect());
+    for number in 0..20_000 {
+        read(&mut harness, vec![evidence(&format!("p{number}"), 9, &[])]);
+    }
+    read(&mut harness, vec![evidence("bad", 4, &[])]);
+    harness.advance(ms(2_000));
+    assert!(is_refused(&mut harness, &["bad"]));
+}
+
+// Guards against a VM that serves before it knows what others refuse, and one that never serves because it can't know.
+#[test]
+fn vm_is_ready_once_shared_records_are_read_or_cannot_be() {
+    for failure in [None, Some(StoreReadFailure::Silent)] {
+        let mut harness = RelayHarness::before_shared_records(1);
+        harness.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
+        let engine = listed("decode-1", "model", Role::Decode);
+        let changes = vec![EndpointListChange::Listed(engine)];
+        harness.apply(RelayEvent::EndpointChanges(changes));
+        assert!(!harness.effects.contains(&RelayEffect::SetReady(true)));
+        match failure {
+            None => harness.apply(RelayEvent::SharedRecords {
+                records: vec![SharedRecord::Block {
+                    part: PartId("bad".into()),
+                    block: Some(PartBlock {
+                        with: Vec::new(),
+                        instances: Vec::new(),
+                    }),
+                }],
+                is_full: true,
+            }),
+            Some(_) => harness.apply(RelayEvent::StoreRead {
+                topic: StoreTopic::Shared,
+                failure,
+            }),
+        }
+        assert!(harness.effects.contains(&RelayEffect::SetReady(true)));
+        assert_eq!(is_refused(&mut harness, &["bad"]), failure.is_none());
+    }
+}
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -13,6 +13,7 @@
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ExchangeId;
 use arbutusfall_core::relay::ListedEndpoint;
+use arbutusfall_core::relay::PartId;
 use arbutusfall_core::relay::Relay;
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
@@ -161,6 +162,20 @@
 
     /// Creates a relay without routes or endpoints that has this retry limit.
     pub(crate) fn with_retry_limit(seed: u64, retry_limit: RetryLimit) -> Self {
+        let mut harness = Self::started(seed, retry_limit);
+        harness.apply(RelayEvent::SharedRecords {
+            records: Vec::new(),
+            is_full: true,
+        });
+        harness
+    }
+
+    /// Creates a relay that has read nothing from the store.
+    pub(crate) fn before_shared_records(seed: u64) -> Self {
+        Self::started(seed, RETRY_LIMIT)
+    }
+
+    fn started(seed: u64, retry_limit: RetryLimit) -> Self {
         let settings = RelaySettings {
             retry_limit,
             lease_lifetime: LEASE_LIFETIME,
@@ -234,6 +249,28 @@
         call
     }
 
+    /// Submits a model request whose prompt has these shared parts.
+    pub(crate) fn submit_with_parts(&mut self, path: &str, parts: Vec<PartId>) -> CallId {
+        self.calls += 1;
+        let call = CallId(self.calls);
+        self.apply(RelayEvent::RequestReceived(RelayRequest {
+            call,
+            request_id: format!("request-{}", self.calls).into(),
+            host: HOST.into(),
+            path: path.into(),
+            caller_timeout: Some(ms(14_000)),
+            receive_time: Duration::ZERO,
+            token_counts: Some(TokenCounts {
+                prompt_tokens: 500,
+                max_output_tokens: 90,
+                expected_output_tokens: Some(50),
+            }),
+            shared_parts: parts.into(),
+            resumption: None,
+        }));
+        call
+    }
+
     /// Submits a request that takes up the stream of an earlier attempt after its first event.
     pub(crate) fn submit_resumption(&mut self, path: &str, first_attempt: Option<&str>) -> CallId {
         self.calls += 1;
