--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -12,9 +12,11 @@
 use arbutusfall_platform::endpoints;
 use arbutusfall_platform::endpoints::AnswerKind;
 use arbutusfall_platform::endpoints::ForwardedRequest;
+use arbutusfall_platform::endpoints::StatedLimit;
 use arbutusfall_wire::Name;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Bytes;
@@ -68,6 +70,7 @@
     let answer = http::send(&driver.executor, outgoing)
         .await
         .map_err(exchange_failure)?;
+    report_limit(driver, command, answer.headers());
     let kind = endpoints::classify_answer(&request, command, answer.status(), answer.headers());
     match kind {
         AnswerKind::NotRun(reason) => Ok(ExchangeEvent::NotRun { reason }),
@@ -86,6 +89,19 @@
     }
 }
 
+/// Reports the limit that an answer names to the relay.
+fn report_limit(driver: &Arc<Driver>, command: &SendCommand, headers: &HeaderMap) {
+    match endpoints::stated_limit(headers) {
+        StatedLimit::Absent => {}
+        StatedLimit::Malformed => {
+            log::info!("endpoint {} names a malformed limit", command.instance);
+        }
+        StatedLimit::PerSecond(per_s) => {
+            driver.submit_exchange_event(command.exchange, ExchangeEvent::LimitNamed { per_s });
+        }
+    }
+}
+
 fn exchange_failure(error: ClientError) -> ExchangeFailure {
     match error {
         ClientError::Connect => ExchangeFailure::Unreachable,
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -231,8 +231,13 @@
 }
 
 /// Progress or end of an exchange.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum ExchangeEvent {
+    /// The head of the endpoint's answer names a limit on its requests; comes before the event of the answer.
+    LimitNamed {
+        /// Requests a second that it takes from all VMs together.
+        per_s: f64,
+    },
     /// The engine reserved memory.
     Reserved {
         /// The engine's id of the reservation.
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -72,6 +72,13 @@
         /// Time for which it is avoided.
         avoided_ms: u64,
     },
+    /// An endpoint named a limit on its requests to this VM, or another one than before.
+    EndpointLimited {
+        /// Instance.
+        instance: Name,
+        /// Requests a second that it takes from all VMs together.
+        per_s: f64,
+    },
     /// An engine refused a request for which it had reserved memory, and is avoided for some time.
     EngineRefusing {
         /// Instance.
@@ -296,6 +303,7 @@
             Self::EndpointListed { .. } => "endpoint_listed",
             Self::EndpointGone { .. } => "endpoint_gone",
             Self::EndpointAvoided { .. } => "endpoint_avoided",
+            Self::EndpointLimited { .. } => "endpoint_limited",
             Self::EngineRefusing { .. } => "engine_refusing",
             Self::Store { .. } => "store",
             Self::StoreReturned { .. } => "store_returned",
