Relay: endpoints of unknown latency are tried beside fast ones

Cause: an endpoint without an answer so far was assumed to take 50 ms, and the mean of one that got no requests never changed. Class: an estimate that keeps itself from being corrected.

--- a/crates/arbutusfall_core/src/relay/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint.rs
@@ -42,6 +42,9 @@
 /// A prefill engine counts as failed after the decodes of this many of its results in a row were refused.
 const MAX_SUSPECTED_LOSSES: u32 = 2;
 
+/// Time after an endpoint's last answer from which its latency counts as unknown.
+const LATENCY_LIFETIME: Duration = Duration::from_secs(10);
+
 /// Relative extra cost of an endpoint that always fails.
 const FAILURE_COST_FACTOR: f64 = 12.0;
 
@@ -67,6 +70,8 @@
     pub(crate) prefills_done_at: Duration,
     /// Running mean of the time to an answer or to a stream's first event; none before the first.
     latency: Option<Duration>,
+    /// When the newest of these answers came.
+    answered_at: Duration,
     /// Running mean of the fraction of failures.
     failure_fraction: f64,
     /// Estimated prefill rate without queueing, in prompt tokens per millisecond.
@@ -106,6 +111,7 @@
             allocated_tokens: 0,
             prefills_done_at: Duration::ZERO,
             latency: None,
+            answered_at: Duration::ZERO,
             failure_fraction: 0.0,
             prefill_tokens_per_ms: INITIAL_PREFILL_TOKENS_PER_MS,
             prefill_wait: Duration::ZERO,
@@ -208,16 +214,26 @@
 
     /// Returns the cost of one more request: expected latency times requests in flight, in seconds, increased by
     /// failures.
-    pub(crate) fn load_cost(&self, unknown_latency: Duration) -> f64 {
-        let latency = self.latency.unwrap_or(unknown_latency).as_secs_f64();
+    ///
+    /// An endpoint whose latency is not known counts as if it had `unknown_latency`.
+    pub(crate) fn load_cost(&self, unknown_latency: Duration, now: Duration) -> f64 {
+        let latency = self.known_latency(now).unwrap_or(unknown_latency);
+        let latency = latency.as_secs_f64();
         let load = f64::from(self.in_flight + 1);
         load * latency * (1.0 + FAILURE_COST_FACTOR * self.failure_fraction)
     }
 
-    pub(crate) fn on_answered(&mut self, after: Duration) {
+    /// Returns the running mean of the latency, unless the newest answer is too old.
+    pub(crate) fn known_latency(&self, now: Duration) -> Option<Duration> {
+        self.latency
+            .filter(|_| now <= self.answered_at + LATENCY_LIFETIME)
+    }
+
+    pub(crate) fn on_answered(&mut self, after: Duration, now: Duration) {
         self.health.on_success();
         self.failure_fraction *= 1.0 - NEWEST_WEIGHT;
-        let mean = self.latency.unwrap_or(after);
+        let mean = self.known_latency(now).unwrap_or(after);
+        self.answered_at = now;
         self.latency = Some(mean.mul_f64(1.0 - NEWEST_WEIGHT) + after.mul_f64(NEWEST_WEIGHT));
     }
 
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -151,7 +151,7 @@
         };
         current.last_activity_at = now;
         if is_first && let Some(endpoint) = self.endpoints.get_mut(&current.instance) {
-            endpoint.on_answered(now.saturating_sub(current.sent_at));
+            endpoint.on_answered(now.saturating_sub(current.sent_at), now);
         }
         if is_first {
             self.on_first_event(id);
@@ -210,7 +210,7 @@
             && stage == CallStage::Plain
             && !is_failure
         {
-            endpoint.on_answered(after);
+            endpoint.on_answered(after, self.now);
             self.budget.on_outcome(&service, false, self.now);
         }
         if !is_failure {
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -17,6 +17,7 @@
 mod membership;
 mod placement_harness;
 mod placement_policy;
+mod relay_balance;
 mod relay_calls;
 mod relay_configuration;
 mod relay_crashing_parts;
--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/relay_balance.rs
@@ -0,0 +1,55 @@
+//! Load balancing between plain endpoints.
+
+use std::collections::BTreeMap;
+
+use arbutusfall_core::config::Role;
+use arbutusfall_core::relay::EndpointListChange;
+use arbutusfall_core::relay::ExchangeEvent;
+use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_wire::Name;
+
+use crate::relay_harness::RelayHarness;
+use crate::relay_harness::listed;
+use crate::relay_harness::ms;
+
+/// Sends plain requests one after the other; each is answered after a millisecond. Returns how many each endpoint got.
+fn play_fast_requests(harness: &mut RelayHarness, count: usize) -> BTreeMap<Name, usize> {
+    let mut counts = BTreeMap::new();
+    for _ in 0..count {
+        harness.submit("/look/");
+        let send = harness.take_only_send();
+        *counts.entry(send.instance).or_default() += 1;
+        harness.advance(ms(1));
+        harness.deliver(send.exchange, ExchangeEvent::Complete { status: 200 });
+    }
+    counts
+}
+
+// Guards against endpoints that get no requests because others are faster than what is assumed of an unknown one.
+#[test]
+fn unknown_endpoint_is_tried_beside_fast_ones() {
+    let mut harness = RelayHarness::configured(3);
+    play_fast_requests(&mut harness, 20);
+    let new = listed("shop-3", "shop", Role::Plain);
+    let changes = vec![EndpointListChange::Listed(new)];
+    harness.apply(RelayEvent::EndpointChanges(changes));
+    let counts = play_fast_requests(&mut harness, 60);
+    assert_eq!(counts.len(), 3, "{counts:?}");
+    assert!(counts.values().all(|count| *count >= 5), "{counts:?}");
+}
+
+// Guards against an endpoint that one slow answer keeps from all further requests.
+#[test]
+fn endpoint_that_was_slow_once_is_tried_again() {
+    let mut harness = RelayHarness::configured(3);
+    play_fast_requests(&mut harness, 20);
+    harness.submit("/look/");
+    let slow = harness.take_only_send();
+    harness.advance(ms(250));
+    harness.deliver(slow.exchange, ExchangeEvent::Complete { status: 200 });
+    play_fast_requests(&mut harness, 20);
+    harness.advance(ms(12_000));
+    let counts = play_fast_requests(&mut harness, 40);
+    let count = counts.get(&slow.instance).copied().unwrap_or_default();
+    assert!(count >= 5, "{counts:?}");
+}
