Relay: limits that endpoints name are kept by all VMs together

Cause: nothing read Server-Limit. Class: a limit on the sum over all VMs, which no VM can see alone; kept by each for itself it is exceeded by their number, divided by a fixed number it is useless.

Change: a limit is divided into shares of about one request a second, which VMs hold through records in the store; the newest record names the holder, who uses the share after a second in which all others have read it. A VM sends to a limited endpoint only with a token of its shares; the rest goes elsewhere before waiting, or is refused at once where the limits of all endpoints are used up. An answer that names no limit lifts it at all VMs.

--- a/crates/arbutusfall/src/relay/control_client.rs
+++ b/crates/arbutusfall/src/relay/control_client.rs
@@ -9,6 +9,7 @@
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RoleOutcome;
 use arbutusfall_platform::endpoints;
+use arbutusfall_platform::endpoints::StatedLimit;
 use arbutusfall_platform::orders;
 use arbutusfall_platform::orders::Report;
 use arbutusfall_platform::orders::RoleOrder;
@@ -20,6 +21,7 @@
 use http_body_util::Full;
 use hyper::Method;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use serde_json::Value;
@@ -100,7 +102,7 @@
 }
 
 struct EngineClient<'a> {
-    driver: &'a Driver,
+    driver: &'a Arc<Driver>,
     instance: &'a Name,
     address: SocketAddr,
 }
@@ -142,6 +144,15 @@
             connect_timeout: ORDER_TIMEOUT,
             answer_timeout: ORDER_TIMEOUT,
         };
-        http::send(&self.driver.executor, outgoing).await
+        let answer = http::send(&self.driver.executor, outgoing).await?;
+        let is_from_engine = answer.status() != StatusCode::MISDIRECTED_REQUEST;
+        if let StatedLimit::PerSecond(per_s) = endpoints::stated_limit(answer.headers())
+            && is_from_engine
+        {
+            let instance = self.instance.clone();
+            self.driver
+                .submit(RelayEvent::ControlLimit { instance, per_s });
+        }
+        Ok(answer)
     }
 }
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -148,6 +148,7 @@
             config: relay.config_status(self.now()),
             store_era: self.store.era.newest(),
             blocked_parts: relay.blocked_parts().count(),
+            limits: relay.limit_status(),
         };
         drop(relay);
         self.metrics.text(&state)
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -7,6 +7,7 @@
 use arbutusfall_core::relay::BodyFraming;
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ExchangeFailure;
+use arbutusfall_core::relay::NotRunReason;
 use arbutusfall_core::relay::RelayNotice;
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_platform::endpoints;
@@ -70,8 +71,8 @@
     let answer = http::send(&driver.executor, outgoing)
         .await
         .map_err(exchange_failure)?;
-    report_limit(driver, command, answer.headers());
     let kind = endpoints::classify_answer(&request, command, answer.status(), answer.headers());
+    report_limit(driver, command, kind, answer.headers());
     match kind {
         AnswerKind::NotRun(reason) => Ok(ExchangeEvent::NotRun { reason }),
         AnswerKind::Malformed => Err(ExchangeFailure::Malformed),
@@ -89,17 +90,30 @@
     }
 }
 
-/// Reports the limit that an answer names to the relay.
-fn report_limit(driver: &Arc<Driver>, command: &SendCommand, headers: &HeaderMap) {
-    match endpoints::stated_limit(headers) {
-        StatedLimit::Absent => {}
+/// Reports to the relay the limit that an answer names, or that it names none although the endpoint had one.
+fn report_limit(
+    driver: &Arc<Driver>,
+    command: &SendCommand,
+    kind: AnswerKind,
+    headers: &HeaderMap,
+) {
+    let is_from_endpoint = !matches!(
+        kind,
+        AnswerKind::Malformed | AnswerKind::NotRun(NotRunReason::Misdirected)
+    );
+    // A refusal may come from a part of the endpoint that does not know of the limit.
+    let lifts = command.is_limited && !matches!(kind, AnswerKind::NotRun(_));
+    let event = match endpoints::stated_limit(headers) {
+        _ if !is_from_endpoint => return,
+        StatedLimit::PerSecond(per_s) => ExchangeEvent::LimitNamed { per_s },
+        StatedLimit::Absent if lifts => ExchangeEvent::LimitAbsent,
+        StatedLimit::Absent => return,
         StatedLimit::Malformed => {
             log::info!("endpoint {} names a malformed limit", command.instance);
+            return;
         }
-        StatedLimit::PerSecond(per_s) => {
-            driver.submit_exchange_event(command.exchange, ExchangeEvent::LimitNamed { per_s });
-        }
-    }
+    };
+    driver.submit_exchange_event(command.exchange, event);
 }
 
 fn exchange_failure(error: ClientError) -> ExchangeFailure {
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -6,6 +6,7 @@
 use std::sync::PoisonError;
 
 use arbutusfall_core::relay::ConfigStatus;
+use arbutusfall_core::relay::LimitStatus;
 use arbutusfall_core::relay::RelayNotice;
 use hdrhistogram::Histogram;
 
@@ -27,6 +28,8 @@
     pub(super) store_era: Option<u64>,
     /// Number of parts whose prompts are refused.
     pub(super) blocked_parts: usize,
+    /// Limits that endpoints named.
+    pub(super) limits: LimitStatus,
 }
 
 /// Counters and histograms of one process.
@@ -124,6 +127,9 @@
             write_gauge(&mut text, "store_era", era);
         }
         write_gauge(&mut text, "blocked_parts", values.blocked_parts as u64);
+        let limits = values.limits;
+        write_gauge(&mut text, "limited_endpoints", limits.endpoints as u64);
+        write_gauge(&mut text, "limit_shares_held", limits.held_shares as u64);
         text
     }
 }
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -18,11 +18,16 @@
 mod crashing_parts;
 mod effect;
 mod endpoint;
+mod endpoint_limit;
+mod endpoint_limits;
 mod endpoints;
 mod engine_ends;
 mod event;
 mod exchange_end;
 mod lease;
+mod limit_handling;
+mod limit_share;
+mod limited_queue;
 mod notice;
 mod outcomes;
 mod pacing;
@@ -52,9 +57,11 @@
 use budget::RetryBudget;
 use call::Call;
 use crashing_parts::CrashingParts;
+use endpoint_limits::EndpointLimits;
 use endpoints::Endpoints;
 use engine_ends::EngineEnds;
 use lease::Lease;
+use limited_queue::LimitedQueue;
 use roles::Roles;
 use shared_outbox::SharedOutbox;
 use store_view::StoreView;
@@ -67,6 +74,7 @@
 pub use endpoints::LIST_RECOVERY_GRACE;
 pub use event::*;
 pub use lease::LeaseAnswer;
+pub use limit_handling::LimitStatus;
 pub use notice::RelayNotice;
 pub use prompt_part::PartId;
 pub use prompt_part::SharedParts;
@@ -102,6 +110,8 @@
     FindStream(CallId),
     /// Origins of streams may be due for recording.
     RecordStreams,
+    /// Shares of limits may be due for review, or requests that wait for a limit for sending.
+    Limits,
     /// Crashes may be due for review, or records that VMs share for appending.
     Shared,
     /// The lease is due for renewal.
@@ -138,6 +148,9 @@
     /// Streams that broke off with their engines and have not been reviewed yet.
     engine_ends: EngineEnds,
     crashing_parts: CrashingParts,
+    limits: EndpointLimits,
+    limits_reviewed_at: Duration,
+    limited_queue: LimitedQueue,
     shared_outbox: SharedOutbox,
     /// Instant of the earliest timer for crashes and shared records.
     shared_timer_due: Option<Duration>,
@@ -159,6 +172,8 @@
 impl Relay {
     /// Creates a relay without configuration or endpoints.
     pub fn new(settings: &RelaySettings, seed: u64) -> Self {
+        let rng = fastrand::Rng::with_seed(seed);
+        let vm = format!("{:016x}", rng.clone().u64(..)).into();
         Self {
             routes: None,
             first_routes: FastSet::default(),
@@ -176,6 +191,9 @@
             record_timer_due: None,
             engine_ends: EngineEnds::default(),
             crashing_parts: CrashingParts::default(),
+            limits: EndpointLimits::new(vm),
+            limits_reviewed_at: Duration::ZERO,
+            limited_queue: LimitedQueue::default(),
             shared_outbox: SharedOutbox::new(settings.retry_limit.vm_count),
             shared_timer_due: None,
             is_shared_known: false,
@@ -184,7 +202,7 @@
             lease: Lease::new(settings.lease_lifetime),
             roles: Roles::default(),
             timers: Timers::default(),
-            rng: fastrand::Rng::with_seed(seed),
+            rng,
             now: Duration::ZERO,
             effects: Vec::new(),
         }
@@ -225,6 +243,7 @@
                 self.on_all_shared_records(records);
             }
             RelayEvent::SharedRecords { records, .. } => self.on_shared_records(records),
+            RelayEvent::ControlLimit { instance, per_s } => self.on_control_limit(instance, per_s),
             RelayEvent::UnblockPart { part } => self.unblock_part(&part),
             RelayEvent::SharedAppended { succeeded } => self.on_shared_appended(succeeded),
             RelayEvent::Lease(answer) => self.on_lease(answer),
@@ -249,6 +268,7 @@
                 RelayTimer::FindStream(call) => self.find_stream_again(call),
                 RelayTimer::RecordStreams => self.record_streams(),
                 RelayTimer::Shared => self.on_shared_timer(),
+                RelayTimer::Limits => self.on_limit_timer(),
                 RelayTimer::RenewLease => self.renew_lease(),
                 RelayTimer::ReviewRoles => self.review_roles(),
                 RelayTimer::CloseConnections => self.effects.push(RelayEffect::CloseConnections),
--- a/crates/arbutusfall_core/src/relay/admission.rs
+++ b/crates/arbutusfall_core/src/relay/admission.rs
@@ -6,6 +6,7 @@
 use crate::config::Role;
 use crate::relay::Relay;
 use crate::relay::call::Call;
+use crate::relay::limit_handling::RESERVATION_TOKENS;
 use crate::relay::waiting::FIRST_EVENT_MARGIN;
 
 /// A caller's retry, or a first attempt whose prefill would finish too late, is sent only if the prefill would finish
@@ -17,7 +18,9 @@
     /// attempt that would miss the target, within [`MAX_LATE_PREFILL_FRACTION`] of it.
     pub(super) fn can_prefill_in_time(&self, call: &Call) -> bool {
         let serving = self.endpoints.serving(&call.service, Role::Prefill);
-        let usable = serving.filter(|endpoint| endpoint.health.is_usable(self.now));
+        let usable = serving.filter(|endpoint| {
+            endpoint.health.is_usable(self.now) && self.limit_allows(endpoint, 1.0)
+        });
         let usable: Vec<_> = usable.collect();
         if usable.is_empty() {
             // The decode engine prefills the prompt itself.
@@ -49,9 +52,11 @@
     pub(super) fn reservation_allowed_at(&self, call: &Call) -> Option<Duration> {
         let engines = self.endpoints.serving_call(call, Role::Decode);
         let delay = self.extra_delay_after_refusal(call);
-        let allowed_at = engines.map(|engine| {
+        let allowed_at = engines.filter_map(|engine| {
             let avoided_for = engine.health.avoided_for(self.now).unwrap_or_default();
-            engine.available_at(delay).max(self.now + avoided_for)
+            let limit_at = self.limit_allows_at(engine, RESERVATION_TOKENS)?;
+            let available_at = engine.available_at(delay).max(limit_at);
+            Some(available_at.max(self.now + avoided_for))
         });
         let earliest = allowed_at.min()?;
         Some(if self.is_late_and_not_started(call) {
--- a/crates/arbutusfall_core/src/relay/balance.rs
+++ b/crates/arbutusfall_core/src/relay/balance.rs
@@ -20,6 +20,16 @@
 /// Extra cost of a prefill engine that already has as many of this VM's prefills as allowed, in seconds.
 const OVER_LIMIT_COST_S: f64 = 10.0;
 
+/// Factor of the cost of a limited endpoint that has room: few VMs may send to it, so these send it more of their requests.
+const LIMITED_COST_FACTOR: f64 = 1.0 / 16.0;
+
+/// Endpoints with a limit, by whether it allows this VM one more request now.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct LimitedEndpoints {
+    pub(crate) available: Vec<Name>,
+    pub(crate) used_up: Vec<Name>,
+}
+
 /// Criteria for the selection of an endpoint.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct EndpointQuery<'a> {
@@ -31,6 +41,8 @@
     pub(crate) failed_endpoints: &'a [Name],
     /// Whether one of these may be selected if there is no other.
     pub(crate) allow_failed: bool,
+    /// Endpoints with a limit; those whose limit is used up are not selected.
+    pub(crate) limited: &'a LimitedEndpoints,
     pub(crate) prompt_tokens: u32,
     /// Extra wait after an endpoint's refusal, if any.
     pub(crate) extra_delay_after_refusal: Option<Duration>,
@@ -49,6 +61,7 @@
         .filter(|endpoint| {
             let version = &endpoint.listed.version;
             query.version.is_none_or(|required| required == version)
+                && !query.limited.used_up.contains(&endpoint.listed.instance)
         })
         .collect();
     let has_not_failed =
@@ -76,12 +89,24 @@
     let unknown_latency = known.min().unwrap_or(UNKNOWN_LATENCY);
     let costs = candidates.into_iter().map(|endpoint| {
         let jitter = 1.0 + rng.f64() * MAX_COST_JITTER;
-        (cost(endpoint, query, unknown_latency) * jitter, endpoint)
+        let factor = limited_cost_factor(endpoint, query);
+        let cost = cost(endpoint, query, unknown_latency);
+        (cost * jitter * factor, endpoint)
     });
     let least = costs.min_by(|left, right| left.0.total_cmp(&right.0));
     least.map(|(_, endpoint)| endpoint.listed.instance.clone())
 }
 
+/// Returns the factor of the cost of an endpoint for its limit. The wait at a prefill engine decides over its cost.
+fn limited_cost_factor(endpoint: &Endpoint, query: EndpointQuery<'_>) -> f64 {
+    let has_room = query.limited.available.contains(&endpoint.listed.instance);
+    if has_room && query.role != Role::Prefill {
+        LIMITED_COST_FACTOR
+    } else {
+        1.0
+    }
+}
+
 fn cost(endpoint: &Endpoint, query: EndpointQuery<'_>, unknown_latency: Duration) -> f64 {
     match query.role {
         Role::Plain => endpoint.load_cost(unknown_latency, query.now),
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -16,6 +16,7 @@
 use crate::relay::RouteTable;
 use crate::relay::call::Call;
 use crate::relay::crash_handling::CRASHING_PART;
+use crate::relay::limit_handling::LIMITED;
 use crate::relay::notice::millis;
 
 /// Retry delay sent to callers while this VM has no configuration.
@@ -218,12 +219,14 @@
         self.end_exchange(id);
         self.release_allocation(id);
         self.wait_queue.remove(id);
+        self.limited_queue.remove(id);
         if let Some(exchange) = exchange {
             self.effects.push(RelayEffect::Close { exchange });
         }
         if let Some(result) = prefill_result
             && self.now < result.expires_at
         {
+            self.take_limit_tokens(&result.instance, 1.0);
             self.effects.push(RelayEffect::FreeKvCache(result.location));
         }
     }
@@ -251,7 +254,12 @@
             })
         } else {
             let left = call.time_left(self.now);
-            Problem::retry(ProblemKind::NotRun, self.retry_after_for(reason, left))
+            let after = if reason == LIMITED {
+                self.retry_after_limit(&call)
+            } else {
+                self.retry_after_for(reason, left)
+            };
+            Problem::retry(ProblemKind::NotRun, after)
         };
         let effect = if call.has_stream_started {
             RelayEffect::Abort { call: id }
@@ -275,6 +283,15 @@
         self.effects.push(effect);
     }
 
+    /// Returns the retry delay for a caller whose request was beyond the limits of its endpoints.
+    fn retry_after_limit(&mut self, call: &Call) -> Duration {
+        let least = self.limited_retry_delay(call);
+        let retry_schedule = &mut self.limited_queue.retry_schedule;
+        let after = retry_schedule.next(least, self.now, &mut self.rng);
+        let left = call.time_left(self.now);
+        after.min(left.mul_f64(MAX_RETRY_AFTER_FRACTION))
+    }
+
     /// Returns the retry delay for a caller whose request did not run.
     fn retry_after_for(&mut self, reason: &str, left: Duration) -> Duration {
         match reason {
--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -6,6 +6,7 @@
 use crate::CallId;
 use crate::relay::CrashEvidence;
 use crate::relay::CrashId;
+use crate::relay::NamedLimit;
 use crate::relay::PartBlock;
 use crate::relay::PartId;
 use crate::relay::Relay;
@@ -374,13 +375,22 @@
             part: part.clone(),
             block: Some(block.clone()),
         });
-        crashes.chain(blocks).collect()
+        let limits = self.limits.iter().filter_map(|(run, limit)| {
+            let instance = self.instance_of(run)?;
+            let per_s = limit.per_s;
+            let limit = Some(NamedLimit { instance, per_s });
+            let run = run.clone();
+            Some(SharedRecord::Limit { run, limit })
+        });
+        crashes.chain(blocks).chain(limits).collect()
     }
 
     fn drop_shared_record(&mut self, key: SharedKey) {
         match key {
             SharedKey::Crash(part, crash) => self.on_shared_crash(part, crash, None),
             SharedKey::Block(part) => self.on_shared_block(part, None),
+            SharedKey::Limit(run) => self.on_shared_limit(&run, None),
+            SharedKey::Share(run, number) => self.on_shared_share(&run, number, None),
         }
     }
 
@@ -395,6 +405,12 @@
                     evidence,
                 } => self.on_shared_crash(part, crash, evidence),
                 SharedRecord::Block { part, block } => self.on_shared_block(part, block),
+                SharedRecord::Limit { run, limit } => self.on_shared_limit(&run, limit),
+                SharedRecord::Share {
+                    run,
+                    number,
+                    holder,
+                } => self.on_shared_share(&run, number, holder),
             }
         }
         self.set_shared_timer();
--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -132,6 +132,8 @@
     pub time_left: Duration,
     /// Id of the event after which a stream is resumed.
     pub after_event_id: Option<u64>,
+    /// Whether the endpoint has a limit: an answer that names none lifts it.
+    pub is_limited: bool,
 }
 
 /// Work that an endpoint does for a request.
--- a/crates/arbutusfall_core/src/relay/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint.rs
@@ -96,8 +96,6 @@
     suspected_losses: u32,
     /// Parts of prompts whose answers ended with their connections, with the instants of these ends.
     unmarked_ends: Vec<(Duration, SharedParts)>,
-    /// Limit that the endpoint last named to this VM, in requests a second from all VMs.
-    pub(crate) named_limit_per_s: Option<f64>,
     /// Instant from which the endpoint may be removed; none while it is listed.
     pub(crate) remove_at: Option<Duration>,
 }
@@ -123,7 +121,6 @@
             decode_refusals: 0,
             suspected_losses: 0,
             unmarked_ends: Vec::new(),
-            named_limit_per_s: None,
             remove_at: None,
         }
     }
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -47,6 +47,10 @@
         self.by_instance.get(instance)
     }
 
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+        self.by_instance.values()
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.by_instance.is_empty()
     }
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -83,6 +83,13 @@
         /// Whether these are all records.
         is_full: bool,
     },
+    /// An engine's answer to a control request names a limit on its requests.
+    ControlLimit {
+        /// The engine.
+        instance: Name,
+        /// Requests a second that it takes from all VMs together.
+        per_s: f64,
+    },
     /// An operator unblocks a part.
     UnblockPart {
         /// The part.
@@ -238,6 +245,9 @@
         /// Requests a second that it takes from all VMs together.
         per_s: f64,
     },
+    /// The head of the endpoint's answer names no limit, although it had one when the request was sent; comes before the event
+    /// of the answer.
+    LimitAbsent,
     /// The engine reserved memory.
     Reserved {
         /// The engine's id of the reservation.
--- a/crates/arbutusfall_core/src/relay/exchange_end.rs
+++ b/crates/arbutusfall_core/src/relay/exchange_end.rs
@@ -83,6 +83,7 @@
             endpoint.on_memory_released();
         }
         if let Some(reservation) = allocation.reservation {
+            self.take_limit_tokens(&allocation.instance, 1.0);
             self.effects.push(RelayEffect::FreeReservation {
                 address: allocation.address,
                 reservation,
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -72,12 +72,21 @@
         /// Time for which it is avoided.
         avoided_ms: u64,
     },
-    /// An endpoint named a limit on its requests to this VM, or another one than before.
+    /// An endpoint named a limit on its requests, or another one than before.
     EndpointLimited {
         /// Instance.
         instance: Name,
         /// Requests a second that it takes from all VMs together.
         per_s: f64,
+        /// `own` (named to this VM) or `other_vm`.
+        source: &'static str,
+    },
+    /// The limit of an endpoint is lifted.
+    EndpointUnlimited {
+        /// Instance.
+        instance: Name,
+        /// `own` (an answer to this VM named none) or `other_vm`.
+        source: &'static str,
     },
     /// An engine refused a request for which it had reserved memory, and is avoided for some time.
     EngineRefusing {
@@ -304,6 +313,7 @@
             Self::EndpointGone { .. } => "endpoint_gone",
             Self::EndpointAvoided { .. } => "endpoint_avoided",
             Self::EndpointLimited { .. } => "endpoint_limited",
+            Self::EndpointUnlimited { .. } => "endpoint_unlimited",
             Self::EngineRefusing { .. } => "engine_refusing",
             Self::Store { .. } => "store",
             Self::StoreReturned { .. } => "store_returned",
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -31,6 +31,7 @@
         }
         match event {
             ExchangeEvent::LimitNamed { per_s } => self.on_limit_named(id, per_s),
+            ExchangeEvent::LimitAbsent => self.on_limit_absent(id),
             ExchangeEvent::Reserved { reservation } => self.on_reserved(id, reservation),
             ExchangeEvent::PrefillDone { handle } => self.on_prefill_done(id, handle),
             ExchangeEvent::StreamBegan => self.on_stream_began(id, exchange),
@@ -69,8 +70,11 @@
         self.end_exchange(id);
         self.release_allocation(id);
         let unavailable_for = self.pace_after_refusal(id);
-        if let Some(endpoint) = instance.and_then(|name| self.endpoints.get_mut(&name)) {
-            endpoint.set_unavailable_until(self.now + unavailable_for);
+        if let Some(instance) = instance {
+            self.give_back_decode_token(&instance);
+            if let Some(endpoint) = self.endpoints.get_mut(&instance) {
+                endpoint.set_unavailable_until(self.now + unavailable_for);
+            }
         }
         self.send_next(id);
     }
@@ -159,21 +163,6 @@
         self.on_stream_lasting(id);
     }
 
-    fn on_limit_named(&mut self, id: CallId, per_s: f64) {
-        let current = self.calls.get(&id).and_then(|call| call.current.as_ref());
-        let Some(current) = current else {
-            return;
-        };
-        let instance = current.instance.clone();
-        let Some(endpoint) = self.endpoints.get_mut(&instance) else {
-            return;
-        };
-        if endpoint.named_limit_per_s.replace(per_s) == Some(per_s) {
-            return;
-        }
-        self.note(RelayNotice::EndpointLimited { instance, per_s });
-    }
-
     fn on_end_unmarked(&mut self, id: CallId) {
         if let Some(call) = self.calls.get_mut(&id) {
             call.is_end_unmarked = true;
--- a/crates/arbutusfall_core/src/relay/retries.rs
+++ b/crates/arbutusfall_core/src/relay/retries.rs
@@ -52,7 +52,9 @@
         let current = call.current.as_ref().map(|current| &current.instance);
         self.endpoints.serving_call(call, role).any(|endpoint| {
             let instance = &endpoint.listed.instance;
-            current != Some(instance) && !call.failed_endpoints.contains(instance)
+            current != Some(instance)
+                && !call.failed_endpoints.contains(instance)
+                && self.limit_allows(endpoint, 1.0)
         })
     }
 
--- a/crates/arbutusfall_core/src/relay/roles.rs
+++ b/crates/arbutusfall_core/src/relay/roles.rs
@@ -13,6 +13,7 @@
 use crate::relay::RelayNotice;
 use crate::relay::RelayTimer;
 use crate::relay::RoleOutcome;
+use crate::relay::limit_handling::ORDER_REQUESTS;
 
 /// Interval of reviews of the split.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
@@ -225,6 +226,7 @@
             role: role_name(role),
             token,
         });
+        self.take_limit_tokens(&instance, ORDER_REQUESTS);
         self.effects.push(RelayEffect::OrderRole {
             instance,
             address,
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -21,6 +21,8 @@
 use crate::relay::call::MemoryAllocation;
 use crate::relay::crash_handling::CRASHING_PART;
 use crate::relay::endpoint::Endpoint;
+use crate::relay::limit_handling::LIMITED;
+use crate::relay::limit_handling::tokens_for;
 use crate::relay::notice::millis;
 
 /// Shortest silence in the middle of a stream after which a resumable stream is moved to another engine.
@@ -46,12 +48,33 @@
             return;
         };
         if stage == CallStage::Reserve && self.must_wait(id) {
+            self.want_limited_engines(id);
             self.enqueue(id);
             return;
         }
         match self.next_instance(id, stage) {
             Some(instance) => self.send(id, instance, stage),
-            None => self.fail_call(id, "no_endpoint"),
+            None => self.wait_for_limit_or_fail(id, stage),
+        }
+    }
+
+    /// Handles a call that no endpoint can take now: a plain one waits if only a limit is the reason.
+    fn wait_for_limit_or_fail(&mut self, id: CallId, stage: CallStage) {
+        let call = self.calls.get(&id);
+        if !call.is_some_and(|call| self.waits_for_limit(call, stage.role())) {
+            self.fail_call(id, "no_endpoint");
+        } else if stage == CallStage::Plain {
+            self.wait_for_limit(id);
+        } else {
+            self.fail_call(id, LIMITED);
+        }
+    }
+
+    /// Records that a waiting model request wants the limited engines of its service.
+    fn want_limited_engines(&mut self, id: CallId) {
+        if let Some(service) = self.calls.get(&id).map(|call| call.service.clone()) {
+            let tokens = tokens_for(CallStage::Reserve, false);
+            self.limited_endpoints(&service, Role::Decode, tokens);
         }
     }
 
@@ -88,12 +111,16 @@
         if let (CallStage::Decode { .. }, Some(allocation)) = (stage, reserved) {
             return Some(allocation.instance.clone());
         }
+        let service = call.service.clone();
+        let limited = self.limited_endpoints(&service, stage.role(), tokens_for(stage, false));
+        let call = self.calls.get(&id)?;
         let query = EndpointQuery {
             service: &call.service,
             role: stage.role(),
             version: call.version_for(stage.role()),
             failed_endpoints: &call.failed_endpoints,
             allow_failed: call.may_have_run && call.route.allows_repeated_runs(),
+            limited: &limited,
             prompt_tokens: call.token_counts().prompt_tokens,
             extra_delay_after_refusal: match stage {
                 CallStage::Reserve => self.extra_delay_after_refusal(call),
@@ -121,7 +148,9 @@
         let has_prefill = self
             .endpoints
             .serving(&call.service, Role::Prefill)
-            .any(|endpoint| endpoint.health.is_usable(self.now));
+            .any(|endpoint| {
+                endpoint.health.is_usable(self.now) && self.limit_allows(endpoint, 1.0)
+            });
         if has_prefill && call.prefills < MAX_PREFILL_ATTEMPTS {
             CallStage::Prefill
         } else {
@@ -130,9 +159,13 @@
     }
 
     fn send(&mut self, id: CallId, instance: Name, stage: CallStage) {
+        let is_limited = self.is_limited(&instance);
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
+        let reserved = call.allocation.as_ref();
+        let has_reservation = reserved.is_some_and(MemoryAllocation::has_open_reservation);
+        let tokens = tokens_for(stage, has_reservation);
         let Some(endpoint) = self.endpoints.get_mut(&instance) else {
             self.fail_call(id, "no_endpoint");
             return;
@@ -148,9 +181,11 @@
             last_activity_at: self.now,
             prefill_due: record_send(call, endpoint, stage, self.now),
         });
-        let command = call.send_command(exchange, endpoint, stage, self.now);
+        let mut command = call.send_command(exchange, endpoint, stage, self.now);
+        command.is_limited = is_limited;
         let notice = call.sent_notice(&command, endpoint, stage);
         self.calls_by_exchange.insert(exchange, id);
+        self.take_limit_tokens(&command.instance, tokens);
         self.set_silence_timer(id);
         self.effects.push(RelayEffect::Send(command));
         if stage != CallStage::Reserve {
@@ -283,6 +318,7 @@
             expects_stream: self.route.is_stream,
             time_left: self.time_left(now),
             after_event_id: self.last_event_id,
+            is_limited: false,
         }
     }
 
--- a/crates/arbutusfall_core/src/relay/shared_record.rs
+++ b/crates/arbutusfall_core/src/relay/shared_record.rs
@@ -26,8 +26,37 @@
     pub instances: Vec<Name>,
 }
 
-/// A record, or its deletion.
+/// Id of one run of an endpoint's process.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EndpointRun(pub Name);
+
+impl EndpointRun {
+    /// Creates the id from a hash of the endpoint's instance and start.
+    pub(crate) fn new(incarnation: u64) -> Self {
+        Self(format!("{incarnation:016x}").into())
+    }
+}
+
+/// Limit that an endpoint named in an answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NamedLimit {
+    /// The endpoint.
+    pub instance: Name,
+    /// Requests a second that it takes from all VMs together.
+    pub per_s: f64,
+}
+
+/// Holder of a share of a limit.
 #[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ShareHolder {
+    /// Name of the VM, new in each run of its process.
+    pub vm: Name,
+    /// Number of the record among those of this VM for the share.
+    pub renewal: u64,
+}
+
+/// A record, or its deletion.
+#[derive(Debug, Clone, PartialEq)]
 pub enum SharedRecord {
     /// Evidence that a part crashes engines.
     Crash {
@@ -45,6 +74,22 @@
         /// The block; `None` if the part is unblocked.
         block: Option<PartBlock>,
     },
+    /// The limit of an endpoint.
+    Limit {
+        /// The run of the endpoint's process.
+        run: EndpointRun,
+        /// The limit; `None` if it is lifted.
+        limit: Option<NamedLimit>,
+    },
+    /// A share of the limit of an endpoint.
+    Share {
+        /// The run of the endpoint's process.
+        run: EndpointRun,
+        /// Number of the share.
+        number: usize,
+        /// The VM that holds it, if any.
+        holder: Option<ShareHolder>,
+    },
 }
 
 /// Key of a record: a newer record replaces an older one with the same key.
@@ -54,6 +99,10 @@
     Crash(PartId, CrashId),
     /// Key of [`SharedRecord::Block`].
     Block(PartId),
+    /// Key of [`SharedRecord::Limit`].
+    Limit(EndpointRun),
+    /// Key of [`SharedRecord::Share`].
+    Share(EndpointRun, usize),
 }
 
 impl SharedRecord {
@@ -62,6 +111,8 @@
         match self {
             Self::Crash { evidence, .. } => evidence.is_none(),
             Self::Block { block, .. } => block.is_none(),
+            Self::Limit { limit, .. } => limit.is_none(),
+            Self::Share { holder, .. } => holder.is_none(),
         }
     }
 
@@ -70,6 +121,8 @@
         match self {
             Self::Crash { part, crash, .. } => SharedKey::Crash(part.clone(), crash.clone()),
             Self::Block { part, .. } => SharedKey::Block(part.clone()),
+            Self::Limit { run, .. } => SharedKey::Limit(run.clone()),
+            Self::Share { run, number, .. } => SharedKey::Share(run.clone(), *number),
         }
     }
 }
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -14,6 +14,7 @@
 use crate::relay::RelayNotice;
 use crate::relay::RelayTimer;
 use crate::relay::call::Call;
+use crate::relay::limit_handling::LIMITED;
 use crate::relay::notice::millis;
 use crate::relay::pacing::Pacing;
 
@@ -80,6 +81,10 @@
             return;
         }
         if !self.wait_queue.calls.contains(&id) {
+            if self.is_beyond_limits(call) {
+                self.fail_call(id, LIMITED);
+                return;
+            }
             if !call.has_waited && !call.continues_stream() && self.is_queue_full(call) {
                 self.fail_call(id, "overloaded");
                 return;
@@ -90,6 +95,17 @@
         self.set_reservation_timer();
     }
 
+    /// Returns whether all engines of a call have limits, which this VM's shares do not let it use in time.
+    fn is_beyond_limits(&self, call: &Call) -> bool {
+        let mut engines = self.endpoints.serving_call(call, Role::Decode);
+        if !engines.all(|engine| self.is_limited(&engine.listed.instance)) {
+            return false;
+        }
+        let ahead = self.wait_queue.calls.len();
+        let send_at = self.limited_send_at(call, Role::Decode, ahead);
+        send_at.is_none_or(|send_at| send_at > call.wait_until())
+    }
+
     /// Logs the first time that a request waits.
     fn log_first_wait(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else {
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -21,6 +21,7 @@
 mod relay_calls;
 mod relay_configuration;
 mod relay_crashing_parts;
+mod relay_endpoint_limits;
 mod relay_fleet;
 mod relay_harness;
 mod relay_load;
--- a/crates/arbutusfall_core/tests/it/relay_fleet.rs
+++ b/crates/arbutusfall_core/tests/it/relay_fleet.rs
@@ -22,6 +22,8 @@
 /// One VM with its position in the log of shared records.
 pub(crate) struct FleetVm {
     pub(crate) harness: RelayHarness,
+    /// Whether its process runs; it is dead or frozen otherwise.
+    pub(crate) is_running: bool,
     /// Number of records that it has read.
     read: usize,
     next_read_at: Duration,
@@ -33,6 +35,8 @@
 pub(crate) struct Fleet {
     pub(crate) vms: Vec<FleetVm>,
     pub(crate) now: Duration,
+    /// Whether appends and reads are answered.
+    pub(crate) is_store_up: bool,
     log: Vec<SharedRecord>,
     /// Appends that are on their way, with the instant at which they are in the log.
     on_their_way: Vec<(Duration, Vec<SharedRecord>)>,
@@ -54,6 +58,7 @@
         let mut fleet = Self {
             vms: Vec::new(),
             now: ms(1_000),
+            is_store_up: true,
             log: Vec::new(),
             on_their_way: Vec::new(),
             appends: Vec::new(),
@@ -76,6 +81,7 @@
         });
         self.vms.push(FleetVm {
             harness,
+            is_running: true,
             read: self.log.len(),
             next_read_at: self.now,
             confirm_at: None,
@@ -99,10 +105,20 @@
         self.now += step;
         self.store_appends();
         for number in 0..self.vms.len() {
-            self.advance_vm(number, step);
+            if self.vms[number].is_running {
+                self.advance_vm(number, step);
+            }
         }
     }
 
+    /// Lets a frozen VM run on; all its timers are due at once.
+    pub(crate) fn thaw(&mut self, number: usize) {
+        let vm = &mut self.vms[number];
+        vm.is_running = true;
+        vm.harness.now = self.now;
+        vm.harness.apply(RelayEvent::Tick);
+    }
+
     fn store_appends(&mut self) {
         let now = self.now;
         let (arrived, left) = std::mem::take(&mut self.on_their_way)
@@ -119,10 +135,10 @@
         vm.harness.advance(step);
         if vm.confirm_at.is_some_and(|at| at <= self.now) {
             vm.confirm_at = None;
-            vm.harness
-                .apply(RelayEvent::SharedAppended { succeeded: true });
+            let succeeded = self.is_store_up;
+            vm.harness.apply(RelayEvent::SharedAppended { succeeded });
         }
-        if vm.read < self.log.len() && self.now >= vm.next_read_at {
+        if self.is_store_up && vm.read < self.log.len() && self.now >= vm.next_read_at {
             let records = self.log[vm.read..].to_vec();
             vm.read = self.log.len();
             vm.next_read_at = self.now + READ_PAUSE + READ_TIME;
@@ -137,7 +153,9 @@
             match effect {
                 RelayEffect::AppendShared(records) => {
                     self.appends.push(self.now);
-                    self.on_their_way.push((self.now + APPEND_TIME, records));
+                    if self.is_store_up {
+                        self.on_their_way.push((self.now + APPEND_TIME, records));
+                    }
                     vm.confirm_at = Some(self.now + APPEND_TIME);
                 }
                 other => vm.harness.effects.push(other),
