Tests of limits: when a share may be used, answers that overtake each other, waiting model requests

Each was seen to fail with its rule taken out: the time until a share is used, the rule on answers to earlier requests, and the wait for the next token.

--- a/crates/arbutusfall_core/tests/it/relay_endpoint_limits.rs
+++ b/crates/arbutusfall_core/tests/it/relay_endpoint_limits.rs
@@ -37,6 +37,9 @@
 /// Time from the first answer that names a limit from which it must be kept.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 
+/// Longest time until a VM has read a record: the pause between two reads and the read itself.
+const READ_LAG: Duration = Duration::from_millis(500);
+
 /// Share of a limit that must be used where there are more requests than it allows.
 const MIN_USED_SHARE: f64 = 0.7;
 
@@ -366,33 +369,46 @@
     // Sent before the limit was known.
     harness.deliver(sends[0].exchange, ExchangeEvent::LimitAbsent);
     assert_eq!(limited_count(&harness), 1);
-    // The VM takes a share and sends again; that answer names none.
+    // The VM takes shares and sends twice again; the answer to the later request comes first and names none.
     take_shares(&mut harness);
+    let earlier = send_to(&mut harness, &instance);
+    harness.advance(ms(10));
     let later = send_to(&mut harness, &instance);
     harness.deliver(later, ExchangeEvent::LimitAbsent);
     assert_eq!(limited_count(&harness), 0);
-    harness.deliver(sends[2].exchange, ExchangeEvent::LimitNamed { per_s: 2.0 });
+    harness.deliver(earlier, ExchangeEvent::LimitNamed { per_s: 2.0 });
     assert_eq!(limited_count(&harness), 0);
 }
 
-/// Confirms and returns all records that the VM appends, for some seconds in which requests want the limited endpoint.
+/// Plays some seconds in which requests want the limited endpoint, and the VM reads what it appends.
 fn take_shares(harness: &mut RelayHarness) {
     for _ in 0..40 {
         harness.submit("/look/");
         harness.take_sends();
         harness.advance(ms(100));
-        let effects = std::mem::take(&mut harness.effects);
-        let appended = effects.into_iter().filter_map(|effect| match effect {
-            RelayEffect::AppendShared(records) => Some(records),
-            _ => None,
-        });
-        let records: Vec<SharedRecord> = appended.flatten().collect();
-        if !records.is_empty() {
-            harness.apply(RelayEvent::SharedAppended { succeeded: true });
-            let is_full = false;
-            harness.apply(RelayEvent::SharedRecords { records, is_full });
+        read_back(harness);
+    }
+}
+
+/// Confirms the records that the VM has appended, and lets it read them.
+fn read_back(harness: &mut RelayHarness) -> Vec<SharedRecord> {
+    let mut records = Vec::new();
+    harness.effects.retain(|effect| match effect {
+        RelayEffect::AppendShared(appended) => {
+            records.extend(appended.iter().cloned());
+            false
         }
+        _ => true,
+    });
+    let shares = records.iter();
+    let shares = shares.filter(|record| matches!(record, SharedRecord::Share { .. }));
+    let shares: Vec<SharedRecord> = shares.cloned().collect();
+    if !records.is_empty() {
+        harness.apply(RelayEvent::SharedAppended { succeeded: true });
+        let is_full = false;
+        harness.apply(RelayEvent::SharedRecords { records, is_full });
     }
+    shares
 }
 
 /// Submits requests until one is sent to the endpoint.
@@ -409,6 +425,79 @@
     panic!("no request was sent to {instance}");
 }
 
+// Guards against two VMs that use a share at the same time: the last one to write gets it, and others read that later.
+#[test]
+fn share_is_not_used_before_other_vms_have_read_who_holds_it() {
+    let mut harness = RelayHarness::configured(5);
+    harness.submit("/look/");
+    let send = harness.take_only_send();
+    harness.deliver(send.exchange, ExchangeEvent::LimitNamed { per_s: 900.0 });
+    let mut first_record_at = None;
+    for _ in 0..300 {
+        harness.submit("/look/");
+        let sends = harness.take_sends();
+        if sends.iter().any(|later| later.instance == send.instance) {
+            break;
+        }
+        harness.advance(ms(10));
+        if !read_back(&mut harness).is_empty() {
+            first_record_at.get_or_insert(harness.now);
+        }
+    }
+    let first_record_at = first_record_at.expect("the VM takes shares");
+    assert!(harness.now >= first_record_at + READ_LAG);
+    assert!(harness.now < first_record_at + ms(2_500));
+}
+
+/// Grants all reservations, whose callers then leave.
+fn grant_reservations(harness: &mut RelayHarness) {
+    for reserve in harness.take_sends() {
+        let reservation = "reservation".into();
+        let event = ExchangeEvent::Reserved { reservation };
+        harness.deliver(reserve.exchange, event);
+        let call = reserve.call;
+        harness.apply(RelayEvent::CallerGone { call });
+    }
+    harness.take_sends();
+}
+
+// Guards against model requests that are refused although the next token comes in time.
+#[test]
+fn model_request_waits_for_the_next_token_of_a_limited_engine() {
+    let mut harness = RelayHarness::configured(5);
+    harness.apply(RelayEvent::EndpointChanges(vec![
+        EndpointListChange::Removed {
+            instance: "decode-2".into(),
+        },
+    ]));
+    harness.apply(RelayEvent::ControlLimit {
+        instance: "decode-1".into(),
+        per_s: 8.0,
+    });
+    for _ in 0..40 {
+        harness.submit("/stream/");
+        grant_reservations(&mut harness);
+        harness.advance(ms(100));
+        grant_reservations(&mut harness);
+        read_back(&mut harness);
+    }
+    for _ in 0..24 {
+        harness.advance(ms(50));
+        grant_reservations(&mut harness);
+        read_back(&mut harness);
+    }
+    // Two tokens are there, for one of these.
+    let calls = [harness.submit("/stream/"), harness.submit("/stream/")];
+    assert_eq!(harness.take_sends().len(), 1);
+    harness.advance(ms(290));
+    assert_eq!(harness.take_sends().len(), 1);
+    assert!(
+        calls
+            .iter()
+            .all(|call| harness.final_effect(*call).is_none())
+    );
+}
+
 // Guards against a limit that an endpoint has no more after it started again under its id.
 #[test]
 fn endpoint_that_starts_again_has_no_limit() {
