--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -37,6 +37,7 @@
 mod roles;
 mod routes;
 mod sending;
+mod shared_handling;
 mod shared_outbox;
 mod shared_record;
 mod store_view;
--- a/crates/arbutusfall_core/src/relay/crashing_parts.rs
+++ b/crates/arbutusfall_core/src/relay/crashing_parts.rs
@@ -137,7 +137,8 @@
         parts.iter().all(|part| self.is_answered(part, now))
     }
 
-    fn is_answered(&self, part: &PartId, now: Duration) -> bool {
+    /// Returns whether a prompt with the part has been answered of late.
+    pub(crate) fn is_answered(&self, part: &PartId, now: Duration) -> bool {
         let at = self.answered.get(part);
         at.is_some_and(|at| now <= *at + ANSWERED_LIFETIME)
     }
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/shared_handling.rs
@@ -0,0 +1,123 @@
+//! Records that VMs share: what this VM reads of them and appends to them.
+
+use std::collections::BTreeSet;
+
+use crate::relay::NamedLimit;
+use crate::relay::Relay;
+use crate::relay::RelayEffect;
+use crate::relay::RelayTimer;
+use crate::relay::SharedKey;
+use crate::relay::SharedRecord;
+
+impl Relay {
+    /// Takes over all records that VMs share, as read from the store.
+    pub(super) fn on_all_shared_records(&mut self, records: Vec<SharedRecord>) {
+        let has_returned = std::mem::take(&mut self.has_store_returned);
+        let listed: BTreeSet<SharedKey> = records.iter().map(SharedRecord::key).collect();
+        for record in self.own_view_of_shared_records() {
+            let key = record.key();
+            if listed.contains(&key) || self.shared_outbox.contains(&key) {
+                continue;
+            }
+            if has_returned {
+                // The store lost it; one VM is enough to write it again.
+                let due = self.now + self.random_delay();
+                self.shared_outbox.push(record, due);
+            } else {
+                self.drop_shared_record(key);
+            }
+        }
+        self.on_shared_records(records);
+        self.is_shared_known = true;
+    }
+
+    fn own_view_of_shared_records(&self) -> Vec<SharedRecord> {
+        let crashes = self.crashing_parts.evidence();
+        let crashes = crashes.map(|(part, crash, evidence)| SharedRecord::Crash {
+            part: part.clone(),
+            crash: crash.clone(),
+            evidence: Some(evidence.clone()),
+        });
+        let blocks = self.crashing_parts.blocks().iter();
+        let blocks = blocks.map(|(part, block)| SharedRecord::Block {
+            part: part.clone(),
+            block: Some(block.clone()),
+        });
+        let limits = self.limits.iter().filter_map(|(run, limit)| {
+            let instance = self.instance_of(run)?;
+            let per_s = limit.per_s;
+            let limit = Some(NamedLimit { instance, per_s });
+            let run = run.clone();
+            Some(SharedRecord::Limit { run, limit })
+        });
+        crashes.chain(blocks).chain(limits).collect()
+    }
+
+    fn drop_shared_record(&mut self, key: SharedKey) {
+        match key {
+            SharedKey::Crash(part, crash) => self.on_shared_crash(part, crash, None),
+            SharedKey::Block(part) => self.on_shared_block(part, None),
+            SharedKey::Limit(run) => self.on_shared_limit(&run, None),
+            SharedKey::Share(run, number) => self.on_shared_share(&run, number, None),
+        }
+    }
+
+    /// Handles records that were read, oldest first.
+    pub(super) fn on_shared_records(&mut self, records: Vec<SharedRecord>) {
+        for record in records {
+            self.shared_outbox.remove(&record);
+            match record {
+                SharedRecord::Crash {
+                    part,
+                    crash,
+                    evidence,
+                } => self.on_shared_crash(part, crash, evidence),
+                SharedRecord::Block { part, block } => self.on_shared_block(part, block),
+                SharedRecord::Limit { run, limit } => self.on_shared_limit(&run, limit),
+                SharedRecord::Share {
+                    run,
+                    number,
+                    holder,
+                } => self.on_shared_share(&run, number, holder),
+            }
+        }
+        self.set_shared_timer();
+    }
+
+    pub(super) fn on_shared_appended(&mut self, succeeded: bool) {
+        self.shared_outbox.on_appended(succeeded, self.now);
+        self.set_shared_timer();
+    }
+
+    /// Handles the timer for evidence, blocks and records to append.
+    pub(super) fn on_shared_timer(&mut self) {
+        if self.shared_timer_due.is_some_and(|due| due > self.now) {
+            // This timer was superseded by an earlier one.
+            return;
+        }
+        self.shared_timer_due = None;
+        self.review_crashes();
+        let records = self.shared_outbox.take(self.now);
+        if !records.is_empty() {
+            self.effects.push(RelayEffect::AppendShared(records));
+        }
+        self.set_shared_timer();
+    }
+
+    pub(super) fn set_shared_timer(&mut self) {
+        let due = [
+            self.engine_ends.next_due(),
+            self.crashing_parts.next_block(),
+            self.shared_outbox.next_due(),
+        ];
+        let Some(due) = due.into_iter().flatten().min() else {
+            return;
+        };
+        let due = due.max(self.now);
+        if self.shared_timer_due.is_some_and(|set| set <= due) {
+            return;
+        }
+        self.shared_timer_due = Some(due);
+        self.timers.set(due, RelayTimer::Shared);
+    }
+}
--- a/crates/arbutusfall_core/src/relay/shared_record.rs
+++ b/crates/arbutusfall_core/src/relay/shared_record.rs
@@ -20,7 +20,7 @@
 /// Block on a part: prompts with it crash engines.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PartBlock {
-    /// Parts that a prompt must have besides: they cannot be told from the part by what is known.
+    /// Parts that a prompt must have besides: what is known does not distinguish them from the part.
     pub with: Vec<PartId>,
     /// Engines that ended under the part.
     pub instances: Vec<Name>,
--- a/crates/arbutusfall_core/tests/it/relay_crashing_parts.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crashing_parts.rs
@@ -447,7 +447,7 @@
         RelayEffect::AppendShared(records) => records.iter().all(SharedRecord::is_deletion),
         _ => false,
     });
-    assert!(appended, "the other VMs are not told");
+    assert!(appended, "the other VMs do not learn of it");
 }
 
 // Guards against evidence on parts that this VM knows to be sound.
