Tests that fail: endpoints that fall silent for a second and go on (LOST)

What callers see: a stream is cut off, or a lookup gets a problem, although its endpoint goes on in time.

--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -29,6 +29,7 @@
 mod relay_retries;
 mod relay_retry_budget;
 mod relay_roles;
+mod relay_silence;
 mod relay_simulation;
 mod relay_store_return;
 mod relay_stream_versions;
