Relay: a silent exchange is kept until another endpoint has taken the request over (LOST)

What callers saw: a stream was cut off, or a lookup got a problem, although its endpoint was only silent for a second and went on.

Cause: a silence closed the exchange first; the reservation, the prefill and the decode elsewhere could each still be refused, time out, find no endpoint or exceed the retry budget. Class: what works is given up before its replacement is sure.

Change: the silent exchange goes to standby while the request is moved, with its memory. Whichever endpoint is first goes on; the other is closed. A move that fails for any reason but the deadline returns to the standby exchange, and its retry is given back if nothing was sent again.

--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -1,6 +1,7 @@
 //! Feeds events to the relay and performs its effects.
 
 use std::collections::VecDeque;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -53,6 +54,23 @@
     task: Option<Task<()>>,
     head: Option<AnswerHead>,
     body: Option<Bytes>,
+    hold: Option<Hold>,
+}
+
+/// Mark of an exchange that is held; the exchange goes on when it is dropped.
+struct Hold {
+    _sender: Sender<Infallible>,
+    receiver: Receiver<Infallible>,
+}
+
+impl Default for Hold {
+    fn default() -> Self {
+        let (sender, receiver) = async_channel::bounded(1);
+        Self {
+            _sender: sender,
+            receiver,
+        }
+    }
 }
 
 /// The relay with its queue, exchanges and open calls; shared by all tasks.
@@ -253,6 +271,8 @@
                 exchanges.entry(id).or_default().task = Some(task);
             }
             RelayEffect::Close { exchange } => self.remove_exchange(exchange),
+            RelayEffect::Hold { exchange } => self.set_hold(exchange, Some(Hold::default())),
+            RelayEffect::Release { exchange } => self.set_hold(exchange, None),
             RelayEffect::FreeKvCache(stored) => {
                 let request = endpoints::free_kv_cache_request(&stored);
                 self.spawn_free_request(stored.address, request);
@@ -333,6 +353,31 @@
         self.executor.spawn(free).detach();
     }
 
+    fn set_hold(&self, exchange: ExchangeId, hold: Option<Hold>) {
+        if let Some(open) = lock(&self.exchanges).get_mut(&exchange) {
+            open.hold = hold;
+        }
+    }
+
+    /// Waits while an exchange is held.
+    pub(super) async fn wait_while_held(&self, exchange: ExchangeId) {
+        while let Some(hold) = self.hold_of(exchange) {
+            // Nothing is ever sent; this returns when the hold is dropped.
+            let _ = hold.recv().await;
+        }
+    }
+
+    /// Returns whether an exchange is held.
+    pub(super) fn is_held(&self, exchange: ExchangeId) -> bool {
+        self.hold_of(exchange).is_some()
+    }
+
+    fn hold_of(&self, exchange: ExchangeId) -> Option<Receiver<Infallible>> {
+        let exchanges = lock(&self.exchanges);
+        let hold = exchanges.get(&exchange)?.hold.as_ref()?;
+        Some(hold.receiver.clone())
+    }
+
     /// Stores the head of an exchange's answer until the relay decides whether to use it.
     pub(super) fn store_head(&self, exchange: ExchangeId, head: AnswerHead) {
         if let Some(open) = lock(&self.exchanges).get_mut(&exchange) {
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -50,6 +50,9 @@
         Ok(event) => event,
         Err(failure) => ExchangeEvent::Failed { failure },
     };
+    if matches!(event, ExchangeEvent::Complete { .. }) {
+        driver.wait_while_held(exchange).await;
+    }
     log::debug!("call {} exchange {} ended: {event:?}", call.0, exchange.0);
     driver.submit_exchange_event(exchange, event);
     driver.remove_exchange(exchange);
@@ -71,6 +74,7 @@
     let answer = http::send(&driver.executor, outgoing)
         .await
         .map_err(exchange_failure)?;
+    driver.wait_while_held(command.exchange).await;
     let kind = endpoints::classify_answer(&request, command, answer.status(), answer.headers());
     report_limit(driver, command, kind, answer.headers());
     match kind {
@@ -205,12 +209,20 @@
     Ok(ExchangeEvent::Complete { status })
 }
 
-/// Writes a piece of a stream once its caller has received enough of what is queued.
+/// Writes a piece of a stream once its exchange is not held and its caller has received enough of what is queued.
 async fn write_to_caller(driver: &Arc<Driver>, command: &SendCommand, piece: Bytes) {
     let Some(writer) = driver.calls.writer(command.call) else {
         return;
     };
-    while !writer.wait_for_room(HELD_BACK_INTERVAL).await {
+    loop {
+        driver.wait_while_held(command.exchange).await;
+        let has_room = writer.wait_for_room(HELD_BACK_INTERVAL).await;
+        if driver.is_held(command.exchange) {
+            continue;
+        }
+        if has_room {
+            break;
+        }
         driver.submit_exchange_event(command.exchange, ExchangeEvent::HeldBack);
     }
     // Fails only if the caller disconnected, which is reported separately.
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -93,6 +93,7 @@
                 }
             }
             RelayNotice::ExchangeFailed { reason, .. } => state.count(notice.name(), reason),
+            RelayNotice::MoveAbandoned { reason, .. } => state.count(notice.name(), reason),
             RelayNotice::StreamEnded { framing, .. } => state.count(notice.name(), framing.name()),
             RelayNotice::Sent { work, .. } => state.count(notice.name(), work),
             RelayNotice::ConfigIgnored { reason, .. } => state.count(notice.name(), reason),
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -40,6 +40,7 @@
 mod shared_handling;
 mod shared_outbox;
 mod shared_record;
+mod standby;
 mod store_view;
 mod stream_versions;
 mod token_counts;
@@ -103,6 +104,8 @@
     CallDeadline(CallId),
     /// An exchange may have exceeded its allowed silence.
     CheckSilence(ExchangeId),
+    /// A standby exchange may have been held for too long.
+    EndStandby(ExchangeId),
     /// Waiting requests may try to reserve memory again.
     RetryReservations,
     /// Endpoints that are no longer listed may be removed.
@@ -265,6 +268,7 @@
             match timer {
                 RelayTimer::CallDeadline(call) => self.on_call_deadline(call),
                 RelayTimer::CheckSilence(exchange) => self.check_silence(exchange),
+                RelayTimer::EndStandby(exchange) => self.end_standby(exchange),
                 RelayTimer::RetryReservations => self.on_retry_reservations(),
                 RelayTimer::FindStream(call) => self.find_stream_again(call),
                 RelayTimer::RecordStreams => self.record_streams(),
--- a/crates/arbutusfall_core/src/relay/budget.rs
+++ b/crates/arbutusfall_core/src/relay/budget.rs
@@ -197,6 +197,17 @@
         history.is_some_and(|history| history.refused_share > NEARLY_ALL_SHARE)
     }
 
+    /// Gives a retry back that was taken at `taken_at` and not used.
+    pub(crate) fn give_back(&mut self, service: &Name, taken_at: Duration, now: Duration) {
+        let history = self.history(service, now);
+        history.newest_bucket(now);
+        let age = history.newest.saturating_sub(bucket_number(taken_at));
+        let age = usize::try_from(age).unwrap_or(usize::MAX);
+        if let Some(counts) = history.buckets.iter_mut().rev().nth(age) {
+            counts.retries = counts.retries.saturating_sub(1);
+        }
+    }
+
     /// Spends one retry and returns true if the budget allows it.
     pub(crate) fn try_take(&mut self, service: &Name, retry_use: RetryUse, now: Duration) -> bool {
         let limit = self.limit;
--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -11,6 +11,7 @@
 use crate::relay::RelayRequest;
 use crate::relay::RelayRoute;
 use crate::relay::TokenCounts;
+use crate::relay::standby::Standby;
 
 /// Maximum number of failed exchanges of a call, refused reservations not counted.
 const MAX_FAILED_EXCHANGES: usize = 6;
@@ -70,6 +71,8 @@
     /// Prefill result that no decode engine is known to have fetched.
     pub(crate) prefill_result: Option<PrefillResult>,
     pub(crate) current: Option<CurrentExchange>,
+    /// Exchange whose endpoint is silent, while the request is moved to another endpoint.
+    pub(crate) standby: Option<Standby>,
 }
 
 /// Memory of a decode engine that is requested, reserved or in use for a request.
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -19,6 +19,9 @@
 use crate::relay::limit_handling::LIMITED;
 use crate::relay::notice::millis;
 
+/// Reason of the end of a call at its deadline.
+const TIMEOUT: &str = "timeout";
+
 /// Retry delay sent to callers while this VM has no configuration.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -70,7 +73,7 @@
         let due_at = call.due_at;
         self.calls.insert(id, call);
         if due_at <= self.now {
-            self.fail_call(id, "timeout");
+            self.fail_call(id, TIMEOUT);
             return;
         }
         self.timers.set(due_at, RelayTimer::CallDeadline(id));
@@ -115,6 +118,7 @@
             first_event_at: None,
             prefill_result: None,
             current: None,
+            standby: None,
             request,
         }
     }
@@ -173,7 +177,7 @@
 
     pub(super) fn on_call_deadline(&mut self, id: CallId) {
         self.record_silent_endpoint(id);
-        self.fail_call(id, "timeout");
+        self.fail_call(id, TIMEOUT);
     }
 
     /// Records a failure of the call's endpoint if it has been silent for far longer than the target.
@@ -209,8 +213,9 @@
         }
     }
 
-    /// Closes the call's exchange and releases its allocation, its prefill result and its place in the wait queue.
+    /// Closes the call's exchanges and releases its allocations, its prefill result and its place in the wait queue.
     pub(super) fn release_resources(&mut self, id: CallId) {
+        self.drop_standby(id);
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -232,8 +237,11 @@
     }
 
     /// Ends the call with a problem: `not_run` only if no endpoint can have run the request. A started stream is
-    /// aborted.
+    /// aborted. A call that is being moved from a silent endpoint stays there instead, until its deadline.
     pub(super) fn fail_call(&mut self, id: CallId, reason: &'static str) {
+        if reason != TIMEOUT && self.return_to_standby(id, reason) {
+            return;
+        }
         let Some(call) = self.calls.get(&id) else {
             return;
         };
@@ -249,7 +257,7 @@
             Problem::new(ProblemKind::CrashingPrompt)
         } else if may_have_run {
             Problem::new(match reason {
-                "timeout" => ProblemKind::AnswerTimeout,
+                TIMEOUT => ProblemKind::AnswerTimeout,
                 _ => ProblemKind::UpstreamFailed,
             })
         } else {
--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -12,6 +12,7 @@
 use crate::relay::RelayNotice;
 use crate::relay::SharedRecord;
 use crate::relay::call::CallStage;
+use crate::relay::call::CurrentExchange;
 use crate::relay::crashing_parts::Cleared;
 use crate::relay::crashing_parts::EvidenceEffect;
 use crate::relay::engine_ends::BrokenStream;
@@ -33,31 +34,31 @@
 pub(super) const CRASHING_PART: &str = "crashing_part";
 
 impl Relay {
-    /// Records that the call's stream broke off, if its prompt may be the cause.
-    pub(super) fn record_broken_stream(&mut self, id: CallId) {
+    /// Records that a stream of the call broke off, if its prompt may be the cause.
+    pub(super) fn record_broken_stream(
+        &mut self,
+        id: CallId,
+        broken: &CurrentExchange,
+        began_at: Option<Duration>,
+    ) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        let Some(current) = &call.current else {
-            return;
-        };
-        let Some(endpoint) = self.endpoints.get(&current.instance) else {
+        let Some(endpoint) = self.endpoints.get(&broken.instance) else {
             return;
         };
-        if !matches!(current.stage, CallStage::Decode { .. }) {
+        if !matches!(broken.stage, CallStage::Decode { .. }) {
             return;
         }
         call.engine_ends += 1;
-        let has_survived = call
-            .stream_began_at
-            .is_some_and(|began_at| self.now >= began_at + SURVIVAL_TIME);
+        let has_survived = began_at.is_some_and(|began_at| self.now >= began_at + SURVIVAL_TIME);
         if has_survived || call.request.shared_parts.is_empty() {
             return;
         }
         self.engine_ends.on_broken(BrokenStream {
-            instance: current.instance.clone(),
-            incarnation: incarnation(&current.instance, endpoint.listed.started_unix_ms),
-            sent_at: current.sent_at,
+            instance: broken.instance.clone(),
+            incarnation: incarnation(&broken.instance, endpoint.listed.started_unix_ms),
+            sent_at: broken.sent_at,
             broken_at: self.now,
             parts: call.request.shared_parts.clone(),
         });
--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -23,6 +23,16 @@
         /// The exchange.
         exchange: ExchangeId,
     },
+    /// Hold an exchange: until it is released or closed, nothing of its answer is forwarded or reported.
+    Hold {
+        /// The exchange.
+        exchange: ExchangeId,
+    },
+    /// Release an exchange that is held.
+    Release {
+        /// The exchange.
+        exchange: ExchangeId,
+    },
     /// Tell an engine to drop a KV cache that no engine will fetch.
     FreeKvCache(KvCacheLocation),
     /// Tell an engine to drop a reservation that will not be used.
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -357,3 +357,21 @@
     /// The answer is malformed or belongs to another request.
     Malformed,
 }
+
+impl ExchangeFailure {
+    /// Returns the name in log lines.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Closed => "closed",
+            Self::Truncated => "truncated",
+            Self::TooLong => "too_long",
+            Self::Malformed => "malformed",
+        }
+    }
+
+    /// Returns whether the endpoint may have ended.
+    pub(crate) fn may_be_crash(self) -> bool {
+        matches!(self, Self::Closed | Self::Truncated)
+    }
+}
--- a/crates/arbutusfall_core/src/relay/exchange_end.rs
+++ b/crates/arbutusfall_core/src/relay/exchange_end.rs
@@ -1,11 +1,17 @@
 //! Ends of exchanges: what a call and its endpoint are freed of.
 
+use std::time::Duration;
+
+use arbutusfall_wire::Name;
+
 use crate::CallId;
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
 use crate::relay::SharedParts;
 use crate::relay::call::CallStage;
+use crate::relay::call::CurrentExchange;
+use crate::relay::call::MemoryAllocation;
 use crate::relay::notice::millis;
 use crate::relay::roles::StreamUsage;
 
@@ -25,25 +31,42 @@
             return;
         };
         call.failed_endpoints.push(current.instance.clone());
-        let request_id = call.request.request_id.clone();
-        let parts = match current.stage {
-            CallStage::Decode { .. } => call.request.shared_parts.clone(),
-            CallStage::Plain | CallStage::Reserve | CallStage::Prefill => SharedParts::default(),
-        };
         self.end_exchange(id);
         if current.stage != CallStage::Prefill {
             self.release_allocation(id);
         }
+        self.note_exchange_failed(id, &current, reason);
+        if is_endpoint_failure {
+            self.record_endpoint_failure(&current.instance);
+        }
+    }
+
+    /// Logs that an exchange of the call failed.
+    pub(super) fn note_exchange_failed(
+        &mut self,
+        id: CallId,
+        failed: &CurrentExchange,
+        reason: &'static str,
+    ) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let parts = match failed.stage {
+            CallStage::Decode { .. } => call.request.shared_parts.clone(),
+            CallStage::Plain | CallStage::Reserve | CallStage::Prefill => SharedParts::default(),
+        };
         self.note(RelayNotice::ExchangeFailed {
-            request_id,
-            instance: current.instance.clone(),
+            request_id: call.request.request_id.clone(),
+            instance: failed.instance.clone(),
             reason,
-            after_ms: millis(self.now.saturating_sub(current.sent_at)),
+            after_ms: millis(self.now.saturating_sub(failed.sent_at)),
             parts,
         });
-        if is_endpoint_failure
-            && let Some(notice) = self.endpoints.on_failed(&current.instance, self.now)
-        {
+    }
+
+    /// Records a failure of an endpoint, which other requests then avoid.
+    pub(super) fn record_endpoint_failure(&mut self, instance: &Name) {
+        if let Some(notice) = self.endpoints.on_failed(instance, self.now) {
             self.note(notice);
         }
     }
@@ -56,8 +79,14 @@
         let Some(current) = call.current.take() else {
             return;
         };
-        self.calls_by_exchange.remove(&current.exchange);
-        if let Some(endpoint) = self.endpoints.get_mut(&current.instance) {
+        self.leave_endpoint(&current);
+        self.release_standby(id);
+    }
+
+    /// Takes an exchange that ends off its endpoint's load.
+    pub(super) fn leave_endpoint(&mut self, ended: &CurrentExchange) {
+        self.calls_by_exchange.remove(&ended.exchange);
+        if let Some(endpoint) = self.endpoints.get_mut(&ended.instance) {
             endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         }
     }
@@ -70,7 +99,19 @@
         let Some(allocation) = call.allocation.take() else {
             return false;
         };
-        if let Some(began_at) = call.stream_began_at.take() {
+        let began_at = call.stream_began_at.take();
+        self.free_allocation(id, allocation, began_at);
+        true
+    }
+
+    /// Frees memory that the call had at an engine, and records the usage of the stream that began there, if any.
+    pub(super) fn free_allocation(
+        &mut self,
+        id: CallId,
+        allocation: MemoryAllocation,
+        began_at: Option<Duration>,
+    ) {
+        if let (Some(call), Some(began_at)) = (self.calls.get(&id), began_at) {
             let usage = StreamUsage {
                 prefill: call.prefill_work,
                 memory_tokens: allocation.tokens,
@@ -89,6 +130,5 @@
                 reservation,
             });
         }
-        true
     }
 }
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -197,6 +197,27 @@
         /// Bytes after the last whole event.
         partial_event_bytes: usize,
     },
+    /// An endpoint is silent; its exchange is kept while the request is moved to another endpoint.
+    ExchangeSilent {
+        /// Id that the caller gave to the request.
+        request_id: Name,
+        /// Instance that is silent.
+        instance: Name,
+        /// Time for which it has been silent.
+        silent_ms: u64,
+    },
+    /// The move of a request from a silent endpoint ended without another endpoint that took it over; the exchange with the
+    /// silent one goes on.
+    MoveAbandoned {
+        /// Id that the caller gave to the request.
+        request_id: Name,
+        /// Instance at which the request stays.
+        instance: Name,
+        /// `goes_on` if the instance is no longer silent; otherwise why no other endpoint took the request.
+        reason: &'static str,
+        /// Time since the move began.
+        after_ms: u64,
+    },
     /// An exchange ended without an answer to forward.
     ExchangeFailed {
         /// Id that the caller gave to the request.
@@ -324,6 +345,8 @@
             Self::Sent { .. } => "sent",
             Self::Waiting { .. } => "waiting",
             Self::StreamEnded { .. } => "stream_ended",
+            Self::ExchangeSilent { .. } => "exchange_silent",
+            Self::MoveAbandoned { .. } => "move_abandoned",
             Self::ExchangeFailed { .. } => "exchange_failed",
             Self::Answered { .. } => "answered",
             Self::GivenUp { .. } => "given_up",
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -26,6 +26,9 @@
             // The relay has already ended this exchange.
             return;
         };
+        if self.is_standby(id, exchange) && !self.on_standby_event(id, &event) {
+            return;
+        }
         if is_sign_of_life(&event) {
             self.on_engine_alive(id);
         }
@@ -116,6 +119,7 @@
     }
 
     pub(super) fn on_stream_began(&mut self, id: CallId, exchange: ExchangeId) {
+        self.drop_standby(id);
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -195,6 +199,12 @@
             self.send_next(id);
             return;
         }
+        if is_failure && self.has_standby(id) {
+            self.fail_exchange(id, "error_status", false);
+            self.return_to_standby(id, "error_status");
+            return;
+        }
+        self.drop_standby(id);
         if let Some(endpoint) = self.endpoints.get_mut(&instance)
             && stage == CallStage::Plain
             && !is_failure
@@ -310,14 +320,9 @@
         let Some(current) = &call.current else {
             return;
         };
-        let stage = current.stage;
-        let label = match failure {
-            ExchangeFailure::Unreachable => "unreachable",
-            ExchangeFailure::Closed => "closed",
-            ExchangeFailure::Truncated => "truncated",
-            ExchangeFailure::TooLong => "too_long",
-            ExchangeFailure::Malformed => "malformed",
-        };
+        let failed = current.clone();
+        let stage = failed.stage;
+        let began_at = call.stream_began_at;
         if failure == ExchangeFailure::Unreachable {
             if stage.runs_request() {
                 call.attempts = call.attempts.saturating_sub(1);
@@ -325,14 +330,11 @@
         } else {
             self.mark_may_have_run(id, stage);
         }
-        let has_ended = matches!(
-            failure,
-            ExchangeFailure::Closed | ExchangeFailure::Truncated
-        );
+        let has_ended = failure.may_be_crash();
         if has_ended {
-            self.record_broken_stream(id);
+            self.record_broken_stream(id, &failed, began_at);
         }
-        self.fail_exchange(id, label, true);
+        self.fail_exchange(id, failure.name(), true);
         if has_ended && self.may_crash_next_engine(id) {
             self.fail_call(id, "suspect_part");
             return;
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -119,7 +119,10 @@
             role: stage.role(),
             version: call.version_for(stage.role()),
             failed_endpoints: &call.failed_endpoints,
-            allow_failed: call.may_have_run && call.route.allows_repeated_runs(),
+            // An endpoint that holds the request in standby must not get it a second time.
+            allow_failed: call.may_have_run
+                && call.route.allows_repeated_runs()
+                && call.standby.is_none(),
             limited: &limited,
             prompt_tokens: call.token_counts().prompt_tokens,
             extra_delay_after_refusal: match stage {
@@ -188,6 +191,9 @@
         self.take_limit_tokens(&command.instance, tokens);
         self.set_silence_timer(id);
         self.effects.push(RelayEffect::Send(command));
+        if stage.runs_request() {
+            self.on_run_sent(id);
+        }
         if stage != CallStage::Reserve {
             // A request may try to reserve memory at many engines; the log line of its decode names the one that
             // granted it.
@@ -231,8 +237,9 @@
         }
     }
 
-    /// Fails an exchange that exceeded its allowed silence, and sends the request again or fails the call. If the retry
-    /// budget is spent, the exchange goes on and is checked again later; a reservation needs no budget.
+    /// Handles an exchange that exceeded its allowed silence: one that may run the request is kept while the request is moved,
+    /// others are closed and done again. If the retry budget is spent, the exchange goes on and is checked again later; a
+    /// reservation needs no budget.
     pub(super) fn check_silence(&mut self, exchange: ExchangeId) {
         let Some(id) = self.calls_by_exchange.get(&exchange).copied() else {
             return;
@@ -252,9 +259,11 @@
         }
         let stage = current.stage;
         if stage != CallStage::Reserve && !self.take_retry(id) {
-            let check_again_at = self.now + silence_limit;
-            self.timers
-                .set(check_again_at, RelayTimer::CheckSilence(exchange));
+            self.check_silence_later(id);
+            return;
+        }
+        if stage.runs_request() && !self.has_standby(id) {
+            self.move_from_silent(id);
             return;
         }
         self.effects.push(RelayEffect::Close { exchange });
@@ -262,6 +271,18 @@
         self.fail_exchange(id, "silent", true);
         self.retry_or_fail(id);
     }
+
+    /// Sets a timer for the instant at which the call's exchange is silent if it goes on being so from now.
+    pub(super) fn check_silence_later(&mut self, id: CallId) {
+        let Some((exchange, silence_limit)) = self.calls.get(&id).and_then(|call| {
+            let current = call.current.as_ref()?;
+            Some((current.exchange, self.silence_limit(call, current)?))
+        }) else {
+            return;
+        };
+        let due = self.now + silence_limit;
+        self.timers.set(due, RelayTimer::CheckSilence(exchange));
+    }
 }
 
 /// Counts an exchange at its endpoint and its call; returns a prefill's expected completion, or `now` for other stages.
