Relay: VMs make at most 400 appends of shared records a second together

Cause: the interval of 2 ms for each VM allowed 500 appends a second at 410 VMs; the store takes 400 writes. Change: 2.5 ms for each VM, which is 400 a second for any number of VMs.

--- a/crates/arbutusfall_core/src/relay/shared_outbox.rs
+++ b/crates/arbutusfall_core/src/relay/shared_outbox.rs
@@ -9,8 +9,8 @@
 /// Shortest time between two appends of a VM.
 const MIN_APPEND_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time that the interval grows by with each VM, so that all VMs together make at most 500 appends a second.
-const APPEND_INTERVAL_PER_VM: Duration = Duration::from_millis(2);
+/// Time that the interval grows by with each VM, so that all VMs together make at most 400 appends a second.
+const APPEND_INTERVAL_PER_VM: Duration = Duration::from_micros(2_500);
 
 /// Time after a failed append until the next one.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
