Relay: requests have a key that their repeats share, and the log line of a failed exchange names it

The key is a hash of method, host, path with query, caller, prompt and body, keyed with a random number that VMs share in the store, so that a body can't be guessed from a log line. VMs that start together propose one at random instants and take the newest over.

--- a/crates/arbutusfall/src/relay/callers.rs
+++ b/crates/arbutusfall/src/relay/callers.rs
@@ -9,6 +9,7 @@
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_platform::callers;
 use arbutusfall_platform::endpoints::ForwardedRequest;
+use arbutusfall_platform::request_key::request_key;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -86,7 +87,8 @@
         let body = body.await.map_err(ReadBodyError::problem)?;
         let call = self.driver.calls.next_id();
         let receive_time = self.driver.now().saturating_sub(arrived_at);
-        let relay_request = callers::relay_request(call, &parts, receive_time);
+        let key = request_key(self.driver.hash_key(), &parts, &body);
+        let relay_request = callers::relay_request(call, &parts, key, receive_time);
         let forwarded = ForwardedRequest::new(parts.method, &parts.uri, parts.headers, body);
         let replies = self.driver.calls.open(call, forwarded);
         let guard = CallGuard {
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -19,6 +19,7 @@
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayNotice;
+use arbutusfall_core::relay::RequestHashKey;
 use arbutusfall_platform::endpoints;
 use arbutusfall_wire::FastMap;
 use async_channel::Receiver;
@@ -89,6 +90,7 @@
     clock: SystemClock,
     ready: AtomicBool,
     limits: Mutex<CallerLimits>,
+    hash_key: Mutex<RequestHashKey>,
     /// Sends the due time of the next tick to the timer task.
     wake_sender: Sender<Option<Duration>>,
     wake_receiver: Receiver<Option<Duration>>,
@@ -112,6 +114,7 @@
         let (wake_sender, wake_receiver) = async_channel::unbounded();
         let (close_request_sender, close_request_receiver) = async_channel::bounded(1);
         let limits = relay.limits();
+        let hash_key = relay.hash_key();
         Self {
             relay: Mutex::new(relay),
             queue: Mutex::default(),
@@ -126,6 +129,7 @@
             clock: SystemClock::start(),
             ready: AtomicBool::new(false),
             limits: Mutex::new(limits),
+            hash_key: Mutex::new(hash_key),
             wake_sender,
             wake_receiver,
             close_request_sender,
@@ -154,6 +158,11 @@
         lock(&self.limits).clone()
     }
 
+    /// Returns the key for hashes of requests.
+    pub(super) fn hash_key(&self) -> RequestHashKey {
+        *lock(&self.hash_key)
+    }
+
     /// Returns the monotonic time.
     pub(super) fn now(&self) -> Duration {
         self.clock.now().monotonic
@@ -206,7 +215,11 @@
                 return;
             };
             let is_config = matches!(event, RelayEvent::NewConfig(_));
+            let is_shared = matches!(event, RelayEvent::SharedRecords { .. });
             let output = relay.apply(event, self.now());
+            if is_shared {
+                *lock(&self.hash_key) = relay.hash_key();
+            }
             if is_config {
                 *lock(&self.limits) = relay.limits();
             }
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -7,6 +7,7 @@
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayNotice;
 use arbutusfall_core::relay::RelaySettings;
+use arbutusfall_core::relay::RequestHashKey;
 use arbutusfall_core::relay::StoreTopic;
 use async_signal::Signal;
 use async_signal::Signals;
@@ -19,6 +20,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use serde_json::json;
+use uuid::Uuid;
 
 use crate::Executor;
 use crate::LogFormat;
@@ -72,6 +74,7 @@
     let relay_settings = RelaySettings {
         retry_limit: settings.retry_limit(),
         lease_lifetime: Duration::from_millis(settings.lease_lifetime_ms),
+        own_hash_key: RequestHashKey(Uuid::new_v4().as_u128()),
     };
     let control = ControlClient {
         member: format!("{}-{:016x}", settings.vm, fastrand::u64(..)).into(),
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -32,6 +32,7 @@
 mod outcomes;
 mod pacing;
 mod prompt_part;
+mod request_key;
 mod resumptions;
 mod retries;
 mod roles;
@@ -80,6 +81,8 @@
 pub use notice::RelayNotice;
 pub use prompt_part::PartId;
 pub use prompt_part::SharedParts;
+pub use request_key::RequestHashKey;
+pub use request_key::RequestKey;
 pub use routes::*;
 pub use shared_record::*;
 pub use token_counts::TokenCounts;
@@ -95,6 +98,8 @@
     pub retry_limit: RetryLimit,
     /// Lifetime of the lease whose holder orders role changes.
     pub lease_lifetime: Duration,
+    /// Random key that this VM proposes for hashes of requests.
+    pub own_hash_key: RequestHashKey,
 }
 
 /// Timers of the relay. A timer that finds nothing to do is ignored.
@@ -160,6 +165,8 @@
     shared_timer_due: Option<Duration>,
     /// Whether the records that VMs share have been read, or could not be.
     is_shared_known: bool,
+    /// Key for hashes of requests: the one that VMs share, or this VM's own until one is read.
+    hash_key: RequestHashKey,
     /// Whether the store has returned from an older copy since the shared records were read.
     has_store_returned: bool,
     /// Number of VMs, as far as it is known.
@@ -201,6 +208,7 @@
             shared_outbox: SharedOutbox::new(settings.retry_limit.vm_count),
             shared_timer_due: None,
             is_shared_known: false,
+            hash_key: settings.own_hash_key,
             has_store_returned: false,
             vm_count: settings.retry_limit.vm_count,
             lease: Lease::new(settings.lease_lifetime),
@@ -229,6 +237,11 @@
         routes.map_or_else(CallerLimits::default, |routes| routes.limits.clone())
     }
 
+    /// Returns the key for hashes of requests.
+    pub fn hash_key(&self) -> RequestHashKey {
+        self.hash_key
+    }
+
     fn on_event(&mut self, event: RelayEvent) {
         match event {
             RelayEvent::Started => self.on_started(),
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -11,6 +11,7 @@
 use crate::config::Role;
 use crate::relay::LeaseAnswer;
 use crate::relay::PartId;
+use crate::relay::RequestKey;
 use crate::relay::RouteTable;
 use crate::relay::SharedParts;
 use crate::relay::SharedRecord;
@@ -204,6 +205,8 @@
     pub token_counts: Option<TokenCounts>,
     /// Parts of the prompt that other requests may have too.
     pub shared_parts: SharedParts,
+    /// What the request has in common with its repeats only.
+    pub request_key: RequestKey,
     /// Stream that the request goes on with, if any.
     pub resumption: Option<Resumption>,
 }
--- a/crates/arbutusfall_core/src/relay/exchange_end.rs
+++ b/crates/arbutusfall_core/src/relay/exchange_end.rs
@@ -61,6 +61,10 @@
             reason,
             after_ms: millis(self.now.saturating_sub(failed.sent_at)),
             parts,
+            request_key: failed
+                .stage
+                .runs_request()
+                .then(|| call.request.request_key.clone()),
         });
     }
 
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -7,6 +7,7 @@
 
 use crate::relay::BodyFraming;
 use crate::relay::PartId;
+use crate::relay::RequestKey;
 use crate::relay::SharedParts;
 use crate::relay::StoreReadFailure;
 use crate::relay::StoreTopic;
@@ -230,6 +231,8 @@
         after_ms: u64,
         /// Shared parts of the prompt, if the endpoint was to write the answer to it.
         parts: SharedParts,
+        /// What the request has in common with its repeats, if the endpoint was to run it.
+        request_key: Option<RequestKey>,
     },
     /// An endpoint's answer was forwarded to the caller.
     Answered {
--- a/crates/arbutusfall_core/src/relay/shared_handling.rs
+++ b/crates/arbutusfall_core/src/relay/shared_handling.rs
@@ -1,14 +1,22 @@
 //! Records that VMs share: what this VM reads of them and appends to them.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::relay::NamedLimit;
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
 use crate::relay::RelayTimer;
+use crate::relay::RequestHashKey;
 use crate::relay::SharedKey;
 use crate::relay::SharedRecord;
 
+/// Shortest time from the start of a VM until it proposes a key for hashes of requests, unless it has read one.
+const HASH_KEY_DELAY: Duration = Duration::from_millis(500);
+
+/// Longest random addition to this time, for each VM: most VMs that start together have read a key before they propose one.
+const HASH_KEY_DELAY_PER_VM: Duration = Duration::from_millis(20);
+
 impl Relay {
     /// Takes over all records that VMs share, as read from the store.
     pub(super) fn on_all_shared_records(&mut self, records: Vec<SharedRecord>) {
@@ -27,10 +35,24 @@
                 self.drop_shared_record(key);
             }
         }
+        if !listed.contains(&SharedKey::HashKey) {
+            let spread = HASH_KEY_DELAY_PER_VM * self.vm_count;
+            let due = self.now + HASH_KEY_DELAY + spread.mul_f64(self.rng.f64());
+            let record = SharedRecord::HashKey(Some(self.hash_key));
+            self.shared_outbox.push(record, due);
+        }
         self.on_shared_records(records);
         self.is_shared_known = true;
     }
 
+    /// Takes over the key for hashes of requests that another VM has recorded.
+    fn on_shared_hash_key(&mut self, key: Option<RequestHashKey>) {
+        if let Some(key) = key {
+            self.hash_key = key;
+            self.shared_outbox.withdraw(&SharedKey::HashKey);
+        }
+    }
+
     fn own_view_of_shared_records(&self) -> Vec<SharedRecord> {
         let crashes = self.crashing_parts.evidence();
         let crashes = crashes.map(|(part, crash, evidence)| SharedRecord::Crash {
@@ -57,6 +79,7 @@
         match key {
             SharedKey::Crash(part, crash) => self.on_shared_crash(part, crash, None),
             SharedKey::Block(part) => self.on_shared_block(part, None),
+            SharedKey::HashKey => self.on_shared_hash_key(None),
             SharedKey::Limit(run) => self.on_shared_limit(&run, None),
             SharedKey::Share(run, number) => self.on_shared_share(&run, number, None),
         }
@@ -73,6 +96,7 @@
                     evidence,
                 } => self.on_shared_crash(part, crash, evidence),
                 SharedRecord::Block { part, block } => self.on_shared_block(part, block),
+                SharedRecord::HashKey(key) => self.on_shared_hash_key(key),
                 SharedRecord::Limit { run, limit } => self.on_shared_limit(&run, limit),
                 SharedRecord::Share {
                     run,
--- a/crates/arbutusfall_core/src/relay/shared_outbox.rs
+++ b/crates/arbutusfall_core/src/relay/shared_outbox.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Removes the record with this key, if it waits.
+    pub(crate) fn withdraw(&mut self, key: &SharedKey) {
+        self.pending.remove(key);
+    }
+
     /// Returns whether a record with this key waits or is being appended.
     pub(crate) fn contains(&self, key: &SharedKey) -> bool {
         self.pending.contains_key(key) || self.appending.iter().any(|record| record.key() == *key)
--- a/crates/arbutusfall_core/src/relay/shared_record.rs
+++ b/crates/arbutusfall_core/src/relay/shared_record.rs
@@ -3,6 +3,7 @@
 use arbutusfall_wire::Name;
 
 use crate::relay::PartId;
+use crate::relay::RequestHashKey;
 
 /// Id of one crash of an engine: the same at all VMs that had streams on it.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -81,6 +82,8 @@
         /// The limit; `None` if it is lifted.
         limit: Option<NamedLimit>,
     },
+    /// The key for hashes of requests.
+    HashKey(Option<RequestHashKey>),
     /// A share of the limit of an endpoint.
     Share {
         /// The run of the endpoint's process.
@@ -99,6 +102,8 @@
     Crash(PartId, CrashId),
     /// Key of [`SharedRecord::Block`].
     Block(PartId),
+    /// Key of [`SharedRecord::HashKey`].
+    HashKey,
     /// Key of [`SharedRecord::Limit`].
     Limit(EndpointRun),
     /// Key of [`SharedRecord::Share`].
@@ -111,6 +116,7 @@
         match self {
             Self::Crash { evidence, .. } => evidence.is_none(),
             Self::Block { block, .. } => block.is_none(),
+            Self::HashKey(key) => key.is_none(),
             Self::Limit { limit, .. } => limit.is_none(),
             Self::Share { holder, .. } => holder.is_none(),
         }
@@ -121,6 +127,7 @@
         match self {
             Self::Crash { part, crash, .. } => SharedKey::Crash(part.clone(), crash.clone()),
             Self::Block { part, .. } => SharedKey::Block(part.clone()),
+            Self::HashKey(_) => SharedKey::HashKey,
             Self::Limit { run, .. } => SharedKey::Limit(run.clone()),
             Self::Share { run, number, .. } => SharedKey::Share(run.clone(), *number),
         }
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -21,11 +21,14 @@
 use arbutusfall_core::relay::RelayRoute;
 use arbutusfall_core::relay::RelayService;
 use arbutusfall_core::relay::RelaySettings;
+use arbutusfall_core::relay::RequestHashKey;
+use arbutusfall_core::relay::RequestKey;
 use arbutusfall_core::relay::Resumption;
 use arbutusfall_core::relay::RetryLimit;
 use arbutusfall_core::relay::RouteTable;
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::SharedParts;
+use arbutusfall_core::relay::SharedRecord;
 use arbutusfall_core::relay::StoreReadFailure;
 use arbutusfall_core::relay::StoreTopic;
 use arbutusfall_core::relay::TokenCounts;
@@ -163,8 +166,9 @@
     /// Creates a relay without routes or endpoints that has this retry limit.
     pub(crate) fn with_retry_limit(seed: u64, retry_limit: RetryLimit) -> Self {
         let mut harness = Self::started(seed, retry_limit);
+        let hash_key = SharedRecord::HashKey(Some(RequestHashKey(7)));
         harness.apply(RelayEvent::SharedRecords {
-            records: Vec::new(),
+            records: vec![hash_key],
             is_full: true,
         });
         harness
@@ -179,6 +183,7 @@
         let settings = RelaySettings {
             retry_limit,
             lease_lifetime: LEASE_LIFETIME,
+            own_hash_key: RequestHashKey(u128::from(seed)),
         };
         let mut harness = Self {
             relay: Relay::new(&settings, seed),
@@ -244,6 +249,7 @@
                 expected_output_tokens: Some(5_000),
             }),
             shared_parts: SharedParts::default(),
+            request_key: RequestKey(format!("key-{}", self.calls).into()),
             resumption: None,
         }));
         call
@@ -266,6 +272,7 @@
                 expected_output_tokens: Some(50),
             }),
             shared_parts: parts.into(),
+            request_key: RequestKey(format!("key-{}", self.calls).into()),
             resumption: None,
         }));
         call
@@ -288,6 +295,7 @@
                 expected_output_tokens: Some(5_000),
             }),
             shared_parts: SharedParts::default(),
+            request_key: RequestKey(format!("key-{}", self.calls).into()),
             resumption: Some(Resumption {
                 first_attempt: first_attempt.map(Into::into),
                 last_event_id: "1".into(),
--- a/crates/arbutusfall_core/tests/it/relay_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/relay_simulation.rs
@@ -14,6 +14,7 @@
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayRequest;
+use arbutusfall_core::relay::RequestKey;
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::SharedParts;
 use arbutusfall_core::relay::TokenCounts;
@@ -215,6 +216,7 @@
             receive_time: Duration::ZERO,
             token_counts: Some(open.token_counts),
             shared_parts: SharedParts::default(),
+            request_key: RequestKey(format!("key-{}", call.0).into()),
             resumption: None,
         };
         self.apply(vm, RelayEvent::RequestReceived(request));
