Tests: plain requests that crash every endpoint, simulated at 1, 6, 77 and 410 VMs

The simulated site moves to relay_crashing_site.rs and serves parts and requests. The checks on parts are unchanged. A request is identified by its path: the harness sets no other field.

--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -21,6 +21,8 @@
 mod relay_calls;
 mod relay_configuration;
 mod relay_crashing_parts;
+mod relay_crashing_requests;
+mod relay_crashing_site;
 mod relay_endpoint_limits;
 mod relay_fleet;
 mod relay_harness;
--- a/crates/arbutusfall_core/tests/it/relay_crashing_parts.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crashing_parts.rs
@@ -1,341 +1,58 @@
 //! Parts of prompts that crash engines: which are blocked, which are not, and what it costs at many VMs.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutusfall_core::CallId;
 use arbutusfall_core::ProblemKind;
 use arbutusfall_core::config::Role;
 use arbutusfall_core::relay::CrashEvidence;
 use arbutusfall_core::relay::CrashId;
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::ExchangeEvent;
-use arbutusfall_core::relay::ExchangeFailure;
-use arbutusfall_core::relay::ExchangeId;
 use arbutusfall_core::relay::PartBlock;
 use arbutusfall_core::relay::PartId;
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
-use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::SharedRecord;
 use arbutusfall_core::relay::StoreReadFailure;
 use arbutusfall_core::relay::StoreTopic;
-use arbutusfall_core::relay::Work;
 
+use crate::relay_crashing_site::CrashingSite;
+use crate::relay_crashing_site::LoadRequest;
+use crate::relay_crashing_site::failed;
+use crate::relay_crashing_site::parts;
 use crate::relay_fleet::Fleet;
-use crate::relay_fleet::most_in_one_second;
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
 use crate::relay_harness::routes;
 
-/// Step of the simulations.
-const STEP: Duration = Duration::from_millis(10);
-
-/// Time from the start of a decode to the crash of its engine.
-const CRASH_TIME: Duration = Duration::from_millis(100);
-
-/// Time from the start of a decode to the end of its stream.
-const STREAM_TIME: Duration = Duration::from_millis(800);
-
-/// Time from a crash until the engine is back under another id.
-const DOWN_TIME: Duration = Duration::from_secs(2);
-
-/// Time for a VM to read a change of the endpoint list.
-const LIST_TIME: Duration = Duration::from_millis(1_000);
-
-fn parts(ids: &[&str]) -> Vec<PartId> {
-    ids.iter().map(|id| PartId((*id).into())).collect()
-}
-
-/// An exchange in progress at an engine of the simulation.
-struct OpenExchange {
-    vm: usize,
-    exchange: ExchangeId,
-    instance: String,
-    /// Instant and event of the next thing that happens to it.
-    next: (Duration, ExchangeEvent),
-    crashes: bool,
-}
-
-/// What a request of the simulation is.
-#[derive(Debug, Clone)]
-struct Sent {
-    sent_at: Duration,
-    is_crashing: bool,
-    has_begun: bool,
-    is_refused: bool,
-}
-
-/// A site with engines that crash, and the load on it.
-struct CrashingSite {
-    fleet: Fleet,
-    engines: BTreeMap<String, bool>,
-    /// Changes of the list that VMs read later.
-    list_changes: Vec<(Duration, EndpointListChange)>,
-    starts: Vec<Duration>,
-    open: Vec<OpenExchange>,
-    sent: BTreeMap<(usize, CallId), Sent>,
-    crashes: Vec<Duration>,
-    /// Prefills and decodes of prompts with the crashing part.
-    crashing_sends: Vec<Duration>,
-    started_engines: usize,
-}
-
-impl CrashingSite {
-    fn start(vm_count: u32, engine_count: usize, seed: u64) -> Self {
-        let mut site = Self {
-            fleet: Fleet::start(vm_count, seed),
-            engines: BTreeMap::new(),
-            list_changes: Vec::new(),
-            starts: vec![Duration::ZERO; engine_count],
-            open: Vec::new(),
-            sent: BTreeMap::new(),
-            crashes: Vec::new(),
-            crashing_sends: Vec::new(),
-            started_engines: 0,
-        };
-        let prefill = listed("prefill", "model", Role::Prefill);
-        for vm in &mut site.fleet.vms {
-            vm.harness.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
-            let list = vec![EndpointListChange::Listed(prefill.clone())];
-            vm.harness.apply(RelayEvent::EndpointChanges(list));
-        }
-        site.run(LIST_TIME + STEP * 2);
-        site
-    }
-
-    fn run(&mut self, time: Duration) {
-        let until = self.fleet.now + time;
-        while self.fleet.now < until {
-            self.step();
-        }
-    }
-
-    fn step(&mut self) {
-        self.fleet.advance(STEP);
-        self.start_engines();
-        self.deliver_list();
-        self.play_exchanges();
-        for vm in 0..self.fleet.vms.len() {
-            self.take_effects(vm);
-        }
-    }
-
-    fn start_engines(&mut self) {
-        let now = self.fleet.now;
-        let due = self.starts.iter().filter(|at| **at <= now).count();
-        self.starts.retain(|at| *at > now);
-        for _ in 0..due {
-            self.started_engines += 1;
-            let instance = format!("decode-{}", self.started_engines);
-            let engine = listed(&instance, "model", Role::Decode);
-            self.engines.insert(instance, true);
-            let change = EndpointListChange::Listed(engine);
-            self.list_changes.push((now + LIST_TIME, change));
-        }
-    }
-
-    fn deliver_list(&mut self) {
-        let now = self.fleet.now;
-        let (due, left): (Vec<_>, Vec<_>) = std::mem::take(&mut self.list_changes)
-            .into_iter()
-            .partition(|(at, _)| *at <= now);
-        self.list_changes = left;
-        if due.is_empty() {
-            return;
-        }
-        let changes: Vec<EndpointListChange> = due.into_iter().map(|(_, change)| change).collect();
-        for vm in &mut self.fleet.vms {
-            let changes = changes.clone();
-            vm.harness.apply(RelayEvent::EndpointChanges(changes));
-        }
-    }
-
-    fn play_exchanges(&mut self) {
-        let now = self.fleet.now;
-        let mut index = 0;
-        while index < self.open.len() {
-            if self.open[index].next.0 > now {
-                index += 1;
-                continue;
-            }
-            if self.open[index].crashes && self.open[index].next.1 == failed() {
-                let instance = self.open[index].instance.clone();
-                self.crash(&instance);
-                index = 0;
-                continue;
-            }
-            let (vm, exchange) = (self.open[index].vm, self.open[index].exchange);
-            let event = self.open[index].next.1.clone();
-            match event {
-                ExchangeEvent::StreamBegan => {
-                    let open = &mut self.open[index];
-                    open.next = if open.crashes {
-                        (now + CRASH_TIME, failed())
-                    } else {
-                        let last_event_id = Some(1);
-                        (now + STEP, ExchangeEvent::Progress { last_event_id })
-                    };
-                }
-                ExchangeEvent::Progress { .. } => {
-                    let end = ExchangeEvent::Complete { status: 200 };
-                    self.open[index].next = (now + STREAM_TIME, end);
-                }
-                _ => drop(self.open.swap_remove(index)),
-            }
-            self.fleet.vms[vm].harness.deliver(exchange, event);
-        }
-    }
-
-    /// Ends an engine with all its streams.
-    fn crash(&mut self, instance: &str) {
-        let now = self.fleet.now;
-        self.crashes.push(now);
-        self.engines.insert(instance.to_owned(), false);
-        self.starts.push(now + DOWN_TIME);
-        let removed = EndpointListChange::Removed {
-            instance: instance.into(),
-        };
-        self.list_changes.push((now + LIST_TIME, removed));
-        let (ended, left): (Vec<_>, Vec<_>) = std::mem::take(&mut self.open)
-            .into_iter()
-            .partition(|open| open.instance == instance);
-        self.open = left;
-        for open in ended {
-            self.fleet.vms[open.vm]
-                .harness
-                .deliver(open.exchange, failed());
-        }
-    }
-
-    fn take_effects(&mut self, vm: usize) {
-        let effects = std::mem::take(&mut self.fleet.vms[vm].harness.effects);
-        for effect in effects {
-            match effect {
-                RelayEffect::Send(command) => self.on_send(vm, command),
-                RelayEffect::Close { exchange } => {
-                    self.open
-                        .retain(|open| open.vm != vm || open.exchange != exchange);
-                }
-                RelayEffect::Forward { call, .. } => {
-                    if let Some(sent) = self.sent.get_mut(&(vm, call)) {
-                        sent.has_begun = true;
-                    }
-                }
-                RelayEffect::AnswerProblem { call, problem } => {
-                    if let Some(sent) = self.sent.get_mut(&(vm, call)) {
-                        sent.is_refused = problem.kind == ProblemKind::CrashingPrompt;
-                    }
-                }
-                _ => {}
-            }
-        }
-    }
-
-    fn on_send(&mut self, vm: usize, command: SendCommand) {
-        let now = self.fleet.now;
-        let sent = self.sent.get(&(vm, command.call));
-        let is_crashing = sent.is_some_and(|sent| sent.is_crashing);
-        let has_parts = !matches!(command.work, Work::Reserve { .. });
-        if is_crashing && has_parts {
-            self.crashing_sends.push(now);
-        }
-        let is_up = self.engines.get(&*command.instance) == Some(&true);
-        let is_up = is_up || &*command.instance == "prefill";
-        let event = match command.work {
-            _ if !is_up => ExchangeEvent::Failed {
-                failure: ExchangeFailure::Unreachable,
-            },
-            Work::Reserve { .. } => ExchangeEvent::Reserved {
-                reservation: "reservation".into(),
-            },
-            Work::Prefill => ExchangeEvent::PrefillDone {
-                handle: "handle".into(),
-            },
-            Work::Plain | Work::Decode { .. } => ExchangeEvent::StreamBegan,
-        };
-        let crashes = is_crashing && event == ExchangeEvent::StreamBegan;
-        self.open.push(OpenExchange {
-            vm,
-            exchange: command.exchange,
-            instance: command.instance.to_string(),
-            next: (now + STEP, event),
-            crashes,
-        });
-    }
-
-    /// Sends a request to a VM.
-    fn send(&mut self, vm: usize, path: &str, ids: &[&str], is_crashing: bool) {
-        let harness = &mut self.fleet.vms[vm].harness;
-        let call = harness.submit_with_parts(path, parts(ids));
-        let sent = Sent {
-            sent_at: self.fleet.now,
-            is_crashing,
-            has_begun: false,
-            is_refused: false,
-        };
-        self.sent.insert((vm, call), sent);
-        self.take_effects(vm);
-    }
-
-    /// Sends requests to all VMs in turn; one in eight has the crashing part.
-    fn run_load(&mut self, path: &str, time: Duration, requests_per_s: u64) {
-        let until = self.fleet.now + time;
-        let mut number = 0u64;
-        let mut next_at = self.fleet.now;
-        while self.fleet.now < until {
-            self.step();
-            while next_at <= self.fleet.now {
-                let vm = (number as usize * 7 + 3) % self.fleet.vms.len();
-                let other = format!("other-{}", number % 5);
-                if number % 8 == 3 {
-                    self.send(vm, path, &["first", &other, "crashing"], true);
-                } else {
-                    self.send(vm, path, &["first", &other], false);
-                }
-                number += 1;
-                next_at += Duration::from_secs(1) / requests_per_s as u32;
-            }
-        }
-    }
-
-    /// Returns when requests with the part reached engines later than 3 s after the fifth crash.
-    fn late_sends(&self) -> usize {
-        let from = self.crashes[4] + ms(3_000);
-        let late = self.crashing_sends.iter().filter(|at| **at > from);
-        late.count()
-    }
-}
-
-fn failed() -> ExchangeEvent {
-    ExchangeEvent::Failed {
-        failure: ExchangeFailure::Closed,
+/// Returns the prompt with this number; one in eight has the crashing part.
+fn prompt(path: &str, number: u64) -> LoadRequest {
+    let other = ["other-0", "other-1", "other-2", "other-3", "other-4"][number as usize % 5];
+    let is_crashing = number % 8 == 3;
+    let parts = if is_crashing {
+        vec!["first", other, "crashing"]
+    } else {
+        vec!["first", other]
+    };
+    LoadRequest {
+        path: path.to_owned(),
+        parts,
+        is_crashing,
     }
 }
 
 fn check_fleet(vm_count: u32, engine_count: usize, requests_per_s: u64, path: &str) {
-    let mut site = CrashingSite::start(vm_count, engine_count, u64::from(vm_count));
-    site.run_load(path, ms(12_000), requests_per_s);
+    let seed = u64::from(vm_count);
+    let mut site = CrashingSite::start(vm_count, engine_count, Role::Decode, seed);
+    site.run_load(ms(12_000), requests_per_s, |number| prompt(path, number));
     assert!(site.crashes.len() >= 4, "{} crashes", site.crashes.len());
     if site.crashes.len() > 4 {
-        assert!(site.late_sends() <= 3, "{} late sends", site.late_sends());
+        let late = site.late_sends(5);
+        assert!(late <= 3, "{late} late sends");
     }
-    let last = site.fleet.now - ms(6_000);
-    let late = || site.sent.values().filter(|sent| sent.sent_at > last);
-    let refused = late().filter(|sent| sent.is_crashing);
-    assert!(refused.clone().count() > 3);
-    assert!(refused.clone().all(|sent| sent.is_refused));
-    let sound =
-        late().filter(|sent| !sent.is_crashing && sent.sent_at < site.fleet.now - ms(1_000));
-    let sound: Vec<&Sent> = sound.collect();
-    let begun = sound.iter().filter(|sent| sent.has_begun).count();
-    assert!(begun == sound.len(), "{begun} of {} begun", sound.len());
-    let appends = most_in_one_second(&site.fleet.appends);
-    let reads = most_in_one_second(&site.fleet.reads);
-    assert!(appends <= 400, "{appends} appends in a second");
-    assert!(reads <= 2_000, "{reads} reads in a second");
+    site.check_last_requests(|kind| kind == ProblemKind::CrashingPrompt);
 }
 
 // Guards against parts that are blocked at none or only at some VMs.
@@ -363,12 +80,17 @@
 // Guards against a block that ends with the requests, or that VMs do not know that start later.
 #[test]
 fn block_outlasts_a_quiet_spell_and_the_vms_that_decided_it() {
-    let mut site = CrashingSite::start(6, 10, 4);
-    site.run_load("/stream/", ms(8_000), 20);
+    let mut site = CrashingSite::start(6, 10, Role::Decode, 4);
+    site.run_load(ms(8_000), 20, |number| prompt("/stream/", number));
     let crashes = site.crashes.len();
     site.run(Duration::from_secs(1_200));
+    let crashing = LoadRequest {
+        path: "/stream/".to_owned(),
+        parts: vec!["first", "crashing"],
+        is_crashing: true,
+    };
     for vm in 0..6 {
-        site.send(vm, "/stream/", &["first", "crashing"], true);
+        site.send(vm, &crashing);
     }
     let mut new = Fleet::start(1, 99);
     let newest = site.fleet.newest();
