--- a/crates/arbutusfall_core/tests/it/relay_crashing_site.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crashing_site.rs
@@ -295,6 +295,7 @@
     pub(crate) fn send(&mut self, vm: usize, request: &LoadRequest) {
         let harness = &mut self.fleet.vms[vm].harness;
         let call = if self.role == Role::Plain {
+            harness.repeats_by_path = true;
             harness.submit(&request.path)
         } else {
             harness.submit_with_parts(&request.path, parts(&request.parts))
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -59,6 +59,8 @@
     pub(crate) wake_at: Option<Duration>,
     pub(crate) effects: Vec<RelayEffect>,
     calls: u64,
+    /// Whether requests with the same path are repeats of one request; otherwise all requests are different.
+    pub(crate) repeats_by_path: bool,
 }
 
 /// Returns a route with the values that most tests use.
@@ -191,6 +193,7 @@
             wake_at: None,
             effects: Vec::new(),
             calls: 0,
+            repeats_by_path: false,
         };
         harness.apply(RelayEvent::Started);
         harness
@@ -221,6 +224,14 @@
         self.now = until;
     }
 
+    fn request_key(&self, path: &str) -> RequestKey {
+        RequestKey(if self.repeats_by_path {
+            path.into()
+        } else {
+            format!("key-{}", self.calls).into()
+        })
+    }
+
     /// Submits a request with a caller timeout.
     pub(crate) fn submit_with_timeout(&mut self, path: &str, caller_timeout: Duration) -> CallId {
         self.submit_received_in(path, caller_timeout, Duration::ZERO)
@@ -236,6 +247,7 @@
         self.calls += 1;
         let call = CallId(self.calls);
         let is_model = path.starts_with("/stream") || path.starts_with("/resumable");
+        let request_key = self.request_key(path);
         self.apply(RelayEvent::RequestReceived(RelayRequest {
             call,
             request_id: format!("request-{}", self.calls).into(),
@@ -249,7 +261,7 @@
                 expected_output_tokens: Some(5_000),
             }),
             shared_parts: SharedParts::default(),
-            request_key: RequestKey(format!("key-{}", self.calls).into()),
+            request_key,
             resumption: None,
         }));
         call
@@ -259,6 +271,7 @@
     pub(crate) fn submit_with_parts(&mut self, path: &str, parts: Vec<PartId>) -> CallId {
         self.calls += 1;
         let call = CallId(self.calls);
+        let request_key = self.request_key(path);
         self.apply(RelayEvent::RequestReceived(RelayRequest {
             call,
             request_id: format!("request-{}", self.calls).into(),
@@ -272,7 +285,7 @@
                 expected_output_tokens: Some(50),
             }),
             shared_parts: parts.into(),
-            request_key: RequestKey(format!("key-{}", self.calls).into()),
+            request_key,
             resumption: None,
         }));
         call
@@ -282,6 +295,7 @@
     pub(crate) fn submit_resumption(&mut self, path: &str, first_attempt: Option<&str>) -> CallId {
         self.calls += 1;
         let call = CallId(self.calls);
+        let request_key = self.request_key(path);
         self.apply(RelayEvent::RequestReceived(RelayRequest {
             call,
             request_id: format!("request-{}", self.calls).into(),
@@ -295,7 +309,7 @@
                 expected_output_tokens: Some(5_000),
             }),
             shared_parts: SharedParts::default(),
-            request_key: RequestKey(format!("key-{}", self.calls).into()),
+            request_key,
             resumption: Some(Resumption {
                 first_attempt: first_attempt.map(Into::into),
                 last_event_id: "1".into(),
