--- a/crates/arbutusfall/src/callers.rs
+++ b/crates/arbutusfall/src/callers.rs
@@ -324,6 +324,7 @@
         ProblemKind::ReceiveTimeout => "callers.problems.receive_timeout",
         ProblemKind::PromptTooLong => "callers.problems.prompt_too_long",
         ProblemKind::CrashingPrompt => "callers.problems.crashing_prompt",
+        ProblemKind::CrashingRequest => "callers.problems.crashing_request",
         ProblemKind::KeyInvalid => "callers.problems.key_invalid",
         ProblemKind::KeyReused => "callers.problems.key_reused",
         ProblemKind::AccountLimited => "callers.problems.account_limited",
--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -4,6 +4,7 @@
 mod control_client;
 mod decision_log;
 mod driver;
+mod endpoint_check;
 mod exchange;
 mod metrics;
 mod open_calls;
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -12,9 +12,9 @@
 use std::time::Duration;
 
 use arbutusfall_core::relay::CallerLimits;
+use arbutusfall_core::relay::CrashCause;
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ExchangeId;
-use arbutusfall_core::relay::PartId;
 use arbutusfall_core::relay::Relay;
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
@@ -38,6 +38,7 @@
 use crate::http::AnswerMemory;
 use crate::relay::control_client::ControlClient;
 use crate::relay::decision_log::DecisionLog;
+use crate::relay::endpoint_check;
 use crate::relay::exchange;
 use crate::relay::metrics::Metrics;
 use crate::relay::metrics::StateMetrics;
@@ -102,6 +103,12 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+fn count_blocked(relay: &Relay, is_request: bool) -> usize {
+    let blocks = relay.blocked_causes();
+    let blocks = blocks.filter(|(cause, _)| cause.is_request() == is_request);
+    blocks.count()
+}
+
 impl Driver {
     pub(super) fn new(
         relay: Relay,
@@ -174,30 +181,33 @@
         let state = StateMetrics {
             config: relay.config_status(self.now()),
             store_era: self.store.era.newest(),
-            blocked_parts: relay.blocked_parts().count(),
+            blocked_parts: count_blocked(&relay, false),
+            blocked_requests: count_blocked(&relay, true),
             limits: relay.limit_status(),
         };
         drop(relay);
         self.metrics.text(&state)
     }
 
-    /// Returns the parts whose prompts are refused as a JSON document.
-    pub(super) fn blocked_parts(&self) -> Value {
+    /// Returns the causes of crashes whose requests are refused, as a JSON document: parts of prompts, or single requests.
+    pub(super) fn blocked_causes(&self, is_request: bool) -> Value {
         let relay = lock(&self.relay);
-        let blocks = relay.blocked_parts().map(
-            |(part, block)| json!({ "part": part, "with": block.with, "crashed": block.instances }),
-        );
+        let blocks = relay.blocked_causes();
+        let blocks = blocks.filter(|(cause, _)| cause.is_request() == is_request);
+        let blocks = blocks.map(|(cause, block)| {
+            let name = if is_request { "request" } else { "part" };
+            json!({ name: cause, "with": block.with, "crashed": block.instances })
+        });
         blocks.collect()
     }
 
-    /// Unblocks a part at all VMs; returns whether it was blocked at this VM.
-    pub(super) fn unblock_part(self: &Arc<Self>, part: &str) -> bool {
-        let part = PartId(part.into());
+    /// Unblocks a cause at all VMs; returns whether it was blocked at this VM.
+    pub(super) fn unblock(self: &Arc<Self>, cause: CrashCause) -> bool {
         let is_known = {
             let relay = lock(&self.relay);
-            relay.blocked_parts().any(|(known, _)| *known == part)
+            relay.blocked_causes().any(|(known, _)| *known == cause)
         };
-        self.submit(RelayEvent::UnblockPart { part });
+        self.submit(RelayEvent::Unblock { cause });
         is_known
     }
 
@@ -319,6 +329,10 @@
             RelayEffect::AnswerProblem { call, problem } => {
                 self.calls.end_with_reply(call, Reply::Problem(problem))
             }
+            RelayEffect::CheckEndpoint { instance, address } => {
+                let check = endpoint_check::check_endpoint(self.clone(), instance, address);
+                self.executor.spawn(check).detach();
+            }
             RelayEffect::RenewLease { token, lifetime } => {
                 let renew = self
                     .control
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -153,10 +153,11 @@
 }
 
 async fn read_whole(
-    driver: &Driver,
+    driver: &Arc<Driver>,
     command: &SendCommand,
     answer: Response<Incoming>,
 ) -> Result<ExchangeEvent, ExchangeFailure> {
+    let framing = http::body_framing(&answer);
     let (head, body) = split_head(answer);
     let status = head.status.as_u16();
     let body = http::read_body(body, command.time_left, &driver.answer_memory)
@@ -164,6 +165,9 @@
         .map_err(exchange_failure)?;
     driver.store_head(command.exchange, head);
     driver.store_body(command.exchange, body);
+    if framing == BodyFraming::ConnectionEnd {
+        driver.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
+    }
     Ok(ExchangeEvent::Complete { status })
 }
 
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -28,6 +28,8 @@
     pub(super) store_era: Option<u64>,
     /// Number of parts whose prompts are refused.
     pub(super) blocked_parts: usize,
+    /// Requests that are refused because they crash endpoints.
+    pub(super) blocked_requests: usize,
     /// Limits that endpoints named.
     pub(super) limits: LimitStatus,
 }
@@ -128,6 +130,11 @@
             write_gauge(&mut text, "store_era", era);
         }
         write_gauge(&mut text, "blocked_parts", values.blocked_parts as u64);
+        write_gauge(
+            &mut text,
+            "blocked_requests",
+            values.blocked_requests as u64,
+        );
         let limits = values.limits;
         write_gauge(&mut text, "limited_endpoints", limits.endpoints as u64);
         write_gauge(&mut text, "limit_shares_held", limits.held_shares as u64);
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arbutusfall_core::relay::CrashCause;
 use arbutusfall_core::relay::Relay;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayNotice;
@@ -42,11 +43,11 @@
 /// Path of counters and latency quantiles at the operators' address; any unknown path returns readiness.
 const METRICS_PATH: &str = "/metrics";
 
-/// Path of the parts whose prompts are refused.
+/// Path of the parts whose prompts are refused; `DELETE` of the path with a part's id unblocks the part.
 const BLOCKED_PARTS_PATH: &str = "/blocked-parts";
 
-/// Path of one such part, before its id; `DELETE` unblocks it.
-const BLOCKED_PART_PREFIX: &str = "/blocked-parts/";
+/// Path of the requests that are refused because they crash endpoints; `DELETE` likewise.
+const BLOCKED_REQUESTS_PATH: &str = "/blocked-requests";
 
 /// Timeout for writing the last log lines.
 const LOG_TIMEOUT: Duration = Duration::from_millis(200);
@@ -153,13 +154,19 @@
     if path == METRICS_PATH {
         return Response::new(AnswerBody::whole(driver.metrics_text()));
     }
-    if path == BLOCKED_PARTS_PATH {
-        return http::json_answer(200, &driver.blocked_parts());
+    for (list, is_request) in [(BLOCKED_PARTS_PATH, false), (BLOCKED_REQUESTS_PATH, true)] {
+        match path.strip_prefix(list) {
+            Some("") => return http::json_answer(200, &driver.blocked_causes(is_request)),
+            Some(rest) => return unblock(driver, method, rest.trim_start_matches('/')),
+            None => {}
+        }
     }
-    let Some(part) = path.strip_prefix(BLOCKED_PART_PREFIX) else {
-        return readiness(driver.is_ready());
-    };
-    let is_unblocked = method == Method::DELETE && driver.unblock_part(part);
+    readiness(driver.is_ready())
+}
+
+fn unblock(driver: &Arc<Driver>, method: &Method, id: &str) -> Response<AnswerBody> {
+    let cause = CrashCause::from_text(id);
+    let is_unblocked = method == Method::DELETE && driver.unblock(cause);
     let status = if is_unblocked { 200 } else { 404 };
     http::json_answer(status, &json!({ "unblocked": is_unblocked }))
 }
--- a/crates/arbutusfall_core/src/problem.rs
+++ b/crates/arbutusfall_core/src/problem.rs
@@ -36,6 +36,8 @@
     PromptTooLong,
     /// The prompt has a part that crashes engines; it was not run.
     CrashingPrompt,
+    /// The request crashes the endpoints that run it; it was not run.
+    CrashingRequest,
     /// A non-idempotent request has no usable idempotency key.
     KeyInvalid,
     /// The idempotency key was already used for a different request.
@@ -60,7 +62,9 @@
     /// Returns the HTTP status.
     pub fn status(self) -> u16 {
         match self {
-            Self::Malformed | Self::KeyInvalid | Self::CrashingPrompt => 400,
+            Self::Malformed | Self::KeyInvalid | Self::CrashingPrompt | Self::CrashingRequest => {
+                400
+            }
             Self::Unauthorized => 401,
             Self::NoRoute | Self::NoModel => 404,
             Self::ReceiveTimeout => 408,
@@ -86,6 +90,7 @@
             Self::ReceiveTimeout => "receive-timeout",
             Self::PromptTooLong => "prompt-too-long",
             Self::CrashingPrompt => "crashing-prompt",
+            Self::CrashingRequest => "crashing-request",
             Self::KeyInvalid => "key-invalid",
             Self::KeyReused => "key-reused",
             Self::AccountLimited => "account-limited",
@@ -112,6 +117,9 @@
             Self::CrashingPrompt => {
                 "A part of the prompt crashes the engines; do not send it again"
             }
+            Self::CrashingRequest => {
+                "The request crashes the endpoints that run it; do not send it again"
+            }
             Self::KeyInvalid => "The Idempotency-Key header must hold a recent UUID of version 7",
             Self::KeyReused => "The Idempotency-Key was used for a request for something else",
             Self::AccountLimited => "The account's limits are used up",
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -14,14 +14,15 @@
 mod call;
 mod calls;
 mod configuration;
+mod crash_cause;
 mod crash_handling;
-mod crashing_parts;
+mod crash_suspects;
 mod effect;
 mod endpoint;
+mod endpoint_ends;
 mod endpoint_limit;
 mod endpoint_limits;
 mod endpoints;
-mod engine_ends;
 mod event;
 mod exchange_end;
 mod lease;
@@ -59,10 +60,10 @@
 
 use budget::RetryBudget;
 use call::Call;
-use crashing_parts::CrashingParts;
+use crash_suspects::CrashSuspects;
+use endpoint_ends::EndpointEnds;
 use endpoint_limits::EndpointLimits;
 use endpoints::Endpoints;
-use engine_ends::EngineEnds;
 use lease::Lease;
 use limited_queue::LimitedQueue;
 use roles::Roles;
@@ -73,6 +74,8 @@
 
 pub use budget::RetryLimit;
 pub use configuration::ConfigStatus;
+pub use crash_cause::CrashCause;
+pub use crash_cause::CrashCauses;
 pub use effect::*;
 pub use endpoints::LIST_RECOVERY_GRACE;
 pub use event::*;
@@ -154,9 +157,9 @@
     stream_versions: StreamVersions,
     /// Instant of the earliest timer to record origins of streams.
     record_timer_due: Option<Duration>,
-    /// Streams that broke off with their engines and have not been reviewed yet.
-    engine_ends: EngineEnds,
-    crashing_parts: CrashingParts,
+    /// Requests that broke off with their endpoints and have not been reviewed yet.
+    endpoint_ends: EndpointEnds,
+    crash_suspects: CrashSuspects,
     limits: EndpointLimits,
     limits_reviewed_at: Duration,
     limited_queue: LimitedQueue,
@@ -200,8 +203,8 @@
             budget: RetryBudget::new(settings.retry_limit),
             stream_versions: StreamVersions::new(settings.retry_limit.vm_count),
             record_timer_due: None,
-            engine_ends: EngineEnds::default(),
-            crashing_parts: CrashingParts::default(),
+            endpoint_ends: EndpointEnds::default(),
+            crash_suspects: CrashSuspects::default(),
             limits: EndpointLimits::new(vm),
             limits_reviewed_at: Duration::ZERO,
             limited_queue: LimitedQueue::default(),
@@ -261,7 +264,10 @@
             }
             RelayEvent::SharedRecords { records, .. } => self.on_shared_records(records),
             RelayEvent::ControlLimit { instance, per_s } => self.on_control_limit(instance, per_s),
-            RelayEvent::UnblockPart { part } => self.unblock_part(&part),
+            RelayEvent::EndpointReachable { instance, asked_at } => {
+                self.disprove_crash(&instance, asked_at);
+            }
+            RelayEvent::Unblock { cause } => self.unblock(&cause),
             RelayEvent::SharedAppended { succeeded } => self.on_shared_appended(succeeded),
             RelayEvent::Lease(answer) => self.on_lease(answer),
             RelayEvent::RoleOutcome { instance, outcome } => {
--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -6,6 +6,8 @@
 use arbutusfall_wire::Name;
 
 use crate::config::Role;
+use crate::relay::CrashCause;
+use crate::relay::CrashCauses;
 use crate::relay::ExchangeId;
 use crate::relay::KvCacheLocation;
 use crate::relay::RelayRequest;
@@ -52,9 +54,11 @@
     pub(crate) allocation: Option<MemoryAllocation>,
     /// Endpoints of failed exchanges, one entry per exchange; refused reservations do not count.
     pub(crate) failed_endpoints: Vec<Name>,
-    /// Number of decode engines whose streams of this request broke off.
-    pub(crate) engine_ends: u32,
-    /// Whether a stream of this request lasted long enough to clear its prompt's parts.
+    /// What may crash the endpoints that run the request.
+    pub(crate) causes: CrashCauses,
+    /// Number of endpoints that may have ended while they ran the request.
+    pub(crate) endpoint_ends: u32,
+    /// Whether a stream of this request lasted long enough to clear its causes.
     pub(crate) has_survived: bool,
     /// Whether the end of the current exchange's stream was not marked.
     pub(crate) is_end_unmarked: bool,
@@ -151,6 +155,13 @@
     }
 }
 
+/// Returns the shared parts of a request's prompt and the request itself.
+pub(crate) fn causes_of(request: &RelayRequest) -> CrashCauses {
+    let parts = request.shared_parts.iter().cloned().map(CrashCause::Part);
+    let itself = CrashCause::Request(request.request_key.clone());
+    parts.chain([itself]).collect()
+}
+
 impl Call {
     pub(crate) fn token_counts(&self) -> TokenCounts {
         self.request.token_counts.unwrap_or_default()
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -15,7 +15,9 @@
 use crate::relay::RelayTimer;
 use crate::relay::RouteTable;
 use crate::relay::call::Call;
+use crate::relay::call::causes_of;
 use crate::relay::crash_handling::CRASHING_PART;
+use crate::relay::crash_handling::CRASHING_REQUEST;
 use crate::relay::limit_handling::LIMITED;
 use crate::relay::notice::millis;
 
@@ -108,7 +110,8 @@
             allocation: None,
             has_waited: false,
             failed_endpoints: Vec::new(),
-            engine_ends: 0,
+            causes: causes_of(&request),
+            endpoint_ends: 0,
             has_survived: false,
             is_end_unmarked: false,
             may_have_run: false,
@@ -255,6 +258,8 @@
         self.on_stream_end(&call.request.request_id, false);
         let problem = if reason == CRASHING_PART && !may_have_run {
             Problem::new(ProblemKind::CrashingPrompt)
+        } else if reason == CRASHING_REQUEST && !may_have_run {
+            Problem::new(ProblemKind::CrashingRequest)
         } else if may_have_run {
             Problem::new(match reason {
                 TIMEOUT => ProblemKind::AnswerTimeout,
--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -1,41 +1,51 @@
-//! The relay's use of [`CrashingParts`](crate::relay::crashing_parts::CrashingParts): evidence from broken streams and
-//! other VMs, blocks, and the refusal of prompts.
+//! The relay's use of [`CrashSuspects`](crate::relay::crash_suspects::CrashSuspects): evidence from requests that broke off and
+//! other VMs, blocks, and the refusal of requests.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use arbutusfall_wire::Name;
+
 use crate::CallId;
+use crate::relay::CauseBlock;
+use crate::relay::CrashCause;
+use crate::relay::CrashCauses;
 use crate::relay::CrashEvidence;
 use crate::relay::CrashId;
-use crate::relay::PartBlock;
-use crate::relay::PartId;
 use crate::relay::Relay;
+use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
 use crate::relay::SharedRecord;
-use crate::relay::call::CallStage;
 use crate::relay::call::CurrentExchange;
-use crate::relay::crashing_parts::Cleared;
-use crate::relay::crashing_parts::EvidenceEffect;
-use crate::relay::engine_ends::BrokenStream;
-use crate::relay::engine_ends::incarnation;
+use crate::relay::crash_suspects::Cleared;
+use crate::relay::crash_suspects::EvidenceEffect;
+use crate::relay::endpoint_ends::BrokenRun;
+use crate::relay::endpoint_ends::incarnation;
 
-/// Time for which a stream has brought events after which its prompt has not crashed the engine.
+/// Time for which a stream has brought events after which its request has not crashed the endpoint.
 const SURVIVAL_TIME: Duration = Duration::from_secs(2);
 
-/// Engines under which one request may end before only prompts with proved parts are sent again.
-const MAX_ENGINE_ENDS: u32 = 2;
+/// Endpoints that may end under one attempt of a request before it is sent again only if all its causes are proved sound.
+const MAX_ENDPOINT_ENDS: u32 = 2;
+
+/// Time for the check whether an endpoint has ended, before other VMs learn of its crash.
+const CHECK_TIME: Duration = Duration::from_millis(50);
 
 /// Longest random delay of a record that several VMs may be about to write, for each VM. The first one is enough.
 const DELAY_PER_VM: Duration = Duration::from_millis(2);
 
-/// Time after which evidence on a blocked part is deleted: all VMs have read it by then.
+/// Time after which evidence on a blocked cause is deleted: all VMs have read it by then.
 const BLOCKED_EVIDENCE_LIFETIME: Duration = Duration::from_secs(2);
 
-/// Reason of a refusal of a prompt that would crash its engine.
+/// Reason of the refusal of a prompt with a part that crashes engines.
 pub(super) const CRASHING_PART: &str = "crashing_part";
 
+/// Reason of the refusal of a request that crashes endpoints.
+pub(super) const CRASHING_REQUEST: &str = "crashing_request";
+
 impl Relay {
-    /// Records that a stream of the call broke off, if its prompt may be the cause.
-    pub(super) fn record_broken_stream(
+    /// Records that a run of the call broke off, if its request may be the cause.
+    pub(super) fn record_broken_run(
         &mut self,
         id: CallId,
         broken: &CurrentExchange,
@@ -47,70 +57,82 @@
         let Some(endpoint) = self.endpoints.get(&broken.instance) else {
             return;
         };
-        if !matches!(broken.stage, CallStage::Decode { .. }) {
+        let is_timeout = self.now >= call.due_at;
+        // An endpoint that is about to leave closes its connections at its planned end.
+        if !broken.stage.runs_request() || is_timeout || endpoint.listed.is_leaving {
             return;
         }
-        call.engine_ends += 1;
+        call.endpoint_ends += 1;
         let has_survived = began_at.is_some_and(|began_at| self.now >= began_at + SURVIVAL_TIME);
-        if has_survived || call.request.shared_parts.is_empty() {
+        if has_survived {
             return;
         }
-        self.engine_ends.on_broken(BrokenStream {
+        self.endpoint_ends.on_broken(BrokenRun {
             instance: broken.instance.clone(),
             incarnation: incarnation(&broken.instance, endpoint.listed.started_unix_ms),
             sent_at: broken.sent_at,
             broken_at: self.now,
-            parts: call.request.shared_parts.clone(),
+            causes: call.causes.clone(),
         });
         self.set_shared_timer();
     }
 
-    /// Returns whether a request whose engines ended must not be sent again.
-    pub(super) fn may_crash_next_engine(&self, id: CallId) -> bool {
+    /// Returns whether a request whose endpoints ended must not be sent again.
+    pub(super) fn may_crash_next_endpoint(&self, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id) else {
             return false;
         };
-        let parts = &call.request.shared_parts;
-        if call.engine_ends == 0 || parts.is_empty() {
+        let causes = &call.causes;
+        if call.endpoint_ends == 0 {
             return false;
         }
-        let has_ended_several = call.engine_ends >= MAX_ENGINE_ENDS;
-        self.crashing_parts.is_suspect(parts)
-            || (has_ended_several && !self.crashing_parts.are_answered(parts, self.now))
+        let has_ended_several = call.endpoint_ends >= MAX_ENDPOINT_ENDS;
+        self.crash_suspects.is_suspect(causes)
+            || (has_ended_several && !self.crash_suspects.are_answered(causes, self.now))
     }
 
-    /// Returns whether the call's prompt has a part that crashes engines.
-    pub(super) fn has_crashing_part(&self, id: CallId) -> bool {
-        let call = self.calls.get(&id);
-        let parts = call.map(|call| &call.request.shared_parts);
-        parts.is_some_and(|parts| self.crashing_parts.blocked_part(parts).is_some())
+    /// Returns the reason for which the call's request must not be sent, if it has a cause that crashes endpoints.
+    pub(super) fn blocked_reason(&self, id: CallId) -> Option<&'static str> {
+        let call = self.calls.get(&id)?;
+        let blocked = self.crash_suspects.blocked_cause(&call.causes)?;
+        Some(match blocked {
+            CrashCause::Part(_) => CRASHING_PART,
+            CrashCause::Request(_) => CRASHING_REQUEST,
+        })
     }
 
-    /// Handles an answer of an engine to an exchange: the engine has not ended since the exchange was sent.
-    pub(super) fn on_engine_alive(&mut self, id: CallId) {
+    /// Handles an answer of an endpoint to an exchange: the endpoint has not ended since the exchange was sent.
+    pub(super) fn on_endpoint_alive(&mut self, id: CallId) {
         let current = self.calls.get(&id).and_then(|call| call.current.as_ref());
         let Some(current) = current else {
             return;
         };
-        let sent_at = current.sent_at;
-        let Some(endpoint) = self.endpoints.get_mut(&current.instance) else {
+        let (instance, sent_at) = (current.instance.clone(), current.sent_at);
+        let Some(endpoint) = self.endpoints.get_mut(&instance) else {
             return;
         };
-        let proved = endpoint.take_proved_parts(sent_at, self.now);
-        let run = incarnation(&current.instance, endpoint.listed.started_unix_ms);
-        for parts in proved {
-            self.on_parts_answered(&parts);
+        for causes in endpoint.take_proved_causes(sent_at, self.now) {
+            self.on_causes_answered(&causes);
         }
-        let Some(crash) = self.engine_ends.disproved(run, sent_at, self.now) else {
+        self.disprove_crash(&instance, sent_at);
+    }
+
+    /// Deletes the evidence of an endpoint's crash: the endpoint has answered something that was sent to it after that.
+    pub(super) fn disprove_crash(&mut self, instance: &Name, sent_at: Duration) {
+        let Some(endpoint) = self.endpoints.get(instance) else {
             return;
         };
-        for part in self.crashing_parts.parts_of(&crash) {
-            self.crashing_parts.remove_evidence(&part, &crash);
-            self.delete_evidence(part, crash.clone(), self.now);
+        let run = incarnation(instance, endpoint.listed.started_unix_ms);
+        let Some(crash) = self.endpoint_ends.disproved(run, sent_at, self.now) else {
+            return;
+        };
+        for cause in self.crash_suspects.causes_of(&crash) {
+            self.crash_suspects.remove_evidence(&cause, &crash);
+            self.delete_evidence(cause, crash.clone(), self.now);
         }
     }
 
-    /// Handles a stream that has lasted long enough to clear its prompt's parts.
+    /// Handles a stream that has lasted long enough to clear its request's causes.
     pub(super) fn on_stream_lasting(&mut self, id: CallId) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
@@ -121,79 +143,78 @@
         if !lasts || std::mem::replace(&mut call.has_survived, true) {
             return;
         }
-        let parts = call.request.shared_parts.clone();
-        self.on_parts_answered(&parts);
+        let causes = call.causes.clone();
+        self.on_causes_answered(&causes);
     }
 
-    /// Handles the complete answer of an engine: it clears the prompt's parts, at once if its end was marked.
-    pub(super) fn on_prompt_answered(&mut self, id: CallId) {
+    /// Handles the complete answer of an endpoint: it clears the request's causes, at once if its end was marked. An answer with an
+    /// error status clears the request itself only.
+    pub(super) fn on_request_answered(&mut self, id: CallId, is_failure: bool) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
         let Some(current) = &call.current else {
             return;
         };
-        if !matches!(current.stage, CallStage::Decode { .. }) {
-            return;
-        }
-        let parts = call.request.shared_parts.clone();
+        let causes: CrashCauses = if is_failure {
+            [CrashCause::Request(call.request.request_key.clone())].into()
+        } else {
+            call.causes.clone()
+        };
         if call.is_end_unmarked {
             if let Some(endpoint) = self.endpoints.get_mut(&current.instance) {
-                endpoint.on_unmarked_end(parts, self.now);
+                endpoint.on_unmarked_end(causes, self.now);
             }
             return;
         }
-        self.on_parts_answered(&parts);
+        self.on_causes_answered(&causes);
     }
 
-    fn on_parts_answered(&mut self, parts: &[PartId]) {
-        for part in parts {
-            let cleared = self.crashing_parts.on_answered(part, self.now);
-            self.on_part_cleared(part, cleared, "answered");
+    fn on_causes_answered(&mut self, causes: &[CrashCause]) {
+        for cause in causes {
+            let cleared = self.crash_suspects.on_answered(cause, self.now);
+            self.on_cause_cleared(cause, cleared, "answered");
         }
     }
 
-    /// Unblocks a part on behalf of an operator.
-    pub(super) fn unblock_part(&mut self, part: &PartId) {
-        let cleared = self.crashing_parts.clear(part);
-        self.on_part_cleared(part, cleared, "operator");
+    /// Unblocks a cause on behalf of an operator.
+    pub(super) fn unblock(&mut self, cause: &CrashCause) {
+        let cleared = self.crash_suspects.clear(cause);
+        self.on_cause_cleared(cause, cleared, "operator");
     }
 
-    fn on_part_cleared(&mut self, part: &PartId, cleared: Cleared, reason: &'static str) {
+    fn on_cause_cleared(&mut self, cause: &CrashCause, cleared: Cleared, reason: &'static str) {
         for crash in cleared.crashes {
             let due = self.now + self.random_delay();
-            self.delete_evidence(part.clone(), crash, due);
+            self.delete_evidence(cause.clone(), crash, due);
         }
         for (other, block) in cleared.narrowed {
             self.announce_block(other, block, self.now);
         }
         if cleared.was_blocked {
-            self.announce_unblock(part, reason);
+            self.announce_unblock(cause, reason);
         }
     }
 
-    /// Returns the parts whose prompts are refused, with the block on each.
-    pub fn blocked_parts(&self) -> impl Iterator<Item = (&PartId, &PartBlock)> {
-        self.crashing_parts.blocks().iter()
+    /// Returns the causes whose requests are refused, with the block on each.
+    pub fn blocked_causes(&self) -> impl Iterator<Item = (&CrashCause, &CauseBlock)> {
+        self.crash_suspects.blocks().iter()
     }
 
-    fn announce_unblock(&mut self, part: &PartId, reason: &'static str) {
-        self.note(RelayNotice::PartUnblocked {
-            part: part.clone(),
-            reason,
-        });
+    fn announce_unblock(&mut self, cause: &CrashCause, reason: &'static str) {
+        self.note_unblocked(cause, reason);
         let record = SharedRecord::Block {
-            part: part.clone(),
+            cause: cause.clone(),
             block: None,
         };
         self.shared_outbox.push(record, self.now);
         self.set_shared_timer();
     }
 
-    fn delete_evidence(&mut self, part: PartId, crash: CrashId, due: Duration) {
+    fn delete_evidence(&mut self, cause: CrashCause, crash: CrashId, due: Duration) {
         let evidence = None;
         let record = SharedRecord::Crash {
-            part,
+            cause,
             crash,
             evidence,
         };
@@ -209,126 +230,158 @@
     /// Handles evidence of another VM.
     pub(super) fn on_shared_crash(
         &mut self,
-        part: PartId,
+        cause: CrashCause,
         crash: CrashId,
         evidence: Option<CrashEvidence>,
     ) {
         let Some(evidence) = evidence else {
-            self.crashing_parts.remove_evidence(&part, &crash);
+            self.crash_suspects.remove_evidence(&cause, &crash);
             return;
         };
-        self.engine_ends.on_known_crash(&crash, self.now);
-        if self.crashing_parts.is_answered(&part, self.now) {
-            // This VM knows better: the part's prompts are answered.
+        self.endpoint_ends.on_known_crash(&crash, self.now);
+        if self.crash_suspects.is_answered(&cause, self.now) {
+            // This VM knows better: the cause's requests are answered.
             let due = self.now + self.random_delay();
-            self.delete_evidence(part, crash, due);
+            self.delete_evidence(cause, crash, due);
             return;
         }
-        self.add_evidence(part, &crash, evidence);
+        self.add_evidence(cause, &crash, evidence);
     }
 
-    fn add_evidence(&mut self, part: PartId, crash: &CrashId, evidence: CrashEvidence) {
+    fn add_evidence(&mut self, cause: CrashCause, crash: &CrashId, evidence: CrashEvidence) {
         let effect = self
-            .crashing_parts
-            .on_evidence(&part, crash, evidence, self.now);
+            .crash_suspects
+            .on_evidence(&cause, crash, evidence, self.now);
         match effect {
             EvidenceEffect::None | EvidenceEffect::Suspect => return,
             EvidenceEffect::Blocked => {}
-            EvidenceEffect::Narrowed(block) => self.announce_block(part.clone(), block, self.now),
+            EvidenceEffect::Narrowed(block) => self.announce_block(cause.clone(), block, self.now),
         }
-        // Evidence on a blocked part would block it again after an operator has unblocked it.
+        // Evidence on a blocked cause would block it again after an operator has unblocked it.
         let due = self.now + BLOCKED_EVIDENCE_LIFETIME + self.random_delay();
-        self.delete_evidence(part, crash.clone(), due);
+        self.delete_evidence(cause, crash.clone(), due);
     }
 
     /// Handles a block of another VM, or its end.
-    pub(super) fn on_shared_block(&mut self, part: PartId, block: Option<PartBlock>) {
+    pub(super) fn on_shared_block(&mut self, cause: CrashCause, block: Option<CauseBlock>) {
         let Some(block) = block else {
-            if self.crashing_parts.on_unblocked(&part) {
-                let reason = "other_vm";
-                self.note(RelayNotice::PartUnblocked { part, reason });
+            if self.crash_suspects.on_unblocked(&cause) {
+                self.note_unblocked(&cause, "other_vm");
             }
             return;
         };
-        if self.crashing_parts.is_answered(&part, self.now) {
-            self.announce_unblock(&part, "answered");
+        if self.crash_suspects.is_answered(&cause, self.now) {
+            self.announce_unblock(&cause, "answered");
             return;
         }
-        let previous = self.crashing_parts.block(&part).cloned();
-        let Some(merged) = self.crashing_parts.on_block(&part, block.clone()) else {
+        let previous = self.crash_suspects.block(&cause).cloned();
+        let Some(merged) = self.crash_suspects.on_block(&cause, block.clone()) else {
             return;
         };
         if merged.with.len() < block.with.len() {
             let due = self.now + self.random_delay();
-            self.push_block(part.clone(), merged.clone(), due);
+            self.push_block(cause.clone(), merged.clone(), due);
         }
         if previous.is_none_or(|previous| previous.with != merged.with) {
-            self.note_block(part, merged, "other_vm");
+            self.note_block(cause, merged, "other_vm");
             self.refuse_waiting_prompts();
         }
     }
 
     /// Turns broken streams into evidence and blocks the suspects whose time has come.
     pub(super) fn review_crashes(&mut self) {
-        for found in self.engine_ends.take(self.now) {
-            if self.crashing_parts.is_answered(&found.part, self.now) {
+        let mut ended: BTreeSet<Name> = BTreeSet::new();
+        for found in self.endpoint_ends.take(self.now) {
+            if self.crash_suspects.is_answered(&found.cause, self.now) {
                 continue;
             }
             let record = SharedRecord::Crash {
-                part: found.part.clone(),
+                cause: found.cause.clone(),
                 crash: found.crash.clone(),
                 evidence: Some(found.evidence.clone()),
             };
-            self.shared_outbox.push(record, self.now);
-            self.add_evidence(found.part, &found.crash, found.evidence);
+            self.shared_outbox.push(record, self.now + CHECK_TIME);
+            ended.insert(found.evidence.instance.clone());
+            self.add_evidence(found.cause, &found.crash, found.evidence);
+        }
+        for instance in ended {
+            self.check_endpoint(instance);
         }
-        for (part, crash) in self.crashing_parts.remove_expired(self.now) {
+        for (cause, crash) in self.crash_suspects.remove_expired(self.now) {
             let due = self.now + self.random_delay();
-            self.delete_evidence(part, crash, due);
+            self.delete_evidence(cause, crash, due);
         }
-        let blocked = self.crashing_parts.block_due(self.now);
+        let blocked = self.crash_suspects.block_due(self.now);
         let has_blocked = !blocked.is_empty();
         for new in blocked {
             let due = self.now + self.random_delay();
             for crash in new.crashes {
-                self.delete_evidence(new.part.clone(), crash, due);
+                self.delete_evidence(new.cause.clone(), crash, due);
             }
-            self.announce_block(new.part, new.block, due);
+            self.announce_block(new.cause, new.block, due);
         }
         if has_blocked {
             self.refuse_waiting_prompts();
         }
     }
 
-    fn announce_block(&mut self, part: PartId, block: PartBlock, due: Duration) {
-        self.note_block(part.clone(), block.clone(), "own");
-        self.push_block(part, block, due);
+    /// Checks whether an endpoint has ended: connections may break off for other reasons.
+    fn check_endpoint(&mut self, instance: Name) {
+        if let Some(endpoint) = self.endpoints.get(&instance) {
+            let address = endpoint.listed.address;
+            self.effects
+                .push(RelayEffect::CheckEndpoint { instance, address });
+        }
     }
 
-    fn push_block(&mut self, part: PartId, block: PartBlock, due: Duration) {
+    fn announce_block(&mut self, cause: CrashCause, block: CauseBlock, due: Duration) {
+        self.note_block(cause.clone(), block.clone(), "own");
+        self.push_block(cause, block, due);
+    }
+
+    fn push_block(&mut self, cause: CrashCause, block: CauseBlock, due: Duration) {
         let block = Some(block);
         self.shared_outbox
-            .push(SharedRecord::Block { part, block }, due);
+            .push(SharedRecord::Block { cause, block }, due);
         self.set_shared_timer();
     }
 
-    fn note_block(&mut self, part: PartId, block: PartBlock, source: &'static str) {
-        self.note(RelayNotice::PartBlocked {
-            part,
-            with: block.with,
-            crashed: block.instances,
-            source,
+    fn note_block(&mut self, cause: CrashCause, block: CauseBlock, source: &'static str) {
+        let (with, crashed) = (block.with, block.instances);
+        self.note(match cause {
+            CrashCause::Part(part) => RelayNotice::PartBlocked {
+                part,
+                with,
+                crashed,
+                source,
+            },
+            CrashCause::Request(request_key) => RelayNotice::RequestBlocked {
+                request_key,
+                with,
+                crashed,
+                source,
+            },
+        });
+    }
+
+    fn note_unblocked(&mut self, cause: &CrashCause, reason: &'static str) {
+        self.note(match cause.clone() {
+            CrashCause::Part(part) => RelayNotice::PartUnblocked { part, reason },
+            CrashCause::Request(request_key) => RelayNotice::RequestUnblocked {
+                request_key,
+                reason,
+            },
         });
     }
 
-    /// Refuses the requests with a blocked part that wait for an engine.
+    /// Refuses the requests with a blocked cause that wait for an endpoint.
     fn refuse_waiting_prompts(&mut self) {
         let waiting = self.calls.iter().filter(|(_, call)| call.current.is_none());
         let mut waiting: Vec<CallId> = waiting.map(|(id, _)| *id).collect();
         waiting.sort();
         for id in waiting {
-            if self.has_crashing_part(id) {
-                self.fail_call(id, CRASHING_PART);
+            if let Some(reason) = self.blocked_reason(id) {
+                self.fail_call(id, reason);
             }
         }
     }
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/crash_suspects.rs
@@ -0,0 +1,370 @@
+//! Parts of requests that crash every endpoint that begins to answer them.
+//!
+//! A cause is suspect while endpoints have ended under it and no request with it has been answered since. Enough crashes of
+//! a suspect lead to a block: requests with the cause are refused. A cause that crashes endpoints is never cleared, and
+//! one answered request clears any other, so popular causes are not blocked however often endpoints end under them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use arbutusfall_wire::FastMap;
+
+use crate::relay::CauseBlock;
+use crate::relay::CrashCause;
+use crate::relay::CrashEvidence;
+use crate::relay::CrashId;
+
+/// Crashes that block a part. One fewer than the users' bound begins with: the VM that saw a crash may be gone before
+/// it recorded it.
+const PART_BLOCKING_CRASHES: usize = 4;
+
+/// Crashes that block a request. With fewer, one attempt and its retry at endpoints that end for other reasons would do.
+const REQUEST_BLOCKING_CRASHES: usize = 3;
+
+/// Crashes from which on a broken-off prompt with the part is not sent again.
+const PART_SUSPECTED_CRASHES: usize = 2;
+
+/// Crashes, besides its own, from which on a broken-off request is not sent again.
+const REQUEST_SUSPECTED_CRASHES: usize = 1;
+
+/// Crashes from which on a suspect does not give way to newer ones.
+const KEPT_CRASHES: usize = 2;
+
+/// Time from the last of the blocking crashes to the block, in which any VM may clear the cause.
+const SETTLE_TIME: Duration = Duration::from_millis(1_400);
+
+/// Time for which an answered request speaks for its causes.
+const ANSWERED_LIFETIME: Duration = Duration::from_secs(3);
+
+/// Time for which evidence is kept.
+pub(crate) const EVIDENCE_LIFETIME: Duration = Duration::from_secs(3_600);
+
+/// Maximum number of suspects, blocks and answered causes that are kept.
+const MAX_CAUSES: usize = 4_000;
+
+/// Crashes that are kept for one suspect.
+const MAX_CRASHES: usize = 8;
+
+/// Returns the number of crashes that block a cause.
+fn blocking_crashes(cause: &CrashCause) -> usize {
+    match cause {
+        CrashCause::Part(_) => PART_BLOCKING_CRASHES,
+        CrashCause::Request(_) => REQUEST_BLOCKING_CRASHES,
+    }
+}
+
+/// Returns the number of known crashes from which on a broken-off request with the cause is not sent again.
+fn suspected_crashes(cause: &CrashCause) -> usize {
+    match cause {
+        CrashCause::Part(_) => PART_SUSPECTED_CRASHES,
+        CrashCause::Request(_) => REQUEST_SUSPECTED_CRASHES,
+    }
+}
+
+/// Evidence with the instant at which this VM learnt of it.
+#[derive(Debug, Clone)]
+struct KnownEvidence {
+    evidence: CrashEvidence,
+    known_at: Duration,
+}
+
+/// A cause under which endpoints have ended.
+#[derive(Debug, Clone, Default)]
+struct Suspect {
+    crashes: BTreeMap<CrashId, KnownEvidence>,
+    /// Instant of the block, once there are enough crashes.
+    block_at: Option<Duration>,
+}
+
+impl Suspect {
+    /// Returns the causes that all broken streams with this one had.
+    fn common_causes(&self) -> BTreeSet<CrashCause> {
+        let mut sets = self.crashes.values().map(|known| &known.evidence.with);
+        let first = sets.next().into_iter().flatten().cloned();
+        let mut common: BTreeSet<CrashCause> = first.collect();
+        for set in sets {
+            common.retain(|cause| set.contains(cause));
+        }
+        common
+    }
+
+    fn last_known_at(&self) -> Duration {
+        let known_at = self.crashes.values().map(|known| known.known_at);
+        known_at.max().unwrap_or_default()
+    }
+}
+
+/// What new evidence changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum EvidenceEffect {
+    /// The cause's requests have been answered of late, or the evidence is known.
+    None,
+    /// The cause is blocked already.
+    Blocked,
+    /// The cause is suspect of one more crash.
+    Suspect,
+    /// The cause crashes endpoints without some of the causes that the block requires besides.
+    Narrowed(CauseBlock),
+}
+
+/// A block that this VM has decided on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct NewBlock {
+    pub(crate) cause: CrashCause,
+    pub(crate) block: CauseBlock,
+    /// Crashes that led to it, whose evidence is no longer needed.
+    pub(crate) crashes: Vec<CrashId>,
+}
+
+/// What was known of a cause until it was cleared.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Cleared {
+    /// Crashes under which it was in progress.
+    pub(crate) crashes: Vec<CrashId>,
+    /// Whether its requests were refused.
+    pub(crate) was_blocked: bool,
+    /// Blocks on other causes that required this one besides, as they are now.
+    pub(crate) narrowed: Vec<(CrashCause, CauseBlock)>,
+}
+
+/// Suspects and blocks, as this VM knows them.
+#[derive(Debug, Default)]
+pub(crate) struct CrashSuspects {
+    suspects: BTreeMap<CrashCause, Suspect>,
+    blocks: BTreeMap<CrashCause, CauseBlock>,
+    /// When a request with the cause was last answered at this VM.
+    answered: FastMap<CrashCause, Duration>,
+    /// When entries of `answered` that are too old were last removed.
+    answered_reviewed_at: Duration,
+}
+
+impl CrashSuspects {
+    /// Returns a blocked cause of a request with these causes.
+    pub(crate) fn blocked_cause<'a>(&self, causes: &'a [CrashCause]) -> Option<&'a CrashCause> {
+        if self.blocks.is_empty() {
+            return None;
+        }
+        causes.iter().find(|cause| {
+            let block = self.blocks.get(*cause);
+            block.is_some_and(|block| block.with.iter().all(|with| causes.contains(with)))
+        })
+    }
+
+    /// Returns whether a request that broke off must not be sent again, because it may crash the next endpoint too.
+    pub(crate) fn is_suspect(&self, causes: &[CrashCause]) -> bool {
+        causes.iter().any(|cause| {
+            let suspect = self.suspects.get(cause);
+            suspect.is_some_and(|suspect| suspect.crashes.len() >= suspected_crashes(cause))
+        })
+    }
+
+    /// Returns whether requests with each of these causes have been answered of late.
+    pub(crate) fn are_answered(&self, causes: &[CrashCause], now: Duration) -> bool {
+        causes.iter().all(|cause| self.is_answered(cause, now))
+    }
+
+    /// Returns whether a request with the cause has been answered of late.
+    pub(crate) fn is_answered(&self, cause: &CrashCause, now: Duration) -> bool {
+        let at = self.answered.get(cause);
+        at.is_some_and(|at| now <= *at + ANSWERED_LIFETIME)
+    }
+
+    /// Adds evidence of this VM or of another one.
+    pub(crate) fn on_evidence(
+        &mut self,
+        cause: &CrashCause,
+        crash: &CrashId,
+        evidence: CrashEvidence,
+        now: Duration,
+    ) -> EvidenceEffect {
+        if self.is_answered(cause, now) {
+            return EvidenceEffect::None;
+        }
+        if let Some(block) = self.blocks.get_mut(cause) {
+            let before = block.with.len();
+            block.with.retain(|with| evidence.with.contains(with));
+            return if block.with.len() < before {
+                EvidenceEffect::Narrowed(block.clone())
+            } else {
+                EvidenceEffect::Blocked
+            };
+        }
+        self.make_room_for(cause);
+        let suspect = self.suspects.entry(cause.clone()).or_default();
+        let is_known = suspect.crashes.contains_key(crash);
+        if is_known || suspect.crashes.len() >= MAX_CRASHES {
+            return EvidenceEffect::None;
+        }
+        let known_at = now;
+        let known = KnownEvidence { evidence, known_at };
+        suspect.crashes.insert(crash.clone(), known);
+        if suspect.crashes.len() >= blocking_crashes(cause) {
+            suspect.block_at.get_or_insert(now + SETTLE_TIME);
+        }
+        EvidenceEffect::Suspect
+    }
+
+    /// Removes a suspect of a single crash if there are too many. Suspects of more crashes are never pushed out.
+    fn make_room_for(&mut self, cause: &CrashCause) {
+        if self.suspects.len() < MAX_CAUSES || self.suspects.contains_key(cause) {
+            return;
+        }
+        let single = self.suspects.iter();
+        let single = single.filter(|(_, suspect)| suspect.crashes.len() < KEPT_CRASHES);
+        let oldest = single.min_by_key(|(_, suspect)| suspect.last_known_at());
+        if let Some(oldest) = oldest.map(|(cause, _)| cause.clone()) {
+            self.suspects.remove(&oldest);
+        }
+    }
+
+    /// Records that a request with this cause was answered, which clears the cause.
+    pub(crate) fn on_answered(&mut self, cause: &CrashCause, now: Duration) -> Cleared {
+        if now >= self.answered_reviewed_at + ANSWERED_LIFETIME {
+            self.answered_reviewed_at = now;
+            self.answered.retain(|_, at| now <= *at + ANSWERED_LIFETIME);
+        }
+        if self.answered.len() < MAX_CAUSES || self.answered.contains_key(cause) {
+            self.answered.insert(cause.clone(), now);
+        }
+        self.clear(cause)
+    }
+
+    /// Removes a suspect and its block, and the cause from the blocks that require it besides their own.
+    pub(crate) fn clear(&mut self, cause: &CrashCause) -> Cleared {
+        let suspect = self.suspects.remove(cause).unwrap_or_default();
+        let was_blocked = self.blocks.remove(cause).is_some();
+        let mut narrowed = Vec::new();
+        for (other, block) in &mut self.blocks {
+            let before = block.with.len();
+            block.with.retain(|with| with != cause);
+            if block.with.len() < before {
+                narrowed.push((other.clone(), block.clone()));
+            }
+        }
+        Cleared {
+            crashes: suspect.crashes.into_keys().collect(),
+            was_blocked,
+            narrowed,
+        }
+    }
+
+    /// Removes evidence that was disproved or deleted by another VM.
+    pub(crate) fn remove_evidence(&mut self, cause: &CrashCause, crash: &CrashId) {
+        let Some(suspect) = self.suspects.get_mut(cause) else {
+            return;
+        };
+        suspect.crashes.remove(crash);
+        if suspect.crashes.len() < blocking_crashes(cause) {
+            suspect.block_at = None;
+        }
+        if suspect.crashes.is_empty() {
+            self.suspects.remove(cause);
+        }
+    }
+
+    /// Returns the causes under which this crash is known.
+    pub(crate) fn causes_of(&self, crash: &CrashId) -> Vec<CrashCause> {
+        let causes = self.suspects.iter();
+        let causes = causes.filter(|(_, suspect)| suspect.crashes.contains_key(crash));
+        causes.map(|(cause, _)| cause.clone()).collect()
+    }
+
+    /// Takes over a block, of this VM or another one. Where VMs differ in the causes that a request must have besides, all
+    /// that any of them has ruled out are. Returns the block as it is now; `None` if there are too many.
+    pub(crate) fn on_block(&mut self, cause: &CrashCause, block: CauseBlock) -> Option<CauseBlock> {
+        if self.blocks.len() >= MAX_CAUSES && !self.blocks.contains_key(cause) {
+            return None;
+        }
+        self.suspects.remove(cause);
+        let known = self
+            .blocks
+            .entry(cause.clone())
+            .or_insert_with(|| block.clone());
+        known.with.retain(|with| block.with.contains(with));
+        Some(known.clone())
+    }
+
+    /// Returns the block on a cause, if any.
+    pub(crate) fn block(&self, cause: &CrashCause) -> Option<&CauseBlock> {
+        self.blocks.get(cause)
+    }
+
+    /// Removes a block on behalf of another VM; returns whether there was one.
+    pub(crate) fn on_unblocked(&mut self, cause: &CrashCause) -> bool {
+        self.blocks.remove(cause).is_some()
+    }
+
+    /// Returns the instant at which [`Self::block_due`] has something to do.
+    pub(crate) fn next_block(&self) -> Option<Duration> {
+        let due = self.suspects.values();
+        due.filter_map(|suspect| suspect.block_at).min()
+    }
+
+    /// Blocks the suspects whose time has come.
+    pub(crate) fn block_due(&mut self, now: Duration) -> Vec<NewBlock> {
+        let due = self
+            .suspects
+            .iter()
+            .filter(|(_, suspect)| suspect.block_at.is_some_and(|block_at| block_at <= now));
+        let blocked: Vec<NewBlock> = due
+            .map(|(cause, suspect)| NewBlock {
+                cause: cause.clone(),
+                block: self.block_of(suspect),
+                crashes: suspect.crashes.keys().cloned().collect(),
+            })
+            .collect();
+        for new in &blocked {
+            self.on_block(&new.cause, new.block.clone());
+        }
+        blocked
+    }
+
+    /// Returns the block on a suspect. Parts that were always there too and are as suspect as it is stay together with
+    /// it, so that a request with one of them alone is not refused.
+    fn block_of(&self, suspect: &Suspect) -> CauseBlock {
+        let is_as_suspect = |cause: &CrashCause| {
+            let other = self.suspects.get(cause);
+            other.is_some_and(|other| other.crashes.len() >= blocking_crashes(cause))
+                || self.blocks.contains_key(cause)
+        };
+        let mut with = suspect.common_causes();
+        with.retain(is_as_suspect);
+        let crashes = suspect.crashes.values();
+        CauseBlock {
+            with: with.into_iter().collect(),
+            instances: crashes
+                .map(|known| known.evidence.instance.clone())
+                .collect(),
+        }
+    }
+
+    /// Returns the blocks.
+    pub(crate) fn blocks(&self) -> &BTreeMap<CrashCause, CauseBlock> {
+        &self.blocks
+    }
+
+    /// Returns all evidence.
+    pub(crate) fn evidence(&self) -> impl Iterator<Item = (&CrashCause, &CrashId, &CrashEvidence)> {
+        self.suspects.iter().flat_map(|(cause, suspect)| {
+            let crashes = suspect.crashes.iter();
+            crashes.map(move |(crash, known)| (cause, crash, &known.evidence))
+        })
+    }
+
+    /// Removes evidence that is too old to count; returns what was removed.
+    pub(crate) fn remove_expired(&mut self, now: Duration) -> Vec<(CrashCause, CrashId)> {
+        let mut expired = Vec::new();
+        for (cause, suspect) in &self.suspects {
+            for (crash, known) in &suspect.crashes {
+                if now >= known.known_at + EVIDENCE_LIFETIME {
+                    expired.push((cause.clone(), crash.clone()));
+                }
+            }
+        }
+        for (cause, crash) in &expired {
+            self.remove_evidence(cause, crash);
+        }
+        expired
+    }
+}
--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -73,6 +73,13 @@
         /// Problem to answer with.
         problem: Problem,
     },
+    /// Open a connection to an endpoint that may have crashed, and report if it is accepted.
+    CheckEndpoint {
+        /// The endpoint.
+        instance: Name,
+        /// Where it listens.
+        address: SocketAddr,
+    },
     /// Acquire or renew the lease at the store.
     RenewLease {
         /// Newest token that the store has returned.
--- a/crates/arbutusfall_core/src/relay/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use crate::placement::Health;
+use crate::relay::CrashCauses;
 use crate::relay::ListedEndpoint;
 use crate::relay::RelayNotice;
-use crate::relay::SharedParts;
 use crate::relay::notice::millis;
 
 /// Weight of the newest sample in a running mean.
@@ -95,7 +95,7 @@
     /// Number of the engine's consecutive prefill results whose decode was refused.
     suspected_losses: u32,
     /// Parts of prompts whose answers ended with their connections, with the instants of these ends.
-    unmarked_ends: Vec<(Duration, SharedParts)>,
+    unmarked_ends: Vec<(Duration, CrashCauses)>,
     /// Instant from which the endpoint may be removed; none while it is listed.
     pub(crate) remove_at: Option<Duration>,
 }
@@ -171,27 +171,27 @@
     }
 
     /// Records an answer that ended with its connection: whether the engine ended shows only later.
-    pub(crate) fn on_unmarked_end(&mut self, parts: SharedParts, now: Duration) {
+    pub(crate) fn on_unmarked_end(&mut self, causes: CrashCauses, now: Duration) {
         self.unmarked_ends
             .retain(|(ended_at, _)| now <= *ended_at + UNMARKED_END_LIFETIME);
         if self.unmarked_ends.len() < MAX_UNMARKED_ENDS {
-            self.unmarked_ends.push((now, parts));
+            self.unmarked_ends.push((now, causes));
         }
     }
 
-    /// Takes the parts of prompts that an answer to a request of `sent_at` proves to have been answered completely: the
+    /// Takes the causes of prompts that an answer to a request of `sent_at` proves to have been answered completely: the
     /// engine still ran after them.
-    pub(crate) fn take_proved_parts(
+    pub(crate) fn take_proved_causes(
         &mut self,
         sent_at: Duration,
         now: Duration,
-    ) -> Vec<SharedParts> {
+    ) -> Vec<CrashCauses> {
         let mut proved = Vec::new();
-        self.unmarked_ends.retain(|(ended_at, parts)| {
+        self.unmarked_ends.retain(|(ended_at, causes)| {
             let is_recent = now <= *ended_at + UNMARKED_END_LIFETIME;
             let is_proved = is_recent && sent_at > *ended_at;
             if is_proved {
-                proved.push(parts.clone());
+                proved.push(causes.clone());
             }
             is_recent && !is_proved
         });
--- a/crates/arbutusfall_core/src/relay/engine_ends.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint_ends.rs
@@ -1,4 +1,4 @@
-//! Streams that broke off with their engines: which parts of prompts were in progress when an engine ended.
+//! Runs that broke off with their endpoints: which causes of requests were in progress when an endpoint ended.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -8,59 +8,59 @@
 use arbutusfall_wire::Name;
 use arbutusfall_wire::stable_hash;
 
+use crate::relay::CrashCause;
+use crate::relay::CrashCauses;
 use crate::relay::CrashEvidence;
 use crate::relay::CrashId;
-use crate::relay::PartId;
-use crate::relay::SharedParts;
 
-/// Time for which broken streams are collected: all streams of an engine break off together.
+/// Time for which broken runs are collected: all runs of an endpoint break off together.
 const COLLECT_TIME: Duration = Duration::from_millis(100);
 
-/// Engines that end together, with no new stream between, from which on they have a cause in common other than a prompt.
-const COMMON_CAUSE_ENGINES: usize = 3;
+/// Endpoints that end together, with no new run between, from which on they have a cause in common other than a request.
+const COMMON_CAUSE_ENDPOINTS: usize = 3;
 
-/// Shortest time between two crashes of one engine under the same id.
+/// Shortest time between two crashes of one endpoint under the same id.
 const MIN_TIME_BETWEEN_CRASHES: Duration = Duration::from_millis(1_500);
 
-/// Time after a crash within which an answer of the engine shows that it has not ended.
+/// Time after a crash within which an answer of the endpoint shows that it has not ended.
 const ALIVE_WINDOW: Duration = Duration::from_millis(1_000);
 
 /// Parts of one prompt that are taken into account.
 const MAX_PARTS: usize = 64;
 
-/// Parts that are recorded as common to all streams with a part.
+/// Causes that are recorded as common to all runs with a cause.
 const MAX_WITH: usize = 8;
 
 /// Incarnations whose number of crashes is remembered.
 const MAX_INCARNATIONS: usize = 10_000;
 
-/// One run of an engine's process, as a hash of its instance and its start.
+/// One run of an endpoint's process, as a hash of its instance and its start.
 pub(crate) type Incarnation = u64;
 
-/// Returns the incarnation of a listed engine.
+/// Returns the incarnation of a listed endpoint.
 pub(crate) fn incarnation(instance: &Name, started_unix_ms: Option<u64>) -> Incarnation {
     stable_hash(&(&**instance, started_unix_ms))
 }
 
-/// A stream that broke off.
+/// A run that broke off.
 #[derive(Debug, Clone)]
-pub(crate) struct BrokenStream {
+pub(crate) struct BrokenRun {
     pub(crate) instance: Name,
     pub(crate) incarnation: Incarnation,
     pub(crate) sent_at: Duration,
     pub(crate) broken_at: Duration,
-    pub(crate) parts: SharedParts,
+    pub(crate) causes: CrashCauses,
 }
 
-/// Evidence on one part from one crash.
+/// Evidence on one cause from one crash.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct PartCrash {
-    pub(crate) part: PartId,
+pub(crate) struct CauseCrash {
+    pub(crate) cause: CrashCause,
     pub(crate) crash: CrashId,
     pub(crate) evidence: CrashEvidence,
 }
 
-/// Crashes of one incarnation: more than one if the engine comes back under its id.
+/// Crashes of one incarnation: more than one if the endpoint comes back under its id.
 #[derive(Debug, Clone, Copy)]
 struct CrashCount {
     /// Number of the last crash.
@@ -68,16 +68,16 @@
     known_at: Duration,
 }
 
-/// Collects broken streams and turns them into evidence.
+/// Collects broken runs and turns them into evidence.
 #[derive(Debug, Default)]
-pub(crate) struct EngineEnds {
-    broken: Vec<BrokenStream>,
+pub(crate) struct EndpointEnds {
+    broken: Vec<BrokenRun>,
     crashes: FastMap<Incarnation, CrashCount>,
 }
 
-impl EngineEnds {
-    pub(crate) fn on_broken(&mut self, stream: BrokenStream) {
-        self.broken.push(stream);
+impl EndpointEnds {
+    pub(crate) fn on_broken(&mut self, run: BrokenRun) {
+        self.broken.push(run);
     }
 
     /// Returns the instant at which [`Self::take`] has something to do.
@@ -85,26 +85,23 @@
         Some(self.broken.first()?.broken_at + COLLECT_TIME)
     }
 
-    /// Returns the evidence from the streams that were collected.
-    pub(crate) fn take(&mut self, now: Duration) -> Vec<PartCrash> {
+    /// Returns the evidence from the runs that were collected.
+    pub(crate) fn take(&mut self, now: Duration) -> Vec<CauseCrash> {
         if self.next_due().is_none_or(|due| now < due) {
             return Vec::new();
         }
-        let mut engines: BTreeMap<Name, Vec<BrokenStream>> = BTreeMap::new();
-        for stream in std::mem::take(&mut self.broken) {
-            engines
-                .entry(stream.instance.clone())
-                .or_default()
-                .push(stream);
+        let mut endpoints: BTreeMap<Name, Vec<BrokenRun>> = BTreeMap::new();
+        for run in std::mem::take(&mut self.broken) {
+            endpoints.entry(run.instance.clone()).or_default().push(run);
         }
-        keep_one_of_common_cause(&mut engines);
+        keep_one_of_common_cause(&mut endpoints);
         let mut found = Vec::new();
-        for (instance, streams) in engines {
-            let Some(first) = streams.first() else {
+        for (instance, runs) in endpoints {
+            let Some(first) = runs.first() else {
                 continue;
             };
             let crash = self.crash_id(first.incarnation, now);
-            found.extend(evidence(&instance, &crash, &streams));
+            found.extend(evidence(&instance, &crash, &runs));
         }
         found
     }
@@ -138,7 +135,7 @@
         }
     }
 
-    /// Returns the crash that an engine's answer to a request of `sent_at` disproves.
+    /// Returns the crash that an endpoint's answer to a request of `sent_at` disproves.
     pub(crate) fn disproved(
         &self,
         incarnation: Incarnation,
@@ -159,41 +156,38 @@
     ))
 }
 
-/// Keeps one of the engines that ended together if a prompt can't be the cause: several engines whose streams had all
+/// Keeps one of the endpoints that ended together if a request can't be the cause: several endpoints whose runs had all
 /// been sent before the first of them ended.
-fn keep_one_of_common_cause(engines: &mut BTreeMap<Name, Vec<BrokenStream>>) {
-    let streams = || engines.values().flatten();
-    let Some(first_end) = streams().map(|stream| stream.broken_at).min() else {
+fn keep_one_of_common_cause(endpoints: &mut BTreeMap<Name, Vec<BrokenRun>>) {
+    let runs = || endpoints.values().flatten();
+    let Some(first_end) = runs().map(|run| run.broken_at).min() else {
         return;
     };
-    let has_only_earlier =
-        |streams: &[BrokenStream]| streams.iter().all(|stream| stream.sent_at < first_end);
-    let together = engines
-        .iter()
-        .filter(|(_, streams)| has_only_earlier(streams));
+    let has_only_earlier = |runs: &[BrokenRun]| runs.iter().all(|run| run.sent_at < first_end);
+    let together = endpoints.iter().filter(|(_, runs)| has_only_earlier(runs));
     let together: Vec<Name> = together.map(|(instance, _)| instance.clone()).collect();
-    if together.len() < COMMON_CAUSE_ENGINES {
+    if together.len() < COMMON_CAUSE_ENDPOINTS {
         return;
     }
     for instance in &together[1..] {
-        engines.remove(instance);
+        endpoints.remove(instance);
     }
 }
 
-fn evidence(instance: &Name, crash: &CrashId, streams: &[BrokenStream]) -> Vec<PartCrash> {
-    let mut with_by_part: BTreeMap<PartId, BTreeSet<PartId>> = BTreeMap::new();
-    for stream in streams {
-        let parts = sampled_parts(&stream.parts);
-        for part in &parts {
-            let others = || parts.iter().filter(|other| *other != part).cloned();
-            let with = with_by_part
-                .entry(part.clone())
+fn evidence(instance: &Name, crash: &CrashId, runs: &[BrokenRun]) -> Vec<CauseCrash> {
+    let mut with_by_cause: BTreeMap<CrashCause, BTreeSet<CrashCause>> = BTreeMap::new();
+    for run in runs {
+        let causes = sampled_causes(&run.causes);
+        for cause in &causes {
+            let others = || causes.iter().filter(|other| *other != cause).cloned();
+            let with = with_by_cause
+                .entry(cause.clone())
                 .or_insert_with(|| others().collect());
-            with.retain(|other| parts.contains(other));
+            with.retain(|other| causes.contains(other));
         }
     }
-    let found = with_by_part.into_iter().map(|(part, with)| PartCrash {
-        part,
+    let found = with_by_cause.into_iter().map(|(cause, with)| CauseCrash {
+        cause,
         crash: crash.clone(),
         evidence: CrashEvidence {
             instance: instance.clone(),
@@ -203,13 +197,14 @@
     found.collect()
 }
 
-/// Returns the parts of a prompt, or of a very long one a sample that is the same for all prompts with the same parts.
-fn sampled_parts(parts: &SharedParts) -> BTreeSet<PartId> {
-    let all: BTreeSet<PartId> = parts.iter().cloned().collect();
-    if all.len() <= MAX_PARTS {
-        return all;
+/// Returns the causes of a request; of the parts of a very long prompt a sample that is the same for all prompts with them.
+fn sampled_causes(causes: &CrashCauses) -> BTreeSet<CrashCause> {
+    let (itself, mut parts): (Vec<CrashCause>, Vec<CrashCause>) =
+        causes.iter().cloned().partition(CrashCause::is_request);
+    if parts.len() > MAX_PARTS {
+        parts.sort_by_key(stable_hash);
+        parts.dedup();
+        parts.truncate(MAX_PARTS);
     }
-    let mut by_hash: Vec<PartId> = all.into_iter().collect();
-    by_hash.sort_by_key(stable_hash);
-    by_hash.into_iter().take(MAX_PARTS).collect()
+    itself.into_iter().chain(parts).collect()
 }
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -9,8 +9,8 @@
 
 use crate::CallId;
 use crate::config::Role;
+use crate::relay::CrashCause;
 use crate::relay::LeaseAnswer;
-use crate::relay::PartId;
 use crate::relay::RequestKey;
 use crate::relay::RouteTable;
 use crate::relay::SharedParts;
@@ -91,10 +91,17 @@
         /// Requests a second that it takes from all VMs together.
         per_s: f64,
     },
-    /// An operator unblocks a part.
-    UnblockPart {
-        /// The part.
-        part: PartId,
+    /// An endpoint that may have crashed accepted a connection.
+    EndpointReachable {
+        /// The endpoint.
+        instance: Name,
+        /// When the connection was begun.
+        asked_at: Duration,
+    },
+    /// An operator ends the block on a cause of crashes.
+    Unblock {
+        /// The cause.
+        cause: CrashCause,
     },
     /// An append of shared records to the store was confirmed, or failed: it may still have taken effect.
     SharedAppended {
--- a/crates/arbutusfall_core/src/relay/limit_handling.rs
+++ b/crates/arbutusfall_core/src/relay/limit_handling.rs
@@ -21,8 +21,8 @@
 use crate::relay::call::Call;
 use crate::relay::call::CallStage;
 use crate::relay::endpoint::Endpoint;
+use crate::relay::endpoint_ends::incarnation;
 use crate::relay::endpoint_limit::EndpointLimit;
-use crate::relay::engine_ends::incarnation;
 
 /// Time between two reviews of the shares.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::relay::BodyFraming;
+use crate::relay::CrashCause;
 use crate::relay::PartId;
 use crate::relay::RequestKey;
 use crate::relay::SharedParts;
@@ -120,8 +121,8 @@
     PartBlocked {
         /// The part.
         part: PartId,
-        /// Parts that a prompt must have besides to be refused.
-        with: Vec<PartId>,
+        /// Other causes that a request must have besides to be refused.
+        with: Vec<CrashCause>,
         /// Engines that ended while a prompt with the part was in progress.
         crashed: Vec<Name>,
         /// `own` (decided by this VM) or `other_vm`.
@@ -134,6 +135,24 @@
         /// `answered` (an engine completed such a prompt), `operator` or `other_vm`.
         reason: &'static str,
     },
+    /// A request and all its repeats are refused from now on, because endpoints ended that ran it.
+    RequestBlocked {
+        /// What the request has in common with its repeats.
+        request_key: RequestKey,
+        /// Parts that its prompt must have besides to be refused.
+        with: Vec<CrashCause>,
+        /// Endpoints that ended while the request was in progress.
+        crashed: Vec<Name>,
+        /// `own` (decided by this VM) or `other_vm`.
+        source: &'static str,
+    },
+    /// A request and its repeats are no longer refused.
+    RequestUnblocked {
+        /// What the request has in common with its repeats.
+        request_key: RequestKey,
+        /// `answered` (an endpoint completed it), `operator` or `other_vm`.
+        reason: &'static str,
+    },
     /// A caller takes a broken-off stream up again.
     Resuming {
         /// Id that the caller gave to the request.
@@ -343,6 +362,8 @@
             Self::StoreReturned { .. } => "store_returned",
             Self::PartBlocked { .. } => "part_blocked",
             Self::PartUnblocked { .. } => "part_unblocked",
+            Self::RequestBlocked { .. } => "request_blocked",
+            Self::RequestUnblocked { .. } => "request_unblocked",
             Self::Resuming { .. } => "resuming",
             Self::GoesOn { .. } => "goes_on",
             Self::Sent { .. } => "sent",
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -30,7 +30,7 @@
             return;
         }
         if is_sign_of_life(&event) {
-            self.on_engine_alive(id);
+            self.on_endpoint_alive(id);
         }
         match event {
             ExchangeEvent::LimitNamed { per_s } => self.on_limit_named(id, per_s),
@@ -212,9 +212,7 @@
             endpoint.on_answered(after, self.now);
             self.budget.on_outcome(&service, false, self.now);
         }
-        if !is_failure {
-            self.on_prompt_answered(id);
-        }
+        self.on_request_answered(id, is_failure);
         self.end_exchange(id);
         let has_released = self.release_allocation(id);
         self.answer(id, exchange, status);
@@ -332,10 +330,10 @@
         }
         let has_ended = failure.may_be_crash();
         if has_ended {
-            self.record_broken_stream(id, &failed, began_at);
+            self.record_broken_run(id, &failed, began_at);
         }
         self.fail_exchange(id, failure.name(), true);
-        if has_ended && self.may_crash_next_engine(id) {
+        if has_ended && self.may_crash_next_endpoint(id) {
             self.fail_call(id, "suspect_part");
             return;
         }
@@ -356,12 +354,16 @@
     }
 }
 
-/// Returns whether an event shows that the engine's process runs.
+/// Returns whether an event shows that the endpoint's process runs.
 fn is_sign_of_life(event: &ExchangeEvent) -> bool {
     matches!(
         event,
         ExchangeEvent::Reserved { .. }
             | ExchangeEvent::PrefillDone { .. }
             | ExchangeEvent::StreamBegan
+            | ExchangeEvent::Complete { .. }
+            | ExchangeEvent::NotRun {
+                reason: NotRunReason::Refused
+            }
     )
 }
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -19,7 +19,6 @@
 use crate::relay::call::CallStage;
 use crate::relay::call::CurrentExchange;
 use crate::relay::call::MemoryAllocation;
-use crate::relay::crash_handling::CRASHING_PART;
 use crate::relay::endpoint::Endpoint;
 use crate::relay::limit_handling::LIMITED;
 use crate::relay::limit_handling::tokens_for;
@@ -40,8 +39,8 @@
 impl Relay {
     /// Sends the call's next stage to the best endpoint, queues the call, or fails it if no endpoint can take it.
     pub(super) fn send_next(&mut self, id: CallId) {
-        if self.has_crashing_part(id) {
-            self.fail_call(id, CRASHING_PART);
+        if let Some(reason) = self.blocked_reason(id) {
+            self.fail_call(id, reason);
             return;
         }
         let Some(stage) = self.next_stage(id) else {
--- a/crates/arbutusfall_core/src/relay/shared_handling.rs
+++ b/crates/arbutusfall_core/src/relay/shared_handling.rs
@@ -54,15 +54,15 @@
     }
 
     fn own_view_of_shared_records(&self) -> Vec<SharedRecord> {
-        let crashes = self.crashing_parts.evidence();
-        let crashes = crashes.map(|(part, crash, evidence)| SharedRecord::Crash {
-            part: part.clone(),
+        let crashes = self.crash_suspects.evidence();
+        let crashes = crashes.map(|(cause, crash, evidence)| SharedRecord::Crash {
+            cause: cause.clone(),
             crash: crash.clone(),
             evidence: Some(evidence.clone()),
         });
-        let blocks = self.crashing_parts.blocks().iter();
-        let blocks = blocks.map(|(part, block)| SharedRecord::Block {
-            part: part.clone(),
+        let blocks = self.crash_suspects.blocks().iter();
+        let blocks = blocks.map(|(cause, block)| SharedRecord::Block {
+            cause: cause.clone(),
             block: Some(block.clone()),
         });
         let limits = self.limits.iter().filter_map(|(run, limit)| {
@@ -77,8 +77,8 @@
 
     fn drop_shared_record(&mut self, key: SharedKey) {
         match key {
-            SharedKey::Crash(part, crash) => self.on_shared_crash(part, crash, None),
-            SharedKey::Block(part) => self.on_shared_block(part, None),
+            SharedKey::Crash(cause, crash) => self.on_shared_crash(cause, crash, None),
+            SharedKey::Block(cause) => self.on_shared_block(cause, None),
             SharedKey::HashKey => self.on_shared_hash_key(None),
             SharedKey::Limit(run) => self.on_shared_limit(&run, None),
             SharedKey::Share(run, number) => self.on_shared_share(&run, number, None),
@@ -91,11 +91,11 @@
             self.shared_outbox.remove(&record);
             match record {
                 SharedRecord::Crash {
-                    part,
+                    cause,
                     crash,
                     evidence,
-                } => self.on_shared_crash(part, crash, evidence),
-                SharedRecord::Block { part, block } => self.on_shared_block(part, block),
+                } => self.on_shared_crash(cause, crash, evidence),
+                SharedRecord::Block { cause, block } => self.on_shared_block(cause, block),
                 SharedRecord::HashKey(key) => self.on_shared_hash_key(key),
                 SharedRecord::Limit { run, limit } => self.on_shared_limit(&run, limit),
                 SharedRecord::Share {
@@ -130,8 +130,8 @@
 
     pub(super) fn set_shared_timer(&mut self) {
         let due = [
-            self.engine_ends.next_due(),
-            self.crashing_parts.next_block(),
+            self.endpoint_ends.next_due(),
+            self.crash_suspects.next_block(),
             self.shared_outbox.next_due(),
         ];
         let Some(due) = due.into_iter().flatten().min() else {
--- a/crates/arbutusfall_core/src/relay/shared_record.rs
+++ b/crates/arbutusfall_core/src/relay/shared_record.rs
@@ -2,28 +2,28 @@
 
 use arbutusfall_wire::Name;
 
-use crate::relay::PartId;
+use crate::relay::CrashCause;
 use crate::relay::RequestHashKey;
 
-/// Id of one crash of an engine: the same at all VMs that had streams on it.
+/// Id of one crash of an endpoint: the same at all VMs that had requests there.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CrashId(pub Name);
 
-/// What one VM knows of a part and a crash: a stream whose prompt has the part was in progress when the engine ended.
+/// What one VM knows of a cause and a crash: a request with the cause was in progress when the endpoint ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashEvidence {
-    /// The engine.
+    /// The endpoint.
     pub instance: Name,
-    /// Other parts that all such streams of the VM had.
-    pub with: Vec<PartId>,
+    /// Other causes that all such requests of the VM had.
+    pub with: Vec<CrashCause>,
 }
 
-/// Block on a part: prompts with it crash engines.
+/// Block on a cause: requests with it crash endpoints.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PartBlock {
-    /// Parts that a prompt must have besides: what is known does not distinguish them from the part.
-    pub with: Vec<PartId>,
-    /// Engines that ended under the part.
+pub struct CauseBlock {
+    /// Causes that a request must have besides: what is known does not distinguish them from the cause.
+    pub with: Vec<CrashCause>,
+    /// Endpoints that ended under the cause.
     pub instances: Vec<Name>,
 }
 
@@ -59,21 +59,21 @@
 /// A record, or its deletion.
 #[derive(Debug, Clone, PartialEq)]
 pub enum SharedRecord {
-    /// Evidence that a part crashes engines.
+    /// Evidence that a cause crashes endpoints.
     Crash {
-        /// The part.
-        part: PartId,
+        /// The cause.
+        cause: CrashCause,
         /// The crash.
         crash: CrashId,
-        /// The evidence; `None` if the part is cleared of it.
+        /// The evidence; `None` if the cause is cleared of it.
         evidence: Option<CrashEvidence>,
     },
-    /// The block on a part.
+    /// The block on a cause.
     Block {
-        /// The part.
-        part: PartId,
-        /// The block; `None` if the part is unblocked.
-        block: Option<PartBlock>,
+        /// The cause.
+        cause: CrashCause,
+        /// The block; `None` if the cause is unblocked.
+        block: Option<CauseBlock>,
     },
     /// The limit of an endpoint.
     Limit {
@@ -99,9 +99,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SharedKey {
     /// Key of [`SharedRecord::Crash`].
-    Crash(PartId, CrashId),
+    Crash(CrashCause, CrashId),
     /// Key of [`SharedRecord::Block`].
-    Block(PartId),
+    Block(CrashCause),
     /// Key of [`SharedRecord::HashKey`].
     HashKey,
     /// Key of [`SharedRecord::Limit`].
@@ -125,8 +125,8 @@
     /// Returns the record's key.
     pub fn key(&self) -> SharedKey {
         match self {
-            Self::Crash { part, crash, .. } => SharedKey::Crash(part.clone(), crash.clone()),
-            Self::Block { part, .. } => SharedKey::Block(part.clone()),
+            Self::Crash { cause, crash, .. } => SharedKey::Crash(cause.clone(), crash.clone()),
+            Self::Block { cause, .. } => SharedKey::Block(cause.clone()),
             Self::HashKey(_) => SharedKey::HashKey,
             Self::Limit { run, .. } => SharedKey::Limit(run.clone()),
             Self::Share { run, number, .. } => SharedKey::Share(run.clone(), *number),
--- a/crates/arbutusfall_core/tests/it/relay_crashing_parts.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crashing_parts.rs
@@ -5,11 +5,12 @@
 
 use arbutusfall_core::ProblemKind;
 use arbutusfall_core::config::Role;
+use arbutusfall_core::relay::CauseBlock;
+use arbutusfall_core::relay::CrashCause;
 use arbutusfall_core::relay::CrashEvidence;
 use arbutusfall_core::relay::CrashId;
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::ExchangeEvent;
-use arbutusfall_core::relay::PartBlock;
 use arbutusfall_core::relay::PartId;
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
@@ -107,14 +108,18 @@
     assert_eq!(kind, Some(ProblemKind::CrashingPrompt));
 }
 
+fn cause(part: &str) -> CrashCause {
+    CrashCause::Part(PartId(part.into()))
+}
+
 /// Returns a record of evidence on a part.
 fn evidence(part: &str, crash: u32, with: &[&str]) -> SharedRecord {
     SharedRecord::Crash {
-        part: PartId(part.into()),
+        cause: cause(part),
         crash: CrashId(format!("{crash:016x}.0").into()),
         evidence: Some(CrashEvidence {
             instance: format!("decode-{crash}").into(),
-            with: parts(with),
+            with: with.iter().map(|part| cause(part)).collect(),
         }),
     }
 }
@@ -306,7 +311,7 @@
         let mut harness = blocked_harness(&[]);
         assert!(is_refused(&mut harness, &["bad"]));
         let unblock = SharedRecord::Block {
-            part: PartId("bad".into()),
+            cause: cause("bad"),
             block: None,
         };
         read(&mut harness, vec![unblock]);
@@ -361,13 +366,17 @@
 #[test]
 fn unblocked_part_is_served_at_all_vms_and_can_be_blocked_again() {
     let mut harness = blocked_harness(&[]);
-    let part = PartId("bad".into());
-    harness.apply(RelayEvent::UnblockPart { part });
+    harness.apply(RelayEvent::Unblock {
+        cause: cause("bad"),
+    });
     assert!(!is_refused(&mut harness, &["bad"]));
     let mut other = blocked_harness(&[]);
     let block = None;
-    let part = PartId("bad".into());
-    read(&mut other, vec![SharedRecord::Block { part, block }]);
+    let unblock = SharedRecord::Block {
+        cause: cause("bad"),
+        block,
+    };
+    read(&mut other, vec![unblock]);
     assert!(!is_refused(&mut other, &["bad"]));
     let records = (21..=24).map(|crash| evidence("bad", crash, &[]));
     read(&mut other, records.collect());
@@ -402,8 +411,8 @@
         match failure {
             None => harness.apply(RelayEvent::SharedRecords {
                 records: vec![SharedRecord::Block {
-                    part: PartId("bad".into()),
-                    block: Some(PartBlock {
+                    cause: cause("bad"),
+                    block: Some(CauseBlock {
                         with: Vec::new(),
                         instances: Vec::new(),
                     }),
