Log interface: a read states the era of the log and its age

Cause: offsets are given out again after the log is restored from an older copy, and its answers didn't say so. The interface has the optional fields era and era_age_ms; nothing reads them yet.

--- a/crates/arbutusfall/src/driver.rs
+++ b/crates/arbutusfall/src/driver.rs
@@ -232,6 +232,7 @@
             Event::Log(match log_service.read(&executor, &name, from, wait).await {
                 Ok(page) => LogEvent::Read {
                     stream,
+                    era: page.era(),
                     from,
                     oldest: page.oldest,
                     end: page.end,
--- a/crates/arbutusfall/src/log_client.rs
+++ b/crates/arbutusfall/src/log_client.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use arbutusfall_core::LogEra;
 use arbutusfall_core::LogRecord;
 use arbutusfall_wire::Name;
 use arbutusfall_wire::Offset;
@@ -40,6 +41,12 @@
 /// Result of one read from a stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReadPage {
+    /// Number of the log's era, see [`LogEra`]; 0 if the log doesn't state it.
+    #[serde(default)]
+    pub era: u64,
+    /// Time since the era began, in milliseconds, at the same instant as the records' ages.
+    #[serde(default)]
+    pub era_age_ms: u64,
     /// Oldest offset that the log retains.
     pub oldest: Offset,
     /// Offset of the next record to be appended.
@@ -48,6 +55,16 @@
     pub records: Vec<PageRecord>,
 }
 
+impl ReadPage {
+    /// Returns the era in which the log answered.
+    pub fn era(&self) -> LogEra {
+        LogEra {
+            number: self.era,
+            age: Duration::from_millis(self.era_age_ms),
+        }
+    }
+}
+
 /// One record of a [`ReadPage`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PageRecord {
--- a/crates/arbutusfall_core/benches/reducer.rs
+++ b/crates/arbutusfall_core/benches/reducer.rs
@@ -11,6 +11,7 @@
 use arbutusfall_core::Event;
 use arbutusfall_core::Identity;
 use arbutusfall_core::ListedVm;
+use arbutusfall_core::LogEra;
 use arbutusfall_core::LogEvent;
 use arbutusfall_core::LogRecord;
 use arbutusfall_core::LogStream;
@@ -319,6 +320,7 @@
     let text = serde_json::to_string(&record).unwrap_or_default();
     Event::Log(LogEvent::Read {
         stream: LogStream::Config,
+        era: LogEra::default(),
         from: Offset(0),
         oldest: Offset(0),
         end: Offset(1),
--- a/crates/arbutusfall_core/src/event.rs
+++ b/crates/arbutusfall_core/src/event.rs
@@ -308,6 +308,24 @@
     Claims(u16),
 }
 
+/// Era of the platform's log: the time between two restores of the log from older copies.
+///
+/// An offset is unique within one era only, because a restored log gives out the offsets of lost records again.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogEra {
+    /// Number that rises with each restore; 0 before the first, or if the log doesn't state it.
+    pub number: u64,
+    /// Time since the restore, by the clock that also determines the ages of the records of the same answer.
+    pub age: Duration,
+}
+
+impl LogEra {
+    /// Returns whether the log was never restored, as far as it states.
+    pub fn is_first(&self) -> bool {
+        self.number == 0
+    }
+}
+
 /// Result of a read from or an append to the platform's log.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -316,6 +334,9 @@
     Read {
         /// Stream that was read.
         stream: LogStream,
+        /// Era in which the log answered.
+        #[serde(default, skip_serializing_if = "LogEra::is_first")]
+        era: LogEra,
         /// Offset at which the read began.
         from: Offset,
         /// Oldest offset that the log still keeps.
--- a/crates/arbutusfall_core/tests/it/capacity.rs
+++ b/crates/arbutusfall_core/tests/it/capacity.rs
@@ -6,6 +6,7 @@
 
 use arbutusfall_core::Effect;
 use arbutusfall_core::Event;
+use arbutusfall_core::LogEra;
 use arbutusfall_core::LogEvent;
 use arbutusfall_core::LogRecord;
 use arbutusfall_core::LogStream;
@@ -243,6 +244,7 @@
             session.node.apply(
                 Event::Log(LogEvent::Read {
                     stream,
+                    era: LogEra::default(),
                     from,
                     oldest: Offset(0),
                     end: Offset(next + 1_000_000),
--- a/crates/arbutusfall_core/tests/it/claims_fixtures.rs
+++ b/crates/arbutusfall_core/tests/it/claims_fixtures.rs
@@ -5,6 +5,7 @@
 use arbutusfall_core::CallId;
 use arbutusfall_core::Effect;
 use arbutusfall_core::Event;
+use arbutusfall_core::LogEra;
 use arbutusfall_core::LogEvent;
 use arbutusfall_core::LogRecord;
 use arbutusfall_core::LogStream;
@@ -130,6 +131,7 @@
     let records: Vec<LogRecord> = page.collect();
     Event::Log(LogEvent::Read {
         stream: STREAM,
+        era: LogEra::default(),
         from: Offset(from),
         oldest: Offset(0),
         end: Offset(from + records.len() as u64),
--- a/crates/arbutusfall_core/tests/it/claims_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/claims_simulation.rs
@@ -8,6 +8,7 @@
 use arbutusfall_core::Effect;
 use arbutusfall_core::Event;
 use arbutusfall_core::Identity;
+use arbutusfall_core::LogEra;
 use arbutusfall_core::LogEvent;
 use arbutusfall_core::LogRecord;
 use arbutusfall_core::LogStream;
@@ -430,6 +431,7 @@
         });
         LogEvent::Read {
             stream: LogStream::Claims(0),
+            era: LogEra::default(),
             from: Offset(from),
             oldest: Offset(0),
             end: Offset(end as u64),
--- a/crates/arbutusfall_core/tests/it/config_reader.rs
+++ b/crates/arbutusfall_core/tests/it/config_reader.rs
@@ -4,6 +4,7 @@
 
 use arbutusfall_core::Effect;
 use arbutusfall_core::Event;
+use arbutusfall_core::LogEra;
 use arbutusfall_core::LogEvent;
 use arbutusfall_core::LogRecord;
 use arbutusfall_core::LogStream;
@@ -56,6 +57,7 @@
     let kept = all_records.skip(oldest.max(from as usize));
     Event::Log(LogEvent::Read {
         stream: LogStream::Config,
+        era: LogEra::default(),
         from: Offset(from),
         oldest: Offset(oldest as u64),
         end: Offset(records.len() as u64),
--- a/crates/arbutusfall_core/tests/it/leaving.rs
+++ b/crates/arbutusfall_core/tests/it/leaving.rs
@@ -7,6 +7,7 @@
 use arbutusfall_core::Effect;
 use arbutusfall_core::EngineEvent;
 use arbutusfall_core::Event;
+use arbutusfall_core::LogEra;
 use arbutusfall_core::LogEvent;
 use arbutusfall_core::LogRecord;
 use arbutusfall_core::LogStream;
@@ -38,6 +39,7 @@
     let text = serde_json::to_string(&record).expect("records are JSON");
     Event::Log(LogEvent::Read {
         stream: LogStream::Config,
+        era: LogEra::default(),
         from: Offset(1),
         oldest: Offset(0),
         end: Offset(2),
--- a/crates/arbutusfall_core/tests/it/session.rs
+++ b/crates/arbutusfall_core/tests/it/session.rs
@@ -8,6 +8,7 @@
 use arbutusfall_core::Event;
 use arbutusfall_core::Identity;
 use arbutusfall_core::ListedVm;
+use arbutusfall_core::LogEra;
 use arbutusfall_core::LogEvent;
 use arbutusfall_core::LogRecord;
 use arbutusfall_core::LogStream;
@@ -114,6 +115,7 @@
     let text = serde_json::to_string(&record).expect("records are JSON");
     Event::Log(LogEvent::Read {
         stream: LogStream::Config,
+        era: LogEra::default(),
         from: Offset(0),
         oldest: Offset(0),
         end: Offset(1),
--- a/crates/arbutusfall_core/tests/it/streams_harness.rs
+++ b/crates/arbutusfall_core/tests/it/streams_harness.rs
@@ -8,6 +8,7 @@
 use arbutusfall_core::EngineEvent;
 use arbutusfall_core::EngineFailure;
 use arbutusfall_core::Event;
+use arbutusfall_core::LogEra;
 use arbutusfall_core::LogEvent;
 use arbutusfall_core::LogRecord;
 use arbutusfall_core::LogStream;
@@ -270,6 +271,7 @@
         let text = serde_json::to_string(&record).expect("records are JSON");
         self.session.apply(Event::Log(LogEvent::Read {
             stream: LogStream::Config,
+            era: LogEra::default(),
             from: Offset(1),
             oldest: Offset(0),
             end: Offset(2),
--- a/crates/arbutusfall_standins/src/log_service.rs
+++ b/crates/arbutusfall_standins/src/log_service.rs
@@ -33,11 +33,17 @@
 #[derive(Default)]
 struct State {
     streams: BTreeMap<String, Stream>,
+    /// Copy from which the streams can be restored.
+    copy: BTreeMap<String, Stream>,
+    /// Number of restores.
+    era: u64,
+    /// Time of the last restore.
+    restored_at: Option<Instant>,
     faults: LogFaults,
     appends: u64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Stream {
     /// Offset of the oldest record kept.
     oldest: u64,
@@ -65,6 +71,10 @@
     slow_ms: u64,
     /// Offset before which records are removed from all streams, once when the fault is set.
     expire_before: Option<u64>,
+    /// Copies all streams, once when the fault is set.
+    copy: bool,
+    /// Restores all streams from the last copy and begins a new era, once when the fault is set.
+    restore: bool,
 }
 
 #[derive(Deserialize)]
@@ -99,6 +109,14 @@
                 stream.oldest += removed;
             }
         }
+        if faults.copy {
+            state.copy = state.streams.clone();
+        }
+        if faults.restore {
+            state.streams = state.copy.clone();
+            state.era += 1;
+            state.restored_at = Some(Instant::now());
+        }
         state.faults = faults;
         json_answer(200, &json!({}))
     }
@@ -147,6 +165,10 @@
 
     fn page(&self, name: &str, from: u64, max: u64) -> serde_json::Value {
         let mut state = self.lock();
+        // All ages of one answer are taken at the same instant.
+        let now = Instant::now();
+        let era = state.era;
+        let era_age_ms = state.restored_at.map_or(0, |at| millis_between(at, now));
         let stream = state.streams.entry(name.to_owned()).or_default();
         let skipped = from.saturating_sub(stream.oldest);
         let kept = stream.records.iter().enumerate();
@@ -155,15 +177,25 @@
             .take(max as usize)
             .map(|(index, (at, text))| {
                 let offset = stream.oldest + index as u64;
-                let age_ms = u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX);
+                let age_ms = millis_between(*at, now);
                 json!({ "offset": offset, "age_ms": age_ms, "text": text })
             })
             .collect();
         let end = stream.oldest + stream.records.len() as u64;
-        json!({ "oldest": stream.oldest, "end": end, "records": records })
+        json!({
+            "era": era,
+            "era_age_ms": era_age_ms,
+            "oldest": stream.oldest,
+            "end": end,
+            "records": records,
+        })
     }
 }
 
+fn millis_between(earlier: Instant, now: Instant) -> u64 {
+    u64::try_from((now - earlier).as_millis()).unwrap_or(u64::MAX)
+}
+
 impl StandIn for LogService {
     async fn handle(self: Arc<Self>, request: ReceivedRequest) -> Response<AnswerBody> {
         let uri = &request.parts.uri;
