--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -14,6 +14,7 @@
 mod config_reader;
 mod config_size;
 mod leaving;
+mod log_restore;
 mod membership;
 mod placement_harness;
 mod placement_policy;
