--- a/crates/arbutusfall_standins/tests/it/main.rs
+++ b/crates/arbutusfall_standins/tests/it/main.rs
@@ -11,6 +11,7 @@
 mod fleet_lock;
 mod free_address;
 mod golden;
+mod log_restore;
 mod operations_page;
 mod peers;
 mod streams;
