Claims: a lost claim of a log restored from an older copy can't be won again

Cause: a position and the absence of a claim were taken as valid for ever, though they hold for one era of the log only. An owner read on from its old offset, and took a key whose claim was lost for a new one. Change: each answer's era is compared with the newest seen, for all streams together. A newer one makes partitions read from the start; claims read before stay known. A key created before the restore (plus max_key_skew_ms) is won only by a claim that the copy holds; otherwise its outcome is unknown, or not run where no claim was sent. An answer of an earlier era counts as a failed read. Counter log.restored, log line log_restored. The test of the late answer now reads the refusals of both answers together, because the call is refused at the first.

--- a/crates/arbutusfall_core/src/claims.rs
+++ b/crates/arbutusfall_core/src/claims.rs
@@ -7,6 +7,7 @@
 mod outcomes;
 mod owner;
 mod partition;
+mod restores;
 
 pub(crate) use keyed_calls::KeyedCalls;
 pub(crate) use owner::PartitionOwner;
--- a/crates/arbutusfall_core/src/claims/owner.rs
+++ b/crates/arbutusfall_core/src/claims/owner.rs
@@ -11,7 +11,6 @@
 use arbutusfall_wire::ClaimVerdict;
 use arbutusfall_wire::IdempotencyKey;
 use arbutusfall_wire::Name;
-use arbutusfall_wire::Offset;
 use arbutusfall_wire::Outcome;
 use arbutusfall_wire::PeerMessage;
 use arbutusfall_wire::RecordOutcome;
@@ -20,14 +19,15 @@
 use crate::Counter;
 use crate::Effect;
 use crate::LogEvent;
-use crate::LogRecord;
 use crate::LogStream;
 use crate::Notice;
 use crate::claims::partition::InFlightAppend;
+use crate::claims::partition::LogPage;
 use crate::claims::partition::Partition;
 use crate::claims::partition::WaitingGoal;
 use crate::claims::partition::WaitingRequest;
 use crate::claims::partition_of;
+use crate::claims::restores::answer_unclaimable;
 use crate::config::ClaimSettings;
 use crate::context::Context;
 use crate::timers::Timer;
@@ -56,7 +56,9 @@
 /// Partitions for which this VM received claims or outcomes.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PartitionOwner {
-    partitions: BTreeMap<u16, Partition>,
+    pub(super) partitions: BTreeMap<u16, Partition>,
+    /// Time of the log's last restore since the Unix epoch, by this VM's clock.
+    pub(super) restored_at: Option<Duration>,
     /// Number of the last append; each append of this process has its own.
     last_append_number: u64,
 }
@@ -73,8 +75,10 @@
     /// more read if its outcome isn't known.
     pub(crate) fn on_claim(&mut self, entry_vm: &Name, claim: ClaimRequest, ctx: &mut Context<'_>) {
         let index = partition_of(claim.key, &ctx.site_config.claims);
+        let lost_before = self.lost_before(ctx);
         let partition = self.partitions.entry(index).or_default();
         partition.raise_oldest_claimable(oldest_claimable(ctx));
+        partition.raise_lost_before(lost_before);
         if partition.is_too_old(claim.key) {
             let verdict = too_old_verdict(entry_vm, claim.request, claim.fingerprint);
             reply(entry_vm, claim.key, claim.request, verdict, ctx);
@@ -129,6 +133,11 @@
         partition
             .waiting
             .insert((claim.key, claim.request), waiting);
+        if partition.may_be_lost(claim.key) {
+            // It can't win, but the log may hold an earlier claim.
+            self.read(index, ctx);
+            return;
+        }
         partition.queued.push_back(ClaimRecord::Claim {
             key: claim.key,
             vm: entry_vm.clone(),
@@ -208,7 +217,7 @@
     }
 
     /// Reads the log from the next offset.
-    fn read(&mut self, index: u16, ctx: &mut Context<'_>) {
+    pub(super) fn read(&mut self, index: u16, ctx: &mut Context<'_>) {
         let Some(partition) = self.partitions.get_mut(&index) else {
             return;
         };
@@ -235,11 +244,22 @@
                 ..
             } => self.on_append_failed(index, append, may_have_taken_effect, ctx),
             LogEvent::Read {
+                era,
+                from,
                 oldest,
                 end,
                 records,
                 ..
-            } => self.on_read(index, oldest, end, &records, ctx),
+            } => {
+                let page = LogPage {
+                    era,
+                    from,
+                    oldest,
+                    end,
+                    records: &records,
+                };
+                self.on_read(index, &page, ctx);
+            }
             LogEvent::ReadFailed { .. } => self.on_read_failed(index, ctx),
         }
     }
@@ -342,14 +362,8 @@
         self.append_queued(index, ctx);
     }
 
-    fn on_read(
-        &mut self,
-        index: u16,
-        oldest: Offset,
-        end: Offset,
-        records: &[LogRecord],
-        ctx: &mut Context<'_>,
-    ) {
+    fn on_read(&mut self, index: u16, page: &LogPage<'_>, ctx: &mut Context<'_>) {
+        let lost_before = self.lost_before(ctx);
         let Some(partition) = self.partitions.get_mut(&index) else {
             return;
         };
@@ -359,13 +373,14 @@
             partition.log_down = false;
             ctx.note(Notice::LogUp(LogStream::Claims(index)));
         }
-        let before = partition.next_offset;
-        partition.fold_page(oldest, records);
-        partition.read_again |= before < partition.next_offset && partition.next_offset < end;
+        partition.raise_lost_before(lost_before);
+        partition.read_again |= partition.fold_page(page);
         let again = partition.read_again;
         answer_waiting(partition, !again, ctx);
         if again {
             self.read(index, ctx);
+        } else if let Some(partition) = self.partitions.get_mut(&index) {
+            answer_unclaimable(partition, true, ctx);
         }
         self.append_queued(index, ctx);
         if self.is_in_flight(index) {
@@ -382,6 +397,7 @@
         if let Some(partition) = self.partitions.get_mut(&index) {
             partition.reading = false;
             answer_waiting(partition, true, ctx);
+            answer_unclaimable(partition, false, ctx);
         }
         self.on_log_down(index, ctx);
     }
@@ -420,7 +436,11 @@
 
 /// Returns the verdict for a key too old to be claimed: lost, with an unknown outcome and with the claiming request
 /// itself as the holder, because the real one is no longer known.
-fn too_old_verdict(entry_vm: &Name, request: RequestId, fingerprint: u64) -> ClaimVerdict {
+pub(super) fn too_old_verdict(
+    entry_vm: &Name,
+    request: RequestId,
+    fingerprint: u64,
+) -> ClaimVerdict {
     ClaimVerdict::Lost {
         vm: entry_vm.clone(),
         holder: request,
@@ -455,14 +475,19 @@
 }
 
 /// Replies that the claim was not appended, because the log is down or a queue is full.
-fn refuse_claim(entry_vm: &Name, key: IdempotencyKey, request: RequestId, ctx: &mut Context<'_>) {
+pub(super) fn refuse_claim(
+    entry_vm: &Name,
+    key: IdempotencyKey,
+    request: RequestId,
+    ctx: &mut Context<'_>,
+) {
     let verdict = ClaimVerdict::LogUnavailable {
         retry_after: LOG_RETRY_AFTER,
     };
     reply(entry_vm, key, request, verdict, ctx);
 }
 
-fn reply(
+pub(super) fn reply(
     entry_vm: &Name,
     key: IdempotencyKey,
     request: RequestId,
--- a/crates/arbutusfall_core/src/claims/partition.rs
+++ b/crates/arbutusfall_core/src/claims/partition.rs
@@ -13,6 +13,7 @@
 use arbutusfall_wire::Outcome;
 use arbutusfall_wire::RequestId;
 
+use crate::LogEra;
 use crate::LogRecord;
 
 /// State of one partition at its owner.
@@ -23,6 +24,9 @@
     claims: FastMap<IdempotencyKey, FirstClaim>,
     /// Time since the Unix epoch; keys created before it are too old to be claimed. Only grows.
     oldest_claimable: Duration,
+    /// Time since the Unix epoch; the claims of keys created before it may have been lost in a restore of the log. Only
+    /// grows.
+    lost_before: Duration,
     /// Requests waiting for the log, by key.
     pub(super) waiting: BTreeMap<(IdempotencyKey, RequestId), WaitingRequest>,
     /// Records queued for the next appends.
@@ -45,6 +49,26 @@
     pub(super) append_timer_set: bool,
 }
 
+/// Records of one read, with the state of the log that the answer gives.
+#[derive(Debug)]
+pub(super) struct LogPage<'a> {
+    pub(super) era: LogEra,
+    /// Offset at which the read began.
+    pub(super) from: Offset,
+    /// Oldest offset that the log keeps.
+    pub(super) oldest: Offset,
+    /// Offset that the next append will get.
+    pub(super) end: Offset,
+    pub(super) records: &'a [LogRecord],
+}
+
+impl LogPage<'_> {
+    /// Returns whether a record was appended after the log's last restore, or may have been at the same instant.
+    fn is_after_restore(&self, record: &LogRecord) -> bool {
+        !self.era.is_first() && record.age <= self.era.age
+    }
+}
+
 /// The first claim of a key.
 #[derive(Debug, Clone)]
 pub(super) struct FirstClaim {
@@ -104,27 +128,37 @@
         self.claims.get(&key)
     }
 
-    /// Applies records in log order.
-    pub(super) fn fold_page(&mut self, oldest: Offset, records: &[LogRecord]) {
-        for record in records {
+    /// Applies records in log order, and returns whether the log holds more that was not read.
+    pub(super) fn fold_page(&mut self, page: &LogPage<'_>) -> bool {
+        if page.from > self.next_offset {
+            // The read began at an offset of an earlier era.
+            return true;
+        }
+        let before = self.next_offset;
+        for record in page.records {
             if record.offset < self.next_offset {
                 continue;
             }
             self.next_offset = record.offset.next();
-            if let Ok(record) = serde_json::from_str::<ClaimRecord>(&record.text) {
-                self.fold(record);
+            if let Ok(claim_record) = serde_json::from_str::<ClaimRecord>(&record.text) {
+                self.fold(claim_record, page.is_after_restore(record));
             }
         }
         // Records removed by retention belong to keys that are too old to win.
-        self.next_offset = self.next_offset.max(oldest);
+        self.next_offset = self.next_offset.max(page.oldest);
         self.clear_redundant_append();
+        before < self.next_offset && self.next_offset < page.end
     }
 
-    /// Applies one record: the first claim of a key wins.
-    fn fold(&mut self, record: ClaimRecord) {
+    /// Applies one record: the first claim of a key wins, unless an earlier one may have been lost.
+    fn fold(&mut self, record: ClaimRecord, is_after_restore: bool) {
         if self.is_too_old(record.key()) {
             return;
         }
+        let is_claim = matches!(record, ClaimRecord::Claim { .. });
+        if is_claim && is_after_restore && self.may_be_lost(record.key()) {
+            return;
+        }
         match record {
             ClaimRecord::Claim {
                 key,
@@ -167,11 +201,11 @@
     }
 
     /// Returns whether appending a record would change nothing: its key has a claim or, for an outcome record, an
-    /// outcome on the log, from any request, or is too old.
+    /// outcome on the log, from any request, or is too old, or the record is a claim that can't win.
     pub(super) fn is_redundant(&self, record: &ClaimRecord) -> bool {
         let first_claim = self.claims.get(&record.key());
         let known = match record {
-            ClaimRecord::Claim { .. } => first_claim.is_some(),
+            ClaimRecord::Claim { key, .. } => first_claim.is_some() || self.may_be_lost(*key),
             ClaimRecord::Outcome { .. } => {
                 first_claim.is_some_and(|first_claim| first_claim.outcome.is_some())
             }
@@ -188,6 +222,25 @@
         self.oldest_claimable = self.oldest_claimable.max(oldest_claimable);
     }
 
+    /// Returns whether the log may have lost a claim of a key.
+    pub(super) fn may_be_lost(&self, key: IdempotencyKey) -> bool {
+        key.created_at() < self.lost_before
+    }
+
+    /// Raises the creation time, since the Unix epoch, before which claims may be lost.
+    pub(super) fn raise_lost_before(&mut self, lost_before: Duration) {
+        self.lost_before = self.lost_before.max(lost_before);
+    }
+
+    /// Prepares to read the stream from its start after the log was restored; the claims read before stay known.
+    pub(super) fn on_log_restored(&mut self) {
+        self.next_offset = Offset::default();
+        // The answer of the append in flight may be of either era.
+        let in_flight = self.in_flight.clone();
+        let records = in_flight.iter().flat_map(|in_flight| &in_flight.records);
+        records.for_each(|record| self.mark_may_be_logged(record));
+    }
+
     /// Removes the claims and queued records of keys that are too old.
     pub(super) fn sweep(&mut self) {
         let oldest_claimable = self.oldest_claimable;
--- a/crates/arbutusfall_core/src/counter.rs
+++ b/crates/arbutusfall_core/src/counter.rs
@@ -87,6 +87,8 @@
     Appends = "log.appends",
     /// An append of claim records failed or its answer was lost.
     AppendsFailed = "log.appends_failed",
+    /// The log was restored from an older copy.
+    LogRestored = "log.restored",
     /// A configuration came into force.
     ConfigAccepted = "config.accepted",
     /// A peer was asked for its configuration.
--- a/crates/arbutusfall_core/src/lib.rs
+++ b/crates/arbutusfall_core/src/lib.rs
@@ -35,6 +35,7 @@
 mod effect;
 mod event;
 mod limits;
+mod log_era;
 mod membership;
 mod node;
 mod notice;
--- a/crates/arbutusfall_core/src/node.rs
+++ b/crates/arbutusfall_core/src/node.rs
@@ -33,6 +33,8 @@
 use crate::context::Identity;
 use crate::context::Now;
 use crate::drain::DrainState;
+use crate::log_era::EraChange;
+use crate::log_era::EraWatch;
 use crate::membership;
 use crate::membership::Membership;
 use crate::open_calls::OpenCalls;
@@ -73,6 +75,7 @@
     /// Whether readiness was reported last.
     is_ready: bool,
     open_calls: OpenCalls,
+    era_watch: EraWatch,
     /// Sequence number of the last request that entered through this VM.
     last_sequence: u64,
 }
@@ -418,9 +421,25 @@
             | LogEvent::Appended { stream, .. }
             | LogEvent::AppendFailed { stream, .. } => *stream,
         };
+        let event = self.check_era(stream, event, ctx);
         match stream {
             LogStream::Config => self.config.on_log(event, ctx),
             LogStream::Claims(partition) => self.partitions.on_log(partition, event, ctx),
         }
     }
+
+    /// Prepares all readers for a new era; an answer of an earlier era becomes a failed read.
+    fn check_era(&mut self, stream: LogStream, event: LogEvent, ctx: &mut Context<'_>) -> LogEvent {
+        let LogEvent::Read { era, .. } = &event else {
+            return event;
+        };
+        match self.era_watch.observe(*era, ctx) {
+            EraChange::None => event,
+            EraChange::Newer => {
+                self.partitions.on_log_restored(*era, ctx);
+                event
+            }
+            EraChange::Outdated => LogEvent::ReadFailed { stream },
+        }
+    }
 }
--- a/crates/arbutusfall_core/src/notice.rs
+++ b/crates/arbutusfall_core/src/notice.rs
@@ -38,6 +38,13 @@
     LogDown(LogStream),
     /// The log answers again.
     LogUp(LogStream),
+    /// The log was restored from an older copy; all streams are read again.
+    LogRestored {
+        /// Number of the era before.
+        from: u64,
+        /// Number of the new era.
+        to: u64,
+    },
     /// Another VM's state changed.
     Member {
         /// The VM.
@@ -81,6 +88,10 @@
             }
             Self::LogDown(stream) => write!(f, "log stream {stream:?} does not answer"),
             Self::LogUp(stream) => write!(f, "log stream {stream:?} answers again"),
+            Self::LogRestored { from, to } => write!(
+                f,
+                "log was restored from an older copy, era {from} to {to}; reading all streams again"
+            ),
             Self::Member { vm, state } => write!(f, "VM {vm} is now {state:?}"),
             Self::Draining => f.write_str("draining: no new work is taken"),
             Self::Drained => f.write_str("drained: all work in progress is done"),
--- a/crates/arbutusfall_core/tests/it/log_restore.rs
+++ b/crates/arbutusfall_core/tests/it/log_restore.rs
@@ -9,6 +9,7 @@
 use arbutusfall_core::LogEvent;
 use arbutusfall_core::LogRecord;
 use arbutusfall_core::LogStream;
+use arbutusfall_core::Notice;
 use arbutusfall_core::ProblemKind;
 use arbutusfall_wire::ClaimRecord;
 use arbutusfall_wire::ConfigRecord;
@@ -292,9 +293,10 @@
     let mut session = new_vm_after_restore();
     session.apply(call(1));
     let late = claims().with(&claim_record(OWN, request(7, 1)));
-    let effects = session.apply(late.read(0));
-    assert_eq!(dispatched_calls(&effects), []);
+    let late_effects = session.apply(late.read(0));
     let effects = claims().restored(0).serve(&mut session, 0);
+    let effects = [late_effects, effects].concat();
+    assert_eq!(dispatched_calls(&effects), []);
     assert_eq!(refused_calls(&effects), [(1, ProblemKind::OutcomeUnknown)]);
 }
 
@@ -334,8 +336,10 @@
 #[test]
 fn older_configuration_of_the_copy_is_not_adopted() {
     let mut session = vm_with_three_revisions();
-    config_log(3).restored(1).serve(&mut session, 3);
+    let effects = config_log(3).restored(1).serve(&mut session, 3);
     assert_eq!(max_connections(&session), Some(1_002));
+    let notice = Notice::LogRestored { from: 0, to: 1 };
+    assert!(effects.contains(&Effect::Note(notice)));
 }
 
 #[test]
--- a/crates/arbutusfall_standins/tests/it/operations_page.rs
+++ b/crates/arbutusfall_standins/tests/it/operations_page.rs
@@ -32,6 +32,7 @@
         Notice::ConfigDiscarded { next: offset },
         Notice::LogDown(LogStream::Config),
         Notice::LogUp(LogStream::Config),
+        Notice::LogRestored { from: 0, to: 1 },
         Notice::Member {
             vm: "milano-a-1".into(),
             state: MemberState::Dead,
@@ -46,6 +47,7 @@
             | Notice::ConfigDiscarded { .. }
             | Notice::LogDown(_)
             | Notice::LogUp(_)
+            | Notice::LogRestored { .. }
             | Notice::Member { .. }
             | Notice::Draining
             | Notice::Drained => {}
