Configuration: read the stream again after the log was restored, and adopt nothing older

Cause: the read position and the revisions in force were taken as valid for ever, but the restored log gives out offsets again, so a publication was missed or taken for the one in force. Change: a new era makes the reader start again at the oldest record; the configuration in force stays until the log has one whose documents are not older: appended since the restore, or with a revision that is not lower. A page that begins after the read position is dropped. Log line config_older.

--- a/crates/arbutusfall_core/src/claims/partition.rs
+++ b/crates/arbutusfall_core/src/claims/partition.rs
@@ -62,13 +62,6 @@
     pub(super) records: &'a [LogRecord],
 }
 
-impl LogPage<'_> {
-    /// Returns whether a record was appended after the log's last restore, or may have been at the same instant.
-    fn is_after_restore(&self, record: &LogRecord) -> bool {
-        !self.era.is_first() && record.age <= self.era.age
-    }
-}
-
 /// The first claim of a key.
 #[derive(Debug, Clone)]
 pub(super) struct FirstClaim {
@@ -141,7 +134,7 @@
             }
             self.next_offset = record.offset.next();
             if let Ok(claim_record) = serde_json::from_str::<ClaimRecord>(&record.text) {
-                self.fold(claim_record, page.is_after_restore(record));
+                self.fold(claim_record, page.era.is_after_restore(record));
             }
         }
         // Records removed by retention belong to keys that are too old to win.
--- a/crates/arbutusfall_core/src/config_reader.rs
+++ b/crates/arbutusfall_core/src/config_reader.rs
@@ -1,6 +1,7 @@
 //! Reads the configuration stream, folds it and applies the resulting configuration.
 
 mod peers;
+mod restores;
 mod snapshots;
 
 use std::sync::Arc;
@@ -51,6 +52,8 @@
     in_force: Option<InForce>,
     catch_up: CatchUp,
     snapshots: Snapshots,
+    /// Offset of the first record read that was appended since the log's last restore.
+    first_after_restore: Option<Offset>,
 }
 
 /// The configuration in force and the revisions of its documents.
@@ -61,6 +64,17 @@
     overlay_revision: Option<Offset>,
     /// Whether the overlay does not change the base's accounts.
     inherits_accounts: bool,
+    /// Whether the log was restored since, so that its revisions may name other documents now.
+    is_from_earlier_era: bool,
+    /// Whether an older configuration on the restored log was logged.
+    is_older_noted: bool,
+}
+
+impl InForce {
+    /// Returns whether the documents have these revisions in the log's current era.
+    fn has_revisions(&self, base: Offset, overlay: Option<Offset>) -> bool {
+        !self.is_from_earlier_era && (self.base_revision, self.overlay_revision) == (base, overlay)
+    }
 }
 
 impl ConfigReader {
@@ -108,6 +122,7 @@
     pub(crate) fn on_log(&mut self, event: LogEvent, ctx: &mut Context<'_>) {
         match event {
             LogEvent::Read {
+                era,
                 from,
                 oldest,
                 end,
@@ -115,6 +130,7 @@
                 ..
             } => {
                 self.reads_in_progress = self.reads_in_progress.saturating_sub(1);
+                self.note_first_after_restore(era, &records);
                 self.on_read(from, oldest, end, &records, ctx);
             }
             LogEvent::ReadFailed { .. } => {
@@ -138,6 +154,11 @@
             self.log_down = false;
             ctx.note(Notice::LogUp(LogStream::Config));
         }
+        if from > self.read_from {
+            // The read began at an offset of an earlier era, or of a peer's state that was discarded since.
+            self.read(ctx);
+            return;
+        }
         if self.is_ahead_of_log(from, end) {
             self.discard_peer_state(ctx);
             return;
@@ -186,13 +207,18 @@
         ctx.note(Notice::ConfigDiscarded {
             next: self.fold.next_offset(),
         });
+        self.forget_stream(ctx);
+        self.read(ctx);
+    }
+
+    /// Forgets what was read, so that the next read starts at the oldest record; the configuration in force stays.
+    fn forget_stream(&mut self, ctx: &mut Context<'_>) {
         self.fold = ConfigFold::default();
         self.read_from = Offset::default();
         self.at_end = false;
         self.caught_up = false;
         self.catch_up = CatchUp::default();
         ctx.members.set_next_config_offset(self.fold.next_offset());
-        self.read(ctx);
     }
 
     fn set_gap(&mut self, gap: bool, oldest: Offset, ctx: &mut Context<'_>) {
@@ -213,10 +239,11 @@
             return;
         };
         let overlay = self.overlay_revision(&ctx.identity.site);
+        if self.keeps_newer_config(base, overlay, ctx) {
+            return;
+        }
         let current = self.in_force.as_ref();
-        if current.is_some_and(|current| {
-            (current.base_revision, current.overlay_revision) == (base, overlay)
-        }) {
+        if current.is_some_and(|current| current.has_revisions(base, overlay)) {
             return;
         }
         let Some(new) = self.build_in_force(base, overlay, &ctx.identity.site) else {
@@ -244,7 +271,10 @@
         let inherits_accounts = inherits_accounts(overlay_content);
         let current = self.in_force.as_ref();
         let same_accounts = current.filter(|current| {
-            current.base_revision == base_revision && current.inherits_accounts && inherits_accounts
+            !current.is_from_earlier_era
+                && current.base_revision == base_revision
+                && current.inherits_accounts
+                && inherits_accounts
         });
         let result = match same_accounts {
             Some(current) => effective_config_reusing_accounts(
@@ -261,6 +291,8 @@
             base_revision,
             overlay_revision,
             inherits_accounts,
+            is_from_earlier_era: false,
+            is_older_noted: false,
         })
     }
 
--- a/crates/arbutusfall_core/src/config_reader/snapshots.rs
+++ b/crates/arbutusfall_core/src/config_reader/snapshots.rs
@@ -72,6 +72,11 @@
         self.uncovered = !covered;
     }
 
+    /// Forgets the latest snapshot, which the log may have lost.
+    pub(super) fn on_log_restored(&mut self) {
+        self.latest = None;
+    }
+
     fn is_needed(&self, interval: Duration, now: Duration) -> bool {
         let recent =
             |latest: &LatestSnapshot| now.saturating_sub(latest.appended_at) < interval / 2;
--- a/crates/arbutusfall_core/src/event.rs
+++ b/crates/arbutusfall_core/src/event.rs
@@ -324,6 +324,11 @@
     pub fn is_first(&self) -> bool {
         self.number == 0
     }
+
+    /// Returns whether a record of the same answer was appended after the restore, or may have been at the same instant.
+    pub fn is_after_restore(&self, record: &LogRecord) -> bool {
+        !self.is_first() && record.age <= self.age
+    }
 }
 
 /// Result of a read from or an append to the platform's log.
--- a/crates/arbutusfall_core/src/notice.rs
+++ b/crates/arbutusfall_core/src/notice.rs
@@ -34,6 +34,13 @@
         /// First offset that the peer's state did not cover.
         next: Offset,
     },
+    /// The configuration on a restored log is older than the one in force, which stays.
+    ConfigOlder {
+        /// Revision of the base on the log.
+        base: Offset,
+        /// Revision of this site's overlay on the log.
+        overlay: Option<Offset>,
+    },
     /// The log stopped answering.
     LogDown(LogStream),
     /// The log answers again.
@@ -86,6 +93,15 @@
                      discarding the peer's configuration and reading the log again"
                 )
             }
+            Self::ConfigOlder { base, overlay } => {
+                let overlay =
+                    overlay.map_or_else(|| "none".to_owned(), |overlay| overlay.to_string());
+                write!(
+                    f,
+                    "the restored log has an older configuration (base {base}, overlay {overlay}); keeping the one in \
+                     force"
+                )
+            }
             Self::LogDown(stream) => write!(f, "log stream {stream:?} does not answer"),
             Self::LogUp(stream) => write!(f, "log stream {stream:?} answers again"),
             Self::LogRestored { from, to } => write!(
--- a/crates/arbutusfall_standins/tests/it/operations_page.rs
+++ b/crates/arbutusfall_standins/tests/it/operations_page.rs
@@ -32,6 +32,10 @@
         Notice::ConfigDiscarded { next: offset },
         Notice::LogDown(LogStream::Config),
         Notice::LogUp(LogStream::Config),
+        Notice::ConfigOlder {
+            base: offset,
+            overlay: None,
+        },
         Notice::LogRestored { from: 0, to: 1 },
         Notice::Member {
             vm: "milano-a-1".into(),
@@ -47,6 +51,7 @@
             | Notice::ConfigDiscarded { .. }
             | Notice::LogDown(_)
             | Notice::LogUp(_)
+            | Notice::ConfigOlder { .. }
             | Notice::LogRestored { .. }
             | Notice::Member { .. }
             | Notice::Draining
