Tests: a lost overlay, and a peer's state of an earlier era

The test of the peer's state fails: the VM takes the state while the log is down and then reads on from an offset of the earlier era, so the publication of the new one at a lower offset is missed. The other passes.

--- a/crates/arbutusfall_core/tests/it/log_restore.rs
+++ b/crates/arbutusfall_core/tests/it/log_restore.rs
@@ -11,10 +11,14 @@
 use arbutusfall_core::LogStream;
 use arbutusfall_core::Notice;
 use arbutusfall_core::ProblemKind;
+use arbutusfall_core::config::ConfigFold;
 use arbutusfall_wire::ClaimRecord;
 use arbutusfall_wire::ConfigRecord;
 use arbutusfall_wire::Document;
 use arbutusfall_wire::Offset;
+use arbutusfall_wire::PeerMessage;
+use arbutusfall_wire::Probe;
+use arbutusfall_wire::PushConfig;
 use serde::Serialize;
 use serde_json::json;
 use uuid::Uuid;
@@ -31,6 +35,7 @@
 use crate::claims_fixtures::call_marked_first;
 use crate::claims_fixtures::claim_record;
 use crate::claims_fixtures::dispatched_calls;
+use crate::claims_fixtures::from_other;
 use crate::claims_fixtures::key_created_at;
 use crate::claims_fixtures::outcome_record;
 use crate::claims_fixtures::read_failed;
@@ -327,7 +332,7 @@
 fn vm_with_three_revisions() -> Session {
     let mut session = Session::new("a");
     session.apply(Event::Started);
-    session.apply(Event::VmList(vec![listed("a"), listed("b")]));
+    session.apply(Event::VmList(vec![listed("a"), listed(OTHER)]));
     config_log(3).serve(&mut session, 0);
     assert_eq!(max_connections(&session), Some(1_002));
     session
@@ -390,3 +395,68 @@
     let session = new_vm_after_restore();
     assert_eq!(max_connections(&session), Some(1_000));
 }
+
+#[test]
+fn lost_overlay_keeps_the_configuration_in_force() {
+    let overlay = |parent: Option<u64>, max_connections: u64| ConfigRecord::Publish {
+        publish_id: Uuid::from_u128(u128::from(max_connections)),
+        document: Document::Overlay("rinnovo".into()),
+        parent: parent.map(Offset),
+        content: json!({ "limits": { "max_connections": max_connections } }),
+    };
+    let mut session = Session::new("a");
+    session.apply(Event::Started);
+    session.apply(Event::VmList(vec![listed("a")]));
+    let log = config_log(1)
+        .with(&overlay(None, 500))
+        .with(&overlay(Some(1), 600));
+    log.serve(&mut session, 0);
+    assert_eq!(max_connections(&session), Some(600));
+    // A new base alone doesn't bring the older overlay into force.
+    let restored = log.restored(1).with(&edit(20, Some(0), 2_000));
+    restored.serve(&mut session, 3);
+    assert_eq!(max_connections(&session), Some(600));
+    let mut restored = log.restored(2).with(&edit(20, Some(0), 2_000));
+    restored.era.number = 2;
+    restored.serve(&mut session, 2);
+    assert_eq!(max_connections(&session), Some(600));
+    let restored = restored.with(&overlay(Some(1), 700));
+    restored.serve(&mut session, 3);
+    assert_eq!(max_connections(&session), Some(700));
+}
+
+#[test]
+fn peers_state_of_an_earlier_era_is_replaced_once_the_log_answers() {
+    let mut session = Session::new("a");
+    session.apply(Event::Started);
+    session.apply(Event::VmList(vec![listed("a"), listed(OTHER)]));
+    let restored = config_log(1).restored(1);
+    restored.serve(&mut session, 0);
+    session.apply(Event::Log(LogEvent::ReadFailed {
+        stream: LogStream::Config,
+    }));
+    // The peer has not noticed the restore and pushes a publication that the log lost.
+    session.apply(from_other(PeerMessage::ProbeAck(Probe {
+        sequence: 0,
+        member_updates: Vec::new(),
+        next_config_offset: Offset(2),
+    })));
+    session.apply(from_other(PeerMessage::PushConfig(PushConfig {
+        snapshot_json: snapshot(&config_log(2)),
+    })));
+    assert_eq!(max_connections(&session), Some(1_001));
+    restored
+        .with(&edit(20, Some(0), 2_000))
+        .serve(&mut session, 2);
+    assert_eq!(max_connections(&session), Some(2_000));
+}
+
+/// Returns a stream's folded state as a peer pushes it.
+fn snapshot(log: &Log) -> String {
+    let mut fold = ConfigFold::default();
+    for (offset, (_, text)) in (0..).zip(&log.records) {
+        fold.apply(Offset(offset), text);
+    }
+    let snapshot = fold.snapshot().expect("records were folded");
+    serde_json::to_string(&snapshot).expect("records are JSON")
+}
