Configuration: read the stream again after a peer's state, if the log was ever restored

Cause: a peer that has not noticed a restore can push a state of the earlier era, whose offsets name other records now. Change: with a log in a later era, the first answer after such a push makes the reader start again at the oldest record; what is in force stays as after a restore.

--- a/crates/arbutusfall_core/src/config_reader.rs
+++ b/crates/arbutusfall_core/src/config_reader.rs
@@ -130,6 +130,10 @@
                 ..
             } => {
                 self.reads_in_progress = self.reads_in_progress.saturating_sub(1);
+                if self.catch_up.has_peer_state && !era.is_first() {
+                    // The peer may not have noticed the last restore.
+                    self.on_log_restored(ctx);
+                }
                 self.note_first_after_restore(era, &records);
                 self.on_read(from, oldest, end, &records, ctx);
             }
