--- a/crates/arbutusfall_core/tests/it/claims_exploration.rs
+++ b/crates/arbutusfall_core/tests/it/claims_exploration.rs
@@ -68,6 +68,7 @@
         faults,
         kills,
         clock_jumps,
+        restores: 0,
     }
 }
 
--- a/crates/arbutusfall_core/tests/it/claims_random.rs
+++ b/crates/arbutusfall_core/tests/it/claims_random.rs
@@ -10,6 +10,7 @@
 use crate::claims_simulation::Budget;
 use crate::claims_simulation::Call;
 use crate::claims_simulation::Simulation;
+use crate::claims_simulation::Step;
 use crate::claims_simulation::marked_call;
 use crate::claims_simulation::unmarked_call;
 
@@ -59,7 +60,7 @@
         } else {
             vec![vec![0, 1, 2]; 3]
         };
-        let budget = Budget { time_steps: 12, faults: 6, kills: 2, clock_jumps: 1 };
+        let budget = Budget { time_steps: 12, faults: 6, kills: 2, clock_jumps: 1, restores: 0 };
         let mut simulation = Simulation::new(views, calls(), budget);
         for choice in choices {
             let steps = simulation.steps();
@@ -70,6 +71,33 @@
         }
         simulation.finish_and_check();
     }
+
+    #[test]
+    fn at_most_once_across_a_restore_of_the_log(
+        choices in prop::collection::vec(any::<prop::sample::Index>(), 10..120),
+        restore_after in 1_usize..100,
+        split in any::<bool>(),
+    ) {
+        let views = if split {
+            vec![vec![0], vec![1, 2], vec![0, 1, 2]]
+        } else {
+            vec![vec![0, 1, 2]; 3]
+        };
+        let budget = Budget { time_steps: 12, faults: 4, kills: 2, clock_jumps: 0, restores: 0 };
+        let mut simulation = Simulation::new(views, calls(), budget);
+        for (number, choice) in choices.into_iter().enumerate() {
+            simulation.budget.restores += u32::from(number == restore_after);
+            let steps = simulation.steps();
+            if steps.is_empty() {
+                break;
+            }
+            let is_restore = |step: &Step| matches!(step, Step::Restore(_));
+            let restores: Vec<Step> = steps.iter().copied().filter(is_restore).collect();
+            let steps = if restores.is_empty() { steps } else { restores };
+            simulation.apply_step(*choice.get(&steps));
+        }
+        simulation.finish_and_check();
+    }
 }
 
 proptest! {
--- a/crates/arbutusfall_core/tests/it/claims_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/claims_simulation.rs
@@ -37,6 +37,12 @@
 /// Clock jump of a VM, longer than the claim window.
 const CLOCK_JUMP: Duration = Duration::from_secs(48 * 3_600);
 
+/// Age that the log states for records of the copy that it was restored from.
+const BEFORE_RESTORE: Duration = Duration::from_secs(60);
+
+/// Age that the log states for its era.
+const SINCE_RESTORE: Duration = Duration::from_secs(1);
+
 /// Time steps within which every call must be answered after the last fault.
 const MAX_TIME_STEPS_TO_FINISH: usize = 16;
 
@@ -74,6 +80,15 @@
     pub(crate) faults: u32,
     pub(crate) kills: u32,
     pub(crate) clock_jumps: u32,
+    pub(crate) restores: u32,
+}
+
+/// The log during one era.
+#[derive(Debug, Clone, Default, Hash)]
+struct LogInEra {
+    records: Vec<Name>,
+    /// Number of records from the copy that the log was restored from.
+    copied: usize,
 }
 
 #[derive(Debug, Clone)]
@@ -112,8 +127,8 @@
     Read {
         vm: usize,
         from: u64,
-        /// End of the log when it served the read; `None` until then.
-        served_to: Option<usize>,
+        /// Era and end of the log when it served the read; `None` until then.
+        served_to: Option<(usize, usize)>,
     },
     Service {
         vm: usize,
@@ -132,6 +147,8 @@
     /// The VM's process is killed and restarted.
     Kill(usize),
     ClockJump(usize),
+    /// The log is restored from a copy with this number of records.
+    Restore(usize),
     /// Delivers a message, or takes the next step of an append, read or service call without a fault.
     Advance(usize),
     /// Fails a task. Variant 0 of an append or a service call may still take effect; variant 1 never does.
@@ -151,7 +168,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Simulation {
     vms: Vec<Vm>,
-    log: Vec<Name>,
+    /// The log in all eras; the last one is current.
+    log_eras: Vec<LogInEra>,
     tasks: Vec<Task>,
     dispatches: Vec<Dispatch>,
     pub(crate) calls: Vec<Call>,
@@ -172,7 +190,7 @@
     pub(crate) fn new(views: Vec<Vec<usize>>, calls: Vec<Call>, budget: Budget) -> Self {
         let mut simulation = Self {
             vms: Vec::new(),
-            log: Vec::new(),
+            log_eras: vec![LogInEra::default()],
             tasks: Vec::new(),
             dispatches: Vec::new(),
             calls,
@@ -242,6 +260,9 @@
                 steps.push(Step::ClockJump(index));
             }
         }
+        if self.budget.restores > 0 {
+            steps.extend((0..self.log().len()).map(Step::Restore));
+        }
         for (index, task) in self.tasks.iter().enumerate() {
             steps.push(Step::Advance(index));
             let variants = match task {
@@ -285,6 +306,11 @@
                 self.vms[vm].now.unix += CLOCK_JUMP;
                 self.vms[vm].history = stable_hash(&(self.vms[vm].history, "jump"));
             }
+            Step::Restore(copied) => {
+                self.budget.restores -= 1;
+                let records = self.log()[..copied].to_vec();
+                self.log_eras.push(LogInEra { records, copied });
+            }
             Step::Advance(task) => self.advance(task),
             Step::Fail(task, variant) => {
                 self.budget.faults -= 1;
@@ -376,7 +402,7 @@
                 state,
             } => match state {
                 AppendState::Waiting => {
-                    self.log.extend(records.iter().cloned());
+                    self.log_mut().extend(records.iter().cloned());
                     self.tasks.push(Task::Append {
                         vm,
                         append,
@@ -387,14 +413,14 @@
                 AppendState::Applied => {
                     self.apply(vm, Event::Log(LogEvent::Appended { stream, append }));
                 }
-                AppendState::AnswerLost => self.log.extend(records),
+                AppendState::AnswerLost => self.log_mut().extend(records),
             },
             Task::Read {
                 vm,
                 from,
                 served_to: None,
             } => {
-                let served_to = Some(self.log.len());
+                let served_to = Some((self.log_eras.len() - 1, self.log().len()));
                 self.tasks.push(Task::Read {
                     vm,
                     from,
@@ -404,8 +430,8 @@
             Task::Read {
                 vm,
                 from,
-                served_to: Some(end),
-            } => self.apply(vm, Event::Log(self.page(from, end))),
+                served_to: Some((era, end)),
+            } => self.apply(vm, Event::Log(self.page(from, era, end))),
             Task::Service { vm, call, attempt } => {
                 let answer = ServiceAnswer {
                     status: 200,
@@ -422,16 +448,33 @@
         }
     }
 
-    fn page(&self, from: u64, end: usize) -> LogEvent {
-        let served = self.log[..end].iter().enumerate().skip(from as usize);
+    fn log(&self) -> &Vec<Name> {
+        &self.log_eras[self.log_eras.len() - 1].records
+    }
+
+    fn log_mut(&mut self) -> &mut Vec<Name> {
+        let last = self.log_eras.len() - 1;
+        &mut self.log_eras[last].records
+    }
+
+    fn page(&self, from: u64, era: usize, end: usize) -> LogEvent {
+        let log = &self.log_eras[era];
+        let served = log.records[..end].iter().enumerate().skip(from as usize);
         let records = served.map(|(offset, text)| LogRecord {
             offset: Offset(offset as u64),
-            age: Duration::ZERO,
+            age: if offset < log.copied {
+                BEFORE_RESTORE
+            } else {
+                Duration::ZERO
+            },
             text: text.clone(),
         });
         LogEvent::Read {
             stream: LogStream::Claims(0),
-            era: LogEra::default(),
+            era: LogEra {
+                number: era as u64,
+                age: SINCE_RESTORE,
+            },
             from: Offset(from),
             oldest: Offset(0),
             end: Offset(end as u64),
@@ -693,7 +736,14 @@
             })
             .collect();
         let dispatches = format!("{:?}", self.dispatches);
-        stable_hash(&(vms, &self.log, tasks, self.budget, call_states, dispatches))
+        stable_hash(&(
+            vms,
+            &self.log_eras,
+            tasks,
+            self.budget,
+            call_states,
+            dispatches,
+        ))
     }
 }
 
