--- a/crates/arbutusfall_core/tests/it/claims_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/claims_simulation.rs
@@ -319,6 +319,12 @@
         }
     }
 
+    /// Restores the log from a copy of all its records.
+    pub(crate) fn restore_from_newest_copy(&mut self) {
+        let copied = self.log().len();
+        self.apply_step(Step::Restore(copied));
+    }
+
     fn start_call(&mut self, index: usize) {
         let call = &mut self.calls[index];
         call.started_at_step = Some(self.step_count);
--- a/crates/arbutusfall_core/tests/it/log_restore.rs
+++ b/crates/arbutusfall_core/tests/it/log_restore.rs
@@ -43,6 +43,10 @@
 use crate::claims_fixtures::request;
 use crate::claims_fixtures::service_call;
 use crate::claims_fixtures::wait;
+use crate::claims_simulation::Budget;
+use crate::claims_simulation::Simulation;
+use crate::claims_simulation::Step;
+use crate::claims_simulation::unmarked_call;
 use crate::session::Session;
 use crate::session::listed;
 use crate::session::site_base;
@@ -460,3 +464,27 @@
     let snapshot = fold.snapshot().expect("records were folded");
     serde_json::to_string(&snapshot).expect("records are JSON")
 }
+
+#[test]
+fn claim_appended_between_two_restores_by_a_vm_that_noticed_neither_does_not_win() {
+    let calls = vec![unmarked_call(0, 0), unmarked_call(1, 0)];
+    let budget = Budget {
+        time_steps: 0,
+        faults: 0,
+        kills: 1,
+        clock_jumps: 0,
+        restores: 2,
+    };
+    let mut simulation = Simulation::new(vec![vec![0], vec![1]], calls, budget);
+    simulation.apply_step(Step::Start(0));
+    while !simulation.has_dispatch() {
+        simulation.apply_step(Step::Advance(0));
+    }
+    simulation.apply_step(Step::Restore(0));
+    simulation.apply_step(Step::Kill(0));
+    simulation.apply_step(Step::Start(1));
+    // The log handles the append of VM 1 and is restored from a copy that was made afterwards.
+    simulation.apply_step(Step::Advance(0));
+    simulation.restore_from_newest_copy();
+    simulation.finish_and_check();
+}
