Log: an append states the era, and the log refuses it in another one

Cause: a VM that had not noticed a restore could append a claim in the new era; after a second restore from a copy with that claim, nothing distinguished it from a claim of the first era.

--- a/crates/arbutusfall/src/driver.rs
+++ b/crates/arbutusfall/src/driver.rs
@@ -157,8 +157,9 @@
             Effect::Append {
                 stream,
                 append,
+                era,
                 records,
-            } => self.append_to_log(stream, append, records),
+            } => self.append_to_log(stream, append, era, records),
             Effect::ReadLog { stream, from, wait } => self.read_log(stream, from, wait),
             Effect::FetchVmList => self.fetch_vm_list(),
             Effect::Count(counter) => self.telemetry.count(counter.name(), 1),
@@ -208,12 +209,13 @@
         self.executor.spawn(submit).detach();
     }
 
-    fn append_to_log(&self, stream: LogStream, append: u64, records: Vec<Name>) {
+    fn append_to_log(&self, stream: LogStream, append: u64, era: u64, records: Vec<Name>) {
         let log_service = self.log_service;
         let executor = self.executor.clone();
         let name = self.stream_name(stream);
         self.spawn_and_submit(async move {
-            Event::Log(match log_service.append(&executor, &name, &records).await {
+            let result = log_service.append(&executor, &name, era, &records).await;
+            Event::Log(match result {
                 Ok(_) => LogEvent::Appended { stream, append },
                 Err(error) => LogEvent::AppendFailed {
                     stream,
--- a/crates/arbutusfall/src/log_client.rs
+++ b/crates/arbutusfall/src/log_client.rs
@@ -104,7 +104,8 @@
 }
 
 impl LogClient {
-    /// Appends records with one request and returns the offset of the first.
+    /// Appends records with one request and returns the offset of the first. The log refuses them if its era is not the
+    /// given one; a log that states no era ignores it.
     ///
     /// # Errors
     ///
@@ -113,18 +114,20 @@
         &self,
         executor: &Executor,
         stream: &str,
+        era: u64,
         records: &[Name],
     ) -> Result<Offset, LogError> {
-        let path = format!("/streams/{stream}/records");
+        let path = format!("/streams/{stream}/records?era={era}");
         let body = AppendBody { records };
         let answer: Result<AppendAnswer, ClientError> =
             http::post_json(executor, self.address, &path, &body, EXCHANGE_TIMEOUT).await;
         match answer {
             Ok(answer) => Ok(answer.first),
             Err(cause) => {
-                // Without a connection the log service received nothing, and with 503 it refuses before it appends.
+                // Without a connection the log service received nothing; with 409 (another era) and 503 it refuses
+                // before it appends.
                 let may_have_taken_effect =
-                    !matches!(cause, ClientError::Connect | ClientError::Status(503));
+                    !matches!(cause, ClientError::Connect | ClientError::Status(409 | 503));
                 Err(LogError {
                     may_have_taken_effect,
                     cause,
--- a/crates/arbutusfall/src/publish.rs
+++ b/crates/arbutusfall/src/publish.rs
@@ -149,7 +149,7 @@
         let text = serde_json::to_string(&record).change_context_lazy(|| unavailable.clone())?;
         // The result is ignored: the log is read back to see whether the append took effect.
         let _ = log
-            .append(executor, CONFIG_STREAM, &[Name::from(text)])
+            .append(executor, CONFIG_STREAM, stream.era, &[Name::from(text)])
             .await;
         if let Ok(stream) = FoldedStream::read(executor, log, publish_id).await?
             && let Some(outcome) = stream.outcome()
@@ -174,6 +174,8 @@
 #[derive(Debug)]
 struct FoldedStream {
     fold: ConfigFold,
+    /// Number of the log's era when it was read.
+    era: u64,
     publish_id: Uuid,
     /// Decision on the publication, kept even if the fold evicts it.
     decided: Option<DecidedPublication>,
@@ -192,6 +194,7 @@
     ) -> Result<Result<Self, LogError>, Report<PublishError>> {
         let mut stream = Self {
             fold: ConfigFold::default(),
+            era: 0,
             publish_id,
             decided: None,
             recorded: false,
@@ -206,6 +209,11 @@
                 Ok(page) => page,
                 Err(error) => return Ok(Err(error)),
             };
+            if page.era != stream.era && from > Offset(0) {
+                // The log was restored between two pages.
+                return Err(Report::new(PublishError::MissingRecords));
+            }
+            stream.era = page.era;
             let next_before_page = stream.fold.next_offset();
             from = from.max(page.oldest);
             for record in &page.records {
--- a/crates/arbutusfall_core/src/claims/owner.rs
+++ b/crates/arbutusfall_core/src/claims/owner.rs
@@ -57,6 +57,8 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PartitionOwner {
     pub(super) partitions: BTreeMap<u16, Partition>,
+    /// Number of the newest era seen.
+    pub(super) era: u64,
     /// Time of the log's last restore since the Unix epoch, by this VM's clock.
     pub(super) restored_at: Option<Duration>,
     /// Number of the last append; each append of this process has its own.
@@ -203,6 +205,7 @@
         ctx.push(Effect::Append {
             stream: LogStream::Claims(index),
             append,
+            era: self.era,
             records: texts,
         });
         self.schedule_wake_up(index, APPEND_POLL_DELAY, ctx);
--- a/crates/arbutusfall_core/src/claims/restores.rs
+++ b/crates/arbutusfall_core/src/claims/restores.rs
@@ -17,6 +17,7 @@
 impl PartitionOwner {
     /// Reads all partitions again after the log was restored.
     pub(crate) fn on_log_restored(&mut self, era: LogEra, ctx: &mut Context<'_>) {
+        self.era = era.number;
         let restored_at = ctx.now.unix.saturating_sub(era.age);
         self.restored_at = self.restored_at.max(Some(restored_at));
         let indices: Vec<u16> = self.partitions.keys().copied().collect();
--- a/crates/arbutusfall_core/src/config_reader.rs
+++ b/crates/arbutusfall_core/src/config_reader.rs
@@ -52,6 +52,8 @@
     in_force: Option<InForce>,
     catch_up: CatchUp,
     snapshots: Snapshots,
+    /// Number of the newest era seen.
+    era: u64,
     /// Offset of the first record read that was appended since the log's last restore.
     first_after_restore: Option<Offset>,
 }
@@ -132,7 +134,7 @@
                 self.reads_in_progress = self.reads_in_progress.saturating_sub(1);
                 if self.catch_up.has_peer_state && !era.is_first() {
                     // The peer may not have noticed the last restore.
-                    self.on_log_restored(ctx);
+                    self.on_log_restored(era, ctx);
                 }
                 self.note_first_after_restore(era, &records);
                 self.on_read(from, oldest, end, &records, ctx);
--- a/crates/arbutusfall_core/src/config_reader/restores.rs
+++ b/crates/arbutusfall_core/src/config_reader/restores.rs
@@ -14,11 +14,12 @@
 
 impl ConfigReader {
     /// Reads the stream again from its start.
-    pub(crate) fn on_log_restored(&mut self, ctx: &mut Context<'_>) {
+    pub(crate) fn on_log_restored(&mut self, era: LogEra, ctx: &mut Context<'_>) {
         if let Some(in_force) = &mut self.in_force {
             in_force.is_from_earlier_era = true;
             in_force.is_older_noted = false;
         }
+        self.era = era.number;
         self.first_after_restore = None;
         self.snapshots.on_log_restored();
         if self.read_from == Offset::default() {
--- a/crates/arbutusfall_core/src/config_reader/snapshots.rs
+++ b/crates/arbutusfall_core/src/config_reader/snapshots.rs
@@ -108,6 +108,7 @@
         ctx.push(Effect::Append {
             stream: LogStream::Config,
             append: self.snapshots.last_append_id,
+            era: self.era,
             records: vec![Name::from(text)],
         });
     }
--- a/crates/arbutusfall_core/src/effect.rs
+++ b/crates/arbutusfall_core/src/effect.rs
@@ -128,6 +128,9 @@
         stream: LogStream,
         /// Number of the append, unique for this process.
         append: u64,
+        /// Number of the newest era seen; the log refuses the append in another one.
+        #[serde(default, skip_serializing_if = "is_first_era")]
+        era: u64,
         /// JSON text of each record.
         records: Vec<Name>,
     },
@@ -246,3 +249,12 @@
     /// Idempotency key to pass on; set for a non-idempotent call.
     pub key: Option<IdempotencyKey>,
 }
+
+/// Returns whether the log was never restored, as far as this VM has seen.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the signature that serde calls"
+)]
+fn is_first_era(era: &u64) -> bool {
+    *era == 0
+}
--- a/crates/arbutusfall_core/src/node.rs
+++ b/crates/arbutusfall_core/src/node.rs
@@ -436,7 +436,7 @@
         match self.era_watch.observe(*era, ctx) {
             EraChange::None => event,
             EraChange::Newer => {
-                self.config.on_log_restored(ctx);
+                self.config.on_log_restored(*era, ctx);
                 self.partitions.on_log_restored(*era, ctx);
                 event
             }
--- a/crates/arbutusfall_core/tests/it/claims_fixtures.rs
+++ b/crates/arbutusfall_core/tests/it/claims_fixtures.rs
@@ -238,6 +238,7 @@
             stream: LogStream::Claims(_),
             append,
             records,
+            ..
         } => Some((*append, records.len())),
         _ => None,
     });
--- a/crates/arbutusfall_core/tests/it/claims_random.rs
+++ b/crates/arbutusfall_core/tests/it/claims_random.rs
@@ -73,9 +73,10 @@
     }
 
     #[test]
-    fn at_most_once_across_a_restore_of_the_log(
+    fn at_most_once_across_two_restores_of_the_log(
         choices in prop::collection::vec(any::<prop::sample::Index>(), 10..120),
         restore_after in 1_usize..100,
+        steps_between in 1_usize..40,
         split in any::<bool>(),
     ) {
         let views = if split {
@@ -86,7 +87,8 @@
         let budget = Budget { time_steps: 12, faults: 4, kills: 2, clock_jumps: 0, restores: 0 };
         let mut simulation = Simulation::new(views, calls(), budget);
         for (number, choice) in choices.into_iter().enumerate() {
-            simulation.budget.restores += u32::from(number == restore_after);
+            let is_due = number == restore_after || number == restore_after + steps_between;
+            simulation.budget.restores += u32::from(is_due);
             let steps = simulation.steps();
             if steps.is_empty() {
                 break;
--- a/crates/arbutusfall_core/tests/it/claims_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/claims_simulation.rs
@@ -121,6 +121,8 @@
     Append {
         vm: usize,
         append: u64,
+        /// Era that the VM states; the log refuses the append in another one.
+        era: usize,
         records: Vec<Name>,
         state: AppendState,
     },
@@ -404,14 +406,25 @@
             Task::Append {
                 vm,
                 append,
+                era,
                 records,
                 state,
             } => match state {
+                AppendState::Waiting if era != self.log_eras.len() - 1 => {
+                    let refused = LogEvent::AppendFailed {
+                        stream,
+                        append,
+                        may_have_taken_effect: false,
+                    };
+                    self.apply(vm, Event::Log(refused));
+                }
+                AppendState::AnswerLost if era != self.log_eras.len() - 1 => {}
                 AppendState::Waiting => {
                     self.log_mut().extend(records.iter().cloned());
                     self.tasks.push(Task::Append {
                         vm,
                         append,
+                        era,
                         records,
                         state: AppendState::Applied,
                     });
@@ -495,6 +508,7 @@
             Task::Append {
                 vm,
                 append,
+                era,
                 records,
                 state,
             } => {
@@ -503,6 +517,7 @@
                     self.tasks.push(Task::Append {
                         vm,
                         append,
+                        era,
                         records,
                         state: AppendState::AnswerLost,
                     });
@@ -564,10 +579,12 @@
             Effect::Append {
                 stream: LogStream::Claims(_),
                 append,
+                era,
                 records,
             } => self.tasks.push(Task::Append {
                 vm,
                 append,
+                era: era as usize,
                 records,
                 state: AppendState::Waiting,
             }),
--- a/crates/arbutusfall_standins/src/log_service.rs
+++ b/crates/arbutusfall_standins/src/log_service.rs
@@ -221,7 +221,12 @@
                     &json!({ "appends": state.appends, "hang_reads": hang_reads }),
                 )
             }
-            (&Method::POST, ["streams", name, "records"]) => self.append(name, &request.body).await,
+            (&Method::POST, ["streams", name, "records"]) => {
+                if numeric_parameter(uri, "era").is_some_and(|era| era != self.lock().era) {
+                    return json_answer(409, &json!({}));
+                }
+                self.append(name, &request.body).await
+            }
             (&Method::GET, ["streams", name, "records"]) => {
                 if faults.hold_reads && name.starts_with("claims") {
                     return future::pending().await;
