--- a/crates/arbutusfall_core/src/log_era.rs
+++ b/crates/arbutusfall_core/src/log_era.rs
@@ -1,4 +1,4 @@
-//! Notices by the eras that the log states that it was restored from an older copy.
+//! Detects by the eras of the answers that the log was restored from an older copy.
 
 use crate::Counter;
 use crate::LogEra;
