--- a/crates/arbutusfall_core/src/notice.rs
+++ b/crates/arbutusfall_core/src/notice.rs
@@ -34,10 +34,24 @@
         /// First offset that the peer's state did not cover.
         next: Offset,
     },
+    /// The configuration on a restored log is older than the one in force, which stays.
+    ConfigOlder {
+        /// Revision of the base on the log.
+        base: Offset,
+        /// Revision of this site's overlay on the log.
+        overlay: Option<Offset>,
+    },
     /// The log stopped answering.
     LogDown(LogStream),
     /// The log answers again.
     LogUp(LogStream),
+    /// The log was restored from an older copy; all streams are read again.
+    LogRestored {
+        /// Number of the era before.
+        from: u64,
+        /// Number of the new era.
+        to: u64,
+    },
     /// Another VM's state changed.
     Member {
         /// The VM.
@@ -79,8 +93,21 @@
                      discarding the peer's configuration and reading the log again"
                 )
             }
+            Self::ConfigOlder { base, overlay } => {
+                let overlay =
+                    overlay.map_or_else(|| "none".to_owned(), |overlay| overlay.to_string());
+                write!(
+                    f,
+                    "the restored log has an older configuration (base {base}, overlay {overlay}); keeping the one in \
+                     force"
+                )
+            }
             Self::LogDown(stream) => write!(f, "log stream {stream:?} does not answer"),
             Self::LogUp(stream) => write!(f, "log stream {stream:?} answers again"),
+            Self::LogRestored { from, to } => write!(
+                f,
+                "log was restored from an older copy, era {from} to {to}; reading all streams again"
+            ),
             Self::Member { vm, state } => write!(f, "VM {vm} is now {state:?}"),
             Self::Draining => f.write_str("draining: no new work is taken"),
             Self::Drained => f.write_str("drained: all work in progress is done"),
--- a/crates/arbutusfall_core/tests/it/claims_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/claims_simulation.rs
@@ -8,6 +8,7 @@
 use arbutusfall_core::Effect;
 use arbutusfall_core::Event;
 use arbutusfall_core::Identity;
+use arbutusfall_core::LogEra;
 use arbutusfall_core::LogEvent;
 use arbutusfall_core::LogRecord;
 use arbutusfall_core::LogStream;
@@ -36,6 +37,12 @@
 /// Clock jump of a VM, longer than the claim window.
 const CLOCK_JUMP: Duration = Duration::from_secs(48 * 3_600);
 
+/// Age that the log states for records of the copy that it was restored from.
+const BEFORE_RESTORE: Duration = Duration::from_secs(60);
+
+/// Age that the log states for its era.
+const SINCE_RESTORE: Duration = Duration::from_secs(1);
+
 /// Time steps within which every call must be answered after the last fault.
 const MAX_TIME_STEPS_TO_FINISH: usize = 16;
 
@@ -73,6 +80,15 @@
     pub(crate) faults: u32,
     pub(crate) kills: u32,
     pub(crate) clock_jumps: u32,
+    pub(crate) restores: u32,
+}
+
+/// The log during one era.
+#[derive(Debug, Clone, Default, Hash)]
+struct LogInEra {
+    records: Vec<Name>,
+    /// Number of records from the copy that the log was restored from.
+    copied: usize,
 }
 
 #[derive(Debug, Clone)]
@@ -105,14 +121,16 @@
     Append {
         vm: usize,
         append: u64,
+        /// Era that the VM states; the log refuses the append in another one.
+        era: usize,
         records: Vec<Name>,
         state: AppendState,
     },
     Read {
         vm: usize,
         from: u64,
-        /// End of the log when it served the read; `None` until then.
-        served_to: Option<usize>,
+        /// Era and end of the log when it served the read; `None` until then.
+        served_to: Option<(usize, usize)>,
     },
     Service {
         vm: usize,
@@ -131,6 +149,8 @@
     /// The VM's process is killed and restarted.
     Kill(usize),
     ClockJump(usize),
+    /// The log is restored from a copy with this number of records.
+    Restore(usize),
     /// Delivers a message, or takes the next step of an append, read or service call without a fault.
     Advance(usize),
     /// Fails a task. Variant 0 of an append or a service call may still take effect; variant 1 never does.
@@ -150,7 +170,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Simulation {
     vms: Vec<Vm>,
-    log: Vec<Name>,
+    /// The log in all eras; the last one is current.
+    log_eras: Vec<LogInEra>,
     tasks: Vec<Task>,
     dispatches: Vec<Dispatch>,
     pub(crate) calls: Vec<Call>,
@@ -171,7 +192,7 @@
     pub(crate) fn new(views: Vec<Vec<usize>>, calls: Vec<Call>, budget: Budget) -> Self {
         let mut simulation = Self {
             vms: Vec::new(),
-            log: Vec::new(),
+            log_eras: vec![LogInEra::default()],
             tasks: Vec::new(),
             dispatches: Vec::new(),
             calls,
@@ -241,6 +262,9 @@
                 steps.push(Step::ClockJump(index));
             }
         }
+        if self.budget.restores > 0 {
+            steps.extend((0..self.log().len()).map(Step::Restore));
+        }
         for (index, task) in self.tasks.iter().enumerate() {
             steps.push(Step::Advance(index));
             let variants = match task {
@@ -284,6 +308,11 @@
                 self.vms[vm].now.unix += CLOCK_JUMP;
                 self.vms[vm].history = stable_hash(&(self.vms[vm].history, "jump"));
             }
+            Step::Restore(copied) => {
+                self.budget.restores -= 1;
+                let records = self.log()[..copied].to_vec();
+                self.log_eras.push(LogInEra { records, copied });
+            }
             Step::Advance(task) => self.advance(task),
             Step::Fail(task, variant) => {
                 self.budget.faults -= 1;
@@ -292,6 +321,12 @@
         }
     }
 
+    /// Restores the log from a copy of all its records.
+    pub(crate) fn restore_from_newest_copy(&mut self) {
+        let copied = self.log().len();
+        self.apply_step(Step::Restore(copied));
+    }
+
     fn start_call(&mut self, index: usize) {
         let call = &mut self.calls[index];
         call.started_at_step = Some(self.step_count);
@@ -371,14 +406,25 @@
             Task::Append {
                 vm,
                 append,
+                era,
                 records,
                 state,
             } => match state {
+                AppendState::Waiting if era != self.log_eras.len() - 1 => {
+                    let refused = LogEvent::AppendFailed {
+                        stream,
+                        append,
+                        may_have_taken_effect: false,
+                    };
+                    self.apply(vm, Event::Log(refused));
+                }
+                AppendState::AnswerLost if era != self.log_eras.len() - 1 => {}
                 AppendState::Waiting => {
-                    self.log.extend(records.iter().cloned());
+                    self.log_mut().extend(records.iter().cloned());
                     self.tasks.push(Task::Append {
                         vm,
                         append,
+                        era,
                         records,
                         state: AppendState::Applied,
                     });
@@ -386,14 +432,14 @@
                 AppendState::Applied => {
                     self.apply(vm, Event::Log(LogEvent::Appended { stream, append }));
                 }
-                AppendState::AnswerLost => self.log.extend(records),
+                AppendState::AnswerLost => self.log_mut().extend(records),
             },
             Task::Read {
                 vm,
                 from,
                 served_to: None,
             } => {
-                let served_to = Some(self.log.len());
+                let served_to = Some((self.log_eras.len() - 1, self.log().len()));
                 self.tasks.push(Task::Read {
                     vm,
                     from,
@@ -403,8 +449,8 @@
             Task::Read {
                 vm,
                 from,
-                served_to: Some(end),
-            } => self.apply(vm, Event::Log(self.page(from, end))),
+                served_to: Some((era, end)),
+            } => self.apply(vm, Event::Log(self.page(from, era, end))),
             Task::Service { vm, call, attempt } => {
                 let answer = ServiceAnswer {
                     status: 200,
@@ -421,15 +467,33 @@
         }
     }
 
-    fn page(&self, from: u64, end: usize) -> LogEvent {
-        let served = self.log[..end].iter().enumerate().skip(from as usize);
+    fn log(&self) -> &Vec<Name> {
+        &self.log_eras[self.log_eras.len() - 1].records
+    }
+
+    fn log_mut(&mut self) -> &mut Vec<Name> {
+        let last = self.log_eras.len() - 1;
+        &mut self.log_eras[last].records
+    }
+
+    fn page(&self, from: u64, era: usize, end: usize) -> LogEvent {
+        let log = &self.log_eras[era];
+        let served = log.records[..end].iter().enumerate().skip(from as usize);
         let records = served.map(|(offset, text)| LogRecord {
             offset: Offset(offset as u64),
-            age: Duration::ZERO,
+            age: if offset < log.copied {
+                BEFORE_RESTORE
+            } else {
+                Duration::ZERO
+            },
             text: text.clone(),
         });
         LogEvent::Read {
             stream: LogStream::Claims(0),
+            era: LogEra {
+                number: era as u64,
+                age: SINCE_RESTORE,
+            },
             from: Offset(from),
             oldest: Offset(0),
             end: Offset(end as u64),
@@ -444,6 +508,7 @@
             Task::Append {
                 vm,
                 append,
+                era,
                 records,
                 state,
             } => {
@@ -452,6 +517,7 @@
                     self.tasks.push(Task::Append {
                         vm,
                         append,
+                        era,
                         records,
                         state: AppendState::AnswerLost,
                     });
@@ -513,10 +579,12 @@
             Effect::Append {
                 stream: LogStream::Claims(_),
                 append,
+                era,
                 records,
             } => self.tasks.push(Task::Append {
                 vm,
                 append,
+                era: era as usize,
                 records,
                 state: AppendState::Waiting,
             }),
@@ -691,7 +759,14 @@
             })
             .collect();
         let dispatches = format!("{:?}", self.dispatches);
-        stable_hash(&(vms, &self.log, tasks, self.budget, call_states, dispatches))
+        stable_hash(&(
+            vms,
+            &self.log_eras,
+            tasks,
+            self.budget,
+            call_states,
+            dispatches,
+        ))
     }
 }
 
