A started stream that gets a whole answer elsewhere is not complete

Cause: when the engine at which a broken-off stream was to go on answered with an error status, or with a success that is no event stream, the relay took the exchange as complete and finished the caller's stream. The caller saw the final chunk after part of the events.

Change: an exchange knows whether its endpoint has begun a stream. A whole answer for a stream that has started is a failure of that exchange (`error_status`, or `no_stream` for a success): the stream goes on elsewhere within the retry budget, or is aborted.

--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -105,6 +105,8 @@
     /// Version of the instance's software.
     pub(crate) version: Name,
     pub(crate) stage: CallStage,
+    /// Whether the endpoint has begun a stream.
+    pub(crate) has_begun: bool,
     pub(crate) sent_at: Duration,
     /// Instant of the endpoint's last activity, initially the send.
     pub(crate) last_activity_at: Duration,
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -131,6 +131,7 @@
         call.may_have_run = true;
         call.has_stream_started = true;
         if let Some(current) = &mut call.current {
+            current.has_begun = true;
             current.last_activity_at = self.now;
             if let Some(endpoint) = self.endpoints.get_mut(&current.instance) {
                 endpoint.on_stream_began();
@@ -184,6 +185,10 @@
         let Some(current) = &call.current else {
             return;
         };
+        if call.has_stream_started && !current.has_begun {
+            self.on_answer_without_stream(id, status);
+            return;
+        }
         let instance = current.instance.clone();
         let after = self.now.saturating_sub(current.sent_at);
         let is_failure = status >= 500;
@@ -213,6 +218,19 @@
         }
     }
 
+    /// Handles a whole answer of the endpoint at which a started stream was to go on: it cannot be forwarded, and the
+    /// stream is not complete.
+    fn on_answer_without_stream(&mut self, id: CallId, status: u16) {
+        let is_success = (200..300).contains(&status);
+        let reason = if is_success {
+            "no_stream"
+        } else {
+            "error_status"
+        };
+        self.fail_exchange(id, reason, false);
+        self.retry_within_budget(id);
+    }
+
     pub(super) fn answer(&mut self, id: CallId, exchange: ExchangeId, status: u16) {
         let Some(call) = self.calls.remove(&id) else {
             return;
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -177,6 +177,7 @@
             instance,
             version: endpoint.listed.version.clone(),
             stage,
+            has_begun: false,
             sent_at: self.now,
             last_activity_at: self.now,
             prefill_due: record_send(call, endpoint, stage, self.now),
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -20,6 +20,7 @@
 mod relay_balance;
 mod relay_calls;
 mod relay_configuration;
+mod relay_continued_streams;
 mod relay_crashing_parts;
 mod relay_endpoint_limits;
 mod relay_fleet;
