A call without its answer ends with a problem and a log line

Cause, by reading: if the relay decided to forward an exchange's answer whose head or body was gone, the call stayed open and its caller waited until it left. If a call ended without a reply, its caller got 502, and no line named the request.

Change: both end with 502 and a line `answer_missing` with the request's id.

Not shown by a test: exchanges store the head and the body before they report the answer, and the relay uses only answers of exchanges that are open, so neither case can be reached from outside.

--- a/crates/arbutusfall/src/relay/callers.rs
+++ b/crates/arbutusfall/src/relay/callers.rs
@@ -7,6 +7,7 @@
 use arbutusfall_core::Problem;
 use arbutusfall_core::ProblemKind;
 use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_core::relay::RelayNotice;
 use arbutusfall_platform::callers;
 use arbutusfall_platform::endpoints::ForwardedRequest;
 use hyper::Request;
@@ -87,6 +88,7 @@
         let call = self.driver.calls.next_id();
         let receive_time = self.driver.now().saturating_sub(arrived_at);
         let relay_request = callers::relay_request(call, &parts, receive_time);
+        let request_id = relay_request.request_id.clone();
         let forwarded = ForwardedRequest::new(parts.method, &parts.uri, parts.headers, body);
         let replies = self.driver.calls.open(call, forwarded);
         let guard = CallGuard {
@@ -103,8 +105,12 @@
                 Ok(answer)
             }
             Ok(Reply::Problem(problem)) => Err(problem),
-            // Not expected: the relay ends each call with a reply.
-            Err(_) => Err(Problem::new(ProblemKind::UpstreamFailed)),
+            // A call that ended without a reply is not expected either.
+            Ok(Reply::Missing) | Err(_) => {
+                self.driver
+                    .record_notice(&RelayNotice::AnswerMissing { request_id });
+                Err(Problem::new(ProblemKind::UpstreamFailed))
+            }
         }
     }
 }
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -265,12 +265,8 @@
                 self.spawn_free_request(address, request);
             }
             RelayEffect::Answer { call, exchange } => {
-                let open = lock(&self.exchanges).remove(&exchange);
-                let answer = open.and_then(|open| Some((open.head?, open.body?)));
-                if let Some((head, body)) = answer {
-                    let body = AnswerBody::whole(body);
-                    self.calls.end_with_reply(call, Reply::Endpoint(head, body));
-                }
+                let reply = self.take_answer(exchange);
+                self.calls.end_with_reply(call, reply);
             }
             RelayEffect::Forward { call, exchange } => {
                 let mut exchanges = lock(&self.exchanges);
@@ -328,6 +324,16 @@
         }
     }
 
+    /// Removes an exchange and returns its whole answer as a reply.
+    fn take_answer(&self, exchange: ExchangeId) -> Reply {
+        let open = lock(&self.exchanges).remove(&exchange);
+        let answer = open.and_then(|open| Some((open.head?, open.body?)));
+        match answer {
+            Some((head, body)) => Reply::Endpoint(head, AnswerBody::whole(body)),
+            None => Reply::Missing,
+        }
+    }
+
     fn spawn_free_request(self: &Arc<Self>, address: SocketAddr, request: Request<Bytes>) {
         let free = exchange::send_free_request(self.clone(), address, request);
         self.executor.spawn(free).detach();
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -244,6 +244,12 @@
         /// Time since the request's deadline; 0 before it.
         late_ms: u64,
     },
+    /// An endpoint's answer was to be forwarded, or a call had ended, but there was nothing to forward; the caller gets a
+    /// problem instead. Not expected.
+    AnswerMissing {
+        /// Id that the caller gave to the request.
+        request_id: Name,
+    },
     /// The caller disconnected before its answer was complete.
     CallerGone {
         /// Id that the caller gave to the request.
@@ -327,6 +333,7 @@
             Self::ExchangeFailed { .. } => "exchange_failed",
             Self::Answered { .. } => "answered",
             Self::GivenUp { .. } => "given_up",
+            Self::AnswerMissing { .. } => "answer_missing",
             Self::CallerGone { .. } => "caller_gone",
             Self::Lease { .. } => "lease",
             Self::RoleOrdered { .. } => "role_ordered",
