Requests in progress at the end of the drain time are answered and logged

Cause: when requests were still in progress at the end of the drain time, the process exited. Their callers saw a closed connection, also those of requests that waited and had not run, and the log had no line for them.

Change: 0.15 s before it exits, the process ends all calls: 503 if the request has not run, 502 if it may have, an abort of a started stream. Each leaves a line `given_up` with its id and the reason `drain_timeout`; the log's rate limit bounds them.

Reducer test: stream aborted, payment 502, waiting request refused as not run; not run before, the event is new.

--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -53,6 +53,9 @@
 /// `CLOSE_CONNECTIONS_DELAY` (2.3 s); after it, the time to write the log and exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(2_900);
 
+/// Time to write the answers of calls that end because the process exits.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
+
 /// Runs the relay on a VM of the platform; after SIGTERM or SIGINT, drains and returns.
 ///
 /// # Errors
@@ -122,15 +125,25 @@
     driver.executor.spawn(driver.clone().run_timers()).detach();
     driver.wait_for_close_request().await;
     let drain_timeout = Duration::from_secs(settings.drain_timeout_s);
-    listener
-        .close(drain_timeout.saturating_sub(EXIT_MARGIN))
-        .await;
+    let close_timeout = drain_timeout.saturating_sub(EXIT_MARGIN);
+    let end_calls = end_open_calls(
+        driver.clone(),
+        close_timeout.saturating_sub(LAST_ANSWERS_TIME),
+    );
+    driver.executor.spawn(end_calls).detach();
+    listener.close(close_timeout).await;
     drop(operators);
     driver.record_notice(&RelayNotice::Stopped);
     driver.finish_log(LOG_TIMEOUT).await;
     Ok(())
 }
 
+/// Ends the calls that are still in progress after `timeout`, so that each gets an answer before the process exits.
+async fn end_open_calls(driver: Arc<Driver>, timeout: Duration) {
+    async_io::Timer::after(timeout).await;
+    driver.submit(RelayEvent::DrainTimeout);
+}
+
 async fn serve_operators(
     driver: &Arc<Driver>,
     settings: &RelayProcessSettings,
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -252,6 +252,7 @@
                 self.on_role_outcome(instance, outcome);
             }
             RelayEvent::Terminate => self.on_terminate(),
+            RelayEvent::DrainTimeout => self.on_drain_timeout(),
         }
     }
 
@@ -319,6 +320,14 @@
         self.note(RelayNotice::Draining { in_progress });
     }
 
+    fn on_drain_timeout(&mut self) {
+        let mut open: Vec<CallId> = self.calls.keys().copied().collect();
+        open.sort_unstable();
+        for id in open {
+            self.fail_call(id, "drain_timeout");
+        }
+    }
+
     fn update_ready(&mut self) {
         // Without endpoints this VM can only refuse requests; while it is not ready, the platform sends callers to
         // other VMs.
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -109,6 +109,8 @@
     },
     /// The process received the signal to stop; the VM drains.
     Terminate,
+    /// The process is about to exit: calls that are still in progress must end now.
+    DrainTimeout,
 }
 
 /// A topic of the platform's store that the relay follows.
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -22,6 +22,7 @@
 mod relay_configuration;
 mod relay_continued_streams;
 mod relay_crashing_parts;
+mod relay_drain;
 mod relay_endpoint_limits;
 mod relay_fleet;
 mod relay_harness;
