An idle connection stays open for as long as the newest limit allows

Cause: the timer for the next request's headers had the limit that was in force when the connection was accepted. After `idle-timeout-ms` was raised, the connection was closed while its caller could still use it. Nothing that was passed on is lost so, but the caller's next request meets a closed connection.

Change: the timer asks for the limits when it starts and again before it ends, so a limit that is raised meanwhile applies. One that is lowered applies from the next request on.

--- a/crates/arbutusfall/src/http.rs
+++ b/crates/arbutusfall/src/http.rs
@@ -7,6 +7,7 @@
 mod event_splitter;
 mod framing;
 mod head_limit;
+mod header_timer;
 mod problem;
 mod request_body;
 mod server;
--- a/crates/arbutusfall/src/http/server.rs
+++ b/crates/arbutusfall/src/http/server.rs
@@ -28,13 +28,13 @@
 use hyper::service::service_fn;
 use serde::Serialize;
 use smol_hyper::rt::FuturesIo;
-use smol_hyper::rt::SmolTimer;
 use socket2::SockRef;
 
 use crate::Executor;
 use crate::http::AnswerBody;
 use crate::http::error_replacing_stream::ConnectionState;
 use crate::http::error_replacing_stream::ErrorReplacingStream;
+use crate::http::header_timer::HeaderTimer;
 use crate::http::problem::raw_problem;
 
 /// Minimum read buffer size that hyper accepts, in bytes.
@@ -57,7 +57,7 @@
 pub struct ServerLimits {
     /// Maximum size of the header section, in bytes; values below 8 KiB are treated as 8 KiB.
     pub max_header_bytes: usize,
-    /// Timeout for the headers of a request to arrive.
+    /// Timeout for the headers of a request to arrive, from the end of the request before it.
     pub header_timeout: Duration,
     /// Maximum number of open connections.
     pub max_connections: usize,
@@ -100,8 +100,8 @@
 
 /// Handles the requests of a listener.
 pub trait RequestHandler: Send + Sync + 'static {
-    /// Returns the limits for the next connection; called for each connection, so that changed limits apply to new
-    /// ones.
+    /// Returns the limits in force; called for each connection, and for the header timeout of each request, which also
+    /// follows limits that change while the connection is open.
     fn limits(&self) -> ServerLimits;
 
     /// Answers a request.
@@ -291,7 +291,7 @@
     });
     let io = FuturesIo::new(ErrorReplacingStream::new(stream, state.clone()));
     let mut connection = http1::Builder::new()
-        .timer(SmolTimer::new())
+        .timer(HeaderTimer::new(handler.clone()))
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_READ_BUFFER_BYTES))
         .serve_connection(io, service);
