--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -60,6 +60,7 @@
 
 use budget::RetryBudget;
 use call::Call;
+use calls::DRAIN_TIMEOUT;
 use crash_suspects::CrashSuspects;
 use endpoint_ends::EndpointEnds;
 use endpoint_limits::EndpointLimits;
@@ -274,6 +275,7 @@
                 self.on_role_outcome(instance, outcome);
             }
             RelayEvent::Terminate => self.on_terminate(),
+            RelayEvent::DrainTimeout => self.on_drain_timeout(),
         }
     }
 
@@ -342,6 +344,14 @@
         self.note(RelayNotice::Draining { in_progress });
     }
 
+    fn on_drain_timeout(&mut self) {
+        let mut open: Vec<CallId> = self.calls.keys().copied().collect();
+        open.sort_unstable();
+        for id in open {
+            self.fail_call(id, DRAIN_TIMEOUT);
+        }
+    }
+
     fn update_ready(&mut self) {
         // Without endpoints this VM can only refuse requests; while it is not ready, the platform sends callers to
         // other VMs.
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -24,6 +24,9 @@
 /// Reason of the end of a call at its deadline.
 const TIMEOUT: &str = "timeout";
 
+/// Reason of the end of a call when the process must exit.
+pub(super) const DRAIN_TIMEOUT: &str = "drain_timeout";
+
 /// Retry delay sent to callers while this VM has no configuration.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -240,9 +243,10 @@
     }
 
     /// Ends the call with a problem: `not_run` only if no endpoint can have run the request. A started stream is
-    /// aborted. A call that is being moved from a silent endpoint stays there instead, until its deadline.
+    /// aborted. A call that is being moved from a silent endpoint stays there instead, until its deadline or the process's exit.
     pub(super) fn fail_call(&mut self, id: CallId, reason: &'static str) {
-        if reason != TIMEOUT && self.return_to_standby(id, reason) {
+        let is_final = matches!(reason, TIMEOUT | DRAIN_TIMEOUT);
+        if !is_final && self.return_to_standby(id, reason) {
             return;
         }
         let Some(call) = self.calls.get(&id) else {
--- a/crates/arbutusfall_core/tests/it/relay_silence.rs
+++ b/crates/arbutusfall_core/tests/it/relay_silence.rs
@@ -251,3 +251,14 @@
         assert!(!harness.take_sends().is_empty(), "move {event_id}");
     }
 }
+
+// Guards against a call without an answer at the process's exit, because it returns to its silent endpoint.
+#[test]
+fn moved_call_ends_when_the_process_must_exit() {
+    let mut harness = RelayHarness::configured(1);
+    let (call, silent, next) = moved_stream(&mut harness);
+    harness.apply(RelayEvent::DrainTimeout);
+    assert_matches!(harness.final_effect(call), Some(RelayEffect::Abort { .. }));
+    assert!(is_closed(&harness, silent.exchange));
+    assert!(is_closed(&harness, next.exchange));
+}
