Relay: a failure stops counting against an endpoint that gets no requests

Cause: one failed exchange raises an endpoint's cost by 2.4 times itself, and only an answer of the endpoint lowers it again; beside idle ones it gets no request, so no answer. Class: an estimate that keeps itself from being corrected, as with latencies before.

Change: the fraction of failures decays with time too (time constant 5 s). The backoff after failures in a row is as it was.

--- a/crates/arbutusfall_core/src/relay/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint.rs
@@ -45,6 +45,9 @@
 /// Time after an endpoint's last answer from which its latency counts as unknown.
 const LATENCY_LIFETIME: Duration = Duration::from_secs(10);
 
+/// Time constant of the exponential decay of the fraction of failures while the endpoint gets no requests.
+const FAILURE_DECAY_TIME: Duration = Duration::from_secs(5);
+
 /// Relative extra cost of an endpoint that always fails.
 const FAILURE_COST_FACTOR: f64 = 12.0;
 
@@ -72,8 +75,10 @@
     latency: Option<Duration>,
     /// When the newest of these answers came.
     answered_at: Duration,
-    /// Running mean of the fraction of failures.
+    /// Running mean of the fraction of failures at `outcome_at`; decays with [`FAILURE_DECAY_TIME`].
     failure_fraction: f64,
+    /// When the newest answer or failure came.
+    outcome_at: Duration,
     /// Estimated prefill rate without queueing, in prompt tokens per millisecond.
     prefill_tokens_per_ms: f64,
     /// Queueing time of the last prefill.
@@ -111,6 +116,7 @@
             latency: None,
             answered_at: Duration::ZERO,
             failure_fraction: 0.0,
+            outcome_at: Duration::ZERO,
             prefill_tokens_per_ms: INITIAL_PREFILL_TOKENS_PER_MS,
             prefill_wait: Duration::ZERO,
             prefill_wait_observed_at: Duration::ZERO,
@@ -217,7 +223,7 @@
         let latency = self.known_latency(now).unwrap_or(unknown_latency);
         let latency = latency.as_secs_f64();
         let load = f64::from(self.in_flight + 1);
-        load * latency * (1.0 + FAILURE_COST_FACTOR * self.failure_fraction)
+        load * latency * (1.0 + FAILURE_COST_FACTOR * self.decayed_failure_fraction(now))
     }
 
     /// Returns the running mean of the latency, unless the newest answer is too old.
@@ -228,14 +234,23 @@
 
     pub(crate) fn on_answered(&mut self, after: Duration, now: Duration) {
         self.health.on_success();
-        self.failure_fraction *= 1.0 - NEWEST_WEIGHT;
+        self.failure_fraction = self.decayed_failure_fraction(now) * (1.0 - NEWEST_WEIGHT);
+        self.outcome_at = now;
         let mean = self.known_latency(now).unwrap_or(after);
         self.answered_at = now;
         self.latency = Some(mean.mul_f64(1.0 - NEWEST_WEIGHT) + after.mul_f64(NEWEST_WEIGHT));
     }
 
-    pub(crate) fn raise_failure_fraction(&mut self) {
-        self.failure_fraction += (1.0 - self.failure_fraction) * NEWEST_WEIGHT;
+    pub(crate) fn raise_failure_fraction(&mut self, now: Duration) {
+        let fraction = self.decayed_failure_fraction(now);
+        self.failure_fraction = fraction + (1.0 - fraction) * NEWEST_WEIGHT;
+        self.outcome_at = now;
+    }
+
+    fn decayed_failure_fraction(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.outcome_at);
+        let decay = (-age.as_secs_f64() / FAILURE_DECAY_TIME.as_secs_f64()).exp();
+        self.failure_fraction * decay
     }
 
     /// Records a completed prefill of this VM: updates the rate, the queueing time and the limit of prefills in flight.
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -197,7 +197,7 @@
     /// Records a failure of the endpoint; returns a notice to log if the endpoint is avoided from now on.
     pub(crate) fn on_failed(&mut self, instance: &Name, now: Duration) -> Option<RelayNotice> {
         let endpoint = self.by_instance.get_mut(instance)?;
-        endpoint.raise_failure_fraction();
+        endpoint.raise_failure_fraction(now);
         endpoint.health.on_failure(now);
         let avoided = endpoint.health.avoided_for(now)?;
         Some(RelayNotice::EndpointAvoided {
--- a/crates/arbutusfall_core/tests/it/relay_balance.rs
+++ b/crates/arbutusfall_core/tests/it/relay_balance.rs
@@ -5,6 +5,7 @@
 use arbutusfall_core::config::Role;
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::ExchangeEvent;
+use arbutusfall_core::relay::ExchangeFailure;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_wire::Name;
 
@@ -53,3 +54,40 @@
     let count = counts.get(&slow.instance).copied().unwrap_or_default();
     assert!(count >= 5, "{counts:?}");
 }
+
+/// Sends plain requests one after the other, ten a second; each is answered after `latency_ms`, which gets the number of
+/// the request and its endpoint. Returns how many each endpoint got.
+fn play_paced_requests(
+    harness: &mut RelayHarness,
+    count: usize,
+    latency_ms: impl Fn(usize, &str) -> u64,
+) -> BTreeMap<Name, usize> {
+    let mut counts = BTreeMap::new();
+    for number in 0..count {
+        harness.submit("/look/");
+        let send = harness.take_only_send();
+        let after = latency_ms(number, &send.instance);
+        *counts.entry(send.instance).or_default() += 1;
+        harness.advance(ms(after));
+        harness.deliver(send.exchange, ExchangeEvent::Complete { status: 200 });
+        harness.advance(ms(100 - after));
+    }
+    counts
+}
+
+// Guards against a failure that keeps an endpoint from requests for good.
+#[test]
+fn endpoint_that_failed_once_gets_its_part_again() {
+    let mut harness = RelayHarness::configured(3);
+    play_paced_requests(&mut harness, 20, |_, _| 1);
+    harness.submit("/look/");
+    let failed = harness.take_only_send();
+    let failure = ExchangeFailure::Unreachable;
+    harness.deliver(failed.exchange, ExchangeEvent::Failed { failure });
+    let retry = harness.take_only_send();
+    harness.deliver(retry.exchange, ExchangeEvent::Complete { status: 200 });
+    play_paced_requests(&mut harness, 150, |_, _| 1);
+    let counts = play_paced_requests(&mut harness, 60, |_, _| 1);
+    let count = counts.get(&failed.instance).copied().unwrap_or_default();
+    assert!(count >= 15, "{counts:?}");
+}
