Relay: the handling of limits in four modules

Change: it keeps what names and lifts limits; limit_tokens.rs has what counts against them, limit_waiting.rs what waits for them or is refused, limit_review.rs the timer and the review of shares. Functions were moved unchanged but for their visibility.

--- a/crates/arbutusfall_core/src/relay/admission.rs
+++ b/crates/arbutusfall_core/src/relay/admission.rs
@@ -6,7 +6,7 @@
 use crate::config::Role;
 use crate::relay::Relay;
 use crate::relay::call::Call;
-use crate::relay::limit_handling::RESERVATION_TOKENS;
+use crate::relay::limit_tokens::RESERVATION_TOKENS;
 use crate::relay::waiting::FIRST_EVENT_MARGIN;
 
 /// A caller's retry, or a first attempt whose prefill would finish too late, is sent only if the prefill would finish
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -16,7 +16,7 @@
 use crate::relay::RouteTable;
 use crate::relay::call::Call;
 use crate::relay::crash_handling::CRASHING_PART;
-use crate::relay::limit_handling::LIMITED;
+use crate::relay::limit_waiting::LIMITED;
 use crate::relay::notice::millis;
 
 /// Retry delay sent to callers while this VM has no configuration.
--- a/crates/arbutusfall_core/src/relay/roles.rs
+++ b/crates/arbutusfall_core/src/relay/roles.rs
@@ -13,7 +13,7 @@
 use crate::relay::RelayNotice;
 use crate::relay::RelayTimer;
 use crate::relay::RoleOutcome;
-use crate::relay::limit_handling::ORDER_REQUESTS;
+use crate::relay::limit_tokens::ORDER_REQUESTS;
 
 /// Interval of reviews of the split.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -21,8 +21,8 @@
 use crate::relay::call::MemoryAllocation;
 use crate::relay::crash_handling::CRASHING_PART;
 use crate::relay::endpoint::Endpoint;
-use crate::relay::limit_handling::LIMITED;
-use crate::relay::limit_handling::tokens_for;
+use crate::relay::limit_tokens::tokens_for;
+use crate::relay::limit_waiting::LIMITED;
 use crate::relay::notice::millis;
 
 /// Shortest silence in the middle of a stream after which a resumable stream is moved to another engine.
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -14,7 +14,7 @@
 use crate::relay::RelayNotice;
 use crate::relay::RelayTimer;
 use crate::relay::call::Call;
-use crate::relay::limit_handling::LIMITED;
+use crate::relay::limit_waiting::LIMITED;
 use crate::relay::notice::millis;
 use crate::relay::pacing::Pacing;
 
