--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -18,7 +18,7 @@
 use crate::relay::call::causes_of;
 use crate::relay::crash_handling::CRASHING_PART;
 use crate::relay::crash_handling::CRASHING_REQUEST;
-use crate::relay::limit_handling::LIMITED;
+use crate::relay::limit_waiting::LIMITED;
 use crate::relay::notice::millis;
 
 /// Reason of the end of a call at its deadline.
