--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -250,6 +250,10 @@
         let Some(current) = &call.current else {
             return;
         };
+        if current.exchange != exchange {
+            // The exchange is in standby.
+            return;
+        }
         let Some(silence_limit) = self.silence_limit(call, current) else {
             return;
         };
