Relay: a limit that a silent endpoint names does not end the move (LOST)

Cause: any event of a standby exchange but a failure counted as its endpoint going on; a limit comes with the head of any answer, also of a refusal. Change: a limit is taken over for the endpoint that named it, and the answer itself decides.

--- a/crates/arbutusfall_core/src/relay/limit_handling.rs
+++ b/crates/arbutusfall_core/src/relay/limit_handling.rs
@@ -6,6 +6,7 @@
 
 use crate::CallId;
 use crate::relay::EndpointRun;
+use crate::relay::ExchangeId;
 use crate::relay::NamedLimit;
 use crate::relay::Relay;
 use crate::relay::RelayNotice;
@@ -22,15 +23,22 @@
 
 impl Relay {
     /// Handles the limit that an endpoint's answer to the call's exchange names.
-    pub(super) fn on_limit_named(&mut self, id: CallId, per_s: f64) {
-        let current = self.calls.get(&id).and_then(|call| call.current.as_ref());
-        let Some(current) = current else {
+    pub(super) fn on_limit_named(&mut self, id: CallId, exchange: ExchangeId, per_s: f64) {
+        let Some((instance, sent_at)) = self.sent_to(id, exchange) else {
             return;
         };
-        let (instance, sent_at) = (current.instance.clone(), current.sent_at);
         self.name_limit(instance, per_s, sent_at);
     }
 
+    /// Returns the endpoint of an exchange of the call, current or in standby, and when it was sent.
+    fn sent_to(&self, id: CallId, exchange: ExchangeId) -> Option<(Name, Duration)> {
+        let call = self.calls.get(&id)?;
+        let standby = call.standby.as_ref().map(|standby| &standby.exchange);
+        let mut exchanges = call.current.iter().chain(standby);
+        let sent = exchanges.find(|sent| sent.exchange == exchange)?;
+        Some((sent.instance.clone(), sent.sent_at))
+    }
+
     /// Handles the limit that an engine's answer to a control request names.
     pub(super) fn on_control_limit(&mut self, instance: Name, per_s: f64) {
         self.name_limit(instance, per_s, self.now);
@@ -53,12 +61,10 @@
     }
 
     /// Handles an answer to the call's exchange that names no limit although the endpoint had one when it was sent.
-    pub(super) fn on_limit_absent(&mut self, id: CallId) {
-        let current = self.calls.get(&id).and_then(|call| call.current.as_ref());
-        let Some(current) = current else {
+    pub(super) fn on_limit_absent(&mut self, id: CallId, exchange: ExchangeId) {
+        let Some((instance, sent_at)) = self.sent_to(id, exchange) else {
             return;
         };
-        let (instance, sent_at) = (current.instance.clone(), current.sent_at);
         let Some(endpoint) = self.endpoints.get(&instance) else {
             return;
         };
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -33,8 +33,8 @@
             self.on_endpoint_alive(id);
         }
         match event {
-            ExchangeEvent::LimitNamed { per_s } => self.on_limit_named(id, per_s),
-            ExchangeEvent::LimitAbsent => self.on_limit_absent(id),
+            ExchangeEvent::LimitNamed { per_s } => self.on_limit_named(id, exchange, per_s),
+            ExchangeEvent::LimitAbsent => self.on_limit_absent(id, exchange),
             ExchangeEvent::Reserved { reservation } => self.on_reserved(id, reservation),
             ExchangeEvent::PrefillDone { handle } => self.on_prefill_done(id, handle),
             ExchangeEvent::StreamBegan => self.on_stream_began(id, exchange),
--- a/crates/arbutusfall_core/src/relay/standby.rs
+++ b/crates/arbutusfall_core/src/relay/standby.rs
@@ -136,8 +136,8 @@
         standby.is_some_and(|standby| standby.exchange.exchange == exchange)
     }
 
-    /// Handles an event of the call's standby exchange. Returns true if the endpoint has gone on: the exchange is the call's
-    /// current one again, and the event is for it.
+    /// Handles an event of the call's standby exchange. Returns true if the event is to be handled like one of the
+    /// current exchange, which the standby one is again if its endpoint has gone on.
     pub(super) fn on_standby_event(&mut self, id: CallId, event: &ExchangeEvent) -> bool {
         let Some(call) = self.calls.get_mut(&id) else {
             return false;
@@ -151,6 +151,8 @@
             ExchangeEvent::Complete { status } if *status >= 500 && !call.has_stream_started => {
                 self.fail_standby(id, "error_status");
             }
+            // The head's limit comes before the event of the answer, which tells whether the endpoint goes on.
+            ExchangeEvent::LimitNamed { .. } | ExchangeEvent::LimitAbsent => return true,
             _ => return self.return_to_standby(id, GOES_ON),
         }
         false
