--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -15,6 +15,7 @@
 use crate::relay::RelayTimer;
 use crate::relay::RouteTable;
 use crate::relay::call::Call;
+use crate::relay::call::PrefillResult;
 use crate::relay::call::causes_of;
 use crate::relay::crash_handling::CRASHING_PART;
 use crate::relay::crash_handling::CRASHING_REQUEST;
@@ -234,9 +235,14 @@
         if let Some(exchange) = exchange {
             self.effects.push(RelayEffect::Close { exchange });
         }
-        if let Some(result) = prefill_result
-            && self.now < result.expires_at
-        {
+        if let Some(result) = prefill_result {
+            self.free_prefill_result(result);
+        }
+    }
+
+    /// Frees a prefill result that no engine will fetch.
+    pub(super) fn free_prefill_result(&mut self, result: PrefillResult) {
+        if self.now < result.expires_at {
             self.take_limit_tokens(&result.instance, 1.0);
             self.effects.push(RelayEffect::FreeKvCache(result.location));
         }
--- a/crates/arbutusfall_core/src/relay/standby.rs
+++ b/crates/arbutusfall_core/src/relay/standby.rs
@@ -19,6 +19,7 @@
 use crate::relay::RelayTimer;
 use crate::relay::call::CurrentExchange;
 use crate::relay::call::MemoryAllocation;
+use crate::relay::call::PrefillResult;
 use crate::relay::notice::millis;
 
 /// Time that another endpoint has to begin a stream before the silent exchange ends all the same: a stream may not run at two
@@ -36,6 +37,8 @@
     pub(crate) allocation: Option<MemoryAllocation>,
     /// Start of its stream.
     pub(crate) stream_began_at: Option<Duration>,
+    /// Prefill result that the endpoint may still have to fetch.
+    prefill_result: Option<PrefillResult>,
     /// Instant of the retry that the move spends.
     moved_at: Duration,
     /// Whether the request has been sent to another endpoint that may run it.
@@ -65,6 +68,7 @@
             exchange,
             allocation: call.allocation.take(),
             stream_began_at: call.stream_began_at.take(),
+            prefill_result: call.prefill_result.take(),
             moved_at: self.now,
             is_sent_again: false,
             failed_before: call.failed_endpoints.len(),
@@ -179,6 +183,7 @@
         call.current = Some(standby.exchange);
         call.allocation = standby.allocation;
         call.stream_began_at = standby.stream_began_at;
+        call.prefill_result = standby.prefill_result;
         let service = call.service.clone();
         self.note(notice);
         if standby.held_until.is_some() {
@@ -225,6 +230,9 @@
         if let Some(allocation) = standby.allocation.clone() {
             self.free_allocation(id, allocation, standby.stream_began_at);
         }
+        if let Some(result) = standby.prefill_result.clone() {
+            self.free_prefill_result(result);
+        }
         Some(standby)
     }
 }
