--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -192,7 +192,7 @@
         self.set_silence_timer(id);
         self.effects.push(RelayEffect::Send(command));
         if stage.runs_request() {
-            self.on_run_sent(id);
+            self.on_run_sent(id, stage);
         }
         if stage != CallStage::Reserve {
             // A request may try to reserve memory at many engines; the log line of its decode names the one that
--- a/crates/arbutusfall_core/src/relay/standby.rs
+++ b/crates/arbutusfall_core/src/relay/standby.rs
@@ -17,6 +17,7 @@
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
 use crate::relay::RelayTimer;
+use crate::relay::call::CallStage;
 use crate::relay::call::CurrentExchange;
 use crate::relay::call::MemoryAllocation;
 use crate::relay::call::PrefillResult;
@@ -81,8 +82,8 @@
         self.retry_or_fail(id);
     }
 
-    /// Handles the send of a moved request to an endpoint that may run it: a stream's standby exchange is held.
-    pub(super) fn on_run_sent(&mut self, id: CallId) {
+    /// Handles the send of a moved request to an endpoint that may run it: the standby exchange of a stream or of an engine is held.
+    pub(super) fn on_run_sent(&mut self, id: CallId, stage: CallStage) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -90,7 +91,7 @@
             return;
         };
         standby.is_sent_again = true;
-        if !call.route.is_stream {
+        if stage == CallStage::Plain && !call.route.is_stream {
             return;
         }
         let exchange = standby.exchange.exchange;
