--- a/crates/arbutusfall_core/src/relay/retries.rs
+++ b/crates/arbutusfall_core/src/relay/retries.rs
@@ -4,6 +4,8 @@
 use crate::config::Role;
 use crate::relay::Relay;
 use crate::relay::budget::RetryUse;
+use crate::relay::call::MemoryAllocation;
+use crate::relay::sending::MAX_PREFILL_ATTEMPTS;
 
 impl Relay {
     /// Spends one retry of the call's service and returns true if the budget allows it.
@@ -26,6 +28,7 @@
             .get(&id)
             .is_some_and(|call| call.no_retry_reason().is_none())
             && !self.take_retry(id)
+            && !self.go_on_without_prefill(id)
         {
             self.fail_call(id, "retry_budget");
             return;
@@ -33,6 +36,21 @@
         self.retry_or_fail(id);
     }
 
+    /// Gives further prefills up for a started stream whose engine has reserved memory: it can prefill the prompt itself, and the
+    /// retry for that is spent already.
+    fn go_on_without_prefill(&mut self, id: CallId) -> bool {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return false;
+        };
+        let allocation = call.allocation.as_ref();
+        let has_reservation = allocation.is_some_and(MemoryAllocation::has_open_reservation);
+        if !(call.has_stream_started && has_reservation) {
+            return false;
+        }
+        call.prefills = MAX_PREFILL_ATTEMPTS;
+        true
+    }
+
     /// Sends a request again if that is allowed; otherwise fails the call.
     pub(super) fn retry_or_fail(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else {
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -34,7 +34,7 @@
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Maximum number of prefills for one request before the decode engine prefills the prompt itself.
-const MAX_PREFILL_ATTEMPTS: u32 = 2;
+pub(super) const MAX_PREFILL_ATTEMPTS: u32 = 2;
 
 impl Relay {
     /// Sends the call's next stage to the best endpoint, queues the call, or fails it if no endpoint can take it.
