Relay: a started stream is not cut off because engines leave its reservations unanswered (LOST)

Cause: each reservation without an answer in 300 ms counted as a failed exchange of the call, and six of them ended it, 1.65 s after its engine broke off, with most of its time left. Change: they don't count for a stream that has started; their engines are avoided as before.

--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -271,11 +271,27 @@
             return;
         }
         self.effects.push(RelayEffect::Close { exchange });
+        if stage == CallStage::Reserve {
+            self.on_reservation_silent(id);
+            return;
+        }
         self.mark_may_have_run(id, stage);
         self.fail_exchange(id, "silent", true);
         self.retry_or_fail(id);
     }
 
+    /// Handles a reservation that got no answer in time: its engine is avoided for some time, and the call tries others or waits.
+    fn on_reservation_silent(&mut self, id: CallId) {
+        let failed_before = self.calls.get(&id).map(|call| call.failed_endpoints.len());
+        self.fail_exchange(id, "silent", true);
+        if let (Some(call), Some(failed_before)) = (self.calls.get_mut(&id), failed_before)
+            && call.continues_stream()
+        {
+            call.failed_endpoints.truncate(failed_before);
+        }
+        self.retry_or_fail(id);
+    }
+
     /// Sets a timer for the instant at which the call's exchange is silent if it goes on being so from now.
     pub(super) fn check_silence_later(&mut self, id: CallId) {
         let Some((exchange, silence_limit)) = self.calls.get(&id).and_then(|call| {
