Relay: of two silent endpoints the later one is kept while a third is tried (LOST)

Cause: a second silent exchange was closed before a third endpoint had taken the request. Change: it goes to standby in place of the first.

--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -266,7 +266,9 @@
             self.check_silence_later(id);
             return;
         }
-        if stage.runs_request() && !self.has_standby(id) {
+        if stage.runs_request() {
+            // Of two silent endpoints, the one that has been silent for less long is kept.
+            self.drop_standby(id);
             self.move_from_silent(id);
             return;
         }
@@ -275,7 +277,6 @@
             self.on_reservation_silent(id);
             return;
         }
-        self.mark_may_have_run(id, stage);
         self.fail_exchange(id, "silent", true);
         self.retry_or_fail(id);
     }
