--- a/crates/arbutusfall_core/src/relay/standby.rs
+++ b/crates/arbutusfall_core/src/relay/standby.rs
@@ -213,6 +213,13 @@
             self.record_broken_run(id, &exchange, began_at);
         }
         self.fail_standby(id, failure.name());
+        let is_sent_again = self.calls.get(&id).is_some_and(|call| {
+            let current = call.current.as_ref();
+            current.is_some_and(|current| current.stage.runs_request())
+        });
+        if !is_sent_again && self.may_crash_next_endpoint(id) {
+            self.fail_call(id, "suspect_part");
+        }
     }
 
     /// Removes the call's standby exchange, which has ended by itself.
