--- a/crates/arbutusfall_core/src/relay/standby.rs
+++ b/crates/arbutusfall_core/src/relay/standby.rs
@@ -156,6 +156,10 @@
             ExchangeEvent::Complete { status } if *status >= 500 && !call.has_stream_started => {
                 self.fail_standby(id, "error_status");
             }
+            // After a silence, an end that nothing marks is more likely the endpoint's own.
+            ExchangeEvent::EndUnmarked if call.has_stream_started => {
+                self.on_standby_failed(id, ExchangeFailure::Closed);
+            }
             // The head's limit comes before the event of the answer, which tells whether the endpoint goes on.
             ExchangeEvent::LimitNamed { .. } | ExchangeEvent::LimitAbsent => return true,
             _ => return self.return_to_standby(id, GOES_ON),
--- a/crates/arbutusfall_core/tests/it/relay_silence.rs
+++ b/crates/arbutusfall_core/tests/it/relay_silence.rs
@@ -262,3 +262,17 @@
     assert!(is_closed(&harness, silent.exchange));
     assert!(is_closed(&harness, next.exchange));
 }
+
+// Guards against a stream that looks complete because its silent engine's connection ends without a marked end.
+#[test]
+fn unmarked_end_of_a_silent_stream_is_not_its_end() {
+    let mut harness = RelayHarness::configured(1);
+    let (call, silent) = silent_stream(&mut harness);
+    harness.deliver(silent.exchange, ExchangeEvent::EndUnmarked);
+    harness.deliver(silent.exchange, ExchangeEvent::Complete { status: 200 });
+    assert_eq!(harness.final_effect(call), None);
+    let next = harness.advance_to_decode();
+    harness.deliver(next.exchange, ExchangeEvent::StreamBegan);
+    harness.deliver(next.exchange, ExchangeEvent::Complete { status: 200 });
+    assert_matches!(harness.final_effect(call), Some(RelayEffect::Finish { .. }));
+}
