Tests: what convicts and clears requests as causes of crashes

One crash seen by several VMs, any whole answer, other requests, leaving endpoints, crashes without the store, sound prompts with the parts of a blocked request, and one request at 410 VMs at once. All seven pass on the code before.

--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -22,6 +22,7 @@
 mod relay_calls;
 mod relay_configuration;
 mod relay_continued_streams;
+mod relay_crash_causes;
 mod relay_crashing_parts;
 mod relay_crashing_requests;
 mod relay_crashing_site;
--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -0,0 +1,257 @@
+//! Requests as causes of crashes: what convicts them, what clears them, and the bounds of what is kept.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use arbutusfall_core::CallId;
+use arbutusfall_core::ProblemKind;
+use arbutusfall_core::config::Role;
+use arbutusfall_core::relay::CauseBlock;
+use arbutusfall_core::relay::CrashCause;
+use arbutusfall_core::relay::CrashEvidence;
+use arbutusfall_core::relay::CrashId;
+use arbutusfall_core::relay::EndpointListChange;
+use arbutusfall_core::relay::ExchangeEvent;
+use arbutusfall_core::relay::PartId;
+use arbutusfall_core::relay::RelayEffect;
+use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_core::relay::RequestHashKey;
+use arbutusfall_core::relay::RequestKey;
+use arbutusfall_core::relay::SharedKey;
+use arbutusfall_core::relay::SharedRecord;
+
+use crate::relay_crashing_site::CrashingSite;
+use crate::relay_crashing_site::LoadRequest;
+use crate::relay_crashing_site::failed;
+use crate::relay_crashing_site::parts;
+use crate::relay_harness::RelayHarness;
+use crate::relay_harness::listed;
+use crate::relay_harness::ms;
+
+/// Suspects and blocks that a VM keeps.
+const MAX_CAUSES: usize = 4_000;
+
+fn request(path: &str) -> CrashCause {
+    CrashCause::Request(RequestKey(path.into()))
+}
+
+fn evidence(cause: CrashCause, crash: usize) -> SharedRecord {
+    SharedRecord::Crash {
+        cause,
+        crash: CrashId(format!("{crash:016x}.0").into()),
+        evidence: Some(CrashEvidence {
+            instance: format!("shop-{crash}").into(),
+            with: Vec::new(),
+        }),
+    }
+}
+
+fn block(cause: CrashCause, is_blocked: bool) -> SharedRecord {
+    let block = CauseBlock {
+        with: Vec::new(),
+        instances: Vec::new(),
+    };
+    SharedRecord::Block {
+        cause,
+        block: is_blocked.then_some(block),
+    }
+}
+
+fn read(harness: &mut RelayHarness, records: Vec<SharedRecord>) {
+    let is_full = false;
+    harness.apply(RelayEvent::SharedRecords { records, is_full });
+}
+
+fn start() -> RelayHarness {
+    let mut harness = RelayHarness::configured(1);
+    harness.repeats_by_path = true;
+    harness
+}
+
+/// Lets time pass while all appends succeed or fail; returns the records appended.
+fn run(harness: &mut RelayHarness, time: Duration, succeeded: bool) -> Vec<SharedRecord> {
+    let until = harness.now + time;
+    let mut appended = Vec::new();
+    while harness.now < until {
+        harness.advance(ms(10));
+        for effect in std::mem::take(&mut harness.effects) {
+            match effect {
+                RelayEffect::AppendShared(records) => {
+                    appended.extend(records);
+                    harness.apply(RelayEvent::SharedAppended { succeeded });
+                }
+                other => harness.effects.push(other),
+            }
+        }
+    }
+    appended
+}
+
+/// Returns whether a plain request with this path is refused as one that crashes endpoints.
+fn is_refused(harness: &mut RelayHarness, path: &str) -> bool {
+    let call = harness.submit(path);
+    let problem = harness.problem(call).map(|problem| problem.kind);
+    harness.apply(RelayEvent::CallerGone { call });
+    harness.take_sends();
+    problem.is_some_and(|kind| kind.status() == 400)
+}
+
+/// Sends a request and answers it, and its retries, with this status.
+fn answer(harness: &mut RelayHarness, path: &str, status: u16) {
+    harness.take_sends();
+    harness.submit(path);
+    let mut sends = harness.take_sends();
+    while let Some(sent) = sends.pop() {
+        harness.deliver(sent.exchange, ExchangeEvent::Complete { status });
+        sends = harness.take_sends();
+    }
+}
+
+/// Returns endpoints of the plain service, each of which can end once.
+fn endpoints(count: usize) -> Vec<EndpointListChange> {
+    let all = (10..10 + count).map(|number| format!("shop-{number}"));
+    all.map(|name| EndpointListChange::Listed(listed(&name, "shop", Role::Plain)))
+        .collect()
+}
+
+/// Sends a request whose endpoint breaks off, and closes the call if it is sent again.
+fn break_off(harness: &mut RelayHarness, path: &str) -> CallId {
+    harness.take_sends();
+    let call = harness.submit(path);
+    let sent = harness.take_only_send();
+    harness.advance(ms(20));
+    harness.deliver(sent.exchange, failed());
+    harness.apply(RelayEvent::CallerGone { call });
+    harness.take_sends();
+    call
+}
+
+// Guards against several VMs' evidence of one crash that counts as several crashes.
+#[test]
+fn one_crash_seen_by_several_vms_counts_once() {
+    let mut harness = start();
+    for _ in 0..6 {
+        read(&mut harness, vec![evidence(request("/look/a"), 1)]);
+    }
+    run(&mut harness, ms(3_000), true);
+    assert!(!is_refused(&mut harness, "/look/a"));
+    let more = (2..=3).map(|crash| evidence(request("/look/a"), crash));
+    read(&mut harness, more.collect());
+    run(&mut harness, ms(3_000), true);
+    assert!(is_refused(&mut harness, "/look/a"));
+}
+
+// Guards against a sound request that is blocked since endpoints ended beside it: any answer shows that it is sound.
+#[test]
+fn any_whole_answer_before_the_block_clears_a_request() {
+    for status in [200, 404, 500, 503] {
+        let mut harness = start();
+        let crashes = (1..=3).map(|crash| evidence(request("/look/a"), crash));
+        read(&mut harness, crashes.collect());
+        run(&mut harness, ms(1_000), true);
+        answer(&mut harness, "/look/a", status);
+        let appended = run(&mut harness, ms(3_000), true);
+        assert!(!is_refused(&mut harness, "/look/a"), "{status}");
+        let deletions = appended.iter().filter(|record| record.is_deletion());
+        assert_eq!(deletions.count(), 3, "other VMs do not learn of it");
+    }
+}
+
+// Guards against a caller who clears its request, or convicts another one, by sending others.
+#[test]
+fn other_requests_neither_clear_nor_convict() {
+    let mut harness = start();
+    let crashes = (1..=3).map(|crash| evidence(request("/look/bad"), crash));
+    read(&mut harness, crashes.collect());
+    for number in 0..20 {
+        answer(&mut harness, &format!("/look/{number}"), 200);
+    }
+    run(&mut harness, ms(2_000), true);
+    assert!(is_refused(&mut harness, "/look/bad"));
+    assert!(!is_refused(&mut harness, "/look/other"));
+    for number in 0..20 {
+        answer(&mut harness, &format!("/look/{number}"), 200);
+    }
+    assert!(is_refused(&mut harness, "/look/bad"));
+}
+
+// Guards against releases and scale-ins that convict the requests in progress.
+#[test]
+fn end_of_a_leaving_endpoint_is_no_evidence() {
+    let mut harness = start();
+    harness.apply(RelayEvent::EndpointChanges(endpoints(4)));
+    for _ in 0..4 {
+        harness.take_sends();
+        let call = harness.submit("/look/a");
+        let sent = harness.take_only_send();
+        let mut leaving = listed(&sent.instance, "shop", Role::Plain);
+        leaving.is_leaving = true;
+        let change = vec![EndpointListChange::Listed(leaving)];
+        harness.apply(RelayEvent::EndpointChanges(change));
+        harness.deliver(sent.exchange, failed());
+        harness.apply(RelayEvent::CallerGone { call });
+        harness.take_sends();
+        let appended = run(&mut harness, ms(2_000), true);
+        assert!(appended.is_empty(), "{appended:?}");
+    }
+    assert!(!is_refused(&mut harness, "/look/a"));
+}
+
+// Guards against a VM that needs the store to learn from its own crashes, or does not tell of them later.
+#[test]
+fn crashes_without_the_store_block_a_request_and_are_told_later() {
+    let mut harness = start();
+    harness.apply(RelayEvent::EndpointChanges(endpoints(6)));
+    for _ in 0..3 {
+        break_off(&mut harness, "/pay/a");
+        run(&mut harness, ms(2_000), false);
+    }
+    run(&mut harness, ms(2_000), false);
+    assert!(is_refused(&mut harness, "/pay/a"));
+    let appended = run(&mut harness, ms(2_000), true);
+    let key = SharedKey::Block(request("/pay/a"));
+    assert!(appended.iter().any(|record| record.key() == key));
+}
+
+// Guards against sound prompts that are refused since a repeated request with their parts is blocked.
+#[test]
+fn prompts_that_share_the_parts_of_a_blocked_request_are_served() {
+    let mut site = CrashingSite::start(6, 10, Role::Decode, 9);
+    for vm in &mut site.fleet.vms {
+        vm.harness.repeats_by_path = true;
+    }
+    site.run_load(ms(12_000), 30, |number| {
+        let is_crashing = number % 8 == 3;
+        let name = if is_crashing { 0 } else { number + 1 };
+        LoadRequest {
+            path: format!("/stream/{name}"),
+            parts: vec!["first", "second"],
+            is_crashing,
+        }
+    });
+    assert!(site.crashes.len() >= 3);
+    assert!(site.late_sends(3) <= 3, "{}", site.late_sends(3));
+    site.check_last_requests(|kind| kind.status() == 400);
+    let relay = &site.fleet.vms[0].harness.relay;
+    let blocked: Vec<&CrashCause> = relay.blocked_causes().map(|(cause, _)| cause).collect();
+    assert_eq!(blocked, [&request("/stream/0")]);
+}
+
+// Guards against one request that comes at all VMs at once: each VM sees one crash only.
+#[test]
+fn request_that_comes_at_all_vms_at_once_is_refused_at_all() {
+    let mut site = CrashingSite::start(410, 100, Role::Plain, 5);
+    let crashing = LoadRequest {
+        path: "/look/crashing".to_owned(),
+        parts: Vec::new(),
+        is_crashing: true,
+    };
+    for _ in 0..3 {
+        for vm in 0..410 {
+            site.send(vm, &crashing);
+        }
+        site.run(ms(4_000));
+    }
+    assert!(site.crashes.len() >= 3);
+    assert!(site.late_sends(3) <= 3, "{}", site.late_sends(3));
+}
