Relay: many answers do not make a VM forget which causes are sound

What callers saw: nothing yet; found by review. Since requests are causes too, each answered request took a place in the list of answered causes; with more than 4,000 answers in 3 to 6 s later ones were not recorded. A part in constant use could then be blocked, and sound requests were not sent again.

Cause: a full list that refuses the newest entry. Change: two generations; the newest 4,000 answers are always known.

Result: part_answered_beside_many_requests_is_not_blocked failed before (the part was blocked) and passes.

--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -9,6 +9,7 @@
 //! driver holds the bytes of requests and answers; the relay sees only sizes, outcomes and times.
 
 mod admission;
+mod answered_causes;
 mod balance;
 mod budget;
 mod call;
--- a/crates/arbutusfall_core/src/relay/crash_suspects.rs
+++ b/crates/arbutusfall_core/src/relay/crash_suspects.rs
@@ -8,12 +8,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use arbutusfall_wire::FastMap;
-
 use crate::relay::CauseBlock;
 use crate::relay::CrashCause;
 use crate::relay::CrashEvidence;
 use crate::relay::CrashId;
+use crate::relay::answered_causes::AnsweredCauses;
 
 /// Crashes that block a part. One fewer than the users' bound begins with: the VM that saw a crash may be gone before
 /// it recorded it.
@@ -34,13 +33,10 @@
 /// Time from the last of the blocking crashes to the block, in which any VM may clear the cause.
 const SETTLE_TIME: Duration = Duration::from_millis(1_400);
 
-/// Time for which an answered request speaks for its causes.
-const ANSWERED_LIFETIME: Duration = Duration::from_secs(3);
-
 /// Time for which evidence is kept.
 pub(crate) const EVIDENCE_LIFETIME: Duration = Duration::from_secs(3_600);
 
-/// Maximum number of suspects, blocks and answered causes that are kept.
+/// Maximum number of suspects and of blocks that are kept.
 const MAX_CAUSES: usize = 4_000;
 
 /// Crashes that are kept for one suspect.
@@ -133,10 +129,7 @@
 pub(crate) struct CrashSuspects {
     suspects: BTreeMap<CrashCause, Suspect>,
     blocks: BTreeMap<CrashCause, CauseBlock>,
-    /// When a request with the cause was last answered at this VM.
-    answered: FastMap<CrashCause, Duration>,
-    /// When entries of `answered` that are too old were last removed.
-    answered_reviewed_at: Duration,
+    answered: AnsweredCauses,
 }
 
 impl CrashSuspects {
@@ -166,8 +159,7 @@
 
     /// Returns whether a request with the cause has been answered of late.
     pub(crate) fn is_answered(&self, cause: &CrashCause, now: Duration) -> bool {
-        let at = self.answered.get(cause);
-        at.is_some_and(|at| now <= *at + ANSWERED_LIFETIME)
+        self.answered.contains(cause, now)
     }
 
     /// Adds evidence of this VM or of another one.
@@ -220,13 +212,7 @@
 
     /// Records that a request with this cause was answered, which clears the cause.
     pub(crate) fn on_answered(&mut self, cause: &CrashCause, now: Duration) -> Cleared {
-        if now >= self.answered_reviewed_at + ANSWERED_LIFETIME {
-            self.answered_reviewed_at = now;
-            self.answered.retain(|_, at| now <= *at + ANSWERED_LIFETIME);
-        }
-        if self.answered.len() < MAX_CAUSES || self.answered.contains_key(cause) {
-            self.answered.insert(cause.clone(), now);
-        }
+        self.answered.on_answered(cause, now);
         self.clear(cause)
     }
 
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -255,3 +255,25 @@
     assert!(site.crashes.len() >= 3);
     assert!(site.late_sends(3) <= 3, "{}", site.late_sends(3));
 }
+
+// Guards against many different requests that make a VM forget which parts are sound.
+#[test]
+fn part_answered_beside_many_requests_is_not_blocked() {
+    let mut harness = RelayHarness::configured(1);
+    for _ in 0..5_000 {
+        answer(&mut harness, "/look/", 200);
+        harness.effects.clear();
+    }
+    harness.submit_with_parts("/stream/", parts(&["popular"]));
+    let decode = harness.advance_to_decode();
+    harness.deliver(decode.exchange, ExchangeEvent::StreamBegan);
+    let end = ExchangeEvent::Complete { status: 200 };
+    harness.deliver(decode.exchange, end);
+    let popular = CrashCause::Part(PartId("popular".into()));
+    let crashes = (1..=4).map(|crash| evidence(popular.clone(), crash));
+    read(&mut harness, crashes.collect());
+    run(&mut harness, ms(3_000), true);
+    let call = harness.submit_with_parts("/stream/", parts(&["popular"]));
+    let problem = harness.problem(call).map(|problem| problem.kind);
+    assert_ne!(problem, Some(ProblemKind::CrashingPrompt));
+}
