Relay: a VM that keeps all the blocks it can goes on

What callers would see: with 4,000 blocks known, the next suspect with enough crashes stops every VM for ever: its block is due at once, again and again. Found by review; a hostile caller needs some hundred crashes of endpoints with many requests in progress.

Cause: a block that finds no room left its due instant in the past.

--- a/crates/arbutusfall_core/src/relay/crash_suspects.rs
+++ b/crates/arbutusfall_core/src/relay/crash_suspects.rs
@@ -287,22 +287,26 @@
         due.filter_map(|suspect| suspect.block_at).min()
     }
 
-    /// Blocks the suspects whose time has come.
+    /// Blocks the suspects whose time has come. With too many blocks they stay suspects, to be blocked later.
     pub(crate) fn block_due(&mut self, now: Duration) -> Vec<NewBlock> {
         let due = self
             .suspects
             .iter()
             .filter(|(_, suspect)| suspect.block_at.is_some_and(|block_at| block_at <= now));
-        let blocked: Vec<NewBlock> = due
+        let mut blocked: Vec<NewBlock> = due
             .map(|(cause, suspect)| NewBlock {
                 cause: cause.clone(),
                 block: self.block_of(suspect),
                 crashes: suspect.crashes.keys().cloned().collect(),
             })
             .collect();
-        for new in &blocked {
-            self.on_block(&new.cause, new.block.clone());
-        }
+        blocked.retain(|new| {
+            let is_blocked = self.on_block(&new.cause, new.block.clone()).is_some();
+            if let Some(suspect) = self.suspects.get_mut(&new.cause) {
+                suspect.block_at = Some(now + SETTLE_TIME);
+            }
+            is_blocked
+        });
         blocked
     }
 
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -256,6 +256,23 @@
     assert!(site.late_sends(3) <= 3, "{}", site.late_sends(3));
 }
 
+// Guards against a VM that stops once it knows as many blocks as it keeps.
+#[test]
+fn vm_with_all_blocks_it_keeps_goes_on() {
+    let mut harness = start();
+    let blocks = (0..MAX_CAUSES).map(|number| block(request(&format!("/{number}")), true));
+    read(&mut harness, blocks.collect());
+    let crashes = (1..=3).map(|crash| evidence(request("/look/bad"), crash));
+    read(&mut harness, crashes.collect());
+    run(&mut harness, ms(5_000), true);
+    answer(&mut harness, "/look/other", 200);
+    let blocked = |harness: &RelayHarness| harness.relay.blocked_causes().count();
+    assert_eq!(blocked(&harness), MAX_CAUSES);
+    read(&mut harness, vec![block(request("/7"), false)]);
+    run(&mut harness, ms(3_000), true);
+    assert!(is_refused(&mut harness, "/look/bad"));
+}
+
 // Guards against many different requests that make a VM forget which parts are sound.
 #[test]
 fn part_answered_beside_many_requests_is_not_blocked() {
