Relay: evidence that gives way leaves the store, and suspects are bounded

What callers would see: slow starts of VMs in the end. A suspect that gave way to a newer one stayed in the store for ever, since only VMs that keep evidence delete it after its hour; 48 streams on an engine that ends are 48 suspects, so 84 crashes in an hour were enough. Suspects of two crashes gave way to none, so their number had no bound. Found by review.

Cause: a bound of the VM's memory that the store did not share, and one that some entries were excepted from. Change: the oldest suspect with the fewest crashes gives way, and its evidence is deleted from the store.

--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -252,6 +252,10 @@
         let effect = self
             .crash_suspects
             .on_evidence(&cause, crash, evidence, self.now);
+        for (cause, crash) in self.crash_suspects.take_displaced() {
+            let due = self.now + self.random_delay();
+            self.delete_evidence(cause, crash, due);
+        }
         match effect {
             EvidenceEffect::None | EvidenceEffect::Suspect => return,
             EvidenceEffect::Blocked => {}
--- a/crates/arbutusfall_core/src/relay/crash_suspects.rs
+++ b/crates/arbutusfall_core/src/relay/crash_suspects.rs
@@ -27,9 +27,6 @@
 /// Crashes, besides its own, from which on a broken-off request is not sent again.
 const REQUEST_SUSPECTED_CRASHES: usize = 1;
 
-/// Crashes from which on a suspect does not give way to newer ones.
-const KEPT_CRASHES: usize = 2;
-
 /// Time from the last of the blocking crashes to the block, in which any VM may clear the cause.
 const SETTLE_TIME: Duration = Duration::from_millis(1_400);
 
@@ -130,6 +127,8 @@
     suspects: BTreeMap<CrashCause, Suspect>,
     blocks: BTreeMap<CrashCause, CauseBlock>,
     answered: AnsweredCauses,
+    /// Evidence that has given way to newer evidence.
+    displaced: Vec<(CrashCause, CrashId)>,
 }
 
 impl CrashSuspects {
@@ -197,17 +196,28 @@
         EvidenceEffect::Suspect
     }
 
-    /// Removes a suspect of a single crash if there are too many. Suspects of more crashes are never pushed out.
+    /// Removes the oldest of the suspects with the fewest crashes if there are too many.
     fn make_room_for(&mut self, cause: &CrashCause) {
         if self.suspects.len() < MAX_CAUSES || self.suspects.contains_key(cause) {
             return;
         }
-        let single = self.suspects.iter();
-        let single = single.filter(|(_, suspect)| suspect.crashes.len() < KEPT_CRASHES);
-        let oldest = single.min_by_key(|(_, suspect)| suspect.last_known_at());
-        if let Some(oldest) = oldest.map(|(cause, _)| cause.clone()) {
-            self.suspects.remove(&oldest);
-        }
+        let rank = |suspect: &Suspect| (suspect.crashes.len(), suspect.last_known_at());
+        let least = self
+            .suspects
+            .iter()
+            .min_by_key(|(_, suspect)| rank(suspect));
+        let Some(least) = least.map(|(cause, _)| cause.clone()) else {
+            return;
+        };
+        let removed = self.suspects.remove(&least).unwrap_or_default();
+        let crashes = removed.crashes.into_keys();
+        self.displaced
+            .extend(crashes.map(|crash| (least.clone(), crash)));
+    }
+
+    /// Takes the evidence that has given way to newer evidence: no VM needs it any more.
+    pub(crate) fn take_displaced(&mut self) -> Vec<(CrashCause, CrashId)> {
+        std::mem::take(&mut self.displaced)
     }
 
     /// Records that a request with this cause was answered, which clears the cause.
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -273,6 +273,26 @@
     assert!(is_refused(&mut harness, "/look/bad"));
 }
 
+// Guards against evidence that no VM keeps any more and that stays in the store for ever, and against suspects without bound.
+#[test]
+fn evidence_that_gives_way_is_deleted_from_the_store() {
+    for crashes in 1..=2 {
+        let mut harness = start();
+        let many = (0..MAX_CAUSES + 50).flat_map(|number| {
+            let cause = request(&format!("/{number}"));
+            (1..=crashes).map(move |crash| evidence(cause.clone(), crash))
+        });
+        let many: Vec<SharedRecord> = many.collect();
+        for records in many.chunks(100) {
+            read(&mut harness, records.to_vec());
+        }
+        let appended = run(&mut harness, ms(3_000), true);
+        assert!(appended.iter().all(SharedRecord::is_deletion));
+        let deleted: BTreeSet<SharedKey> = appended.iter().map(SharedRecord::key).collect();
+        assert_eq!(deleted.len(), 50 * crashes, "{crashes} crashes");
+    }
+}
+
 // Guards against many different requests that make a VM forget which parts are sound.
 #[test]
 fn part_answered_beside_many_requests_is_not_blocked() {
