Relay: a failed append is not made again once a newer record is known

What callers would see: a request that is served although it is blocked, and the other way round. A VM that appended its hash key while it read another VM's, or a block while it read that the block was lifted, appended its own record again when the append failed: all blocks void, or a lifted block back. Found by review.

Cause: a retry that does not look at what was learned since it was first made. Change: keys, deletions of blocks and of evidence that are read withdraw the VM's own record also from the append in progress.

Result: own_hash_key_is_not_appended_again_once_another_is_known and block_whose_append_failed_is_not_written_after_it_was_lifted failed before and pass.

--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -15,6 +15,7 @@
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
+use crate::relay::SharedKey;
 use crate::relay::SharedRecord;
 use crate::relay::call::CurrentExchange;
 use crate::relay::crash_suspects::Cleared;
@@ -236,6 +237,8 @@
     ) {
         let Some(evidence) = evidence else {
             self.crash_suspects.remove_evidence(&cause, &crash);
+            let key = SharedKey::Crash(cause, crash);
+            self.shared_outbox.withdraw(&key);
             return;
         };
         self.endpoint_ends.on_known_crash(&crash, self.now);
@@ -269,6 +272,8 @@
     /// Handles a block of another VM, or its end.
     pub(super) fn on_shared_block(&mut self, cause: CrashCause, block: Option<CauseBlock>) {
         let Some(block) = block else {
+            let key = SharedKey::Block(cause.clone());
+            self.shared_outbox.withdraw(&key);
             if self.crash_suspects.on_unblocked(&cause) {
                 self.note_unblocked(&cause, "other_vm");
             }
--- a/crates/arbutusfall_core/src/relay/shared_outbox.rs
+++ b/crates/arbutusfall_core/src/relay/shared_outbox.rs
@@ -28,8 +28,8 @@
 #[derive(Debug)]
 pub(crate) struct SharedOutbox {
     pending: BTreeMap<SharedKey, Pending>,
-    /// Records of the append in progress.
-    appending: Vec<SharedRecord>,
+    /// Records of the append in progress, if any, without those that were withdrawn.
+    appending: Option<Vec<SharedRecord>>,
     /// Time between two appends.
     interval: Duration,
     /// No append is made before this instant.
@@ -41,7 +41,7 @@
     pub(crate) fn new(vm_count: u32) -> Self {
         Self {
             pending: BTreeMap::new(),
-            appending: Vec::new(),
+            appending: None,
             interval: (APPEND_INTERVAL_PER_VM * vm_count).max(MIN_APPEND_INTERVAL),
             not_before: Duration::ZERO,
         }
@@ -64,19 +64,23 @@
         }
     }
 
-    /// Removes the record with this key, if it waits.
+    /// Removes the record with this key: it is not appended any more, nor again after a failure.
     pub(crate) fn withdraw(&mut self, key: &SharedKey) {
         self.pending.remove(key);
+        if let Some(appending) = &mut self.appending {
+            appending.retain(|record| record.key() != *key);
+        }
     }
 
     /// Returns whether a record with this key waits or is being appended.
     pub(crate) fn contains(&self, key: &SharedKey) -> bool {
-        self.pending.contains_key(key) || self.appending.iter().any(|record| record.key() == *key)
+        let mut appending = self.appending.iter().flatten();
+        self.pending.contains_key(key) || appending.any(|record| record.key() == *key)
     }
 
     /// Returns the instant of the next append; none while one is in progress.
     pub(crate) fn next_due(&self) -> Option<Duration> {
-        if !self.appending.is_empty() {
+        if self.appending.is_some() {
             return None;
         }
         let due = self.pending.values().map(|pending| pending.due).min()?;
@@ -96,14 +100,16 @@
         for record in &records {
             self.pending.remove(&record.key());
         }
-        self.appending.clone_from(&records);
+        if !records.is_empty() {
+            self.appending = Some(records.clone());
+        }
         self.not_before = now + self.interval;
         records
     }
 
     /// Handles the end of an append: after a failure its records are appended again, unless newer ones replace them.
     pub(crate) fn on_appended(&mut self, succeeded: bool, now: Duration) {
-        let records = std::mem::take(&mut self.appending);
+        let records = self.appending.take().unwrap_or_default();
         if succeeded {
             return;
         }
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -314,3 +314,38 @@
     let problem = harness.problem(call).map(|problem| problem.kind);
     assert_ne!(problem, Some(ProblemKind::CrashingPrompt));
 }
+
+// Guards against a failed append that is made again although another VM's key has been taken over: all blocks would be void.
+#[test]
+fn own_hash_key_is_not_appended_again_once_another_is_known() {
+    let mut harness = RelayHarness::before_shared_records(1);
+    let (records, is_full) = (Vec::new(), true);
+    harness.apply(RelayEvent::SharedRecords { records, is_full });
+    harness.advance(ms(2_000));
+    let key = SharedRecord::HashKey(Some(RequestHashKey(7)));
+    read(&mut harness, vec![key]);
+    harness.apply(RelayEvent::SharedAppended { succeeded: false });
+    harness.effects.clear();
+    assert!(run(&mut harness, ms(3_000), true).is_empty());
+}
+
+// Guards against a VM without the store that blocks again what an operator has unblocked at another one.
+#[test]
+fn block_whose_append_failed_is_not_written_after_it_was_lifted() {
+    let mut harness = start();
+    let crashes = (1..=3).map(|crash| evidence(request("/look/a"), crash));
+    read(&mut harness, crashes.collect());
+    // The append is in progress.
+    harness.advance(ms(3_000));
+    assert!(is_refused(&mut harness, "/look/a"));
+    let lifted = [true, false].map(|is_blocked| block(request("/look/a"), is_blocked));
+    read(&mut harness, lifted.to_vec());
+    harness.apply(RelayEvent::SharedAppended { succeeded: false });
+    harness.effects.clear();
+    let appended = run(&mut harness, ms(3_000), true);
+    assert!(
+        appended.iter().all(SharedRecord::is_deletion),
+        "{appended:?}"
+    );
+    assert!(!is_refused(&mut harness, "/look/a"));
+}
