Relay: the known hash key is written again before new VMs propose theirs

What callers would see: after a return of the store from a copy without the key, a VM that starts may propose its own key first; all VMs take it over, and all blocks on requests are void. Found by review.

Cause: VMs that knew the key waited as long as new ones (0.5 s and up to 8.2 s more at 410 VMs). Change: they write it after 0.2 s.

Result: known_hash_key_is_written_again_before_new_vms_propose_theirs failed before and passes.

--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -175,6 +175,8 @@
     is_shared_known: bool,
     /// Key for hashes of requests: the one that VMs share, or this VM's own until one is read.
     hash_key: RequestHashKey,
+    /// Whether the store has had this key.
+    is_hash_key_shared: bool,
     /// Whether the store has returned from an older copy since the shared records were read.
     has_store_returned: bool,
     /// Number of VMs, as far as it is known.
@@ -217,6 +219,7 @@
             shared_timer_due: None,
             is_shared_known: false,
             hash_key: settings.own_hash_key,
+            is_hash_key_shared: false,
             has_store_returned: false,
             vm_count: settings.retry_limit.vm_count,
             lease: Lease::new(settings.lease_lifetime),
--- a/crates/arbutusfall_core/src/relay/shared_handling.rs
+++ b/crates/arbutusfall_core/src/relay/shared_handling.rs
@@ -14,7 +14,10 @@
 /// Shortest time from the start of a VM until it proposes a key for hashes of requests, unless it has read one.
 const HASH_KEY_DELAY: Duration = Duration::from_millis(500);
 
-/// Longest random addition to this time, for each VM: most VMs that start together have read a key before they propose one.
+/// Shortest time until VMs write the key again that the store has lost: after blocks, and before new VMs have proposed one.
+const LOST_HASH_KEY_DELAY: Duration = Duration::from_millis(200);
+
+/// Longest random addition to `HASH_KEY_DELAY`, for each VM: most VMs that start together have read a key before they propose one.
 const HASH_KEY_DELAY_PER_VM: Duration = Duration::from_millis(20);
 
 impl Relay {
@@ -36,19 +39,29 @@
             }
         }
         if !listed.contains(&SharedKey::HashKey) {
-            let spread = HASH_KEY_DELAY_PER_VM * self.vm_count;
-            let due = self.now + HASH_KEY_DELAY + spread.mul_f64(self.rng.f64());
-            let record = SharedRecord::HashKey(Some(self.hash_key));
-            self.shared_outbox.push(record, due);
+            self.propose_hash_key();
         }
         self.on_shared_records(records);
         self.is_shared_known = true;
     }
 
+    /// Records this VM's key for hashes of requests, which the store does not have: before new VMs do if the store has lost it.
+    fn propose_hash_key(&mut self) {
+        let delay = if self.is_hash_key_shared {
+            LOST_HASH_KEY_DELAY + self.random_delay()
+        } else {
+            let spread = HASH_KEY_DELAY_PER_VM * self.vm_count;
+            HASH_KEY_DELAY + spread.mul_f64(self.rng.f64())
+        };
+        let record = SharedRecord::HashKey(Some(self.hash_key));
+        self.shared_outbox.push(record, self.now + delay);
+    }
+
     /// Takes over the key for hashes of requests that another VM has recorded.
     fn on_shared_hash_key(&mut self, key: Option<RequestHashKey>) {
         if let Some(key) = key {
             self.hash_key = key;
+            self.is_hash_key_shared = true;
             self.shared_outbox.withdraw(&SharedKey::HashKey);
         }
     }
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -315,6 +315,22 @@
     assert_ne!(problem, Some(ProblemKind::CrashingPrompt));
 }
 
+// Guards against a new VM whose own hash key replaces the known one after a return of the store: all blocks would be void.
+#[test]
+fn known_hash_key_is_written_again_before_new_vms_propose_theirs() {
+    let mut harness = start();
+    let (previous, era) = (0, 1);
+    harness.apply(RelayEvent::StoreReturned { previous, era });
+    let (records, is_full) = (Vec::new(), true);
+    harness.apply(RelayEvent::SharedRecords { records, is_full });
+    let mut new = RelayHarness::before_shared_records(2);
+    let (records, is_full) = (Vec::new(), true);
+    new.apply(RelayEvent::SharedRecords { records, is_full });
+    let known = SharedRecord::HashKey(Some(RequestHashKey(7)));
+    assert!(run(&mut harness, ms(400), true).contains(&known));
+    assert!(run(&mut new, ms(400), true).is_empty());
+}
+
 // Guards against a failed append that is made again although another VM's key has been taken over: all blocks would be void.
 #[test]
 fn own_hash_key_is_not_appended_again_once_another_is_known() {
