Relay: a VM answers the evidence that it has read in one append

What the store saw: after one crash of an engine with 48 streams whose parts are popular, 408 appends in a second of 410 VMs (allowed for all: 400), as each VM deleted each part's evidence at an instant of its own. Found by a test of the cost.

Change: one random instant for all records of a read, so that most VMs learn of the deletions before their own are due.

--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -228,12 +228,13 @@
         (DELAY_PER_VM * self.vm_count).mul_f64(self.rng.f64())
     }
 
-    /// Handles evidence of another VM.
+    /// Handles evidence of another VM, which is deleted at an instant if this VM knows better.
     pub(super) fn on_shared_crash(
         &mut self,
         cause: CrashCause,
         crash: CrashId,
         evidence: Option<CrashEvidence>,
+        delete_due: Duration,
     ) {
         let Some(evidence) = evidence else {
             self.crash_suspects.remove_evidence(&cause, &crash);
@@ -244,8 +245,7 @@
         self.endpoint_ends.on_known_crash(&crash, self.now);
         if self.crash_suspects.is_answered(&cause, self.now) {
             // This VM knows better: the cause's requests are answered.
-            let due = self.now + self.random_delay();
-            self.delete_evidence(cause, crash, due);
+            self.delete_evidence(cause, crash, delete_due);
             return;
         }
         self.add_evidence(cause, &crash, evidence);
--- a/crates/arbutusfall_core/src/relay/shared_handling.rs
+++ b/crates/arbutusfall_core/src/relay/shared_handling.rs
@@ -90,7 +90,7 @@
 
     fn drop_shared_record(&mut self, key: SharedKey) {
         match key {
-            SharedKey::Crash(cause, crash) => self.on_shared_crash(cause, crash, None),
+            SharedKey::Crash(cause, crash) => self.on_shared_crash(cause, crash, None, self.now),
             SharedKey::Block(cause) => self.on_shared_block(cause, None),
             SharedKey::HashKey => self.on_shared_hash_key(None),
             SharedKey::Limit(run) => self.on_shared_limit(&run, None),
@@ -100,6 +100,15 @@
 
     /// Handles records that were read, oldest first.
     pub(super) fn on_shared_records(&mut self, records: Vec<SharedRecord>) {
+        // One instant for all, so that a VM answers them in one append.
+        let has_evidence = records
+            .iter()
+            .any(|record| matches!(record, SharedRecord::Crash { .. }));
+        let answer_due = if has_evidence {
+            self.now + self.random_delay()
+        } else {
+            self.now
+        };
         for record in records {
             self.shared_outbox.remove(&record);
             match record {
@@ -107,7 +116,7 @@
                     cause,
                     crash,
                     evidence,
-                } => self.on_shared_crash(cause, crash, evidence),
+                } => self.on_shared_crash(cause, crash, evidence, answer_due),
                 SharedRecord::Block { cause, block } => self.on_shared_block(cause, block),
                 SharedRecord::HashKey(key) => self.on_shared_hash_key(key),
                 SharedRecord::Limit { run, limit } => self.on_shared_limit(&run, limit),
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -1,6 +1,7 @@
 //! Requests as causes of crashes: what convicts them, what clears them, and the bounds of what is kept.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use arbutusfall_core::CallId;
@@ -24,9 +25,12 @@
 use crate::relay_crashing_site::LoadRequest;
 use crate::relay_crashing_site::failed;
 use crate::relay_crashing_site::parts;
+use crate::relay_fleet::Fleet;
+use crate::relay_fleet::most_in_one_second;
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
+use crate::relay_harness::routes;
 
 /// Suspects and blocks that a VM keeps.
 const MAX_CAUSES: usize = 4_000;
@@ -365,3 +369,55 @@
     );
     assert!(!is_refused(&mut harness, "/look/a"));
 }
+
+/// Gives each VM an answered prompt with shared parts, ends an engine under 48 others with them, and lets 5 s pass.
+fn end_engine_under_popular_parts(fleet: &mut Fleet) {
+    let mut in_progress = Vec::new();
+    for (number, vm) in fleet.vms.iter_mut().enumerate() {
+        let harness = &mut vm.harness;
+        harness.take_sends();
+        harness.submit_with_parts("/stream/", parts(&["a", "b", "c", "d", "e", "f", "g", "h"]));
+        let decode = harness.advance_to_decode();
+        harness.deliver(decode.exchange, ExchangeEvent::StreamBegan);
+        if number < 48 {
+            in_progress.push((number, decode.exchange));
+        } else {
+            let end = ExchangeEvent::Complete { status: 200 };
+            harness.deliver(decode.exchange, end);
+        }
+    }
+    fleet.advance(ms(50));
+    fleet.appends.clear();
+    for (vm, exchange) in in_progress {
+        fleet.vms[vm].harness.deliver(exchange, failed());
+    }
+    for _ in 0..500 {
+        fleet.advance(ms(10));
+    }
+}
+
+// Guards against a crash under popular parts after which all VMs write to the store at once.
+#[test]
+fn appends_after_a_crash_of_a_full_engine_stay_within_the_limit() {
+    for vm_count in [77, 410] {
+        let mut fleet = Fleet::start(vm_count, 3);
+        for vm in &mut fleet.vms {
+            vm.harness.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
+            let engines = [("decode", Role::Decode), ("prefill", Role::Prefill)];
+            let engines = engines.map(|(name, role)| listed(name, "model", role));
+            let changes = engines.map(EndpointListChange::Listed).to_vec();
+            vm.harness.apply(RelayEvent::EndpointChanges(changes));
+        }
+        for _ in 0..300 {
+            fleet.advance(ms(10));
+        }
+        end_engine_under_popular_parts(&mut fleet);
+        let appends = most_in_one_second(&fleet.appends);
+        assert!(appends <= 400, "{appends} appends of {vm_count} VMs");
+        let is_evidence = |record: &SharedRecord| matches!(record, SharedRecord::Crash { .. });
+        assert!(
+            !fleet.newest().iter().any(is_evidence),
+            "not all is deleted"
+        );
+    }
+}
