--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -15,6 +15,7 @@
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
+use crate::relay::SharedKey;
 use crate::relay::SharedRecord;
 use crate::relay::call::CurrentExchange;
 use crate::relay::crash_suspects::Cleared;
@@ -227,22 +228,24 @@
         (DELAY_PER_VM * self.vm_count).mul_f64(self.rng.f64())
     }
 
-    /// Handles evidence of another VM.
+    /// Handles evidence of another VM, which is deleted at an instant if this VM knows better.
     pub(super) fn on_shared_crash(
         &mut self,
         cause: CrashCause,
         crash: CrashId,
         evidence: Option<CrashEvidence>,
+        delete_due: Duration,
     ) {
         let Some(evidence) = evidence else {
             self.crash_suspects.remove_evidence(&cause, &crash);
+            let key = SharedKey::Crash(cause, crash);
+            self.shared_outbox.withdraw(&key);
             return;
         };
         self.endpoint_ends.on_known_crash(&crash, self.now);
         if self.crash_suspects.is_answered(&cause, self.now) {
             // This VM knows better: the cause's requests are answered.
-            let due = self.now + self.random_delay();
-            self.delete_evidence(cause, crash, due);
+            self.delete_evidence(cause, crash, delete_due);
             return;
         }
         self.add_evidence(cause, &crash, evidence);
@@ -252,6 +255,10 @@
         let effect = self
             .crash_suspects
             .on_evidence(&cause, crash, evidence, self.now);
+        for (cause, crash) in self.crash_suspects.take_displaced() {
+            let due = self.now + self.random_delay();
+            self.delete_evidence(cause, crash, due);
+        }
         match effect {
             EvidenceEffect::None | EvidenceEffect::Suspect => return,
             EvidenceEffect::Blocked => {}
@@ -265,6 +272,8 @@
     /// Handles a block of another VM, or its end.
     pub(super) fn on_shared_block(&mut self, cause: CrashCause, block: Option<CauseBlock>) {
         let Some(block) = block else {
+            let key = SharedKey::Block(cause.clone());
+            self.shared_outbox.withdraw(&key);
             if self.crash_suspects.on_unblocked(&cause) {
                 self.note_unblocked(&cause, "other_vm");
             }
--- a/crates/arbutusfall_core/src/relay/crash_suspects.rs
+++ b/crates/arbutusfall_core/src/relay/crash_suspects.rs
@@ -8,12 +8,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use arbutusfall_wire::FastMap;
-
 use crate::relay::CauseBlock;
 use crate::relay::CrashCause;
 use crate::relay::CrashEvidence;
 use crate::relay::CrashId;
+use crate::relay::answered_causes::AnsweredCauses;
 
 /// Crashes that block a part. One fewer than the users' bound begins with: the VM that saw a crash may be gone before
 /// it recorded it.
@@ -28,19 +27,13 @@
 /// Crashes, besides its own, from which on a broken-off request is not sent again.
 const REQUEST_SUSPECTED_CRASHES: usize = 1;
 
-/// Crashes from which on a suspect does not give way to newer ones.
-const KEPT_CRASHES: usize = 2;
-
 /// Time from the last of the blocking crashes to the block, in which any VM may clear the cause.
 const SETTLE_TIME: Duration = Duration::from_millis(1_400);
 
-/// Time for which an answered request speaks for its causes.
-const ANSWERED_LIFETIME: Duration = Duration::from_secs(3);
-
 /// Time for which evidence is kept.
 pub(crate) const EVIDENCE_LIFETIME: Duration = Duration::from_secs(3_600);
 
-/// Maximum number of suspects, blocks and answered causes that are kept.
+/// Maximum number of suspects and of blocks that are kept.
 const MAX_CAUSES: usize = 4_000;
 
 /// Crashes that are kept for one suspect.
@@ -133,10 +126,9 @@
 pub(crate) struct CrashSuspects {
     suspects: BTreeMap<CrashCause, Suspect>,
     blocks: BTreeMap<CrashCause, CauseBlock>,
-    /// When a request with the cause was last answered at this VM.
-    answered: FastMap<CrashCause, Duration>,
-    /// When entries of `answered` that are too old were last removed.
-    answered_reviewed_at: Duration,
+    answered: AnsweredCauses,
+    /// Evidence that has given way to newer evidence.
+    displaced: Vec<(CrashCause, CrashId)>,
 }
 
 impl CrashSuspects {
@@ -166,8 +158,7 @@
 
     /// Returns whether a request with the cause has been answered of late.
     pub(crate) fn is_answered(&self, cause: &CrashCause, now: Duration) -> bool {
-        let at = self.answered.get(cause);
-        at.is_some_and(|at| now <= *at + ANSWERED_LIFETIME)
+        self.answered.contains(cause, now)
     }
 
     /// Adds evidence of this VM or of another one.
@@ -205,28 +196,33 @@
         EvidenceEffect::Suspect
     }
 
-    /// Removes a suspect of a single crash if there are too many. Suspects of more crashes are never pushed out.
+    /// Removes the oldest of the suspects with the fewest crashes if there are too many.
     fn make_room_for(&mut self, cause: &CrashCause) {
         if self.suspects.len() < MAX_CAUSES || self.suspects.contains_key(cause) {
             return;
         }
-        let single = self.suspects.iter();
-        let single = single.filter(|(_, suspect)| suspect.crashes.len() < KEPT_CRASHES);
-        let oldest = single.min_by_key(|(_, suspect)| suspect.last_known_at());
-        if let Some(oldest) = oldest.map(|(cause, _)| cause.clone()) {
-            self.suspects.remove(&oldest);
-        }
+        let rank = |suspect: &Suspect| (suspect.crashes.len(), suspect.last_known_at());
+        let least = self
+            .suspects
+            .iter()
+            .min_by_key(|(_, suspect)| rank(suspect));
+        let Some(least) = least.map(|(cause, _)| cause.clone()) else {
+            return;
+        };
+        let removed = self.suspects.remove(&least).unwrap_or_default();
+        let crashes = removed.crashes.into_keys();
+        self.displaced
+            .extend(crashes.map(|crash| (least.clone(), crash)));
+    }
+
+    /// Takes the evidence that has given way to newer evidence: no VM needs it any more.
+    pub(crate) fn take_displaced(&mut self) -> Vec<(CrashCause, CrashId)> {
+        std::mem::take(&mut self.displaced)
     }
 
     /// Records that a request with this cause was answered, which clears the cause.
     pub(crate) fn on_answered(&mut self, cause: &CrashCause, now: Duration) -> Cleared {
-        if now >= self.answered_reviewed_at + ANSWERED_LIFETIME {
-            self.answered_reviewed_at = now;
-            self.answered.retain(|_, at| now <= *at + ANSWERED_LIFETIME);
-        }
-        if self.answered.len() < MAX_CAUSES || self.answered.contains_key(cause) {
-            self.answered.insert(cause.clone(), now);
-        }
+        self.answered.on_answered(cause, now);
         self.clear(cause)
     }
 
@@ -301,22 +297,26 @@
         due.filter_map(|suspect| suspect.block_at).min()
     }
 
-    /// Blocks the suspects whose time has come.
+    /// Blocks the suspects whose time has come. With too many blocks they stay suspects, to be blocked later.
     pub(crate) fn block_due(&mut self, now: Duration) -> Vec<NewBlock> {
         let due = self
             .suspects
             .iter()
             .filter(|(_, suspect)| suspect.block_at.is_some_and(|block_at| block_at <= now));
-        let blocked: Vec<NewBlock> = due
+        let mut blocked: Vec<NewBlock> = due
             .map(|(cause, suspect)| NewBlock {
                 cause: cause.clone(),
                 block: self.block_of(suspect),
                 crashes: suspect.crashes.keys().cloned().collect(),
             })
             .collect();
-        for new in &blocked {
-            self.on_block(&new.cause, new.block.clone());
-        }
+        blocked.retain(|new| {
+            let is_blocked = self.on_block(&new.cause, new.block.clone()).is_some();
+            if let Some(suspect) = self.suspects.get_mut(&new.cause) {
+                suspect.block_at = Some(now + SETTLE_TIME);
+            }
+            is_blocked
+        });
         blocked
     }
 
--- a/crates/arbutusfall_core/src/relay/shared_handling.rs
+++ b/crates/arbutusfall_core/src/relay/shared_handling.rs
@@ -14,7 +14,10 @@
 /// Shortest time from the start of a VM until it proposes a key for hashes of requests, unless it has read one.
 const HASH_KEY_DELAY: Duration = Duration::from_millis(500);
 
-/// Longest random addition to this time, for each VM: most VMs that start together have read a key before they propose one.
+/// Shortest time until VMs write the key again that the store has lost: after blocks, and before new VMs have proposed one.
+const LOST_HASH_KEY_DELAY: Duration = Duration::from_millis(200);
+
+/// Longest random addition to `HASH_KEY_DELAY`, for each VM: most VMs that start together have read a key before they propose one.
 const HASH_KEY_DELAY_PER_VM: Duration = Duration::from_millis(20);
 
 impl Relay {
@@ -36,19 +39,29 @@
             }
         }
         if !listed.contains(&SharedKey::HashKey) {
-            let spread = HASH_KEY_DELAY_PER_VM * self.vm_count;
-            let due = self.now + HASH_KEY_DELAY + spread.mul_f64(self.rng.f64());
-            let record = SharedRecord::HashKey(Some(self.hash_key));
-            self.shared_outbox.push(record, due);
+            self.propose_hash_key();
         }
         self.on_shared_records(records);
         self.is_shared_known = true;
     }
 
+    /// Records this VM's key for hashes of requests, which the store does not have: before new VMs do if the store has lost it.
+    fn propose_hash_key(&mut self) {
+        let delay = if self.is_hash_key_shared {
+            LOST_HASH_KEY_DELAY + self.random_delay()
+        } else {
+            let spread = HASH_KEY_DELAY_PER_VM * self.vm_count;
+            HASH_KEY_DELAY + spread.mul_f64(self.rng.f64())
+        };
+        let record = SharedRecord::HashKey(Some(self.hash_key));
+        self.shared_outbox.push(record, self.now + delay);
+    }
+
     /// Takes over the key for hashes of requests that another VM has recorded.
     fn on_shared_hash_key(&mut self, key: Option<RequestHashKey>) {
         if let Some(key) = key {
             self.hash_key = key;
+            self.is_hash_key_shared = true;
             self.shared_outbox.withdraw(&SharedKey::HashKey);
         }
     }
@@ -77,7 +90,7 @@
 
     fn drop_shared_record(&mut self, key: SharedKey) {
         match key {
-            SharedKey::Crash(cause, crash) => self.on_shared_crash(cause, crash, None),
+            SharedKey::Crash(cause, crash) => self.on_shared_crash(cause, crash, None, self.now),
             SharedKey::Block(cause) => self.on_shared_block(cause, None),
             SharedKey::HashKey => self.on_shared_hash_key(None),
             SharedKey::Limit(run) => self.on_shared_limit(&run, None),
@@ -87,6 +100,15 @@
 
     /// Handles records that were read, oldest first.
     pub(super) fn on_shared_records(&mut self, records: Vec<SharedRecord>) {
+        // One instant for all, so that a VM answers them in one append.
+        let has_evidence = records
+            .iter()
+            .any(|record| matches!(record, SharedRecord::Crash { .. }));
+        let answer_due = if has_evidence {
+            self.now + self.random_delay()
+        } else {
+            self.now
+        };
         for record in records {
             self.shared_outbox.remove(&record);
             match record {
@@ -94,7 +116,7 @@
                     cause,
                     crash,
                     evidence,
-                } => self.on_shared_crash(cause, crash, evidence),
+                } => self.on_shared_crash(cause, crash, evidence, answer_due),
                 SharedRecord::Block { cause, block } => self.on_shared_block(cause, block),
                 SharedRecord::HashKey(key) => self.on_shared_hash_key(key),
                 SharedRecord::Limit { run, limit } => self.on_shared_limit(&run, limit),
