Relay: imports lead from the driver to the tasks and never back

Cause: relay/driver.rs imported the exchange, the control client, the records, the endpoint check and the store's client, and all of them imported its Driver again. The store's client is passed to those that use it. Events are still handled before submit returns, without dyn.

--- a/crates/arbutusfall/src/relay/callers.rs
+++ b/crates/arbutusfall/src/relay/callers.rs
@@ -25,6 +25,7 @@
 use crate::http::problem_answer;
 use crate::http::read_request_body;
 use crate::relay::driver::Driver;
+use crate::relay::handle::RelayHandle;
 use crate::relay::open_calls::Reply;
 
 /// Maximum number of open caller connections; the remaining file descriptors are for endpoints, the store and
@@ -44,7 +45,7 @@
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
-        if self.driver.calls.remove(self.call) {
+        if self.driver.io().calls.remove(self.call) {
             let call = self.call;
             self.driver.submit(RelayEvent::CallerGone { call });
         }
@@ -81,18 +82,19 @@
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Problem> {
         let limits = self.driver.limits();
-        let arrived_at = self.driver.now();
+        let io = self.driver.io();
+        let arrived_at = io.now();
         let (parts, body) = request.into_parts();
         let timeout = limits.receive_timeout.max(Duration::from_secs(1));
         let body = read_request_body(body, limits.max_body_bytes, timeout);
         let body = body.await.map_err(ReadBodyError::problem)?;
-        let call = self.driver.calls.next_id();
-        let receive_time = self.driver.now().saturating_sub(arrived_at);
+        let call = io.calls.next_id();
+        let receive_time = io.now().saturating_sub(arrived_at);
         let key = request_key(self.driver.hash_key(), &parts, &body);
         let relay_request = callers::relay_request(call, &parts, key, receive_time);
         let request_id = relay_request.request_id.clone();
         let forwarded = ForwardedRequest::new(parts.method, &parts.uri, parts.headers, body);
-        let replies = self.driver.calls.open(call, forwarded);
+        let replies = io.calls.open(call, forwarded);
         let guard = CallGuard {
             driver: self.driver.clone(),
             call,
@@ -109,8 +111,7 @@
             Ok(Reply::Problem(problem)) => Err(problem),
             // A call that ended without a reply is not expected either.
             Ok(Reply::Missing) | Err(_) => {
-                self.driver
-                    .record_notice(&RelayNotice::AnswerMissing { request_id });
+                io.record_notice(&RelayNotice::AnswerMissing { request_id });
                 Err(Problem::new(ProblemKind::UpstreamFailed))
             }
         }
--- a/crates/arbutusfall/src/relay/control_client.rs
+++ b/crates/arbutusfall/src/relay/control_client.rs
@@ -29,7 +29,8 @@
 use crate::http;
 use crate::http::ClientError;
 use crate::http::OutgoingRequest;
-use crate::relay::driver::Driver;
+use crate::relay::handle::RelayHandle;
+use crate::relay::store_client::StoreClient;
 use crate::relay::store_client::StoreError;
 
 /// Timeout of a lease request to the store.
@@ -46,15 +47,16 @@
 pub(super) struct ControlClient {
     /// Name under which this process competes for the lease; new in each run.
     pub(super) member: Name,
+    pub(super) store: Arc<StoreClient>,
 }
 
 impl ControlClient {
     /// Acquires or renews the lease.
-    pub(super) async fn renew_lease(self, driver: Arc<Driver>, token: u64, lifetime: Duration) {
+    pub(super) async fn renew_lease(self, relay: impl RelayHandle, token: u64, lifetime: Duration) {
         let body = JoinBody::new(self.member, token, lifetime);
-        let join = driver
+        let join = self
             .store
-            .post_json(&driver, store::JOIN_PATH, &body, LEASE_TIMEOUT);
+            .post_json(&relay, store::JOIN_PATH, &body, LEASE_TIMEOUT);
         let answer: Result<JoinAnswer, StoreError> = join.await;
         let answer = match answer {
             Ok(answer) => answer.lease(),
@@ -63,15 +65,15 @@
                 LeaseAnswer::Failed
             }
         };
-        driver.submit(RelayEvent::Lease(answer));
+        relay.submit(RelayEvent::Lease(answer));
     }
 
     /// Releases the lease. If the request fails, the lease expires by itself.
-    pub(super) async fn release_lease(self, driver: Arc<Driver>) {
+    pub(super) async fn release_lease(self, relay: impl RelayHandle) {
         let body = LeaveBody::new(self.member);
-        let leave = driver
+        let leave = self
             .store
-            .post_json(&driver, store::LEAVE_PATH, &body, LEASE_TIMEOUT);
+            .post_json(&relay, store::LEAVE_PATH, &body, LEASE_TIMEOUT);
         let answer: Result<Value, StoreError> = leave.await;
         if let Err(error) = answer {
             log::info!("the store did not confirm the release of the lease: {error}");
@@ -81,14 +83,14 @@
     /// Orders an engine to change its role.
     pub(super) async fn order_role(
         self,
-        driver: Arc<Driver>,
+        relay: impl RelayHandle,
         instance: Name,
         address: SocketAddr,
         role: Role,
         token: u64,
     ) {
         let engine = EngineClient {
-            driver: &driver,
+            relay: &relay,
             instance: &instance,
             address,
         };
@@ -97,17 +99,17 @@
             log::info!("the role order to engine {instance} failed: {error}");
             RoleOutcome::Unknown
         });
-        driver.submit(RelayEvent::RoleOutcome { instance, outcome });
+        relay.submit(RelayEvent::RoleOutcome { instance, outcome });
     }
 }
 
-struct EngineClient<'a> {
-    driver: &'a Arc<Driver>,
+struct EngineClient<'a, H> {
+    relay: &'a H,
     instance: &'a Name,
     address: SocketAddr,
 }
 
-impl EngineClient<'_> {
+impl<H: RelayHandle> EngineClient<'_, H> {
     /// Reads the engine's report and sends an order with the report's sequence number, unless a role change is in
     /// progress or `role` is not a role of an engine.
     async fn send_order(
@@ -144,13 +146,13 @@
             connect_timeout: ORDER_TIMEOUT,
             answer_timeout: ORDER_TIMEOUT,
         };
-        let answer = http::send(&self.driver.executor, outgoing).await?;
+        let answer = http::send(&self.relay.io().executor, outgoing).await?;
         let is_from_engine = answer.status() != StatusCode::MISDIRECTED_REQUEST;
         if let StatedLimit::PerSecond(per_s) = endpoints::stated_limit(answer.headers())
             && is_from_engine
         {
             let instance = self.instance.clone();
-            self.driver
+            self.relay
                 .submit(RelayEvent::ControlLimit { instance, per_s });
         }
         Ok(answer)
--- a/crates/arbutusfall/src/relay/endpoint_check.rs
+++ b/crates/arbutusfall/src/relay/endpoint_check.rs
@@ -1,7 +1,6 @@
 //! Checks whether an endpoint that may have crashed accepts connections.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use arbutusfall_core::relay::RelayEvent;
@@ -9,20 +8,20 @@
 use async_net::TcpStream;
 use futures_lite::FutureExt;
 
-use crate::relay::driver::Driver;
+use crate::relay::handle::RelayHandle;
 
 /// Timeout of the connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Opens a connection to an endpoint, closes it and reports to the relay if it was accepted.
-pub(super) async fn check_endpoint(driver: Arc<Driver>, instance: Name, address: SocketAddr) {
-    let asked_at = driver.now();
+pub(super) async fn check_endpoint(relay: impl RelayHandle, instance: Name, address: SocketAddr) {
+    let asked_at = relay.io().now();
     let connect = async { TcpStream::connect(address).await.is_ok() };
     let expire = async {
         async_io::Timer::after(CONNECT_TIMEOUT).await;
         false
     };
     if connect.or(expire).await {
-        driver.submit(RelayEvent::EndpointReachable { instance, asked_at });
+        relay.submit(RelayEvent::EndpointReachable { instance, asked_at });
     }
 }
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -23,11 +23,12 @@
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 
+use crate::Executor;
 use crate::http;
 use crate::http::ClientError;
 use crate::http::EventSplitter;
 use crate::http::OutgoingRequest;
-use crate::relay::driver::Driver;
+use crate::relay::handle::RelayHandle;
 use crate::relay::open_calls::AnswerHead;
 
 /// Timeout for opening a connection to an endpoint.
@@ -43,26 +44,26 @@
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Runs an exchange and reports its progress and end to the relay.
-pub(super) async fn run(driver: Arc<Driver>, command: SendCommand) {
+pub(super) async fn run(relay: impl RelayHandle, command: SendCommand) {
     let exchange = command.exchange;
     let call = command.call;
-    let event = match perform_exchange(&driver, &command).await {
+    let event = match perform_exchange(&relay, &command).await {
         Ok(event) => event,
         Err(failure) => ExchangeEvent::Failed { failure },
     };
     if matches!(event, ExchangeEvent::Complete { .. }) {
-        driver.wait_while_held(exchange).await;
+        relay.io().exchanges.wait_while_held(exchange).await;
     }
     log::debug!("call {} exchange {} ended: {event:?}", call.0, exchange.0);
-    driver.submit_exchange_event(exchange, event);
-    driver.remove_exchange(exchange);
+    relay.submit_exchange_event(exchange, event);
+    relay.io().exchanges.remove(exchange);
 }
 
 async fn perform_exchange(
-    driver: &Arc<Driver>,
+    relay: &impl RelayHandle,
     command: &SendCommand,
 ) -> Result<ExchangeEvent, ExchangeFailure> {
-    let request = driver.calls.request(command.call);
+    let request = relay.io().calls.request(command.call);
     // If the call has already ended, nothing is sent, which `Unreachable` reports.
     let request = request.ok_or(ExchangeFailure::Unreachable)?;
     let outgoing = OutgoingRequest {
@@ -71,12 +72,12 @@
         connect_timeout: CONNECT_TIMEOUT.min(command.time_left),
         answer_timeout: command.time_left,
     };
-    let answer = http::send(&driver.executor, outgoing)
+    let answer = http::send(&relay.io().executor, outgoing)
         .await
         .map_err(exchange_failure)?;
-    driver.wait_while_held(command.exchange).await;
+    relay.io().exchanges.wait_while_held(command.exchange).await;
     let kind = endpoints::classify_answer(&request, command, answer.status(), answer.headers());
-    report_limit(driver, command, kind, answer.headers());
+    report_limit(relay, command, kind, answer.headers());
     match kind {
         AnswerKind::NotRun(reason) => Ok(ExchangeEvent::NotRun { reason }),
         AnswerKind::Malformed => Err(ExchangeFailure::Malformed),
@@ -89,14 +90,14 @@
             let handle = read_id(answer, command.time_left, endpoints::parse_kv_handle).await?;
             Ok(ExchangeEvent::PrefillDone { handle })
         }
-        AnswerKind::Whole => read_whole(driver, command, answer).await,
-        AnswerKind::Stream => forward_stream(driver, command, &request, answer).await,
+        AnswerKind::Whole => read_whole(relay, command, answer).await,
+        AnswerKind::Stream => forward_stream(relay, command, &request, answer).await,
     }
 }
 
 /// Reports to the relay the limit that an answer names, or that it names none although the endpoint had one.
 fn report_limit(
-    driver: &Arc<Driver>,
+    relay: &impl RelayHandle,
     command: &SendCommand,
     kind: AnswerKind,
     headers: &HeaderMap,
@@ -117,7 +118,7 @@
             return;
         }
     };
-    driver.submit_exchange_event(command.exchange, event);
+    relay.submit_exchange_event(command.exchange, event);
 }
 
 fn exchange_failure(error: ClientError) -> ExchangeFailure {
@@ -153,20 +154,20 @@
 }
 
 async fn read_whole(
-    driver: &Arc<Driver>,
+    relay: &impl RelayHandle,
     command: &SendCommand,
     answer: Response<Incoming>,
 ) -> Result<ExchangeEvent, ExchangeFailure> {
     let framing = http::body_framing(&answer);
     let (head, body) = split_head(answer);
     let status = head.status.as_u16();
-    let body = http::read_body(body, command.time_left, &driver.answer_memory)
+    let body = http::read_body(body, command.time_left, &relay.io().answer_memory)
         .await
         .map_err(exchange_failure)?;
-    driver.store_head(command.exchange, head);
-    driver.store_body(command.exchange, body);
+    relay.io().exchanges.store_head(command.exchange, head);
+    relay.io().exchanges.store_body(command.exchange, body);
     if framing == BodyFraming::ConnectionEnd {
-        driver.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
+        relay.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
     }
     Ok(ExchangeEvent::Complete { status })
 }
@@ -174,7 +175,7 @@
 /// Forwards a stream one or more whole events at a time, so that it can be resumed on another engine between any two
 /// events.
 async fn forward_stream(
-    driver: &Arc<Driver>,
+    relay: &impl RelayHandle,
     command: &SendCommand,
     request: &ForwardedRequest,
     answer: Response<Incoming>,
@@ -182,16 +183,16 @@
     let framing = http::body_framing(&answer);
     let (head, body) = split_head(answer);
     let status = head.status.as_u16();
-    driver.store_head(command.exchange, head);
-    driver.submit_exchange_event(command.exchange, ExchangeEvent::StreamBegan);
+    relay.io().exchanges.store_head(command.exchange, head);
+    relay.submit_exchange_event(command.exchange, ExchangeEvent::StreamBegan);
     let mut stream = EventStream {
         body,
         splitter: EventSplitter::default(),
         has_events: false,
         last_event_id: None,
     };
-    let forwarded = stream.forward(driver, command).await;
-    driver.record_notice(&RelayNotice::StreamEnded {
+    let forwarded = stream.forward(relay, command).await;
+    relay.io().record_notice(&RelayNotice::StreamEnded {
         request_id: request.request_id_text(),
         instance: command.instance.clone(),
         framing,
@@ -204,30 +205,30 @@
         return Err(ExchangeFailure::Truncated);
     }
     if framing == BodyFraming::ConnectionEnd {
-        driver.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
+        relay.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
     }
     let rest = stream.splitter.finish();
     if !rest.is_empty() {
-        write_to_caller(driver, command, rest).await;
+        write_to_caller(relay, command, rest).await;
     }
     Ok(ExchangeEvent::Complete { status })
 }
 
 /// Writes a piece of a stream once its exchange is not held and its caller has received enough of what is queued.
-async fn write_to_caller(driver: &Arc<Driver>, command: &SendCommand, piece: Bytes) {
-    let Some(writer) = driver.calls.writer(command.call) else {
+async fn write_to_caller(relay: &impl RelayHandle, command: &SendCommand, piece: Bytes) {
+    let Some(writer) = relay.io().calls.writer(command.call) else {
         return;
     };
     loop {
-        driver.wait_while_held(command.exchange).await;
+        relay.io().exchanges.wait_while_held(command.exchange).await;
         let has_room = writer.wait_for_room(HELD_BACK_INTERVAL).await;
-        if driver.is_held(command.exchange) {
+        if relay.io().exchanges.is_held(command.exchange) {
             continue;
         }
         if has_room {
             break;
         }
-        driver.submit_exchange_event(command.exchange, ExchangeEvent::HeldBack);
+        relay.submit_exchange_event(command.exchange, ExchangeEvent::HeldBack);
     }
     // Fails only if the caller disconnected, which is reported separately.
     let _ = writer.write(piece);
@@ -245,7 +246,7 @@
     /// Forwards whole events until the body ends.
     async fn forward(
         &mut self,
-        driver: &Arc<Driver>,
+        relay: &impl RelayHandle,
         command: &SendCommand,
     ) -> Result<(), ExchangeFailure> {
         while let Some(frame) = self.body.frame().await {
@@ -260,10 +261,10 @@
                 continue;
             };
             self.has_events = true;
-            write_to_caller(driver, command, events.bytes).await;
+            write_to_caller(relay, command, events.bytes).await;
             let last_event_id = events.last_id;
             self.last_event_id = last_event_id.or(self.last_event_id);
-            driver
+            relay
                 .submit_exchange_event(command.exchange, ExchangeEvent::Progress { last_event_id });
         }
         Ok(())
@@ -280,7 +281,7 @@
 /// Sends a request to free engine memory; if it fails, the engine frees the memory when the reservation or
 /// KV cache expires.
 pub(super) async fn send_free_request(
-    driver: Arc<Driver>,
+    executor: Arc<Executor>,
     address: SocketAddr,
     request: Request<Bytes>,
 ) {
@@ -290,7 +291,7 @@
         connect_timeout: CONNECT_TIMEOUT,
         answer_timeout: FREE_TIMEOUT,
     };
-    if let Err(error) = http::send(&driver.executor, outgoing).await {
+    if let Err(error) = http::send(&executor, outgoing).await {
         log::info!("the request to free memory at engine {address} failed: {error}");
     }
 }
--- /dev/null
+++ b/crates/arbutusfall/src/relay/open_exchanges.rs
@@ -0,0 +1,131 @@
+//! Exchanges in progress, with the answers that the relay has not yet used.
+
+use std::convert::Infallible;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use arbutusfall_core::relay::ExchangeId;
+use arbutusfall_wire::FastMap;
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_executor::Task;
+use hyper::body::Bytes;
+
+use crate::Executor;
+use crate::relay::open_calls::AnswerHead;
+
+/// An exchange in progress.
+#[derive(Default)]
+struct OpenExchange {
+    /// Task that runs the exchange; dropping it closes the connection.
+    task: Option<Task<()>>,
+    head: Option<AnswerHead>,
+    body: Option<Bytes>,
+    hold: Option<Hold>,
+}
+
+/// Mark of an exchange that is held; the exchange goes on when it is dropped.
+struct Hold {
+    _sender: Sender<Infallible>,
+    receiver: Receiver<Infallible>,
+}
+
+impl Default for Hold {
+    fn default() -> Self {
+        let (sender, receiver) = async_channel::bounded(1);
+        Self {
+            _sender: sender,
+            receiver,
+        }
+    }
+}
+
+/// Exchanges in progress of one process.
+#[derive(Default)]
+pub(super) struct OpenExchanges(Mutex<FastMap<ExchangeId, OpenExchange>>);
+
+impl OpenExchanges {
+    fn lock(&self) -> MutexGuard<'_, FastMap<ExchangeId, OpenExchange>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts the task that runs an exchange.
+    pub(super) fn start(
+        &self,
+        executor: &Executor,
+        exchange: ExchangeId,
+        run: impl Future<Output = ()> + Send + 'static,
+    ) {
+        let mut exchanges = self.lock();
+        let task = executor.spawn(run);
+        exchanges.entry(exchange).or_default().task = Some(task);
+    }
+
+    /// Removes an exchange and closes its connection if it is open.
+    pub(super) fn remove(&self, exchange: ExchangeId) {
+        let open = self.lock().remove(&exchange);
+        // Dropped after the lock, in case values owned by the task use the exchanges when they are dropped.
+        drop(open);
+    }
+
+    /// Stores the head of an exchange's answer until the relay decides whether to use it.
+    pub(super) fn store_head(&self, exchange: ExchangeId, head: AnswerHead) {
+        if let Some(open) = self.lock().get_mut(&exchange) {
+            open.head = Some(head);
+        }
+    }
+
+    /// Stores the body of an exchange's answer until the relay decides whether to use it.
+    pub(super) fn store_body(&self, exchange: ExchangeId, body: Bytes) {
+        if let Some(open) = self.lock().get_mut(&exchange) {
+            open.body = Some(body);
+        }
+    }
+
+    /// Takes the stored head of an exchange's answer.
+    pub(super) fn take_head(&self, exchange: ExchangeId) -> Option<AnswerHead> {
+        self.lock().get_mut(&exchange)?.head.take()
+    }
+
+    /// Removes an exchange and returns its answer if head and body are stored.
+    pub(super) fn take_answer(&self, exchange: ExchangeId) -> Option<(AnswerHead, Bytes)> {
+        let open = self.lock().remove(&exchange)?;
+        Some((open.head?, open.body?))
+    }
+
+    /// Holds an exchange until it is released.
+    pub(super) fn hold(&self, exchange: ExchangeId) {
+        self.set_hold(exchange, Some(Hold::default()));
+    }
+
+    /// Lets a held exchange go on.
+    pub(super) fn release(&self, exchange: ExchangeId) {
+        self.set_hold(exchange, None);
+    }
+
+    fn set_hold(&self, exchange: ExchangeId, hold: Option<Hold>) {
+        if let Some(open) = self.lock().get_mut(&exchange) {
+            open.hold = hold;
+        }
+    }
+
+    /// Returns whether an exchange is held.
+    pub(super) fn is_held(&self, exchange: ExchangeId) -> bool {
+        self.hold_of(exchange).is_some()
+    }
+
+    /// Waits while an exchange is held.
+    pub(super) async fn wait_while_held(&self, exchange: ExchangeId) {
+        while let Some(hold) = self.hold_of(exchange) {
+            // Nothing is ever sent; this returns when the hold is dropped.
+            let _ = hold.recv().await;
+        }
+    }
+
+    fn hold_of(&self, exchange: ExchangeId) -> Option<Receiver<Infallible>> {
+        let exchanges = self.lock();
+        let hold = exchanges.get(&exchange)?.hold.as_ref()?;
+        Some(hold.receiver.clone())
+    }
+}
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -36,6 +36,9 @@
 use crate::relay::control_client::ControlClient;
 use crate::relay::decision_log::DecisionLog;
 use crate::relay::driver::Driver;
+use crate::relay::effects::EffectPerformer;
+use crate::relay::handle::RelayHandle;
+use crate::relay::handle::RelayIo;
 use crate::relay::store_client::StoreClient;
 use crate::relay::store_watch::StoreWatch;
 use crate::telemetry;
@@ -80,10 +83,11 @@
         lease_lifetime: Duration::from_millis(settings.lease_lifetime_ms),
         own_hash_key: RequestHashKey(Uuid::new_v4().as_u128()),
     };
+    let store = Arc::new(StoreClient::new(settings.store_address));
     let control = ControlClient {
         member: format!("{}-{:016x}", settings.vm, fastrand::u64(..)).into(),
+        store: store.clone(),
     };
-    let store = StoreClient::new(settings.store_address);
     let answer_memory = Arc::new(AnswerMemory::new(settings.answer_limits()));
     let relay = Relay::new(&relay_settings, fastrand::u64(..));
     let log = DecisionLog::start(
@@ -92,14 +96,9 @@
         std::io::stdout(),
     );
     let log = log.change_context(ServeError::Log)?;
-    let driver = Arc::new(Driver::new(
-        relay,
-        control,
-        store,
-        answer_memory,
-        log,
-        executor.clone(),
-    ));
+    let io = RelayIo::new(executor.clone(), answer_memory, log);
+    let effects = EffectPerformer::new(control, store.clone());
+    let driver = Arc::new(Driver::new(relay, io, effects));
     let topics = [
         (StoreTopic::Config, settings.config_timing()),
         (StoreTopic::Endpoints, settings.endpoint_list_timing()),
@@ -107,26 +106,27 @@
     ];
     for (topic, timing) in topics {
         let watch = StoreWatch {
-            driver: driver.clone(),
+            relay: driver.clone(),
+            store: store.clone(),
             topic,
             timing,
         };
         executor.spawn(watch.run()).detach();
     }
     watch_signals(&driver)?;
-    let operators = serve_operators(&driver, &settings).await?;
+    let operators = serve_operators(&driver, store, &settings).await?;
     let callers = Arc::new(RelayCallerServer {
         driver: driver.clone(),
     });
     let address = settings.caller_address;
     let listener = http::serve(executor, address, callers);
     let listener = listener.await.change_context(ServeError::Listen(address))?;
-    driver.record_notice(&RelayNotice::Started {
+    driver.io().record_notice(&RelayNotice::Started {
         data_centre: settings.data_centre.clone(),
         version: env!("CARGO_PKG_VERSION"),
     });
     driver.submit(RelayEvent::Started);
-    driver.executor.spawn(driver.clone().run_timers()).detach();
+    driver.io().spawn(driver.clone().run_timers());
     driver.wait_for_close_request().await;
     let drain_timeout = Duration::from_secs(settings.drain_timeout_s);
     let close_timeout = drain_timeout.saturating_sub(EXIT_MARGIN);
@@ -134,11 +134,11 @@
         driver.clone(),
         close_timeout.saturating_sub(LAST_ANSWERS_TIME),
     );
-    driver.executor.spawn(end_calls).detach();
+    driver.io().spawn(end_calls);
     listener.close(close_timeout).await;
     drop(operators);
-    driver.record_notice(&RelayNotice::Stopped);
-    driver.finish_log(LOG_TIMEOUT).await;
+    driver.io().record_notice(&RelayNotice::Stopped);
+    driver.io().finish_log(LOG_TIMEOUT).await;
     Ok(())
 }
 
@@ -150,22 +150,28 @@
 
 async fn serve_operators(
     driver: &Arc<Driver>,
+    store: Arc<StoreClient>,
     settings: &RelayProcessSettings,
 ) -> Result<http::ListenerHandle, Report<ServeError>> {
     let address = settings.operator_address;
     let driver = driver.clone();
-    let executor = driver.executor.clone();
+    let executor = driver.io().executor.clone();
     let handler = move |request: Request<Incoming>| {
-        let answer = answer_operator(&driver, request.method(), request.uri().path());
+        let answer = answer_operator(&driver, &store, request.method(), request.uri().path());
         async move { answer }
     };
     let listener = http::serve_with_closures(executor, address, ServerLimits::default, handler);
     listener.await.change_context(ServeError::Listen(address))
 }
 
-fn answer_operator(driver: &Arc<Driver>, method: &Method, path: &str) -> Response<AnswerBody> {
+fn answer_operator(
+    driver: &Arc<Driver>,
+    store: &StoreClient,
+    method: &Method,
+    path: &str,
+) -> Response<AnswerBody> {
     if path == METRICS_PATH {
-        return Response::new(AnswerBody::whole(driver.metrics_text()));
+        return Response::new(AnswerBody::whole(driver.metrics_text(store.era.newest())));
     }
     for (list, is_request) in [(BLOCKED_PARTS_PATH, false), (BLOCKED_REQUESTS_PATH, true)] {
         match path.strip_prefix(list) {
@@ -199,12 +205,14 @@
     let watch = async move {
         while let Some(Ok(signal)) = signals.next().await {
             if signal == Signal::Hup {
-                signal_driver.record_notice(&RelayNotice::SettingsChanged);
+                signal_driver
+                    .io()
+                    .record_notice(&RelayNotice::SettingsChanged);
             } else {
                 signal_driver.submit(RelayEvent::Terminate);
             }
         }
     };
-    driver.executor.spawn(watch).detach();
+    driver.io().spawn(watch);
     Ok(())
 }
--- a/crates/arbutusfall/src/relay/store_client.rs
+++ b/crates/arbutusfall/src/relay/store_client.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use arbutusfall_core::relay::RelayEvent;
@@ -15,7 +14,7 @@
 use crate::http;
 use crate::http::ClientError;
 use crate::http::WholeRequest;
-use crate::relay::driver::Driver;
+use crate::relay::handle::RelayHandle;
 use crate::relay::store_era::EraObservation;
 use crate::relay::store_era::StoreEra;
 use crate::relay::store_silence::StoreSilence;
@@ -77,35 +76,35 @@
     /// Sends a GET request; `timeout` applies to the whole exchange.
     pub(super) async fn get(
         &self,
-        driver: &Arc<Driver>,
+        relay: &impl RelayHandle,
         path: &str,
         timeout: Duration,
     ) -> Result<StoreAnswer, StoreError> {
         let body = Bytes::new();
-        self.send(driver, Method::GET, path, body, timeout).await
+        self.send(relay, Method::GET, path, body, timeout).await
     }
 
     /// Sends a POST request; `timeout` applies to the whole exchange.
     pub(super) async fn post(
         &self,
-        driver: &Arc<Driver>,
+        relay: &impl RelayHandle,
         path: &str,
         body: Bytes,
         timeout: Duration,
     ) -> Result<StoreAnswer, StoreError> {
-        self.send(driver, Method::POST, path, body, timeout).await
+        self.send(relay, Method::POST, path, body, timeout).await
     }
 
     /// Sends a POST request with a JSON document and parses the answer as JSON.
     pub(super) async fn post_json<T: DeserializeOwned>(
         &self,
-        driver: &Arc<Driver>,
+        relay: &impl RelayHandle,
         path: &str,
         document: &impl Serialize,
         timeout: Duration,
     ) -> Result<T, StoreError> {
         let body = serde_json::to_vec(document).map_err(|_| ClientError::Malformed)?;
-        let answer = self.post(driver, path, body.into(), timeout).await?;
+        let answer = self.post(relay, path, body.into(), timeout).await?;
         let parsed = serde_json::from_slice(&answer.body);
         Ok(parsed.map_err(|_| ClientError::Malformed)?)
     }
@@ -113,17 +112,16 @@
     /// Appends encoded records to a topic.
     pub(super) async fn append(
         &self,
-        driver: &Arc<Driver>,
+        relay: &impl RelayHandle,
         path: &str,
         records: Vec<u8>,
     ) -> Result<StoreAnswer, StoreError> {
-        self.post(driver, path, records.into(), APPEND_TIMEOUT)
-            .await
+        self.post(relay, path, records.into(), APPEND_TIMEOUT).await
     }
 
     async fn send(
         &self,
-        driver: &Arc<Driver>,
+        relay: &impl RelayHandle,
         method: Method,
         path: &str,
         body: Bytes,
@@ -135,7 +133,7 @@
             path,
             body,
         };
-        let answer = http::request_whole(&driver.executor, request, timeout).await;
+        let answer = http::request_whole(&relay.io().executor, request, timeout).await;
         if matches!(answer, Err(ClientError::Timeout)) {
             self.silence.report();
         }
@@ -145,7 +143,7 @@
         match era.map(|era| (era, self.era.observe(era))) {
             Some((_, EraObservation::Older)) => return Err(StoreError::OldEra),
             Some((era, EraObservation::Newer { previous })) => {
-                driver.submit(RelayEvent::StoreReturned { previous, era });
+                relay.submit(RelayEvent::StoreReturned { previous, era });
             }
             Some((_, EraObservation::Current)) | None => {}
         }
@@ -156,12 +154,13 @@
 
 /// Appends `count` encoded records to a topic; returns whether the store confirmed it.
 pub(super) async fn append(
-    driver: &Arc<Driver>,
+    relay: &impl RelayHandle,
+    store: &StoreClient,
     path: &str,
     records: Vec<u8>,
     count: usize,
 ) -> bool {
-    let answer = driver.store.append(driver, path, records).await;
+    let answer = store.append(relay, path, records).await;
     if let Err(error) = &answer {
         log::debug!("an append of {count} records to {path} was not confirmed: {error}");
     }
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -17,11 +17,12 @@
 use futures_lite::FutureExt;
 
 use crate::http::ClientError;
-use crate::relay::driver::Driver;
+use crate::relay::handle::RelayHandle;
 use crate::relay::read_timing::READS_AFTER_FAILURE;
 use crate::relay::read_timing::ReadTiming;
 use crate::relay::shared_records;
 use crate::relay::store_client::StoreAnswer;
+use crate::relay::store_client::StoreClient;
 use crate::relay::store_client::StoreError;
 
 /// Minimum time between the starts of a failed read and the next one; doubles up to [`MAX_RETRY_INTERVAL`].
@@ -31,8 +32,9 @@
 const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Task that follows one topic.
-pub(super) struct StoreWatch {
-    pub(super) driver: Arc<Driver>,
+pub(super) struct StoreWatch<H> {
+    pub(super) relay: H,
+    pub(super) store: Arc<StoreClient>,
     pub(super) topic: StoreTopic,
     pub(super) timing: ReadTiming,
 }
@@ -85,7 +87,7 @@
     }
 }
 
-impl StoreWatch {
+impl<H: RelayHandle> StoreWatch<H> {
     pub(super) async fn run(self) {
         let mut next = NextRead {
             from: None,
@@ -138,7 +140,7 @@
             return self.read_newest().await;
         };
         let returned = async {
-            self.driver.store.era.changed_from(from.era).await;
+            self.store.era.changed_from(from.era).await;
             Err(WatchError::PositionLost)
         };
         let silenced = async {
@@ -146,7 +148,7 @@
                 return std::future::pending().await;
             }
             // This read waits for long, so another topic's read shows first that connections are silent.
-            self.driver.store.silence.reported().await;
+            self.store.silence.reported().await;
             Err(ClientError::Timeout.into())
         };
         // Another topic's answer may show first that the store has returned.
@@ -158,12 +160,12 @@
 
     fn submit_read(&self, failure: Option<StoreReadFailure>) {
         let topic = self.topic;
-        self.driver.submit(RelayEvent::StoreRead { topic, failure });
+        self.relay.submit(RelayEvent::StoreRead { topic, failure });
     }
 
     async fn get(&self, path: &str, wait: Duration) -> Result<StoreAnswer, StoreError> {
         let timeout = wait + self.timing.answer_timeout;
-        self.driver.store.get(&self.driver, path, timeout).await
+        self.store.get(&self.relay, path, timeout).await
     }
 
     /// Reads the newest record of each key; returns the position at which to continue with the tail.
@@ -175,7 +177,7 @@
             let path = store::newest_path(self.topic, after.as_deref());
             let mut answer = self.get(&path, Duration::ZERO).await;
             if self.topic == StoreTopic::Shared && is_missing(&answer) {
-                shared_records::create_topic(&self.driver).await?;
+                shared_records::create_topic(&self.relay, &self.store).await?;
                 answer = self.get(&path, Duration::ZERO).await;
             }
             let answer = answer.map_err(WatchError::Failed)?;
@@ -229,7 +231,7 @@
             return;
         }
         let records: Vec<SharedRecord> = records.iter().filter_map(parse_record).collect();
-        self.driver
+        self.relay
             .submit(RelayEvent::SharedRecords { records, is_full });
     }
 
@@ -244,10 +246,10 @@
             return;
         };
         match parse_config(document) {
-            Ok(config) => self.driver.submit(RelayEvent::NewConfig(Arc::new(config))),
+            Ok(config) => self.relay.submit(RelayEvent::NewConfig(Arc::new(config))),
             Err(error) => {
                 log::error!("a configuration version cannot be parsed and is ignored: {error}");
-                self.driver.submit(RelayEvent::UnreadableConfig);
+                self.relay.submit(RelayEvent::UnreadableConfig);
             }
         }
     }
@@ -274,7 +276,7 @@
             }
         }));
         if !changes.is_empty() || is_full_list {
-            self.driver.submit(RelayEvent::EndpointChanges(changes));
+            self.relay.submit(RelayEvent::EndpointChanges(changes));
         }
     }
 }
