--- a/crates/arbutusfall/src/clock.rs
+++ b/crates/arbutusfall/src/clock.rs
@@ -1,5 +1,6 @@
 //! Monotonic and wall-clock time of the process.
 
+use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -26,9 +27,14 @@
         }
     }
 
-    /// Returns the instant at which the monotonic time reaches `monotonic`.
-    pub fn instant_of(&self, monotonic: std::time::Duration) -> Instant {
-        self.started + monotonic
+    /// Waits until the monotonic time reaches `due`; without a due time, forever.
+    pub async fn wait_until(&self, due: Option<Duration>) {
+        match due {
+            Some(due) => {
+                async_io::Timer::at(self.started + due).await;
+            }
+            None => std::future::pending().await,
+        }
     }
 }
 
--- a/crates/arbutusfall/src/driver.rs
+++ b/crates/arbutusfall/src/driver.rs
@@ -97,15 +97,10 @@
     }
 
     /// Returns the next input, or a tick if `wake_at` is reached first.
-    async fn next_input(&self, wake_at: Option<std::time::Duration>) -> Option<Input> {
+    async fn next_input(&self, wake_at: Option<Duration>) -> Option<Input> {
         let receive = async { self.input_receiver.recv().await.ok() };
         let tick = async {
-            match wake_at {
-                Some(due) => {
-                    async_io::Timer::at(self.clock.instant_of(due)).await;
-                }
-                None => std::future::pending().await,
-            }
+            self.clock.wait_until(wake_at).await;
             Some(Input::Event(Event::Tick))
         };
         // A due tick is polled first, so that a flood of events cannot delay timers.
@@ -226,7 +221,7 @@
         });
     }
 
-    fn read_log(&self, stream: LogStream, from: Offset, wait: std::time::Duration) {
+    fn read_log(&self, stream: LogStream, from: Offset, wait: Duration) {
         let log_service = self.log_service;
         let executor = self.executor.clone();
         let name = self.stream_name(stream);
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -169,12 +169,7 @@
                     .map(TimerEvent::Rescheduled)
             };
             let tick = async {
-                match wake_at {
-                    Some(due) => {
-                        async_io::Timer::at(self.io.clock.instant_of(due)).await;
-                    }
-                    None => std::future::pending().await,
-                }
+                self.io.clock.wait_until(wake_at).await;
                 Some(TimerEvent::Due)
             };
             match tick.or(rescheduled).await {
