--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -20,6 +20,7 @@
 mod store_silence;
 mod store_watch;
 mod stream_records;
+mod waiters;
 
 pub use read_timing::ReadTiming;
 pub use serve::serve_relay;
--- a/crates/arbutusfall/src/relay/store_era.rs
+++ b/crates/arbutusfall/src/relay/store_era.rs
@@ -4,7 +4,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
-use async_channel::Sender;
+use crate::relay::waiters::Waiters;
 
 /// What an answer's era says about the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,8 +27,8 @@
 #[derive(Debug, Default)]
 struct State {
     newest: Option<u64>,
-    /// Senders that are closed when the era rises.
-    waiters: Vec<Sender<()>>,
+    /// Tasks to be woken when the era rises.
+    waiters: Waiters,
 }
 
 impl StoreEra {
@@ -52,22 +52,19 @@
         if era == newest {
             return EraObservation::Current;
         }
-        state.waiters.clear();
+        state.waiters.wake_all();
         EraObservation::Newer { previous: newest }
     }
 
     /// Waits until the newest era is another one than `era`.
     pub(super) async fn changed_from(&self, era: Option<u64>) {
-        let (sender, receiver) = async_channel::bounded(1);
-        {
+        let risen = {
             let mut state = self.state();
             if state.newest != era {
                 return;
             }
-            state.waiters.retain(|waiter| !waiter.is_closed());
-            state.waiters.push(sender);
-        }
-        // Nothing is ever sent; this returns when the channel closes.
-        let _ = receiver.recv().await;
+            state.waiters.add()
+        };
+        risen.await;
     }
 }
