--- a/crates/arbutusfall/src/call_table.rs
+++ b/crates/arbutusfall/src/call_table.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -17,6 +16,7 @@
 use hyper::Method;
 use hyper::body::Bytes;
 
+use crate::lock::lock;
 use crate::trace::Span;
 
 /// A caller's request, in the form from which requests to endpoints are built.
@@ -77,8 +77,7 @@
 
 impl CallTable {
     fn lock(&self) -> MutexGuard<'_, FastMap<CallId, OpenCall>> {
-        // Poisoning is ignored: a panic while the lock was held leaves at most one call without an answer.
-        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.calls)
     }
 
     /// Adds a call, and returns its id and the receiver of its answer.
--- a/crates/arbutusfall/src/engines.rs
+++ b/crates/arbutusfall/src/engines.rs
@@ -7,7 +7,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use arbutusfall_core::AttemptId;
@@ -41,6 +40,7 @@
 use crate::http;
 use crate::http::ClientError;
 use crate::http::OutgoingRequest;
+use crate::lock::lock;
 use crate::trace::Span;
 use crate::trace::SpanContext;
 
@@ -101,13 +101,13 @@
         future: impl Future<Output = ()> + Send + 'static,
     ) {
         let task = self.executor.spawn(future);
-        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut tasks = lock(&self.tasks);
         tasks.retain(|_, task| !task.is_finished());
         tasks.insert(attempt, task);
     }
 
     fn drop_connection(&self, attempt: AttemptId) {
-        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut tasks = lock(&self.tasks);
         tasks.remove(&attempt);
     }
 
--- a/crates/arbutusfall/src/http/error_replacing_stream.rs
+++ b/crates/arbutusfall/src/http/error_replacing_stream.rs
@@ -4,7 +4,6 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -18,6 +17,7 @@
 use hyper::Version;
 
 use crate::http::problem::raw_problem;
+use crate::lock::lock;
 
 /// State shared by a connection's byte stream and its server task.
 #[derive(Debug, Default)]
@@ -65,18 +65,12 @@
     }
 
     fn record_replacement(&self, kind: ProblemKind) {
-        *self
-            .replacement_kind
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = Some(kind);
+        *lock(&self.replacement_kind) = Some(kind);
     }
 
     /// Returns the kind of the problem that replaced an error answer of hyper, if any.
     pub(super) fn replacement_kind(&self) -> Option<ProblemKind> {
-        *self
-            .replacement_kind
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        *lock(&self.replacement_kind)
     }
 }
 
--- a/crates/arbutusfall/src/lib.rs
+++ b/crates/arbutusfall/src/lib.rs
@@ -18,6 +18,7 @@
 mod driver;
 mod engines;
 mod keys;
+mod lock;
 mod log_client;
 mod operators;
 mod peers;
--- a/crates/arbutusfall/src/relay/decision_log.rs
+++ b/crates/arbutusfall/src/relay/decision_log.rs
@@ -4,7 +4,6 @@
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -17,6 +16,8 @@
 use futures_lite::FutureExt;
 use serde::Serialize;
 
+use crate::lock::lock;
+
 /// Maximum number of lines queued for standard output; further lines are dropped and counted.
 const MAX_QUEUED_LINES: usize = 2_000;
 
@@ -151,7 +152,7 @@
             return;
         };
         bytes.push(b'\n');
-        let mut limiter = self.limiter.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut limiter = lock(&self.limiter);
         let is_within_limit = limiter.try_take(bytes.len(), notice.is_routine(), now.monotonic);
         drop(limiter);
         if !is_within_limit || self.line_sender.try_send(bytes).is_err() {
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -3,8 +3,6 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use arbutusfall_core::relay::CallerLimits;
@@ -18,6 +16,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::lock::lock;
 use crate::relay::effects::EffectPerformer;
 use crate::relay::handle::RelayHandle;
 use crate::relay::handle::RelayIo;
@@ -74,10 +73,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn count_blocked(relay: &Relay, is_request: bool) -> usize {
     let blocks = relay.blocked_causes();
     let blocks = blocks.filter(|(cause, _)| cause.is_request() == is_request);
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -3,13 +3,14 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 
 use arbutusfall_core::relay::ConfigStatus;
 use arbutusfall_core::relay::LimitStatus;
 use arbutusfall_core::relay::RelayNotice;
 use hdrhistogram::Histogram;
 
+use crate::lock::lock;
+
 /// Longest latency that the histograms distinguish; longer ones are recorded as this value.
 const MAX_LATENCY_MS: u64 = 60_000;
 
@@ -77,7 +78,7 @@
 impl Metrics {
     /// Counts a notice and records its latencies.
     pub(super) fn on_notice(&self, notice: &RelayNotice) {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = lock(&self.state);
         match notice {
             RelayNotice::GivenUp {
                 reason,
@@ -119,7 +120,7 @@
 
     /// Returns all counters, quantiles and values of the state in the exposition format.
     pub(super) fn text(&self, values: &StateMetrics) -> String {
-        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let state = lock(&self.state);
         let mut text = String::new();
         state.write_counters(&mut text);
         state.write_latencies(&mut text);
--- a/crates/arbutusfall/src/relay/open_calls.rs
+++ b/crates/arbutusfall/src/relay/open_calls.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
 
 use arbutusfall_core::CallId;
 use arbutusfall_core::Problem;
@@ -16,6 +15,7 @@
 
 use crate::http::AnswerBody;
 use crate::http::BodyWriter;
+use crate::lock::lock;
 
 /// Status and headers of an endpoint's answer, as forwarded to the caller.
 #[derive(Debug, Clone)]
@@ -56,7 +56,7 @@
 
 impl OpenCalls {
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     /// Assigns the id of a new call.
--- a/crates/arbutusfall/src/relay/open_exchanges.rs
+++ b/crates/arbutusfall/src/relay/open_exchanges.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
 
 use arbutusfall_core::relay::ExchangeId;
 use arbutusfall_wire::FastMap;
@@ -13,6 +12,7 @@
 use hyper::body::Bytes;
 
 use crate::Executor;
+use crate::lock::lock;
 use crate::relay::open_calls::AnswerHead;
 
 /// An exchange in progress.
@@ -47,7 +47,7 @@
 
 impl OpenExchanges {
     fn lock(&self) -> MutexGuard<'_, FastMap<ExchangeId, OpenExchange>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 
     /// Starts the task that runs an exchange.
--- a/crates/arbutusfall/src/relay/store_era.rs
+++ b/crates/arbutusfall/src/relay/store_era.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
 
+use crate::lock::lock;
 use crate::relay::waiters::Waiters;
 
 /// What an answer's era says about the store.
@@ -33,7 +33,7 @@
 
 impl StoreEra {
     fn state(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 
     /// Returns the newest era seen; `None` if no answer had one.
--- a/crates/arbutusfall/src/relay/store_silence.rs
+++ b/crates/arbutusfall/src/relay/store_silence.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
 
+use crate::lock::lock;
 use crate::relay::waiters::Waiters;
 
 /// Tells long reads that another call to the store got no answer in time.
@@ -15,7 +15,7 @@
 
 impl StoreSilence {
     fn waiters(&self) -> MutexGuard<'_, Waiters> {
-        self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.waiters)
     }
 
     /// Reports a call that got no answer in time.
--- a/crates/arbutusfall/src/telemetry.rs
+++ b/crates/arbutusfall/src/telemetry.rs
@@ -5,7 +5,7 @@
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
+use std::sync::MutexGuard;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -24,6 +24,7 @@
 use crate::Settings;
 use crate::http;
 use crate::http::ClientError;
+use crate::lock::lock;
 use crate::trace;
 use crate::trace::SpanRecord;
 
@@ -87,8 +88,8 @@
         self.lock().clone()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<&'static str, i64>> {
-        self.totals.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<&'static str, i64>> {
+        lock(&self.totals)
     }
 }
 
