--- a/crates/arbutusfall_core/tests/it/relay_continued_streams.rs
+++ b/crates/arbutusfall_core/tests/it/relay_continued_streams.rs
@@ -6,22 +6,18 @@
 use arbutusfall_core::config::Role;
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::ExchangeEvent;
-use arbutusfall_core::relay::ExchangeFailure;
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::Work;
 use assert_matches::assert_matches;
 
+use crate::relay_harness::CLOSED;
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
 use crate::relay_harness::routes;
 
-const CLOSED: ExchangeEvent = ExchangeEvent::Failed {
-    failure: ExchangeFailure::Closed,
-};
-
 /// Statuses of whole answers: errors, and successes that are no event stream.
 const WHOLE_STATUSES: [u16; 6] = [200, 204, 400, 404, 500, 502];
 
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -11,8 +11,10 @@
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::EngineParameters;
 use arbutusfall_core::relay::ExchangeEvent;
+use arbutusfall_core::relay::ExchangeFailure;
 use arbutusfall_core::relay::ExchangeId;
 use arbutusfall_core::relay::ListedEndpoint;
+use arbutusfall_core::relay::NotRunReason;
 use arbutusfall_core::relay::PartId;
 use arbutusfall_core::relay::Relay;
 use arbutusfall_core::relay::RelayEffect;
@@ -47,6 +49,21 @@
     vm_count: 13,
 };
 
+/// End of an exchange whose connection the endpoint closed.
+pub(crate) const CLOSED: ExchangeEvent = ExchangeEvent::Failed {
+    failure: ExchangeFailure::Closed,
+};
+
+/// End of an exchange whose endpoint could not be connected to.
+pub(crate) const UNREACHABLE: ExchangeEvent = ExchangeEvent::Failed {
+    failure: ExchangeFailure::Unreachable,
+};
+
+/// End of an exchange whose endpoint refused the request.
+pub(crate) const REFUSED: ExchangeEvent = ExchangeEvent::NotRun {
+    reason: NotRunReason::Refused,
+};
+
 /// Returns a duration in milliseconds.
 pub(crate) fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
--- a/crates/arbutusfall_core/tests/it/relay_retries.rs
+++ b/crates/arbutusfall_core/tests/it/relay_retries.rs
@@ -3,7 +3,6 @@
 use arbutusfall_core::ProblemKind;
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::ExchangeEvent;
-use arbutusfall_core::relay::ExchangeFailure;
 use arbutusfall_core::relay::NotRunReason;
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
@@ -11,17 +10,11 @@
 use arbutusfall_core::relay::Work;
 use assert_matches::assert_matches;
 
+use crate::relay_harness::CLOSED;
+use crate::relay_harness::REFUSED;
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::ms;
 
-const CLOSED: ExchangeEvent = ExchangeEvent::Failed {
-    failure: ExchangeFailure::Closed,
-};
-
-const REFUSED: ExchangeEvent = ExchangeEvent::NotRun {
-    reason: NotRunReason::Refused,
-};
-
 #[test]
 fn failed_lookup_is_retried_once_at_the_other_endpoint() {
     for event in [CLOSED, ExchangeEvent::Complete { status: 500 }] {
--- a/crates/arbutusfall_core/tests/it/relay_silence.rs
+++ b/crates/arbutusfall_core/tests/it/relay_silence.rs
@@ -7,21 +7,17 @@
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ExchangeFailure;
 use arbutusfall_core::relay::ExchangeId;
-use arbutusfall_core::relay::NotRunReason;
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::Work;
 use assert_matches::assert_matches;
 
+use crate::relay_harness::REFUSED;
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
 
-const REFUSED: ExchangeEvent = ExchangeEvent::NotRun {
-    reason: NotRunReason::Refused,
-};
-
 /// Starts a resumable stream that brings one event and then falls silent until it is moved.
 fn silent_stream(harness: &mut RelayHarness) -> (CallId, SendCommand) {
     let (call, decode) = harness.start_stream("/resumable/1");
