Streams: failing tests for silent decodes that are given up too early

The silence of a decode engine cancels its attempt before another engine is sure to take the stream over.

Three older tests asked for that behaviour: - `engine_that_stays_silent_is_replaced` wanted the cancellation with the placement request. It wants none until the decode is sent to the other engine, and the cancellation then; the whole move and its tokens are checked now. - `stalled_transfer_is_redirected_without_a_new_prefill` wanted the same; the cancellation is expected with the grant. - `silent_decode_then_refusal_fails_the_request` wanted an error at the refusal. It is replaced by two tests: the request is kept and fails at its timeout with both attempts cancelled; and if the engine is lost after its silence, a refusal fails the request as one that may have run, as before.

--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -43,4 +43,5 @@
 mod streams_harness;
 mod streams_random;
 mod streams_sessions;
+mod streams_silence;
 mod sweep;
--- a/crates/arbutusfall_core/tests/it/streams_sessions.rs
+++ b/crates/arbutusfall_core/tests/it/streams_sessions.rs
@@ -279,12 +279,17 @@
     let asked = placement_requests(&effects);
     let (_, place) = asked.first().expect("another placement must be requested");
     assert_eq!(place.prefilled_on, Some("prefill-1".into()));
+    assert_eq!(
+        cancelled(&effects),
+        [],
+        "the result and the decode must be kept"
+    );
+    let effects = entry.grant_placement(2, 1, 2);
     assert_eq!(
         cancelled(&effects),
         [decode(1, 1)],
         "the result must be kept"
     );
-    let effects = entry.grant_placement(2, 1, 2);
     assert!(
         !has_effect(&effects, "prefill"),
         "there must be no new prefill"
@@ -339,7 +344,27 @@
         1,
         "the stream must be placed again"
     );
+    assert_eq!(
+        cancelled(&effects),
+        [],
+        "the engine must be kept until another one takes the stream over"
+    );
+    let effects = entry.grant_placement(2, 2, 2);
+    assert!(has_effect(&effects, "prefill"));
+    assert_eq!(cancelled(&effects), []);
+    let effects = entry.prefill_done(2);
+    assert_matches!(
+        effects.iter().find(|effect| matches!(effect, Effect::Decode(_))),
+        Some(Effect::Decode(command)) if command.delivered_tokens == 2
+    );
     assert_eq!(cancelled(&effects), [decode(1, 1)]);
+    assert_eq!(
+        delivered(&entry.receive_tokens(1, 0, 2..4), 1),
+        [],
+        "a late token must be dropped"
+    );
+    assert_eq!(delivered(&entry.receive_tokens(2, 2, 0..2), 1), texts(2..4));
+    assert!(has_effect(&entry.decode_done(2, 2), "finish"));
     insta::assert_snapshot!(entry.golden());
 }
 
@@ -434,8 +459,11 @@
 }
 
 #[test]
-fn silent_decode_then_refusal_fails_the_request() {
+fn silent_decode_then_refusals_fails_the_request_at_its_timeout() {
     let mut entry = TestVm::new();
+    let mut base = site_base();
+    base["limits"] = serde_json::json!({ "answer_timeout_ms": 1_000 });
+    entry.reconfigure(base);
     entry.start_request(1);
     entry.grant_placement(1, 1, 1);
     entry.prefill_done(1);
@@ -447,9 +475,37 @@
     );
     let retry_after = Duration::from_millis(500);
     let effects = entry.receive_reply("milano-a-2", 1, 2, PlaceDecision::Refused { retry_after });
+    assert!(!has_effect(&effects, "answer_problem"), "{effects:?}");
+    assert_eq!(cancelled(&effects), []);
+    let effects = entry.wait_ms(550);
     let problem = effects.iter().find_map(|effect| match effect {
         Effect::AnswerProblem { problem, .. } => Some(problem.kind),
         _ => None,
     });
-    assert_eq!(problem, Some(ProblemKind::UpstreamFailed));
+    assert_eq!(problem, Some(ProblemKind::AnswerTimeout));
+    let mut cancelled = cancelled(&effects);
+    cancelled.sort_unstable();
+    assert_eq!(cancelled, [prefill(1, 1), decode(1, 1)]);
+}
+
+#[test]
+fn silent_decode_that_is_lost_then_refusal_fails_the_request() {
+    let mut entry = TestVm::new();
+    entry.start_request(1);
+    entry.grant_placement(1, 1, 1);
+    entry.prefill_done(1);
+    entry.wait_ms(500);
+    entry.engine_failed(decode(1, 1), EngineFailure::Unreachable);
+    let retry_after = Duration::from_millis(500);
+    let effects = entry.receive_reply("milano-a-2", 1, 2, PlaceDecision::Refused { retry_after });
+    let problem = effects.iter().find_map(|effect| match effect {
+        Effect::AnswerProblem { problem, .. } => Some(problem.kind),
+        _ => None,
+    });
+    assert_eq!(
+        problem,
+        Some(ProblemKind::UpstreamFailed),
+        "the silent engine may have generated tokens"
+    );
+    assert_eq!(cancelled(&effects), [prefill(1, 1)]);
 }
--- a/crates/arbutusfall_core/tests/it/sweep.rs
+++ b/crates/arbutusfall_core/tests/it/sweep.rs
@@ -23,6 +23,8 @@
 use crate::streams_harness::TestVm;
 use crate::streams_harness::VMS;
 use crate::streams_harness::cancelled;
+use crate::streams_harness::decode;
+use crate::streams_harness::has_effect;
 use crate::streams_harness::incarnation;
 
 /// Owner of the test's shard.
@@ -215,3 +217,24 @@
     let (orphans, _) = sweep_for(&mut owner, attempt, SWEEP_INTERVAL * 2);
     assert_eq!(orphans.first(), Some(&attempt));
 }
+
+// Guards against a sweep that cancels the attempt of a silent engine before another engine takes its stream over.
+#[test]
+fn attempt_of_a_silent_engine_is_kept_during_the_move_of_its_stream() {
+    let mut owner = shard_owner();
+    let started = owner.start_request(1);
+    assert!(has_effect(&started, "prefill"), "{started:?}");
+    owner.prefill_done(1);
+    owner.receive_tokens(1, 0, 0..2);
+    let mut effects = owner.wait_ms(1_050);
+    assert!(has_effect(&effects, "prefill"), "{effects:?}");
+    let attempts = vec![decode(1, 1)];
+    for endpoint in ["decode-1", "decode-2"] {
+        effects.extend(owner.engine(EngineEvent::AttemptsListed {
+            endpoint: endpoint.into(),
+            attempts: attempts.clone(),
+        }));
+    }
+    assert_eq!(cancelled(&effects), []);
+    assert!(has_effect(&owner.prefill_done(2), "decode"));
+}
