Streams: frozen decode engines on real processes, and one writer for each stream

`frozen_decode_engine_goes_on_while_its_stream_cannot_be_moved` freezes a decode engine for 1.5 s and all prefill engines for 4 s.

--- a/crates/arbutusfall_core/tests/it/streams_random.rs
+++ b/crates/arbutusfall_core/tests/it/streams_random.rs
@@ -56,6 +56,8 @@
     prefilling: Vec<AttemptId>,
     decoding: BTreeMap<AttemptId, Decoding>,
     unconfirmed_cancels: Vec<AttemptId>,
+    /// Attempts for which a cancellation was sent.
+    cancelled: BTreeSet<AttemptId>,
     /// Attempts that engines hold.
     held_by_engines: BTreeSet<AttemptId>,
     delivered: BTreeMap<CallId, Vec<Name>>,
@@ -74,6 +76,7 @@
             prefilling: Vec::new(),
             decoding: BTreeMap::new(),
             unconfirmed_cancels: Vec::new(),
+            cancelled: BTreeSet::new(),
             held_by_engines: BTreeSet::new(),
             delivered: BTreeMap::new(),
             ended_calls: BTreeSet::new(),
@@ -115,10 +118,14 @@
                     generated: 0,
                     source_prefill: command.transfer.parse().expect("transfers name a prefill"),
                 };
+                self.assert_other_decodes_are_cancelled(command.attempt);
                 self.decoding.insert(command.attempt, decoding);
                 self.held_by_engines.insert(command.attempt);
             }
-            Effect::Cancel { attempt, .. } => self.unconfirmed_cancels.push(*attempt),
+            Effect::Cancel { attempt, .. } => {
+                self.cancelled.insert(*attempt);
+                self.unconfirmed_cancels.push(*attempt);
+            }
             Effect::Deliver { call, texts } => {
                 assert!(
                     !self.ended_calls.contains(call),
@@ -153,6 +160,18 @@
         }
     }
 
+    /// Checks that no other engine may write the stream of a decode that is sent.
+    fn assert_other_decodes_are_cancelled(&self, sent: AttemptId) {
+        let held = self.held_by_engines.iter();
+        let mut others = held.filter(|attempt| {
+            attempt.request == sent.request && attempt.stage == sent.stage && **attempt != sent
+        });
+        assert!(
+            others.all(|attempt| self.cancelled.contains(attempt)),
+            "other decodes must be cancelled"
+        );
+    }
+
     /// Performs the action selected by a random number.
     fn step(&mut self, choice: u32) {
         let pick = (choice >> 8) as usize;
--- a/crates/arbutusfall_standins/tests/it/streams.rs
+++ b/crates/arbutusfall_standins/tests/it/streams.rs
@@ -40,6 +40,22 @@
 /// machines.
 const MAX_PAUSE_SILENT_CONNECTION: Duration = Duration::from_millis(1_500);
 
+/// Duration for which a decode engine is frozen; its stream is being moved by then.
+const FREEZE_MS: u64 = 1_500;
+
+/// Longest pause of a stream whose decode engine is frozen: [`FREEZE_MS`], plus one second for slow machines.
+const MAX_PAUSE_FROZEN_ENGINE: Duration = Duration::from_millis(2_500);
+
+/// Duration for which a decode engine is frozen that does not go on before its stream is moved.
+const LONG_FREEZE_MS: u64 = 6_000;
+
+/// Longest pause of a stream that is moved from a frozen engine: the silence timeout twice and a prefill, plus one second
+/// for slow machines.
+const MAX_PAUSE_MOVED: Duration = Duration::from_millis(2_500);
+
+/// Duration for which the prefill engines are frozen, so that no move succeeds before the decode engine goes on.
+const PREFILL_FREEZE_MS: u64 = 4_000;
+
 /// Longest pause of a stream whose decode engine died: a placement, a prefill and a transfer, plus one second for slow
 /// machines.
 const MAX_PAUSE_DEAD_ENGINE: Duration = Duration::from_millis(1_500);
@@ -297,6 +313,53 @@
     wait_until_free(&fleet);
 }
 
+#[test]
+fn frozen_decode_engine_goes_on_while_its_stream_cannot_be_moved() {
+    let _lock = fleet_lock::acquire();
+    let fleet = start_fleet(2);
+    let prompt = prompt(2_000, 1);
+    let task = start_completion(&fleet, 0, &prompt, MEDIUM_MAX_TOKENS);
+    let engine = decoding_engine(&fleet);
+    set_faults(
+        &fleet,
+        "prefill",
+        &json!({ "freeze_ms": PREFILL_FREEZE_MS }),
+    );
+    let freeze = json!({ "freeze_ms": FREEZE_MS });
+    fleet
+        .set_faults(&fleet.endpoints[&engine], &freeze)
+        .expect("the engine freezes");
+    let answer = fleet.block_on(task).expect("the answer is complete");
+    assert_eq!(answer.text, expected_text(&prompt, MEDIUM_MAX_TOKENS));
+    let pause = longest_pause(&answer);
+    println!("frozen decode engine: pause of {pause:?}");
+    assert!(pause < MAX_PAUSE_FROZEN_ENGINE, "pause of {pause:?}");
+    let status = fleet.get(fleet.vms[0].settings.operator_address, "/status");
+    let counters = &status.expect("the VM answers")["counters"];
+    let moved = counters["decodes.moved"].as_u64().unwrap_or_default();
+    assert_eq!(moved, 0, "the stream stays at its engine: {counters}");
+    wait_until_free(&fleet);
+}
+
+#[test]
+fn stream_of_a_decode_engine_that_stays_frozen_is_moved() {
+    let _lock = fleet_lock::acquire();
+    let fleet = start_fleet(2);
+    let prompt = prompt(2_000, 1);
+    let task = start_completion(&fleet, 0, &prompt, MEDIUM_MAX_TOKENS);
+    let engine = decoding_engine(&fleet);
+    let freeze = json!({ "freeze_ms": LONG_FREEZE_MS });
+    fleet
+        .set_faults(&fleet.endpoints[&engine], &freeze)
+        .expect("the engine freezes");
+    let answer = fleet.block_on(task).expect("the answer is complete");
+    assert_eq!(answer.text, expected_text(&prompt, MEDIUM_MAX_TOKENS));
+    let pause = longest_pause(&answer);
+    println!("decode engine that stays frozen: pause of {pause:?}");
+    assert!(pause < MAX_PAUSE_MOVED, "pause of {pause:?}");
+    wait_until_free(&fleet);
+}
+
 #[test]
 fn stalled_transfer_is_redirected_without_a_second_prefill() {
     let _lock = fleet_lock::acquire();
