Streams: a silent decode is kept until another engine takes the stream over

Cause: after an engine's silence `fail_over` cancelled the decode and only then requested a placement. When the placement was refused, no owner answered or the prefills failed, a stream was aborted although its engine went on.

Change: the silent decode stays in standby (`streams/standby.rs`) while the request is placed and prefilled elsewhere. It is cancelled in the step that sends the other decode. A new token of it, or its complete end, ends the move: the grant is released and the prefill cancelled. A move that fails leaves the stream where it is; after a new connection the next move follows, until the answer timeout. Failures of such a move don't count for the request, and a request without failures left waits for its engine.

Two tests are new (no retries left, kept result; not run on the old code).

--- a/crates/arbutusfall_core/src/streams.rs
+++ b/crates/arbutusfall_core/src/streams.rs
@@ -7,6 +7,7 @@
 mod grants;
 mod progress;
 mod silence;
+mod standby;
 mod stream;
 
 use std::collections::BTreeMap;
@@ -67,7 +68,7 @@
     pub(crate) fn has_attempt(&self, attempt: AttemptId) -> bool {
         let stream = self.streams.get(&attempt.request);
         let result = stream.and_then(|stream| stream.prefill_result.as_ref());
-        stream.is_some_and(|stream| stream.is_current(attempt))
+        stream.is_some_and(|stream| stream.is_current(attempt) || stream.is_standby(attempt))
             || result.is_some_and(|result| result.attempt == attempt)
             || self.cancels.contains(attempt)
     }
@@ -128,10 +129,7 @@
             self.refuse(id, NO_OWNER_RETRY_AFTER, ctx);
             return;
         };
-        stream.placement += 1;
-        stream.phase = Phase::Placing {
-            shard: shard.clone(),
-        };
+        stream.begin_placing(shard.clone());
         let message = stream.place_request(id, shard, ctx.now.monotonic);
         let placement = stream.placement;
         let timeout = Duration::from_millis(ctx.site_config.timing.place_timeout_ms);
@@ -251,6 +249,13 @@
 
     /// Cancels a request's engine work and releases its grant, in any phase.
     fn cancel_request(&mut self, id: RequestId, ctx: &mut Context<'_>) {
+        self.abandon_placement(id, ctx);
+        self.cancel_engine_work(id, ctx);
+        self.report_grant_end(id, GrantEnd::Cancelled, ctx);
+    }
+
+    /// Abandons the placement that was requested from an owner, if any.
+    fn abandon_placement(&mut self, id: RequestId, ctx: &Context<'_>) {
         if let Some(stream) = self.streams.get(&id)
             && let Phase::Placing { shard } = &stream.phase
         {
@@ -258,14 +263,15 @@
             self.abandoned_placements
                 .add(id, stream.placement, shard, ctx);
         }
-        self.cancel_engine_work(id, ctx);
-        self.report_grant_end(id, GrantEnd::Cancelled, ctx);
     }
 
     /// Refuses a request as overloaded, with a retry-after time.
     ///
-    /// A request that may have run fails instead.
+    /// A request that may have run fails instead, and one with a standby decode continues with that.
     fn refuse(&mut self, id: RequestId, retry_after: Duration, ctx: &mut Context<'_>) {
+        if self.resume_standby(id, ctx) {
+            return;
+        }
         let Some(stream) = self.streams.get(&id) else {
             return;
         };
@@ -302,13 +308,19 @@
 
     /// Cancels whatever engines may hold for a request.
     fn cancel_engine_work(&mut self, id: RequestId, ctx: &mut Context<'_>) {
-        let Some(stream) = self.streams.get(&id) else {
-            return;
-        };
-        if let Some((attempt, endpoint, address)) = stream.engine_attempt(id) {
+        self.cancel_attempt(id, ctx);
+        self.cancel_standby(id, ctx);
+        self.cancel_prefill_result(id, ctx);
+    }
+
+    /// Cancels the current attempt of a request, if an engine may hold one.
+    fn cancel_attempt(&mut self, id: RequestId, ctx: &mut Context<'_>) {
+        let stream = self.streams.get(&id);
+        if let Some((attempt, endpoint, address)) =
+            stream.and_then(|stream| stream.engine_attempt(id))
+        {
             self.cancels.start(attempt, endpoint, address, ctx);
         }
-        self.cancel_prefill_result(id, ctx);
     }
 
     /// Cancels, at its prefill engine, a result that no decode engine is known to have fetched.
--- a/crates/arbutusfall_core/src/streams/grants.rs
+++ b/crates/arbutusfall_core/src/streams/grants.rs
@@ -33,6 +33,20 @@
         ctx.send(&owner, PeerMessage::GrantReport(report));
     }
 
+    /// Reports the grant in use of one request to its owner.
+    pub(super) fn report_active_grant(&mut self, id: RequestId, ctx: &mut Context<'_>) {
+        let stream = self.streams.get(&id);
+        let Some((owner, shard, active)) = stream.and_then(|stream| stream.active_grant(id)) else {
+            return;
+        };
+        let report = GrantReport {
+            shard,
+            active: vec![active],
+            ended: Vec::new(),
+        };
+        ctx.send(&owner, PeerMessage::GrantReport(report));
+    }
+
     /// Reports the grants in use to their owners, so that they do not lapse.
     pub(crate) fn on_report_timer(&mut self, ctx: &mut Context<'_>) {
         self.abandoned_placements.drop_lapsed(ctx.now.monotonic);
--- a/crates/arbutusfall_core/src/streams/progress.rs
+++ b/crates/arbutusfall_core/src/streams/progress.rs
@@ -18,7 +18,7 @@
 use crate::streams::stream::Stream;
 
 /// Engine failures that a request survives; one more fails it.
-const MAX_FAILURES: u32 = 4;
+pub(super) const MAX_FAILURES: u32 = 4;
 
 impl Streams {
     /// Handles an engine event.
@@ -87,7 +87,9 @@
         };
         match stage {
             Stage::Prefill => {
-                self.cancel_prefill_result(id, ctx);
+                if stream.standby.is_none() {
+                    self.cancel_prefill_result(id, ctx);
+                }
                 self.send_prefill(attempt, ctx);
             }
             Stage::Decode => {
@@ -149,7 +151,7 @@
             return;
         };
         running.address = Some(address);
-        ctx.push(Effect::Decode(DecodeCommand {
+        let command = DecodeCommand {
             attempt,
             call: stream.call,
             endpoint,
@@ -158,7 +160,9 @@
             max_output_tokens: stream.max_output_tokens - stream.delivered_tokens,
             transfer,
             priority: 0,
-        }));
+        };
+        self.replace_standby(attempt.request, ctx);
+        ctx.push(Effect::Decode(command));
         self.set_overdue_timer(attempt, ctx);
     }
 
@@ -170,9 +174,14 @@
         ctx: &mut Context<'_>,
     ) {
         let now = ctx.now.monotonic;
-        let Some(stream) = self.current_stream(attempt) else {
+        if self.current_stream(attempt).is_none() {
             ctx.count(Counter::StaleMessages);
             return;
+        }
+        // The result of an earlier placement was kept for the standby decode.
+        self.cancel_prefill_result(attempt.request, ctx);
+        let Some(stream) = self.current_stream(attempt) else {
+            return;
         };
         let model = ctx.site_config.models.get(stream.model());
         let lifetime = model.map(|model| model.prefill_result_lifetime());
@@ -193,6 +202,7 @@
         ctx: &mut Context<'_>,
     ) {
         let now = ctx.now.monotonic;
+        self.end_move_on_tokens(attempt, first_index, &texts, ctx);
         let Some(stream) = self.current_stream(attempt) else {
             ctx.count(Counter::StaleMessages);
             return;
@@ -210,6 +220,11 @@
     }
 
     fn on_decode_done(&mut self, attempt: AttemptId, generated_tokens: u32, ctx: &mut Context<'_>) {
+        self.end_move_on_done(attempt, generated_tokens, ctx);
+        if self.is_standby(attempt) {
+            self.on_standby_failed(attempt, EngineFailure::Malformed, ctx);
+            return;
+        }
         let Some(stream) = self.current_stream(attempt) else {
             ctx.count(Counter::StaleMessages);
             return;
@@ -238,29 +253,51 @@
 
     /// Handles an engine failure: places the request again, without the endpoint that failed.
     fn on_failed(&mut self, attempt: AttemptId, failure: EngineFailure, ctx: &mut Context<'_>) {
-        let Some(stream) = self.current_stream(attempt) else {
+        if self.is_standby(attempt) {
+            self.on_standby_failed(attempt, failure, ctx);
+            return;
+        }
+        if self.current_stream(attempt).is_none() {
             ctx.count(Counter::StaleMessages);
             return;
-        };
+        }
         let end = match (attempt.stage, failure) {
             (Stage::Prefill, _) => GrantEnd::PrefillFailed,
             (Stage::Decode, EngineFailure::TransferLost) => GrantEnd::TransferFailed,
             (Stage::Decode, _) => GrantEnd::DecodeFailed,
         };
+        if attempt.stage == Stage::Decode {
+            self.discard_used_result(attempt.request, failure, ctx);
+        }
+        self.fail_over(attempt, end, failure != EngineFailure::Unreachable, ctx);
+    }
+
+    /// Discards the prefill result of a failed decode if the failure shows that it cannot be fetched again.
+    pub(super) fn discard_used_result(
+        &mut self,
+        id: RequestId,
+        failure: EngineFailure,
+        ctx: &mut Context<'_>,
+    ) {
         if failure == EngineFailure::Malformed {
             // The engine answered, so it probably fetched the result, which then cannot be reused for another decode.
-            self.cancel_prefill_result(attempt.request, ctx);
+            self.cancel_prefill_result(id, ctx);
         } else if failure == EngineFailure::TransferLost {
             // The engine reported that the result no longer exists.
-            if stream.prefill_result.take().is_some() {
+            let stream = self.streams.get_mut(&id);
+            if stream
+                .and_then(|stream| stream.prefill_result.take())
+                .is_some()
+            {
                 ctx.count(Counter::PrefillsWasted);
             }
         }
-        self.fail_over(attempt, end, failure != EngineFailure::Unreachable, ctx);
     }
 
     /// Ends an attempt at an engine and requests the next placement, or ends the answer.
     ///
+    /// If the retries are exhausted, a standby decode continues.
+    ///
     /// If `engine_may_hold` is set, the attempt is cancelled at the engine, and a failed decode sets `may_have_run`.
     pub(super) fn fail_over(
         &mut self,
@@ -291,6 +328,9 @@
         }
         self.report_grant_end(id, end, ctx);
         if retries_exhausted {
+            if self.resume_standby(id, ctx) {
+                return;
+            }
             self.fail(id, ProblemKind::UpstreamFailed, ctx);
             return;
         }
--- a/crates/arbutusfall_core/src/streams/silence.rs
+++ b/crates/arbutusfall_core/src/streams/silence.rs
@@ -42,7 +42,7 @@
         ctx.set_timer(after, Timer::StageOverdue { attempt });
     }
 
-    /// Handles the overdue timer of a stage: checks the engine, opens a new connection, or fails over.
+    /// Handles the overdue timer of a stage: checks the engine, opens a new connection, or moves the request.
     pub(crate) fn on_stage_overdue(&mut self, attempt: AttemptId, ctx: &mut Context<'_>) {
         let Some(stream) = self.current_stream(attempt) else {
             return;
@@ -61,7 +61,7 @@
         ) {
             (Stage::Prefill, _) => self.check_prefill_engine(attempt, ctx),
             (Stage::Decode, Some(LivenessCheck::NotChecked)) => self.reconnect(attempt, ctx),
-            (Stage::Decode, _) => self.fail_over_silent_decode(attempt, ctx),
+            (Stage::Decode, _) => self.move_from_silent(attempt, ctx),
         }
     }
 
@@ -138,20 +138,6 @@
         });
         self.set_overdue_timer(attempt, ctx);
     }
-
-    /// Fails over from a decode engine that sent nothing on the new connection either.
-    fn fail_over_silent_decode(&mut self, attempt: AttemptId, ctx: &mut Context<'_>) {
-        let Some(stream) = self.current_stream(attempt) else {
-            return;
-        };
-        // The engine may have generated tokens that no connection delivered.
-        stream.may_have_run = true;
-        let end = match stream.received_tokens() {
-            0 => GrantEnd::TransferFailed,
-            _ => GrantEnd::DecodeFailed,
-        };
-        self.fail_over(attempt, end, true, ctx);
-    }
 }
 
 /// Returns the instant at which the engine of the current stage is overdue, or `None` if no engine is in use.
--- a/crates/arbutusfall_core/src/streams/stream.rs
+++ b/crates/arbutusfall_core/src/streams/stream.rs
@@ -19,6 +19,7 @@
 use crate::Stage;
 use crate::config::SiteConfig;
 use crate::placement::shard_count;
+use crate::streams::standby::Standby;
 
 /// A model request in progress.
 #[derive(Debug, Clone)]
@@ -31,16 +32,26 @@
     ///
     /// Invariant: at most `max_output_tokens`; only grows.
     pub(crate) delivered_tokens: u32,
-    /// Number of the latest placement; answers to older ones are stale.
+    /// Number of the placement in use; answers to others are stale.
     pub(crate) placement: u32,
+    /// Number of the latest placement.
+    ///
+    /// Invariant: at least `placement`; only grows, so that no attempt's id is used twice.
+    last_placement: u32,
     /// Owners that did not reply since the last grant.
     pub(crate) unresponsive_owners: usize,
     pub(crate) failures: u32,
+    /// Moves from a silent engine that ended without another engine.
+    pub(crate) failed_moves: u32,
     /// Whether a failed decode engine may have generated tokens, so that the request counts as run.
     pub(crate) may_have_run: bool,
     /// Endpoints that failed this request.
     pub(crate) avoid: Vec<Name>,
     pub(crate) phase: Phase,
+    /// Decode of a silent engine, kept while the request is moved to another engine.
+    ///
+    /// Invariant: `None` while another decode is in progress.
+    pub(crate) standby: Option<Standby>,
     /// Prefill result that no decode engine is known to have fetched.
     pub(crate) prefill_result: Option<PrefillResult>,
 }
@@ -151,11 +162,14 @@
             first_token_deadline,
             delivered_tokens: 0,
             placement: 0,
+            last_placement: 0,
             unresponsive_owners: 0,
             failures: 0,
+            failed_moves: 0,
             may_have_run: false,
             avoid: Vec::new(),
             phase: Phase::Placing { shard },
+            standby: None,
             prefill_result: None,
         }
     }
@@ -170,10 +184,10 @@
         self.completion.prompt_tokens + self.delivered_tokens
     }
 
-    /// Returns the shard for the next placement; it may change after each failure.
+    /// Returns the shard for the next placement; it may change after each failure or failed move.
     pub(crate) fn shard(&self, id: RequestId, site: &SiteConfig) -> ShardId {
         let count = u64::from(shard_count(site, &self.completion.model));
-        let index = stable_hash(&(id, self.failures)) % count;
+        let index = stable_hash(&(id, self.failures + self.failed_moves)) % count;
         let index = u16::try_from(index).unwrap_or_default();
         ShardId {
             model: self.completion.model.clone(),
@@ -181,6 +195,13 @@
         }
     }
 
+    /// Begins a placement with a new number.
+    pub(crate) fn begin_placing(&mut self, shard: ShardId) {
+        self.last_placement += 1;
+        self.placement = self.last_placement;
+        self.phase = Phase::Placing { shard };
+    }
+
     pub(crate) fn place_request(
         &self,
         id: RequestId,
--- a/crates/arbutusfall_core/tests/it/streams_silence.rs
+++ b/crates/arbutusfall_core/tests/it/streams_silence.rs
@@ -292,3 +292,93 @@
     assert_eq!(delivered(&effects, 1), texts(0..2));
     assert_finishes(&mut entry, 2);
 }
+
+// Guards against a silence that counts as the failure which ends a request.
+#[test]
+fn silent_stream_without_retries_left_waits_for_its_engine() {
+    let mut entry = TestVm::with_decoding_request();
+    for placement in 1..=4 {
+        entry.engine_failed(decode(1, placement), EngineFailure::Closed);
+        entry.grant_placement(placement + 1, 1, 1);
+        entry.prefill_done(placement + 1);
+    }
+    entry.receive_tokens(5, 2, 0..1);
+    let effects = entry.wait_ms(3 * SILENCE_UNTIL_PLACEMENT_MS);
+    assert_is_kept(&effects);
+    assert_eq!(placement_requests(&effects), []);
+    assert!(has_effect(&effects, "reconnect"));
+    assert_eq!(delivered(&entry.receive_tokens(5, 2, 1..3), 1), texts(3..5));
+    assert!(has_effect(&entry.decode_done(5, 3), "finish"));
+}
+
+// Guards against a prefill result that is discarded although the silent engine may still fetch it.
+#[test]
+fn result_of_a_silent_transfer_is_kept_until_another_decode_is_sent() {
+    let mut entry = TestVm::new();
+    entry.start_request(1);
+    entry.grant_placement(1, 1, 1);
+    entry.prefill_done(1);
+    entry.wait_ms(500);
+    let after_expiry = grant(2, 2, Duration::from_secs(30));
+    assert_is_kept(&entry.receive_reply(OWNER, 1, 2, PlaceDecision::Granted(after_expiry)));
+    let effects = entry.wait_ms(30_000);
+    assert!(has_effect(&effects, "prefill"), "the result has expired");
+    assert_is_kept(&effects);
+    let effects = entry.prefill_done(2);
+    let mut cancelled = cancelled(&effects);
+    cancelled.sort_unstable();
+    assert_eq!(cancelled, [prefill(1, 1), decode(1, 1)]);
+    assert!(has_effect(&effects, "decode"));
+}
+
+#[test]
+fn silent_decode_then_refusals_fails_the_request_at_its_timeout() {
+    let mut entry = TestVm::new();
+    let mut base = site_base();
+    base["limits"] = serde_json::json!({ "answer_timeout_ms": 1_000 });
+    entry.reconfigure(base);
+    entry.start_request(1);
+    entry.grant_placement(1, 1, 1);
+    entry.prefill_done(1);
+    let effects = entry.wait_ms(500);
+    assert_eq!(
+        placement_requests(&effects).len(),
+        1,
+        "the request must be placed again"
+    );
+    let retry_after = Duration::from_millis(500);
+    let effects = entry.receive_reply("milano-a-2", 1, 2, PlaceDecision::Refused { retry_after });
+    assert!(!has_effect(&effects, "answer_problem"), "{effects:?}");
+    assert_eq!(cancelled(&effects), []);
+    let effects = entry.wait_ms(550);
+    let problem = effects.iter().find_map(|effect| match effect {
+        Effect::AnswerProblem { problem, .. } => Some(problem.kind),
+        _ => None,
+    });
+    assert_eq!(problem, Some(ProblemKind::AnswerTimeout));
+    let mut cancelled = cancelled(&effects);
+    cancelled.sort_unstable();
+    assert_eq!(cancelled, [prefill(1, 1), decode(1, 1)]);
+}
+
+#[test]
+fn silent_decode_that_is_lost_then_refusal_fails_the_request() {
+    let mut entry = TestVm::new();
+    entry.start_request(1);
+    entry.grant_placement(1, 1, 1);
+    entry.prefill_done(1);
+    entry.wait_ms(500);
+    entry.engine_failed(decode(1, 1), EngineFailure::Unreachable);
+    let retry_after = Duration::from_millis(500);
+    let effects = entry.receive_reply("milano-a-2", 1, 2, PlaceDecision::Refused { retry_after });
+    let problem = effects.iter().find_map(|effect| match effect {
+        Effect::AnswerProblem { problem, .. } => Some(problem.kind),
+        _ => None,
+    });
+    assert_eq!(
+        problem,
+        Some(ProblemKind::UpstreamFailed),
+        "the silent engine may have generated tokens"
+    );
+    assert_eq!(cancelled(&effects), [prefill(1, 1)]);
+}
