Counters: decodes.moved counts silent decodes that were replaced

Cause: its description still named failures only. Measured: the tests of `operations_page` and of `arbutusfall_core` (305) pass.

--- a/crates/arbutusfall_core/src/counter.rs
+++ b/crates/arbutusfall_core/src/counter.rs
@@ -49,7 +49,7 @@
     PlacementsOverdue = "placements.overdue",
     /// A prefill's result was discarded.
     PrefillsWasted = "prefills.wasted",
-    /// A decode failed before its answer was complete; the request is placed again unless its retries are used up.
+    /// A decode failed or a silent one was replaced before its answer was complete; the request is placed again unless its retries are used up.
     DecodesMoved = "decodes.moved",
     /// A decode was started from the prefill result of an earlier placement.
     TransfersRedirected = "transfers.redirected",
