Relay: an unmarked end of an answer is a crash if the endpoint is unreachable then

What callers saw: a part or a request whose endpoints end just after an event of a stream, or after some of a plain answer, without length or chunks, was never refused: such an answer looks complete.

Cause: the end of the connection was taken for the end of the answer, and nothing asked whether the endpoint had ended too. Change: 100 ms after such an end, unless the endpoint has answered something since or leaves, the VM opens a connection to it, as after runs that break off. If it is not accepted, the end is evidence. One that is accepted clears nothing; that still takes an answer.

--- a/crates/arbutusfall/src/relay/endpoint_check.rs
+++ b/crates/arbutusfall/src/relay/endpoint_check.rs
@@ -14,7 +14,7 @@
 /// Timeout of the connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Opens a connection to an endpoint, closes it and reports to the relay if it was accepted.
+/// Opens a connection to an endpoint, closes it and reports to the relay whether it was accepted.
 pub(super) async fn check_endpoint(driver: Arc<Driver>, instance: Name, address: SocketAddr) {
     let asked_at = driver.now();
     let connect = async { TcpStream::connect(address).await.is_ok() };
@@ -22,7 +22,10 @@
         async_io::Timer::after(CONNECT_TIMEOUT).await;
         false
     };
-    if connect.or(expire).await {
-        driver.submit(RelayEvent::EndpointReachable { instance, asked_at });
-    }
+    let is_reachable = connect.or(expire).await;
+    driver.submit(RelayEvent::EndpointChecked {
+        instance,
+        asked_at,
+        is_reachable,
+    });
 }
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -272,9 +272,11 @@
             }
             RelayEvent::SharedRecords { records, .. } => self.on_shared_records(records),
             RelayEvent::ControlLimit { instance, per_s } => self.on_control_limit(instance, per_s),
-            RelayEvent::EndpointReachable { instance, asked_at } => {
-                self.disprove_crash(&instance, asked_at);
-            }
+            RelayEvent::EndpointChecked {
+                instance,
+                asked_at,
+                is_reachable,
+            } => self.on_endpoint_checked(&instance, asked_at, is_reachable),
             RelayEvent::Unblock { cause } => self.unblock(&cause),
             RelayEvent::SharedAppended { succeeded } => self.on_shared_appended(succeeded),
             RelayEvent::Lease(answer) => self.on_lease(answer),
--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -20,6 +20,7 @@
 use crate::relay::call::CurrentExchange;
 use crate::relay::crash_suspects::Cleared;
 use crate::relay::crash_suspects::EvidenceEffect;
+use crate::relay::endpoint::UnmarkedEnd;
 use crate::relay::endpoint_ends::BrokenRun;
 use crate::relay::endpoint_ends::incarnation;
 
@@ -118,8 +119,44 @@
         self.disprove_crash(&instance, sent_at);
     }
 
+    /// Handles the end of a check whether an endpoint has ended.
+    pub(super) fn on_endpoint_checked(
+        &mut self,
+        instance: &Name,
+        asked_at: Duration,
+        is_reachable: bool,
+    ) {
+        if is_reachable {
+            self.disprove_crash(instance, asked_at);
+        } else {
+            self.record_unmarked_crash(instance, asked_at);
+        }
+    }
+
+    /// Records the answers that ended with an endpoint, which has ended, as runs that broke off.
+    fn record_unmarked_crash(&mut self, instance: &Name, found_at: Duration) {
+        let Some(endpoint) = self.endpoints.get_mut(instance) else {
+            return;
+        };
+        if endpoint.listed.is_leaving {
+            return;
+        }
+        let incarnation = incarnation(instance, endpoint.listed.started_unix_ms);
+        let ends = endpoint.take_unmarked_ends(found_at, self.now);
+        for end in ends.into_iter().filter(|end| !end.has_survived) {
+            self.endpoint_ends.on_broken(BrokenRun {
+                instance: instance.clone(),
+                incarnation,
+                sent_at: end.sent_at,
+                broken_at: end.ended_at,
+                causes: end.causes,
+            });
+        }
+        self.set_shared_timer();
+    }
+
     /// Deletes the evidence of an endpoint's crash: the endpoint has answered something that was sent to it after that.
-    pub(super) fn disprove_crash(&mut self, instance: &Name, sent_at: Duration) {
+    fn disprove_crash(&mut self, instance: &Name, sent_at: Duration) {
         let Some(endpoint) = self.endpoints.get(instance) else {
             return;
         };
@@ -163,14 +200,27 @@
             call.causes.clone()
         };
         if call.is_end_unmarked {
-            if let Some(endpoint) = self.endpoints.get_mut(&current.instance) {
-                endpoint.on_unmarked_end(causes, self.now);
-            }
+            let end = UnmarkedEnd {
+                sent_at: current.sent_at,
+                ended_at: self.now,
+                causes,
+                has_survived: call.has_survived,
+            };
+            let instance = current.instance.clone();
+            self.record_unmarked_end(&instance, end);
             return;
         }
         self.on_causes_answered(&causes);
     }
 
+    fn record_unmarked_end(&mut self, instance: &Name, end: UnmarkedEnd) {
+        if let Some(endpoint) = self.endpoints.get_mut(instance) {
+            endpoint.on_unmarked_end(end, self.now);
+            self.endpoint_ends.on_unmarked_end(instance, self.now);
+            self.set_shared_timer();
+        }
+    }
+
     fn on_causes_answered(&mut self, causes: &[CrashCause]) {
         for cause in causes {
             let cleared = self.crash_suspects.on_answered(cause, self.now);
@@ -316,6 +366,9 @@
         for instance in ended {
             self.check_endpoint(instance);
         }
+        for instance in self.endpoint_ends.take_unmarked(self.now) {
+            self.check_unmarked_end(instance);
+        }
         for (cause, crash) in self.crash_suspects.remove_expired(self.now) {
             let due = self.now + self.random_delay();
             self.delete_evidence(cause, crash, due);
@@ -343,6 +396,14 @@
         }
     }
 
+    /// Checks whether an endpoint has ended with its answer, unless it is known to run or about to leave.
+    fn check_unmarked_end(&mut self, instance: Name) {
+        let endpoint = self.endpoints.get(&instance);
+        if endpoint.is_some_and(|e| e.has_unmarked_ends() && !e.listed.is_leaving) {
+            self.check_endpoint(instance);
+        }
+    }
+
     fn announce_block(&mut self, cause: CrashCause, block: CauseBlock, due: Duration) {
         self.note_block(cause.clone(), block.clone(), "own");
         self.push_block(cause, block, due);
--- a/crates/arbutusfall_core/src/relay/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint.rs
@@ -102,12 +102,27 @@
     decode_refusals: u32,
     /// Number of the engine's consecutive prefill results whose decode was refused.
     suspected_losses: u32,
-    /// Parts of prompts whose answers ended with their connections, with the instants of these ends.
-    unmarked_ends: Vec<(Duration, CrashCauses)>,
+    unmarked_ends: Vec<UnmarkedEnd>,
     /// Instant from which the endpoint may be removed; none while it is listed.
     pub(crate) remove_at: Option<Duration>,
 }
 
+/// An answer that ended with its connection: it is complete, or the endpoint has ended.
+#[derive(Debug, Clone)]
+pub(crate) struct UnmarkedEnd {
+    pub(crate) sent_at: Duration,
+    pub(crate) ended_at: Duration,
+    pub(crate) causes: CrashCauses,
+    /// Whether the answer has lasted long enough to show that its request does not crash the endpoint.
+    pub(crate) has_survived: bool,
+}
+
+impl UnmarkedEnd {
+    fn is_recent(&self, now: Duration) -> bool {
+        now <= self.ended_at + UNMARKED_END_LIFETIME
+    }
+}
+
 impl Endpoint {
     pub(crate) fn new(listed: ListedEndpoint) -> Self {
         Self {
@@ -179,15 +194,33 @@
         }
     }
 
-    /// Records an answer that ended with its connection: whether the engine ended shows only later.
-    pub(crate) fn on_unmarked_end(&mut self, causes: CrashCauses, now: Duration) {
-        self.unmarked_ends
-            .retain(|(ended_at, _)| now <= *ended_at + UNMARKED_END_LIFETIME);
+    /// Records an answer that ended with its connection: whether the endpoint ended shows only later.
+    pub(crate) fn on_unmarked_end(&mut self, end: UnmarkedEnd, now: Duration) {
+        self.unmarked_ends.retain(|known| known.is_recent(now));
         if self.unmarked_ends.len() < MAX_UNMARKED_ENDS {
-            self.unmarked_ends.push((now, causes));
+            self.unmarked_ends.push(end);
         }
     }
 
+    /// Returns whether answers ended with their connections, and nothing is known of the endpoint since.
+    pub(crate) fn has_unmarked_ends(&self) -> bool {
+        !self.unmarked_ends.is_empty()
+    }
+
+    /// Takes the answers that ended of late, before the endpoint was found to have ended.
+    pub(crate) fn take_unmarked_ends(
+        &mut self,
+        found_at: Duration,
+        now: Duration,
+    ) -> Vec<UnmarkedEnd> {
+        let ends = std::mem::take(&mut self.unmarked_ends).into_iter();
+        let (taken, later) = ends
+            .filter(|end| end.is_recent(now))
+            .partition(|end| end.ended_at < found_at);
+        self.unmarked_ends = later;
+        taken
+    }
+
     /// Takes the causes of prompts that an answer to a request of `sent_at` proves to have been answered completely: the
     /// engine still ran after them.
     pub(crate) fn take_proved_causes(
@@ -196,11 +229,11 @@
         now: Duration,
     ) -> Vec<CrashCauses> {
         let mut proved = Vec::new();
-        self.unmarked_ends.retain(|(ended_at, causes)| {
-            let is_recent = now <= *ended_at + UNMARKED_END_LIFETIME;
-            let is_proved = is_recent && sent_at > *ended_at;
+        self.unmarked_ends.retain(|end| {
+            let is_recent = end.is_recent(now);
+            let is_proved = is_recent && sent_at > end.ended_at;
             if is_proved {
-                proved.push(causes.clone());
+                proved.push(end.causes.clone());
             }
             is_recent && !is_proved
         });
--- a/crates/arbutusfall_core/src/relay/endpoint_ends.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint_ends.rs
@@ -72,6 +72,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct EndpointEnds {
     broken: Vec<BrokenRun>,
+    /// Endpoints of answers that ended with their connections, with the instant at which to check whether they have ended.
+    unmarked: BTreeMap<Name, Duration>,
     crashes: FastMap<Incarnation, CrashCount>,
 }
 
@@ -80,14 +82,31 @@
         self.broken.push(run);
     }
 
-    /// Returns the instant at which [`Self::take`] has something to do.
+    /// Records an answer that ended with its connection.
+    pub(crate) fn on_unmarked_end(&mut self, instance: &Name, now: Duration) {
+        let due = now + COLLECT_TIME;
+        self.unmarked.entry(instance.clone()).or_insert(due);
+    }
+
+    /// Returns the instant at which [`Self::take`] or [`Self::take_unmarked`] has something to do.
     pub(crate) fn next_due(&self) -> Option<Duration> {
+        let unmarked = self.unmarked.values().copied().min();
+        self.broken_due().into_iter().chain(unmarked).min()
+    }
+
+    fn broken_due(&self) -> Option<Duration> {
         Some(self.broken.first()?.broken_at + COLLECT_TIME)
     }
 
+    /// Returns the endpoints to check since answers ended with their connections.
+    pub(crate) fn take_unmarked(&mut self, now: Duration) -> Vec<Name> {
+        let due = self.unmarked.extract_if(.., |_, due| *due <= now);
+        due.map(|(instance, _)| instance).collect()
+    }
+
     /// Returns the evidence from the runs that were collected.
     pub(crate) fn take(&mut self, now: Duration) -> Vec<CauseCrash> {
-        if self.next_due().is_none_or(|due| now < due) {
+        if self.broken_due().is_none_or(|due| now < due) {
             return Vec::new();
         }
         let mut endpoints: BTreeMap<Name, Vec<BrokenRun>> = BTreeMap::new();
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -91,12 +91,14 @@
         /// Requests a second that it takes from all VMs together.
         per_s: f64,
     },
-    /// An endpoint that may have crashed accepted a connection.
-    EndpointReachable {
+    /// A check whether an endpoint has ended is over.
+    EndpointChecked {
         /// The endpoint.
         instance: Name,
         /// When the connection was begun.
         asked_at: Duration,
+        /// Whether the endpoint accepted it.
+        is_reachable: bool,
     },
     /// An operator ends the block on a cause of crashes.
     Unblock {
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -20,6 +20,7 @@
 use arbutusfall_core::relay::RequestKey;
 use arbutusfall_core::relay::SharedKey;
 use arbutusfall_core::relay::SharedRecord;
+use arbutusfall_wire::Name;
 
 use crate::relay_crashing_site::CrashingSite;
 use crate::relay_crashing_site::LoadRequest;
@@ -421,3 +422,75 @@
         );
     }
 }
+
+/// Lets the VM's checks of endpoints end; returns the endpoints.
+fn end_checks(harness: &mut RelayHarness, is_reachable: bool) -> Vec<Name> {
+    let mut checked = Vec::new();
+    for effect in std::mem::take(&mut harness.effects) {
+        if let RelayEffect::CheckEndpoint { instance, .. } = effect {
+            checked.push(instance);
+        }
+    }
+    for instance in &checked {
+        harness.apply(RelayEvent::EndpointChecked {
+            instance: instance.clone(),
+            asked_at: harness.now,
+            is_reachable,
+        });
+    }
+    checked
+}
+
+/// Sends a request whose answer ends with its connection; returns the endpoint.
+fn answer_unmarked(harness: &mut RelayHarness, path: &str) -> Name {
+    harness.take_sends();
+    harness.submit(path);
+    let sent = harness.take_only_send();
+    harness.deliver(sent.exchange, ExchangeEvent::EndUnmarked);
+    let end = ExchangeEvent::Complete { status: 200 };
+    harness.deliver(sent.exchange, end);
+    sent.instance
+}
+
+// Guards against endpoints that end just after what looks like a whole answer, for ever.
+#[test]
+fn unmarked_end_is_evidence_if_the_endpoint_is_unreachable_then() {
+    for is_reachable in [false, true] {
+        let mut harness = start();
+        harness.apply(RelayEvent::EndpointChanges(endpoints(6)));
+        for _ in 0..3 {
+            let instance = answer_unmarked(&mut harness, "/pay/a");
+            run(&mut harness, ms(150), true);
+            let checked = end_checks(&mut harness, is_reachable);
+            assert_eq!(checked, std::slice::from_ref(&instance));
+            run(&mut harness, ms(150), true);
+            end_checks(&mut harness, is_reachable);
+            let removed = EndpointListChange::Removed { instance };
+            harness.apply(RelayEvent::EndpointChanges(vec![removed]));
+            run(&mut harness, ms(1_700), true);
+        }
+        assert_eq!(is_refused(&mut harness, "/pay/a"), !is_reachable);
+    }
+}
+
+// Guards against checks of endpoints that are known to run, and against planned ends that count as crashes.
+#[test]
+fn unmarked_end_is_not_checked_if_the_endpoint_answers_or_leaves() {
+    for is_leaving in [false, true] {
+        let mut harness = start();
+        let instance = answer_unmarked(&mut harness, "/pay/a");
+        if is_leaving {
+            let mut leaving = listed(&instance, "shop", Role::Plain);
+            leaving.is_leaving = true;
+            let change = vec![EndpointListChange::Listed(leaving)];
+            harness.apply(RelayEvent::EndpointChanges(change));
+        } else {
+            harness.advance(ms(10));
+            for number in 0..8 {
+                answer(&mut harness, &format!("/pay/{number}"), 200);
+            }
+        }
+        run(&mut harness, ms(500), true);
+        assert!(end_checks(&mut harness, false).is_empty());
+    }
+}
