--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -34,7 +34,7 @@
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Maximum number of prefills for one request before the decode engine prefills the prompt itself.
-const MAX_PREFILL_ATTEMPTS: u32 = 2;
+pub(super) const MAX_PREFILL_ATTEMPTS: u32 = 2;
 
 impl Relay {
     /// Sends the call's next stage to the best endpoint, queues the call, or fails it if no endpoint can take it.
@@ -192,7 +192,7 @@
         self.set_silence_timer(id);
         self.effects.push(RelayEffect::Send(command));
         if stage.runs_request() {
-            self.on_run_sent(id);
+            self.on_run_sent(id, stage);
         }
         if stage != CallStage::Reserve {
             // A request may try to reserve memory at many engines; the log line of its decode names the one that
@@ -250,6 +250,10 @@
         let Some(current) = &call.current else {
             return;
         };
+        if current.exchange != exchange {
+            // The exchange is in standby.
+            return;
+        }
         let Some(silence_limit) = self.silence_limit(call, current) else {
             return;
         };
@@ -262,16 +266,33 @@
             self.check_silence_later(id);
             return;
         }
-        if stage.runs_request() && !self.has_standby(id) {
+        if stage.runs_request() {
+            // Of two silent endpoints, the one that has been silent for less long is kept.
+            self.drop_standby(id);
             self.move_from_silent(id);
             return;
         }
         self.effects.push(RelayEffect::Close { exchange });
-        self.mark_may_have_run(id, stage);
+        if stage == CallStage::Reserve {
+            self.on_reservation_silent(id);
+            return;
+        }
         self.fail_exchange(id, "silent", true);
         self.retry_or_fail(id);
     }
 
+    /// Handles a reservation that got no answer in time: its engine is avoided for some time, and the call tries others or waits.
+    fn on_reservation_silent(&mut self, id: CallId) {
+        let failed_before = self.calls.get(&id).map(|call| call.failed_endpoints.len());
+        self.fail_exchange(id, "silent", true);
+        if let (Some(call), Some(failed_before)) = (self.calls.get_mut(&id), failed_before)
+            && call.continues_stream()
+        {
+            call.failed_endpoints.truncate(failed_before);
+        }
+        self.retry_or_fail(id);
+    }
+
     /// Sets a timer for the instant at which the call's exchange is silent if it goes on being so from now.
     pub(super) fn check_silence_later(&mut self, id: CallId) {
         let Some((exchange, silence_limit)) = self.calls.get(&id).and_then(|call| {
--- a/crates/arbutusfall_core/src/relay/standby.rs
+++ b/crates/arbutusfall_core/src/relay/standby.rs
@@ -17,8 +17,10 @@
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
 use crate::relay::RelayTimer;
+use crate::relay::call::CallStage;
 use crate::relay::call::CurrentExchange;
 use crate::relay::call::MemoryAllocation;
+use crate::relay::call::PrefillResult;
 use crate::relay::notice::millis;
 
 /// Time that another endpoint has to begin a stream before the silent exchange ends all the same: a stream may not run at two
@@ -36,6 +38,8 @@
     pub(crate) allocation: Option<MemoryAllocation>,
     /// Start of its stream.
     pub(crate) stream_began_at: Option<Duration>,
+    /// Prefill result that the endpoint may still have to fetch.
+    prefill_result: Option<PrefillResult>,
     /// Instant of the retry that the move spends.
     moved_at: Duration,
     /// Whether the request has been sent to another endpoint that may run it.
@@ -65,6 +69,7 @@
             exchange,
             allocation: call.allocation.take(),
             stream_began_at: call.stream_began_at.take(),
+            prefill_result: call.prefill_result.take(),
             moved_at: self.now,
             is_sent_again: false,
             failed_before: call.failed_endpoints.len(),
@@ -77,8 +82,8 @@
         self.retry_or_fail(id);
     }
 
-    /// Handles the send of a moved request to an endpoint that may run it: a stream's standby exchange is held.
-    pub(super) fn on_run_sent(&mut self, id: CallId) {
+    /// Handles the send of a moved request to an endpoint that may run it: the standby exchange of a stream or of an engine is held.
+    pub(super) fn on_run_sent(&mut self, id: CallId, stage: CallStage) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -86,7 +91,7 @@
             return;
         };
         standby.is_sent_again = true;
-        if !call.route.is_stream {
+        if stage == CallStage::Plain && !call.route.is_stream {
             return;
         }
         let exchange = standby.exchange.exchange;
@@ -136,8 +141,8 @@
         standby.is_some_and(|standby| standby.exchange.exchange == exchange)
     }
 
-    /// Handles an event of the call's standby exchange. Returns true if the endpoint has gone on: the exchange is the call's
-    /// current one again, and the event is for it.
+    /// Handles an event of the call's standby exchange. Returns true if the event is to be handled like one of the
+    /// current exchange, which the standby one is again if its endpoint has gone on.
     pub(super) fn on_standby_event(&mut self, id: CallId, event: &ExchangeEvent) -> bool {
         let Some(call) = self.calls.get_mut(&id) else {
             return false;
@@ -151,6 +156,12 @@
             ExchangeEvent::Complete { status } if *status >= 500 && !call.has_stream_started => {
                 self.fail_standby(id, "error_status");
             }
+            // After a silence, an end that nothing marks is more likely the endpoint's own.
+            ExchangeEvent::EndUnmarked if call.has_stream_started => {
+                self.on_standby_failed(id, ExchangeFailure::Closed);
+            }
+            // The head's limit comes before the event of the answer, which tells whether the endpoint goes on.
+            ExchangeEvent::LimitNamed { .. } | ExchangeEvent::LimitAbsent => return true,
             _ => return self.return_to_standby(id, GOES_ON),
         }
         false
@@ -177,6 +188,7 @@
         call.current = Some(standby.exchange);
         call.allocation = standby.allocation;
         call.stream_began_at = standby.stream_began_at;
+        call.prefill_result = standby.prefill_result;
         let service = call.service.clone();
         self.note(notice);
         if standby.held_until.is_some() {
@@ -205,6 +217,13 @@
             self.record_broken_run(id, &exchange, began_at);
         }
         self.fail_standby(id, failure.name());
+        let is_sent_again = self.calls.get(&id).is_some_and(|call| {
+            let current = call.current.as_ref();
+            current.is_some_and(|current| current.stage.runs_request())
+        });
+        if !is_sent_again && self.may_crash_next_endpoint(id) {
+            self.fail_call(id, "suspect_part");
+        }
     }
 
     /// Removes the call's standby exchange, which has ended by itself.
@@ -223,6 +242,9 @@
         if let Some(allocation) = standby.allocation.clone() {
             self.free_allocation(id, allocation, standby.stream_began_at);
         }
+        if let Some(result) = standby.prefill_result.clone() {
+            self.free_prefill_result(result);
+        }
         Some(standby)
     }
 }
--- a/crates/arbutusfall_core/tests/it/relay_silence.rs
+++ b/crates/arbutusfall_core/tests/it/relay_silence.rs
@@ -7,21 +7,17 @@
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ExchangeFailure;
 use arbutusfall_core::relay::ExchangeId;
-use arbutusfall_core::relay::NotRunReason;
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::Work;
 use assert_matches::assert_matches;
 
+use crate::relay_harness::REFUSED;
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
 
-const REFUSED: ExchangeEvent = ExchangeEvent::NotRun {
-    reason: NotRunReason::Refused,
-};
-
 /// Starts a resumable stream that brings one event and then falls silent until it is moved.
 fn silent_stream(harness: &mut RelayHarness) -> (CallId, SendCommand) {
     let (call, decode) = harness.start_stream("/resumable/1");
@@ -262,3 +258,17 @@
     assert!(is_closed(&harness, silent.exchange));
     assert!(is_closed(&harness, next.exchange));
 }
+
+// Guards against a stream that looks complete because its silent engine's connection ends without a marked end.
+#[test]
+fn unmarked_end_of_a_silent_stream_is_not_its_end() {
+    let mut harness = RelayHarness::configured(1);
+    let (call, silent) = silent_stream(&mut harness);
+    harness.deliver(silent.exchange, ExchangeEvent::EndUnmarked);
+    harness.deliver(silent.exchange, ExchangeEvent::Complete { status: 200 });
+    assert_eq!(harness.final_effect(call), None);
+    let next = harness.advance_to_decode();
+    harness.deliver(next.exchange, ExchangeEvent::StreamBegan);
+    harness.deliver(next.exchange, ExchangeEvent::Complete { status: 200 });
+    assert_matches!(harness.final_effect(call), Some(RelayEffect::Finish { .. }));
+}
