--- a/crates/arbutusfall/src/relay/endpoint_check.rs
+++ b/crates/arbutusfall/src/relay/endpoint_check.rs
@@ -13,7 +13,7 @@
 /// Timeout of the connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Opens a connection to an endpoint, closes it and reports to the relay if it was accepted.
+/// Opens a connection to an endpoint, closes it and reports to the relay whether it was accepted.
 pub(super) async fn check_endpoint(relay: impl RelayHandle, instance: Name, address: SocketAddr) {
     let asked_at = relay.io().now();
     let connect = async { TcpStream::connect(address).await.is_ok() };
@@ -21,7 +21,10 @@
         async_io::Timer::after(CONNECT_TIMEOUT).await;
         false
     };
-    if connect.or(expire).await {
-        relay.submit(RelayEvent::EndpointReachable { instance, asked_at });
-    }
+    let is_reachable = connect.or(expire).await;
+    relay.submit(RelayEvent::EndpointChecked {
+        instance,
+        asked_at,
+        is_reachable,
+    });
 }
