Relay: an answer with an error status clears the request of crashes also if it is retried (BUDGET)

Cause: only the answer that was forwarded cleared a request, but any whole answer shows that its endpoint has not ended. Found by review. The test failed before and passes.

--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -200,6 +200,7 @@
         let is_retryable = is_failure && call.may_retry() && !call.has_stream_started;
         let service = call.service.clone();
         if is_retryable && self.has_other_endpoint(id, stage.role()) && self.take_retry(id) {
+            self.on_request_answered(id, is_failure);
             self.fail_exchange(id, "error_status", false);
             self.send_next(id);
             return;
