--- a/crates/arbutusfall_core/src/relay/endpoint_ends.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint_ends.rs
@@ -176,7 +176,7 @@
 }
 
 /// Keeps one of the endpoints that ended together if a request can't be the cause: several endpoints whose runs had all
-/// been sent before the first of them ended.
+/// been sent before the first of them ended, and not all of which ran the same request.
 fn keep_one_of_common_cause(endpoints: &mut BTreeMap<Name, Vec<BrokenRun>>) {
     let runs = || endpoints.values().flatten();
     let Some(first_end) = runs().map(|run| run.broken_at).min() else {
@@ -185,7 +185,7 @@
     let has_only_earlier = |runs: &[BrokenRun]| runs.iter().all(|run| run.sent_at < first_end);
     let together = endpoints.iter().filter(|(_, runs)| has_only_earlier(runs));
     let together: Vec<Name> = together.map(|(instance, _)| instance.clone()).collect();
-    if together.len() < COMMON_CAUSE_ENDPOINTS {
+    if together.len() < COMMON_CAUSE_ENDPOINTS || share_request(&together, endpoints) {
         return;
     }
     for instance in &together[1..] {
@@ -193,6 +193,21 @@
     }
 }
 
+/// Returns whether one and the same request was in progress on all of these endpoints.
+fn share_request(instances: &[Name], endpoints: &BTreeMap<Name, Vec<BrokenRun>>) -> bool {
+    let requests_of = |instance: &Name| -> BTreeSet<&CrashCause> {
+        let runs = endpoints.get(instance).into_iter().flatten();
+        let causes = runs.flat_map(|run| run.causes.iter());
+        causes.filter(|cause| cause.is_request()).collect()
+    };
+    let mut sets = instances.iter().map(requests_of);
+    let mut shared = sets.next().unwrap_or_default();
+    for requests in sets {
+        shared.retain(|request| requests.contains(request));
+    }
+    !shared.is_empty()
+}
+
 fn evidence(instance: &Name, crash: &CrashId, runs: &[BrokenRun]) -> Vec<CauseCrash> {
     let mut with_by_cause: BTreeMap<CrashCause, BTreeSet<CrashCause>> = BTreeMap::new();
     for run in runs {
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -494,3 +494,62 @@
         assert!(end_checks(&mut harness, false).is_empty());
     }
 }
+
+/// Lists two more plain endpoints, sends three requests at once and ends the endpoint of each.
+fn end_three_together(paths: [&str; 3]) -> RelayHarness {
+    let mut harness = start();
+    for instance in ["shop-3", "shop-4"] {
+        let entry = listed(instance, "shop", Role::Plain);
+        let change = EndpointListChange::Listed(entry);
+        harness.apply(RelayEvent::EndpointChanges(vec![change]));
+    }
+    for path in paths {
+        harness.submit(path);
+    }
+    let sends = harness.take_sends();
+    let instances: BTreeSet<&Name> = sends.iter().map(|sent| &sent.instance).collect();
+    assert_eq!(instances.len(), 3, "{sends:?}");
+    harness.advance(ms(30));
+    for sent in &sends {
+        harness.deliver(sent.exchange, failed());
+    }
+    run(&mut harness, ms(2_000), true);
+    harness
+}
+
+fn is_blocked(harness: &mut RelayHarness, path: &str) -> bool {
+    let call = harness.submit(path);
+    let kind = harness.problem(call).map(|problem| problem.kind);
+    kind == Some(ProblemKind::CrashingRequest)
+}
+
+// Guards against copies of a request that are sent at once: what ended their endpoints together is the request.
+#[test]
+fn copies_of_a_request_that_end_endpoints_together_are_blocked() {
+    let mut harness = end_three_together(["/pay/1"; 3]);
+    assert!(is_blocked(&mut harness, "/pay/1"));
+}
+
+// Guards against a cut of the VM's own link that convicts what was in progress.
+#[test]
+fn different_requests_that_end_endpoints_together_are_not_blocked() {
+    let mut harness = end_three_together(["/pay/1", "/pay/2", "/pay/3"]);
+    for path in ["/pay/1", "/pay/2", "/pay/3"] {
+        assert!(!is_blocked(&mut harness, path));
+    }
+}
+
+// Guards against an answer with an error status that is retried and then forgotten: its endpoint has not ended.
+#[test]
+fn error_that_is_retried_clears_the_request() {
+    let mut harness = start();
+    let records = (1..=2).map(|crash| evidence(request("/look/1"), crash));
+    read(&mut harness, records.collect());
+    harness.submit("/look/1");
+    let first = harness.take_only_send();
+    harness.deliver(first.exchange, ExchangeEvent::Complete { status: 500 });
+    let second = harness.take_only_send();
+    harness.deliver(second.exchange, failed());
+    run(&mut harness, ms(2_000), true);
+    assert!(!is_blocked(&mut harness, "/look/1"));
+}
