--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -39,6 +39,9 @@
 /// Time after which evidence on a blocked cause is deleted: all VMs have read it by then.
 const BLOCKED_EVIDENCE_LIFETIME: Duration = Duration::from_secs(2);
 
+/// Reason of the end of a request that is not sent again, because it may crash the next endpoint too.
+pub(super) const SUSPECT: &str = "suspect_part";
+
 /// Reason of the refusal of a prompt with a part that crashes engines.
 pub(super) const CRASHING_PART: &str = "crashing_part";
 
@@ -343,11 +346,11 @@
         }
         if previous.is_none_or(|previous| previous.with != merged.with) {
             self.note_block(cause, merged, "other_vm");
-            self.refuse_waiting_prompts();
+            self.refuse_waiting_requests();
         }
     }
 
-    /// Turns broken streams into evidence and blocks the suspects whose time has come.
+    /// Turns broken runs into evidence and blocks the suspects whose time has come.
     pub(super) fn review_crashes(&mut self) {
         let mut ended: BTreeSet<Name> = BTreeSet::new();
         for found in self.endpoint_ends.take(self.now) {
@@ -383,7 +386,7 @@
             self.announce_block(new.cause, new.block, due);
         }
         if has_blocked {
-            self.refuse_waiting_prompts();
+            self.refuse_waiting_requests();
         }
     }
 
@@ -445,7 +448,7 @@
     }
 
     /// Refuses the requests with a blocked cause that wait for an endpoint.
-    fn refuse_waiting_prompts(&mut self) {
+    fn refuse_waiting_requests(&mut self) {
         let waiting = self.calls.iter().filter(|(_, call)| call.current.is_none());
         let mut waiting: Vec<CallId> = waiting.map(|(id, _)| *id).collect();
         waiting.sort();
--- a/crates/arbutusfall_core/src/relay/crash_suspects.rs
+++ b/crates/arbutusfall_core/src/relay/crash_suspects.rs
@@ -1,4 +1,4 @@
-//! Parts of requests that crash every endpoint that begins to answer them.
+//! Causes of crashes: parts of prompts, and single requests, that crash every endpoint that begins to answer them.
 //!
 //! A cause is suspect while endpoints have ended under it and no request with it has been answered since. Enough crashes of
 //! a suspect lead to a block: requests with the cause are refused. A cause that crashes endpoints is never cleared, and
@@ -71,7 +71,7 @@
 }
 
 impl Suspect {
-    /// Returns the causes that all broken streams with this one had.
+    /// Returns the causes that all broken runs with this one had.
     fn common_causes(&self) -> BTreeSet<CrashCause> {
         let mut sets = self.crashes.values().map(|known| &known.evidence.with);
         let first = sets.next().into_iter().flatten().cloned();
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -15,6 +15,7 @@
 use crate::relay::RelayNotice;
 use crate::relay::call::CallStage;
 use crate::relay::call::PrefillResult;
+use crate::relay::crash_handling::SUSPECT;
 use crate::relay::notice::millis;
 
 /// Time for which an endpoint gets no further requests after it refused one: it is full or is changing its role.
@@ -353,7 +354,7 @@
         }
         self.fail_exchange(id, failure.name(), true);
         if has_ended && self.may_crash_next_endpoint(id) {
-            self.fail_call(id, "suspect_part");
+            self.fail_call(id, SUSPECT);
             return;
         }
         if failure == ExchangeFailure::Unreachable {
--- a/crates/arbutusfall_core/src/relay/standby.rs
+++ b/crates/arbutusfall_core/src/relay/standby.rs
@@ -21,6 +21,7 @@
 use crate::relay::call::CurrentExchange;
 use crate::relay::call::MemoryAllocation;
 use crate::relay::call::PrefillResult;
+use crate::relay::crash_handling::SUSPECT;
 use crate::relay::notice::millis;
 
 /// Time that another endpoint has to begin a stream before the silent exchange ends all the same: a stream may not run at two
@@ -222,7 +223,7 @@
             current.is_some_and(|current| current.stage.runs_request())
         });
         if !is_sent_again && self.may_crash_next_endpoint(id) {
-            self.fail_call(id, "suspect_part");
+            self.fail_call(id, SUSPECT);
         }
     }
 
