--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -131,6 +131,8 @@
     Limits,
     /// Crashes may be due for review, or records that VMs share for appending.
     Shared,
+    /// VMs have had time to agree on a key for hashes of requests.
+    HashKeySettled,
     /// The lease is due for renewal.
     RenewLease,
     /// The split of engines between prefill and decode is due for review.
@@ -171,7 +173,7 @@
     shared_outbox: SharedOutbox,
     /// Instant of the earliest timer for crashes and shared records.
     shared_timer_due: Option<Duration>,
-    /// Whether the records that VMs share have been read, or could not be.
+    /// Whether the records that VMs share have been read with a key for hashes of requests, or could not be.
     is_shared_known: bool,
     /// Key for hashes of requests: the one that VMs share, or this VM's own until one is read.
     hash_key: RequestHashKey,
@@ -304,6 +306,7 @@
                 RelayTimer::RecordStreams => self.record_streams(),
                 RelayTimer::Shared => self.on_shared_timer(),
                 RelayTimer::Limits => self.on_limit_timer(),
+                RelayTimer::HashKeySettled => self.is_shared_known = true,
                 RelayTimer::RenewLease => self.renew_lease(),
                 RelayTimer::ReviewRoles => self.review_roles(),
                 RelayTimer::CloseConnections => self.effects.push(RelayEffect::CloseConnections),
--- a/crates/arbutusfall_core/src/relay/shared_handling.rs
+++ b/crates/arbutusfall_core/src/relay/shared_handling.rs
@@ -20,6 +20,12 @@
 /// Longest random addition to `HASH_KEY_DELAY`, for each VM: most VMs that start together have read a key before they propose one.
 const HASH_KEY_DELAY_PER_VM: Duration = Duration::from_millis(20);
 
+/// Time from the first read of a key until VMs that proposed others at the same time have read the newest one too.
+const HASH_KEY_SETTLE_TIME: Duration = Duration::from_millis(600);
+
+/// Longest time for which a VM that has read the shared records waits for a key before it takes requests.
+const HASH_KEY_TIMEOUT: Duration = Duration::from_secs(3);
+
 impl Relay {
     /// Takes over all records that VMs share, as read from the store.
     pub(super) fn on_all_shared_records(&mut self, records: Vec<SharedRecord>) {
@@ -38,11 +44,18 @@
                 self.drop_shared_record(key);
             }
         }
+        let has_hash_key = self.is_hash_key_shared || listed.contains(&SharedKey::HashKey);
         if !listed.contains(&SharedKey::HashKey) {
             self.propose_hash_key();
         }
         self.on_shared_records(records);
-        self.is_shared_known = true;
+        if has_hash_key {
+            self.is_shared_known = true;
+        } else {
+            // What is known of requests under a key that is replaced soon would be lost.
+            let due = self.now + HASH_KEY_TIMEOUT;
+            self.timers.set(due, RelayTimer::HashKeySettled);
+        }
     }
 
     /// Records this VM's key for hashes of requests, which the store does not have: before new VMs do if the store has lost it.
@@ -62,6 +75,10 @@
         if let Some(key) = key {
             self.hash_key = key;
             self.is_hash_key_shared = true;
+            if !self.is_shared_known {
+                let due = self.now + HASH_KEY_SETTLE_TIME;
+                self.timers.set(due, RelayTimer::HashKeySettled);
+            }
             self.shared_outbox.withdraw(&SharedKey::HashKey);
         }
     }
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -553,3 +553,44 @@
     run(&mut harness, ms(2_000), true);
     assert!(!is_blocked(&mut harness, "/look/1"));
 }
+
+// Guards against evidence that is lost because VMs take requests before they have agreed on a key for their hashes.
+#[test]
+fn vm_takes_requests_once_it_has_read_the_hash_key() {
+    let is_ready = |harness: &RelayHarness| harness.effects.contains(&RelayEffect::SetReady(true));
+    let mut harness = RelayHarness::before_shared_records(1);
+    harness.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
+    let entry = listed("shop-1", "shop", Role::Plain);
+    let list = vec![EndpointListChange::Listed(entry)];
+    harness.apply(RelayEvent::EndpointChanges(list));
+    harness.apply(RelayEvent::SharedRecords {
+        records: Vec::new(),
+        is_full: true,
+    });
+    harness.advance(ms(1_000));
+    assert!(!is_ready(&harness), "no key is known");
+    let key = |number| SharedRecord::HashKey(Some(RequestHashKey(number)));
+    read(&mut harness, vec![key(1)]);
+    harness.advance(ms(400));
+    assert!(!is_ready(&harness), "a newer key may come");
+    read(&mut harness, vec![key(2)]);
+    harness.advance(ms(700));
+    assert!(is_ready(&harness));
+    assert_eq!(harness.relay.hash_key(), RequestHashKey(2));
+}
+
+// Guards against a VM that never takes requests, because no key can be written.
+#[test]
+fn vm_without_a_hash_key_takes_requests_after_a_while() {
+    let mut harness = RelayHarness::before_shared_records(1);
+    harness.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
+    let entry = listed("shop-1", "shop", Role::Plain);
+    let list = vec![EndpointListChange::Listed(entry)];
+    harness.apply(RelayEvent::EndpointChanges(list));
+    harness.apply(RelayEvent::SharedRecords {
+        records: Vec::new(),
+        is_full: true,
+    });
+    harness.advance(ms(3_100));
+    assert!(harness.effects.contains(&RelayEffect::SetReady(true)));
+}
