--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -31,6 +31,8 @@
     pub(super) blocked_parts: usize,
     /// Requests that are refused because they crash endpoints.
     pub(super) blocked_requests: usize,
+    /// Services whose endpoints this VM does not reach.
+    pub(super) unreachable_services: usize,
     /// Limits that endpoints named.
     pub(super) limits: LimitStatus,
 }
@@ -136,6 +138,11 @@
             "blocked_requests",
             values.blocked_requests as u64,
         );
+        write_gauge(
+            &mut text,
+            "unreachable_services",
+            values.unreachable_services as u64,
+        );
         let limits = values.limits;
         write_gauge(&mut text, "limited_endpoints", limits.endpoints as u64);
         write_gauge(&mut text, "limit_shares_held", limits.held_shares as u64);
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -37,6 +37,8 @@
 mod outcomes;
 mod pacing;
 mod prompt_part;
+mod reach_handling;
+mod reachability;
 mod request_key;
 mod resumptions;
 mod retries;
@@ -71,6 +73,7 @@
 use endpoints::Endpoints;
 use lease::Lease;
 use limited_queue::LimitedQueue;
+use reachability::Reachability;
 use roles::Roles;
 use shared_outbox::SharedOutbox;
 use store_view::StoreView;
@@ -149,6 +152,7 @@
     /// Routes of the first configuration.
     first_routes: FastSet<Name>,
     endpoints: Endpoints,
+    reachability: Reachability,
     store: StoreView,
     is_draining: bool,
     is_ready: bool,
@@ -201,6 +205,7 @@
             routes: None,
             first_routes: FastSet::default(),
             endpoints: Endpoints::default(),
+            reachability: Reachability::default(),
             store: StoreView::default(),
             is_draining: false,
             is_ready: false,
--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -130,8 +130,10 @@
         is_reachable: bool,
     ) {
         if is_reachable {
+            self.on_connected(instance, asked_at);
             self.disprove_crash(instance, asked_at);
         } else {
+            self.on_connect_failed(instance, asked_at);
             self.record_unmarked_crash(instance, asked_at);
         }
     }
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -55,16 +55,24 @@
         self.by_instance.is_empty()
     }
 
+    /// Returns the endpoints of a service that take new work, in any role.
+    pub(crate) fn of_service<'a>(
+        &'a self,
+        service: &'a Name,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        self.by_instance.values().filter(move |endpoint| {
+            endpoint.listed.service == *service && !endpoint.listed.is_leaving
+        })
+    }
+
     /// Returns the endpoints of a service and role that take new work.
     pub(crate) fn serving<'a>(
         &'a self,
         service: &'a Name,
         role: Role,
     ) -> impl Iterator<Item = &'a Endpoint> {
-        self.by_instance.values().filter(move |endpoint| {
-            let listed = &endpoint.listed;
-            listed.service == *service && listed.role == role && !listed.is_leaving
-        })
+        self.of_service(service)
+            .filter(move |endpoint| endpoint.listed.role == role)
     }
 
     /// Returns the endpoints that take new work of a call in this role. Prefill engines of any version serve a stream of
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -74,6 +74,18 @@
         /// Time for which it is avoided.
         avoided_ms: u64,
     },
+    /// Connections to the endpoints of a service all fail: this VM is cut off from them, or they have ended.
+    ServiceUnreachable {
+        /// The service.
+        service: Name,
+    },
+    /// An endpoint of an unreachable service has accepted a connection.
+    ServiceReachable {
+        /// The service.
+        service: Name,
+        /// Time for which it was unreachable.
+        after_ms: u64,
+    },
     /// An endpoint named a limit on its requests, or another one than before.
     EndpointLimited {
         /// Instance.
@@ -361,6 +373,8 @@
             Self::EndpointListed { .. } => "endpoint_listed",
             Self::EndpointGone { .. } => "endpoint_gone",
             Self::EndpointAvoided { .. } => "endpoint_avoided",
+            Self::ServiceUnreachable { .. } => "service_unreachable",
+            Self::ServiceReachable { .. } => "service_reachable",
             Self::EndpointLimited { .. } => "endpoint_limited",
             Self::EndpointUnlimited { .. } => "endpoint_unlimited",
             Self::EngineRefusing { .. } => "engine_refusing",
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -33,6 +33,9 @@
         if is_sign_of_life(&event) {
             self.on_endpoint_alive(id);
         }
+        if !matches!(event, ExchangeEvent::Failed { .. }) {
+            self.on_exchange_connected(id);
+        }
         match event {
             ExchangeEvent::LimitNamed { per_s } => self.on_limit_named(id, exchange, per_s),
             ExchangeEvent::LimitAbsent => self.on_limit_absent(id, exchange),
@@ -345,6 +348,7 @@
             if stage.runs_request() {
                 call.attempts = call.attempts.saturating_sub(1);
             }
+            self.on_connect_failed(&failed.instance, failed.sent_at);
         } else {
             self.mark_may_have_run(id, stage);
         }
