--- a/crates/arbutusfall/src/http.rs
+++ b/crates/arbutusfall/src/http.rs
@@ -28,6 +28,7 @@
 pub use client::read_control_body;
 pub use client::request_whole;
 pub use client::send;
+pub use client::send_on;
 pub use event_splitter::EventSplitter;
 pub use event_splitter::EventTooLong;
 pub use event_splitter::WholeEvents;
--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -108,6 +108,19 @@
 ) -> Result<Response<Incoming>, ClientError> {
     let connect_limit = async_io::Timer::after(outgoing.connect_timeout);
     let stream = connect(outgoing.address, connect_limit).await?;
+    send_on(executor, stream, outgoing).await
+}
+
+/// Sends a request on an open connection, which closes when the answer's body is dropped.
+///
+/// # Errors
+///
+/// As for [`send`].
+pub async fn send_on(
+    executor: &Executor,
+    stream: TcpStream,
+    outgoing: OutgoingRequest,
+) -> Result<Response<Incoming>, ClientError> {
     let exchange = exchange(executor, stream, outgoing.request);
     exchange.or(fail_after(outgoing.answer_timeout)).await
 }
--- a/crates/arbutusfall/src/http/server.rs
+++ b/crates/arbutusfall/src/http/server.rs
@@ -104,6 +104,12 @@
     /// follows limits that change while the connection is open.
     fn limits(&self) -> ServerLimits;
 
+    /// Returns whether to serve a new connection, after a handshake if there is one.
+    fn admit(&self, stream: &mut TcpStream) -> impl Future<Output = bool> + Send {
+        let _ = stream;
+        std::future::ready(true)
+    }
+
     /// Answers a request.
     fn handle(
         self: Arc<Self>,
@@ -273,7 +279,7 @@
 }
 
 async fn serve_connection<H: RequestHandler>(
-    stream: TcpStream,
+    mut stream: TcpStream,
     limits: ServerLimits,
     handler: Arc<H>,
     stopped: &Receiver<Infallible>,
@@ -281,6 +287,9 @@
     // Disables Nagle's algorithm, so that small writes such as tokens are sent without delay; a failure only adds
     // latency.
     let _ = stream.set_nodelay(true);
+    if !handler.admit(&mut stream).await {
+        return;
+    }
     let state = Arc::new(ConnectionState::default());
     let request_state = state.clone();
     let request_handler = handler.clone();
--- a/crates/arbutusfall/src/relay/callers.rs
+++ b/crates/arbutusfall/src/relay/callers.rs
@@ -6,10 +6,12 @@
 use arbutusfall_core::CallId;
 use arbutusfall_core::Problem;
 use arbutusfall_core::ProblemKind;
+use arbutusfall_core::relay::Hop;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayNotice;
 use arbutusfall_platform::callers;
 use arbutusfall_platform::endpoints::ForwardedRequest;
+use arbutusfall_platform::forwarding;
 use arbutusfall_platform::request_key::request_key;
 use hyper::Request;
 use hyper::Response;
@@ -64,10 +66,7 @@
     }
 
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
-        let mut answer = match self.try_handle(request).await {
-            Ok(answer) => answer,
-            Err(problem) => relay_problem_answer(&problem),
-        };
+        let mut answer = answer(&self.driver, request, Arrival::default()).await;
         if !self.driver.is_ready() {
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(CONNECTION, close);
@@ -76,50 +75,74 @@
     }
 }
 
-impl RelayCallerServer {
-    async fn try_handle(
-        &self,
-        request: Request<Incoming>,
-    ) -> Result<Response<AnswerBody>, Problem> {
-        let limits = self.driver.limits();
-        let io = self.driver.io();
-        let arrived_at = io.now();
-        let (parts, body) = request.into_parts();
-        let timeout = limits.receive_timeout.max(Duration::from_secs(1));
-        let body = read_request_body(body, limits.max_body_bytes, timeout);
-        let body = body.await.map_err(ReadBodyError::problem)?;
-        let call = io.calls.next_id();
-        let receive_time = io.now().saturating_sub(arrived_at);
-        let key = request_key(self.driver.hash_key(), &parts, &body);
-        let relay_request = callers::relay_request(call, &parts, key, receive_time);
-        let request_id = relay_request.request_id.clone();
-        let forwarded = ForwardedRequest::new(parts.method, &parts.uri, parts.headers, body);
-        let replies = io.calls.open(call, forwarded);
-        let guard = CallGuard {
-            driver: self.driver.clone(),
-            call,
-        };
-        self.driver
-            .submit(RelayEvent::RequestReceived(relay_request));
-        match replies.recv().await {
-            Ok(Reply::Endpoint(head, body)) => {
-                let mut answer = Response::new(body.with_guard(guard));
-                *answer.status_mut() = head.status;
-                *answer.headers_mut() = head.headers;
-                Ok(answer)
-            }
-            Ok(Reply::Problem(problem)) => Err(problem),
-            // A call that ended without a reply is not expected either.
-            Ok(Reply::Missing) | Err(_) => {
-                io.record_notice(&RelayNotice::AnswerMissing { request_id });
-                Err(Problem::new(ProblemKind::UpstreamFailed))
-            }
+/// How a request came to this VM.
+#[derive(Debug, Default)]
+pub(super) struct Arrival {
+    /// What another VM says that has forwarded it; none if it comes from a caller.
+    pub(super) hop: Option<Hop>,
+    /// Time since it arrived there.
+    pub(super) elapsed: Duration,
+}
+
+/// Answers a request through the relay.
+pub(super) async fn answer(
+    driver: &Arc<Driver>,
+    request: Request<Incoming>,
+    arrival: Arrival,
+) -> Response<AnswerBody> {
+    match try_answer(driver, request, arrival).await {
+        Ok(answer) => answer,
+        Err(problem) => problem_response(&problem),
+    }
+}
+
+async fn try_answer(
+    driver: &Arc<Driver>,
+    request: Request<Incoming>,
+    arrival: Arrival,
+) -> Result<Response<AnswerBody>, Problem> {
+    let limits = driver.limits();
+    let io = driver.io();
+    let arrived_at = io.now();
+    let (parts, body) = request.into_parts();
+    let timeout = limits.receive_timeout.max(Duration::from_secs(1));
+    let body = read_request_body(body, limits.max_body_bytes, timeout);
+    let body = body.await.map_err(ReadBodyError::problem)?;
+    let call = io.calls.next_id();
+    let receive_time = arrival.elapsed + io.now().saturating_sub(arrived_at);
+    let key = request_key(driver.hash_key(), &parts, &body);
+    let relay_request = callers::relay_request(call, &parts, key, receive_time, arrival.hop);
+    let request_id = relay_request.request_id.clone();
+    let forwarded = ForwardedRequest::new(parts.method, &parts.uri, parts.headers, body);
+    let replies = io.calls.open(call, forwarded);
+    let guard = CallGuard {
+        driver: driver.clone(),
+        call,
+    };
+    driver.submit(RelayEvent::RequestReceived(relay_request));
+    match replies.recv().await {
+        Ok(Reply::Endpoint(head, body)) => {
+            let mut answer = Response::new(body.with_guard(guard));
+            *answer.status_mut() = head.status;
+            *answer.headers_mut() = head.headers;
+            Ok(answer)
+        }
+        Ok(Reply::Problem(problem)) => Err(problem),
+        Ok(Reply::Declined) => {
+            let mut answer = problem_answer(&Problem::new(ProblemKind::Unavailable));
+            forwarding::mark_declined(answer.headers_mut());
+            Ok(answer)
+        }
+        // A call that ended without a reply is not expected either.
+        Ok(Reply::Missing) | Err(_) => {
+            io.record_notice(&RelayNotice::AnswerMissing { request_id });
+            Err(Problem::new(ProblemKind::UpstreamFailed))
         }
     }
 }
 
 /// Like [`problem_answer`], but with `retry-after` in fractional seconds, which the platform's callers accept.
-fn relay_problem_answer(problem: &Problem) -> Response<AnswerBody> {
+pub(super) fn problem_response(problem: &Problem) -> Response<AnswerBody> {
     let mut answer = problem_answer(problem);
     let retry_after = callers::retry_after(problem);
     if let Some(value) = retry_after.and_then(|text| HeaderValue::from_str(&text).ok()) {
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -68,6 +68,10 @@
         }
     }
 
+    fn shared_key(&self) -> RequestHashKey {
+        self.hash_key()
+    }
+
     fn io(&self) -> &RelayIo {
         &self.io
     }
--- a/crates/arbutusfall/src/relay/effects.rs
+++ b/crates/arbutusfall/src/relay/effects.rs
@@ -88,6 +88,7 @@
             RelayEffect::AnswerProblem { call, problem } => {
                 io.calls.end_with_reply(call, Reply::Problem(problem))
             }
+            RelayEffect::Decline { call } => io.calls.end_with_reply(call, Reply::Declined),
             RelayEffect::CheckEndpoint { instance, address } => {
                 io.spawn(endpoint_check::check_endpoint(
                     relay.clone(),
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -10,6 +10,7 @@
 use arbutusfall_core::relay::NotRunReason;
 use arbutusfall_core::relay::RelayNotice;
 use arbutusfall_core::relay::SendCommand;
+use arbutusfall_core::relay::Work;
 use arbutusfall_platform::endpoints;
 use arbutusfall_platform::endpoints::AnswerKind;
 use arbutusfall_platform::endpoints::ForwardedRequest;
@@ -30,6 +31,7 @@
 use crate::http::OutgoingRequest;
 use crate::relay::handle::RelayHandle;
 use crate::relay::open_calls::AnswerHead;
+use crate::relay::peer_client;
 
 /// Timeout for opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -72,9 +74,12 @@
         connect_timeout: CONNECT_TIMEOUT.min(command.time_left),
         answer_timeout: command.time_left,
     };
-    let answer = http::send(&relay.io().executor, outgoing)
-        .await
-        .map_err(exchange_failure)?;
+    let executor = &relay.io().executor;
+    let answer = match command.work {
+        Work::Forward(_) => peer_client::send(executor, outgoing, relay.shared_key()).await,
+        _ => http::send(executor, outgoing).await,
+    };
+    let answer = answer.map_err(exchange_failure)?;
     relay.io().exchanges.wait_while_held(command.exchange).await;
     let kind = endpoints::classify_answer(&request, command, answer.status(), answer.headers());
     report_limit(relay, command, kind, answer.headers());
@@ -102,10 +107,12 @@
     kind: AnswerKind,
     headers: &HeaderMap,
 ) {
-    let is_from_endpoint = !matches!(
+    let is_forwarded = matches!(command.work, Work::Forward(_));
+    let is_unusable = matches!(
         kind,
         AnswerKind::Malformed | AnswerKind::NotRun(NotRunReason::Misdirected)
     );
+    let is_from_endpoint = !is_forwarded && !is_unusable;
     // A refusal may come from a part of the endpoint that does not know of the limit.
     let lifts = command.is_limited && !matches!(kind, AnswerKind::NotRun(_));
     let event = match endpoints::stated_limit(headers) {
--- a/crates/arbutusfall/src/relay/handle.rs
+++ b/crates/arbutusfall/src/relay/handle.rs
@@ -7,6 +7,7 @@
 use arbutusfall_core::relay::ExchangeId;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayNotice;
+use arbutusfall_core::relay::RequestHashKey;
 
 use crate::Clock;
 use crate::Executor;
@@ -23,6 +24,9 @@
     /// is performed.
     fn submit(&self, event: RelayEvent);
 
+    /// Returns the key that VMs share through the store.
+    fn shared_key(&self) -> RequestHashKey;
+
     /// Returns what the tasks share.
     fn io(&self) -> &RelayIo;
 
--- a/crates/arbutusfall/src/relay/open_calls.rs
+++ b/crates/arbutusfall/src/relay/open_calls.rs
@@ -30,6 +30,8 @@
     Endpoint(AnswerHead, AnswerBody),
     /// An answer by the relay itself.
     Problem(Problem),
+    /// The request of another VM is not taken; nothing of it has run.
+    Declined,
     /// The endpoint's answer is not there. Not expected: exchanges store it before they report it.
     Missing,
 }
--- /dev/null
+++ b/crates/arbutusfall/src/relay/peer_server.rs
@@ -0,0 +1,74 @@
+//! Requests of other VMs, which do not reach the endpoints themselves.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutusfall_core::Problem;
+use arbutusfall_core::ProblemKind;
+use arbutusfall_platform::forwarding;
+use async_net::TcpStream;
+use futures_lite::FutureExt;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use crate::http::AnswerBody;
+use crate::http::RequestHandler;
+use crate::http::ServerLimits;
+use crate::relay::callers;
+use crate::relay::callers::Arrival;
+use crate::relay::driver::Driver;
+use crate::relay::peer_handshake;
+
+/// Maximum number of open connections of other VMs.
+const MAX_PEER_CONNECTIONS: usize = 400;
+
+/// Timeout for the handshake of a connection.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Timeout for the head of a request; a connection has one request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Answers the requests of other VMs through the relay.
+pub(super) struct PeerServer {
+    pub(super) driver: Arc<Driver>,
+    /// Where it listens.
+    pub(super) address: SocketAddr,
+}
+
+impl RequestHandler for PeerServer {
+    fn limits(&self) -> ServerLimits {
+        ServerLimits {
+            max_header_bytes: self.driver.limits().max_header_bytes,
+            header_timeout: HEADER_TIMEOUT,
+            max_connections: MAX_PEER_CONNECTIONS,
+        }
+    }
+
+    async fn admit(&self, stream: &mut TcpStream) -> bool {
+        let key = self.driver.hash_key();
+        let handshake = peer_handshake::accept(stream, self.address, key);
+        let expire = async {
+            async_io::Timer::after(HANDSHAKE_TIMEOUT).await;
+            Ok(false)
+        };
+        let is_admitted = handshake.or(expire).await;
+        let is_admitted = is_admitted.unwrap_or(false);
+        if !is_admitted {
+            log::info!("a connection to the address for VMs has not proved that it is of a VM");
+        }
+        is_admitted
+    }
+
+    async fn handle(self: Arc<Self>, mut request: Request<Incoming>) -> Response<AnswerBody> {
+        let Some((hop, elapsed)) = forwarding::take_hop(request.headers_mut()) else {
+            return callers::problem_response(&Problem::new(ProblemKind::Malformed));
+        };
+        let arrival = Arrival {
+            hop: Some(hop),
+            elapsed,
+        };
+        callers::answer(&self.driver, request, arrival).await
+    }
+}
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -1,9 +1,11 @@
 //! Starts and stops a relay process.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use arbutusfall_core::relay::CrashCause;
+use arbutusfall_core::relay::PeerAddress;
 use arbutusfall_core::relay::Relay;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayNotice;
@@ -39,6 +41,7 @@
 use crate::relay::effects::EffectPerformer;
 use crate::relay::handle::RelayHandle;
 use crate::relay::handle::RelayIo;
+use crate::relay::peer_server::PeerServer;
 use crate::relay::store_client::StoreClient;
 use crate::relay::store_watch::StoreWatch;
 use crate::telemetry;
@@ -82,6 +85,14 @@
         retry_limit: settings.retry_limit(),
         lease_lifetime: Duration::from_millis(settings.lease_lifetime_ms),
         own_hash_key: RequestHashKey(Uuid::new_v4().as_u128()),
+        own_address: settings.peer_address.map(|address| {
+            let data_centre = settings.data_centre.clone();
+            let peer = PeerAddress {
+                address,
+                data_centre,
+            };
+            (settings.vm.clone(), peer)
+        }),
     };
     let store = Arc::new(StoreClient::new(settings.store_address));
     let control = ControlClient {
@@ -114,6 +125,10 @@
         executor.spawn(watch.run()).detach();
     }
     watch_signals(&driver)?;
+    let peers = match settings.peer_address {
+        Some(address) => Some(serve_peers(&driver, address).await?),
+        None => None,
+    };
     let operators = serve_operators(&driver, store, &settings).await?;
     let callers = Arc::new(RelayCallerServer {
         driver: driver.clone(),
@@ -137,6 +152,7 @@
     driver.io().spawn(end_calls);
     listener.close(close_timeout).await;
     drop(operators);
+    drop(peers);
     driver.io().record_notice(&RelayNotice::Stopped);
     driver.io().finish_log(LOG_TIMEOUT).await;
     Ok(())
@@ -148,6 +164,17 @@
     driver.submit(RelayEvent::DrainTimeout);
 }
 
+async fn serve_peers(
+    driver: &Arc<Driver>,
+    address: SocketAddr,
+) -> Result<http::ListenerHandle, Report<ServeError>> {
+    let executor = driver.io().executor.clone();
+    let driver = driver.clone();
+    let server = Arc::new(PeerServer { driver, address });
+    let listener = http::serve(executor, address, server);
+    listener.await.change_context(ServeError::Listen(address))
+}
+
 async fn serve_operators(
     driver: &Arc<Driver>,
     store: Arc<StoreClient>,
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -43,6 +43,10 @@
     pub caller_address: SocketAddr,
     /// Address at which the platform reads readiness and metrics.
     pub operator_address: SocketAddr,
+    /// Address for requests of other VMs, which then forward those whose endpoints they do not reach; none are taken or
+    /// forwarded without it.
+    #[serde(default)]
+    pub peer_address: Option<SocketAddr>,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
     /// Maximum number of retries, as a share of all requests.
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -26,6 +26,7 @@
 mod endpoints;
 mod event;
 mod exchange_end;
+mod forwarding;
 mod lease;
 mod limit_handling;
 mod limit_review;
@@ -36,6 +37,7 @@
 mod notice;
 mod outcomes;
 mod pacing;
+mod peers;
 mod prompt_part;
 mod reach_handling;
 mod reachability;
@@ -73,6 +75,7 @@
 use endpoints::Endpoints;
 use lease::Lease;
 use limited_queue::LimitedQueue;
+use peers::Peers;
 use reachability::Reachability;
 use roles::Roles;
 use shared_outbox::SharedOutbox;
@@ -111,6 +114,8 @@
     pub lease_lifetime: Duration,
     /// Random key that this VM proposes for hashes of requests.
     pub own_hash_key: RequestHashKey,
+    /// Name of this VM, and where it takes requests of other VMs, if it does.
+    pub own_address: Option<(Name, PeerAddress)>,
 }
 
 /// Timers of the relay. A timer that finds nothing to do is ignored.
@@ -138,6 +143,8 @@
     HashKeySettled,
     /// The lease is due for renewal.
     RenewLease,
+    /// Endpoints of a service to which connections failed may be due for a check.
+    CheckReach(Name),
     /// The split of engines between prefill and decode is due for review.
     ReviewRoles,
     /// The platform has had time to stop sending new connections.
@@ -153,6 +160,9 @@
     first_routes: FastSet<Name>,
     endpoints: Endpoints,
     reachability: Reachability,
+    peers: Peers,
+    /// Name of this VM, and where it takes requests of other VMs, if it does.
+    own_address: Option<(Name, PeerAddress)>,
     store: StoreView,
     is_draining: bool,
     is_ready: bool,
@@ -206,6 +216,8 @@
             first_routes: FastSet::default(),
             endpoints: Endpoints::default(),
             reachability: Reachability::default(),
+            peers: Peers::default(),
+            own_address: settings.own_address.clone(),
             store: StoreView::default(),
             is_draining: false,
             is_ready: false,
@@ -313,6 +325,7 @@
                 RelayTimer::Limits => self.on_limit_timer(),
                 RelayTimer::HashKeySettled => self.is_shared_known = true,
                 RelayTimer::RenewLease => self.renew_lease(),
+                RelayTimer::CheckReach(service) => self.check_reach(&service),
                 RelayTimer::ReviewRoles => self.review_roles(),
                 RelayTimer::CloseConnections => self.effects.push(RelayEffect::CloseConnections),
                 RelayTimer::RemoveUnlisted => self.remove_unlisted(),
--- a/crates/arbutusfall_core/src/relay/budget.rs
+++ b/crates/arbutusfall_core/src/relay/budget.rs
@@ -184,6 +184,12 @@
         self.history(service, now).newest_bucket(now).requests += 1;
     }
 
+    /// Takes a request off the count that goes on at another VM, which counts it.
+    pub(crate) fn on_request_left(&mut self, service: &Name, now: Duration) {
+        let newest = self.history(service, now).newest_bucket(now);
+        newest.requests = newest.requests.saturating_sub(1);
+    }
+
     /// Records whether an endpoint refused a request or answered it.
     pub(crate) fn on_outcome(&mut self, service: &Name, is_refused: bool, now: Duration) {
         let newest = if is_refused { 1.0 } else { 0.0 };
--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -52,6 +52,8 @@
     pub(crate) reservation_lifetime: Duration,
     /// Memory requested, reserved or in use at a decode engine.
     pub(crate) allocation: Option<MemoryAllocation>,
+    /// Whether the request has been forwarded to another VM.
+    pub(crate) was_forwarded: bool,
     /// Endpoints of failed exchanges, one entry per exchange; refused reservations do not count.
     pub(crate) failed_endpoints: Vec<Name>,
     /// What may crash the endpoints that run the request.
@@ -127,19 +129,24 @@
     Plain,
     Reserve,
     Prefill,
-    Decode { has_source: bool },
+    Decode {
+        has_source: bool,
+    },
+    /// Another VM answers the request.
+    Forward,
 }
 
 impl CallStage {
     /// Returns whether an endpoint that fails in this stage may have run the request.
     pub(crate) fn runs_request(self) -> bool {
-        matches!(self, Self::Plain | Self::Decode { .. })
+        matches!(self, Self::Plain | Self::Decode { .. } | Self::Forward)
     }
 
     /// Returns the role of the endpoints that serve this stage.
     pub(crate) fn role(self) -> Role {
         match self {
-            Self::Plain => Role::Plain,
+            // Another VM has no role; it is never selected by one.
+            Self::Plain | Self::Forward => Role::Plain,
             Self::Prefill => Role::Prefill,
             Self::Reserve | Self::Decode { .. } => Role::Decode,
         }
@@ -149,6 +156,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Plain => "plain",
+            Self::Forward => "forward",
             Self::Reserve => "reserve",
             Self::Prefill => "prefill",
             Self::Decode { has_source: true } => "decode",
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -53,6 +53,11 @@
 
 impl Relay {
     pub(super) fn on_request(&mut self, request: RelayRequest) {
+        let reason = request.hop.as_ref();
+        if let Some(reason) = reason.and_then(|hop| self.reason_to_decline(hop)) {
+            self.decline(&request, reason);
+            return;
+        }
         let Some(routes) = self.routes.clone() else {
             self.refuse_unrouted(&request, ProblemKind::Unavailable);
             return;
@@ -68,6 +73,12 @@
                 last_event_id: resumption.last_event_id.clone(),
             });
         }
+        if let Some(hop) = &request.hop {
+            self.note(RelayNotice::Taken {
+                request_id: request.request_id.clone(),
+                from_vm: hop.from_vm.clone(),
+            });
+        }
         let call = self.new_call(request, route, &routes);
         self.budget.on_request(&call.service, self.now);
         if call.route.is_model_route {
@@ -94,7 +105,13 @@
     ) -> Call {
         let caller_timeout = request.caller_timeout.unwrap_or(route.timeout);
         let arrived_at = self.now.saturating_sub(request.receive_time);
-        let service = self.pick_service(route);
+        let hop = request.hop.as_ref();
+        let of_hop = hop.map(|hop| &hop.service);
+        let of_hop = of_hop.filter(|service| route.services.iter().any(|(of, _)| of == *service));
+        let service = match of_hop {
+            Some(service) => service.clone(),
+            None => self.pick_service(route),
+        };
         let engine = routes.engine(&service);
         Call {
             reservation_lifetime: engine
@@ -105,7 +122,8 @@
             config_version: routes.version,
             arrived_at,
             due_at: arrived_at + caller_timeout.min(route.timeout),
-            attempts: 0,
+            attempts: hop.map_or(0, |hop| hop.attempts),
+            was_forwarded: false,
             prefills: 0,
             was_prefilled: false,
             prefill_work: Duration::ZERO,
@@ -119,7 +137,7 @@
             has_survived: false,
             is_end_unmarked: false,
             may_have_run: false,
-            stream_version: None,
+            stream_version: hop.and_then(|hop| hop.stream_version.clone()),
             last_event_id: None,
             has_stream_started: false,
             first_event_at: None,
@@ -183,6 +201,7 @@
     }
 
     pub(super) fn on_call_deadline(&mut self, id: CallId) {
+        self.on_silence_in_doubt(id);
         self.record_silent_endpoint(id);
         self.fail_call(id, TIMEOUT);
     }
@@ -214,6 +233,7 @@
             after_ms: millis(self.now.saturating_sub(call.arrived_at)),
         };
         self.note(notice);
+        self.on_silence_in_doubt(id);
         self.release_resources(id);
         if let Some(call) = self.calls.remove(&id) {
             self.on_stream_end(&call.request.request_id, false);
--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -9,6 +9,7 @@
 use crate::Problem;
 use crate::config::Role;
 use crate::relay::ExchangeId;
+use crate::relay::Hop;
 use crate::relay::RelayNotice;
 use crate::relay::SharedRecord;
 use crate::relay::StreamOrigin;
@@ -73,6 +74,11 @@
         /// Problem to answer with.
         problem: Problem,
     },
+    /// Tell another VM that this one does not take a request that it forwarded; ends the call.
+    Decline {
+        /// The other VM's open request.
+        call: CallId,
+    },
     /// Open a connection to an endpoint that may have crashed, and report if it is accepted.
     CheckEndpoint {
         /// The endpoint.
@@ -153,7 +159,7 @@
     pub is_limited: bool,
 }
 
-/// Work that an endpoint does for a request.
+/// Work that an endpoint or another VM does for a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Work {
     /// Answer the request.
@@ -174,6 +180,19 @@
         /// Reservation to use.
         reservation: Option<Name>,
     },
+    /// Answer the request in place of this VM.
+    Forward(ForwardCommand),
+}
+
+/// How a request is forwarded to another VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ForwardCommand {
+    /// What the other VM is told.
+    pub hop: Hop,
+    /// Time since the request arrived at this VM.
+    pub elapsed: Duration,
+    /// Time for which the caller waits from then on, if stated.
+    pub caller_timeout: Option<Duration>,
 }
 
 /// Location of a KV cache at the prefill engine that keeps it for transfer.
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -65,6 +65,14 @@
         })
     }
 
+    /// Lifts the avoidance of all endpoints of a service.
+    pub(crate) fn forget_failures(&mut self, service: &Name) {
+        let endpoints = self.by_instance.values_mut();
+        for endpoint in endpoints.filter(|endpoint| endpoint.listed.service == *service) {
+            endpoint.health.on_success();
+        }
+    }
+
     /// Returns the endpoints of a service and role that take new work.
     pub(crate) fn serving<'a>(
         &'a self,
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -220,6 +220,23 @@
     pub request_key: RequestKey,
     /// Stream that the request goes on with, if any.
     pub resumption: Option<Resumption>,
+    /// What another VM says that has forwarded the request; none if it comes from a caller.
+    pub hop: Option<Hop>,
+}
+
+/// What a VM says of a request that it forwards to another VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Hop {
+    /// The VM that received the request from its caller.
+    pub from_vm: Name,
+    /// Service that it picked from the route's services.
+    pub service: Name,
+    /// Version of its configuration.
+    pub config_version: u64,
+    /// Number of sends that may have run the request already.
+    pub attempts: u32,
+    /// Version of the endpoint that brought the stream's first event, if it is known.
+    pub stream_version: Option<Name>,
 }
 
 /// A stream that a caller takes up again.
--- a/crates/arbutusfall_core/src/relay/exchange_end.rs
+++ b/crates/arbutusfall_core/src/relay/exchange_end.rs
@@ -53,7 +53,9 @@
         };
         let parts = match failed.stage {
             CallStage::Decode { .. } => call.request.shared_parts.clone(),
-            CallStage::Plain | CallStage::Reserve | CallStage::Prefill => SharedParts::default(),
+            CallStage::Plain | CallStage::Reserve | CallStage::Prefill | CallStage::Forward => {
+                SharedParts::default()
+            }
         };
         self.note(RelayNotice::ExchangeFailed {
             request_id: call.request.request_id.clone(),
@@ -90,6 +92,10 @@
     /// Takes an exchange that ends off its endpoint's load.
     pub(super) fn leave_endpoint(&mut self, ended: &CurrentExchange) {
         self.calls_by_exchange.remove(&ended.exchange);
+        if ended.stage == CallStage::Forward {
+            self.peers.on_ended(&ended.instance);
+            return;
+        }
         if let Some(endpoint) = self.endpoints.get_mut(&ended.instance) {
             endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         }
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/forwarding.rs
@@ -0,0 +1,301 @@
+//! Requests that go through another VM, because this VM does not reach the endpoints of their service.
+//!
+//! The other VM treats such a request as one of its own callers, but never forwards it again. It declines a request that it
+//! can't take, as long as nothing of it has run; another VM is tried then. Once it has taken the request, its answer is final.
+
+use std::time::Duration;
+
+use arbutusfall_wire::Name;
+
+use crate::CallId;
+use crate::relay::ExchangeFailure;
+use crate::relay::ExchangeId;
+use crate::relay::ForwardCommand;
+use crate::relay::Hop;
+use crate::relay::PeerAddress;
+use crate::relay::Relay;
+use crate::relay::RelayEffect;
+use crate::relay::RelayNotice;
+use crate::relay::RelayRequest;
+use crate::relay::SendCommand;
+use crate::relay::SharedRecord;
+use crate::relay::Work;
+use crate::relay::call::Call;
+use crate::relay::call::CallStage;
+use crate::relay::call::CurrentExchange;
+use crate::relay::notice::millis;
+use crate::relay::peers::PeerRefusal;
+
+/// Requests of other VMs that this VM takes at a time.
+const MAX_FORWARDED_CALLS: usize = 200;
+
+/// Time added to a request's allowed silence at another VM, which itself moves it from a silent endpoint first.
+const FORWARD_SILENCE_MARGIN: Duration = Duration::from_millis(1_000);
+
+impl Relay {
+    /// Records this VM's address in the store, unless its record is there.
+    pub(super) fn record_own_address(&mut self) {
+        let Some((vm, own)) = self.own_address.clone() else {
+            return;
+        };
+        let recorded = self.peers.get(&vm);
+        if recorded == Some(&own) || self.is_draining {
+            return;
+        }
+        let due = self.now + self.random_delay();
+        let peer = Some(own);
+        self.shared_outbox
+            .push(SharedRecord::Peer { vm, peer }, due);
+        self.set_shared_timer();
+    }
+
+    /// Handles the record of a VM, or its deletion.
+    pub(super) fn on_shared_peer(&mut self, vm: &Name, peer: Option<PeerAddress>) {
+        self.peers.on_record(vm, peer);
+    }
+
+    /// Sends a call another way if this VM does not reach the endpoints of its service: forwards one of this VM's callers, declines
+    /// one of another VM. Returns false if the call stays here.
+    pub(super) fn goes_another_way(&mut self, id: CallId) -> bool {
+        let Some(call) = self.calls.get(&id) else {
+            return false;
+        };
+        if !self.reachability.is_unreachable(&call.service) {
+            return false;
+        }
+        if call.request.hop.is_none() {
+            return self.forward(id);
+        }
+        let is_untouched = !call.may_have_run && call.standby.is_none();
+        if is_untouched {
+            self.release_resources(id);
+            if let Some(call) = self.calls.remove(&id) {
+                self.decline(&call.request, "unreachable");
+            }
+        }
+        is_untouched
+    }
+
+    /// Forwards a call to another VM; returns false if none can take it.
+    fn forward(&mut self, id: CallId) -> bool {
+        let Some((own, own_address)) = self.own_address.clone() else {
+            return false;
+        };
+        let Some(call) = self.calls.get(&id) else {
+            return false;
+        };
+        let mut excluded = call.failed_endpoints.clone();
+        excluded.push(own.clone());
+        let data_centre = &own_address.data_centre;
+        let selected = self
+            .peers
+            .select(data_centre, &excluded, self.now, &mut self.rng);
+        let Some(vm) = selected else {
+            return false;
+        };
+        let Some(peer) = self.peers.get(&vm).cloned() else {
+            return false;
+        };
+        self.release_allocation(id);
+        let prefill_result = self
+            .calls
+            .get_mut(&id)
+            .and_then(|c| c.prefill_result.take());
+        if let Some(result) = prefill_result {
+            self.free_prefill_result(result);
+        }
+        let Some(call) = self.calls.get_mut(&id) else {
+            return false;
+        };
+        if !std::mem::replace(&mut call.was_forwarded, true) {
+            // It counts at the VM that sends it to an endpoint.
+            self.budget.on_request_left(&call.service, self.now);
+        }
+        self.last_exchange += 1;
+        let exchange = ExchangeId(self.last_exchange);
+        let command = call.forward_command(exchange, &vm, &own, &peer, self.now);
+        call.exchange_count += 1;
+        call.attempts += 1;
+        call.current = Some(CurrentExchange {
+            exchange,
+            instance: vm.clone(),
+            version: Name::default(),
+            stage: CallStage::Forward,
+            has_begun: false,
+            sent_at: self.now,
+            last_activity_at: self.now,
+            prefill_due: self.now,
+        });
+        let notice = RelayNotice::Sent {
+            request_id: call.request.request_id.clone(),
+            instance: vm.clone(),
+            version: Name::default(),
+            route: call.route.name.clone(),
+            work: CallStage::Forward.name(),
+            attempt: call.exchange_count,
+            left_ms: millis(command.time_left),
+            config_version: call.config_version,
+        };
+        self.peers.on_sent(&vm);
+        self.calls_by_exchange.insert(exchange, id);
+        self.set_silence_timer(id);
+        self.effects.push(RelayEffect::Send(command));
+        self.on_run_sent(id, CallStage::Forward);
+        self.note(notice);
+        true
+    }
+
+    /// Handles a request that the other VM has not taken: nothing of it has run.
+    pub(super) fn on_forward_declined(&mut self, id: CallId) {
+        self.end_refused_forward(id, "declined", PeerRefusal::Declined);
+        self.retry_or_fail(id);
+    }
+
+    /// Handles the failure of the way through another VM.
+    pub(super) fn on_forward_failed(&mut self, id: CallId, failure: ExchangeFailure) {
+        if failure == ExchangeFailure::Unreachable {
+            self.end_refused_forward(id, failure.name(), PeerRefusal::Failed);
+            self.retry_or_fail(id);
+            return;
+        }
+        self.mark_may_have_run(id, CallStage::Forward);
+        let vm = self.current_instance(id);
+        self.fail_exchange(id, failure.name(), false);
+        if let Some(vm) = vm {
+            self.peers.on_refused(&vm, PeerRefusal::Failed, self.now);
+        }
+        self.retry_within_budget(id);
+    }
+
+    /// Ends an exchange of which the other VM has taken nothing. Such VMs don't count as failed endpoints of the call: there may be
+    /// many, and they are not selected again at once.
+    fn end_refused_forward(&mut self, id: CallId, reason: &'static str, refusal: PeerRefusal) {
+        let current = self.calls.get(&id).and_then(|call| call.current.clone());
+        let Some(current) = current else {
+            return;
+        };
+        self.peers.on_refused(&current.instance, refusal, self.now);
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.attempts = call.attempts.saturating_sub(1);
+        }
+        self.end_exchange(id);
+        self.note_exchange_failed(id, &current, reason);
+    }
+
+    /// Handles the complete answer of another VM, which is final.
+    pub(super) fn on_forward_complete(&mut self, id: CallId, exchange: ExchangeId, status: u16) {
+        self.drop_standby(id);
+        if let Some(vm) = self.current_instance(id) {
+            self.peers.on_taken(&vm);
+        }
+        self.end_exchange(id);
+        self.answer(id, exchange, status);
+    }
+
+    /// Handles the beginning of a stream at another VM.
+    pub(super) fn on_forward_began(&mut self, id: CallId) {
+        if let Some(vm) = self.current_instance(id) {
+            self.peers.on_taken(&vm);
+        }
+    }
+
+    fn current_instance(&self, id: CallId) -> Option<Name> {
+        let current = self.calls.get(&id)?.current.as_ref()?;
+        Some(current.instance.clone())
+    }
+
+    /// Returns whether the call's exchange is with another VM.
+    pub(super) fn is_forwarding(&self, id: CallId) -> bool {
+        let current = self.calls.get(&id).and_then(|call| call.current.as_ref());
+        current.is_some_and(|current| current.stage == CallStage::Forward)
+    }
+
+    /// Returns why this VM can't take a request of another VM, if it can't.
+    pub(super) fn reason_to_decline(&self, hop: &Hop) -> Option<&'static str> {
+        let version = self.routes.as_ref().map(|routes| routes.version);
+        let forwarded = self
+            .calls
+            .values()
+            .filter(|call| call.request.hop.is_some());
+        if self.is_draining {
+            Some("draining")
+        } else if !self.is_ready {
+            Some("not_ready")
+        } else if version < Some(hop.config_version) {
+            Some("older_config")
+        } else if self.reachability.is_unreachable(&hop.service) {
+            Some("unreachable")
+        } else if forwarded.count() >= MAX_FORWARDED_CALLS {
+            Some("busy")
+        } else {
+            None
+        }
+    }
+
+    /// Tells the other VM that this one does not take its request, of which nothing has run.
+    pub(super) fn decline(&mut self, request: &RelayRequest, reason: &'static str) {
+        self.note(RelayNotice::Declined {
+            request_id: request.request_id.clone(),
+            from_vm: request.hop.as_ref().map(|hop| hop.from_vm.clone()),
+            reason,
+        });
+        self.effects
+            .push(RelayEffect::Decline { call: request.call });
+    }
+
+    /// Sends the requests that wait for endpoints of a service, which this VM no longer reaches, another way.
+    pub(super) fn forward_waiting_calls(&mut self, service: &Name) {
+        let is_of_service = |id: &CallId| {
+            let call = self.calls.get(id);
+            call.is_some_and(|call| call.service == *service)
+        };
+        let waiting = self.wait_queue.ids().iter();
+        let waiting = waiting.chain(&self.limited_queue.calls).copied();
+        let waiting: Vec<CallId> = waiting.filter(is_of_service).collect();
+        for id in waiting {
+            if self.goes_another_way(id) {
+                self.wait_queue.remove(id);
+                self.limited_queue.remove(id);
+            }
+        }
+    }
+}
+
+impl Call {
+    fn forward_command(
+        &self,
+        exchange: ExchangeId,
+        vm: &Name,
+        own: &Name,
+        peer: &PeerAddress,
+        now: Duration,
+    ) -> SendCommand {
+        let hop = Hop {
+            from_vm: own.clone(),
+            service: self.service.clone(),
+            config_version: self.config_version,
+            attempts: self.attempts,
+            stream_version: self.stream_version.clone(),
+        };
+        SendCommand {
+            exchange,
+            call: self.request.call,
+            instance: vm.clone(),
+            address: peer.address,
+            work: Work::Forward(ForwardCommand {
+                hop,
+                elapsed: now.saturating_sub(self.arrived_at),
+                caller_timeout: self.request.caller_timeout,
+            }),
+            expects_stream: self.route.is_stream,
+            time_left: self.time_left(now),
+            after_event_id: self.last_event_id,
+            is_limited: false,
+        }
+    }
+
+    /// Returns the silence after which a request is moved from another VM, from that of an endpoint.
+    pub(super) fn forward_silence(&self, of_endpoint: Duration) -> Duration {
+        of_endpoint + FORWARD_SILENCE_MARGIN
+    }
+}
--- a/crates/arbutusfall_core/src/relay/limit_tokens.rs
+++ b/crates/arbutusfall_core/src/relay/limit_tokens.rs
@@ -24,6 +24,7 @@
 pub(super) fn tokens_for(stage: CallStage, has_reservation: bool) -> f64 {
     match stage {
         CallStage::Plain | CallStage::Prefill => 1.0,
+        CallStage::Forward => 0.0,
         CallStage::Reserve => RESERVATION_TOKENS,
         CallStage::Decode { .. } if has_reservation => 0.0,
         CallStage::Decode { .. } => 1.0,
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -202,6 +202,22 @@
         /// Version of the configuration.
         config_version: u64,
     },
+    /// This VM does not take a request that another VM forwarded; nothing of it has run.
+    Declined {
+        /// Id that the caller gave to the request.
+        request_id: Name,
+        /// The VM that forwarded it.
+        from_vm: Option<Name>,
+        /// `draining`, `not_ready`, `older_config`, `unreachable` (neither does this VM reach the service) or `busy`.
+        reason: &'static str,
+    },
+    /// A request of another VM, which does not reach the endpoints itself, was taken.
+    Taken {
+        /// Id that the caller gave to the request.
+        request_id: Name,
+        /// The VM that forwarded it.
+        from_vm: Name,
+    },
     /// A model request waits because decode engines are full or prefill engines are too busy.
     Waiting {
         /// Id that the caller gave to the request.
@@ -356,6 +372,8 @@
                 | Self::Resuming { .. }
                 | Self::GoesOn { .. }
                 | Self::Waiting { .. }
+                | Self::Declined { .. }
+                | Self::Taken { .. }
                 | Self::StreamEnded { .. }
                 | Self::Answered { .. }
                 | Self::CallerGone { .. }
@@ -387,6 +405,8 @@
             Self::Resuming { .. } => "resuming",
             Self::GoesOn { .. } => "goes_on",
             Self::Sent { .. } => "sent",
+            Self::Declined { .. } => "declined",
+            Self::Taken { .. } => "taken",
             Self::Waiting { .. } => "waiting",
             Self::StreamEnded { .. } => "stream_ended",
             Self::ExchangeSilent { .. } => "exchange_silent",
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -33,7 +33,8 @@
         if is_sign_of_life(&event) {
             self.on_endpoint_alive(id);
         }
-        if !matches!(event, ExchangeEvent::Failed { .. }) {
+        let is_forwarding = self.is_forwarding(id);
+        if !is_forwarding && !matches!(event, ExchangeEvent::Failed { .. }) {
             self.on_exchange_connected(id);
         }
         match event {
@@ -41,12 +42,19 @@
             ExchangeEvent::LimitAbsent => self.on_limit_absent(id, exchange),
             ExchangeEvent::Reserved { reservation } => self.on_reserved(id, reservation),
             ExchangeEvent::PrefillDone { handle } => self.on_prefill_done(id, handle),
-            ExchangeEvent::StreamBegan => self.on_stream_began(id, exchange),
+            ExchangeEvent::StreamBegan => {
+                self.on_forward_began(id);
+                self.on_stream_began(id, exchange);
+            }
             ExchangeEvent::Progress { last_event_id } => self.on_progress(id, last_event_id),
             ExchangeEvent::HeldBack => self.on_held_back(id),
             ExchangeEvent::EndUnmarked => self.on_end_unmarked(id),
             ExchangeEvent::Complete { status } => self.on_complete(id, exchange, status),
+            ExchangeEvent::NotRun { .. } if is_forwarding => self.on_forward_declined(id),
             ExchangeEvent::NotRun { reason } => self.on_not_run(id, reason),
+            ExchangeEvent::Failed { failure } if is_forwarding => {
+                self.on_forward_failed(id, failure);
+            }
             ExchangeEvent::Failed { failure } => self.on_exchange_failed(id, failure),
         }
     }
@@ -197,6 +205,10 @@
             self.on_answer_without_stream(id, status);
             return;
         }
+        if current.stage == CallStage::Forward {
+            self.on_forward_complete(id, exchange, status);
+            return;
+        }
         let instance = current.instance.clone();
         let after = self.now.saturating_sub(current.sent_at);
         let is_failure = status >= 500;
@@ -330,7 +342,7 @@
                 let notice = endpoint.on_decode_refused(now);
                 self.note(notice);
             }
-            CallStage::Plain | CallStage::Reserve => {}
+            CallStage::Plain | CallStage::Reserve | CallStage::Forward => {}
         }
     }
 
--- a/crates/arbutusfall_core/src/relay/reachability.rs
+++ b/crates/arbutusfall_core/src/relay/reachability.rs
@@ -26,6 +26,8 @@
     ///
     /// Invariant: none while `failed` is empty.
     unreachable_since: Option<Duration>,
+    /// Instant from which endpoints may be checked again.
+    check_due: Duration,
 }
 
 /// Connections to the endpoints of all services.
@@ -77,6 +79,38 @@
         connections.unreachable_since.take()
     }
 
+    /// Returns whether endpoints of the service may be checked now; if so, they may be again from `next_due`.
+    pub(crate) fn start_check(
+        &mut self,
+        service: &Name,
+        now: Duration,
+        next_due: Duration,
+    ) -> bool {
+        let connections = self.services.entry(service.clone()).or_default();
+        let may_check = now >= connections.check_due;
+        if may_check {
+            connections.check_due = next_due;
+        }
+        may_check
+    }
+
+    pub(crate) fn is_unreachable(&self, service: &Name) -> bool {
+        let connections = self.services.get(service);
+        connections.is_some_and(|connections| connections.unreachable_since.is_some())
+    }
+
+    /// Returns whether connections to endpoints of the service have failed since one was accepted.
+    pub(crate) fn is_in_doubt(&self, service: &Name) -> bool {
+        let connections = self.services.get(service);
+        connections.is_some_and(|connections| !connections.failed.is_empty())
+    }
+
+    /// Returns whether a connection to this endpoint has failed since one to its service was accepted.
+    pub(crate) fn has_failed(&self, service: &Name, instance: &Name) -> bool {
+        let connections = self.services.get(service);
+        connections.is_some_and(|connections| connections.failed.contains(instance))
+    }
+
     /// Returns the number of unreachable services.
     pub(crate) fn unreachable_count(&self) -> usize {
         let connections = self.services.values();
--- a/crates/arbutusfall_core/src/relay/resumptions.rs
+++ b/crates/arbutusfall_core/src/relay/resumptions.rs
@@ -12,6 +12,7 @@
 use crate::relay::StoreTopic;
 use crate::relay::StreamLookup;
 use crate::relay::StreamOrigin;
+use crate::relay::call::CallStage;
 use crate::relay::stream_versions::ORIGIN_LIFETIME;
 
 /// Time from a request's arrival during which its stream's origin is looked for: it may be about to be recorded.
@@ -30,7 +31,8 @@
             return;
         };
         let resumption = call.request.resumption.as_ref();
-        let Some(resumption) = resumption.filter(|_| call.route.is_stream) else {
+        let must_find = call.route.is_stream && call.stream_version.is_none();
+        let Some(resumption) = resumption.filter(|_| must_find) else {
             self.send_next(id);
             return;
         };
@@ -130,6 +132,10 @@
         if !(call.route.is_stream && call.route.is_resumable) {
             return;
         }
+        if current.stage == CallStage::Forward {
+            // The other VM records it.
+            return;
+        }
         let version = current.version.clone();
         call.stream_version = Some(version.clone());
         let origin = StreamOrigin {
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -43,6 +43,9 @@
             self.fail_call(id, reason);
             return;
         }
+        if self.goes_another_way(id) {
+            return;
+        }
         let Some(stage) = self.next_stage(id) else {
             return;
         };
@@ -224,16 +227,16 @@
                 let expected = current.prefill_due.saturating_sub(current.sent_at);
                 Some(expected * 2 + PREFILL_SLACK)
             }
-            CallStage::Plain => may_retry_silent.then(|| call.route.latency_target * 2),
-            CallStage::Decode { .. } => {
-                let silence = STREAM_SILENCE.max(call.route.event_interval_target * 3);
-                let first = silence + call.route.latency_target;
-                may_retry_silent.then_some(if call.has_stream_started {
-                    silence
+            CallStage::Plain => may_retry_silent.then(|| call.run_silence()),
+            CallStage::Decode { .. } => may_retry_silent.then(|| call.stream_silence()),
+            CallStage::Forward => may_retry_silent.then(|| {
+                let of_endpoint = if call.route.is_stream {
+                    call.stream_silence()
                 } else {
-                    first
-                })
-            }
+                    call.run_silence()
+                };
+                call.forward_silence(of_endpoint)
+            }),
         }
     }
 
@@ -283,6 +286,7 @@
 
     /// Handles a reservation that got no answer in time: its engine is avoided for some time, and the call tries others or waits.
     fn on_reservation_silent(&mut self, id: CallId) {
+        self.on_silence_in_doubt(id);
         let failed_before = self.calls.get(&id).map(|call| call.failed_endpoints.len());
         self.fail_exchange(id, "silent", true);
         if let (Some(call), Some(failed_before)) = (self.calls.get_mut(&id), failed_before)
@@ -318,7 +322,7 @@
     endpoint.in_flight += 1;
     endpoint.health.on_placed(now);
     match stage {
-        CallStage::Plain | CallStage::Decode { .. } => {
+        CallStage::Plain | CallStage::Decode { .. } | CallStage::Forward => {
             call.attempts += 1;
             now
         }
@@ -344,6 +348,21 @@
 }
 
 impl Call {
+    /// Returns the silence after which a plain request is moved to another endpoint.
+    fn run_silence(&self) -> Duration {
+        self.route.latency_target * 2
+    }
+
+    /// Returns the silence after which a stream is moved to another engine.
+    fn stream_silence(&self) -> Duration {
+        let silence = STREAM_SILENCE.max(self.route.event_interval_target * 3);
+        if self.has_stream_started {
+            silence
+        } else {
+            silence + self.route.latency_target
+        }
+    }
+
     fn send_command(
         &self,
         exchange: ExchangeId,
@@ -384,7 +403,8 @@
 
     fn work(&self, stage: CallStage) -> Work {
         match stage {
-            CallStage::Plain => Work::Plain,
+            // A request is forwarded by a command of its own.
+            CallStage::Plain | CallStage::Forward => Work::Plain,
             CallStage::Reserve => Work::Reserve {
                 tokens: self.token_counts().memory_tokens(),
                 lifetime: self.reservation_lifetime,
--- a/crates/arbutusfall_core/src/relay/shared_handling.rs
+++ b/crates/arbutusfall_core/src/relay/shared_handling.rs
@@ -49,6 +49,7 @@
             self.propose_hash_key();
         }
         self.on_shared_records(records);
+        self.record_own_address();
         if has_hash_key {
             self.is_shared_known = true;
         } else {
@@ -102,7 +103,11 @@
             let run = run.clone();
             Some(SharedRecord::Limit { run, limit })
         });
-        crashes.chain(blocks).chain(limits).collect()
+        let peers = self.peers.iter().map(|(vm, peer)| SharedRecord::Peer {
+            vm: vm.clone(),
+            peer: Some(peer.clone()),
+        });
+        crashes.chain(blocks).chain(limits).chain(peers).collect()
     }
 
     fn drop_shared_record(&mut self, key: SharedKey) {
@@ -111,6 +116,7 @@
             SharedKey::Block(cause) => self.on_shared_block(cause, None),
             SharedKey::HashKey => self.on_shared_hash_key(None),
             SharedKey::Limit(run) => self.on_shared_limit(&run, None),
+            SharedKey::Peer(vm) => self.on_shared_peer(&vm, None),
             SharedKey::Share(run, number) => self.on_shared_share(&run, number, None),
         }
     }
@@ -137,6 +143,7 @@
                 SharedRecord::Block { cause, block } => self.on_shared_block(cause, block),
                 SharedRecord::HashKey(key) => self.on_shared_hash_key(key),
                 SharedRecord::Limit { run, limit } => self.on_shared_limit(&run, limit),
+                SharedRecord::Peer { vm, peer } => self.on_shared_peer(&vm, peer),
                 SharedRecord::Share {
                     run,
                     number,
--- a/crates/arbutusfall_core/src/relay/shared_record.rs
+++ b/crates/arbutusfall_core/src/relay/shared_record.rs
@@ -1,5 +1,7 @@
 //! Records that VMs share through the platform's store: each VM reads all of them, and any VM may write or delete one.
 
+use std::net::SocketAddr;
+
 use arbutusfall_wire::Name;
 
 use crate::relay::CrashCause;
@@ -47,6 +49,15 @@
     pub per_s: f64,
 }
 
+/// Where a VM takes requests of other VMs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerAddress {
+    /// Where it listens for them.
+    pub address: SocketAddr,
+    /// Data centre in which it runs.
+    pub data_centre: Name,
+}
+
 /// Holder of a share of a limit.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ShareHolder {
@@ -84,6 +95,13 @@
     },
     /// The key for hashes of requests.
     HashKey(Option<RequestHashKey>),
+    /// A VM that takes requests of other VMs.
+    Peer {
+        /// Name of the VM.
+        vm: Name,
+        /// Where it does, if it still does.
+        peer: Option<PeerAddress>,
+    },
     /// A share of the limit of an endpoint.
     Share {
         /// The run of the endpoint's process.
@@ -106,6 +124,8 @@
     HashKey,
     /// Key of [`SharedRecord::Limit`].
     Limit(EndpointRun),
+    /// Key of [`SharedRecord::Peer`].
+    Peer(Name),
     /// Key of [`SharedRecord::Share`].
     Share(EndpointRun, usize),
 }
@@ -118,6 +138,7 @@
             Self::Block { block, .. } => block.is_none(),
             Self::HashKey(key) => key.is_none(),
             Self::Limit { limit, .. } => limit.is_none(),
+            Self::Peer { peer, .. } => peer.is_none(),
             Self::Share { holder, .. } => holder.is_none(),
         }
     }
@@ -129,6 +150,7 @@
             Self::Block { cause, .. } => SharedKey::Block(cause.clone()),
             Self::HashKey(_) => SharedKey::HashKey,
             Self::Limit { run, .. } => SharedKey::Limit(run.clone()),
+            Self::Peer { vm, .. } => SharedKey::Peer(vm.clone()),
             Self::Share { run, number, .. } => SharedKey::Share(run.clone(), *number),
         }
     }
--- a/crates/arbutusfall_core/src/relay/standby.rs
+++ b/crates/arbutusfall_core/src/relay/standby.rs
@@ -92,7 +92,7 @@
             return;
         };
         standby.is_sent_again = true;
-        if stage == CallStage::Plain && !call.route.is_stream {
+        if matches!(stage, CallStage::Plain | CallStage::Forward) && !call.route.is_stream {
             return;
         }
         let exchange = standby.exchange.exchange;
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -47,6 +47,10 @@
 }
 
 impl WaitQueue {
+    pub(crate) fn ids(&self) -> &[CallId] {
+        &self.calls
+    }
+
     pub(crate) fn remove(&mut self, id: CallId) {
         self.calls.retain(|waiting| *waiting != id);
     }
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -29,6 +29,7 @@
 mod relay_drain;
 mod relay_endpoint_limits;
 mod relay_fleet;
+mod relay_forwarding;
 mod relay_harness;
 mod relay_limited_endpoint;
 mod relay_load;
