Relay: a VM that reaches no engine gives the lease for role orders up (RECOVER)

Seen in the log of a cut VM in the tests (role orders that fail). It now releases the lease and does not ask for it until an engine is reached; the test failed before.

--- a/crates/arbutusfall_core/src/relay/lease.rs
+++ b/crates/arbutusfall_core/src/relay/lease.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use arbutusfall_wire::Name;
+
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
@@ -95,6 +97,10 @@
         }
         self.timers
             .set(self.now + RENEW_INTERVAL, RelayTimer::RenewLease);
+        if self.reaches_no_engine() {
+            self.leave_lease_to_others();
+            return;
+        }
         self.lease.renewal_sent_at = self.now;
         self.effects.push(RelayEffect::RenewLease {
             token: self.lease.token,
@@ -102,6 +108,25 @@
         });
     }
 
+    /// Returns whether this VM reaches no engine of any service.
+    fn reaches_no_engine(&self) -> bool {
+        let services = self.routes.iter().flat_map(|routes| &routes.services);
+        let mut engines = services.filter(|(_, service)| service.engine.is_some());
+        let is_unreachable = |name: &Name| self.reachability.is_unreachable(name);
+        let Some((first, _)) = engines.next() else {
+            return false;
+        };
+        is_unreachable(first) && engines.all(|(name, _)| is_unreachable(name))
+    }
+
+    /// Gives the lease up, if this VM holds it, so that a VM that reaches engines can give orders.
+    fn leave_lease_to_others(&mut self) {
+        if self.lease.held_since.take().is_some() {
+            self.effects.push(RelayEffect::ReleaseLease);
+            self.note_lease_change(true);
+        }
+    }
+
     pub(super) fn on_lease(&mut self, answer: LeaseAnswer) {
         let was_held = self.lease.held_since.is_some();
         match answer {
--- a/crates/arbutusfall_core/tests/it/relay_roles.rs
+++ b/crates/arbutusfall_core/tests/it/relay_roles.rs
@@ -249,3 +249,31 @@
         assert_eq!(to_prefill.count(), 0, "after {index} requests");
     }
 }
+
+// Guards against orders that no engine gets, since their holder reaches none, while another VM could give them.
+#[test]
+fn holder_that_reaches_no_engine_gives_the_lease_up() {
+    let mut harness = harness_with_idle_prefill();
+    advance_with_lease(&mut harness, LEASE_LIFETIME, LeaseAnswer::Held { token: 7 });
+    for instance in ["decode-1", "decode-2", "prefill-1"] {
+        harness.advance(ms(1));
+        harness.apply(RelayEvent::EndpointChecked {
+            instance: instance.into(),
+            asked_at: harness.now,
+            is_reachable: false,
+        });
+    }
+    harness.effects.clear();
+    harness.advance(ms(1_100));
+    assert!(harness.effects.contains(&RelayEffect::ReleaseLease));
+    let renews = |effect: &RelayEffect| matches!(effect, RelayEffect::RenewLease { .. });
+    assert!(!harness.effects.iter().any(renews));
+    harness.apply(RelayEvent::EndpointChecked {
+        instance: "decode-1".into(),
+        asked_at: harness.now,
+        is_reachable: true,
+    });
+    harness.effects.clear();
+    harness.advance(ms(1_100));
+    assert!(harness.effects.iter().any(renews));
+}
