--- a/crates/arbutusfall/src/relay/control_client.rs
+++ b/crates/arbutusfall/src/relay/control_client.rs
@@ -10,6 +10,7 @@
 use arbutusfall_core::relay::RoleOutcome;
 use arbutusfall_platform::endpoints;
 use arbutusfall_platform::endpoints::StatedLimit;
+use arbutusfall_platform::endpoints::StatedRest;
 use arbutusfall_platform::orders;
 use arbutusfall_platform::orders::Report;
 use arbutusfall_platform::orders::RoleOrder;
@@ -155,6 +156,13 @@
             self.relay
                 .submit(RelayEvent::ControlLimit { instance, per_s });
         }
+        if let StatedRest::For(rest) = endpoints::stated_rest(answer.status(), answer.headers())
+            && is_from_engine
+        {
+            let instance = self.instance.clone();
+            self.relay
+                .submit(RelayEvent::ControlRest { instance, rest });
+        }
         Ok(answer)
     }
 }
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -123,6 +123,7 @@
             store_era,
             blocked_parts: count_blocked(&relay, false),
             blocked_requests: count_blocked(&relay, true),
+            resting_endpoints: relay.resting_endpoints(),
             unreachable_services: relay.unreachable_services(),
             limits: relay.limit_status(),
         };
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -15,12 +15,14 @@
 use arbutusfall_platform::endpoints::AnswerKind;
 use arbutusfall_platform::endpoints::ForwardedRequest;
 use arbutusfall_platform::endpoints::StatedLimit;
+use arbutusfall_platform::endpoints::StatedRest;
 use arbutusfall_wire::Name;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 
@@ -82,7 +84,13 @@
     let answer = answer.map_err(exchange_failure)?;
     relay.io().exchanges.wait_while_held(command.exchange).await;
     let kind = endpoints::classify_answer(&request, command, answer.status(), answer.headers());
-    report_limit(relay, command, kind, answer.headers());
+    let is_from_endpoint = is_from_endpoint(&request, command, kind, answer.headers());
+    if is_from_endpoint && kind != AnswerKind::Malformed {
+        report_limit(relay, command, kind, answer.headers());
+    }
+    if is_from_endpoint {
+        report_rest(relay, command, answer.status(), answer.headers());
+    }
     match kind {
         AnswerKind::NotRun(reason) => Ok(ExchangeEvent::NotRun { reason }),
         AnswerKind::Malformed => Err(ExchangeFailure::Malformed),
@@ -100,6 +108,21 @@
     }
 }
 
+/// Returns whether an answer comes from the endpoint itself, so that it counts what its head says of the endpoint.
+fn is_from_endpoint(
+    request: &ForwardedRequest,
+    command: &SendCommand,
+    kind: AnswerKind,
+    headers: &HeaderMap,
+) -> bool {
+    let is_forwarded = matches!(command.work, Work::Forward(_));
+    let is_misdirected = kind == AnswerKind::NotRun(NotRunReason::Misdirected);
+    // The VM's own requests have no id.
+    let is_reservation = matches!(command.work, Work::Reserve { .. });
+    let is_of_other = !is_reservation && endpoints::is_of_other_request(request, headers);
+    !is_forwarded && !is_misdirected && !is_of_other
+}
+
 /// Reports to the relay the limit that an answer names, or that it names none although the endpoint had one.
 fn report_limit(
     relay: &impl RelayHandle,
@@ -107,16 +130,9 @@
     kind: AnswerKind,
     headers: &HeaderMap,
 ) {
-    let is_forwarded = matches!(command.work, Work::Forward(_));
-    let is_unusable = matches!(
-        kind,
-        AnswerKind::Malformed | AnswerKind::NotRun(NotRunReason::Misdirected)
-    );
-    let is_from_endpoint = !is_forwarded && !is_unusable;
     // A refusal may come from a part of the endpoint that does not know of the limit.
     let lifts = command.is_limited && !matches!(kind, AnswerKind::NotRun(_));
     let event = match endpoints::stated_limit(headers) {
-        _ if !is_from_endpoint => return,
         StatedLimit::PerSecond(per_s) => ExchangeEvent::LimitNamed { per_s },
         StatedLimit::Absent if lifts => ExchangeEvent::LimitAbsent,
         StatedLimit::Absent => return,
@@ -128,6 +144,24 @@
     relay.submit_exchange_event(command.exchange, event);
 }
 
+/// Reports to the relay the rest that an answer asks for.
+fn report_rest(
+    relay: &impl RelayHandle,
+    command: &SendCommand,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
+    match endpoints::stated_rest(status, headers) {
+        StatedRest::Absent => {}
+        StatedRest::For(rest) => {
+            relay.submit_exchange_event(command.exchange, ExchangeEvent::RestAsked { rest });
+        }
+        StatedRest::Malformed => {
+            log::info!("endpoint {} asks for a malformed rest", command.instance);
+        }
+    }
+}
+
 fn exchange_failure(error: ClientError) -> ExchangeFailure {
     match error {
         ClientError::Connect => ExchangeFailure::Unreachable,
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -31,6 +31,8 @@
     pub(super) blocked_parts: usize,
     /// Requests that are refused because they crash endpoints.
     pub(super) blocked_requests: usize,
+    /// Endpoints that rest.
+    pub(super) resting_endpoints: usize,
     /// Services whose endpoints this VM does not reach.
     pub(super) unreachable_services: usize,
     /// Limits that endpoints named.
@@ -138,6 +140,11 @@
             "blocked_requests",
             values.blocked_requests as u64,
         );
+        write_gauge(
+            &mut text,
+            "resting_endpoints",
+            values.resting_endpoints as u64,
+        );
         write_gauge(
             &mut text,
             "unreachable_services",
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -42,6 +42,7 @@
 mod reach_handling;
 mod reachability;
 mod request_key;
+mod rests;
 mod resumptions;
 mod retries;
 mod roles;
@@ -143,6 +144,10 @@
     HashKeySettled,
     /// The lease is due for renewal.
     RenewLease,
+    /// The rest that an endpoint asked for may have ended.
+    RestEnded(Name),
+    /// A call has waited for the end of a rest.
+    SendAfterRest(CallId),
     /// Endpoints of a service to which connections failed may be due for a check.
     CheckReach(Name),
     /// The split of engines between prefill and decode is due for review.
@@ -291,6 +296,7 @@
             }
             RelayEvent::SharedRecords { records, .. } => self.on_shared_records(records),
             RelayEvent::ControlLimit { instance, per_s } => self.on_control_limit(instance, per_s),
+            RelayEvent::ControlRest { instance, rest } => self.begin_rest(&instance, rest),
             RelayEvent::EndpointChecked {
                 instance,
                 asked_at,
@@ -325,6 +331,8 @@
                 RelayTimer::Limits => self.on_limit_timer(),
                 RelayTimer::HashKeySettled => self.is_shared_known = true,
                 RelayTimer::RenewLease => self.renew_lease(),
+                RelayTimer::RestEnded(instance) => self.on_rest_ended(&instance),
+                RelayTimer::SendAfterRest(call) => self.send_after_rest(call),
                 RelayTimer::CheckReach(service) => self.check_reach(&service),
                 RelayTimer::ReviewRoles => self.review_roles(),
                 RelayTimer::CloseConnections => self.effects.push(RelayEffect::CloseConnections),
--- a/crates/arbutusfall_core/src/relay/balance.rs
+++ b/crates/arbutusfall_core/src/relay/balance.rs
@@ -68,6 +68,7 @@
         |endpoint: &&Endpoint| !query.failed_endpoints.contains(&endpoint.listed.instance);
     let is_available = |endpoint: &&Endpoint| {
         endpoint.health.is_usable(query.now)
+            && endpoint.may_return()
             && endpoint.available_at(query.extra_delay_after_refusal) <= query.now
     };
     let available: Vec<&Endpoint> = serving
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -21,6 +21,7 @@
 use crate::relay::crash_handling::CRASHING_REQUEST;
 use crate::relay::limit_waiting::LIMITED;
 use crate::relay::notice::millis;
+use crate::relay::rests::RESTING;
 
 /// Reason of the end of a call at its deadline.
 const TIMEOUT: &str = "timeout";
@@ -262,7 +263,7 @@
 
     /// Frees a prefill result that no engine will fetch.
     pub(super) fn free_prefill_result(&mut self, result: PrefillResult) {
-        if self.now < result.expires_at {
+        if self.now < result.expires_at && !self.is_resting(&result.instance) {
             self.take_limit_tokens(&result.instance, 1.0);
             self.effects.push(RelayEffect::FreeKvCache(result.location));
         }
@@ -297,10 +298,10 @@
             })
         } else {
             let left = call.time_left(self.now);
-            let after = if reason == LIMITED {
-                self.retry_after_limit(&call)
-            } else {
-                self.retry_after_for(reason, left)
+            let after = match reason {
+                LIMITED => self.retry_after_limit(&call),
+                RESTING => self.retry_after_rest(&call),
+                _ => self.retry_after_for(reason, left),
             };
             Problem::retry(ProblemKind::NotRun, after)
         };
--- a/crates/arbutusfall_core/src/relay/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint.rs
@@ -57,6 +57,9 @@
 /// Prefill rate assumed for an engine before its first prefill, in prompt tokens per millisecond.
 const INITIAL_PREFILL_TOKENS_PER_MS: f64 = 40.0;
 
+/// Requests in progress from which the load of an endpoint has returned after a rest.
+const RETURNED_REQUESTS: u32 = 32;
+
 /// Time within which an answer of an engine proves that it did not end before; after it, the engine may have started again.
 const UNMARKED_END_LIFETIME: Duration = Duration::from_millis(1_000);
 
@@ -103,6 +106,10 @@
     /// Number of the engine's consecutive prefill results whose decode was refused.
     suspected_losses: u32,
     unmarked_ends: Vec<UnmarkedEnd>,
+    /// End of the rest that the endpoint asked for; none if it does not rest.
+    rest_until: Option<Duration>,
+    /// Requests of this VM that it may have in progress while its load returns after a rest; none if any number.
+    returning_limit: Option<u32>,
     /// Instant from which the endpoint may be removed; none while it is listed.
     pub(crate) remove_at: Option<Duration>,
 }
@@ -145,10 +152,51 @@
             decode_refusals: 0,
             suspected_losses: 0,
             unmarked_ends: Vec::new(),
+            rest_until: None,
+            returning_limit: None,
             remove_at: None,
         }
     }
 
+    /// Makes the endpoint rest until an instant; returns false if it rests for longer already.
+    pub(crate) fn rest_until(&mut self, until: Duration) -> bool {
+        let is_longer = self.rest_until.is_none_or(|known| known < until);
+        if is_longer {
+            self.rest_until = Some(until);
+        }
+        is_longer
+    }
+
+    /// Ends the endpoint's rest if it is due; returns whether it is.
+    pub(crate) fn end_rest(&mut self, now: Duration) -> bool {
+        let is_due = self.rest_until.is_some_and(|until| now >= until);
+        if is_due {
+            self.rest_until = None;
+            self.returning_limit = Some(1);
+        }
+        is_due
+    }
+
+    pub(crate) fn is_resting(&self) -> bool {
+        self.rest_until.is_some()
+    }
+
+    pub(crate) fn rest_end(&self) -> Option<Duration> {
+        self.rest_until
+    }
+
+    /// Returns whether the endpoint may have one more request while its load returns after a rest.
+    pub(crate) fn may_return(&self) -> bool {
+        self.returning_limit
+            .is_none_or(|limit| self.in_flight < limit)
+    }
+
+    /// Records that the endpoint took a request: twice as many may return to it.
+    pub(crate) fn on_taken(&mut self) {
+        let doubled = self.returning_limit.map(|limit| limit * 2);
+        self.returning_limit = doubled.filter(|limit| *limit < RETURNED_REQUESTS);
+    }
+
     /// Returns the instant from which a request may be sent to the endpoint: `unavailable_until` plus the `delay`, or
     /// without a `delay` immediately if this VM has released memory there since the refusal. Never before
     /// `decode_backoff_until`.
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -73,8 +73,8 @@
         }
     }
 
-    /// Returns the endpoints of a service and role that take new work.
-    pub(crate) fn serving<'a>(
+    /// Returns the endpoints of a service and role that do not leave; some may rest.
+    pub(crate) fn in_role<'a>(
         &'a self,
         service: &'a Name,
         role: Role,
@@ -83,6 +83,29 @@
             .filter(move |endpoint| endpoint.listed.role == role)
     }
 
+    /// Returns the endpoints that could take new work of a call in this role if they did not rest.
+    pub(crate) fn resting_for_call<'a>(
+        &'a self,
+        call: &'a Call,
+        role: Role,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        let version = call.version_for(role);
+        self.in_role(&call.service, role).filter(move |endpoint| {
+            endpoint.is_resting()
+                && version.is_none_or(|version| endpoint.listed.version == *version)
+        })
+    }
+
+    /// Returns the endpoints of a service and role that take new work.
+    pub(crate) fn serving<'a>(
+        &'a self,
+        service: &'a Name,
+        role: Role,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        let endpoints = self.in_role(service, role);
+        endpoints.filter(|endpoint| !endpoint.is_resting())
+    }
+
     /// Returns the endpoints that take new work of a call in this role. Prefill engines of any version serve a stream of
     /// any other: only the version that decodes writes events.
     pub(crate) fn serving_call<'a>(
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -91,6 +91,13 @@
         /// Requests a second that it takes from all VMs together.
         per_s: f64,
     },
+    /// An engine turned a control request away and asks for rest.
+    ControlRest {
+        /// The engine.
+        instance: Name,
+        /// Time for which it wants no requests from this VM.
+        rest: Duration,
+    },
     /// A check whether an endpoint has ended is over.
     EndpointChecked {
         /// The endpoint.
@@ -279,6 +286,11 @@
     /// The head of the endpoint's answer names no limit, although it had one when the request was sent; comes before the event
     /// of the answer.
     LimitAbsent,
+    /// The endpoint turned the request away and asks for rest; comes before the event of the answer.
+    RestAsked {
+        /// Time for which it wants no requests from this VM.
+        rest: Duration,
+    },
     /// The engine reserved memory.
     Reserved {
         /// The engine's id of the reservation.
--- a/crates/arbutusfall_core/src/relay/exchange_end.rs
+++ b/crates/arbutusfall_core/src/relay/exchange_end.rs
@@ -133,7 +133,9 @@
             endpoint.allocated_tokens = endpoint.allocated_tokens.saturating_sub(allocation.tokens);
             endpoint.on_memory_released();
         }
-        if let Some(reservation) = allocation.reservation {
+        if let Some(reservation) = allocation.reservation
+            && !self.is_resting(&allocation.instance)
+        {
             self.take_limit_tokens(&allocation.instance, 1.0);
             self.effects.push(RelayEffect::FreeReservation {
                 address: allocation.address,
--- a/crates/arbutusfall_core/src/relay/limit_handling.rs
+++ b/crates/arbutusfall_core/src/relay/limit_handling.rs
@@ -31,7 +31,7 @@
     }
 
     /// Returns the endpoint of an exchange of the call, current or in standby, and when it was sent.
-    fn sent_to(&self, id: CallId, exchange: ExchangeId) -> Option<(Name, Duration)> {
+    pub(super) fn sent_to(&self, id: CallId, exchange: ExchangeId) -> Option<(Name, Duration)> {
         let call = self.calls.get(&id)?;
         let standby = call.standby.as_ref().map(|standby| &standby.exchange);
         let mut exchanges = call.current.iter().chain(standby);
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -74,6 +74,15 @@
         /// Time for which it is avoided.
         avoided_ms: u64,
     },
+    /// An endpoint turned a request away and asked for rest: this VM sends it nothing meanwhile.
+    EndpointResting {
+        /// Instance.
+        instance: Name,
+        /// Service that it belongs to.
+        service: Name,
+        /// Time for which it asked.
+        rest_ms: u64,
+    },
     /// Connections to the endpoints of a service all fail: this VM is cut off from them, or they have ended.
     ServiceUnreachable {
         /// The service.
@@ -391,6 +400,7 @@
             Self::EndpointListed { .. } => "endpoint_listed",
             Self::EndpointGone { .. } => "endpoint_gone",
             Self::EndpointAvoided { .. } => "endpoint_avoided",
+            Self::EndpointResting { .. } => "endpoint_resting",
             Self::ServiceUnreachable { .. } => "service_unreachable",
             Self::ServiceReachable { .. } => "service_reachable",
             Self::EndpointLimited { .. } => "endpoint_limited",
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -33,6 +33,9 @@
         if is_sign_of_life(&event) {
             self.on_endpoint_alive(id);
         }
+        if is_taken(&event) {
+            self.on_request_taken(id);
+        }
         let is_forwarding = self.is_forwarding(id);
         if !is_forwarding && !matches!(event, ExchangeEvent::Failed { .. }) {
             self.on_exchange_connected(id);
@@ -40,6 +43,7 @@
         match event {
             ExchangeEvent::LimitNamed { per_s } => self.on_limit_named(id, exchange, per_s),
             ExchangeEvent::LimitAbsent => self.on_limit_absent(id, exchange),
+            ExchangeEvent::RestAsked { rest } => self.on_rest_asked(id, exchange, rest),
             ExchangeEvent::Reserved { reservation } => self.on_reserved(id, reservation),
             ExchangeEvent::PrefillDone { handle } => self.on_prefill_done(id, handle),
             ExchangeEvent::StreamBegan => {
@@ -59,6 +63,14 @@
         }
     }
 
+    /// Records that the endpoint of the call's exchange took the request.
+    fn on_request_taken(&mut self, id: CallId) {
+        let current = self.calls.get(&id).and_then(|call| call.current.as_ref());
+        if let Some(endpoint) = current.and_then(|c| self.endpoints.get_mut(&c.instance)) {
+            endpoint.on_taken();
+        }
+    }
+
     fn on_reserved(&mut self, id: CallId, reservation: Name) {
         if let Some(allocation) = self
             .calls
@@ -390,6 +402,17 @@
     }
 }
 
+/// Returns whether an event shows that the endpoint took the request.
+fn is_taken(event: &ExchangeEvent) -> bool {
+    match event {
+        ExchangeEvent::Reserved { .. }
+        | ExchangeEvent::PrefillDone { .. }
+        | ExchangeEvent::StreamBegan => true,
+        ExchangeEvent::Complete { status } => *status < 500,
+        _ => false,
+    }
+}
+
 /// Returns whether an event shows that the endpoint's process runs.
 fn is_sign_of_life(event: &ExchangeEvent) -> bool {
     matches!(
--- a/crates/arbutusfall_core/src/relay/roles.rs
+++ b/crates/arbutusfall_core/src/relay/roles.rs
@@ -167,8 +167,8 @@
     fn plan_role_change(&self, service: &Name) -> Option<(Role, Vec<Name>)> {
         let usage = self.recent_usage(service);
         let engine = self.routes.as_ref()?.engine(service)?;
-        let prefill_engines = self.endpoints.serving(service, Role::Prefill).count();
-        let decode_engines = self.endpoints.serving(service, Role::Decode).count();
+        let prefill_engines = self.endpoints.in_role(service, Role::Prefill).count();
+        let decode_engines = self.endpoints.in_role(service, Role::Decode).count();
         let engines = prefill_engines + decode_engines;
         let is_settled = usage
             .observed_since
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -46,6 +46,7 @@
         if self.goes_another_way(id) {
             return;
         }
+        self.leave_resting_engine(id);
         let Some(stage) = self.next_stage(id) else {
             return;
         };
@@ -56,6 +57,7 @@
         }
         match self.next_instance(id, stage) {
             Some(instance) => self.send(id, instance, stage),
+            None if self.wait_for_rest_or_fail(id, stage) => {}
             None => self.wait_for_limit_or_fail(id, stage),
         }
     }
--- a/crates/arbutusfall_core/src/relay/standby.rs
+++ b/crates/arbutusfall_core/src/relay/standby.rs
@@ -161,8 +161,10 @@
             ExchangeEvent::EndUnmarked if call.has_stream_started => {
                 self.on_standby_failed(id, ExchangeFailure::Closed);
             }
-            // The head's limit comes before the event of the answer, which tells whether the endpoint goes on.
-            ExchangeEvent::LimitNamed { .. } | ExchangeEvent::LimitAbsent => return true,
+            // What the head says comes before the event of the answer, which tells whether the endpoint goes on.
+            ExchangeEvent::LimitNamed { .. }
+            | ExchangeEvent::LimitAbsent
+            | ExchangeEvent::RestAsked { .. } => return true,
             _ => return self.return_to_standby(id, GOES_ON),
         }
         false
