Relay: an endpoint that says it is leaving gets no more requests (DRAIN)

Cause: nothing read the header; only the list told who leaves. A VM that passes on an answer through another VM is told which endpoint said so.

--- a/crates/arbutusfall/src/relay/callers.rs
+++ b/crates/arbutusfall/src/relay/callers.rs
@@ -67,6 +67,7 @@
 
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         let mut answer = answer(&self.driver, request, Arrival::default()).await;
+        forwarding::remove_marks(answer.headers_mut());
         if !self.driver.is_ready() {
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(CONNECTION, close);
--- a/crates/arbutusfall/src/relay/control_client.rs
+++ b/crates/arbutusfall/src/relay/control_client.rs
@@ -156,6 +156,10 @@
             self.relay
                 .submit(RelayEvent::ControlLimit { instance, per_s });
         }
+        if is_from_engine && endpoints::says_leaving(answer.headers()) {
+            let instance = self.instance.clone();
+            self.relay.submit(RelayEvent::EndpointLeaves { instance });
+        }
         if let StatedRest::For(rest) = endpoints::stated_rest(answer.status(), answer.headers())
             && is_from_engine
         {
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -8,6 +8,7 @@
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ExchangeFailure;
 use arbutusfall_core::relay::NotRunReason;
+use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayNotice;
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::Work;
@@ -16,6 +17,7 @@
 use arbutusfall_platform::endpoints::ForwardedRequest;
 use arbutusfall_platform::endpoints::StatedLimit;
 use arbutusfall_platform::endpoints::StatedRest;
+use arbutusfall_platform::forwarding;
 use arbutusfall_wire::Name;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -88,6 +90,7 @@
     if is_from_endpoint && kind != AnswerKind::Malformed {
         report_limit(relay, command, kind, answer.headers());
     }
+    report_leaving(relay, command, is_from_endpoint, answer.headers());
     if is_from_endpoint {
         report_rest(relay, command, answer.status(), answer.headers());
     }
@@ -144,6 +147,23 @@
     relay.submit_exchange_event(command.exchange, event);
 }
 
+/// Reports to the relay an endpoint that says in its answer that it is leaving.
+fn report_leaving(
+    relay: &impl RelayHandle,
+    command: &SendCommand,
+    is_from_endpoint: bool,
+    headers: &HeaderMap,
+) {
+    if is_from_endpoint && endpoints::says_leaving(headers) {
+        relay.submit_exchange_event(command.exchange, ExchangeEvent::Leaving);
+    }
+    if let Work::Forward(_) = command.work
+        && let Some(instance) = forwarding::leaving_instance(headers)
+    {
+        relay.submit(RelayEvent::EndpointLeaves { instance });
+    }
+}
+
 /// Reports to the relay the rest that an answer asks for.
 fn report_rest(
     relay: &impl RelayHandle,
@@ -185,11 +205,16 @@
     parse(&body).ok_or(ExchangeFailure::Malformed)
 }
 
-fn split_head(answer: Response<Incoming>) -> (AnswerHead, Incoming) {
+fn split_head(command: &SendCommand, answer: Response<Incoming>) -> (AnswerHead, Incoming) {
     let (parts, body) = answer.into_parts();
+    let is_leaving = endpoints::says_leaving(&parts.headers);
+    let mut headers = endpoints::forwarded_answer_headers(parts.headers);
+    if is_leaving && !matches!(command.work, Work::Forward(_)) {
+        forwarding::mark_leaving(&mut headers, &command.instance);
+    }
     let head = AnswerHead {
         status: parts.status,
-        headers: endpoints::forwarded_answer_headers(parts.headers),
+        headers,
     };
     (head, body)
 }
@@ -200,7 +225,7 @@
     answer: Response<Incoming>,
 ) -> Result<ExchangeEvent, ExchangeFailure> {
     let framing = http::body_framing(&answer);
-    let (head, body) = split_head(answer);
+    let (head, body) = split_head(command, answer);
     let status = head.status.as_u16();
     let body = http::read_body(body, command.time_left, &relay.io().answer_memory)
         .await
@@ -222,7 +247,7 @@
     answer: Response<Incoming>,
 ) -> Result<ExchangeEvent, ExchangeFailure> {
     let framing = http::body_framing(&answer);
-    let (head, body) = split_head(answer);
+    let (head, body) = split_head(command, answer);
     let status = head.status.as_u16();
     relay.io().exchanges.store_head(command.exchange, head);
     relay.submit_exchange_event(command.exchange, ExchangeEvent::StreamBegan);
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -297,6 +297,7 @@
             RelayEvent::SharedRecords { records, .. } => self.on_shared_records(records),
             RelayEvent::ControlLimit { instance, per_s } => self.on_control_limit(instance, per_s),
             RelayEvent::ControlRest { instance, rest } => self.begin_rest(&instance, rest),
+            RelayEvent::EndpointLeaves { instance } => self.on_endpoint_leaves(&instance),
             RelayEvent::EndpointChecked {
                 instance,
                 asked_at,
@@ -356,6 +357,13 @@
         }
     }
 
+    /// Handles an endpoint that says itself that it is leaving.
+    fn on_endpoint_leaves(&mut self, instance: &Name) {
+        if let Some(notice) = self.endpoints.on_leaving(instance, self.now) {
+            self.note(notice);
+        }
+    }
+
     fn remove_unlisted(&mut self) {
         for notice in self.endpoints.remove_unlisted(self.now) {
             self.note(notice);
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -26,16 +26,19 @@
     by_instance: BTreeMap<Name, Endpoint>,
     /// Instant until which removals are delayed after the list could be read again.
     removals_delayed_until: Duration,
-    /// Instances that were listed as leaving, also after their removal. An endpoint that leaves never becomes ready again, but
+    /// Instances that were listed as leaving or said so, also after their removal. An endpoint that leaves never becomes ready again, but
     /// a store that returned from an older copy may say so.
     leaving: BTreeMap<Name, LeavingInstance>,
 }
 
-/// An instance that was listed as leaving.
+/// An instance that is leaving.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct LeavingInstance {
     started_unix_ms: Option<u64>,
-    listed_at: Duration,
+    /// Whether it said so itself, maybe without an entry that does.
+    is_own_word: bool,
+    /// When it was last listed, or said so.
+    known_at: Duration,
 }
 
 impl Endpoints {
@@ -167,22 +170,47 @@
     /// Returns the entry as leaving if this run of the endpoint's process was listed as leaving before.
     fn with_known_leaving(&mut self, mut listed: ListedEndpoint, now: Duration) -> ListedEndpoint {
         self.leaving
-            .retain(|_, leaving| now < leaving.listed_at + LEAVING_LIFETIME);
+            .retain(|_, leaving| now < leaving.known_at + LEAVING_LIFETIME);
         if listed.is_leaving {
             let leaving = LeavingInstance {
                 started_unix_ms: listed.started_unix_ms,
-                listed_at: now,
+                is_own_word: false,
+                known_at: now,
             };
             self.leaving.insert(listed.instance.clone(), leaving);
             return listed;
         }
-        let known = self.leaving.get(&listed.instance);
-        listed.is_leaving = known.is_some_and(|known| {
-            known.started_unix_ms.is_some() && known.started_unix_ms == listed.started_unix_ms
-        });
+        let Some(known) = self.leaving.get_mut(&listed.instance) else {
+            return listed;
+        };
+        let is_told_apart = known.started_unix_ms.is_some() || known.is_own_word;
+        listed.is_leaving = is_told_apart && known.started_unix_ms == listed.started_unix_ms;
+        if listed.is_leaving {
+            known.known_at = now;
+        }
         listed
     }
 
+    /// Records that an endpoint says itself that it is leaving; returns a notice to log if that is new. It holds until the
+    /// endpoint starts again under its id.
+    pub(crate) fn on_leaving(&mut self, instance: &Name, now: Duration) -> Option<RelayNotice> {
+        let endpoint = self.by_instance.get_mut(instance)?;
+        let listed = &mut endpoint.listed;
+        if std::mem::replace(&mut listed.is_leaving, true) {
+            return None;
+        }
+        let leaving = LeavingInstance {
+            started_unix_ms: listed.started_unix_ms,
+            is_own_word: true,
+            known_at: now,
+        };
+        self.leaving.insert(instance.clone(), leaving);
+        Some(RelayNotice::EndpointLeaving {
+            instance: instance.clone(),
+            service: listed.service.clone(),
+        })
+    }
+
     fn add_or_update(&mut self, listed: ListedEndpoint) -> Option<RelayNotice> {
         let notice = RelayNotice::EndpointListed {
             instance: listed.instance.clone(),
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -98,6 +98,11 @@
         /// Time for which it wants no requests from this VM.
         rest: Duration,
     },
+    /// An endpoint says that it is leaving, in an answer to a control request or to another VM.
+    EndpointLeaves {
+        /// The endpoint.
+        instance: Name,
+    },
     /// A check whether an endpoint has ended is over.
     EndpointChecked {
         /// The endpoint.
@@ -291,6 +296,8 @@
         /// Time for which it wants no requests from this VM.
         rest: Duration,
     },
+    /// The endpoint says in the head of its answer that it is leaving; comes before the event of the answer.
+    Leaving,
     /// The engine reserved memory.
     Reserved {
         /// The engine's id of the reservation.
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -74,6 +74,13 @@
         /// Time for which it is avoided.
         avoided_ms: u64,
     },
+    /// An endpoint said in an answer that it is leaving: this VM sends it no more requests.
+    EndpointLeaving {
+        /// Instance.
+        instance: Name,
+        /// Service that it belongs to.
+        service: Name,
+    },
     /// An endpoint turned a request away and asked for rest: this VM sends it nothing meanwhile.
     EndpointResting {
         /// Instance.
@@ -400,6 +407,7 @@
             Self::EndpointListed { .. } => "endpoint_listed",
             Self::EndpointGone { .. } => "endpoint_gone",
             Self::EndpointAvoided { .. } => "endpoint_avoided",
+            Self::EndpointLeaving { .. } => "endpoint_leaving",
             Self::EndpointResting { .. } => "endpoint_resting",
             Self::ServiceUnreachable { .. } => "service_unreachable",
             Self::ServiceReachable { .. } => "service_reachable",
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -43,6 +43,11 @@
         match event {
             ExchangeEvent::LimitNamed { per_s } => self.on_limit_named(id, exchange, per_s),
             ExchangeEvent::LimitAbsent => self.on_limit_absent(id, exchange),
+            ExchangeEvent::Leaving => {
+                if let Some((instance, _)) = self.sent_to(id, exchange) {
+                    self.on_endpoint_leaves(&instance);
+                }
+            }
             ExchangeEvent::RestAsked { rest } => self.on_rest_asked(id, exchange, rest),
             ExchangeEvent::Reserved { reservation } => self.on_reserved(id, reservation),
             ExchangeEvent::PrefillDone { handle } => self.on_prefill_done(id, handle),
--- a/crates/arbutusfall_core/src/relay/standby.rs
+++ b/crates/arbutusfall_core/src/relay/standby.rs
@@ -164,7 +164,8 @@
             // What the head says comes before the event of the answer, which tells whether the endpoint goes on.
             ExchangeEvent::LimitNamed { .. }
             | ExchangeEvent::LimitAbsent
-            | ExchangeEvent::RestAsked { .. } => return true,
+            | ExchangeEvent::RestAsked { .. }
+            | ExchangeEvent::Leaving => return true,
             _ => return self.return_to_standby(id, GOES_ON),
         }
         false
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -31,6 +31,7 @@
 mod relay_fleet;
 mod relay_forwarding;
 mod relay_harness;
+mod relay_leaving;
 mod relay_limited_endpoint;
 mod relay_load;
 mod relay_model_calls;
--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/relay_leaving.rs
@@ -0,0 +1,68 @@
+//! Endpoints that say in their answers that they leave.
+
+use arbutusfall_core::config::Role;
+use arbutusfall_core::relay::EndpointListChange;
+use arbutusfall_core::relay::ExchangeEvent;
+use arbutusfall_core::relay::RelayEvent;
+
+use crate::relay_harness::RelayHarness;
+use crate::relay_harness::listed;
+use crate::relay_harness::ms;
+
+fn says_leaving(harness: &mut RelayHarness, instance: &str) {
+    let instance = instance.into();
+    harness.apply(RelayEvent::EndpointLeaves { instance });
+}
+
+/// Lists a run of an endpoint's process as ready.
+fn list(harness: &mut RelayHarness, instance: &str, started_unix_ms: Option<u64>) {
+    let mut entry = listed(instance, "shop", Role::Plain);
+    entry.started_unix_ms = started_unix_ms;
+    let changes = vec![EndpointListChange::Listed(entry)];
+    harness.apply(RelayEvent::EndpointChanges(changes));
+}
+
+fn is_used(harness: &mut RelayHarness, instance: &str) -> bool {
+    let mut is_used = false;
+    for _ in 0..20 {
+        harness.submit("/look/1");
+        for sent in harness.take_sends() {
+            is_used |= &*sent.instance == instance;
+            let complete = ExchangeEvent::Complete { status: 200 };
+            harness.deliver(sent.exchange, complete);
+        }
+    }
+    is_used
+}
+
+// Guards against heartbeats, or an outage of the store, that make a leaving endpoint ready again.
+#[test]
+fn endpoint_that_says_it_leaves_stays_leaving_while_it_is_listed_as_ready() {
+    for started in [None, Some(7)] {
+        let mut harness = RelayHarness::configured(1);
+        list(&mut harness, "shop-1", started);
+        assert!(is_used(&mut harness, "shop-1"));
+        says_leaving(&mut harness, "shop-1");
+        for _ in 0..100 {
+            harness.advance(ms(1_200));
+            list(&mut harness, "shop-1", started);
+            assert!(!is_used(&mut harness, "shop-1"));
+        }
+        let instance = "shop-1".into();
+        let removed = vec![EndpointListChange::Removed { instance }];
+        harness.apply(RelayEvent::EndpointChanges(removed));
+        harness.advance(ms(3_000));
+        list(&mut harness, "shop-1", started);
+        assert!(!is_used(&mut harness, "shop-1"));
+    }
+}
+
+// Guards against a new run of an endpoint's process that is taken for the one that left.
+#[test]
+fn endpoint_that_starts_again_is_used_again() {
+    let mut harness = RelayHarness::configured(1);
+    says_leaving(&mut harness, "shop-1");
+    assert!(!is_used(&mut harness, "shop-1"));
+    list(&mut harness, "shop-1", Some(2));
+    assert!(is_used(&mut harness, "shop-1"));
+}
