Relay: no cause of crashes is blocked before other VMs are heard after an outage of the store

A sound resumable stream got 400 from one VM: a part that all prompts share was blocked there for 130 ms.

Cause: four engines ended within 0.5 s under a prompt that crashes engines, beside prompts with the sound part, while the store was away. The VM counted 1.4 s in which any VM may clear the cause; for 1.3 s of it no VM was heard and no engine was up. Others had answered such prompts 0.14 s before the block. Class: a time limit that runs while what could refute it can't arrive.

Change: after the shared records could be read again, or the store returned from an older copy, causes are blocked 1.2 s later at the earliest. Without the store blocks are decided as before. The new test failed before (refused 0.5 s after the outage) and passes; it also demands the block if nobody clears the cause.

--- a/crates/arbutusfall_core/src/relay/crash_suspects.rs
+++ b/crates/arbutusfall_core/src/relay/crash_suspects.rs
@@ -30,6 +30,9 @@
 /// Time from the last of the blocking crashes to the block, in which any VM may clear the cause.
 const SETTLE_TIME: Duration = Duration::from_millis(1_400);
 
+/// Time from the first read of the shared records after an outage until other VMs' answers to what they read then are read.
+const HEAR_OTHERS_TIME: Duration = Duration::from_millis(1_200);
+
 /// Time for which evidence is kept.
 pub(crate) const EVIDENCE_LIFETIME: Duration = Duration::from_secs(3_600);
 
@@ -127,6 +130,8 @@
     suspects: BTreeMap<CrashCause, Suspect>,
     blocks: BTreeMap<CrashCause, CauseBlock>,
     answered: AnsweredCauses,
+    /// No cause is blocked before this instant: other VMs may be about to clear it.
+    blocks_from: Duration,
     /// Evidence that has given way to newer evidence.
     displaced: Vec<(CrashCause, CrashId)>,
 }
@@ -291,14 +296,23 @@
         self.blocks.remove(cause).is_some()
     }
 
+    /// Delays blocks until what other VMs know can have been read again.
+    pub(crate) fn on_shared_readable(&mut self, now: Duration) {
+        self.blocks_from = now + HEAR_OTHERS_TIME;
+    }
+
     /// Returns the instant at which [`Self::block_due`] has something to do.
     pub(crate) fn next_block(&self) -> Option<Duration> {
         let due = self.suspects.values();
-        due.filter_map(|suspect| suspect.block_at).min()
+        let due = due.filter_map(|suspect| suspect.block_at).min()?;
+        Some(due.max(self.blocks_from))
     }
 
     /// Blocks the suspects whose time has come. With too many blocks they stay suspects, to be blocked later.
     pub(crate) fn block_due(&mut self, now: Duration) -> Vec<NewBlock> {
+        if now < self.blocks_from {
+            return Vec::new();
+        }
         let due = self
             .suspects
             .iter()
--- a/crates/arbutusfall_core/src/relay/shared_handling.rs
+++ b/crates/arbutusfall_core/src/relay/shared_handling.rs
@@ -30,6 +30,9 @@
     /// Takes over all records that VMs share, as read from the store.
     pub(super) fn on_all_shared_records(&mut self, records: Vec<SharedRecord>) {
         let has_returned = std::mem::take(&mut self.has_store_returned);
+        if has_returned {
+            self.crash_suspects.on_shared_readable(self.now);
+        }
         let listed: BTreeSet<SharedKey> = records.iter().map(SharedRecord::key).collect();
         for record in self.own_view_of_shared_records() {
             let key = record.key();
--- a/crates/arbutusfall_core/src/relay/store_view.rs
+++ b/crates/arbutusfall_core/src/relay/store_view.rs
@@ -85,8 +85,10 @@
         if !self.store.record(topic, is_reachable, self.now) {
             return;
         }
-        if is_reachable && topic == StoreTopic::Endpoints {
-            self.endpoints.on_list_recovered(self.now);
+        match topic {
+            StoreTopic::Endpoints if is_reachable => self.endpoints.on_list_recovered(self.now),
+            StoreTopic::Shared if is_reachable => self.crash_suspects.on_shared_readable(self.now),
+            StoreTopic::Config | StoreTopic::Endpoints | StoreTopic::Shared => {}
         }
         self.note(RelayNotice::Store {
             topic,
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -20,6 +20,8 @@
 use arbutusfall_core::relay::RequestKey;
 use arbutusfall_core::relay::SharedKey;
 use arbutusfall_core::relay::SharedRecord;
+use arbutusfall_core::relay::StoreReadFailure;
+use arbutusfall_core::relay::StoreTopic;
 use arbutusfall_wire::Name;
 
 use crate::relay_crashing_site::CrashingSite;
@@ -600,3 +602,43 @@
     harness.advance(ms(3_100));
     assert!(harness.effects.contains(&RelayEffect::SetReady(true)));
 }
+
+fn read_shared(harness: &mut RelayHarness, succeeded: bool) {
+    harness.apply(RelayEvent::StoreRead {
+        topic: StoreTopic::Shared,
+        failure: (!succeeded).then_some(StoreReadFailure::Silent),
+    });
+}
+
+// Guards against a sound request that is blocked just after an outage of the store, before other VMs could tell that it is
+// answered.
+#[test]
+fn request_is_not_blocked_before_other_vms_are_heard_after_an_outage_of_the_store() {
+    for is_answered_elsewhere in [true, false] {
+        let mut harness = start();
+        harness.apply(RelayEvent::EndpointChanges(endpoints(6)));
+        run(&mut harness, ms(2_000), true);
+        read_shared(&mut harness, false);
+        for _ in 0..3 {
+            break_off(&mut harness, "/pay/a");
+            run(&mut harness, ms(200), false);
+        }
+        run(&mut harness, ms(1_000), false);
+        read_shared(&mut harness, true);
+        let told = run(&mut harness, ms(500), true);
+        assert!(!is_refused(&mut harness, "/pay/a"));
+        if is_answered_elsewhere {
+            let evidence = told.into_iter().filter_map(|record| match record {
+                SharedRecord::Crash { cause, crash, .. } => Some(SharedRecord::Crash {
+                    cause,
+                    crash,
+                    evidence: None,
+                }),
+                _ => None,
+            });
+            read(&mut harness, evidence.collect());
+        }
+        run(&mut harness, ms(2_500), true);
+        assert_eq!(is_refused(&mut harness, "/pay/a"), !is_answered_elsewhere);
+    }
+}
