Relay: a VM behind which a stream broke off is used again (RECOVER)

And each VM counted the endpoints that ended under a request anew.

Two new tests, not run on the code before.

--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -134,7 +134,7 @@
             has_waited: false,
             failed_endpoints: Vec::new(),
             causes: causes_of(&request),
-            endpoint_ends: 0,
+            endpoint_ends: hop.map_or(0, |hop| hop.endpoint_ends),
             has_survived: false,
             is_end_unmarked: false,
             may_have_run: false,
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -247,6 +247,8 @@
     pub config_version: u64,
     /// Number of sends that may have run the request already.
     pub attempts: u32,
+    /// Number of endpoints that may have ended while they ran it.
+    pub endpoint_ends: u32,
     /// Version of the endpoint that brought the stream's first event, if it is known.
     pub stream_version: Option<Name>,
 }
--- a/crates/arbutusfall_core/src/relay/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/forwarding.rs
@@ -23,6 +23,7 @@
 use crate::relay::call::Call;
 use crate::relay::call::CallStage;
 use crate::relay::call::CurrentExchange;
+use crate::relay::crash_handling::SUSPECT;
 use crate::relay::notice::millis;
 use crate::relay::peers::PeerRefusal;
 
@@ -159,10 +160,19 @@
             return;
         }
         self.mark_may_have_run(id, CallStage::Forward);
-        let vm = self.current_instance(id);
+        let current = self.calls.get(&id).and_then(|call| call.current.clone());
         self.fail_exchange(id, failure.name(), false);
-        if let Some(vm) = vm {
-            self.peers.on_refused(&vm, PeerRefusal::Failed, self.now);
+        if let Some(current) = current.filter(|current| !current.has_begun) {
+            // A stream that began breaks off with its endpoint, which says nothing of the other VM.
+            let vm = &current.instance;
+            self.peers.on_refused(vm, PeerRefusal::Declined, self.now);
+        }
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.endpoint_ends += 1;
+        }
+        if self.may_crash_next_endpoint(id) {
+            self.fail_call(id, SUSPECT);
+            return;
         }
         self.retry_within_budget(id);
     }
@@ -275,6 +285,7 @@
             service: self.service.clone(),
             config_version: self.config_version,
             attempts: self.attempts,
+            endpoint_ends: self.endpoint_ends,
             stream_version: self.stream_version.clone(),
         };
         SendCommand {
--- a/crates/arbutusfall_core/tests/it/relay_forwarding.rs
+++ b/crates/arbutusfall_core/tests/it/relay_forwarding.rs
@@ -93,6 +93,7 @@
         service: "shop".into(),
         config_version: 1,
         attempts: 0,
+        endpoint_ends: 0,
         stream_version: None,
     }
 }
@@ -305,14 +306,7 @@
     harness.deliver(second.exchange, REFUSED);
     assert_eq!(harness.take_sends(), []);
     assert_eq!(harness.final_effect(first), None);
-    for instance in ["decode-1", "decode-2", "prefill-1"] {
-        harness.advance(ms(1));
-        harness.apply(RelayEvent::EndpointChecked {
-            instance: instance.into(),
-            asked_at: harness.now,
-            is_reachable: false,
-        });
-    }
+    cut_off_engines(&mut harness);
     let sends = harness.take_sends();
     assert_eq!(sends.len(), 1, "{sends:?}");
     assert_eq!(sends[0].call, first);
@@ -338,3 +332,42 @@
         assert_eq!(appended, !is_recorded);
     }
 }
+
+// Guards against a sound VM that is avoided since a stream of an endpoint broke off behind it.
+#[test]
+fn vm_behind_which_a_stream_broke_off_is_used_again() {
+    let mut harness = vm_with_peers(&[("near", "a")]);
+    cut_off_engines(&mut harness);
+    for number in 0..3 {
+        let call = harness.submit(&format!("/stream/{number}"));
+        let sent = harness.take_only_send();
+        assert_eq!(&*sent.instance, "near", "{number}");
+        harness.deliver(sent.exchange, ExchangeEvent::StreamBegan);
+        harness.deliver(sent.exchange, CLOSED);
+        assert!(harness.final_effect(call).is_some());
+    }
+}
+
+// Guards against a request that ends one endpoint after the other because each VM counts anew.
+#[test]
+fn request_that_may_have_ended_an_endpoint_is_told_so_to_the_next_vm() {
+    let mut harness = vm_with_peers(&[("near", "a"), ("far", "b")]);
+    cut_off_engines(&mut harness);
+    harness.submit("/resumable/1");
+    let sent = harness.take_only_send();
+    harness.deliver(sent.exchange, CLOSED);
+    let again = harness.take_only_send();
+    assert_eq!(forwarded(&again).hop.endpoint_ends, 1);
+}
+
+/// Cuts the VM off from all engines.
+fn cut_off_engines(harness: &mut RelayHarness) {
+    for instance in ["decode-1", "decode-2", "prefill-1"] {
+        harness.advance(ms(1));
+        harness.apply(RelayEvent::EndpointChecked {
+            instance: instance.into(),
+            asked_at: harness.now,
+            is_reachable: false,
+        });
+    }
+}
