--- a/crates/arbutusfall_core/src/relay/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/forwarding.rs
@@ -88,9 +88,13 @@
         let mut excluded = call.failed_endpoints.clone();
         excluded.push(own.clone());
         let data_centre = &own_address.data_centre;
-        let selected = self
-            .peers
-            .select(data_centre, &excluded, self.now, &mut self.rng);
+        let selected = self.peers.select(
+            &call.service,
+            data_centre,
+            &excluded,
+            self.now,
+            &mut self.rng,
+        );
         let Some(vm) = selected else {
             return false;
         };
@@ -160,13 +164,15 @@
             return;
         }
         self.mark_may_have_run(id, CallStage::Forward);
-        let current = self.calls.get(&id).and_then(|call| call.current.clone());
-        self.fail_exchange(id, failure.name(), false);
-        if let Some(current) = current.filter(|current| !current.has_begun) {
+        let has_begun = self.calls.get(&id).is_some_and(|call| {
+            let current = call.current.as_ref();
+            current.is_some_and(|current| current.has_begun)
+        });
+        if !has_begun {
             // A stream that began breaks off with its endpoint, which says nothing of the other VM.
-            let vm = &current.instance;
-            self.peers.on_refused(vm, PeerRefusal::Declined, self.now);
+            self.record_peer_refusal(id, PeerRefusal::Declined);
         }
+        self.fail_exchange(id, failure.name(), false);
         if let Some(call) = self.calls.get_mut(&id) {
             call.endpoint_ends += 1;
         }
@@ -184,7 +190,7 @@
         let Some(current) = current else {
             return;
         };
-        self.peers.on_refused(&current.instance, refusal, self.now);
+        self.record_peer_refusal(id, refusal);
         if let Some(call) = self.calls.get_mut(&id) {
             call.attempts = call.attempts.saturating_sub(1);
         }
@@ -195,9 +201,7 @@
     /// Handles the complete answer of another VM, which is final.
     pub(super) fn on_forward_complete(&mut self, id: CallId, exchange: ExchangeId, status: u16) {
         self.drop_standby(id);
-        if let Some(vm) = self.current_instance(id) {
-            self.peers.on_taken(&vm);
-        }
+        self.on_forward_began(id);
         self.end_exchange(id);
         self.answer(id, exchange, status);
     }
@@ -210,16 +214,25 @@
         }
     }
 
-    /// Handles the beginning of a stream at another VM.
+    /// Handles the beginning of another VM's answer.
     pub(super) fn on_forward_began(&mut self, id: CallId) {
-        if let Some(vm) = self.current_instance(id) {
-            self.peers.on_taken(&vm);
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        if let Some(current) = &call.current {
+            self.peers.on_taken(&current.instance, &call.service);
         }
     }
 
-    fn current_instance(&self, id: CallId) -> Option<Name> {
-        let current = self.calls.get(&id)?.current.as_ref()?;
-        Some(current.instance.clone())
+    /// Records that the VM of the call's exchange has not taken the request.
+    fn record_peer_refusal(&mut self, id: CallId, refusal: PeerRefusal) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        if let Some(current) = &call.current {
+            let vm = &current.instance;
+            self.peers.on_refused(vm, &call.service, refusal, self.now);
+        }
     }
 
     /// Returns whether the call's exchange is with another VM.
--- a/crates/arbutusfall_core/src/relay/peers.rs
+++ b/crates/arbutusfall_core/src/relay/peers.rs
@@ -7,11 +7,11 @@
 
 use crate::relay::PeerAddress;
 
-/// Time for which a VM gets no requests after it declined one; doubles with each consecutive time.
+/// Time for which a VM gets no requests of a service after it declined one; doubles with each consecutive time.
 const DECLINED_BACKOFF: Duration = Duration::from_millis(500);
 
 /// Upper limit of [`DECLINED_BACKOFF`] when doubled.
-const MAX_DECLINED_BACKOFF: Duration = Duration::from_secs(4);
+const MAX_DECLINED_BACKOFF: Duration = Duration::from_secs(1);
 
 /// Time for which a VM gets no requests after it failed one; doubles with each consecutive time.
 const FAILED_BACKOFF: Duration = Duration::from_secs(2);
@@ -22,12 +22,31 @@
 /// Why a VM did not take a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PeerRefusal {
-    /// It can't take requests now.
+    /// It can't take requests of the service now.
     Declined,
     /// It does not answer.
     Failed,
 }
 
+/// Time without requests after consecutive refusals.
+#[derive(Debug, Clone, Copy, Default)]
+struct Backoff {
+    refusals: u32,
+    until: Duration,
+}
+
+impl Backoff {
+    /// Records a refusal; those during the backoff don't make it longer.
+    fn on_refused(&mut self, least: Duration, most: Duration, now: Duration) {
+        if now < self.until {
+            return;
+        }
+        let doublings = self.refusals.min(8);
+        self.refusals += 1;
+        self.until = now + (least * (1 << doublings)).min(most);
+    }
+}
+
 /// Another VM.
 #[derive(Debug, Clone)]
 struct Peer {
@@ -36,9 +55,9 @@
     in_flight: u32,
     /// Whether it took the newest request that was sent to it.
     is_proven: bool,
-    /// Consecutive requests that it did not take.
-    refusals: u32,
-    unusable_until: Duration,
+    failed: Backoff,
+    /// By service: it may reach one and not another.
+    declined: BTreeMap<Name, Backoff>,
 }
 
 impl Peer {
@@ -47,10 +66,15 @@
             listed,
             in_flight: 0,
             is_proven: false,
-            refusals: 0,
-            unusable_until: Duration::ZERO,
+            failed: Backoff::default(),
+            declined: BTreeMap::new(),
         }
     }
+
+    fn is_usable(&self, service: &Name, now: Duration) -> bool {
+        let declined = self.declined.get(service).copied().unwrap_or_default();
+        now >= self.failed.until && now >= declined.until
+    }
 }
 
 /// The other VMs by name.
@@ -80,10 +104,11 @@
         self.by_vm.get(vm).map(|peer| &peer.listed)
     }
 
-    /// Returns the VM to which a request is forwarded: in this VM's data centre if possible, then one that has taken a request, then
+    /// Returns the VM to which a request of a service is forwarded: in this VM's data centre if possible, then one that has taken a request, then
     /// the one with the fewest requests in progress.
     pub(crate) fn select(
         &self,
+        service: &Name,
         data_centre: &Name,
         failed: &[Name],
         now: Duration,
@@ -92,7 +117,7 @@
         let usable = self
             .by_vm
             .iter()
-            .filter(|(vm, peer)| now >= peer.unusable_until && !failed.contains(vm));
+            .filter(|(vm, peer)| peer.is_usable(service, now) && !failed.contains(vm));
         let ranked = usable.map(|(vm, peer)| {
             let is_far = peer.listed.data_centre != *data_centre;
             ((is_far, !peer.is_proven, peer.in_flight, rng.u32(..)), vm)
@@ -114,35 +139,35 @@
         }
     }
 
-    /// Records that a VM has taken a request.
-    pub(crate) fn on_taken(&mut self, vm: &Name) {
+    /// Records that a VM has taken a request of a service.
+    pub(crate) fn on_taken(&mut self, vm: &Name, service: &Name) {
         if let Some(peer) = self.by_vm.get_mut(vm) {
             peer.is_proven = true;
-            peer.refusals = 0;
-            peer.unusable_until = Duration::ZERO;
+            peer.failed = Backoff::default();
+            peer.declined.remove(service);
         }
     }
 
-    /// Records that a VM has not taken a request; returns the time for which it gets no further ones.
+    /// Records that a VM has not taken a request of a service.
     pub(crate) fn on_refused(
         &mut self,
         vm: &Name,
+        service: &Name,
         refusal: PeerRefusal,
         now: Duration,
-    ) -> Duration {
+    ) {
         let Some(peer) = self.by_vm.get_mut(vm) else {
-            return Duration::ZERO;
-        };
-        let (least, most) = match refusal {
-            PeerRefusal::Declined => (DECLINED_BACKOFF, MAX_DECLINED_BACKOFF),
-            PeerRefusal::Failed => (FAILED_BACKOFF, MAX_FAILED_BACKOFF),
+            return;
         };
-        if now >= peer.unusable_until {
-            peer.refusals += 1;
-            let doublings = peer.refusals.saturating_sub(1).min(8);
-            peer.unusable_until = now + (least * (1 << doublings)).min(most);
-        }
         peer.is_proven = false;
-        peer.unusable_until - now
+        match refusal {
+            PeerRefusal::Failed => peer
+                .failed
+                .on_refused(FAILED_BACKOFF, MAX_FAILED_BACKOFF, now),
+            PeerRefusal::Declined => {
+                let declined = peer.declined.entry(service.clone()).or_default();
+                declined.on_refused(DECLINED_BACKOFF, MAX_DECLINED_BACKOFF, now);
+            }
+        }
     }
 }
--- a/crates/arbutusfall_core/tests/it/relay_forwarding.rs
+++ b/crates/arbutusfall_core/tests/it/relay_forwarding.rs
@@ -410,3 +410,16 @@
         }
     }
 }
+
+// Guards against a VM that is not used for one service since it does not reach another.
+#[test]
+fn vm_that_declines_requests_of_one_service_gets_those_of_others() {
+    let mut harness = vm_with_peers(&[("near", "a")]);
+    cut_off_engines(&mut harness);
+    harness.submit("/stream/1");
+    let sent = harness.take_only_send();
+    harness.deliver(sent.exchange, REFUSED);
+    harness.take_sends();
+    let (_, sends) = cut_off(&mut harness, "/look/1");
+    assert_eq!(&*sends[0].instance, "near");
+}
