Relay: a VM that stops finishes what it has taken from other VMs (RECOVER)

A VM that got SIGTERM exited as soon as its own callers were done; a payment that it had taken from another VM got 502 there while its endpoint was at work. Seen in a review of the diff, shown by the new test: 502 before, 200 now. The listener for VMs is closed like that for callers, within the drain timeout.

--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -17,6 +17,7 @@
 use error_stack::Report;
 use error_stack::ResultExt;
 use futures_lite::StreamExt;
+use futures_lite::future;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -150,9 +151,14 @@
         close_timeout.saturating_sub(LAST_ANSWERS_TIME),
     );
     driver.io().spawn(end_calls);
-    listener.close(close_timeout).await;
+    let close_peers = async {
+        if let Some(peers) = peers {
+            peers.close(close_timeout).await;
+        }
+    };
+    // Requests of other VMs are finished like those of callers.
+    future::zip(listener.close(close_timeout), close_peers).await;
     drop(operators);
-    drop(peers);
     driver.io().record_notice(&RelayNotice::Stopped);
     driver.io().finish_log(LOG_TIMEOUT).await;
     Ok(())
