--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -182,6 +182,15 @@
         self.has_stream_started || self.stream_version.is_some()
     }
 
+    /// Returns the role of the endpoints that answer the call.
+    pub(crate) fn serving_role(&self) -> Role {
+        if self.route.is_model_route {
+            Role::Decode
+        } else {
+            Role::Plain
+        }
+    }
+
     /// Returns the version that endpoints of this role must have, if any.
     pub(crate) fn version_for(&self, role: Role) -> Option<&Name> {
         self.stream_version
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -21,7 +21,6 @@
 use crate::relay::crash_handling::CRASHING_REQUEST;
 use crate::relay::limit_waiting::LIMITED;
 use crate::relay::notice::millis;
-use crate::relay::rests::RESTING;
 
 /// Reason of the end of a call at its deadline.
 const TIMEOUT: &str = "timeout";
@@ -300,7 +299,7 @@
             let left = call.time_left(self.now);
             let after = match reason {
                 LIMITED => self.retry_after_limit(&call),
-                RESTING => self.retry_after_rest(&call),
+                _ if self.must_wait_for_rest(&call) => self.retry_after_rest(&call),
                 _ => self.retry_after_for(reason, left),
             };
             Problem::retry(ProblemKind::NotRun, after)
--- a/crates/arbutusfall_core/src/relay/limit_waiting.rs
+++ b/crates/arbutusfall_core/src/relay/limit_waiting.rs
@@ -74,11 +74,7 @@
     /// Returns the time after which a request beyond the limits of its service may come back: the limits of all its
     /// endpoints allow one more request by then.
     pub(super) fn limited_retry_delay(&self, call: &Call) -> Duration {
-        let role = if call.route.is_model_route {
-            Role::Decode
-        } else {
-            Role::Plain
-        };
+        let role = call.serving_role();
         let limits = self.endpoints.serving_call(call, role);
         let limits = limits.filter_map(|endpoint| self.limit_of(endpoint));
         let per_s: f64 = limits.map(|limit| limit.per_s).sum();
--- a/crates/arbutusfall_core/src/relay/rests.rs
+++ b/crates/arbutusfall_core/src/relay/rests.rs
@@ -123,14 +123,18 @@
         }
     }
 
+    /// Returns whether all endpoints that could take a call rest.
+    pub(super) fn must_wait_for_rest(&self, call: &Call) -> bool {
+        let role = call.serving_role();
+        let mut serving = self.endpoints.serving_call(call, role);
+        serving.next().is_none() && self.first_rest_end(call, role).is_some()
+    }
+
     /// Returns the time after which a caller may come back whose request's endpoints all rest.
     pub(super) fn retry_after_rest(&mut self, call: &Call) -> Duration {
-        let role = if call.route.is_model_route {
-            Role::Decode
-        } else {
-            Role::Plain
-        };
-        let end = self.first_rest_end(call, role).unwrap_or(self.now);
+        let end = self
+            .first_rest_end(call, call.serving_role())
+            .unwrap_or(self.now);
         let addition = MAX_REST_ADDITION.mul_f64(self.rng.f64());
         end.saturating_sub(self.now) + addition
     }
