--- a/crates/arbutusfall_core/src/relay/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/forwarding.rs
@@ -82,33 +82,11 @@
         let Some((own, own_address)) = self.own_address.clone() else {
             return false;
         };
-        let Some(call) = self.calls.get(&id) else {
-            return false;
-        };
-        let mut excluded = call.failed_endpoints.clone();
-        excluded.push(own.clone());
-        let data_centre = &own_address.data_centre;
-        let selected = self.peers.select(
-            &call.service,
-            data_centre,
-            &excluded,
-            self.now,
-            &mut self.rng,
-        );
-        let Some(vm) = selected else {
-            return false;
-        };
-        let Some(peer) = self.peers.get(&vm).cloned() else {
+        let selected = self.select_peer(id, &own, &own_address.data_centre);
+        let Some((vm, peer)) = selected else {
             return false;
         };
-        self.release_allocation(id);
-        let prefill_result = self
-            .calls
-            .get_mut(&id)
-            .and_then(|c| c.prefill_result.take());
-        if let Some(result) = prefill_result {
-            self.free_prefill_result(result);
-        }
+        self.leave_engines(id);
         let Some(call) = self.calls.get_mut(&id) else {
             return false;
         };
@@ -119,28 +97,8 @@
         self.last_exchange += 1;
         let exchange = ExchangeId(self.last_exchange);
         let command = call.forward_command(exchange, &vm, &own, &peer, self.now);
-        call.exchange_count += 1;
-        call.attempts += 1;
-        call.current = Some(CurrentExchange {
-            exchange,
-            instance: vm.clone(),
-            version: Name::default(),
-            stage: CallStage::Forward,
-            has_begun: false,
-            sent_at: self.now,
-            last_activity_at: self.now,
-            prefill_due: self.now,
-        });
-        let notice = RelayNotice::Sent {
-            request_id: call.request.request_id.clone(),
-            instance: vm.clone(),
-            version: Name::default(),
-            route: call.route.name.clone(),
-            work: CallStage::Forward.name(),
-            attempt: call.exchange_count,
-            left_ms: millis(command.time_left),
-            config_version: call.config_version,
-        };
+        call.begin_forward(exchange, &vm, self.now);
+        let notice = call.forwarded_notice(&command);
         self.peers.on_sent(&vm);
         self.calls_by_exchange.insert(exchange, id);
         self.set_silence_timer(id);
@@ -150,6 +108,31 @@
         true
     }
 
+    /// Returns the VM that takes a call, if any can.
+    fn select_peer(
+        &mut self,
+        id: CallId,
+        own: &Name,
+        data_centre: &Name,
+    ) -> Option<(Name, PeerAddress)> {
+        let call = self.calls.get(&id)?;
+        let mut excluded = call.failed_endpoints.clone();
+        excluded.push(own.clone());
+        let (peers, rng) = (&self.peers, &mut self.rng);
+        let vm = peers.select(&call.service, data_centre, &excluded, self.now, rng)?;
+        let peer = peers.get(&vm).cloned()?;
+        Some((vm, peer))
+    }
+
+    /// Gives up what the call has at engines that this VM does not reach.
+    fn leave_engines(&mut self, id: CallId) {
+        self.release_allocation(id);
+        let call = self.calls.get_mut(&id);
+        if let Some(result) = call.and_then(|call| call.prefill_result.take()) {
+            self.free_prefill_result(result);
+        }
+    }
+
     /// Handles a request that the other VM has not taken: nothing of it has run.
     pub(super) fn on_forward_declined(&mut self, id: CallId) {
         self.end_refused_forward(id, "declined", PeerRefusal::Declined);
@@ -293,6 +276,35 @@
 }
 
 impl Call {
+    /// Counts an exchange with another VM.
+    fn begin_forward(&mut self, exchange: ExchangeId, vm: &Name, now: Duration) {
+        self.exchange_count += 1;
+        self.attempts += 1;
+        self.current = Some(CurrentExchange {
+            exchange,
+            instance: vm.clone(),
+            version: Name::default(),
+            stage: CallStage::Forward,
+            has_begun: false,
+            sent_at: now,
+            last_activity_at: now,
+            prefill_due: now,
+        });
+    }
+
+    fn forwarded_notice(&self, command: &SendCommand) -> RelayNotice {
+        RelayNotice::Sent {
+            request_id: self.request.request_id.clone(),
+            instance: command.instance.clone(),
+            version: Name::default(),
+            route: self.route.name.clone(),
+            work: CallStage::Forward.name(),
+            attempt: self.exchange_count,
+            left_ms: millis(command.time_left),
+            config_version: self.config_version,
+        }
+    }
+
     fn forward_command(
         &self,
         exchange: ExchangeId,
