--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -112,16 +112,14 @@
 
     /// Logs the first time that a request waits.
     fn log_first_wait(&mut self, id: CallId) {
-        let Some(call) = self.calls.get(&id) else {
+        let Some(call) = self.calls.get(&id).filter(|call| !call.has_waited) else {
             return;
         };
         let grants_per_s = self.grants_per_s(call);
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        if std::mem::replace(&mut call.has_waited, true) {
-            return;
-        }
+        call.has_waited = true;
         let notice = RelayNotice::Waiting {
             request_id: call.request.request_id.clone(),
             waiting: self.wait_queue.calls.len(),
