Relay: a request waits for the end of a rest for a quarter of its target at most (BUDGET)

The random addition came on top: requests were refused after 0.42 s, 0.4 s is the bound. Seen twice by requests_are_refused_at_once_until_the_rest_of_all_endpoints_ends, which passes now.

--- a/crates/arbutusfall_core/src/relay/rests.rs
+++ b/crates/arbutusfall_core/src/relay/rests.rs
@@ -108,7 +108,8 @@
             self.enqueue(id);
         } else {
             // All that wait for one rest come one after the other.
-            let addition = MAX_REST_ADDITION.mul_f64(self.rng.f64());
+            let left = rest_wait_until(call).saturating_sub(end);
+            let addition = MAX_REST_ADDITION.min(left).mul_f64(self.rng.f64());
             self.timers
                 .set(end + addition, RelayTimer::SendAfterRest(id));
         }
