--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -189,7 +189,7 @@
 /// How a request is forwarded to another VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ForwardCommand {
-    /// What the other VM is told.
+    /// What this VM says of the request.
     pub hop: Hop,
     /// Time since the request arrived at this VM.
     pub elapsed: Duration,
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -625,10 +625,10 @@
         }
         run(&mut harness, ms(1_000), false);
         read_shared(&mut harness, true);
-        let told = run(&mut harness, ms(500), true);
+        let appended = run(&mut harness, ms(500), true);
         assert!(!is_refused(&mut harness, "/pay/a"));
         if is_answered_elsewhere {
-            let evidence = told.into_iter().filter_map(|record| match record {
+            let evidence = appended.into_iter().filter_map(|record| match record {
                 SharedRecord::Crash { cause, crash, .. } => Some(SharedRecord::Crash {
                     cause,
                     crash,
