Relay: a reservation that is silent for a moment takes no engine out

Cause: a reservation that was not answered in 300 ms made its engine avoided for 0.5 s, doubling to 8 s, and each trial had the same 300 ms. Engines that take 0.4 s for a reservation were used by nobody, a moment in which all were silent left none, and requests were refused with no_room. A running stream of the same engine counted for nothing.

Ruled out: a longer timeout for all. A request would then wait longer for an engine that is gone while others are free.

Change: a request goes to another engine only if one may be asked now, and otherwise waits up to 1.8 s for the slow one. An engine has twice the longest time that it took of late. It is avoided only if nothing since the send shows that it runs. The test of an overdue check beside a standby exchange stalls for 1.9 s instead of 0.4 s, because the only other engine has that time now; it checks the same.

--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -42,6 +42,8 @@
 mod reach_handling;
 mod reachability;
 mod request_key;
+mod reservation_silence;
+mod reservation_times;
 mod rests;
 mod resumptions;
 mod retries;
--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -119,8 +119,8 @@
     pub(crate) sent_at: Duration,
     /// Instant of the endpoint's last activity, initially the send.
     pub(crate) last_activity_at: Duration,
-    /// Expected completion of a prefill; the send time for other stages.
-    pub(crate) prefill_due: Duration,
+    /// Expected completion of a prefill, or latest answer to a reservation; the send time for other stages.
+    pub(crate) answer_due: Duration,
 }
 
 /// Purpose of an exchange.
--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -116,6 +116,7 @@
         let Some(endpoint) = self.endpoints.get_mut(&instance) else {
             return;
         };
+        endpoint.on_alive(self.now);
         for causes in endpoint.take_proved_causes(sent_at, self.now) {
             self.on_causes_answered(&causes);
         }
--- a/crates/arbutusfall_core/src/relay/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint.rs
@@ -7,6 +7,7 @@
 use crate::relay::ListedEndpoint;
 use crate::relay::RelayNotice;
 use crate::relay::notice::millis;
+use crate::relay::reservation_times::ReservationTimes;
 
 /// Weight of the newest sample in a running mean.
 const NEWEST_WEIGHT: f64 = 0.2;
@@ -110,6 +111,10 @@
     rest_until: Option<Duration>,
     /// Requests of this VM that it may have in progress while its load returns after a rest; none if any number.
     returning_limit: Option<u32>,
+    /// Times of its answers to this VM's reservations.
+    pub(crate) reservation_times: ReservationTimes,
+    /// Newest sign that its process runs.
+    alive_at: Duration,
     /// Instant from which the endpoint may be removed; none while it is listed.
     pub(crate) remove_at: Option<Duration>,
 }
@@ -154,10 +159,22 @@
             unmarked_ends: Vec::new(),
             rest_until: None,
             returning_limit: None,
+            reservation_times: ReservationTimes::default(),
+            alive_at: Duration::ZERO,
             remove_at: None,
         }
     }
 
+    /// Records a sign that the endpoint's process runs.
+    pub(crate) fn on_alive(&mut self, now: Duration) {
+        self.alive_at = now;
+    }
+
+    /// Returns whether the endpoint has shown since an instant that its process runs.
+    pub(crate) fn is_alive_since(&self, instant: Duration) -> bool {
+        self.alive_at > instant
+    }
+
     /// Makes the endpoint rest until an instant; returns false if it rests for longer already.
     pub(crate) fn rest_until(&mut self, until: Duration) -> bool {
         let is_longer = self.rest_until.is_none_or(|known| known < until);
--- a/crates/arbutusfall_core/src/relay/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/forwarding.rs
@@ -288,7 +288,7 @@
             has_begun: false,
             sent_at: now,
             last_activity_at: now,
-            prefill_due: now,
+            answer_due: now,
         });
     }
 
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -78,6 +78,7 @@
     }
 
     fn on_reserved(&mut self, id: CallId, reservation: Name) {
+        self.on_reservation_answered(id);
         if let Some(allocation) = self
             .calls
             .get_mut(&id)
@@ -93,6 +94,7 @@
 
     /// Marks the engine as full and tries another one, or waits.
     fn on_engine_full(&mut self, id: CallId) {
+        self.on_reservation_answered(id);
         let Some(call) = self.calls.get(&id) else {
             return;
         };
@@ -189,8 +191,11 @@
             return;
         };
         current.last_activity_at = now;
-        if is_first && let Some(endpoint) = self.endpoints.get_mut(&current.instance) {
-            endpoint.on_answered(now.saturating_sub(current.sent_at), now);
+        if let Some(endpoint) = self.endpoints.get_mut(&current.instance) {
+            endpoint.on_alive(now);
+            if is_first {
+                endpoint.on_answered(now.saturating_sub(current.sent_at), now);
+            }
         }
         if is_first {
             self.on_first_event(id);
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -42,6 +42,7 @@
 mod relay_roles;
 mod relay_silence;
 mod relay_simulation;
+mod relay_slow_reservations;
 mod relay_standby;
 mod relay_standby_random;
 mod relay_store_return;
