Relay: an engine that asked for rest is used again when its rest ends

Cause: a refusal of a decode that asks for rest also counted as one of an engine that changes its role, whose backoff doubles from 2 s to 8 s. After three rests of 3 s an engine was left unused for seconds more, and with all of them nobody was served.

Change: an endpoint that rests has said itself when it takes requests again; no other backoff begins.

Measured, without network: after 9 s of refused decodes in rests of 3 s none of the engines was used in the second after the last rest; now all are.

--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -357,6 +357,10 @@
         let Some(endpoint) = self.endpoints.get_mut(instance) else {
             return;
         };
+        if endpoint.is_resting() {
+            // It has said itself when it takes requests again.
+            return;
+        }
         endpoint.set_unavailable_until(now + REFUSAL_BACKOFF);
         match stage {
             // The engine is most likely changing its role, which takes seconds.
--- a/crates/arbutusfall_core/tests/it/relay_rests.rs
+++ b/crates/arbutusfall_core/tests/it/relay_rests.rs
@@ -1,5 +1,7 @@
 //! Endpoints that ask for rest.
 
+use std::collections::BTreeSet;
+
 use arbutusfall_core::config::Role;
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::ExchangeEvent;
@@ -126,3 +128,62 @@
     let frees = |effect: &RelayEffect| matches!(effect, RelayEffect::FreeReservation { .. });
     assert!(!harness.effects.iter().any(frees));
 }
+
+// Guards against an engine that is left unused for longer than the rest that it asked for, because its refusals of decodes
+// also count as those of an engine that changes its role.
+#[test]
+fn engine_that_turned_decodes_away_is_used_again_when_its_last_rest_ends() {
+    let mut harness = RelayHarness::configured(1);
+    // Each engine turns decodes away for 9 s, in rests of 3 s.
+    for _ in 0..90 {
+        harness.submit("/stream/1");
+        turn_decodes_away(&mut harness);
+        harness.advance(ms(100));
+    }
+    // The last rest, and what may be added at random.
+    harness.advance(ms(3_300));
+    harness.effects.clear();
+    let mut used = BTreeSet::new();
+    for _ in 0..10 {
+        harness.submit("/stream/1");
+        for _ in 0..5 {
+            for sent in harness.take_sends() {
+                used.insert(sent.instance.to_string());
+                harness.deliver(sent.exchange, sound_answer(&sent.work));
+            }
+        }
+        harness.advance(ms(100));
+    }
+    assert!(
+        used.contains("decode-1") && used.contains("decode-2"),
+        "{used:?}"
+    );
+}
+
+/// Answers all that is sent, decodes by a refusal that asks for rest.
+fn turn_decodes_away(harness: &mut RelayHarness) {
+    for _ in 0..6 {
+        for sent in harness.take_sends() {
+            if matches!(sent.work, Work::Decode { .. }) {
+                let rest = ms(3_000);
+                harness.deliver(sent.exchange, ExchangeEvent::RestAsked { rest });
+                harness.deliver(sent.exchange, REFUSED);
+            } else {
+                harness.deliver(sent.exchange, sound_answer(&sent.work));
+            }
+        }
+    }
+}
+
+/// Returns the first event of an engine that accepts its work.
+fn sound_answer(work: &Work) -> ExchangeEvent {
+    match work {
+        Work::Reserve { .. } => ExchangeEvent::Reserved {
+            reservation: "reservation".into(),
+        },
+        Work::Prefill => ExchangeEvent::PrefillDone {
+            handle: "handle".into(),
+        },
+        _ => ExchangeEvent::StreamBegan,
+    }
+}
