Facts of the store passed on between VMs: decisions, messages, simulation

Change: the core decides whom a VM follows (a rank of names that all VMs share), keeps what it can pass on (newest record of each key after a position, one era) and says how long passed facts are fresh. Messages are JSON whose unknown fields are passed over. Not used by the program yet.

--- a/crates/arbutusfall/src/relay/effects.rs
+++ b/crates/arbutusfall/src/relay/effects.rs
@@ -96,6 +96,8 @@
                     address,
                 ));
             }
+            // The program does not ask other VMs yet.
+            RelayEffect::FollowFacts { .. } => {}
             RelayEffect::RenewLease { token, lifetime } => {
                 let control = self.control.clone();
                 io.spawn(control.renew_lease(relay.clone(), token, lifetime));
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -26,6 +26,7 @@
 mod endpoints;
 mod event;
 mod exchange_end;
+mod facts;
 mod forwarding;
 mod lease;
 mod limit_handling;
@@ -93,6 +94,7 @@
 pub use effect::*;
 pub use endpoints::LIST_RECOVERY_GRACE;
 pub use event::*;
+pub use facts::*;
 pub use lease::LeaseAnswer;
 pub use limit_handling::LimitStatus;
 pub use notice::RelayNotice;
@@ -152,6 +154,8 @@
     SendAfterRest(CallId),
     /// Endpoints of a service to which connections failed may be due for a check.
     CheckReach(Name),
+    /// Another VM may be asked again for facts of the store.
+    FollowFacts,
     /// The split of engines between prefill and decode is due for review.
     ReviewRoles,
     /// The platform has had time to stop sending new connections.
@@ -204,6 +208,10 @@
     has_store_returned: bool,
     /// Number of VMs, as far as it is known.
     vm_count: u32,
+    /// Whom this VM follows for facts of the store; none if it takes no connections of other VMs.
+    fact_source: Option<FactSource>,
+    /// Whether another VM has been asked for facts and has not answered yet.
+    is_asking_for_facts: bool,
     lease: Lease,
     roles: Roles,
     timers: Timers<RelayTimer>,
@@ -248,6 +256,11 @@
             is_hash_key_shared: false,
             has_store_returned: false,
             vm_count: settings.retry_limit.vm_count,
+            fact_source: settings
+                .own_address
+                .as_ref()
+                .map(|(vm, own)| FactSource::new(vm.clone(), own.data_centre.clone())),
+            is_asking_for_facts: false,
             lease: Lease::new(settings.lease_lifetime),
             roles: Roles::default(),
             timers: Timers::default(),
@@ -307,6 +320,7 @@
             } => self.on_endpoint_checked(&instance, asked_at, is_reachable),
             RelayEvent::Unblock { cause } => self.unblock(&cause),
             RelayEvent::SharedAppended { succeeded } => self.on_shared_appended(succeeded),
+            RelayEvent::FactsFollowed { vm, outcome } => self.on_facts_followed(&vm, outcome),
             RelayEvent::Lease(answer) => self.on_lease(answer),
             RelayEvent::RoleOutcome { instance, outcome } => {
                 self.on_role_outcome(instance, outcome);
@@ -337,6 +351,7 @@
                 RelayTimer::RestEnded(instance) => self.on_rest_ended(&instance),
                 RelayTimer::SendAfterRest(call) => self.send_after_rest(call),
                 RelayTimer::CheckReach(service) => self.check_reach(&service),
+                RelayTimer::FollowFacts => self.follow_facts(),
                 RelayTimer::ReviewRoles => self.review_roles(),
                 RelayTimer::CloseConnections => self.effects.push(RelayEffect::CloseConnections),
                 RelayTimer::RemoveUnlisted => self.remove_unlisted(),
@@ -412,6 +427,7 @@
         self.is_ready = ready;
         self.effects.push(RelayEffect::SetReady(ready));
         self.note(RelayNotice::Ready { ready });
+        self.follow_facts();
     }
 
     fn note(&mut self, notice: RelayNotice) {
--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -86,6 +86,15 @@
         /// Where it listens.
         address: SocketAddr,
     },
+    /// Ask another VM for facts of the store.
+    FollowFacts {
+        /// The VM.
+        vm: Name,
+        /// Where it listens for other VMs.
+        address: SocketAddr,
+        /// Whether it may wait for news before it answers.
+        waits: bool,
+    },
     /// Acquire or renew the lease at the store.
     RenewLease {
         /// Newest token that the store has returned.
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -10,6 +10,7 @@
 use crate::CallId;
 use crate::config::Role;
 use crate::relay::CrashCause;
+use crate::relay::FollowOutcome;
 use crate::relay::LeaseAnswer;
 use crate::relay::RequestKey;
 use crate::relay::RouteTable;
@@ -63,6 +64,13 @@
         /// What happened.
         event: ExchangeEvent,
     },
+    /// Another VM that was asked for facts of the store has answered, or not.
+    FactsFollowed {
+        /// The VM.
+        vm: Name,
+        /// What became of the question.
+        outcome: FollowOutcome,
+    },
     /// A renewal of the lease was answered or failed.
     Lease(LeaseAnswer),
     /// A lookup of a stream's origin in the store was answered or failed.
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/facts.rs
@@ -0,0 +1,18 @@
+//! Facts of the store that VMs of one data centre pass on to each other, so that not each of them reads the store.
+//!
+//! Owns whom this VM follows ([`FactSource`]), what it can pass on ([`FactLog`]) and how long passed facts are fresh
+//! ([`FactTimes`]). Nothing here performs I/O.
+
+mod handling;
+mod log;
+mod source;
+mod times;
+
+pub use log::FactLog;
+pub use log::FactPosition;
+pub use log::FactRecord;
+pub use log::FactSpan;
+pub use source::FactSource;
+pub use source::FollowOutcome;
+pub use source::NextFacts;
+pub use times::FactTimes;
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/facts/source.rs
@@ -0,0 +1,186 @@
+//! From where a VM has the facts of the store: it reads them itself, or follows another VM of its data centre.
+//!
+//! All VMs of a data centre rank each other in the same order, without asking anybody. Each follows the first one above itself
+//! that passes facts on; one that finds none reads the store. A VM that follows another one has no followers, so facts take
+//! one step only, and nobody follows in a circle.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use arbutusfall_wire::Name;
+use arbutusfall_wire::stable_hash;
+
+use crate::relay::PeerAddress;
+
+/// VMs above this one that may be asked: if they all decline, more would not help.
+const MAX_CANDIDATES: usize = 3;
+
+/// Time for which a VM is not asked after it declined; doubles with each consecutive time.
+const DECLINED_BACKOFF: Duration = Duration::from_millis(500);
+
+/// Upper limit of [`DECLINED_BACKOFF`] when doubled.
+const MAX_DECLINED_BACKOFF: Duration = Duration::from_secs(4);
+
+/// Time for which a VM is not asked after it did not answer; doubles with each consecutive time.
+const FAILED_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Upper limit of [`FAILED_BACKOFF`] when doubled: the entry may be of a VM that was removed.
+const MAX_FAILED_BACKOFF: Duration = Duration::from_secs(16);
+
+/// Shortest time between two questions to VMs that have not passed facts on.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What became of a question to another VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FollowOutcome {
+    /// It passed facts on.
+    Passed,
+    /// It passes none on now, or lacks what this VM needs.
+    Declined,
+    /// It did not answer.
+    Failed,
+}
+
+/// What a VM does next for its facts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NextFacts {
+    /// Ask another VM.
+    Follow {
+        /// The VM.
+        vm: Name,
+        /// Where it listens for other VMs.
+        address: SocketAddr,
+        /// Whether it passed facts on last time, so that it may wait for news.
+        is_proven: bool,
+    },
+    /// Read the store.
+    ReadStore {
+        /// When to ask again; none before another VM is known.
+        until: Option<Duration>,
+    },
+}
+
+/// A VM that ranks above this one.
+#[derive(Debug, Clone)]
+struct Candidate {
+    rank: u64,
+    vm: Name,
+    address: SocketAddr,
+    refusals: u32,
+    not_before: Duration,
+}
+
+/// Whom a VM follows.
+#[derive(Debug, Clone)]
+pub struct FactSource {
+    vm: Name,
+    data_centre: Name,
+    /// VMs of the data centre above this one, ordered by rank.
+    candidates: Vec<Candidate>,
+    following: Option<Name>,
+    next_question: Duration,
+}
+
+fn rank(vm: &Name) -> u64 {
+    stable_hash(vm)
+}
+
+impl FactSource {
+    /// Creates the source of a VM that knows no other one.
+    pub fn new(vm: Name, data_centre: Name) -> Self {
+        Self {
+            vm,
+            data_centre,
+            candidates: Vec::new(),
+            following: None,
+            next_question: Duration::ZERO,
+        }
+    }
+
+    /// Takes over the address of a VM, or its removal.
+    pub fn on_peer(&mut self, vm: &Name, listed: Option<&PeerAddress>) {
+        let own_rank = rank(&self.vm);
+        let listed = listed.filter(|listed| {
+            listed.data_centre == self.data_centre && (rank(vm), vm) < (own_rank, &self.vm)
+        });
+        let known = self.candidates.iter().position(|known| known.vm == *vm);
+        match (listed, known) {
+            (Some(listed), Some(at)) if self.candidates[at].address == listed.address => {}
+            (Some(listed), known) => {
+                if let Some(at) = known {
+                    self.candidates.remove(at);
+                }
+                self.candidates.push(Candidate {
+                    rank: rank(vm),
+                    vm: vm.clone(),
+                    address: listed.address,
+                    refusals: 0,
+                    not_before: Duration::ZERO,
+                });
+                self.candidates
+                    .sort_by(|left, right| (left.rank, &left.vm).cmp(&(right.rank, &right.vm)));
+            }
+            (None, Some(at)) => {
+                self.candidates.remove(at);
+                self.following.take_if(|followed| followed == vm);
+            }
+            (None, None) => {}
+        }
+    }
+
+    /// Returns what to do now; a question is answered with [`Self::on_outcome`].
+    pub fn next(&mut self, now: Duration) -> NextFacts {
+        if self.following.is_none() && now < self.next_question {
+            return self.read_store(now);
+        }
+        let usable = self.candidates.iter().filter(|c| now >= c.not_before);
+        let Some(first) = usable.take(MAX_CANDIDATES).next() else {
+            return self.read_store(now);
+        };
+        // A VM above the followed one is only tried: if it passes nothing on, the followed one stays.
+        let is_proven = self.following.as_ref() == Some(&first.vm);
+        NextFacts::Follow {
+            vm: first.vm.clone(),
+            address: first.address,
+            is_proven,
+        }
+    }
+
+    fn read_store(&mut self, now: Duration) -> NextFacts {
+        self.following = None;
+        let first = self.candidates.iter().map(|c| c.not_before).min();
+        let until = first.map(|first| first.max(self.next_question).max(now));
+        NextFacts::ReadStore { until }
+    }
+
+    /// Records what became of a question.
+    pub fn on_outcome(&mut self, vm: &Name, outcome: FollowOutcome, now: Duration) {
+        let Some(candidate) = self.candidates.iter_mut().find(|known| known.vm == *vm) else {
+            return;
+        };
+        let (least, most) = match outcome {
+            FollowOutcome::Passed => {
+                candidate.refusals = 0;
+                self.following = Some(vm.clone());
+                return;
+            }
+            FollowOutcome::Declined => (DECLINED_BACKOFF, MAX_DECLINED_BACKOFF),
+            FollowOutcome::Failed => (FAILED_BACKOFF, MAX_FAILED_BACKOFF),
+        };
+        let doublings = candidate.refusals.min(8);
+        candidate.refusals += 1;
+        candidate.not_before = now + (least * (1 << doublings)).min(most);
+        self.following.take_if(|followed| followed == vm);
+        self.next_question = now + QUESTION_INTERVAL;
+    }
+
+    /// Returns whether this VM reads the store itself, so that others may follow it.
+    pub fn reads_store(&self) -> bool {
+        self.following.is_none()
+    }
+
+    /// Returns the VM that this one follows.
+    pub fn followed(&self) -> Option<&Name> {
+        self.following.as_ref()
+    }
+}
--- a/crates/arbutusfall_core/src/relay/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/forwarding.rs
@@ -52,7 +52,9 @@
 
     /// Handles the record of a VM, or its deletion.
     pub(super) fn on_shared_peer(&mut self, vm: &Name, peer: Option<PeerAddress>) {
+        self.on_fact_peer(vm, peer.as_ref());
         self.peers.on_record(vm, peer);
+        self.follow_facts();
     }
 
     /// Sends a call another way if this VM does not reach the endpoints of its service: forwards one of this VM's callers, declines
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -344,6 +344,13 @@
         /// Time since the request arrived.
         after_ms: u64,
     },
+    /// This VM follows another VM for facts of the store, or reads the store itself.
+    FactSource {
+        /// VM that it follows from now on; none if it reads the store.
+        followed: Option<Name>,
+        /// VM that it followed before.
+        before: Option<Name>,
+    },
     /// This VM gained or lost the lease for orders to engines.
     Lease {
         /// Whether this VM holds it.
@@ -434,6 +441,7 @@
             Self::GivenUp { .. } => "given_up",
             Self::AnswerMissing { .. } => "answer_missing",
             Self::CallerGone { .. } => "caller_gone",
+            Self::FactSource { .. } => "fact_source",
             Self::Lease { .. } => "lease",
             Self::RoleOrdered { .. } => "role_ordered",
             Self::RoleOutcome { .. } => "role_outcome",
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -28,6 +28,8 @@
 mod relay_crashing_site;
 mod relay_drain;
 mod relay_endpoint_limits;
+mod relay_facts;
+mod relay_facts_simulation;
 mod relay_fleet;
 mod relay_forwarding;
 mod relay_harness;
--- a/crates/arbutusfall_wire/src/lib.rs
+++ b/crates/arbutusfall_wire/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod codec;
+mod facts;
 mod hash;
 mod ids;
 mod message;
@@ -25,6 +26,15 @@
 pub use codec::MAX_FRAME_BYTES;
 pub use codec::decode_frame;
 pub use codec::encode_frame;
+pub use facts::FactsAnswer;
+pub use facts::FactsError;
+pub use facts::FactsQuestion;
+pub use facts::MAX_FACTS_BYTES;
+pub use facts::PassedRecord;
+pub use facts::TopicNews;
+pub use facts::TopicPosition;
+pub use facts::decode_facts;
+pub use facts::encode_facts;
 pub use hash::FastMap;
 pub use hash::FastSet;
 pub use hash::piece_hashes;
--- /dev/null
+++ b/crates/arbutusfall_wire/tests/it/facts.rs
@@ -0,0 +1,67 @@
+//! Messages about facts of the store, also those of VMs of other versions.
+
+use arbutusfall_wire::*;
+use assert_matches::assert_matches;
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+fn answer() -> FactsAnswer {
+    let from = TopicPosition {
+        topic: "config".into(),
+        offset: Offset(7),
+        era: Some(2),
+    };
+    let record = PassedRecord {
+        offset: Offset(8),
+        key: "config".into(),
+        value: Some("{\"version\":4}".to_owned()),
+    };
+    FactsAnswer {
+        waited_ms: 40,
+        topics: vec![TopicNews {
+            from,
+            next: Offset(9),
+            age_ms: 3,
+            records: vec![record],
+            is_in_store: false,
+        }],
+    }
+}
+
+// Guards against a message that a VM of a newer version can't send to this one, and the other way round.
+#[test]
+fn unknown_fields_are_passed_over_and_missing_ones_have_defaults() {
+    let newer = r#"{"waited_ms":40,"mood":"calm","topics":[{"topic":"config","offset":7,"era":2,"next":9,"age_ms":3,
+        "hops":1,"records":[{"offset":8,"key":"config","value":"{\"version\":4}","zone":"a"}]}]}"#;
+    let decoded: FactsAnswer = decode_facts(newer.as_bytes()).expect("it is a message");
+    assert_eq!(decoded, answer());
+}
+
+// Guards against a changed form of the messages: VMs of this version and of older ones pass facts on to each other.
+#[test]
+fn messages_keep_their_form() {
+    let text = String::from_utf8(encode_facts(&answer())).expect("it is JSON");
+    let expected = r#"{"waited_ms":40,"topics":[{"topic":"config","offset":7,"era":2,"next":9,"age_ms":3,"records":[{"offset":8,"key":"config","value":"{\"version\":4}"}],"is_in_store":false}]}"#;
+    assert_eq!(text, expected);
+}
+
+// Guards against the part of a message that is taken for a whole one.
+#[test]
+fn truncated_messages_are_refused() {
+    let bytes = encode_facts(&answer());
+    for length in 0..bytes.len() {
+        let decoded = decode_facts::<FactsAnswer>(&bytes[..length]);
+        assert_matches!(decoded, Err(FactsError::Malformed(_)), "{length}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    // Guards against bytes of another VM that end the process.
+    #[test]
+    fn any_bytes_are_refused_or_decoded(bytes in vec(any::<u8>(), 0..300)) {
+        let _ = decode_facts::<FactsQuestion>(&bytes);
+        let _ = decode_facts::<FactsAnswer>(&bytes);
+    }
+}
--- a/crates/arbutusfall_wire/tests/it/main.rs
+++ b/crates/arbutusfall_wire/tests/it/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the wire formats.
 
 mod codec;
+mod facts;
