Relay: VMs of a data centre have facts of the store from one of them

Change: a VM asks the one that it follows over the path between VMs; what is passed on replaces its reads of the store until it is no longer fresh. News of over 16 KiB is read from the store: with a configuration of 1,400 routes the link of a followed VM was full for seconds. While the store answers nothing, the endpoint list is read as before, and the other topics when any call succeeds, or every 2 s.

--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -18,6 +18,7 @@
 
 use crate::lock::lock;
 use crate::relay::effects::EffectPerformer;
+use crate::relay::fact_board::FactBoard;
 use crate::relay::handle::RelayHandle;
 use crate::relay::handle::RelayIo;
 use crate::relay::metrics::StateMetrics;
@@ -105,6 +106,11 @@
         self.effects.is_ready()
     }
 
+    /// Returns whether other VMs may follow this one.
+    pub(super) fn may_be_followed(&self) -> bool {
+        lock(&self.relay).may_be_followed()
+    }
+
     /// Returns the limits on callers' requests.
     pub(super) fn limits(&self) -> CallerLimits {
         lock(&self.limits).clone()
@@ -116,7 +122,7 @@
     }
 
     /// Returns the counters, quantiles and the configuration in force as text.
-    pub(super) fn metrics_text(&self, store_era: Option<u64>) -> String {
+    pub(super) fn metrics_text(&self, store_era: Option<u64>, facts: &FactBoard) -> String {
         let relay = lock(&self.relay);
         let state = StateMetrics {
             config: relay.config_status(self.io.now()),
@@ -125,6 +131,9 @@
             blocked_requests: count_blocked(&relay, true),
             resting_endpoints: relay.resting_endpoints(),
             unreachable_services: relay.unreachable_services(),
+            follows_vm: relay.follows_vm(),
+            followers: facts.followers(),
+            fact_ages_ms: facts.ages_ms(),
             limits: relay.limit_status(),
         };
         drop(relay);
--- a/crates/arbutusfall/src/relay/effects.rs
+++ b/crates/arbutusfall/src/relay/effects.rs
@@ -19,6 +19,9 @@
 use crate::relay::control_client::ControlClient;
 use crate::relay::endpoint_check;
 use crate::relay::exchange;
+use crate::relay::fact_board::FactBoard;
+use crate::relay::fact_follower;
+use crate::relay::fact_follower::FactsFrom;
 use crate::relay::handle::RelayHandle;
 use crate::relay::handle::RelayIo;
 use crate::relay::open_calls::Reply;
@@ -30,17 +33,23 @@
 pub(super) struct EffectPerformer {
     control: ControlClient,
     store: Arc<StoreClient>,
+    facts: Arc<FactBoard>,
     ready: AtomicBool,
     close_request_sender: Sender<()>,
     close_request_receiver: Receiver<()>,
 }
 
 impl EffectPerformer {
-    pub(super) fn new(control: ControlClient, store: Arc<StoreClient>) -> Self {
+    pub(super) fn new(
+        control: ControlClient,
+        store: Arc<StoreClient>,
+        facts: Arc<FactBoard>,
+    ) -> Self {
         let (close_request_sender, close_request_receiver) = async_channel::bounded(1);
         Self {
             control,
             store,
+            facts,
             ready: AtomicBool::new(false),
             close_request_sender,
             close_request_receiver,
@@ -96,8 +105,11 @@
                     address,
                 ));
             }
-            // The program does not ask other VMs yet.
-            RelayEffect::FollowFacts { .. } => {}
+            RelayEffect::FollowFacts { vm, address, waits } => {
+                let from = FactsFrom { vm, address, waits };
+                let board = self.facts.clone();
+                io.spawn(fact_follower::follow(relay.clone(), board, from));
+            }
             RelayEffect::RenewLease { token, lifetime } => {
                 let control = self.control.clone();
                 io.spawn(control.renew_lease(relay.clone(), token, lifetime));
--- /dev/null
+++ b/crates/arbutusfall/src/relay/fact_server.rs
@@ -0,0 +1,157 @@
+//! Passes facts of the store on to the VMs that follow this one.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbutusfall_core::relay::FactPosition;
+use arbutusfall_core::relay::FactRecord;
+use arbutusfall_core::relay::StoreTopic;
+use arbutusfall_wire::FactsAnswer;
+use arbutusfall_wire::FactsQuestion;
+use arbutusfall_wire::PassedRecord;
+use arbutusfall_wire::TopicNews;
+use arbutusfall_wire::TopicPosition;
+use arbutusfall_wire::decode_facts;
+use arbutusfall_wire::encode_facts;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+
+use crate::http;
+use crate::http::AnswerBody;
+use crate::relay::driver::Driver;
+use crate::relay::fact_board::FactBoard;
+use crate::relay::fact_board::PassedFacts;
+use crate::relay::fact_board::TOPICS;
+
+/// Path of questions for facts at the address for other VMs.
+pub(super) const FACTS_PATH: &str = "/facts";
+
+/// Longest question, in bytes.
+const MAX_QUESTION_BYTES: usize = 4 * 1024;
+
+/// Most bytes of a topic's records in an answer: a VM with a slow link may have many followers, and the store has none.
+const MAX_PASSED_BYTES: usize = 16 * 1024;
+
+/// Timeout for the body of a question.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Answers followers.
+pub(super) struct FactServer {
+    pub(super) driver: Arc<Driver>,
+    pub(super) board: Arc<FactBoard>,
+}
+
+impl FactServer {
+    pub(super) async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let Some(_guard) = self.board.add_follower() else {
+            return status_only(StatusCode::SERVICE_UNAVAILABLE);
+        };
+        let body =
+            http::read_request_body(request.into_body(), MAX_QUESTION_BYTES, QUESTION_TIMEOUT);
+        let Ok(body) = body.await else {
+            log::info!("a question of another VM for facts could not be read");
+            return status_only(StatusCode::BAD_REQUEST);
+        };
+        match decode_facts::<FactsQuestion>(&body) {
+            Ok(question) => self.answer_question(&question).await,
+            Err(error) => {
+                log::warn!("a question of another VM for facts is refused: {error}");
+                status_only(StatusCode::BAD_REQUEST)
+            }
+        }
+    }
+
+    /// Answers when there is news, when the store has been read again, or when the other VM wants no longer to wait.
+    async fn answer_question(&self, question: &FactsQuestion) -> Response<AnswerBody> {
+        let arrived_at = self.board.now();
+        let wait = Duration::from_millis(question.wait_ms).min(self.board.times.wait);
+        loop {
+            let facts = self.facts_for(question);
+            let Some(facts) = facts.filter(|_| self.driver.may_be_followed()) else {
+                return status_only(StatusCode::CONFLICT);
+            };
+            let waited = self.board.now().saturating_sub(arrived_at);
+            let has_news = facts.iter().any(|facts| !facts.span.records.is_empty());
+            let is_read = self.board.is_read_since(StoreTopic::Endpoints, arrived_at);
+            if has_news || is_read || waited >= wait {
+                return answer_with(facts, waited);
+            }
+            self.board.changed(wait - waited).await;
+        }
+    }
+
+    /// Returns what is new to another VM in each topic that this VM knows; none if that can't be said of one of them.
+    fn facts_for(&self, question: &FactsQuestion) -> Option<Vec<PassedFacts>> {
+        let asked = question.positions.iter().filter_map(|position| {
+            let topic = TOPICS
+                .into_iter()
+                .find(|topic| *topic.name() == *position.topic)?;
+            let from = FactPosition {
+                offset: position.offset,
+                era: position.era,
+            };
+            Some(self.board.since(topic, from))
+        });
+        asked.collect()
+    }
+}
+
+fn answer_with(facts: Vec<PassedFacts>, waited: Duration) -> Response<AnswerBody> {
+    let answer = FactsAnswer {
+        waited_ms: millis(waited),
+        topics: facts.into_iter().map(topic_news).collect(),
+    };
+    Response::new(AnswerBody::whole(encode_facts(&answer)))
+}
+
+fn topic_news(facts: PassedFacts) -> TopicNews {
+    let is_in_store = record_bytes(&facts) > MAX_PASSED_BYTES;
+    let from = facts.span.from;
+    let passed = facts.span.records.iter().filter(|_| !is_in_store);
+    TopicNews {
+        from: TopicPosition {
+            topic: facts.topic.name().into(),
+            offset: from.offset,
+            era: from.era,
+        },
+        next: if is_in_store {
+            from.offset
+        } else {
+            facts.span.next
+        },
+        age_ms: millis(facts.age),
+        records: passed.map(passed_record).collect(),
+        is_in_store,
+    }
+}
+
+fn record_bytes(facts: &PassedFacts) -> usize {
+    let records = facts.span.records.iter();
+    let bytes = records.map(|record| {
+        let value = record.value.as_ref().map_or(0, |value| value.len());
+        record.key.len() + value
+    });
+    bytes.sum()
+}
+
+fn passed_record(record: &FactRecord) -> PassedRecord {
+    let value = record.value.as_ref();
+    PassedRecord {
+        offset: record.offset,
+        key: record.key.clone(),
+        // A value that is no text can be read at no VM.
+        value: value.map(|value| String::from_utf8_lossy(value).into_owned()),
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn status_only(status: StatusCode) -> Response<AnswerBody> {
+    let mut answer = Response::new(AnswerBody::whole(""));
+    *answer.status_mut() = status;
+    answer
+}
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -35,6 +35,12 @@
     pub(super) resting_endpoints: usize,
     /// Services whose endpoints this VM does not reach.
     pub(super) unreachable_services: usize,
+    /// Whether this VM follows another one for facts of the store.
+    pub(super) follows_vm: bool,
+    /// Questions of other VMs for facts that are being answered.
+    pub(super) followers: usize,
+    /// Age of what this VM knows of each topic of the store, by the topic's name.
+    pub(super) fact_ages_ms: Vec<(&'static str, u64)>,
     /// Limits that endpoints named.
     pub(super) limits: LimitStatus,
 }
@@ -150,6 +156,9 @@
             "unreachable_services",
             values.unreachable_services as u64,
         );
+        write_gauge(&mut text, "follows_vm", u64::from(values.follows_vm));
+        write_gauge(&mut text, "followers", values.followers as u64);
+        write_fact_ages(&mut text, &values.fact_ages_ms);
         let limits = values.limits;
         write_gauge(&mut text, "limited_endpoints", limits.endpoints as u64);
         write_gauge(&mut text, "limit_shares_held", limits.held_shares as u64);
@@ -197,6 +206,16 @@
     }
 }
 
+fn write_fact_ages(text: &mut String, ages_ms: &[(&'static str, u64)]) {
+    text.push_str("# TYPE arbutusfall_fact_age_milliseconds gauge\n");
+    for (topic, age_ms) in ages_ms {
+        let _ = writeln!(
+            text,
+            "arbutusfall_fact_age_milliseconds{{topic=\"{topic}\"}} {age_ms}"
+        );
+    }
+}
+
 fn write_gauge(text: &mut String, name: &str, value: u64) {
     let _ = writeln!(
         text,
--- a/crates/arbutusfall/src/relay/peer_server.rs
+++ b/crates/arbutusfall/src/relay/peer_server.rs
@@ -1,4 +1,4 @@
-//! Requests of other VMs, which do not reach the endpoints themselves.
+//! Requests of other VMs: those of callers whose endpoints they do not reach, and questions for facts of the store.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,6 +19,8 @@
 use crate::relay::callers;
 use crate::relay::callers::Arrival;
 use crate::relay::driver::Driver;
+use crate::relay::fact_server::FACTS_PATH;
+use crate::relay::fact_server::FactServer;
 use crate::relay::peer_handshake;
 
 /// Maximum number of open connections of other VMs.
@@ -33,6 +35,7 @@
 /// Answers the requests of other VMs through the relay.
 pub(super) struct PeerServer {
     pub(super) driver: Arc<Driver>,
+    pub(super) facts: FactServer,
     /// Where it listens.
     pub(super) address: SocketAddr,
 }
@@ -63,6 +66,9 @@
 
     async fn handle(self: Arc<Self>, mut request: Request<Incoming>) -> Response<AnswerBody> {
         let Some((hop, elapsed)) = forwarding::take_hop(request.headers_mut()) else {
+            if request.uri().path() == FACTS_PATH {
+                return self.facts.answer(request).await;
+            }
             return callers::problem_response(&Problem::new(ProblemKind::Malformed));
         };
         let arrival = Arrival {
--- a/crates/arbutusfall/src/relay/read_timing.rs
+++ b/crates/arbutusfall/src/relay/read_timing.rs
@@ -33,6 +33,15 @@
 /// Pause between reads of the records that VMs share, which limits the reads of all VMs while many records are written.
 const SHARED_PAUSE: Duration = Duration::from_millis(400);
 
+/// Maximum of the minimum time between the starts of a failed read and the next one.
+const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Longest further wait of a topic for a call that succeeds, while reads of the endpoint list show whether the store answers.
+const MAX_WAIT_FOR_SUCCESS: Duration = Duration::from_millis(2_000);
+
+/// Time by which what is known of a topic may be older than its reads explain and still be passed on to other VMs.
+const AGE_SLACK: Duration = Duration::from_millis(500);
+
 /// Successful reads after a failed one that are followed by a shorter pause.
 pub(super) const READS_AFTER_FAILURE: u32 = 2;
 
@@ -48,6 +57,10 @@
     pub pause: Duration,
     /// Pause after each of the first two successful reads that follow a failed one.
     pub pause_after_failure: Duration,
+    /// Maximum of the minimum time between the starts of a failed read and the next one.
+    pub max_retry_interval: Duration,
+    /// Longest further wait for another call that succeeds, once that maximum is reached.
+    pub max_wait_for_success: Duration,
 }
 
 impl ReadTiming {
@@ -65,6 +78,8 @@
             answer_timeout,
             pause: Duration::ZERO,
             pause_after_failure: Duration::ZERO,
+            max_retry_interval: MAX_RETRY_INTERVAL,
+            max_wait_for_success: MAX_WAIT_FOR_SUCCESS,
         }
     }
 
@@ -75,6 +90,8 @@
             answer_timeout: MAX_ANSWER_TIMEOUT,
             pause: SHARED_PAUSE,
             pause_after_failure: SHARED_PAUSE,
+            max_retry_interval: MAX_RETRY_INTERVAL,
+            max_wait_for_success: MAX_WAIT_FOR_SUCCESS,
         }
     }
 
@@ -91,9 +108,17 @@
                 .clamp(MIN_ANSWER_TIMEOUT, MAX_ANSWER_TIMEOUT),
             pause,
             pause_after_failure: pause.min(MAX_PAUSE_AFTER_FAILURE),
+            max_retry_interval: MAX_RETRY_INTERVAL,
+            max_wait_for_success: Duration::ZERO,
         }
     }
 
+    /// Returns the longest age with which what is known of the topic is passed on to other VMs: a read that waited and the
+    /// next one, which is slow.
+    pub fn max_age(&self) -> Duration {
+        self.wait * 2 + self.pause + self.answer_timeout + AGE_SLACK
+    }
+
     /// Returns the longest time from the store's recovery until the next read begins.
     pub fn max_time_to_fresh_read(&self) -> Duration {
         self.pause.max(self.wait + self.answer_timeout)
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -1,5 +1,6 @@
 //! Starts and stops a relay process.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,6 +41,8 @@
 use crate::relay::decision_log::DecisionLog;
 use crate::relay::driver::Driver;
 use crate::relay::effects::EffectPerformer;
+use crate::relay::fact_board::FactBoard;
+use crate::relay::fact_server::FactServer;
 use crate::relay::handle::RelayHandle;
 use crate::relay::handle::RelayIo;
 use crate::relay::peer_server::PeerServer;
@@ -109,7 +112,8 @@
     );
     let log = log.change_context(ServeError::Log)?;
     let io = RelayIo::new(executor.clone(), answer_memory, log);
-    let effects = EffectPerformer::new(control, store.clone());
+    let facts = Arc::new(FactBoard::new(settings.fact_times(), io.clock));
+    let effects = EffectPerformer::new(control, store.clone(), facts.clone());
     let driver = Arc::new(Driver::new(relay, io, effects));
     let topics = [
         (StoreTopic::Config, settings.config_timing()),
@@ -122,15 +126,17 @@
             store: store.clone(),
             topic,
             timing,
+            facts: facts.clone(),
+            listed: BTreeMap::new(),
         };
         executor.spawn(watch.run()).detach();
     }
     watch_signals(&driver)?;
     let peers = match settings.peer_address {
-        Some(address) => Some(serve_peers(&driver, address).await?),
+        Some(address) => Some(serve_peers(&driver, facts.clone(), address).await?),
         None => None,
     };
-    let operators = serve_operators(&driver, store, &settings).await?;
+    let operators = serve_operators(&driver, store, facts, &settings).await?;
     let callers = Arc::new(RelayCallerServer {
         driver: driver.clone(),
     });
@@ -172,11 +178,20 @@
 
 async fn serve_peers(
     driver: &Arc<Driver>,
+    board: Arc<FactBoard>,
     address: SocketAddr,
 ) -> Result<http::ListenerHandle, Report<ServeError>> {
     let executor = driver.io().executor.clone();
     let driver = driver.clone();
-    let server = Arc::new(PeerServer { driver, address });
+    let facts = FactServer {
+        driver: driver.clone(),
+        board,
+    };
+    let server = Arc::new(PeerServer {
+        driver,
+        facts,
+        address,
+    });
     let listener = http::serve(executor, address, server);
     listener.await.change_context(ServeError::Listen(address))
 }
@@ -184,13 +199,20 @@
 async fn serve_operators(
     driver: &Arc<Driver>,
     store: Arc<StoreClient>,
+    facts: Arc<FactBoard>,
     settings: &RelayProcessSettings,
 ) -> Result<http::ListenerHandle, Report<ServeError>> {
     let address = settings.operator_address;
     let driver = driver.clone();
     let executor = driver.io().executor.clone();
     let handler = move |request: Request<Incoming>| {
-        let answer = answer_operator(&driver, &store, request.method(), request.uri().path());
+        let answer = answer_operator(
+            &driver,
+            &store,
+            &facts,
+            request.method(),
+            request.uri().path(),
+        );
         async move { answer }
     };
     let listener = http::serve_with_closures(executor, address, ServerLimits::default, handler);
@@ -200,11 +222,14 @@
 fn answer_operator(
     driver: &Arc<Driver>,
     store: &StoreClient,
+    facts: &FactBoard,
     method: &Method,
     path: &str,
 ) -> Response<AnswerBody> {
     if path == METRICS_PATH {
-        return Response::new(AnswerBody::whole(driver.metrics_text(store.era.newest())));
+        return Response::new(AnswerBody::whole(
+            driver.metrics_text(store.era.newest(), facts),
+        ));
     }
     for (list, is_request) in [(BLOCKED_PARTS_PATH, false), (BLOCKED_REQUESTS_PATH, true)] {
         match path.strip_prefix(list) {
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use arbutusfall_core::relay::FactTimes;
 use arbutusfall_core::relay::RetryLimit;
 use arbutusfall_wire::Name;
 use error_stack::Report;
@@ -166,6 +167,13 @@
         )
     }
 
+    /// Returns the times of the facts that VMs pass on to each other.
+    pub fn fact_times(&self) -> FactTimes {
+        FactTimes {
+            wait: self.endpoint_list_timing().pause,
+        }
+    }
+
     /// Returns the times of reads of the configuration.
     pub fn config_timing(&self) -> ReadTiming {
         ReadTiming::of_config(Duration::from_millis(self.silence_bound_ms))
--- a/crates/arbutusfall/src/relay/store_client.rs
+++ b/crates/arbutusfall/src/relay/store_client.rs
@@ -17,7 +17,7 @@
 use crate::relay::handle::RelayHandle;
 use crate::relay::store_era::EraObservation;
 use crate::relay::store_era::StoreEra;
-use crate::relay::store_silence::StoreSilence;
+use crate::relay::store_signal::StoreSignal;
 
 /// Timeout of an append.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(900);
@@ -61,7 +61,10 @@
 pub(super) struct StoreClient {
     address: SocketAddr,
     pub(super) era: StoreEra,
-    pub(super) silence: StoreSilence,
+    /// Calls that got no answer in time: other connections may be silent too.
+    pub(super) silence: StoreSignal,
+    /// Calls that succeeded: others that failed may succeed now.
+    pub(super) success: StoreSignal,
 }
 
 impl StoreClient {
@@ -69,7 +72,8 @@
         Self {
             address,
             era: StoreEra::default(),
-            silence: StoreSilence::default(),
+            silence: StoreSignal::default(),
+            success: StoreSignal::default(),
         }
     }
 
@@ -148,6 +152,7 @@
             Some((_, EraObservation::Current)) | None => {}
         }
         let body = answer.into_successful_body()?;
+        self.success.report();
         Ok(StoreAnswer { body, era })
     }
 }
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -1,9 +1,14 @@
 //! Reads the configuration and the endpoint list from the platform's store and follows their changes.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use arbutusfall_core::relay::EndpointListChange;
+use arbutusfall_core::relay::FactPosition;
+use arbutusfall_core::relay::FactRecord;
+use arbutusfall_core::relay::FactSpan;
+use arbutusfall_core::relay::ListedEndpoint;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::SharedRecord;
 use arbutusfall_core::relay::StoreReadFailure;
@@ -13,10 +18,13 @@
 use arbutusfall_platform::shared::parse_record;
 use arbutusfall_platform::store;
 use arbutusfall_platform::store::KeyedRecord;
+use arbutusfall_platform::store::TailPage;
+use arbutusfall_wire::Name;
 use arbutusfall_wire::Offset;
 use futures_lite::FutureExt;
 
 use crate::http::ClientError;
+use crate::relay::fact_board::FactBoard;
 use crate::relay::handle::RelayHandle;
 use crate::relay::read_timing::READS_AFTER_FAILURE;
 use crate::relay::read_timing::ReadTiming;
@@ -25,32 +33,43 @@
 use crate::relay::store_client::StoreClient;
 use crate::relay::store_client::StoreError;
 
-/// Minimum time between the starts of a failed read and the next one; doubles up to [`MAX_RETRY_INTERVAL`].
+/// Minimum time between the starts of a failed read and the next one; doubles up to [`ReadTiming::max_retry_interval`].
 const FIRST_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Maximum of the minimum time between the starts of a failed read and the next one.
-const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Task that follows one topic.
 pub(super) struct StoreWatch<H> {
     pub(super) relay: H,
     pub(super) store: Arc<StoreClient>,
     pub(super) topic: StoreTopic,
     pub(super) timing: ReadTiming,
+    /// What VMs pass on to each other.
+    pub(super) facts: Arc<FactBoard>,
+    /// Entries of the endpoint list as they were read last; none of an entry that is invalid or deleted.
+    pub(super) listed: BTreeMap<Name, Option<ListedEndpoint>>,
+}
+
+/// What comes after a position.
+enum News {
+    /// Passed on by another VM.
+    Passed(FactSpan),
+    /// Read from the store.
+    Page(TailPage),
+    /// Nothing is passed on now.
+    Lapsed,
 }
 
-/// Position in a topic.
-#[derive(Debug, Clone, Copy)]
-struct Position {
-    offset: Offset,
-    /// Era of the store in which it was read: in another one the offset has other records.
-    era: Option<u64>,
+/// What a read brought.
+struct Read {
+    /// Where the next one continues.
+    position: FactPosition,
+    /// Whether another VM passed it on.
+    is_passed: bool,
 }
 
 /// Where and how the next read begins.
 struct NextRead {
     /// Position to continue from; none if the newest records must be read.
-    from: Option<Position>,
+    from: Option<FactPosition>,
     /// Long-polling wait.
     wait: Duration,
     /// Minimum time from its start to the next read if it fails.
@@ -88,7 +107,8 @@
 }
 
 impl<H: RelayHandle> StoreWatch<H> {
-    pub(super) async fn run(self) {
+    pub(super) async fn run(mut self) {
+        self.facts.set_max_age(self.topic, self.timing.max_age());
         let mut next = NextRead {
             from: None,
             wait: Duration::ZERO,
@@ -99,10 +119,12 @@
             // Measured from the start of the read: after a silent read, which took long, the next one begins at once.
             let retry_timer = async_io::Timer::after(next.retry_interval);
             match self.read(&next).await {
-                Ok(from) => {
-                    self.pause(next.short_pauses > 0).await;
+                Ok(read) => {
+                    if !read.is_passed {
+                        self.pause(next.short_pauses > 0, read.position).await;
+                    }
                     next = NextRead {
-                        from: Some(from),
+                        from: Some(read.position),
                         wait: self.timing.wait,
                         retry_interval: FIRST_RETRY_INTERVAL,
                         short_pauses: next.short_pauses.saturating_sub(1),
@@ -113,10 +135,12 @@
                     log::debug!("reading from the store failed: {error}");
                     self.submit_read(Some(read_failure(&error)));
                     retry_timer.await;
+                    self.wait_for_success(next.retry_interval).await;
                     next = NextRead {
                         from: next.from,
                         wait: Duration::ZERO,
-                        retry_interval: (next.retry_interval * 2).min(MAX_RETRY_INTERVAL),
+                        retry_interval: (next.retry_interval * 2)
+                            .min(self.timing.max_retry_interval),
                         short_pauses: READS_AFTER_FAILURE,
                     };
                 }
@@ -124,38 +148,125 @@
         }
     }
 
-    async fn pause(&self, is_short: bool) {
+    /// Waits after a failed read while the store answers nothing at all: one topic's reads show when it does again, so the others
+    /// wait for longer.
+    async fn wait_for_success(&self, retry_interval: Duration) {
+        let further = self.timing.max_wait_for_success;
+        if retry_interval < self.timing.max_retry_interval || further.is_zero() {
+            return;
+        }
+        let expire = async {
+            async_io::Timer::after(further).await;
+        };
+        expire.or(self.store.success.reported()).await;
+    }
+
+    /// Waits until the topic is to be read again; what another VM passes on ends it.
+    async fn pause(&self, is_short: bool, position: FactPosition) {
         let pause = if is_short {
             self.timing.pause_after_failure
         } else {
             self.timing.pause
         };
-        if !pause.is_zero() {
-            async_io::Timer::after(pause).await;
+        if pause.is_zero() {
+            return;
         }
+        let pass = async {
+            async_io::Timer::after(pause).await;
+        };
+        pass.or(self.facts.has_passed(self.topic, position)).await;
     }
 
-    async fn read(&self, next: &NextRead) -> Result<Position, WatchError> {
+    async fn read(&mut self, next: &NextRead) -> Result<Read, WatchError> {
         let Some(from) = next.from else {
             return self.read_newest().await;
         };
-        let returned = async {
-            self.store.era.changed_from(from.era).await;
-            Err(WatchError::PositionLost)
+        let lapsed = async {
+            self.facts.lapsed(self.topic).await;
+            Ok(News::Lapsed)
         };
-        let silenced = async {
-            if self.topic != StoreTopic::Shared {
-                return std::future::pending().await;
-            }
-            // This read waits for long, so another topic's read shows first that connections are silent.
-            self.store.silence.reported().await;
-            Err(ClientError::Timeout.into())
+        let news = self.passed(from).or(lapsed).or(self.returned(from)).await?;
+        if let News::Passed(span) = news {
+            return Ok(self.take_passed(span));
+        }
+        let started_at = self.facts.now();
+        let news = self
+            .read_tail(from, next.wait)
+            .or(self.passed(from))
+            .or(self.returned(from))
+            .or(self.silenced());
+        match news.await? {
+            News::Page(page) => Ok(self.take_tail(from, page, started_at)),
+            News::Passed(span) => Ok(self.take_passed(span)),
+            News::Lapsed => Err(WatchError::PositionLost),
+        }
+    }
+
+    /// Waits until another VM has passed on what comes after a position.
+    async fn passed(&self, from: FactPosition) -> Result<News, WatchError> {
+        Ok(News::Passed(self.facts.passed(self.topic, from).await))
+    }
+
+    /// Waits until the store has returned from an older copy, which another topic's answer may show first.
+    async fn returned<T>(&self, from: FactPosition) -> Result<T, WatchError> {
+        self.store.era.changed_from(from.era).await;
+        Err(WatchError::PositionLost)
+    }
+
+    /// Waits until connections to the store are silent; the read of the shared records waits for long, so another topic's read
+    /// shows that first.
+    async fn silenced<T>(&self) -> Result<T, WatchError> {
+        if self.topic != StoreTopic::Shared {
+            return std::future::pending().await;
+        }
+        self.store.silence.reported().await;
+        Err(ClientError::Timeout.into())
+    }
+
+    /// Takes what another VM has passed on.
+    fn take_passed(&mut self, span: FactSpan) -> Read {
+        let position = FactPosition {
+            offset: span.next,
+            era: span.from.era,
+        };
+        let records = span.records.into_iter().map(|record| KeyedRecord {
+            key: record.key,
+            value: record.value.map(|value| value.to_vec()),
+        });
+        self.submit_records(records.collect(), false);
+        Read {
+            position,
+            is_passed: true,
+        }
+    }
+
+    /// Takes a page of the topic's tail that was asked for at `started_at`.
+    fn take_tail(&mut self, from: FactPosition, page: TailPage, started_at: Duration) -> Read {
+        let records = page.records.iter().enumerate();
+        let records = records.map(|(number, record)| FactRecord {
+            offset: Offset(from.offset.0 + number as u64),
+            key: record.key.clone(),
+            value: record.value.as_deref().map(Into::into),
+        });
+        let records: Vec<FactRecord> = records.collect();
+        let is_new = self.submit_records(page.records, false);
+        let new = records
+            .into_iter()
+            .zip(is_new)
+            .filter(|(_, is_new)| *is_new);
+        let span = FactSpan {
+            from,
+            next: page.next,
+            records: new.map(|(record, _)| record).collect(),
         };
-        // Another topic's answer may show first that the store has returned.
-        self.read_tail(from, next.wait)
-            .or(returned)
-            .or(silenced)
-            .await
+        self.facts.on_read_tail(self.topic, span, started_at);
+        Read {
+            position: FactPosition {
+                offset: page.next,
+                era: from.era,
+            },
+            is_passed: false,
+        }
     }
 
     fn submit_read(&self, failure: Option<StoreReadFailure>) {
@@ -169,7 +280,8 @@
     }
 
     /// Reads the newest record of each key; returns the position at which to continue with the tail.
-    async fn read_newest(&self) -> Result<Position, WatchError> {
+    async fn read_newest(&mut self) -> Result<Read, WatchError> {
+        let started_at = self.facts.now();
         let mut records = Vec::new();
         let mut after = None;
         let mut first_end = None;
@@ -184,7 +296,7 @@
             let page = store::parse_newest(&answer.body).map_err(|_| ClientError::Malformed)?;
             // Records may be written between two pages. Continuing from the first page's end reads all of them, some
             // for the second time.
-            let end = *first_end.get_or_insert(Position {
+            let end = *first_end.get_or_insert(FactPosition {
                 offset: page.end,
                 era: answer.era,
             });
@@ -196,34 +308,35 @@
             after = page.next_after;
             if after.is_none() {
                 self.submit_records(records, true);
-                return Ok(end);
+                self.facts.on_read_newest(self.topic, end, started_at);
+                return Ok(Read {
+                    position: end,
+                    is_passed: false,
+                });
             }
         }
     }
 
-    async fn read_tail(&self, from: Position, wait: Duration) -> Result<Position, WatchError> {
+    async fn read_tail(&self, from: FactPosition, wait: Duration) -> Result<News, WatchError> {
         let path = store::tail_path(self.topic, from.offset, wait);
         let answer = self.get(&path, wait).await?;
         if answer.era != from.era {
             return Err(WatchError::PositionLost);
         }
-        let page =
-            store::parse_tail(&answer.body, from.offset).map_err(|_| ClientError::Malformed)?;
-        self.submit_records(page.records, false);
-        Ok(Position {
-            offset: page.next,
-            era: from.era,
-        })
+        let page = store::parse_tail(&answer.body, from.offset);
+        Ok(News::Page(page.map_err(|_| ClientError::Malformed)?))
     }
 
-    /// Reports a successful read and what it contains.
-    fn submit_records(&self, records: Vec<KeyedRecord>, is_full_list: bool) {
+    /// Reports a successful read and what it contains; returns for each record whether it says what was not known.
+    fn submit_records(&mut self, records: Vec<KeyedRecord>, is_full_list: bool) -> Vec<bool> {
         self.submit_read(None);
+        let all_new = vec![true; records.len()];
         match self.topic {
             StoreTopic::Config => self.submit_config(records),
-            StoreTopic::Endpoints => self.submit_endpoints(records, is_full_list),
+            StoreTopic::Endpoints => return self.submit_endpoints(records, is_full_list),
             StoreTopic::Shared => self.submit_shared(&records, is_full_list),
         }
+        all_new
     }
 
     fn submit_shared(&self, records: &[KeyedRecord], is_full: bool) {
@@ -254,31 +367,51 @@
         }
     }
 
-    fn submit_endpoints(&self, records: Vec<KeyedRecord>, is_full_list: bool) {
+    fn submit_endpoints(&mut self, records: Vec<KeyedRecord>, is_full_list: bool) -> Vec<bool> {
         let mut changes = Vec::new();
         if is_full_list {
+            self.listed.clear();
             let instances = records.iter().map(|record| record.key.clone());
             changes.push(EndpointListChange::FullList(instances.collect()));
         }
-        changes.extend(records.into_iter().map(|record| {
+        let mut is_new = Vec::new();
+        for record in records {
+            let entry = parse_listed(&record);
+            is_new.push(self.is_new_entry(&record.key, entry.as_ref()));
             let instance = record.key;
-            let Some(value) = record.value else {
-                return EndpointListChange::Removed { instance };
-            };
-            match parse_entry(instance.clone(), &value) {
-                Ok(listed) => EndpointListChange::Listed(listed),
-                Err(error) => {
-                    log::info!(
-                        "treating endpoint {instance} as removed, because its list entry is invalid: {error}"
-                    );
-                    EndpointListChange::Removed { instance }
-                }
-            }
-        }));
+            changes.push(entry.map_or(
+                EndpointListChange::Removed { instance },
+                EndpointListChange::Listed,
+            ));
+        }
         if !changes.is_empty() || is_full_list {
             self.relay.submit(RelayEvent::EndpointChanges(changes));
         }
+        is_new
     }
+
+    /// Remembers an entry of the list; returns whether it says what was not known. What is said of a leaving endpoint is kept
+    /// for a time only, so each of its entries counts.
+    fn is_new_entry(&mut self, instance: &Name, entry: Option<&ListedEndpoint>) -> bool {
+        let is_known = self.listed.get(instance).map(Option::as_ref) == Some(entry);
+        if !is_known {
+            self.listed.insert(instance.clone(), entry.cloned());
+        }
+        !is_known || entry.is_some_and(|entry| entry.is_leaving)
+    }
+}
+
+/// Parses an entry of the endpoint list; none if it is deleted or invalid.
+fn parse_listed(record: &KeyedRecord) -> Option<ListedEndpoint> {
+    let value = record.value.as_deref()?;
+    let instance = &record.key;
+    parse_entry(instance.clone(), value)
+        .inspect_err(|error| {
+            log::info!(
+                "treating endpoint {instance} as removed, because its list entry is invalid: {error}"
+            );
+        })
+        .ok()
 }
 
 /// Returns whether a read failed because the topic does not exist.
