Relay: a long list is read although single pages are not answered

Cause: a read of all newest records began again with the first page whenever one page was refused or late. That this is the whole cause of it is not shown.

Change: the pages that were read are kept, and the next read goes on with the page that failed, unless the store has returned from a copy.

--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -128,6 +128,7 @@
             timing,
             facts: facts.clone(),
             listed: BTreeMap::new(),
+            pages: None,
         };
         executor.spawn(watch.run()).detach();
     }
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -46,6 +46,8 @@
     pub(super) facts: Arc<FactBoard>,
     /// Entries of the endpoint list as they were read last; none of an entry that is invalid or deleted.
     pub(super) listed: BTreeMap<Name, Option<ListedEndpoint>>,
+    /// Pages of a read of newest records that failed with a later page.
+    pub(super) pages: Option<NewestPages>,
 }
 
 /// What comes after a position.
@@ -58,6 +60,17 @@
     Lapsed,
 }
 
+/// Pages of newest records that have been read.
+#[derive(Debug, Default)]
+pub(super) struct NewestPages {
+    started_at: Duration,
+    records: Vec<KeyedRecord>,
+    /// Key after which the next page begins; none before the first page.
+    after: Option<Name>,
+    /// Position at the end of the topic when the first page was read.
+    first_end: Option<FactPosition>,
+}
+
 /// What a read brought.
 struct Read {
     /// Where the next one continues.
@@ -279,42 +292,58 @@
         self.store.get(&self.relay, path, timeout).await
     }
 
-    /// Reads the newest record of each key; returns the position at which to continue with the tail.
+    /// Reads the newest record of each key; a read that failed goes on with the page that failed.
     async fn read_newest(&mut self) -> Result<Read, WatchError> {
         let started_at = self.facts.now();
-        let mut records = Vec::new();
-        let mut after = None;
-        let mut first_end = None;
+        let mut pages = self.pages.take().unwrap_or_else(|| NewestPages {
+            started_at,
+            ..NewestPages::default()
+        });
         loop {
-            let path = store::newest_path(self.topic, after.as_deref());
-            let mut answer = self.get(&path, Duration::ZERO).await;
-            if self.topic == StoreTopic::Shared && is_missing(&answer) {
-                shared_records::create_topic(&self.relay, &self.store).await?;
-                answer = self.get(&path, Duration::ZERO).await;
-            }
-            let answer = answer.map_err(WatchError::Failed)?;
-            let page = store::parse_newest(&answer.body).map_err(|_| ClientError::Malformed)?;
-            // Records may be written between two pages. Continuing from the first page's end reads all of them, some
-            // for the second time.
-            let end = *first_end.get_or_insert(FactPosition {
-                offset: page.end,
-                era: answer.era,
-            });
-            if end.era != answer.era {
-                // The store has returned between two pages.
-                return Err(WatchError::PositionLost);
-            }
-            records.extend(page.records);
-            after = page.next_after;
-            if after.is_none() {
-                self.submit_records(records, true);
-                self.facts.on_read_newest(self.topic, end, started_at);
-                return Ok(Read {
-                    position: end,
-                    is_passed: false,
-                });
+            match self.read_newest_page(&mut pages).await {
+                Ok(true) => {}
+                Ok(false) => break,
+                Err(error) => {
+                    if let WatchError::Failed(_) = error {
+                        self.pages = Some(pages);
+                    }
+                    return Err(error);
+                }
             }
         }
+        let position = pages.first_end.ok_or(ClientError::Malformed)?;
+        self.submit_records(pages.records, true);
+        self.facts
+            .on_read_newest(self.topic, position, pages.started_at);
+        Ok(Read {
+            position,
+            is_passed: false,
+        })
+    }
+
+    /// Reads the next page; returns whether there is a further one.
+    async fn read_newest_page(&self, pages: &mut NewestPages) -> Result<bool, WatchError> {
+        let path = store::newest_path(self.topic, pages.after.as_deref());
+        let mut answer = self.get(&path, Duration::ZERO).await;
+        if self.topic == StoreTopic::Shared && is_missing(&answer) {
+            shared_records::create_topic(&self.relay, &self.store).await?;
+            answer = self.get(&path, Duration::ZERO).await;
+        }
+        let answer = answer.map_err(WatchError::Failed)?;
+        let page = store::parse_newest(&answer.body).map_err(|_| ClientError::Malformed)?;
+        // Records may be written between two pages. Continuing from the first page's end reads all of them, some for the
+        // second time.
+        let end = *pages.first_end.get_or_insert(FactPosition {
+            offset: page.end,
+            era: answer.era,
+        });
+        if end.era != answer.era {
+            // The store has returned between two pages.
+            return Err(WatchError::PositionLost);
+        }
+        pages.records.extend(page.records);
+        pages.after = page.next_after;
+        Ok(pages.after.is_some())
     }
 
     async fn read_tail(&self, from: FactPosition, wait: Duration) -> Result<News, WatchError> {
