--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -543,6 +543,48 @@
     return result
 
 
+class KeptConnection:
+    """A client that sends one request after the other on a kept connection."""
+
+    def __init__(self, vm, path):
+        self.vm, self.path = vm, path
+        self.results = []
+        # Requests on the kept connection, not the first one, that got no complete answer.
+        self.cut = []
+        self.is_stopped = False
+
+    async def run(self, pause_s=0.0):
+        while not self.is_stopped:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.vm.caller_port)
+            except OSError:
+                return
+            count = 0
+            while not self.is_stopped:
+                result = Result(f"{random.getrandbits(64):016x}")
+                count += 1
+                record(f"client sends {result.request_id} (POST {self.path}) to {self.vm.name} on a kept connection")
+                lines = [
+                    f"POST {self.path} HTTP/1.1", f"Host: {HOST}", f"Request-Id: {result.request_id}", "Deadline-Ms: 3000",
+                    "Content-Length: 600",
+                ]
+                try:
+                    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + b"x" * 600)
+                    await asyncio.wait_for(receive(reader, result), 4.0)
+                except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+                    pass
+                record(f"client has for {result.request_id}: status {result.status}")
+                self.results.append(result)
+                if not result.is_complete:
+                    if count > 1:
+                        self.cut.append(result)
+                    break
+                if result.headers.get("connection").lower() == "close":
+                    break
+                await asyncio.sleep(pause_s)
+            writer.close()
+
+
 def spans(events):
     """Returns the first event of each run of events with the same data."""
     found = []
