review: two holders order a replica with one fencing token after the store's return

Looked for a holder of the lease that does not know the tokens used before the store returned from an older copy.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -18,6 +18,7 @@
 REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 HOST = "kiosk.example"
 HEARTBEAT_S = 1.2
+SWITCH_S = 6.0
 START = time.monotonic()
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -140,36 +141,85 @@
 
 
 class Group:
-    """Members of a group, and who holds the only partition that matters to the relays."""
+    """Members of a group and the partitions of one topic that they hold.
 
-    def __init__(self, generation=0, members=None, holder=None):
-        self.generation = generation
-        # Name to the end of its time to live.
-        self.members = dict(members or {})
-        self.holder = holder
+    The generation rises by one with each member that comes, leaves or expires. Partitions are distributed evenly and move as
+    little as possible; one that moves goes to its next member once the one before has joined with the new generation, has left or
+    has expired.
+    """
+
+    PARTITIONS = 8
+
+    def __init__(self):
+        self.generation = 0
+        # Name of a member to the end of its time to live, and to the newest generation with which it has joined.
+        self.members = {}
+        self.known = {}
+        # Member that holds or is to hold each partition, and the one that must give it up before, if any.
+        self.targets = {}
+        self.leaving = {}
 
     def copy(self):
-        return Group(self.generation, self.members, self.holder)
+        copied = Group()
+        copied.generation = self.generation
+        copied.members, copied.known = dict(self.members), dict(self.known)
+        copied.targets, copied.leaving = dict(self.targets), dict(self.leaving)
+        return copied
+
+    def pause(self, seconds):
+        """Times to live pause while the store is away."""
+        self.members = {member: until + seconds for member, until in self.members.items()}
+
+    def distribute(self):
+        self.generation += 1
+        names = list(self.members)
+        if not names:
+            self.targets, self.leaving = {}, {}
+            return
+        held = {name: sorted(p for p, of in self.targets.items() if of == name) for name in names}
+        quotas = {name: self.PARTITIONS // len(names) for name in names}
+        for name in sorted(names, key=lambda name: -len(held[name]))[: self.PARTITIONS % len(names)]:
+            quotas[name] += 1
+        free = [p for p in range(self.PARTITIONS) if self.targets.get(p) not in self.members]
+        for name in names:
+            while len(held[name]) > quotas[name]:
+                moved = held[name].pop()
+                free.append(moved)
+                self.leaving.setdefault(moved, (name, self.generation))
+        for partition in sorted(free):
+            taker = min(names, key=lambda name: len(held[name]) - quotas[name])
+            held[taker].append(partition)
+            self.targets[partition] = taker
 
     def leave(self, member):
-        if self.members.pop(member, None) is not None:
-            self.generation += 1
-        if self.holder == member:
-            self.holder = next(iter(self.members), None)
+        if member in self.members:
+            record(f"member {member} leaves the group or expires")
+            del self.members[member]
+            self.distribute()
 
     def expire(self):
         for member, until in list(self.members.items()):
             if now() > until:
                 self.leave(member)
 
-    def join(self, member, ttl_s):
+    def join(self, member, ttl_s, generation):
         self.expire()
-        if member not in self.members:
-            self.generation += 1
+        is_new = member not in self.members
         self.members[member] = now() + ttl_s
-        if self.holder is None:
-            self.holder = member
-        return self.generation, self.holder == member
+        self.known[member] = max(self.known.get(member, 0), generation)
+        if is_new:
+            record(f"member {member} joins the group")
+            self.distribute()
+        return self.generation, [p for p in range(self.PARTITIONS) if self.holder(p) == member]
+
+    def holder(self, partition):
+        waits_for = self.leaving.get(partition)
+        if waits_for is not None:
+            member, generation = waits_for
+            if member in self.members and self.known.get(member, 0) < generation:
+                return None
+            del self.leaving[partition]
+        return self.targets.get(partition)
 
 
 class Store(Server):
@@ -183,6 +233,7 @@
         self.is_down = False
         self.changed = asyncio.Event()
         self.on_read = None
+        self.on_refused = None
 
     def write(self, topic, key, document):
         """Writes a record on behalf of the operator or a replica; nothing is accepted while the store is down."""
@@ -200,7 +251,7 @@
     def copy(self):
         topics = {topic: list(records) for topic, records in self.topics.items()}
         groups = {name: group.copy() for name, group in self.groups.items()}
-        return topics, groups
+        return topics, groups, now()
 
     def go_down(self):
         self.is_down = True
@@ -208,14 +259,18 @@
             writer.transport.abort()
 
     def return_from(self, copy):
-        topics, groups = copy
+        topics, groups, copied_at = copy
         self.topics = {topic: list(records) for topic, records in topics.items()}
         self.groups = {name: group.copy() for name, group in groups.items()}
+        for group in self.groups.values():
+            group.pause(now() - copied_at)
         self.era += 1
         self.is_down = False
 
     async def on_request(self, writer, method, target, headers, body):
         if self.is_down:
+            if self.on_refused is not None:
+                self.on_refused(target, body)
             writer.transport.abort()
             raise ConnectionError
         url = urllib.parse.urlsplit(target)
@@ -239,8 +294,8 @@
         if path == "/v1/log-join":
             call = json.loads(body)
             group = self.groups.setdefault(call["group"], Group())
-            generation, holds = group.join(call["member"], call["ttl-ms"] / 1000)
-            parts = [[call["topics"][0], 0, 0]] if holds else []
+            generation, held = group.join(call["member"], call["ttl-ms"] / 1000, call["generation"])
+            parts = [[call["topics"][0], partition, 0] for partition in held]
             document = {"generation": generation, "ttl-ms": call["ttl-ms"], "parts": parts}
             return json_bytes(200, document, self.headers())
         if path == "/v1/log-leave":
@@ -320,10 +375,13 @@
         self.says_leaving = False
         self.work_s = 0.06
         self.event_s = 0.05
+        self.prefill_tokens_per_s = 55000.0
         # Reservations, prompts in memory and orders of this run of the process.
         self.fence = 0
         self.orders = 0
         self.busy_until = 0.0
+        # Orders that were accepted, with their times.
+        self.accepted = []
 
     def entry(self):
         self.seq += 1
@@ -378,8 +436,11 @@
         elif headers.get("stage") == "prefill":
             handle = f"{random.getrandbits(48):012x}"
             tokens = int(headers.get("token-counts").split(",")[0])
+            await asyncio.sleep(tokens / self.prefill_tokens_per_s)
             document = {"kv-handle": handle, "tokens": tokens, "version": 1}
             writer.write(json_bytes(200, document, [("Request-Id", headers.get("request-id"))]))
+        elif self.phase and (now() < self.busy_until or self.phase == "prefill"):
+            writer.write(json_bytes(503, {}, [("Not-Executed", "1")]))
         elif self.phase:
             await self.stream(writer, headers)
         else:
@@ -410,9 +471,17 @@
         if order["phase"] == self.phase:
             return json_bytes(200, {})
         self.orders += 1
-        self.busy_until = now() + 6.0
+        self.accepted.append((now(), order))
+        self.busy_until = now() + SWITCH_S
+        asyncio.ensure_future(self.switch(order["phase"]))
         return json_bytes(202, {})
 
+    async def switch(self, phase):
+        await asyncio.sleep(SWITCH_S)
+        self.phase = phase
+        record(f"replica {self.name} is in phase {phase} now")
+        self.store.write("keyed.servers", self.name, self.entry())
+
     async def run(self, writer, method, target, headers):
         """Runs a plain request."""
         request_id = headers.get("request-id")
@@ -676,7 +745,8 @@
             return vms[-1]
 
         try:
-            is_broken = asyncio.run(asyncio.wait_for(scenario(new_vm), limit_s))
+            # The loop is not closed: connections that are still open need no end of their own.
+            is_broken = asyncio.new_event_loop().run_until_complete(asyncio.wait_for(scenario(new_vm), limit_s))
             status = 1 if is_broken else 0
         except CannotRun as error:
             record(f"the case could not run: {error}")
@@ -693,5 +763,4 @@
     text = {0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[status]
     record(text)
     print(text, flush=True)
-    # Tasks of connections that are still open need no end of their own.
     os._exit(status)
