--- a/review/2/case.py
+++ b/review/2/case.py
@@ -72,12 +72,12 @@
     copy = store.copy()
     generation = group().generation
     record(f"the store is copied, generation {generation}")
-    # Long prompts at the first VM: it needs one more replica for prefills.
-    prompts = asyncio.ensure_future(prefill_heavy(first))
     if TROUBLE:
         for _ in range(2):
             before = await restart(second)
             await until(lambda: set(members_of(second)) - before, 5.0, "the second VM's membership")
+    # Long prompts at the first VM: it needs one more replica for prefills, and orders that some seconds later.
+    prompts = asyncio.ensure_future(prefill_heavy(first))
     await until(orders, 15.0, "the first VM's order")
     fence = orders()[0][2]["fence"]
     record(f"the first order has fencing token {fence}, {now() - copy[2]:.1f} s after the copy")
@@ -103,7 +103,7 @@
 
 
 async def prefill_heavy(vm):
-    await asyncio.sleep(1.8)
+    await asyncio.sleep(0.8)
     await asyncio.gather(*(stream(vm, "/draft/1", 10, prompt=8000) for _ in range(6)))
 
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -9,6 +9,7 @@
 import os
 import random
 import re
+import signal
 import socket
 import subprocess
 import tempfile
@@ -736,6 +737,12 @@
     """Plays a case; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     global record
     record = Record(os.path.join(case, "record.txt"))
+
+    def on_stop(*_):
+        raise CannotRun("the script was stopped")
+
+    signal.signal(signal.SIGTERM, on_stop)
+    signal.signal(signal.SIGINT, on_stop)
     record(f"trouble: {'yes' if TROUBLE else 'no'}")
     vms = []
     status = 2
