review: a request reaches a draining replica, because memory is reserved there

Looked for what lasts longer than drain-ms between the choice of a replica and the send. Memory is reserved, the prompt is read slowly, the replica reports draining meanwhile, and the request is sent there all the same (review/4).

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -377,6 +377,9 @@
         self.work_s = 0.06
         self.event_s = 0.05
         self.prefill_tokens_per_s = 55000.0
+        self.read_until = 0.0
+        # When it reserved memory.
+        self.reserved = []
         # Reservations, prompts in memory and orders of this run of the process.
         self.fence = 0
         self.orders = 0
@@ -437,7 +440,9 @@
         elif headers.get("stage") == "prefill":
             handle = f"{random.getrandbits(48):012x}"
             tokens = int(headers.get("token-counts").split(",")[0])
-            await asyncio.sleep(tokens / self.prefill_tokens_per_s)
+            # Prompts are read one after the other.
+            self.read_until = max(self.read_until, now()) + tokens / self.prefill_tokens_per_s
+            await asyncio.sleep(self.read_until - now())
             document = {"kv-handle": handle, "tokens": tokens, "version": 1}
             writer.write(json_bytes(200, document, [("Request-Id", headers.get("request-id"))]))
         elif self.phase and (now() < self.busy_until or self.phase == "prefill"):
@@ -457,6 +462,7 @@
         if target == "/v1/order":
             return self.order(json.loads(body))
         if target == "/v1/hold-take":
+            self.reserved.append(now())
             return json_bytes(200, {"hold": f"{random.getrandbits(48):012x}"})
         if method == "DELETE":
             return json_bytes(200, {})
