--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -46,10 +46,22 @@
     return time.monotonic() - START
 
 
+used_ports = set()
+
+
 def free_port():
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return found.getsockname()[1]
+    """Returns a port that no socket uses, below those that the system gives to connections."""
+    while True:
+        port = random.SystemRandom().randrange(12000, 32000)
+        if port in used_ports:
+            continue
+        with socket.socket() as found:
+            try:
+                found.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        used_ports.add(port)
+        return port
 
 
 # ---------------------------------------------------------------- HTTP
