Relay: fencing tokens rise over returns of the store from an older copy (ONE)

Cause: the fencing token was the group's generation alone. Change: the token is the store's era times 2^32 plus the generation, below 2^53. A join names the generation of the token. Without a stated era it is the generation, as before. Weighed against a wait: engines remember the highest token until they start again, so no wait is long enough. Ruled out as cause: order of the joins, lifetime of the lease. Same class elsewhere: positions of topics carry the era; records of streams and crashes have keys made from request ids and the incarnations of endpoints, which a return does not give out again; appends use no sequence numbers.

--- a/crates/arbutusfall/src/relay/control_client.rs
+++ b/crates/arbutusfall/src/relay/control_client.rs
@@ -32,6 +32,7 @@
 use crate::http::OutgoingRequest;
 use crate::relay::handle::RelayHandle;
 use crate::relay::store_client::StoreClient;
+use crate::relay::store_client::StoreDocument;
 use crate::relay::store_client::StoreError;
 
 /// Timeout of a lease request to the store.
@@ -58,9 +59,9 @@
         let join = self
             .store
             .post_json(&relay, store::JOIN_PATH, &body, LEASE_TIMEOUT);
-        let answer: Result<JoinAnswer, StoreError> = join.await;
+        let answer: Result<StoreDocument<JoinAnswer>, StoreError> = join.await;
         let answer = match answer {
-            Ok(answer) => answer.lease(),
+            Ok(answer) => answer.content.lease(answer.era),
             Err(error) => {
                 log::debug!("the lease request to the store failed: {error}");
                 LeaseAnswer::Failed
@@ -75,7 +76,7 @@
         let leave = self
             .store
             .post_json(&relay, store::LEAVE_PATH, &body, LEASE_TIMEOUT);
-        let answer: Result<Value, StoreError> = leave.await;
+        let answer: Result<StoreDocument<Value>, StoreError> = leave.await;
         if let Err(error) = answer {
             log::info!("the store did not confirm the release of the lease: {error}");
         }
--- a/crates/arbutusfall/src/relay/store_client.rs
+++ b/crates/arbutusfall/src/relay/store_client.rs
@@ -56,6 +56,14 @@
     pub(super) era: Option<u64>,
 }
 
+/// A successful answer of the store, parsed.
+#[derive(Debug, Clone)]
+pub(super) struct StoreDocument<T> {
+    pub(super) content: T,
+    /// Era of the store; `None` if it states none.
+    pub(super) era: Option<u64>,
+}
+
 /// Client of the store.
 #[derive(Debug)]
 pub(super) struct StoreClient {
@@ -106,11 +114,12 @@
         path: &str,
         document: &impl Serialize,
         timeout: Duration,
-    ) -> Result<T, StoreError> {
+    ) -> Result<StoreDocument<T>, StoreError> {
         let body = serde_json::to_vec(document).map_err(|_| ClientError::Malformed)?;
         let answer = self.post(relay, path, body.into(), timeout).await?;
-        let parsed = serde_json::from_slice(&answer.body);
-        Ok(parsed.map_err(|_| ClientError::Malformed)?)
+        let content = serde_json::from_slice(&answer.body).map_err(|_| ClientError::Malformed)?;
+        let era = answer.era;
+        Ok(StoreDocument { content, era })
     }
 
     /// Appends encoded records to a topic.
