--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -1,6 +1,7 @@
 //! Reads the configuration and the endpoint list from the platform's store and follows their changes.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use arbutusfall_platform::shared::parse_record;
 use arbutusfall_platform::store;
 use arbutusfall_platform::store::KeyedRecord;
+use arbutusfall_platform::store::NewestPage;
 use arbutusfall_platform::store::TailPage;
 use arbutusfall_wire::Name;
 use arbutusfall_wire::Offset;
@@ -67,10 +69,32 @@
     records: Vec<KeyedRecord>,
     /// Key after which the next page begins; none before the first page.
     after: Option<Name>,
+    /// Last keys of all pages read.
+    ends: BTreeSet<Name>,
     /// Position at the end of the topic when the first page was read.
     first_end: Option<FactPosition>,
 }
 
+impl NewestPages {
+    /// Adds the next page; returns whether there is a further one.
+    fn add(&mut self, topic: StoreTopic, page: NewestPage) -> Result<bool, WatchError> {
+        if let Some(end) = &page.next_after
+            && !self.ends.insert(end.clone())
+        {
+            log::warn!(
+                "a page of {} ends where an earlier one ended, at key {end}",
+                topic.name()
+            );
+            return Err(ClientError::Malformed.into());
+        }
+        let records = page.records.into_iter();
+        self.records
+            .extend(records.map(|record| without_foreign_value(topic, record)));
+        self.after = page.next_after;
+        Ok(self.after.is_some())
+    }
+}
+
 /// What a read brought.
 struct Read {
     /// Where the next one continues.
@@ -341,9 +365,7 @@
             // The store has returned between two pages.
             return Err(WatchError::PositionLost);
         }
-        pages.records.extend(page.records);
-        pages.after = page.next_after;
-        Ok(pages.after.is_some())
+        pages.add(self.topic, page)
     }
 
     async fn read_tail(&self, from: FactPosition, wait: Duration) -> Result<News, WatchError> {
@@ -353,7 +375,13 @@
             return Err(WatchError::PositionLost);
         }
         let page = store::parse_tail(&answer.body, from.offset);
-        Ok(News::Page(page.map_err(|_| ClientError::Malformed)?))
+        let page = page.map_err(|_| ClientError::Malformed)?;
+        let records = page.records.into_iter();
+        let records = records.map(|record| without_foreign_value(self.topic, record));
+        Ok(News::Page(TailPage {
+            records: records.collect(),
+            next: page.next,
+        }))
     }
 
     /// Reports a successful read and what it contains; returns for each record whether it says what was not known.
@@ -443,6 +471,19 @@
         .ok()
 }
 
+/// Drops the value of a record that another writer wrote: it says nothing, and its size is not bounded.
+fn without_foreign_value(topic: StoreTopic, record: KeyedRecord) -> KeyedRecord {
+    let is_foreign = match topic {
+        StoreTopic::Config => *record.key != *store::CONFIG_KEY,
+        StoreTopic::Endpoints => parse_listed(&record).is_none(),
+        StoreTopic::Shared => false,
+    };
+    KeyedRecord {
+        value: record.value.filter(|_| !is_foreign),
+        key: record.key,
+    }
+}
+
 /// Returns whether a read failed because the topic does not exist.
 fn is_missing(answer: &Result<StoreAnswer, StoreError>) -> bool {
     match answer {
