--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -183,8 +183,13 @@
         let Some(known) = self.leaving.get_mut(&listed.instance) else {
             return listed;
         };
-        let is_told_apart = known.started_unix_ms.is_some() || known.is_own_word;
-        listed.is_leaving = is_told_apart && known.started_unix_ms == listed.started_unix_ms;
+        listed.is_leaving = match (known.started_unix_ms, listed.started_unix_ms) {
+            (Some(known), Some(listed)) => known == listed,
+            // Nothing says that it has started again.
+            (Some(_), None) => true,
+            (None, Some(_)) => false,
+            (None, None) => known.is_own_word,
+        };
         if listed.is_leaving {
             known.known_at = now;
         }
--- a/crates/arbutusfall_core/tests/it/relay_leaving.rs
+++ b/crates/arbutusfall_core/tests/it/relay_leaving.rs
@@ -3,6 +3,7 @@
 use arbutusfall_core::config::Role;
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::ExchangeEvent;
+use arbutusfall_core::relay::ListedEndpoint;
 use arbutusfall_core::relay::RelayEvent;
 
 use crate::relay_harness::RelayHarness;
@@ -66,3 +67,17 @@
     list(&mut harness, "shop-1", Some(2));
     assert!(is_used(&mut harness, "shop-1"));
 }
+
+// Guards against another writer's entry, without the start of the process, that makes a leaving endpoint ready again.
+#[test]
+fn entry_that_does_not_say_when_the_process_started_makes_no_leaving_endpoint_ready() {
+    let mut harness = RelayHarness::configured(1);
+    let leaving = ListedEndpoint {
+        is_leaving: true,
+        ..listed("shop-1", "shop", Role::Plain)
+    };
+    let changes = vec![EndpointListChange::Listed(leaving)];
+    harness.apply(RelayEvent::EndpointChanges(changes));
+    list(&mut harness, "shop-1", None);
+    assert!(!is_used(&mut harness, "shop-1"));
+}
