Relay: an endpoint that says it leaves after its removal stays leaving (DRAIN)

Cause: Endpoints::on_leaving needed a listed endpoint, so a Server-Leaving that arrived after the entry's removal was forgotten. Result: endpoint_that_says_it_leaves_after_its_removal_stays_leaving, red with the mend taken out.

--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -29,6 +29,16 @@
     /// Instances that were listed as leaving or said so, also after their removal. An endpoint that leaves never becomes ready again, but
     /// a store that returned from an older copy may say so.
     leaving: BTreeMap<Name, LeavingInstance>,
+    /// Endpoints that were removed of late: an answer that says that one is leaving may arrive after its removal.
+    removed: BTreeMap<Name, RemovedInstance>,
+}
+
+/// An instance that was removed from the list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct RemovedInstance {
+    service: Name,
+    started_unix_ms: Option<u64>,
+    removed_at: Duration,
 }
 
 /// An instance that is leaving.
@@ -199,20 +209,28 @@
     /// Records that an endpoint says itself that it is leaving; returns a notice to log if that is new. It holds until the
     /// endpoint starts again under its id.
     pub(crate) fn on_leaving(&mut self, instance: &Name, now: Duration) -> Option<RelayNotice> {
-        let endpoint = self.by_instance.get_mut(instance)?;
-        let listed = &mut endpoint.listed;
-        if std::mem::replace(&mut listed.is_leaving, true) {
-            return None;
-        }
+        let (service, started_unix_ms) = match self.by_instance.get_mut(instance) {
+            Some(endpoint) => {
+                let listed = &mut endpoint.listed;
+                if std::mem::replace(&mut listed.is_leaving, true) {
+                    return None;
+                }
+                (listed.service.clone(), listed.started_unix_ms)
+            }
+            None => {
+                let removed = self.removed.remove(instance)?;
+                (removed.service, removed.started_unix_ms)
+            }
+        };
         let leaving = LeavingInstance {
-            started_unix_ms: listed.started_unix_ms,
+            started_unix_ms,
             is_own_word: true,
             known_at: now,
         };
         self.leaving.insert(instance.clone(), leaving);
         Some(RelayNotice::EndpointLeaving {
             instance: instance.clone(),
-            service: listed.service.clone(),
+            service,
         })
     }
 
@@ -254,9 +272,17 @@
     /// Removes unlisted endpoints whose removal is due; returns notices to log.
     pub(crate) fn remove_unlisted(&mut self, now: Duration) -> Vec<RelayNotice> {
         let mut notices = Vec::new();
+        let removed = &mut self.removed;
+        removed.retain(|_, removed| now < removed.removed_at + LEAVING_LIFETIME);
         self.by_instance.retain(|instance, endpoint| {
             let is_gone = endpoint.remove_at.is_some_and(|remove_at| now >= remove_at);
             if is_gone {
+                let instance_removed = RemovedInstance {
+                    service: endpoint.listed.service.clone(),
+                    started_unix_ms: endpoint.listed.started_unix_ms,
+                    removed_at: now,
+                };
+                removed.insert(instance.clone(), instance_removed);
                 notices.push(RelayNotice::EndpointGone {
                     instance: instance.clone(),
                 });
--- a/crates/arbutusfall_core/tests/it/relay_leaving.rs
+++ b/crates/arbutusfall_core/tests/it/relay_leaving.rs
@@ -68,6 +68,21 @@
     assert!(is_used(&mut harness, "shop-1"));
 }
 
+// Guards against a store that returns from an older copy and makes an endpoint ready again that was removed before it said that it
+// leaves.
+#[test]
+fn endpoint_that_says_it_leaves_after_its_removal_stays_leaving() {
+    let mut harness = RelayHarness::configured(1);
+    let instance = "shop-1".into();
+    let removed = vec![EndpointListChange::Removed { instance }];
+    harness.apply(RelayEvent::EndpointChanges(removed));
+    says_leaving(&mut harness, "shop-1");
+    list(&mut harness, "shop-1", Some(1));
+    assert!(!is_used(&mut harness, "shop-1"));
+    list(&mut harness, "shop-1", Some(2));
+    assert!(is_used(&mut harness, "shop-1"));
+}
+
 // Guards against another writer's entry, without the start of the process, that makes a leaving endpoint ready again.
 #[test]
 fn entry_that_does_not_say_when_the_process_started_makes_no_leaving_endpoint_ready() {
