--- a/crates/arbutusfall/src/relay/control_client.rs
+++ b/crates/arbutusfall/src/relay/control_client.rs
@@ -8,12 +8,14 @@
 use arbutusfall_core::relay::LeaseAnswer;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RoleOutcome;
+use arbutusfall_core::relay::RunAnswer;
 use arbutusfall_platform::endpoints;
 use arbutusfall_platform::endpoints::StatedLimit;
 use arbutusfall_platform::endpoints::StatedRest;
 use arbutusfall_platform::orders;
 use arbutusfall_platform::orders::Report;
 use arbutusfall_platform::orders::RoleOrder;
+use arbutusfall_platform::orders::RunReport;
 use arbutusfall_platform::store;
 use arbutusfall_platform::store::JoinAnswer;
 use arbutusfall_platform::store::JoinBody;
@@ -25,6 +27,7 @@
 use hyper::StatusCode;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use crate::http;
@@ -105,6 +108,29 @@
     }
 }
 
+/// Asks an engine when its process started.
+pub(super) async fn check_run(relay: impl RelayHandle, instance: Name, address: SocketAddr) {
+    let asked_at = relay.io().now();
+    let engine = EngineClient {
+        relay: &relay,
+        instance: &instance,
+        address,
+    };
+    let report: Result<RunReport, ClientError> = engine.read_report().await;
+    let answer = report.map_or_else(
+        |error| {
+            log::debug!("engine {instance} did not say when it started: {error}");
+            RunAnswer::Failed
+        },
+        |report| report.answer(),
+    );
+    relay.submit(RelayEvent::RunChecked {
+        instance,
+        asked_at,
+        answer,
+    });
+}
+
 struct EngineClient<'a, H> {
     relay: &'a H,
     instance: &'a Name,
@@ -120,10 +146,7 @@
         member: Name,
         token: u64,
     ) -> Result<RoleOutcome, ClientError> {
-        let report = self.send_request(Method::GET, orders::REPORT_PATH, Bytes::new());
-        let body = report.await?.into_body();
-        let body = http::read_control_body(body, ORDER_TIMEOUT, MAX_REPORT_BYTES).await?;
-        let report: Report = serde_json::from_slice(&body).map_err(|_| ClientError::Malformed)?;
+        let report: Report = self.read_report().await?;
         let Some(order) = RoleOrder::new(&report, role, member, token) else {
             // No order was sent: a role change is in progress, or the role is `Role::Plain`. This is reported as a
             // refusal.
@@ -134,6 +157,17 @@
         Ok(orders::role_outcome(answer.await?.status()))
     }
 
+    async fn read_report<T: DeserializeOwned>(&self) -> Result<T, ClientError> {
+        let report = self.send_request(Method::GET, orders::REPORT_PATH, Bytes::new());
+        let report = report.await?;
+        if !report.status().is_success() {
+            return Err(ClientError::Status(report.status().as_u16()));
+        }
+        let body = report.into_body();
+        let body = http::read_control_body(body, ORDER_TIMEOUT, MAX_REPORT_BYTES).await?;
+        serde_json::from_slice(&body).map_err(|_| ClientError::Malformed)
+    }
+
     async fn send_request(
         &self,
         method: Method,
--- a/crates/arbutusfall/src/relay/effects.rs
+++ b/crates/arbutusfall/src/relay/effects.rs
@@ -16,6 +16,7 @@
 use hyper::body::Bytes;
 
 use crate::http::AnswerBody;
+use crate::relay::control_client;
 use crate::relay::control_client::ControlClient;
 use crate::relay::endpoint_check;
 use crate::relay::exchange;
@@ -105,6 +106,9 @@
                     address,
                 ));
             }
+            RelayEffect::CheckRun { instance, address } => {
+                io.spawn(control_client::check_run(relay.clone(), instance, address));
+            }
             RelayEffect::FollowFacts { vm, address, waits } => {
                 let from = FactsFrom { vm, address, waits };
                 let board = self.facts.clone();
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -23,6 +23,7 @@
 mod endpoint_ends;
 mod endpoint_limit;
 mod endpoint_limits;
+mod endpoint_run;
 mod endpoints;
 mod event;
 mod exchange_end;
@@ -50,6 +51,7 @@
 mod retries;
 mod roles;
 mod routes;
+mod run_checks;
 mod sending;
 mod shared_handling;
 mod shared_outbox;
@@ -92,6 +94,7 @@
 pub use crash_cause::CrashCause;
 pub use crash_cause::CrashCauses;
 pub use effect::*;
+pub use endpoint_run::RunAnswer;
 pub use endpoints::LIST_RECOVERY_GRACE;
 pub use event::*;
 pub use facts::*;
@@ -318,6 +321,11 @@
                 asked_at,
                 is_reachable,
             } => self.on_endpoint_checked(&instance, asked_at, is_reachable),
+            RelayEvent::RunChecked {
+                instance,
+                asked_at,
+                answer,
+            } => self.on_run_checked(&instance, asked_at, answer),
             RelayEvent::Unblock { cause } => self.unblock(&cause),
             RelayEvent::SharedAppended { succeeded } => self.on_shared_appended(succeeded),
             RelayEvent::FactsFollowed { vm, outcome } => self.on_facts_followed(&vm, outcome),
--- a/crates/arbutusfall_core/src/relay/admission.rs
+++ b/crates/arbutusfall_core/src/relay/admission.rs
@@ -50,12 +50,18 @@
 
     /// Returns the instant from which a call may try to reserve memory; none if no engine serves it.
     pub(super) fn reservation_allowed_at(&self, call: &Call) -> Option<Duration> {
-        let engines = self.endpoints.serving_call(call, Role::Decode);
+        let engines = || self.endpoints.serving_call(call, Role::Decode);
+        // While others are known, engines whose process is in doubt don't count for a stream that goes on.
+        let is_any_known = call.is_bound() && engines().any(|engine| engine.run.is_listed());
+        let engines = engines().filter(|engine| !is_any_known || engine.run.is_listed());
         let delay = self.extra_delay_after_refusal(call);
         let allowed_at = engines.filter_map(|engine| {
             let avoided_for = engine.health.avoided_for(self.now).unwrap_or_default();
             let limit_at = self.limit_allows_at(engine, RESERVATION_TOKENS)?;
-            let available_at = engine.available_at(delay).max(limit_at);
+            let mut available_at = engine.available_at(delay).max(limit_at);
+            if call.is_bound() && !engine.run.is_listed() {
+                available_at = available_at.max(engine.run.next_check_at());
+            }
             Some(available_at.max(self.now + avoided_for))
         });
         let earliest = allowed_at.min()?;
--- a/crates/arbutusfall_core/src/relay/balance.rs
+++ b/crates/arbutusfall_core/src/relay/balance.rs
@@ -60,7 +60,9 @@
         .serving(query.service, query.role)
         .filter(|endpoint| {
             let version = &endpoint.listed.version;
-            query.version.is_none_or(|required| required == version)
+            query
+                .version
+                .is_none_or(|required| required == version && endpoint.run.is_listed())
                 && !query.limited.used_up.contains(&endpoint.listed.instance)
         })
         .collect();
--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -7,6 +7,7 @@
 use arbutusfall_wire::Name;
 
 use crate::CallId;
+use crate::config::Role;
 use crate::relay::CauseBlock;
 use crate::relay::CrashCause;
 use crate::relay::CrashCauses;
@@ -117,10 +118,15 @@
             return;
         };
         endpoint.on_alive(self.now);
+        let is_decode_engine = endpoint.listed.role == Role::Decode;
         for causes in endpoint.take_proved_causes(sent_at, self.now) {
             self.on_causes_answered(&causes);
         }
         self.disprove_crash(&instance, sent_at);
+        if is_decode_engine {
+            // Before it begins a stream whose version must be known.
+            self.check_run(&instance);
+        }
     }
 
     /// Handles the end of a check whether an endpoint has ended.
@@ -135,6 +141,7 @@
             self.disprove_crash(instance, asked_at);
         } else {
             self.on_connect_failed(instance, asked_at);
+            self.on_engine_broken_off(instance);
             self.record_unmarked_crash(instance, asked_at);
         }
     }
--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -86,6 +86,13 @@
         /// Where it listens.
         address: SocketAddr,
     },
+    /// Ask an engine when its process started.
+    CheckRun {
+        /// The engine.
+        instance: Name,
+        /// Where it listens.
+        address: SocketAddr,
+    },
     /// Ask another VM for facts of the store.
     FollowFacts {
         /// The VM.
--- a/crates/arbutusfall_core/src/relay/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint.rs
@@ -6,6 +6,8 @@
 use crate::relay::CrashCauses;
 use crate::relay::ListedEndpoint;
 use crate::relay::RelayNotice;
+use crate::relay::call::Call;
+use crate::relay::endpoint_run::EndpointRun;
 use crate::relay::notice::millis;
 use crate::relay::reservation_times::ReservationTimes;
 
@@ -113,6 +115,8 @@
     returning_limit: Option<u32>,
     /// Times of its answers to this VM's reservations.
     pub(crate) reservation_times: ReservationTimes,
+    /// Whether its process is the listed one.
+    pub(crate) run: EndpointRun,
     /// Newest sign that its process runs.
     alive_at: Duration,
     /// Instant from which the endpoint may be removed; none while it is listed.
@@ -160,11 +164,19 @@
             rest_until: None,
             returning_limit: None,
             reservation_times: ReservationTimes::default(),
+            run: EndpointRun::default(),
             alive_at: Duration::ZERO,
             remove_at: None,
         }
     }
 
+    /// Returns whether the endpoint's software version is one that may answer a call; if that must be a given one, the endpoint's
+    /// process must be known to be the listed one.
+    pub(crate) fn may_serve(&self, call: &Call) -> bool {
+        let required = call.version_for(self.listed.role);
+        required.is_none_or(|required| self.listed.version == *required && self.run.is_listed())
+    }
+
     /// Records a sign that the endpoint's process runs.
     pub(crate) fn on_alive(&mut self, now: Duration) {
         self.alive_at = now;
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -132,6 +132,13 @@
         })
     }
 
+    /// Returns the endpoints whose process may not be the listed one.
+    pub(crate) fn in_doubt_mut(&mut self) -> impl Iterator<Item = &mut Endpoint> {
+        self.by_instance
+            .values_mut()
+            .filter(|endpoint| !endpoint.run.is_listed())
+    }
+
     /// Returns service and version of every endpoint.
     pub(crate) fn versions(&self) -> impl Iterator<Item = (&Name, &Name)> {
         self.by_instance
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -14,6 +14,7 @@
 use crate::relay::LeaseAnswer;
 use crate::relay::RequestKey;
 use crate::relay::RouteTable;
+use crate::relay::RunAnswer;
 use crate::relay::SharedParts;
 use crate::relay::SharedRecord;
 use crate::relay::TokenCounts;
@@ -120,6 +121,15 @@
         /// Whether the endpoint accepted it.
         is_reachable: bool,
     },
+    /// An engine that was asked when its process started has answered, or has not.
+    RunChecked {
+        /// The engine.
+        instance: Name,
+        /// When it was asked.
+        asked_at: Duration,
+        /// What it said.
+        answer: RunAnswer,
+    },
     /// An operator ends the block on a cause of crashes.
     Unblock {
         /// The cause.
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -9,6 +9,7 @@
 use crate::relay::CrashCause;
 use crate::relay::PartId;
 use crate::relay::RequestKey;
+use crate::relay::RunAnswer;
 use crate::relay::SharedParts;
 use crate::relay::StoreReadFailure;
 use crate::relay::StoreTopic;
@@ -127,6 +128,15 @@
         /// Time for which it is avoided.
         avoided_ms: u64,
     },
+    /// An engine whose connections broke off was asked when its process started.
+    RunChecked {
+        /// Instance.
+        instance: Name,
+        /// What it said.
+        answer: RunAnswer,
+        /// Whether its process is known to be the listed one.
+        is_listed: bool,
+    },
     /// Reads of a topic of the platform's store start to succeed or to fail.
     Store {
         /// The topic.
@@ -421,6 +431,7 @@
             Self::EndpointLimited { .. } => "endpoint_limited",
             Self::EndpointUnlimited { .. } => "endpoint_unlimited",
             Self::EngineRefusing { .. } => "engine_refusing",
+            Self::RunChecked { .. } => "run_checked",
             Self::Store { .. } => "store",
             Self::StoreReturned { .. } => "store_returned",
             Self::PartBlocked { .. } => "part_blocked",
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -391,6 +391,9 @@
         } else {
             self.mark_may_have_run(id, stage);
         }
+        if failure == ExchangeFailure::Unreachable || failure.may_be_crash() {
+            self.on_engine_broken_off(&failed.instance);
+        }
         let has_ended = failure.may_be_crash();
         if has_ended {
             self.record_broken_run(id, &failed, began_at);
--- a/crates/arbutusfall_core/src/relay/resumptions.rs
+++ b/crates/arbutusfall_core/src/relay/resumptions.rs
@@ -123,7 +123,7 @@
 
     /// Remembers the version of the call's stream at its first event.
     pub(super) fn on_first_event(&mut self, id: CallId) {
-        let Some(call) = self.calls.get_mut(&id) else {
+        let Some(call) = self.calls.get(&id) else {
             return;
         };
         let Some(current) = &call.current else {
@@ -136,7 +136,10 @@
             // The other VM records it.
             return;
         }
-        let version = current.version.clone();
+        let version = self.version_of_run(current);
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
         call.stream_version = Some(version.clone());
         let origin = StreamOrigin {
             service: call.service.clone(),
--- a/crates/arbutusfall_core/src/relay/retries.rs
+++ b/crates/arbutusfall_core/src/relay/retries.rs
@@ -71,6 +71,7 @@
         self.endpoints.serving_call(call, role).any(|endpoint| {
             let instance = &endpoint.listed.instance;
             current != Some(instance)
+                && endpoint.may_serve(call)
                 && !call.failed_endpoints.contains(instance)
                 && self.limit_allows(endpoint, 1.0)
         })
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/run_checks.rs
@@ -0,0 +1,112 @@
+//! Streams that go on only at engines whose process is known to be the listed one.
+
+use std::time::Duration;
+
+use arbutusfall_wire::Name;
+
+use crate::CallId;
+use crate::config::Role;
+use crate::relay::Relay;
+use crate::relay::RelayEffect;
+use crate::relay::RelayNotice;
+use crate::relay::RunAnswer;
+use crate::relay::call::Call;
+use crate::relay::call::CurrentExchange;
+use crate::relay::endpoint::Endpoint;
+
+impl Relay {
+    /// Records that a connection to an engine broke off or was not accepted: its process may have ended.
+    pub(super) fn on_engine_broken_off(&mut self, instance: &Name) {
+        let now = self.now;
+        if let Some(endpoint) = self.endpoints.get_mut(instance)
+            && endpoint.listed.role != Role::Plain
+        {
+            endpoint.run.on_broken_off(now);
+        }
+    }
+
+    /// Asks an engine when its process started, if that is in doubt and it was not asked just now.
+    pub(super) fn check_run(&mut self, instance: &Name) {
+        let now = self.now;
+        if let Some(endpoint) = self.endpoints.get_mut(instance)
+            && endpoint.run.start_check(now)
+        {
+            self.effects.push(RelayEffect::CheckRun {
+                instance: instance.clone(),
+                address: endpoint.listed.address,
+            });
+        }
+    }
+
+    /// Returns whether a stream that goes on must wait because the processes of all engines of its version are in doubt; if so,
+    /// they are asked.
+    pub(super) fn waits_for_run_checks(&mut self, id: CallId) -> bool {
+        let Some(call) = self.calls.get(&id).filter(|call| call.is_bound()) else {
+            return false;
+        };
+        let engines: Vec<&Endpoint> = self.endpoints.serving_call(call, Role::Decode).collect();
+        if engines.is_empty() || engines.iter().any(|engine| engine.run.is_listed()) {
+            return false;
+        }
+        let instances = engines.iter().map(|engine| engine.listed.instance.clone());
+        let instances: Vec<Name> = instances.collect();
+        for instance in instances {
+            self.check_run(&instance);
+        }
+        true
+    }
+
+    /// Handles the answer of an engine that was asked when its process started.
+    pub(super) fn on_run_checked(
+        &mut self,
+        instance: &Name,
+        asked_at: Duration,
+        answer: RunAnswer,
+    ) {
+        let Some(endpoint) = self.endpoints.get_mut(instance) else {
+            return;
+        };
+        let listed = endpoint.listed.started_unix_ms;
+        endpoint.run.on_checked(asked_at, answer, listed);
+        let is_listed = endpoint.run.is_listed();
+        self.note(RelayNotice::RunChecked {
+            instance: instance.clone(),
+            answer,
+            is_listed,
+        });
+        if is_listed {
+            self.go_on_with_waiting();
+        }
+    }
+
+    /// Takes a read of the list into account: engines in doubt that have been seen to run since are no longer.
+    pub(super) fn on_list_read(&mut self) {
+        let now = self.now;
+        let mut is_any_known = false;
+        for endpoint in self.endpoints.in_doubt_mut() {
+            endpoint.run.on_list_read(now);
+            is_any_known |= endpoint.run.is_listed();
+        }
+        if is_any_known {
+            self.go_on_with_waiting();
+        }
+    }
+
+    /// Returns the version of the stream that an exchange has begun: an empty one, which no endpoint has, if the process that
+    /// writes it may not be the listed one.
+    pub(super) fn version_of_run(&self, current: &CurrentExchange) -> Name {
+        let endpoint = self.endpoints.get(&current.instance);
+        if endpoint.is_some_and(|endpoint| !endpoint.run.is_listed()) {
+            Name::default()
+        } else {
+            current.version.clone()
+        }
+    }
+}
+
+impl Call {
+    /// Returns whether the request must be answered by a given software version.
+    pub(crate) fn is_bound(&self) -> bool {
+        self.version_for(self.serving_role()).is_some()
+    }
+}
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -47,6 +47,10 @@
         let Some(stage) = self.next_stage(id) else {
             return;
         };
+        if stage == CallStage::Reserve && self.waits_for_run_checks(id) {
+            self.enqueue(id);
+            return;
+        }
         if stage == CallStage::Reserve && self.must_wait(id) {
             self.want_limited_engines(id);
             self.enqueue(id);
--- a/crates/arbutusfall_core/src/relay/store_view.rs
+++ b/crates/arbutusfall_core/src/relay/store_view.rs
@@ -81,6 +81,9 @@
         let is_reachable = failure.is_none();
         // Without the store, this VM decides by what it sees itself.
         self.is_shared_known |= topic == StoreTopic::Shared && !is_reachable;
+        if topic == StoreTopic::Endpoints && is_reachable {
+            self.on_list_read();
+        }
         let unread_for = self.store.unread_for(topic, self.now);
         if !self.store.record(topic, is_reachable, self.now) {
             return;
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -195,6 +195,12 @@
         }
     }
 
+    /// Sends the requests that wait and may be sent now, because engines can be used that could not.
+    pub(super) fn go_on_with_waiting(&mut self) {
+        self.retry_reservations();
+        self.set_reservation_timer();
+    }
+
     fn queue_order(&self) -> Vec<CallId> {
         let mut order: Vec<(bool, CallId)> = self
             .wait_queue
