Relay: a request leaves an engine that may no longer get it, although memory is reserved there (DRAIN)

Cause: between a reservation and the request's dispatch lies the prefill, which may take seconds. Change: before each further step, the engine of the reservation is looked at once more in one place (Relay::leave_unusable_engine): listed, not leaving, not resting, the same address and run, a version that may answer. Otherwise the reservation is given up, another engine reserves memory, and the completed prefill is used there. Same class elsewhere: all other steps select among the endpoints that take work at that moment; requests that wait are selected for anew when their wait ends; a request in standby is never sent again to its endpoint; another VM decides by its own list.

--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -13,6 +13,7 @@
 use crate::relay::RelayRequest;
 use crate::relay::RelayRoute;
 use crate::relay::TokenCounts;
+use crate::relay::endpoint::Endpoint;
 use crate::relay::standby::Standby;
 
 /// Maximum number of failed exchanges of a call, refused reservations not counted.
@@ -86,6 +87,8 @@
 pub(crate) struct MemoryAllocation {
     pub(crate) instance: Name,
     pub(crate) address: SocketAddr,
+    /// Start of the engine's process, in Unix milliseconds, as it was listed.
+    pub(crate) started_unix_ms: Option<u64>,
     pub(crate) tokens: u64,
     /// The engine's id of the reservation, from its confirmation until the request's stream starts there.
     pub(crate) reservation: Option<Name>,
@@ -95,6 +98,14 @@
     pub(crate) fn has_open_reservation(&self) -> bool {
         self.reservation.is_some()
     }
+
+    /// Returns whether the call's request may be sent to the engine now, which has granted this memory.
+    pub(crate) fn is_usable_at(&self, engine: &Endpoint, call: &Call) -> bool {
+        let listed = &engine.listed;
+        let is_same_run =
+            listed.address == self.address && listed.started_unix_ms == self.started_unix_ms;
+        is_same_run && !listed.is_leaving && !engine.is_resting() && engine.may_serve(call)
+    }
 }
 
 /// A completed prefill whose KV cache is kept for transfer.
--- a/crates/arbutusfall_core/src/relay/rests.rs
+++ b/crates/arbutusfall_core/src/relay/rests.rs
@@ -156,15 +156,4 @@
             }
         }
     }
-
-    /// Gives up what the call has reserved at an engine that rests.
-    pub(super) fn leave_resting_engine(&mut self, id: CallId) {
-        let allocation = self
-            .calls
-            .get(&id)
-            .and_then(|call| call.allocation.as_ref());
-        if allocation.is_some_and(|allocation| self.is_resting(&allocation.instance)) {
-            self.release_allocation(id);
-        }
-    }
 }
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -43,7 +43,7 @@
         if self.goes_another_way(id) {
             return;
         }
-        self.leave_resting_engine(id);
+        self.leave_unusable_engine(id);
         let Some(stage) = self.next_stage(id) else {
             return;
         };
@@ -98,6 +98,22 @@
         Some(stage)
     }
 
+    /// Gives up what the call has reserved at an engine that may no longer get it: the list, the engine itself or a limit may have
+    /// said so since the reservation. A completed prefill is kept for the next engine.
+    fn leave_unusable_engine(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let Some(allocation) = &call.allocation else {
+            return;
+        };
+        let engine = self.endpoints.get(&allocation.instance);
+        let keeps = engine.is_some_and(|engine| allocation.is_usable_at(engine, call));
+        if !keeps {
+            self.release_allocation(id);
+        }
+    }
+
     /// Returns whether engines serve the call but it may not reserve memory or start its prefill now.
     fn must_wait(&self, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id) else {
@@ -330,6 +346,7 @@
             call.allocation = Some(MemoryAllocation {
                 instance: endpoint.listed.instance.clone(),
                 address: endpoint.listed.address,
+                started_unix_ms: endpoint.listed.started_unix_ms,
                 tokens,
                 reservation: None,
             });
--- a/crates/arbutusfall_core/tests/it/relay_leaving.rs
+++ b/crates/arbutusfall_core/tests/it/relay_leaving.rs
@@ -5,6 +5,7 @@
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ListedEndpoint;
 use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_core::relay::Work;
 
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::listed;
@@ -96,3 +97,77 @@
     list(&mut harness, "shop-1", None);
     assert!(!is_used(&mut harness, "shop-1"));
 }
+
+/// What becomes of an engine between a reservation and the request's dispatch.
+#[derive(Debug, Clone, Copy)]
+enum EngineChange {
+    ListedAsLeaving,
+    SaysLeaving,
+    Removed,
+    StartedAgain,
+    AddressTaken,
+}
+
+fn change_engine(harness: &mut RelayHarness, instance: &str, change: EngineChange) {
+    let entry = listed(instance, "model", Role::Decode);
+    let changed = match change {
+        EngineChange::SaysLeaving => return says_leaving(harness, instance),
+        EngineChange::Removed => EndpointListChange::Removed {
+            instance: instance.into(),
+        },
+        EngineChange::ListedAsLeaving => EndpointListChange::Listed(ListedEndpoint {
+            is_leaving: true,
+            ..entry
+        }),
+        EngineChange::StartedAgain => EndpointListChange::Listed(ListedEndpoint {
+            started_unix_ms: Some(2),
+            ..entry
+        }),
+        EngineChange::AddressTaken => EndpointListChange::Listed(ListedEndpoint {
+            address: ([10, 0, 0, 9], 9).into(),
+            ..entry
+        }),
+    };
+    harness.apply(RelayEvent::EndpointChanges(vec![changed]));
+}
+
+// Guards against a request that reaches an engine seconds after its notice, because memory was reserved there before: the prompt may
+// be read for longer than an engine that leaves goes on.
+#[test]
+fn request_goes_to_another_engine_if_the_one_with_its_reservation_cannot_take_it_any_more() {
+    for change in [
+        EngineChange::ListedAsLeaving,
+        EngineChange::SaysLeaving,
+        EngineChange::Removed,
+        EngineChange::StartedAgain,
+        EngineChange::AddressTaken,
+    ] {
+        let mut harness = RelayHarness::configured(1);
+        harness.submit("/stream/1");
+        let reserve = harness.take_only_send();
+        let reservation = "reservation".into();
+        harness.deliver(reserve.exchange, ExchangeEvent::Reserved { reservation });
+        let prefill = harness.take_only_send();
+        change_engine(&mut harness, &reserve.instance, change);
+        let handle = "handle".into();
+        harness.deliver(prefill.exchange, ExchangeEvent::PrefillDone { handle });
+        let second = harness.take_only_send();
+        assert!(
+            matches!(second.work, Work::Reserve { .. }),
+            "{change:?}: {second:?}"
+        );
+        let reservation = "second".into();
+        harness.deliver(second.exchange, ExchangeEvent::Reserved { reservation });
+        let decode = harness.take_only_send();
+        let Work::Decode { source, .. } = &decode.work else {
+            panic!("{change:?}: {decode:?}");
+        };
+        assert!(source.is_some(), "{change:?}: the prefill is lost");
+        let is_elsewhere = decode.instance != reserve.instance;
+        let is_usable = matches!(
+            change,
+            EngineChange::StartedAgain | EngineChange::AddressTaken
+        );
+        assert!(is_elsewhere || is_usable, "{change:?}");
+    }
+}
