--- a/crates/arbutusfall/src/relay/fact_board.rs
+++ b/crates/arbutusfall/src/relay/fact_board.rs
@@ -259,9 +259,9 @@
         })
     }
 
-    /// Returns whether the store was asked for a topic since an instant.
-    pub(super) fn is_read_since(&self, topic: StoreTopic, instant: Duration) -> bool {
-        self.state().topics[place(topic)].as_of > instant
+    /// Returns when the store was asked for what is known of a topic.
+    pub(super) fn as_of(&self, topic: StoreTopic) -> Duration {
+        self.state().topics[place(topic)].as_of
     }
 
     /// Waits until all news that is only in the store has been read, but not longer than a time.
--- a/crates/arbutusfall/src/relay/fact_follower.rs
+++ b/crates/arbutusfall/src/relay/fact_follower.rs
@@ -94,7 +94,8 @@
     let sent_at = board.now();
     let answer = exchange(relay, board, from, question(positions, wait), wait).await?;
     // The answer may have been held up: what it says is as old as its question at least.
-    let answered_at = sent_at + Duration::from_millis(answer.waited_ms).min(wait);
+    let longest_wait = board.times.longest_wait(wait);
+    let answered_at = sent_at + Duration::from_millis(answer.waited_ms).min(longest_wait);
     let elapsed = board.now().saturating_sub(answered_at);
     let facts = parse_answer(answer, elapsed).ok_or(FollowError::Declined("malformed answer"))?;
     let list = facts.iter().find(|f| f.topic == StoreTopic::Endpoints);
--- a/crates/arbutusfall/src/relay/fact_server.rs
+++ b/crates/arbutusfall/src/relay/fact_server.rs
@@ -6,6 +6,7 @@
 use arbutusfall_core::relay::FactPosition;
 use arbutusfall_core::relay::FactRecord;
 use arbutusfall_core::relay::StoreTopic;
+use arbutusfall_core::relay::WaitingQuestion;
 use arbutusfall_wire::FactsAnswer;
 use arbutusfall_wire::FactsQuestion;
 use arbutusfall_wire::PassedRecord;
@@ -63,22 +64,31 @@
         }
     }
 
-    /// Answers when there is news, when the store has been read again, or when the other VM wants no longer to wait.
+    /// Answers when there is news, when a read of the store has ended, or when the other VM wants no longer to wait and no read is
+    /// due.
     async fn answer_question(&self, question: &FactsQuestion) -> Response<AnswerBody> {
-        let arrived_at = self.board.now();
-        let wait = Duration::from_millis(question.wait_ms).min(self.board.times.wait);
+        let times = &self.board.times;
+        let waiting = WaitingQuestion {
+            arrived_at: self.board.now(),
+            wait: Duration::from_millis(question.wait_ms).min(times.wait),
+            known_as_of: self.board.as_of(StoreTopic::Endpoints),
+        };
+        let longest_wait = times.longest_wait(waiting.wait);
         loop {
             let facts = self.facts_for(question);
             let Some(facts) = facts.filter(|_| self.driver.may_be_followed()) else {
                 return status_only(StatusCode::CONFLICT);
             };
-            let waited = self.board.now().saturating_sub(arrived_at);
+            let now = self.board.now();
+            let waited = now.saturating_sub(waiting.arrived_at);
             let has_news = facts.iter().any(|facts| !facts.span.records.is_empty());
-            let is_read = self.board.is_read_since(StoreTopic::Endpoints, arrived_at);
-            if has_news || is_read || waited >= wait {
+            let as_of = self.board.as_of(StoreTopic::Endpoints);
+            if has_news || times.is_answer_due(&waiting, as_of, now) {
                 return answer_with(facts, waited);
             }
-            self.board.changed(wait - waited).await;
+            self.board
+                .changed(longest_wait.saturating_sub(waited))
+                .await;
         }
     }
 
--- a/crates/arbutusfall/src/relay/read_timing.rs
+++ b/crates/arbutusfall/src/relay/read_timing.rs
@@ -53,7 +53,7 @@
     pub wait: Duration,
     /// Time for the answer, in addition to the wait.
     pub answer_timeout: Duration,
-    /// Pause after a successful read.
+    /// Pause after a successful read that waited for records; without such waits, the time between the starts of two reads.
     pub pause: Duration,
     /// Pause after each of the first two successful reads that follow a failed one.
     pub pause_after_failure: Duration,
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -99,8 +99,8 @@
 struct Read {
     /// Where the next one continues.
     position: FactPosition,
-    /// Whether another VM passed it on.
-    is_passed: bool,
+    /// When the store was asked; none if another VM passed it on.
+    asked_at: Option<Duration>,
 }
 
 /// Where and how the next read begins.
@@ -157,8 +157,9 @@
             let retry_timer = async_io::Timer::after(next.retry_interval);
             match self.read(&next).await {
                 Ok(read) => {
-                    if !read.is_passed {
-                        self.pause(next.short_pauses > 0, read.position).await;
+                    if let Some(asked_at) = read.asked_at {
+                        let is_short = next.short_pauses > 0;
+                        self.pause(is_short, asked_at, read.position).await;
                     }
                     next = NextRead {
                         from: Some(read.position),
@@ -199,12 +200,19 @@
     }
 
     /// Waits until the topic is to be read again; what another VM passes on ends it.
-    async fn pause(&self, is_short: bool, position: FactPosition) {
-        let pause = if is_short {
+    ///
+    /// Reads that don't wait for records begin at equal intervals, however long the store takes: followers expect it.
+    async fn pause(&self, is_short: bool, asked_at: Duration, position: FactPosition) {
+        let interval = if is_short {
             self.timing.pause_after_failure
         } else {
             self.timing.pause
         };
+        let pause = if self.timing.wait.is_zero() {
+            (asked_at + interval).saturating_sub(self.facts.now())
+        } else {
+            interval
+        };
         if pause.is_zero() {
             return;
         }
@@ -273,7 +281,7 @@
         self.submit_records(records.collect(), false);
         Read {
             position,
-            is_passed: true,
+            asked_at: None,
         }
     }
 
@@ -302,7 +310,7 @@
                 offset: page.next,
                 era: from.era,
             },
-            is_passed: false,
+            asked_at: Some(started_at),
         }
     }
 
@@ -341,7 +349,7 @@
             .on_read_newest(self.topic, position, pages.started_at);
         Ok(Read {
             position,
-            is_passed: false,
+            asked_at: Some(started_at),
         })
     }
 
--- a/crates/arbutusfall_core/src/relay/facts.rs
+++ b/crates/arbutusfall_core/src/relay/facts.rs
@@ -16,3 +16,4 @@
 pub use source::FollowOutcome;
 pub use source::NextFacts;
 pub use times::FactTimes;
+pub use times::WaitingQuestion;
--- a/crates/arbutusfall_core/tests/it/relay_facts_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/relay_facts_simulation.rs
@@ -9,6 +9,7 @@
 use arbutusfall_core::relay::FactTimes;
 use arbutusfall_core::relay::FollowOutcome;
 use arbutusfall_core::relay::NextFacts;
+use arbutusfall_core::relay::WaitingQuestion;
 use arbutusfall_wire::Name;
 use arbutusfall_wire::Offset;
 
@@ -42,11 +43,18 @@
 #[derive(Debug, Clone, Copy)]
 struct Question {
     to: usize,
-    sent_at: Duration,
-    wait: Duration,
+    waiting: WaitingQuestion,
     deadline: Duration,
 }
 
+/// A read of the store that is not answered yet.
+#[derive(Debug, Clone, Copy)]
+struct PendingRead {
+    asked_at: Duration,
+    /// Number of records in the store then.
+    end: u64,
+}
+
 /// What disturbs a VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Trouble {
@@ -69,6 +77,7 @@
     position: Option<FactPosition>,
     as_of: Duration,
     next_read: Duration,
+    pending_read: Option<PendingRead>,
     fresh_until: Duration,
     question: Option<Question>,
     ask_from: Duration,
@@ -83,8 +92,14 @@
     /// When each record was written.
     written: Vec<Duration>,
     is_store_up: bool,
+    /// Whether there are changes in the store and news of other topics; both let questions be answered between two reads.
+    has_news: bool,
+    /// Time that the store takes for an answer.
+    store_delay: Duration,
     store_disturbed_at: Duration,
     reads: usize,
+    /// Oldest list that any VM had.
+    max_age: Duration,
     refused_reads: usize,
     questions: usize,
     rng: fastrand::Rng,
@@ -109,8 +124,11 @@
             now: Duration::from_secs(10),
             written: Vec::new(),
             is_store_up: true,
+            has_news: true,
+            store_delay: Duration::ZERO,
             store_disturbed_at: Duration::ZERO,
             reads: 0,
+            max_age: Duration::ZERO,
             refused_reads: 0,
             questions: 0,
             rng: fastrand::Rng::with_seed(seed),
@@ -139,6 +157,7 @@
             position: None,
             as_of: Duration::ZERO,
             next_read: self.now + PAUSE.mul_f64(self.rng.f64()),
+            pending_read: None,
             fresh_until: Duration::ZERO,
             question: None,
             ask_from: Duration::ZERO,
@@ -165,7 +184,7 @@
         while self.now < until {
             self.now += STEP;
             let chance = STEP.as_secs_f64() / CHANGE_INTERVAL.as_secs_f64();
-            if self.rng.f64() < chance {
+            if self.has_news && self.rng.f64() < chance {
                 self.written.push(self.now);
             }
             for number in 0..self.vms.len() {
@@ -180,9 +199,15 @@
         if matches!(vm.trouble, Trouble::Dead | Trouble::Frozen) {
             return;
         }
-        if self.now >= vm.fresh_until && self.now >= vm.next_read {
+        if vm.pending_read.is_none() && self.now >= vm.fresh_until && self.now >= vm.next_read {
             self.read_store(number);
         }
+        let pending = self.vms[number].pending_read;
+        if let Some(read) = pending.filter(|read| self.now >= read.asked_at + self.store_delay) {
+            self.end_read(number, read);
+        }
+        let age = self.now.saturating_sub(self.vms[number].as_of);
+        self.max_age = self.max_age.max(age);
         match self.vms[number].question {
             Some(question) => self.review_question(number, question),
             None if self.now >= self.vms[number].ask_from => self.ask(number),
@@ -198,8 +223,21 @@
             return;
         }
         self.reads += 1;
-        let end = self.written.len() as u64;
+        self.vms[number].next_read = now + PAUSE;
+        self.vms[number].pending_read = Some(PendingRead {
+            asked_at: now,
+            end: self.written.len() as u64,
+        });
+    }
+
+    fn end_read(&mut self, number: usize, read: PendingRead) {
+        let end = read.end;
         let vm = &mut self.vms[number];
+        vm.pending_read = None;
+        if vm.position.is_some_and(|from| from.offset.0 > end) {
+            // What was passed on meanwhile is newer.
+            return;
+        }
         let at = |offset| FactPosition {
             offset: Offset(offset),
             era: Some(1),
@@ -218,8 +256,7 @@
             }
         }
         vm.position = Some(at(end));
-        vm.as_of = now;
-        vm.next_read = now + PAUSE;
+        vm.as_of = vm.as_of.max(read.asked_at);
     }
 
     fn ask(&mut self, number: usize) {
@@ -239,10 +276,15 @@
                     Duration::ZERO
                 };
                 let deadline = now + TIMES.answer_timeout(wait, self.rng.f64());
-                vm.question = Some(Question {
-                    to: number_of(&to),
-                    sent_at: now,
+                let to = number_of(&to);
+                let waiting = WaitingQuestion {
+                    arrived_at: now,
                     wait,
+                    known_as_of: self.vms[to].as_of,
+                };
+                self.vms[number].question = Some(Question {
+                    to,
+                    waiting,
                     deadline,
                 });
             }
@@ -274,10 +316,9 @@
             return;
         };
         // News of another topic, which comes between two reads of this one.
-        let has_other_news = self.rng.f64() < OTHER_NEWS_CHANCE;
-        let is_due = self.now >= question.sent_at + question.wait
+        let has_other_news = self.has_news && self.rng.f64() < OTHER_NEWS_CHANCE;
+        let is_due = TIMES.is_answer_due(&question.waiting, asked.as_of, self.now)
             || has_other_news
-            || asked.as_of > question.sent_at
             || !news.records.is_empty();
         if !is_due {
             return;
@@ -302,7 +343,7 @@
         vm.question = None;
         vm.ask_from = now;
         vm.source.on_outcome(&vm_name(question.to), outcome, now);
-        let was_followed = !question.wait.is_zero();
+        let was_followed = !question.waiting.wait.is_zero();
         if outcome != FollowOutcome::Passed && was_followed && now < vm.fresh_until {
             vm.fresh_until = Duration::ZERO;
             vm.next_read = now;
@@ -360,6 +401,33 @@
     }
 }
 
+// Guards against followers that all read the store because the end of their wait and the next read of the VM that they follow fall
+// on the same instant: which comes first depends on the time that the store takes.
+#[test]
+fn reads_of_the_store_do_not_depend_on_the_time_that_it_takes() {
+    for (count, data_centres) in [(8, 3), (64, 3), (195, 6), (407, 6)] {
+        for delay_ms in [0, 20, 40, 100, 200, 300] {
+            let mut fleet = Fleet::new(count, data_centres, 1);
+            fleet.store_delay = ms(delay_ms);
+            fleet.has_news = false;
+            fleet.run(Duration::from_secs(8));
+            (fleet.reads, fleet.max_age) = (0, Duration::ZERO);
+            let time = Duration::from_secs(40);
+            fleet.run(time);
+            let expected = time.as_secs_f64() / PAUSE.as_secs_f64() * data_centres as f64;
+            println!(
+                "{count} VMs, store that takes {delay_ms} ms: {} reads, list at most {:?} old",
+                fleet.reads, fleet.max_age
+            );
+            assert!(
+                fleet.reads as f64 <= expected * 1.1,
+                "{count} VMs, {delay_ms} ms: {} reads, {expected:.0} expected",
+                fleet.reads
+            );
+        }
+    }
+}
+
 // Guards against a change that VMs in touch learn of too late, or facts that go back, whatever becomes of those that they follow.
 #[test]
 fn vms_in_touch_know_changes_in_time_whatever_becomes_of_others() {
