--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -43,6 +43,7 @@
 mod prompt_part;
 mod reach_handling;
 mod reachability;
+mod recorded_versions;
 mod request_key;
 mod reservation_silence;
 mod reservation_times;
@@ -62,6 +63,7 @@
 mod token_counts;
 mod waiting;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -209,6 +211,10 @@
     is_hash_key_shared: bool,
     /// Whether the store has returned from an older copy since the shared records were read.
     has_store_returned: bool,
+    /// Whether all records that VMs share have been read.
+    has_read_shared: bool,
+    /// Services and their versions that VMs have recorded.
+    recorded_versions: BTreeSet<(Name, Name)>,
     /// Number of VMs, as far as it is known.
     vm_count: u32,
     /// Whom this VM follows for facts of the store; none if it takes no connections of other VMs.
@@ -258,6 +264,8 @@
             hash_key: settings.own_hash_key,
             is_hash_key_shared: false,
             has_store_returned: false,
+            has_read_shared: false,
+            recorded_versions: BTreeSet::new(),
             vm_count: settings.retry_limit.vm_count,
             fact_source: settings
                 .own_address
@@ -400,6 +408,7 @@
     fn update_versions(&mut self) {
         let versions = self.endpoints.versions();
         self.stream_versions.on_endpoints(versions, self.now);
+        self.review_recorded_versions();
         self.set_record_timer();
     }
 
--- a/crates/arbutusfall_core/src/relay/shared_handling.rs
+++ b/crates/arbutusfall_core/src/relay/shared_handling.rs
@@ -34,6 +34,7 @@
             self.crash_suspects.on_shared_readable(self.now);
         }
         let listed: BTreeSet<SharedKey> = records.iter().map(SharedRecord::key).collect();
+        let mut lost = Vec::new();
         for record in self.own_view_of_shared_records() {
             let key = record.key();
             if listed.contains(&key) || self.shared_outbox.contains(&key) {
@@ -41,17 +42,19 @@
             }
             if has_returned {
                 // The store lost it; one VM is enough to write it again.
-                let due = self.now + self.random_delay();
-                self.shared_outbox.push(record, due);
+                lost.push(record);
             } else {
                 self.drop_shared_record(key);
             }
         }
+        self.append_to_shared(lost);
         let has_hash_key = self.is_hash_key_shared || listed.contains(&SharedKey::HashKey);
         if !listed.contains(&SharedKey::HashKey) {
             self.propose_hash_key();
         }
         self.on_shared_records(records);
+        self.has_read_shared = true;
+        self.review_recorded_versions();
         self.record_own_address();
         if has_hash_key {
             self.is_shared_known = true;
@@ -62,6 +65,18 @@
         }
     }
 
+    /// Appends records that other VMs may be about to append too, all at one instant.
+    pub(super) fn append_to_shared(&mut self, records: Vec<SharedRecord>) {
+        if records.is_empty() {
+            return;
+        }
+        let due = self.now + self.random_delay();
+        for record in records {
+            self.shared_outbox.push(record, due);
+        }
+        self.set_shared_timer();
+    }
+
     /// Records this VM's key for hashes of requests, which the store does not have: before new VMs do if the store has lost it.
     fn propose_hash_key(&mut self) {
         let delay = if self.is_hash_key_shared {
@@ -110,7 +125,18 @@
             vm: vm.clone(),
             peer: Some(peer.clone()),
         });
-        crashes.chain(blocks).chain(limits).chain(peers).collect()
+        let versions = self.recorded_versions.iter();
+        let versions = versions.map(|(service, version)| SharedRecord::Version {
+            service: service.clone(),
+            version: version.clone(),
+            is_recent: true,
+        });
+        crashes
+            .chain(blocks)
+            .chain(limits)
+            .chain(peers)
+            .chain(versions)
+            .collect()
     }
 
     fn drop_shared_record(&mut self, key: SharedKey) {
@@ -120,6 +146,7 @@
             SharedKey::HashKey => self.on_shared_hash_key(None),
             SharedKey::Limit(run) => self.on_shared_limit(&run, None),
             SharedKey::Peer(vm) => self.on_shared_peer(&vm, None),
+            SharedKey::Version(service, version) => self.on_shared_version(service, version, false),
             SharedKey::Share(run, number) => self.on_shared_share(&run, number, None),
         }
     }
@@ -147,6 +174,11 @@
                 SharedRecord::HashKey(key) => self.on_shared_hash_key(key),
                 SharedRecord::Limit { run, limit } => self.on_shared_limit(&run, limit),
                 SharedRecord::Peer { vm, peer } => self.on_shared_peer(&vm, peer),
+                SharedRecord::Version {
+                    service,
+                    version,
+                    is_recent,
+                } => self.on_shared_version(service, version, is_recent),
                 SharedRecord::Share {
                     run,
                     number,
--- a/crates/arbutusfall_core/src/relay/shared_record.rs
+++ b/crates/arbutusfall_core/src/relay/shared_record.rs
@@ -102,6 +102,15 @@
         /// Where it does, if it still does.
         peer: Option<PeerAddress>,
     },
+    /// A software version of a service that has endpoints, or had some of late.
+    Version {
+        /// The service.
+        service: Name,
+        /// The version.
+        version: Name,
+        /// Whether that still holds.
+        is_recent: bool,
+    },
     /// A share of the limit of an endpoint.
     Share {
         /// The run of the endpoint's process.
@@ -126,6 +135,8 @@
     Limit(EndpointRun),
     /// Key of [`SharedRecord::Peer`].
     Peer(Name),
+    /// Key of [`SharedRecord::Version`]: service and version.
+    Version(Name, Name),
     /// Key of [`SharedRecord::Share`].
     Share(EndpointRun, usize),
 }
@@ -139,6 +150,7 @@
             Self::HashKey(key) => key.is_none(),
             Self::Limit { limit, .. } => limit.is_none(),
             Self::Peer { peer, .. } => peer.is_none(),
+            Self::Version { is_recent, .. } => !is_recent,
             Self::Share { holder, .. } => holder.is_none(),
         }
     }
@@ -151,6 +163,9 @@
             Self::HashKey(_) => SharedKey::HashKey,
             Self::Limit { run, .. } => SharedKey::Limit(run.clone()),
             Self::Peer { vm, .. } => SharedKey::Peer(vm.clone()),
+            Self::Version {
+                service, version, ..
+            } => SharedKey::Version(service.clone(), version.clone()),
             Self::Share { run, number, .. } => SharedKey::Share(run.clone(), *number),
         }
     }
--- a/crates/arbutusfall_core/src/relay/stream_versions.rs
+++ b/crates/arbutusfall_core/src/relay/stream_versions.rs
@@ -134,6 +134,20 @@
         self.versions.retain(|_, versions| !versions.is_empty());
     }
 
+    /// Takes a version that another VM has recorded: its endpoints may have left just now.
+    pub(crate) fn on_recorded_version(&mut self, service: &Name, version: &Name, now: Duration) {
+        let versions = self.versions.entry(service.clone()).or_default();
+        versions
+            .entry(version.clone())
+            .or_insert(VersionPresence::LeftAt(now));
+    }
+
+    /// Returns whether the service has, or had of late, endpoints of a version.
+    pub(crate) fn is_recent_version(&self, service: &Name, version: &Name, now: Duration) -> bool {
+        self.recent_versions(service, now)
+            .any(|recent| recent == version)
+    }
+
     fn recent_versions(&self, service: &Name, now: Duration) -> impl Iterator<Item = &Name> {
         let versions = self.versions.get(service).into_iter().flatten();
         versions
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -185,12 +185,18 @@
         Self::with_retry_limit(seed, RETRY_LIMIT)
     }
 
-    /// Creates a relay without routes or endpoints that has this retry limit.
+    /// Creates a relay without routes or endpoints that has this retry limit; other VMs have recorded a key for hashes and the versions
+    /// of the endpoints of [`endpoints`].
     pub(crate) fn with_retry_limit(seed: u64, retry_limit: RetryLimit) -> Self {
         let mut harness = Self::started(seed, retry_limit);
         let hash_key = SharedRecord::HashKey(Some(RequestHashKey(7)));
+        let versions = ["model", "shop"].map(|service| SharedRecord::Version {
+            service: service.into(),
+            version: "v1".into(),
+            is_recent: true,
+        });
         harness.apply(RelayEvent::SharedRecords {
-            records: vec![hash_key],
+            records: [hash_key].into_iter().chain(versions).collect(),
             is_full: true,
         });
         harness
