Relay: a tail that goes on behind one answer is read on at once (DRAIN, CONFIG)

Cause: an answer of the store holds a limited size, and the reader paused after each. A topic that grows faster than one answer a pause, by another writer's large entries or by the heartbeats of 12,000 endpoints (some 3 MB each 1.2 s), was followed ever later: 100 MB took 110 s (computed). Change: TailPage says whether the topic goes on; then the next read begins without a pause.

--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -101,6 +101,8 @@
     position: FactPosition,
     /// When the store was asked; none if another VM passed it on.
     asked_at: Option<Duration>,
+    /// Whether there is more to read at once.
+    has_more: bool,
 }
 
 /// Where and how the next read begins.
@@ -157,7 +159,7 @@
             let retry_timer = async_io::Timer::after(next.retry_interval);
             match self.read(&next).await {
                 Ok(read) => {
-                    if let Some(asked_at) = read.asked_at {
+                    if let Some(asked_at) = read.asked_at.filter(|_| !read.has_more) {
                         let is_short = next.short_pauses > 0;
                         self.pause(is_short, asked_at, read.position).await;
                     }
@@ -282,11 +284,13 @@
         Read {
             position,
             asked_at: None,
+            has_more: false,
         }
     }
 
     /// Takes a page of the topic's tail that was asked for at `started_at`.
     fn take_tail(&mut self, from: FactPosition, page: TailPage, started_at: Duration) -> Read {
+        let has_more = page.has_more;
         let records = page.records.iter().enumerate();
         let records = records.map(|(number, record)| FactRecord {
             offset: Offset(from.offset.0 + number as u64),
@@ -311,6 +315,7 @@
                 era: from.era,
             },
             asked_at: Some(started_at),
+            has_more,
         }
     }
 
@@ -350,6 +355,7 @@
         Ok(Read {
             position,
             asked_at: Some(started_at),
+            has_more: false,
         })
     }
 
@@ -383,12 +389,12 @@
             return Err(WatchError::PositionLost);
         }
         let page = store::parse_tail(&answer.body, from.offset);
-        let page = page.map_err(|_| ClientError::Malformed)?;
-        let records = page.records.into_iter();
+        let mut page = page.map_err(|_| ClientError::Malformed)?;
+        let records = std::mem::take(&mut page.records).into_iter();
         let records = records.map(|record| without_foreign_value(self.topic, record));
         Ok(News::Page(TailPage {
             records: records.collect(),
-            next: page.next,
+            ..page
         }))
     }
 
