--- a/crates/arbutusfall/src/http.rs
+++ b/crates/arbutusfall/src/http.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 client and server for the router and the stand-ins: hyper on async-io.
 
-mod answer_memory;
 mod body;
+mod body_memory;
 mod client;
 mod error_replacing_stream;
 mod event_splitter;
@@ -12,12 +12,13 @@
 mod request_body;
 mod server;
 
-pub use answer_memory::AnswerLimits;
-pub use answer_memory::AnswerMemory;
 pub use body::AnswerBody;
 pub use body::BodyAborted;
 pub use body::BodyChunk;
 pub use body::BodyWriter;
+pub use body_memory::BodyLimits;
+pub use body_memory::BodyMemory;
+pub(crate) use body_memory::HeldBytes;
 pub use client::ClientError;
 pub use client::OutgoingRequest;
 pub use client::WholeAnswer;
@@ -36,6 +37,7 @@
 pub use problem::problem_answer;
 pub(crate) use problem::problem_document;
 pub use request_body::ReadBodyError;
+pub(crate) use request_body::read_counted_body;
 pub use request_body::read_request_body;
 pub use server::ListenerHandle;
 pub use server::RequestHandler;
--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -30,7 +30,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::Executor;
-use crate::http::AnswerMemory;
+use crate::http::BodyMemory;
 use crate::http::head_limit::HeadLimit;
 use crate::http::head_limit::HeadLimitedStream;
 
@@ -178,12 +178,12 @@
 pub async fn read_body(
     body: Incoming,
     timeout: Duration,
-    memory: &Arc<AnswerMemory>,
+    memory: &Arc<BodyMemory>,
 ) -> Result<Bytes, ClientError> {
     read_within(body, memory).or(fail_after(timeout)).await
 }
 
-async fn read_within(mut body: Incoming, memory: &Arc<AnswerMemory>) -> Result<Bytes, ClientError> {
+async fn read_within(mut body: Incoming, memory: &Arc<BodyMemory>) -> Result<Bytes, ClientError> {
     let mut held = memory.begin();
     // Joined at the end: a buffer that grows could take twice the counted bytes.
     let mut pieces: Vec<Bytes> = Vec::new();
--- a/crates/arbutusfall/src/relay/callers.rs
+++ b/crates/arbutusfall/src/relay/callers.rs
@@ -21,11 +21,12 @@
 use hyper::header::RETRY_AFTER;
 
 use crate::http::AnswerBody;
+use crate::http::HeldBytes;
 use crate::http::ReadBodyError;
 use crate::http::RequestHandler;
 use crate::http::ServerLimits;
 use crate::http::problem_answer;
-use crate::http::read_request_body;
+use crate::http::read_counted_body;
 use crate::relay::driver::Driver;
 use crate::relay::handle::RelayHandle;
 use crate::relay::open_calls::Reply;
@@ -43,6 +44,8 @@
 struct CallGuard {
     driver: Arc<Driver>,
     call: CallId,
+    /// Memory of the request's body, which may be sent again until the answer is complete.
+    _held: HeldBytes,
 }
 
 impl Drop for CallGuard {
@@ -107,18 +110,19 @@
     let arrived_at = io.now();
     let (parts, body) = request.into_parts();
     let timeout = limits.receive_timeout.max(Duration::from_secs(1));
-    let body = read_request_body(body, limits.max_body_bytes, timeout);
+    let body = read_counted_body(body, limits.max_body_bytes, timeout, &io.request_memory);
     let body = body.await.map_err(ReadBodyError::problem)?;
     let call = io.calls.next_id();
     let receive_time = arrival.elapsed + io.now().saturating_sub(arrived_at);
-    let key = request_key(driver.hash_key(), &parts, &body);
+    let key = request_key(driver.hash_key(), &parts, &body.bytes);
     let relay_request = callers::relay_request(call, &parts, key, receive_time, arrival.hop);
     let request_id = relay_request.request_id.clone();
-    let forwarded = ForwardedRequest::new(parts.method, &parts.uri, parts.headers, body);
+    let forwarded = ForwardedRequest::new(parts.method, &parts.uri, parts.headers, body.bytes);
     let replies = io.calls.open(call, forwarded);
     let guard = CallGuard {
         driver: driver.clone(),
         call,
+        _held: body.held,
     };
     driver.submit(RelayEvent::RequestReceived(relay_request));
     match replies.recv().await {
--- a/crates/arbutusfall/src/relay/handle.rs
+++ b/crates/arbutusfall/src/relay/handle.rs
@@ -12,7 +12,7 @@
 use crate::Clock;
 use crate::Executor;
 use crate::SystemClock;
-use crate::http::AnswerMemory;
+use crate::http::BodyMemory;
 use crate::relay::decision_log::DecisionLog;
 use crate::relay::metrics::Metrics;
 use crate::relay::open_calls::OpenCalls;
@@ -41,7 +41,10 @@
     pub(super) executor: Arc<Executor>,
     pub(super) calls: OpenCalls,
     pub(super) exchanges: OpenExchanges,
-    pub(super) answer_memory: Arc<AnswerMemory>,
+    /// Memory for answers that are read completely.
+    pub(super) answer_memory: Arc<BodyMemory>,
+    /// Memory for bodies of requests.
+    pub(super) request_memory: Arc<BodyMemory>,
     pub(super) metrics: Metrics,
     pub(super) clock: SystemClock,
     log: DecisionLog,
@@ -50,7 +53,8 @@
 impl RelayIo {
     pub(super) fn new(
         executor: Arc<Executor>,
-        answer_memory: Arc<AnswerMemory>,
+        answer_memory: Arc<BodyMemory>,
+        request_memory: Arc<BodyMemory>,
         log: DecisionLog,
     ) -> Self {
         Self {
@@ -58,6 +62,7 @@
             calls: OpenCalls::default(),
             exchanges: OpenExchanges::default(),
             answer_memory,
+            request_memory,
             metrics: Metrics::default(),
             clock: SystemClock::start(),
             log,
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -32,7 +32,7 @@
 use crate::ServeError;
 use crate::http;
 use crate::http::AnswerBody;
-use crate::http::AnswerMemory;
+use crate::http::BodyMemory;
 use crate::http::ServerLimits;
 use crate::relay::ReadTiming;
 use crate::relay::RelayProcessSettings;
@@ -103,7 +103,8 @@
         member: format!("{}-{:016x}", settings.vm, fastrand::u64(..)).into(),
         store: store.clone(),
     };
-    let answer_memory = Arc::new(AnswerMemory::new(settings.answer_limits()));
+    let answer_memory = Arc::new(BodyMemory::new(settings.answer_limits()));
+    let request_memory = Arc::new(BodyMemory::new(settings.request_limits()));
     let relay = Relay::new(&relay_settings, fastrand::u64(..));
     let log = DecisionLog::start(
         settings.vm.clone(),
@@ -111,7 +112,7 @@
         std::io::stdout(),
     );
     let log = log.change_context(ServeError::Log)?;
-    let io = RelayIo::new(executor.clone(), answer_memory, log);
+    let io = RelayIo::new(executor.clone(), answer_memory, request_memory, log);
     let facts = Arc::new(FactBoard::new(settings.fact_times(), io.clock));
     let effects = EffectPerformer::new(control, store.clone(), facts.clone());
     let driver = Arc::new(Driver::new(relay, io, effects));
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -16,7 +16,7 @@
 
 use crate::LogLevel;
 use crate::SettingsError;
-use crate::http::AnswerLimits;
+use crate::http::BodyLimits;
 use crate::relay::read_timing::ReadTiming;
 use crate::settings::read_settings;
 
@@ -26,6 +26,10 @@
 /// Allowed values of `memory_limit_mb`.
 const MEMORY_LIMIT_RANGE_MB: RangeInclusive<u32> = 8..=1_048_576;
 
+/// Part of the memory that bodies of requests may take: one of this many. Each is held once more, for a moment, by the connection
+/// that it arrives on or leaves by.
+const REQUEST_MEMORY_DIVISOR: usize = 6;
+
 /// Part of the memory that answers may take: one of this many.
 const ANSWER_MEMORY_DIVISOR: usize = 12;
 
@@ -71,7 +75,8 @@
     /// Time within which a silent connection to the store must be detected.
     #[serde(default = "default_silence_bound_ms")]
     pub silence_bound_ms: u64,
-    /// Memory that the VM may use; a part of it is for answers that are read completely before they are forwarded.
+    /// Memory that the VM may use; a part of it is for bodies of requests, and one for answers that are read completely before they
+    /// are forwarded.
     #[serde(
         default = "default_memory_limit_mb",
         deserialize_with = "memory_limit_mb"
@@ -150,15 +155,24 @@
     }
 
     /// Returns the limits of the memory for answers.
-    pub fn answer_limits(&self) -> AnswerLimits {
+    pub fn answer_limits(&self) -> BodyLimits {
         let memory_bytes = self.memory_limit_mb as usize * 1_000_000;
         let total_bytes = memory_bytes / ANSWER_MEMORY_DIVISOR;
-        AnswerLimits {
-            per_answer_bytes: total_bytes / MIN_CONCURRENT_ANSWERS,
+        BodyLimits {
+            per_body_bytes: total_bytes / MIN_CONCURRENT_ANSWERS,
             total_bytes,
         }
     }
 
+    /// Returns the limits of the memory for bodies of requests; the configuration limits the size of each.
+    pub fn request_limits(&self) -> BodyLimits {
+        let memory_bytes = self.memory_limit_mb as usize * 1_000_000;
+        BodyLimits {
+            per_body_bytes: usize::MAX,
+            total_bytes: memory_bytes / REQUEST_MEMORY_DIVISOR,
+        }
+    }
+
     /// Returns the times of reads of the endpoint list.
     pub fn endpoint_list_timing(&self) -> ReadTiming {
         ReadTiming::of_endpoint_list(
--- a/crates/arbutusfall/src/services.rs
+++ b/crates/arbutusfall/src/services.rs
@@ -19,7 +19,7 @@
 use crate::driver::Input;
 use crate::engines::child_span;
 use crate::http;
-use crate::http::AnswerMemory;
+use crate::http::BodyMemory;
 use crate::http::ClientError;
 use crate::http::OutgoingRequest;
 use crate::trace::SpanContext;
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 pub(crate) struct Services {
     pub(crate) executor: Arc<Executor>,
-    pub(crate) answer_memory: Arc<AnswerMemory>,
+    pub(crate) answer_memory: Arc<BodyMemory>,
     pub(crate) calls: Arc<CallTable>,
     pub(crate) input_sender: Sender<Input>,
 }
--- a/crates/arbutusfall/tests/it/relay_settings.rs
+++ b/crates/arbutusfall/tests/it/relay_settings.rs
@@ -141,5 +141,5 @@
         serde_json::from_value(document(110)).expect("valid settings");
     let limits = settings.answer_limits();
     assert!(limits.total_bytes < 110_000_000 / 4);
-    assert!(limits.per_answer_bytes * 4 <= limits.total_bytes);
+    assert!(limits.per_body_bytes * 4 <= limits.total_bytes);
 }
