--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -23,6 +23,7 @@
 mod shared_records;
 mod store_client;
 mod store_era;
+mod store_pages;
 mod store_signal;
 mod store_watch;
 mod stream_records;
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -1,7 +1,6 @@
 //! Reads the configuration and the endpoint list from the platform's store and follows their changes.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,11 +14,9 @@
 use arbutusfall_core::relay::StoreReadFailure;
 use arbutusfall_core::relay::StoreTopic;
 use arbutusfall_platform::config::parse_config;
-use arbutusfall_platform::directory::parse_entry;
 use arbutusfall_platform::shared::parse_record;
 use arbutusfall_platform::store;
 use arbutusfall_platform::store::KeyedRecord;
-use arbutusfall_platform::store::NewestPage;
 use arbutusfall_platform::store::TailPage;
 use arbutusfall_wire::Name;
 use arbutusfall_wire::Offset;
@@ -34,6 +31,9 @@
 use crate::relay::store_client::StoreAnswer;
 use crate::relay::store_client::StoreClient;
 use crate::relay::store_client::StoreError;
+use crate::relay::store_pages::NewestPages;
+use crate::relay::store_pages::parse_listed;
+use crate::relay::store_pages::without_foreign_value;
 
 /// Minimum time between the starts of a failed read and the next one; doubles up to [`ReadTiming::max_retry_interval`].
 const FIRST_RETRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -62,39 +62,6 @@
     Lapsed,
 }
 
-/// Pages of newest records that have been read.
-#[derive(Debug, Default)]
-pub(super) struct NewestPages {
-    started_at: Duration,
-    records: Vec<KeyedRecord>,
-    /// Key after which the next page begins; none before the first page.
-    after: Option<Name>,
-    /// Last keys of all pages read.
-    ends: BTreeSet<Name>,
-    /// Position at the end of the topic when the first page was read.
-    first_end: Option<FactPosition>,
-}
-
-impl NewestPages {
-    /// Adds the next page; returns whether there is a further one.
-    fn add(&mut self, topic: StoreTopic, page: NewestPage) -> Result<bool, WatchError> {
-        if let Some(end) = &page.next_after
-            && !self.ends.insert(end.clone())
-        {
-            log::warn!(
-                "a page of {} ends where an earlier one ended, at key {end}",
-                topic.name()
-            );
-            return Err(ClientError::Malformed.into());
-        }
-        let records = page.records.into_iter();
-        self.records
-            .extend(records.map(|record| without_foreign_value(topic, record)));
-        self.after = page.next_after;
-        Ok(self.after.is_some())
-    }
-}
-
 /// What a read brought.
 struct Read {
     /// Where the next one continues.
@@ -332,10 +299,10 @@
     /// Reads the newest record of each key; a read that failed goes on with the page that failed.
     async fn read_newest(&mut self) -> Result<Read, WatchError> {
         let started_at = self.facts.now();
-        let mut pages = self.pages.take().unwrap_or_else(|| NewestPages {
-            started_at,
-            ..NewestPages::default()
-        });
+        let mut pages = self
+            .pages
+            .take()
+            .unwrap_or_else(|| NewestPages::new(started_at));
         loop {
             match self.read_newest_page(&mut pages).await {
                 Ok(true) => {}
@@ -379,7 +346,7 @@
             // The store has returned between two pages.
             return Err(WatchError::PositionLost);
         }
-        pages.add(self.topic, page)
+        Ok(pages.add(self.topic, page)?)
     }
 
     async fn read_tail(&self, from: FactPosition, wait: Duration) -> Result<News, WatchError> {
@@ -472,32 +439,6 @@
     }
 }
 
-/// Parses an entry of the endpoint list; none if it is deleted or invalid.
-fn parse_listed(record: &KeyedRecord) -> Option<ListedEndpoint> {
-    let value = record.value.as_deref()?;
-    let instance = &record.key;
-    parse_entry(instance.clone(), value)
-        .inspect_err(|error| {
-            log::info!(
-                "treating endpoint {instance} as removed, because its list entry is invalid: {error}"
-            );
-        })
-        .ok()
-}
-
-/// Drops the value of a record that another writer wrote: it says nothing, and its size is not bounded.
-fn without_foreign_value(topic: StoreTopic, record: KeyedRecord) -> KeyedRecord {
-    let is_foreign = match topic {
-        StoreTopic::Config => *record.key != *store::CONFIG_KEY,
-        StoreTopic::Endpoints => parse_listed(&record).is_none(),
-        StoreTopic::Shared => false,
-    };
-    KeyedRecord {
-        value: record.value.filter(|_| !is_foreign),
-        key: record.key,
-    }
-}
-
 /// Returns whether a read failed because the topic does not exist.
 fn is_missing(answer: &Result<StoreAnswer, StoreError>) -> bool {
     match answer {
