Relay: versions are recorded of configured services and with short names only

Cause: found on reading the diff: an entry of the list may name any service and a version of any length, and each VM would have recorded it in the topic that VMs share, under a key that may be longer than the 255 bytes that a record's key has. Change: only services of the configuration, and names of 80 bytes together. The listed versions come from where they are counted already, not from all endpoints. Result: versions_of_unknown_services_and_very_long_ones_are_not_recorded.

--- a/crates/arbutusfall_core/src/relay/recorded_versions.rs
+++ b/crates/arbutusfall_core/src/relay/recorded_versions.rs
@@ -9,6 +9,9 @@
 use crate::relay::Relay;
 use crate::relay::SharedRecord;
 
+/// Most bytes of the names of a service and a version that are recorded: a record's key has room for three times as many.
+const MAX_NAME_BYTES: usize = 80;
+
 impl Relay {
     /// Takes over the record of a version, or its deletion.
     pub(super) fn on_shared_version(&mut self, service: Name, version: Name, is_recent: bool) {
@@ -22,14 +25,24 @@
         }
     }
 
+    /// Returns whether a version may be recorded: entries of the list may name any service and any version.
+    fn is_recordable(&self, service: &Name, version: &Name) -> bool {
+        let is_configured = self
+            .routes
+            .as_ref()
+            .is_some_and(|routes| routes.services.contains_key(service));
+        is_configured && service.len() + version.len() <= MAX_NAME_BYTES
+    }
+
     /// Records versions that are listed and not recorded, and deletes the records of those that left long ago. One VM is enough,
     /// so each waits for a random time.
     pub(super) fn review_recorded_versions(&mut self) {
         if !self.has_read_shared {
             return;
         }
-        let listed = self.endpoints.versions();
+        let listed = self.stream_versions.listed();
         let missing = listed
+            .filter(|(service, version)| self.is_recordable(service, version))
             .map(|(service, version)| (service.clone(), version.clone()))
             .filter(|pair| !self.recorded_versions.contains(pair));
         let mut changes: Vec<((Name, Name), bool)> = missing.map(|pair| (pair, true)).collect();
--- a/crates/arbutusfall_core/src/relay/stream_versions.rs
+++ b/crates/arbutusfall_core/src/relay/stream_versions.rs
@@ -142,6 +142,17 @@
             .or_insert(VersionPresence::LeftAt(now));
     }
 
+    /// Returns services and versions that are listed now.
+    pub(crate) fn listed(&self) -> impl Iterator<Item = (&Name, &Name)> {
+        let services = self.versions.iter();
+        services.flat_map(|(service, versions)| {
+            let listed = versions
+                .iter()
+                .filter(|(_, presence)| **presence == VersionPresence::Listed);
+            listed.map(move |(version, _)| (service, version))
+        })
+    }
+
     /// Returns whether the service has, or had of late, endpoints of a version.
     pub(crate) fn is_recent_version(&self, service: &Name, version: &Name, now: Duration) -> bool {
         self.recent_versions(service, now)
--- a/crates/arbutusfall_core/tests/it/relay_stream_versions.rs
+++ b/crates/arbutusfall_core/tests/it/relay_stream_versions.rs
@@ -247,6 +247,21 @@
     }
 }
 
+// Guards against records that another writer's entries fill the topic with, or whose key is too long for the store.
+#[test]
+fn versions_of_unknown_services_and_very_long_ones_are_not_recorded() {
+    let mut harness = relay_with_engines(1, &[("decode-1", "v1")]);
+    let long = "v".repeat(200);
+    let changes = vec![
+        engine("decode-2", Role::Decode, &long),
+        EndpointListChange::Listed(listed("other-1", "other", Role::Plain)),
+    ];
+    harness.apply(RelayEvent::EndpointChanges(changes));
+    harness.advance(ms(500));
+    let is_append = |effect: &RelayEffect| matches!(effect, RelayEffect::AppendShared(_));
+    assert!(!harness.effects.iter().any(is_append));
+}
+
 // Guards against versions that no VM has recorded when all are killed, and against records that stay for ever.
 #[test]
 fn versions_are_recorded_when_they_appear_and_deleted_when_no_stream_of_them_can_come_back() {
