Relay: the status of an engine's run has a name of its own

EndpointRun was the name of two types: the id of a run in records that VMs share, and whether a run is the listed one. The second is RunStatus now. Names and comments only.

--- a/crates/arbutusfall_core/src/relay/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint.rs
@@ -7,9 +7,9 @@
 use crate::relay::ListedEndpoint;
 use crate::relay::RelayNotice;
 use crate::relay::call::Call;
-use crate::relay::endpoint_run::EndpointRun;
 use crate::relay::notice::millis;
 use crate::relay::reservation_times::ReservationTimes;
+use crate::relay::run_status::RunStatus;
 
 /// Weight of the newest sample in a running mean.
 const NEWEST_WEIGHT: f64 = 0.2;
@@ -116,7 +116,7 @@
     /// Times of its answers to this VM's reservations.
     pub(crate) reservation_times: ReservationTimes,
     /// Whether its process is the listed one.
-    pub(crate) run: EndpointRun,
+    pub(crate) run: RunStatus,
     /// Newest sign that its process runs.
     alive_at: Duration,
     /// Instant from which the endpoint may be removed; none while it is listed.
@@ -164,7 +164,7 @@
             rest_until: None,
             returning_limit: None,
             reservation_times: ReservationTimes::default(),
-            run: EndpointRun::default(),
+            run: RunStatus::default(),
             alive_at: Duration::ZERO,
             remove_at: None,
         }
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -280,16 +280,16 @@
     pub(crate) fn remove_unlisted(&mut self, now: Duration) -> Vec<RelayNotice> {
         let mut notices = Vec::new();
         let removed = &mut self.removed;
-        removed.retain(|_, removed| now < removed.removed_at + LEAVING_LIFETIME);
+        removed.retain(|_, known| now < known.removed_at + LEAVING_LIFETIME);
         self.by_instance.retain(|instance, endpoint| {
             let is_gone = endpoint.remove_at.is_some_and(|remove_at| now >= remove_at);
             if is_gone {
-                let instance_removed = RemovedInstance {
+                let known = RemovedInstance {
                     service: endpoint.listed.service.clone(),
                     started_unix_ms: endpoint.listed.started_unix_ms,
                     removed_at: now,
                 };
-                removed.insert(instance.clone(), instance_removed);
+                removed.insert(instance.clone(), known);
                 notices.push(RelayNotice::EndpointGone {
                     instance: instance.clone(),
                 });
--- a/crates/arbutusfall_core/src/relay/endpoint_run.rs
+++ b/crates/arbutusfall_core/src/relay/run_status.rs
@@ -17,7 +17,7 @@
 
 /// Whether an engine's process is the listed one.
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct EndpointRun {
+pub(crate) struct RunStatus {
     doubt: Option<RunDoubt>,
     /// When the engine was last asked.
     checked_at: Option<Duration>,
@@ -43,7 +43,7 @@
     Failed,
 }
 
-impl EndpointRun {
+impl RunStatus {
     /// Returns whether nothing speaks against the listed process.
     pub(crate) fn is_listed(&self) -> bool {
         self.doubt.is_none()
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -98,7 +98,7 @@
         Some(stage)
     }
 
-    /// Gives up what the call has reserved at an engine that may no longer get it: the list, the engine itself or a limit may have
+    /// Gives up what the call has reserved at an engine that may no longer get the request: the list or the engine itself may have
     /// said so since the reservation. A completed prefill is kept for the next engine.
     fn leave_unusable_engine(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else {
