Relay: versions are recorded also when the configuration is read last (ORDER)

Cause: since only versions of configured services are recorded, and what is missing is looked for when the list changes or all shared records are read. A VM that read its configuration after both recorded nothing, until the list changed. If all VMs of a site did so, streams of killed VMs went on at a newer version.

Change: a new configuration is followed by the review of the recorded versions. Test without processes over all six orders of the three reads; it failed for list, records, configuration.

--- a/crates/arbutusfall_core/src/relay/configuration.rs
+++ b/crates/arbutusfall_core/src/relay/configuration.rs
@@ -52,6 +52,8 @@
             self.first_routes = names.collect();
         }
         self.routes = Some(routes);
+        // Versions of services that were not configured before are not recorded yet.
+        self.review_recorded_versions();
     }
 
     /// Logs a version older than the one in force. The same version is read again after history was deleted.
--- a/crates/arbutusfall_core/tests/it/relay_stream_versions.rs
+++ b/crates/arbutusfall_core/tests/it/relay_stream_versions.rs
@@ -247,6 +247,39 @@
     }
 }
 
+// Guards against a version that is never recorded because the configuration is read after the list and the records: the services are
+// not known before.
+#[test]
+fn version_is_recorded_in_whatever_order_a_vm_reads_its_facts() {
+    let facts = [
+        RelayEvent::NewConfig(Arc::new(routes(1))),
+        RelayEvent::EndpointChanges(vec![engine("decode-1", Role::Decode, "v1")]),
+        RelayEvent::SharedRecords {
+            records: Vec::new(),
+            is_full: true,
+        },
+    ];
+    for order in [
+        [0, 1, 2],
+        [0, 2, 1],
+        [1, 0, 2],
+        [1, 2, 0],
+        [2, 0, 1],
+        [2, 1, 0],
+    ] {
+        let mut harness = RelayHarness::before_shared_records(1);
+        for number in order {
+            harness.apply(facts[number].clone());
+        }
+        harness.advance(ms(500));
+        assert_eq!(
+            take_recorded_versions(&mut harness),
+            [recorded_version("v1", true)],
+            "{order:?}"
+        );
+    }
+}
+
 // Guards against records that another writer's entries fill the topic with, or whose key is too long for the store.
 #[test]
 fn versions_of_unknown_services_and_very_long_ones_are_not_recorded() {
