Relay: a stream of unknown version is refused until the recorded versions are read (ORDER)

Cause: a VM that starts while the store answers for streams but not for the shared records becomes ready, and knows only the listed versions. A stream of a killed VM whose version had just left went on at the only one that is listed.

Change: without a history of its own a VM takes the listed version as the only one only once it has read the shared records.

--- a/crates/arbutusfall_core/src/relay/resumptions.rs
+++ b/crates/arbutusfall_core/src/relay/resumptions.rs
@@ -111,14 +111,15 @@
         }
     }
 
-    /// Returns whether the endpoint list tells all versions that a stream can have begun at. If the store could not be
-    /// asked, this VM must have seen the list for long enough itself.
+    /// Returns whether all versions are known that a stream can have begun at: by the list and the versions that VMs have recorded,
+    /// or, if the store could not be asked, because this VM has seen the list for long enough itself.
     fn knows_versions(&self, lookup: StreamLookup) -> bool {
         let age = self.store.unread_for(StoreTopic::Endpoints, self.now);
         let is_fresh = age.is_some_and(|age| age <= MAX_LIST_AGE);
         let first_read_at = self.store.first_read_at(StoreTopic::Endpoints);
         let has_history = first_read_at.is_some_and(|at| at + ORIGIN_LIFETIME <= self.now);
-        is_fresh && (has_history || lookup != StreamLookup::Failed)
+        let is_recorded = self.has_read_shared && lookup != StreamLookup::Failed;
+        is_fresh && (has_history || is_recorded)
     }
 
     /// Remembers the version of the call's stream at its first event.
--- a/crates/arbutusfall_core/tests/it/relay_stream_versions.rs
+++ b/crates/arbutusfall_core/tests/it/relay_stream_versions.rs
@@ -16,6 +16,8 @@
 use arbutusfall_core::relay::RetryLimit;
 use arbutusfall_core::relay::RunAnswer;
 use arbutusfall_core::relay::SharedRecord;
+use arbutusfall_core::relay::StoreReadFailure;
+use arbutusfall_core::relay::StoreTopic;
 use arbutusfall_core::relay::StreamLookup;
 use arbutusfall_core::relay::StreamOrigin;
 use arbutusfall_core::relay::StreamRecord;
@@ -280,6 +282,33 @@
     }
 }
 
+// Guards against a stream that goes on at a newer version because a VM that starts could not read the recorded versions: the store
+// answers for streams, and not for records.
+#[test]
+fn unknown_stream_is_refused_until_the_recorded_versions_are_read() {
+    let mut harness = RelayHarness::before_shared_records(1);
+    harness.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
+    harness.apply(store_read(true));
+    let listed = vec![engine("decode-1", Role::Decode, "v2")];
+    harness.apply(RelayEvent::EndpointChanges(listed));
+    harness.apply(RelayEvent::StoreRead {
+        topic: StoreTopic::Shared,
+        failure: Some(StoreReadFailure::Silent),
+    });
+    for is_read in [false, true] {
+        if is_read {
+            harness.apply(RelayEvent::SharedRecords {
+                records: Vec::new(),
+                is_full: true,
+            });
+        }
+        let call = harness.submit_resumption("/resumable/1", Some("request-of-a-killed-vm"));
+        let lookup = StreamLookup::NotFound;
+        harness.apply(RelayEvent::StreamLookup { call, lookup });
+        assert_eq!(harness.problem(call).is_none(), is_read);
+    }
+}
+
 // Guards against records that another writer's entries fill the topic with, or whose key is too long for the store.
 #[test]
 fn versions_of_unknown_services_and_very_long_ones_are_not_recorded() {
