--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -178,7 +178,7 @@
             return;
         };
         for cause in self.crash_suspects.causes_of(&crash) {
-            self.crash_suspects.remove_evidence(&cause, &crash);
+            self.remove_evidence(&cause, &crash, "disproved");
             self.delete_evidence(cause, crash.clone(), self.now);
         }
     }
@@ -249,6 +249,7 @@
 
     fn on_cause_cleared(&mut self, cause: &CrashCause, cleared: Cleared, reason: &'static str) {
         for crash in cleared.crashes {
+            self.note_evidence_removed(cause, &crash, reason);
             let due = self.now + self.random_delay();
             self.delete_evidence(cause.clone(), crash, due);
         }
@@ -300,7 +301,7 @@
         delete_due: Duration,
     ) {
         let Some(evidence) = evidence else {
-            self.crash_suspects.remove_evidence(&cause, &crash);
+            self.remove_evidence(&cause, &crash, "other_vm");
             let key = SharedKey::Crash(cause, crash);
             self.shared_outbox.withdraw(&key);
             return;
@@ -311,19 +312,37 @@
             self.delete_evidence(cause, crash, delete_due);
             return;
         }
-        self.add_evidence(cause, &crash, evidence);
+        self.add_evidence(cause, &crash, evidence, "other_vm");
     }
 
-    fn add_evidence(&mut self, cause: CrashCause, crash: &CrashId, evidence: CrashEvidence) {
+    fn add_evidence(
+        &mut self,
+        cause: CrashCause,
+        crash: &CrashId,
+        evidence: CrashEvidence,
+        source: &'static str,
+    ) {
+        let instance = evidence.instance.clone();
         let effect = self
             .crash_suspects
             .on_evidence(&cause, crash, evidence, self.now);
         for (cause, crash) in self.crash_suspects.take_displaced() {
+            self.note_evidence_removed(&cause, &crash, "displaced");
             let due = self.now + self.random_delay();
             self.delete_evidence(cause, crash, due);
         }
         match effect {
-            EvidenceEffect::None | EvidenceEffect::Suspect => return,
+            EvidenceEffect::None => return,
+            EvidenceEffect::Suspect => {
+                let crash = crash.0.clone();
+                self.note(RelayNotice::CrashEvidence {
+                    cause,
+                    crash,
+                    instance,
+                    source,
+                });
+                return;
+            }
             EvidenceEffect::Blocked => {}
             EvidenceEffect::Narrowed(block) => self.announce_block(cause.clone(), block, self.now),
         }
@@ -332,6 +351,20 @@
         self.delete_evidence(cause, crash.clone(), due);
     }
 
+    fn remove_evidence(&mut self, cause: &CrashCause, crash: &CrashId, reason: &'static str) {
+        if self.crash_suspects.remove_evidence(cause, crash) {
+            self.note_evidence_removed(cause, crash, reason);
+        }
+    }
+
+    fn note_evidence_removed(&mut self, cause: &CrashCause, crash: &CrashId, reason: &'static str) {
+        self.note(RelayNotice::CrashEvidenceRemoved {
+            cause: cause.clone(),
+            crash: crash.0.clone(),
+            reason,
+        });
+    }
+
     /// Handles a block of another VM, or its end.
     pub(super) fn on_shared_block(&mut self, cause: CrashCause, block: Option<CauseBlock>) {
         let Some(block) = block else {
@@ -374,7 +407,7 @@
             };
             self.shared_outbox.push(record, self.now + CHECK_TIME);
             ended.insert(found.evidence.instance.clone());
-            self.add_evidence(found.cause, &found.crash, found.evidence);
+            self.add_evidence(found.cause, &found.crash, found.evidence, "own");
         }
         for instance in ended {
             self.check_endpoint(instance);
@@ -383,6 +416,7 @@
             self.check_unmarked_end(instance);
         }
         for (cause, crash) in self.crash_suspects.remove_expired(self.now) {
+            self.note_evidence_removed(&cause, &crash, "expired");
             let due = self.now + self.random_delay();
             self.delete_evidence(cause, crash, due);
         }
--- a/crates/arbutusfall_core/src/relay/crash_suspects.rs
+++ b/crates/arbutusfall_core/src/relay/crash_suspects.rs
@@ -250,18 +250,19 @@
         }
     }
 
-    /// Removes evidence that was disproved or deleted by another VM.
-    pub(crate) fn remove_evidence(&mut self, cause: &CrashCause, crash: &CrashId) {
+    /// Removes evidence that was disproved or deleted by another VM; returns whether it was known.
+    pub(crate) fn remove_evidence(&mut self, cause: &CrashCause, crash: &CrashId) -> bool {
         let Some(suspect) = self.suspects.get_mut(cause) else {
-            return;
+            return false;
         };
-        suspect.crashes.remove(crash);
+        let was_known = suspect.crashes.remove(crash).is_some();
         if suspect.crashes.len() < blocking_crashes(cause) {
             suspect.block_at = None;
         }
         if suspect.crashes.is_empty() {
             self.suspects.remove(cause);
         }
+        was_known
     }
 
     /// Returns the causes under which this crash is known.
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -173,6 +173,27 @@
         /// `answered` (an engine completed such a prompt), `operator` or `other_vm`.
         reason: &'static str,
     },
+    /// This VM knows from now on of a crash of an endpoint under a request with a cause.
+    CrashEvidence {
+        /// The cause.
+        cause: CrashCause,
+        /// Id of the crash.
+        crash: Name,
+        /// Endpoint that ended.
+        instance: Name,
+        /// `own` (seen by this VM) or `other_vm`.
+        source: &'static str,
+    },
+    /// A crash no longer counts against a cause.
+    CrashEvidenceRemoved {
+        /// The cause.
+        cause: CrashCause,
+        /// Id of the crash.
+        crash: Name,
+        /// `disproved` (the endpoint answered, so it has not ended), `answered` (a request with the cause was completed),
+        /// `operator`, `other_vm`, `expired` or `displaced` (by newer evidence).
+        reason: &'static str,
+    },
     /// A request and all its repeats are refused from now on, because endpoints ended that ran it.
     RequestBlocked {
         /// What the request has in common with its repeats.
@@ -436,6 +457,8 @@
             Self::StoreReturned { .. } => "store_returned",
             Self::PartBlocked { .. } => "part_blocked",
             Self::PartUnblocked { .. } => "part_unblocked",
+            Self::CrashEvidence { .. } => "crash_evidence",
+            Self::CrashEvidenceRemoved { .. } => "crash_evidence_removed",
             Self::RequestBlocked { .. } => "request_blocked",
             Self::RequestUnblocked { .. } => "request_unblocked",
             Self::Resuming { .. } => "resuming",
