--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -213,6 +213,8 @@
     has_store_returned: bool,
     /// Whether all records that VMs share have been read.
     has_read_shared: bool,
+    /// Whether the shared records that are read next may have been there for long.
+    is_shared_news_late: bool,
     /// Services and their versions that VMs have recorded.
     recorded_versions: BTreeSet<(Name, Name)>,
     /// Number of VMs, as far as it is known.
@@ -265,6 +267,7 @@
             is_hash_key_shared: false,
             has_store_returned: false,
             has_read_shared: false,
+            is_shared_news_late: true,
             recorded_versions: BTreeSet::new(),
             vm_count: settings.retry_limit.vm_count,
             fact_source: settings
--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -306,7 +306,8 @@
             self.shared_outbox.withdraw(&key);
             return;
         };
-        self.endpoint_ends.on_known_crash(&crash, self.now);
+        self.endpoint_ends
+            .on_known_crash(&crash, evidence.is_late, self.now);
         if self.crash_suspects.is_answered(&cause, self.now) {
             // This VM knows better: the cause's requests are answered.
             self.delete_evidence(cause, crash, delete_due);
--- a/crates/arbutusfall_core/src/relay/endpoint_ends.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint_ends.rs
@@ -65,7 +65,22 @@
 struct CrashCount {
     /// Number of the last crash.
     number: u32,
-    known_at: Duration,
+    /// When this VM saw it or learnt of it at once; none if it was some time ago.
+    known_at: Option<Duration>,
+}
+
+impl CrashCount {
+    /// Returns whether a crash seen now is another one.
+    fn is_over(&self, now: Duration) -> bool {
+        self.known_at
+            .is_none_or(|known_at| now > known_at + MIN_TIME_BETWEEN_CRASHES)
+    }
+
+    /// Returns whether an answer now to a request of `sent_at` shows that the endpoint has not ended.
+    fn is_disproved(&self, sent_at: Duration, now: Duration) -> bool {
+        self.known_at
+            .is_some_and(|known_at| sent_at > known_at && now <= known_at + ALIVE_WINDOW)
+    }
 }
 
 /// Collects broken runs and turns them into evidence.
@@ -132,23 +147,23 @@
         }
         let count = self.crashes.entry(incarnation).or_insert(CrashCount {
             number: 0,
-            known_at: now,
+            known_at: Some(now),
         });
-        if now > count.known_at + MIN_TIME_BETWEEN_CRASHES {
+        if count.is_over(now) {
             count.number += 1;
         }
-        count.known_at = now;
+        count.known_at = Some(now);
         CrashId(format!("{incarnation:016x}.{}", count.number).into())
     }
 
-    /// Learns of a crash that another VM has seen.
-    pub(crate) fn on_known_crash(&mut self, crash: &CrashId, now: Duration) {
+    /// Learns of a crash that another VM has seen, now or, with `is_late`, some time ago: the endpoint may be back.
+    pub(crate) fn on_known_crash(&mut self, crash: &CrashId, is_late: bool, now: Duration) {
         let Some((incarnation, number)) = parse_crash_id(crash) else {
             return;
         };
         let known = self.crashes.get(&incarnation).map(|count| count.number);
         if self.crashes.len() < MAX_INCARNATIONS && known.is_none_or(|known| known < number) {
-            let known_at = now;
+            let known_at = (!is_late).then_some(now);
             self.crashes
                 .insert(incarnation, CrashCount { number, known_at });
         }
@@ -162,7 +177,7 @@
         now: Duration,
     ) -> Option<CrashId> {
         let count = self.crashes.get(&incarnation)?;
-        let is_disproved = sent_at > count.known_at && now <= count.known_at + ALIVE_WINDOW;
+        let is_disproved = count.is_disproved(sent_at, now);
         is_disproved.then(|| CrashId(format!("{incarnation:016x}.{}", count.number).into()))
     }
 }
@@ -226,6 +241,7 @@
         evidence: CrashEvidence {
             instance: instance.clone(),
             with: with.into_iter().take(MAX_WITH).collect(),
+            is_late: false,
         },
     });
     found.collect()
--- a/crates/arbutusfall_core/src/relay/shared_handling.rs
+++ b/crates/arbutusfall_core/src/relay/shared_handling.rs
@@ -42,7 +42,7 @@
             }
             if has_returned {
                 // The store lost it; one VM is enough to write it again.
-                lost.push(record);
+                lost.push(record.recorded_late());
             } else {
                 self.drop_shared_record(key);
             }
@@ -52,6 +52,8 @@
         if !listed.contains(&SharedKey::HashKey) {
             self.propose_hash_key();
         }
+        // They may be from long ago.
+        self.is_shared_news_late = true;
         self.on_shared_records(records);
         self.has_read_shared = true;
         self.review_recorded_versions();
@@ -162,8 +164,14 @@
         } else {
             self.now
         };
+        let is_late = std::mem::take(&mut self.is_shared_news_late);
         for record in records {
             self.shared_outbox.remove(&record);
+            let record = if is_late {
+                record.recorded_late()
+            } else {
+                record
+            };
             match record {
                 SharedRecord::Crash {
                     cause,
--- a/crates/arbutusfall_core/src/relay/shared_outbox.rs
+++ b/crates/arbutusfall_core/src/relay/shared_outbox.rs
@@ -116,6 +116,7 @@
         let due = now + RETRY_DELAY;
         self.not_before = self.not_before.max(due);
         for record in records {
+            let record = record.recorded_late();
             let pending = self.pending.entry(record.key());
             pending.or_insert(Pending { record, due });
         }
--- a/crates/arbutusfall_core/src/relay/shared_record.rs
+++ b/crates/arbutusfall_core/src/relay/shared_record.rs
@@ -18,6 +18,8 @@
     pub instance: Name,
     /// Other causes that all such requests of the VM had.
     pub with: Vec<CrashCause>,
+    /// Whether it was recorded long after the crash: the endpoint may be back when other VMs read it.
+    pub is_late: bool,
 }
 
 /// Block on a cause: requests with it crash endpoints.
@@ -142,6 +144,18 @@
 }
 
 impl SharedRecord {
+    /// Returns the record as it is when it is appended long after what it tells of.
+    pub(crate) fn recorded_late(mut self) -> Self {
+        if let Self::Crash {
+            evidence: Some(evidence),
+            ..
+        } = &mut self
+        {
+            evidence.is_late = true;
+        }
+        self
+    }
+
     /// Returns whether the record deletes its key.
     pub fn is_deletion(&self) -> bool {
         match self {
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -49,6 +49,7 @@
         evidence: Some(CrashEvidence {
             instance: format!("shop-{crash}").into(),
             with: Vec::new(),
+            is_late: false,
         }),
     }
 }
