Relay: without the shared records a VM blocks by its own crashes only

Change: while the shared records can't be read, a suspect is blocked only once this VM's own crashes are enough; the others count again, after the known delay, when they can be read.

--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -46,6 +46,23 @@
 /// Reason of the refusal of a prompt with a part that crashes engines.
 pub(super) const CRASHING_PART: &str = "crashing_part";
 
+/// Which VM saw a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EvidenceSource {
+    Own,
+    OtherVm,
+}
+
+impl EvidenceSource {
+    /// Returns its name in the log.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::OtherVm => "other_vm",
+        }
+    }
+}
+
 /// Reason of the refusal of a request that crashes endpoints.
 pub(super) const CRASHING_REQUEST: &str = "crashing_request";
 
@@ -313,7 +330,7 @@
             self.delete_evidence(cause, crash, delete_due);
             return;
         }
-        self.add_evidence(cause, &crash, evidence, "other_vm");
+        self.add_evidence(cause, &crash, evidence, EvidenceSource::OtherVm);
     }
 
     fn add_evidence(
@@ -321,12 +338,16 @@
         cause: CrashCause,
         crash: &CrashId,
         evidence: CrashEvidence,
-        source: &'static str,
+        source: EvidenceSource,
     ) {
         let instance = evidence.instance.clone();
-        let effect = self
-            .crash_suspects
-            .on_evidence(&cause, crash, evidence, self.now);
+        let effect = self.crash_suspects.on_evidence(
+            &cause,
+            crash,
+            evidence,
+            source == EvidenceSource::Own,
+            self.now,
+        );
         for (cause, crash) in self.crash_suspects.take_displaced() {
             self.note_evidence_removed(&cause, &crash, "displaced");
             let due = self.now + self.random_delay();
@@ -340,7 +361,7 @@
                     cause,
                     crash,
                     instance,
-                    source,
+                    source: source.name(),
                 });
                 return;
             }
@@ -408,7 +429,12 @@
             };
             self.shared_outbox.push(record, self.now + CHECK_TIME);
             ended.insert(found.evidence.instance.clone());
-            self.add_evidence(found.cause, &found.crash, found.evidence, "own");
+            self.add_evidence(
+                found.cause,
+                &found.crash,
+                found.evidence,
+                EvidenceSource::Own,
+            );
         }
         for instance in ended {
             self.check_endpoint(instance);
--- a/crates/arbutusfall_core/src/relay/crash_suspects.rs
+++ b/crates/arbutusfall_core/src/relay/crash_suspects.rs
@@ -63,6 +63,8 @@
 struct KnownEvidence {
     evidence: CrashEvidence,
     known_at: Duration,
+    /// Whether this VM saw the crash itself.
+    is_own: bool,
 }
 
 /// A cause under which endpoints have ended.
@@ -85,6 +87,10 @@
         common
     }
 
+    fn own_crashes(&self) -> usize {
+        self.crashes.values().filter(|known| known.is_own).count()
+    }
+
     fn last_known_at(&self) -> Duration {
         let known_at = self.crashes.values().map(|known| known.known_at);
         known_at.max().unwrap_or_default()
@@ -132,6 +138,8 @@
     answered: AnsweredCauses,
     /// No cause is blocked before this instant: other VMs may be about to clear it.
     blocks_from: Duration,
+    /// Whether the shared records can't be read now.
+    is_unreadable: bool,
     /// Evidence that has given way to newer evidence.
     displaced: Vec<(CrashCause, CrashId)>,
 }
@@ -166,12 +174,13 @@
         self.answered.contains(cause, now)
     }
 
-    /// Adds evidence of this VM or of another one.
+    /// Adds evidence of this VM, with `is_own`, or of another one.
     pub(crate) fn on_evidence(
         &mut self,
         cause: &CrashCause,
         crash: &CrashId,
         evidence: CrashEvidence,
+        is_own: bool,
         now: Duration,
     ) -> EvidenceEffect {
         if self.is_answered(cause, now) {
@@ -193,7 +202,11 @@
             return EvidenceEffect::None;
         }
         let known_at = now;
-        let known = KnownEvidence { evidence, known_at };
+        let known = KnownEvidence {
+            evidence,
+            known_at,
+            is_own,
+        };
         suspect.crashes.insert(crash.clone(), known);
         if suspect.crashes.len() >= blocking_crashes(cause) {
             suspect.block_at.get_or_insert(now + SETTLE_TIME);
@@ -297,15 +310,28 @@
         self.blocks.remove(cause).is_some()
     }
 
+    /// Records that other VMs can't be heard: what they have told before may be cleared by now.
+    pub(crate) fn on_shared_unreadable(&mut self) {
+        self.is_unreadable = true;
+    }
+
     /// Delays blocks until what other VMs know can have been read again.
     pub(crate) fn on_shared_readable(&mut self, now: Duration) {
+        self.is_unreadable = false;
         self.blocks_from = now + HEAR_OTHERS_TIME;
     }
 
+    /// Returns the instant of the block on a suspect; while other VMs can't be heard, this VM's own crashes must do.
+    fn block_at(&self, cause: &CrashCause, suspect: &Suspect) -> Option<Duration> {
+        let may_block = !self.is_unreadable || suspect.own_crashes() >= blocking_crashes(cause);
+        suspect.block_at.filter(|_| may_block)
+    }
+
     /// Returns the instant at which [`Self::block_due`] has something to do.
     pub(crate) fn next_block(&self) -> Option<Duration> {
-        let due = self.suspects.values();
-        let due = due.filter_map(|suspect| suspect.block_at).min()?;
+        let due = self.suspects.iter();
+        let due = due.filter_map(|(cause, suspect)| self.block_at(cause, suspect));
+        let due = due.min()?;
         Some(due.max(self.blocks_from))
     }
 
@@ -314,10 +340,11 @@
         if now < self.blocks_from {
             return Vec::new();
         }
-        let due = self
-            .suspects
-            .iter()
-            .filter(|(_, suspect)| suspect.block_at.is_some_and(|block_at| block_at <= now));
+        let is_due = |(cause, suspect): &(&CrashCause, &Suspect)| {
+            self.block_at(cause, suspect)
+                .is_some_and(|block_at| block_at <= now)
+        };
+        let due = self.suspects.iter().filter(is_due);
         let mut blocked: Vec<NewBlock> = due
             .map(|(cause, suspect)| NewBlock {
                 cause: cause.clone(),
--- a/crates/arbutusfall_core/src/relay/store_view.rs
+++ b/crates/arbutusfall_core/src/relay/store_view.rs
@@ -91,8 +91,12 @@
         }
         match topic {
             StoreTopic::Endpoints if is_reachable => self.endpoints.on_list_recovered(self.now),
-            StoreTopic::Shared if is_reachable => self.crash_suspects.on_shared_readable(self.now),
-            StoreTopic::Config | StoreTopic::Endpoints | StoreTopic::Shared => {}
+            StoreTopic::Shared if is_reachable => {
+                self.crash_suspects.on_shared_readable(self.now);
+                self.set_shared_timer();
+            }
+            StoreTopic::Shared => self.crash_suspects.on_shared_unreadable(),
+            StoreTopic::Config | StoreTopic::Endpoints => {}
         }
         self.note(RelayNotice::Store {
             topic,
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -643,3 +643,27 @@
         assert_eq!(is_refused(&mut harness, "/pay/a"), !is_answered_elsewhere);
     }
 }
+
+// Guards against a sound request that is blocked during an outage of the store by evidence that other VMs have deleted meanwhile.
+#[test]
+fn request_is_blocked_during_an_outage_of_the_store_by_own_crashes_only() {
+    for is_own in [false, true] {
+        let mut harness = start();
+        harness.apply(RelayEvent::EndpointChanges(endpoints(6)));
+        run(&mut harness, ms(2_000), true);
+        if !is_own {
+            let records = (1..=2).map(|crash| evidence(request("/pay/a"), crash));
+            read(&mut harness, records.collect());
+        }
+        read_shared(&mut harness, false);
+        for _ in 0..if is_own { 3 } else { 1 } {
+            break_off(&mut harness, "/pay/a");
+            run(&mut harness, ms(200), false);
+        }
+        run(&mut harness, ms(2_000), false);
+        assert_eq!(is_refused(&mut harness, "/pay/a"), is_own);
+        read_shared(&mut harness, true);
+        run(&mut harness, ms(2_500), true);
+        assert!(is_refused(&mut harness, "/pay/a"), "{is_own}");
+    }
+}
