--- a/crates/arbutusfall_core/src/relay/crash_suspects.rs
+++ b/crates/arbutusfall_core/src/relay/crash_suspects.rs
@@ -27,6 +27,9 @@
 /// Crashes, besides its own, from which on a broken-off request is not sent again.
 const REQUEST_SUSPECTED_CRASHES: usize = 1;
 
+/// Crashes that no rarer cause explains and that block a cause with enough others: one may have another reason.
+const UNEXPLAINED_CRASHES: usize = 2;
+
 /// Time from the last of the blocking crashes to the block, in which any VM may clear the cause.
 const SETTLE_TIME: Duration = Duration::from_millis(1_400);
 
@@ -87,6 +90,11 @@
         common
     }
 
+    /// Returns whether all requests with this suspect's cause had the other one too, but not the reverse.
+    fn is_rarer_than(&self, cause: &CrashCause, other_cause: &CrashCause, other: &Suspect) -> bool {
+        self.common_causes().contains(other_cause) && !other.common_causes().contains(cause)
+    }
+
     fn own_crashes(&self) -> usize {
         self.crashes.values().filter(|known| known.is_own).count()
     }
@@ -135,6 +143,8 @@
 pub(crate) struct CrashSuspects {
     suspects: BTreeMap<CrashCause, Suspect>,
     blocks: BTreeMap<CrashCause, CauseBlock>,
+    /// What was known of blocked causes when they were blocked.
+    blocked_suspects: BTreeMap<CrashCause, Suspect>,
     answered: AnsweredCauses,
     /// No cause is blocked before this instant: other VMs may be about to clear it.
     blocks_from: Duration,
@@ -248,6 +258,7 @@
     pub(crate) fn clear(&mut self, cause: &CrashCause) -> Cleared {
         let suspect = self.suspects.remove(cause).unwrap_or_default();
         let was_blocked = self.blocks.remove(cause).is_some();
+        self.blocked_suspects.remove(cause);
         let mut narrowed = Vec::new();
         for (other, block) in &mut self.blocks {
             let before = block.with.len();
@@ -291,7 +302,9 @@
         if self.blocks.len() >= MAX_CAUSES && !self.blocks.contains_key(cause) {
             return None;
         }
-        self.suspects.remove(cause);
+        if let Some(suspect) = self.suspects.remove(cause) {
+            self.blocked_suspects.insert(cause.clone(), suspect);
+        }
         let known = self
             .blocks
             .entry(cause.clone())
@@ -307,6 +320,7 @@
 
     /// Removes a block on behalf of another VM; returns whether there was one.
     pub(crate) fn on_unblocked(&mut self, cause: &CrashCause) -> bool {
+        self.blocked_suspects.remove(cause);
         self.blocks.remove(cause).is_some()
     }
 
@@ -321,10 +335,36 @@
         self.blocks_from = now + HEAR_OTHERS_TIME;
     }
 
-    /// Returns the instant of the block on a suspect; while other VMs can't be heard, this VM's own crashes must do.
+    /// Returns the instant of the block on a suspect. While other VMs can't be heard, this VM's own crashes must do; crashes that
+    /// a rarer cause explains do not.
     fn block_at(&self, cause: &CrashCause, suspect: &Suspect) -> Option<Duration> {
-        let may_block = !self.is_unreadable || suspect.own_crashes() >= blocking_crashes(cause);
-        suspect.block_at.filter(|_| may_block)
+        let block_at = suspect.block_at?;
+        if self.is_unreadable && suspect.own_crashes() < blocking_crashes(cause) {
+            return None;
+        }
+        let rarer = self.rarer_causes(cause, suspect);
+        if rarer.is_empty() {
+            return Some(block_at);
+        }
+        let is_explained = |crash: &CrashId| {
+            let mut rarer = rarer.iter();
+            rarer.any(|rarer| rarer.crashes.contains_key(crash))
+        };
+        let crashes = suspect.crashes.iter();
+        let unexplained = crashes.filter(|(crash, _)| !is_explained(crash));
+        let mut unexplained: Vec<Duration> = unexplained.map(|(_, known)| known.known_at).collect();
+        unexplained.sort_unstable();
+        let enough_at = unexplained.get(UNEXPLAINED_CRASHES - 1)?;
+        Some(block_at.max(*enough_at + SETTLE_TIME))
+    }
+
+    /// Returns what is known of rarer causes with enough crashes for a block: all their requests had this cause too.
+    fn rarer_causes(&self, cause: &CrashCause, suspect: &Suspect) -> Vec<&Suspect> {
+        let suspects = self.suspects.iter().chain(&self.blocked_suspects);
+        let enough =
+            suspects.filter(|(other, known)| known.crashes.len() >= blocking_crashes(other));
+        let rarer = enough.filter(|(other, known)| known.is_rarer_than(other, cause, suspect));
+        rarer.map(|(_, known)| known).collect()
     }
 
     /// Returns the instant at which [`Self::block_due`] has something to do.
--- a/crates/arbutusfall_core/tests/it/relay_crashing_parts.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crashing_parts.rs
@@ -235,6 +235,37 @@
     assert!(is_refused(&mut harness, &["bad"]));
 }
 
+// Guards against a service that is refused as a whole: all its prompts share a part, and all engines ended under prompts with another
+// one before any prompt was answered.
+#[test]
+fn part_of_all_prompts_is_not_blocked_while_a_rarer_one_explains_its_crashes() {
+    for is_rarer_known_first in [false, true] {
+        let mut harness = RelayHarness::configured(1);
+        for crash in 1..=4 {
+            let records = vec![
+                evidence("along", crash, &[]),
+                evidence("bad", crash, &["along"]),
+            ];
+            read(&mut harness, records);
+            if is_rarer_known_first && crash == 4 {
+                // The block on the rarer part comes first.
+                harness.advance(ms(2_000));
+            }
+        }
+        harness.advance(ms(2_000));
+        assert!(!is_refused(&mut harness, &["along"]));
+        assert!(is_refused(&mut harness, &["bad", "along"]));
+        read(&mut harness, vec![evidence("along", 5, &[])]);
+        harness.advance(ms(2_000));
+        assert!(!is_refused(&mut harness, &["along"]));
+        read(&mut harness, vec![evidence("along", 6, &[])]);
+        harness.advance(ms(1_300));
+        assert!(!is_refused(&mut harness, &["along"]));
+        harness.advance(ms(700));
+        assert!(is_refused(&mut harness, &["along"]));
+    }
+}
+
 // Guards against engines that all end at once, for example because of the VM's own link.
 #[test]
 fn engines_that_end_together_count_as_one_crash() {
