--- a/crates/arbutusfall_core/src/relay/crash_suspects.rs
+++ b/crates/arbutusfall_core/src/relay/crash_suspects.rs
@@ -324,7 +324,7 @@
         self.blocks.remove(cause).is_some()
     }
 
-    /// Records that other VMs can't be heard: what they have told before may be cleared by now.
+    /// Records that reads of the shared records fail: what other VMs have written before may be deleted by now.
     pub(crate) fn on_shared_unreadable(&mut self) {
         self.is_unreadable = true;
     }
@@ -335,8 +335,8 @@
         self.blocks_from = now + HEAR_OTHERS_TIME;
     }
 
-    /// Returns the instant of the block on a suspect. While other VMs can't be heard, this VM's own crashes must do; crashes that
-    /// a rarer cause explains do not.
+    /// Returns the instant of the block on a suspect. While the shared records can't be read, only this VM's own crashes count.
+    /// Crashes that a rarer cause explains do not count.
     fn block_at(&self, cause: &CrashCause, suspect: &Suspect) -> Option<Duration> {
         let block_at = suspect.block_at?;
         if self.is_unreadable && suspect.own_crashes() < blocking_crashes(cause) {
