Relay: log lines name the process that is listed, and the events between which a stream goes on

`endpoint_listed` and `sent` have the start of the listed process (started_unix_ms), `sent` the event after which a stream goes on (after_event_id), `stream_ended` its first event (first_event_id). No change of logic.

--- a/crates/arbutusfall/src/http/event_splitter.rs
+++ b/crates/arbutusfall/src/http/event_splitter.rs
@@ -10,6 +10,8 @@
 pub struct WholeEvents {
     /// Bytes of the events, including the blank line that ends each.
     pub bytes: Bytes,
+    /// Value of the first numeric `id` line in these events.
+    pub first_id: Option<u64>,
     /// Value of the last numeric `id` line in these events.
     pub last_id: Option<u64>,
 }
@@ -40,9 +42,11 @@
             };
         };
         let whole: Vec<u8> = self.pending.drain(..end).collect();
-        let last_id = last_id(&whole);
+        let first_id = whole.split(|byte| *byte == b'\n').find_map(id_of_line);
+        let last_id = whole.rsplit(|byte| *byte == b'\n').find_map(id_of_line);
         Ok(Some(WholeEvents {
             bytes: whole.into(),
+            first_id,
             last_id,
         }))
     }
@@ -74,11 +78,8 @@
     (1..=bytes.len()).rev().find(|end| ends_at(*end))
 }
 
-fn last_id(events: &[u8]) -> Option<u64> {
-    let lines = events.rsplit(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| {
-        let value = line.strip_prefix(b"id:")?;
-        std::str::from_utf8(value).ok()?.trim().parse().ok()
-    });
-    ids.into_iter().next()
+/// Returns the value of an `id` line, if it is a number.
+fn id_of_line(line: &[u8]) -> Option<u64> {
+    let value = line.strip_prefix(b"id:")?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -264,6 +264,7 @@
         body,
         splitter: EventSplitter::default(),
         has_events: false,
+        first_event_id: None,
         last_event_id: None,
     };
     let forwarded = stream.forward(relay, command).await;
@@ -272,6 +273,7 @@
         instance: command.instance.clone(),
         framing,
         reached_end: forwarded.is_ok(),
+        first_event_id: stream.first_event_id,
         last_event_id: stream.last_event_id,
         partial_event_bytes: stream.splitter.partial_event_bytes(),
     });
@@ -314,6 +316,7 @@
     body: Incoming,
     splitter: EventSplitter,
     has_events: bool,
+    first_event_id: Option<u64>,
     last_event_id: Option<u64>,
 }
 
@@ -336,6 +339,7 @@
                 continue;
             };
             self.has_events = true;
+            self.first_event_id = self.first_event_id.or(events.first_id);
             write_to_caller(relay, command, events.bytes).await;
             let last_event_id = events.last_id;
             self.last_event_id = last_event_id.or(self.last_event_id);
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -246,6 +246,7 @@
             instance: listed.instance.clone(),
             service: listed.service.clone(),
             version: listed.version.clone(),
+            started_unix_ms: listed.started_unix_ms,
             is_leaving: listed.is_leaving,
         };
         let Some(existing) = self.by_instance.get_mut(&listed.instance) else {
--- a/crates/arbutusfall_core/src/relay/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/forwarding.rs
@@ -299,6 +299,8 @@
             request_id: self.request.request_id.clone(),
             instance: command.instance.clone(),
             version: Name::default(),
+            started_unix_ms: None,
+            after_event_id: command.after_event_id,
             route: self.route.name.clone(),
             work: CallStage::Forward.name(),
             attempt: self.exchange_count,
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -58,6 +58,8 @@
         service: Name,
         /// Version of its software.
         version: Name,
+        /// Unix time at which its process started, in milliseconds, if listed.
+        started_unix_ms: Option<u64>,
         /// Whether it takes no new work.
         is_leaving: bool,
     },
@@ -238,6 +240,10 @@
         instance: Name,
         /// Version of the instance's software.
         version: Name,
+        /// Unix time at which the listed process started, in milliseconds, if listed.
+        started_unix_ms: Option<u64>,
+        /// Id of the event after which a stream goes on; none for a request from its beginning.
+        after_event_id: Option<u64>,
         /// Name of the request's route.
         route: Name,
         /// Work requested of the endpoint.
@@ -287,6 +293,8 @@
         /// Whether the end was reached: the stream has its length, its final chunk or, with neither, its connection
         /// ended without a failure.
         reached_end: bool,
+        /// Id of the first event that has one.
+        first_event_id: Option<u64>,
         /// Id of the last whole event, if any had one.
         last_event_id: Option<u64>,
         /// Bytes after the last whole event.
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -402,6 +402,8 @@
             request_id: self.request.request_id.clone(),
             instance: command.instance.clone(),
             version: endpoint.listed.version.clone(),
+            started_unix_ms: endpoint.listed.started_unix_ms,
+            after_event_id: command.after_event_id,
             route: self.route.name.clone(),
             work: stage.name(),
             attempt: self.exchange_count,
