--- a/crates/arbutusfall/src/http.rs
+++ b/crates/arbutusfall/src/http.rs
@@ -24,6 +24,7 @@
 pub use client::WholeAnswer;
 pub use client::WholeRequest;
 pub use client::get_json;
+pub use client::open;
 pub use client::post_json;
 pub use client::read_body;
 pub use client::read_control_body;
--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -106,11 +106,19 @@
     executor: &Executor,
     outgoing: OutgoingRequest,
 ) -> Result<Response<Incoming>, ClientError> {
-    let connect_limit = async_io::Timer::after(outgoing.connect_timeout);
-    let stream = connect(outgoing.address, connect_limit).await?;
+    let stream = open(outgoing.address, outgoing.connect_timeout).await?;
     send_on(executor, stream, outgoing).await
 }
 
+/// Opens a connection.
+///
+/// # Errors
+///
+/// [`ClientError::Connect`].
+pub async fn open(address: SocketAddr, timeout: Duration) -> Result<TcpStream, ClientError> {
+    connect(address, async_io::Timer::after(timeout)).await
+}
+
 /// Sends a request on an open connection, which closes when the answer's body is dropped.
 ///
 /// # Errors
--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -18,6 +18,7 @@
 mod peer_handshake;
 mod peer_server;
 mod read_timing;
+mod run_check;
 mod serve;
 mod settings;
 mod shared_records;
--- a/crates/arbutusfall/src/relay/control_client.rs
+++ b/crates/arbutusfall/src/relay/control_client.rs
@@ -8,14 +8,12 @@
 use arbutusfall_core::relay::LeaseAnswer;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RoleOutcome;
-use arbutusfall_core::relay::RunAnswer;
 use arbutusfall_platform::endpoints;
 use arbutusfall_platform::endpoints::StatedLimit;
 use arbutusfall_platform::endpoints::StatedRest;
 use arbutusfall_platform::orders;
 use arbutusfall_platform::orders::Report;
 use arbutusfall_platform::orders::RoleOrder;
-use arbutusfall_platform::orders::RunReport;
 use arbutusfall_platform::store;
 use arbutusfall_platform::store::JoinAnswer;
 use arbutusfall_platform::store::JoinBody;
@@ -108,33 +106,11 @@
     }
 }
 
-/// Asks an engine when its process started.
-pub(super) async fn check_run(relay: impl RelayHandle, instance: Name, address: SocketAddr) {
-    let asked_at = relay.io().now();
-    let engine = EngineClient {
-        relay: &relay,
-        instance: &instance,
-        address,
-    };
-    let report: Result<RunReport, ClientError> = engine.read_report().await;
-    let answer = report.map_or_else(
-        |error| {
-            log::debug!("engine {instance} did not say when it started: {error}");
-            RunAnswer::Failed
-        },
-        |report| report.answer(),
-    );
-    relay.submit(RelayEvent::RunChecked {
-        instance,
-        asked_at,
-        answer,
-    });
-}
-
-struct EngineClient<'a, H> {
-    relay: &'a H,
-    instance: &'a Name,
-    address: SocketAddr,
+/// Sends control requests to an engine, and reports to the relay what their answers say of it.
+pub(super) struct EngineClient<'a, H> {
+    pub(super) relay: &'a H,
+    pub(super) instance: &'a Name,
+    pub(super) address: SocketAddr,
 }
 
 impl<H: RelayHandle> EngineClient<'_, H> {
@@ -157,7 +133,8 @@
         Ok(orders::role_outcome(answer.await?.status()))
     }
 
-    async fn read_report<T: DeserializeOwned>(&self) -> Result<T, ClientError> {
+    /// Reads the engine's report.
+    pub(super) async fn read_report<T: DeserializeOwned>(&self) -> Result<T, ClientError> {
         let report = self.send_request(Method::GET, orders::REPORT_PATH, Bytes::new());
         let report = report.await?;
         if !report.status().is_success() {
--- a/crates/arbutusfall/src/relay/effects.rs
+++ b/crates/arbutusfall/src/relay/effects.rs
@@ -16,7 +16,6 @@
 use hyper::body::Bytes;
 
 use crate::http::AnswerBody;
-use crate::relay::control_client;
 use crate::relay::control_client::ControlClient;
 use crate::relay::endpoint_check;
 use crate::relay::exchange;
@@ -26,6 +25,7 @@
 use crate::relay::handle::RelayHandle;
 use crate::relay::handle::RelayIo;
 use crate::relay::open_calls::Reply;
+use crate::relay::run_check;
 use crate::relay::shared_records;
 use crate::relay::store_client::StoreClient;
 use crate::relay::stream_records;
@@ -107,7 +107,7 @@
                 ));
             }
             RelayEffect::CheckRun { instance, address } => {
-                io.spawn(control_client::check_run(relay.clone(), instance, address));
+                io.spawn(run_check::check_run(relay.clone(), instance, address));
             }
             RelayEffect::FollowFacts { vm, address, waits } => {
                 let from = FactsFrom { vm, address, waits };
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -36,6 +36,8 @@
 use crate::relay::handle::RelayHandle;
 use crate::relay::open_calls::AnswerHead;
 use crate::relay::peer_client;
+use crate::relay::run_check;
+use crate::relay::run_check::SendError;
 
 /// Timeout for opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -79,11 +81,23 @@
         answer_timeout: command.time_left,
     };
     let executor = &relay.io().executor;
-    let answer = match command.work {
-        Work::Forward(_) => peer_client::send(executor, outgoing, relay.shared_key()).await,
-        _ => http::send(executor, outgoing).await,
+    let answer = match (&command.work, command.required_start_unix_ms) {
+        (Work::Forward(_), _) => {
+            let sent = peer_client::send(executor, outgoing, relay.shared_key()).await;
+            sent.map_err(exchange_failure)?
+        }
+        (_, Some(required_unix_ms)) => {
+            let sent = run_check::send(relay, command, required_unix_ms, outgoing).await;
+            sent.map_err(|error| match error {
+                SendError::OtherProcess => ExchangeFailure::OtherProcess,
+                SendError::Failed(error) => exchange_failure(error),
+            })?
+        }
+        (_, None) => {
+            let sent = http::send(executor, outgoing).await;
+            sent.map_err(exchange_failure)?
+        }
     };
-    let answer = answer.map_err(exchange_failure)?;
     relay.io().exchanges.wait_while_held(command.exchange).await;
     let kind = endpoints::classify_answer(&request, command, answer.status(), answer.headers());
     let is_from_endpoint = is_from_endpoint(&request, command, kind, answer.headers());
--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -173,6 +173,9 @@
     pub after_event_id: Option<u64>,
     /// Version of the endpoint's software; empty for another VM.
     pub version: Name,
+    /// Start of the process that alone may get the request, in Unix milliseconds; none if any may. The engine is asked
+    /// over a second connection while the request's own is open: that one ends with its process.
+    pub required_start_unix_ms: Option<u64>,
     /// Whether the endpoint has a limit: an answer that names none lifts it.
     pub is_limited: bool,
 }
--- a/crates/arbutusfall_core/src/relay/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::config::Role;
 use crate::placement::Health;
 use crate::relay::CrashCauses;
 use crate::relay::ListedEndpoint;
@@ -123,6 +124,13 @@
     pub(crate) remove_at: Option<Duration>,
 }
 
+/// Returns the start of the listed process, if the endpoint says so of itself too: plain endpoints are not asked.
+fn stated_start(listed: &ListedEndpoint) -> Option<u64> {
+    listed
+        .started_unix_ms
+        .filter(|_| listed.role != Role::Plain)
+}
+
 /// An answer that ended with its connection: it is complete, or the endpoint has ended.
 #[derive(Debug, Clone)]
 pub(crate) struct UnmarkedEnd {
@@ -140,8 +148,10 @@
 }
 
 impl Endpoint {
-    pub(crate) fn new(listed: ListedEndpoint) -> Self {
+    /// Creates an endpoint whose entry has been read at `now`.
+    pub(crate) fn new(listed: ListedEndpoint, now: Duration) -> Self {
         Self {
+            run: RunStatus::new(stated_start(&listed), now),
             listed,
             health: Health::default(),
             in_flight: 0,
@@ -164,7 +174,6 @@
             rest_until: None,
             returning_limit: None,
             reservation_times: ReservationTimes::default(),
-            run: RunStatus::default(),
             alive_at: Duration::ZERO,
             remove_at: None,
         }
@@ -177,6 +186,15 @@
         required.is_none_or(|required| self.listed.version == *required && self.run.is_listed())
     }
 
+    /// Takes the entry of another process, or of the same one at another address.
+    pub(crate) fn restart(&mut self, listed: ListedEndpoint, now: Duration) {
+        let run = self.run.relisted(stated_start(&listed), now);
+        *self = Self {
+            run,
+            ..Self::new(listed, now)
+        };
+    }
+
     /// Records a sign that the endpoint's process runs.
     pub(crate) fn on_alive(&mut self, now: Duration) {
         self.alive_at = now;
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -167,7 +167,7 @@
             match change {
                 EndpointListChange::Listed(listed) => {
                     let listed = self.with_known_leaving(listed, now);
-                    notices.extend(self.add_or_update(listed));
+                    notices.extend(self.add_or_update(listed, now));
                 }
                 EndpointListChange::Removed { instance } => self.mark_unlisted(&instance, now),
                 EndpointListChange::FullList(instances) => {
@@ -241,7 +241,7 @@
         })
     }
 
-    fn add_or_update(&mut self, listed: ListedEndpoint) -> Option<RelayNotice> {
+    fn add_or_update(&mut self, listed: ListedEndpoint, now: Duration) -> Option<RelayNotice> {
         let notice = RelayNotice::EndpointListed {
             instance: listed.instance.clone(),
             service: listed.service.clone(),
@@ -251,7 +251,8 @@
         };
         let Some(existing) = self.by_instance.get_mut(&listed.instance) else {
             let instance = listed.instance.clone();
-            self.by_instance.insert(instance, Endpoint::new(listed));
+            self.by_instance
+                .insert(instance, Endpoint::new(listed, now));
             return Some(notice);
         };
         existing.remove_at = None;
@@ -262,7 +263,7 @@
             || existing.listed.version != listed.version
             || existing.listed.role != listed.role;
         if must_reset {
-            *existing = Endpoint::new(listed);
+            existing.restart(listed, now);
         } else {
             existing.listed = listed;
         }
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -423,6 +423,8 @@
 pub enum ExchangeFailure {
     /// No connection could be opened, so nothing was sent.
     Unreachable,
+    /// The endpoint's process is not known to be the one that must get the request, so nothing was sent.
+    OtherProcess,
     /// The connection closed before the answer was complete.
     Closed,
     /// The stream ended inside an event, or before its first one without stating that it is complete.
@@ -438,6 +440,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
+            Self::OtherProcess => "other_process",
             Self::Closed => "closed",
             Self::Truncated => "truncated",
             Self::TooLong => "too_long",
@@ -445,6 +448,11 @@
         }
     }
 
+    /// Returns whether the endpoint has certainly not got the request.
+    pub(crate) fn is_before_send(self) -> bool {
+        matches!(self, Self::Unreachable | Self::OtherProcess)
+    }
+
     /// Returns whether the endpoint may have ended.
     pub(crate) fn may_be_crash(self) -> bool {
         matches!(self, Self::Closed | Self::Truncated)
--- a/crates/arbutusfall_core/src/relay/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/forwarding.rs
@@ -339,6 +339,7 @@
             time_left: self.time_left(now),
             after_event_id: self.last_event_id,
             version: Name::default(),
+            required_start_unix_ms: None,
             is_limited: false,
         }
     }
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -88,6 +88,7 @@
         }
         self.wait_queue.retry_schedule.on_granted(self.now);
         self.wait_queue.pacing.on_granted();
+        self.check_run_for(id);
         self.end_exchange(id);
         self.send_next(id);
     }
@@ -383,13 +384,13 @@
         let failed = current.clone();
         let stage = failed.stage;
         let began_at = call.stream_began_at;
+        if !failure.is_before_send() {
+            self.mark_may_have_run(id, stage);
+        } else if stage.runs_request() {
+            call.attempts = call.attempts.saturating_sub(1);
+        }
         if failure == ExchangeFailure::Unreachable {
-            if stage.runs_request() {
-                call.attempts = call.attempts.saturating_sub(1);
-            }
             self.on_connect_failed(&failed.instance, failed.sent_at);
-        } else {
-            self.mark_may_have_run(id, stage);
         }
         if failure == ExchangeFailure::Unreachable || failure.may_be_crash() {
             self.on_engine_broken_off(&failed.instance);
@@ -398,12 +399,13 @@
         if has_ended {
             self.record_broken_run(id, &failed, began_at);
         }
-        self.fail_exchange(id, failure.name(), true);
+        let is_endpoint_failure = failure != ExchangeFailure::OtherProcess;
+        self.fail_exchange(id, failure.name(), is_endpoint_failure);
         if has_ended && self.may_crash_next_endpoint(id) {
             self.fail_call(id, SUSPECT);
             return;
         }
-        if failure == ExchangeFailure::Unreachable {
+        if failure.is_before_send() {
             // No endpoint received the request, so this does not count as a retry.
             self.retry_or_fail(id);
         } else {
--- a/crates/arbutusfall_core/src/relay/run_checks.rs
+++ b/crates/arbutusfall_core/src/relay/run_checks.rs
@@ -11,6 +11,7 @@
 use crate::relay::RelayNotice;
 use crate::relay::RunAnswer;
 use crate::relay::call::Call;
+use crate::relay::call::CallStage;
 use crate::relay::call::CurrentExchange;
 use crate::relay::endpoint::Endpoint;
 
@@ -28,16 +29,44 @@
     /// Asks an engine when its process started, if that is in doubt and it was not asked just now.
     pub(super) fn check_run(&mut self, instance: &Name) {
         let now = self.now;
-        if let Some(endpoint) = self.endpoints.get_mut(instance)
-            && endpoint.run.start_check(now)
-        {
-            self.effects.push(RelayEffect::CheckRun {
-                instance: instance.clone(),
-                address: endpoint.listed.address,
-            });
+        let endpoint = self.endpoints.get(instance);
+        if endpoint.is_some_and(|endpoint| endpoint.run.must_check(now)) {
+            self.ask_run(instance);
+        }
+    }
+
+    /// Asks the engine that has reserved memory for a stream that goes on, so that its prompt is not prefilled for an engine that may not
+    /// get it.
+    pub(super) fn check_run_for(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id).filter(|call| call.is_bound()) else {
+            return;
+        };
+        let current = call.current.as_ref();
+        let endpoint = current.and_then(|current| self.endpoints.get(&current.instance));
+        let Some(endpoint) = endpoint.filter(|endpoint| endpoint.run.can_be_proved()) else {
+            return;
+        };
+        let due = endpoint.run.next_proof_at();
+        if due.is_some_and(|due| due <= self.now) {
+            let instance = endpoint.listed.instance.clone();
+            self.ask_run(&instance);
         }
     }
 
+    fn ask_run(&mut self, instance: &Name) {
+        let now = self.now;
+        let Some(endpoint) = self.endpoints.get_mut(instance) else {
+            return;
+        };
+        endpoint.run.on_asked(now);
+        let address = endpoint.listed.address;
+        self.take_limit_tokens(instance, 1.0);
+        self.effects.push(RelayEffect::CheckRun {
+            instance: instance.clone(),
+            address,
+        });
+    }
+
     /// Returns whether a stream that goes on must wait because the processes of all engines of its version are in doubt; if so,
     /// they are asked.
     pub(super) fn waits_for_run_checks(&mut self, id: CallId) -> bool {
@@ -66,15 +95,17 @@
         let Some(endpoint) = self.endpoints.get_mut(instance) else {
             return;
         };
-        let listed = endpoint.listed.started_unix_ms;
-        endpoint.run.on_checked(asked_at, answer, listed);
+        let was_listed = endpoint.run.is_listed();
+        endpoint.run.on_checked(asked_at, answer, self.now);
         let is_listed = endpoint.run.is_listed();
-        self.note(RelayNotice::RunChecked {
-            instance: instance.clone(),
-            answer,
-            is_listed,
-        });
-        if is_listed {
+        if !(was_listed && is_listed) {
+            self.note(RelayNotice::RunChecked {
+                instance: instance.clone(),
+                answer,
+                is_listed,
+            });
+        }
+        if is_listed && !was_listed {
             self.go_on_with_waiting();
         }
     }
@@ -109,4 +140,15 @@
     pub(crate) fn is_bound(&self) -> bool {
         self.version_for(self.serving_role()).is_some()
     }
+
+    /// Returns the start of the process that alone may take the call's request in this stage; none if any may. It matters where the
+    /// version of what is answered does at once: for a stream that goes on, and for one that another VM forwards.
+    pub(crate) fn required_run(&self, stage: CallStage, endpoint: &Endpoint) -> Option<u64> {
+        let is_run = matches!(stage, CallStage::Decode { .. });
+        let is_resumable = self.route.is_stream && self.route.is_resumable;
+        let must_be_known = self.is_bound() || (is_resumable && self.request.hop.is_some());
+        let can_be_proved = endpoint.run.can_be_proved();
+        let started_unix_ms = endpoint.listed.started_unix_ms;
+        started_unix_ms.filter(|_| is_run && must_be_known && can_be_proved)
+    }
 }
--- a/crates/arbutusfall_core/src/relay/run_status.rs
+++ b/crates/arbutusfall_core/src/relay/run_status.rs
@@ -1,26 +1,48 @@
-//! Whether the process at an engine's address is still the one that its entry describes.
+//! Which process runs at an engine's address: whether it is the one that its entry describes, and for which time that is known.
 //!
-//! A process that ends breaks its connections off. The next one at the same address, under the same id, may have another
-//! software version, and its entry is read only later. So an engine whose connections break off is in doubt until it says
-//! itself when its process started, or until it has run for long enough that its entry must have been read.
+//! An engine may be upgraded in place: its next process has the same address and id, and maybe another software version, and
+//! its entry is read only later. A process is known by when it started, which engines say when they are asked. The processes of an
+//! engine follow one another, so one that had started at an instant and answers at a later one has run between them, and so has
+//! answered every request that was sent and answered in that time.
+//!
+//! Besides, a process that ends breaks its connections off. So an engine whose connections break off is in doubt until it says
+//! when its process started or, if it doesn't say, until it has run for long enough that its entry must have been read.
 
 use std::time::Duration;
 
 use serde::Serialize;
 
-/// Shortest time between two checks of an engine.
-const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Shortest time between two questions to an engine in doubt.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Shortest time between two questions to an engine at which streams have begun: they share a question.
+const PROOF_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time after an answer from which the entry read is that of the process that answered: a process writes its entry when it
 /// starts, and a list that is used is not older than this.
 const ENTRY_READ_TIME: Duration = Duration::from_secs(3);
 
-/// Whether an engine's process is the listed one.
+/// What is known of the process at an engine's address.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct RunStatus {
+    /// Start of the listed process, in Unix milliseconds, if its entry says so.
+    listed_unix_ms: Option<u64>,
+    known: Option<KnownRun>,
     doubt: Option<RunDoubt>,
     /// When the engine was last asked.
-    checked_at: Option<Duration>,
+    asked_at: Option<Duration>,
+    /// Whether it has not answered the last question yet.
+    is_asked: bool,
+    /// When the newest question was asked to which it said that it doesn't say when it started.
+    unstated_at: Option<Duration>,
+}
+
+/// A process that is known to run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct KnownRun {
+    started_unix_ms: u64,
+    /// It had started by this instant.
+    since: Duration,
 }
 
 /// An engine's process may have ended.
@@ -44,9 +66,48 @@
 }
 
 impl RunStatus {
+    /// Creates the status of an engine whose entry has been read at `now`.
+    pub(crate) fn new(listed_unix_ms: Option<u64>, now: Duration) -> Self {
+        let known = listed_unix_ms.map(|started_unix_ms| KnownRun {
+            started_unix_ms,
+            since: now,
+        });
+        Self {
+            listed_unix_ms,
+            known,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the status after the entry of another process has been read, which may have been known already.
+    pub(crate) fn relisted(self, listed_unix_ms: Option<u64>, now: Duration) -> Self {
+        let known = self.known;
+        let known = known.filter(|known| Some(known.started_unix_ms) == listed_unix_ms);
+        let status = Self::new(listed_unix_ms, now);
+        Self {
+            known: known.or(status.known),
+            asked_at: self.asked_at,
+            is_asked: self.is_asked,
+            ..status
+        }
+    }
+
     /// Returns whether nothing speaks against the listed process.
     pub(crate) fn is_listed(&self) -> bool {
-        self.doubt.is_none()
+        self.doubt.is_none() && !self.is_replaced()
+    }
+
+    /// Returns whether the engine has named another process than the listed one.
+    fn is_replaced(&self) -> bool {
+        let (known, listed_unix_ms) = (self.known, self.listed_unix_ms);
+        known
+            .zip(listed_unix_ms)
+            .is_some_and(|(known, listed)| known.started_unix_ms != listed)
+    }
+
+    /// Returns whether the engine's entry and, as far as is known, its own word tell one process from another.
+    pub(crate) fn can_be_proved(&self) -> bool {
+        self.listed_unix_ms.is_some() && self.unstated_at.is_none()
     }
 
     /// Records that a connection to the engine broke off or was not accepted.
@@ -57,35 +118,67 @@
         });
     }
 
-    /// Returns when the engine may be asked next.
+    /// Returns when the engine, which is in doubt, may be asked next.
     pub(crate) fn next_check_at(&self) -> Duration {
-        self.checked_at
-            .map_or(Duration::ZERO, |checked_at| checked_at + CHECK_INTERVAL)
+        self.next_question_at(DOUBT_INTERVAL)
     }
 
-    /// Returns whether the engine is to be asked now; if so, the next check is due after the interval.
-    pub(crate) fn start_check(&mut self, now: Duration) -> bool {
-        let is_due = !self.is_listed() && now >= self.next_check_at();
-        if is_due {
-            self.checked_at = Some(now);
-        }
-        is_due
+    /// Returns when the engine may be asked next for streams that have begun there; none before it has answered.
+    pub(crate) fn next_proof_at(&self) -> Option<Duration> {
+        (!self.is_asked).then(|| self.next_question_at(PROOF_INTERVAL))
+    }
+
+    fn next_question_at(&self, interval: Duration) -> Duration {
+        self.asked_at
+            .map_or(Duration::ZERO, |asked_at| asked_at + interval)
+    }
+
+    /// Returns whether the engine is in doubt and is to be asked now.
+    pub(crate) fn must_check(&self, now: Duration) -> bool {
+        !self.is_listed() && now >= self.next_check_at()
+    }
+
+    /// Records that the engine is asked.
+    pub(crate) fn on_asked(&mut self, now: Duration) {
+        self.asked_at = Some(now);
+        self.is_asked = true;
     }
 
-    /// Takes what the engine said to a question of `asked_at`; `listed` is the start of the listed process.
-    pub(crate) fn on_checked(
-        &mut self,
-        asked_at: Duration,
-        answer: RunAnswer,
-        listed: Option<u64>,
-    ) {
-        let Some(doubt) = self.doubt.as_mut().filter(|doubt| asked_at >= doubt.since) else {
-            return;
-        };
+    /// Takes what the engine said at `now` to a question of `asked_at`.
+    pub(crate) fn on_checked(&mut self, asked_at: Duration, answer: RunAnswer, now: Duration) {
+        self.is_asked = false;
         match answer {
-            RunAnswer::Started(started) if listed == Some(started) => self.doubt = None,
-            RunAnswer::Unstated => _ = doubt.answered_at.get_or_insert(asked_at),
-            RunAnswer::Started(_) | RunAnswer::Failed => {}
+            RunAnswer::Started(started_unix_ms) if self.listed_unix_ms.is_some() => {
+                self.on_started(started_unix_ms, asked_at, now);
+            }
+            // Without a start in its entry, it can't be compared.
+            RunAnswer::Started(_) | RunAnswer::Unstated => self.on_unstated(asked_at),
+            RunAnswer::Failed => {}
+        }
+    }
+
+    fn on_started(&mut self, started_unix_ms: u64, asked_at: Duration, now: Duration) {
+        match &mut self.known {
+            Some(known) if known.started_unix_ms == started_unix_ms => {}
+            // The answer is older than what is known.
+            Some(known) if asked_at < known.since => return,
+            known => {
+                *known = Some(KnownRun {
+                    started_unix_ms,
+                    since: now,
+                });
+            }
+        }
+        if self.listed_unix_ms == Some(started_unix_ms) {
+            self.doubt.take_if(|doubt| asked_at >= doubt.since);
+        }
+    }
+
+    fn on_unstated(&mut self, asked_at: Duration) {
+        self.unstated_at = self.unstated_at.max(Some(asked_at));
+        let doubt = self.doubt.as_mut();
+        if let Some(doubt) = doubt.filter(|doubt| asked_at >= doubt.since) {
+            doubt.answered_at.get_or_insert(asked_at);
         }
     }
 
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -196,6 +196,8 @@
         };
         self.last_exchange += 1;
         let exchange = ExchangeId(self.last_exchange);
+        let required_start_unix_ms = call.required_run(stage, endpoint);
+        let asked = f64::from(u8::from(required_start_unix_ms.is_some()));
         call.current = Some(CurrentExchange {
             exchange,
             instance,
@@ -208,9 +210,10 @@
         });
         let mut command = call.send_command(exchange, endpoint, stage, self.now);
         command.is_limited = is_limited;
+        command.required_start_unix_ms = required_start_unix_ms;
         let notice = call.sent_notice(&command, endpoint, stage);
         self.calls_by_exchange.insert(exchange, id);
-        self.take_limit_tokens(&command.instance, tokens);
+        self.take_limit_tokens(&command.instance, tokens + asked);
         self.set_silence_timer(id);
         self.effects.push(RelayEffect::Send(command));
         if stage.runs_request() {
@@ -388,6 +391,7 @@
             time_left: self.time_left(now),
             after_event_id: self.last_event_id,
             version: endpoint.listed.version.clone(),
+            required_start_unix_ms: None,
             is_limited: false,
         }
     }
