Relay: a stream's version is known only once the process that began it is proved (ORDER)

Callers saw streams whose first events came from an upgraded engine go on at engines of the version before, in the same answer, at the same VM or at another, as late as 30 s afterwards.

At its first event a stream is forwarded at once, its version is open, and the engine is asked when its process started; streams that begin within 100 ms share a question. A process that had started before the request was sent and answers a question asked after the event has written it. If it is the listed one, the version is known; if it is one whose entry is still to be read, it is known after that; otherwise the version can't be known any more, and the stream goes on nowhere. One whose version is not known is recorded in the store at once, so that no VM takes it for one of the only version listed, and again when the version is known. A stream that breaks off before the answer waits for it; a caller that is back before it waits up to 0.4 s. A resting engine is not asked.

The harness of the core's tests answers such questions as the listed process unless a test answers them itself: two tests of silent streams met engines that never answered. A request all of whose engines are of another version no longer counts as beyond limits that nobody named.

--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -61,6 +61,7 @@
 mod store_view;
 mod stream_versions;
 mod token_counts;
+mod unproved_streams;
 mod waiting;
 
 use std::collections::BTreeSet;
@@ -89,6 +90,7 @@
 use shared_outbox::SharedOutbox;
 use store_view::StoreView;
 use stream_versions::StreamVersions;
+use unproved_streams::UnprovedStreams;
 use waiting::WaitQueue;
 
 pub use budget::RetryLimit;
@@ -143,6 +145,8 @@
     RemoveUnlisted,
     /// The origin of the stream that a call goes on with may be looked up again.
     FindStream(CallId),
+    /// An engine may be asked for streams that have begun there since it was asked.
+    ProveRun(Name),
     /// Origins of streams may be due for recording.
     RecordStreams,
     /// Shares of limits may be due for review, or requests that wait for a limit for sending.
@@ -192,6 +196,7 @@
     longest_caller_timeout: FastMap<Name, Duration>,
     budget: RetryBudget,
     stream_versions: StreamVersions,
+    unproved_streams: UnprovedStreams,
     /// Instant of the earliest timer to record origins of streams.
     record_timer_due: Option<Duration>,
     /// Requests that broke off with their endpoints and have not been reviewed yet.
@@ -254,6 +259,7 @@
             longest_caller_timeout: FastMap::default(),
             budget: RetryBudget::new(settings.retry_limit),
             stream_versions: StreamVersions::new(settings.retry_limit.vm_count),
+            unproved_streams: UnprovedStreams::default(),
             record_timer_due: None,
             endpoint_ends: EndpointEnds::default(),
             crash_suspects: CrashSuspects::default(),
@@ -361,7 +367,8 @@
                 RelayTimer::CheckSilence(exchange) => self.check_silence(exchange),
                 RelayTimer::EndStandby(exchange) => self.end_standby(exchange),
                 RelayTimer::RetryReservations => self.on_retry_reservations(),
-                RelayTimer::FindStream(call) => self.find_stream_again(call),
+                RelayTimer::FindStream(call) => self.begin_call(call),
+                RelayTimer::ProveRun(instance) => self.judge_streams(&instance),
                 RelayTimer::RecordStreams => self.record_streams(),
                 RelayTimer::Shared => self.on_shared_timer(),
                 RelayTimer::Limits => self.on_limit_timer(),
@@ -411,6 +418,7 @@
     fn update_versions(&mut self) {
         let versions = self.endpoints.versions();
         self.stream_versions.on_endpoints(versions, self.now);
+        self.judge_all_streams();
         self.review_recorded_versions();
         self.set_record_timer();
     }
--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -125,6 +125,8 @@
     /// Version of the instance's software.
     pub(crate) version: Name,
     pub(crate) stage: CallStage,
+    /// Whether the request goes to the listed process only.
+    pub(crate) is_proved: bool,
     /// Whether the endpoint has begun a stream.
     pub(crate) has_begun: bool,
     pub(crate) sent_at: Duration,
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -285,10 +285,17 @@
 pub struct StreamOrigin {
     /// The endpoint's service.
     pub service: Name,
-    /// The endpoint's version.
+    /// The endpoint's version; empty if it can't be known.
     pub version: Name,
 }
 
+impl StreamOrigin {
+    /// Returns whether the version is known.
+    pub(crate) fn is_known(&self) -> bool {
+        !self.version.is_empty()
+    }
+}
+
 /// Outcome of a lookup of a stream's origin in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StreamLookup {
--- a/crates/arbutusfall_core/src/relay/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/forwarding.rs
@@ -287,6 +287,7 @@
             instance: vm.clone(),
             version: Name::default(),
             stage: CallStage::Forward,
+            is_proved: false,
             has_begun: false,
             sent_at: now,
             last_activity_at: now,
--- a/crates/arbutusfall_core/src/relay/resumptions.rs
+++ b/crates/arbutusfall_core/src/relay/resumptions.rs
@@ -24,6 +24,9 @@
 /// Age of the endpoint list up to which it shows whether there is only one version.
 const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 
+/// Reason of the refusal of a stream whose version is not known.
+const UNKNOWN_VERSION: &str = "unknown_version";
+
 impl Relay {
     /// Sends a new request, or first finds the version of the stream that it goes on with.
     pub(super) fn begin_call(&mut self, id: CallId) {
@@ -40,6 +43,10 @@
             self.go_on_at_only_version(id, StreamLookup::NotFound);
             return;
         };
+        if self.unproved_streams.instance_of(&attempt).is_some() {
+            self.find_stream_later(id);
+            return;
+        }
         match self.stream_versions.origin(&attempt).cloned() {
             Some(origin) => self.go_on_at(id, origin, "own"),
             None => self
@@ -54,32 +61,39 @@
             // The call has ended meanwhile.
             return;
         };
-        if let StreamLookup::Found(origin) = lookup {
-            self.go_on_at(id, origin, "store");
-            return;
+        match lookup {
+            StreamLookup::Found(origin) if origin.is_known() => self.go_on_at(id, origin, "store"),
+            StreamLookup::NotFound | StreamLookup::Failed
+                if !self.stream_versions.has_several(&call.service, self.now) =>
+            {
+                self.go_on_at_only_version(id, lookup);
+            }
+            StreamLookup::Found(_) | StreamLookup::NotFound | StreamLookup::Failed => {
+                self.find_stream_later(id);
+            }
         }
-        let has_several = self.stream_versions.has_several(&call.service, self.now);
-        let next_at = self.now + LOOKUP_INTERVAL;
-        if has_several && next_at <= call.arrived_at + LOOKUP_PERIOD {
-            self.timers.set(next_at, RelayTimer::FindStream(id));
-            return;
-        }
-        self.go_on_at_only_version(id, lookup);
     }
 
-    /// Looks for the origin of a call's stream once more.
-    pub(super) fn find_stream_again(&mut self, id: CallId) {
-        let call = self.calls.get(&id);
-        let resumption = call.and_then(|call| call.request.resumption.as_ref());
-        if let Some(attempt) = resumption.and_then(|resumption| resumption.first_attempt.clone()) {
-            self.effects
-                .push(RelayEffect::FindStream { call: id, attempt });
+    /// Looks for the origin of a call's stream once more after a pause, or refuses the call if that takes too long.
+    fn find_stream_later(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let next_at = self.now + LOOKUP_INTERVAL;
+        if next_at <= call.arrived_at + LOOKUP_PERIOD {
+            self.timers.set(next_at, RelayTimer::FindStream(id));
+        } else {
+            self.fail_call(id, UNKNOWN_VERSION);
         }
     }
 
     /// Sends a call whose stream's origin is known. If the route has moved to other services, their versions have nothing
     /// to do with the origin's.
     fn go_on_at(&mut self, id: CallId, origin: StreamOrigin, source: &'static str) {
+        if !origin.is_known() {
+            self.fail_call(id, UNKNOWN_VERSION);
+            return;
+        }
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -107,7 +121,7 @@
         let only_version = self.stream_versions.only_version(&service, self.now);
         match only_version.filter(|_| self.knows_versions(lookup)) {
             Some(version) => self.go_on_at(id, StreamOrigin { service, version }, "only_version"),
-            None => self.fail_call(id, "unknown_version"),
+            None => self.fail_call(id, UNKNOWN_VERSION),
         }
     }
 
@@ -137,18 +151,24 @@
             // The other VM records it.
             return;
         }
-        let version = self.version_of_run(current);
+        let current = current.clone();
+        let version = self.version_of_run(&current);
+        let is_proved = version.is_some();
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
+        let version = version.unwrap_or_default();
         call.stream_version = Some(version.clone());
         let origin = StreamOrigin {
             service: call.service.clone(),
             version,
         };
-        let attempt = call.request.request_id.clone();
-        self.stream_versions
-            .on_first_event(attempt, origin, self.now);
+        let attempt = call.stream_attempt().clone();
+        let streams = &mut self.stream_versions;
+        streams.on_first_event(attempt.clone(), origin, is_proved, self.now);
+        if !is_proved {
+            self.begin_proof(attempt, &current);
+        }
         self.set_record_timer();
     }
 
--- a/crates/arbutusfall_core/src/relay/run_checks.rs
+++ b/crates/arbutusfall_core/src/relay/run_checks.rs
@@ -1,4 +1,5 @@
-//! Streams that go on only at engines whose process is known to be the listed one.
+//! Streams that go on only at engines whose process is known to be the listed one, and whose version is known only once the process
+//! that began them is.
 
 use std::time::Duration;
 
@@ -9,11 +10,15 @@
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
+use crate::relay::RelayTimer;
 use crate::relay::RunAnswer;
 use crate::relay::call::Call;
 use crate::relay::call::CallStage;
 use crate::relay::call::CurrentExchange;
 use crate::relay::endpoint::Endpoint;
+use crate::relay::run_status::RunVerdict;
+use crate::relay::unproved_streams::FirstEvent;
+use crate::relay::unproved_streams::JudgedStream;
 
 impl Relay {
     /// Records that a connection to an engine broke off or was not accepted: its process may have ended.
@@ -35,6 +40,19 @@
         }
     }
 
+    /// Asks an engine at which streams have begun when its process started, now or as soon as it may be asked again.
+    pub(super) fn prove_run(&mut self, instance: &Name) {
+        let endpoint = self.endpoints.get(instance);
+        let Some(due) = endpoint.and_then(|endpoint| endpoint.run.next_proof_at()) else {
+            return;
+        };
+        if due <= self.now {
+            self.ask_run(instance);
+        } else {
+            self.timers.set(due, RelayTimer::ProveRun(instance.clone()));
+        }
+    }
+
     /// Asks the engine that has reserved memory for a stream that goes on, so that its prompt is not prefilled for an engine that may not
     /// get it.
     pub(super) fn check_run_for(&mut self, id: CallId) {
@@ -67,12 +85,16 @@
         });
     }
 
-    /// Returns whether a stream that goes on must wait because the processes of all engines of its version are in doubt; if so,
-    /// they are asked.
+    /// Returns whether a stream that goes on must wait because the process that began it is not known yet, or the processes of all
+    /// engines of its version are in doubt; if so, they are asked.
     pub(super) fn waits_for_run_checks(&mut self, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id).filter(|call| call.is_bound()) else {
             return false;
         };
+        let attempt = call.stream_attempt();
+        if self.unproved_streams.instance_of(attempt).is_some() {
+            return true;
+        }
         let engines: Vec<&Endpoint> = self.endpoints.serving_call(call, Role::Decode).collect();
         if engines.is_empty() || engines.iter().any(|engine| engine.run.is_listed()) {
             return false;
@@ -92,22 +114,23 @@
         asked_at: Duration,
         answer: RunAnswer,
     ) {
-        let Some(endpoint) = self.endpoints.get_mut(instance) else {
-            return;
-        };
-        let was_listed = endpoint.run.is_listed();
-        endpoint.run.on_checked(asked_at, answer, self.now);
-        let is_listed = endpoint.run.is_listed();
-        if !(was_listed && is_listed) {
-            self.note(RelayNotice::RunChecked {
-                instance: instance.clone(),
-                answer,
-                is_listed,
-            });
-        }
-        if is_listed && !was_listed {
-            self.go_on_with_waiting();
+        let now = self.now;
+        if let Some(endpoint) = self.endpoints.get_mut(instance) {
+            let was_listed = endpoint.run.is_listed();
+            endpoint.run.on_checked(asked_at, answer, now);
+            let is_listed = endpoint.run.is_listed();
+            if !(was_listed && is_listed) {
+                self.note(RelayNotice::RunChecked {
+                    instance: instance.clone(),
+                    answer,
+                    is_listed,
+                });
+            }
+            if is_listed && !was_listed {
+                self.go_on_with_waiting();
+            }
         }
+        self.judge_streams(instance);
     }
 
     /// Takes a read of the list into account: engines in doubt that have been seen to run since are no longer.
@@ -123,16 +146,96 @@
         }
     }
 
-    /// Returns the version of the stream that an exchange has begun: an empty one, which no endpoint has, if the process that
-    /// writes it may not be the listed one.
-    pub(super) fn version_of_run(&self, current: &CurrentExchange) -> Name {
-        let endpoint = self.endpoints.get(&current.instance);
-        if endpoint.is_some_and(|endpoint| !endpoint.run.is_listed()) {
-            Name::default()
-        } else {
-            current.version.clone()
+    /// Judges all streams again after the list has changed: the entry of the process that began them may have been read.
+    pub(super) fn judge_all_streams(&mut self) {
+        for instance in self.unproved_streams.instances() {
+            self.judge_streams(&instance);
+        }
+    }
+
+    /// Finds the versions of streams that have begun at an engine, as far as its processes are known by now; the engine is asked for
+    /// those of the others.
+    pub(super) fn judge_streams(&mut self, instance: &Name) {
+        let endpoint = self.endpoints.get(instance);
+        let judged = self.unproved_streams.judge(instance, |event| {
+            endpoint.map_or(RunVerdict::Unlisted, |endpoint| {
+                verdict(endpoint, event.sent_at, event.arrived_at)
+            })
+        });
+        let version = endpoint.map(|endpoint| endpoint.listed.version.clone());
+        let version = version.unwrap_or_default();
+        for stream in &judged {
+            self.on_stream_judged(stream, &version);
+        }
+        if judged
+            .iter()
+            .any(|stream| stream.verdict == RunVerdict::Unproved)
+        {
+            self.prove_run(instance);
         }
     }
+
+    /// Handles what is known of the process that began a stream, whose engine has a listed version. The version of a stream that another
+    /// process began is an empty one, which no endpoint has.
+    fn on_stream_judged(&mut self, stream: &JudgedStream, listed: &Name) {
+        let version = match stream.verdict {
+            RunVerdict::Listed => listed.clone(),
+            RunVerdict::Unlisted | RunVerdict::Unread => Name::default(),
+            RunVerdict::Unproved => return,
+        };
+        self.stream_versions
+            .on_judged(&stream.attempt, version.clone());
+        self.set_record_timer();
+        if stream.verdict == RunVerdict::Unread {
+            return;
+        }
+        let mut calls = self.calls.iter_mut();
+        let of_stream = calls.find(|(_, call)| *call.stream_attempt() == stream.attempt);
+        let Some((&id, call)) = of_stream else {
+            return;
+        };
+        call.stream_version = Some(version);
+        if self.wait_queue.remove(id) {
+            self.send_next(id);
+        }
+    }
+
+    /// Returns the version of the stream that an exchange has begun; none if the process that writes it is not known yet. It is an
+    /// empty one, which no endpoint has, if it can't be known.
+    pub(super) fn version_of_run(&self, current: &CurrentExchange) -> Option<Name> {
+        let known = Some(current.version.clone());
+        let Some(endpoint) = self.endpoints.get(&current.instance) else {
+            return known;
+        };
+        if current.is_proved {
+            return known;
+        }
+        match verdict(endpoint, current.sent_at, self.now) {
+            RunVerdict::Listed => known,
+            RunVerdict::Unlisted => Some(Name::default()),
+            RunVerdict::Unproved | RunVerdict::Unread => None,
+        }
+    }
+
+    /// Has the engine asked that has written the first event of a call's stream: its process is not known yet.
+    pub(super) fn begin_proof(&mut self, attempt: Name, current: &CurrentExchange) {
+        let event = FirstEvent {
+            attempt,
+            sent_at: current.sent_at,
+            arrived_at: self.now,
+        };
+        self.unproved_streams.add(current.instance.clone(), event);
+        self.prove_run(&current.instance);
+    }
+}
+
+/// Returns which process of an engine has answered a request of `sent_at` by `answered_at`.
+fn verdict(engine: &Endpoint, sent_at: Duration, answered_at: Duration) -> RunVerdict {
+    match engine.run.verdict(sent_at, answered_at) {
+        // A resting engine is not asked.
+        RunVerdict::Unproved if engine.is_resting() => RunVerdict::Unlisted,
+        verdict => verdict,
+    }
 }
 
 impl Call {
@@ -141,6 +244,11 @@
         self.version_for(self.serving_role()).is_some()
     }
 
+    /// Returns the id under which the origin of the call's stream is kept.
+    pub(crate) fn stream_attempt(&self) -> &Name {
+        &self.request.request_id
+    }
+
     /// Returns the start of the process that alone may take the call's request in this stage; none if any may. It matters where the
     /// version of what is answered does at once: for a stream that goes on, and for one that another VM forwards.
     pub(crate) fn required_run(&self, stage: CallStage, endpoint: &Endpoint) -> Option<u64> {
--- a/crates/arbutusfall_core/src/relay/run_status.rs
+++ b/crates/arbutusfall_core/src/relay/run_status.rs
@@ -35,6 +35,8 @@
     is_asked: bool,
     /// When the newest question was asked to which it said that it doesn't say when it started.
     unstated_at: Option<Duration>,
+    /// When the newest question was asked that it did not answer.
+    failed_at: Option<Duration>,
 }
 
 /// A process that is known to run.
@@ -43,6 +45,10 @@
     started_unix_ms: u64,
     /// It had started by this instant.
     since: Duration,
+    /// It still ran at this instant.
+    ///
+    /// Invariant: not before `since`.
+    until: Duration,
 }
 
 /// An engine's process may have ended.
@@ -65,12 +71,26 @@
     Failed,
 }
 
+/// Whether the process that has answered a request is the listed one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RunVerdict {
+    /// It is.
+    Listed,
+    /// It isn't, or that can't be known any more.
+    Unlisted,
+    /// It isn't known yet: the engine must be asked.
+    Unproved,
+    /// It isn't, and its own entry has not been read yet.
+    Unread,
+}
+
 impl RunStatus {
     /// Creates the status of an engine whose entry has been read at `now`.
     pub(crate) fn new(listed_unix_ms: Option<u64>, now: Duration) -> Self {
         let known = listed_unix_ms.map(|started_unix_ms| KnownRun {
             started_unix_ms,
             since: now,
+            until: now,
         });
         Self {
             listed_unix_ms,
@@ -110,6 +130,35 @@
         self.listed_unix_ms.is_some() && self.unstated_at.is_none()
     }
 
+    /// Returns which process has answered a request of `sent_at` by `answered_at`.
+    pub(crate) fn verdict(&self, sent_at: Duration, answered_at: Duration) -> RunVerdict {
+        let Some(known) = self.known.filter(|_| self.can_be_proved()) else {
+            // Nothing tells one process from another but connections that break off.
+            return if self.doubt.is_none() {
+                RunVerdict::Listed
+            } else {
+                RunVerdict::Unlisted
+            };
+        };
+        if sent_at < known.since {
+            return RunVerdict::Unlisted;
+        }
+        if answered_at > known.until {
+            let has_failed = self
+                .failed_at
+                .is_some_and(|failed_at| failed_at >= answered_at);
+            return if has_failed {
+                RunVerdict::Unlisted
+            } else {
+                RunVerdict::Unproved
+            };
+        }
+        if self.is_replaced() {
+            return RunVerdict::Unread;
+        }
+        RunVerdict::Listed
+    }
+
     /// Records that a connection to the engine broke off or was not accepted.
     pub(crate) fn on_broken_off(&mut self, now: Duration) {
         self.doubt = Some(RunDoubt {
@@ -153,19 +202,22 @@
             }
             // Without a start in its entry, it can't be compared.
             RunAnswer::Started(_) | RunAnswer::Unstated => self.on_unstated(asked_at),
-            RunAnswer::Failed => {}
+            RunAnswer::Failed => self.failed_at = self.failed_at.max(Some(asked_at)),
         }
     }
 
     fn on_started(&mut self, started_unix_ms: u64, asked_at: Duration, now: Duration) {
         match &mut self.known {
-            Some(known) if known.started_unix_ms == started_unix_ms => {}
+            Some(known) if known.started_unix_ms == started_unix_ms => {
+                known.until = known.until.max(asked_at);
+            }
             // The answer is older than what is known.
             Some(known) if asked_at < known.since => return,
             known => {
                 *known = Some(KnownRun {
                     started_unix_ms,
                     since: now,
+                    until: now,
                 });
             }
         }
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -203,6 +203,7 @@
             instance,
             version: endpoint.listed.version.clone(),
             stage,
+            is_proved: required_start_unix_ms.is_some(),
             has_begun: false,
             sent_at: self.now,
             last_activity_at: self.now,
--- a/crates/arbutusfall_core/src/relay/stream_versions.rs
+++ b/crates/arbutusfall_core/src/relay/stream_versions.rs
@@ -70,6 +70,8 @@
     began_at: Duration,
     end: StreamEnd,
     record: RecordState,
+    /// Whether the process that began it is known, so that its version is known or can't be.
+    is_proved: bool,
 }
 
 /// When a version was listed.
@@ -184,16 +186,35 @@
     }
 
     /// Records the first event that an attempt brought.
-    pub(crate) fn on_first_event(&mut self, attempt: Name, origin: StreamOrigin, now: Duration) {
+    pub(crate) fn on_first_event(
+        &mut self,
+        attempt: Name,
+        origin: StreamOrigin,
+        is_proved: bool,
+        now: Duration,
+    ) {
         let stream = KnownStream {
             origin,
             began_at: now,
             end: StreamEnd::Open,
             record: RecordState::Missing,
+            is_proved,
         };
         self.streams.insert(attempt, stream);
     }
 
+    /// Takes the version of a stream whose process has become known; an empty one if its version can't be known.
+    pub(crate) fn on_judged(&mut self, attempt: &Name, version: Name) {
+        let Some(stream) = self.streams.get_mut(attempt) else {
+            return;
+        };
+        stream.is_proved = true;
+        if stream.origin.version != version {
+            stream.origin.version = version;
+            stream.record = RecordState::Missing;
+        }
+    }
+
     /// Records that all of a stream was written to its caller.
     pub(crate) fn on_complete(&mut self, attempt: &Name, now: Duration) {
         self.on_end(attempt, StreamEnd::Complete(now));
@@ -233,6 +254,7 @@
             .filter(|stream| self.must_record(stream, now));
         let records = missing.map(|stream| match stream.end {
             StreamEnd::BrokeOff(at) => at + GROUP_DELAY,
+            _ if !stream.origin.is_known() => stream.began_at + GROUP_DELAY,
             StreamEnd::Open | StreamEnd::Complete(_) => {
                 (stream.began_at + GROUP_DELAY).max(next_group_at)
             }
@@ -242,9 +264,11 @@
     }
 
     fn must_record(&self, stream: &KnownStream, now: Duration) -> bool {
+        // Other VMs must not take a stream of unknown version for one of the only version that they know.
         let must_be_known = matches!(stream.end, StreamEnd::BrokeOff(_))
+            || !stream.origin.is_known()
             || self.has_several(&stream.origin.service, now);
-        must_be_known && stream.record == RecordState::Missing
+        must_be_known && stream.is_proved && stream.record == RecordState::Missing
     }
 
     /// Removes the origins of streams that ended long ago. Returns what to append to the store now: every origin that
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -51,8 +51,11 @@
         &self.calls
     }
 
-    pub(crate) fn remove(&mut self, id: CallId) {
+    /// Removes a request; returns whether it waited.
+    pub(crate) fn remove(&mut self, id: CallId) -> bool {
+        let count = self.calls.len();
         self.calls.retain(|waiting| *waiting != id);
+        self.calls.len() < count
     }
 }
 
@@ -101,8 +104,9 @@
 
     /// Returns whether all engines of a call have limits, which this VM's shares do not let it use in time.
     fn is_beyond_limits(&self, call: &Call) -> bool {
-        let mut engines = self.endpoints.serving_call(call, Role::Decode);
-        if !engines.all(|engine| self.is_limited(&engine.listed.instance)) {
+        let mut engines = self.endpoints.serving_call(call, Role::Decode).peekable();
+        let has_engines = engines.peek().is_some();
+        if !(has_engines && engines.all(|engine| self.is_limited(&engine.listed.instance))) {
             return false;
         }
         let ahead = self.wait_queue.calls.len();
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -1,5 +1,6 @@
 //! Test harness: a relay with routes, endpoints and a manual clock.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,6 +31,7 @@
 use arbutusfall_core::relay::Resumption;
 use arbutusfall_core::relay::RetryLimit;
 use arbutusfall_core::relay::RouteTable;
+use arbutusfall_core::relay::RunAnswer;
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::SharedParts;
 use arbutusfall_core::relay::SharedRecord;
@@ -81,6 +83,10 @@
     calls: u64,
     /// Whether requests with the same path are repeats of one request; otherwise all requests are different.
     pub(crate) repeats_by_path: bool,
+    /// Whether engines that are asked when their processes started answer at once, as the listed ones.
+    pub(crate) engines_state_their_starts: bool,
+    /// Start of the listed process of each endpoint.
+    starts_unix_ms: BTreeMap<Name, Option<u64>>,
 }
 
 /// Returns a route with the values that most tests use.
@@ -241,6 +247,8 @@
             effects: Vec::new(),
             calls: 0,
             repeats_by_path: false,
+            engines_state_their_starts: true,
+            starts_unix_ms: BTreeMap::new(),
         };
         harness.apply(RelayEvent::Started);
         harness
@@ -261,9 +269,37 @@
     }
 
     pub(crate) fn apply(&mut self, event: RelayEvent) {
+        if let RelayEvent::EndpointChanges(changes) = &event {
+            self.record_starts(changes);
+        }
         let output = self.relay.apply(event, self.now);
         self.wake_at = output.wake_at;
-        self.effects.extend(output.effects);
+        for effect in output.effects {
+            match effect {
+                RelayEffect::CheckRun { instance, .. } if self.engines_state_their_starts => {
+                    self.answer_run_check(instance);
+                }
+                effect => self.effects.push(effect),
+            }
+        }
+    }
+
+    fn record_starts(&mut self, changes: &[EndpointListChange]) {
+        for change in changes {
+            if let EndpointListChange::Listed(listed) = change {
+                self.starts_unix_ms
+                    .insert(listed.instance.clone(), listed.started_unix_ms);
+            }
+        }
+    }
+
+    fn answer_run_check(&mut self, instance: Name) {
+        let start_unix_ms = self.starts_unix_ms.get(&instance).copied().flatten();
+        self.apply(RelayEvent::RunChecked {
+            instance,
+            asked_at: self.now,
+            answer: start_unix_ms.map_or(RunAnswer::Unstated, RunAnswer::Started),
+        });
     }
 
     /// Advances the clock and applies all ticks that fall due.
--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/relay_run_proofs.rs
@@ -0,0 +1,275 @@
+//! Processes of engines that are upgraded in place: streams begin and go on only where it is known which process answers.
+
+use std::sync::Arc;
+
+use arbutusfall_core::config::Role;
+use arbutusfall_core::relay::EndpointListChange;
+use arbutusfall_core::relay::ExchangeEvent;
+use arbutusfall_core::relay::ExchangeFailure;
+use arbutusfall_core::relay::Hop;
+use arbutusfall_core::relay::ListedEndpoint;
+use arbutusfall_core::relay::RelayEffect;
+use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_core::relay::RetryLimit;
+use arbutusfall_core::relay::RunAnswer;
+use arbutusfall_core::relay::SendCommand;
+use arbutusfall_core::relay::StreamRecord;
+use arbutusfall_core::relay::Work;
+use arbutusfall_wire::Name;
+
+use crate::relay_harness::CLOSED;
+use crate::relay_harness::RelayHarness;
+use crate::relay_harness::listed;
+use crate::relay_harness::ms;
+use crate::relay_harness::routes;
+use crate::relay_harness::store_read;
+
+/// Start of the engines' listed processes, in Unix milliseconds.
+const LISTED_START_UNIX_MS: u64 = 1;
+
+/// Start of the processes after these.
+const NEXT_START_UNIX_MS: u64 = 2;
+
+fn engine(instance: &str, version: &str, started_unix_ms: u64) -> EndpointListChange {
+    EndpointListChange::Listed(ListedEndpoint {
+        version: version.into(),
+        started_unix_ms: Some(started_unix_ms),
+        ..listed(instance, "model", Role::Decode)
+    })
+}
+
+/// Returns a relay with a prefill engine and decode engines of v1, long after it has read their entries; what engines are asked is
+/// left to the test.
+fn relay_with_engines(engines: &[&str]) -> RelayHarness {
+    let retry_limit = RetryLimit {
+        ratio: 0.2,
+        slack: 40.0,
+        vm_count: 1,
+    };
+    let mut harness = RelayHarness::with_retry_limit(1, retry_limit);
+    harness.engines_state_their_starts = false;
+    harness.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
+    harness.apply(store_read(true));
+    let prefill = EndpointListChange::Listed(listed("prefill-1", "model", Role::Prefill));
+    let engines = engines
+        .iter()
+        .map(|name| engine(name, "v1", LISTED_START_UNIX_MS));
+    let changes = [prefill].into_iter().chain(engines);
+    harness.apply(RelayEvent::EndpointChanges(changes.collect()));
+    harness.advance(ms(5_000));
+    harness.effects.clear();
+    harness
+}
+
+fn progress(last_event_id: u64) -> ExchangeEvent {
+    ExchangeEvent::Progress {
+        last_event_id: Some(last_event_id),
+    }
+}
+
+/// Begins a stream at whichever engine gets it; the engine has not said yet which process runs.
+fn begin(harness: &mut RelayHarness) -> SendCommand {
+    let (_, decode) = harness.start_stream("/resumable/1");
+    harness.deliver(decode.exchange, progress(1));
+    decode
+}
+
+/// Takes the questions to engines when their processes started.
+fn take_questions(harness: &mut RelayHarness) -> Vec<Name> {
+    let effects = std::mem::take(&mut harness.effects);
+    let mut asked = Vec::new();
+    for effect in effects {
+        match effect {
+            RelayEffect::CheckRun { instance, .. } => asked.push(instance),
+            other => harness.effects.push(other),
+        }
+    }
+    asked
+}
+
+fn answer_question(harness: &mut RelayHarness, instance: &Name, answer: RunAnswer) {
+    harness.apply(RelayEvent::RunChecked {
+        instance: instance.clone(),
+        asked_at: harness.now,
+        answer,
+    });
+}
+
+/// Takes the records of streams that are appended to the store.
+fn take_records(harness: &mut RelayHarness) -> Vec<StreamRecord> {
+    let effects = std::mem::take(&mut harness.effects);
+    let mut records = Vec::new();
+    for effect in effects {
+        match effect {
+            RelayEffect::RecordStreams(appended) => records.extend(appended),
+            other => harness.effects.push(other),
+        }
+    }
+    records
+}
+
+/// Returns the recorded versions.
+fn versions(records: &[StreamRecord]) -> Vec<&str> {
+    let origins = records.iter().filter_map(|record| record.origin.as_ref());
+    origins.map(|origin| &*origin.version).collect()
+}
+
+// Guards against a stream that is cut off although its engine runs: the engine breaks it off before it has said which process runs.
+#[test]
+fn stream_that_breaks_off_at_once_goes_on_as_soon_as_its_engine_has_named_its_process() {
+    let mut harness = relay_with_engines(&["decode-1", "decode-2"]);
+    let decode = begin(&mut harness);
+    assert_eq!(take_questions(&mut harness), [decode.instance.clone()]);
+    harness.deliver(decode.exchange, CLOSED);
+    assert_eq!(harness.take_sends(), [], "its version is not known yet");
+    let answer = RunAnswer::Started(LISTED_START_UNIX_MS);
+    answer_question(&mut harness, &decode.instance, answer);
+    let reserve = harness.take_only_send();
+    assert_ne!(reserve.instance, decode.instance);
+}
+
+// Guards against a stream that goes on as one of the version before: another process than the listed one began it. Other VMs must not take
+// it for a stream of the only version that they know, so it is recorded at once.
+#[test]
+fn stream_of_another_process_than_the_listed_one_goes_on_nowhere_and_is_recorded_at_once() {
+    for answer in [RunAnswer::Started(NEXT_START_UNIX_MS), RunAnswer::Failed] {
+        let mut harness = relay_with_engines(&["decode-1", "decode-2"]);
+        let decode = begin(&mut harness);
+        harness.advance(ms(50));
+        assert_eq!(versions(&take_records(&mut harness)), [""; 0]);
+        answer_question(&mut harness, &decode.instance, answer);
+        harness.advance(ms(10));
+        assert_eq!(versions(&take_records(&mut harness)), [""], "{answer:?}");
+        harness.take_sends();
+        harness.deliver(decode.exchange, CLOSED);
+        harness.advance(ms(500));
+        assert_eq!(harness.take_sends(), [], "{answer:?}");
+    }
+}
+
+// Guards against streams of a new process that can never go on: they began before its entry was read, but after it was known.
+#[test]
+fn stream_of_a_known_process_goes_on_at_its_version_once_the_entry_is_read() {
+    let mut harness = relay_with_engines(&["decode-1"]);
+    let early = begin(&mut harness);
+    harness.advance(ms(5));
+    let next = RunAnswer::Started(NEXT_START_UNIX_MS);
+    answer_question(&mut harness, &early.instance, next);
+    harness.advance(ms(200));
+    assert_eq!(versions(&take_records(&mut harness)), [""]);
+    harness.apply(RelayEvent::StreamsRecorded { succeeded: true });
+    let late = begin(&mut harness);
+    harness.advance(ms(200));
+    answer_question(&mut harness, &late.instance, next);
+    harness.advance(ms(50));
+    assert_eq!(versions(&take_records(&mut harness)), [""]);
+    harness.apply(RelayEvent::StreamsRecorded { succeeded: true });
+    let changes = vec![
+        engine("decode-1", "v2", NEXT_START_UNIX_MS),
+        engine("decode-2", "v1", LISTED_START_UNIX_MS),
+        engine("decode-3", "v2", LISTED_START_UNIX_MS),
+    ];
+    harness.apply(RelayEvent::EndpointChanges(changes));
+    harness.advance(ms(200));
+    // Which process began the early one can't be known.
+    assert_eq!(versions(&take_records(&mut harness)), ["v2"]);
+    harness.take_sends();
+    harness.deliver(late.exchange, CLOSED);
+    harness.advance(ms(100));
+    assert_eq!(&*harness.take_only_send().instance, "decode-3");
+}
+
+// Guards against new streams that wait for a question, and against one question for each of many streams that begin together.
+#[test]
+fn streams_that_begin_are_forwarded_at_once_and_share_questions() {
+    let mut harness = relay_with_engines(&["decode-1"]);
+    let mut asked = 0;
+    for _ in 0..40 {
+        let decode = begin(&mut harness);
+        let is_forwarded = harness.effects.iter().any(|effect| {
+            matches!(effect, RelayEffect::Forward { exchange, .. } if *exchange == decode.exchange)
+        });
+        assert!(is_forwarded);
+        for instance in take_questions(&mut harness) {
+            asked += 1;
+            let answer = RunAnswer::Started(LISTED_START_UNIX_MS);
+            answer_question(&mut harness, &instance, answer);
+        }
+        harness.effects.clear();
+        harness.advance(ms(10));
+    }
+    assert!((1..=5).contains(&asked), "{asked} questions in 400 ms");
+}
+
+// Guards against questions to engines that want nothing from this VM.
+#[test]
+fn resting_engine_is_not_asked() {
+    let mut harness = relay_with_engines(&["decode-1"]);
+    let (_, decode) = harness.start_stream("/resumable/1");
+    let rest = ms(2_000);
+    let instance = decode.instance.clone();
+    harness.apply(RelayEvent::ControlRest { instance, rest });
+    harness.deliver(decode.exchange, progress(1));
+    harness.advance(ms(1_000));
+    assert_eq!(take_questions(&mut harness), [""; 0].map(Name::from));
+}
+
+// Guards against a stream that goes on at an engine whose process has not been proved, and against a retry, an attempt or a failure
+// that is counted although the engine has got nothing.
+#[test]
+fn stream_that_goes_on_names_the_process_that_must_get_it_and_leaves_another_one() {
+    let mut harness = relay_with_engines(&["decode-1", "decode-2", "decode-3"]);
+    let decode = begin(&mut harness);
+    assert_eq!(decode.required_start_unix_ms, None);
+    let listed = RunAnswer::Started(LISTED_START_UNIX_MS);
+    answer_question(&mut harness, &decode.instance, listed);
+    take_questions(&mut harness);
+    harness.deliver(decode.exchange, CLOSED);
+    let mut tried = vec![decode.instance];
+    for _ in 0..2 {
+        let reserve = harness.take_only_send();
+        let reservation = "reservation".into();
+        harness.deliver(reserve.exchange, ExchangeEvent::Reserved { reservation });
+        let mut next = harness.take_only_send();
+        if next.work == Work::Prefill {
+            let handle = "handle".into();
+            harness.deliver(next.exchange, ExchangeEvent::PrefillDone { handle });
+            next = harness.take_only_send();
+        }
+        assert!(matches!(next.work, Work::Decode { .. }), "{next:?}");
+        assert_eq!(next.required_start_unix_ms, Some(LISTED_START_UNIX_MS));
+        assert!(!tried.contains(&next.instance));
+        tried.push(next.instance.clone());
+        if tried.len() == 2 {
+            let failure = ExchangeFailure::OtherProcess;
+            answer_question(
+                &mut harness,
+                &next.instance,
+                RunAnswer::Started(NEXT_START_UNIX_MS),
+            );
+            harness.deliver(next.exchange, ExchangeEvent::Failed { failure });
+        }
+    }
+}
+
+// Guards against a version that another VM is told and that is not the one of the process that answers.
+#[test]
+fn stream_that_another_vm_forwards_goes_to_the_listed_process_only() {
+    let mut harness = relay_with_engines(&["decode-1"]);
+    let hop = Hop {
+        from_vm: "vm-2".into(),
+        service: "model".into(),
+        config_version: 1,
+        attempts: 0,
+        endpoint_ends: 0,
+        stream_version: None,
+    };
+    for (path, required) in [
+        ("/resumable/1", Some(LISTED_START_UNIX_MS)),
+        ("/stream/1", None),
+    ] {
+        harness.submit_forwarded(path, hop.clone(), ms(10_000), ms(0));
+        let decode = harness.advance_to_decode();
+        assert_eq!(decode.required_start_unix_ms, required, "{path}");
+    }
+}
--- a/crates/arbutusfall_core/tests/it/relay_stream_versions.rs
+++ b/crates/arbutusfall_core/tests/it/relay_stream_versions.rs
@@ -45,6 +45,7 @@
         vm_count,
     };
     let mut harness = RelayHarness::with_retry_limit(1, retry_limit);
+    harness.engines_state_their_starts = false;
     harness.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
     harness.apply(store_read(true));
     let mut changes = vec![engine("prefill-1", Role::Prefill, "v1")];
