--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -36,6 +36,8 @@
 use crate::relay::handle::RelayHandle;
 use crate::relay::open_calls::AnswerHead;
 use crate::relay::peer_client;
+use crate::relay::run_check;
+use crate::relay::run_check::SendError;
 
 /// Timeout for opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -79,11 +81,23 @@
         answer_timeout: command.time_left,
     };
     let executor = &relay.io().executor;
-    let answer = match command.work {
-        Work::Forward(_) => peer_client::send(executor, outgoing, relay.shared_key()).await,
-        _ => http::send(executor, outgoing).await,
+    let answer = match (&command.work, command.required_start_unix_ms) {
+        (Work::Forward(_), _) => {
+            let sent = peer_client::send(executor, outgoing, relay.shared_key()).await;
+            sent.map_err(exchange_failure)?
+        }
+        (_, Some(required_unix_ms)) => {
+            let sent = run_check::send(relay, command, required_unix_ms, outgoing).await;
+            sent.map_err(|error| match error {
+                SendError::OtherProcess => ExchangeFailure::OtherProcess,
+                SendError::Failed(error) => exchange_failure(error),
+            })?
+        }
+        (_, None) => {
+            let sent = http::send(executor, outgoing).await;
+            sent.map_err(exchange_failure)?
+        }
     };
-    let answer = answer.map_err(exchange_failure)?;
     relay.io().exchanges.wait_while_held(command.exchange).await;
     let kind = endpoints::classify_answer(&request, command, answer.status(), answer.headers());
     let is_from_endpoint = is_from_endpoint(&request, command, kind, answer.headers());
@@ -264,6 +278,7 @@
         body,
         splitter: EventSplitter::default(),
         has_events: false,
+        first_event_id: None,
         last_event_id: None,
     };
     let forwarded = stream.forward(relay, command).await;
@@ -272,6 +287,7 @@
         instance: command.instance.clone(),
         framing,
         reached_end: forwarded.is_ok(),
+        first_event_id: stream.first_event_id,
         last_event_id: stream.last_event_id,
         partial_event_bytes: stream.splitter.partial_event_bytes(),
     });
@@ -314,6 +330,7 @@
     body: Incoming,
     splitter: EventSplitter,
     has_events: bool,
+    first_event_id: Option<u64>,
     last_event_id: Option<u64>,
 }
 
@@ -336,6 +353,7 @@
                 continue;
             };
             self.has_events = true;
+            self.first_event_id = self.first_event_id.or(events.first_id);
             write_to_caller(relay, command, events.bytes).await;
             let last_event_id = events.last_id;
             self.last_event_id = last_event_id.or(self.last_event_id);
--- a/crates/arbutusfall_core/src/relay/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/forwarding.rs
@@ -287,6 +287,7 @@
             instance: vm.clone(),
             version: Name::default(),
             stage: CallStage::Forward,
+            is_proved: false,
             has_begun: false,
             sent_at: now,
             last_activity_at: now,
@@ -299,6 +300,8 @@
             request_id: self.request.request_id.clone(),
             instance: command.instance.clone(),
             version: Name::default(),
+            started_unix_ms: None,
+            after_event_id: command.after_event_id,
             route: self.route.name.clone(),
             work: CallStage::Forward.name(),
             attempt: self.exchange_count,
@@ -337,6 +340,7 @@
             time_left: self.time_left(now),
             after_event_id: self.last_event_id,
             version: Name::default(),
+            required_start_unix_ms: None,
             is_limited: false,
         }
     }
