Relay: a stream whose origin can't be looked up is refused (ORDER)

A stream that a caller takes up at a VM which gets no answer from the store went on at the only version listed, if the list was read in the last 2 s and had shown no other for 30 s. An engine may have been upgraded in place since, and the stream have begun there: its record can't be read.

The lookup is repeated for 0.4 s, and then the caller is refused at once (503, not run). The VM that began the stream needs no lookup. relay_run_proofs::stream_that_cannot_be_looked_up_goes_on_at_no_listed_version failed before.

--- a/crates/arbutusfall_core/src/relay/resumptions.rs
+++ b/crates/arbutusfall_core/src/relay/resumptions.rs
@@ -40,7 +40,7 @@
             return;
         };
         let Some(attempt) = resumption.first_attempt.clone() else {
-            self.go_on_at_only_version(id, StreamLookup::NotFound);
+            self.go_on_at_only_version(id);
             return;
         };
         if self.unproved_streams.instance_of(&attempt).is_some() {
@@ -63,10 +63,10 @@
         };
         match lookup {
             StreamLookup::Found(origin) if origin.is_known() => self.go_on_at(id, origin, "store"),
-            StreamLookup::NotFound | StreamLookup::Failed
+            StreamLookup::NotFound
                 if !self.stream_versions.has_several(&call.service, self.now) =>
             {
-                self.go_on_at_only_version(id, lookup);
+                self.go_on_at_only_version(id);
             }
             StreamLookup::Found(_) | StreamLookup::NotFound | StreamLookup::Failed => {
                 self.find_stream_later(id);
@@ -113,27 +113,26 @@
 
     /// Sends a call whose stream's origin is unknown, if the service has had a single version for as long as the stream
     /// can have lasted; otherwise refuses it.
-    fn go_on_at_only_version(&mut self, id: CallId, lookup: StreamLookup) {
+    fn go_on_at_only_version(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
         let service = call.service.clone();
         let only_version = self.stream_versions.only_version(&service, self.now);
-        match only_version.filter(|_| self.knows_versions(lookup)) {
+        match only_version.filter(|_| self.knows_versions()) {
             Some(version) => self.go_on_at(id, StreamOrigin { service, version }, "only_version"),
             None => self.fail_call(id, UNKNOWN_VERSION),
         }
     }
 
     /// Returns whether all versions are known that a stream can have begun at: by the list and the versions that VMs have recorded,
-    /// or, if the store could not be asked, because this VM has seen the list for long enough itself.
-    fn knows_versions(&self, lookup: StreamLookup) -> bool {
+    /// or because this VM has seen the list for long enough itself.
+    fn knows_versions(&self) -> bool {
         let age = self.store.unread_for(StoreTopic::Endpoints, self.now);
         let is_fresh = age.is_some_and(|age| age <= MAX_LIST_AGE);
         let first_read_at = self.store.first_read_at(StoreTopic::Endpoints);
         let has_history = first_read_at.is_some_and(|at| at + ORIGIN_LIFETIME <= self.now);
-        let is_recorded = self.has_read_shared && lookup != StreamLookup::Failed;
-        is_fresh && (has_history || is_recorded)
+        is_fresh && (has_history || self.has_read_shared)
     }
 
     /// Remembers the version of the call's stream at its first event.
--- a/crates/arbutusfall_core/tests/it/relay_run_proofs.rs
+++ b/crates/arbutusfall_core/tests/it/relay_run_proofs.rs
@@ -13,6 +13,7 @@
 use arbutusfall_core::relay::RetryLimit;
 use arbutusfall_core::relay::RunAnswer;
 use arbutusfall_core::relay::SendCommand;
+use arbutusfall_core::relay::StreamLookup;
 use arbutusfall_core::relay::StreamRecord;
 use arbutusfall_core::relay::Work;
 use arbutusfall_wire::Name;
@@ -273,3 +274,24 @@
         assert_eq!(decode.required_start_unix_ms, required, "{path}");
     }
 }
+
+// Guards against a stream that goes on at another version because the store could not be asked where it began: an engine may have been
+// upgraded since the list was read, however long a single version has been listed.
+#[test]
+fn stream_that_cannot_be_looked_up_goes_on_at_no_listed_version() {
+    for (lookup, is_refused) in [
+        (StreamLookup::Failed, true),
+        (StreamLookup::NotFound, false),
+    ] {
+        let mut harness = relay_with_engines(&["decode-1", "decode-2"]);
+        harness.advance(ms(40_000));
+        harness.apply(store_read(true));
+        let call = harness.submit_resumption("/resumable/1", Some("elsewhere"));
+        for _ in 0..10 {
+            let lookup = lookup.clone();
+            harness.apply(RelayEvent::StreamLookup { call, lookup });
+            harness.advance(ms(60));
+        }
+        assert_eq!(harness.problem(call).is_some(), is_refused, "{lookup:?}");
+    }
+}
