Relay: what an exchange shows counts for the process that it was sent to

An answer, a break or a failure that arrives after the entry of an endpoint's next process was read counted for that one: a process that had just started got no requests because the one before had said that it leaves (until it starts again), asked for rest (up to its end) or broke off; a crash was counted as one of the next process; its load and memory were taken off the next one's; and a reservation was freed by its id at a process that may have given the same id to another request.

An exchange keeps the start of the process that was listed when it was sent.

--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -124,6 +124,8 @@
     pub(crate) instance: Name,
     /// Version of the instance's software.
     pub(crate) version: Name,
+    /// Start of the instance's process, in Unix milliseconds, as it was listed at the send.
+    pub(crate) started_unix_ms: Option<u64>,
     pub(crate) stage: CallStage,
     /// Whether the request goes to the listed process only.
     pub(crate) is_proved: bool,
--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -81,8 +81,10 @@
             return;
         };
         let is_timeout = self.now >= call.due_at;
+        let is_listed_run = endpoint.listed.started_unix_ms == broken.started_unix_ms;
         // An endpoint that is about to leave closes its connections at its planned end.
-        if !broken.stage.runs_request() || is_timeout || endpoint.listed.is_leaving {
+        let is_leaving = endpoint.listed.is_leaving && is_listed_run;
+        if !broken.stage.runs_request() || is_timeout || is_leaving {
             return;
         }
         call.endpoint_ends += 1;
@@ -92,7 +94,7 @@
         }
         self.endpoint_ends.on_broken(BrokenRun {
             instance: broken.instance.clone(),
-            incarnation: incarnation(&broken.instance, endpoint.listed.started_unix_ms),
+            incarnation: incarnation(&broken.instance, broken.started_unix_ms),
             sent_at: broken.sent_at,
             broken_at: self.now,
             causes: call.causes.clone(),
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -60,6 +60,22 @@
         self.by_instance.get(instance)
     }
 
+    /// Returns an endpoint if its listed process is the one that started then.
+    pub(crate) fn get_run_mut(
+        &mut self,
+        instance: &Name,
+        started_unix_ms: Option<u64>,
+    ) -> Option<&mut Endpoint> {
+        let endpoint = self.by_instance.get_mut(instance)?;
+        (endpoint.listed.started_unix_ms == started_unix_ms).then_some(endpoint)
+    }
+
+    /// Returns whether no other process of an endpoint is listed than the one that started then; none may be listed any more.
+    pub(crate) fn may_be_listed_run(&self, instance: &Name, started_unix_ms: Option<u64>) -> bool {
+        let endpoint = self.by_instance.get(instance);
+        endpoint.is_none_or(|endpoint| endpoint.listed.started_unix_ms == started_unix_ms)
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Endpoint> {
         self.by_instance.values()
     }
--- a/crates/arbutusfall_core/src/relay/exchange_end.rs
+++ b/crates/arbutusfall_core/src/relay/exchange_end.rs
@@ -96,7 +96,8 @@
             self.peers.on_ended(&ended.instance);
             return;
         }
-        if let Some(endpoint) = self.endpoints.get_mut(&ended.instance) {
+        let (instance, started_unix_ms) = (&ended.instance, ended.started_unix_ms);
+        if let Some(endpoint) = self.endpoints.get_run_mut(instance, started_unix_ms) {
             endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         }
     }
@@ -129,11 +130,14 @@
             };
             self.roles.on_stream_ended(&call.service, usage, self.now);
         }
-        if let Some(endpoint) = self.endpoints.get_mut(&allocation.instance) {
+        let (instance, started_unix_ms) = (&allocation.instance, allocation.started_unix_ms);
+        let may_hold = self.endpoints.may_be_listed_run(instance, started_unix_ms);
+        if let Some(endpoint) = self.endpoints.get_run_mut(instance, started_unix_ms) {
             endpoint.allocated_tokens = endpoint.allocated_tokens.saturating_sub(allocation.tokens);
             endpoint.on_memory_released();
         }
         if let Some(reservation) = allocation.reservation
+            && may_hold
             && !self.is_resting(&allocation.instance)
         {
             self.take_limit_tokens(&allocation.instance, 1.0);
--- a/crates/arbutusfall_core/src/relay/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/forwarding.rs
@@ -286,6 +286,7 @@
             exchange,
             instance: vm.clone(),
             version: Name::default(),
+            started_unix_ms: None,
             stage: CallStage::Forward,
             is_proved: false,
             has_begun: false,
--- a/crates/arbutusfall_core/src/relay/limit_handling.rs
+++ b/crates/arbutusfall_core/src/relay/limit_handling.rs
@@ -30,13 +30,17 @@
         self.name_limit(instance, per_s, sent_at);
     }
 
-    /// Returns the endpoint of an exchange of the call, current or in standby, and when it was sent.
+    /// Returns the endpoint of an exchange of the call, current or in standby, and when it was sent; none if another process is
+    /// listed by now, about which the answer says nothing.
     pub(super) fn sent_to(&self, id: CallId, exchange: ExchangeId) -> Option<(Name, Duration)> {
         let call = self.calls.get(&id)?;
         let standby = call.standby.as_ref().map(|standby| &standby.exchange);
         let mut exchanges = call.current.iter().chain(standby);
         let sent = exchanges.find(|sent| sent.exchange == exchange)?;
-        Some((sent.instance.clone(), sent.sent_at))
+        let is_current = self
+            .endpoints
+            .may_be_listed_run(&sent.instance, sent.started_unix_ms);
+        is_current.then(|| (sent.instance.clone(), sent.sent_at))
     }
 
     /// Handles the limit that an engine's answer to a control request names.
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -393,13 +393,17 @@
             self.on_connect_failed(&failed.instance, failed.sent_at);
         }
         if failure == ExchangeFailure::Unreachable || failure.may_be_crash() {
-            self.on_engine_broken_off(&failed.instance);
+            self.on_exchange_broken_off(&failed);
         }
         let has_ended = failure.may_be_crash();
         if has_ended {
             self.record_broken_run(id, &failed, began_at);
         }
-        let is_endpoint_failure = failure != ExchangeFailure::OtherProcess;
+        let started_unix_ms = failed.started_unix_ms;
+        let is_endpoint_failure = failure != ExchangeFailure::OtherProcess
+            && self
+                .endpoints
+                .may_be_listed_run(&failed.instance, started_unix_ms);
         self.fail_exchange(id, failure.name(), is_endpoint_failure);
         if has_ended && self.may_crash_next_endpoint(id) {
             self.fail_call(id, SUSPECT);
--- a/crates/arbutusfall_core/src/relay/run_checks.rs
+++ b/crates/arbutusfall_core/src/relay/run_checks.rs
@@ -31,6 +31,14 @@
         }
     }
 
+    /// Records that the connection of an exchange broke off or was not accepted, unless another process is listed by now.
+    pub(super) fn on_exchange_broken_off(&mut self, broken: &CurrentExchange) {
+        let (instance, started_unix_ms) = (&broken.instance, broken.started_unix_ms);
+        if self.endpoints.may_be_listed_run(instance, started_unix_ms) {
+            self.on_engine_broken_off(instance);
+        }
+    }
+
     /// Asks an engine when its process started, if that is in doubt and it was not asked just now.
     pub(super) fn check_run(&mut self, instance: &Name) {
         let now = self.now;
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -202,6 +202,7 @@
             exchange,
             instance,
             version: endpoint.listed.version.clone(),
+            started_unix_ms: endpoint.listed.started_unix_ms,
             stage,
             is_proved: required_start_unix_ms.is_some(),
             has_begun: false,
--- a/crates/arbutusfall_core/src/relay/standby.rs
+++ b/crates/arbutusfall_core/src/relay/standby.rs
@@ -219,7 +219,7 @@
             && let Some(standby) = self.standby(id)
         {
             let (exchange, began_at) = (standby.exchange.clone(), standby.stream_began_at);
-            self.on_engine_broken_off(&exchange.instance);
+            self.on_exchange_broken_off(&exchange);
             self.record_broken_run(id, &exchange, began_at);
         }
         self.fail_standby(id, failure.name());
