--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -112,6 +112,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct PrefillResult {
     pub(crate) instance: Name,
+    /// Start of the engine's process, in Unix milliseconds, as it was listed: the next one may give out the same handles.
+    pub(crate) started_unix_ms: Option<u64>,
     pub(crate) location: KvCacheLocation,
     /// Instant from which the engine may have dropped it.
     pub(crate) expires_at: Duration,
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -260,9 +260,15 @@
         }
     }
 
+    /// Returns whether the process that has completed a prefill should still keep its result.
+    pub(super) fn is_kept(&self, result: &PrefillResult) -> bool {
+        let (instance, started_unix_ms) = (&result.instance, result.started_unix_ms);
+        self.now < result.expires_at && self.endpoints.may_be_listed_run(instance, started_unix_ms)
+    }
+
     /// Frees a prefill result that no engine will fetch.
     pub(super) fn free_prefill_result(&mut self, result: PrefillResult) {
-        if self.now < result.expires_at && !self.is_resting(&result.instance) {
+        if self.is_kept(&result) && !self.is_resting(&result.instance) {
             self.take_limit_tokens(&result.instance, 1.0);
             self.effects.push(RelayEffect::FreeKvCache(result.location));
         }
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -126,12 +126,14 @@
         };
         call.was_prefilled = true;
         let tokens = call.token_counts().prompt_tokens;
-        if let Some(endpoint) = self.endpoints.get_mut(&current.instance) {
+        let (instance, started_unix_ms) = (&current.instance, current.started_unix_ms);
+        if let Some(endpoint) = self.endpoints.get_run_mut(instance, started_unix_ms) {
             let took = now.saturating_sub(current.sent_at);
             endpoint.on_prefilled(tokens, took, now);
             call.prefill_work = endpoint.prefill_time(tokens);
             call.prefill_result = Some(PrefillResult {
-                instance: current.instance.clone(),
+                instance: instance.clone(),
+                started_unix_ms,
                 location: KvCacheLocation {
                     address: endpoint.listed.address,
                     handle,
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -166,7 +166,7 @@
             return CallStage::Reserve;
         }
         let prefill_result = call.prefill_result.as_ref();
-        if prefill_result.is_some_and(|result| self.now < result.expires_at) {
+        if prefill_result.is_some_and(|result| self.is_kept(result)) {
             return CallStage::Decode { has_source: true };
         }
         let has_prefill = self
--- a/crates/arbutusfall_core/tests/it/relay_restarted_endpoints.rs
+++ b/crates/arbutusfall_core/tests/it/relay_restarted_endpoints.rs
@@ -7,9 +7,11 @@
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::SendCommand;
+use arbutusfall_core::relay::Work;
 
 use crate::relay_harness::CLOSED;
 use crate::relay_harness::RelayHarness;
+use crate::relay_harness::UNREACHABLE;
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
 
@@ -70,3 +72,32 @@
     let frees = |effect: &RelayEffect| matches!(effect, RelayEffect::FreeReservation { .. });
     assert!(!harness.effects.iter().any(frees));
 }
+
+// Guards against a request that goes on from the KV cache of another one: the next process may give out the same handles.
+#[test]
+fn prefill_result_of_the_process_before_is_neither_fetched_nor_freed_at_the_next_one() {
+    let mut harness = RelayHarness::configured(1);
+    let call = harness.submit("/resumable/1");
+    let decode = harness.advance_to_decode();
+    let Work::Decode {
+        source: Some(source),
+        ..
+    } = &decode.work
+    else {
+        panic!("no prefill result: {decode:?}");
+    };
+    for instance in ["prefill-1", "prefill-2"] {
+        restart(&mut harness, instance, "model", Role::Prefill);
+    }
+    harness.deliver(decode.exchange, UNREACHABLE);
+    let reserve = harness.take_only_send();
+    let reservation = "second".into();
+    harness.deliver(reserve.exchange, ExchangeEvent::Reserved { reservation });
+    let next = harness.take_only_send();
+    let is_fetched =
+        matches!(&next.work, Work::Decode { source: Some(fetched), .. } if fetched == source);
+    assert!(!is_fetched, "{next:?}");
+    harness.apply(RelayEvent::CallerGone { call });
+    let frees = |effect: &RelayEffect| matches!(effect, RelayEffect::FreeKvCache(_));
+    assert!(!harness.effects.iter().any(frees));
+}
