--- a/crates/arbutusfall_core/src/relay/resumptions.rs
+++ b/crates/arbutusfall_core/src/relay/resumptions.rs
@@ -18,6 +18,9 @@
 /// Time from a request's arrival during which its stream's origin is looked for: it may be about to be recorded.
 const LOOKUP_PERIOD: Duration = Duration::from_millis(400);
 
+/// Time from a request's arrival after which a stream that broke off before is recorded, if its VM could do it.
+const RECORD_TIME: Duration = Duration::from_millis(120);
+
 /// Time between two lookups of one request.
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -66,7 +69,12 @@
             StreamLookup::NotFound
                 if !self.stream_versions.has_several(&call.service, self.now) =>
             {
-                self.go_on_at_only_version(id);
+                let is_on_its_way = self.now < call.arrived_at + RECORD_TIME;
+                if is_on_its_way && self.knows_versions() {
+                    self.find_stream_later(id);
+                } else {
+                    self.go_on_at_only_version(id);
+                }
             }
             StreamLookup::Found(_) | StreamLookup::NotFound | StreamLookup::Failed => {
                 self.find_stream_later(id);
@@ -152,7 +160,7 @@
         }
         let current = current.clone();
         let version = self.version_of_run(&current);
-        let is_proved = version.is_some();
+        let is_judged = version.is_some();
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -164,8 +172,8 @@
         };
         let attempt = call.stream_attempt().clone();
         let streams = &mut self.stream_versions;
-        streams.on_first_event(attempt.clone(), origin, is_proved, self.now);
-        if !is_proved {
+        streams.on_first_event(attempt.clone(), origin, is_judged, self.now);
+        if !is_judged {
             self.begin_proof(attempt, &current);
         }
         self.set_record_timer();
--- a/crates/arbutusfall_core/src/relay/run_checks.rs
+++ b/crates/arbutusfall_core/src/relay/run_checks.rs
@@ -50,13 +50,16 @@
 
     /// Asks an engine at which streams have begun when its process started, now or as soon as it may be asked again.
     pub(super) fn prove_run(&mut self, instance: &Name) {
-        let endpoint = self.endpoints.get(instance);
-        let Some(due) = endpoint.and_then(|endpoint| endpoint.run.next_proof_at()) else {
+        let now = self.now;
+        let Some(endpoint) = self.endpoints.get_mut(instance) else {
             return;
         };
-        if due <= self.now {
+        let Some(due) = endpoint.run.next_proof_at() else {
+            return;
+        };
+        if due <= now {
             self.ask_run(instance);
-        } else {
+        } else if endpoint.run.set_timer(due, now) {
             self.timers.set(due, RelayTimer::ProveRun(instance.clone()));
         }
     }
@@ -93,16 +96,21 @@
         });
     }
 
-    /// Returns whether a stream that goes on must wait because the process that began it is not known yet, or the processes of all
-    /// engines of its version are in doubt; if so, they are asked.
+    /// Returns whether a stream that goes on must wait because the process that began it is not known yet.
+    pub(super) fn waits_for_proof(&self, id: CallId) -> bool {
+        let call = self.calls.get(&id).filter(|call| call.is_bound());
+        call.is_some_and(|call| {
+            let attempt = call.stream_attempt();
+            self.unproved_streams.instance_of(attempt).is_some()
+        })
+    }
+
+    /// Returns whether a stream that goes on must wait because the processes of all engines of its version are in doubt; if so,
+    /// they are asked.
     pub(super) fn waits_for_run_checks(&mut self, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id).filter(|call| call.is_bound()) else {
             return false;
         };
-        let attempt = call.stream_attempt();
-        if self.unproved_streams.instance_of(attempt).is_some() {
-            return true;
-        }
         let engines: Vec<&Endpoint> = self.endpoints.serving_call(call, Role::Decode).collect();
         if engines.is_empty() || engines.iter().any(|engine| engine.run.is_listed()) {
             return false;
@@ -165,7 +173,10 @@
     /// those of the others.
     pub(super) fn judge_streams(&mut self, instance: &Name) {
         let endpoint = self.endpoints.get(instance);
+        let streams = &self.stream_versions;
         let judged = self.unproved_streams.judge(instance, |event| {
+            // Nobody can come back with a stream whose origin is kept no longer.
+            let endpoint = endpoint.filter(|_| streams.origin(&event.attempt).is_some());
             endpoint.map_or(RunVerdict::Unlisted, |endpoint| {
                 verdict(endpoint, event.sent_at, event.arrived_at)
             })
@@ -191,9 +202,10 @@
             RunVerdict::Unlisted | RunVerdict::Unread => Name::default(),
             RunVerdict::Unproved => return,
         };
-        self.stream_versions
-            .on_judged(&stream.attempt, version.clone());
-        self.set_record_timer();
+        let streams = &mut self.stream_versions;
+        if streams.on_judged(&stream.attempt, version.clone()) {
+            self.set_record_timer();
+        }
         if stream.verdict == RunVerdict::Unread {
             return;
         }
@@ -211,15 +223,14 @@
     /// Returns the version of the stream that an exchange has begun; none if the process that writes it is not known yet. It is an
     /// empty one, which no endpoint has, if it can't be known.
     pub(super) fn version_of_run(&self, current: &CurrentExchange) -> Option<Name> {
-        let known = Some(current.version.clone());
-        let Some(endpoint) = self.endpoints.get(&current.instance) else {
-            return known;
-        };
         if current.is_proved {
-            return known;
+            return Some(current.version.clone());
         }
+        let Some(endpoint) = self.endpoints.get(&current.instance) else {
+            return Some(Name::default());
+        };
         match verdict(endpoint, current.sent_at, self.now) {
-            RunVerdict::Listed => known,
+            RunVerdict::Listed => Some(endpoint.listed.version.clone()),
             RunVerdict::Unlisted => Some(Name::default()),
             RunVerdict::Unproved | RunVerdict::Unread => None,
         }
--- a/crates/arbutusfall_core/src/relay/run_status.rs
+++ b/crates/arbutusfall_core/src/relay/run_status.rs
@@ -33,6 +33,8 @@
     asked_at: Option<Duration>,
     /// Whether it has not answered the last question yet.
     is_asked: bool,
+    /// When a timer is due for the next question.
+    timer_due: Option<Duration>,
     /// When the newest question was asked to which it said that it doesn't say when it started.
     unstated_at: Option<Duration>,
     /// When the newest question was asked that it did not answer.
@@ -108,6 +110,7 @@
             known: known.or(status.known),
             asked_at: self.asked_at,
             is_asked: self.is_asked,
+            timer_due: self.timer_due,
             ..status
         }
     }
@@ -144,10 +147,10 @@
             return RunVerdict::Unlisted;
         }
         if answered_at > known.until {
-            let has_failed = self
-                .failed_at
-                .is_some_and(|failed_at| failed_at >= answered_at);
-            return if has_failed {
+            let failed_at = self.failed_at;
+            let has_failed = failed_at.is_some_and(|failed_at| failed_at >= answered_at);
+            // A question may fail although the process runs; connections to one that ends break off.
+            return if has_failed && self.doubt.is_some() {
                 RunVerdict::Unlisted
             } else {
                 RunVerdict::Unproved
@@ -177,6 +180,15 @@
         (!self.is_asked).then(|| self.next_question_at(PROOF_INTERVAL))
     }
 
+    /// Records that a timer is set for the next question; returns false if one is set already.
+    pub(crate) fn set_timer(&mut self, due: Duration, now: Duration) -> bool {
+        let is_set = self.timer_due.is_some_and(|set| set > now);
+        if !is_set {
+            self.timer_due = Some(due);
+        }
+        !is_set
+    }
+
     fn next_question_at(&self, interval: Duration) -> Duration {
         self.asked_at
             .map_or(Duration::ZERO, |asked_at| asked_at + interval)
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -40,6 +40,10 @@
             self.fail_call(id, reason);
             return;
         }
+        if self.waits_for_proof(id) {
+            self.enqueue(id);
+            return;
+        }
         if self.goes_another_way(id) {
             return;
         }
--- a/crates/arbutusfall_core/src/relay/stream_versions.rs
+++ b/crates/arbutusfall_core/src/relay/stream_versions.rs
@@ -70,8 +70,8 @@
     began_at: Duration,
     end: StreamEnd,
     record: RecordState,
-    /// Whether the process that began it is known, so that its version is known or can't be.
-    is_proved: bool,
+    /// Whether it is known which process began it, or that this can't be known.
+    is_judged: bool,
 }
 
 /// When a version was listed.
@@ -190,7 +190,7 @@
         &mut self,
         attempt: Name,
         origin: StreamOrigin,
-        is_proved: bool,
+        is_judged: bool,
         now: Duration,
     ) {
         let stream = KnownStream {
@@ -198,21 +198,25 @@
             began_at: now,
             end: StreamEnd::Open,
             record: RecordState::Missing,
-            is_proved,
+            is_judged,
         };
         self.streams.insert(attempt, stream);
     }
 
     /// Takes the version of a stream whose process has become known; an empty one if its version can't be known.
-    pub(crate) fn on_judged(&mut self, attempt: &Name, version: Name) {
+    ///
+    /// Returns whether that is new.
+    pub(crate) fn on_judged(&mut self, attempt: &Name, version: Name) -> bool {
         let Some(stream) = self.streams.get_mut(attempt) else {
-            return;
+            return false;
         };
-        stream.is_proved = true;
-        if stream.origin.version != version {
+        let was_open = !std::mem::replace(&mut stream.is_judged, true);
+        let is_other = stream.origin.version != version;
+        if is_other {
             stream.origin.version = version;
             stream.record = RecordState::Missing;
         }
+        was_open || is_other
     }
 
     /// Records that all of a stream was written to its caller.
@@ -266,9 +270,9 @@
     fn must_record(&self, stream: &KnownStream, now: Duration) -> bool {
         // Other VMs must not take a stream of unknown version for one of the only version that they know.
         let must_be_known = matches!(stream.end, StreamEnd::BrokeOff(_))
-            || !stream.origin.is_known()
-            || self.has_several(&stream.origin.service, now);
-        must_be_known && stream.is_proved && stream.record == RecordState::Missing
+            || (stream.is_judged && !stream.origin.is_known())
+            || (stream.is_judged && self.has_several(&stream.origin.service, now));
+        must_be_known && stream.record == RecordState::Missing
     }
 
     /// Removes the origins of streams that ended long ago. Returns what to append to the store now: every origin that
--- a/crates/arbutusfall_core/tests/it/relay_run_proofs.rs
+++ b/crates/arbutusfall_core/tests/it/relay_run_proofs.rs
@@ -133,19 +133,84 @@
 // it for a stream of the only version that they know, so it is recorded at once.
 #[test]
 fn stream_of_another_process_than_the_listed_one_goes_on_nowhere_and_is_recorded_at_once() {
-    for answer in [RunAnswer::Started(NEXT_START_UNIX_MS), RunAnswer::Failed] {
+    let mut harness = relay_with_engines(&["decode-1", "decode-2"]);
+    let decode = begin(&mut harness);
+    harness.advance(ms(50));
+    assert_eq!(versions(&take_records(&mut harness)), [""; 0]);
+    let next = RunAnswer::Started(NEXT_START_UNIX_MS);
+    answer_question(&mut harness, &decode.instance, next);
+    harness.advance(ms(10));
+    assert_eq!(versions(&take_records(&mut harness)), [""]);
+    harness.deliver(decode.exchange, CLOSED);
+    harness.advance(ms(500));
+    assert_eq!(harness.take_sends(), []);
+}
+
+// Guards against a stream of unknown version that other VMs take for one of the only version that they know, because it is recorded only
+// when its engine has been asked.
+#[test]
+fn stream_that_breaks_off_before_its_engine_has_answered_is_recorded_at_once() {
+    for (answer, version, is_resumed) in [
+        (RunAnswer::Started(LISTED_START_UNIX_MS), "v1", true),
+        (RunAnswer::Failed, "", false),
+    ] {
         let mut harness = relay_with_engines(&["decode-1", "decode-2"]);
-        let decode = begin(&mut harness);
+        let (call, decode) = harness.start_stream("/resumable/1");
+        harness.deliver(decode.exchange, progress(1));
         harness.advance(ms(50));
-        assert_eq!(versions(&take_records(&mut harness)), [""; 0]);
+        harness.deliver(decode.exchange, CLOSED);
+        assert_eq!(harness.take_sends(), [], "its version is not known yet");
         answer_question(&mut harness, &decode.instance, answer);
+        assert_eq!(!harness.take_sends().is_empty(), is_resumed, "{answer:?}");
+        harness.apply(RelayEvent::CallerGone { call });
         harness.advance(ms(10));
-        assert_eq!(versions(&take_records(&mut harness)), [""], "{answer:?}");
-        harness.take_sends();
-        harness.deliver(decode.exchange, CLOSED);
-        harness.advance(ms(500));
-        assert_eq!(harness.take_sends(), [], "{answer:?}");
+        assert_eq!(
+            versions(&take_records(&mut harness)),
+            [version],
+            "{answer:?}"
+        );
     }
+    let mut harness = relay_with_engines(&["decode-1", "decode-2"]);
+    let (call, decode) = harness.start_stream("/resumable/1");
+    harness.deliver(decode.exchange, progress(1));
+    harness.apply(RelayEvent::CallerGone { call });
+    harness.advance(ms(10));
+    assert_eq!(versions(&take_records(&mut harness)), [""]);
+    harness.apply(RelayEvent::StreamsRecorded { succeeded: true });
+    let listed = RunAnswer::Started(LISTED_START_UNIX_MS);
+    answer_question(&mut harness, &decode.instance, listed);
+    harness.advance(ms(10));
+    assert_eq!(versions(&take_records(&mut harness)), ["v1"]);
+}
+
+// Guards against a stream that can never go on because one question to its engine failed, which runs.
+#[test]
+fn engine_that_does_not_answer_a_question_is_asked_again() {
+    let mut harness = relay_with_engines(&["decode-1", "decode-2"]);
+    let decode = begin(&mut harness);
+    answer_question(&mut harness, &decode.instance, RunAnswer::Failed);
+    harness.effects.clear();
+    harness.advance(ms(400));
+    assert_eq!(take_questions(&mut harness).len(), 1);
+    let listed = RunAnswer::Started(LISTED_START_UNIX_MS);
+    answer_question(&mut harness, &decode.instance, listed);
+    harness.deliver(decode.exchange, CLOSED);
+    assert!(!harness.take_sends().is_empty());
+}
+
+// Guards against a stream that is taken for one of the version at its send: the engine's entry was removed before the first event.
+#[test]
+fn stream_of_an_engine_that_is_listed_no_longer_has_no_known_version() {
+    let mut harness = relay_with_engines(&["decode-1", "decode-2"]);
+    let (call, decode) = harness.start_stream("/resumable/1");
+    let instance = decode.instance.clone();
+    let removed = vec![EndpointListChange::Removed { instance }];
+    harness.apply(RelayEvent::EndpointChanges(removed));
+    harness.advance(ms(3_000));
+    harness.deliver(decode.exchange, progress(1));
+    harness.apply(RelayEvent::CallerGone { call });
+    harness.advance(ms(10));
+    assert_eq!(versions(&take_records(&mut harness)), [""]);
 }
 
 // Guards against streams of a new process that can never go on: they began before its entry was read, but after it was known.
@@ -212,7 +277,7 @@
     harness.apply(RelayEvent::ControlRest { instance, rest });
     harness.deliver(decode.exchange, progress(1));
     harness.advance(ms(1_000));
-    assert_eq!(take_questions(&mut harness), [""; 0].map(Name::from));
+    assert_eq!(take_questions(&mut harness).len(), 0);
 }
 
 // Guards against a stream that goes on at an engine whose process has not been proved, and against a retry, an attempt or a failure
