--- a/crates/arbutusfall_core/src/relay/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint.rs
@@ -112,6 +112,8 @@
     unmarked_ends: Vec<UnmarkedEnd>,
     /// End of the rest that the endpoint asked for; none if it does not rest.
     rest_until: Option<Duration>,
+    /// When the endpoint last asked for a rest.
+    rest_asked_at: Option<Duration>,
     /// Requests of this VM that it may have in progress while its load returns after a rest; none if any number.
     returning_limit: Option<u32>,
     /// Times of its answers to this VM's reservations.
@@ -172,6 +174,7 @@
             suspected_losses: 0,
             unmarked_ends: Vec::new(),
             rest_until: None,
+            rest_asked_at: None,
             returning_limit: None,
             reservation_times: ReservationTimes::default(),
             alive_at: Duration::ZERO,
@@ -189,8 +192,13 @@
     /// Takes the entry of another process, or of the same one at another address.
     pub(crate) fn restart(&mut self, listed: ListedEndpoint, now: Duration) {
         let run = self.run.relisted(stated_start(&listed), now);
+        // The process may have asked for rest before its entry was read.
+        let rest_asked_at = self.rest_asked_at.filter(|at| run.is_known_at(*at));
+        let rest_until = self.rest_until.filter(|_| rest_asked_at.is_some());
         *self = Self {
             run,
+            rest_until,
+            rest_asked_at,
             ..Self::new(listed, now)
         };
     }
@@ -206,7 +214,8 @@
     }
 
     /// Makes the endpoint rest until an instant; returns false if it rests for longer already.
-    pub(crate) fn rest_until(&mut self, until: Duration) -> bool {
+    pub(crate) fn rest_until(&mut self, until: Duration, now: Duration) -> bool {
+        self.rest_asked_at = Some(now);
         let is_longer = self.rest_until.is_none_or(|known| known < until);
         if is_longer {
             self.rest_until = Some(until);
--- a/crates/arbutusfall_core/src/relay/rests.rs
+++ b/crates/arbutusfall_core/src/relay/rests.rs
@@ -45,12 +45,13 @@
     /// Begins an endpoint's rest, or makes it longer.
     pub(super) fn begin_rest(&mut self, instance: &Name, rest: Duration) {
         let rest = rest.min(MAX_REST);
+        let now = self.now;
         let addition = MAX_REST_ADDITION.mul_f64(self.rng.f64());
         let until = self.now + rest + addition;
         let Some(endpoint) = self.endpoints.get_mut(instance) else {
             return;
         };
-        if !endpoint.rest_until(until) {
+        if !endpoint.rest_until(until, now) {
             return;
         }
         let service = endpoint.listed.service.clone();
--- a/crates/arbutusfall_core/src/relay/run_checks.rs
+++ b/crates/arbutusfall_core/src/relay/run_checks.rs
@@ -84,7 +84,8 @@
 
     fn ask_run(&mut self, instance: &Name) {
         let now = self.now;
-        let Some(endpoint) = self.endpoints.get_mut(instance) else {
+        let endpoint = self.endpoints.get_mut(instance);
+        let Some(endpoint) = endpoint.filter(|endpoint| !endpoint.is_resting()) else {
             return;
         };
         endpoint.run.on_asked(now);
--- a/crates/arbutusfall_core/src/relay/run_status.rs
+++ b/crates/arbutusfall_core/src/relay/run_status.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Returns whether the process that is known by now was known at an instant.
+    pub(crate) fn is_known_at(&self, instant: Duration) -> bool {
+        self.known.is_some_and(|known| known.since <= instant)
+    }
+
     /// Returns whether nothing speaks against the listed process.
     pub(crate) fn is_listed(&self) -> bool {
         self.doubt.is_none() && !self.is_replaced()
--- a/crates/arbutusfall_core/tests/it/relay_run_proofs.rs
+++ b/crates/arbutusfall_core/tests/it/relay_run_proofs.rs
@@ -213,6 +213,26 @@
     assert_eq!(versions(&take_records(&mut harness)), [""]);
 }
 
+// Guards against requests to an engine that asked for rest just before the entry of its process was read, and against questions to it.
+#[test]
+fn rest_that_was_asked_for_before_the_entry_was_read_holds_after_it() {
+    let mut harness = relay_with_engines(&["decode-1"]);
+    let (instance, rest) = (Name::from("decode-1"), ms(2_000));
+    let next = RunAnswer::Started(NEXT_START_UNIX_MS);
+    answer_question(&mut harness, &instance, next);
+    harness.advance(ms(10));
+    harness.apply(RelayEvent::ControlRest { instance, rest });
+    let changes = vec![engine("decode-1", "v2", NEXT_START_UNIX_MS)];
+    harness.advance(ms(100));
+    harness.apply(RelayEvent::EndpointChanges(changes));
+    for _ in 0..10 {
+        harness.submit("/resumable/1");
+        harness.advance(ms(100));
+    }
+    assert_eq!(harness.take_sends(), []);
+    assert_eq!(take_questions(&mut harness).len(), 0);
+}
+
 // Guards against streams of a new process that can never go on: they began before its entry was read, but after it was known.
 #[test]
 fn stream_of_a_known_process_goes_on_at_its_version_once_the_entry_is_read() {
