--- a/crates/arbutusfall_core/src/claims.rs
+++ b/crates/arbutusfall_core/src/claims.rs
@@ -7,6 +7,7 @@
 mod outcomes;
 mod owner;
 mod partition;
+mod replies;
 mod restores;
 
 pub(crate) use keyed_calls::KeyedCalls;
--- a/crates/arbutusfall_core/src/claims/restores.rs
+++ b/crates/arbutusfall_core/src/claims/restores.rs
@@ -7,11 +7,11 @@
 
 use crate::LogEra;
 use crate::claims::PartitionOwner;
-use crate::claims::owner::refuse_claim;
-use crate::claims::owner::reply;
-use crate::claims::owner::too_old_verdict;
 use crate::claims::partition::Partition;
 use crate::claims::partition::WaitingGoal;
+use crate::claims::replies::refuse_claim;
+use crate::claims::replies::reply;
+use crate::claims::replies::too_old_verdict;
 use crate::context::Context;
 
 impl PartitionOwner {
