--- a/crates/arbutusfall_core/src/claims.rs
+++ b/crates/arbutusfall_core/src/claims.rs
@@ -1,6 +1,7 @@
 //! Non-idempotent calls: the calls of one key are sent to the service at most once, by the request whose claim is first
 //! on the log.
 
+mod dispatch;
 mod key_state;
 mod keyed_calls;
 mod outcome_requests;
