--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -14,6 +14,7 @@
 mod budget;
 mod call;
 mod calls;
+mod cause_blocks;
 mod configuration;
 mod crash_cause;
 mod crash_handling;
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -17,8 +17,8 @@
 use crate::relay::call::Call;
 use crate::relay::call::PrefillResult;
 use crate::relay::call::causes_of;
-use crate::relay::crash_handling::CRASHING_PART;
-use crate::relay::crash_handling::CRASHING_REQUEST;
+use crate::relay::cause_blocks::CRASHING_PART;
+use crate::relay::cause_blocks::CRASHING_REQUEST;
 use crate::relay::limit_waiting::LIMITED;
 use crate::relay::notice::millis;
 
