--- a/crates/arbutusfall_core/tests/it/claims_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/claims_simulation.rs
@@ -2,30 +2,34 @@
 //!
 //! Checks after each step that at most one call of a key reaches the service, and that the answers to callers are true.
 
+mod calls;
+mod checks;
+mod tasks;
+
+pub(crate) use calls::Call;
+pub(crate) use calls::ReportedOutcome;
+pub(crate) use calls::marked_call;
+pub(crate) use calls::unmarked_call;
+
 use std::time::Duration;
 
 use arbutusfall_core::CallId;
 use arbutusfall_core::Effect;
 use arbutusfall_core::Event;
 use arbutusfall_core::Identity;
-use arbutusfall_core::LogEra;
-use arbutusfall_core::LogEvent;
-use arbutusfall_core::LogRecord;
 use arbutusfall_core::LogStream;
 use arbutusfall_core::Node;
 use arbutusfall_core::Now;
 use arbutusfall_core::ProblemKind;
-use arbutusfall_core::ServiceAnswer;
 use arbutusfall_core::ServiceCall;
-use arbutusfall_core::ServiceEvent;
 use arbutusfall_wire::Incarnation;
 use arbutusfall_wire::Name;
-use arbutusfall_wire::Offset;
 use arbutusfall_wire::PeerMessage;
-use arbutusfall_wire::Sender;
 use arbutusfall_wire::stable_hash;
 use serde_json::json;
 
+use crate::claims_simulation::tasks::AppendState;
+use crate::claims_simulation::tasks::Task;
 use crate::session::STARTED_AT;
 use crate::session::config_read;
 use crate::session::listed;
@@ -37,42 +41,6 @@
 /// Clock jump of a VM, longer than the claim window.
 const CLOCK_JUMP: Duration = Duration::from_secs(48 * 3_600);
 
-/// Age that the log states for records of the copy that it was restored from.
-const BEFORE_RESTORE: Duration = Duration::from_secs(60);
-
-/// Age that the log states for its era.
-const SINCE_RESTORE: Duration = Duration::from_secs(1);
-
-/// Time steps within which every call must be answered after the last fault.
-const MAX_TIME_STEPS_TO_FINISH: usize = 16;
-
-/// Upper bound for the steps between two time steps, to detect endless message exchanges.
-const MAX_STEPS_BETWEEN_TIME_STEPS: usize = 1_000;
-
-/// A call that a run may make.
-#[derive(Debug, Clone)]
-pub(crate) struct Call {
-    pub(crate) vm: usize,
-    pub(crate) key: usize,
-    /// Number of the attempt according to the caller; `None` if the call doesn't say.
-    pub(crate) caller_attempt: Option<u32>,
-    /// Index of the call that must end before this one starts.
-    pub(crate) after: Option<usize>,
-    pub(crate) started_at_step: Option<usize>,
-    pub(crate) ended_at_step: Option<usize>,
-    pub(crate) disconnected: bool,
-    pub(crate) reported_outcome: Option<ReportedOutcome>,
-}
-
-/// Outcome that a caller got, or `Other` for any other problem.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub(crate) enum ReportedOutcome {
-    Answered,
-    NotRun,
-    Unknown,
-    Other,
-}
-
 /// Time steps allowed per VM, and faults left to inject in a run.
 #[derive(Debug, Clone, Copy, Hash)]
 pub(crate) struct Budget {
@@ -102,43 +70,6 @@
     history: u64,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum AppendState {
-    Waiting,
-    Applied,
-    /// The VM got a failure with `may_have_taken_effect` set or was killed, and the append may still take effect.
-    AnswerLost,
-}
-
-/// A message, append, read or service call in progress.
-#[derive(Debug, Clone)]
-enum Task {
-    Message {
-        from: Sender,
-        to: usize,
-        message: PeerMessage,
-    },
-    Append {
-        vm: usize,
-        append: u64,
-        /// Era that the VM states; the log refuses the append in another one.
-        era: usize,
-        records: Vec<Name>,
-        state: AppendState,
-    },
-    Read {
-        vm: usize,
-        from: u64,
-        /// Era and end of the log when it served the read; `None` until then.
-        served_to: Option<(usize, usize)>,
-    },
-    Service {
-        vm: usize,
-        call: usize,
-        attempt: u32,
-    },
-}
-
 /// One step of a run. The first index is that of a call, a VM or a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Step {
@@ -396,77 +327,6 @@
         self.vms[vm].history = stable_hash(&(self.vms[vm].history, "tick"));
     }
 
-    fn advance(&mut self, index: usize) {
-        let stream = LogStream::Claims(0);
-        let task = self.tasks.remove(index);
-        match task {
-            Task::Message { from, to, message } => {
-                self.apply(to, Event::Peer { from, message });
-            }
-            Task::Append {
-                vm,
-                append,
-                era,
-                records,
-                state,
-            } => match state {
-                AppendState::Waiting if era != self.log_eras.len() - 1 => {
-                    let refused = LogEvent::AppendFailed {
-                        stream,
-                        append,
-                        may_have_taken_effect: false,
-                    };
-                    self.apply(vm, Event::Log(refused));
-                }
-                AppendState::AnswerLost if era != self.log_eras.len() - 1 => {}
-                AppendState::Waiting => {
-                    self.log_mut().extend(records.iter().cloned());
-                    self.tasks.push(Task::Append {
-                        vm,
-                        append,
-                        era,
-                        records,
-                        state: AppendState::Applied,
-                    });
-                }
-                AppendState::Applied => {
-                    self.apply(vm, Event::Log(LogEvent::Appended { stream, append }));
-                }
-                AppendState::AnswerLost => self.log_mut().extend(records),
-            },
-            Task::Read {
-                vm,
-                from,
-                served_to: None,
-            } => {
-                let served_to = Some((self.log_eras.len() - 1, self.log().len()));
-                self.tasks.push(Task::Read {
-                    vm,
-                    from,
-                    served_to,
-                });
-            }
-            Task::Read {
-                vm,
-                from,
-                served_to: Some((era, end)),
-            } => self.apply(vm, Event::Log(self.page(from, era, end))),
-            Task::Service { vm, call, attempt } => {
-                let answer = ServiceAnswer {
-                    status: 200,
-                    content_type: "text/plain".into(),
-                    body: key_text(self.calls[call].key).as_str().into(),
-                };
-                let answered = ServiceEvent::Answered {
-                    call: CallId(call as u64),
-                    attempt,
-                    answer,
-                };
-                self.apply(vm, Event::Service(answered));
-            }
-        }
-    }
-
     fn log(&self) -> &Vec<Name> {
         &self.log_eras[self.log_eras.len() - 1].records
     }
@@ -476,79 +336,6 @@
         &mut self.log_eras[last].records
     }
 
-    fn page(&self, from: u64, era: usize, end: usize) -> LogEvent {
-        let log = &self.log_eras[era];
-        let served = log.records[..end].iter().enumerate().skip(from as usize);
-        let records = served.map(|(offset, text)| LogRecord {
-            offset: Offset(offset as u64),
-            age: if offset < log.copied {
-                BEFORE_RESTORE
-            } else {
-                Duration::ZERO
-            },
-            text: text.clone(),
-        });
-        LogEvent::Read {
-            stream: LogStream::Claims(0),
-            era: LogEra {
-                number: era as u64,
-                age: SINCE_RESTORE,
-            },
-            from: Offset(from),
-            oldest: Offset(0),
-            end: Offset(end as u64),
-            records: records.collect(),
-        }
-    }
-
-    fn fail(&mut self, index: usize, variant: u8) {
-        let stream = LogStream::Claims(0);
-        match self.tasks.remove(index) {
-            Task::Message { .. } => {}
-            Task::Append {
-                vm,
-                append,
-                era,
-                records,
-                state,
-            } => {
-                let may_have_taken_effect = variant == 0;
-                if state == AppendState::Waiting && may_have_taken_effect {
-                    self.tasks.push(Task::Append {
-                        vm,
-                        append,
-                        era,
-                        records,
-                        state: AppendState::AnswerLost,
-                    });
-                }
-                let failed = LogEvent::AppendFailed {
-                    stream,
-                    append,
-                    may_have_taken_effect,
-                };
-                self.apply(vm, Event::Log(failed));
-            }
-            Task::Read { vm, .. } => self.apply(vm, Event::Log(LogEvent::ReadFailed { stream })),
-            Task::Service { vm, call, attempt } => {
-                let sent = variant == 0;
-                let dispatch = self
-                    .dispatches
-                    .iter_mut()
-                    .find(|dispatch| dispatch.call == call && dispatch.attempt == attempt);
-                dispatch
-                    .expect("only dispatched calls fail")
-                    .may_have_arrived = sent;
-                let failed = ServiceEvent::Failed {
-                    call: CallId(call as u64),
-                    attempt,
-                    sent,
-                };
-                self.apply(vm, Event::Service(failed));
-            }
-        }
-    }
-
     fn apply(&mut self, vm: usize, event: Event) {
         let target = &mut self.vms[vm];
         target.history = stable_hash(&(target.history, format!("{event:?}{:?}", target.now)));
@@ -627,62 +414,6 @@
         }
     }
 
-    fn dispatches_that_may_have_arrived(&self, key: usize) -> impl Iterator<Item = &Dispatch> {
-        let of_key = move |dispatch: &&Dispatch| self.calls[dispatch.call].key == key;
-        self.dispatches
-            .iter()
-            .filter(|dispatch| dispatch.may_have_arrived)
-            .filter(of_key)
-    }
-
-    fn check_may_dispatch(&self, index: usize) {
-        let call = &self.calls[index];
-        assert_eq!(
-            self.dispatches_that_may_have_arrived(call.key).count(),
-            0,
-            "dispatched twice"
-        );
-        let false_not_run = self.calls.iter().filter(|other| {
-            let not_run =
-                other.reported_outcome == Some(ReportedOutcome::NotRun) && other.key == call.key;
-            // A first attempt that was answered "not run" may be sent again. Any other "not run" is final.
-            let may_be_resent =
-                other.caller_attempt == Some(1) && call.started_at_step > other.ended_at_step;
-            not_run && !may_be_resent
-        });
-        assert_eq!(
-            false_not_run.count(),
-            0,
-            "dispatched after an answer of not run"
-        );
-    }
-
-    fn finish_call(&mut self, id: CallId, reported_outcome: ReportedOutcome) {
-        let step_count = self.step_count;
-        let index = id.0 as usize;
-        let call = &mut self.calls[index];
-        assert!(!call.disconnected, "answered after the caller disconnected");
-        assert_eq!(call.reported_outcome, None, "answered twice");
-        call.reported_outcome = Some(reported_outcome);
-        call.ended_at_step = Some(step_count);
-        let key = call.key;
-        match reported_outcome {
-            ReportedOutcome::NotRun => assert_eq!(
-                self.dispatches_that_may_have_arrived(key).count(),
-                0,
-                "answered not run after a dispatch"
-            ),
-            ReportedOutcome::Answered => {
-                assert_eq!(
-                    self.dispatches_that_may_have_arrived(key).count(),
-                    1,
-                    "answered without a dispatch"
-                )
-            }
-            ReportedOutcome::Unknown | ReportedOutcome::Other => {}
-        }
-    }
-
     /// Returns whether any call was sent to the service.
     pub(crate) fn has_dispatch(&self) -> bool {
         !self.dispatches.is_empty()
@@ -693,50 +424,6 @@
         self.calls.iter().all(|call| call.ended_at_step.is_some())
     }
 
-    /// Runs without further faults, then uses each key once more at each VM; checks that every started call is
-    /// answered.
-    pub(crate) fn finish_and_check(&mut self) {
-        self.run_until_answered();
-        let open = |call: &Call| call.started_at_step.is_some() && call.ended_at_step.is_none();
-        assert!(!self.calls.iter().any(open), "a call was never answered");
-        let last_key = self.calls.iter().map(|call| call.key).max().unwrap_or(0);
-        for key in 0..=last_key {
-            for vm in 0..self.vms.len() {
-                self.calls.push(unmarked_call(vm, key));
-                self.step_count += 1;
-                self.start_call(self.calls.len() - 1);
-            }
-        }
-        self.run_until_answered();
-        assert!(
-            !self.calls.iter().any(open),
-            "a later call was never answered"
-        );
-    }
-
-    /// Runs without faults until every started call is answered, at most [`MAX_TIME_STEPS_TO_FINISH`] time steps.
-    fn run_until_answered(&mut self) {
-        for _ in 0..MAX_TIME_STEPS_TO_FINISH {
-            let first_step = self.step_count;
-            while !self.tasks.is_empty() {
-                self.step_count += 1;
-                self.advance(0);
-                assert!(
-                    self.step_count < first_step + MAX_STEPS_BETWEEN_TIME_STEPS,
-                    "the steps never end: {:?}",
-                    self.tasks
-                );
-            }
-            let open = |call: &Call| call.started_at_step.is_some() && call.ended_at_step.is_none();
-            if !self.calls.iter().any(open) {
-                return;
-            }
-            for vm in 0..self.vms.len() {
-                self.pass_time(vm, TIME_STEP);
-            }
-        }
-    }
-
     /// Returns a hash of everything that the next steps depend on.
     pub(crate) fn state_hash(&self) -> u64 {
         let mut tasks: Vec<String> = self.tasks.iter().map(|task| format!("{task:?}")).collect();
@@ -773,25 +460,3 @@
 fn vm_name(vm: usize) -> String {
     format!("milano-a-{vm}")
 }
-
-/// Returns a call that doesn't say which attempt it is.
-pub(crate) fn unmarked_call(vm: usize, key: usize) -> Call {
-    Call {
-        vm,
-        key,
-        caller_attempt: None,
-        after: None,
-        started_at_step: None,
-        ended_at_step: None,
-        disconnected: false,
-        reported_outcome: None,
-    }
-}
-
-/// Returns a call marked as the first attempt with its key.
-pub(crate) fn marked_call(vm: usize, key: usize) -> Call {
-    Call {
-        caller_attempt: Some(1),
-        ..unmarked_call(vm, key)
-    }
-}
