Stand-ins: the fleet's processes and errors stand in files of their own

What starts a stand-in stood twice, once for its start and once for an engine's restart; both use spawn_stand_in now.

--- a/crates/arbutusfall_standins/src/fleet.rs
+++ b/crates/arbutusfall_standins/src/fleet.rs
@@ -1,13 +1,16 @@
 //! A whole site on loopback, with each stand-in and each VM as a process.
 
+mod error;
+mod process;
+
+pub use error::FleetError;
+pub use process::Process;
+
 use std::collections::BTreeMap;
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
-use std::process::Child;
 use std::process::Command;
-use std::process::Stdio;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,12 +25,11 @@
 use error_stack::Report;
 use error_stack::ResultExt;
 use futures_lite::future;
-use rustix::process::Pid;
-use rustix::process::Signal;
 use serde::Serialize;
 use serde_json::Value;
 
 use crate::SiteSpec;
+use crate::fleet::process::spawn_stand_in;
 use crate::free_address::free_address;
 
 /// Timeout for an awaited condition, such as that a VM is ready.
@@ -39,94 +41,6 @@
 /// Timeout for each step (connecting, headers, body) of an HTTP exchange with a stand-in or a VM's operator address.
 const STEP_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Error of starting or controlling a fleet.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum FleetError {
-    /// The files or other resources of a fleet could not be prepared.
-    Setup,
-    /// A process could not be started.
-    Start(String),
-    /// The named process was not ready in time, or the named condition did not hold in time.
-    Timeout(String),
-    /// A command of `arbutusfall`, an HTTP request or a caller failed; holds the command's error output or
-    /// arguments, the request's path, or a description.
-    Command(String),
-}
-
-impl fmt::Display for FleetError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Setup => f.write_str("the files or resources of the fleet could not be prepared"),
-            Self::Start(what) => write!(f, "{what} could not be started"),
-            Self::Timeout(what) => write!(f, "timed out: {what}"),
-            Self::Command(details) => write!(f, "a command or request failed: {details}"),
-        }
-    }
-}
-
-impl std::error::Error for FleetError {}
-
-/// A child process, killed when dropped.
-#[derive(Debug)]
-pub struct Process {
-    /// Endpoint name, VM name or kind of stand-in.
-    pub name: String,
-    /// Address on which it listens; for a VM its peer address.
-    pub address: SocketAddr,
-    child: Child,
-}
-
-impl Process {
-    /// Returns the process id.
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
-    fn signal(&self, signal: Signal) {
-        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
-            // Fails if the process has already exited.
-            let _ = rustix::process::kill_process(pid, signal);
-        }
-    }
-
-    /// Kills the process with SIGKILL and waits for its exit.
-    pub fn kill(&mut self) {
-        self.signal(Signal::KILL);
-        // The process has been killed; its exit status is not needed.
-        let _ = self.child.wait();
-    }
-
-    /// Sends SIGTERM, on which a VM drains and exits.
-    pub fn terminate(&self) {
-        self.signal(Signal::TERM);
-    }
-
-    /// Suspends the process with SIGSTOP until [`Self::thaw`].
-    pub fn freeze(&self) {
-        self.signal(Signal::STOP);
-    }
-
-    /// Resumes a frozen process with SIGCONT.
-    pub fn thaw(&self) {
-        self.signal(Signal::CONT);
-    }
-
-    /// Returns the exit status if the process has exited; -1 if a signal ended it.
-    pub fn exit_status(&mut self) -> Option<i32> {
-        self.child
-            .try_wait()
-            .ok()
-            .flatten()
-            .map(|status| status.code().unwrap_or(-1))
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 /// A VM of the system under test.
 #[derive(Debug)]
 pub struct VmProcess {
@@ -380,16 +294,11 @@
     ///
     /// [`FleetError::Start`] if there is no such engine or it cannot be started.
     pub fn restart_engine(&mut self, name: &str) -> Result<(), Report<FleetError>> {
-        let failed = || FleetError::Start(name.to_owned());
         let process = self.endpoints.get_mut(name);
-        let process = process.ok_or_else(|| Report::new(failed()))?;
+        let process = process.ok_or_else(|| Report::new(FleetError::Start(name.to_owned())))?;
         process.kill();
         let options = serde_json::to_string(&self.site.engine_options()).unwrap_or_default();
-        process.child = Command::new(&self.program)
-            .args(["stand-in", "engine", &process.address.to_string(), &options])
-            .stdin(Stdio::null())
-            .spawn()
-            .change_context_lazy(failed)?;
+        process.child = spawn_stand_in(&self.program, name, "engine", process.address, &options)?;
         Ok(())
     }
 
@@ -482,12 +391,7 @@
     options: &str,
 ) -> Result<Process, Report<FleetError>> {
     let address = free_address()?;
-    let failed = || FleetError::Start(name.to_owned());
-    let child = Command::new(program)
-        .args(["stand-in", kind, &address.to_string(), options])
-        .stdin(Stdio::null())
-        .spawn()
-        .change_context_lazy(failed)?;
+    let child = spawn_stand_in(program, name, kind, address, options)?;
     Ok(Process {
         name: name.to_owned(),
         address,
