--- a/crates/arbutusfall_core/src/config/schema.rs
+++ b/crates/arbutusfall_core/src/config/schema.rs
@@ -46,6 +46,13 @@
     pub timing: Timing,
 }
 
+impl SiteConfig {
+    /// Returns the address of an endpoint, if it is configured.
+    pub(crate) fn address_of(&self, endpoint: &Name) -> Option<SocketAddr> {
+        self.endpoints.get(endpoint).map(|found| found.address)
+    }
+}
+
 /// A client account.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/arbutusfall_core/src/streams/progress.rs
+++ b/crates/arbutusfall_core/src/streams/progress.rs
@@ -107,12 +107,7 @@
             return;
         };
         let endpoint = running.grant.prefill.clone();
-        let Some(address) = ctx
-            .site_config
-            .endpoints
-            .get(&endpoint)
-            .map(|found| found.address)
-        else {
+        let Some(address) = ctx.site_config.address_of(&endpoint) else {
             self.on_failed(attempt, EngineFailure::Unreachable, ctx);
             return;
         };
@@ -141,12 +136,7 @@
             return;
         };
         let endpoint = running.grant.decode.clone();
-        let Some(address) = ctx
-            .site_config
-            .endpoints
-            .get(&endpoint)
-            .map(|found| found.address)
-        else {
+        let Some(address) = ctx.site_config.address_of(&endpoint) else {
             self.on_failed(attempt, EngineFailure::Unreachable, ctx);
             return;
         };
--- a/crates/arbutusfall_core/src/sweep.rs
+++ b/crates/arbutusfall_core/src/sweep.rs
@@ -71,12 +71,7 @@
         if !self.pending.remove(endpoint) {
             return;
         }
-        let Some(address) = ctx
-            .site_config
-            .endpoints
-            .get(endpoint)
-            .map(|found| found.address)
-        else {
+        let Some(address) = ctx.site_config.address_of(endpoint) else {
             return;
         };
         for attempt in attempts.iter().copied() {
