--- a/crates/arbutusfall_core/src/membership/update_queue.rs
+++ b/crates/arbutusfall_core/src/membership/update_queue.rs
@@ -10,6 +10,7 @@
 use crate::membership::Liveness;
 use crate::membership::Membership;
 
+/// Maximum number of membership updates that one message carries.
 const MAX_UPDATES_PER_MESSAGE: usize = 6;
 
 /// Each update is sent this number × (1 + log2 of the number of VMs, rounded down) times.
--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crash_handling.rs
@@ -276,7 +276,8 @@
         (DELAY_PER_VM * self.vm_count).mul_f64(self.rng.f64())
     }
 
-    /// Handles evidence of another VM, which is deleted at an instant if this VM knows better.
+    /// Handles evidence of another VM, or its deletion. Evidence on a cause whose requests were answered here is deleted at
+    /// `delete_due`.
     pub(super) fn on_shared_crash(
         &mut self,
         cause: CrashCause,
@@ -293,7 +294,6 @@
         self.endpoint_ends
             .on_known_crash(&crash, evidence.is_late, self.now);
         if self.crash_suspects.is_answered(&cause, self.now) {
-            // This VM knows better: the cause's requests are answered.
             self.delete_evidence(cause, crash, delete_due);
             return;
         }
