--- a/crates/arbutusfall_core/tests/it/relay_hash_key.rs
+++ b/crates/arbutusfall_core/tests/it/relay_hash_key.rs
@@ -47,10 +47,8 @@
     assert!(run(&mut harness, ms(3_000), true).is_empty());
 }
 
-// Guards against evidence that is lost because VMs take requests before they have agreed on a key for their hashes.
-#[test]
-fn vm_takes_requests_once_it_has_read_the_hash_key() {
-    let is_ready = |harness: &RelayHarness| harness.effects.contains(&RelayEffect::SetReady(true));
+/// Returns a VM that has routes, an endpoint and no records of other VMs.
+fn start_without_shared_records() -> RelayHarness {
     let mut harness = RelayHarness::before_shared_records(1);
     harness.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
     let entry = listed("shop-1", "shop", Role::Plain);
@@ -60,6 +58,14 @@
         records: Vec::new(),
         is_full: true,
     });
+    harness
+}
+
+// Guards against evidence that is lost because VMs take requests before they have agreed on a key for their hashes.
+#[test]
+fn vm_takes_requests_once_it_has_read_the_hash_key() {
+    let is_ready = |harness: &RelayHarness| harness.effects.contains(&RelayEffect::SetReady(true));
+    let mut harness = start_without_shared_records();
     harness.advance(ms(1_000));
     assert!(!is_ready(&harness), "no key is known");
     let key = |number| SharedRecord::HashKey(Some(RequestHashKey(number)));
@@ -75,15 +81,7 @@
 // Guards against a VM that never takes requests, because no key can be written.
 #[test]
 fn vm_without_a_hash_key_takes_requests_after_a_while() {
-    let mut harness = RelayHarness::before_shared_records(1);
-    harness.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
-    let entry = listed("shop-1", "shop", Role::Plain);
-    let list = vec![EndpointListChange::Listed(entry)];
-    harness.apply(RelayEvent::EndpointChanges(list));
-    harness.apply(RelayEvent::SharedRecords {
-        records: Vec::new(),
-        is_full: true,
-    });
+    let mut harness = start_without_shared_records();
     harness.advance(ms(3_100));
     assert!(harness.effects.contains(&RelayEffect::SetReady(true)));
 }
