Tests: a fleet with a decoding engine is started in one place

Five tests of streams began with the same lines and four waited for the whole answer in the same way.

--- a/crates/arbutusfall_standins/tests/it/streams.rs
+++ b/crates/arbutusfall_standins/tests/it/streams.rs
@@ -164,6 +164,22 @@
     pauses.max().unwrap_or_default()
 }
 
+/// Starts two VMs and a request that a decode engine is answering; returns the engine's name and the request too.
+fn start_decoding_fleet() -> (Fleet, String, Task<CompletionResult>) {
+    let fleet = start_fleet(2);
+    let task = start_completion(&fleet, 0, &prompt(2_000, 1), MEDIUM_MAX_TOKENS);
+    let engine = decoding_engine(&fleet);
+    (fleet, engine, task)
+}
+
+/// Waits for the whole answer to the request of [`start_decoding_fleet`]; returns its longest pause.
+fn finish_and_find_longest_pause(fleet: &Fleet, task: Task<CompletionResult>) -> Duration {
+    let answer = fleet.block_on(task).expect("the answer is complete");
+    let expected = expected_text(&prompt(2_000, 1), MEDIUM_MAX_TOKENS);
+    assert_eq!(answer.text, expected);
+    longest_pause(&answer)
+}
+
 #[test]
 fn caller_disconnect_frees_the_engines_at_each_stage() {
     let _lock = fleet_lock::acquire();
@@ -206,9 +222,7 @@
 #[test]
 fn caller_disconnect_frees_a_frozen_engine_once_it_resumes() {
     let _lock = fleet_lock::acquire();
-    let fleet = start_fleet(2);
-    let task = start_completion(&fleet, 0, &prompt(2_000, 1), MEDIUM_MAX_TOKENS);
-    let engine = decoding_engine(&fleet);
+    let (fleet, engine, task) = start_decoding_fleet();
     let freeze = json!({ "freeze_ms": 3_000 });
     fleet
         .set_faults(&fleet.endpoints[&engine], &freeze)
@@ -271,18 +285,13 @@
 #[test]
 fn decode_engine_that_dies_does_not_truncate_the_answer() {
     let _lock = fleet_lock::acquire();
-    let mut fleet = start_fleet(2);
-    let prompt = prompt(2_000, 1);
-    let task = start_completion(&fleet, 0, &prompt, MEDIUM_MAX_TOKENS);
-    let engine = decoding_engine(&fleet);
+    let (mut fleet, engine, task) = start_decoding_fleet();
     fleet
         .endpoints
         .get_mut(&engine)
         .expect("the engine is there")
         .kill();
-    let answer = fleet.block_on(task).expect("the answer is complete");
-    assert_eq!(answer.text, expected_text(&prompt, MEDIUM_MAX_TOKENS));
-    let pause = longest_pause(&answer);
+    let pause = finish_and_find_longest_pause(&fleet, task);
     println!("dead decode engine: pause of {pause:?}");
     assert!(pause < MAX_PAUSE_DEAD_ENGINE, "pause of {pause:?}");
     wait_until_free(&fleet);
@@ -291,17 +300,12 @@
 #[test]
 fn silent_connections_do_not_truncate_the_answer() {
     let _lock = fleet_lock::acquire();
-    let fleet = start_fleet(2);
-    let prompt = prompt(2_000, 1);
-    let task = start_completion(&fleet, 0, &prompt, MEDIUM_MAX_TOKENS);
-    let engine = decoding_engine(&fleet);
+    let (fleet, engine, task) = start_decoding_fleet();
     let silent = json!({ "silence": true });
     fleet
         .set_faults(&fleet.endpoints[&engine], &silent)
         .expect("the engine's connections go silent");
-    let answer = fleet.block_on(task).expect("the answer is complete");
-    assert_eq!(answer.text, expected_text(&prompt, MEDIUM_MAX_TOKENS));
-    let pause = longest_pause(&answer);
+    let pause = finish_and_find_longest_pause(&fleet, task);
     println!("silent connection: pause of {pause:?}");
     assert!(pause < MAX_PAUSE_SILENT_CONNECTION, "pause of {pause:?}");
     // The prompt has slightly more than 2,000 tokens.
@@ -316,10 +320,7 @@
 #[test]
 fn frozen_decode_engine_goes_on_while_its_stream_cannot_be_moved() {
     let _lock = fleet_lock::acquire();
-    let fleet = start_fleet(2);
-    let prompt = prompt(2_000, 1);
-    let task = start_completion(&fleet, 0, &prompt, MEDIUM_MAX_TOKENS);
-    let engine = decoding_engine(&fleet);
+    let (fleet, engine, task) = start_decoding_fleet();
     set_faults(
         &fleet,
         "prefill",
@@ -329,9 +330,7 @@
     fleet
         .set_faults(&fleet.endpoints[&engine], &freeze)
         .expect("the engine freezes");
-    let answer = fleet.block_on(task).expect("the answer is complete");
-    assert_eq!(answer.text, expected_text(&prompt, MEDIUM_MAX_TOKENS));
-    let pause = longest_pause(&answer);
+    let pause = finish_and_find_longest_pause(&fleet, task);
     println!("frozen decode engine: pause of {pause:?}");
     assert!(pause < MAX_PAUSE_FROZEN_ENGINE, "pause of {pause:?}");
     let status = fleet.get(fleet.vms[0].settings.operator_address, "/status");
@@ -344,17 +343,12 @@
 #[test]
 fn stream_of_a_decode_engine_that_stays_frozen_is_moved() {
     let _lock = fleet_lock::acquire();
-    let fleet = start_fleet(2);
-    let prompt = prompt(2_000, 1);
-    let task = start_completion(&fleet, 0, &prompt, MEDIUM_MAX_TOKENS);
-    let engine = decoding_engine(&fleet);
+    let (fleet, engine, task) = start_decoding_fleet();
     let freeze = json!({ "freeze_ms": LONG_FREEZE_MS });
     fleet
         .set_faults(&fleet.endpoints[&engine], &freeze)
         .expect("the engine freezes");
-    let answer = fleet.block_on(task).expect("the answer is complete");
-    assert_eq!(answer.text, expected_text(&prompt, MEDIUM_MAX_TOKENS));
-    let pause = longest_pause(&answer);
+    let pause = finish_and_find_longest_pause(&fleet, task);
     println!("decode engine that stays frozen: pause of {pause:?}");
     assert!(pause < MAX_PAUSE_MOVED, "pause of {pause:?}");
     wait_until_free(&fleet);
