Stand-ins: addresses stay reserved while a process that was left behind runs

Cause: the lock of a block of ports ended with the process that had allocated from it. If that process is killed, its VMs go on and follow the store at an address that the next process may list as its own: a VM of the aborted run then takes part in the new one.

Change: the processes that are started inherit the lock, so a block is free once all of them have ended.

--- a/crates/arbutusfall_standins/src/free_address.rs
+++ b/crates/arbutusfall_standins/src/free_address.rs
@@ -8,6 +8,8 @@
 use std::sync::PoisonError;
 
 use error_stack::Report;
+use rustix::io::FdFlags;
+use rustix::io::fcntl_setfd;
 use socket2::Domain;
 use socket2::Socket;
 use socket2::Type;
@@ -28,7 +30,8 @@
 /// address long after it was allocated.
 #[derive(Debug)]
 struct PortBlocks {
-    /// Locked for as long as this process runs.
+    /// Locked for as long as this process or one that it started runs: if this process is ended by a signal, those go on, and use
+    /// its addresses.
     locks: Vec<File>,
     /// Ports of these blocks, in the order of allocation.
     ports: Vec<u16>,
@@ -59,6 +62,8 @@
         let name = format!("arbutusfall-ports-{block}.lock");
         let lock = File::create(std::env::temp_dir().join(name)).ok()?;
         lock.try_lock().ok()?;
+        // Inherited by the processes that are started.
+        fcntl_setfd(&lock, FdFlags::empty()).ok()?;
         let start = LISTENER_PORTS.start + block * BLOCK_PORTS;
         Some((lock, start..start + BLOCK_PORTS))
     })
