Relay: a request that no endpoint has answered is sent again once one of them is reached

Cause: connections that are begun in a moment in which none opens fail 0.4 s later, a reservation after 0.3 s; by then others may have opened, so the service is not in doubt any more, and a request that has tried all endpoints was refused with no_endpoint. Seen with processes: 2 of 150 plain requests, after 1.24 and 1.27 s, when connections hung for 0.9 s.

Change: a request whose exchanges have all failed because no connection opened or a reservation was not answered waits like one whose endpoints are in doubt, and may then be sent to any of them.

--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/call.rs
@@ -57,6 +57,8 @@
     pub(crate) was_forwarded: bool,
     /// Endpoints of failed exchanges, one entry per exchange; refused reservations do not count.
     pub(crate) failed_endpoints: Vec<Name>,
+    /// How many of these exchanges failed because no connection opened or a reservation was not answered.
+    pub(crate) unanswered_exchanges: usize,
     /// What may crash the endpoints that run the request.
     pub(crate) causes: CrashCauses,
     /// Number of endpoints that may have ended while they ran the request.
--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -132,6 +132,7 @@
             allocation: None,
             has_waited: false,
             failed_endpoints: Vec::new(),
+            unanswered_exchanges: 0,
             causes: causes_of(&request),
             endpoint_ends: hop.map_or(0, |hop| hop.endpoint_ends),
             has_survived: false,
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -384,6 +384,7 @@
         let stage = failed.stage;
         let began_at = call.stream_began_at;
         if failure == ExchangeFailure::Unreachable {
+            call.unanswered_exchanges += 1;
             if stage.runs_request() {
                 call.attempts = call.attempts.saturating_sub(1);
             }
--- a/crates/arbutusfall_core/src/relay/reach_waiting.rs
+++ b/crates/arbutusfall_core/src/relay/reach_waiting.rs
@@ -27,8 +27,8 @@
 }
 
 impl Relay {
-    /// Makes a call wait if no endpoint of its service has accepted a connection since one failed, and all that it could be sent
-    /// to have failed; returns false if it need not or may not wait.
+    /// Makes a call wait if none of the endpoints that it could be sent to has answered it, or if all of these have failed and none
+    /// of its service has accepted a connection since one failed. Returns false if it need not or may not wait.
     pub(super) fn wait_for_reach(&mut self, id: CallId, stage: CallStage) -> bool {
         if !self.must_wait_for_reach(id, stage) {
             return false;
@@ -43,18 +43,19 @@
         let Some(call) = self.calls.get(&id) else {
             return false;
         };
-        if !self.reachability.is_in_doubt(&call.service) || self.now >= reach_wait_until(call) {
-            return false;
-        }
         // The VM from which a request comes may know of others that reach the endpoints.
         if call.may_have_run || call.standby.is_some() || call.request.hop.is_some() {
             return false;
         }
+        let is_in_doubt = self.reachability.is_in_doubt(&call.service);
+        let none_has_answered = call.unanswered_exchanges == call.failed_endpoints.len();
         let mut serving = self.endpoints.serving_call(call, stage.role()).peekable();
-        serving.peek().is_some()
+        self.now < reach_wait_until(call)
+            && serving.peek().is_some()
             && serving.all(|endpoint| {
-                let is_avoided = !endpoint.health.is_usable(self.now);
-                is_avoided || call.failed_endpoints.contains(&endpoint.listed.instance)
+                let has_failed = call.failed_endpoints.contains(&endpoint.listed.instance);
+                let is_avoided = is_in_doubt && !endpoint.health.is_usable(self.now);
+                is_avoided || (has_failed && (is_in_doubt || none_has_answered))
             })
     }
 
@@ -67,8 +68,9 @@
             return;
         }
         if !self.reachability.is_in_doubt(&call.service) {
-            // They have failed because they were not reached.
+            // What failed before had the cause that has passed.
             call.failed_endpoints.clear();
+            call.unanswered_exchanges = 0;
         }
         self.send_next(id);
     }
--- a/crates/arbutusfall_core/src/relay/reservation_silence.rs
+++ b/crates/arbutusfall_core/src/relay/reservation_silence.rs
@@ -79,6 +79,9 @@
         self.on_silence_in_doubt(id);
         let failed_before = self.calls.get(&id).map(|call| call.failed_endpoints.len());
         self.fail_exchange(id, "silent", !is_alive);
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.unanswered_exchanges += 1;
+        }
         if let (Some(call), Some(failed_before)) = (self.calls.get_mut(&id), failed_before)
             && call.continues_stream()
         {
--- a/crates/arbutusfall_core/tests/it/relay_reach.rs
+++ b/crates/arbutusfall_core/tests/it/relay_reach.rs
@@ -38,6 +38,8 @@
     harness: RelayHarness,
     /// From when until when connections hang.
     hang: (Duration, Duration),
+    /// Whether connections that were begun meanwhile open at the end; otherwise only later ones do.
+    begun_open: bool,
     pending: Vec<(Duration, RelayEvent)>,
     calls: Vec<CallId>,
     served: Vec<CallId>,
@@ -46,7 +48,7 @@
 }
 
 impl HangingConnections {
-    fn start(hang_from: Duration, hang_time: Duration) -> Self {
+    fn start(hang_from: Duration, hang_time: Duration, begun_open: bool) -> Self {
         let mut harness = RelayHarness::configured(1);
         let more = [
             listed("decode-3", "model", Role::Decode),
@@ -63,6 +65,7 @@
         Self {
             harness,
             hang: (hang_from, hang_from + hang_time),
+            begun_open,
             pending: Vec::new(),
             calls: Vec::new(),
             served: Vec::new(),
@@ -91,7 +94,7 @@
         let now = self.harness.now;
         let (from, until) = self.hang;
         let is_hanging = from <= now && now < until;
-        if is_hanging && until > now + CONNECT_TIMEOUT {
+        if is_hanging && (!self.begun_open || until > now + CONNECT_TIMEOUT) {
             return None;
         }
         Some(if is_hanging { until } else { now })
@@ -180,16 +183,17 @@
 
 /// Plays requests while no connection opens for a moment; they must all be served.
 fn check_served(path: &str, hang_ms: u64) {
-    let mut site = HangingConnections::start(ms(1_000), ms(hang_ms));
-    site.play(path, ms(4_000));
-    assert!(
-        site.refused.is_empty(),
-        "{path}, {hang_ms} ms: of {} refused {}: {:?}",
-        site.calls.len(),
-        site.refused.len(),
-        site.refused
-    );
-    assert_eq!(site.served.len(), site.calls.len(), "{path}, {hang_ms} ms");
+    for begun_open in [true, false] {
+        let mut site = HangingConnections::start(ms(1_000), ms(hang_ms), begun_open);
+        site.play(path, ms(4_000));
+        let (all, refused) = (site.calls.len(), &site.refused);
+        assert!(
+            refused.is_empty(),
+            "{path}, {hang_ms} ms, {begun_open}: {} of {all} refused: {refused:?}",
+            refused.len()
+        );
+        assert_eq!(site.served.len(), all, "{path}, {hang_ms} ms, {begun_open}");
+    }
 }
 
 // Guards against streams that are refused although their engines are sound and time is left: no connection could be opened for a
@@ -218,7 +222,7 @@
 #[test]
 fn request_is_refused_while_time_is_left_if_no_connection_opens() {
     for path in ["/stream/1", "/look/1", "/pay/1"] {
-        let mut site = HangingConnections::start(ms(0), ms(60_000));
+        let mut site = HangingConnections::start(ms(0), ms(60_000), true);
         let call = site.harness.submit_with_timeout(path, ms(1_500));
         let submitted_at = site.harness.now;
         while site.refused.is_empty() && site.harness.now < submitted_at + ms(1_500) {
