Relay: requests that wait for a prefill are not refused by the rate of memory grants

After a stall 20 to 30 requests came at once; the prefill engine had its first limit of two prefills of this VM, so requests waited, with all engines free but for six reservations that the stall had made late. The wait queue is limited by the grants that full engines can be expected to give, about 20 a second, so 13 requests were refused as overloaded within 0 to 467 ms.

Change: while an engine has room, which has refused nothing for 3 s, the queue is limited by the prefills that the prefill engines can be expected to complete: their limit, divided by what a prefill takes with its wait.

--- a/crates/arbutusfall_core/src/relay/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoint.rs
@@ -23,6 +23,12 @@
 /// Maximum number of a VM's prefills in flight at an engine.
 const MAX_PREFILL_LIMIT: f64 = 8.0;
 
+/// Shortest time of a prefill in the expected rate of prefills.
+const MIN_PREFILL_TIME: Duration = Duration::from_millis(1);
+
+/// Time from the end of a refusal's effect in which an engine may still be full.
+const FULL_TIME: Duration = Duration::from_secs(3);
+
 /// Queueing time of a prefill above which the limit is lowered.
 const LONG_PREFILL_WAIT: Duration = Duration::from_millis(300);
 
@@ -402,6 +408,17 @@
         f64::from(self.in_flight) < self.prefill_limit.floor()
     }
 
+    /// Returns the rate of this VM's prefills of `tokens` that the engine can be expected to complete, per second.
+    pub(crate) fn prefills_per_s(&self, tokens: u32, now: Duration) -> f64 {
+        let time = self.expected_prefill_wait(now) + self.prefill_time(tokens);
+        self.prefill_limit.floor() / time.max(MIN_PREFILL_TIME).as_secs_f64()
+    }
+
+    /// Returns whether the engine has not been full of late.
+    pub(crate) fn has_room(&self, now: Duration) -> bool {
+        self.unavailable_until.is_zero() || now >= self.unavailable_until + FULL_TIME
+    }
+
     /// Returns the expected queueing time of a prefill: behind this VM's own prefills, or as recently observed if that
     /// is longer, because other VMs queue prefills too.
     pub(crate) fn expected_prefill_wait(&self, now: Duration) -> Duration {
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/waiting.rs
@@ -129,17 +129,34 @@
         self.note(notice);
     }
 
-    /// Returns whether a request would probably get no memory while it may wait, given the requests ahead of it.
+    /// Returns whether a request would probably get no memory, or no prefill, while it may wait, given the requests ahead of it.
     fn is_queue_full(&self, call: &Call) -> bool {
         let within = call.wait_until().saturating_sub(self.now);
         let is_first_attempt = call.prior_attempt_time.is_zero();
         let grants_per_s = self.grants_per_s(call) / self.reservation_wait_factor(call);
-        let expected = grants_per_s * within.as_secs_f64();
+        let per_s = match self.prefills_per_s_with_room(call) {
+            Some(prefills_per_s) => prefills_per_s.max(grants_per_s),
+            None => grants_per_s,
+        };
+        let expected = per_s * within.as_secs_f64();
         let ahead = self.wait_queue.calls.iter();
         let ahead = ahead.filter(|id| !is_first_attempt || !self.would_miss_target(**id));
         (ahead.count() + 1) as f64 > expected * QUEUE_LIMIT_FRACTION
     }
 
+    /// Returns the rate of prefills that this VM can expect, per second, if an engine has room for the call, so that only a prefill is
+    /// waited for.
+    fn prefills_per_s_with_room(&self, call: &Call) -> Option<f64> {
+        let mut engines = self.endpoints.serving_call(call, Role::Decode);
+        let has_room =
+            engines.any(|engine| engine.health.is_usable(self.now) && engine.has_room(self.now));
+        let tokens = call.token_counts().prompt_tokens;
+        let prefill_engines = self.endpoints.serving(&call.service, Role::Prefill);
+        let usable = prefill_engines.filter(|engine| engine.health.is_usable(self.now));
+        let rates = usable.map(|engine| engine.prefills_per_s(tokens, self.now));
+        (has_room && self.may_reserve(call)).then(|| rates.sum())
+    }
+
     /// Returns the rate of grants that this VM can expect from the engines that serve a call, per second.
     fn grants_per_s(&self, call: &Call) -> f64 {
         let engines = self.endpoints.serving_call(call, Role::Decode);
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -19,6 +19,7 @@
 mod placement_harness;
 mod placement_policy;
 mod relay_balance;
+mod relay_bursts;
 mod relay_calls;
 mod relay_configuration;
 mod relay_continued_streams;
