--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -386,6 +386,9 @@
         let failed = current.clone();
         let stage = failed.stage;
         let began_at = call.stream_began_at;
+        if failure == ExchangeFailure::Unreachable {
+            call.unanswered_exchanges += 1;
+        }
         if !failure.is_before_send() {
             self.mark_may_have_run(id, stage);
         } else if stage.runs_request() {
