Relay: an answer that ends with its connection is reset when its process ends

Cause: an answer without a length to an HTTP/1.0 caller ends with its connection. Only an answer that the VM aborts itself was reset. When the process was killed, or exited while the caller had not taken what was written, the kernel closed the connection with FIN. Callers saw a stream that looked complete after some of its events: 6 of 12 at a killed VM (all of HTTP/1.0), and one whose caller read nothing until the VM had exited.

Change: while such an answer is written, its socket lingers for zero time, so that any close resets it, also the kernel's at the end of the process. Once the answer is complete, the socket lingers as usual again and ends with FIN. Answers with a length or with chunks are as before.

--- a/crates/arbutusfall/src/http/server.rs
+++ b/crates/arbutusfall/src/http/server.rs
@@ -21,6 +21,7 @@
 use futures_lite::future;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
@@ -293,10 +294,18 @@
     let state = Arc::new(ConnectionState::default());
     let request_state = state.clone();
     let request_handler = handler.clone();
+    let socket = stream.clone();
     let service = service_fn(move |request| {
         request_state.on_request(request.version());
+        let (state, socket) = (request_state.clone(), socket.clone());
         let answer = request_handler.clone().handle(request);
-        Box::pin(async { Ok::<_, Infallible>(answer.await) })
+        Box::pin(async move {
+            let answer = answer.await;
+            if state.answer_ends_with_connection() && answer.body().size_hint().exact().is_none() {
+                set_reset_on_close(&socket, true);
+            }
+            Ok::<_, Infallible>(answer)
+        })
     });
     let io = FuturesIo::new(ErrorReplacingStream::new(stream, state.clone()));
     let mut connection = http1::Builder::new()
@@ -319,8 +328,10 @@
     };
     let mut stream = connection.into_parts().io.into_inner().into_inner();
     let is_aborted = matches!(&ended, Err(error) if error.is_user());
+    if state.answer_ends_with_connection() {
+        set_reset_on_close(&stream, is_aborted);
+    }
     if is_aborted && state.answer_ends_with_connection() {
-        reset(stream);
         return;
     }
     let last = match &ended {
@@ -338,12 +349,12 @@
     write_last(&mut stream, &last).await;
 }
 
-/// Resets a connection, so that an aborted answer whose end is the connection's end does not look complete.
-fn reset(stream: TcpStream) {
-    if let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
-        log::warn!(
-            "an aborted answer looks complete, because its connection was not reset: {error}"
-        );
+/// Sets whether a connection is reset when it is closed, also by the end of the process: an answer whose end is the
+/// connection's end looks complete otherwise.
+fn set_reset_on_close(stream: &TcpStream, is_reset: bool) {
+    let linger = is_reset.then_some(Duration::ZERO);
+    if let Err(error) = SockRef::from(stream).set_linger(linger) {
+        log::warn!("an answer that ends with its connection has the wrong end: {error}");
     }
 }
 
