Relay: a stream does not go on at an engine that begins it anew

Cause: a VM passed on all that the engine wrote at which a stream went on. An engine that ignores Last-Event-Id, or has lost what it knew, writes from its first event on. Callers saw ids 1, 2, 1, 2, 3, 4, 5 in one answer, or events that they had from the attempt before.

Change: ids of a stream increase, so a first id that is not above the position in the request says that this is another run. The exchange fails as "began_anew" before any of its events is written, and the stream goes on at another engine or is broken off. The events are not skipped: what follows them would be the rest of another run. A position of a caller counts if the request names the attempt that it takes up.

--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -263,6 +263,7 @@
     let mut stream = EventStream {
         body,
         splitter: EventSplitter::default(),
+        after_event_id: command.after_event_id.or_else(|| request.position()),
         has_events: false,
         first_event_id: None,
         last_event_id: None,
@@ -315,6 +316,8 @@
 struct EventStream {
     body: Incoming,
     splitter: EventSplitter,
+    /// Id of the last event that the caller has; ids of a stream increase.
+    after_event_id: Option<u64>,
     has_events: bool,
     first_event_id: Option<u64>,
     last_event_id: Option<u64>,
@@ -338,6 +341,9 @@
             let Some(events) = events else {
                 continue;
             };
+            if self.begins_anew(events.first_id) {
+                return Err(ExchangeFailure::BeganAnew);
+            }
             self.has_events = true;
             self.first_event_id = self.first_event_id.or(events.first_id);
             write_to_caller(relay, command, events.bytes).await;
@@ -349,6 +355,12 @@
         Ok(())
     }
 
+    /// Returns whether the caller has the event with this id already.
+    fn begins_anew(&self, id: Option<u64>) -> bool {
+        let after = self.after_event_id;
+        id.is_some_and(|id| after.is_some_and(|after| id <= after))
+    }
+
     /// Returns whether a stream whose end was reached was broken off. The end of a connection says nothing about the end
     /// of the stream, and even a stream with its length or its final chunk is broken off if it ends inside an event.
     fn is_truncated(&self, framing: BodyFraming) -> bool {
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -427,6 +427,8 @@
     Closed,
     /// The stream ended inside an event, or before its first one without stating that it is complete.
     Truncated,
+    /// The stream begins anew instead of going on after the position in the request.
+    BeganAnew,
     /// The answer is longer than the VM may hold in memory.
     TooLong,
     /// The answer is malformed or belongs to another request.
@@ -440,6 +442,7 @@
             Self::Unreachable => "unreachable",
             Self::Closed => "closed",
             Self::Truncated => "truncated",
+            Self::BeganAnew => "began_anew",
             Self::TooLong => "too_long",
             Self::Malformed => "malformed",
         }
