Relay: a stream whose end is not marked is complete only if its endpoint still accepts connections

Cause: an answer with neither length nor chunks ends with its connection, and the kernel closes the connections of a process that ends like any other. The VM took the end of a connection between two events for the stream's end: 24 of 24 streams of engines that ended looked complete after event 3 of 60. Engines that are reset, or that stop inside an event, were seen before.

Change: after such an end, and before the caller's answer ends, the VM opens a connection to the endpoint. If it is not accepted, the exchange failed as closed: the stream goes on elsewhere or is broken off. A stream that was complete goes on after its last event, with nothing. All events have reached the caller by then; the check costs a connection for each stream without a marked end. An engine that accepts connections again at once is not noticed.

--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -33,6 +33,7 @@
 use crate::http::ClientError;
 use crate::http::EventSplitter;
 use crate::http::OutgoingRequest;
+use crate::relay::endpoint_check;
 use crate::relay::handle::RelayHandle;
 use crate::relay::open_calls::AnswerHead;
 use crate::relay::peer_client;
@@ -283,6 +284,10 @@
         return Err(ExchangeFailure::Truncated);
     }
     if framing == BodyFraming::ConnectionEnd {
+        // An endpoint's process that ends closes its connections too.
+        if !endpoint_check::accepts_connections(command.address).await {
+            return Err(ExchangeFailure::Closed);
+        }
         relay.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
     }
     let rest = stream.splitter.finish();
