Relay: a plain answer whose end is not marked is complete only if its endpoint still accepts connections

Cause: as for streams, the end of a connection was taken for the end of the answer, also when the endpoint's process had ended. A caller got 200 with a part of the body.

Change: the check of streams also comes before the answer is used. If it fails, the exchange failed as closed: an idempotent request is sent again, any other gets 502.

--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -240,14 +240,29 @@
     let body = http::read_body(body, command.time_left, &relay.io().answer_memory)
         .await
         .map_err(exchange_failure)?;
+    check_end(relay, command, framing).await?;
     relay.io().exchanges.store_head(command.exchange, head);
     relay.io().exchanges.store_body(command.exchange, body);
-    if framing == BodyFraming::ConnectionEnd {
-        relay.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
-    }
     Ok(ExchangeEvent::Complete { status })
 }
 
+/// Checks that an answer that has ended with its connection is complete, and reports that its end was not marked: a process
+/// that ends closes its connections too.
+async fn check_end(
+    relay: &impl RelayHandle,
+    command: &SendCommand,
+    framing: BodyFraming,
+) -> Result<(), ExchangeFailure> {
+    if framing != BodyFraming::ConnectionEnd {
+        return Ok(());
+    }
+    if !endpoint_check::accepts_connections(command.address).await {
+        return Err(ExchangeFailure::Closed);
+    }
+    relay.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
+    Ok(())
+}
+
 /// Forwards a stream one or more whole events at a time, so that it can be resumed on another engine between any two
 /// events.
 async fn forward_stream(
@@ -283,13 +298,7 @@
     if stream.is_truncated(framing) {
         return Err(ExchangeFailure::Truncated);
     }
-    if framing == BodyFraming::ConnectionEnd {
-        // An endpoint's process that ends closes its connections too.
-        if !endpoint_check::accepts_connections(command.address).await {
-            return Err(ExchangeFailure::Closed);
-        }
-        relay.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
-    }
+    check_end(relay, command, framing).await?;
     let rest = stream.splitter.finish();
     if !rest.is_empty() {
         write_to_caller(relay, command, rest).await;
