--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -33,6 +33,7 @@
 use crate::http::ClientError;
 use crate::http::EventSplitter;
 use crate::http::OutgoingRequest;
+use crate::relay::endpoint_check;
 use crate::relay::handle::RelayHandle;
 use crate::relay::open_calls::AnswerHead;
 use crate::relay::peer_client;
@@ -253,14 +254,29 @@
     let body = http::read_body(body, command.time_left, &relay.io().answer_memory)
         .await
         .map_err(exchange_failure)?;
+    check_end(relay, command, framing).await?;
     relay.io().exchanges.store_head(command.exchange, head);
     relay.io().exchanges.store_body(command.exchange, body);
-    if framing == BodyFraming::ConnectionEnd {
-        relay.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
-    }
     Ok(ExchangeEvent::Complete { status })
 }
 
+/// Checks that an answer that has ended with its connection is complete, and reports that its end was not marked: a process
+/// that ends closes its connections too.
+async fn check_end(
+    relay: &impl RelayHandle,
+    command: &SendCommand,
+    framing: BodyFraming,
+) -> Result<(), ExchangeFailure> {
+    if framing != BodyFraming::ConnectionEnd {
+        return Ok(());
+    }
+    if !endpoint_check::accepts_connections(command.address).await {
+        return Err(ExchangeFailure::Closed);
+    }
+    relay.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
+    Ok(())
+}
+
 /// Forwards a stream one or more whole events at a time, so that it can be resumed on another engine between any two
 /// events.
 async fn forward_stream(
@@ -277,6 +293,7 @@
     let mut stream = EventStream {
         body,
         splitter: EventSplitter::default(),
+        after_event_id: command.after_event_id.or_else(|| request.position()),
         has_events: false,
         first_event_id: None,
         last_event_id: None,
@@ -295,9 +312,7 @@
     if stream.is_truncated(framing) {
         return Err(ExchangeFailure::Truncated);
     }
-    if framing == BodyFraming::ConnectionEnd {
-        relay.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
-    }
+    check_end(relay, command, framing).await?;
     let rest = stream.splitter.finish();
     if !rest.is_empty() {
         write_to_caller(relay, command, rest).await;
@@ -329,6 +344,8 @@
 struct EventStream {
     body: Incoming,
     splitter: EventSplitter,
+    /// Id of the last event that the caller has; ids of a stream increase.
+    after_event_id: Option<u64>,
     has_events: bool,
     first_event_id: Option<u64>,
     last_event_id: Option<u64>,
@@ -352,6 +369,9 @@
             let Some(events) = events else {
                 continue;
             };
+            if self.begins_anew(events.first_id) {
+                return Err(ExchangeFailure::BeganAnew);
+            }
             self.has_events = true;
             self.first_event_id = self.first_event_id.or(events.first_id);
             write_to_caller(relay, command, events.bytes).await;
@@ -363,6 +383,12 @@
         Ok(())
     }
 
+    /// Returns whether the caller has the event with this id already.
+    fn begins_anew(&self, id: Option<u64>) -> bool {
+        let after = self.after_event_id;
+        id.is_some_and(|id| after.is_some_and(|after| id <= after))
+    }
+
     /// Returns whether a stream whose end was reached was broken off. The end of a connection says nothing about the end
     /// of the stream, and even a stream with its length or its final chunk is broken off if it ends inside an event.
     fn is_truncated(&self, framing: BodyFraming) -> bool {
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -436,6 +436,8 @@
     Closed,
     /// The stream ended inside an event, or before its first one without stating that it is complete.
     Truncated,
+    /// The stream begins anew instead of going on after the position in the request.
+    BeganAnew,
     /// The answer is longer than the VM may hold in memory.
     TooLong,
     /// The answer is malformed or belongs to another request.
@@ -450,6 +452,7 @@
             Self::OtherProcess => "other_process",
             Self::Closed => "closed",
             Self::Truncated => "truncated",
+            Self::BeganAnew => "began_anew",
             Self::TooLong => "too_long",
             Self::Malformed => "malformed",
         }
