--- a/crates/arbutusfall_core/tests/it/claims_simulation/calls.rs
+++ b/crates/arbutusfall_core/tests/it/claims_simulation/calls.rs
@@ -1,4 +1,4 @@
-//! Calls of callers, and what they were told.
+//! Calls of callers, and the answers that they got.
 
 /// A call that a run may make.
 #[derive(Debug, Clone)]
--- a/crates/arbutusfall_core/tests/it/claims_simulation/checks.rs
+++ b/crates/arbutusfall_core/tests/it/claims_simulation/checks.rs
@@ -1,4 +1,4 @@
-//! Checks of what reaches the service and of what callers are told.
+//! Checks of what reaches the service and of what callers get.
 
 use arbutusfall_core::CallId;
 
--- a/crates/arbutusfall_core/tests/it/relay_run_proofs.rs
+++ b/crates/arbutusfall_core/tests/it/relay_run_proofs.rs
@@ -338,7 +338,7 @@
     }
 }
 
-// Guards against a version that another VM is told and that is not the one of the process that answers.
+// Guards against a version in the answer to another VM that is not the one of the process that answers.
 #[test]
 fn stream_that_another_vm_forwards_goes_to_the_listed_process_only() {
     let mut harness = relay_with_engines(&["decode-1"]);
