--- a/crates/arbutusfall/src/relay/control_client.rs
+++ b/crates/arbutusfall/src/relay/control_client.rs
@@ -62,7 +62,7 @@
             .post_json(&relay, store::JOIN_PATH, &body, LEASE_TIMEOUT);
         let answer: Result<StoreDocument<JoinAnswer>, StoreError> = join.await;
         let answer = match answer {
-            Ok(answer) => answer.content.lease(answer.era),
+            Ok(answer) => lease_answer(&answer),
             Err(error) => {
                 log::debug!("the lease request to the store failed: {error}");
                 LeaseAnswer::Failed
@@ -106,6 +106,15 @@
     }
 }
 
+/// Returns what the store's answer to a join says of the lease. Without a fencing token, no orders may be given.
+fn lease_answer(answer: &StoreDocument<JoinAnswer>) -> LeaseAnswer {
+    let lease = answer.content.lease(answer.era);
+    lease.unwrap_or_else(|error| {
+        log::warn!("the store's answer to a lease request is not used: {error}");
+        LeaseAnswer::Failed
+    })
+}
+
 /// Sends control requests to an engine, and reports to the relay what their answers say of it.
 pub(super) struct EngineClient<'a, H> {
     pub(super) relay: &'a H,
