--- a/crates/arbutusfall/src/relay/control_client.rs
+++ b/crates/arbutusfall/src/relay/control_client.rs
@@ -62,7 +62,7 @@
             .post_json(&relay, store::JOIN_PATH, &body, LEASE_TIMEOUT);
         let answer: Result<StoreDocument<JoinAnswer>, StoreError> = join.await;
         let answer = match answer {
-            Ok(answer) => lease_answer(&answer),
+            Ok(answer) => lease_answer(&answer, self.store.era.newest()),
             Err(error) => {
                 log::debug!("the lease request to the store failed: {error}");
                 LeaseAnswer::Failed
@@ -106,11 +106,16 @@
     }
 }
 
-/// Returns what the store's answer to a join says of the lease. Without a fencing token, no orders may be given.
-fn lease_answer(answer: &StoreDocument<JoinAnswer>) -> LeaseAnswer {
+/// Returns what the store's answer to a join says of the lease; `newest_era` is the newest that any answer has stated. Without a
+/// fencing token, no orders may be given.
+fn lease_answer(answer: &StoreDocument<JoinAnswer>, newest_era: Option<u64>) -> LeaseAnswer {
+    if answer.era.is_none() && newest_era.is_some() {
+        log::warn!("an answer to a lease request states no era, as others do, and is not used");
+        return LeaseAnswer::Failed;
+    }
     let lease = answer.content.lease(answer.era);
     lease.unwrap_or_else(|error| {
-        log::warn!("the store's answer to a lease request is not used: {error}");
+        log::warn!("an answer to a lease request is not used: {error}");
         LeaseAnswer::Failed
     })
 }
