Relay: a request that is on its way is withdrawn if its endpoint begins to leave before anything is sent (DRAIN)

What callers saw: streams cut when an engine that had said it leaves exits, because they were sent to it afterwards. Cause: the endpoint is looked at when it is selected. What is learnt meanwhile was not looked at: in the worst case 1.1 s until the list is read, and a second more, are over `drain-ms` of 2 s. The report that proves the process may itself say that the engine leaves, and the stream was sent all the same. Change: the relay is asked once more when the connection is open and the process proved: an endpoint that leaves, rests, is gone or has started again gets nothing; the request goes elsewhere and counts as no attempt, no failure and no retry (`withdrawn`). The core's test plays all stages and all signs.

--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -7,6 +7,7 @@
 
 use arbutusfall_core::relay::CallerLimits;
 use arbutusfall_core::relay::CrashCause;
+use arbutusfall_core::relay::ExchangeId;
 use arbutusfall_core::relay::Relay;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RequestHashKey;
@@ -69,6 +70,10 @@
         }
     }
 
+    fn may_send(&self, exchange: ExchangeId) -> bool {
+        lock(&self.relay).may_send(exchange)
+    }
+
     fn shared_key(&self) -> RequestHashKey {
         self.hash_key()
     }
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -91,11 +91,17 @@
             let sent = run_check::send(relay, command, required_unix_ms, outgoing).await;
             sent.map_err(|error| match error {
                 SendError::OtherProcess => ExchangeFailure::OtherProcess,
+                SendError::Withdrawn => ExchangeFailure::Withdrawn,
                 SendError::Failed(error) => exchange_failure(error),
             })?
         }
         (_, None) => {
-            let sent = http::send(executor, outgoing).await;
+            let opened = http::open(outgoing.address, outgoing.connect_timeout).await;
+            let stream = opened.map_err(exchange_failure)?;
+            if !relay.may_send(command.exchange) {
+                return Err(ExchangeFailure::Withdrawn);
+            }
+            let sent = http::send_on(executor, stream, outgoing).await;
             sent.map_err(exchange_failure)?
         }
     };
--- a/crates/arbutusfall/src/relay/handle.rs
+++ b/crates/arbutusfall/src/relay/handle.rs
@@ -24,6 +24,10 @@
     /// is performed.
     fn submit(&self, event: RelayEvent);
 
+    /// Returns whether an exchange whose connection is open may still send its request. Must not be called while an effect is
+    /// performed.
+    fn may_send(&self, exchange: ExchangeId) -> bool;
+
     /// Returns the key that VMs share through the store.
     fn shared_key(&self) -> RequestHashKey;
 
--- a/crates/arbutusfall/src/relay/run_check.rs
+++ b/crates/arbutusfall/src/relay/run_check.rs
@@ -26,6 +26,8 @@
 pub(super) enum SendError {
     /// The engine's process is not known to be that one; nothing was sent.
     OtherProcess,
+    /// The engine may not get the request any more; nothing was sent.
+    Withdrawn,
     /// The request failed.
     Failed(ClientError),
 }
@@ -71,6 +73,9 @@
     if !may_send {
         return Err(SendError::OtherProcess);
     }
+    if !relay.may_send(command.exchange) {
+        return Err(SendError::Withdrawn);
+    }
     Ok(http::send_on(&relay.io().executor, stream, outgoing).await?)
 }
 
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -55,6 +55,7 @@
 mod routes;
 mod run_checks;
 mod run_status;
+mod send_permission;
 mod sending;
 mod shared_handling;
 mod shared_outbox;
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -432,6 +432,8 @@
     Unreachable,
     /// The endpoint's process is not known to be the one that must get the request, so nothing was sent.
     OtherProcess,
+    /// The endpoint may not get the request any more since it was selected, so nothing was sent.
+    Withdrawn,
     /// The connection closed before the answer was complete.
     Closed,
     /// The stream ended inside an event, or before its first one without stating that it is complete.
@@ -450,6 +452,7 @@
         match self {
             Self::Unreachable => "unreachable",
             Self::OtherProcess => "other_process",
+            Self::Withdrawn => "withdrawn",
             Self::Closed => "closed",
             Self::Truncated => "truncated",
             Self::BeganAnew => "began_anew",
@@ -460,7 +463,15 @@
 
     /// Returns whether the endpoint has certainly not got the request.
     pub(crate) fn is_before_send(self) -> bool {
-        matches!(self, Self::Unreachable | Self::OtherProcess)
+        matches!(
+            self,
+            Self::Unreachable | Self::OtherProcess | Self::Withdrawn
+        )
+    }
+
+    /// Returns whether the failure says something of the endpoint's listed process.
+    pub(crate) fn is_of_endpoint(self) -> bool {
+        !matches!(self, Self::OtherProcess | Self::Withdrawn)
     }
 
     /// Returns whether the endpoint may have ended.
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -405,7 +405,7 @@
             self.record_broken_run(id, &failed, began_at);
         }
         let started_unix_ms = failed.started_unix_ms;
-        let is_endpoint_failure = failure != ExchangeFailure::OtherProcess
+        let is_endpoint_failure = failure.is_of_endpoint()
             && self
                 .endpoints
                 .may_be_listed_run(&failed.instance, started_unix_ms);
--- a/crates/arbutusfall_core/tests/it/relay_leaving.rs
+++ b/crates/arbutusfall_core/tests/it/relay_leaving.rs
@@ -3,8 +3,10 @@
 use arbutusfall_core::config::Role;
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::ExchangeEvent;
+use arbutusfall_core::relay::ExchangeFailure;
 use arbutusfall_core::relay::ListedEndpoint;
 use arbutusfall_core::relay::RelayEvent;
+use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::Work;
 
 use crate::relay_harness::RelayHarness;
@@ -171,3 +173,92 @@
         assert!(is_elsewhere || is_usable, "{change:?}");
     }
 }
+
+/// Brings a request to each of its stages; returns the harness with the request's newest exchange.
+fn requests_in_all_stages() -> Vec<(RelayHarness, SendCommand)> {
+    let start = |path: &str, finished_stages: usize| {
+        let mut harness = RelayHarness::configured(1);
+        harness.submit(path);
+        let mut sent = harness.take_only_send();
+        for _ in 0..finished_stages {
+            let event = match sent.work {
+                Work::Reserve { .. } => ExchangeEvent::Reserved {
+                    reservation: "reservation".into(),
+                },
+                _ => ExchangeEvent::PrefillDone {
+                    handle: "handle".into(),
+                },
+            };
+            harness.deliver(sent.exchange, event);
+            sent = harness.take_only_send();
+        }
+        (harness, sent)
+    };
+    let streams = (0..3).map(|finished_stages| start("/stream/1", finished_stages));
+    [start("/pay/1", 0)].into_iter().chain(streams).collect()
+}
+
+/// What makes an endpoint one that may not get a request that was on its way.
+#[derive(Debug, Clone, Copy)]
+enum Withdrawal {
+    ListedAsLeaving,
+    SaysLeaving,
+    Removed,
+    StartedAgain,
+    Rests,
+}
+
+fn withdraw(harness: &mut RelayHarness, sent: &SendCommand, withdrawal: Withdrawal) {
+    let instance = sent.instance.clone();
+    let (service, role) = match sent.work {
+        Work::Plain => ("shop", Role::Plain),
+        Work::Prefill => ("model", Role::Prefill),
+        _ => ("model", Role::Decode),
+    };
+    let entry = listed(&instance, service, role);
+    let change = match withdrawal {
+        Withdrawal::SaysLeaving => return says_leaving(harness, &instance),
+        Withdrawal::Rests => {
+            let rest = ms(1_000);
+            return harness.apply(RelayEvent::ControlRest { instance, rest });
+        }
+        Withdrawal::Removed => EndpointListChange::Removed { instance },
+        Withdrawal::ListedAsLeaving => EndpointListChange::Listed(ListedEndpoint {
+            is_leaving: true,
+            ..entry
+        }),
+        Withdrawal::StartedAgain => EndpointListChange::Listed(ListedEndpoint {
+            started_unix_ms: Some(2),
+            ..entry
+        }),
+    };
+    harness.apply(RelayEvent::EndpointChanges(vec![change]));
+}
+
+// Guards against a request that reaches an endpoint later than its notice, because a connection was being opened, or the process
+// proved, when the notice came: it goes elsewhere, and counts as no attempt, no failure and no retry.
+#[test]
+fn request_whose_connection_is_open_after_the_notice_goes_to_another_endpoint() {
+    for withdrawal in [
+        Withdrawal::ListedAsLeaving,
+        Withdrawal::SaysLeaving,
+        Withdrawal::Removed,
+        Withdrawal::StartedAgain,
+        Withdrawal::Rests,
+    ] {
+        for (mut harness, sent) in requests_in_all_stages() {
+            let context = format!("{withdrawal:?}, {:?}", sent.work);
+            assert!(harness.relay.may_send(sent.exchange), "{context}");
+            withdraw(&mut harness, &sent, withdrawal);
+            assert!(!harness.relay.may_send(sent.exchange), "{context}");
+            let failure = ExchangeFailure::Withdrawn;
+            harness.effects.clear();
+            harness.deliver(sent.exchange, ExchangeEvent::Failed { failure });
+            let next = harness.take_only_send();
+            assert_ne!(next.instance, sent.instance, "{context}");
+            assert!(harness.relay.may_send(next.exchange), "{context}");
+            // The exchange has ended.
+            assert!(!harness.relay.may_send(sent.exchange), "{context}");
+        }
+    }
+}
