Relay: a VM that stood still sends nothing by the list that it read before (DRAIN)

Cause: the age of the list was not looked at when a request is sent. Change: a list whose last read succeeded longer ago than nine tenths of the leaving bound is overdue, since a read that fails is known sooner. A request whose connection is open waits until the read that is due has succeeded or failed. While the store can't be read nothing waits.

--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -11,6 +11,7 @@
 use arbutusfall_core::relay::Relay;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RequestHashKey;
+use arbutusfall_core::relay::SendPermission;
 use async_channel::Receiver;
 use async_channel::Sender;
 use futures_lite::FutureExt;
@@ -70,8 +71,8 @@
         }
     }
 
-    fn may_send(&self, exchange: ExchangeId) -> bool {
-        lock(&self.relay).may_send(exchange)
+    fn send_permission(&self, exchange: ExchangeId) -> SendPermission {
+        lock(&self.relay).send_permission(exchange, self.io.now())
     }
 
     fn shared_key(&self) -> RequestHashKey {
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -7,10 +7,12 @@
 use arbutusfall_core::relay::BodyFraming;
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ExchangeFailure;
+use arbutusfall_core::relay::ExchangeId;
 use arbutusfall_core::relay::NotRunReason;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayNotice;
 use arbutusfall_core::relay::SendCommand;
+use arbutusfall_core::relay::SendPermission;
 use arbutusfall_core::relay::Work;
 use arbutusfall_platform::endpoints;
 use arbutusfall_platform::endpoints::AnswerKind;
@@ -49,6 +51,9 @@
 /// Interval at which a stream that waits for its caller is reported as held back.
 const HELD_BACK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval at which a request that waits for an overdue read of the endpoint list looks whether it has ended.
+const LIST_READ_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Timeout for an engine to confirm that it freed memory.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -98,7 +103,7 @@
         (_, None) => {
             let opened = http::open(outgoing.address, outgoing.connect_timeout).await;
             let stream = opened.map_err(exchange_failure)?;
-            if !relay.may_send(command.exchange) {
+            if !may_send(relay, command.exchange).await {
                 return Err(ExchangeFailure::Withdrawn);
             }
             let sent = http::send_on(executor, stream, outgoing).await;
@@ -138,6 +143,19 @@
     }
 }
 
+/// Returns whether an exchange may send its request now that its connection is open; waits for a read of the endpoint list that is
+/// overdue, which succeeds or fails within the timeout of a read.
+pub(super) async fn may_send(relay: &impl RelayHandle, exchange: ExchangeId) -> bool {
+    loop {
+        match relay.send_permission(exchange) {
+            SendPermission::Granted => return true,
+            SendPermission::Withdrawn => return false,
+            SendPermission::ListOverdue => {}
+        }
+        async_io::Timer::after(LIST_READ_POLL_INTERVAL).await;
+    }
+}
+
 /// Returns whether an answer comes from the endpoint itself, so that it counts what its head says of the endpoint.
 fn is_from_endpoint(
     request: &ForwardedRequest,
--- a/crates/arbutusfall/src/relay/handle.rs
+++ b/crates/arbutusfall/src/relay/handle.rs
@@ -8,6 +8,7 @@
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayNotice;
 use arbutusfall_core::relay::RequestHashKey;
+use arbutusfall_core::relay::SendPermission;
 
 use crate::Clock;
 use crate::Executor;
@@ -26,7 +27,7 @@
 
     /// Returns whether an exchange whose connection is open may still send its request. Must not be called while an effect is
     /// performed.
-    fn may_send(&self, exchange: ExchangeId) -> bool;
+    fn send_permission(&self, exchange: ExchangeId) -> SendPermission;
 
     /// Returns the key that VMs share through the store.
     fn shared_key(&self) -> RequestHashKey;
--- a/crates/arbutusfall/src/relay/run_check.rs
+++ b/crates/arbutusfall/src/relay/run_check.rs
@@ -16,6 +16,7 @@
 use crate::http::ClientError;
 use crate::http::OutgoingRequest;
 use crate::relay::control_client::EngineClient;
+use crate::relay::exchange;
 use crate::relay::handle::RelayHandle;
 
 /// Time for an engine to say when its process started while a request waits for it.
@@ -73,7 +74,7 @@
     if !may_send {
         return Err(SendError::OtherProcess);
     }
-    if !relay.may_send(command.exchange) {
+    if !exchange::may_send(relay, command.exchange).await {
         return Err(SendError::Withdrawn);
     }
     Ok(http::send_on(&relay.io().executor, stream, outgoing).await?)
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -88,6 +88,7 @@
     let relay_settings = RelaySettings {
         retry_limit: settings.retry_limit(),
         lease_lifetime: Duration::from_millis(settings.lease_lifetime_ms),
+        max_list_age: settings.max_list_age(),
         own_hash_key: RequestHashKey(Uuid::new_v4().as_u128()),
         own_address: settings.peer_address.map(|address| {
             let data_centre = settings.data_centre.clone();
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -23,6 +23,10 @@
 /// Part of `retry_slack` that each VM is assumed to add to it if the number of VMs is not given.
 const SLACK_PER_VM: f64 = 2.0;
 
+/// Largest age of the endpoint list, as a share of the leaving bound: more than a VM whose followed VM ends ever has, and less than the
+/// bound by the time that a request is on its way.
+const MAX_LIST_AGE_SHARE: f64 = 0.9;
+
 /// Allowed values of `memory_limit_mb`.
 const MEMORY_LIMIT_RANGE_MB: RangeInclusive<u32> = 8..=1_048_576;
 
@@ -181,6 +185,11 @@
         )
     }
 
+    /// Returns the age of the endpoint list that no request is sent by while the list can be read.
+    pub fn max_list_age(&self) -> Duration {
+        Duration::from_millis(self.leaving_bound_ms).mul_f64(MAX_LIST_AGE_SHARE)
+    }
+
     /// Returns the times of the facts that VMs pass on to each other.
     pub fn fact_times(&self) -> FactTimes {
         FactTimes {
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -113,6 +113,7 @@
 pub use request_key::RequestKey;
 pub use routes::*;
 pub use run_status::RunAnswer;
+pub use send_permission::SendPermission;
 pub use shared_record::*;
 pub use token_counts::TokenCounts;
 
@@ -127,6 +128,8 @@
     pub retry_limit: RetryLimit,
     /// Lifetime of the lease whose holder orders role changes.
     pub lease_lifetime: Duration,
+    /// Age of the endpoint list that no request is sent by while the list can be read.
+    pub max_list_age: Duration,
     /// Random key that this VM proposes for hashes of requests.
     pub own_hash_key: RequestHashKey,
     /// Name of this VM, and where it takes requests of other VMs, if it does.
@@ -234,6 +237,7 @@
     /// Whether another VM has been asked for facts and has not answered yet.
     is_asking_for_facts: bool,
     lease: Lease,
+    max_list_age: Duration,
     roles: Roles,
     timers: Timers<RelayTimer>,
     rng: fastrand::Rng,
@@ -287,6 +291,7 @@
                 .map(|(vm, own)| FactSource::new(vm.clone(), own.data_centre.clone())),
             is_asking_for_facts: false,
             lease: Lease::new(settings.lease_lifetime),
+            max_list_age: settings.max_list_age,
             roles: Roles::default(),
             timers: Timers::default(),
             rng,
--- a/crates/arbutusfall_core/src/relay/send_permission.rs
+++ b/crates/arbutusfall_core/src/relay/send_permission.rs
@@ -1,27 +1,48 @@
 //! Whether a request may still be sent once its connection is open: what is known of the endpoint may have changed since it was
-//! selected, while the connection was opened or the endpoint's process was proved.
+//! selected, while the connection was opened or the endpoint's process was proved, or the whole VM stood still.
+
+use std::time::Duration;
 
 use crate::relay::ExchangeId;
 use crate::relay::Relay;
+use crate::relay::StoreTopic;
 use crate::relay::call::CallStage;
 use crate::relay::call::CurrentExchange;
 use crate::relay::endpoint::Endpoint;
 
+/// Whether an exchange may send its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendPermission {
+    /// It may.
+    Granted,
+    /// The endpoint may not get the request any more, or the exchange has ended.
+    Withdrawn,
+    /// The endpoint list is older than reads of it explain, successful or not: the next one tells.
+    ListOverdue,
+}
+
 impl Relay {
-    /// Returns whether an exchange may send its request now.
-    pub fn may_send(&self, exchange: ExchangeId) -> bool {
+    /// Returns whether an exchange may send its request at an instant.
+    pub fn send_permission(&self, exchange: ExchangeId, now: Duration) -> SendPermission {
         let id = self.calls_by_exchange.get(&exchange);
         let call = id.and_then(|id| self.calls.get(id));
         let current = call.and_then(|call| call.current.as_ref());
         let Some(current) = current.filter(|current| current.exchange == exchange) else {
-            return false;
+            return SendPermission::Withdrawn;
         };
         if current.stage == CallStage::Forward {
             // Another VM looks at its endpoints itself.
-            return true;
+            return SendPermission::Granted;
         }
         let endpoint = self.endpoints.get(&current.instance);
-        endpoint.is_some_and(|endpoint| may_reach(current, endpoint))
+        if !endpoint.is_some_and(|endpoint| may_reach(current, endpoint)) {
+            return SendPermission::Withdrawn;
+        }
+        let topic = StoreTopic::Endpoints;
+        if self.store.is_overdue(topic, self.max_list_age, now) {
+            return SendPermission::ListOverdue;
+        }
+        SendPermission::Granted
     }
 }
 
--- a/crates/arbutusfall_core/src/relay/store_view.rs
+++ b/crates/arbutusfall_core/src/relay/store_view.rs
@@ -34,6 +34,14 @@
         Some(now.saturating_sub(read_at))
     }
 
+    /// Returns whether the last read of a topic succeeded, but longer ago than `max_age`: a read that failed since would be known.
+    pub(crate) fn is_overdue(&self, topic: StoreTopic, max_age: Duration, now: Duration) -> bool {
+        let view = self.topics.get(&topic);
+        let readable = view.filter(|view| view.is_reachable);
+        let read_at = readable.and_then(|view| view.read_at);
+        read_at.is_some_and(|read_at| now > read_at + max_age)
+    }
+
     /// Returns the time of the topic's first successful read.
     pub(crate) fn first_read_at(&self, topic: StoreTopic) -> Option<Duration> {
         self.topics.get(&topic)?.first_read_at
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -44,6 +44,9 @@
 /// `host` header of all routes.
 pub(crate) const HOST: &str = "kiosk.example";
 
+/// Age of the endpoint list that no request is sent by.
+pub(crate) const MAX_LIST_AGE: Duration = Duration::from_millis(1_800);
+
 /// Lifetime of the lease for role orders.
 pub(crate) const LEASE_LIFETIME: Duration = Duration::from_secs(3);
 
@@ -237,6 +240,7 @@
         let settings = RelaySettings {
             retry_limit,
             lease_lifetime: LEASE_LIFETIME,
+            max_list_age: MAX_LIST_AGE,
             own_hash_key: RequestHashKey(u128::from(seed)),
             own_address,
         };
--- a/crates/arbutusfall_core/tests/it/relay_leaving.rs
+++ b/crates/arbutusfall_core/tests/it/relay_leaving.rs
@@ -7,11 +7,14 @@
 use arbutusfall_core::relay::ListedEndpoint;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::SendCommand;
+use arbutusfall_core::relay::SendPermission;
 use arbutusfall_core::relay::Work;
 
+use crate::relay_harness::MAX_LIST_AGE;
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
+use crate::relay_harness::store_read;
 
 fn says_leaving(harness: &mut RelayHarness, instance: &str) {
     let instance = instance.into();
@@ -198,6 +201,10 @@
     [start("/pay/1", 0)].into_iter().chain(streams).collect()
 }
 
+fn permission(harness: &RelayHarness, sent: &SendCommand) -> SendPermission {
+    harness.relay.send_permission(sent.exchange, harness.now)
+}
+
 /// What makes an endpoint one that may not get a request that was on its way.
 #[derive(Debug, Clone, Copy)]
 enum Withdrawal {
@@ -248,17 +255,54 @@
     ] {
         for (mut harness, sent) in requests_in_all_stages() {
             let context = format!("{withdrawal:?}, {:?}", sent.work);
-            assert!(harness.relay.may_send(sent.exchange), "{context}");
+            assert_eq!(
+                permission(&harness, &sent),
+                SendPermission::Granted,
+                "{context}"
+            );
             withdraw(&mut harness, &sent, withdrawal);
-            assert!(!harness.relay.may_send(sent.exchange), "{context}");
+            assert_eq!(
+                permission(&harness, &sent),
+                SendPermission::Withdrawn,
+                "{context}"
+            );
             let failure = ExchangeFailure::Withdrawn;
             harness.effects.clear();
             harness.deliver(sent.exchange, ExchangeEvent::Failed { failure });
             let next = harness.take_only_send();
             assert_ne!(next.instance, sent.instance, "{context}");
-            assert!(harness.relay.may_send(next.exchange), "{context}");
+            assert_eq!(
+                permission(&harness, &next),
+                SendPermission::Granted,
+                "{context}"
+            );
             // The exchange has ended.
-            assert!(!harness.relay.may_send(sent.exchange), "{context}");
+            assert_eq!(
+                permission(&harness, &sent),
+                SendPermission::Withdrawn,
+                "{context}"
+            );
         }
     }
 }
+
+// Guards against requests that a VM sends after a standstill by the list that it read before, and against requests that wait for a
+// list that can't be read.
+#[test]
+fn request_waits_for_an_overdue_list_only_while_the_list_can_be_read() {
+    for (mut harness, sent) in requests_in_all_stages() {
+        harness.apply(store_read(true));
+        // The VM stands still: no timer is handled.
+        harness.now += MAX_LIST_AGE;
+        assert_eq!(permission(&harness, &sent), SendPermission::Granted);
+        harness.now += ms(1);
+        assert_eq!(permission(&harness, &sent), SendPermission::ListOverdue);
+        harness.apply(store_read(false));
+        assert_eq!(permission(&harness, &sent), SendPermission::Granted);
+        harness.apply(store_read(true));
+        assert_eq!(permission(&harness, &sent), SendPermission::Granted);
+        harness.now += MAX_LIST_AGE + ms(1);
+        withdraw(&mut harness, &sent, Withdrawal::ListedAsLeaving);
+        assert_eq!(permission(&harness, &sent), SendPermission::Withdrawn);
+    }
+}
