--- a/crates/arbutusfall_core/src/relay/crash_suspects.rs
+++ b/crates/arbutusfall_core/src/relay/crash_suspects.rs
@@ -53,6 +53,15 @@
     }
 }
 
+/// Returns the number of crashes from which on a cause explains those of a more common one. A part may be one crash short of its own
+/// block: the crash that makes the common part's number full may have another reason.
+fn explaining_crashes(cause: &CrashCause) -> usize {
+    match cause {
+        CrashCause::Part(_) => PART_BLOCKING_CRASHES - 1,
+        CrashCause::Request(_) => REQUEST_BLOCKING_CRASHES,
+    }
+}
+
 /// Returns the number of known crashes from which on a broken-off request with the cause is not sent again.
 fn suspected_crashes(cause: &CrashCause) -> usize {
     match cause {
@@ -358,11 +367,11 @@
         Some(block_at.max(*enough_at + SETTLE_TIME))
     }
 
-    /// Returns what is known of rarer causes with enough crashes for a block: all their requests had this cause too.
+    /// Returns what is known of rarer causes with enough crashes to explain others: all their requests had this cause too.
     fn rarer_causes(&self, cause: &CrashCause, suspect: &Suspect) -> Vec<&Suspect> {
         let suspects = self.suspects.iter().chain(&self.blocked_suspects);
         let enough =
-            suspects.filter(|(other, known)| known.crashes.len() >= blocking_crashes(other));
+            suspects.filter(|(other, known)| known.crashes.len() >= explaining_crashes(other));
         let rarer = enough.filter(|(other, known)| known.is_rarer_than(other, cause, suspect));
         rarer.map(|(_, known)| known).collect()
     }
--- a/crates/arbutusfall_core/tests/it/relay_crashing_parts.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crashing_parts.rs
@@ -262,6 +262,30 @@
     }
 }
 
+// Guards against a part of all prompts that is blocked because one engine ended for another reason, just before the rarer part that
+// crashes engines has enough crashes for its own block.
+#[test]
+fn part_of_all_prompts_is_not_blocked_one_crash_before_the_rarer_one() {
+    for other_reason in 1..=4 {
+        let mut harness = RelayHarness::configured(1);
+        for crash in 1..=4 {
+            let mut records = vec![evidence("along", crash, &[])];
+            if crash != other_reason {
+                records.push(evidence("bad", crash, &["along"]));
+            }
+            read(&mut harness, records);
+        }
+        harness.advance(ms(2_000));
+        assert!(!is_refused(&mut harness, &["along"]), "{other_reason}");
+        assert!(!is_refused(&mut harness, &["bad", "along"]));
+        let records = vec![evidence("along", 5, &[]), evidence("bad", 5, &["along"])];
+        read(&mut harness, records);
+        harness.advance(ms(2_000));
+        assert!(!is_refused(&mut harness, &["along"]), "{other_reason}");
+        assert!(is_refused(&mut harness, &["bad", "along"]));
+    }
+}
+
 // Guards against engines that all end at once, for example because of the VM's own link.
 #[test]
 fn engines_that_end_together_count_as_one_crash() {
