--- a/crates/arbutusfall_core/src/relay/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/forwarding.rs
@@ -8,6 +8,7 @@
 use arbutusfall_wire::Name;
 
 use crate::CallId;
+use crate::config::Role;
 use crate::relay::ExchangeFailure;
 use crate::relay::ExchangeId;
 use crate::relay::ForwardCommand;
@@ -79,6 +80,25 @@
         is_untouched
     }
 
+    /// Forwards a stream that goes on at one version if connections to all engines of that version have failed for it: the service may
+    /// be reached, but by other versions only. Returns false if the call stays here.
+    pub(super) fn forward_if_version_unreached(&mut self, id: CallId) -> bool {
+        self.reaches_none_of_version(id) && self.forward(id)
+    }
+
+    fn reaches_none_of_version(&self, id: CallId) -> bool {
+        let call = self.calls.get(&id);
+        let Some(call) = call.filter(|call| call.is_bound() && call.request.hop.is_none()) else {
+            return false;
+        };
+        let none_has_answered = call.unanswered_exchanges == call.failed_endpoints.len();
+        let mut engines = self.endpoints.serving_call(call, Role::Decode).peekable();
+        call.standby.is_none()
+            && none_has_answered
+            && engines.peek().is_some()
+            && engines.all(|engine| call.failed_endpoints.contains(&engine.listed.instance))
+    }
+
     /// Forwards a call to another VM; returns false if none can take it.
     fn forward(&mut self, id: CallId) -> bool {
         let Some((own, own_address)) = self.own_address.clone() else {
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -51,6 +51,9 @@
         let Some(stage) = self.next_stage(id) else {
             return;
         };
+        if stage == CallStage::Reserve && self.forward_if_version_unreached(id) {
+            return;
+        }
         if stage == CallStage::Reserve && self.waits_for_run_checks(id) {
             self.enqueue(id);
             return;
--- a/crates/arbutusfall_core/tests/it/relay_forwarding.rs
+++ b/crates/arbutusfall_core/tests/it/relay_forwarding.rs
@@ -10,12 +10,15 @@
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ForwardCommand;
 use arbutusfall_core::relay::Hop;
+use arbutusfall_core::relay::ListedEndpoint;
 use arbutusfall_core::relay::PeerAddress;
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RequestHashKey;
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::SharedRecord;
+use arbutusfall_core::relay::StreamLookup;
+use arbutusfall_core::relay::StreamOrigin;
 use arbutusfall_core::relay::Work;
 
 use crate::relay_harness::CLOSED;
@@ -422,3 +425,38 @@
     let (_, sends) = cut_off(&mut harness, "/look/1");
     assert_eq!(&*sends[0].instance, "near");
 }
+
+// Guards against streams that are taken up at a VM which reaches engines of their service, but none of their version, and are refused
+// although another VM reaches them.
+#[test]
+fn stream_goes_through_another_vm_if_no_engine_of_its_version_is_reached() {
+    let mut harness = vm_with_peers(&[("near", "a")]);
+    let upgraded = ["decode-8", "decode-9"].map(|instance| {
+        EndpointListChange::Listed(ListedEndpoint {
+            version: "v2".into(),
+            ..listed(instance, "model", Role::Decode)
+        })
+    });
+    harness.apply(RelayEvent::EndpointChanges(upgraded.into()));
+    let call = harness.submit_resumption("/resumable/1", Some("elsewhere"));
+    let origin = StreamOrigin {
+        service: "model".into(),
+        version: "v2".into(),
+    };
+    let lookup = StreamLookup::Found(origin);
+    harness.apply(RelayEvent::StreamLookup { call, lookup });
+    for _ in 0..2 {
+        let reserve = harness.take_only_send();
+        assert!(matches!(reserve.work, Work::Reserve { .. }));
+        harness.advance(ms(5));
+        harness.deliver(reserve.exchange, UNREACHABLE);
+        end_checks(&mut harness, true);
+    }
+    let forward = harness.take_only_send();
+    assert_eq!(&*forward.instance, "near");
+    assert_eq!(
+        forwarded(&forward).hop.stream_version.as_deref(),
+        Some("v2")
+    );
+    assert_eq!(harness.problem(call), None);
+}
