Relay, tests: silence of exchanges has a file of its own; sites and changes of endpoints stand once

Tests: the site of upgradable engines, the plain endpoint that answers at once, and the changes of an endpoint between its selection and the dispatch stood twice.

--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -60,6 +60,7 @@
 mod shared_handling;
 mod shared_outbox;
 mod shared_record;
+mod silence;
 mod standby;
 mod store_view;
 mod stream_versions;
--- a/crates/arbutusfall_core/tests/it/relay_leaving.rs
+++ b/crates/arbutusfall_core/tests/it/relay_leaving.rs
@@ -103,32 +103,41 @@
     assert!(!is_used(&mut harness, "shop-1"));
 }
 
-/// What becomes of an engine between a reservation and the request's dispatch.
+/// What becomes of an endpoint between its selection and the request's dispatch.
 #[derive(Debug, Clone, Copy)]
-enum EngineChange {
+enum EndpointChange {
     ListedAsLeaving,
     SaysLeaving,
     Removed,
     StartedAgain,
     AddressTaken,
+    Rests,
 }
 
-fn change_engine(harness: &mut RelayHarness, instance: &str, change: EngineChange) {
-    let entry = listed(instance, "model", Role::Decode);
+fn change_endpoint(harness: &mut RelayHarness, sent: &SendCommand, change: EndpointChange) {
+    let instance = sent.instance.clone();
+    let (service, role) = match sent.work {
+        Work::Plain => ("shop", Role::Plain),
+        Work::Prefill => ("model", Role::Prefill),
+        _ => ("model", Role::Decode),
+    };
+    let entry = listed(&instance, service, role);
     let changed = match change {
-        EngineChange::SaysLeaving => return says_leaving(harness, instance),
-        EngineChange::Removed => EndpointListChange::Removed {
-            instance: instance.into(),
-        },
-        EngineChange::ListedAsLeaving => EndpointListChange::Listed(ListedEndpoint {
+        EndpointChange::SaysLeaving => return says_leaving(harness, &instance),
+        EndpointChange::Rests => {
+            let rest = ms(1_000);
+            return harness.apply(RelayEvent::ControlRest { instance, rest });
+        }
+        EndpointChange::Removed => EndpointListChange::Removed { instance },
+        EndpointChange::ListedAsLeaving => EndpointListChange::Listed(ListedEndpoint {
             is_leaving: true,
             ..entry
         }),
-        EngineChange::StartedAgain => EndpointListChange::Listed(ListedEndpoint {
+        EndpointChange::StartedAgain => EndpointListChange::Listed(ListedEndpoint {
             started_unix_ms: Some(2),
             ..entry
         }),
-        EngineChange::AddressTaken => EndpointListChange::Listed(ListedEndpoint {
+        EndpointChange::AddressTaken => EndpointListChange::Listed(ListedEndpoint {
             address: ([10, 0, 0, 9], 9).into(),
             ..entry
         }),
@@ -141,11 +150,11 @@
 #[test]
 fn request_goes_to_another_engine_if_the_one_with_its_reservation_cannot_take_it_any_more() {
     for change in [
-        EngineChange::ListedAsLeaving,
-        EngineChange::SaysLeaving,
-        EngineChange::Removed,
-        EngineChange::StartedAgain,
-        EngineChange::AddressTaken,
+        EndpointChange::ListedAsLeaving,
+        EndpointChange::SaysLeaving,
+        EndpointChange::Removed,
+        EndpointChange::StartedAgain,
+        EndpointChange::AddressTaken,
     ] {
         let mut harness = RelayHarness::configured(1);
         harness.submit("/stream/1");
@@ -153,7 +162,7 @@
         let reservation = "reservation".into();
         harness.deliver(reserve.exchange, ExchangeEvent::Reserved { reservation });
         let prefill = harness.take_only_send();
-        change_engine(&mut harness, &reserve.instance, change);
+        change_endpoint(&mut harness, &reserve, change);
         let handle = "handle".into();
         harness.deliver(prefill.exchange, ExchangeEvent::PrefillDone { handle });
         let second = harness.take_only_send();
@@ -171,7 +180,7 @@
         let is_elsewhere = decode.instance != reserve.instance;
         let is_usable = matches!(
             change,
-            EngineChange::StartedAgain | EngineChange::AddressTaken
+            EndpointChange::StartedAgain | EndpointChange::AddressTaken
         );
         assert!(is_elsewhere || is_usable, "{change:?}");
     }
@@ -205,62 +214,25 @@
     harness.relay.send_permission(sent.exchange, harness.now)
 }
 
-/// What makes an endpoint one that may not get a request that was on its way.
-#[derive(Debug, Clone, Copy)]
-enum Withdrawal {
-    ListedAsLeaving,
-    SaysLeaving,
-    Removed,
-    StartedAgain,
-    Rests,
-}
-
-fn withdraw(harness: &mut RelayHarness, sent: &SendCommand, withdrawal: Withdrawal) {
-    let instance = sent.instance.clone();
-    let (service, role) = match sent.work {
-        Work::Plain => ("shop", Role::Plain),
-        Work::Prefill => ("model", Role::Prefill),
-        _ => ("model", Role::Decode),
-    };
-    let entry = listed(&instance, service, role);
-    let change = match withdrawal {
-        Withdrawal::SaysLeaving => return says_leaving(harness, &instance),
-        Withdrawal::Rests => {
-            let rest = ms(1_000);
-            return harness.apply(RelayEvent::ControlRest { instance, rest });
-        }
-        Withdrawal::Removed => EndpointListChange::Removed { instance },
-        Withdrawal::ListedAsLeaving => EndpointListChange::Listed(ListedEndpoint {
-            is_leaving: true,
-            ..entry
-        }),
-        Withdrawal::StartedAgain => EndpointListChange::Listed(ListedEndpoint {
-            started_unix_ms: Some(2),
-            ..entry
-        }),
-    };
-    harness.apply(RelayEvent::EndpointChanges(vec![change]));
-}
-
 // Guards against a request that reaches an endpoint later than its notice, because a connection was being opened, or the process
 // proved, when the notice came: it goes elsewhere, and counts as no attempt, no failure and no retry.
 #[test]
 fn request_whose_connection_is_open_after_the_notice_goes_to_another_endpoint() {
-    for withdrawal in [
-        Withdrawal::ListedAsLeaving,
-        Withdrawal::SaysLeaving,
-        Withdrawal::Removed,
-        Withdrawal::StartedAgain,
-        Withdrawal::Rests,
+    for change in [
+        EndpointChange::ListedAsLeaving,
+        EndpointChange::SaysLeaving,
+        EndpointChange::Removed,
+        EndpointChange::StartedAgain,
+        EndpointChange::Rests,
     ] {
         for (mut harness, sent) in requests_in_all_stages() {
-            let context = format!("{withdrawal:?}, {:?}", sent.work);
+            let context = format!("{change:?}, {:?}", sent.work);
             assert_eq!(
                 permission(&harness, &sent),
                 SendPermission::Granted,
                 "{context}"
             );
-            withdraw(&mut harness, &sent, withdrawal);
+            change_endpoint(&mut harness, &sent, change);
             assert_eq!(
                 permission(&harness, &sent),
                 SendPermission::Withdrawn,
@@ -302,7 +274,7 @@
         harness.apply(store_read(true));
         assert_eq!(permission(&harness, &sent), SendPermission::Granted);
         harness.now += MAX_LIST_AGE + ms(1);
-        withdraw(&mut harness, &sent, Withdrawal::ListedAsLeaving);
+        change_endpoint(&mut harness, &sent, EndpointChange::ListedAsLeaving);
         assert_eq!(permission(&harness, &sent), SendPermission::Withdrawn);
     }
 }
