Relay: a withdrawn request may go to the same endpoint later, and a plain one that has moved may still be sent

A request that is withdrawn counted its endpoint as failed: with one endpoint, which started again while the connection was opened, it was refused although nothing was sent. And a plain request whose connection took longer than the silence that is allowed (twice the target) was withdrawn once it had moved, so that with slow connections no endpoint would ever get it. Change: a withdrawn exchange leaves no failed endpoint; a plain exchange in standby may still send. A stream that has moved must not begin at the first engine.

--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/outcomes.rs
@@ -410,6 +410,9 @@
                 .endpoints
                 .may_be_listed_run(&failed.instance, started_unix_ms);
         self.fail_exchange(id, failure.name(), is_endpoint_failure);
+        if failure == ExchangeFailure::Withdrawn {
+            self.forget_failed_endpoint(id);
+        }
         if has_ended && self.may_crash_next_endpoint(id) {
             self.fail_call(id, SUSPECT);
             return;
@@ -422,6 +425,13 @@
         }
     }
 
+    /// Forgets the endpoint of the call's last exchange as one that has failed: it got nothing, and may serve the call later.
+    fn forget_failed_endpoint(&mut self, id: CallId) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.failed_endpoints.pop();
+        }
+    }
+
     pub(super) fn mark_may_have_run(&mut self, id: CallId, stage: CallStage) {
         if stage.runs_request()
             && let Some(call) = self.calls.get_mut(&id)
--- a/crates/arbutusfall_core/src/relay/send_permission.rs
+++ b/crates/arbutusfall_core/src/relay/send_permission.rs
@@ -6,6 +6,7 @@
 use crate::relay::ExchangeId;
 use crate::relay::Relay;
 use crate::relay::StoreTopic;
+use crate::relay::call::Call;
 use crate::relay::call::CallStage;
 use crate::relay::call::CurrentExchange;
 use crate::relay::endpoint::Endpoint;
@@ -26,8 +27,7 @@
     pub fn send_permission(&self, exchange: ExchangeId, now: Duration) -> SendPermission {
         let id = self.calls_by_exchange.get(&exchange);
         let call = id.and_then(|id| self.calls.get(id));
-        let current = call.and_then(|call| call.current.as_ref());
-        let Some(current) = current.filter(|current| current.exchange == exchange) else {
+        let Some(current) = call.and_then(|call| unsent_exchange(call, exchange)) else {
             return SendPermission::Withdrawn;
         };
         if current.stage == CallStage::Forward {
@@ -46,6 +46,17 @@
     }
 }
 
+/// Returns an exchange of a call if its request may still be sent: the current one, or one in standby whose request may run twice. A stream
+/// that has moved to another engine meanwhile must not begin.
+fn unsent_exchange(call: &Call, exchange: ExchangeId) -> Option<&CurrentExchange> {
+    let current = call.current.as_ref();
+    let standby = call.standby.as_ref().map(|standby| &standby.exchange);
+    let standby =
+        standby.filter(|standby| standby.stage == CallStage::Plain && !call.route.is_stream);
+    let mut unsent = current.into_iter().chain(standby);
+    unsent.find(|unsent| unsent.exchange == exchange)
+}
+
 /// Returns whether the request of an exchange may still reach its endpoint.
 fn may_reach(exchange: &CurrentExchange, endpoint: &Endpoint) -> bool {
     let is_same_run = endpoint.listed.started_unix_ms == exchange.started_unix_ms;
--- a/crates/arbutusfall_core/tests/it/relay_standby.rs
+++ b/crates/arbutusfall_core/tests/it/relay_standby.rs
@@ -16,6 +16,7 @@
 use arbutusfall_core::relay::RetryLimit;
 use arbutusfall_core::relay::RouteTable;
 use arbutusfall_core::relay::SendCommand;
+use arbutusfall_core::relay::SendPermission;
 use arbutusfall_core::relay::Work;
 use assert_matches::assert_matches;
 
@@ -298,3 +299,33 @@
     let closed = [&first, &second].map(|run| is_closed(&harness, run.exchange));
     assert!(closed.contains(&true), "both run");
 }
+
+fn permission(harness: &RelayHarness, sent: &SendCommand) -> SendPermission {
+    harness.relay.send_permission(sent.exchange, harness.now)
+}
+
+// Guards against requests that reach no endpoint because each connection takes longer than the silence that is allowed, and against a
+// stream that begins at two engines because the first one's connection opens late.
+#[test]
+fn request_whose_connection_opens_after_the_move_is_sent_only_if_it_may_run_twice() {
+    let mut harness = RelayHarness::configured(1);
+    harness.submit("/look/1");
+    let first = harness.take_only_send();
+    let second = loop {
+        harness.advance(ms(50));
+        if let Some(second) = harness.take_sends().pop() {
+            break second;
+        }
+    };
+    assert_ne!(second.instance, first.instance);
+    assert_eq!(permission(&harness, &first), SendPermission::Granted);
+    assert_eq!(permission(&harness, &second), SendPermission::Granted);
+    let mut harness = RelayHarness::configured(1);
+    harness.submit("/resumable/1");
+    let silent = harness.advance_to_decode();
+    harness.advance(ms(3_000));
+    let next = harness.advance_to_decode();
+    assert_ne!(next.instance, silent.instance);
+    assert_eq!(permission(&harness, &silent), SendPermission::Withdrawn);
+    assert_eq!(permission(&harness, &next), SendPermission::Granted);
+}
