--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -19,6 +19,7 @@
 mod peer_server;
 mod read_timing;
 mod run_check;
+mod send_permission;
 mod serve;
 mod settings;
 mod shared_records;
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -7,12 +7,10 @@
 use arbutusfall_core::relay::BodyFraming;
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ExchangeFailure;
-use arbutusfall_core::relay::ExchangeId;
 use arbutusfall_core::relay::NotRunReason;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayNotice;
 use arbutusfall_core::relay::SendCommand;
-use arbutusfall_core::relay::SendPermission;
 use arbutusfall_core::relay::Work;
 use arbutusfall_platform::endpoints;
 use arbutusfall_platform::endpoints::AnswerKind;
@@ -41,6 +39,7 @@
 use crate::relay::peer_client;
 use crate::relay::run_check;
 use crate::relay::run_check::SendError;
+use crate::relay::send_permission::may_send;
 
 /// Timeout for opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -51,9 +50,6 @@
 /// Interval at which a stream that waits for its caller is reported as held back.
 const HELD_BACK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Interval at which a request that waits for an overdue read of the endpoint list looks whether it has ended.
-const LIST_READ_POLL_INTERVAL: Duration = Duration::from_millis(5);
-
 /// Timeout for an engine to confirm that it freed memory.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -143,19 +139,6 @@
     }
 }
 
-/// Returns whether an exchange may send its request now that its connection is open; waits for a read of the endpoint list that is
-/// overdue, which succeeds or fails within the timeout of a read.
-pub(super) async fn may_send(relay: &impl RelayHandle, exchange: ExchangeId) -> bool {
-    loop {
-        match relay.send_permission(exchange) {
-            SendPermission::Granted => return true,
-            SendPermission::Withdrawn => return false,
-            SendPermission::ListOverdue => {}
-        }
-        async_io::Timer::after(LIST_READ_POLL_INTERVAL).await;
-    }
-}
-
 /// Returns whether an answer comes from the endpoint itself, so that it counts what its head says of the endpoint.
 fn is_from_endpoint(
     request: &ForwardedRequest,
--- a/crates/arbutusfall/src/relay/fact_follower.rs
+++ b/crates/arbutusfall/src/relay/fact_follower.rs
@@ -30,9 +30,9 @@
 use crate::relay::fact_board::FactBoard;
 use crate::relay::fact_board::PassedFacts;
 use crate::relay::fact_board::TOPICS;
-use crate::relay::fact_server::FACTS_PATH;
 use crate::relay::handle::RelayHandle;
 use crate::relay::peer_client;
+use crate::relay::peer_client::FACTS_PATH;
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/arbutusfall/src/relay/fact_server.rs
+++ b/crates/arbutusfall/src/relay/fact_server.rs
@@ -26,9 +26,6 @@
 use crate::relay::fact_board::PassedFacts;
 use crate::relay::fact_board::TOPICS;
 
-/// Path of questions for facts at the address for other VMs.
-pub(super) const FACTS_PATH: &str = "/facts";
-
 /// Longest question, in bytes.
 const MAX_QUESTION_BYTES: usize = 4 * 1024;
 
--- a/crates/arbutusfall/src/relay/peer_client.rs
+++ b/crates/arbutusfall/src/relay/peer_client.rs
@@ -15,6 +15,9 @@
 use crate::http::OutgoingRequest;
 use crate::relay::peer_handshake;
 
+/// Path of questions for facts at the address for other VMs.
+pub(super) const FACTS_PATH: &str = "/facts";
+
 /// Timeout for the connection to a VM and its handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
--- a/crates/arbutusfall/src/relay/peer_server.rs
+++ b/crates/arbutusfall/src/relay/peer_server.rs
@@ -19,8 +19,8 @@
 use crate::relay::callers;
 use crate::relay::callers::Arrival;
 use crate::relay::driver::Driver;
-use crate::relay::fact_server::FACTS_PATH;
 use crate::relay::fact_server::FactServer;
+use crate::relay::peer_client::FACTS_PATH;
 use crate::relay::peer_handshake;
 
 /// Maximum number of open connections of other VMs.
--- a/crates/arbutusfall/src/relay/run_check.rs
+++ b/crates/arbutusfall/src/relay/run_check.rs
@@ -16,8 +16,8 @@
 use crate::http::ClientError;
 use crate::http::OutgoingRequest;
 use crate::relay::control_client::EngineClient;
-use crate::relay::exchange;
 use crate::relay::handle::RelayHandle;
+use crate::relay::send_permission::may_send;
 
 /// Time for an engine to say when its process started while a request waits for it.
 const PROOF_TIMEOUT: Duration = Duration::from_millis(600);
@@ -65,16 +65,16 @@
     let answer = ask(relay, &command.instance, command.address);
     let answer = answer.or(expire).await;
     report(relay, &command.instance, asked_at, answer);
-    let may_send = match answer {
+    let is_required = match answer {
         RunAnswer::Started(started_unix_ms) => started_unix_ms == required_unix_ms,
         // Nothing tells its processes from one another.
         RunAnswer::Unstated => true,
         RunAnswer::Failed => false,
     };
-    if !may_send {
+    if !is_required {
         return Err(SendError::OtherProcess);
     }
-    if !exchange::may_send(relay, command.exchange).await {
+    if !may_send(relay, command.exchange).await {
         return Err(SendError::Withdrawn);
     }
     Ok(http::send_on(&relay.io().executor, stream, outgoing).await?)
--- a/crates/arbutusfall_core/src/relay/call.rs
+++ b/crates/arbutusfall_core/src/relay/calls/call.rs
@@ -13,8 +13,6 @@
 use crate::relay::RelayRequest;
 use crate::relay::RelayRoute;
 use crate::relay::TokenCounts;
-use crate::relay::endpoint::Endpoint;
-use crate::relay::standby::Standby;
 
 /// Maximum number of failed exchanges of a call, refused reservations not counted.
 const MAX_FAILED_EXCHANGES: usize = 6;
@@ -100,14 +98,6 @@
     pub(crate) fn has_open_reservation(&self) -> bool {
         self.reservation.is_some()
     }
-
-    /// Returns whether the call's request may be sent to the engine now, which has granted this memory.
-    pub(crate) fn is_usable_at(&self, engine: &Endpoint, call: &Call) -> bool {
-        let listed = &engine.listed;
-        let is_same_run =
-            listed.address == self.address && listed.started_unix_ms == self.started_unix_ms;
-        is_same_run && !listed.is_leaving && !engine.is_resting() && engine.may_serve(call)
-    }
 }
 
 /// A completed prefill whose KV cache is kept for transfer.
@@ -142,6 +132,26 @@
     pub(crate) answer_due: Duration,
 }
 
+/// An exchange whose endpoint is silent, with what belongs to it.
+#[derive(Debug, Clone)]
+pub(crate) struct Standby {
+    pub(crate) exchange: CurrentExchange,
+    /// Memory that the request uses at the endpoint.
+    pub(crate) allocation: Option<MemoryAllocation>,
+    /// Start of its stream.
+    pub(crate) stream_began_at: Option<Duration>,
+    /// Prefill result that the endpoint may still have to fetch.
+    pub(crate) prefill_result: Option<PrefillResult>,
+    /// Instant of the retry that the move spends.
+    pub(crate) moved_at: Duration,
+    /// Whether the request has been sent to another endpoint that may run it.
+    pub(crate) is_sent_again: bool,
+    /// Number of the call's failed endpoints before the move.
+    pub(crate) failed_before: usize,
+    /// Instant at which the exchange ends if the other endpoint has neither begun nor refused; its answer is held until then.
+    pub(crate) held_until: Option<Duration>,
+}
+
 /// Purpose of an exchange.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum CallStage {
--- a/crates/arbutusfall_core/src/relay/exchange_end.rs
+++ b/crates/arbutusfall_core/src/relay/calls/exchange_end.rs
@@ -9,16 +9,16 @@
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
 use crate::relay::SharedParts;
-use crate::relay::call::CallStage;
-use crate::relay::call::CurrentExchange;
-use crate::relay::call::MemoryAllocation;
+use crate::relay::calls::call::CallStage;
+use crate::relay::calls::call::CurrentExchange;
+use crate::relay::calls::call::MemoryAllocation;
+use crate::relay::control::roles::StreamUsage;
 use crate::relay::notice::millis;
-use crate::relay::roles::StreamUsage;
 
 impl Relay {
     /// Ends the call's exchange as failed and adds its endpoint to the call's failed ones; if `is_endpoint_failure`,
     /// also records a failure of the endpoint, which other calls then avoid.
-    pub(super) fn fail_exchange(
+    pub(in crate::relay) fn fail_exchange(
         &mut self,
         id: CallId,
         reason: &'static str,
@@ -42,7 +42,7 @@
     }
 
     /// Logs that an exchange of the call failed.
-    pub(super) fn note_exchange_failed(
+    pub(in crate::relay) fn note_exchange_failed(
         &mut self,
         id: CallId,
         failed: &CurrentExchange,
@@ -71,14 +71,14 @@
     }
 
     /// Records a failure of an endpoint, which other requests then avoid.
-    pub(super) fn record_endpoint_failure(&mut self, instance: &Name) {
+    pub(in crate::relay) fn record_endpoint_failure(&mut self, instance: &Name) {
         if let Some(notice) = self.endpoints.on_failed(instance, self.now) {
             self.note(notice);
         }
     }
 
     /// Removes the call's exchange and takes it off the endpoint's load.
-    pub(super) fn end_exchange(&mut self, id: CallId) {
+    pub(in crate::relay) fn end_exchange(&mut self, id: CallId) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -90,7 +90,7 @@
     }
 
     /// Takes an exchange that ends off its endpoint's load.
-    pub(super) fn leave_endpoint(&mut self, ended: &CurrentExchange) {
+    pub(in crate::relay) fn leave_endpoint(&mut self, ended: &CurrentExchange) {
         self.calls_by_exchange.remove(&ended.exchange);
         if ended.stage == CallStage::Forward {
             self.peers.on_ended(&ended.instance);
@@ -103,7 +103,7 @@
     }
 
     /// Releases the call's memory allocation and records the usage of its stream; returns false if there was none.
-    pub(super) fn release_allocation(&mut self, id: CallId) -> bool {
+    pub(in crate::relay) fn release_allocation(&mut self, id: CallId) -> bool {
         let Some(call) = self.calls.get_mut(&id) else {
             return false;
         };
@@ -116,7 +116,7 @@
     }
 
     /// Frees memory that the call had at an engine, and records the usage of the stream that began there, if any.
-    pub(super) fn free_allocation(
+    pub(in crate::relay) fn free_allocation(
         &mut self,
         id: CallId,
         allocation: MemoryAllocation,
--- a/crates/arbutusfall_core/src/relay/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/calls/outcomes.rs
@@ -13,16 +13,16 @@
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
-use crate::relay::call::CallStage;
-use crate::relay::call::PrefillResult;
-use crate::relay::crash_handling::SUSPECT;
+use crate::relay::calls::call::CallStage;
+use crate::relay::calls::call::PrefillResult;
+use crate::relay::crashes::crash_handling::SUSPECT;
 use crate::relay::notice::millis;
 
 /// Time for which an endpoint gets no further requests after it refused one: it is full or is changing its role.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(500);
 
 impl Relay {
-    pub(super) fn on_exchange(&mut self, exchange: ExchangeId, event: ExchangeEvent) {
+    pub(in crate::relay) fn on_exchange(&mut self, exchange: ExchangeId, event: ExchangeEvent) {
         let Some(id) = self.calls_by_exchange.get(&exchange).copied() else {
             // The relay has already ended this exchange.
             return;
@@ -115,7 +115,7 @@
         self.send_next(id);
     }
 
-    pub(super) fn on_prefill_done(&mut self, id: CallId, handle: Name) {
+    pub(in crate::relay) fn on_prefill_done(&mut self, id: CallId, handle: Name) {
         let lifetime = self.result_lifetime(id);
         let now = self.now;
         let Some(call) = self.calls.get_mut(&id) else {
@@ -146,14 +146,14 @@
         self.retry_reservations();
     }
 
-    pub(super) fn result_lifetime(&self, id: CallId) -> Duration {
+    pub(in crate::relay) fn result_lifetime(&self, id: CallId) -> Duration {
         let routes = self.routes.as_ref();
         let call = self.calls.get(&id);
         let engine = call.and_then(|call| routes?.engine(&call.service));
         engine.map_or(Duration::ZERO, |engine| engine.result_lifetime)
     }
 
-    pub(super) fn on_stream_began(&mut self, id: CallId, exchange: ExchangeId) {
+    pub(in crate::relay) fn on_stream_began(&mut self, id: CallId, exchange: ExchangeId) {
         self.drop_standby(id);
         let Some(call) = self.calls.get_mut(&id) else {
             return;
@@ -182,7 +182,7 @@
         self.set_silence_timer(id);
     }
 
-    pub(super) fn on_progress(&mut self, id: CallId, last_event_id: Option<u64>) {
+    pub(in crate::relay) fn on_progress(&mut self, id: CallId, last_event_id: Option<u64>) {
         let now = self.now;
         let Some(call) = self.calls.get_mut(&id) else {
             return;
@@ -219,7 +219,7 @@
         }
     }
 
-    pub(super) fn on_complete(&mut self, id: CallId, exchange: ExchangeId, status: u16) {
+    pub(in crate::relay) fn on_complete(&mut self, id: CallId, exchange: ExchangeId, status: u16) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -282,7 +282,7 @@
         self.retry_within_budget(id);
     }
 
-    pub(super) fn answer(&mut self, id: CallId, exchange: ExchangeId, status: u16) {
+    pub(in crate::relay) fn answer(&mut self, id: CallId, exchange: ExchangeId, status: u16) {
         let Some(call) = self.calls.remove(&id) else {
             return;
         };
@@ -304,7 +304,7 @@
     }
 
     /// Handles a request that the endpoint did not run: it may be sent elsewhere even if it is not idempotent.
-    pub(super) fn on_not_run(&mut self, id: CallId, reason: NotRunReason) {
+    pub(in crate::relay) fn on_not_run(&mut self, id: CallId, reason: NotRunReason) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -376,7 +376,7 @@
         }
     }
 
-    pub(super) fn on_exchange_failed(&mut self, id: CallId, failure: ExchangeFailure) {
+    pub(in crate::relay) fn on_exchange_failed(&mut self, id: CallId, failure: ExchangeFailure) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -432,7 +432,7 @@
         }
     }
 
-    pub(super) fn mark_may_have_run(&mut self, id: CallId, stage: CallStage) {
+    pub(in crate::relay) fn mark_may_have_run(&mut self, id: CallId, stage: CallStage) {
         if stage.runs_request()
             && let Some(call) = self.calls.get_mut(&id)
         {
--- a/crates/arbutusfall_core/src/relay/retries.rs
+++ b/crates/arbutusfall_core/src/relay/calls/retries.rs
@@ -3,13 +3,13 @@
 use crate::CallId;
 use crate::config::Role;
 use crate::relay::Relay;
-use crate::relay::budget::RetryUse;
-use crate::relay::call::MemoryAllocation;
-use crate::relay::sending::MAX_PREFILL_ATTEMPTS;
+use crate::relay::calls::budget::RetryUse;
+use crate::relay::calls::call::MemoryAllocation;
+use crate::relay::sending::stages::MAX_PREFILL_ATTEMPTS;
 
 impl Relay {
     /// Spends one retry of the call's service and returns true if the budget allows it.
-    pub(super) fn take_retry(&mut self, id: CallId) -> bool {
+    pub(in crate::relay) fn take_retry(&mut self, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id) else {
             return false;
         };
@@ -22,7 +22,7 @@
     }
 
     /// Sends a request again if that is allowed and within the retry budget; otherwise fails the call.
-    pub(super) fn retry_within_budget(&mut self, id: CallId) {
+    pub(in crate::relay) fn retry_within_budget(&mut self, id: CallId) {
         if self
             .calls
             .get(&id)
@@ -52,7 +52,7 @@
     }
 
     /// Sends a request again if that is allowed; otherwise fails the call.
-    pub(super) fn retry_or_fail(&mut self, id: CallId) {
+    pub(in crate::relay) fn retry_or_fail(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
@@ -63,7 +63,7 @@
     }
 
     /// Returns whether, besides the current endpoint, one of this role serves the call and has not failed for it.
-    pub(super) fn has_other_endpoint(&self, id: CallId, role: Role) -> bool {
+    pub(in crate::relay) fn has_other_endpoint(&self, id: CallId, role: Role) -> bool {
         let Some(call) = self.calls.get(&id) else {
             return false;
         };
@@ -79,7 +79,7 @@
 
     /// Returns whether a retry of a plain request would most likely be refused too: no endpoint is known to accept
     /// requests, and the service has refused nearly all of late.
-    pub(super) fn is_refused_by_whole_service(&self, id: CallId) -> bool {
+    pub(in crate::relay) fn is_refused_by_whole_service(&self, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id) else {
             return false;
         };
--- a/crates/arbutusfall_core/src/relay/silence.rs
+++ b/crates/arbutusfall_core/src/relay/calls/silence.rs
@@ -7,9 +7,9 @@
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
 use crate::relay::RelayTimer;
-use crate::relay::call::Call;
-use crate::relay::call::CallStage;
-use crate::relay::call::CurrentExchange;
+use crate::relay::calls::call::Call;
+use crate::relay::calls::call::CallStage;
+use crate::relay::calls::call::CurrentExchange;
 
 /// Shortest silence in the middle of a stream after which a resumable stream is moved to another engine.
 const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
@@ -19,7 +19,7 @@
 
 impl Relay {
     /// Sets a timer for the instant at which the call's exchange exceeds its allowed silence.
-    pub(super) fn set_silence_timer(&mut self, id: CallId) {
+    pub(in crate::relay) fn set_silence_timer(&mut self, id: CallId) {
         let Some((exchange, silent_at)) = self.calls.get(&id).and_then(|call| {
             let current = call.current.as_ref()?;
             let silence_limit = self.silence_limit(call, current)?;
@@ -57,7 +57,7 @@
     /// Handles an exchange that exceeded its allowed silence: one that may run the request is kept while the request is moved,
     /// others are closed and done again. If the retry budget is spent, the exchange goes on and is checked again later; a
     /// reservation needs no budget.
-    pub(super) fn check_silence(&mut self, exchange: ExchangeId) {
+    pub(in crate::relay) fn check_silence(&mut self, exchange: ExchangeId) {
         let Some(id) = self.calls_by_exchange.get(&exchange).copied() else {
             return;
         };
@@ -99,7 +99,7 @@
     }
 
     /// Sets a timer for the instant at which the call's exchange is silent if it goes on being so from now.
-    pub(super) fn check_silence_later(&mut self, id: CallId) {
+    pub(in crate::relay) fn check_silence_later(&mut self, id: CallId) {
         let Some((exchange, silence_limit)) = self.calls.get(&id).and_then(|call| {
             let current = call.current.as_ref()?;
             Some((current.exchange, self.silence_limit(call, current)?))
--- a/crates/arbutusfall_core/src/relay/configuration.rs
+++ b/crates/arbutusfall_core/src/relay/control/configuration.rs
@@ -34,7 +34,7 @@
     }
 
     /// Puts a configuration in force unless one of the same or a newer version already is.
-    pub(super) fn on_new_config(&mut self, routes: Arc<RouteTable>) {
+    pub(in crate::relay) fn on_new_config(&mut self, routes: Arc<RouteTable>) {
         let replaced_version = self.config_version();
         if replaced_version.is_some_and(|current| current >= routes.version) {
             self.note_if_older(routes.version);
@@ -69,7 +69,7 @@
         });
     }
 
-    pub(super) fn on_unreadable_config(&mut self) {
+    pub(in crate::relay) fn on_unreadable_config(&mut self) {
         let in_force = self.config_version();
         self.note(RelayNotice::ConfigIgnored {
             version: None,
@@ -79,12 +79,12 @@
     }
 
     /// Returns the version in force, if any.
-    pub(super) fn config_version(&self) -> Option<u64> {
+    pub(in crate::relay) fn config_version(&self) -> Option<u64> {
         self.routes.as_ref().map(|routes| routes.version)
     }
 
     /// Returns whether a route is missing in the first configuration that this process read.
-    pub(super) fn is_added_route(&self, route: &RelayRoute) -> bool {
+    pub(in crate::relay) fn is_added_route(&self, route: &RelayRoute) -> bool {
         !self.first_routes.contains(&route.name)
     }
 }
--- a/crates/arbutusfall_core/src/relay/lease.rs
+++ b/crates/arbutusfall_core/src/relay/control/lease.rs
@@ -91,7 +91,7 @@
 }
 
 impl Relay {
-    pub(super) fn renew_lease(&mut self) {
+    pub(in crate::relay) fn renew_lease(&mut self) {
         if self.is_draining {
             return;
         }
@@ -127,7 +127,7 @@
         }
     }
 
-    pub(super) fn on_lease(&mut self, answer: LeaseAnswer) {
+    pub(in crate::relay) fn on_lease(&mut self, answer: LeaseAnswer) {
         let was_held = self.lease.held_since.is_some();
         match answer {
             LeaseAnswer::Held { token } if self.lease.accept_token(token) => {
@@ -156,7 +156,7 @@
     }
 
     /// Gives the lease up after the store's return from an older copy, which may not know it.
-    pub(super) fn lose_lease(&mut self) {
+    pub(in crate::relay) fn lose_lease(&mut self) {
         let was_held = self.lease.held_since.take().is_some();
         self.lease.on_store_returned();
         self.note_lease_change(was_held);
--- a/crates/arbutusfall_core/src/relay/roles.rs
+++ b/crates/arbutusfall_core/src/relay/control/roles.rs
@@ -13,7 +13,7 @@
 use crate::relay::RelayNotice;
 use crate::relay::RelayTimer;
 use crate::relay::RoleOutcome;
-use crate::relay::limit_tokens::ORDER_REQUESTS;
+use crate::relay::limits::limit_tokens::ORDER_REQUESTS;
 
 /// Interval of reviews of the split.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
@@ -106,7 +106,7 @@
 }
 
 impl Relay {
-    pub(super) fn review_roles(&mut self) {
+    pub(in crate::relay) fn review_roles(&mut self) {
         self.timers
             .set(self.now + REVIEW_INTERVAL, RelayTimer::ReviewRoles);
         self.decay_usage();
@@ -235,7 +235,7 @@
         });
     }
 
-    pub(super) fn on_role_outcome(&mut self, instance: Name, outcome: RoleOutcome) {
+    pub(in crate::relay) fn on_role_outcome(&mut self, instance: Name, outcome: RoleOutcome) {
         if outcome == RoleOutcome::StaleToken {
             self.lease.on_token_refused();
         }
--- a/crates/arbutusfall_core/src/relay/store_view.rs
+++ b/crates/arbutusfall_core/src/relay/control/store_view.rs
@@ -73,7 +73,7 @@
 impl Relay {
     /// Handles the loss of what was written to the store since its copy. Endpoints that are missing in the list are kept
     /// until they have had time to write their entries again; this VM's own records are written again.
-    pub(super) fn on_store_returned(&mut self, previous: u64, era: u64) {
+    pub(in crate::relay) fn on_store_returned(&mut self, previous: u64, era: u64) {
         self.endpoints.on_list_recovered(self.now);
         self.stream_versions.on_records_lost();
         self.has_store_returned = true;
@@ -85,7 +85,11 @@
         });
     }
 
-    pub(super) fn on_store_read(&mut self, topic: StoreTopic, failure: Option<StoreReadFailure>) {
+    pub(in crate::relay) fn on_store_read(
+        &mut self,
+        topic: StoreTopic,
+        failure: Option<StoreReadFailure>,
+    ) {
         let is_reachable = failure.is_none();
         // Without the store, this VM decides by what it sees itself.
         self.is_shared_known |= topic == StoreTopic::Shared && !is_reachable;
--- a/crates/arbutusfall_core/src/relay/cause_blocks.rs
+++ b/crates/arbutusfall_core/src/relay/crashes/cause_blocks.rs
@@ -11,14 +11,14 @@
 use crate::relay::SharedRecord;
 
 /// Reason of the refusal of a prompt with a part that crashes engines.
-pub(super) const CRASHING_PART: &str = "crashing_part";
+pub(in crate::relay) const CRASHING_PART: &str = "crashing_part";
 
 /// Reason of the refusal of a request that crashes endpoints.
-pub(super) const CRASHING_REQUEST: &str = "crashing_request";
+pub(in crate::relay) const CRASHING_REQUEST: &str = "crashing_request";
 
 impl Relay {
     /// Returns the reason for which the call's request must not be sent, if it has a cause that crashes endpoints.
-    pub(super) fn blocked_reason(&self, id: CallId) -> Option<&'static str> {
+    pub(in crate::relay) fn blocked_reason(&self, id: CallId) -> Option<&'static str> {
         let call = self.calls.get(&id)?;
         let blocked = self.crash_suspects.blocked_cause(&call.causes)?;
         Some(match blocked {
@@ -33,13 +33,17 @@
     }
 
     /// Unblocks a cause on behalf of an operator.
-    pub(super) fn unblock(&mut self, cause: &CrashCause) {
+    pub(in crate::relay) fn unblock(&mut self, cause: &CrashCause) {
         let cleared = self.crash_suspects.clear(cause);
         self.on_cause_cleared(cause, cleared, "operator");
     }
 
     /// Handles a block of another VM, or its end.
-    pub(super) fn on_shared_block(&mut self, cause: CrashCause, block: Option<CauseBlock>) {
+    pub(in crate::relay) fn on_shared_block(
+        &mut self,
+        cause: CrashCause,
+        block: Option<CauseBlock>,
+    ) {
         let Some(block) = block else {
             let key = SharedKey::Block(cause.clone());
             self.shared_outbox.withdraw(&key);
@@ -66,7 +70,12 @@
         }
     }
 
-    pub(super) fn announce_block(&mut self, cause: CrashCause, block: CauseBlock, due: Duration) {
+    pub(in crate::relay) fn announce_block(
+        &mut self,
+        cause: CrashCause,
+        block: CauseBlock,
+        due: Duration,
+    ) {
         self.note_block(cause.clone(), block.clone(), "own");
         self.push_block(cause, block, due);
     }
@@ -78,7 +87,7 @@
         self.set_shared_timer();
     }
 
-    pub(super) fn announce_unblock(&mut self, cause: &CrashCause, reason: &'static str) {
+    pub(in crate::relay) fn announce_unblock(&mut self, cause: &CrashCause, reason: &'static str) {
         self.note_unblocked(cause, reason);
         let record = SharedRecord::Block {
             cause: cause.clone(),
@@ -117,7 +126,7 @@
     }
 
     /// Refuses the requests with a blocked cause that wait for an endpoint.
-    pub(super) fn refuse_waiting_requests(&mut self) {
+    pub(in crate::relay) fn refuse_waiting_requests(&mut self) {
         let waiting = self.calls.iter().filter(|(_, call)| call.current.is_none());
         let mut waiting: Vec<CallId> = waiting.map(|(id, _)| *id).collect();
         waiting.sort();
--- a/crates/arbutusfall_core/src/relay/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crashes/crash_handling.rs
@@ -1,4 +1,4 @@
-//! The relay's use of [`CrashSuspects`](crate::relay::crash_suspects::CrashSuspects): evidence from requests that broke off and
+//! The relay's use of [`CrashSuspects`](crate::relay::crashes::crash_suspects::CrashSuspects): evidence from requests that broke off and
 //! other VMs, and what disproves it.
 
 use std::collections::BTreeSet;
@@ -17,12 +17,12 @@
 use crate::relay::RelayNotice;
 use crate::relay::SharedKey;
 use crate::relay::SharedRecord;
-use crate::relay::call::CurrentExchange;
-use crate::relay::crash_suspects::Cleared;
-use crate::relay::crash_suspects::EvidenceEffect;
-use crate::relay::endpoint::UnmarkedEnd;
-use crate::relay::endpoint_ends::BrokenRun;
-use crate::relay::endpoint_ends::incarnation;
+use crate::relay::calls::call::CurrentExchange;
+use crate::relay::crashes::crash_suspects::Cleared;
+use crate::relay::crashes::crash_suspects::EvidenceEffect;
+use crate::relay::crashes::endpoint_ends::BrokenRun;
+use crate::relay::crashes::endpoint_ends::incarnation;
+use crate::relay::endpoints::endpoint::UnmarkedEnd;
 
 /// Time for which a stream has brought events after which its request has not crashed the endpoint.
 const SURVIVAL_TIME: Duration = Duration::from_secs(2);
@@ -40,7 +40,7 @@
 const BLOCKED_EVIDENCE_LIFETIME: Duration = Duration::from_secs(2);
 
 /// Reason of the end of a request that is not sent again, because it may crash the next endpoint too.
-pub(super) const SUSPECT: &str = "suspect_part";
+pub(in crate::relay) const SUSPECT: &str = "suspect_part";
 
 /// Which VM saw a crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,7 +61,7 @@
 
 impl Relay {
     /// Records that a run of the call broke off, if its request may be the cause.
-    pub(super) fn record_broken_run(
+    pub(in crate::relay) fn record_broken_run(
         &mut self,
         id: CallId,
         broken: &CurrentExchange,
@@ -96,7 +96,7 @@
     }
 
     /// Returns whether a request whose endpoints ended must not be sent again.
-    pub(super) fn may_crash_next_endpoint(&self, id: CallId) -> bool {
+    pub(in crate::relay) fn may_crash_next_endpoint(&self, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id) else {
             return false;
         };
@@ -110,7 +110,7 @@
     }
 
     /// Handles an answer of an endpoint to an exchange: the endpoint has not ended since the exchange was sent.
-    pub(super) fn on_endpoint_alive(&mut self, id: CallId) {
+    pub(in crate::relay) fn on_endpoint_alive(&mut self, id: CallId) {
         let current = self.calls.get(&id).and_then(|call| call.current.as_ref());
         let Some(current) = current else {
             return;
@@ -132,7 +132,7 @@
     }
 
     /// Handles the end of a check whether an endpoint has ended.
-    pub(super) fn on_endpoint_checked(
+    pub(in crate::relay) fn on_endpoint_checked(
         &mut self,
         instance: &Name,
         asked_at: Duration,
@@ -186,7 +186,7 @@
     }
 
     /// Handles a stream that has lasted long enough to clear its request's causes.
-    pub(super) fn on_stream_lasting(&mut self, id: CallId) {
+    pub(in crate::relay) fn on_stream_lasting(&mut self, id: CallId) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -202,7 +202,7 @@
 
     /// Handles the complete answer of an endpoint: it clears the request's causes, at once if its end was marked. An answer with an
     /// error status clears the request itself only.
-    pub(super) fn on_request_answered(&mut self, id: CallId, is_failure: bool) {
+    pub(in crate::relay) fn on_request_answered(&mut self, id: CallId, is_failure: bool) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
@@ -243,7 +243,7 @@
         }
     }
 
-    pub(super) fn on_cause_cleared(
+    pub(in crate::relay) fn on_cause_cleared(
         &mut self,
         cause: &CrashCause,
         cleared: Cleared,
@@ -274,13 +274,13 @@
     }
 
     /// Returns a random time within which one VM of many writes first.
-    pub(super) fn random_delay(&mut self) -> Duration {
+    pub(in crate::relay) fn random_delay(&mut self) -> Duration {
         (DELAY_PER_VM * self.vm_count).mul_f64(self.rng.f64())
     }
 
     /// Handles evidence of another VM, or its deletion. Evidence on a cause whose requests were answered here is deleted at
     /// `delete_due`.
-    pub(super) fn on_shared_crash(
+    pub(in crate::relay) fn on_shared_crash(
         &mut self,
         cause: CrashCause,
         crash: CrashId,
@@ -357,7 +357,7 @@
     }
 
     /// Turns broken runs into evidence and blocks the suspects whose time has come.
-    pub(super) fn review_crashes(&mut self) {
+    pub(in crate::relay) fn review_crashes(&mut self) {
         let mut ended: BTreeSet<Name> = BTreeSet::new();
         for found in self.endpoint_ends.take(self.now) {
             if self.crash_suspects.is_answered(&found.cause, self.now) {
--- a/crates/arbutusfall_core/src/relay/crash_suspects.rs
+++ b/crates/arbutusfall_core/src/relay/crashes/crash_suspects.rs
@@ -12,7 +12,7 @@
 use crate::relay::CrashCause;
 use crate::relay::CrashEvidence;
 use crate::relay::CrashId;
-use crate::relay::answered_causes::AnsweredCauses;
+use crate::relay::crashes::answered_causes::AnsweredCauses;
 
 /// Crashes that block a part. One fewer than the users' bound begins with: the VM that saw a crash may be gone before
 /// it recorded it.
--- a/crates/arbutusfall_core/src/relay/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/endpoint.rs
@@ -7,10 +7,11 @@
 use crate::relay::CrashCauses;
 use crate::relay::ListedEndpoint;
 use crate::relay::RelayNotice;
-use crate::relay::call::Call;
+use crate::relay::calls::call::Call;
+use crate::relay::calls::call::MemoryAllocation;
+use crate::relay::endpoints::reservation_times::ReservationTimes;
+use crate::relay::endpoints::run_status::RunStatus;
 use crate::relay::notice::millis;
-use crate::relay::reservation_times::ReservationTimes;
-use crate::relay::run_status::RunStatus;
 
 /// Weight of the newest sample in a running mean.
 const NEWEST_WEIGHT: f64 = 0.2;
@@ -188,6 +189,13 @@
         }
     }
 
+    /// Returns whether the request of a call that this engine has granted memory may be sent to it now.
+    pub(crate) fn may_use_grant(&self, allocation: &MemoryAllocation, call: &Call) -> bool {
+        let is_same_run = self.listed.address == allocation.address
+            && self.listed.started_unix_ms == allocation.started_unix_ms;
+        is_same_run && !self.listed.is_leaving && !self.is_resting() && self.may_serve(call)
+    }
+
     /// Returns whether the endpoint's software version is one that may answer a call; if that must be a given one, the endpoint's
     /// process must be known to be the listed one.
     pub(crate) fn may_serve(&self, call: &Call) -> bool {
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/endpoints/list.rs
@@ -0,0 +1,332 @@
+//! Endpoints that the platform lists.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use arbutusfall_wire::Name;
+
+use crate::config::Role;
+use crate::relay::EndpointListChange;
+use crate::relay::ListedEndpoint;
+use crate::relay::RelayNotice;
+use crate::relay::calls::call::Call;
+use crate::relay::endpoints::endpoint::Endpoint;
+use crate::relay::notice::millis;
+
+/// Grace period after the list could be read again in which removals from it are delayed: endpoints whose entries
+/// expired during the outage are listed again within it.
+pub const LIST_RECOVERY_GRACE: Duration = Duration::from_millis(2_300);
+
+/// Time for which an instance that was listed as leaving is remembered; the platform's copies are some seconds old.
+const LEAVING_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Endpoints by instance.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Endpoints {
+    by_instance: BTreeMap<Name, Endpoint>,
+    /// Instant until which removals are delayed after the list could be read again.
+    removals_delayed_until: Duration,
+    /// Instances that were listed as leaving or said so, also after their removal. An endpoint that leaves never becomes ready again, but
+    /// a store that returned from an older copy may say so.
+    leaving: BTreeMap<Name, LeavingInstance>,
+    /// Endpoints that were removed of late: an answer that says that one is leaving may arrive after its removal.
+    removed: BTreeMap<Name, RemovedInstance>,
+}
+
+/// An instance that was removed from the list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct RemovedInstance {
+    service: Name,
+    started_unix_ms: Option<u64>,
+    removed_at: Duration,
+}
+
+/// An instance that is leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct LeavingInstance {
+    started_unix_ms: Option<u64>,
+    /// Whether it said so itself, maybe without an entry that does.
+    is_own_word: bool,
+    /// When it was last listed, or said so.
+    known_at: Duration,
+}
+
+impl Endpoints {
+    pub(crate) fn get_mut(&mut self, instance: &Name) -> Option<&mut Endpoint> {
+        self.by_instance.get_mut(instance)
+    }
+
+    pub(crate) fn get(&self, instance: &Name) -> Option<&Endpoint> {
+        self.by_instance.get(instance)
+    }
+
+    /// Returns an endpoint if its listed process is the one that started then.
+    pub(crate) fn get_run_mut(
+        &mut self,
+        instance: &Name,
+        started_unix_ms: Option<u64>,
+    ) -> Option<&mut Endpoint> {
+        let endpoint = self.by_instance.get_mut(instance)?;
+        (endpoint.listed.started_unix_ms == started_unix_ms).then_some(endpoint)
+    }
+
+    /// Returns whether no other process of an endpoint is listed than the one that started then; none may be listed any more.
+    pub(crate) fn may_be_listed_run(&self, instance: &Name, started_unix_ms: Option<u64>) -> bool {
+        let endpoint = self.by_instance.get(instance);
+        endpoint.is_none_or(|endpoint| endpoint.listed.started_unix_ms == started_unix_ms)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+        self.by_instance.values()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.by_instance.is_empty()
+    }
+
+    /// Returns the endpoints of a service that take new work, in any role.
+    pub(crate) fn of_service<'a>(
+        &'a self,
+        service: &'a Name,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        self.by_instance.values().filter(move |endpoint| {
+            endpoint.listed.service == *service && !endpoint.listed.is_leaving
+        })
+    }
+
+    /// Lifts the avoidance of all endpoints of a service.
+    pub(crate) fn forget_failures(&mut self, service: &Name) {
+        let endpoints = self.by_instance.values_mut();
+        for endpoint in endpoints.filter(|endpoint| endpoint.listed.service == *service) {
+            endpoint.health.on_success();
+        }
+    }
+
+    /// Returns the endpoints of a service and role that do not leave; some may rest.
+    pub(crate) fn in_role<'a>(
+        &'a self,
+        service: &'a Name,
+        role: Role,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        self.of_service(service)
+            .filter(move |endpoint| endpoint.listed.role == role)
+    }
+
+    /// Returns the endpoints that could take new work of a call in this role if they did not rest.
+    pub(crate) fn resting_for_call<'a>(
+        &'a self,
+        call: &'a Call,
+        role: Role,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        let version = call.version_for(role);
+        self.in_role(&call.service, role).filter(move |endpoint| {
+            endpoint.is_resting()
+                && version.is_none_or(|version| endpoint.listed.version == *version)
+        })
+    }
+
+    /// Returns the endpoints of a service and role that take new work.
+    pub(crate) fn serving<'a>(
+        &'a self,
+        service: &'a Name,
+        role: Role,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        let endpoints = self.in_role(service, role);
+        endpoints.filter(|endpoint| !endpoint.is_resting())
+    }
+
+    /// Returns the endpoints that take new work of a call in this role. Prefill engines of any version serve a stream of
+    /// any other: only the version that decodes writes events.
+    pub(crate) fn serving_call<'a>(
+        &'a self,
+        call: &'a Call,
+        role: Role,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        let version = call.version_for(role);
+        self.serving(&call.service, role).filter(move |endpoint| {
+            version.is_none_or(|version| endpoint.listed.version == *version)
+        })
+    }
+
+    /// Returns the endpoints whose process may not be the listed one.
+    pub(crate) fn in_doubt_mut(&mut self) -> impl Iterator<Item = &mut Endpoint> {
+        self.by_instance
+            .values_mut()
+            .filter(|endpoint| !endpoint.run.is_listed())
+    }
+
+    /// Returns service and version of every endpoint.
+    pub(crate) fn versions(&self) -> impl Iterator<Item = (&Name, &Name)> {
+        self.by_instance
+            .values()
+            .map(|endpoint| (&endpoint.listed.service, &endpoint.listed.version))
+    }
+
+    /// Delays removals, so that endpoints whose entries expired while the list could not be read can be listed again.
+    pub(crate) fn on_list_recovered(&mut self, now: Duration) {
+        self.removals_delayed_until = now + LIST_RECOVERY_GRACE;
+    }
+
+    /// Instant until which removals are delayed after the list could be read again.
+    pub(crate) fn removals_delayed_until(&self) -> Duration {
+        self.removals_delayed_until
+    }
+
+    /// Applies changes of the list; returns notices to log.
+    pub(crate) fn apply(
+        &mut self,
+        changes: Vec<EndpointListChange>,
+        now: Duration,
+    ) -> Vec<RelayNotice> {
+        let mut notices = Vec::new();
+        for change in changes {
+            match change {
+                EndpointListChange::Listed(listed) => {
+                    let listed = self.with_known_leaving(listed, now);
+                    notices.extend(self.add_or_update(listed, now));
+                }
+                EndpointListChange::Removed { instance } => self.mark_unlisted(&instance, now),
+                EndpointListChange::FullList(instances) => {
+                    let all: Vec<Name> = self.by_instance.keys().cloned().collect();
+                    for instance in all {
+                        if !instances.contains(&instance) {
+                            self.mark_unlisted(&instance, now);
+                        }
+                    }
+                }
+            }
+        }
+        notices.extend(self.remove_unlisted(now));
+        notices
+    }
+
+    /// Returns the entry as leaving if this run of the endpoint's process was listed as leaving before.
+    fn with_known_leaving(&mut self, mut listed: ListedEndpoint, now: Duration) -> ListedEndpoint {
+        self.leaving
+            .retain(|_, leaving| now < leaving.known_at + LEAVING_LIFETIME);
+        if listed.is_leaving {
+            let leaving = LeavingInstance {
+                started_unix_ms: listed.started_unix_ms,
+                is_own_word: false,
+                known_at: now,
+            };
+            self.leaving.insert(listed.instance.clone(), leaving);
+            return listed;
+        }
+        let Some(known) = self.leaving.get_mut(&listed.instance) else {
+            return listed;
+        };
+        listed.is_leaving = match (known.started_unix_ms, listed.started_unix_ms) {
+            (Some(known), Some(listed)) => known == listed,
+            // Nothing says that it has started again.
+            (Some(_), None) => true,
+            (None, Some(_)) => false,
+            (None, None) => known.is_own_word,
+        };
+        if listed.is_leaving {
+            known.known_at = now;
+        }
+        listed
+    }
+
+    /// Records that an endpoint says itself that it is leaving; returns a notice to log if that is new. It holds until the
+    /// endpoint starts again under its id.
+    pub(crate) fn on_leaving(&mut self, instance: &Name, now: Duration) -> Option<RelayNotice> {
+        let (service, started_unix_ms) = match self.by_instance.get_mut(instance) {
+            Some(endpoint) => {
+                let listed = &mut endpoint.listed;
+                if std::mem::replace(&mut listed.is_leaving, true) {
+                    return None;
+                }
+                (listed.service.clone(), listed.started_unix_ms)
+            }
+            None => {
+                let removed = self.removed.remove(instance)?;
+                (removed.service, removed.started_unix_ms)
+            }
+        };
+        let leaving = LeavingInstance {
+            started_unix_ms,
+            is_own_word: true,
+            known_at: now,
+        };
+        self.leaving.insert(instance.clone(), leaving);
+        Some(RelayNotice::EndpointLeaving {
+            instance: instance.clone(),
+            service,
+        })
+    }
+
+    fn add_or_update(&mut self, listed: ListedEndpoint, now: Duration) -> Option<RelayNotice> {
+        let notice = RelayNotice::EndpointListed {
+            instance: listed.instance.clone(),
+            service: listed.service.clone(),
+            version: listed.version.clone(),
+            started_unix_ms: listed.started_unix_ms,
+            is_leaving: listed.is_leaving,
+        };
+        let Some(existing) = self.by_instance.get_mut(&listed.instance) else {
+            let instance = listed.instance.clone();
+            self.by_instance
+                .insert(instance, Endpoint::new(listed, now));
+            return Some(notice);
+        };
+        existing.remove_at = None;
+        let has_restarted = existing.listed.started_unix_ms != listed.started_unix_ms;
+        let must_reset = has_restarted || existing.listed.address != listed.address;
+        let is_changed = must_reset
+            || existing.listed.is_leaving != listed.is_leaving
+            || existing.listed.version != listed.version
+            || existing.listed.role != listed.role;
+        if must_reset {
+            existing.restart(listed, now);
+        } else {
+            existing.listed = listed;
+        }
+        is_changed.then_some(notice)
+    }
+
+    fn mark_unlisted(&mut self, instance: &Name, now: Duration) {
+        if let Some(endpoint) = self.by_instance.get_mut(instance) {
+            endpoint
+                .remove_at
+                .get_or_insert(self.removals_delayed_until.max(now));
+        }
+    }
+
+    /// Removes unlisted endpoints whose removal is due; returns notices to log.
+    pub(crate) fn remove_unlisted(&mut self, now: Duration) -> Vec<RelayNotice> {
+        let mut notices = Vec::new();
+        let removed = &mut self.removed;
+        removed.retain(|_, known| now < known.removed_at + LEAVING_LIFETIME);
+        self.by_instance.retain(|instance, endpoint| {
+            let is_gone = endpoint.remove_at.is_some_and(|remove_at| now >= remove_at);
+            if is_gone {
+                let known = RemovedInstance {
+                    service: endpoint.listed.service.clone(),
+                    started_unix_ms: endpoint.listed.started_unix_ms,
+                    removed_at: now,
+                };
+                removed.insert(instance.clone(), known);
+                notices.push(RelayNotice::EndpointGone {
+                    instance: instance.clone(),
+                });
+            }
+            !is_gone
+        });
+        notices
+    }
+
+    /// Records a failure of the endpoint; returns a notice to log if the endpoint is avoided from now on.
+    pub(crate) fn on_failed(&mut self, instance: &Name, now: Duration) -> Option<RelayNotice> {
+        let endpoint = self.by_instance.get_mut(instance)?;
+        endpoint.raise_failure_fraction(now);
+        endpoint.health.on_failure(now);
+        let avoided = endpoint.health.avoided_for(now)?;
+        Some(RelayNotice::EndpointAvoided {
+            instance: instance.clone(),
+            service: endpoint.listed.service.clone(),
+            avoided_ms: millis(avoided),
+        })
+    }
+}
--- a/crates/arbutusfall_core/src/relay/reach_handling.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/reach_handling.rs
@@ -1,4 +1,4 @@
-//! The relay's use of [`Reachability`](crate::relay::reachability::Reachability).
+//! The relay's use of [`Reachability`](crate::relay::endpoints::reachability::Reachability).
 
 use std::time::Duration;
 
@@ -27,7 +27,7 @@
     }
 
     /// Records that a connection to an endpoint, begun at `begun_at`, could not be opened.
-    pub(super) fn on_connect_failed(&mut self, instance: &Name, begun_at: Duration) {
+    pub(in crate::relay) fn on_connect_failed(&mut self, instance: &Name, begun_at: Duration) {
         let Some(endpoint) = self.endpoints.get(instance) else {
             return;
         };
@@ -46,7 +46,7 @@
     }
 
     /// Handles a sign that this VM may not reach an endpoint: its connections are checked.
-    pub(super) fn on_reach_in_doubt(&mut self, instance: &Name) {
+    pub(in crate::relay) fn on_reach_in_doubt(&mut self, instance: &Name) {
         let Some(endpoint) = self.endpoints.get(instance) else {
             return;
         };
@@ -58,7 +58,7 @@
     }
 
     /// Handles the end of an exchange in which the endpoint has shown no sign of life for long: it may not have been reached.
-    pub(super) fn on_silence_in_doubt(&mut self, id: CallId) {
+    pub(in crate::relay) fn on_silence_in_doubt(&mut self, id: CallId) {
         let current = self.calls.get(&id).and_then(|call| call.current.as_ref());
         let Some(current) = current else {
             return;
@@ -73,7 +73,7 @@
 
     /// Checks endpoints of a service while connections to it fail: at first those that no connection has failed to, then any, until one
     /// is accepted.
-    pub(super) fn check_reach(&mut self, service: &Name) {
+    pub(in crate::relay) fn check_reach(&mut self, service: &Name) {
         if !self.reachability.is_in_doubt(service) || !self.may_check_reach(service) {
             return;
         }
@@ -113,7 +113,7 @@
     }
 
     /// Records that the endpoint of the call's exchange has accepted its connection.
-    pub(super) fn on_exchange_connected(&mut self, id: CallId) {
+    pub(in crate::relay) fn on_exchange_connected(&mut self, id: CallId) {
         let current = self.calls.get(&id).and_then(|call| call.current.as_ref());
         if let Some(current) = current {
             let (instance, sent_at) = (current.instance.clone(), current.sent_at);
@@ -122,7 +122,7 @@
     }
 
     /// Records that an endpoint accepted a connection begun at `begun_at`.
-    pub(super) fn on_connected(&mut self, instance: &Name, begun_at: Duration) {
+    pub(in crate::relay) fn on_connected(&mut self, instance: &Name, begun_at: Duration) {
         let Some(endpoint) = self.endpoints.get(instance) else {
             return;
         };
--- a/crates/arbutusfall_core/src/relay/reach_waiting.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/reach_waiting.rs
@@ -8,8 +8,8 @@
 use crate::CallId;
 use crate::relay::Relay;
 use crate::relay::RelayTimer;
-use crate::relay::call::Call;
-use crate::relay::call::CallStage;
+use crate::relay::calls::call::Call;
+use crate::relay::calls::call::CallStage;
 
 /// Longest time after which a waiting request looks for an endpoint again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
@@ -29,7 +29,7 @@
 impl Relay {
     /// Makes a call wait if none of the endpoints that it could be sent to has answered it, or if all of these have failed and none
     /// of its service has accepted a connection since one failed. Returns false if it need not or may not wait.
-    pub(super) fn wait_for_reach(&mut self, id: CallId, stage: CallStage) -> bool {
+    pub(in crate::relay) fn wait_for_reach(&mut self, id: CallId, stage: CallStage) -> bool {
         if !self.must_wait_for_reach(id, stage) {
             return false;
         }
@@ -60,7 +60,7 @@
     }
 
     /// Sends a call that has waited; once endpoints are reached again, it may be sent to any of them.
-    pub(super) fn send_when_reached(&mut self, id: CallId) {
+    pub(in crate::relay) fn send_when_reached(&mut self, id: CallId) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
--- a/crates/arbutusfall_core/src/relay/reservation_silence.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/reservation_silence.rs
@@ -11,14 +11,14 @@
 use crate::config::Role;
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
-use crate::relay::call::CallStage;
-use crate::relay::call::CurrentExchange;
-use crate::relay::limit_tokens::RESERVATION_TOKENS;
-use crate::relay::reservation_times::MAX_RESERVE_TIMEOUT;
+use crate::relay::calls::call::CallStage;
+use crate::relay::calls::call::CurrentExchange;
+use crate::relay::endpoints::reservation_times::MAX_RESERVE_TIMEOUT;
+use crate::relay::limits::limit_tokens::RESERVATION_TOKENS;
 
 impl Relay {
     /// Handles a reservation that got no answer in time.
-    pub(super) fn on_reservation_silent(&mut self, id: CallId) {
+    pub(in crate::relay) fn on_reservation_silent(&mut self, id: CallId) {
         let Some(current) = self.reserving(id).cloned() else {
             return;
         };
@@ -91,7 +91,7 @@
     }
 
     /// Records that the engine of the call's exchange answered its reservation.
-    pub(super) fn on_reservation_answered(&mut self, id: CallId) {
+    pub(in crate::relay) fn on_reservation_answered(&mut self, id: CallId) {
         let Some(current) = self.reserving(id) else {
             return;
         };
--- a/crates/arbutusfall_core/src/relay/rests.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/rests.rs
@@ -12,8 +12,8 @@
 use crate::relay::Relay;
 use crate::relay::RelayNotice;
 use crate::relay::RelayTimer;
-use crate::relay::call::Call;
-use crate::relay::call::CallStage;
+use crate::relay::calls::call::Call;
+use crate::relay::calls::call::CallStage;
 use crate::relay::notice::millis;
 
 /// Longest rest: an endpoint is not given up for longer because of one answer.
@@ -26,7 +26,7 @@
 const MAX_REST_WAIT_FRACTION: f64 = 0.25;
 
 /// Reason of the refusal of a request all of whose endpoints rest.
-pub(super) const RESTING: &str = "resting";
+pub(in crate::relay) const RESTING: &str = "resting";
 
 /// Returns the instant until which a call may wait for the end of a rest.
 fn rest_wait_until(call: &Call) -> Duration {
@@ -36,14 +36,19 @@
 
 impl Relay {
     /// Handles the rest that an endpoint's answer to the call's exchange asks for.
-    pub(super) fn on_rest_asked(&mut self, id: CallId, exchange: ExchangeId, rest: Duration) {
+    pub(in crate::relay) fn on_rest_asked(
+        &mut self,
+        id: CallId,
+        exchange: ExchangeId,
+        rest: Duration,
+    ) {
         if let Some((instance, _)) = self.sent_to(id, exchange) {
             self.begin_rest(&instance, rest);
         }
     }
 
     /// Begins an endpoint's rest, or makes it longer.
-    pub(super) fn begin_rest(&mut self, instance: &Name, rest: Duration) {
+    pub(in crate::relay) fn begin_rest(&mut self, instance: &Name, rest: Duration) {
         let rest = rest.min(MAX_REST);
         let now = self.now;
         let addition = MAX_REST_ADDITION.mul_f64(self.rng.f64());
@@ -67,7 +72,7 @@
     }
 
     /// Handles the end of an endpoint's rest, unless it has been made longer.
-    pub(super) fn on_rest_ended(&mut self, instance: &Name) {
+    pub(in crate::relay) fn on_rest_ended(&mut self, instance: &Name) {
         let now = self.now;
         let endpoint = self.endpoints.get_mut(instance);
         if endpoint.is_some_and(|endpoint| endpoint.end_rest(now)) {
@@ -82,7 +87,7 @@
     }
 
     /// Returns whether an endpoint rests.
-    pub(super) fn is_resting(&self, instance: &Name) -> bool {
+    pub(in crate::relay) fn is_resting(&self, instance: &Name) -> bool {
         let endpoint = self.endpoints.get(instance);
         endpoint.is_some_and(|endpoint| endpoint.is_resting())
     }
@@ -96,7 +101,7 @@
 
     /// Handles a call for which all endpoints rest: it waits if it can be in time after the first rest. Returns false if
     /// none rests.
-    pub(super) fn wait_for_rest_or_fail(&mut self, id: CallId, stage: CallStage) -> bool {
+    pub(in crate::relay) fn wait_for_rest_or_fail(&mut self, id: CallId, stage: CallStage) -> bool {
         let Some(call) = self.calls.get(&id) else {
             return false;
         };
@@ -118,7 +123,7 @@
     }
 
     /// Sends a call that has waited for the end of a rest.
-    pub(super) fn send_after_rest(&mut self, id: CallId) {
+    pub(in crate::relay) fn send_after_rest(&mut self, id: CallId) {
         let call = self.calls.get(&id);
         if call.is_some_and(|call| call.current.is_none()) {
             self.send_next(id);
@@ -126,14 +131,14 @@
     }
 
     /// Returns whether all endpoints that could take a call rest.
-    pub(super) fn must_wait_for_rest(&self, call: &Call) -> bool {
+    pub(in crate::relay) fn must_wait_for_rest(&self, call: &Call) -> bool {
         let role = call.serving_role();
         let mut serving = self.endpoints.serving_call(call, role);
         serving.next().is_none() && self.first_rest_end(call, role).is_some()
     }
 
     /// Returns the time after which a caller may come back whose request's endpoints all rest.
-    pub(super) fn retry_after_rest(&mut self, call: &Call) -> Duration {
+    pub(in crate::relay) fn retry_after_rest(&mut self, call: &Call) -> Duration {
         let end = self
             .first_rest_end(call, call.serving_role())
             .unwrap_or(self.now);
--- a/crates/arbutusfall_core/src/relay/run_checks.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/run_checks.rs
@@ -12,17 +12,17 @@
 use crate::relay::RelayNotice;
 use crate::relay::RelayTimer;
 use crate::relay::RunAnswer;
-use crate::relay::call::Call;
-use crate::relay::call::CallStage;
-use crate::relay::call::CurrentExchange;
-use crate::relay::endpoint::Endpoint;
-use crate::relay::run_status::RunVerdict;
-use crate::relay::unproved_streams::FirstEvent;
-use crate::relay::unproved_streams::JudgedStream;
+use crate::relay::calls::call::Call;
+use crate::relay::calls::call::CallStage;
+use crate::relay::calls::call::CurrentExchange;
+use crate::relay::endpoints::endpoint::Endpoint;
+use crate::relay::endpoints::run_status::RunVerdict;
+use crate::relay::streams::unproved_streams::FirstEvent;
+use crate::relay::streams::unproved_streams::JudgedStream;
 
 impl Relay {
     /// Records that a connection to an engine broke off or was not accepted: its process may have ended.
-    pub(super) fn on_engine_broken_off(&mut self, instance: &Name) {
+    pub(in crate::relay) fn on_engine_broken_off(&mut self, instance: &Name) {
         let now = self.now;
         if let Some(endpoint) = self.endpoints.get_mut(instance)
             && endpoint.listed.role != Role::Plain
@@ -32,7 +32,7 @@
     }
 
     /// Records that the connection of an exchange broke off or was not accepted, unless another process is listed by now.
-    pub(super) fn on_exchange_broken_off(&mut self, broken: &CurrentExchange) {
+    pub(in crate::relay) fn on_exchange_broken_off(&mut self, broken: &CurrentExchange) {
         let (instance, started_unix_ms) = (&broken.instance, broken.started_unix_ms);
         if self.endpoints.may_be_listed_run(instance, started_unix_ms) {
             self.on_engine_broken_off(instance);
@@ -40,7 +40,7 @@
     }
 
     /// Asks an engine when its process started, if that is in doubt and it was not asked just now.
-    pub(super) fn check_run(&mut self, instance: &Name) {
+    pub(in crate::relay) fn check_run(&mut self, instance: &Name) {
         let now = self.now;
         let endpoint = self.endpoints.get(instance);
         if endpoint.is_some_and(|endpoint| endpoint.run.must_check(now)) {
@@ -49,7 +49,7 @@
     }
 
     /// Asks an engine at which streams have begun when its process started, now or as soon as it may be asked again.
-    pub(super) fn prove_run(&mut self, instance: &Name) {
+    pub(in crate::relay) fn prove_run(&mut self, instance: &Name) {
         let now = self.now;
         let Some(endpoint) = self.endpoints.get_mut(instance) else {
             return;
@@ -66,7 +66,7 @@
 
     /// Asks the engine that has reserved memory for a stream that goes on, so that its prompt is not prefilled for an engine that may not
     /// get it.
-    pub(super) fn check_run_for(&mut self, id: CallId) {
+    pub(in crate::relay) fn check_run_for(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id).filter(|call| call.is_bound()) else {
             return;
         };
@@ -98,7 +98,7 @@
     }
 
     /// Returns whether a stream that goes on must wait because the process that began it is not known yet.
-    pub(super) fn waits_for_proof(&self, id: CallId) -> bool {
+    pub(in crate::relay) fn waits_for_proof(&self, id: CallId) -> bool {
         let call = self.calls.get(&id).filter(|call| call.is_bound());
         call.is_some_and(|call| {
             let attempt = call.stream_attempt();
@@ -108,7 +108,7 @@
 
     /// Returns whether a stream that goes on must wait because the processes of all engines of its version are in doubt; if so,
     /// they are asked.
-    pub(super) fn waits_for_run_checks(&mut self, id: CallId) -> bool {
+    pub(in crate::relay) fn waits_for_run_checks(&mut self, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id).filter(|call| call.is_bound()) else {
             return false;
         };
@@ -125,7 +125,7 @@
     }
 
     /// Handles the answer of an engine that was asked when its process started.
-    pub(super) fn on_run_checked(
+    pub(in crate::relay) fn on_run_checked(
         &mut self,
         instance: &Name,
         asked_at: Duration,
@@ -151,7 +151,7 @@
     }
 
     /// Takes a read of the list into account: engines in doubt that have been seen to run since are no longer.
-    pub(super) fn on_list_read(&mut self) {
+    pub(in crate::relay) fn on_list_read(&mut self) {
         let now = self.now;
         let mut is_any_known = false;
         for endpoint in self.endpoints.in_doubt_mut() {
@@ -164,7 +164,7 @@
     }
 
     /// Judges all streams again after the list has changed: the entry of the process that began them may have been read.
-    pub(super) fn judge_all_streams(&mut self) {
+    pub(in crate::relay) fn judge_all_streams(&mut self) {
         for instance in self.unproved_streams.instances() {
             self.judge_streams(&instance);
         }
@@ -172,7 +172,7 @@
 
     /// Finds the versions of streams that have begun at an engine, as far as its processes are known by now; the engine is asked for
     /// those of the others.
-    pub(super) fn judge_streams(&mut self, instance: &Name) {
+    pub(in crate::relay) fn judge_streams(&mut self, instance: &Name) {
         let endpoint = self.endpoints.get(instance);
         let streams = &self.stream_versions;
         let judged = self.unproved_streams.judge(instance, |event| {
@@ -223,7 +223,7 @@
 
     /// Returns the version of the stream that an exchange has begun; none if the process that writes it is not known yet. It is an
     /// empty one, which no endpoint has, if it can't be known.
-    pub(super) fn version_of_run(&self, current: &CurrentExchange) -> Option<Name> {
+    pub(in crate::relay) fn version_of_run(&self, current: &CurrentExchange) -> Option<Name> {
         if current.is_proved {
             return Some(current.version.clone());
         }
@@ -238,7 +238,7 @@
     }
 
     /// Has the engine asked that has written the first event of a call's stream: its process is not known yet.
-    pub(super) fn begin_proof(&mut self, attempt: Name, current: &CurrentExchange) {
+    pub(in crate::relay) fn begin_proof(&mut self, attempt: Name, current: &CurrentExchange) {
         let event = FirstEvent {
             attempt,
             sent_at: current.sent_at,
--- a/crates/arbutusfall_core/src/relay/endpoint_limit.rs
+++ b/crates/arbutusfall_core/src/relay/limits/endpoint_limit.rs
@@ -5,7 +5,7 @@
 use arbutusfall_wire::Name;
 
 use crate::relay::ShareHolder;
-use crate::relay::limit_share::LimitShare;
+use crate::relay::limits::limit_share::LimitShare;
 
 /// Maximum number of shares of a limit, and so of the VMs that send to the endpoint.
 const MAX_SHARES: usize = 32;
--- a/crates/arbutusfall_core/src/relay/endpoint_limits.rs
+++ b/crates/arbutusfall_core/src/relay/limits/endpoint_limits.rs
@@ -8,8 +8,8 @@
 
 use crate::relay::EndpointRun;
 use crate::relay::ShareHolder;
-use crate::relay::endpoint_limit::EndpointLimit;
-use crate::relay::endpoint_limit::ShareWrite;
+use crate::relay::limits::endpoint_limit::EndpointLimit;
+use crate::relay::limits::endpoint_limit::ShareWrite;
 
 /// Time after this VM lifted a limit in which records of it may still arrive.
 const LIFTED_LIFETIME: Duration = Duration::from_millis(2_000);
--- a/crates/arbutusfall_core/src/relay/limit_handling.rs
+++ b/crates/arbutusfall_core/src/relay/limits/limit_handling.rs
@@ -12,18 +12,23 @@
 use crate::relay::RelayNotice;
 use crate::relay::ShareHolder;
 use crate::relay::SharedRecord;
-use crate::relay::endpoint::Endpoint;
-use crate::relay::endpoint_ends::incarnation;
-use crate::relay::endpoint_limit::EndpointLimit;
+use crate::relay::crashes::endpoint_ends::incarnation;
+use crate::relay::endpoints::endpoint::Endpoint;
+use crate::relay::limits::endpoint_limit::EndpointLimit;
 
-pub(super) fn run_of(endpoint: &Endpoint) -> EndpointRun {
+pub(in crate::relay) fn run_of(endpoint: &Endpoint) -> EndpointRun {
     let listed = &endpoint.listed;
     EndpointRun::new(incarnation(&listed.instance, listed.started_unix_ms))
 }
 
 impl Relay {
     /// Handles the limit that an endpoint's answer to the call's exchange names.
-    pub(super) fn on_limit_named(&mut self, id: CallId, exchange: ExchangeId, per_s: f64) {
+    pub(in crate::relay) fn on_limit_named(
+        &mut self,
+        id: CallId,
+        exchange: ExchangeId,
+        per_s: f64,
+    ) {
         let Some((instance, sent_at)) = self.sent_to(id, exchange) else {
             return;
         };
@@ -32,7 +37,11 @@
 
     /// Returns the endpoint of an exchange of the call, current or in standby, and when it was sent; none if another process is
     /// listed by now, about which the answer says nothing.
-    pub(super) fn sent_to(&self, id: CallId, exchange: ExchangeId) -> Option<(Name, Duration)> {
+    pub(in crate::relay) fn sent_to(
+        &self,
+        id: CallId,
+        exchange: ExchangeId,
+    ) -> Option<(Name, Duration)> {
         let call = self.calls.get(&id)?;
         let standby = call.standby.as_ref().map(|standby| &standby.exchange);
         let mut exchanges = call.current.iter().chain(standby);
@@ -44,7 +53,7 @@
     }
 
     /// Handles the limit that an engine's answer to a control request names.
-    pub(super) fn on_control_limit(&mut self, instance: Name, per_s: f64) {
+    pub(in crate::relay) fn on_control_limit(&mut self, instance: Name, per_s: f64) {
         self.name_limit(instance, per_s, self.now);
     }
 
@@ -65,7 +74,7 @@
     }
 
     /// Handles an answer to the call's exchange that names no limit although the endpoint had one when it was sent.
-    pub(super) fn on_limit_absent(&mut self, id: CallId, exchange: ExchangeId) {
+    pub(in crate::relay) fn on_limit_absent(&mut self, id: CallId, exchange: ExchangeId) {
         let Some((instance, sent_at)) = self.sent_to(id, exchange) else {
             return;
         };
@@ -81,7 +90,12 @@
         self.on_limits_changed();
     }
 
-    pub(super) fn delete_limit(&mut self, run: EndpointRun, limit: &EndpointLimit, due: Duration) {
+    pub(in crate::relay) fn delete_limit(
+        &mut self,
+        run: EndpointRun,
+        limit: &EndpointLimit,
+        due: Duration,
+    ) {
         for number in 0..limit.share_count() {
             let record = SharedRecord::Share {
                 run: run.clone(),
@@ -116,7 +130,11 @@
     }
 
     /// Handles the limit that another VM has recorded, or its end.
-    pub(super) fn on_shared_limit(&mut self, run: &EndpointRun, limit: Option<NamedLimit>) {
+    pub(in crate::relay) fn on_shared_limit(
+        &mut self,
+        run: &EndpointRun,
+        limit: Option<NamedLimit>,
+    ) {
         let source = "other_vm";
         if let Some(limit) = limit {
             if self.limits.on_recorded(run, limit.per_s, self.now) {
@@ -132,7 +150,7 @@
     }
 
     /// Handles a record of a share of a limit.
-    pub(super) fn on_shared_share(
+    pub(in crate::relay) fn on_shared_share(
         &mut self,
         run: &EndpointRun,
         number: usize,
@@ -141,13 +159,13 @@
         self.limits.on_share(run, number, holder, self.now);
     }
 
-    pub(super) fn instance_of(&self, run: &EndpointRun) -> Option<Name> {
+    pub(in crate::relay) fn instance_of(&self, run: &EndpointRun) -> Option<Name> {
         let mut endpoints = self.endpoints.iter();
         let endpoint = endpoints.find(|endpoint| run_of(endpoint) == *run)?;
         Some(endpoint.listed.instance.clone())
     }
 
-    pub(super) fn limit_of(&self, endpoint: &Endpoint) -> Option<&EndpointLimit> {
+    pub(in crate::relay) fn limit_of(&self, endpoint: &Endpoint) -> Option<&EndpointLimit> {
         if self.limits.is_empty() {
             return None;
         }
@@ -155,7 +173,7 @@
     }
 
     /// Returns whether the endpoint has a limit.
-    pub(super) fn is_limited(&self, instance: &Name) -> bool {
+    pub(in crate::relay) fn is_limited(&self, instance: &Name) -> bool {
         let endpoint = self.endpoints.get(instance);
         endpoint.is_some_and(|endpoint| self.limit_of(endpoint).is_some())
     }
--- a/crates/arbutusfall_core/src/relay/limit_review.rs
+++ b/crates/arbutusfall_core/src/relay/limits/limit_review.rs
@@ -16,7 +16,7 @@
 
 impl Relay {
     /// Handles the timer for shares and waiting requests.
-    pub(super) fn on_limit_timer(&mut self) {
+    pub(in crate::relay) fn on_limit_timer(&mut self) {
         if self
             .limited_queue
             .timer_due
@@ -65,7 +65,7 @@
         }
     }
 
-    pub(super) fn set_limit_timer(&mut self) {
+    pub(in crate::relay) fn set_limit_timer(&mut self) {
         if self.limits.is_empty() && self.limited_queue.calls.is_empty() {
             return;
         }
--- a/crates/arbutusfall_core/src/relay/limit_tokens.rs
+++ b/crates/arbutusfall_core/src/relay/limits/limit_tokens.rs
@@ -9,19 +9,19 @@
 
 use crate::config::Role;
 use crate::relay::Relay;
-use crate::relay::balance::LimitedEndpoints;
-use crate::relay::call::CallStage;
-use crate::relay::endpoint::Endpoint;
-use crate::relay::limit_handling::run_of;
+use crate::relay::calls::call::CallStage;
+use crate::relay::endpoints::endpoint::Endpoint;
+use crate::relay::limits::limit_handling::run_of;
+use crate::relay::sending::balance::LimitedEndpoints;
 
 /// Requests that a role order sends to its engine: the report and the order.
-pub(super) const ORDER_REQUESTS: f64 = 2.0;
+pub(in crate::relay) const ORDER_REQUESTS: f64 = 2.0;
 
 /// Tokens of a reservation and of the decode that uses it.
-pub(super) const RESERVATION_TOKENS: f64 = 2.0;
+pub(in crate::relay) const RESERVATION_TOKENS: f64 = 2.0;
 
 /// Returns the tokens that a request of this stage needs.
-pub(super) fn tokens_for(stage: CallStage, has_reservation: bool) -> f64 {
+pub(in crate::relay) fn tokens_for(stage: CallStage, has_reservation: bool) -> f64 {
     match stage {
         CallStage::Plain | CallStage::Prefill => 1.0,
         CallStage::Forward => 0.0,
@@ -32,7 +32,7 @@
 }
 
 /// Returns the tokens that a request of this role needs before it is sent.
-pub(super) fn tokens_to_start(role: Role) -> f64 {
+pub(in crate::relay) fn tokens_to_start(role: Role) -> f64 {
     match role {
         Role::Plain | Role::Prefill => 1.0,
         Role::Decode => RESERVATION_TOKENS,
@@ -42,7 +42,11 @@
 impl Relay {
     /// Returns the instant from which this VM may send a request that needs these tokens; none if it holds no share of the
     /// endpoint's limit.
-    pub(super) fn limit_allows_at(&self, endpoint: &Endpoint, tokens: f64) -> Option<Duration> {
+    pub(in crate::relay) fn limit_allows_at(
+        &self,
+        endpoint: &Endpoint,
+        tokens: f64,
+    ) -> Option<Duration> {
         match self.limit_of(endpoint) {
             Some(limit) => limit.next_send_at(tokens, self.now),
             None => Some(self.now),
@@ -50,13 +54,13 @@
     }
 
     /// Returns whether the endpoint's limit, if any, allows a request that needs these tokens now.
-    pub(super) fn limit_allows(&self, endpoint: &Endpoint, tokens: f64) -> bool {
+    pub(in crate::relay) fn limit_allows(&self, endpoint: &Endpoint, tokens: f64) -> bool {
         let allowed_at = self.limit_allows_at(endpoint, tokens);
         allowed_at.is_some_and(|allowed_at| allowed_at <= self.now)
     }
 
     /// Returns the limited endpoints of a service and role, and records a request that can be sent to them.
-    pub(super) fn limited_endpoints(
+    pub(in crate::relay) fn limited_endpoints(
         &mut self,
         service: &Name,
         role: Role,
@@ -88,7 +92,7 @@
     }
 
     /// Takes the tokens of a request to an endpoint.
-    pub(super) fn take_limit_tokens(&mut self, instance: &Name, tokens: f64) {
+    pub(in crate::relay) fn take_limit_tokens(&mut self, instance: &Name, tokens: f64) {
         if self.limits.is_empty() || tokens == 0.0 {
             return;
         }
@@ -103,7 +107,7 @@
     }
 
     /// Returns the token of the decode that a refused reservation took along.
-    pub(super) fn give_back_decode_token(&mut self, instance: &Name) {
+    pub(in crate::relay) fn give_back_decode_token(&mut self, instance: &Name) {
         let endpoint = self.endpoints.get(instance);
         let Some(run) = endpoint.filter(|_| !self.limits.is_empty()).map(run_of) else {
             return;
--- a/crates/arbutusfall_core/src/relay/limit_waiting.rs
+++ b/crates/arbutusfall_core/src/relay/limits/limit_waiting.rs
@@ -6,11 +6,11 @@
 use crate::CallId;
 use crate::config::Role;
 use crate::relay::Relay;
-use crate::relay::call::Call;
-use crate::relay::limit_tokens::tokens_to_start;
+use crate::relay::calls::call::Call;
+use crate::relay::limits::limit_tokens::tokens_to_start;
 
 /// Reason of the refusal of a request beyond the limits of its endpoints.
-pub(super) const LIMITED: &str = "limited";
+pub(in crate::relay) const LIMITED: &str = "limited";
 
 /// What this VM's shares of the limits of a service allow.
 #[derive(Debug, Clone, Copy)]
@@ -27,7 +27,7 @@
 
 impl Relay {
     /// Returns whether only limits keep the request from being sent: an endpoint that has not failed it has one.
-    pub(super) fn waits_for_limit(&self, call: &Call, role: Role) -> bool {
+    pub(in crate::relay) fn waits_for_limit(&self, call: &Call, role: Role) -> bool {
         self.endpoints.serving_call(call, role).any(|endpoint| {
             !call.failed_endpoints.contains(&endpoint.listed.instance)
                 && self.limit_of(endpoint).is_some()
@@ -54,7 +54,7 @@
     }
 
     /// Returns when a request with `ahead` others before it could be sent; none if this VM holds no share.
-    pub(super) fn limited_send_at(
+    pub(in crate::relay) fn limited_send_at(
         &self,
         call: &Call,
         role: Role,
@@ -73,7 +73,7 @@
 
     /// Returns the time after which a request beyond the limits of its service may come back: the limits of all its
     /// endpoints allow one more request by then.
-    pub(super) fn limited_retry_delay(&self, call: &Call) -> Duration {
+    pub(in crate::relay) fn limited_retry_delay(&self, call: &Call) -> Duration {
         let role = call.serving_role();
         let limits = self.endpoints.serving_call(call, role);
         let limits = limits.filter_map(|endpoint| self.limit_of(endpoint));
@@ -82,7 +82,7 @@
     }
 
     /// Queues a plain request until a limit allows it, or refuses it if that will be after its target.
-    pub(super) fn wait_for_limit(&mut self, id: CallId) {
+    pub(in crate::relay) fn wait_for_limit(&mut self, id: CallId) {
         if !self.limited_queue.calls.contains(&id) {
             self.limited_queue.calls.push(id);
         }
@@ -91,7 +91,7 @@
     }
 
     /// Returns the waiting requests in the order in which they are due.
-    pub(super) fn limited_order(&self) -> Vec<CallId> {
+    pub(in crate::relay) fn limited_order(&self) -> Vec<CallId> {
         let waiting = self.limited_queue.calls.iter();
         let mut order: Vec<(Duration, CallId)> = waiting
             .filter_map(|id| Some((latest_send(self.calls.get(id)?), *id)))
@@ -118,7 +118,7 @@
     }
 
     /// Sends the waiting requests that the limits allow now.
-    pub(super) fn send_limited(&mut self) {
+    pub(in crate::relay) fn send_limited(&mut self) {
         self.limited_queue
             .calls
             .retain(|id| self.calls.contains_key(id));
@@ -137,7 +137,7 @@
     }
 
     /// Handles limits that ended: requests that wait for them may be sent.
-    pub(super) fn on_limits_changed(&mut self) {
+    pub(in crate::relay) fn on_limits_changed(&mut self) {
         self.send_limited();
         self.retry_reservations();
     }
--- a/crates/arbutusfall_core/src/relay/admission.rs
+++ b/crates/arbutusfall_core/src/relay/sending/admission.rs
@@ -5,9 +5,9 @@
 use crate::CallId;
 use crate::config::Role;
 use crate::relay::Relay;
-use crate::relay::call::Call;
-use crate::relay::limit_tokens::RESERVATION_TOKENS;
-use crate::relay::waiting::FIRST_EVENT_MARGIN;
+use crate::relay::calls::call::Call;
+use crate::relay::limits::limit_tokens::RESERVATION_TOKENS;
+use crate::relay::sending::waiting::FIRST_EVENT_MARGIN;
 
 /// A caller's retry, or a first attempt whose prefill would finish too late, is sent only if the prefill would finish
 /// within this fraction of the target.
@@ -16,7 +16,7 @@
 impl Relay {
     /// Returns whether a prefill sent now would finish in time for the target or, for a caller's retry or a first
     /// attempt that would miss the target, within [`MAX_LATE_PREFILL_FRACTION`] of it.
-    pub(super) fn can_prefill_in_time(&self, call: &Call) -> bool {
+    pub(in crate::relay) fn can_prefill_in_time(&self, call: &Call) -> bool {
         let serving = self.endpoints.serving(&call.service, Role::Prefill);
         let usable = serving.filter(|endpoint| {
             endpoint.health.is_usable(self.now) && self.limit_allows(endpoint, 1.0)
@@ -43,13 +43,13 @@
     }
 
     /// Returns whether a call may try to reserve memory now.
-    pub(super) fn may_reserve(&self, call: &Call) -> bool {
+    pub(in crate::relay) fn may_reserve(&self, call: &Call) -> bool {
         self.reservation_allowed_at(call)
             .is_some_and(|allowed_at| allowed_at <= self.now)
     }
 
     /// Returns the instant from which a call may try to reserve memory; none if no engine serves it.
-    pub(super) fn reservation_allowed_at(&self, call: &Call) -> Option<Duration> {
+    pub(in crate::relay) fn reservation_allowed_at(&self, call: &Call) -> Option<Duration> {
         let engines = || self.endpoints.serving_call(call, Role::Decode);
         // While others are known, engines whose process is in doubt don't count for a stream that goes on.
         let is_any_known = call.is_bound() && engines().any(|engine| engine.run.is_listed());
@@ -73,7 +73,7 @@
     }
 
     /// Records that an engine without free memory refused a call; returns the time for which the engine counts as full.
-    pub(super) fn pace_after_refusal(&mut self, id: CallId) -> Duration {
+    pub(in crate::relay) fn pace_after_refusal(&mut self, id: CallId) -> Duration {
         let late = self
             .calls
             .get(&id)
@@ -86,13 +86,13 @@
 
     /// Returns how much longer than one interval a call waits after an engine's refusal; none if it waits only the
     /// interval.
-    pub(super) fn extra_delay_after_refusal(&self, call: &Call) -> Option<Duration> {
+    pub(in crate::relay) fn extra_delay_after_refusal(&self, call: &Call) -> Option<Duration> {
         let extra_factor = self.reservation_wait_factor(call) - 1.0;
         (extra_factor > 0.0).then(|| self.wait_queue.pacing.scaled_interval(extra_factor))
     }
 
     /// Returns how many pacing intervals a call waits after an engine's refusal; 1 if its caller has part of the answer.
-    pub(super) fn reservation_wait_factor(&self, call: &Call) -> f64 {
+    pub(in crate::relay) fn reservation_wait_factor(&self, call: &Call) -> f64 {
         if call.continues_stream() {
             return 1.0;
         }
--- a/crates/arbutusfall_core/src/relay/balance.rs
+++ b/crates/arbutusfall_core/src/relay/sending/balance.rs
@@ -5,8 +5,8 @@
 use arbutusfall_wire::Name;
 
 use crate::config::Role;
-use crate::relay::endpoint::Endpoint;
-use crate::relay::endpoints::Endpoints;
+use crate::relay::endpoints::endpoint::Endpoint;
+use crate::relay::endpoints::list::Endpoints;
 
 /// Largest random increase of a cost, as a fraction, so that VMs do not all pick the same of several equal endpoints.
 const MAX_COST_JITTER: f64 = 0.2;
--- a/crates/arbutusfall_core/src/relay/send_permission.rs
+++ b/crates/arbutusfall_core/src/relay/sending/send_permission.rs
@@ -6,10 +6,10 @@
 use crate::relay::ExchangeId;
 use crate::relay::Relay;
 use crate::relay::StoreTopic;
-use crate::relay::call::Call;
-use crate::relay::call::CallStage;
-use crate::relay::call::CurrentExchange;
-use crate::relay::endpoint::Endpoint;
+use crate::relay::calls::call::Call;
+use crate::relay::calls::call::CallStage;
+use crate::relay::calls::call::CurrentExchange;
+use crate::relay::endpoints::endpoint::Endpoint;
 
 /// Whether an exchange may send its request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/arbutusfall_core/src/relay/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/sending/waiting.rs
@@ -13,16 +13,16 @@
 use crate::relay::Relay;
 use crate::relay::RelayNotice;
 use crate::relay::RelayTimer;
-use crate::relay::call::Call;
-use crate::relay::limit_waiting::LIMITED;
+use crate::relay::calls::call::Call;
+use crate::relay::limits::limit_waiting::LIMITED;
 use crate::relay::notice::millis;
-use crate::relay::pacing::Pacing;
+use crate::relay::sending::pacing::Pacing;
 
 /// Shortest delay of the timer for the next pass over the queue.
 const MIN_RESERVATION_TIMER_DELAY: Duration = Duration::from_millis(20);
 
 /// Time from a request's reservation to its first event, not counting the prefill.
-pub(super) const FIRST_EVENT_MARGIN: Duration = Duration::from_millis(120);
+pub(in crate::relay) const FIRST_EVENT_MARGIN: Duration = Duration::from_millis(120);
 
 /// Longest wait of a caller's retry, as a multiple of the target: the request is already late, and if it gets no
 /// memory, its caller should be refused soon.
@@ -39,11 +39,11 @@
     /// Instant of the earliest timer that is set.
     timer_due: Option<Duration>,
     /// Instant from which late requests may try to reserve memory again after one of them was refused.
-    pub(super) late_reservations_at: Duration,
+    pub(in crate::relay) late_reservations_at: Duration,
     /// Pacing of reservation attempts.
-    pub(super) pacing: Pacing,
+    pub(in crate::relay) pacing: Pacing,
     /// Retry delays of refused callers, from the rate of grants.
-    pub(super) retry_schedule: RetrySchedule,
+    pub(in crate::relay) retry_schedule: RetrySchedule,
 }
 
 impl WaitQueue {
@@ -79,7 +79,7 @@
 
 impl Relay {
     /// Queues a request for memory, or fails it if its wait is over or the queue is too long.
-    pub(super) fn enqueue(&mut self, id: CallId) {
+    pub(in crate::relay) fn enqueue(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
@@ -186,7 +186,7 @@
     }
 
     /// Retries the reservations of waiting requests.
-    pub(super) fn on_retry_reservations(&mut self) {
+    pub(in crate::relay) fn on_retry_reservations(&mut self) {
         if self.wait_queue.timer_due.is_some_and(|due| due > self.now) {
             // This timer was superseded by an earlier one.
             return;
@@ -197,7 +197,7 @@
     }
 
     /// Sends every waiting request that may reserve memory now, and fails those whose wait is over.
-    pub(super) fn retry_reservations(&mut self) {
+    pub(in crate::relay) fn retry_reservations(&mut self) {
         for id in self.queue_order() {
             let Some(call) = self.calls.get(&id) else {
                 self.wait_queue.remove(id);
@@ -217,7 +217,7 @@
     }
 
     /// Sends the requests that wait and may be sent now, because engines can be used that could not.
-    pub(super) fn go_on_with_waiting(&mut self) {
+    pub(in crate::relay) fn go_on_with_waiting(&mut self) {
         self.retry_reservations();
         self.set_reservation_timer();
     }
@@ -239,7 +239,7 @@
     }
 
     /// Returns whether a request is late: it would miss its target if it started now.
-    pub(super) fn would_miss_target(&self, id: CallId) -> bool {
+    pub(in crate::relay) fn would_miss_target(&self, id: CallId) -> bool {
         self.calls.get(&id).is_none_or(|call| {
             let first_event_due = (call.arrived_at + call.route.latency_target)
                 .saturating_sub(call.prior_attempt_time);
--- a/crates/arbutusfall_core/src/relay/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
@@ -21,12 +21,12 @@
 use crate::relay::SendCommand;
 use crate::relay::SharedRecord;
 use crate::relay::Work;
-use crate::relay::call::Call;
-use crate::relay::call::CallStage;
-use crate::relay::call::CurrentExchange;
-use crate::relay::crash_handling::SUSPECT;
+use crate::relay::calls::call::Call;
+use crate::relay::calls::call::CallStage;
+use crate::relay::calls::call::CurrentExchange;
+use crate::relay::crashes::crash_handling::SUSPECT;
 use crate::relay::notice::millis;
-use crate::relay::peers::PeerRefusal;
+use crate::relay::sharing::peers::PeerRefusal;
 
 /// Requests of other VMs that this VM takes at a time.
 const MAX_FORWARDED_CALLS: usize = 200;
@@ -36,7 +36,7 @@
 
 impl Relay {
     /// Records this VM's address in the store, unless its record is there.
-    pub(super) fn record_own_address(&mut self) {
+    pub(in crate::relay) fn record_own_address(&mut self) {
         let Some((vm, own)) = self.own_address.clone() else {
             return;
         };
@@ -52,7 +52,7 @@
     }
 
     /// Handles the record of a VM, or its deletion.
-    pub(super) fn on_shared_peer(&mut self, vm: &Name, peer: Option<PeerAddress>) {
+    pub(in crate::relay) fn on_shared_peer(&mut self, vm: &Name, peer: Option<PeerAddress>) {
         self.on_fact_peer(vm, peer.as_ref());
         self.peers.on_record(vm, peer);
         self.follow_facts();
@@ -60,7 +60,7 @@
 
     /// Sends a call another way if this VM does not reach the endpoints of its service: forwards one of this VM's callers, declines
     /// one of another VM. Returns false if the call stays here.
-    pub(super) fn goes_another_way(&mut self, id: CallId) -> bool {
+    pub(in crate::relay) fn goes_another_way(&mut self, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id) else {
             return false;
         };
@@ -82,7 +82,7 @@
 
     /// Forwards a stream that goes on at one version if connections to all engines of that version have failed for it: the service may
     /// be reached, but by other versions only. Returns false if the call stays here.
-    pub(super) fn forward_if_version_unreached(&mut self, id: CallId) -> bool {
+    pub(in crate::relay) fn forward_if_version_unreached(&mut self, id: CallId) -> bool {
         self.reaches_none_of_version(id) && self.forward(id)
     }
 
@@ -156,13 +156,13 @@
     }
 
     /// Handles a request that the other VM has not taken: nothing of it has run.
-    pub(super) fn on_forward_declined(&mut self, id: CallId) {
+    pub(in crate::relay) fn on_forward_declined(&mut self, id: CallId) {
         self.end_refused_forward(id, "declined", PeerRefusal::Declined);
         self.retry_or_fail(id);
     }
 
     /// Handles the failure of the way through another VM.
-    pub(super) fn on_forward_failed(&mut self, id: CallId, failure: ExchangeFailure) {
+    pub(in crate::relay) fn on_forward_failed(&mut self, id: CallId, failure: ExchangeFailure) {
         if failure == ExchangeFailure::Unreachable {
             self.end_refused_forward(id, failure.name(), PeerRefusal::Failed);
             self.retry_or_fail(id);
@@ -204,7 +204,12 @@
     }
 
     /// Handles the complete answer of another VM, which is final.
-    pub(super) fn on_forward_complete(&mut self, id: CallId, exchange: ExchangeId, status: u16) {
+    pub(in crate::relay) fn on_forward_complete(
+        &mut self,
+        id: CallId,
+        exchange: ExchangeId,
+        status: u16,
+    ) {
         self.drop_standby(id);
         self.on_forward_began(id);
         self.end_exchange(id);
@@ -212,7 +217,7 @@
     }
 
     /// Handles the version at which another VM says that the call's stream began.
-    pub(super) fn on_version_stated(&mut self, id: CallId, version: Name) {
+    pub(in crate::relay) fn on_version_stated(&mut self, id: CallId, version: Name) {
         let call = self.calls.get_mut(&id);
         if let Some(call) = call.filter(|call| call.route.is_resumable) {
             call.stream_version.get_or_insert(version);
@@ -220,7 +225,7 @@
     }
 
     /// Handles the beginning of another VM's answer.
-    pub(super) fn on_forward_began(&mut self, id: CallId) {
+    pub(in crate::relay) fn on_forward_began(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
@@ -241,13 +246,13 @@
     }
 
     /// Returns whether the call's exchange is with another VM.
-    pub(super) fn is_forwarding(&self, id: CallId) -> bool {
+    pub(in crate::relay) fn is_forwarding(&self, id: CallId) -> bool {
         let current = self.calls.get(&id).and_then(|call| call.current.as_ref());
         current.is_some_and(|current| current.stage == CallStage::Forward)
     }
 
     /// Returns why this VM can't take a request of another VM, if it can't.
-    pub(super) fn reason_to_decline(&self, hop: &Hop) -> Option<&'static str> {
+    pub(in crate::relay) fn reason_to_decline(&self, hop: &Hop) -> Option<&'static str> {
         let version = self.routes.as_ref().map(|routes| routes.version);
         let forwarded = self
             .calls
@@ -269,7 +274,7 @@
     }
 
     /// Tells the other VM that this one does not take its request, of which nothing has run.
-    pub(super) fn decline(&mut self, request: &RelayRequest, reason: &'static str) {
+    pub(in crate::relay) fn decline(&mut self, request: &RelayRequest, reason: &'static str) {
         self.note(RelayNotice::Declined {
             request_id: request.request_id.clone(),
             from_vm: request.hop.as_ref().map(|hop| hop.from_vm.clone()),
@@ -280,7 +285,7 @@
     }
 
     /// Sends the requests that wait for endpoints of a service, which this VM no longer reaches, another way.
-    pub(super) fn forward_waiting_calls(&mut self, service: &Name) {
+    pub(in crate::relay) fn forward_waiting_calls(&mut self, service: &Name) {
         let is_of_service = |id: &CallId| {
             let call = self.calls.get(id);
             call.is_some_and(|call| call.service == *service)
@@ -367,7 +372,7 @@
     }
 
     /// Returns the silence after which a request is moved from another VM, from that of an endpoint.
-    pub(super) fn forward_silence(&self, of_endpoint: Duration) -> Duration {
+    pub(in crate::relay) fn forward_silence(&self, of_endpoint: Duration) -> Duration {
         of_endpoint + FORWARD_SILENCE_MARGIN
     }
 }
--- a/crates/arbutusfall_core/src/relay/shared_handling.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/shared_handling.rs
@@ -28,7 +28,7 @@
 
 impl Relay {
     /// Takes over all records that VMs share, as read from the store.
-    pub(super) fn on_all_shared_records(&mut self, records: Vec<SharedRecord>) {
+    pub(in crate::relay) fn on_all_shared_records(&mut self, records: Vec<SharedRecord>) {
         let has_returned = std::mem::take(&mut self.has_store_returned);
         if has_returned {
             self.crash_suspects.on_shared_readable(self.now);
@@ -68,7 +68,7 @@
     }
 
     /// Appends records that other VMs may be about to append too, all at one instant.
-    pub(super) fn append_to_shared(&mut self, records: Vec<SharedRecord>) {
+    pub(in crate::relay) fn append_to_shared(&mut self, records: Vec<SharedRecord>) {
         if records.is_empty() {
             return;
         }
@@ -154,7 +154,7 @@
     }
 
     /// Handles records that were read, oldest first.
-    pub(super) fn on_shared_records(&mut self, records: Vec<SharedRecord>) {
+    pub(in crate::relay) fn on_shared_records(&mut self, records: Vec<SharedRecord>) {
         // One instant for all, so that a VM answers them in one append.
         let has_evidence = records
             .iter()
@@ -197,13 +197,13 @@
         self.set_shared_timer();
     }
 
-    pub(super) fn on_shared_appended(&mut self, succeeded: bool) {
+    pub(in crate::relay) fn on_shared_appended(&mut self, succeeded: bool) {
         self.shared_outbox.on_appended(succeeded, self.now);
         self.set_shared_timer();
     }
 
     /// Handles the timer for evidence, blocks and records to append.
-    pub(super) fn on_shared_timer(&mut self) {
+    pub(in crate::relay) fn on_shared_timer(&mut self) {
         if self.shared_timer_due.is_some_and(|due| due > self.now) {
             // This timer was superseded by an earlier one.
             return;
@@ -217,7 +217,7 @@
         self.set_shared_timer();
     }
 
-    pub(super) fn set_shared_timer(&mut self) {
+    pub(in crate::relay) fn set_shared_timer(&mut self) {
         let due = [
             self.endpoint_ends.next_due(),
             self.crash_suspects.next_block(),
--- a/crates/arbutusfall_core/src/relay/recorded_versions.rs
+++ b/crates/arbutusfall_core/src/relay/streams/recorded_versions.rs
@@ -14,7 +14,12 @@
 
 impl Relay {
     /// Takes over the record of a version, or its deletion.
-    pub(super) fn on_shared_version(&mut self, service: Name, version: Name, is_recent: bool) {
+    pub(in crate::relay) fn on_shared_version(
+        &mut self,
+        service: Name,
+        version: Name,
+        is_recent: bool,
+    ) {
         if is_recent {
             self.stream_versions
                 .on_recorded_version(&service, &version, self.now);
@@ -36,7 +41,7 @@
 
     /// Records versions that are listed and not recorded, and deletes the records of those that left long ago. One VM is enough,
     /// so each waits for a random time.
-    pub(super) fn review_recorded_versions(&mut self) {
+    pub(in crate::relay) fn review_recorded_versions(&mut self) {
         if !self.has_read_shared {
             return;
         }
--- a/crates/arbutusfall_core/src/relay/resumptions.rs
+++ b/crates/arbutusfall_core/src/relay/streams/resumptions.rs
@@ -12,8 +12,8 @@
 use crate::relay::StoreTopic;
 use crate::relay::StreamLookup;
 use crate::relay::StreamOrigin;
-use crate::relay::call::CallStage;
-use crate::relay::stream_versions::ORIGIN_LIFETIME;
+use crate::relay::calls::call::CallStage;
+use crate::relay::streams::stream_versions::ORIGIN_LIFETIME;
 
 /// Time from a request's arrival during which its stream's origin is looked for: it may be about to be recorded.
 const LOOKUP_PERIOD: Duration = Duration::from_millis(400);
@@ -32,7 +32,7 @@
 
 impl Relay {
     /// Sends a new request, or first finds the version of the stream that it goes on with.
-    pub(super) fn begin_call(&mut self, id: CallId) {
+    pub(in crate::relay) fn begin_call(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
@@ -59,7 +59,7 @@
     }
 
     /// Handles the answer to a lookup of a stream's origin in the store.
-    pub(super) fn on_stream_lookup(&mut self, id: CallId, lookup: StreamLookup) {
+    pub(in crate::relay) fn on_stream_lookup(&mut self, id: CallId, lookup: StreamLookup) {
         let Some(call) = self.calls.get(&id) else {
             // The call has ended meanwhile.
             return;
@@ -144,7 +144,7 @@
     }
 
     /// Remembers the version of the call's stream at its first event.
-    pub(super) fn on_first_event(&mut self, id: CallId) {
+    pub(in crate::relay) fn on_first_event(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
@@ -180,7 +180,7 @@
     }
 
     /// Records the end of the call's stream; its origin is kept for the caller's next attempt.
-    pub(super) fn on_stream_end(&mut self, attempt: &Name, is_complete: bool) {
+    pub(in crate::relay) fn on_stream_end(&mut self, attempt: &Name, is_complete: bool) {
         if self.stream_versions.origin(attempt).is_none() {
             return;
         }
@@ -193,7 +193,7 @@
     }
 
     /// Appends to the store what is due.
-    pub(super) fn record_streams(&mut self) {
+    pub(in crate::relay) fn record_streams(&mut self) {
         let records = self.stream_versions.take_records(self.now);
         if !records.is_empty() {
             self.effects.push(RelayEffect::RecordStreams(records));
@@ -202,13 +202,13 @@
         self.set_record_timer();
     }
 
-    pub(super) fn on_streams_recorded(&mut self, succeeded: bool) {
+    pub(in crate::relay) fn on_streams_recorded(&mut self, succeeded: bool) {
         self.stream_versions.on_appended(succeeded, self.now);
         self.set_record_timer();
     }
 
     /// Sets the timer of [`Self::record_streams`], unless an earlier one is set.
-    pub(super) fn set_record_timer(&mut self) {
+    pub(in crate::relay) fn set_record_timer(&mut self) {
         let Some(due) = self.stream_versions.next_due(self.now) else {
             return;
         };
--- a/crates/arbutusfall_core/src/relay/standby.rs
+++ b/crates/arbutusfall_core/src/relay/streams/standby.rs
@@ -17,11 +17,9 @@
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
 use crate::relay::RelayTimer;
-use crate::relay::call::CallStage;
-use crate::relay::call::CurrentExchange;
-use crate::relay::call::MemoryAllocation;
-use crate::relay::call::PrefillResult;
-use crate::relay::crash_handling::SUSPECT;
+use crate::relay::calls::call::CallStage;
+use crate::relay::calls::call::Standby;
+use crate::relay::crashes::crash_handling::SUSPECT;
 use crate::relay::notice::millis;
 
 /// Time that another endpoint has to begin a stream before the silent exchange ends all the same: a stream may not run at two
@@ -31,29 +29,9 @@
 /// Reason of the end of a move whose silent endpoint has gone on.
 const GOES_ON: &str = "goes_on";
 
-/// An exchange whose endpoint is silent, with what belongs to it.
-#[derive(Debug, Clone)]
-pub(crate) struct Standby {
-    pub(crate) exchange: CurrentExchange,
-    /// Memory that the request uses at the endpoint.
-    pub(crate) allocation: Option<MemoryAllocation>,
-    /// Start of its stream.
-    pub(crate) stream_began_at: Option<Duration>,
-    /// Prefill result that the endpoint may still have to fetch.
-    prefill_result: Option<PrefillResult>,
-    /// Instant of the retry that the move spends.
-    moved_at: Duration,
-    /// Whether the request has been sent to another endpoint that may run it.
-    is_sent_again: bool,
-    /// Number of the call's failed endpoints before the move.
-    failed_before: usize,
-    /// Instant at which the exchange ends if the other endpoint has neither begun nor refused; its answer is held until then.
-    held_until: Option<Duration>,
-}
-
 impl Relay {
     /// Puts the call's silent exchange in standby and moves the request to another endpoint, if one can take it.
-    pub(super) fn move_from_silent(&mut self, id: CallId) {
+    pub(in crate::relay) fn move_from_silent(&mut self, id: CallId) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -84,7 +62,7 @@
     }
 
     /// Handles the send of a moved request to an endpoint that may run it: the standby exchange of a stream or of an engine is held.
-    pub(super) fn on_run_sent(&mut self, id: CallId, stage: CallStage) {
+    pub(in crate::relay) fn on_run_sent(&mut self, id: CallId, stage: CallStage) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -104,7 +82,7 @@
     }
 
     /// Releases the call's standby exchange if it is held: the other endpoint has refused or failed.
-    pub(super) fn release_standby(&mut self, id: CallId) {
+    pub(in crate::relay) fn release_standby(&mut self, id: CallId) {
         let call = self.calls.get_mut(&id);
         let Some(standby) = call.and_then(|call| call.standby.as_mut()) else {
             return;
@@ -116,7 +94,7 @@
     }
 
     /// Ends a standby exchange that has been held for too long.
-    pub(super) fn end_standby(&mut self, exchange: ExchangeId) {
+    pub(in crate::relay) fn end_standby(&mut self, exchange: ExchangeId) {
         let Some(id) = self.calls_by_exchange.get(&exchange).copied() else {
             return;
         };
@@ -132,19 +110,19 @@
     }
 
     /// Returns whether the call has a standby exchange.
-    pub(super) fn has_standby(&self, id: CallId) -> bool {
+    pub(in crate::relay) fn has_standby(&self, id: CallId) -> bool {
         self.standby(id).is_some()
     }
 
     /// Returns whether this is the call's standby exchange.
-    pub(super) fn is_standby(&self, id: CallId, exchange: ExchangeId) -> bool {
+    pub(in crate::relay) fn is_standby(&self, id: CallId, exchange: ExchangeId) -> bool {
         let standby = self.standby(id);
         standby.is_some_and(|standby| standby.exchange.exchange == exchange)
     }
 
     /// Handles an event of the call's standby exchange. Returns true if the event is to be handled like one of the
     /// current exchange, which the standby one is again if its endpoint has gone on.
-    pub(super) fn on_standby_event(&mut self, id: CallId, event: &ExchangeEvent) -> bool {
+    pub(in crate::relay) fn on_standby_event(&mut self, id: CallId, event: &ExchangeEvent) -> bool {
         let Some(call) = self.calls.get_mut(&id) else {
             return false;
         };
@@ -173,7 +151,7 @@
     }
 
     /// Ends the move of a call, if it is being moved: the standby exchange is its current one again.
-    pub(super) fn return_to_standby(&mut self, id: CallId, reason: &'static str) -> bool {
+    pub(in crate::relay) fn return_to_standby(&mut self, id: CallId, reason: &'static str) -> bool {
         let call = self.calls.get_mut(&id);
         let Some(standby) = call.and_then(|call| call.standby.take()) else {
             return false;
@@ -207,7 +185,7 @@
     }
 
     /// Closes the call's standby exchange: another endpoint has taken the request over, or the call ends.
-    pub(super) fn drop_standby(&mut self, id: CallId) {
+    pub(in crate::relay) fn drop_standby(&mut self, id: CallId) {
         if let Some(standby) = self.take_standby(id) {
             let exchange = standby.exchange.exchange;
             self.effects.push(RelayEffect::Close { exchange });
--- a/crates/arbutusfall_core/src/relay/unproved_streams.rs
+++ b/crates/arbutusfall_core/src/relay/streams/unproved_streams.rs
@@ -5,7 +5,7 @@
 
 use arbutusfall_wire::Name;
 
-use crate::relay::run_status::RunVerdict;
+use crate::relay::endpoints::run_status::RunVerdict;
 
 /// The first event of a stream, which one process of an engine has written.
 #[derive(Debug, Clone, PartialEq, Eq)]
