Core: client accounts and their quotas as types

Cause: routing by account and the quota of all VMs share these types. Change: relay/accounts/account.rs; a call may have an account, which nothing sets yet. Result: no behaviour changes.

--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -8,6 +8,7 @@
 //! A [`Relay`] takes one [`RelayEvent`] at a time and returns [`RelayEffect`]s as data, like [`crate::Node`]. The
 //! driver holds the bytes of requests and answers; the relay sees only sizes, outcomes and times.
 
+mod accounts;
 mod calls;
 mod control;
 mod crashes;
@@ -50,6 +51,9 @@
 use streams::stream_versions::StreamVersions;
 use streams::unproved_streams::UnprovedStreams;
 
+pub use accounts::account::AccountQuota;
+pub use accounts::account::ClientAccount;
+pub use accounts::account::QuotaUnit;
 pub use calls::budget::RetryLimit;
 pub use calls::request_key::RequestHashKey;
 pub use calls::request_key::RequestKey;
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/accounts.rs
@@ -0,0 +1,3 @@
+//! Client accounts: whose requests are served, with which priority and within which quota.
+
+pub(in crate::relay) mod account;
--- a/crates/arbutusfall_core/src/relay/calls/call.rs
+++ b/crates/arbutusfall_core/src/relay/calls/call.rs
@@ -1,11 +1,13 @@
 //! Calls in progress.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use arbutusfall_wire::Name;
 
 use crate::config::Role;
+use crate::relay::ClientAccount;
 use crate::relay::CrashCause;
 use crate::relay::CrashCauses;
 use crate::relay::ExchangeId;
@@ -22,6 +24,8 @@
 pub(crate) struct Call {
     pub(crate) request: RelayRequest,
     pub(crate) route: RelayRoute,
+    /// Account of the caller; none on routes without accounts, or if the configuration has none.
+    pub(crate) account: Option<Arc<ClientAccount>>,
     /// Service picked from the route's services.
     pub(crate) service: Name,
     /// Version of the configuration that applies to the request.
--- a/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
+++ b/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
@@ -117,6 +117,7 @@
             reservation_lifetime: engine
                 .map_or(Duration::ZERO, |engine| engine.reservation_lifetime),
             prior_attempt_time: self.prior_attempt_time(route, caller_timeout),
+            account: None,
             service,
             route: route.clone(),
             config_version: routes.version,
