Relay: VMs tell each other which engines change their role

Cause: an engine that has accepted a role order refuses what it has not begun for the time of the change, and its list entry names the new role only afterwards. Only the lease holder knew. Change: the holder shares accepted changes in a record by service (role-changes/SERVICE); all VMs send nothing to such an engine until it is listed in its new role, or the time of a change is over. Old news is ignored.

--- a/crates/arbutusfall_core/src/relay/control.rs
+++ b/crates/arbutusfall_core/src/relay/control.rs
@@ -2,6 +2,7 @@
 
 pub(in crate::relay) mod configuration;
 pub(in crate::relay) mod lease;
+pub(in crate::relay) mod role_changes;
 pub(in crate::relay) mod roles;
 pub(in crate::relay) mod routes;
 pub(in crate::relay) mod store_view;
--- a/crates/arbutusfall_core/src/relay/control/roles.rs
+++ b/crates/arbutusfall_core/src/relay/control/roles.rs
@@ -93,6 +93,10 @@
     by_service: BTreeMap<Name, EngineUsage>,
     /// Instant until which no further orders are given.
     pause_until: Duration,
+    /// Orders without an outcome: engine, new role and service.
+    ordered: Vec<(Name, Role, Name)>,
+    /// Engines that accepted one of the newest orders, by service.
+    accepted: BTreeMap<Name, Vec<(Name, Role)>>,
 }
 
 impl Roles {
@@ -103,6 +107,30 @@
         usage.ended_tokens += stream.memory_tokens as f64;
         usage.add(stream);
     }
+
+    /// Begins a series of orders to engines of a service.
+    fn begin_orders(&mut self, service: &Name) {
+        self.accepted.remove(service);
+    }
+
+    /// Removes an order that has an outcome; returns its role and service.
+    pub(crate) fn take_ordered(&mut self, instance: &Name) -> Option<(Role, Name)> {
+        let at = self.ordered.iter().position(|(of, ..)| of == instance)?;
+        let (_, role, service) = self.ordered.swap_remove(at);
+        Some((role, service))
+    }
+
+    /// Records that an engine accepted an order; returns all that did in this series.
+    pub(crate) fn add_accepted(
+        &mut self,
+        service: &Name,
+        instance: &Name,
+        role: Role,
+    ) -> Vec<(Name, Role)> {
+        let accepted = self.accepted.entry(service.clone()).or_default();
+        accepted.push((instance.clone(), role));
+        accepted.clone()
+    }
 }
 
 impl Relay {
@@ -124,6 +152,7 @@
             let Some((role, instances)) = self.plan_role_change(service) else {
                 continue;
             };
+            self.roles.begin_orders(service);
             for instance in instances {
                 self.order_role(service, instance, role, token);
             }
@@ -227,6 +256,8 @@
             token,
         });
         self.take_limit_tokens(&instance, ORDER_REQUESTS);
+        let order = (instance.clone(), role, service.clone());
+        self.roles.ordered.push(order);
         self.effects.push(RelayEffect::OrderRole {
             instance,
             address,
@@ -236,9 +267,12 @@
     }
 
     pub(in crate::relay) fn on_role_outcome(&mut self, instance: Name, outcome: RoleOutcome) {
-        if outcome == RoleOutcome::StaleToken {
-            self.lease.on_token_refused();
+        match outcome {
+            RoleOutcome::Accepted => self.on_role_change_accepted(&instance),
+            RoleOutcome::StaleToken => self.lease.on_token_refused(),
+            RoleOutcome::Refused | RoleOutcome::Unknown => {}
         }
+        self.roles.take_ordered(&instance);
         self.note(RelayNotice::RoleOutcome {
             instance,
             outcome: outcome.name(),
--- a/crates/arbutusfall_core/src/relay/endpoints/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/endpoint.rs
@@ -108,6 +108,8 @@
     prefill_limit: f64,
     /// Instant until which the endpoint is assumed to refuse requests: it is full or is changing its role.
     unavailable_until: Duration,
+    /// Role that the engine is changing to, and the instant by which it has; none if no change is known.
+    role_change: Option<(Role, Duration)>,
     /// Whether this VM has released memory at the engine since the engine last refused.
     has_released_memory: bool,
     /// Instant until which the engine is avoided because it refused a decode with a reservation.
@@ -175,6 +177,7 @@
             prefill_wait_observed_at: Duration::ZERO,
             prefill_limit: INITIAL_PREFILL_LIMIT,
             unavailable_until: Duration::ZERO,
+            role_change: None,
             has_released_memory: false,
             decode_backoff_until: Duration::ZERO,
             decode_refusals: 0,
@@ -276,7 +279,24 @@
             None if self.has_released_memory => Duration::ZERO,
             None => self.unavailable_until,
         };
-        retry_at.max(self.decode_backoff_until)
+        let role_changed_at = self.role_change.map_or(Duration::ZERO, |(_, until)| until);
+        retry_at.max(self.decode_backoff_until).max(role_changed_at)
+    }
+
+    /// Records that the engine has accepted the order to change its role, which it does until an instant.
+    pub(crate) fn on_role_change(&mut self, role: Role, until: Duration) {
+        self.role_change = (self.listed.role != role).then_some((role, until));
+    }
+
+    /// Returns whether the engine changes its role, so that it refuses what it has not begun.
+    pub(crate) fn is_changing_role(&self, now: Duration) -> bool {
+        self.role_change.is_some_and(|(_, until)| now < until)
+    }
+
+    /// Takes over a new entry of the same process.
+    pub(crate) fn update(&mut self, listed: ListedEndpoint) {
+        self.role_change.take_if(|(role, _)| *role == listed.role);
+        self.listed = listed;
     }
 
     /// Records that the engine refused a decode for which it had reserved memory; returns a notice to log.
--- a/crates/arbutusfall_core/src/relay/endpoints/list.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/list.rs
@@ -281,7 +281,7 @@
         if must_reset {
             existing.restart(listed, now);
         } else {
-            existing.listed = listed;
+            existing.update(listed);
         }
         is_changed.then_some(notice)
     }
--- a/crates/arbutusfall_core/src/relay/sending/admission.rs
+++ b/crates/arbutusfall_core/src/relay/sending/admission.rs
@@ -19,7 +19,9 @@
     pub(in crate::relay) fn can_prefill_in_time(&self, call: &Call) -> bool {
         let serving = self.endpoints.serving(&call.service, Role::Prefill);
         let usable = serving.filter(|endpoint| {
-            endpoint.health.is_usable(self.now) && self.limit_allows(endpoint, 1.0)
+            endpoint.health.is_usable(self.now)
+                && !endpoint.is_changing_role(self.now)
+                && self.limit_allows(endpoint, 1.0)
         });
         let usable: Vec<_> = usable.collect();
         if usable.is_empty() {
--- a/crates/arbutusfall_core/src/relay/sending/stages.rs
+++ b/crates/arbutusfall_core/src/relay/sending/stages.rs
@@ -177,7 +177,9 @@
             .endpoints
             .serving(&call.service, Role::Prefill)
             .any(|endpoint| {
-                endpoint.health.is_usable(self.now) && self.limit_allows(endpoint, 1.0)
+                endpoint.health.is_usable(self.now)
+                    && !endpoint.is_changing_role(self.now)
+                    && self.limit_allows(endpoint, 1.0)
             });
         if has_prefill && call.prefills < MAX_PREFILL_ATTEMPTS {
             CallStage::Prefill
--- a/crates/arbutusfall_core/src/relay/sharing/shared_handling.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/shared_handling.rs
@@ -149,6 +149,8 @@
             SharedKey::Limit(run) => self.on_shared_limit(&run, None),
             SharedKey::Peer(vm) => self.on_shared_peer(&vm, None),
             SharedKey::Version(service, version) => self.on_shared_version(service, version, false),
+            // They end by themselves.
+            SharedKey::RoleChanges(_) => {}
             SharedKey::Share(run, number) => self.on_shared_share(&run, number, None),
         }
     }
@@ -187,6 +189,9 @@
                     version,
                     is_recent,
                 } => self.on_shared_version(service, version, is_recent),
+                SharedRecord::RoleChanges { service, changes } => {
+                    self.on_shared_role_changes(&service, &changes, is_late);
+                }
                 SharedRecord::Share {
                     run,
                     number,
--- a/crates/arbutusfall_core/src/relay/sharing/shared_record.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/shared_record.rs
@@ -4,6 +4,7 @@
 
 use arbutusfall_wire::Name;
 
+use crate::config::Role;
 use crate::relay::CrashCause;
 use crate::relay::RequestHashKey;
 
@@ -113,6 +114,13 @@
         /// Whether that still holds.
         is_recent: bool,
     },
+    /// The newest role changes of a service's engines.
+    RoleChanges {
+        /// The service.
+        service: Name,
+        /// Engines that have accepted an order, with their new role.
+        changes: Vec<(Name, Role)>,
+    },
     /// A share of the limit of an endpoint.
     Share {
         /// The run of the endpoint's process.
@@ -139,6 +147,8 @@
     Peer(Name),
     /// Key of [`SharedRecord::Version`]: service and version.
     Version(Name, Name),
+    /// Key of [`SharedRecord::RoleChanges`].
+    RoleChanges(Name),
     /// Key of [`SharedRecord::Share`].
     Share(EndpointRun, usize),
 }
@@ -165,6 +175,7 @@
             Self::Limit { limit, .. } => limit.is_none(),
             Self::Peer { peer, .. } => peer.is_none(),
             Self::Version { is_recent, .. } => !is_recent,
+            Self::RoleChanges { changes, .. } => changes.is_empty(),
             Self::Share { holder, .. } => holder.is_none(),
         }
     }
@@ -180,6 +191,7 @@
             Self::Version {
                 service, version, ..
             } => SharedKey::Version(service.clone(), version.clone()),
+            Self::RoleChanges { service, .. } => SharedKey::RoleChanges(service.clone()),
             Self::Share { run, number, .. } => SharedKey::Share(run.clone(), *number),
         }
     }
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -48,6 +48,7 @@
 mod relay_rests;
 mod relay_retries;
 mod relay_retry_budget;
+mod relay_role_changes;
 mod relay_roles;
 mod relay_run_proofs;
 mod relay_silence;
