Relay: role changes follow a confidence bound and go one engine at a time

Cause: the holder of the lease compared its own few streams by a fixed tolerance and ordered up to a quarter of the engines at once, each of which served nothing for 6 s; the next holder could order the opposite.

Change: an order needs a deviation that is certain given the number of streams (bound of two standard deviations, 1.3 if refusals or waits confirm it), a gain within 60 s that exceeds the engine seconds lost, a losing pool without refusals or waits, load that does not rise, all engines of the last order back, and a holder that has held the lease for the time of a change.

--- a/crates/arbutusfall_core/src/relay/calls/exchange_end.rs
+++ b/crates/arbutusfall_core/src/relay/calls/exchange_end.rs
@@ -12,7 +12,7 @@
 use crate::relay::calls::call::CallStage;
 use crate::relay::calls::call::CurrentExchange;
 use crate::relay::calls::call::MemoryAllocation;
-use crate::relay::control::roles::StreamUsage;
+use crate::relay::control::role_usage::StreamUsage;
 use crate::relay::notice::millis;
 
 impl Relay {
--- a/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
+++ b/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
@@ -85,6 +85,7 @@
             self.wait_queue
                 .pacing
                 .on_request(call.token_counts().expected_decode_cost());
+            self.roles.on_arrival(&call.service);
         }
         let id = call.request.call;
         let due_at = call.due_at;
--- a/crates/arbutusfall_core/src/relay/calls/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/calls/outcomes.rs
@@ -130,6 +130,8 @@
         if let Some(endpoint) = self.endpoints.get_run_mut(instance, started_unix_ms) {
             let took = now.saturating_sub(current.sent_at);
             endpoint.on_prefilled(tokens, took, now);
+            let wait = endpoint.last_prefill_wait();
+            self.roles.on_prefilled(&call.service, wait);
             call.prefill_work = endpoint.prefill_time(tokens);
             call.prefill_result = Some(PrefillResult {
                 instance: instance.clone(),
--- a/crates/arbutusfall_core/src/relay/control.rs
+++ b/crates/arbutusfall_core/src/relay/control.rs
@@ -2,6 +2,9 @@
 
 pub(in crate::relay) mod configuration;
 pub(in crate::relay) mod lease;
+mod role_pressure;
+mod role_split;
+pub(in crate::relay) mod role_usage;
 pub(in crate::relay) mod roles;
 pub(in crate::relay) mod routes;
 pub(in crate::relay) mod store_view;
--- a/crates/arbutusfall_core/src/relay/control/lease.rs
+++ b/crates/arbutusfall_core/src/relay/control/lease.rs
@@ -73,6 +73,11 @@
         (is_settled && is_valid).then_some(self.token)
     }
 
+    /// Returns whether this VM has held the lease without interruption for at least `time`.
+    pub(crate) fn is_held_for(&self, time: Duration, now: Duration) -> bool {
+        self.held_since.is_some_and(|since| now >= since + time)
+    }
+
     /// Takes a token that the store returned; returns whether orders may be given with it.
     fn accept_token(&mut self, token: u64) -> bool {
         self.token = token;
--- a/crates/arbutusfall_core/src/relay/control/roles.rs
+++ b/crates/arbutusfall_core/src/relay/control/roles.rs
@@ -1,6 +1,8 @@
-//! Split of engines between prefill and decode, decided by the holder of the lease from its own requests.
+//! Split of engines between prefill and decode, decided by the holder of the lease.
 //!
-//! Requests reach VMs at random, so the fraction of prefill work in one VM's usage of the engines represents all VMs.
+//! Requests reach VMs at random, so the ratio of prefill to decode in one VM's usage of the engines represents all VMs, within the
+//! bounds that its number of streams allows (`role_usage.rs`). A change must be worth its cost at the bound that speaks against it
+//! (`role_split.rs`), and the pool that loses engines must have no shortage (`role_pressure.rs`).
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -8,100 +10,93 @@
 use arbutusfall_wire::Name;
 
 use crate::config::Role;
+use crate::relay::EngineParameters;
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
 use crate::relay::RelayTimer;
 use crate::relay::RoleOutcome;
+use crate::relay::control::role_pressure::RolePressure;
+use crate::relay::control::role_split::RoleChange;
+use crate::relay::control::role_split::RoleSplit;
+use crate::relay::control::role_usage::EngineUsage;
+use crate::relay::control::role_usage::StreamUsage;
 use crate::relay::limits::limit_tokens::ORDER_REQUESTS;
 
 /// Interval of reviews of the split.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time constant of the decay of recorded usage.
-const USAGE_DECAY_TIME: Duration = Duration::from_secs(8);
-
-/// Number of this VM's streams, ended or in progress, before its usage decides on roles.
-const MIN_STREAMS: u32 = 4;
-
 /// Prefill capacity to provide, as a multiple of the used one, because queued prefills delay the first tokens.
 const PREFILL_HEADROOM: f64 = 1.5;
 
-/// Number of engines by which prefill must fall short of its target before an engine is added.
-const MIN_SHORTAGE_ENGINES: f64 = 0.6;
-
-/// Number of engines by which prefill must exceed its target before one is removed, so that the remaining engines still
-/// reach the target.
-const MIN_SURPLUS_ENGINES: f64 = 1.0;
+/// Standard deviations between the estimated need and the bound that a change is judged by.
+const BOUND_DEVIATIONS: f64 = 2.0;
 
-/// Deviation from the target, as a fraction of it, below which no role changes: the target is estimated from one VM's
-/// streams, and an engine that changes its role serves no requests for seconds.
-const TOLERANCE: f64 = 0.3;
+/// The same if waits or refusals show independently that the pool that would gain engines is short of them.
+const CONFIRMED_BOUND_DEVIATIONS: f64 = 1.3;
 
-/// Time from the first stream until this VM's usage decides on roles.
-const MIN_OBSERVATION_TIME: Duration = Duration::from_secs(4);
+/// Time after a changed engine serves again in which its effect is observed before the next order.
+const EFFECT_TIME: Duration = Duration::from_secs(1);
 
-/// Largest fraction of a service's engines that change their role at the same time; one engine always may.
-const MAX_CHANGED_FRACTION: f64 = 0.25;
-
-/// Pause between the completion of a role change and the next order.
-const PAUSE_AFTER_ROLE_CHANGE: Duration = Duration::from_secs(2);
-
-/// Usage of the engines by one stream.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct StreamUsage {
-    /// Compute time of its prefill.
-    pub(crate) prefill: Duration,
-    /// Memory allocated to it.
-    pub(crate) memory_tokens: u64,
-    /// Time for which it streamed and held that memory.
-    pub(crate) decode: Duration,
-}
+/// An ordered change that is not listed counts as failed after this multiple of the time of a change.
+const MAX_CHANGE_TIME_FACTOR: u32 = 2;
 
-/// Usage of the engines by this VM's streams of a service. The sums of times and tokens decay; `streams` and
-/// `observed_since` do not.
-///
-/// Prefill and decode are counted for the same streams, so that their ratio is correct even shortly after the start.
-#[derive(Debug, Clone, Copy, Default)]
-struct EngineUsage {
-    prefill_s: f64,
-    /// Memory of decode engines times the time for which it was held, in token seconds.
-    decode_token_s: f64,
-    /// Memory that ended streams held, in tokens.
-    ended_tokens: f64,
-    /// End of the first stream, or the start of a stream in progress if that is earlier.
-    observed_since: Option<Duration>,
-    streams: u32,
+/// An engine that this VM has ordered to change its role.
+#[derive(Debug, Clone)]
+struct OrderedChange {
+    instance: Name,
+    role: Role,
+    /// Instant from which the engine counts as serving again in its former role.
+    failed_at: Duration,
 }
 
-impl EngineUsage {
-    fn add(&mut self, stream: StreamUsage) {
-        self.prefill_s += stream.prefill.as_secs_f64();
-        self.decode_token_s += stream.memory_tokens as f64 * stream.decode.as_secs_f64();
-        self.streams = self.streams.saturating_add(1);
-    }
-
-    /// Returns the mean time for which ended streams held their memory, weighted by memory.
-    fn mean_decode(&self) -> Duration {
-        Duration::from_secs_f64(self.decode_token_s / self.ended_tokens.max(1.0))
-    }
+/// What decides on the roles of one service's engines.
+#[derive(Debug, Clone, Default)]
+struct ServiceRoles {
+    usage: EngineUsage,
+    pressure: RolePressure,
+    /// Engines that have not been listed in their new role yet.
+    ordered: Vec<OrderedChange>,
+    /// Instant at which the newest ordered change had ended, if any.
+    change_ended_at: Option<Duration>,
 }
 
-/// Recorded usage per service, and the pause after the last orders.
+/// Observations and orders per service.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Roles {
-    by_service: BTreeMap<Name, EngineUsage>,
-    /// Instant until which no further orders are given.
-    pause_until: Duration,
+    by_service: BTreeMap<Name, ServiceRoles>,
 }
 
 impl Roles {
+    fn service(&mut self, service: &Name) -> &mut ServiceRoles {
+        self.by_service.entry(service.clone()).or_default()
+    }
+
     /// Records a stream of this VM that completed or failed.
     pub(crate) fn on_stream_ended(&mut self, service: &Name, stream: StreamUsage, now: Duration) {
-        let usage = self.by_service.entry(service.clone()).or_default();
-        usage.observed_since.get_or_insert(now);
-        usage.ended_tokens += stream.memory_tokens as f64;
-        usage.add(stream);
+        self.service(service).usage.add_ended(stream, now);
+    }
+
+    /// Records a model request that arrived at this VM.
+    pub(crate) fn on_arrival(&mut self, service: &Name) {
+        self.service(service).pressure.on_arrival();
+    }
+
+    /// Records that an engine had no memory for a request of this VM.
+    pub(crate) fn on_reservation_refused(&mut self, service: &Name, now: Duration) {
+        self.service(service).pressure.on_reservation_refused(now);
+    }
+
+    /// Records how long a prefill of this VM queued at its engine.
+    pub(crate) fn on_prefilled(&mut self, service: &Name, wait: Duration) {
+        self.service(service).pressure.on_prefilled(wait);
+    }
+
+    fn on_review(&mut self) {
+        for service in self.by_service.values_mut() {
+            service.usage.decay(REVIEW_INTERVAL);
+            service.pressure.on_interval(REVIEW_INTERVAL);
+        }
     }
 }
 
@@ -109,92 +104,144 @@
     pub(in crate::relay) fn review_roles(&mut self) {
         self.timers
             .set(self.now + REVIEW_INTERVAL, RelayTimer::ReviewRoles);
-        self.decay_usage();
+        self.roles.on_review();
+        self.end_ordered_changes();
         let Some(token) = self.lease.order_token(self.now) else {
             return;
         };
-        if self.now < self.roles.pause_until {
-            return;
-        }
         let Some(routes) = self.routes.clone() else {
             return;
         };
-        let services = routes.services.keys();
-        for service in services {
-            let Some((role, instances)) = self.plan_role_change(service) else {
+        for (service, parameters) in &routes.services {
+            let Some(engine) = &parameters.engine else {
                 continue;
             };
-            for instance in instances {
-                self.order_role(service, instance, role, token);
+            let Some(change) = self.plan_role_change(service, engine) else {
+                continue;
+            };
+            for instance in self.least_loaded(service, change.from(), change.engines) {
+                self.order_role(service, instance, change.to, token);
             }
-            return;
         }
     }
 
-    fn decay_usage(&mut self) {
-        let left = 1.0 - REVIEW_INTERVAL.as_secs_f64() / USAGE_DECAY_TIME.as_secs_f64();
-        for usage in self.roles.by_service.values_mut() {
-            usage.prefill_s *= left;
-            usage.decode_token_s *= left;
-            usage.ended_tokens *= left;
+    /// Forgets the orders whose engines are listed in their new role, are gone or have not changed in time.
+    fn end_ordered_changes(&mut self) {
+        let now = self.now;
+        let endpoints = &self.endpoints;
+        for service in self.roles.by_service.values_mut() {
+            let count = service.ordered.len();
+            service.ordered.retain(|change| {
+                let endpoint = endpoints.get(&change.instance);
+                let is_open = endpoint.is_some_and(|known| known.listed.role != change.role);
+                is_open && now < change.failed_at
+            });
+            if service.ordered.len() < count {
+                service.change_ended_at = Some(now);
+            }
         }
     }
 
     /// Returns the recent usage of a service by ended streams, plus the expected usage of the streams in progress.
     fn recent_usage(&self, service: &Name) -> EngineUsage {
-        let usage = self.roles.by_service.get(service);
-        let mut usage = usage.copied().unwrap_or_default();
+        let known = self.roles.by_service.get(service);
+        let mut usage = known.map(|known| known.usage).unwrap_or_default();
         let mean_decode = usage.mean_decode();
         let calls = self.calls.values().filter(|call| call.service == *service);
         for call in calls {
             if let (Some(began_at), Some(allocation)) = (call.stream_began_at, &call.allocation) {
-                usage.observed_since = Some(
-                    usage
-                        .observed_since
-                        .map_or(began_at, |since| since.min(began_at)),
-                );
-                usage.add(StreamUsage {
-                    prefill: call.prefill_work,
-                    memory_tokens: allocation.tokens,
-                    decode: mean_decode.max(self.now.saturating_sub(began_at)),
-                });
+                let tokens = allocation.tokens;
+                usage.add_in_progress(call.prefill_work, tokens, began_at, mean_decode, self.now);
             }
         }
         usage
     }
 
-    /// Returns the engines of a service that should change their role, and their new role; none if none should.
-    fn plan_role_change(&self, service: &Name) -> Option<(Role, Vec<Name>)> {
+    /// Returns the change of a service's split that should be ordered now, if any.
+    fn plan_role_change(&self, service: &Name, engine: &EngineParameters) -> Option<RoleChange> {
+        let change_time = engine.role_change_time;
         let usage = self.recent_usage(service);
-        let engine = self.routes.as_ref()?.engine(service)?;
-        let prefill_engines = self.endpoints.in_role(service, Role::Prefill).count();
-        let decode_engines = self.endpoints.in_role(service, Role::Decode).count();
-        let engines = prefill_engines + decode_engines;
-        let is_settled = usage
-            .observed_since
-            .is_some_and(|since| self.now >= since + MIN_OBSERVATION_TIME);
-        if engines < 2 || usage.streams < MIN_STREAMS || !is_settled {
+        let may_order = self.lease.is_held_for(change_time, self.now)
+            && usage.is_observed_for(change_time, self.now)
+            && self.has_observed_changes(service);
+        let pressure = &self.roles.by_service.get(service)?.pressure;
+        if !may_order || pressure.is_rising() {
             return None;
         }
-        let required_prefill_s = usage.prefill_s * PREFILL_HEADROOM;
-        let decode_s = usage.decode_token_s / engine.memory_tokens.max(1) as f64;
-        let prefill_fraction =
-            required_prefill_s / (required_prefill_s + decode_s).max(f64::MIN_POSITIVE);
-        let target = (prefill_fraction * engines as f64).clamp(1.0, engines as f64 - 1.0);
-        let prefill_surplus = prefill_engines as f64 - target;
-        let tolerated = target * TOLERANCE;
-        let (from, to) = if prefill_surplus >= MIN_SURPLUS_ENGINES.max(tolerated)
-            && prefill_engines > 1
-        {
-            (Role::Prefill, Role::Decode)
-        } else if -prefill_surplus >= MIN_SHORTAGE_ENGINES.max(tolerated) && decode_engines > 1 {
-            (Role::Decode, Role::Prefill)
-        } else {
-            return None;
+        let ratio = usage.need_ratio()?;
+        let split = RoleSplit {
+            prefill: self.endpoints.in_role(service, Role::Prefill).count(),
+            decode: self.endpoints.in_role(service, Role::Decode).count(),
         };
-        let max_changes = engines as f64 * MAX_CHANGED_FRACTION;
-        let change_count = prefill_surplus.abs().min(max_changes).floor().max(1.0) as usize;
-        Some((to, self.least_loaded(service, from, change_count)))
+        [Role::Decode, Role::Prefill].into_iter().find_map(|to| {
+            let change = self.is_change_allowed(service, to, change_time, &usage);
+            if !change {
+                return None;
+            }
+            let (lower, upper) = ratio.bounds(self.bound_deviations(service, to));
+            let bound = if to == Role::Decode { upper } else { lower };
+            let need = bound * PREFILL_HEADROOM * engine.memory_tokens.max(1) as f64;
+            split.change_to(to, need / (1.0 + need), change_time)
+        })
+    }
+
+    /// Returns whether no ordered change is in progress, and the effect of the newest one has been observed, whoever ordered it.
+    fn has_observed_changes(&self, service: &Name) -> bool {
+        let known = self.roles.by_service.get(service);
+        if known.is_some_and(|known| !known.ordered.is_empty()) {
+            return false;
+        }
+        let own = known.and_then(|known| known.change_ended_at);
+        let engines = self.endpoints.of_service(service);
+        let listed = engines.filter_map(|engine| engine.role_changed_at);
+        let newest = listed.chain(own).max();
+        newest.is_none_or(|newest| self.now >= newest + EFFECT_TIME)
+    }
+
+    /// Returns whether engines may be taken from the other role: it has no shortage, and did not get an engine of late.
+    fn is_change_allowed(
+        &self,
+        service: &Name,
+        to: Role,
+        change_time: Duration,
+        usage: &EngineUsage,
+    ) -> bool {
+        let losing = RoleChange { to, engines: 0 }.from();
+        let mut gained = self.endpoints.in_role(service, losing);
+        let undoes = gained.any(|engine| {
+            let changed_at = engine.role_changed_at;
+            changed_at.is_some_and(|changed_at| self.now < changed_at + change_time)
+        });
+        // Streams in progress hold their memory for longer than they have yet.
+        let is_decode_known = to == Role::Decode || usage.knows_duration();
+        !undoes && is_decode_known && !self.is_scarce(service, losing)
+    }
+
+    /// Returns whether requests of this VM have been refused by, or wait for, engines of a role.
+    fn is_scarce(&self, service: &Name, role: Role) -> bool {
+        let known = self.roles.by_service.get(service);
+        let is_seen = known.is_some_and(|known| match role {
+            Role::Prefill => known.pressure.is_prefill_scarce(),
+            _ => known.pressure.is_decode_scarce(self.now),
+        });
+        let waiting = self.wait_queue.ids().iter();
+        let mut waiting = waiting.filter_map(|id| self.calls.get(id));
+        is_seen
+            || waiting.any(|call| {
+                let is_ready = match role {
+                    Role::Prefill => self.can_prefill_in_time(call),
+                    _ => self.may_reserve(call),
+                };
+                call.service == *service && !is_ready
+            })
+    }
+
+    fn bound_deviations(&self, service: &Name, gaining: Role) -> f64 {
+        if self.is_scarce(service, gaining) {
+            CONFIRMED_BOUND_DEVIATIONS
+        } else {
+            BOUND_DEVIATIONS
+        }
     }
 
     /// Returns at most `count` usable engines of a role, those with the least work from this VM first.
@@ -217,7 +264,11 @@
         let routes = self.routes.as_ref();
         let engine = routes.and_then(|routes| routes.engine(service));
         let role_change_time = engine.map_or(Duration::ZERO, |engine| engine.role_change_time);
-        self.roles.pause_until = self.now + role_change_time + PAUSE_AFTER_ROLE_CHANGE;
+        self.roles.service(service).ordered.push(OrderedChange {
+            instance: instance.clone(),
+            role,
+            failed_at: self.now + role_change_time * MAX_CHANGE_TIME_FACTOR,
+        });
         if let Some(endpoint) = self.endpoints.get_mut(&instance) {
             endpoint.set_unavailable_until(self.now + role_change_time);
         }
--- a/crates/arbutusfall_core/src/relay/endpoints/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/endpoint.rs
@@ -129,6 +129,8 @@
     pub(crate) run: RunStatus,
     /// Newest sign that its process runs.
     alive_at: Duration,
+    /// When its entry was first read with its present role; none if it has had no other one.
+    pub(crate) role_changed_at: Option<Duration>,
     /// Instant from which the endpoint may be removed; none while it is listed.
     pub(crate) remove_at: Option<Duration>,
 }
@@ -185,6 +187,7 @@
             returning_limit: None,
             reservation_times: ReservationTimes::default(),
             alive_at: Duration::ZERO,
+            role_changed_at: None,
             remove_at: None,
         }
     }
@@ -211,6 +214,7 @@
         let rest_until = self.rest_until.filter(|_| rest_asked_at.is_some());
         *self = Self {
             run,
+            role_changed_at: self.role_changed_at,
             rest_until,
             rest_asked_at,
             ..Self::new(listed, now)
@@ -438,6 +442,11 @@
         };
     }
 
+    /// Returns the queueing time of the last prefill.
+    pub(crate) fn last_prefill_wait(&self) -> Duration {
+        self.prefill_wait
+    }
+
     /// Returns whether this VM may have one more prefill in flight at the engine.
     pub(crate) fn may_prefill(&self) -> bool {
         f64::from(self.in_flight) < self.prefill_limit.floor()
--- a/crates/arbutusfall_core/src/relay/endpoints/list.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/list.rs
@@ -278,6 +278,9 @@
             || existing.listed.is_leaving != listed.is_leaving
             || existing.listed.version != listed.version
             || existing.listed.role != listed.role;
+        if existing.listed.role != listed.role {
+            existing.role_changed_at = Some(now);
+        }
         if must_reset {
             existing.restart(listed, now);
         } else {
--- a/crates/arbutusfall_core/src/relay/sending/admission.rs
+++ b/crates/arbutusfall_core/src/relay/sending/admission.rs
@@ -74,6 +74,9 @@
 
     /// Records that an engine without free memory refused a call; returns the time for which the engine counts as full.
     pub(in crate::relay) fn pace_after_refusal(&mut self, id: CallId) -> Duration {
+        if let Some(call) = self.calls.get(&id) {
+            self.roles.on_reservation_refused(&call.service, self.now);
+        }
         let late = self
             .calls
             .get(&id)
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -49,6 +49,7 @@
 mod relay_retries;
 mod relay_retry_budget;
 mod relay_roles;
+mod relay_roles_simulation;
 mod relay_run_proofs;
 mod relay_silence;
 mod relay_simulation;
