--- a/crates/arbutusfall_core/src/relay/control/role_changes.rs
+++ b/crates/arbutusfall_core/src/relay/control/role_changes.rs
@@ -3,20 +3,67 @@
 //! An engine that changes its role refuses what it has not begun until it is done, seconds later, and its entry in the list
 //! names the new role only then. The VM that ordered the change shares it, so that the others send nothing there meanwhile.
 
+use std::collections::BTreeMap;
+
 use arbutusfall_wire::Name;
 
 use crate::config::Role;
 use crate::relay::Relay;
 use crate::relay::SharedRecord;
 
+/// An order to an engine that has no outcome yet.
+#[derive(Debug, Clone)]
+struct RoleOrder {
+    instance: Name,
+    role: Role,
+    service: Name,
+}
+
+/// Orders of this VM, and those of each service's newest series that engines have accepted.
+#[derive(Debug, Clone, Default)]
+pub(super) struct RoleOrders {
+    awaited: Vec<RoleOrder>,
+    accepted: BTreeMap<Name, Vec<(Name, Role)>>,
+}
+
+impl RoleOrders {
+    /// Begins a series of orders to engines of a service.
+    pub(super) fn begin_series(&mut self, service: &Name) {
+        self.accepted.remove(service);
+    }
+
+    pub(super) fn on_ordered(&mut self, instance: &Name, role: Role, service: &Name) {
+        self.awaited.push(RoleOrder {
+            instance: instance.clone(),
+            role,
+            service: service.clone(),
+        });
+    }
+
+    /// Removes an order that has an outcome.
+    pub(super) fn take(&mut self, instance: &Name) -> Option<(Role, Name)> {
+        let mut awaited = self.awaited.iter();
+        let at = awaited.position(|order| order.instance == *instance)?;
+        let order = self.awaited.swap_remove(at);
+        Some((order.role, order.service))
+    }
+
+    /// Records that an engine accepted an order; returns all that did in this series.
+    fn add_accepted(&mut self, service: &Name, instance: &Name, role: Role) -> Vec<(Name, Role)> {
+        let accepted = self.accepted.entry(service.clone()).or_default();
+        accepted.push((instance.clone(), role));
+        accepted.clone()
+    }
+}
+
 impl Relay {
     /// Records that an engine has accepted an order, and tells the other VMs.
     pub(in crate::relay) fn on_role_change_accepted(&mut self, instance: &Name) {
-        let Some((role, service)) = self.roles.take_ordered(instance) else {
+        let Some((role, service)) = self.roles.orders.take(instance) else {
             return;
         };
         self.avoid_until_changed(instance, role);
-        let changes = self.roles.add_accepted(&service, instance, role);
+        let changes = self.roles.orders.add_accepted(&service, instance, role);
         let record = SharedRecord::RoleChanges { service, changes };
         self.shared_outbox.push(record, self.now);
         self.set_shared_timer();
