Relay: client accounts with API keys

Cause: any caller was served, and endpoints took the caller's own word for who it is. Change: the configuration has `tenants`, `allow-anonymous` and `priority`. The core authenticates a request where its route is selected and answers 401 with a reason for the log and the counter; endpoints get `Tenant` instead of `Authorization`, other VMs `forwarded-account`. Requests of which nothing was sent are authenticated again when a version is put in force. The table of accounts shares unchanged entries between versions. A request key has the account's name instead of the API key. RelayRequest is boxed in its event, because it has grown.

--- a/crates/arbutusfall/src/relay/callers.rs
+++ b/crates/arbutusfall/src/relay/callers.rs
@@ -12,7 +12,7 @@
 use arbutusfall_platform::callers;
 use arbutusfall_platform::endpoints::ForwardedRequest;
 use arbutusfall_platform::forwarding;
-use arbutusfall_platform::request_key::request_key;
+use arbutusfall_platform::request_key::request_keys;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -114,8 +114,8 @@
     let body = body.await.map_err(ReadBodyError::problem)?;
     let call = io.calls.next_id();
     let receive_time = arrival.elapsed + io.now().saturating_sub(arrived_at);
-    let key = request_key(driver.hash_key(), &parts, &body.bytes);
-    let relay_request = callers::relay_request(call, &parts, key, receive_time, arrival.hop);
+    let keys = request_keys(driver.hash_key(), &parts, &body.bytes);
+    let relay_request = callers::relay_request(call, &parts, keys, receive_time, arrival.hop);
     let request_id = relay_request.request_id.clone();
     let forwarded = ForwardedRequest::new(parts.method, &parts.uri, parts.headers, body.bytes);
     let replies = io.calls.open(call, forwarded);
@@ -124,7 +124,7 @@
         call,
         _held: body.held,
     };
-    driver.submit(RelayEvent::RequestReceived(relay_request));
+    driver.submit(RelayEvent::RequestReceived(Box::new(relay_request)));
     match replies.recv().await {
         Ok(Reply::Endpoint(head, body)) => {
             let mut answer = Response::new(body.with_guard(guard));
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arbutusfall_core::relay::AccountTable;
 use arbutusfall_core::relay::CrashCause;
 use arbutusfall_core::relay::PeerAddress;
 use arbutusfall_core::relay::Relay;
@@ -130,6 +131,7 @@
             timing,
             facts: facts.clone(),
             listed: BTreeMap::new(),
+            accounts: AccountTable::default(),
             pages: None,
         };
         executor.spawn(watch.run()).detach();
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arbutusfall_core::relay::AccountTable;
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::FactPosition;
 use arbutusfall_core::relay::FactRecord;
@@ -13,7 +14,7 @@
 use arbutusfall_core::relay::SharedRecord;
 use arbutusfall_core::relay::StoreReadFailure;
 use arbutusfall_core::relay::StoreTopic;
-use arbutusfall_platform::config::parse_config;
+use arbutusfall_platform::config::parse_next_config;
 use arbutusfall_platform::shared::parse_record;
 use arbutusfall_platform::store;
 use arbutusfall_platform::store::KeyedRecord;
@@ -48,6 +49,8 @@
     pub(super) facts: Arc<FactBoard>,
     /// Entries of the endpoint list as they were read last; none of an entry that is invalid or deleted.
     pub(super) listed: BTreeMap<Name, Option<ListedEndpoint>>,
+    /// Accounts of the configuration that was read last, which the next one shares as far as they do not differ.
+    pub(super) accounts: AccountTable,
     /// Pages of a read of newest records that failed with a later page.
     pub(super) pages: Option<NewestPages>,
 }
@@ -386,7 +389,7 @@
             .submit(RelayEvent::SharedRecords { records, is_full });
     }
 
-    fn submit_config(&self, records: Vec<KeyedRecord>) {
+    fn submit_config(&mut self, records: Vec<KeyedRecord>) {
         let documents = records
             .iter()
             .filter(|record| *record.key == *store::CONFIG_KEY);
@@ -396,8 +399,11 @@
         else {
             return;
         };
-        match parse_config(document) {
-            Ok(config) => self.relay.submit(RelayEvent::NewConfig(Arc::new(config))),
+        match parse_next_config(document, &self.accounts) {
+            Ok(config) => {
+                self.accounts = config.accounts.clone().unwrap_or_default();
+                self.relay.submit(RelayEvent::NewConfig(Arc::new(config)));
+            }
             Err(error) => {
                 log::error!("a configuration version cannot be parsed and is ignored: {error}");
                 self.relay.submit(RelayEvent::UnreadableConfig);
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -54,9 +54,15 @@
 pub use accounts::account::AccountQuota;
 pub use accounts::account::ClientAccount;
 pub use accounts::account::QuotaUnit;
+pub use accounts::api_key::ApiKey;
+pub use accounts::credential::Credential;
+pub use accounts::sent_account::SentAccount;
+pub use accounts::table::AccountTable;
+pub use accounts::table::AccountTableError;
 pub use calls::budget::RetryLimit;
 pub use calls::request_key::RequestHashKey;
 pub use calls::request_key::RequestKey;
+pub use calls::request_key::RequestKeys;
 pub use calls::token_counts::TokenCounts;
 pub use control::configuration::ConfigStatus;
 pub use control::lease::LeaseAnswer;
@@ -289,7 +295,7 @@
             RelayEvent::EndpointChanges(changes) => self.on_endpoint_changes(changes),
             RelayEvent::StoreRead { topic, failure } => self.on_store_read(topic, failure),
             RelayEvent::StoreReturned { previous, era } => self.on_store_returned(previous, era),
-            RelayEvent::RequestReceived(request) => self.on_request(request),
+            RelayEvent::RequestReceived(request) => self.on_request(*request),
             RelayEvent::CallerGone { call } => self.on_caller_gone(call),
             RelayEvent::Exchange { exchange, event } => self.on_exchange(exchange, event),
             RelayEvent::StreamLookup { call, lookup } => self.on_stream_lookup(call, lookup),
--- a/crates/arbutusfall_core/src/relay/calls/call.rs
+++ b/crates/arbutusfall_core/src/relay/calls/call.rs
@@ -14,6 +14,7 @@
 use crate::relay::KvCacheLocation;
 use crate::relay::RelayRequest;
 use crate::relay::RelayRoute;
+use crate::relay::SentAccount;
 use crate::relay::TokenCounts;
 
 /// Maximum number of failed exchanges of a call, refused reservations not counted.
@@ -26,6 +27,8 @@
     pub(crate) route: RelayRoute,
     /// Account of the caller; none on routes without accounts, or if the configuration has none.
     pub(crate) account: Option<Arc<ClientAccount>>,
+    /// What endpoints are told of the account.
+    pub(crate) sent_account: SentAccount,
     /// Service picked from the route's services.
     pub(crate) service: Name,
     /// Version of the configuration that applies to the request.
@@ -201,7 +204,7 @@
 /// Returns the shared parts of a request's prompt and the request itself.
 pub(crate) fn causes_of(request: &RelayRequest) -> CrashCauses {
     let parts = request.shared_parts.iter().cloned().map(CrashCause::Part);
-    let itself = CrashCause::Request(request.request_key.clone());
+    let itself = CrashCause::Request(request.request_keys.own.clone());
     parts.chain([itself]).collect()
 }
 
--- a/crates/arbutusfall_core/src/relay/calls/exchange_end.rs
+++ b/crates/arbutusfall_core/src/relay/calls/exchange_end.rs
@@ -66,7 +66,7 @@
             request_key: failed
                 .stage
                 .runs_request()
-                .then(|| call.request.request_key.clone()),
+                .then(|| call.request.request_keys.own.clone()),
         });
     }
 
--- a/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
+++ b/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
@@ -14,6 +14,8 @@
 use crate::relay::RelayRoute;
 use crate::relay::RelayTimer;
 use crate::relay::RouteTable;
+use crate::relay::accounts::authentication::KEY_REVOKED;
+use crate::relay::accounts::authentication::ServedFor;
 use crate::relay::calls::call::Call;
 use crate::relay::calls::call::PrefillResult;
 use crate::relay::calls::call::causes_of;
@@ -52,7 +54,7 @@
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 impl Relay {
-    pub(in crate::relay) fn on_request(&mut self, request: RelayRequest) {
+    pub(in crate::relay) fn on_request(&mut self, mut request: RelayRequest) {
         let reason = request.hop.as_ref();
         if let Some(reason) = reason.and_then(|hop| self.reason_to_decline(hop)) {
             self.decline(&request, reason);
@@ -66,6 +68,14 @@
             self.refuse_unrouted(&request, ProblemKind::NoRoute);
             return;
         };
+        let served_for = match routes.authenticate(&request, route) {
+            Ok(served_for) => served_for,
+            Err(reason) => {
+                self.refuse_unauthorized(&request, reason);
+                return;
+            }
+        };
+        request.request_keys.set_caller(&served_for.sent);
         if let Some(resumption) = &request.resumption {
             self.note(RelayNotice::Resuming {
                 request_id: request.request_id.clone(),
@@ -79,7 +89,7 @@
                 from_vm: hop.from_vm.clone(),
             });
         }
-        let call = self.new_call(request, route, &routes);
+        let call = self.new_call(request, route, &routes, served_for);
         self.budget.on_request(&call.service, self.now);
         if call.route.is_model_route {
             self.wait_queue
@@ -102,6 +112,7 @@
         request: RelayRequest,
         route: &RelayRoute,
         routes: &RouteTable,
+        served_for: ServedFor,
     ) -> Call {
         let caller_timeout = request.caller_timeout.unwrap_or(route.timeout);
         let arrived_at = self.now.saturating_sub(request.receive_time);
@@ -117,7 +128,8 @@
             reservation_lifetime: engine
                 .map_or(Duration::ZERO, |engine| engine.reservation_lifetime),
             prior_attempt_time: self.prior_attempt_time(route, caller_timeout),
-            account: None,
+            account: served_for.account,
+            sent_account: served_for.sent,
             service,
             route: route.clone(),
             config_version: routes.version,
@@ -298,6 +310,8 @@
             Problem::new(ProblemKind::CrashingPrompt)
         } else if reason == CRASHING_REQUEST && !may_have_run {
             Problem::new(ProblemKind::CrashingRequest)
+        } else if reason == KEY_REVOKED && !may_have_run {
+            Problem::new(ProblemKind::Unauthorized)
         } else if may_have_run {
             Problem::new(match reason {
                 TIMEOUT => ProblemKind::AnswerTimeout,
--- a/crates/arbutusfall_core/src/relay/control/configuration.rs
+++ b/crates/arbutusfall_core/src/relay/control/configuration.rs
@@ -51,7 +51,8 @@
             let names = routes.routes.iter().map(|route| route.name.clone());
             self.first_routes = names.collect();
         }
-        self.routes = Some(routes);
+        self.routes = Some(routes.clone());
+        self.review_waiting_accounts(&routes);
         // Versions of services that were not configured before are not recorded yet.
         self.review_recorded_versions();
     }
--- a/crates/arbutusfall_core/src/relay/control/routes.rs
+++ b/crates/arbutusfall_core/src/relay/control/routes.rs
@@ -6,6 +6,7 @@
 use arbutusfall_wire::Name;
 
 use crate::config::Semantics;
+use crate::relay::AccountTable;
 
 /// One version of the configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -18,6 +19,8 @@
     pub services: BTreeMap<Name, RelayService>,
     /// Limits on callers' requests.
     pub limits: CallerLimits,
+    /// Accounts whose requests are served; none if requests need no account.
+    pub accounts: Option<AccountTable>,
 }
 
 /// Route of requests with one host and path prefix.
@@ -47,6 +50,10 @@
     pub is_resumable: bool,
     /// Target time between two events of a stream.
     pub event_interval_target: Duration,
+    /// Whether requests are served without an account.
+    pub allows_anonymous: bool,
+    /// Priority of requests whose account has none, 0 first.
+    pub priority: Option<u8>,
 }
 
 impl RelayRoute {
--- a/crates/arbutusfall_core/src/relay/crashes/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crashes/crash_handling.rs
@@ -210,7 +210,7 @@
             return;
         };
         let causes: CrashCauses = if is_failure {
-            [CrashCause::Request(call.request.request_key.clone())].into()
+            [CrashCause::Request(call.request.request_keys.own.clone())].into()
         } else {
             call.causes.clone()
         };
--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -11,6 +11,7 @@
 use crate::relay::ExchangeId;
 use crate::relay::Hop;
 use crate::relay::RelayNotice;
+use crate::relay::SentAccount;
 use crate::relay::SharedRecord;
 use crate::relay::StreamOrigin;
 
@@ -178,6 +179,8 @@
     pub required_start_unix_ms: Option<u64>,
     /// Whether the endpoint has a limit: an answer that names none lifts it.
     pub is_limited: bool,
+    /// What is sent of the caller's account.
+    pub account: SentAccount,
 }
 
 /// Work that an endpoint or another VM does for a request.
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -10,11 +10,13 @@
 use crate::CallId;
 use crate::config::Role;
 use crate::relay::CrashCause;
+use crate::relay::Credential;
 use crate::relay::FollowOutcome;
 use crate::relay::LeaseAnswer;
-use crate::relay::RequestKey;
+use crate::relay::RequestKeys;
 use crate::relay::RouteTable;
 use crate::relay::RunAnswer;
+use crate::relay::SentAccount;
 use crate::relay::SharedParts;
 use crate::relay::SharedRecord;
 use crate::relay::TokenCounts;
@@ -52,7 +54,7 @@
         era: u64,
     },
     /// A caller sent a request.
-    RequestReceived(RelayRequest),
+    RequestReceived(Box<RelayRequest>),
     /// The caller's connection closed before its answer was complete.
     CallerGone {
         /// Call of that connection.
@@ -247,7 +249,9 @@
     /// Parts of the prompt that other requests may have too.
     pub shared_parts: SharedParts,
     /// What the request has in common with its repeats only.
-    pub request_key: RequestKey,
+    pub request_keys: RequestKeys,
+    /// What the request shows to be served.
+    pub credential: Credential,
     /// Stream that the request goes on with, if any.
     pub resumption: Option<Resumption>,
     /// What another VM says that has forwarded the request; none if it comes from a caller.
@@ -269,6 +273,8 @@
     pub endpoint_ends: u32,
     /// Version of the endpoint that brought the stream's first event, if it is known.
     pub stream_version: Option<Name>,
+    /// Account that it found; unchanged if it has not checked the credential.
+    pub account: SentAccount,
 }
 
 /// A stream that a caller takes up again.
--- a/crates/arbutusfall_core/src/relay/limits/limit_waiting.rs
+++ b/crates/arbutusfall_core/src/relay/limits/limit_waiting.rs
@@ -90,14 +90,15 @@
         self.set_limit_timer();
     }
 
-    /// Returns the waiting requests in the order in which they are due.
+    /// Returns the waiting requests in the order in which they are due, the most urgent priority first.
     pub(in crate::relay) fn limited_order(&self) -> Vec<CallId> {
         let waiting = self.limited_queue.calls.iter();
-        let mut order: Vec<(Duration, CallId)> = waiting
-            .filter_map(|id| Some((latest_send(self.calls.get(id)?), *id)))
+        let waiting = waiting.filter_map(|id| Some((self.calls.get(id)?, *id)));
+        let mut order: Vec<(u8, Duration, CallId)> = waiting
+            .map(|(call, id)| (call.priority(), latest_send(call), id))
             .collect();
         order.sort();
-        order.into_iter().map(|(_, id)| id).collect()
+        order.into_iter().map(|(_, _, id)| id).collect()
     }
 
     /// Refuses the waiting requests that can't be sent by their targets.
--- a/crates/arbutusfall_core/src/relay/sending/stages.rs
+++ b/crates/arbutusfall_core/src/relay/sending/stages.rs
@@ -292,6 +292,7 @@
             version: endpoint.listed.version.clone(),
             required_start_unix_ms: None,
             is_limited: false,
+            account: self.sent_account.clone(),
         }
     }
 
--- a/crates/arbutusfall_core/src/relay/sending/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/sending/waiting.rs
@@ -2,8 +2,7 @@
 //!
 //! A request is late if it would miss its route's target, counted from the caller's first attempt, even if it started
 //! now. Requests that are not late go before late ones, and in both groups those whose callers have part of the answer go
-//! first. The rest of the
-//! order is that in which the requests last joined the queue.
+//! first, then those of the most urgent priority. The rest of the order is that in which the requests last joined the queue.
 
 use std::time::Duration;
 
@@ -144,6 +143,7 @@
         };
         let expected = per_s * within.as_secs_f64();
         let ahead = self.wait_queue.calls.iter();
+        let ahead = ahead.filter(|id| self.priority(**id) <= Some(call.priority()));
         let ahead = ahead.filter(|id| !is_first_attempt || !self.would_miss_target(**id));
         (ahead.count() + 1) as f64 > expected * QUEUE_LIMIT_FRACTION
     }
@@ -223,21 +223,23 @@
     }
 
     fn queue_order(&self) -> Vec<CallId> {
-        let mut order: Vec<(bool, CallId)> = self
-            .wait_queue
-            .calls
-            .iter()
-            .map(|id| (self.would_miss_target(*id), *id))
-            .collect();
+        let mut order = self.wait_queue.calls.clone();
         // In both groups, streams that wait to be resumed go before other requests.
-        order.sort_by_key(|(is_late, id)| (*is_late, !self.continues_stream(*id)));
-        order.into_iter().map(|(_, id)| id).collect()
+        order.sort_by_cached_key(|id| {
+            let is_late = self.would_miss_target(*id);
+            (is_late, !self.continues_stream(*id), self.priority(*id))
+        });
+        order
     }
 
     fn continues_stream(&self, id: CallId) -> bool {
         self.calls.get(&id).is_some_and(Call::continues_stream)
     }
 
+    fn priority(&self, id: CallId) -> Option<u8> {
+        self.calls.get(&id).map(Call::priority)
+    }
+
     /// Returns whether a request is late: it would miss its target if it started now.
     pub(in crate::relay) fn would_miss_target(&self, id: CallId) -> bool {
         self.calls.get(&id).is_none_or(|call| {
--- a/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
@@ -351,6 +351,7 @@
             attempts: self.attempts,
             endpoint_ends: self.endpoint_ends,
             stream_version: self.stream_version.clone(),
+            account: self.sent_account.clone(),
         };
         SendCommand {
             exchange,
@@ -368,6 +369,7 @@
             version: Name::default(),
             required_start_unix_ms: None,
             is_limited: false,
+            account: self.sent_account.clone(),
         }
     }
 
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -18,6 +18,7 @@
 mod membership;
 mod placement_harness;
 mod placement_policy;
+mod relay_accounts;
 mod relay_balance;
 mod relay_bursts;
 mod relay_calls;
--- a/crates/arbutusfall_core/tests/it/relay_forwarding.rs
+++ b/crates/arbutusfall_core/tests/it/relay_forwarding.rs
@@ -16,6 +16,7 @@
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RequestHashKey;
 use arbutusfall_core::relay::SendCommand;
+use arbutusfall_core::relay::SentAccount;
 use arbutusfall_core::relay::SharedRecord;
 use arbutusfall_core::relay::StreamLookup;
 use arbutusfall_core::relay::StreamOrigin;
@@ -98,6 +99,7 @@
         attempts: 0,
         endpoint_ends: 0,
         stream_version: None,
+        account: SentAccount::Unchanged,
     }
 }
 
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -9,6 +9,7 @@
 use arbutusfall_core::config::Role;
 use arbutusfall_core::config::Semantics;
 use arbutusfall_core::relay::CallerLimits;
+use arbutusfall_core::relay::Credential;
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::EngineParameters;
 use arbutusfall_core::relay::ExchangeEvent;
@@ -28,6 +29,7 @@
 use arbutusfall_core::relay::RelaySettings;
 use arbutusfall_core::relay::RequestHashKey;
 use arbutusfall_core::relay::RequestKey;
+use arbutusfall_core::relay::RequestKeys;
 use arbutusfall_core::relay::Resumption;
 use arbutusfall_core::relay::RetryLimit;
 use arbutusfall_core::relay::RouteTable;
@@ -86,6 +88,8 @@
     calls: u64,
     /// Whether requests with the same path are repeats of one request; otherwise all requests are different.
     pub(crate) repeats_by_path: bool,
+    /// Credential of the requests that are submitted.
+    pub(crate) credential: Credential,
     /// Whether engines that are asked when their processes started answer at once, as the listed ones.
     pub(crate) engines_state_their_starts: bool,
     /// Start of the listed process of each endpoint.
@@ -107,6 +111,8 @@
         is_stream: false,
         is_resumable: false,
         event_interval_target: Duration::ZERO,
+        allows_anonymous: false,
+        priority: None,
     }
 }
 
@@ -150,6 +156,7 @@
         ]
         .into(),
         limits: CallerLimits::default(),
+        accounts: None,
     }
 }
 
@@ -251,6 +258,7 @@
             effects: Vec::new(),
             calls: 0,
             repeats_by_path: false,
+            credential: Credential::Missing,
             engines_state_their_starts: true,
             starts_unix_ms: BTreeMap::new(),
         };
@@ -361,7 +369,7 @@
         let call = CallId(self.calls);
         let is_model = path.starts_with("/stream") || path.starts_with("/resumable");
         let request_key = self.request_key(path);
-        self.apply(RelayEvent::RequestReceived(RelayRequest {
+        self.apply(RelayEvent::RequestReceived(Box::new(RelayRequest {
             call,
             request_id: format!("request-{}", self.calls).into(),
             host: HOST.into(),
@@ -374,10 +382,14 @@
                 expected_output_tokens: Some(5_000),
             }),
             shared_parts: SharedParts::default(),
-            request_key,
+            request_keys: RequestKeys {
+                own: request_key.clone(),
+                of_any_caller: request_key,
+            },
+            credential: self.credential,
             resumption: None,
             hop,
-        }));
+        })));
         call
     }
 
@@ -386,7 +398,7 @@
         self.calls += 1;
         let call = CallId(self.calls);
         let request_key = self.request_key(path);
-        self.apply(RelayEvent::RequestReceived(RelayRequest {
+        self.apply(RelayEvent::RequestReceived(Box::new(RelayRequest {
             call,
             request_id: format!("request-{}", self.calls).into(),
             host: HOST.into(),
@@ -399,10 +411,14 @@
                 expected_output_tokens: Some(50),
             }),
             shared_parts: parts.into(),
-            request_key,
+            request_keys: RequestKeys {
+                own: request_key.clone(),
+                of_any_caller: request_key,
+            },
+            credential: self.credential,
             resumption: None,
             hop: None,
-        }));
+        })));
         call
     }
 
@@ -411,7 +427,7 @@
         self.calls += 1;
         let call = CallId(self.calls);
         let request_key = self.request_key(path);
-        self.apply(RelayEvent::RequestReceived(RelayRequest {
+        self.apply(RelayEvent::RequestReceived(Box::new(RelayRequest {
             call,
             request_id: format!("request-{}", self.calls).into(),
             host: HOST.into(),
@@ -424,13 +440,17 @@
                 expected_output_tokens: Some(5_000),
             }),
             shared_parts: SharedParts::default(),
-            request_key,
+            request_keys: RequestKeys {
+                own: request_key.clone(),
+                of_any_caller: request_key,
+            },
+            credential: self.credential,
             resumption: Some(Resumption {
                 first_attempt: first_attempt.map(Into::into),
                 last_event_id: "1".into(),
             }),
             hop: None,
-        }));
+        })));
         call
     }
 
--- a/crates/arbutusfall_core/tests/it/relay_run_proofs.rs
+++ b/crates/arbutusfall_core/tests/it/relay_run_proofs.rs
@@ -13,6 +13,7 @@
 use arbutusfall_core::relay::RetryLimit;
 use arbutusfall_core::relay::RunAnswer;
 use arbutusfall_core::relay::SendCommand;
+use arbutusfall_core::relay::SentAccount;
 use arbutusfall_core::relay::StreamLookup;
 use arbutusfall_core::relay::StreamRecord;
 use arbutusfall_core::relay::Work;
@@ -349,6 +350,7 @@
         attempts: 0,
         endpoint_ends: 0,
         stream_version: None,
+        account: SentAccount::Unchanged,
     };
     for (path, required) in [
         ("/resumable/1", Some(LISTED_START_UNIX_MS)),
--- a/crates/arbutusfall_core/tests/it/relay_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/relay_simulation.rs
@@ -7,6 +7,7 @@
 use arbutusfall_core::CallId;
 use arbutusfall_core::Problem;
 use arbutusfall_core::config::Role;
+use arbutusfall_core::relay::Credential;
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ExchangeId;
@@ -15,6 +16,7 @@
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayRequest;
 use arbutusfall_core::relay::RequestKey;
+use arbutusfall_core::relay::RequestKeys;
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::SharedParts;
 use arbutusfall_core::relay::TokenCounts;
@@ -207,6 +209,7 @@
         let call = CallId(self.calls);
         self.open_requests.insert((vm, call), open);
         let waited = open.sent_at - open.first_sent_at;
+        let request_key = RequestKey(format!("key-{}", call.0).into());
         let request = RelayRequest {
             call,
             request_id: format!("request-{}", call.0).into(),
@@ -216,11 +219,15 @@
             receive_time: Duration::ZERO,
             token_counts: Some(open.token_counts),
             shared_parts: SharedParts::default(),
-            request_key: RequestKey(format!("key-{}", call.0).into()),
+            request_keys: RequestKeys {
+                own: request_key.clone(),
+                of_any_caller: request_key,
+            },
+            credential: Credential::Missing,
             resumption: None,
             hop: None,
         };
-        self.apply(vm, RelayEvent::RequestReceived(request));
+        self.apply(vm, RelayEvent::RequestReceived(Box::new(request)));
     }
 
     fn on_refused(&mut self, open: OpenRequest, problem: &Problem) {
