--- a/crates/arbutusfall_core/src/limits.rs
+++ b/crates/arbutusfall_core/src/limits.rs
@@ -6,6 +6,10 @@
 use arbutusfall_wire::Name;
 
 use crate::config::Account;
+use crate::relay::TokenBucket;
+
+/// Longest retry delay of a refused call.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 
 /// Current usage of each account at this VM.
 #[derive(Debug, Clone, Default)]
@@ -17,12 +21,8 @@
 #[derive(Debug, Clone)]
 struct Usage {
     in_progress: u32,
-    /// Calls that may be made now.
-    ///
-    /// Invariant: between 0 and the account's `max_requests_per_s`.
-    allowance: f64,
-    /// Monotonic instant at which `allowance` was last raised.
-    refilled_at: Duration,
+    /// Calls that may be made now, at most the account's `max_requests_per_s`.
+    allowance: TokenBucket,
 }
 
 impl AccountUsage {
@@ -39,22 +39,17 @@
             .entry(account_name.clone())
             .or_insert_with(|| Usage {
                 in_progress: 0,
-                allowance: rate,
-                refilled_at: now_monotonic,
+                allowance: TokenBucket::new(rate, now_monotonic),
             });
-        let elapsed = now_monotonic.saturating_sub(usage.refilled_at);
-        usage.allowance = (usage.allowance + elapsed.as_secs_f64() * rate).min(rate);
-        usage.refilled_at = now_monotonic;
+        let allowed = usage.allowance.refill(rate, rate, now_monotonic);
         if usage.in_progress >= account.max_concurrent_requests {
             return Err(Duration::from_secs(1));
         }
-        if usage.allowance < 1.0 {
-            let missing = 1.0 - usage.allowance;
-            return Err(Duration::from_secs_f64(
-                (missing / rate.max(0.01)).min(60.0),
-            ));
+        if allowed < 1.0 {
+            let wait = usage.allowance.time_until(1.0, rate.max(0.01));
+            return Err(wait.min(MAX_RETRY_AFTER));
         }
-        usage.allowance -= 1.0;
+        usage.allowance.take(1.0);
         usage.in_progress += 1;
         Ok(())
     }
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -18,6 +18,7 @@
 mod facts;
 mod limits;
 mod notice;
+mod quota;
 mod sending;
 mod sharing;
 mod streams;
@@ -45,6 +46,7 @@
 use endpoints::reachability::Reachability;
 use limits::endpoint_limits::EndpointLimits;
 use limits::limited_queue::LimitedQueue;
+use quota::QuotaState;
 use sending::waiting::WaitQueue;
 use sharing::peers::Peers;
 use sharing::shared_outbox::SharedOutbox;
@@ -72,6 +74,7 @@
 pub use facts::*;
 pub use limits::limit_handling::LimitStatus;
 pub use notice::RelayNotice;
+pub use quota::*;
 pub use sending::send_permission::SendPermission;
 pub use sharing::shared_record::*;
 
@@ -90,6 +93,8 @@
     pub max_list_age: Duration,
     /// Random key that this VM proposes for hashes of requests.
     pub own_hash_key: RequestHashKey,
+    /// Settings of the quotas of client accounts.
+    pub quota: QuotaSettings,
     /// Name of this VM, and where it takes requests of other VMs, if it does.
     pub own_address: Option<(Name, PeerAddress)>,
 }
@@ -131,6 +136,8 @@
     CheckReach(Name),
     /// Another VM may be asked again for facts of the store.
     FollowFacts,
+    /// Requests may have waited long enough for their quota, or votes may be due for renewal.
+    Quota,
     /// The split of engines between prefill and decode is due for review.
     ReviewRoles,
     /// The platform has had time to stop sending new connections.
@@ -171,6 +178,7 @@
     limits: EndpointLimits,
     limits_reviewed_at: Duration,
     limited_queue: LimitedQueue,
+    quota: QuotaState,
     shared_outbox: SharedOutbox,
     /// Instant of the earliest timer for crashes and shared records.
     shared_timer_due: Option<Duration>,
@@ -233,6 +241,7 @@
             limits: EndpointLimits::new(vm),
             limits_reviewed_at: Duration::ZERO,
             limited_queue: LimitedQueue::default(),
+            quota: QuotaState::new(settings, seed),
             shared_outbox: SharedOutbox::new(settings.retry_limit.vm_count),
             shared_timer_due: None,
             is_shared_known: false,
@@ -262,6 +271,7 @@
     pub fn apply(&mut self, event: RelayEvent, now: Duration) -> RelayOutput {
         self.now = now;
         self.on_event(event);
+        self.update_quota_list();
         self.update_ready();
         RelayOutput {
             effects: std::mem::take(&mut self.effects),
@@ -314,6 +324,7 @@
             RelayEvent::Unblock { cause } => self.unblock(&cause),
             RelayEvent::SharedAppended { succeeded } => self.on_shared_appended(succeeded),
             RelayEvent::FactsFollowed { vm, outcome } => self.on_facts_followed(&vm, outcome),
+            RelayEvent::QuotaAnswered { vm, outcome } => self.on_quota_answered(&vm, &outcome),
             RelayEvent::Lease(answer) => self.on_lease(answer),
             RelayEvent::RoleOutcome { instance, outcome } => {
                 self.on_role_outcome(instance, outcome);
@@ -347,6 +358,7 @@
                 RelayTimer::SendWhenReached(call) => self.send_when_reached(call),
                 RelayTimer::CheckReach(service) => self.check_reach(&service),
                 RelayTimer::FollowFacts => self.follow_facts(),
+                RelayTimer::Quota => self.on_quota_timer(),
                 RelayTimer::ReviewRoles => self.review_roles(),
                 RelayTimer::CloseConnections => self.effects.push(RelayEffect::CloseConnections),
                 RelayTimer::RemoveUnlisted => self.remove_unlisted(),
--- a/crates/arbutusfall_core/src/relay/calls/call.rs
+++ b/crates/arbutusfall_core/src/relay/calls/call.rs
@@ -12,6 +12,7 @@
 use crate::relay::CrashCauses;
 use crate::relay::ExchangeId;
 use crate::relay::KvCacheLocation;
+use crate::relay::QuotaUse;
 use crate::relay::RelayRequest;
 use crate::relay::RelayRoute;
 use crate::relay::TokenCounts;
@@ -26,6 +27,8 @@
     pub(crate) route: RelayRoute,
     /// Account of the caller; none on routes without accounts, or if the configuration has none.
     pub(crate) account: Option<Arc<ClientAccount>>,
+    /// Its use of the account's quota.
+    pub(crate) quota_use: QuotaUse,
     /// Service picked from the route's services.
     pub(crate) service: Name,
     /// Version of the configuration that applies to the request.
--- a/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
+++ b/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
@@ -7,6 +7,8 @@
 use crate::CallId;
 use crate::Problem;
 use crate::ProblemKind;
+use crate::relay::QUOTA;
+use crate::relay::QuotaUse;
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
@@ -94,7 +96,7 @@
             return;
         }
         self.timers.set(due_at, RelayTimer::CallDeadline(id));
-        self.begin_call(id);
+        self.begin_within_quota(id);
     }
 
     pub(in crate::relay) fn new_call(
@@ -118,6 +120,7 @@
                 .map_or(Duration::ZERO, |engine| engine.reservation_lifetime),
             prior_attempt_time: self.prior_attempt_time(route, caller_timeout),
             account: None,
+            quota_use: QuotaUse::default(),
             service,
             route: route.clone(),
             config_version: routes.version,
@@ -234,8 +237,10 @@
             request_id: call.request.request_id.clone(),
             after_ms: millis(self.now.saturating_sub(call.arrived_at)),
         };
+        let may_have_run = call.may_run();
         self.note(notice);
         self.on_silence_in_doubt(id);
+        self.end_quota_use(id, may_have_run);
         self.release_resources(id);
         if let Some(call) = self.calls.remove(&id) {
             self.on_stream_end(&call.request.request_id, false);
@@ -289,6 +294,7 @@
         let current = call.current.as_ref();
         let is_running = current.is_some_and(|current| current.stage.runs_request());
         let may_have_run = call.may_have_run || is_running;
+        self.end_quota_use(id, may_have_run);
         self.release_resources(id);
         let Some(call) = self.calls.remove(&id) else {
             return;
@@ -298,6 +304,8 @@
             Problem::new(ProblemKind::CrashingPrompt)
         } else if reason == CRASHING_REQUEST && !may_have_run {
             Problem::new(ProblemKind::CrashingRequest)
+        } else if let (QUOTA, Some(after)) = (reason, call.quota_retry_after()) {
+            Problem::retry(ProblemKind::AccountLimited, after)
         } else if may_have_run {
             Problem::new(match reason {
                 TIMEOUT => ProblemKind::AnswerTimeout,
--- a/crates/arbutusfall_core/src/relay/control/routes.rs
+++ b/crates/arbutusfall_core/src/relay/control/routes.rs
@@ -6,6 +6,7 @@
 use arbutusfall_wire::Name;
 
 use crate::config::Semantics;
+use crate::relay::AccountQuota;
 
 /// One version of the configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -16,6 +17,8 @@
     pub routes: Vec<RelayRoute>,
     /// Services by name.
     pub services: BTreeMap<Name, RelayService>,
+    /// Quotas of client accounts by the account's name.
+    pub account_quotas: BTreeMap<Name, AccountQuota>,
     /// Limits on callers' requests.
     pub limits: CallerLimits,
 }
@@ -106,6 +109,11 @@
         self.services.get(service)?.engine.as_ref()
     }
 
+    /// Returns the quota of a client account; none if it has no limit.
+    pub fn quota_of(&self, account: &Name) -> Option<AccountQuota> {
+        self.account_quotas.get(account).copied()
+    }
+
     /// Returns the host's route with the longest matching path prefix.
     pub fn find(&self, host: &str, path: &str) -> Option<&RelayRoute> {
         let of_host = self.routes.iter().filter(|route| *route.host == *host);
--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use arbutusfall_wire::Name;
+use arbutusfall_wire::QuotaQuestion;
 
 use crate::CallId;
 use crate::Problem;
@@ -102,6 +103,15 @@
         /// Whether it may wait for news before it answers.
         waits: bool,
     },
+    /// Ask another VM about quotas of client accounts.
+    AskQuota {
+        /// The VM.
+        vm: Name,
+        /// Where it listens for other VMs.
+        address: SocketAddr,
+        /// What to ask.
+        question: QuotaQuestion,
+    },
     /// Acquire or renew the lease at the store.
     RenewLease {
         /// Newest token that the store has returned.
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -12,6 +12,7 @@
 use crate::relay::CrashCause;
 use crate::relay::FollowOutcome;
 use crate::relay::LeaseAnswer;
+use crate::relay::QuotaOutcome;
 use crate::relay::RequestKey;
 use crate::relay::RouteTable;
 use crate::relay::RunAnswer;
@@ -72,6 +73,13 @@
         /// What became of the question.
         outcome: FollowOutcome,
     },
+    /// Another VM that was asked about quotas has answered, or not.
+    QuotaAnswered {
+        /// The VM.
+        vm: Name,
+        /// What became of the question.
+        outcome: QuotaOutcome,
+    },
     /// A renewal of the lease was answered or failed.
     Lease(LeaseAnswer),
     /// A lookup of a stream's origin in the store was answered or failed.
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/quota/handling.rs
@@ -0,0 +1,308 @@
+//! The relay's use of quotas: which requests need tokens, and what follows when there are none.
+
+use std::time::Duration;
+
+use arbutusfall_wire::Name;
+use arbutusfall_wire::QuotaAnswer;
+use arbutusfall_wire::QuotaQuestion;
+
+use crate::CallId;
+use crate::relay::AccountQuota;
+use crate::relay::OwnedAccount;
+use crate::relay::QuotaAdmission;
+use crate::relay::QuotaCounts;
+use crate::relay::QuotaLeases;
+use crate::relay::QuotaOutcome;
+use crate::relay::QuotaOwner;
+use crate::relay::Relay;
+use crate::relay::RelayEffect;
+use crate::relay::RelayNotice;
+use crate::relay::RelaySettings;
+use crate::relay::RelayTimer;
+use crate::relay::calls::call::Call;
+use crate::relay::quota::token_bucket::TokenBucket;
+
+/// Reason of the refusal of a request beyond its account's quota.
+pub(in crate::relay) const QUOTA: &str = "quota";
+
+/// Log lines a second on accounts that this VM owns.
+const NOTICES_PER_S: f64 = 3.0;
+
+/// Quotas at this VM.
+#[derive(Debug)]
+pub(in crate::relay) struct QuotaState {
+    owner: QuotaOwner,
+    leases: QuotaLeases,
+    /// Whether the list of VMs has changed since it was handed on.
+    is_list_stale: bool,
+    /// Instant of the earliest timer that is set.
+    timer_due: Option<Duration>,
+    notices: TokenBucket,
+    /// Part of each quota that this VM has if it can't talk to others.
+    lone_share: f64,
+}
+
+/// Use of a quota by a call.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(crate) enum QuotaUse {
+    /// It uses none, or returned it.
+    #[default]
+    None,
+    /// It waits for tokens.
+    Waiting,
+    /// It used tokens.
+    Used {
+        tokens: f64,
+        /// Until when they can be returned.
+        until: Duration,
+    },
+    /// It was refused.
+    Refused { retry_after: Duration },
+}
+
+/// An account that this VM owns, for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct OwnedAccountStatus {
+    /// What was granted of late.
+    pub owned: OwnedAccount,
+    /// Quota in the configuration; none if it has none any more.
+    pub quota: Option<AccountQuota>,
+}
+
+/// Counts of quotas for operators.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct QuotaStatus {
+    /// Decisions since the start.
+    pub counts: QuotaCounts,
+    /// Number of accounts that this VM owns.
+    pub owned_accounts: usize,
+}
+
+impl QuotaState {
+    pub(in crate::relay) fn new(settings: &RelaySettings, seed: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed.rotate_left(17));
+        let vm_count = settings.retry_limit.vm_count.max(1);
+        let own = settings.own_address.as_ref();
+        let vm = own.map_or_else(|| Name::from("this"), |(vm, _)| vm.clone());
+        let process = rng.u64(..);
+        Self {
+            owner: QuotaOwner::new(vm.clone(), process, settings.quota),
+            leases: QuotaLeases::new(vm, settings.quota, vm_count as usize, rng.u64(..)),
+            is_list_stale: true,
+            timer_due: None,
+            notices: TokenBucket::new(NOTICES_PER_S, Duration::ZERO),
+            lone_share: if own.is_some() {
+                1.0
+            } else {
+                1.0 / f64::from(vm_count)
+            },
+        }
+    }
+
+    /// Records that the list of VMs has changed.
+    pub(in crate::relay) fn on_list_changed(&mut self) {
+        self.is_list_stale = true;
+    }
+}
+
+impl Relay {
+    /// Answers another VM's question about quotas; `now` is monotonic.
+    pub fn answer_quota(&mut self, question: &QuotaQuestion, now: Duration) -> QuotaAnswer {
+        let routes = self.routes.clone();
+        let quota_of = |account: &Name| routes.as_ref()?.quota_of(account);
+        self.quota.owner.answer(question, quota_of, now)
+    }
+
+    /// Returns the accounts that this VM owns.
+    pub fn owned_accounts(&self, now: Duration) -> Vec<OwnedAccountStatus> {
+        let owned = self.quota.owner.owned_accounts(now).into_iter();
+        let routes = self.routes.as_ref();
+        let owned = owned.map(|owned| OwnedAccountStatus {
+            quota: routes.and_then(|routes| routes.quota_of(&owned.account)),
+            owned,
+        });
+        owned.collect()
+    }
+
+    /// Returns the counts of quotas.
+    pub fn quota_status(&self, now: Duration) -> QuotaStatus {
+        QuotaStatus {
+            counts: self.quota.leases.counts(),
+            owned_accounts: self.quota.owner.owned_accounts(now).len(),
+        }
+    }
+
+    /// Hands the list of VMs on to the owner and the leases if it has changed.
+    pub(in crate::relay) fn update_quota_list(&mut self) {
+        let is_known = self.has_read_shared || self.own_address.is_none();
+        if !self.quota.is_list_stale || !is_known {
+            return;
+        }
+        self.quota.is_list_stale = false;
+        let own = self.own_address.as_ref();
+        let own = own.map_or_else(|| Name::from("this"), |(vm, _)| vm.clone());
+        let mut vms = vec![own.clone()];
+        if self.own_address.is_some() {
+            let others = self.peers.iter().map(|(vm, _)| vm);
+            vms.extend(others.filter(|vm| **vm != own).cloned());
+        }
+        vms.sort_unstable();
+        self.quota.owner.set_vms(&vms, self.now);
+        self.quota.leases.set_vms(&vms);
+    }
+
+    /// Begins a call once its account's quota allows it.
+    pub(in crate::relay) fn begin_within_quota(&mut self, id: CallId) {
+        let Some((account, quota, cost, due_at)) = self.needed_quota(id) else {
+            self.begin_call(id);
+            return;
+        };
+        let now = self.now;
+        let leases = &mut self.quota.leases;
+        let admission = leases.admit(id, &account, &quota, cost, due_at, now);
+        if admission == QuotaAdmission::Waits {
+            self.set_quota_use(id, QuotaUse::Waiting);
+        } else {
+            self.on_admission(id, admission);
+        }
+        self.advance_quota();
+    }
+
+    /// Returns account, quota, cost and deadline of a call that needs tokens. Requests of other VMs have used theirs there.
+    fn needed_quota(&self, id: CallId) -> Option<(Name, AccountQuota, f64, Duration)> {
+        let call = self.calls.get(&id)?;
+        let account = call.account.as_ref()?;
+        let mut quota = account.quota.filter(|_| call.request.hop.is_none())?;
+        quota.per_s *= self.quota.lone_share;
+        quota.burst *= self.quota.lone_share;
+        let cost = quota.cost(call.request.token_counts);
+        Some((account.name.clone(), quota, cost, call.due_at))
+    }
+
+    fn set_quota_use(&mut self, id: CallId, quota_use: QuotaUse) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.quota_use = quota_use;
+        }
+    }
+
+    fn on_admission(&mut self, id: CallId, admission: QuotaAdmission) {
+        match admission {
+            QuotaAdmission::Waits => {}
+            QuotaAdmission::Granted { until } => {
+                let tokens = self.needed_quota(id).map_or(0.0, |(_, _, cost, _)| cost);
+                self.set_quota_use(id, QuotaUse::Used { tokens, until });
+                self.begin_call(id);
+            }
+            QuotaAdmission::Refused { retry_after } => {
+                self.set_quota_use(id, QuotaUse::Refused { retry_after });
+                self.fail_call(id, QUOTA);
+            }
+        }
+    }
+
+    /// Handles what became of a question to another VM.
+    pub(in crate::relay) fn on_quota_answered(&mut self, vm: &Name, outcome: &QuotaOutcome) {
+        let quota = &mut self.quota;
+        quota
+            .leases
+            .on_outcome(vm, outcome, &mut quota.owner, self.now);
+        self.advance_quota();
+    }
+
+    pub(in crate::relay) fn on_quota_timer(&mut self) {
+        if self.quota.timer_due.is_some_and(|due| due > self.now) {
+            // This timer was superseded by an earlier one.
+            return;
+        }
+        self.quota.timer_due = None;
+        self.advance_quota();
+    }
+
+    /// Decides on waiting requests and asks other VMs.
+    fn advance_quota(&mut self) {
+        let quota = &mut self.quota;
+        let output = quota.leases.advance(&mut quota.owner, self.now);
+        for (vm, question) in output.questions {
+            self.ask_quota(vm, question);
+        }
+        if let Some(due) = output.wake_at {
+            self.set_quota_timer(due);
+        }
+        for (id, admission) in output.decisions {
+            self.on_admission(id, admission);
+        }
+        self.note_ownership();
+    }
+
+    fn ask_quota(&mut self, vm: Name, question: QuotaQuestion) {
+        let Some(peer) = self.peers.get(&vm) else {
+            // The list is the one of the peers.
+            let quota = &mut self.quota;
+            let outcome = QuotaOutcome::Failed;
+            quota
+                .leases
+                .on_outcome(&vm, &outcome, &mut quota.owner, self.now);
+            self.set_quota_timer(self.now);
+            return;
+        };
+        let address = peer.address;
+        self.effects.push(RelayEffect::AskQuota {
+            vm,
+            address,
+            question,
+        });
+    }
+
+    fn set_quota_timer(&mut self, due: Duration) {
+        if self.quota.timer_due.is_some_and(|set| set <= due) {
+            return;
+        }
+        self.quota.timer_due = Some(due);
+        self.timers.set(due, RelayTimer::Quota);
+    }
+
+    fn note_ownership(&mut self) {
+        for (account, owned) in self.quota.owner.take_changes() {
+            let notices = &mut self.quota.notices;
+            if notices.refill(NOTICES_PER_S, NOTICES_PER_S, self.now) < 1.0 {
+                continue;
+            }
+            notices.take(1.0);
+            self.note(RelayNotice::QuotaOwner { account, owned });
+        }
+    }
+
+    /// Ends the use of a quota by a call that ends: tokens are returned if no endpoint can have run its request.
+    pub(in crate::relay) fn end_quota_use(&mut self, id: CallId, may_have_run: bool) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        match std::mem::take(&mut call.quota_use) {
+            QuotaUse::Waiting => self.quota.leases.remove(id),
+            QuotaUse::Used { tokens, until } if !may_have_run => {
+                if let Some(account) = &call.account {
+                    let leases = &mut self.quota.leases;
+                    leases.give_back(&account.name, tokens, until, self.now);
+                }
+            }
+            unreturned => call.quota_use = unreturned,
+        }
+    }
+}
+
+impl Call {
+    /// Returns whether an endpoint may have begun to run the request, or may do so now.
+    pub(in crate::relay) fn may_run(&self) -> bool {
+        let current = self.current.as_ref();
+        let is_running = current.is_some_and(|current| current.stage.runs_request());
+        self.may_have_run || is_running || self.standby.is_some()
+    }
+
+    /// Returns the retry delay of a call that was refused by its quota.
+    pub(in crate::relay) fn quota_retry_after(&self) -> Option<Duration> {
+        match self.quota_use {
+            QuotaUse::Refused { retry_after } => Some(retry_after),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutusfall_core/src/relay/quota/settings.rs
@@ -0,0 +1,49 @@
+//! Settings of quotas.
+
+use std::time::Duration;
+
+/// Settings of the quotas of client accounts, the same at all VMs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaSettings {
+    /// Span in which the use of an account is bounded.
+    pub window: Duration,
+    /// Tolerated excess in a window, as a share of what the quota allows in it.
+    ///
+    /// Invariant: from 0 to 1.
+    pub excess_ratio: f64,
+    /// Tolerated excess in a window besides, in units of the quota.
+    pub slack: f64,
+}
+
+impl Default for QuotaSettings {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(8),
+            excess_ratio: 0.1,
+            slack: 0.0,
+        }
+    }
+}
+
+/// Part of the tolerated excess of the rate that leases take; the rest is for VMs that reach no owner.
+const LEASE_PART_OF_EXCESS: f64 = 0.5;
+
+impl QuotaSettings {
+    /// Returns the longest time from the question for tokens until they lapse: tokens that were granted in this time before a
+    /// window may be used in it.
+    pub fn lease_lifetime(&self) -> Duration {
+        self.window
+            .mul_f64(self.excess_ratio * LEASE_PART_OF_EXCESS)
+    }
+
+    /// Returns the span in which tokens are granted that can be used within one window.
+    pub fn grant_window(&self) -> Duration {
+        self.window + self.lease_lifetime()
+    }
+
+    /// Returns the units that all VMs without an owner may use together in a window, so that it keeps the bound.
+    pub(crate) fn emergency_excess(&self, per_s: f64, burst: f64) -> f64 {
+        let of_rate = per_s * self.window.as_secs_f64() * (1.0 - LEASE_PART_OF_EXCESS);
+        (of_rate + burst) * self.excess_ratio + self.slack
+    }
+}
--- a/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
@@ -55,6 +55,7 @@
     pub(in crate::relay) fn on_shared_peer(&mut self, vm: &Name, peer: Option<PeerAddress>) {
         self.on_fact_peer(vm, peer.as_ref());
         self.peers.on_record(vm, peer);
+        self.quota.on_list_changed();
         self.follow_facts();
     }
 
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -19,6 +19,7 @@
 use arbutusfall_core::relay::NotRunReason;
 use arbutusfall_core::relay::PartId;
 use arbutusfall_core::relay::PeerAddress;
+use arbutusfall_core::relay::QuotaSettings;
 use arbutusfall_core::relay::Relay;
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
@@ -149,6 +150,7 @@
             ("shop".into(), RelayService::default()),
         ]
         .into(),
+        account_quotas: BTreeMap::new(),
         limits: CallerLimits::default(),
     }
 }
@@ -242,6 +244,7 @@
             lease_lifetime: LEASE_LIFETIME,
             max_list_age: MAX_LIST_AGE,
             own_hash_key: RequestHashKey(u128::from(seed)),
+            quota: QuotaSettings::default(),
             own_address,
         };
         let mut harness = Self {
--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/relay_quota.rs
@@ -0,0 +1,1 @@
+//! Quotas of client accounts at one relay.
--- /dev/null
+++ b/crates/arbutusfall_core/tests/it/relay_quota_simulation.rs
@@ -0,0 +1,254 @@
+//! Quotas of client accounts over fleets of VMs: the bound in every window, how much of a quota is used, and who is refused.
+
+use std::time::Duration;
+
+use arbutusfall_core::relay::AccountQuota;
+use arbutusfall_core::relay::QuotaUnit;
+
+use crate::relay_harness::ms;
+use crate::relay_quota_fleet::AccountLoad;
+use crate::relay_quota_fleet::Action;
+use crate::relay_quota_fleet::Fleet;
+use crate::relay_quota_fleet::WARM_UP;
+
+const FLEET_SIZES: [usize; 4] = [3, 65, 195, 407];
+
+/// Quota of an account as a multiple of its usual use.
+const HEADROOM: f64 = 1.8;
+
+/// Load of the one account that asks for more than its quota, as a multiple of its usual use.
+const OVERLOAD: f64 = 7.5;
+
+/// End of a run.
+const END: Duration = Duration::from_secs(52);
+
+/// Account with the load of [`OVERLOAD`].
+const BUSY: usize = 0;
+
+fn s(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn account(name: &str, unit: QuotaUnit, per_s: f64, burst: f64, cost: f64) -> AccountLoad {
+    AccountLoad {
+        name: name.into(),
+        quota: AccountQuota {
+            unit,
+            per_s,
+            burst,
+            plain_cost: cost,
+        },
+        cost,
+        per_s: per_s / cost / HEADROOM,
+    }
+}
+
+/// Returns accounts of different sizes: streams, plain requests, few requests a second, and less than one a second.
+fn accounts() -> Vec<AccountLoad> {
+    let (tokens, requests) = (QuotaUnit::Tokens, QuotaUnit::Requests);
+    vec![
+        account("busy", tokens, 392_097.0, 392_097.0, 5_270.0),
+        account("streams", tokens, 200_000.0, 200_000.0, 5_270.0),
+        account("plain", tokens, 20_000.0, 20_000.0, 200.0),
+        account("requests", requests, 20.0, 20.0, 1.0),
+        account("slow", requests, 0.5, 8.0, 1.0),
+        account("few-streams", tokens, 6_000.0, 60_000.0, 5_270.0),
+    ]
+}
+
+fn fleet(vm_count: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(vm_count, accounts(), seed);
+    fleet.accounts[BUSY].per_s *= OVERLOAD;
+    fleet
+}
+
+/// Returns the bound of an account in a window.
+fn bound(fleet: &Fleet, quota: &AccountQuota) -> f64 {
+    let settings = &fleet.settings;
+    let allowed = quota.per_s * settings.window.as_secs_f64() + quota.burst;
+    allowed * (1.0 + settings.excess_ratio) + settings.slack
+}
+
+/// Checks the bound of all accounts; prints what is reported.
+fn check_bounds(fleet: &Fleet, what: &str) {
+    for (account, account_use) in fleet.accounts.iter().zip(&fleet.uses) {
+        let most = account_use.most_in(fleet.settings.window);
+        let bound = bound(fleet, &account.quota);
+        println!(
+            "{what} {}: most {:.3} of the bound, refused {:.4} of {}",
+            account.name,
+            most / bound,
+            account_use.refused_share(),
+            account_use.asked,
+        );
+        assert!(most <= bound, "{what} {}: {most} of {bound}", account.name);
+    }
+    let [(messages, bytes), (most_messages, most_bytes)] = fleet.traffic();
+    println!(
+        "{what}: {messages:.1} messages and {bytes:.0} bytes a second, at most {most_messages:.1} and {most_bytes:.0}, {} without an owner",
+        fleet.refused_without_owner()
+    );
+}
+
+fn check_used(fleet: &Fleet, least: f64) {
+    let used = fleet.uses[BUSY].between(WARM_UP, fleet.now);
+    let quota = fleet.accounts[BUSY].quota.per_s * (fleet.now - WARM_UP).as_secs_f64();
+    println!("used {:.3} of the quota", used / quota);
+    assert!(used >= quota * least, "{used} of {quota}");
+}
+
+fn check_refused(fleet: &Fleet, most: f64) {
+    for (account, account_use) in fleet.accounts.iter().zip(&fleet.uses).skip(BUSY + 1) {
+        let refused = account_use.refused_share();
+        assert!(refused < most, "{}: {refused}", account.name);
+    }
+}
+
+/// Runs a fleet of each size with what happens to it, and checks the three targets.
+fn check(what: &str, disturb: impl Fn(&mut Fleet)) {
+    for vm_count in FLEET_SIZES {
+        let mut fleet = fleet(vm_count, 41);
+        disturb(&mut fleet);
+        fleet.run_until(END);
+        check_bounds(&fleet, &format!("{what} {vm_count}"));
+        check_used(&fleet, 0.9);
+        check_refused(&fleet, 0.01);
+    }
+}
+
+/// Guards against quotas that are exceeded, not used up, or refused to accounts that keep them, with callers distributed unevenly.
+#[test]
+fn all_vms_together_keep_the_quota() {
+    check("steady", |_| {});
+}
+
+/// Guards against a second full burst, or a gap, when an owner is lost.
+#[test]
+fn another_vm_takes_over_from_a_killed_owner() {
+    check("killed", |fleet| {
+        fleet.act_at(s(20), Action::KillOwner(BUSY));
+    });
+}
+
+/// Guards against an owner that goes on with the tokens and votes that it had before it stood still.
+#[test]
+fn a_frozen_owner_does_not_grant_after_it_goes_on() {
+    check("frozen", |fleet| {
+        fleet.act_at(s(20), Action::FreezeOwner(BUSY, s(4)));
+        fleet.act_at(s(30), Action::FreezeOwner(BUSY, ms(700)));
+    });
+}
+
+/// Guards against two owners: the VM that is cut off still has callers of its own.
+#[test]
+fn an_owner_that_is_cut_off_grants_nothing() {
+    check("cut off", |fleet| {
+        fleet.act_at(s(20), Action::CutOwnerOff(BUSY));
+        fleet.act_at(s(30), Action::Heal);
+    });
+}
+
+/// Guards against tokens of the new and of the former owner at a time.
+#[test]
+fn new_vms_do_not_add_tokens() {
+    check("added", |fleet| {
+        for second in 20..30 {
+            fleet.act_at(s(second), Action::Add(1));
+        }
+    });
+}
+
+/// Guards against lost votes of a VM that restarts, and against the tokens of its earlier process.
+#[test]
+fn restarted_vms_keep_the_quota() {
+    check("restarted", |fleet| {
+        for round in 0..3 {
+            fleet.act_at(s(20 + round * 8), Action::Kill(round as usize));
+            fleet.act_at(s(22 + round * 8), Action::Restart(round as usize));
+        }
+    });
+}
+
+/// Guards against two owners, one on each side: the bound holds for both sides together.
+#[test]
+fn two_halves_keep_the_bound_together() {
+    for vm_count in FLEET_SIZES {
+        let mut fleet = fleet(vm_count, 42);
+        let half = (0..vm_count).step_by(2).collect();
+        fleet.act_at(s(20), Action::Split(half));
+        fleet.act_at(s(34), Action::Heal);
+        fleet.run_until(END);
+        check_bounds(&fleet, &format!("split {vm_count}"));
+    }
+}
+
+/// Guards against all VMs at once without any owner.
+#[test]
+fn vms_that_reach_no_other_keep_the_bound() {
+    for vm_count in [65, 195] {
+        let mut fleet = fleet(vm_count, 43);
+        // Only two sides are simulated: all but a few VMs are gone from both.
+        for vm in 0..vm_count {
+            fleet.act_at(s(20), Action::Freeze(vm, ms(1_500)));
+        }
+        let few = (0..vm_count / 3).collect();
+        fleet.act_at(s(24), Action::Split(few));
+        fleet.run_until(END);
+        check_bounds(&fleet, &format!("alone {vm_count}"));
+    }
+}
+
+/// Guards against entries of VMs that have ended and stay listed: they are electors and owners of some accounts.
+#[test]
+fn vms_that_ended_and_stay_listed_do_no_harm() {
+    for vm_count in [65, 195, 407] {
+        let mut fleet = fleet(vm_count, 44);
+        for vm in (0..vm_count).step_by(12) {
+            fleet.act_at(s(2), Action::Kill(vm));
+        }
+        fleet.run_until(END);
+        check_bounds(&fleet, &format!("ended {vm_count}"));
+        check_used(&fleet, 0.9);
+        check_refused(&fleet, 0.01);
+    }
+}
+
+/// Guards against tokens of the former quota: it is enforced one window after it is in force.
+#[test]
+fn a_lower_quota_is_enforced_after_a_window() {
+    for vm_count in FLEET_SIZES {
+        let mut fleet = fleet(vm_count, 45);
+        fleet.act_at(s(20), Action::Quota(BUSY, 0.25));
+        fleet.run_until(s(29));
+        fleet.uses[BUSY].granted.clear();
+        fleet.run_until(END);
+        check_bounds(&fleet, &format!("lower {vm_count}"));
+    }
+}
+
+/// Guards against an account that can never be served because one request costs more than its burst, or than a second of its
+/// rate.
+#[test]
+fn requests_that_cost_more_than_the_burst_are_served() {
+    let (tokens, requests) = (QuotaUnit::Tokens, QuotaUnit::Requests);
+    for vm_count in FLEET_SIZES {
+        let accounts = vec![
+            account("large", tokens, 2_000.0, 1_000.0, 5_270.0),
+            account("no-burst", requests, 1.0, 0.0, 1.0),
+            account("too-large", tokens, 100.0, 100.0, 5_270.0),
+        ];
+        let mut fleet = Fleet::new(vm_count, accounts, 46);
+        for account in &mut fleet.accounts {
+            account.per_s = 2.0;
+        }
+        fleet.run_until(END);
+        check_bounds(&fleet, &format!("large {vm_count}"));
+        let span_s = (END - WARM_UP).as_secs_f64();
+        for (account, served) in [(0, 0.5), (1, 0.5), (2, 0.0)] {
+            let used = fleet.uses[account].between(WARM_UP, END);
+            let quota = fleet.accounts[account].quota.per_s * span_s;
+            println!("{}: used {:.2}", fleet.accounts[account].name, used / quota);
+            assert!(used >= quota * served, "{}", fleet.accounts[account].name);
+        }
+    }
+}
--- a/crates/arbutusfall_wire/src/lib.rs
+++ b/crates/arbutusfall_wire/src/lib.rs
@@ -20,6 +20,7 @@
 mod ids;
 mod message;
 mod payload;
+mod quota;
 mod record;
 
 pub use codec::CodecError;
@@ -47,4 +48,10 @@
 pub use ids::Sender;
 pub use message::*;
 pub use payload::Payload;
+pub use quota::MAX_QUOTA_BYTES;
+pub use quota::QuotaAnswer;
+pub use quota::QuotaAsk;
+pub use quota::QuotaGrant;
+pub use quota::QuotaQuestion;
+pub use quota::QuotaVote;
 pub use record::*;
