Relay: quotas of client accounts, from the decision to the messages between VMs

The owner of an account now needs votes of a majority of five electors, because two halves of a fleet would otherwise have an owner each. POST /quota carries requests for tokens and for votes.

--- a/crates/arbutusfall/src/http.rs
+++ b/crates/arbutusfall/src/http.rs
@@ -20,6 +20,7 @@
 pub use body_memory::BodyMemory;
 pub(crate) use body_memory::HeldBytes;
 pub use client::ClientError;
+pub use client::KeptConnection;
 pub use client::OutgoingRequest;
 pub use client::WholeAnswer;
 pub use client::WholeRequest;
--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -152,6 +152,47 @@
     Ok(stream)
 }
 
+/// A connection that is kept open for several requests, one after the other.
+#[derive(Debug)]
+pub struct KeptConnection {
+    sender: http1::SendRequest<Full<Bytes>>,
+}
+
+impl KeptConnection {
+    /// Begins to use an open connection.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError::Connect`].
+    pub async fn begin(executor: &Executor, stream: TcpStream) -> Result<Self, ClientError> {
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(FuturesIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(|_| ClientError::Connect)?;
+        let task = executor.spawn(async move {
+            // A failure is reported to the pending request.
+            let _ = connection.await;
+        });
+        task.detach();
+        Ok(Self { sender })
+    }
+
+    /// Sends a request; the answer's body must be read before the next one.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError::Broken`] if the connection fails or has been closed.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ClientError> {
+        let ready = self.sender.ready().await;
+        ready.map_err(|_| ClientError::Broken)?;
+        let answer = self.sender.send_request(request).await;
+        answer.map_err(|_| ClientError::Broken)
+    }
+}
+
 /// Sends a request on an open connection and reads the answer's headers.
 async fn exchange(
     executor: &Executor,
--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -17,6 +17,8 @@
 mod peer_client;
 mod peer_handshake;
 mod peer_server;
+mod quota_client;
+mod quota_server;
 mod read_timing;
 mod run_check;
 mod send_permission;
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -12,6 +12,8 @@
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RequestHashKey;
 use arbutusfall_core::relay::SendPermission;
+use arbutusfall_wire::QuotaAnswer;
+use arbutusfall_wire::QuotaQuestion;
 use async_channel::Receiver;
 use async_channel::Sender;
 use futures_lite::FutureExt;
@@ -117,6 +119,30 @@
         lock(&self.relay).may_be_followed()
     }
 
+    /// Answers another VM's question about quotas.
+    pub(super) fn answer_quota(self: &Arc<Self>, question: &QuotaQuestion) -> QuotaAnswer {
+        let answer = lock(&self.relay).answer_quota(question, self.io.now());
+        // This VM may need votes of others.
+        self.submit(RelayEvent::Tick);
+        answer
+    }
+
+    /// Returns the accounts that this VM owns, with their use in the last window, as a JSON document.
+    pub(super) fn owned_accounts(&self) -> Value {
+        let accounts = lock(&self.relay).owned_accounts(self.io.now());
+        let accounts = accounts.into_iter().map(|account| {
+            let quota = account.quota;
+            json!({
+                "account": account.owned.account,
+                "used": account.owned.used.round(),
+                "left": account.owned.left.round(),
+                "rate_per_s": quota.map(|quota| quota.per_s),
+                "burst": quota.map(|quota| quota.burst),
+            })
+        });
+        accounts.collect()
+    }
+
     /// Returns the limits on callers' requests.
     pub(super) fn limits(&self) -> CallerLimits {
         lock(&self.limits).clone()
@@ -141,6 +167,7 @@
             followers: facts.followers(),
             fact_ages_ms: facts.ages_ms(),
             limits: relay.limit_status(),
+            quota: relay.quota_status(self.io.now()),
         };
         drop(relay);
         self.io.metrics.text(&state)
--- a/crates/arbutusfall/src/relay/effects.rs
+++ b/crates/arbutusfall/src/relay/effects.rs
@@ -25,6 +25,8 @@
 use crate::relay::handle::RelayHandle;
 use crate::relay::handle::RelayIo;
 use crate::relay::open_calls::Reply;
+use crate::relay::quota_client::QuotaClient;
+use crate::relay::quota_client::QuotaRequest;
 use crate::relay::run_check;
 use crate::relay::shared_records;
 use crate::relay::store_client::StoreClient;
@@ -35,6 +37,7 @@
     control: ControlClient,
     store: Arc<StoreClient>,
     facts: Arc<FactBoard>,
+    quota: Arc<QuotaClient>,
     ready: AtomicBool,
     close_request_sender: Sender<()>,
     close_request_receiver: Receiver<()>,
@@ -51,6 +54,7 @@
             control,
             store,
             facts,
+            quota: Arc::default(),
             ready: AtomicBool::new(false),
             close_request_sender,
             close_request_receiver,
@@ -114,6 +118,18 @@
                 let board = self.facts.clone();
                 io.spawn(fact_follower::follow(relay.clone(), board, from));
             }
+            RelayEffect::AskQuota {
+                vm,
+                address,
+                question,
+            } => {
+                let request = QuotaRequest {
+                    vm,
+                    address,
+                    question,
+                };
+                io.spawn(self.quota.clone().ask(relay.clone(), request));
+            }
             RelayEffect::RenewLease { token, lifetime } => {
                 let control = self.control.clone();
                 io.spawn(control.renew_lease(relay.clone(), token, lifetime));
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -6,6 +6,7 @@
 
 use arbutusfall_core::relay::ConfigStatus;
 use arbutusfall_core::relay::LimitStatus;
+use arbutusfall_core::relay::QuotaStatus;
 use arbutusfall_core::relay::RelayNotice;
 use hdrhistogram::Histogram;
 
@@ -43,6 +44,8 @@
     pub(super) fact_ages_ms: Vec<(&'static str, u64)>,
     /// Limits that endpoints named.
     pub(super) limits: LimitStatus,
+    /// Decisions on quotas of client accounts.
+    pub(super) quota: QuotaStatus,
 }
 
 /// Counters and histograms of one process.
@@ -132,7 +135,7 @@
     pub(super) fn text(&self, values: &StateMetrics) -> String {
         let state = lock(&self.state);
         let mut text = String::new();
-        state.write_counters(&mut text);
+        state.write_counters(&mut text, values.quota);
         state.write_latencies(&mut text);
         if let Some(config) = values.config {
             write_config(&mut text, config);
@@ -161,6 +164,8 @@
         write_fact_ages(&mut text, &values.fact_ages_ms);
         let limits = values.limits;
         write_gauge(&mut text, "limited_endpoints", limits.endpoints as u64);
+        let owned = values.quota.owned_accounts as u64;
+        write_gauge(&mut text, "owned_accounts", owned);
         write_gauge(&mut text, "limit_shares_held", limits.held_shares as u64);
         text
     }
@@ -169,7 +174,7 @@
 // Writing to a string cannot fail.
 
 impl State {
-    fn write_counters(&self, text: &mut String) {
+    fn write_counters(&self, text: &mut String, quota: QuotaStatus) {
         text.push_str("# TYPE arbutusfall_events_total counter\n");
         for ((event, reason), count) in &self.notice_counts {
             let _ = writeln!(
@@ -177,6 +182,7 @@
                 "arbutusfall_events_total{{event=\"{event}\",reason=\"{reason}\"}} {count}"
             );
         }
+        write_quota_counters(text, quota);
         text.push_str("# TYPE arbutusfall_requests_total counter\n");
         for ((is_added_route, outcome), count) in &self.request_counts {
             let routes = if *is_added_route { "added" } else { "first" };
@@ -206,6 +212,24 @@
     }
 }
 
+/// Writes the counters of quotas, which belong to the metric of events.
+fn write_quota_counters(text: &mut String, quota: QuotaStatus) {
+    let counts = quota.counts;
+    let counters = [
+        ("quota.refused", counts.refused),
+        ("quota.asked", counts.asked),
+        ("quota.failed", counts.failed),
+        ("quota.emergency", counts.emergency),
+        ("quota.granted_tokens", counts.granted_tokens as u64),
+    ];
+    for (event, count) in counters {
+        let _ = writeln!(
+            text,
+            "arbutusfall_events_total{{event=\"{event}\",reason=\"\"}} {count}"
+        );
+    }
+}
+
 fn write_fact_ages(text: &mut String, ages_ms: &[(&'static str, u64)]) {
     text.push_str("# TYPE arbutusfall_fact_age_milliseconds gauge\n");
     for (topic, age_ms) in ages_ms {
--- a/crates/arbutusfall/src/relay/peer_client.rs
+++ b/crates/arbutusfall/src/relay/peer_client.rs
@@ -18,6 +18,9 @@
 /// Path of questions for facts at the address for other VMs.
 pub(super) const FACTS_PATH: &str = "/facts";
 
+/// Path of questions about quotas of client accounts.
+pub(super) const QUOTA_PATH: &str = "/quota";
+
 /// Timeout for the connection to a VM and its handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -40,7 +43,11 @@
     http::send_on(executor, stream, outgoing).await
 }
 
-async fn connect(address: SocketAddr, key: RequestHashKey) -> Result<TcpStream, ClientError> {
+/// Opens a connection to another VM, once that has proved that it is one.
+pub(super) async fn connect(
+    address: SocketAddr,
+    key: RequestHashKey,
+) -> Result<TcpStream, ClientError> {
     let stream = TcpStream::connect(address).await;
     let mut stream = stream.map_err(|_| ClientError::Connect)?;
     // A failure only adds latency.
--- a/crates/arbutusfall/src/relay/peer_server.rs
+++ b/crates/arbutusfall/src/relay/peer_server.rs
@@ -1,4 +1,5 @@
-//! Requests of other VMs: those of callers whose endpoints they do not reach, and questions for facts of the store.
+//! Requests of other VMs: those of callers whose endpoints they do not reach, and questions for facts of the store and about
+//! quotas of client accounts.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,15 +22,17 @@
 use crate::relay::driver::Driver;
 use crate::relay::fact_server::FactServer;
 use crate::relay::peer_client::FACTS_PATH;
+use crate::relay::peer_client::QUOTA_PATH;
 use crate::relay::peer_handshake;
+use crate::relay::quota_server;
 
-/// Maximum number of open connections of other VMs.
-const MAX_PEER_CONNECTIONS: usize = 400;
+/// Maximum number of open connections of other VMs: all of them may keep one to the owner of a busy account.
+const MAX_PEER_CONNECTIONS: usize = 600;
 
 /// Timeout for the handshake of a connection.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Timeout for the head of a request; a connection has one request.
+/// Timeout for the head of a request, and for the next request of a connection that is kept.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Answers the requests of other VMs through the relay.
@@ -66,10 +69,11 @@
 
     async fn handle(self: Arc<Self>, mut request: Request<Incoming>) -> Response<AnswerBody> {
         let Some((hop, elapsed)) = forwarding::take_hop(request.headers_mut()) else {
-            if request.uri().path() == FACTS_PATH {
-                return self.facts.answer(request).await;
-            }
-            return callers::problem_response(&Problem::new(ProblemKind::Malformed));
+            return match request.uri().path() {
+                FACTS_PATH => self.facts.answer(request).await,
+                QUOTA_PATH => quota_server::answer(&self.driver, request).await,
+                _ => callers::problem_response(&Problem::new(ProblemKind::Malformed)),
+            };
         };
         let arrival = Arrival {
             hop: Some(hop),
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -59,6 +59,9 @@
 /// Path of the requests that are refused because they crash endpoints; `DELETE` likewise.
 const BLOCKED_REQUESTS_PATH: &str = "/blocked-requests";
 
+/// Path of the client accounts that this VM owns, with their use.
+const ACCOUNTS_PATH: &str = "/accounts";
+
 /// Timeout for writing the last log lines.
 const LOG_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -90,6 +93,7 @@
         lease_lifetime: Duration::from_millis(settings.lease_lifetime_ms),
         max_list_age: settings.max_list_age(),
         own_hash_key: RequestHashKey(Uuid::new_v4().as_u128()),
+        quota: settings.quota_settings(),
         own_address: settings.peer_address.map(|address| {
             let data_centre = settings.data_centre.clone();
             let peer = PeerAddress {
@@ -234,6 +238,9 @@
             driver.metrics_text(store.era.newest(), facts),
         ));
     }
+    if path == ACCOUNTS_PATH {
+        return http::json_answer(200, &driver.owned_accounts());
+    }
     for (list, is_request) in [(BLOCKED_PARTS_PATH, false), (BLOCKED_REQUESTS_PATH, true)] {
         match path.strip_prefix(list) {
             Some("") => return http::json_answer(200, &driver.blocked_causes(is_request)),
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use arbutusfall_core::relay::FactTimes;
+use arbutusfall_core::relay::QuotaSettings;
 use arbutusfall_core::relay::RetryLimit;
 use arbutusfall_wire::Name;
 use error_stack::Report;
@@ -70,6 +71,15 @@
     /// Lifetime of the lease whose holder is the only VM to order role changes of engines.
     #[serde(default = "default_lease_lifetime_ms")]
     pub lease_lifetime_ms: u64,
+    /// Span in which the use of a client account by all VMs together is bounded.
+    #[serde(default = "default_quota_window_s")]
+    pub quota_window_s: f64,
+    /// Tolerated excess in this span, as a share of what the account's quota allows in it; from 0 to 1.
+    #[serde(default = "default_quota_excess_ratio")]
+    pub quota_excess_ratio: f64,
+    /// Tolerated excess in this span besides, in units of the quota.
+    #[serde(default)]
+    pub quota_slack: f64,
     /// Time after SIGTERM by which the process must have exited.
     #[serde(default = "default_drain_timeout_s")]
     pub drain_timeout_s: u64,
@@ -102,6 +112,14 @@
     40.0
 }
 
+fn default_quota_window_s() -> f64 {
+    8.0
+}
+
+fn default_quota_excess_ratio() -> f64 {
+    0.1
+}
+
 fn default_lease_lifetime_ms() -> u64 {
     3_000
 }
@@ -158,6 +176,15 @@
         }
     }
 
+    /// Returns the settings of the quotas of client accounts.
+    pub fn quota_settings(&self) -> QuotaSettings {
+        QuotaSettings {
+            window: Duration::try_from_secs_f64(self.quota_window_s).unwrap_or_default(),
+            excess_ratio: self.quota_excess_ratio.clamp(0.0, 1.0),
+            slack: self.quota_slack.max(0.0),
+        }
+    }
+
     /// Returns the limits of the memory for answers.
     pub fn answer_limits(&self) -> BodyLimits {
         let memory_bytes = self.memory_limit_mb as usize * 1_000_000;
--- a/crates/arbutusfall_core/src/relay/quota/handling.rs
+++ b/crates/arbutusfall_core/src/relay/quota/handling.rs
@@ -106,11 +106,14 @@
 }
 
 impl Relay {
-    /// Answers another VM's question about quotas; `now` is monotonic.
+    /// Answers another VM's question about quotas; `now` is monotonic. [`crate::relay::RelayEvent::Tick`] must follow: this VM may
+    /// need votes of others before it can grant tokens.
     pub fn answer_quota(&mut self, question: &QuotaQuestion, now: Duration) -> QuotaAnswer {
         let routes = self.routes.clone();
         let quota_of = |account: &Name| routes.as_ref()?.quota_of(account);
-        self.quota.owner.answer(question, quota_of, now)
+        let answer = self.quota.owner.answer(question, quota_of, now);
+        self.set_quota_timer(now);
+        answer
     }
 
     /// Returns the accounts that this VM owns.
--- a/crates/arbutusfall_core/src/relay/quota/leases.rs
+++ b/crates/arbutusfall_core/src/relay/quota/leases.rs
@@ -265,7 +265,7 @@
         self.counts.granted_tokens += granted;
         leases.add(granted, sent_at + lifetime);
         let retry_after = Duration::from_millis(grant.retry_after_ms);
-        if !retry_after.is_zero() {
+        if !retry_after.is_zero() || granted <= 0.0 {
             leases.refused_until = now + retry_after;
             leases.ask_at = now + retry_after.max(MIN_ASK_INTERVAL);
         }
--- a/crates/arbutusfall_core/src/relay/quota/owner.rs
+++ b/crates/arbutusfall_core/src/relay/quota/owner.rs
@@ -32,6 +32,10 @@
 /// Time after which an elector that refused or failed is asked again.
 const REFUSED_BACKOFF: Duration = Duration::from_millis(100);
 
+/// Time after a refusal, for each VM that precedes this one, in which it wants no votes: candidates that each have some votes must not
+/// keep all of them from a majority.
+const CANDIDACY_BACKOFF: Duration = Duration::from_millis(600);
+
 /// Time after the last request for tokens after which an account is forgotten once its bucket is full.
 const FORGET_TIME: Duration = Duration::from_secs(16);
 
@@ -77,6 +81,8 @@
     votes: BTreeMap<Name, HeldVote>,
     /// Until when the votes let this VM grant tokens.
     owned_until: Duration,
+    /// When this VM wants votes again after a refusal.
+    candidate_from: Duration,
     /// Whether this VM has been noted as the owner.
     is_owned: bool,
     asked_at: Duration,
@@ -118,7 +124,20 @@
         self.electors.len() - refused < majority(self.electors.len())
     }
 
+    /// Lets VMs that precede this one have the votes if there can be no majority for it.
+    fn stand_back_if_refused(&mut self, own: &Name, now: Duration) {
+        if now < self.candidate_from || !self.is_refused(now) {
+            return;
+        }
+        let rank = self.electors.iter().position(|elector| elector == own);
+        let rank = rank.unwrap_or(ELECTORS);
+        self.candidate_from = now + CANDIDACY_BACKOFF * rank as u32;
+    }
+
     fn must_ask(&self, elector: &Name, now: Duration) -> bool {
+        if now < self.candidate_from && now >= self.owned_until {
+            return false;
+        }
         match self.votes.get(elector) {
             None => true,
             Some(HeldVote::Asked) => false,
@@ -223,7 +242,8 @@
         };
         account.review_votes(now);
         if now >= account.owned_until {
-            grant.is_declined = account.is_refused(now);
+            account.stand_back_if_refused(&self.own.vm, now);
+            grant.is_declined = now < account.candidate_from || account.is_refused(now);
             grant.is_pending = !grant.is_declined;
             return grant;
         }
@@ -232,7 +252,8 @@
         }
         let granted = account.bucket.grant(ask, &quota, &settings, now);
         grant.granted = granted.tokens;
-        grant.retry_after_ms = millis(granted.retry_after);
+        // Rounded up: a VM that is refused must not ask again in the same millisecond.
+        grant.retry_after_ms = granted.retry_after.as_nanos().div_ceil(1_000_000) as u64;
         grant
     }
 
@@ -247,6 +268,7 @@
             list_version: 0,
             votes: BTreeMap::new(),
             owned_until: Duration::ZERO,
+            candidate_from: Duration::ZERO,
             is_owned: false,
             asked_at: now,
         });
@@ -308,7 +330,10 @@
 
     /// Returns when further votes must be asked for.
     pub(super) fn next_vote_at(&self, now: Duration) -> Option<Duration> {
-        let times = self.active(now).flat_map(|(_, account)| {
+        let candidates = self
+            .active(now)
+            .filter(|(_, account)| now >= account.candidate_from || now < account.owned_until);
+        let times = candidates.flat_map(|(_, account)| {
             let votes = account.electors.iter().map(|vm| account.votes.get(vm));
             votes.filter_map(|vote| match vote {
                 None => Some(now),
