--- a/crates/arbutusfall_core/src/relay/calls/call.rs
+++ b/crates/arbutusfall_core/src/relay/calls/call.rs
@@ -12,6 +12,7 @@
 use crate::relay::CrashCauses;
 use crate::relay::ExchangeId;
 use crate::relay::KvCacheLocation;
+use crate::relay::QuotaUse;
 use crate::relay::RelayRequest;
 use crate::relay::RelayRoute;
 use crate::relay::SentAccount;
@@ -29,6 +30,8 @@
     pub(crate) account: Option<Arc<ClientAccount>>,
     /// What endpoints are told of the account.
     pub(crate) sent_account: SentAccount,
+    /// Its use of the account's quota.
+    pub(crate) quota_use: QuotaUse,
     /// Service picked from the route's services.
     pub(crate) service: Name,
     /// Version of the configuration that applies to the request.
--- a/crates/arbutusfall_core/src/relay/control/routes.rs
+++ b/crates/arbutusfall_core/src/relay/control/routes.rs
@@ -6,6 +6,7 @@
 use arbutusfall_wire::Name;
 
 use crate::config::Semantics;
+use crate::relay::AccountQuota;
 use crate::relay::AccountTable;
 
 /// One version of the configuration.
@@ -113,6 +114,11 @@
         self.services.get(service)?.engine.as_ref()
     }
 
+    /// Returns the quota of a client account; none if it has no limit.
+    pub fn quota_of(&self, account: &Name) -> Option<AccountQuota> {
+        self.accounts.as_ref()?.get(account)?.quota
+    }
+
     /// Returns the host's route with the longest matching path prefix.
     pub fn find(&self, host: &str, path: &str) -> Option<&RelayRoute> {
         let of_host = self.routes.iter().filter(|route| *route.host == *host);
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -13,6 +13,7 @@
 use crate::relay::Credential;
 use crate::relay::FollowOutcome;
 use crate::relay::LeaseAnswer;
+use crate::relay::QuotaOutcome;
 use crate::relay::RequestKeys;
 use crate::relay::RouteTable;
 use crate::relay::RunAnswer;
@@ -74,6 +75,13 @@
         /// What became of the question.
         outcome: FollowOutcome,
     },
+    /// Another VM that was asked about quotas has answered, or not.
+    QuotaAnswered {
+        /// The VM.
+        vm: Name,
+        /// What became of the question.
+        outcome: QuotaOutcome,
+    },
     /// A renewal of the lease was answered or failed.
     Lease(LeaseAnswer),
     /// A lookup of a stream's origin in the store was answered or failed.
