--- a/crates/arbutusfall_core/tests/it/relay_accounts.rs
+++ b/crates/arbutusfall_core/tests/it/relay_accounts.rs
@@ -17,10 +17,13 @@
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayNotice;
+use arbutusfall_core::relay::RequestKey;
 use arbutusfall_core::relay::RouteTable;
 use arbutusfall_core::relay::SentAccount;
 use arbutusfall_core::relay::Work;
 
+use crate::relay_harness::CLOSED;
+use crate::relay_harness::REFUSED;
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::ms;
 use crate::relay_harness::routes;
@@ -193,11 +196,8 @@
 /// Fills the queue for memory: every engine refuses reservations.
 fn submit_waiting_stream(harness: &mut RelayHarness) -> CallId {
     let call = harness.submit("/stream/1");
-    for reserve in harness.take_sends() {
-        harness.deliver(reserve.exchange, crate::relay_harness::REFUSED);
-    }
     while let Some(reserve) = harness.take_sends().pop() {
-        harness.deliver(reserve.exchange, crate::relay_harness::REFUSED);
+        harness.deliver(reserve.exchange, REFUSED);
     }
     assert_eq!(harness.final_effect(call), None, "it waits");
     call
@@ -366,3 +366,49 @@
     let mean = started.elapsed() / u32::try_from(keys.len()).unwrap();
     assert!(mean < Duration::from_micros(10), "{mean:?}");
 }
+
+// Guards against a request that waits at the VM to which it was forwarded and is sent although all keys of its account were revoked.
+#[test]
+fn forwarded_request_that_waits_is_refused_when_its_account_loses_all_keys() {
+    let mut harness = harness();
+    let mut hop = hop(named("school"));
+    hop.service = "model".into();
+    let call = harness.submit_forwarded("/stream/1", hop, ms(14_000), ms(0));
+    while let Some(reserve) = harness.take_sends().pop() {
+        harness.deliver(reserve.exchange, REFUSED);
+    }
+    put_in_force(&mut harness, 3, &["c"]);
+    assert_eq!(harness.final_effect(call), None);
+    put_in_force(&mut harness, 4, &[]);
+    assert_eq!(harness.final_effect(call), Some(&unauthorized(call)));
+}
+
+/// Sends a request whose endpoint fails it; returns the key by which its repeats are known.
+fn request_key_of(credential: Credential, hop: Option<Hop>) -> Option<RequestKey> {
+    let mut harness = harness();
+    harness.repeats_by_path = true;
+    harness.credential = credential;
+    match hop {
+        Some(hop) => harness.submit_forwarded("/pay/1", hop, ms(1_500), ms(0)),
+        None => harness.submit("/pay/1"),
+    };
+    let sent = harness.take_only_send();
+    harness.deliver(sent.exchange, CLOSED);
+    harness.effects.iter().find_map(|effect| match effect {
+        RelayEffect::Note(RelayNotice::ExchangeFailed { request_key, .. }) => request_key.clone(),
+        _ => None,
+    })
+}
+
+// Guards against repeats of a crashing request that are not recognised because they have another key of the account, or came through
+// another VM, and against callers of different accounts that are taken for one.
+#[test]
+fn repeats_of_a_request_are_those_of_its_account() {
+    let of_key = |text: &str| request_key_of(Credential::Key(key(text)), None);
+    let first = of_key("a");
+    assert!(first.is_some());
+    assert_eq!(of_key("b"), first);
+    assert_ne!(of_key("s"), first);
+    let through_other = request_key_of(Credential::Missing, Some(hop(named("school"))));
+    assert_eq!(through_other, first);
+}
