--- a/crates/arbutusfall_core/src/relay/quota.rs
+++ b/crates/arbutusfall_core/src/relay/quota.rs
@@ -13,6 +13,8 @@
 mod links;
 mod owner;
 mod settings;
+#[cfg(test)]
+mod tests;
 mod token_bucket;
 mod waiting;
 
