--- a/crates/arbutusfall_core/src/relay/quota/handling.rs
+++ b/crates/arbutusfall_core/src/relay/quota/handling.rs
@@ -294,13 +294,6 @@
 }
 
 impl Call {
-    /// Returns whether an endpoint may have begun to run the request, or may do so now.
-    pub(in crate::relay) fn may_run(&self) -> bool {
-        let current = self.current.as_ref();
-        let is_running = current.is_some_and(|current| current.stage.runs_request());
-        self.may_have_run || is_running || self.standby.is_some()
-    }
-
     /// Returns the retry delay of a call that was refused by its quota.
     pub(in crate::relay) fn quota_retry_after(&self) -> Option<Duration> {
         match self.quota_use {
--- a/crates/arbutusfall_core/src/relay/quota/tests.rs
+++ b/crates/arbutusfall_core/src/relay/quota/tests.rs
@@ -11,6 +11,7 @@
 use crate::ProblemKind;
 use crate::config::Role;
 use crate::config::Semantics;
+use crate::relay::accounts::authentication::ServedFor;
 use crate::relay::*;
 
 fn ms(millis: u64) -> Duration {
@@ -45,6 +46,8 @@
         is_stream: false,
         is_resumable: false,
         event_interval_target: ms(100),
+        allows_anonymous: false,
+        priority: None,
     }
 }
 
@@ -129,6 +132,7 @@
     fn submit(&mut self, hop: Option<Hop>) -> (CallId, Vec<RelayEffect>) {
         self.calls += 1;
         let id = CallId(self.calls);
+        let key = RequestKey(format!("{}", self.calls).into());
         let request = RelayRequest {
             call: id,
             request_id: format!("request-{}", self.calls).into(),
@@ -138,15 +142,23 @@
             receive_time: Duration::ZERO,
             token_counts: None,
             shared_parts: SharedParts::default(),
-            request_key: RequestKey(format!("{}", self.calls).into()),
+            request_keys: RequestKeys {
+                own: key.clone(),
+                of_any_caller: key,
+            },
+            credential: Credential::Missing,
             resumption: None,
             hop,
         };
         let relay = &mut self.relay;
         relay.now = self.now;
         let routes = relay.routes.clone().expect("a configuration");
-        let mut call = relay.new_call(request, &routes.routes[0], &routes);
-        call.account = Some(Self::account());
+        let account = Self::account();
+        let served_for = ServedFor {
+            sent: SentAccount::Named(account.name.clone()),
+            account: Some(account),
+        };
+        let call = relay.new_call(request, &routes.routes[0], &routes, served_for);
         relay.calls.insert(id, call);
         relay.begin_within_quota(id);
         (id, std::mem::take(&mut relay.effects))
@@ -286,6 +298,7 @@
             attempts: 0,
             endpoint_ends: 0,
             stream_version: None,
+            account: SentAccount::Named("shop-site".into()),
         };
         let (_, effects) = site.submit(Some(hop));
         assert!(sent(&effects).is_some(), "{effects:?}");
