Relay: strong VMs read the store for their data centre

Cause: the VM that reads the store for a data centre was chosen by a hash of names. With 300 VMs that is usually one with 0.09 of a core and 10 Mbit/s, which can't read some 600 kB a second of the endpoint list in time, and all its followers with it.

Change: records `vm/NAME` state the processor share and the link (settings `cpu_share`, `link_mbps`). VMs rank by a coarse class of both, then by hash; VMs that state none rank last. VMs that rank each other differently (older builds, outdated records) decline as soon as both follow; from the second refusal on the time until the next question differs between them, and it is reset only by a VM that passed facts on twice in a row.

--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -95,6 +95,7 @@
             let peer = PeerAddress {
                 address,
                 data_centre,
+                strength: settings.strength(),
             };
             (settings.vm.clone(), peer)
         }),
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -7,6 +7,7 @@
 
 use arbutusfall_core::relay::FactTimes;
 use arbutusfall_core::relay::RetryLimit;
+use arbutusfall_core::relay::VmStrength;
 use arbutusfall_wire::Name;
 use error_stack::Report;
 use serde::Deserialize;
@@ -67,6 +68,12 @@
     /// Number of VMs that share `retry_slack`; half of `retry_slack` if it is not given.
     #[serde(default)]
     pub vm_count: Option<u32>,
+    /// Processor share of the VM in cores; with `link_mbps`, strong VMs read the store for others of their data centre.
+    #[serde(default)]
+    pub cpu_share: Option<f64>,
+    /// Bandwidth of the VM's link in Mbit/s.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
     /// Lifetime of the lease whose holder is the only VM to order role changes of engines.
     #[serde(default = "default_lease_lifetime_ms")]
     pub lease_lifetime_ms: u64,
@@ -158,6 +165,14 @@
         }
     }
 
+    /// Returns what other VMs are told of this VM's processor and link.
+    pub fn strength(&self) -> VmStrength {
+        VmStrength {
+            cpu_milli: self.cpu_share.map(|share| (share * 1_000.0).round() as u32),
+            link_mbps: self.link_mbps.map(|link| link.round() as u32),
+        }
+    }
+
     /// Returns the limits of the memory for answers.
     pub fn answer_limits(&self) -> BodyLimits {
         let memory_bytes = self.memory_limit_mb as usize * 1_000_000;
--- a/crates/arbutusfall/tests/it/relay_settings.rs
+++ b/crates/arbutusfall/tests/it/relay_settings.rs
@@ -4,6 +4,7 @@
 
 use arbutusfall::RelayProcessSettings;
 use arbutusfall_core::relay::LIST_RECOVERY_GRACE;
+use arbutusfall_core::relay::VmStrength;
 use serde_json::json;
 
 /// Duration of a store request while the store is slow.
@@ -143,3 +144,24 @@
     assert!(limits.total_bytes < 110_000_000 / 4);
     assert!(limits.per_body_bytes * 4 <= limits.total_bytes);
 }
+
+// Guards against a VM whose strength is told to others in another unit, or not at all.
+#[test]
+fn strength_of_the_vm_follows_from_its_settings() {
+    assert_eq!(settings(2_000, 3_000).strength(), VmStrength::default());
+    let document = json!({
+        "vm": "plovdiv-a-1",
+        "data_centre": "plovdiv-a",
+        "caller_address": "10.0.0.1:8080",
+        "operator_address": "10.0.0.1:8081",
+        "store_address": "10.0.9.1:7000",
+        "cpu_share": 0.09,
+        "link_mbps": 10,
+    });
+    let settings: RelayProcessSettings = serde_json::from_value(document).expect("valid settings");
+    let expected = VmStrength {
+        cpu_milli: Some(90),
+        link_mbps: Some(10),
+    };
+    assert_eq!(settings.strength(), expected);
+}
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -243,10 +243,9 @@
             is_shared_news_late: true,
             recorded_versions: BTreeSet::new(),
             vm_count: settings.retry_limit.vm_count,
-            fact_source: settings
-                .own_address
-                .as_ref()
-                .map(|(vm, own)| FactSource::new(vm.clone(), own.data_centre.clone())),
+            fact_source: settings.own_address.as_ref().map(|(vm, own)| {
+                FactSource::new(vm.clone(), own.data_centre.clone(), own.strength)
+            }),
             is_asking_for_facts: false,
             lease: Lease::new(settings.lease_lifetime),
             max_list_age: settings.max_list_age,
--- a/crates/arbutusfall_core/src/relay/facts.rs
+++ b/crates/arbutusfall_core/src/relay/facts.rs
@@ -6,6 +6,7 @@
 mod handling;
 mod log;
 mod source;
+mod strength;
 mod times;
 
 pub use log::FactLog;
@@ -15,5 +16,7 @@
 pub use source::FactSource;
 pub use source::FollowOutcome;
 pub use source::NextFacts;
+pub use strength::StrengthClass;
+pub use strength::VmStrength;
 pub use times::FactTimes;
 pub use times::WaitingQuestion;
--- a/crates/arbutusfall_core/src/relay/facts/source.rs
+++ b/crates/arbutusfall_core/src/relay/facts/source.rs
@@ -1,8 +1,12 @@
 //! From where a VM has the facts of the store: it reads them itself, or follows another VM of its data centre.
 //!
-//! All VMs of a data centre rank each other in the same order, without asking anybody. Each follows the first one above itself
-//! that passes facts on; one that finds none reads the store. A VM that follows another one has no followers, so facts take
-//! one step only, and nobody follows in a circle.
+//! All VMs of a data centre rank each other, without asking anybody: by class of strength, then by a hash of the name. Each follows the
+//! first one above itself that passes facts on; one that finds none reads the store. A VM that follows another one has no followers, so
+//! facts take one step only.
+//!
+//! VMs may rank each other differently: an older build knows no strength, and a record may be of the VM's last run. Then two VMs may each
+//! place the other above itself. Both decline as soon as both follow, and the time until the next question differs between them and
+//! doubles until a VM has passed facts on twice in a row, so one of them reads the store while the other follows it.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,6 +15,8 @@
 use arbutusfall_wire::stable_hash;
 
 use crate::relay::PeerAddress;
+use crate::relay::StrengthClass;
+use crate::relay::VmStrength;
 
 /// VMs above this one that may be asked: if they all decline, more would not help.
 const MAX_CANDIDATES: usize = 3;
@@ -60,10 +66,13 @@
     },
 }
 
+/// Place of a VM in the order of its data centre; the least is followed first.
+type Rank = (StrengthClass, u64);
+
 /// A VM that ranks above this one.
 #[derive(Debug, Clone)]
 struct Candidate {
-    rank: u64,
+    rank: Rank,
     vm: Name,
     address: SocketAddr,
     refusals: u32,
@@ -75,20 +84,30 @@
 pub struct FactSource {
     vm: Name,
     data_centre: Name,
+    own_rank: Rank,
+    /// Addition to the time for which a VM is not asked from the second refusal on, as a share of it: differs between VMs.
+    backoff_addition: f64,
     /// VMs of the data centre above this one, ordered by rank.
     candidates: Vec<Candidate>,
     following: Option<Name>,
     next_question: Duration,
 }
 
-fn rank(vm: &Name) -> u64 {
-    stable_hash(vm)
+fn rank(vm: &Name, strength: VmStrength) -> Rank {
+    (strength.class(), stable_hash(vm))
+}
+
+/// Returns a number from 0 to 0.5 that differs between VMs.
+fn backoff_addition(vm: &Name) -> f64 {
+    (stable_hash(vm) % 512) as f64 / 1_024.0
 }
 
 impl FactSource {
     /// Creates the source of a VM that knows no other one.
-    pub fn new(vm: Name, data_centre: Name) -> Self {
+    pub fn new(vm: Name, data_centre: Name, strength: VmStrength) -> Self {
         Self {
+            own_rank: rank(&vm, strength),
+            backoff_addition: backoff_addition(&vm),
             vm,
             data_centre,
             candidates: Vec::new(),
@@ -99,19 +118,21 @@
 
     /// Takes over the address of a VM, or its removal.
     pub fn on_peer(&mut self, vm: &Name, listed: Option<&PeerAddress>) {
-        let own_rank = rank(&self.vm);
         let listed = listed.filter(|listed| {
-            listed.data_centre == self.data_centre && (rank(vm), vm) < (own_rank, &self.vm)
+            let rank = rank(vm, listed.strength);
+            listed.data_centre == self.data_centre && (rank, vm) < (self.own_rank, &self.vm)
         });
         let known = self.candidates.iter().position(|known| known.vm == *vm);
         match (listed, known) {
-            (Some(listed), Some(at)) if self.candidates[at].address == listed.address => {}
+            (Some(listed), Some(at))
+                if self.candidates[at].address == listed.address
+                    && self.candidates[at].rank == rank(vm, listed.strength) => {}
             (Some(listed), known) => {
                 if let Some(at) = known {
                     self.candidates.remove(at);
                 }
                 self.candidates.push(Candidate {
-                    rank: rank(vm),
+                    rank: rank(vm, listed.strength),
                     vm: vm.clone(),
                     address: listed.address,
                     refusals: 0,
@@ -160,7 +181,10 @@
         };
         let (least, most) = match outcome {
             FollowOutcome::Passed => {
-                candidate.refusals = 0;
+                let was_followed = self.following.as_ref() == Some(vm);
+                if was_followed {
+                    candidate.refusals = 0;
+                }
                 self.following = Some(vm.clone());
                 return;
             }
@@ -169,7 +193,13 @@
         };
         let doublings = candidate.refusals.min(8);
         candidate.refusals += 1;
-        candidate.not_before = now + (least * (1 << doublings)).min(most);
+        let backoff = (least * (1 << doublings)).min(most);
+        let addition = if doublings == 0 {
+            0.0
+        } else {
+            self.backoff_addition
+        };
+        candidate.not_before = now + backoff.mul_f64(1.0 + addition);
         self.following.take_if(|followed| followed == vm);
         self.next_question = now + QUESTION_INTERVAL;
     }
--- a/crates/arbutusfall_core/src/relay/sharing/shared_record.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/shared_record.rs
@@ -6,6 +6,7 @@
 
 use crate::relay::CrashCause;
 use crate::relay::RequestHashKey;
+use crate::relay::VmStrength;
 
 /// Id of one crash of an endpoint: the same at all VMs that had requests there.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -58,6 +59,8 @@
     pub address: SocketAddr,
     /// Data centre in which it runs.
     pub data_centre: Name,
+    /// What it can do for other VMs.
+    pub strength: VmStrength,
 }
 
 /// Holder of a share of a limit.
--- a/crates/arbutusfall_core/tests/it/relay_facts.rs
+++ b/crates/arbutusfall_core/tests/it/relay_facts.rs
@@ -10,6 +10,7 @@
 use arbutusfall_core::relay::FollowOutcome;
 use arbutusfall_core::relay::NextFacts;
 use arbutusfall_core::relay::PeerAddress;
+use arbutusfall_core::relay::VmStrength;
 use arbutusfall_wire::Name;
 use arbutusfall_wire::Offset;
 
@@ -22,6 +23,7 @@
     PeerAddress {
         address: ([10, 0, 0, 1], 1_000 + number as u16).into(),
         data_centre: data_centre.into(),
+        strength: VmStrength::default(),
     }
 }
 
@@ -32,7 +34,8 @@
 /// Returns the sources of VMs of one data centre that all know each other.
 fn sources(count: usize) -> Vec<FactSource> {
     let new = |number| {
-        let mut source = FactSource::new(vm_name(number), DATA_CENTRE.into());
+        let mut source =
+            FactSource::new(vm_name(number), DATA_CENTRE.into(), VmStrength::default());
         for other in (0..count).filter(|other| *other != number) {
             source.on_peer(&vm_name(other), Some(&peer_address(other, DATA_CENTRE)));
         }
@@ -62,11 +65,70 @@
     assert_eq!(chosen.iter().filter(|vm| **vm == reader).count(), 32);
 }
 
+/// Returns the strength with this many thousandths of a core and Mbit/s.
+pub(crate) fn strength(cpu_milli: u32, link_mbps: u32) -> VmStrength {
+    VmStrength {
+        cpu_milli: Some(cpu_milli),
+        link_mbps: Some(link_mbps),
+    }
+}
+
+// Guards against a weak VM that reads the store for strong ones, and against VMs of older builds, which state no strength, that do.
+#[test]
+fn stronger_vms_are_followed_first_and_those_of_unknown_strength_last() {
+    let known = [
+        strength(90, 10),
+        VmStrength::default(),
+        strength(500, 200),
+        strength(300, 25),
+        strength(90, 10),
+    ];
+    let order = |number: usize| {
+        let mut source = FactSource::new(vm_name(number), DATA_CENTRE.into(), known[number]);
+        for other in (0..known.len()).filter(|other| *other != number) {
+            let mut address = peer_address(other, DATA_CENTRE);
+            address.strength = known[other];
+            source.on_peer(&vm_name(other), Some(&address));
+        }
+        let mut order = Vec::new();
+        // A VM that failed is asked again after 1 s.
+        for at in [0, 250, 500, 750].map(ms) {
+            if let Some(vm) = followed(&mut source, at) {
+                source.on_outcome(&vm, FollowOutcome::Failed, at);
+                order.push(vm);
+            }
+        }
+        order
+    };
+    assert!(order(2).is_empty());
+    assert_eq!(order(3), [vm_name(2)]);
+    let above_last = order(1);
+    assert_eq!(above_last[..2], [vm_name(2), vm_name(3)]);
+    assert_eq!(above_last.len(), 4);
+}
+
+// Guards against an order that remains as it was when a VM starts again with another strength.
+#[test]
+fn changed_strength_of_a_vm_changes_its_place() {
+    let mut source = FactSource::new(vm_name(0), DATA_CENTRE.into(), strength(300, 25));
+    let mut address = peer_address(1, DATA_CENTRE);
+    address.strength = strength(90, 10);
+    source.on_peer(&vm_name(1), Some(&address));
+    assert_eq!(followed(&mut source, ms(0)), None);
+    address.strength = strength(500, 200);
+    source.on_peer(&vm_name(1), Some(&address));
+    assert_eq!(followed(&mut source, ms(0)), Some(vm_name(1)));
+    source.on_outcome(&vm_name(1), FollowOutcome::Passed, ms(10));
+    address.strength = VmStrength::default();
+    source.on_peer(&vm_name(1), Some(&address));
+    assert!(source.reads_store());
+}
+
 // Guards against bytes between data centres: a VM of another one is not followed.
 #[test]
 fn vm_of_another_data_centre_is_not_followed() {
     for number in 1..20 {
-        let mut source = FactSource::new(vm_name(0), DATA_CENTRE.into());
+        let mut source = FactSource::new(vm_name(0), DATA_CENTRE.into(), VmStrength::default());
         source.on_peer(&vm_name(number), Some(&peer_address(number, "haskovo")));
         assert_eq!(followed(&mut source, ms(0)), None);
     }
--- a/crates/arbutusfall_core/tests/it/relay_forwarding.rs
+++ b/crates/arbutusfall_core/tests/it/relay_forwarding.rs
@@ -19,6 +19,7 @@
 use arbutusfall_core::relay::SharedRecord;
 use arbutusfall_core::relay::StreamLookup;
 use arbutusfall_core::relay::StreamOrigin;
+use arbutusfall_core::relay::VmStrength;
 use arbutusfall_core::relay::Work;
 
 use crate::relay_harness::CLOSED;
@@ -36,6 +37,7 @@
         peer: Some(PeerAddress {
             address: ([10, 0, 0, 2], port).into(),
             data_centre: data_centre.into(),
+            strength: VmStrength::default(),
         }),
     }
 }
