Relay: VMs that start get the newest records from a strong VM

Cause: after a kill of all VMs each reads all pages of the list and then its tail from the store. With 300 VMs and 3,000 endpoints each gets 0.27 MB/s (computed with 80 MB/s in all) while 0.6 MB/s are written: a tail of 1 MB does not arrive within its second, the next one is longer. News of more than 16 KiB makes all followers read such tails at any time. A page of a tail that had further pages was passed on as if the topic's end had been read.

Change: a VM that states its strength reads the shared records, then asks VMs of a stronger class for all newest records of the configuration and the list (`newest` in a question for facts), for a bounded, spread time. The limit of passed news follows the link and the number of followers. A tail that does not fit the link's bandwidth is replaced by newest records. Facts of an unfinished tail keep their age.

--- a/crates/arbutusfall/src/relay/effects.rs
+++ b/crates/arbutusfall/src/relay/effects.rs
@@ -24,6 +24,7 @@
 use crate::relay::fact_follower::FactsFrom;
 use crate::relay::handle::RelayHandle;
 use crate::relay::handle::RelayIo;
+use crate::relay::newest_seeker;
 use crate::relay::open_calls::Reply;
 use crate::relay::run_check;
 use crate::relay::shared_records;
@@ -114,6 +115,10 @@
                 let board = self.facts.clone();
                 io.spawn(fact_follower::follow(relay.clone(), board, from));
             }
+            RelayEffect::SeekNewest(search) => {
+                let (board, store) = (self.facts.clone(), self.store.clone());
+                io.spawn(newest_seeker::seek(relay.clone(), board, store, search));
+            }
             RelayEffect::RenewLease { token, lifetime } => {
                 let control = self.control.clone();
                 io.spawn(control.renew_lease(relay.clone(), token, lifetime));
--- a/crates/arbutusfall/src/relay/fact_board.rs
+++ b/crates/arbutusfall/src/relay/fact_board.rs
@@ -1,5 +1,6 @@
 //! What this VM knows of the store's topics, for the VMs that follow it, and what the VM that it follows has passed on.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicUsize;
@@ -11,12 +12,15 @@
 use arbutusfall_core::relay::FactSpan;
 use arbutusfall_core::relay::FactTimes;
 use arbutusfall_core::relay::StoreTopic;
+use arbutusfall_wire::Name;
 use async_io::Timer;
 use futures_lite::FutureExt;
 
 use crate::Clock;
 use crate::SystemClock;
 use crate::lock::lock;
+use crate::relay::fact_snapshot::FactSnapshot;
+use crate::relay::fact_snapshot::PassedNewest;
 use crate::relay::waiters::Waiters;
 
 /// Followers that are served at the same time; one more reads the store or asks another VM.
@@ -34,6 +38,8 @@
 pub(super) struct FactBoard {
     state: Mutex<State>,
     followers: AtomicUsize,
+    /// Whether this VM asks stronger ones for newest records before it reads them from the store.
+    seeks_newest: bool,
     pub(super) times: FactTimes,
     clock: SystemClock,
 }
@@ -53,6 +59,8 @@
     topics: [TopicFacts; 3],
     /// Until when what was passed on replaces reads of the store; none if no VM is followed.
     fresh_until: Option<Duration>,
+    /// Whether a search for newest records is in progress.
+    is_seeking: bool,
     waiters: Waiters,
 }
 
@@ -70,6 +78,11 @@
     passed: Option<FactSpan>,
     /// Whether there is news that is to be read from the store.
     is_in_store: bool,
+    snapshot: FactSnapshot,
+    /// Whether the reader of the topic waits for newest records of another VM.
+    needs_newest: bool,
+    /// Newest records that another VM has passed on and the reader of the topic has not taken yet.
+    passed_newest: Option<PassedNewest>,
 }
 
 /// What is passed on of a topic.
@@ -91,10 +104,11 @@
 }
 
 impl FactBoard {
-    pub(super) fn new(times: FactTimes, clock: SystemClock) -> Self {
+    pub(super) fn new(times: FactTimes, seeks_newest: bool, clock: SystemClock) -> Self {
         Self {
             state: Mutex::default(),
             followers: AtomicUsize::new(0),
+            seeks_newest,
             times,
             clock,
         }
@@ -139,10 +153,17 @@
     }
 
     /// Records that all newest records of a topic were read from the store.
-    pub(super) fn on_read_newest(&self, topic: StoreTopic, at: FactPosition, as_of: Duration) {
+    pub(super) fn on_read_newest(
+        &self,
+        topic: StoreTopic,
+        at: FactPosition,
+        records: Vec<(Name, Arc<[u8]>)>,
+        as_of: Duration,
+    ) {
         let mut state = self.state();
         let facts = &mut state.topics[place(topic)];
         facts.log.restart(at);
+        facts.snapshot.replace(records);
         facts.on_read(at, as_of);
         state.waiters.wake_all();
     }
@@ -155,6 +176,7 @@
             offset: span.next,
             era: span.from.era,
         };
+        facts.snapshot.apply(&span.records);
         facts.log.append(span);
         facts.on_read(position, as_of);
         state.waiters.wake_all();
@@ -259,6 +281,103 @@
         })
     }
 
+    /// Returns all newest records of a topic, if they are known here and not too old to be passed on.
+    pub(super) fn newest(&self, topic: StoreTopic) -> Option<PassedNewest> {
+        let state = self.state();
+        let facts = &state.topics[place(topic)];
+        let age = self.clock.now().monotonic.saturating_sub(facts.as_of);
+        let position = facts.position.filter(|_| age <= facts.max_age)?;
+        Some(PassedNewest {
+            topic,
+            position,
+            as_of: facts.as_of,
+            records: facts.snapshot.records(),
+        })
+    }
+
+    /// Notes that a topic's newest records are needed; returns false if they are to be read from the store.
+    pub(super) fn begin_need(&self, topic: StoreTopic) -> bool {
+        if self.seeks_newest {
+            self.state().topics[place(topic)].needs_newest = true;
+        }
+        self.seeks_newest
+    }
+
+    /// Waits until another VM has passed on a topic's newest records; none if they are to be read from the store.
+    pub(super) async fn sought(
+        &self,
+        topic: StoreTopic,
+        timeout: Duration,
+    ) -> Option<PassedNewest> {
+        let until = self.now() + timeout;
+        loop {
+            let now = self.now();
+            {
+                let mut state = self.state();
+                let facts = &mut state.topics[place(topic)];
+                facts.needs_newest &= now < until;
+                if !facts.needs_newest {
+                    return facts.passed_newest.take();
+                }
+            }
+            self.changed(until.saturating_sub(now)).await;
+        }
+    }
+
+    /// Begins a search for newest records; returns false if one is in progress.
+    pub(super) fn begin_search(&self) -> bool {
+        !std::mem::replace(&mut self.state().is_seeking, true)
+    }
+
+    /// Returns the topics whose newest records are needed; the search ends if there are none.
+    pub(super) fn needed_topics(&self) -> Vec<StoreTopic> {
+        let mut state = self.state();
+        let topics = TOPICS.into_iter().zip(&state.topics);
+        let needed = topics.filter(|(_, facts)| facts.needs_newest);
+        let needed: Vec<StoreTopic> = needed.map(|(topic, _)| topic).collect();
+        state.is_seeking = !needed.is_empty();
+        needed
+    }
+
+    /// Ends a search: what is needed is read from the store.
+    pub(super) fn end_search(&self) {
+        let mut state = self.state();
+        state.is_seeking = false;
+        for facts in &mut state.topics {
+            facts.needs_newest = false;
+        }
+        state.waiters.wake_all();
+    }
+
+    /// Takes newest records that another VM has passed on; reads of the store are replaced until `fresh_until`. Returns false if one of
+    /// the topics is known better here.
+    pub(super) fn on_newest_passed(
+        &self,
+        passed: Vec<PassedNewest>,
+        fresh_until: Duration,
+    ) -> bool {
+        let mut state = self.state();
+        let is_older = passed.iter().any(|passed| {
+            let known = state.topics[place(passed.topic)].position;
+            known.is_some_and(|known| {
+                known.era == passed.position.era && known.offset > passed.position.offset
+            })
+        });
+        if is_older {
+            return false;
+        }
+        for passed in passed {
+            let facts = &mut state.topics[place(passed.topic)];
+            if facts.needs_newest {
+                facts.needs_newest = false;
+                facts.passed_newest = Some(passed);
+            }
+        }
+        state.fresh_until = state.fresh_until.max(Some(fresh_until));
+        state.waiters.wake_all();
+        true
+    }
+
     /// Returns when the store was asked for what is known of a topic.
     pub(super) fn as_of(&self, topic: StoreTopic) -> Duration {
         self.state().topics[place(topic)].as_of
@@ -297,6 +416,7 @@
             era: span.from.era,
         });
         self.as_of = self.as_of.max(as_of);
+        self.snapshot.apply(&span.records);
         self.log.append(span.clone());
         match &mut self.passed {
             Some(waiting) => {
--- a/crates/arbutusfall/src/relay/fact_follower.rs
+++ b/crates/arbutusfall/src/relay/fact_follower.rs
@@ -120,6 +120,7 @@
     FactsQuestion {
         wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         positions: positions.collect(),
+        newest: Vec::new(),
     }
 }
 
--- a/crates/arbutusfall/src/relay/fact_server.rs
+++ b/crates/arbutusfall/src/relay/fact_server.rs
@@ -7,9 +7,12 @@
 use arbutusfall_core::relay::FactRecord;
 use arbutusfall_core::relay::StoreTopic;
 use arbutusfall_core::relay::WaitingQuestion;
+use arbutusfall_core::relay::max_passed_bytes;
 use arbutusfall_wire::FactsAnswer;
 use arbutusfall_wire::FactsQuestion;
+use arbutusfall_wire::NewestRecord;
 use arbutusfall_wire::PassedRecord;
+use arbutusfall_wire::TopicNewest;
 use arbutusfall_wire::TopicNews;
 use arbutusfall_wire::TopicPosition;
 use arbutusfall_wire::decode_facts;
@@ -25,12 +28,15 @@
 use crate::relay::fact_board::FactBoard;
 use crate::relay::fact_board::PassedFacts;
 use crate::relay::fact_board::TOPICS;
+use crate::relay::fact_snapshot::PassedNewest;
+use crate::relay::handle::RelayHandle;
+use crate::relay::newest_pace::NewestPace;
 
 /// Longest question, in bytes.
 const MAX_QUESTION_BYTES: usize = 4 * 1024;
 
-/// Most bytes of a topic's records in an answer: a VM with a slow link may have many followers, and the store has none.
-const MAX_PASSED_BYTES: usize = 16 * 1024;
+/// Name of the counter of questions of other VMs for newest records.
+const PASSED_EVENT: &str = "newest_asked";
 
 /// Timeout for the body of a question.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(500);
@@ -39,6 +45,10 @@
 pub(super) struct FactServer {
     pub(super) driver: Arc<Driver>,
     pub(super) board: Arc<FactBoard>,
+    /// Bandwidth of this VM's link, if known.
+    pub(super) link_mbps: Option<u32>,
+    /// Limits answers with all newest records.
+    pub(super) pace: NewestPace,
 }
 
 impl FactServer {
@@ -53,6 +63,7 @@
             return status_only(StatusCode::BAD_REQUEST);
         };
         match decode_facts::<FactsQuestion>(&body) {
+            Ok(question) if !question.newest.is_empty() => self.answer_newest(&question),
             Ok(question) => self.answer_question(&question).await,
             Err(error) => {
                 log::warn!("a question of another VM for facts is refused: {error}");
@@ -81,7 +92,8 @@
             let has_news = facts.iter().any(|facts| !facts.span.records.is_empty());
             let as_of = self.board.as_of(StoreTopic::Endpoints);
             if has_news || times.is_answer_due(&waiting, as_of, now) {
-                return answer_with(facts, waited);
+                let max_bytes = max_passed_bytes(self.link_mbps, self.board.followers());
+                return answer_with(facts, waited, max_bytes);
             }
             self.board
                 .changed(longest_wait.saturating_sub(waited))
@@ -89,6 +101,33 @@
         }
     }
 
+    /// Answers with all newest records of topics. A VM that follows another one may do so: their age is passed on with them.
+    fn answer_newest(&self, question: &FactsQuestion) -> Response<AnswerBody> {
+        let asked = question.newest.iter();
+        let asked = asked.map(|name| TOPICS.into_iter().find(|topic| *topic.name() == **name));
+        let newest = asked.map(|topic| self.board.newest(topic?));
+        let newest: Option<Vec<PassedNewest>> = newest.collect();
+        let metrics = &self.driver.io().metrics;
+        let Some(newest) = newest.filter(|_| self.driver.is_ready()) else {
+            metrics.count(PASSED_EVENT, "not_ready");
+            return status_only(StatusCode::CONFLICT);
+        };
+        let bytes = newest.iter().map(newest_bytes).sum();
+        if !self.pace.admit(bytes, self.board.now()) {
+            metrics.count(PASSED_EVENT, "busy");
+            return status_only(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        metrics.count(PASSED_EVENT, "passed");
+        let now = self.board.now();
+        let newest = newest.into_iter();
+        let answer = FactsAnswer {
+            waited_ms: 0,
+            topics: Vec::new(),
+            newest: newest.map(|newest| topic_newest(newest, now)).collect(),
+        };
+        Response::new(AnswerBody::whole(encode_facts(&answer)))
+    }
+
     /// Returns what is new to another VM in each topic that this VM knows; none if that can't be said of one of them.
     fn facts_for(&self, question: &FactsQuestion) -> Option<Vec<PassedFacts>> {
         let asked = question.positions.iter().filter_map(|position| {
@@ -105,16 +144,44 @@
     }
 }
 
-fn answer_with(facts: Vec<PassedFacts>, waited: Duration) -> Response<AnswerBody> {
+fn answer_with(
+    facts: Vec<PassedFacts>,
+    waited: Duration,
+    max_bytes: usize,
+) -> Response<AnswerBody> {
+    let facts = facts.into_iter();
     let answer = FactsAnswer {
         waited_ms: millis(waited),
-        topics: facts.into_iter().map(topic_news).collect(),
+        topics: facts.map(|facts| topic_news(facts, max_bytes)).collect(),
+        newest: Vec::new(),
     };
     Response::new(AnswerBody::whole(encode_facts(&answer)))
 }
 
-fn topic_news(facts: PassedFacts) -> TopicNews {
-    let is_in_store = record_bytes(&facts) > MAX_PASSED_BYTES;
+/// Returns news as it is passed on; the follower reads news of more than `max_bytes` from the store.
+fn topic_newest(newest: PassedNewest, now: Duration) -> TopicNewest {
+    let records = newest.records.iter().map(|(key, value)| NewestRecord {
+        key: key.clone(),
+        value: String::from_utf8_lossy(value).into_owned(),
+    });
+    TopicNewest {
+        position: TopicPosition {
+            topic: newest.topic.name().into(),
+            offset: newest.position.offset,
+            era: newest.position.era,
+        },
+        age_ms: millis(now.saturating_sub(newest.as_of)),
+        records: records.collect(),
+    }
+}
+
+fn newest_bytes(newest: &PassedNewest) -> usize {
+    let records = newest.records.iter();
+    records.map(|(key, value)| key.len() + value.len()).sum()
+}
+
+fn topic_news(facts: PassedFacts, max_bytes: usize) -> TopicNews {
+    let is_in_store = record_bytes(&facts) > max_bytes;
     let from = facts.span.from;
     let passed = facts.span.records.iter().filter(|_| !is_in_store);
     TopicNews {
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// Counts an event of the tasks that has no notice.
+    pub(super) fn count(&self, event: &'static str, reason: &'static str) {
+        lock(&self.state).count(event, reason);
+    }
+
     /// Returns all counters, quantiles and values of the state in the exposition format.
     pub(super) fn text(&self, values: &StateMetrics) -> String {
         let state = lock(&self.state);
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -1,6 +1,5 @@
 //! Starts and stops a relay process.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +12,7 @@
 use arbutusfall_core::relay::RelaySettings;
 use arbutusfall_core::relay::RequestHashKey;
 use arbutusfall_core::relay::StoreTopic;
+use arbutusfall_core::relay::TailCost;
 use async_signal::Signal;
 use async_signal::Signals;
 use error_stack::Report;
@@ -45,6 +45,8 @@
 use crate::relay::fact_server::FactServer;
 use crate::relay::handle::RelayHandle;
 use crate::relay::handle::RelayIo;
+use crate::relay::listed_entries::ListedEntries;
+use crate::relay::newest_pace::NewestPace;
 use crate::relay::peer_server::PeerServer;
 use crate::relay::store_client::StoreClient;
 use crate::relay::store_watch::StoreWatch;
@@ -115,7 +117,11 @@
     );
     let log = log.change_context(ServeError::Log)?;
     let io = RelayIo::new(executor.clone(), answer_memory, request_memory, log);
-    let facts = Arc::new(FactBoard::new(settings.fact_times(), io.clock));
+    let facts = Arc::new(FactBoard::new(
+        settings.fact_times(),
+        settings.seeks_newest(),
+        io.clock,
+    ));
     let effects = EffectPerformer::new(control, store.clone(), facts.clone());
     let driver = Arc::new(Driver::new(relay, io, effects));
     let topics = [
@@ -130,14 +136,23 @@
             topic,
             timing,
             facts: facts.clone(),
-            listed: BTreeMap::new(),
+            listed: ListedEntries::default(),
+            tail_cost: TailCost::new(settings.strength().link_mbps),
             pages: None,
         };
         executor.spawn(watch.run()).detach();
     }
     watch_signals(&driver)?;
     let peers = match settings.peer_address {
-        Some(address) => Some(serve_peers(&driver, facts.clone(), address).await?),
+        Some(address) => {
+            let facts = FactServer {
+                driver: driver.clone(),
+                board: facts.clone(),
+                link_mbps: settings.strength().link_mbps,
+                pace: NewestPace::new(settings.strength().link_mbps),
+            };
+            Some(serve_peers(&driver, facts, address).await?)
+        }
         None => None,
     };
     let operators = serve_operators(&driver, store, facts, &settings).await?;
@@ -182,15 +197,11 @@
 
 async fn serve_peers(
     driver: &Arc<Driver>,
-    board: Arc<FactBoard>,
+    facts: FactServer,
     address: SocketAddr,
 ) -> Result<http::ListenerHandle, Report<ServeError>> {
     let executor = driver.io().executor.clone();
     let driver = driver.clone();
-    let facts = FactServer {
-        driver: driver.clone(),
-        board,
-    };
     let server = Arc::new(PeerServer {
         driver,
         facts,
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -7,6 +7,7 @@
 
 use arbutusfall_core::relay::FactTimes;
 use arbutusfall_core::relay::RetryLimit;
+use arbutusfall_core::relay::StrengthClass;
 use arbutusfall_core::relay::VmStrength;
 use arbutusfall_wire::Name;
 use error_stack::Report;
@@ -173,6 +174,11 @@
         }
     }
 
+    /// Returns whether this VM asks stronger ones for newest records before it reads them from the store.
+    pub(super) fn seeks_newest(&self) -> bool {
+        self.peer_address.is_some() && self.strength().class() != StrengthClass::UNKNOWN
+    }
+
     /// Returns the limits of the memory for answers.
     pub fn answer_limits(&self) -> BodyLimits {
         let memory_bytes = self.memory_limit_mb as usize * 1_000_000;
--- a/crates/arbutusfall/src/relay/store_pages.rs
+++ b/crates/arbutusfall/src/relay/store_pages.rs
@@ -1,6 +1,7 @@
 //! Records as they are read from the platform's store: its pages, and what is kept of other writers' records.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use arbutusfall_core::relay::FactPosition;
@@ -83,3 +84,18 @@
         key: record.key,
     }
 }
+
+/// Returns the size of records.
+pub(super) fn record_bytes(records: &[KeyedRecord]) -> usize {
+    let bytes = records.iter().map(|record| {
+        let value = record.value.as_ref().map_or(0, Vec::len);
+        record.key.len() + value
+    });
+    bytes.sum()
+}
+
+/// Returns a record of newest ones for the VMs that ask this one; none if it is foreign or empty.
+pub(super) fn kept_record(record: &KeyedRecord) -> Option<(Name, Arc<[u8]>)> {
+    let value = record.value.as_deref()?;
+    Some((record.key.clone(), value.into()))
+}
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -1,30 +1,26 @@
 //! Reads the configuration and the endpoint list from the platform's store and follows their changes.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::FactPosition;
 use arbutusfall_core::relay::FactRecord;
 use arbutusfall_core::relay::FactSpan;
-use arbutusfall_core::relay::ListedEndpoint;
 use arbutusfall_core::relay::RelayEvent;
-use arbutusfall_core::relay::SharedRecord;
 use arbutusfall_core::relay::StoreReadFailure;
 use arbutusfall_core::relay::StoreTopic;
-use arbutusfall_platform::config::parse_config;
-use arbutusfall_platform::shared::parse_record;
+use arbutusfall_core::relay::TailCost;
 use arbutusfall_platform::store;
 use arbutusfall_platform::store::KeyedRecord;
 use arbutusfall_platform::store::TailPage;
-use arbutusfall_wire::Name;
 use arbutusfall_wire::Offset;
 use futures_lite::FutureExt;
 
 use crate::http::ClientError;
 use crate::relay::fact_board::FactBoard;
+use crate::relay::fact_snapshot::PassedNewest;
 use crate::relay::handle::RelayHandle;
+use crate::relay::listed_entries::ListedEntries;
 use crate::relay::read_timing::READS_AFTER_FAILURE;
 use crate::relay::read_timing::ReadTiming;
 use crate::relay::shared_records;
@@ -32,12 +28,21 @@
 use crate::relay::store_client::StoreClient;
 use crate::relay::store_client::StoreError;
 use crate::relay::store_pages::NewestPages;
-use crate::relay::store_pages::parse_listed;
+use crate::relay::store_pages::kept_record;
+use crate::relay::store_pages::record_bytes;
 use crate::relay::store_pages::without_foreign_value;
 
+mod submitting;
+
 /// Minimum time between the starts of a failed read and the next one; doubles up to [`ReadTiming::max_retry_interval`].
 const FIRST_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time in which each endpoint is expected to write its entry once, until tails show how much is written.
+const ENTRY_INTERVAL: Duration = Duration::from_millis(1_200);
+
+/// Longest search for a VM that passes newest records on; a search ends by itself before.
+const MAX_SEARCH_TIME: Duration = Duration::from_secs(12);
+
 /// Task that follows one topic.
 pub(super) struct StoreWatch<H> {
     pub(super) relay: H,
@@ -46,8 +51,10 @@
     pub(super) timing: ReadTiming,
     /// What VMs pass on to each other.
     pub(super) facts: Arc<FactBoard>,
-    /// Entries of the endpoint list as they were read last; none of an entry that is invalid or deleted.
-    pub(super) listed: BTreeMap<Name, Option<ListedEndpoint>>,
+    /// Entries of the endpoint list as they were read last.
+    pub(super) listed: ListedEntries,
+    /// What reading the endpoint list on costs.
+    pub(super) tail_cost: TailCost,
     /// Pages of a read of newest records that failed with a later page.
     pub(super) pages: Option<NewestPages>,
 }
@@ -203,6 +210,10 @@
         if let News::Passed(span) = news {
             return Ok(self.take_passed(span));
         }
+        if self.is_tail_too_long() {
+            self.relay.io().metrics.count("long_tail", "");
+            return Err(WatchError::PositionLost);
+        }
         let started_at = self.facts.now();
         let news = self
             .read_tail(from, next.wait)
@@ -258,6 +269,11 @@
     /// Takes a page of the topic's tail that was asked for at `started_at`.
     fn take_tail(&mut self, from: FactPosition, page: TailPage, started_at: Duration) -> Read {
         let has_more = page.has_more;
+        if !has_more {
+            let written_in = started_at.saturating_sub(self.facts.as_of(self.topic));
+            self.tail_cost
+                .on_tail(record_bytes(&page.records), written_in);
+        }
         let records = page.records.iter().enumerate();
         let records = records.map(|(number, record)| FactRecord {
             offset: Offset(from.offset.0 + number as u64),
@@ -275,7 +291,9 @@
             next: page.next,
             records: new.map(|(record, _)| record).collect(),
         };
-        self.facts.on_read_tail(self.topic, span, started_at);
+        // Until the topic's end is read, what is known is as old as before.
+        let as_of = if has_more { Duration::ZERO } else { started_at };
+        self.facts.on_read_tail(self.topic, span, as_of);
         Read {
             position: FactPosition {
                 offset: page.next,
@@ -298,6 +316,9 @@
 
     /// Reads the newest record of each key; a read that failed goes on with the page that failed.
     async fn read_newest(&mut self) -> Result<Read, WatchError> {
+        if let Some(newest) = self.sought_newest().await {
+            return Ok(self.take_newest(newest));
+        }
         let started_at = self.facts.now();
         let mut pages = self
             .pages
@@ -316,9 +337,12 @@
             }
         }
         let position = pages.first_end.ok_or(ClientError::Malformed)?;
+        self.tail_cost
+            .on_newest(record_bytes(&pages.records), ENTRY_INTERVAL);
+        let kept = pages.records.iter().filter_map(kept_record).collect();
         self.submit_records(pages.records, true);
         self.facts
-            .on_read_newest(self.topic, position, pages.started_at);
+            .on_read_newest(self.topic, position, kept, pages.started_at);
         Ok(Read {
             position,
             asked_at: Some(started_at),
@@ -326,6 +350,38 @@
         })
     }
 
+    /// Returns newest records that another VM has passed on; none if they are to be read from the store.
+    ///
+    /// The records that VMs share are always read: they name the other VMs. A read that failed goes on without another search.
+    async fn sought_newest(&self) -> Option<PassedNewest> {
+        let is_sought = self.topic != StoreTopic::Shared && self.pages.is_none();
+        if !is_sought || !self.facts.begin_need(self.topic) {
+            return None;
+        }
+        self.relay.submit(RelayEvent::NewestNeeded);
+        self.facts.sought(self.topic, MAX_SEARCH_TIME).await
+    }
+
+    /// Takes newest records that another VM has passed on.
+    fn take_newest(&mut self, newest: PassedNewest) -> Read {
+        let records = newest.records.iter().map(|(key, value)| KeyedRecord {
+            key: key.clone(),
+            value: Some(value.to_vec()),
+        });
+        let records: Vec<KeyedRecord> = records.collect();
+        self.tail_cost
+            .on_newest(record_bytes(&records), ENTRY_INTERVAL);
+        self.submit_records(records, true);
+        let position = newest.position;
+        self.facts
+            .on_read_newest(self.topic, position, newest.records, newest.as_of);
+        Read {
+            position,
+            asked_at: None,
+            has_more: false,
+        }
+    }
+
     /// Reads the next page; returns whether there is a further one.
     async fn read_newest_page(&self, pages: &mut NewestPages) -> Result<bool, WatchError> {
         let path = store::newest_path(self.topic, pages.after.as_deref());
@@ -358,84 +414,30 @@
         let page = store::parse_tail(&answer.body, from.offset);
         let mut page = page.map_err(|_| ClientError::Malformed)?;
         let records = std::mem::take(&mut page.records).into_iter();
-        let records = records.map(|record| without_foreign_value(self.topic, record));
+        let records = records.map(|record| self.without_foreign_value(record));
         Ok(News::Page(TailPage {
             records: records.collect(),
             ..page
         }))
     }
 
-    /// Reports a successful read and what it contains; returns for each record whether it says what was not known.
-    fn submit_records(&mut self, records: Vec<KeyedRecord>, is_full_list: bool) -> Vec<bool> {
-        self.submit_read(None);
-        let all_new = vec![true; records.len()];
-        match self.topic {
-            StoreTopic::Config => self.submit_config(records),
-            StoreTopic::Endpoints => return self.submit_endpoints(records, is_full_list),
-            StoreTopic::Shared => self.submit_shared(&records, is_full_list),
-        }
-        all_new
-    }
-
-    fn submit_shared(&self, records: &[KeyedRecord], is_full: bool) {
-        if records.is_empty() && !is_full {
-            return;
-        }
-        let records: Vec<SharedRecord> = records.iter().filter_map(parse_record).collect();
-        self.relay
-            .submit(RelayEvent::SharedRecords { records, is_full });
-    }
-
-    fn submit_config(&self, records: Vec<KeyedRecord>) {
-        let documents = records
-            .iter()
-            .filter(|record| *record.key == *store::CONFIG_KEY);
-        let Some(document) = documents
-            .filter_map(|record| record.value.as_deref())
-            .next_back()
-        else {
-            return;
-        };
-        match parse_config(document) {
-            Ok(config) => self.relay.submit(RelayEvent::NewConfig(Arc::new(config))),
-            Err(error) => {
-                log::error!("a configuration version cannot be parsed and is ignored: {error}");
-                self.relay.submit(RelayEvent::UnreadableConfig);
-            }
+    /// Drops the value of a record that another writer wrote.
+    fn without_foreign_value(&self, record: KeyedRecord) -> KeyedRecord {
+        if self.topic == StoreTopic::Endpoints && self.listed.repeated(&record).is_some() {
+            return record;
         }
+        without_foreign_value(self.topic, record)
     }
 
-    fn submit_endpoints(&mut self, records: Vec<KeyedRecord>, is_full_list: bool) -> Vec<bool> {
-        let mut changes = Vec::new();
-        if is_full_list {
-            self.listed.clear();
-            let instances = records.iter().map(|record| record.key.clone());
-            changes.push(EndpointListChange::FullList(instances.collect()));
-        }
-        let mut is_new = Vec::new();
-        for record in records {
-            let entry = parse_listed(&record);
-            is_new.push(self.is_new_entry(&record.key, entry.as_ref()));
-            let instance = record.key;
-            changes.push(entry.map_or(
-                EndpointListChange::Removed { instance },
-                EndpointListChange::Listed,
-            ));
-        }
-        if !changes.is_empty() || is_full_list {
-            self.relay.submit(RelayEvent::EndpointChanges(changes));
-        }
-        is_new
-    }
-
-    /// Remembers an entry of the list; returns whether it says what was not known. What is said of a leaving endpoint is kept
-    /// for a time only, so each of its entries counts.
-    fn is_new_entry(&mut self, instance: &Name, entry: Option<&ListedEndpoint>) -> bool {
-        let is_known = self.listed.get(instance).map(Option::as_ref) == Some(entry);
-        if !is_known {
-            self.listed.insert(instance.clone(), entry.cloned());
-        }
-        !is_known || entry.is_some_and(|entry| entry.is_leaving)
+    /// Returns whether the tail of the endpoint list is too long to arrive in time: then the newest records are read instead.
+    fn is_tail_too_long(&self) -> bool {
+        let written_in = self
+            .facts
+            .now()
+            .saturating_sub(self.facts.as_of(self.topic));
+        let answer_timeout = self.timing.answer_timeout;
+        self.topic == StoreTopic::Endpoints
+            && self.tail_cost.is_too_long(written_in, answer_timeout)
     }
 }
 
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -184,6 +184,8 @@
     has_store_returned: bool,
     /// Whether all records that VMs share have been read.
     has_read_shared: bool,
+    /// Whether a search for all newest records waits for the records that VMs share.
+    is_newest_needed: bool,
     /// Whether the shared records that are read next may have been there for long.
     is_shared_news_late: bool,
     /// Services and their versions that VMs have recorded.
@@ -240,6 +242,7 @@
             is_hash_key_shared: false,
             has_store_returned: false,
             has_read_shared: false,
+            is_newest_needed: false,
             is_shared_news_late: true,
             recorded_versions: BTreeSet::new(),
             vm_count: settings.retry_limit.vm_count,
@@ -313,6 +316,7 @@
             RelayEvent::Unblock { cause } => self.unblock(&cause),
             RelayEvent::SharedAppended { succeeded } => self.on_shared_appended(succeeded),
             RelayEvent::FactsFollowed { vm, outcome } => self.on_facts_followed(&vm, outcome),
+            RelayEvent::NewestNeeded => self.on_newest_needed(),
             RelayEvent::Lease(answer) => self.on_lease(answer),
             RelayEvent::RoleOutcome { instance, outcome } => {
                 self.on_role_outcome(instance, outcome);
--- a/crates/arbutusfall_core/src/relay/control/store_view.rs
+++ b/crates/arbutusfall_core/src/relay/control/store_view.rs
@@ -93,6 +93,9 @@
         let is_reachable = failure.is_none();
         // Without the store, this VM decides by what it sees itself.
         self.is_shared_known |= topic == StoreTopic::Shared && !is_reachable;
+        if topic == StoreTopic::Shared && !is_reachable {
+            self.seek_newest();
+        }
         self.is_shared_news_late |= topic == StoreTopic::Shared && !is_reachable;
         if topic == StoreTopic::Endpoints && is_reachable {
             self.on_list_read();
--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -10,6 +10,7 @@
 use crate::config::Role;
 use crate::relay::ExchangeId;
 use crate::relay::Hop;
+use crate::relay::NewestSearch;
 use crate::relay::RelayNotice;
 use crate::relay::SharedRecord;
 use crate::relay::StreamOrigin;
@@ -102,6 +103,8 @@
         /// Whether it may wait for news before it answers.
         waits: bool,
     },
+    /// Ask stronger VMs for all newest records of the topics that this VM lacks.
+    SeekNewest(NewestSearch),
     /// Acquire or renew the lease at the store.
     RenewLease {
         /// Newest token that the store has returned.
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -72,6 +72,8 @@
         /// What became of the question.
         outcome: FollowOutcome,
     },
+    /// All newest records of a topic are needed, from another VM if possible.
+    NewestNeeded,
     /// A renewal of the lease was answered or failed.
     Lease(LeaseAnswer),
     /// A lookup of a stream's origin in the store was answered or failed.
--- a/crates/arbutusfall_core/src/relay/facts.rs
+++ b/crates/arbutusfall_core/src/relay/facts.rs
@@ -5,18 +5,25 @@
 
 mod handling;
 mod log;
+mod newest_search;
+mod passed_limit;
 mod source;
 mod strength;
+mod tail_cost;
 mod times;
 
 pub use log::FactLog;
 pub use log::FactPosition;
 pub use log::FactRecord;
 pub use log::FactSpan;
+pub use newest_search::NewestSearch;
+pub use newest_search::NextNewest;
+pub use passed_limit::max_passed_bytes;
 pub use source::FactSource;
 pub use source::FollowOutcome;
 pub use source::NextFacts;
 pub use strength::StrengthClass;
 pub use strength::VmStrength;
+pub use tail_cost::TailCost;
 pub use times::FactTimes;
 pub use times::WaitingQuestion;
--- a/crates/arbutusfall_core/src/relay/facts/handling.rs
+++ b/crates/arbutusfall_core/src/relay/facts/handling.rs
@@ -8,6 +8,7 @@
 use crate::relay::RelayNotice;
 use crate::relay::RelayTimer;
 use crate::relay::facts::FollowOutcome;
+use crate::relay::facts::NewestSearch;
 use crate::relay::facts::NextFacts;
 
 impl Relay {
@@ -59,6 +60,26 @@
         }
     }
 
+    /// Looks for a VM that passes all newest records on; waits for the records that VMs share first, which name the VMs.
+    pub(in crate::relay) fn on_newest_needed(&mut self) {
+        self.is_newest_needed = true;
+        if self.has_read_shared {
+            self.seek_newest();
+        }
+    }
+
+    /// Begins a search that waits for the records that VMs share, if one does.
+    pub(in crate::relay) fn seek_newest(&mut self) {
+        if !std::mem::take(&mut self.is_newest_needed) {
+            return;
+        }
+        let source = self.fact_source.as_ref();
+        let stronger = source.map(|source| source.stronger()).unwrap_or_default();
+        let random = self.rng.f64();
+        let search = NewestSearch::new(stronger, self.now, random, self.is_ready);
+        self.effects.push(RelayEffect::SeekNewest(search));
+    }
+
     /// Handles the answer of another VM that was asked for facts.
     pub(in crate::relay) fn on_facts_followed(&mut self, vm: &Name, outcome: FollowOutcome) {
         self.is_asking_for_facts = false;
--- a/crates/arbutusfall_core/src/relay/facts/source.rs
+++ b/crates/arbutusfall_core/src/relay/facts/source.rs
@@ -204,6 +204,23 @@
         self.next_question = now + QUESTION_INTERVAL;
     }
 
+    /// Returns the VMs that are asked for all newest records: those of a stronger class, the strongest class first. Within a class each
+    /// VM has its own order, so that several VMs share the work.
+    pub fn stronger(&self) -> Vec<(Name, SocketAddr)> {
+        if self.own_rank.0 == StrengthClass::UNKNOWN {
+            return Vec::new();
+        }
+        let stronger = self.candidates.iter();
+        let stronger = stronger.filter(|candidate| candidate.rank.0 < self.own_rank.0);
+        let mut stronger: Vec<&Candidate> = stronger.collect();
+        stronger
+            .sort_by_key(|candidate| (candidate.rank.0, stable_hash(&(&self.vm, &candidate.vm))));
+        let first = stronger.into_iter().take(MAX_CANDIDATES);
+        first
+            .map(|candidate| (candidate.vm.clone(), candidate.address))
+            .collect()
+    }
+
     /// Returns whether this VM reads the store itself, so that others may follow it.
     pub fn reads_store(&self) -> bool {
         self.following.is_none()
--- a/crates/arbutusfall_core/src/relay/sharing/shared_handling.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/shared_handling.rs
@@ -56,6 +56,7 @@
         self.is_shared_news_late = true;
         self.on_shared_records(records);
         self.has_read_shared = true;
+        self.seek_newest();
         self.review_recorded_versions();
         self.record_own_address();
         if has_hash_key {
--- a/crates/arbutusfall_core/tests/it/relay_facts.rs
+++ b/crates/arbutusfall_core/tests/it/relay_facts.rs
@@ -18,6 +18,9 @@
 
 const DATA_CENTRE: &str = "plovdiv-a";
 
+/// Strength of a VM as another one, or itself, knows it: of the numbers, the first is that of the VM that knows it.
+pub(crate) type KnownStrength = fn(usize, usize) -> VmStrength;
+
 /// Returns where a VM takes connections of others.
 pub(crate) fn peer_address(number: usize, data_centre: &str) -> PeerAddress {
     PeerAddress {
@@ -27,7 +30,8 @@
     }
 }
 
-fn vm_name(number: usize) -> Name {
+/// Returns the name of a VM.
+pub(crate) fn vm_name(number: usize) -> Name {
     format!("front-{number}").as_str().into()
 }
 
--- a/crates/arbutusfall_wire/src/facts.rs
+++ b/crates/arbutusfall_wire/src/facts.rs
@@ -44,6 +44,9 @@
     pub wait_ms: u64,
     /// Where the asking VM is in each topic.
     pub positions: Vec<TopicPosition>,
+    /// Topics of which all newest records are asked for; older builds pass over it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub newest: Vec<Name>,
 }
 
 /// Position in a topic.
@@ -64,6 +67,30 @@
     pub waited_ms: u64,
     /// News by topic.
     pub topics: Vec<TopicNews>,
+    /// All newest records of the topics that were asked for.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub newest: Vec<TopicNewest>,
+}
+
+/// All newest records of a topic.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TopicNewest {
+    /// Position after which further records are read.
+    #[serde(flatten)]
+    pub position: TopicPosition,
+    /// Time since the store was asked for this, in milliseconds.
+    pub age_ms: u64,
+    /// Records, in any order.
+    pub records: Vec<NewestRecord>,
+}
+
+/// The newest record of a key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewestRecord {
+    /// Its key.
+    pub key: Name,
+    /// Its content, a text.
+    pub value: String,
 }
 
 /// What is new in a topic.
--- a/crates/arbutusfall_wire/tests/it/facts.rs
+++ b/crates/arbutusfall_wire/tests/it/facts.rs
@@ -25,6 +25,7 @@
             records: vec![record],
             is_in_store: false,
         }],
+        newest: Vec::new(),
     }
 }
 
@@ -45,6 +46,36 @@
     assert_eq!(text, expected);
 }
 
+// Guards against a question that VMs of older builds refuse, and newest records that VMs of this build don't understand.
+#[test]
+fn messages_with_newest_records_keep_their_form() {
+    let question = FactsQuestion {
+        wait_ms: 0,
+        positions: Vec::new(),
+        newest: vec!["config".into()],
+    };
+    let text = String::from_utf8(encode_facts(&question)).expect("it is JSON");
+    assert_eq!(text, r#"{"wait_ms":0,"positions":[],"newest":["config"]}"#);
+    let newest = TopicNewest {
+        position: answer().topics[0].from.clone(),
+        age_ms: 3,
+        records: vec![NewestRecord {
+            key: "config".into(),
+            value: "{}".to_owned(),
+        }],
+    };
+    let answer = FactsAnswer {
+        waited_ms: 0,
+        topics: Vec::new(),
+        newest: vec![newest],
+    };
+    let text = String::from_utf8(encode_facts(&answer)).expect("it is JSON");
+    let expected = r#"{"waited_ms":0,"topics":[],"newest":[{"topic":"config","offset":7,"era":2,"age_ms":3,"records":[{"key":"config","value":"{}"}]}]}"#;
+    assert_eq!(text, expected);
+    let decoded: FactsAnswer = decode_facts(text.as_bytes()).expect("it is a message");
+    assert_eq!(decoded, answer);
+}
+
 // Guards against the part of a message that is taken for a whole one.
 #[test]
 fn truncated_messages_are_refused() {
