--- a/crates/arbutusfall/src/relay/effects.rs
+++ b/crates/arbutusfall/src/relay/effects.rs
@@ -24,6 +24,7 @@
 use crate::relay::fact_follower::FactsFrom;
 use crate::relay::handle::RelayHandle;
 use crate::relay::handle::RelayIo;
+use crate::relay::newest_seeker;
 use crate::relay::open_calls::Reply;
 use crate::relay::quota_client::QuotaClient;
 use crate::relay::quota_client::QuotaRequest;
@@ -130,6 +131,10 @@
                 };
                 io.spawn(self.quota.clone().ask(relay.clone(), request));
             }
+            RelayEffect::SeekNewest(search) => {
+                let (board, store) = (self.facts.clone(), self.store.clone());
+                io.spawn(newest_seeker::seek(relay.clone(), board, store, search));
+            }
             RelayEffect::RenewLease { token, lifetime } => {
                 let control = self.control.clone();
                 io.spawn(control.renew_lease(relay.clone(), token, lifetime));
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -198,6 +198,8 @@
     has_store_returned: bool,
     /// Whether all records that VMs share have been read.
     has_read_shared: bool,
+    /// Whether a search for all newest records waits for the records that VMs share.
+    is_newest_needed: bool,
     /// Whether the shared records that are read next may have been there for long.
     is_shared_news_late: bool,
     /// Services and their versions that VMs have recorded.
@@ -255,13 +257,13 @@
             is_hash_key_shared: false,
             has_store_returned: false,
             has_read_shared: false,
+            is_newest_needed: false,
             is_shared_news_late: true,
             recorded_versions: BTreeSet::new(),
             vm_count: settings.retry_limit.vm_count,
-            fact_source: settings
-                .own_address
-                .as_ref()
-                .map(|(vm, own)| FactSource::new(vm.clone(), own.data_centre.clone())),
+            fact_source: settings.own_address.as_ref().map(|(vm, own)| {
+                FactSource::new(vm.clone(), own.data_centre.clone(), own.strength)
+            }),
             is_asking_for_facts: false,
             lease: Lease::new(settings.lease_lifetime),
             max_list_age: settings.max_list_age,
@@ -331,6 +333,7 @@
             RelayEvent::SharedAppended { succeeded } => self.on_shared_appended(succeeded),
             RelayEvent::FactsFollowed { vm, outcome } => self.on_facts_followed(&vm, outcome),
             RelayEvent::QuotaAnswered { vm, outcome } => self.on_quota_answered(&vm, &outcome),
+            RelayEvent::NewestNeeded => self.on_newest_needed(),
             RelayEvent::Lease(answer) => self.on_lease(answer),
             RelayEvent::RoleOutcome { instance, outcome } => {
                 self.on_role_outcome(instance, outcome);
--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -11,6 +11,7 @@
 use crate::config::Role;
 use crate::relay::ExchangeId;
 use crate::relay::Hop;
+use crate::relay::NewestSearch;
 use crate::relay::RelayNotice;
 use crate::relay::SentAccount;
 use crate::relay::SharedRecord;
@@ -113,6 +114,8 @@
         /// What to ask.
         question: QuotaQuestion,
     },
+    /// Ask stronger VMs for all newest records of the topics that this VM lacks.
+    SeekNewest(NewestSearch),
     /// Acquire or renew the lease at the store.
     RenewLease {
         /// Newest token that the store has returned.
--- a/crates/arbutusfall_core/src/relay/quota/tests.rs
+++ b/crates/arbutusfall_core/src/relay/quota/tests.rs
@@ -29,6 +29,7 @@
     PeerAddress {
         address: ([10, 0, 0, 2], 7_000).into(),
         data_centre: "a".into(),
+        strength: VmStrength::default(),
     }
 }
 
--- a/crates/arbutusfall_core/tests/it/relay_facts_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/relay_facts_simulation.rs
@@ -9,18 +9,21 @@
 use arbutusfall_core::relay::FactTimes;
 use arbutusfall_core::relay::FollowOutcome;
 use arbutusfall_core::relay::NextFacts;
+use arbutusfall_core::relay::VmStrength;
 use arbutusfall_core::relay::WaitingQuestion;
 use arbutusfall_wire::Name;
 use arbutusfall_wire::Offset;
 
+use crate::relay_facts::KnownStrength;
 use crate::relay_facts::peer_address;
 use crate::relay_facts::span;
+use crate::relay_facts::vm_name;
 use crate::relay_harness::ms;
 
 const STEP: Duration = Duration::from_millis(20);
 
 /// Pause between two reads of the store by a VM that follows none.
-const PAUSE: Duration = Duration::from_millis(2_200);
+pub(crate) const PAUSE: Duration = Duration::from_millis(2_200);
 
 /// Longest age with which facts are passed on.
 const MAX_AGE: Duration = Duration::from_millis(3_700);
@@ -57,7 +60,7 @@
 
 /// What disturbs a VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Trouble {
+pub(crate) enum Trouble {
     None,
     /// It is not running and starts anew afterwards.
     Dead,
@@ -71,8 +74,8 @@
     Draining,
 }
 
-struct SimulatedVm {
-    source: FactSource,
+pub(crate) struct SimulatedVm {
+    pub(crate) source: FactSource,
     log: FactLog,
     position: Option<FactPosition>,
     as_of: Duration,
@@ -81,12 +84,13 @@
     fresh_until: Duration,
     question: Option<Question>,
     ask_from: Duration,
-    trouble: Trouble,
+    pub(crate) trouble: Trouble,
     disturbed_at: Duration,
 }
 
-struct Fleet {
-    vms: Vec<SimulatedVm>,
+pub(crate) struct Fleet {
+    pub(crate) vms: Vec<SimulatedVm>,
+    known_strength: KnownStrength,
     data_centres: usize,
     now: Duration,
     /// When each record was written.
@@ -97,19 +101,16 @@
     /// Time that the store takes for an answer.
     store_delay: Duration,
     store_disturbed_at: Duration,
-    reads: usize,
+    pub(crate) reads: usize,
     /// Oldest list that any VM had.
     max_age: Duration,
     refused_reads: usize,
     questions: usize,
-    rng: fastrand::Rng,
+    pub(crate) rng: fastrand::Rng,
 }
 
-fn vm_name(number: usize) -> Name {
-    format!("front-{number}").as_str().into()
-}
-
-fn number_of(vm: &Name) -> usize {
+/// Returns the number of a VM by its name.
+pub(crate) fn number_of(vm: &Name) -> usize {
     let number = vm
         .strip_prefix("front-")
         .and_then(|number| number.parse().ok());
@@ -118,8 +119,18 @@
 
 impl Fleet {
     fn new(count: usize, data_centres: usize, seed: u64) -> Self {
+        Self::with_strengths(count, data_centres, seed, |_, _| VmStrength::default())
+    }
+
+    pub(crate) fn with_strengths(
+        count: usize,
+        data_centres: usize,
+        seed: u64,
+        known_strength: KnownStrength,
+    ) -> Self {
         let mut fleet = Self {
             vms: Vec::new(),
+            known_strength,
             data_centres,
             now: Duration::from_secs(10),
             written: Vec::new(),
@@ -146,9 +157,12 @@
 
     fn new_vm(&mut self, number: usize, count: usize) -> SimulatedVm {
         let own = self.data_centre(number);
-        let mut source = FactSource::new(vm_name(number), own.as_str().into());
+        let known_strength = self.known_strength;
+        let own_strength = known_strength(number, number);
+        let mut source = FactSource::new(vm_name(number), own.as_str().into(), own_strength);
         for other in (0..count).filter(|other| *other != number) {
-            let address = peer_address(other, &self.data_centre(other));
+            let mut address = peer_address(other, &self.data_centre(other));
+            address.strength = known_strength(number, other);
             source.on_peer(&vm_name(other), Some(&address));
         }
         SimulatedVm {
@@ -166,7 +180,7 @@
         }
     }
 
-    fn set_trouble(&mut self, number: usize, trouble: Trouble) {
+    pub(crate) fn set_trouble(&mut self, number: usize, trouble: Trouble) {
         if self.vms[number].trouble == Trouble::Dead && trouble != Trouble::Dead {
             self.vms[number] = self.new_vm(number, self.vms.len());
         }
@@ -179,7 +193,7 @@
         self.store_disturbed_at = self.now;
     }
 
-    fn run(&mut self, time: Duration) {
+    pub(crate) fn run(&mut self, time: Duration) {
         let until = self.now + time;
         while self.now < until {
             self.now += STEP;
--- a/crates/arbutusfall_core/tests/it/relay_unsent.rs
+++ b/crates/arbutusfall_core/tests/it/relay_unsent.rs
@@ -15,6 +15,7 @@
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::SendPermission;
 use arbutusfall_core::relay::SharedRecord;
+use arbutusfall_core::relay::VmStrength;
 use arbutusfall_core::relay::Work;
 
 use crate::relay_harness::CLOSED;
@@ -238,6 +239,7 @@
     let address = |port: u16| PeerAddress {
         address: ([10, 0, 0, 2], port).into(),
         data_centre: "a".into(),
+        strength: VmStrength::default(),
     };
     let record = |vm: &str, port: u16| SharedRecord::Peer {
         vm: vm.into(),
