Wire: errors of passed facts do not quote the message

Cause: VMs pass the configuration on as text; a message of another form made the parser's error, and with it a log line, quote it with all API keys. Change: the error has the column only.

--- a/crates/arbutusfall_wire/src/facts.rs
+++ b/crates/arbutusfall_wire/src/facts.rs
@@ -20,8 +20,8 @@
         /// Its length in bytes.
         length_bytes: usize,
     },
-    /// It is no message of this kind.
-    Malformed(serde_json::Error),
+    /// It is no message of this kind from this column on. The text there is left out: it may be a configuration with API keys.
+    Malformed(usize),
 }
 
 impl fmt::Display for FactsError {
@@ -30,7 +30,7 @@
             Self::TooLong { length_bytes } => {
                 write!(f, "a message of {length_bytes} bytes exceeds the limit")
             }
-            Self::Malformed(error) => write!(f, "malformed message: {error}"),
+            Self::Malformed(column) => write!(f, "malformed message at column {column}"),
         }
     }
 }
@@ -110,5 +110,5 @@
         let length_bytes = bytes.len();
         return Err(FactsError::TooLong { length_bytes });
     }
-    serde_json::from_slice(bytes).map_err(FactsError::Malformed)
+    serde_json::from_slice(bytes).map_err(|error| FactsError::Malformed(error.column()))
 }
--- a/crates/arbutusfall_wire/tests/it/facts.rs
+++ b/crates/arbutusfall_wire/tests/it/facts.rs
@@ -65,3 +65,14 @@
         let _ = decode_facts::<FactsAnswer>(&bytes);
     }
 }
+
+// Guards against configurations with API keys in log lines, when a VM of another version passes records on in another form.
+#[test]
+fn error_does_not_quote_the_message() {
+    let message = r#"{"waited_ms":0,"topics":"sk-secret"}"#;
+    let error = decode_facts::<FactsAnswer>(message.as_bytes()).expect_err("it is no message");
+    assert!(
+        !format!("{error} {error:?}").contains("sk-secret"),
+        "{error}"
+    );
+}
