--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -40,6 +40,10 @@
 /// Maximum size of a connection's read buffer, in bytes; it bounds the head of an answer and the pieces of its body.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Send buffer of a connection. The kernel takes up to 4 MB by default, so that a request whose server reads nothing of it
+/// would count as written.
+const SEND_BUFFER_BYTES: usize = 128 * 1024;
+
 /// Error of a request, or of reading its answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ClientError {
@@ -149,6 +153,8 @@
     let stream = connect.or(expire).await?;
     // Disables Nagle's algorithm, so that small writes are sent without delay; a failure only adds latency.
     let _ = stream.set_nodelay(true);
+    // A failure leaves the default.
+    let _ = socket2::SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
     Ok(stream)
 }
 
@@ -159,10 +165,7 @@
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, ClientError> {
     let limit = HeadLimit::new();
-    let stream = HeadLimitedStream {
-        inner: stream,
-        limit: limit.clone(),
-    };
+    let stream = HeadLimitedStream::new(stream, limit.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(FuturesIo::new(stream));
--- a/crates/arbutusfall/src/http/head_limit.rs
+++ b/crates/arbutusfall/src/http/head_limit.rs
@@ -1,4 +1,4 @@
-//! A client connection that fails if the head of the answer is too long.
+//! A client connection that fails if the head of the answer is too long, or if the server ends it while the request is written.
 
 use std::io;
 use std::pin::Pin;
@@ -42,9 +42,24 @@
 }
 
 /// Byte stream of a connection with a [`HeadLimit`].
+///
+/// Its end is an error while a write is incomplete: the server has not read the request, so that an answer whose end is that of the
+/// connection may have been broken off. An answer with a length or chunks is complete before.
 pub(super) struct HeadLimitedStream<T> {
-    pub(super) inner: T,
-    pub(super) limit: HeadLimit,
+    inner: T,
+    limit: HeadLimit,
+    /// Whether the connection has not taken all of the bytes that were last written.
+    is_write_incomplete: bool,
+}
+
+impl<T> HeadLimitedStream<T> {
+    pub(super) fn new(inner: T, limit: HeadLimit) -> Self {
+        Self {
+            inner,
+            limit,
+            is_write_incomplete: false,
+        }
+    }
 }
 
 impl<T: AsyncRead + Unpin> AsyncRead for HeadLimitedStream<T> {
@@ -55,6 +70,9 @@
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
         let count = ready!(Pin::new(&mut this.inner).poll_read(cx, buffer))?;
+        if count == 0 && !buffer.is_empty() && this.is_write_incomplete {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         if this.limit.try_receive(count) {
             Poll::Ready(Ok(count))
         } else {
@@ -69,7 +87,11 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().inner).poll_write(cx, bytes)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.inner).poll_write(cx, bytes);
+        this.is_write_incomplete =
+            !matches!(&written, Poll::Ready(Ok(count)) if *count == bytes.len());
+        written
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/arbutusfall/src/relay/control_client.rs
+++ b/crates/arbutusfall/src/relay/control_client.rs
@@ -8,6 +8,7 @@
 use arbutusfall_core::relay::LeaseAnswer;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RoleOutcome;
+use arbutusfall_platform::answer_status::FinalStatus;
 use arbutusfall_platform::endpoints;
 use arbutusfall_platform::endpoints::StatedLimit;
 use arbutusfall_platform::endpoints::StatedRest;
@@ -174,6 +175,8 @@
             answer_timeout: ORDER_TIMEOUT,
         };
         let answer = http::send(&self.relay.io().executor, outgoing).await?;
+        // The engine may have followed the order, so its outcome is unknown.
+        FinalStatus::of(answer.status()).map_err(|_| ClientError::Malformed)?;
         let is_from_engine = answer.status() != StatusCode::MISDIRECTED_REQUEST;
         if let StatedLimit::PerSecond(per_s) = endpoints::stated_limit(answer.headers())
             && is_from_engine
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -108,6 +108,11 @@
     };
     relay.io().exchanges.wait_while_held(command.exchange).await;
     let kind = endpoints::classify_answer(&request, command, answer.status(), answer.headers());
+    if kind == AnswerKind::NotFinal {
+        let (instance, status) = (&command.instance, answer.status());
+        log::info!("the answer of {instance} has the status {status}, which is not final");
+        return Err(ExchangeFailure::Malformed);
+    }
     let is_from_endpoint = is_from_endpoint(&request, command, kind, answer.headers());
     if is_from_endpoint && kind != AnswerKind::Malformed {
         report_limit(relay, command, kind, answer.headers());
@@ -124,7 +129,7 @@
     }
     match kind {
         AnswerKind::NotRun(reason) => Ok(ExchangeEvent::NotRun { reason }),
-        AnswerKind::Malformed => Err(ExchangeFailure::Malformed),
+        AnswerKind::Malformed | AnswerKind::NotFinal => Err(ExchangeFailure::Malformed),
         AnswerKind::Reserved => {
             let reservation =
                 read_id(answer, command.time_left, endpoints::parse_reservation).await?;
--- a/crates/arbutusfall/src/relay/fact_follower.rs
+++ b/crates/arbutusfall/src/relay/fact_follower.rs
@@ -10,6 +10,7 @@
 use arbutusfall_core::relay::FollowOutcome;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::StoreTopic;
+use arbutusfall_platform::answer_status::FinalStatus;
 use arbutusfall_wire::FactsAnswer;
 use arbutusfall_wire::FactsQuestion;
 use arbutusfall_wire::MAX_FACTS_BYTES;
@@ -146,6 +147,7 @@
     };
     let sent = peer_client::send(&relay.io().executor, outgoing, relay.shared_key()).await;
     let answer = sent.map_err(FollowError::Failed)?;
+    FinalStatus::of(answer.status()).map_err(|_| FollowError::Failed(ClientError::Malformed))?;
     if !answer.status().is_success() {
         return Err(FollowError::Declined("it passes none on now"));
     }
--- a/crates/arbutusfall_core/src/relay/control/roles.rs
+++ b/crates/arbutusfall_core/src/relay/control/roles.rs
@@ -174,8 +174,7 @@
             decode: self.endpoints.in_role(service, Role::Decode).count(),
         };
         [Role::Decode, Role::Prefill].into_iter().find_map(|to| {
-            let change = self.is_change_allowed(service, to, change_time, &usage);
-            if !change {
+            if !self.is_change_allowed(service, to, change_time, &usage) {
                 return None;
             }
             let (lower, upper) = ratio.bounds(self.bound_deviations(service, to));
