--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -42,6 +42,10 @@
 /// Maximum size of a connection's read buffer, in bytes; it bounds the head of an answer and the pieces of its body.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Send buffer of a connection. The kernel takes up to 4 MB by default, so that a request whose server reads nothing of it
+/// would count as written.
+const SEND_BUFFER_BYTES: usize = 128 * 1024;
+
 /// Error of a request, or of reading its answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ClientError {
@@ -154,6 +158,8 @@
     let stream = connect.or(expire).await?;
     // Disables Nagle's algorithm, so that small writes are sent without delay; a failure only adds latency.
     let _ = stream.set_nodelay(true);
+    // A failure leaves the default.
+    let _ = socket2::SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
     Ok(stream)
 }
 
@@ -206,13 +212,11 @@
 ) -> Result<Response<Incoming>, ClientError> {
     let limit = HeadLimit::new();
     let gate = WriteGate::default();
-    let stream = HeadLimitedStream {
-        inner: GatedStream {
-            inner: stream,
-            gate: gate.clone(),
-        },
-        limit: limit.clone(),
+    let gated = GatedStream {
+        inner: stream,
+        gate: gate.clone(),
     };
+    let stream = HeadLimitedStream::new(gated, limit.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(FuturesIo::new(stream));
