--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -44,6 +44,7 @@
 mod relay_model_calls;
 mod relay_quota_fleet;
 mod relay_quota_simulation;
+mod relay_quota_use;
 mod relay_random;
 mod relay_reach;
 mod relay_restarted_endpoints;
--- a/crates/arbutusfall_core/tests/it/relay_quota_fleet.rs
+++ b/crates/arbutusfall_core/tests/it/relay_quota_fleet.rs
@@ -19,6 +19,9 @@
 use arbutusfall_wire::QuotaQuestion;
 
 use crate::relay_harness::ms;
+use crate::relay_quota_use::AccountLoad;
+use crate::relay_quota_use::Action;
+use crate::relay_quota_use::Use;
 
 /// Time after which an unanswered question has failed.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
@@ -32,35 +35,6 @@
 /// Time from the start in which nothing is counted.
 pub(crate) const WARM_UP: Duration = Duration::from_secs(12);
 
-/// An account and what its callers ask for.
-#[derive(Debug, Clone)]
-pub(crate) struct AccountLoad {
-    pub(crate) name: Name,
-    pub(crate) quota: AccountQuota,
-    /// Cost of a request.
-    pub(crate) cost: f64,
-    /// Requests a second.
-    pub(crate) per_s: f64,
-}
-
-/// What happens to the fleet.
-#[derive(Debug, Clone)]
-pub(crate) enum Action {
-    Kill(usize),
-    Restart(usize),
-    Freeze(usize, Duration),
-    /// These VMs and the others don't reach each other.
-    Split(Vec<usize>),
-    Heal,
-    Add(usize),
-    /// Multiplies an account's quota.
-    Quota(usize, f64),
-    /// The VM that owns an account now is killed.
-    KillOwner(usize),
-    FreezeOwner(usize, Duration),
-    CutOwnerOff(usize),
-}
-
 #[derive(Debug, Clone)]
 enum Event {
     Arrival {
@@ -99,44 +73,6 @@
     bytes: u64,
 }
 
-/// Use of an account.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Use {
-    /// Instant and cost of each request that proceeded.
-    pub(crate) granted: Vec<(Duration, f64)>,
-    pub(crate) asked: u64,
-    pub(crate) refused: u64,
-}
-
-impl Use {
-    /// Returns the largest cost in any window.
-    pub(crate) fn most_in(&self, window: Duration) -> f64 {
-        let mut first = 0;
-        let mut sum = 0.0;
-        let mut most: f64 = 0.0;
-        for (at, cost) in &self.granted {
-            sum += cost;
-            while self.granted[first].0 + window < *at {
-                sum -= self.granted[first].1;
-                first += 1;
-            }
-            most = most.max(sum);
-        }
-        most
-    }
-
-    /// Returns the cost between two instants.
-    pub(crate) fn between(&self, from: Duration, to: Duration) -> f64 {
-        let granted = self.granted.iter();
-        let granted = granted.filter(|(at, _)| (from..to).contains(at));
-        granted.map(|(_, cost)| cost).sum()
-    }
-
-    pub(crate) fn refused_share(&self) -> f64 {
-        self.refused as f64 / self.asked.max(1) as f64
-    }
-}
-
 /// A fleet of VMs.
 pub(crate) struct Fleet {
     pub(crate) settings: QuotaSettings,
--- a/crates/arbutusfall_core/tests/it/relay_quota_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/relay_quota_simulation.rs
@@ -6,10 +6,10 @@
 use arbutusfall_core::relay::QuotaUnit;
 
 use crate::relay_harness::ms;
-use crate::relay_quota_fleet::AccountLoad;
-use crate::relay_quota_fleet::Action;
 use crate::relay_quota_fleet::Fleet;
 use crate::relay_quota_fleet::WARM_UP;
+use crate::relay_quota_use::AccountLoad;
+use crate::relay_quota_use::Action;
 
 const FLEET_SIZES: [usize; 4] = [3, 65, 195, 407];
 
