Relay: each VM limits the plain requests to services that reject them

Cause: in a burst, VMs send more plain requests than the endpoints of a service have room for. Endpoints reject them, and answers come after their target.

Change: a limiter for each plain service (relay/load/). It has no limit until two endpoints (or the only one) reject a request within 1 s. It then limits the rate and the requests in flight by the recent rate of answers, and is lifted 3 s after the last rejection or late answer, at most 10 s after the last rejection. Requests beyond it wait in a queue by priority and turns of accounts, or are refused with 503 NotRun. A rejected request is not sent again to a service that is known to be full.

--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -167,6 +167,7 @@
             followers: facts.followers(),
             fact_ages_ms: facts.ages_ms(),
             limits: relay.limit_status(),
+            load: relay.load_status(),
             quota: relay.quota_status(self.io.now()),
         };
         drop(relay);
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -6,6 +6,8 @@
 
 use arbutusfall_core::relay::ConfigStatus;
 use arbutusfall_core::relay::LimitStatus;
+use arbutusfall_core::relay::LoadCounts;
+use arbutusfall_core::relay::LoadStatus;
 use arbutusfall_core::relay::QuotaStatus;
 use arbutusfall_core::relay::RelayNotice;
 use hdrhistogram::Histogram;
@@ -44,6 +46,8 @@
     pub(super) fact_ages_ms: Vec<(&'static str, u64)>,
     /// Limits that endpoints named.
     pub(super) limits: LimitStatus,
+    /// Limits of plain services whose endpoints reject requests.
+    pub(super) load: LoadStatus,
     /// Decisions on quotas of client accounts.
     pub(super) quota: QuotaStatus,
 }
@@ -140,7 +144,7 @@
     pub(super) fn text(&self, values: &StateMetrics) -> String {
         let state = lock(&self.state);
         let mut text = String::new();
-        state.write_counters(&mut text, values.quota);
+        state.write_counters(&mut text, values.quota, values.load.counts);
         state.write_latencies(&mut text);
         if let Some(config) = values.config {
             write_config(&mut text, config);
@@ -169,6 +173,8 @@
         write_fact_ages(&mut text, &values.fact_ages_ms);
         let limits = values.limits;
         write_gauge(&mut text, "limited_endpoints", limits.endpoints as u64);
+        let limited_services = values.load.limited_services as u64;
+        write_gauge(&mut text, "limited_services", limited_services);
         let owned = values.quota.owned_accounts as u64;
         write_gauge(&mut text, "owned_accounts", owned);
         write_gauge(&mut text, "limit_shares_held", limits.held_shares as u64);
@@ -179,7 +185,7 @@
 // Writing to a string cannot fail.
 
 impl State {
-    fn write_counters(&self, text: &mut String, quota: QuotaStatus) {
+    fn write_counters(&self, text: &mut String, quota: QuotaStatus, load: LoadCounts) {
         text.push_str("# TYPE arbutusfall_events_total counter\n");
         for ((event, reason), count) in &self.notice_counts {
             let _ = writeln!(
@@ -188,6 +194,7 @@
             );
         }
         write_quota_counters(text, quota);
+        write_load_counters(text, load);
         text.push_str("# TYPE arbutusfall_requests_total counter\n");
         for ((is_added_route, outcome), count) in &self.request_counts {
             let routes = if *is_added_route { "added" } else { "first" };
@@ -217,6 +224,21 @@
     }
 }
 
+/// Writes the counters of limits on plain services, which belong to the metric of events.
+fn write_load_counters(text: &mut String, counts: LoadCounts) {
+    let counters = [
+        ("load.rejected", counts.rejected),
+        ("load.beyond_limit", counts.beyond_limit),
+        ("load.refused", counts.refused),
+    ];
+    for (event, count) in counters {
+        let _ = writeln!(
+            text,
+            "arbutusfall_events_total{{event=\"{event}\",reason=\"\"}} {count}"
+        );
+    }
+}
+
 /// Writes the counters of quotas, which belong to the metric of events.
 fn write_quota_counters(text: &mut String, quota: QuotaStatus) {
     let counts = quota.counts;
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -17,6 +17,7 @@
 mod event;
 mod facts;
 mod limits;
+mod load;
 mod notice;
 mod quota;
 mod sending;
@@ -46,6 +47,7 @@
 use endpoints::reachability::Reachability;
 use limits::endpoint_limits::EndpointLimits;
 use limits::limited_queue::LimitedQueue;
+use load::load_state::LoadState;
 use quota::QuotaState;
 use sending::waiting::WaitQueue;
 use sharing::peers::Peers;
@@ -79,6 +81,8 @@
 pub use event::*;
 pub use facts::*;
 pub use limits::limit_handling::LimitStatus;
+pub use load::load_state::LoadCounts;
+pub use load::load_state::LoadStatus;
 pub use notice::RelayNotice;
 pub use quota::*;
 pub use sending::send_permission::SendPermission;
@@ -142,6 +146,8 @@
     CheckReach(Name),
     /// Another VM may be asked again for facts of the store.
     FollowFacts,
+    /// Plain requests that wait for the limit of a service may be due for sending, or the limit for its end.
+    Load(Name),
     /// Requests may have waited long enough for their quota, or votes may be due for renewal.
     Quota,
     /// The split of engines between prefill and decode is due for review.
@@ -184,6 +190,8 @@
     limits: EndpointLimits,
     limits_reviewed_at: Duration,
     limited_queue: LimitedQueue,
+    /// Limits of plain services whose endpoints reject requests.
+    load: LoadState,
     quota: QuotaState,
     shared_outbox: SharedOutbox,
     /// Instant of the earliest timer for crashes and shared records.
@@ -249,6 +257,7 @@
             limits: EndpointLimits::new(vm),
             limits_reviewed_at: Duration::ZERO,
             limited_queue: LimitedQueue::default(),
+            load: LoadState::default(),
             quota: QuotaState::new(settings, seed),
             shared_outbox: SharedOutbox::new(settings.retry_limit.vm_count),
             shared_timer_due: None,
@@ -367,6 +376,7 @@
                 RelayTimer::SendWhenReached(call) => self.send_when_reached(call),
                 RelayTimer::CheckReach(service) => self.check_reach(&service),
                 RelayTimer::FollowFacts => self.follow_facts(),
+                RelayTimer::Load(service) => self.on_load_timer(&service),
                 RelayTimer::Quota => self.on_quota_timer(),
                 RelayTimer::ReviewRoles => self.review_roles(),
                 RelayTimer::CloseConnections => self.effects.push(RelayEffect::CloseConnections),
--- a/crates/arbutusfall_core/src/relay/calls/call.rs
+++ b/crates/arbutusfall_core/src/relay/calls/call.rs
@@ -32,6 +32,8 @@
     pub(crate) sent_account: SentAccount,
     /// Its use of the account's quota.
     pub(crate) quota_use: QuotaUse,
+    /// Whether the limit of its service has let it through.
+    pub(crate) has_load_token: bool,
     /// Service picked from the route's services.
     pub(crate) service: Name,
     /// Version of the configuration that applies to the request.
--- a/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
+++ b/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
@@ -24,6 +24,7 @@
 use crate::relay::crashes::cause_blocks::CRASHING_PART;
 use crate::relay::crashes::cause_blocks::CRASHING_REQUEST;
 use crate::relay::limits::limit_waiting::LIMITED;
+use crate::relay::load::handling::SERVICE_FULL;
 use crate::relay::notice::millis;
 
 /// Reason of the end of a call at its deadline.
@@ -134,6 +135,7 @@
             account: served_for.account,
             sent_account: served_for.sent,
             quota_use: QuotaUse::default(),
+            has_load_token: false,
             service,
             route: route.clone(),
             config_version: routes.version,
@@ -258,7 +260,7 @@
         }
     }
 
-    /// Closes the call's exchanges and releases its allocations, its prefill result, its place in the wait queue and its quota.
+    /// Closes the call's exchanges and releases its allocations, its prefill result, its places in queues and its quota.
     pub(in crate::relay) fn release_resources(&mut self, id: CallId) {
         self.drop_standby(id);
         let Some(call) = self.calls.get_mut(&id) else {
@@ -275,6 +277,7 @@
         self.release_allocation(id);
         self.wait_queue.remove(id);
         self.limited_queue.remove(id);
+        self.leave_load_queue(id);
         if let Some(exchange) = exchange {
             self.effects.push(RelayEffect::Close { exchange });
         }
@@ -330,6 +333,9 @@
             let left = call.time_left(self.now);
             let after = match reason {
                 LIMITED => self.retry_after_limit(&call),
+                SERVICE_FULL => {
+                    self.retry_after_load(&call, left.mul_f64(MAX_RETRY_AFTER_FRACTION))
+                }
                 _ if self.must_wait_for_rest(&call) => self.retry_after_rest(&call),
                 _ => self.retry_after_for(reason, left),
             };
--- a/crates/arbutusfall_core/src/relay/calls/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/calls/outcomes.rs
@@ -16,6 +16,7 @@
 use crate::relay::calls::call::CallStage;
 use crate::relay::calls::call::PrefillResult;
 use crate::relay::crashes::crash_handling::SUSPECT;
+use crate::relay::load::handling::SERVICE_FULL;
 use crate::relay::notice::millis;
 
 /// Time for which an endpoint gets no further requests after it refused one: it is full or is changing its role.
@@ -244,6 +245,7 @@
         let stage = current.stage;
         let is_retryable = is_failure && call.may_retry() && !call.has_stream_started;
         let service = call.service.clone();
+        let target = call.route.latency_target;
         if is_retryable && self.has_other_endpoint(id, stage.role()) && self.take_retry(id) {
             self.on_request_answered(id, is_failure);
             self.fail_exchange(id, "error_status", false);
@@ -262,6 +264,7 @@
         {
             endpoint.on_answered(after, self.now);
             self.budget.on_outcome(&service, false, self.now);
+            self.on_load_answered(&service, after, target);
         }
         self.on_request_answered(id, is_failure);
         self.end_exchange(id);
@@ -331,6 +334,7 @@
             self.on_engine_full(id);
             return;
         }
+        let is_full = reason == NotRunReason::Refused && self.on_load_rejected(id, false);
         if reason == NotRunReason::Refused {
             self.record_refusal(id);
             self.budget.on_outcome(&service, true, self.now);
@@ -340,6 +344,10 @@
             NotRunReason::Misdirected => "misdirected",
         };
         self.fail_exchange(id, label, reason == NotRunReason::Misdirected);
+        if is_full {
+            self.fail_call(id, SERVICE_FULL);
+            return;
+        }
         if stage == CallStage::Plain && self.is_refused_by_whole_service(id) {
             // A retry would only add to the load of the service.
             self.fail_call(id, "service_refuses");
@@ -412,6 +420,7 @@
         if failure == ExchangeFailure::Unreachable || is_broken_off {
             self.on_exchange_broken_off(&failed);
         }
+        let is_full = is_broken_off && self.on_load_rejected(id, true);
         let has_ended = failure.may_be_crash();
         if has_ended {
             self.record_broken_run(id, &failed, began_at);
@@ -429,7 +438,9 @@
             self.fail_call(id, SUSPECT);
             return;
         }
-        if failure.is_before_connection() {
+        if is_full && failure.is_before_send() {
+            self.fail_call(id, SERVICE_FULL);
+        } else if failure.is_before_connection() {
             // No endpoint has had any work with the request, so this does not count as a retry.
             self.retry_or_fail(id);
         } else {
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -123,6 +123,20 @@
         /// `own` (an answer to this VM named none) or `other_vm`.
         source: &'static str,
     },
+    /// This VM limits the plain requests that it sends to a service, because endpoints of it reject them.
+    ServiceLimited {
+        /// The service.
+        service: Name,
+        /// Requests a second at first.
+        per_s: f64,
+    },
+    /// The limit on requests to a service is lifted.
+    ServiceUnlimited {
+        /// The service.
+        service: Name,
+        /// Time for which it was limited.
+        after_ms: u64,
+    },
     /// An engine refused a request for which it had reserved memory, and is avoided for some time.
     EngineRefusing {
         /// Instance.
--- a/crates/arbutusfall_core/src/relay/notice/names.rs
+++ b/crates/arbutusfall_core/src/relay/notice/names.rs
@@ -36,6 +36,8 @@
             Self::ServiceReachable { .. } => "service_reachable",
             Self::EndpointLimited { .. } => "endpoint_limited",
             Self::EndpointUnlimited { .. } => "endpoint_unlimited",
+            Self::ServiceLimited { .. } => "service_limited",
+            Self::ServiceUnlimited { .. } => "service_unlimited",
             Self::EngineRefusing { .. } => "engine_refusing",
             Self::RunChecked { .. } => "run_checked",
             Self::Store { .. } => "store",
--- a/crates/arbutusfall_core/src/relay/sending/stages.rs
+++ b/crates/arbutusfall_core/src/relay/sending/stages.rs
@@ -59,6 +59,9 @@
             self.enqueue(id);
             return;
         }
+        if stage == CallStage::Plain && self.waits_for_load(id) {
+            return;
+        }
         match self.next_instance(id, stage) {
             Some(instance) => self.send(id, instance, stage),
             None if self.wait_for_rest_or_fail(id, stage) => {}
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -58,6 +58,7 @@
 mod relay_roles;
 mod relay_roles_simulation;
 mod relay_run_proofs;
+mod relay_service_load;
 mod relay_silence;
 mod relay_simulation;
 mod relay_slow_reservations;
