--- a/crates/arbutusfall_core/tests/it/relay_service_load.rs
+++ b/crates/arbutusfall_core/tests/it/relay_service_load.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -344,7 +345,7 @@
             let others = simulation.served_share(others);
             assert!(own > others / 4.0, "account {account}: {own} of {others}");
         }
-        let spread: std::collections::BTreeSet<_> = simulation.retry_afters.iter().collect();
+        let spread: BTreeSet<_> = simulation.retry_afters.iter().collect();
         assert!(spread.len() * 2 > simulation.retry_afters.len());
         assert_eq!(simulation.asked.len(), 0);
         assert_eq!(simulation.limited_services(), 0);
