--- a/crates/arbutusfall_core/tests/it/relay_service_load.rs
+++ b/crates/arbutusfall_core/tests/it/relay_service_load.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -344,7 +345,7 @@
             let others = simulation.served_share(others);
             assert!(own > others / 4.0, "account {account}: {own} of {others}");
         }
-        let spread: std::collections::BTreeSet<_> = simulation.retry_afters.iter().collect();
+        let spread: BTreeSet<_> = simulation.retry_afters.iter().collect();
         assert!(spread.len() * 2 > simulation.retry_afters.len());
         assert_eq!(simulation.asked.len(), 0);
         assert_eq!(simulation.limited_services(), 0);
@@ -366,3 +367,39 @@
         }
     }
 }
+
+/// Returns a relay whose service is limited, with one request that waits.
+fn with_waiting_request() -> (RelayHarness, CallId) {
+    let mut harness = RelayHarness::configured(1);
+    for _ in 0..40 {
+        harness.submit("/look/1");
+        let sent = harness.take_only_send();
+        harness.advance(ms(50));
+        harness.deliver(sent.exchange, ExchangeEvent::Complete { status: 200 });
+    }
+    harness.submit("/look/1");
+    for _ in 0..2 {
+        let sent = harness.take_only_send();
+        harness.deliver(sent.exchange, REFUSED);
+    }
+    harness.advance(ms(5));
+    let call = harness.submit("/look/2");
+    assert_eq!(harness.take_sends(), []);
+    assert_eq!(harness.problem(call), None);
+    (harness, call)
+}
+
+// Guards against a waiting request that is never sent, and against a place that is kept for a caller who has gone.
+#[test]
+fn waiting_request_is_sent_unless_its_caller_goes() {
+    let (mut harness, call) = with_waiting_request();
+    harness.advance(ms(200));
+    assert_eq!(harness.take_only_send().call, call);
+
+    let (mut harness, call) = with_waiting_request();
+    harness.apply(RelayEvent::CallerGone { call });
+    harness.advance(ms(200));
+    assert_eq!(harness.take_sends(), []);
+    let next = harness.submit("/look/3");
+    assert_eq!(harness.take_only_send().call, next);
+}
