Relay: requests that waited for long use tokens of their quota again

Cause: tokens are used when a request is admitted; what waits for an engine or its reach may be sent bunched. Counter quota.renewed. No trial with processes.

--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -225,6 +225,7 @@
         ("quota.asked", counts.asked),
         ("quota.failed", counts.failed),
         ("quota.emergency", counts.emergency),
+        ("quota.renewed", quota.renewed),
         ("quota.granted_tokens", counts.granted_tokens as u64),
     ];
     for (event, count) in counters {
--- a/crates/arbutusfall_core/src/relay/quota/handling.rs
+++ b/crates/arbutusfall_core/src/relay/quota/handling.rs
@@ -14,6 +14,7 @@
 use crate::relay::QuotaLeases;
 use crate::relay::QuotaOutcome;
 use crate::relay::QuotaOwner;
+use crate::relay::QuotaSettings;
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
@@ -31,6 +32,7 @@
 /// Quotas at this VM.
 #[derive(Debug)]
 pub(in crate::relay) struct QuotaState {
+    settings: QuotaSettings,
     owner: QuotaOwner,
     leases: QuotaLeases,
     /// Whether the list of VMs has changed since it was handed on.
@@ -38,6 +40,8 @@
     /// Instant of the earliest timer that is set.
     timer_due: Option<Duration>,
     notices: TokenBucket,
+    /// Requests that used tokens again before they were sent.
+    renewed: u64,
     /// Part of each quota that this VM has if it can't talk to others.
     lone_share: f64,
 }
@@ -53,6 +57,8 @@
     /// It used tokens.
     Used {
         tokens: f64,
+        /// When it used them.
+        used_at: Duration,
         /// Until when they can be returned.
         until: Duration,
     },
@@ -74,6 +80,8 @@
 pub struct QuotaStatus {
     /// Decisions since the start.
     pub counts: QuotaCounts,
+    /// Requests that used tokens again because they had waited for too long before they were sent.
+    pub renewed: u64,
     /// Number of accounts that this VM owns.
     pub owned_accounts: usize,
 }
@@ -86,11 +94,13 @@
         let vm = own.map_or_else(|| Name::from("this"), |(vm, _)| vm.clone());
         let process = rng.u64(..);
         Self {
+            settings: settings.quota,
             owner: QuotaOwner::new(vm.clone(), process, settings.quota),
             leases: QuotaLeases::new(vm, settings.quota, vm_count as usize, rng.u64(..)),
             is_list_stale: true,
             timer_due: None,
             notices: TokenBucket::new(NOTICES_PER_S, Duration::ZERO),
+            renewed: 0,
             lone_share: if own.is_some() {
                 1.0
             } else {
@@ -131,6 +141,7 @@
     pub fn quota_status(&self, now: Duration) -> QuotaStatus {
         QuotaStatus {
             counts: self.quota.leases.counts(),
+            renewed: self.quota.renewed,
             owned_accounts: self.quota.owner.owned_accounts(now).len(),
         }
     }
@@ -171,6 +182,19 @@
         self.advance_quota();
     }
 
+    /// Makes a call that is to be sent use new tokens if its own are so old that requests which are sent together could exceed the
+    /// bound; returns whether it did. The old ones are not returned: their lease lapsed before.
+    pub(in crate::relay) fn renews_quota(&mut self, id: CallId) -> bool {
+        let call = self.calls.get(&id);
+        let settings = &self.quota.settings;
+        if !call.is_some_and(|call| call.has_outdated_tokens(settings, self.now)) {
+            return false;
+        }
+        self.quota.renewed += 1;
+        self.begin_within_quota(id);
+        true
+    }
+
     /// Returns account, quota, cost and deadline of a call that needs tokens. Requests of other VMs have used theirs there.
     fn needed_quota(&self, id: CallId) -> Option<(Name, AccountQuota, f64, Duration)> {
         let call = self.calls.get(&id)?;
@@ -193,7 +217,12 @@
             QuotaAdmission::Waits => {}
             QuotaAdmission::Granted { until } => {
                 let tokens = self.needed_quota(id).map_or(0.0, |(_, _, cost, _)| cost);
-                self.set_quota_use(id, QuotaUse::Used { tokens, until });
+                let used = QuotaUse::Used {
+                    tokens,
+                    used_at: self.now,
+                    until,
+                };
+                self.set_quota_use(id, used);
                 self.begin_call(id);
             }
             QuotaAdmission::Refused { retry_after } => {
@@ -282,7 +311,7 @@
         };
         match std::mem::take(&mut call.quota_use) {
             QuotaUse::Waiting => self.quota.leases.remove(id),
-            QuotaUse::Used { tokens, until } if !may_have_run => {
+            QuotaUse::Used { tokens, until, .. } if !may_have_run => {
                 if let Some(account) = &call.account {
                     let leases = &mut self.quota.leases;
                     leases.give_back(&account.name, tokens, until, self.now);
@@ -294,6 +323,17 @@
 }
 
 impl Call {
+    /// Returns whether nothing of a call has been sent for so long that its tokens don't count any more.
+    fn has_outdated_tokens(&self, settings: &QuotaSettings, now: Duration) -> bool {
+        let quota = self.account.as_ref().and_then(|account| account.quota);
+        let (QuotaUse::Used { used_at, .. }, Some(quota)) = (&self.quota_use, quota) else {
+            return false;
+        };
+        let max_delay = settings.max_send_delay(quota.per_s, quota.burst);
+        let is_unsent = !self.may_have_run && self.allocation.is_none() && self.prefills == 0;
+        is_unsent && now.saturating_sub(*used_at) > max_delay
+    }
+
     /// Returns the retry delay of a call that was refused by its quota.
     pub(in crate::relay) fn quota_retry_after(&self) -> Option<Duration> {
         match self.quota_use {
--- a/crates/arbutusfall_core/src/relay/quota/settings.rs
+++ b/crates/arbutusfall_core/src/relay/quota/settings.rs
@@ -41,6 +41,13 @@
         self.window + self.lease_lifetime()
     }
 
+    /// Returns the longest time from the use of an account's tokens until its request is sent: as much of the rate as the tolerated
+    /// excess holds besides leases. At least the lifetime of a lease.
+    pub(crate) fn max_send_delay(&self, per_s: f64, burst: f64) -> Duration {
+        let delay_s = self.emergency_excess(per_s, burst) / per_s;
+        Duration::try_from_secs_f64(delay_s).unwrap_or(Duration::MAX)
+    }
+
     /// Returns the units that all VMs without an owner may use together in a window, so that it keeps the bound.
     pub(crate) fn emergency_excess(&self, per_s: f64, burst: f64) -> f64 {
         let of_rate = per_s * self.window.as_secs_f64() * (1.0 - LEASE_PART_OF_EXCESS);
--- a/crates/arbutusfall_core/src/relay/quota/tests.rs
+++ b/crates/arbutusfall_core/src/relay/quota/tests.rs
@@ -165,6 +165,31 @@
         (id, std::mem::take(&mut relay.effects))
     }
 
+    /// Begins a request whose first exchange opens no connection, so that nothing of it is sent.
+    fn submit_unreached(&mut self) -> (CallId, Vec<RelayEffect>) {
+        let (call, effects) = self.submit(None);
+        let exchange = sent(&effects).expect("sent");
+        let effects = self.apply(RelayEvent::Exchange {
+            exchange,
+            event: ExchangeEvent::Failed {
+                failure: ExchangeFailure::Unreachable,
+            },
+        });
+        assert!(sent(&effects).is_none(), "{effects:?}");
+        (call, effects)
+    }
+
+    /// Sends a request that waits, as if its endpoint were reached again.
+    fn send_again(&mut self, call: CallId) -> Vec<RelayEffect> {
+        let relay = &mut self.relay;
+        relay.now = self.now;
+        relay.reachability = endpoints::reachability::Reachability::default();
+        let endpoint = relay.endpoints.get_mut(&"shop-1".into());
+        endpoint.expect("it is listed").health.on_success();
+        relay.send_when_reached(call);
+        std::mem::take(&mut self.relay.effects)
+    }
+
     fn answer(&mut self, vm: Name, granted: f64, retry_after_ms: u64) -> Vec<RelayEffect> {
         let grant = QuotaGrant {
             account: "shop-site".into(),
@@ -306,3 +331,40 @@
         assert!(asked(&effects).is_none());
     }
 }
+
+/// Guards against requests that have used tokens long ago and are sent together with those that use tokens now.
+#[test]
+fn a_request_that_waited_for_long_uses_tokens_again() {
+    let settings = QuotaSettings::default();
+    let max_delay = settings.max_send_delay(1.0, 2.0);
+    assert_eq!(max_delay, ms(600));
+    assert!(max_delay >= settings.lease_lifetime());
+    let is_long = |delay| {
+        let mut site = Site::new(&[]);
+        let (call, _) = site.submit_unreached();
+        site.now += delay;
+        let effects = site.send_again(call);
+        let is_renewed = site.relay.quota_status(site.now).renewed == 1;
+        // With the burst and the rate since, one more request is sent than with renewed tokens.
+        let mut count = 0;
+        while sent(&site.submit(None).1).is_some() {
+            count += 1;
+        }
+        (sent(&effects).is_some(), is_renewed, count)
+    };
+    assert_eq!(is_long(ms(600)), (true, false, 1));
+    assert_eq!(is_long(ms(610)), (true, true, 0));
+}
+
+/// Guards against a request that is sent without tokens, or waits for ever, if there are none when it uses tokens again.
+#[test]
+fn a_request_that_waited_for_long_is_refused_without_tokens() {
+    let mut site = Site::new(&[]);
+    let (call, _) = site.submit_unreached();
+    let (_, effects) = site.submit(None);
+    assert!(sent(&effects).is_some(), "{effects:?}");
+    site.now += ms(610);
+    let effects = site.send_again(call);
+    assert!(sent(&effects).is_none(), "{effects:?}");
+    assert!(is_refused(&effects), "{effects:?}");
+}
--- a/crates/arbutusfall_core/src/relay/sending/stages.rs
+++ b/crates/arbutusfall_core/src/relay/sending/stages.rs
@@ -60,6 +60,7 @@
             return;
         }
         match self.next_instance(id, stage) {
+            Some(_) if self.renews_quota(id) => {}
             Some(instance) => self.send(id, instance, stage),
             None if self.wait_for_rest_or_fail(id, stage) => {}
             None if self.wait_for_reach(id, stage) => {}
--- a/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
@@ -110,6 +110,9 @@
         let Some((vm, peer)) = selected else {
             return false;
         };
+        if self.renews_quota(id) {
+            return true;
+        }
         self.leave_engines(id);
         let Some(call) = self.calls.get_mut(&id) else {
             return false;
