--- a/crates/arbutusfall_core/src/relay/control/role_split.rs
+++ b/crates/arbutusfall_core/src/relay/control/role_split.rs
@@ -134,7 +134,7 @@
     // Guards against several engines of a small service that are away at the same time.
     #[test]
     fn small_service_changes_one_engine_at_a_time() {
-        let change = split(24, 7).change_to(Role::Decode, 0.1, CHANGE_TIME);
+        let change = split(12, 3).change_to(Role::Decode, 0.1, CHANGE_TIME);
         assert_eq!(change.map(|change| change.engines), Some(1));
     }
 
--- a/crates/arbutusfall_core/src/relay/load/handling.rs
+++ b/crates/arbutusfall_core/src/relay/load/handling.rs
@@ -85,7 +85,7 @@
             return false;
         };
         let instance = current.instance.clone();
-        if current.stage != CallStage::Plain || call.has_stream_started {
+        if current.stage != CallStage::Plain || call.has_stream_started || !self.limits_services() {
             return false;
         }
         let endpoint = self.endpoints.get(&instance);
@@ -118,6 +118,12 @@
         rate.is_some()
     }
 
+    /// Returns whether plain services may be limited: only where client accounts share them.
+    fn limits_services(&self) -> bool {
+        let routes = self.routes.as_ref();
+        routes.is_some_and(|routes| routes.accounts.is_some())
+    }
+
     /// Removes a call from the queue of its service.
     pub(in crate::relay) fn leave_load_queue(&mut self, id: CallId) {
         let service = self.calls.get(&id).map(|call| &call.service);
--- a/crates/arbutusfall_core/tests/it/relay_service_load.rs
+++ b/crates/arbutusfall_core/tests/it/relay_service_load.rs
@@ -371,6 +371,12 @@
 /// Returns a relay whose service is limited, with one request that waits.
 fn with_waiting_request() -> (RelayHarness, CallId) {
     let mut harness = RelayHarness::configured(1);
+    let with_accounts = RouteTable {
+        version: 2,
+        ..route_table()
+    };
+    harness.apply(RelayEvent::NewConfig(Arc::new(with_accounts)));
+    harness.credential = Credential::Key(key(0));
     for _ in 0..40 {
         harness.submit("/look/1");
         let sent = harness.take_only_send();
@@ -389,6 +395,22 @@
     (harness, call)
 }
 
+// Guards against a service that is limited in a deployment without client accounts.
+#[test]
+fn service_is_not_limited_without_accounts() {
+    let mut harness = RelayHarness::configured(1);
+    for _ in 0..10 {
+        harness.submit("/look/1");
+        for _ in 0..2 {
+            for sent in harness.take_sends() {
+                harness.deliver(sent.exchange, REFUSED);
+            }
+        }
+    }
+    assert_eq!(harness.relay.load_status().limited_services, 0);
+    assert_eq!(harness.relay.load_status().counts, Default::default());
+}
+
 // Guards against a waiting request that is never sent, and against a place that is kept for a caller who has gone.
 #[test]
 fn waiting_request_is_sent_unless_its_caller_goes() {
