Relay: clearer comments on accounts, quotas and load limits

Several doc comments were unclear to a reader who did not know the requirements: what a lease, a turn or a stood-back candidate is, why votes are put off, why tokens are used again before a late send. Some constants shared one comment, and some private items had none.

Comments now state the effect and the reason. No code is changed.

--- a/crates/arbutusfall_core/src/relay/accounts/account.rs
+++ b/crates/arbutusfall_core/src/relay/accounts/account.rs
@@ -28,7 +28,7 @@
     ///
     /// Invariant: finite and not negative.
     pub burst: f64,
-    /// Units of a request that states no token counts, if tokens are counted.
+    /// Units that a request without stated token counts uses, if tokens are counted.
     ///
     /// Invariant: finite and not negative.
     pub plain_cost: f64,
--- a/crates/arbutusfall_core/src/relay/accounts/authentication.rs
+++ b/crates/arbutusfall_core/src/relay/accounts/authentication.rs
@@ -34,7 +34,7 @@
 pub(crate) struct ServedFor {
     /// Account; none on anonymous routes, or if the configuration has no accounts.
     pub(crate) account: Option<Arc<ClientAccount>>,
-    /// What endpoints are told of it.
+    /// What endpoints are told of the account.
     pub(crate) sent: SentAccount,
 }
 
@@ -77,8 +77,8 @@
         })
     }
 
-    /// Returns whether the account that another VM has found for a request has no keys in this version. Which key it found is not
-    /// known here.
+    /// Returns whether another VM has authenticated a request as an account that has no keys in this version of the
+    /// configuration. Only the account is known here, so the loss of one of several keys goes unnoticed.
     fn has_lost_keys(&self, request: &RelayRequest, sent: &SentAccount) -> bool {
         let (Some(accounts), SentAccount::Named(name)) = (&self.accounts, sent) else {
             return false;
@@ -123,8 +123,8 @@
         });
     }
 
-    /// Authenticates the requests of which nothing was sent by the configuration that has just been put in force, and refuses those
-    /// whose keys it does not have.
+    /// Authenticates all requests of which nothing has been sent again, by a configuration that has just been put in force.
+    /// Refuses those whose keys it does not have.
     pub(in crate::relay) fn review_waiting_accounts(&mut self, routes: &RouteTable) {
         let unsent = self.calls.iter().filter(|(_, call)| call.is_unsent());
         let mut unsent: Vec<CallId> = unsent.map(|(id, _)| *id).collect();
@@ -135,6 +135,7 @@
             };
             let request = &call.request;
             let route = routes.find(&request.host, &request.path);
+            // A request whose route was removed keeps the route that it had.
             let route = route.unwrap_or(&call.route);
             match routes.authenticate(request, route) {
                 Ok(served_for) if routes.has_lost_keys(request, &served_for.sent) => {
--- a/crates/arbutusfall_core/src/relay/accounts/credential.rs
+++ b/crates/arbutusfall_core/src/relay/accounts/credential.rs
@@ -1,4 +1,4 @@
-//! What a request shows to be served.
+//! Credentials by which requests are authenticated.
 
 use crate::relay::ApiKey;
 
--- a/crates/arbutusfall_core/src/relay/accounts/table.rs
+++ b/crates/arbutusfall_core/src/relay/accounts/table.rs
@@ -98,7 +98,7 @@
             .into_iter()
             .filter(|(account, keys)| !self.has(account, keys));
         let changed: Vec<_> = changed.collect();
-        // A key may move from one account to another in one version.
+        // All changed accounts are removed before any is added: a key may move between two of them in one version.
         for (account, _) in &changed {
             table.remove(&account.name);
         }
--- a/crates/arbutusfall_core/src/relay/load/handling.rs
+++ b/crates/arbutusfall_core/src/relay/load/handling.rs
@@ -17,21 +17,22 @@
 /// Reason of the refusal of a request to a service that is known to be full.
 pub(in crate::relay) const SERVICE_FULL: &str = "service_full";
 
-/// Part of the target that is left when an answer is expected.
+/// Time that must be left until the target when the answer is expected.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
 /// Longest wait behind other requests, as a fraction of the target.
 const MAX_WAIT_FRACTION: f64 = 0.4;
 
-/// Spread of retry delays that are cut to the longest that callers accept, as a fraction of it.
+/// Spread of retry delays that are cut to the longest that callers accept, as a fraction of it: otherwise
+/// these callers would all return at the same time.
 const CUT_RETRY_SPREAD: f64 = 0.4;
 
-/// Interval of checks whether requests in flight have ended while these are what limits.
+/// Interval of checks of the queue while only the number of requests in flight keeps its first request waiting.
 const IN_FLIGHT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 impl Relay {
-    /// Returns whether a plain request must not be sent now: it waits for the limit of its service, has been sent by this, or was
-    /// refused.
+    /// Lets a plain request wait if its service is limited. Returns false if it is to be sent now; otherwise it waits, or has
+    /// already been sent or refused here.
     pub(in crate::relay) fn waits_for_load(&mut self, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id) else {
             return false;
@@ -51,7 +52,7 @@
             return false;
         }
         if call.may_run_elsewhere() {
-            // The retry budget allows it, and refusing it would leave its caller in doubt.
+            // The retry budget allows it, and refusing it would leave its caller in doubt whether it ran.
             load.limiter.take_token();
             return false;
         }
@@ -93,7 +94,7 @@
             endpoint.is_resting() || endpoint.listed.is_leaving || self.limit_of(endpoint).is_some()
         });
         if says_more {
-            // It has said itself when it takes requests.
+            // The endpoint has said itself when it takes requests, so its rejection says nothing of the service.
             return false;
         }
         let service = call.service.clone();
@@ -165,6 +166,7 @@
         }
     }
 
+    /// Brings the limit of a service up to date, and logs if it is lifted.
     fn advance_load(&mut self, service: &Name) {
         let load = self.load.services.get_mut(service);
         let lasted = load.and_then(|load| load.limiter.advance(self.now));
@@ -185,6 +187,7 @@
         self.set_load_timer(service);
     }
 
+    /// Removes and returns the first waiting request, with a token taken for it, if the limit allows it now.
     fn pop_within_load(&mut self, service: &Name) -> Option<CallId> {
         let endpoints = self.endpoints.serving(service, Role::Plain);
         let in_flight = endpoints.map(|endpoint| endpoint.in_flight).sum();
@@ -206,6 +209,7 @@
         None
     }
 
+    /// Refuses the waiting requests that could not be answered in time even if all before them were sent at the limit.
     fn refuse_late(&mut self, service: &Name) {
         let Some(load) = self.load.services.get(service) else {
             return;
@@ -229,6 +233,7 @@
         }
     }
 
+    /// Sets a timer for the next waiting request or the end of the limit, whichever comes first.
     fn set_load_timer(&mut self, service: &Name) {
         let now = self.now;
         let Some(load) = self.load.services.get_mut(service) else {
--- a/crates/arbutusfall_core/src/relay/load/load_state.rs
+++ b/crates/arbutusfall_core/src/relay/load/load_state.rs
@@ -23,7 +23,8 @@
 /// Limiters and queues of all plain services.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct LoadState {
-    /// One entry for each plain service that was used: as many as configurations named.
+    /// One entry for each plain service that was used. None is removed, so their number is bounded by the services that
+    /// configurations have named.
     pub(crate) services: FastMap<Name, ServiceLoad>,
     pub(crate) counts: LoadCounts,
 }
--- a/crates/arbutusfall_core/src/relay/load/service_limiter.rs
+++ b/crates/arbutusfall_core/src/relay/load/service_limiter.rs
@@ -24,23 +24,31 @@
 /// Most requests that may be sent at once.
 const BURST: f64 = 2.0;
 
-/// Factor of the rate at a rejection, at most once in [`REJECTION_INTERVAL`].
+/// Factor of the rate at a rejection.
 const REJECTION_FACTOR: f64 = 0.7;
+
+/// Shortest time between a reduction of the rate and the next one by a rejection.
 const REJECTION_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Factor of the rate at a late answer, at most once in [`LATE_INTERVAL`].
+/// Factor of the rate at a late answer.
 const LATE_FACTOR: f64 = 0.85;
+
+/// Shortest time between a reduction of the rate and the next one by a late answer.
 const LATE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Fraction of the target above which an answer is late.
 const LATE_FRACTION: f64 = 250.0 / 300.0;
 
-/// Growth of the rate in each second: this many requests a second, or this fraction of the rate if that is more.
+/// Least growth of the rate in each second, in requests a second.
 const GROWTH_PER_S: f64 = 0.4;
+
+/// Growth of the rate in each second as a fraction of it, if that is more than [`GROWTH_PER_S`].
 const GROWTH_FRACTION: f64 = 0.12;
 
-/// Requests in flight, as a multiple of those at the limit's rate that take the whole target.
+/// Most requests in flight, as a multiple of the limit's rate times the target.
 const IN_FLIGHT_FACTOR: f64 = 2.0;
+
+/// Lower limit of that number.
 const MIN_IN_FLIGHT: f64 = 2.0;
 
 /// Weight of the newest answer in the mean time of answers.
@@ -53,11 +61,12 @@
     recent_answers: f64,
     answered_at: Duration,
     mean_answer_time: Duration,
-    /// Last rejection without a limit.
+    /// Newest rejection while there is no limit: its endpoint and its instant.
     last_rejection: Option<(Name, Duration)>,
     limit: Option<Limit>,
 }
 
+/// Limit in force.
 #[derive(Debug, Clone)]
 struct Limit {
     /// Invariant: at least [`MIN_RATE_PER_S`].
--- a/crates/arbutusfall_core/src/relay/quota.rs
+++ b/crates/arbutusfall_core/src/relay/quota.rs
@@ -1,7 +1,9 @@
 //! Quotas of client accounts, held by all VMs together.
 //!
 //! One VM at a time owns an account: it holds the votes of a majority of the account's electors and grants tokens from one bucket
-//! ([`QuotaOwner`]). The other VMs lease tokens from it ([`QuotaLeases`]). Nothing in these two performs I/O or knows the relay.
+//! ([`QuotaOwner`]). Every VM, the owner included, leases tokens from it for a short time and admits requests with them
+//! ([`QuotaLeases`]). A VM that reaches no owner may admit a few requests without tokens, within a part of the tolerated excess
+//! ([`QuotaSettings`]). Nothing in these performs I/O or knows the relay.
 
 mod account_bucket;
 mod decisions;
--- a/crates/arbutusfall_core/src/relay/quota/account_bucket.rs
+++ b/crates/arbutusfall_core/src/relay/quota/account_bucket.rs
@@ -14,7 +14,8 @@
 /// Part of the burst that is kept for requests that wait: tokens for requests that are only expected may lapse.
 const KEPT_PART: f64 = 0.5;
 
-/// Longest time for which an asking VM is put off: tokens of a VM that does not come back are for the others.
+/// Longest time ahead for which a refused VM gets a turn of its own: tokens reserved for a VM that does not ask again are lost
+/// to the others.
 const MAX_TURN: Duration = Duration::from_secs(1);
 
 /// Tolerance for sums of fractions, in units of the quota.
@@ -66,11 +67,11 @@
     }
 }
 
-/// What an ask gets.
+/// Answer to a VM that asked for tokens.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct Granted {
     pub(super) tokens: f64,
-    /// Time until there are tokens for the next waiting request.
+    /// Time until the VM should ask again; zero if it may at once.
     pub(super) retry_after: Duration,
 }
 
@@ -98,18 +99,21 @@
         self.bucket.refill(quota.per_s, quota.burst, now)
     }
 
-    /// Limits the tokens that are left.
+    /// Limits the tokens that are left to `most`.
     pub(super) fn cut(&mut self, most: f64, quota: &AccountQuota, now: Duration) {
         let level = self.level(quota, now);
         self.bucket = TokenBucket::new(level.min(most), now);
     }
 
-    /// Returns the tokens granted in the last window.
+    /// Returns the tokens granted in the last [`QuotaSettings::grant_window`].
     pub(super) fn used(&mut self, now: Duration) -> f64 {
         self.granted.sum(now)
     }
 
-    /// Grants what is needed and, while much is left, what is expected; otherwise as much as whole waiting requests use.
+    /// Grants what the waiting requests need and, of what is wanted beyond, as much as leaves [`KEPT_PART`] of the burst.
+    ///
+    /// If there is less than needed, grants a multiple of the first request's cost: a part of a request's cost would lapse
+    /// unused. A request that costs more than the burst is granted alone.
     pub(super) fn grant(
         &mut self,
         ask: &QuotaAsk,
@@ -143,7 +147,7 @@
         }
     }
 
-    /// Returns the time until the asking VM's turn.
+    /// Returns the time until the asking VM's turn, and reserves the turn if it is within [`MAX_TURN`].
     fn turn(&mut self, cost: f64, quota: &AccountQuota, now: Duration) -> Duration {
         let earliest = now + self.bucket.time_until(cost, quota.per_s);
         let at = self.next_turn.max(earliest);
@@ -155,8 +159,8 @@
         after
     }
 
-    /// Grants a request that costs more than the burst, once the bucket is full and the window has room for it. The bucket is below
-    /// zero then, and nothing more is granted until the rate has made up for it.
+    /// Grants a request that costs more than the burst, once the bucket is full and the window has room for it. The level is
+    /// negative then, and nothing more is granted until the rate has made up for it.
     fn grant_large(
         &mut self,
         cost: f64,
--- a/crates/arbutusfall_core/src/relay/quota/decisions.rs
+++ b/crates/arbutusfall_core/src/relay/quota/decisions.rs
@@ -24,7 +24,7 @@
     },
 }
 
-/// What is to be done.
+/// Decisions on waiting requests, and the questions that must be sent.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct QuotaOutput {
     /// Requests that waited, and whether they may proceed; never [`QuotaAdmission::Waits`].
@@ -40,11 +40,11 @@
 pub struct QuotaCounts {
     /// Requests that were refused.
     pub refused: u64,
-    /// Questions to other VMs.
+    /// Questions sent to other VMs.
     pub asked: u64,
     /// Questions that were not answered.
     pub failed: u64,
-    /// Requests that proceeded without an owner.
+    /// Requests that proceeded without leased tokens, because no owner was reached.
     pub emergency: u64,
     /// Tokens that owners granted to this VM.
     pub granted_tokens: f64,
--- a/crates/arbutusfall_core/src/relay/quota/electors.rs
+++ b/crates/arbutusfall_core/src/relay/quota/electors.rs
@@ -7,7 +7,7 @@
 
 use crate::rendezvous::rank_owners;
 
-/// Number of electors of an account: any two of them may be gone.
+/// Number of electors of an account: any two of them may be unreachable.
 pub(super) const ELECTORS: usize = 5;
 
 /// Time for which a vote is valid, counted by the owner from its question and by the elector from its answer. An owner that is
@@ -27,7 +27,7 @@
 /// Number of remembered votes beyond which lapsed ones are looked for.
 const MIN_SWEPT: usize = 4_096;
 
-/// Returns the first VMs of an account, most preferred first.
+/// Returns the VMs that rank first for an account by rendezvous hashing, at most `count`, most preferred first.
 pub(super) fn first_vms(account: &Name, vms: &[Name], count: usize) -> Vec<Name> {
     let mut ranked = rank_owners(account, vms);
     ranked.truncate(count);
@@ -50,10 +50,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Vote {
     pub(super) is_given: bool,
-    /// Time for which no other candidate had this elector's vote.
+    /// Time for which no other candidate had this elector's vote, up to when this one was given.
     pub(super) idle: Duration,
 }
 
+/// A vote that this VM has given; it may have lapsed.
 #[derive(Debug, Clone)]
 struct GivenVote {
     to: Candidate,
@@ -70,6 +71,7 @@
     /// Since when this VM knows of all votes that it has given.
     remembers_since: Option<Duration>,
     votes: FastMap<Name, GivenVote>,
+    /// Number of votes that were left after the last search for lapsed ones.
     swept_at: usize,
 }
 
--- a/crates/arbutusfall_core/src/relay/quota/emergency.rs
+++ b/crates/arbutusfall_core/src/relay/quota/emergency.rs
@@ -1,4 +1,4 @@
-//! What a VM may use that reaches no owner: so little that all VMs together stay within the tolerated excess.
+//! Requests that a VM may admit when it reaches no owner: so few that all VMs together stay within the tolerated excess.
 
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 /// how many requests of all VMs fall into a window varies.
 const DEVIATIONS: f64 = 3.0;
 
-/// Longest interval that is distinguished, in seconds.
+/// Upper limit of the interval, in seconds, well within the range of [`Duration`].
 const MAX_INTERVAL_S: f64 = 1e6;
 
 /// Number of VMs, and what they may use together.
@@ -24,7 +24,7 @@
 }
 
 impl EmergencyShare<'_> {
-    /// Returns the interval between two requests of one VM; none if even one may be too many.
+    /// Returns the interval between two requests of this cost of one VM; none if one request of any VM may be too many.
     fn interval(&self, cost: f64) -> Option<Duration> {
         let quota = self.quota;
         let excess = self.settings.emergency_excess(quota.per_s, quota.burst);
@@ -35,15 +35,18 @@
         // The mean m for which m + DEVIATIONS * sqrt(m) is the largest number.
         let root = ((DEVIATIONS * DEVIATIONS + 4.0 * most).sqrt() - DEVIATIONS) / 2.0;
         let mean = root * root;
+        // An opportunity that began up to `VALID_TIME` before a window may be used in it.
         let span = self.settings.window + VALID_TIME;
         let interval_s = span.as_secs_f64() * self.vm_count.max(1) as f64 / mean;
         Some(Duration::from_secs_f64(interval_s.min(MAX_INTERVAL_S)))
     }
 }
 
-/// Opportunities of one VM to send a request of an account without an owner.
+/// Opportunities of one VM to send a request of an account whose owner it does not reach. They begin at a random instant and
+/// follow each other at the interval.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Emergency {
+    /// Next opportunity; none before the first request.
     next_at: Option<Duration>,
 }
 
--- a/crates/arbutusfall_core/src/relay/quota/handling.rs
+++ b/crates/arbutusfall_core/src/relay/quota/handling.rs
@@ -26,7 +26,7 @@
 /// Reason of the refusal of a request beyond its account's quota.
 pub(in crate::relay) const QUOTA: &str = "quota";
 
-/// Log lines a second on accounts that this VM owns.
+/// Most log lines a second on changes of ownership.
 const NOTICES_PER_S: f64 = 3.0;
 
 /// Quotas at this VM.
@@ -35,14 +35,14 @@
     settings: QuotaSettings,
     owner: QuotaOwner,
     leases: QuotaLeases,
-    /// Whether the list of VMs has changed since it was handed on.
+    /// Whether the list of VMs has changed since the owner and the leases last got it.
     is_list_stale: bool,
     /// Instant of the earliest timer that is set.
     timer_due: Option<Duration>,
     notices: TokenBucket,
     /// Requests that used tokens again before they were sent.
     renewed: u64,
-    /// Part of each quota that this VM has if it can't talk to others.
+    /// Fraction of each quota that this VM grants: below 1 only without an address for other VMs, when quotas can't be shared.
     lone_share: f64,
 }
 
@@ -69,7 +69,7 @@
 /// An account that this VM owns, for operators.
 #[derive(Debug, Clone, PartialEq)]
 pub struct OwnedAccountStatus {
-    /// What was granted of late.
+    /// Tokens that were granted of late, and that are left.
     pub owned: OwnedAccount,
     /// Quota in the configuration; none if it has none any more.
     pub quota: Option<AccountQuota>,
@@ -182,8 +182,11 @@
         self.advance_quota();
     }
 
-    /// Makes a call that is to be sent use new tokens if its own are so old that requests which are sent together could exceed the
-    /// bound; returns whether it did. The old ones are not returned: their lease lapsed before.
+    /// Makes a call that is about to be sent use new tokens if it used its own longer ago than
+    /// [`QuotaSettings::max_send_delay`]: together with newer requests, it could exceed the bound of the window in which it is
+    /// sent. Returns whether it did; the call is then sent or refused by the quota, not by the caller of this.
+    ///
+    /// The old tokens are not returned: their lease has lapsed.
     pub(in crate::relay) fn renews_quota(&mut self, id: CallId) -> bool {
         let call = self.calls.get(&id);
         let settings = &self.quota.settings;
@@ -195,7 +198,8 @@
         true
     }
 
-    /// Returns account, quota, cost and deadline of a call that needs tokens. Requests of other VMs have used theirs there.
+    /// Returns account, quota, cost and deadline of a call that needs tokens. A request that another VM has forwarded
+    /// used its tokens there.
     fn needed_quota(&self, id: CallId) -> Option<(Name, AccountQuota, f64, Duration)> {
         let call = self.calls.get(&id)?;
         let account = call.account.as_ref()?;
@@ -241,6 +245,7 @@
         self.advance_quota();
     }
 
+    /// Handles the timer of waiting requests and of votes.
     pub(in crate::relay) fn on_quota_timer(&mut self) {
         if self.quota.timer_due.is_some_and(|due| due > self.now) {
             // This timer was superseded by an earlier one.
@@ -268,7 +273,7 @@
 
     fn ask_quota(&mut self, vm: Name, question: QuotaQuestion) {
         let Some(peer) = self.peers.get(&vm) else {
-            // The list is the one of the peers.
+            // The VM has left the peers since the leases got the list of VMs.
             let quota = &mut self.quota;
             let outcome = QuotaOutcome::Failed;
             quota
@@ -323,7 +328,8 @@
 }
 
 impl Call {
-    /// Returns whether nothing of a call has been sent for so long that its tokens don't count any more.
+    /// Returns whether nothing of a call has been sent, and its tokens were used so long ago that they may not count in the
+    /// window in which it would be sent.
     fn has_outdated_tokens(&self, settings: &QuotaSettings, now: Duration) -> bool {
         let quota = self.account.as_ref().and_then(|account| account.quota);
         let (QuotaUse::Used { used_at, .. }, Some(quota)) = (&self.quota_use, quota) else {
--- a/crates/arbutusfall_core/src/relay/quota/held_votes.rs
+++ b/crates/arbutusfall_core/src/relay/quota/held_votes.rs
@@ -12,11 +12,12 @@
 use crate::relay::quota::electors::Vote;
 use crate::relay::quota::electors::majority;
 
-/// Time left of a vote when it is renewed.
+/// Remaining validity of a vote at which it is renewed.
 pub(super) const RENEWED_LEFT: Duration = Duration::from_millis(300);
 
-/// Time in which a VM wants no votes, for each reachable VM that precedes it: candidates that each have some votes would keep all of
-/// them from a majority. Longer than [`VOTE_LIFETIME`], so that the first of them gets the votes of an owner that was lost.
+/// Time for which a VM asks for no votes, for each reachable VM that precedes it: if several VMs asked at once, the votes could be
+/// split so that none gets a majority. Longer than [`VOTE_LIFETIME`], so that the first of them gets the votes of an owner that
+/// was lost.
 const PREDECESSOR_TIME: Duration = Duration::from_millis(700);
 
 /// Time after which an elector that refused or failed is asked again.
@@ -37,26 +38,29 @@
     },
 }
 
+/// What a VM that is asked for tokens of an account knows of it: the tokens, and the votes by which it may grant them.
 #[derive(Debug, Clone)]
 pub(super) struct Account {
     pub(super) bucket: AccountBucket,
     pub(super) quota: AccountQuota,
-    /// Electors, those of the list of this version.
+    /// Electors by the list of VMs of `list_version`.
     pub(super) electors: Vec<Name>,
     pub(super) list_version: u64,
     pub(super) votes: BTreeMap<Name, HeldVote>,
     /// Until when the votes let this VM grant tokens.
     pub(super) owned_until: Duration,
-    /// Since when tokens have been asked for without a gap, or since this VM gave its predecessors the votes.
+    /// Since when tokens have been asked for without a gap, or since this VM last left the votes to its predecessors.
     pub(super) asked_since: Duration,
-    /// When this VM wants votes.
+    /// Instant from which this VM asks for votes.
     pub(super) candidate_from: Duration,
     /// Whether this VM has been noted as the owner.
     pub(super) is_owned: bool,
+    /// Newest request for tokens.
     pub(super) asked_at: Duration,
 }
 
 impl Account {
+    /// Returns until when each vote is valid, with its idle time ([`Vote::idle`]); lapsed ones are left out.
     pub(super) fn valid_votes(&self, now: Duration) -> Vec<(Duration, Duration)> {
         let votes = self.electors.iter().filter_map(|vm| self.votes.get(vm));
         let given = votes.filter_map(|vote| match vote {
@@ -66,8 +70,8 @@
         given.collect()
     }
 
-    /// Takes over the votes. If they were not held without a gap, another VM may have granted tokens meanwhile: those that are
-    /// left are at most what the rate has given since it may last have done so.
+    /// Sets until when this VM owns the account, from the votes that it holds. After a gap in its ownership, the tokens are limited
+    /// to what the rate has added since another VM may last have granted some.
     pub(super) fn review_votes(&mut self, now: Duration) {
         let mut votes = self.valid_votes(now);
         let needed = majority(self.electors.len());
@@ -92,13 +96,14 @@
         self.electors.len() - refused < majority(self.electors.len())
     }
 
-    /// Lets VMs that precede this one have its votes if they can be no majority.
+    /// Asks for no further votes for some time if too many electors refuse them: the votes that this VM holds lapse, and a VM that
+    /// precedes it can get them.
     pub(super) fn stand_back_if_refused(&mut self, now: Duration) {
         if now < self.candidate_from || !self.is_refused(now) {
             return;
         }
         if self.valid_votes(now).is_empty() {
-            // The votes are still those of another VM, which may be lost.
+            // Another VM has the electors' votes. If it is lost, this VM gets them when they lapse.
             return;
         }
         self.asked_since = now;
@@ -110,7 +115,7 @@
         &self.electors[..rank.unwrap_or(self.electors.len())]
     }
 
-    /// Sets when a VM wants votes: at once if its predecessors don't answer it.
+    /// Sets from when this VM asks for votes: at once if none of its predecessors answers it.
     pub(super) fn review_candidacy(
         &mut self,
         own: &Name,
@@ -123,10 +128,12 @@
         self.candidate_from = self.asked_since + PREDECESSOR_TIME * reachable as u32;
     }
 
+    /// Returns whether this VM asks for votes: an owner always renews them.
     pub(super) fn is_candidate(&self, now: Duration) -> bool {
         now >= self.candidate_from || now < self.owned_until
     }
 
+    /// Returns whether an elector must be asked for its vote now.
     pub(super) fn must_ask(&self, elector: &Name, now: Duration) -> bool {
         if !self.is_candidate(now) {
             return false;
--- a/crates/arbutusfall_core/src/relay/quota/leases.rs
+++ b/crates/arbutusfall_core/src/relay/quota/leases.rs
@@ -45,12 +45,12 @@
 /// Time between two searches for accounts to forget.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(4);
 
-/// Leased tokens of all accounts.
+/// Tokens that this VM has leased, by account, and the requests that wait for tokens.
 #[derive(Debug, Clone)]
 pub struct QuotaLeases {
     vm: Name,
     settings: QuotaSettings,
-    /// Smallest number of VMs to count on while few are known.
+    /// Number of VMs to assume while fewer are known.
     min_vm_count: usize,
     vms: Vec<Name>,
     list_version: u64,
@@ -178,7 +178,7 @@
                 && !leases.is_asked
                 && !leases.is_owner_known
             {
-                // The vote may be the one that this VM waits for.
+                // With this vote, this VM may own the account itself.
                 leases.ask_at = now;
             }
         }
@@ -251,6 +251,8 @@
         output
     }
 
+    /// Decides on the waiting requests of an account, and asks a VM for tokens if some still wait. Repeated after each answer of this
+    /// VM itself, which comes at once.
     fn advance_account(
         &mut self,
         account: &Name,
@@ -330,7 +332,8 @@
         }
     }
 
-    /// Ends the wait of a request for which there are no leased tokens.
+    /// Ends the wait of a request for which there are no leased tokens; an owner that refused it must not be bypassed by
+    /// `may_use_emergency`.
     fn decide(
         &mut self,
         account: &Name,
@@ -358,7 +361,7 @@
         let admission = match least {
             Ok(()) => {
                 self.counts.emergency += 1;
-                // It is not returned: it was this VM's part of the excess.
+                // Nothing can be returned: this used a part of the tolerated excess, no leased tokens.
                 QuotaAdmission::Granted { until: now }
             }
             Err(least) => {
@@ -409,6 +412,7 @@
         }
     }
 
+    /// Asks electors for votes, and asks predecessors that keep this VM from wanting votes whether they answer.
     fn ask_votes(
         &mut self,
         owner: &mut QuotaOwner,
@@ -436,6 +440,7 @@
         }
     }
 
+    /// Returns when [`Self::advance`] must be called again.
     fn next_due(&self, owner: &QuotaOwner, now: Duration) -> Option<Duration> {
         let pending = self.pending.iter();
         let pending = pending.filter_map(|account| self.accounts.get(account));
@@ -448,6 +453,7 @@
         dues.filter(|due| *due > now).min()
     }
 
+    /// Forgets accounts that have had no requests for some time.
     fn sweep(&mut self, now: Duration) {
         if now < self.swept_at + SWEEP_INTERVAL {
             return;
--- a/crates/arbutusfall_core/src/relay/quota/links.rs
+++ b/crates/arbutusfall_core/src/relay/quota/links.rs
@@ -37,9 +37,12 @@
     pub(super) sent_at: Duration,
 }
 
+/// The question to one VM, and its failures.
 #[derive(Debug, Clone, Default)]
 struct Link {
+    /// Question in progress.
     sent: Option<SentQuestion>,
+    /// Consecutive questions that were not answered, not counting those while this VM was cut off.
     failures: u32,
     failed_until: Duration,
 }
@@ -89,7 +92,7 @@
             self.answered_at = now;
         }
         if has_answered && is_cut_off {
-            // The failures were this VM's own.
+            // The VMs did not answer because this one was cut off.
             for link in self.by_vm.values_mut() {
                 link.failures = 0;
                 link.failed_until = link.failed_until.min(now);
--- a/crates/arbutusfall_core/src/relay/quota/owner.rs
+++ b/crates/arbutusfall_core/src/relay/quota/owner.rs
@@ -27,13 +27,13 @@
 use crate::relay::quota::held_votes::RENEWED_LEFT;
 use crate::relay::quota::held_votes::held_vote;
 
-/// Time after the last request for tokens in which votes are renewed.
+/// Time after the last request for tokens for which votes are renewed.
 const RENEWAL_TIME: Duration = Duration::from_millis(400);
 
 /// Time after which a predecessor is asked again whether it answers.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time without a request for tokens after which the time for predecessors begins anew.
+/// Time without a request for tokens after which this VM waits for its predecessors again before it asks for votes.
 const ASKED_GAP: Duration = Duration::from_secs(1);
 
 /// Time after the last request for tokens after which an account is forgotten once its bucket is full.
@@ -50,7 +50,7 @@
 pub struct OwnedAccount {
     /// Name of the account.
     pub account: Name,
-    /// Tokens granted in the last window and the lifetime of a lease.
+    /// Tokens granted in the last [`QuotaSettings::grant_window`].
     pub used: f64,
     /// Tokens that are left.
     pub left: f64,
@@ -75,7 +75,7 @@
 }
 
 impl QuotaOwner {
-    /// Creates the owner of a VM; `process` differs from that of earlier processes of the VM.
+    /// Creates the state of a VM that owns no accounts and has given no votes; `process` differs from that of earlier processes of the VM.
     pub fn new(vm: Name, process: u64, settings: QuotaSettings) -> Self {
         Self {
             own: Candidate { vm, process },
@@ -178,7 +178,7 @@
         grant
     }
 
-    /// Returns what is known of an account, with the quota of the configuration.
+    /// Returns what is known of an account, brought up to date with the configured quota and the list of VMs.
     fn account(&mut self, name: &Name, quota: AccountQuota, now: Duration) -> &mut Account {
         let settings = &self.settings;
         let account = self.accounts.entry(name.clone());
@@ -195,7 +195,7 @@
             asked_at: now,
         });
         if account.quota != quota {
-            // The tokens up to now come from the quota before.
+            // The tokens up to now accrue at the former rate.
             account.bucket.level(&account.quota, now);
             account.quota = quota;
         }
@@ -331,7 +331,7 @@
         };
         let is_valid = matches!(account.votes.get(elector), Some(HeldVote::Given { until, .. }) if now < *until);
         if is_valid && answer.is_none() {
-            // The vote before is valid until it lapses.
+            // The earlier vote stays valid until it lapses.
             return;
         }
         account.votes.insert(elector.clone(), held);
--- a/crates/arbutusfall_core/src/relay/quota/token_bucket.rs
+++ b/crates/arbutusfall_core/src/relay/quota/token_bucket.rs
@@ -36,6 +36,7 @@
 
     /// Returns the time from the last refill until the level is reached.
     pub(crate) fn time_until(&self, level: f64, per_s: f64) -> Duration {
+        // Keeps the result in the range of `Duration` if the rate is zero.
         const MAX_S: f64 = 86_400.0;
         let missing = (level - self.level).max(0.0);
         let wait_s = missing / per_s.max(f64::MIN_POSITIVE);
--- a/crates/arbutusfall_core/src/relay/quota/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/quota/waiting.rs
@@ -60,7 +60,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct AccountLeases {
     pub(super) quota: AccountQuota,
-    /// First VMs in the order of owners, those of the list of this version.
+    /// VMs that rank first for the account, by the list of VMs of `list_version`.
     pub(super) ranked: Vec<Name>,
     pub(super) list_version: u64,
     leases: VecDeque<Lease>,
@@ -80,6 +80,7 @@
     pub(super) owner: Option<(Name, Duration)>,
     pub(super) emergency: Emergency,
     pub(super) retry_schedule: RetrySchedule,
+    /// Newest request.
     pub(super) used_at: Duration,
 }
 
