Relay, wire: clearer comments on roles, facts, request keys and sends

Some doc comments gave no unit, described a field by its former meaning or left the reader to guess why a rule holds (role changes that are read late, the bound on decode before streams have ended, the variance of arrivals).

Comments now state these. No code is changed.

--- a/crates/arbutusfall_core/src/relay/accounts/authentication.rs
+++ b/crates/arbutusfall_core/src/relay/accounts/authentication.rs
@@ -123,8 +123,8 @@
         });
     }
 
-    /// Authenticates all requests of which nothing has been sent again, by a configuration that has just been put in force.
-    /// Refuses those whose keys it does not have.
+    /// Authenticates once more all requests of which nothing has been sent, by a configuration that has just been put in force, and
+    /// refuses those whose keys it does not have.
     pub(in crate::relay) fn review_waiting_accounts(&mut self, routes: &RouteTable) {
         let unsent = self.calls.iter().filter(|(_, call)| call.is_unsent());
         let mut unsent: Vec<CallId> = unsent.map(|(id, _)| *id).collect();
--- a/crates/arbutusfall_core/src/relay/calls/request_key.rs
+++ b/crates/arbutusfall_core/src/relay/calls/request_key.rs
@@ -9,7 +9,8 @@
 
 use crate::relay::SentAccount;
 
-/// Bytes of a hash that a request key keeps: too many to find another request with the same key.
+/// Bytes of a hash that a request key keeps: enough that nobody can construct another request with the
+/// same key.
 const KEPT_BYTES: usize = 16;
 
 /// Keyed hash of all that makes a request the same when it comes again: method, host, path with query, caller, prompt and
@@ -43,7 +44,7 @@
 /// Keys of a request, by what is taken as its caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestKeys {
-    /// Key that counts.
+    /// Key by which the request is recorded and blocked; depends on its caller.
     pub own: RequestKey,
     /// Key that depends neither on the caller nor on its credential.
     pub of_any_caller: RequestKey,
@@ -60,6 +61,6 @@
     }
 }
 
-/// Key of these hashes, the same at all VMs of a site.
+/// Secret key of the hash in a [`RequestKey`], the same at all VMs of a site.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestHashKey(pub u128);
--- a/crates/arbutusfall_core/src/relay/control.rs
+++ b/crates/arbutusfall_core/src/relay/control.rs
@@ -1,4 +1,5 @@
-//! What decides about the whole service: the configuration, the lease and the roles of engines.
+//! Control data: the configuration with its routes, the lease for orders to engines, the roles of engines, and how current the
+//! data of the store is.
 
 pub(in crate::relay) mod configuration;
 pub(in crate::relay) mod lease;
--- a/crates/arbutusfall_core/src/relay/control/role_changes.rs
+++ b/crates/arbutusfall_core/src/relay/control/role_changes.rs
@@ -19,7 +19,8 @@
     service: Name,
 }
 
-/// Orders of this VM, and those of each service's newest series that engines have accepted.
+/// Orders of this VM without an outcome, and the accepted ones of each service's newest series. A series is the orders of one
+/// review.
 #[derive(Debug, Clone, Default)]
 pub(super) struct RoleOrders {
     awaited: Vec<RoleOrder>,
@@ -27,7 +28,8 @@
 }
 
 impl RoleOrders {
-    /// Begins a series of orders to engines of a service.
+    /// Begins a series of orders to engines of a service: its accepted orders replace those of the series before in the shared
+    /// record.
     pub(super) fn begin_series(&mut self, service: &Name) {
         self.accepted.remove(service);
     }
@@ -69,7 +71,8 @@
         self.set_shared_timer();
     }
 
-    /// Takes over role changes that another VM has ordered; old news may be of changes that have long ended.
+    /// Takes over role changes that another VM has ordered. Records that were read late are ignored, because their changes may have
+    /// ended.
     pub(in crate::relay) fn on_shared_role_changes(
         &mut self,
         service: &Name,
@@ -87,6 +90,7 @@
         }
     }
 
+    /// Avoids an engine until its role change should be done. A repeated record does not prolong this.
     fn avoid_until_changed(&mut self, instance: &Name, role: Role) {
         let routes = self.routes.as_ref();
         let Some(endpoint) = self.endpoints.get_mut(instance) else {
--- a/crates/arbutusfall_core/src/relay/control/role_pressure.rs
+++ b/crates/arbutusfall_core/src/relay/control/role_pressure.rs
@@ -69,7 +69,10 @@
         self.prefills *= left;
     }
 
-    /// Returns whether significantly more requests arrive than before.
+    /// Returns whether significantly more requests arrive than before. The variance of a number of arrivals is taken to be that
+    /// number, as if they were independent.
+    ///
+    /// Until all earlier intervals have been observed, the missing ones count as without arrivals, so a load may count as rising.
     pub(super) fn is_rising(&self) -> bool {
         let newest_first = self.arrivals.iter().rev().map(|count| f64::from(*count));
         let recent: f64 = newest_first.clone().take(RECENT_INTERVALS).sum();
--- a/crates/arbutusfall_core/src/relay/control/role_usage.rs
+++ b/crates/arbutusfall_core/src/relay/control/role_usage.rs
@@ -134,7 +134,7 @@
         self.ended_streams >= MIN_STREAMS
     }
 
-    /// Returns the ratio of the two needs; none after too few streams.
+    /// Returns the ratio of prefill to decode; none after too few streams.
     pub(super) fn need_ratio(&self) -> Option<NeedRatio> {
         if self.streams < MIN_STREAMS || self.prefill_s <= 0.0 {
             return None;
@@ -142,6 +142,7 @@
         let prefill_s = self.prefill_s;
         // Streams that have just begun have held no memory yet.
         let decode_token_s = self.decode_token_s.max(1.0);
+        // Variance of the logarithm of a ratio of two sums, to first order.
         let observed = self.prefill_squares / (prefill_s * prefill_s)
             + self.decode_squares / (decode_token_s * decode_token_s)
             - 2.0 * self.products / (prefill_s * decode_token_s);
--- a/crates/arbutusfall_core/src/relay/control/roles.rs
+++ b/crates/arbutusfall_core/src/relay/control/roles.rs
@@ -33,7 +33,7 @@
 /// Standard deviations between the estimated need and the bound that a change is judged by.
 const BOUND_DEVIATIONS: f64 = 2.0;
 
-/// The same if waits or refusals show independently that the pool that would gain engines is short of them.
+/// Like [`BOUND_DEVIATIONS`], if waits or refusals show independently that the pool that would gain engines is short of them.
 const CONFIRMED_BOUND_DEVIATIONS: f64 = 1.3;
 
 /// Time after a changed engine serves again in which its effect is observed before the next order.
@@ -58,7 +58,7 @@
     pressure: RolePressure,
     /// Engines that have not been listed in their new role yet.
     ordered: Vec<OrderedChange>,
-    /// Instant at which the newest ordered change had ended, if any.
+    /// Instant at which an ordered change was last found to have ended, in whatever way.
     change_ended_at: Option<Duration>,
 }
 
@@ -104,6 +104,7 @@
 }
 
 impl Relay {
+    /// Orders the role changes that are due if this VM holds the lease, and sets the timer of the next review.
     pub(in crate::relay) fn review_roles(&mut self) {
         self.timers
             .set(self.now + REVIEW_INTERVAL, RelayTimer::ReviewRoles);
@@ -215,7 +216,8 @@
             let changed_at = engine.role_changed_at;
             changed_at.is_some_and(|changed_at| self.now < changed_at + change_time)
         });
-        // Streams in progress hold their memory for longer than they have yet.
+        // Until enough streams have ended, the need for decode is underestimated: those in progress will hold their memory for
+        // longer than they have so far.
         let is_decode_known = to == Role::Decode || usage.knows_duration();
         !undoes && is_decode_known && !self.is_scarce(service, losing)
     }
@@ -239,6 +241,7 @@
             })
     }
 
+    /// Returns the standard deviations between the estimate and the bound for a change to a role.
     fn bound_deviations(&self, service: &Name, gaining: Role) -> f64 {
         if self.is_scarce(service, gaining) {
             CONFIRMED_BOUND_DEVIATIONS
@@ -259,6 +262,7 @@
             .collect()
     }
 
+    /// Orders an engine to change its role, and avoids it for the time of the change.
     fn order_role(&mut self, service: &Name, instance: Name, role: Role, token: u64) {
         let Some(endpoint) = self.endpoints.get(&instance) else {
             return;
@@ -290,6 +294,7 @@
         });
     }
 
+    /// Handles the outcome of an order.
     pub(in crate::relay) fn on_role_outcome(&mut self, instance: Name, outcome: RoleOutcome) {
         match outcome {
             RoleOutcome::Accepted => self.on_role_change_accepted(&instance),
--- a/crates/arbutusfall_core/src/relay/crashes/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crashes/crash_handling.rs
@@ -1,5 +1,5 @@
-//! The relay's use of [`CrashSuspects`](crate::relay::crashes::crash_suspects::CrashSuspects): evidence from requests that broke off and
-//! other VMs, and what disproves it.
+//! The relay's use of [`CrashSuspects`](crate::relay::crashes::crash_suspects::CrashSuspects): evidence from requests that
+//! broke off and from other VMs, and what disproves it.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -258,9 +258,9 @@
     pub token_counts: Option<TokenCounts>,
     /// Parts of the prompt that other requests may have too.
     pub shared_parts: SharedParts,
-    /// What the request has in common with its repeats only.
+    /// Keys that the request has in common with its repeats only.
     pub request_keys: RequestKeys,
-    /// What the request shows to be served.
+    /// API key that came with the request, if any.
     pub credential: Credential,
     /// Stream that the request goes on with, if any.
     pub resumption: Option<Resumption>,
@@ -283,7 +283,7 @@
     pub endpoint_ends: u32,
     /// Version of the endpoint that brought the stream's first event, if it is known.
     pub stream_version: Option<Name>,
-    /// Account that it found; unchanged if it has not checked the credential.
+    /// Account that it found; [`SentAccount::Unchanged`] if it has not checked the credential.
     pub account: SentAccount,
 }
 
--- a/crates/arbutusfall_core/src/relay/facts/handling.rs
+++ b/crates/arbutusfall_core/src/relay/facts/handling.rs
@@ -60,7 +60,8 @@
         }
     }
 
-    /// Looks for a VM that passes all newest records on; waits for the records that VMs share first, which name the VMs.
+    /// Begins a search for a VM that passes all newest records on, once the records that VMs share have been read: they name the
+    /// VMs.
     pub(in crate::relay) fn on_newest_needed(&mut self) {
         self.is_newest_needed = true;
         if self.has_read_shared {
--- a/crates/arbutusfall_core/src/relay/facts/newest_search.rs
+++ b/crates/arbutusfall_core/src/relay/facts/newest_search.rs
@@ -11,7 +11,7 @@
 /// Longest time for an answer to a VM that serves and has lost its positions: what it knows becomes too old meanwhile.
 const SERVING_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Patience of a VM that serves and has lost its positions.
+/// Time after which a VM that serves and has lost its positions reads the store itself.
 const SERVING_PATIENCE: Duration = Duration::from_millis(400);
 
 /// Time after which a VM whose stronger VMs do not answer reads the store itself: they may have been removed.
@@ -20,7 +20,8 @@
 /// Time after which a VM whose stronger VMs answer, but pass nothing on, reads the store itself: they start as well, or serve others.
 const DECLINED_PATIENCE: Duration = Duration::from_secs(4);
 
-/// Part of the patience that is added at random, so that VMs which started at the same moment do not all read the store at once.
+/// Largest fraction of these times that is added at random, so that VMs which started at the same moment do not all read the
+/// store at once.
 const PATIENCE_SPREAD: f64 = 0.4;
 
 /// Time after which a VM is asked again; doubles with each consecutive refusal.
@@ -50,11 +51,14 @@
     ReadStore,
 }
 
+/// A VM of a stronger class that may be asked.
 #[derive(Debug, Clone, PartialEq)]
 struct Stronger {
     vm: Name,
     address: SocketAddr,
+    /// Consecutive questions that brought nothing.
     refusals: u32,
+    /// Instant from which it may be asked again.
     not_before: Duration,
 }
 
@@ -62,9 +66,11 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct NewestSearch {
     started_at: Duration,
+    /// Random factor of the time after which this VM reads the store, from 1 to 1 + [`PATIENCE_SPREAD`].
     spread: f64,
     /// Whether this VM serves by what it knew before.
     is_serving: bool,
+    /// Whether any VM has answered.
     has_answer: bool,
     stronger: Vec<Stronger>,
 }
--- a/crates/arbutusfall_core/src/relay/facts/passed_limit.rs
+++ b/crates/arbutusfall_core/src/relay/facts/passed_limit.rs
@@ -3,7 +3,7 @@
 /// Most bytes of a topic's records in an answer of a VM whose link is not known.
 const LEAST_PASSED_BYTES: usize = 16 * 1024;
 
-/// Upper limit whatever the link: an answer that took longer would be given up by a follower with a narrow link.
+/// Upper limit, whatever this VM's link: a follower with a narrow link could not receive a longer answer in time.
 const MOST_PASSED_BYTES: usize = 256 * 1024;
 
 /// Part of a second of the link that news to all followers together may take: the rest is for requests of callers.
--- a/crates/arbutusfall_core/src/relay/facts/strength.rs
+++ b/crates/arbutusfall_core/src/relay/facts/strength.rs
@@ -1,7 +1,7 @@
 //! How much a VM can do for the VMs that follow it.
 
-/// Least processor share and link of a class, strongest first. The classes are coarse, so that small differences between VMs do not
-/// decide which VM is followed.
+/// Least processor share, in thousandths of a core, and least link, in Mbit/s, of each class, strongest first. The classes are
+/// coarse, so that small differences between VMs do not decide which VM is followed.
 const CLASS_MINIMUMS: [(u32, u32); 2] = [(400, 100), (200, 20)];
 
 /// Class of a VM that states its strength and reaches none of [`CLASS_MINIMUMS`].
--- a/crates/arbutusfall_core/src/relay/facts/tail_cost.rs
+++ b/crates/arbutusfall_core/src/relay/facts/tail_cost.rs
@@ -1,4 +1,4 @@
-//! Whether a VM reads a topic on from its position, or its newest records again.
+//! Whether a VM reads the records of a topic after its position (the tail), or all newest records again.
 
 use std::time::Duration;
 
@@ -16,11 +16,12 @@
 
 /// What reading a topic on costs at this VM's link.
 ///
-/// Newest records come in pages of bounded size, each with a timeout of its own, or from another VM; a tail grows while it is not
-/// read, and an answer that does not arrive in time brings nothing.
+/// A tail grows while it is not read, and brings nothing if it does not arrive in time. Newest records come in pages of bounded
+/// size, each with a timeout of its own, or from another VM.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct TailCost {
     link_mbps: Option<u32>,
+    /// Mean rate at which the topic is written; 0 before the first observation.
     bytes_per_s: f64,
 }
 
--- a/crates/arbutusfall_core/src/relay/load/load_queue.rs
+++ b/crates/arbutusfall_core/src/relay/load/load_queue.rs
@@ -22,8 +22,8 @@
 pub(crate) struct LoadQueue {
     calls: BTreeMap<Place, CallId>,
     places: FastMap<CallId, Place>,
-    /// Round of the newest request of each account; cleared when nothing waits, so that it does not
-    /// grow for ever.
+    /// Round of the newest request of each account; cleared when nothing waits, so that it does not grow for
+    /// ever.
     rounds: FastMap<Option<Name>, u64>,
     /// Round of the request that was sent last.
     round: u64,
--- a/crates/arbutusfall_core/src/relay/quota/handling.rs
+++ b/crates/arbutusfall_core/src/relay/quota/handling.rs
@@ -184,7 +184,7 @@
 
     /// Makes a call that is about to be sent use new tokens if it used its own longer ago than
     /// [`QuotaSettings::max_send_delay`]: together with newer requests, it could exceed the bound of the window in which it is
-    /// sent. Returns whether it did; the call is then sent or refused by the quota, not by the caller of this.
+    /// sent. Returns whether it did: the quota then decides whether the call goes on, and the caller of this must not send it.
     ///
     /// The old tokens are not returned: their lease has lapsed.
     pub(in crate::relay) fn renews_quota(&mut self, id: CallId) -> bool {
@@ -198,8 +198,8 @@
         true
     }
 
-    /// Returns account, quota, cost and deadline of a call that needs tokens. A request that another VM has forwarded
-    /// used its tokens there.
+    /// Returns account, quota, cost and deadline of a call that needs tokens. A request that another VM has
+    /// forwarded used its tokens there.
     fn needed_quota(&self, id: CallId) -> Option<(Name, AccountQuota, f64, Duration)> {
         let call = self.calls.get(&id)?;
         let account = call.account.as_ref()?;
--- a/crates/arbutusfall_core/src/relay/quota/leases.rs
+++ b/crates/arbutusfall_core/src/relay/quota/leases.rs
@@ -332,8 +332,8 @@
         }
     }
 
-    /// Ends the wait of a request for which there are no leased tokens; an owner that refused it must not be bypassed by
-    /// `may_use_emergency`.
+    /// Ends the wait of a request for which there are no leased tokens. `may_use_emergency` is false if an owner is known: its
+    /// refusal must not be bypassed.
     fn decide(
         &mut self,
         account: &Name,
--- a/crates/arbutusfall_core/src/relay/sending/send_permission.rs
+++ b/crates/arbutusfall_core/src/relay/sending/send_permission.rs
@@ -23,7 +23,8 @@
 }
 
 impl Relay {
-    /// Returns whether an exchange may send its request at an instant. Once this is granted, the request counts as written.
+    /// Returns whether an exchange may send its request at an instant. Once this is granted, the request counts as one that the
+    /// endpoint may run.
     pub fn send_permission(&mut self, exchange: ExchangeId, now: Duration) -> SendPermission {
         let permission = self.judge_send(exchange, now);
         if permission == SendPermission::Granted {
@@ -40,6 +41,7 @@
         }
     }
 
+    /// Like [`Self::send_permission`], but records nothing.
     fn judge_send(&self, exchange: ExchangeId, now: Duration) -> SendPermission {
         let id = self.calls_by_exchange.get(&exchange);
         let call = id.and_then(|id| self.calls.get(id));
@@ -62,8 +64,8 @@
     }
 }
 
-/// Returns an exchange of a call if its request may still be sent: the current one, or one in standby whose request may run twice. A stream
-/// that has moved to another engine meanwhile must not begin.
+/// Returns an exchange of a call if its request may still be sent: the current one, or one in standby whose request may run twice.
+/// A stream that has moved to another engine meanwhile must not begin.
 fn unsent_exchange(call: &Call, exchange: ExchangeId) -> Option<&CurrentExchange> {
     let current = call.current.as_ref();
     let standby = call.standby.as_ref().map(|standby| &standby.exchange);
@@ -81,6 +83,8 @@
     unsent.find(|unsent| is_unsent && unsent.exchange == exchange)
 }
 
+/// Returns whether an exchange in standby may still send its request although another endpoint may get it too: only one whose
+/// answer is no stream.
 fn may_run_twice(call: &Call, stage: CallStage) -> bool {
     let is_whole = matches!(stage, CallStage::Plain | CallStage::Forward);
     is_whole && !call.route.is_stream
--- a/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
@@ -314,7 +314,8 @@
     }
 }
 
-/// Returns whether a VM says with a status that no endpoint has run the request. It forwards no such status of an endpoint.
+/// Returns whether another VM answers by this status that no endpoint has run the request. VMs never forward this status from an
+/// endpoint.
 fn is_not_run(status: u16) -> bool {
     status == ProblemKind::NotRun.status()
 }
--- a/crates/arbutusfall_core/src/relay/sharing/shared_handling.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/shared_handling.rs
@@ -150,7 +150,7 @@
             SharedKey::Limit(run) => self.on_shared_limit(&run, None),
             SharedKey::Peer(vm) => self.on_shared_peer(&vm, None),
             SharedKey::Version(service, version) => self.on_shared_version(service, version, false),
-            // They end by themselves.
+            // Each role change ends after the time that the service states for it.
             SharedKey::RoleChanges(_) => {}
             SharedKey::Share(run, number) => self.on_shared_share(&run, number, None),
         }
--- a/crates/arbutusfall_wire/src/facts.rs
+++ b/crates/arbutusfall_wire/src/facts.rs
@@ -89,7 +89,7 @@
 pub struct NewestRecord {
     /// Its key.
     pub key: Name,
-    /// Its content, a text.
+    /// Its content as text.
     pub value: String,
 }
 
--- a/crates/arbutusfall_wire/src/quota.rs
+++ b/crates/arbutusfall_wire/src/quota.rs
@@ -20,7 +20,7 @@
     /// Requests for tokens, at most one for each account.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub asks: Vec<QuotaAsk>,
-    /// Accounts for which the VM wants a vote that lets it grant tokens.
+    /// Accounts for which the VM asks for a vote: with the votes of a majority of electors, it may grant their tokens.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub votes: Vec<Name>,
 }
@@ -60,9 +60,9 @@
     pub granted: f64,
     /// Time after which the tokens lapse, in milliseconds from when the question was sent.
     pub lifetime_ms: u64,
-    /// Time until more tokens are available, in milliseconds.
+    /// Time until the VM should ask again, in milliseconds; 0 if it may at once.
     pub retry_after_ms: u64,
-    /// Whether the VM does not grant tokens of the account.
+    /// Whether the VM cannot grant tokens of the account, not even when it is asked again soon: another VM must be asked.
     #[serde(default, skip_serializing_if = "is_false")]
     pub is_declined: bool,
     /// Whether the VM waits for votes: it may grant tokens when it is asked again.
