Comments: what a reader outside the core needs

Cause: in fact_server.rs the comment on passed news stood above the function for newest records; on_read_newest claimed that its records come from the store only; the limit of newest_pace.rs was described as that of all answers in progress, but one more may begin; several functions, fields and errors had no comment or one without unit or reason. Change: comments and doc comments only.

--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -42,8 +42,8 @@
 /// Maximum size of a connection's read buffer, in bytes; it bounds the head of an answer and the pieces of its body.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
-/// Send buffer of a connection. The kernel takes up to 4 MB by default, so that a request whose server reads nothing of it
-/// would count as written.
+/// Size of a connection's send buffer in the kernel, in bytes. Linux lets it grow to 4 MB by default, so that a request whose server
+/// reads nothing of it would count as written.
 const SEND_BUFFER_BYTES: usize = 128 * 1024;
 
 /// Error of a request, or of reading its answer.
@@ -163,7 +163,8 @@
     Ok(stream)
 }
 
-/// A connection that is kept open for several requests, one after the other.
+/// A connection that is kept open for several requests, one after the other. It neither limits the head of an answer
+/// nor tells whether anything was sent: it is for questions to other VMs, which may be repeated.
 #[derive(Debug)]
 pub struct KeptConnection {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -174,7 +175,7 @@
     ///
     /// # Errors
     ///
-    /// [`ClientError::Connect`].
+    /// [`ClientError::Connect`] if the HTTP library can't use the connection; nothing was sent.
     pub async fn begin(executor: &Executor, stream: TcpStream) -> Result<Self, ClientError> {
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
--- a/crates/arbutusfall/src/http/write_gate.rs
+++ b/crates/arbutusfall/src/http/write_gate.rs
@@ -14,9 +14,12 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 enum GateState {
+    /// Nothing was written yet.
     #[default]
     Unwritten,
+    /// Something was written; the gate can't be closed any more.
     Written,
+    /// Nothing was written, and writes fail.
     Closed,
 }
 
--- a/crates/arbutusfall/src/relay/fact_board.rs
+++ b/crates/arbutusfall/src/relay/fact_board.rs
@@ -78,6 +78,7 @@
     passed: Option<FactSpan>,
     /// Whether there is news that is to be read from the store.
     is_in_store: bool,
+    /// All newest records, for VMs that start.
     snapshot: FactSnapshot,
     /// Whether the reader of the topic waits for newest records of another VM.
     needs_newest: bool,
@@ -152,7 +153,7 @@
         self.state().topics[place(topic)].max_age = max_age;
     }
 
-    /// Records that all newest records of a topic were read from the store.
+    /// Replaces what is known of a topic by all its newest records, which were read from the store or passed on by another VM.
     pub(super) fn on_read_newest(
         &self,
         topic: StoreTopic,
@@ -295,7 +296,7 @@
         })
     }
 
-    /// Notes that a topic's newest records are needed; returns false if they are to be read from the store.
+    /// Records that a topic's newest records are needed; returns false if this VM reads them from the store at once.
     pub(super) fn begin_need(&self, topic: StoreTopic) -> bool {
         if self.seeks_newest {
             self.state().topics[place(topic)].needs_newest = true;
@@ -303,7 +304,8 @@
         self.seeks_newest
     }
 
-    /// Waits until another VM has passed on a topic's newest records; none if they are to be read from the store.
+    /// Waits until another VM has passed on a topic's newest records; none if the search has ended without them or the time is over, so
+    /// that they are to be read from the store.
     pub(super) async fn sought(
         &self,
         topic: StoreTopic,
@@ -329,7 +331,7 @@
         !std::mem::replace(&mut self.state().is_seeking, true)
     }
 
-    /// Returns the topics whose newest records are needed; the search ends if there are none.
+    /// Returns the topics whose newest records are needed; if there are none, records that the search has ended.
     pub(super) fn needed_topics(&self) -> Vec<StoreTopic> {
         let mut state = self.state();
         let topics = TOPICS.into_iter().zip(&state.topics);
--- a/crates/arbutusfall/src/relay/fact_server.rs
+++ b/crates/arbutusfall/src/relay/fact_server.rs
@@ -158,10 +158,11 @@
     Response::new(AnswerBody::whole(encode_facts(&answer)))
 }
 
-/// Returns news as it is passed on; the follower reads news of more than `max_bytes` from the store.
+/// Returns all newest records of a topic as they are passed on.
 fn topic_newest(newest: PassedNewest, now: Duration) -> TopicNewest {
     let records = newest.records.iter().map(|(key, value)| NewestRecord {
         key: key.clone(),
+        // A value that is no text can be read at no VM.
         value: String::from_utf8_lossy(value).into_owned(),
     });
     TopicNewest {
@@ -175,11 +176,13 @@
     }
 }
 
+/// Returns the size of keys and values.
 fn newest_bytes(newest: &PassedNewest) -> usize {
     let records = newest.records.iter();
     records.map(|(key, value)| key.len() + value.len()).sum()
 }
 
+/// Returns news as it is passed on; the follower reads news of more than `max_bytes` from the store.
 fn topic_news(facts: PassedFacts, max_bytes: usize) -> TopicNews {
     let is_in_store = record_bytes(&facts) > max_bytes;
     let from = facts.span.from;
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -135,7 +135,7 @@
         }
     }
 
-    /// Counts an event of the tasks that has no notice.
+    /// Counts an event that has no log line.
     pub(super) fn count(&self, event: &'static str, reason: &'static str) {
         lock(&self.state).count(event, reason);
     }
--- a/crates/arbutusfall/src/relay/newest_pace.rs
+++ b/crates/arbutusfall/src/relay/newest_pace.rs
@@ -1,5 +1,5 @@
-//! Limits how many newest records are passed on at a time: by the link, so that the answers in progress arrive in time and take a bounded
-//! part of the memory.
+//! Limits how many answers with all newest records are sent at a time, by the link: they must arrive in time and take a bounded part of
+//! the memory.
 
 use std::sync::Mutex;
 use std::time::Duration;
@@ -12,20 +12,22 @@
 /// Bytes a second of one Mbit/s.
 const BYTES_PER_S_PER_MBPS: f64 = 125_000.0;
 
-/// Bandwidth that is assumed if the link is not known, in Mbit/s.
+/// Bandwidth that is assumed if the link is not known, in Mbit/s: that of the narrowest links in use.
 const ASSUMED_LINK_MBPS: u32 = 10;
 
-/// Answers that are being sent take at most this time in all; one more is declined.
+/// An answer is declined if those before it take longer than this.
 const MAX_BACKLOG: Duration = Duration::from_secs(1);
 
-/// Time at which the answers that were begun have been sent.
+/// Admits answers with all newest records as fast as the link can send them.
 #[derive(Debug)]
 pub(super) struct NewestPace {
     bytes_per_s: f64,
+    /// When the admitted answers have been sent.
     free_at: Mutex<Duration>,
 }
 
 impl NewestPace {
+    /// Creates the pace of a VM with this link, if it is known.
     pub(super) fn new(link_mbps: Option<u32>) -> Self {
         let link_mbps = f64::from(link_mbps.unwrap_or(ASSUMED_LINK_MBPS));
         Self {
--- a/crates/arbutusfall/src/relay/newest_seeker.rs
+++ b/crates/arbutusfall/src/relay/newest_seeker.rs
@@ -37,7 +37,7 @@
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time in which passed records replace reads of the store, however old they are: this VM then follows another one.
+/// Least time for which passed records replace reads of the store, however old they are: meanwhile this VM begins to follow another one.
 const FOLLOW_TIME: Duration = Duration::from_secs(1);
 
 /// Why a VM passed no newest records on.
@@ -45,7 +45,7 @@
 enum SeekError {
     /// It did not answer.
     Failed(ClientError),
-    /// It answered otherwise.
+    /// It answered without records that this VM can use.
     Declined(&'static str),
 }
 
@@ -106,6 +106,7 @@
     }
 }
 
+/// Asks a VM for all newest records of topics, and hands them to the readers of the topics.
 async fn ask(
     relay: &impl RelayHandle,
     board: &FactBoard,
--- a/crates/arbutusfall/src/relay/peer_client.rs
+++ b/crates/arbutusfall/src/relay/peer_client.rs
@@ -38,11 +38,11 @@
     http::send_on(executor, stream, outgoing).await
 }
 
-/// Opens a connection to another VM, which has proved that it is one.
+/// Opens a connection to another VM within `timeout` and [`CONNECT_TIMEOUT`], and checks that it is one.
 ///
 /// # Errors
 ///
-/// [`ClientError::Connect`].
+/// [`ClientError::Connect`], also if the time is over.
 pub(super) async fn open(
     address: SocketAddr,
     timeout: Duration,
@@ -56,7 +56,7 @@
     connect.or(expire).await
 }
 
-/// Opens a connection to another VM, once that has proved that it is one.
+/// Like [`open`], but without a timeout: the caller has one of its own.
 pub(super) async fn connect(
     address: SocketAddr,
     key: RequestHashKey,
--- a/crates/arbutusfall/src/relay/peer_server.rs
+++ b/crates/arbutusfall/src/relay/peer_server.rs
@@ -26,7 +26,7 @@
 use crate::relay::peer_handshake;
 use crate::relay::quota_server;
 
-/// Maximum number of open connections of other VMs: all of them may keep one to the owner of a busy account.
+/// Maximum number of open connections of other VMs. Each of some 400 VMs may keep one to the owner of a busy account.
 const MAX_PEER_CONNECTIONS: usize = 600;
 
 /// Timeout for the handshake of a connection.
--- a/crates/arbutusfall/src/relay/quota_client.rs
+++ b/crates/arbutusfall/src/relay/quota_client.rs
@@ -42,15 +42,17 @@
     pub(super) question: QuotaQuestion,
 }
 
+/// A connection that may be used again.
 struct Kept {
     connection: KeptConnection,
     address: SocketAddr,
     used_at: Duration,
 }
 
-/// Connections that are kept, by VM.
+/// Asks other VMs about quotas; keeps one connection to each of them.
 #[derive(Default)]
 pub(super) struct QuotaClient {
+    /// By VM. A connection is not in it while a question is asked on it.
     kept: Mutex<BTreeMap<Name, Kept>>,
 }
 
@@ -85,7 +87,8 @@
         let now = relay.io().now();
         if let Some(connection) = self.take(request, now) {
             match self.ask_on(relay, connection, request).await {
-                // The other VM may have closed it at this moment.
+                // The other VM may have closed it at this moment. If it has answered before, the tokens of that answer are lost, which
+                // keeps the bound.
                 Err(ClientError::Broken) => {}
                 answer => return answer,
             }
@@ -95,6 +98,7 @@
         self.ask_on(relay, connection, request).await
     }
 
+    /// Asks on a connection, which is kept if it brought a sound answer.
     async fn ask_on(
         &self,
         relay: &impl RelayHandle,
@@ -112,12 +116,14 @@
         Ok(answer)
     }
 
+    /// Takes the connection that was kept to a VM, if it is to the same address and not too old.
     fn take(&self, request: &QuotaRequest, now: Duration) -> Option<KeptConnection> {
         let kept = lock(&self.kept).remove(&request.vm)?;
         let is_usable = kept.address == request.address && now < kept.used_at + KEEP_TIME;
         is_usable.then_some(kept.connection)
     }
 
+    /// Keeps a connection for the next question, and drops all that are too old.
     fn keep(&self, request: &QuotaRequest, connection: KeptConnection, now: Duration) {
         let mut kept = lock(&self.kept);
         kept.retain(|_, kept| now < kept.used_at + KEEP_TIME);
--- a/crates/arbutusfall/src/relay/quota_server.rs
+++ b/crates/arbutusfall/src/relay/quota_server.rs
@@ -17,6 +17,7 @@
 /// Timeout for the body of a question.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Answers a question: 400 if it can't be read, which the asking VM takes for declined.
 pub(super) async fn answer(
     driver: &Arc<Driver>,
     request: Request<Incoming>,
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -55,8 +55,8 @@
     pub caller_address: SocketAddr,
     /// Address at which the platform reads readiness and metrics.
     pub operator_address: SocketAddr,
-    /// Address for requests of other VMs, which then forward those whose endpoints they do not reach; none are taken or
-    /// forwarded without it.
+    /// Address for requests of other VMs: forwarded ones of callers, questions for facts of the store and about quotas. Without it, this
+    /// VM answers and asks none.
     #[serde(default)]
     pub peer_address: Option<SocketAddr>,
     /// Address of the platform's store.
@@ -67,10 +67,12 @@
     /// Retries to a service that all VMs together may send in 10 s besides `retry_ratio`.
     #[serde(default = "default_retry_slack")]
     pub retry_slack: f64,
-    /// Number of VMs that share `retry_slack`; half of `retry_slack` if it is not given.
+    /// Number of VMs that share `retry_slack` and, without `peer_address`, the quotas of accounts; half of `retry_slack` if it is not
+    /// given.
     #[serde(default)]
     pub vm_count: Option<u32>,
-    /// Processor share of the VM in cores; with `link_mbps`, strong VMs read the store for others of their data centre.
+    /// Processor share of the VM in cores. With `link_mbps` it is told to other VMs, so that strong VMs read the store for the others of
+    /// their data centre.
     #[serde(default)]
     pub cpu_share: Option<f64>,
     /// Bandwidth of the VM's link in Mbit/s.
@@ -79,7 +81,7 @@
     /// Lifetime of the lease whose holder is the only VM to order role changes of engines.
     #[serde(default = "default_lease_lifetime_ms")]
     pub lease_lifetime_ms: u64,
-    /// Span in which the use of a client account by all VMs together is bounded.
+    /// Span in which the use of a client account by all VMs together is bounded, in seconds; the same at all VMs.
     #[serde(default = "default_quota_window_s")]
     pub quota_window_s: f64,
     /// Tolerated excess in this span, as a share of what the account's quota allows in it; from 0 to 1.
--- a/crates/arbutusfall/src/relay/store_pages.rs
+++ b/crates/arbutusfall/src/relay/store_pages.rs
@@ -85,7 +85,7 @@
     }
 }
 
-/// Returns the size of records.
+/// Returns the size of the keys and values of records.
 pub(super) fn record_bytes(records: &[KeyedRecord]) -> usize {
     let bytes = records.iter().map(|record| {
         let value = record.value.as_ref().map_or(0, Vec::len);
@@ -94,7 +94,7 @@
     bytes.sum()
 }
 
-/// Returns a record of newest ones for the VMs that ask this one; none if it is foreign or empty.
+/// Returns a newest record as it is kept for VMs that start; none if it has no value, because it was deleted or is another writer's.
 pub(super) fn kept_record(record: &KeyedRecord) -> Option<(Name, Arc<[u8]>)> {
     let value = record.value.as_deref()?;
     Some((record.key.clone(), value.into()))
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -38,7 +38,7 @@
 /// Minimum time between the starts of a failed read and the next one; doubles up to [`ReadTiming::max_retry_interval`].
 const FIRST_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time in which each endpoint is expected to write its entry once, until tails show how much is written.
+/// Interval at which each endpoint is expected to write its entry, until tails show how much is written: the platform's interval.
 const ENTRY_INTERVAL: Duration = Duration::from_millis(1_200);
 
 /// Longest search for a VM that passes newest records on; a search ends by itself before.
@@ -56,7 +56,7 @@
     pub(super) listed: ListedEntries,
     /// Accounts of the configuration that was read last, which the next one shares as far as they do not differ.
     pub(super) accounts: AccountTable,
-    /// What reading the endpoint list on costs.
+    /// Estimate of what is written to the endpoint list, and whether the link can carry it.
     pub(super) tail_cost: TailCost,
     /// Pages of a read of newest records that failed with a later page.
     pub(super) pages: Option<NewestPages>,
@@ -424,7 +424,7 @@
         }))
     }
 
-    /// Drops the value of a record that another writer wrote.
+    /// Drops the value of a record that another writer wrote. An entry that repeats a known one is not looked at again.
     fn without_foreign_value(&self, record: KeyedRecord) -> KeyedRecord {
         if self.topic == StoreTopic::Endpoints && self.listed.repeated(&record).is_some() {
             return record;
