--- a/crates/arbutusfall/src/relay/fact_board.rs
+++ b/crates/arbutusfall/src/relay/fact_board.rs
@@ -105,6 +105,7 @@
 }
 
 impl FactBoard {
+    /// Creates a board on which nothing is known.
     pub(super) fn new(times: FactTimes, seeks_newest: bool, clock: SystemClock) -> Self {
         Self {
             state: Mutex::default(),
@@ -119,6 +120,7 @@
         lock(&self.state)
     }
 
+    /// Returns the monotonic time.
     pub(super) fn now(&self) -> Duration {
         self.clock.now().monotonic
     }
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -123,6 +123,7 @@
 }
 
 impl<H: RelayHandle> StoreWatch<H> {
+    /// Reads the topic until the process ends.
     pub(super) async fn run(mut self) {
         self.facts.set_max_age(self.topic, self.timing.max_age());
         let mut next = NextRead {
