--- a/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
+++ b/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
@@ -255,12 +255,13 @@
         self.note(notice);
         self.on_silence_in_doubt(id);
         self.release_resources(id);
+        self.end_quota_use(id);
         if let Some(call) = self.calls.remove(&id) {
             self.on_stream_end(&call.request.request_id, false);
         }
     }
 
-    /// Closes the call's exchanges and releases its allocations, its prefill result, its places in queues and its quota.
+    /// Closes the call's exchanges and releases its allocations, its prefill result and its places in queues.
     pub(in crate::relay) fn release_resources(&mut self, id: CallId) {
         self.drop_standby(id);
         let Some(call) = self.calls.get_mut(&id) else {
@@ -270,7 +271,6 @@
         if let Some(current) = &current {
             call.on_exchange_closed(current);
         }
-        let may_have_run = call.may_have_run;
         let exchange = current.map(|current| current.exchange);
         let prefill_result = call.prefill_result.take();
         self.end_exchange(id);
@@ -284,7 +284,6 @@
         if let Some(result) = prefill_result {
             self.free_prefill_result(result);
         }
-        self.end_quota_use(id, may_have_run);
     }
 
     /// Returns whether the process that has completed a prefill should still keep its result.
@@ -311,6 +310,7 @@
         }
         // Closed exchanges get no permission to write any more, so what has not been written by now never will be.
         self.release_resources(id);
+        self.end_quota_use(id);
         let Some(call) = self.calls.remove(&id) else {
             return;
         };
--- a/crates/arbutusfall_core/src/relay/load/handling.rs
+++ b/crates/arbutusfall_core/src/relay/load/handling.rs
@@ -136,6 +136,10 @@
     /// Handles the timer of a service.
     pub(in crate::relay) fn on_load_timer(&mut self, service: &Name) {
         if let Some(load) = self.load.services.get_mut(service) {
+            if load.timer_due.is_some_and(|due| due > self.now) {
+                // This timer was superseded by an earlier one.
+                return;
+            }
             load.timer_due = None;
             self.advance_load(service);
             self.send_within_load(service);
--- a/crates/arbutusfall_core/src/relay/quota/handling.rs
+++ b/crates/arbutusfall_core/src/relay/quota/handling.rs
@@ -309,11 +309,13 @@
         }
     }
 
-    /// Ends the use of a quota by a call that ends: tokens are returned if no endpoint can have run its request.
-    pub(in crate::relay) fn end_quota_use(&mut self, id: CallId, may_have_run: bool) {
+    /// Ends the use of a quota by a call that ends, once its exchanges are closed: tokens are returned if no endpoint can have run
+    /// its request.
+    pub(in crate::relay) fn end_quota_use(&mut self, id: CallId) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
+        let may_have_run = call.may_have_run;
         match std::mem::take(&mut call.quota_use) {
             QuotaUse::Waiting => self.quota.leases.remove(id),
             QuotaUse::Used { tokens, until, .. } if !may_have_run => {
@@ -336,7 +338,8 @@
             return false;
         };
         let max_delay = settings.max_send_delay(quota.per_s, quota.burst);
-        let is_unsent = !self.may_have_run && self.allocation.is_none() && self.prefills == 0;
+        let is_unsent =
+            !self.may_run_elsewhere() && self.allocation.is_none() && self.prefills == 0;
         is_unsent && now.saturating_sub(*used_at) > max_delay
     }
 
--- a/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
@@ -75,6 +75,7 @@
         let is_untouched = !call.may_have_run && call.standby.is_none();
         if is_untouched {
             self.release_resources(id);
+            self.end_quota_use(id);
             if let Some(call) = self.calls.remove(&id) {
                 self.decline(&call.request, "unreachable");
             }
