--- a/crates/arbutusfall/src/http/write_gate.rs
+++ b/crates/arbutusfall/src/http/write_gate.rs
@@ -99,7 +99,7 @@
         (stream, gate)
     }
 
-    // Guards against a request that is written after its caller was told that it has not run.
+    // Guards against a request that is written after its caller got the answer that it has not run.
     #[test]
     fn connection_closed_for_writing_takes_no_byte() {
         let (mut stream, gate) = gated();
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -71,7 +71,7 @@
     /// given.
     #[serde(default)]
     pub vm_count: Option<u32>,
-    /// Processor share of the VM in cores. With `link_mbps` it is told to other VMs, so that strong VMs read the store for the others of
+    /// Processor share of the VM in cores. With `link_mbps` it is published to other VMs, so that strong VMs read the store for the others of
     /// their data centre.
     #[serde(default)]
     pub cpu_share: Option<f64>,
@@ -195,7 +195,7 @@
         }
     }
 
-    /// Returns what other VMs are told of this VM's processor and link.
+    /// Returns what this VM publishes of its own processor and link.
     pub fn strength(&self) -> VmStrength {
         VmStrength {
             cpu_milli: self.cpu_share.map(|share| (share * 1_000.0).round() as u32),
--- a/crates/arbutusfall/tests/it/relay_settings.rs
+++ b/crates/arbutusfall/tests/it/relay_settings.rs
@@ -145,7 +145,7 @@
     assert!(limits.per_body_bytes * 4 <= limits.total_bytes);
 }
 
-// Guards against a VM whose strength is told to others in another unit, or not at all.
+// Guards against a VM whose strength is published in another unit, or not at all.
 #[test]
 fn strength_of_the_vm_follows_from_its_settings() {
     assert_eq!(settings(2_000, 3_000).strength(), VmStrength::default());
--- a/crates/arbutusfall_core/src/relay/accounts/authentication.rs
+++ b/crates/arbutusfall_core/src/relay/accounts/authentication.rs
@@ -34,7 +34,7 @@
 pub(crate) struct ServedFor {
     /// Account; none on anonymous routes, or if the configuration has no accounts.
     pub(crate) account: Option<Arc<ClientAccount>>,
-    /// What endpoints are told of the account.
+    /// What is sent to endpoints of the account.
     pub(crate) sent: SentAccount,
 }
 
