Quotas, facts: owners soon after a restart of all VMs, long news in parts

When 3,000 endpoints are listed within seconds, their news exceeds what a VM passes on in one answer, so all followers read it from the store at the same instant; all reads time out, those of the followed VMs too, for some ten seconds. After a restart of all VMs the electors of a quota's owner give no votes until a second after the list of VMs has settled, and any record of a restarted VM counted as a change of it; requests got 429 meanwhile, with Retry-After of up to 9 s.

Change: news beyond the limit is passed on in parts (`has_more`). A list with the same VMs is no change. A VM that was listed before it started gives votes half a second after it has read the list, when the votes of its earlier process have lapsed; the time for which no other VM held its vote no longer includes those. While VMs answer but none owns the account, requests wait for an owner for up to 1 s, and are refused with a Retry-After of about 1 s.

--- a/crates/arbutusfall/src/relay/fact_board.rs
+++ b/crates/arbutusfall/src/relay/fact_board.rs
@@ -91,9 +91,12 @@
 pub(super) struct PassedFacts {
     pub(super) topic: StoreTopic,
     pub(super) span: FactSpan,
+    /// Time since the store was asked for this; not known if there is more.
     pub(super) age: Duration,
     /// Whether there is more, which is to be read from the store.
     pub(super) is_in_store: bool,
+    /// Whether there is more, which is to be asked for next.
+    pub(super) has_more: bool,
 }
 
 fn place(topic: StoreTopic) -> usize {
@@ -207,7 +210,13 @@
         for passed in facts {
             let known = &mut state.topics[place(passed.topic)];
             known.is_in_store = passed.is_in_store;
-            known.on_passed(passed.span, now.saturating_sub(passed.age));
+            // Until the last part has come, what is known is as old as before.
+            let as_of = if passed.has_more {
+                known.as_of
+            } else {
+                now.saturating_sub(passed.age)
+            };
+            known.on_passed(passed.span, as_of);
         }
         state.fresh_until = Some(fresh_until);
         state.waiters.wake_all();
@@ -281,6 +290,7 @@
             span,
             age,
             is_in_store: false,
+            has_more: false,
         })
     }
 
--- a/crates/arbutusfall/src/relay/fact_follower.rs
+++ b/crates/arbutusfall/src/relay/fact_follower.rs
@@ -99,11 +99,7 @@
     let answered_at = sent_at + Duration::from_millis(answer.waited_ms).min(longest_wait);
     let elapsed = board.now().saturating_sub(answered_at);
     let facts = parse_answer(answer, elapsed).ok_or(FollowError::Declined("malformed answer"))?;
-    let list = facts.iter().find(|f| f.topic == StoreTopic::Endpoints);
-    let list_age = list.map_or(Duration::MAX, |list| list.age);
-    let fresh_until = board
-        .times
-        .fresh_until(board.now().saturating_sub(list_age));
+    let fresh_until = fresh_until(board, &facts);
     // Otherwise this VM has read the store meanwhile, and the next question begins where it is now.
     if board.on_passed(facts, fresh_until) {
         board.in_store_read(IN_STORE_TIMEOUT).await;
@@ -111,6 +107,18 @@
     Ok(())
 }
 
+/// Returns until when facts replace reads of the store: the endpoint list is the topic that must be newest.
+fn fresh_until(board: &FactBoard, facts: &[PassedFacts]) -> Duration {
+    let now = board.now();
+    let list = facts.iter().find(|f| f.topic == StoreTopic::Endpoints);
+    if list.is_some_and(|list| list.has_more) {
+        let as_of = board.as_of(StoreTopic::Endpoints);
+        return board.times.fresh_until_next_part(as_of, now);
+    }
+    let list_age = list.map_or(Duration::MAX, |list| list.age);
+    board.times.fresh_until(now.saturating_sub(list_age))
+}
+
 fn question(positions: [FactPosition; 3], wait: Duration) -> FactsQuestion {
     let positions = TOPICS.into_iter().zip(positions);
     let positions = positions.map(|(topic, position)| TopicPosition {
@@ -201,6 +209,7 @@
         span,
         age,
         is_in_store: news.is_in_store,
+        has_more: news.has_more,
     })
 }
 
--- a/crates/arbutusfall/src/relay/fact_server.rs
+++ b/crates/arbutusfall/src/relay/fact_server.rs
@@ -15,6 +15,7 @@
 use arbutusfall_wire::TopicNewest;
 use arbutusfall_wire::TopicNews;
 use arbutusfall_wire::TopicPosition;
+use arbutusfall_wire::UNKNOWN_AGE_MS;
 use arbutusfall_wire::decode_facts;
 use arbutusfall_wire::encode_facts;
 use hyper::Request;
@@ -182,11 +183,13 @@
     records.map(|(key, value)| key.len() + value.len()).sum()
 }
 
-/// Returns news as it is passed on; the follower reads news of more than `max_bytes` from the store.
-fn topic_news(facts: PassedFacts, max_bytes: usize) -> TopicNews {
-    let is_in_store = record_bytes(&facts) > max_bytes;
+/// Returns news as it is passed on: the first part of news of more than `max_bytes`. The follower reads a record that is longer by
+/// itself from the store.
+fn topic_news(mut facts: PassedFacts, max_bytes: usize) -> TopicNews {
     let from = facts.span.from;
-    let passed = facts.span.records.iter().filter(|_| !is_in_store);
+    let first = facts.span.records.first();
+    let is_in_store = first.is_some_and(|first| first.bytes() > max_bytes);
+    let has_more = facts.span.truncate(max_bytes) && !is_in_store;
     TopicNews {
         from: TopicPosition {
             topic: facts.topic.name().into(),
@@ -198,21 +201,17 @@
         } else {
             facts.span.next
         },
-        age_ms: millis(facts.age),
-        records: passed.map(passed_record).collect(),
+        age_ms: if has_more {
+            UNKNOWN_AGE_MS
+        } else {
+            millis(facts.age)
+        },
+        records: facts.span.records.iter().map(passed_record).collect(),
         is_in_store,
+        has_more,
     }
 }
 
-fn record_bytes(facts: &PassedFacts) -> usize {
-    let records = facts.span.records.iter();
-    let bytes = records.map(|record| {
-        let value = record.value.as_ref().map_or(0, |value| value.len());
-        record.key.len() + value
-    });
-    bytes.sum()
-}
-
 fn passed_record(record: &FactRecord) -> PassedRecord {
     let value = record.value.as_ref();
     PassedRecord {
--- a/crates/arbutusfall_core/src/relay/facts/log.rs
+++ b/crates/arbutusfall_core/src/relay/facts/log.rs
@@ -30,6 +30,14 @@
     pub value: Option<Arc<[u8]>>,
 }
 
+impl FactRecord {
+    /// Returns the size of key and value.
+    pub fn bytes(&self) -> usize {
+        let value = self.value.as_ref().map_or(0, |value| value.len());
+        self.key.len() + value
+    }
+}
+
 /// Records between two positions; of each key, the newest one only.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FactSpan {
@@ -41,6 +49,29 @@
     pub records: Vec<FactRecord>,
 }
 
+impl FactSpan {
+    /// Keeps the first records that fit into `max_bytes`, keys and values counted; the span then ends before the first of the others.
+    /// Returns whether there are others.
+    pub fn truncate(&mut self, max_bytes: usize) -> bool {
+        let mut bytes = 0;
+        let mut fits = |record: &FactRecord| {
+            bytes += record.bytes();
+            bytes <= max_bytes
+        };
+        let count = self
+            .records
+            .iter()
+            .take_while(|record| fits(record))
+            .count();
+        let Some(left_out) = self.records.get(count) else {
+            return false;
+        };
+        self.next = left_out.offset;
+        self.records.truncate(count);
+        true
+    }
+}
+
 /// Newest records of a topic by offset.
 ///
 /// Invariant: it has the newest record of each key that was written from `floor` to before `end`, except for records that say
--- a/crates/arbutusfall_core/src/relay/facts/times.rs
+++ b/crates/arbutusfall_core/src/relay/facts/times.rs
@@ -14,6 +14,9 @@
 /// [`ANSWER_SLACK`].
 const READ_ALLOWANCE: Duration = Duration::from_millis(300);
 
+/// Time in which the next part of news must come that are passed on in parts.
+const NEXT_PART_TIME: Duration = Duration::from_secs(1);
+
 /// A question that waits for news at the followed VM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WaitingQuestion {
@@ -64,4 +67,11 @@
     pub fn fresh_until(&self, as_of: Duration) -> Duration {
         as_of + self.answer_timeout(self.wait, 1.0)
     }
+
+    /// Returns until when facts that were read at `as_of` replace reads of the store after a part of newer ones has come at `now`. Parts may
+    /// take twice as long as facts are fresh: many VMs that read the store at the same time would take longer.
+    pub fn fresh_until_next_part(&self, as_of: Duration, now: Duration) -> Duration {
+        let most = as_of + 2 * self.answer_timeout(self.wait, 1.0);
+        self.fresh_until(as_of).max(most.min(now + NEXT_PART_TIME))
+    }
 }
--- a/crates/arbutusfall_core/src/relay/quota/electors.rs
+++ b/crates/arbutusfall_core/src/relay/quota/electors.rs
@@ -14,10 +14,14 @@
 /// lost is replaced after it.
 pub(super) const VOTE_LIFETIME: Duration = Duration::from_millis(500);
 
-/// Time after the list of VMs is known in which a VM gives no votes: an earlier process of the VM may have given some, and VMs that
-/// start together don't know each other yet.
+/// Time after the list of VMs is known in which a VM that was not listed before gives no votes: VMs that start for the first time
+/// together don't know each other yet.
 const START_ABSTENTION: Duration = Duration::from_millis(1_000);
 
+/// Time after the list of VMs is known in which a VM that has run before gives no votes: those that its earlier process gave lapse in
+/// it. The list has not changed by its restart.
+const RESTART_ABSTENTION: Duration = VOTE_LIFETIME;
+
 /// Time after the list of VMs is first known in which a change of it begins the abstention anew.
 const SETTLING_TIME: Duration = Duration::from_secs(5);
 
@@ -70,18 +74,28 @@
     listed_at: Option<Duration>,
     /// Since when this VM knows of all votes that it has given.
     remembers_since: Option<Duration>,
+    /// Time from then on in which it gives none.
+    abstention: Duration,
     votes: FastMap<Name, GivenVote>,
     /// Number of votes that were left after the last search for lapsed ones.
     swept_at: usize,
 }
 
 impl GivenVotes {
-    /// Begins to give votes some time after the list of VMs is known and has settled.
-    pub(super) fn on_list(&mut self, now: Duration) {
+    /// Begins to give votes some time after the list of VMs is first known and has settled; `has_run_before` if an earlier process of
+    /// this VM is listed.
+    pub(super) fn on_list(&mut self, has_run_before: bool, now: Duration) {
+        let is_first = self.listed_at.is_none();
         let listed_at = *self.listed_at.get_or_insert(now);
-        if now < listed_at + SETTLING_TIME {
-            self.remembers_since = Some(now);
+        if now >= listed_at + SETTLING_TIME {
+            return;
         }
+        self.remembers_since = Some(now);
+        self.abstention = if is_first && has_run_before {
+            RESTART_ABSTENTION
+        } else {
+            START_ABSTENTION
+        };
     }
 
     /// Gives a vote unless another candidate has it.
@@ -93,7 +107,7 @@
         let Some(since) = self.remembers_since else {
             return refused;
         };
-        if now < since + START_ABSTENTION {
+        if now < since + self.abstention {
             return refused;
         }
         let known = self.votes.get(account);
@@ -103,7 +117,8 @@
         let others_until = match known {
             Some(vote) if vote.to == *candidate => vote.others_until,
             Some(vote) => vote.until,
-            None => since.max(now.saturating_sub(MEMORY)),
+            // A vote of the earlier process may have been valid until then.
+            None => (since + VOTE_LIFETIME).max(now.saturating_sub(MEMORY)),
         };
         let vote = GivenVote {
             to: candidate.clone(),
--- a/crates/arbutusfall_core/src/relay/quota/handling.rs
+++ b/crates/arbutusfall_core/src/relay/quota/handling.rs
@@ -155,13 +155,15 @@
         self.quota.is_list_stale = false;
         let own = self.own_address.as_ref();
         let own = own.map_or_else(|| Name::from("this"), |(vm, _)| vm.clone());
+        // This VM's record is only appended once the list has been read.
+        let has_run_before = self.peers.get(&own).is_some();
         let mut vms = vec![own.clone()];
         if self.own_address.is_some() {
             let others = self.peers.iter().map(|(vm, _)| vm);
             vms.extend(others.filter(|vm| **vm != own).cloned());
         }
         vms.sort_unstable();
-        self.quota.owner.set_vms(&vms, self.now);
+        self.quota.owner.set_vms(&vms, has_run_before, self.now);
         self.quota.leases.set_vms(&vms);
     }
 
--- a/crates/arbutusfall_core/src/relay/quota/leases.rs
+++ b/crates/arbutusfall_core/src/relay/quota/leases.rs
@@ -27,6 +27,10 @@
 /// Longest time for which a request waits for tokens.
 const MAX_WAIT: Duration = Duration::from_millis(150);
 
+/// Longest time for which a request waits for tokens while an owner is expected: a late answer is better for its caller than a
+/// refusal, and an owner is found within this time unless VMs are lost.
+const MAX_OWNER_WAIT: Duration = Duration::from_secs(1);
+
 /// Number of VMs that are asked before a VM counts as cut off from all owners.
 const CANDIDATES: usize = 6;
 
@@ -85,6 +89,9 @@
 
     /// Takes over the list of all VMs, this one included.
     pub fn set_vms(&mut self, vms: &[Name]) {
+        if self.vms == vms {
+            return;
+        }
         self.vms = vms.to_vec();
         self.list_version += 1;
         self.links.retain(|vm| vms.contains(vm));
@@ -126,7 +133,13 @@
             self.counts.refused += 1;
             return QuotaAdmission::Refused { retry_after };
         }
-        leases.waiting.push_back(WaitingCall { call, cost, until });
+        leases.waiting.push_back(WaitingCall {
+            call,
+            cost,
+            arrived_at: now,
+            until,
+            owner_until: (now + MAX_OWNER_WAIT).min(due_at),
+        });
         self.account_by_call.insert(call, account.clone());
         self.pending.insert(account.clone());
         QuotaAdmission::Waits
@@ -204,22 +217,24 @@
         };
         leases.is_asked = false;
         leases.ask_at = now;
+        if grant.is_some_and(|grant| grant.is_of_owner()) {
+            leases.on_owner(now);
+        } else {
+            leases.on_no_owner(grant.is_some() && *vm != self.vm, now);
+        }
         let Some(grant) = grant.filter(|grant| !grant.is_declined) else {
             leases.owner.take_if(|(owner, _)| owner == vm);
             leases.declined.retain(|(_, until)| now < *until);
             leases.declined.push((vm.clone(), now + DECLINED_BACKOFF));
-            leases.is_owner_known = false;
             return;
         };
         if grant.is_pending {
             leases.ask_at = now + MIN_ASK_INTERVAL;
-            leases.is_owner_known = false;
             return;
         }
         if leases.owner.as_ref().is_none_or(|(owner, _)| owner != vm) {
             leases.owner = Some((vm.clone(), now + OWNER_MEMORY));
         }
-        leases.is_owner_known = true;
         let lifetime = Duration::from_millis(grant.lifetime_ms);
         let lifetime = lifetime.min(self.settings.lease_lifetime());
         let granted = grant.granted.clamp(0.0, f64::MAX);
@@ -270,7 +285,7 @@
                 break;
             }
             let Some((rank, vm)) = self.candidate(account, now) else {
-                self.decide_without_owner(account, output, now);
+                self.on_no_candidate(account, output, now);
                 break;
             };
             let ask = self.ask(account, rank);
@@ -314,26 +329,38 @@
         let refused_until = leases.refused_until;
         let is_owner_known = leases.is_owner_known;
         let is_over = |waiting: &WaitingCall| {
-            waiting.until <= now || (is_owner_known && waiting.until <= refused_until)
+            if is_owner_known {
+                leases.wait_until(waiting) <= refused_until.max(now)
+            } else {
+                waiting.until <= now
+            }
         };
         let over: Vec<WaitingCall> = leases.waiting.iter().copied().filter(is_over).collect();
-        leases.waiting.retain(|waiting| !is_over(waiting));
         for waiting in over {
             self.decide(account, waiting, !is_owner_known, output, now);
         }
     }
 
-    /// Decides on all waiting requests of an account for which no VM can be asked.
-    fn decide_without_owner(&mut self, account: &Name, output: &mut QuotaOutput, now: Duration) {
-        let leases = self.accounts.get_mut(account);
-        let waiting = leases.map(|leases| std::mem::take(&mut leases.waiting));
-        for waiting in waiting.unwrap_or_default() {
+    /// Handles an account for which no VM can be asked now: its requests wait on if an owner is expected.
+    fn on_no_candidate(&mut self, account: &Name, output: &mut QuotaOutput, now: Duration) {
+        let Some(leases) = self.accounts.get_mut(account) else {
+            return;
+        };
+        let asked_again = leases.declined.iter().map(|(_, until)| *until);
+        if let Some(ask_at) = asked_again.filter(|until| now < *until).min()
+            && leases.expects_owner(now)
+        {
+            leases.ask_at = ask_at;
+            return;
+        }
+        let waiting: Vec<WaitingCall> = leases.waiting.iter().copied().collect();
+        for waiting in waiting {
             self.decide(account, waiting, true, output, now);
         }
     }
 
-    /// Ends the wait of a request for which there are no leased tokens. `may_use_emergency` is false if an owner is known: its
-    /// refusal must not be bypassed.
+    /// Ends the wait of a request for which there are no leased tokens, unless it may wait on for an owner that is expected.
+    /// `may_use_emergency` is false if an owner is known: its refusal must not be bypassed.
     fn decide(
         &mut self,
         account: &Name,
@@ -342,7 +369,6 @@
         output: &mut QuotaOutput,
         now: Duration,
     ) {
-        self.account_by_call.remove(&waiting.call);
         let vm_count = self.vms.len().max(self.min_vm_count);
         let Some(leases) = self.accounts.get_mut(account) else {
             return;
@@ -358,6 +384,12 @@
         } else {
             Err(leases.refused_until.saturating_sub(now))
         };
+        let expects_owner = may_use_emergency && leases.expects_owner(now);
+        if expects_owner && least.is_err() && now < waiting.owner_until {
+            return;
+        }
+        leases.waiting.retain(|other| other.call != waiting.call);
+        self.account_by_call.remove(&waiting.call);
         let admission = match least {
             Ok(()) => {
                 self.counts.emergency += 1;
@@ -366,6 +398,12 @@
             }
             Err(least) => {
                 self.counts.refused += 1;
+                // Once there is an owner, the request is not bound to the rate of VMs without one.
+                let least = if expects_owner {
+                    least.min(MAX_OWNER_WAIT)
+                } else {
+                    least
+                };
                 let retry_after = leases.retry_schedule.next(least, now, &mut self.rng);
                 QuotaAdmission::Refused { retry_after }
             }
@@ -446,7 +484,8 @@
         let pending = pending.filter_map(|account| self.accounts.get(account));
         let dues = pending.flat_map(|leases| {
             let ask_at = (!leases.is_asked).then_some(leases.ask_at);
-            let waits = leases.waiting.iter().map(|waiting| waiting.until);
+            let waits = leases.waiting.iter();
+            let waits = waits.flat_map(|waiting| [waiting.until, waiting.owner_until]);
             ask_at.into_iter().chain(waits)
         });
         let dues = dues.chain(owner.next_vote_at(now));
--- a/crates/arbutusfall_core/src/relay/quota/owner.rs
+++ b/crates/arbutusfall_core/src/relay/quota/owner.rs
@@ -91,13 +91,17 @@
         }
     }
 
-    /// Takes over the list of all VMs, this one included.
-    pub fn set_vms(&mut self, vms: &[Name], now: Duration) {
+    /// Takes over the list of all VMs, this one included; `has_run_before` if an earlier process of this VM is listed.
+    pub fn set_vms(&mut self, vms: &[Name], has_run_before: bool, now: Duration) {
+        if self.vms == vms {
+            // A VM that starts again changes its record, but the electors stay.
+            return;
+        }
         self.vms = vms.to_vec();
         self.failed.retain(|vm, _| vms.contains(vm));
         self.probed.retain(|vm, _| vms.contains(vm));
         self.list_version += 1;
-        self.given.on_list(now);
+        self.given.on_list(has_run_before, now);
     }
 
     /// Returns the number that distinguishes this process from earlier ones of the VM.
--- a/crates/arbutusfall_core/src/relay/quota/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/quota/waiting.rs
@@ -13,6 +13,9 @@
 /// Time constant of the exponential decay of the demand.
 const DEMAND_DECAY_TIME: Duration = Duration::from_secs(2);
 
+/// Time after the newest answer of a VM that does not own the account for which an owner is expected: VMs are asked several times in it.
+const OWNER_EXPECTED_TIME: Duration = Duration::from_millis(500);
+
 /// Tolerance for sums of fractions, in units of the quota.
 const TOLERANCE: f64 = 1e-6;
 
@@ -28,8 +31,11 @@
 pub(super) struct WaitingCall {
     pub(super) call: CallId,
     pub(super) cost: f64,
-    /// When it is refused at the latest.
+    pub(super) arrived_at: Duration,
+    /// When it is refused at the latest if an owner was known on its arrival or none is expected.
     pub(super) until: Duration,
+    /// When it is refused at the latest otherwise.
+    pub(super) owner_until: Duration,
 }
 
 /// Requests of late, each weighted by exp(-age / [`DEMAND_DECAY_TIME`]).
@@ -70,6 +76,10 @@
     pub(super) refused_until: Duration,
     /// Whether the newest answer came from an owner.
     pub(super) is_owner_known: bool,
+    /// Since when an owner is known, or was last.
+    owner_since: Duration,
+    /// When another VM last answered that it does not own the account; none since an owner answered.
+    unowned_at: Option<Duration>,
     /// Earliest instant of the next question.
     pub(super) ask_at: Duration,
     /// Whether a question is in progress.
@@ -95,6 +105,8 @@
             demand: Demand::default(),
             refused_until: Duration::ZERO,
             is_owner_known: false,
+            owner_since: Duration::ZERO,
+            unowned_at: None,
             ask_at: Duration::ZERO,
             is_asked: false,
             declined: Vec::new(),
@@ -110,6 +122,37 @@
         self.used_at = now;
     }
 
+    /// Records that the owner has answered.
+    pub(super) fn on_owner(&mut self, now: Duration) {
+        if !std::mem::replace(&mut self.is_owner_known, true) {
+            self.owner_since = now;
+        }
+        self.unowned_at = None;
+    }
+
+    /// Records that a VM does not own the account, or has not answered.
+    pub(super) fn on_no_owner(&mut self, has_answered: bool, now: Duration) {
+        self.is_owner_known = false;
+        if has_answered {
+            self.unowned_at = Some(now);
+        }
+    }
+
+    /// Returns when a waiting request is refused at the latest now that the owner is known.
+    pub(super) fn wait_until(&self, waiting: &WaitingCall) -> Duration {
+        if waiting.arrived_at < self.owner_since {
+            waiting.owner_until
+        } else {
+            waiting.until
+        }
+    }
+
+    /// Returns whether an owner is expected soon: VMs answer, and none of them owns the account.
+    pub(super) fn expects_owner(&self, now: Duration) -> bool {
+        self.unowned_at
+            .is_some_and(|at| now < at + OWNER_EXPECTED_TIME)
+    }
+
     /// Returns the tokens of the waiting requests.
     pub(super) fn needed(&self) -> f64 {
         self.waiting.iter().map(|waiting| waiting.cost).sum()
--- a/crates/arbutusfall_core/tests/it/relay_facts.rs
+++ b/crates/arbutusfall_core/tests/it/relay_facts.rs
@@ -7,6 +7,7 @@
 use arbutusfall_core::relay::FactRecord;
 use arbutusfall_core::relay::FactSource;
 use arbutusfall_core::relay::FactSpan;
+use arbutusfall_core::relay::FactTimes;
 use arbutusfall_core::relay::FollowOutcome;
 use arbutusfall_core::relay::NextFacts;
 use arbutusfall_core::relay::PeerAddress;
@@ -227,6 +228,42 @@
     span.records.iter().map(|record| record.offset.0).collect()
 }
 
+// Guards against records that a follower misses between two parts, and against a part without any record.
+#[test]
+fn parts_of_a_span_make_up_the_whole() {
+    let mut log = FactLog::default();
+    log.restart(position(10, 1));
+    let records = [(11, "a"), (14, "b"), (15, "a"), (17, "c"), (18, "d")];
+    log.append(span(position(10, 1), 20, &records));
+    for max_bytes in [5, 9, 10, 1_000] {
+        let (mut from, mut passed) = (position(10, 1), Vec::new());
+        loop {
+            let mut part = log.since(from).expect("it is known");
+            let has_more = part.truncate(max_bytes);
+            assert!(!part.records.is_empty(), "{max_bytes}");
+            passed.extend(offsets(&part));
+            from.offset = part.next;
+            if !has_more {
+                break;
+            }
+        }
+        assert_eq!(passed, [14, 15, 17, 18], "{max_bytes}");
+        assert_eq!(from.offset, Offset(20), "{max_bytes}");
+    }
+}
+
+// Guards against followers that read the store between two parts, and against parts that replace its reads for ever.
+#[test]
+fn parts_replace_reads_of_the_store_for_a_limited_time() {
+    let times = FactTimes { wait: ms(2_200) };
+    let fresh_until = times.fresh_until(ms(1_000));
+    assert_eq!(fresh_until, ms(3_800));
+    let until = |now_ms| times.fresh_until_next_part(ms(1_000), ms(now_ms));
+    assert_eq!(until(1_500), fresh_until);
+    assert_eq!(until(3_500), ms(4_500));
+    assert_eq!(until(9_000), ms(6_600));
+}
+
 // Guards against records that a follower misses because it has read a part of a span itself, and against old ones.
 #[test]
 fn follower_gets_the_newest_record_of_each_key_after_its_position() {
--- a/crates/arbutusfall_core/tests/it/relay_quota_fleet.rs
+++ b/crates/arbutusfall_core/tests/it/relay_quota_fleet.rs
@@ -136,7 +136,7 @@
     fn hand_on_list(&mut self) {
         let names: Vec<Name> = self.vms.iter().map(|vm| vm.name.clone()).collect();
         for vm in &mut self.vms {
-            vm.owner.set_vms(&names, self.now);
+            vm.owner.set_vms(&names, false, self.now);
             vm.leases.set_vms(&names);
         }
     }
@@ -414,12 +414,9 @@
         match action {
             Action::Kill(vm) => self.vms[vm].is_alive = false,
             Action::Restart(vm) => {
-                let restarted = self.new_vm(vm, self.vms.len());
-                self.vms[vm] = restarted;
-                let names: Vec<Name> = self.vms.iter().map(|vm| vm.name.clone()).collect();
-                self.vms[vm].owner.set_vms(&names, self.now);
-                self.vms[vm].leases.set_vms(&names);
+                self.restart(vm);
             }
+            Action::RestartAll => (0..self.vms.len()).for_each(|vm| self.restart(vm)),
             Action::Freeze(vm, time) => {
                 self.vms[vm].frozen_until = self.now + time;
                 let thawed_at = self.now + time;
@@ -455,6 +452,15 @@
         }
     }
 
+    /// Replaces the process of a VM; the list has the VM already.
+    fn restart(&mut self, vm: usize) {
+        let mut restarted = self.new_vm(vm, self.vms.len());
+        let names: Vec<Name> = self.vms.iter().map(|vm| vm.name.clone()).collect();
+        restarted.owner.set_vms(&names, true, self.now);
+        restarted.leases.set_vms(&names);
+        self.vms[vm] = restarted;
+    }
+
     /// Returns the VM that owns an account now.
     pub(crate) fn owner_of(&self, account: usize) -> usize {
         let name = &self.accounts[account].name;
--- a/crates/arbutusfall_core/tests/it/relay_quota_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/relay_quota_simulation.rs
@@ -227,6 +227,14 @@
     check_refused_at_most(&fleet, 3);
 }
 
+/// Guards against requests that are refused until restarted VMs vote again, and against tokens of the earlier processes.
+#[test]
+fn vms_that_all_restart_at_once_refuse_hardly_any_request() {
+    check("all restarted", |fleet| {
+        fleet.act_at(s(20), Action::RestartAll)
+    });
+}
+
 /// Guards against two owners, one on each side: the bound holds for both sides together.
 #[test]
 fn two_halves_keep_the_bound_together() {
--- a/crates/arbutusfall_core/tests/it/relay_quota_use.rs
+++ b/crates/arbutusfall_core/tests/it/relay_quota_use.rs
@@ -21,6 +21,7 @@
 pub(crate) enum Action {
     Kill(usize),
     Restart(usize),
+    RestartAll,
     Freeze(usize, Duration),
     /// These VMs and the others don't reach each other.
     Split(Vec<usize>),
--- a/crates/arbutusfall_wire/src/facts.rs
+++ b/crates/arbutusfall_wire/src/facts.rs
@@ -108,8 +108,15 @@
     /// Whether there is more than is passed on: the asking VM reads it from the store.
     #[serde(default)]
     pub is_in_store: bool,
+    /// Whether this is the first part of the news only: the asking VM asks again from `next` on. [`Self::age_ms`] is
+    /// [`UNKNOWN_AGE_MS`] then.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub has_more: bool,
 }
 
+/// Age of news of which only a part is passed on: older builds, which don't know parts, then read the store.
+pub const UNKNOWN_AGE_MS: u64 = u64::MAX;
+
 /// A record of a topic.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PassedRecord {
@@ -139,3 +146,7 @@
     }
     serde_json::from_slice(bytes).map_err(|error| FactsError::Malformed(error.column()))
 }
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
--- a/crates/arbutusfall_wire/src/lib.rs
+++ b/crates/arbutusfall_wire/src/lib.rs
@@ -36,6 +36,7 @@
 pub use facts::TopicNewest;
 pub use facts::TopicNews;
 pub use facts::TopicPosition;
+pub use facts::UNKNOWN_AGE_MS;
 pub use facts::decode_facts;
 pub use facts::encode_facts;
 pub use hash::FastMap;
--- a/crates/arbutusfall_wire/src/quota.rs
+++ b/crates/arbutusfall_wire/src/quota.rs
@@ -70,6 +70,13 @@
     pub is_pending: bool,
 }
 
+impl QuotaGrant {
+    /// Returns whether the VM owns the account.
+    pub fn is_of_owner(&self) -> bool {
+        !self.is_declined && !self.is_pending
+    }
+}
+
 /// Answer to a request for a vote.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct QuotaVote {
--- a/crates/arbutusfall_wire/tests/it/facts.rs
+++ b/crates/arbutusfall_wire/tests/it/facts.rs
@@ -24,6 +24,7 @@
             age_ms: 3,
             records: vec![record],
             is_in_store: false,
+            has_more: false,
         }],
         newest: Vec::new(),
     }
