Relay: a copy of the relay explains where a request would be routed

Cause: operators can see what became of a request, but not what this VM would do with the next one, and why. Change: Relay::explain lets a clone decide by the code of a real request and reads off the decision, the candidates with what excludes them, the queue and the quota. The predicates that exclude endpoints are methods of EndpointQuery, which selection and explanation share; accepting a request is apart from beginning it.

--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -15,6 +15,7 @@
 mod effect;
 mod endpoints;
 mod event;
+mod explain;
 mod facts;
 mod limits;
 mod load;
@@ -79,12 +80,14 @@
 pub use endpoints::list::LIST_RECOVERY_GRACE;
 pub use endpoints::run_status::RunAnswer;
 pub use event::*;
+pub use explain::*;
 pub use facts::*;
 pub use limits::limit_handling::LimitStatus;
 pub use load::load_state::LoadCounts;
 pub use load::load_state::LoadStatus;
 pub use notice::RelayNotice;
 pub use quota::*;
+pub use sending::exclusion::Exclusion;
 pub use sending::send_permission::SendPermission;
 pub use sharing::shared_record::*;
 
@@ -157,7 +160,7 @@
 }
 
 /// State of one VM's relay: its calls in progress and its view of the endpoints.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Relay {
     /// Newest configuration; none until the first is read.
     routes: Option<Arc<RouteTable>>,
--- a/crates/arbutusfall_core/src/relay/accounts/table.rs
+++ b/crates/arbutusfall_core/src/relay/accounts/table.rs
@@ -65,6 +65,11 @@
         entry.is_some_and(|entry| !entry.keys.is_empty())
     }
 
+    /// Returns the digest of one of the account's keys; none if it has none, or if there is no such account.
+    pub(crate) fn any_key(&self, name: &Name) -> Option<ApiKey> {
+        self.by_name.get(name)?.keys.first().copied()
+    }
+
     /// Returns the number of accounts.
     pub fn len(&self) -> usize {
         self.by_name.size()
--- a/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
+++ b/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
@@ -57,25 +57,32 @@
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 impl Relay {
-    pub(in crate::relay) fn on_request(&mut self, mut request: RelayRequest) {
+    pub(in crate::relay) fn on_request(&mut self, request: RelayRequest) {
+        if let Some(id) = self.accept_request(request) {
+            self.begin_within_quota(id);
+        }
+    }
+
+    /// Makes a call of a request; returns none if the request was refused instead.
+    pub(in crate::relay) fn accept_request(&mut self, mut request: RelayRequest) -> Option<CallId> {
         let reason = request.hop.as_ref();
         if let Some(reason) = reason.and_then(|hop| self.reason_to_decline(hop)) {
             self.decline(&request, reason);
-            return;
+            return None;
         }
         let Some(routes) = self.routes.clone() else {
             self.refuse_unrouted(&request, ProblemKind::Unavailable);
-            return;
+            return None;
         };
         let Some(route) = routes.find(&request.host, &request.path) else {
             self.refuse_unrouted(&request, ProblemKind::NoRoute);
-            return;
+            return None;
         };
         let served_for = match routes.authenticate(&request, route) {
             Ok(served_for) => served_for,
             Err(reason) => {
                 self.refuse_unauthorized(&request, reason);
-                return;
+                return None;
             }
         };
         request.request_keys.set_caller(&served_for.sent);
@@ -105,10 +112,10 @@
         self.calls.insert(id, call);
         if due_at <= self.now {
             self.fail_call(id, TIMEOUT);
-            return;
+            return None;
         }
         self.timers.set(due_at, RelayTimer::CallDeadline(id));
-        self.begin_within_quota(id);
+        Some(id)
     }
 
     pub(in crate::relay) fn new_call(
--- a/crates/arbutusfall_core/src/relay/control/store_view.rs
+++ b/crates/arbutusfall_core/src/relay/control/store_view.rs
@@ -22,7 +22,7 @@
 }
 
 /// Outcome of the last reads of the store. Topics can fail and recover separately.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct StoreView {
     topics: BTreeMap<StoreTopic, TopicView>,
 }
--- a/crates/arbutusfall_core/src/relay/crashes/answered_causes.rs
+++ b/crates/arbutusfall_core/src/relay/crashes/answered_causes.rs
@@ -13,7 +13,7 @@
 const MAX_GENERATION: usize = 4_000;
 
 /// When requests with each cause were last answered at this VM, in two generations.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct AnsweredCauses {
     newer: FastMap<CrashCause, Duration>,
     older: FastMap<CrashCause, Duration>,
--- a/crates/arbutusfall_core/src/relay/crashes/crash_suspects.rs
+++ b/crates/arbutusfall_core/src/relay/crashes/crash_suspects.rs
@@ -148,7 +148,7 @@
 }
 
 /// Suspects and blocks, as this VM knows them.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct CrashSuspects {
     suspects: BTreeMap<CrashCause, Suspect>,
     blocks: BTreeMap<CrashCause, CauseBlock>,
--- a/crates/arbutusfall_core/src/relay/crashes/endpoint_ends.rs
+++ b/crates/arbutusfall_core/src/relay/crashes/endpoint_ends.rs
@@ -84,7 +84,7 @@
 }
 
 /// Collects broken runs and turns them into evidence.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct EndpointEnds {
     broken: Vec<BrokenRun>,
     /// Endpoints of answers that ended with their connections, with the instant at which to check whether they have ended.
--- a/crates/arbutusfall_core/src/relay/endpoints/reach_waiting.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/reach_waiting.rs
@@ -21,7 +21,7 @@
 const MAX_WAIT_FRACTION: f64 = 0.5;
 
 /// Returns the instant until which a call may wait.
-fn reach_wait_until(call: &Call) -> Duration {
+pub(in crate::relay) fn reach_wait_until(call: &Call) -> Duration {
     let whole = call.due_at.saturating_sub(call.arrived_at);
     call.arrived_at + whole.mul_f64(MAX_WAIT_FRACTION)
 }
--- a/crates/arbutusfall_core/src/relay/endpoints/rests.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/rests.rs
@@ -29,7 +29,7 @@
 pub(in crate::relay) const RESTING: &str = "resting";
 
 /// Returns the instant until which a call may wait for the end of a rest.
-fn rest_wait_until(call: &Call) -> Duration {
+pub(in crate::relay) fn rest_wait_until(call: &Call) -> Duration {
     let wait = call.route.latency_target.mul_f64(MAX_REST_WAIT_FRACTION);
     (call.arrived_at + wait).min(call.due_at)
 }
--- a/crates/arbutusfall_core/src/relay/limits/endpoint_limits.rs
+++ b/crates/arbutusfall_core/src/relay/limits/endpoint_limits.rs
@@ -26,7 +26,7 @@
 }
 
 /// Limits that hold.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct EndpointLimits {
     /// Name of this VM in the records of shares; new in each run of the process.
     vm: Name,
--- a/crates/arbutusfall_core/src/relay/limits/limit_tokens.rs
+++ b/crates/arbutusfall_core/src/relay/limits/limit_tokens.rs
@@ -65,12 +65,28 @@
         service: &Name,
         role: Role,
         tokens: f64,
+    ) -> LimitedEndpoints {
+        let found = self.find_limited(service, role, tokens);
+        for instance in found.available.iter().chain(&found.used_up) {
+            let run = self.endpoints.get(instance).map(run_of);
+            if let Some(limit) = run.and_then(|run| self.limits.get_mut(&run)) {
+                limit.on_demand(tokens, self.now);
+            }
+        }
+        found
+    }
+
+    /// Returns the limited endpoints of a service and role, for a request that needs these tokens.
+    pub(in crate::relay) fn find_limited(
+        &self,
+        service: &Name,
+        role: Role,
+        tokens: f64,
     ) -> LimitedEndpoints {
         let mut found = LimitedEndpoints::default();
         if self.limits.is_empty() || tokens == 0.0 {
             return found;
         }
-        let mut limited = Vec::new();
         for endpoint in self.endpoints.serving(service, role) {
             if self.limit_of(endpoint).is_none() {
                 continue;
@@ -81,12 +97,6 @@
             } else {
                 found.used_up.push(instance);
             }
-            limited.push(run_of(endpoint));
-        }
-        for run in limited {
-            if let Some(limit) = self.limits.get_mut(&run) {
-                limit.on_demand(tokens, self.now);
-            }
         }
         found
     }
--- a/crates/arbutusfall_core/src/relay/limits/limit_waiting.rs
+++ b/crates/arbutusfall_core/src/relay/limits/limit_waiting.rs
@@ -21,7 +21,7 @@
 }
 
 /// Returns the latest instant at which a plain request may be sent to be answered in time.
-fn latest_send(call: &Call) -> Duration {
+pub(in crate::relay) fn latest_send(call: &Call) -> Duration {
     (call.arrived_at + call.route.latency_target).min(call.due_at)
 }
 
--- a/crates/arbutusfall_core/src/relay/load/load_queue.rs
+++ b/crates/arbutusfall_core/src/relay/load/load_queue.rs
@@ -77,6 +77,12 @@
         self.calls.values().copied().collect()
     }
 
+    /// Returns the number of requests before one; none if it does not wait.
+    pub(crate) fn ahead_of(&self, id: CallId) -> Option<usize> {
+        let place = self.places.get(&id)?;
+        Some(self.calls.range(..place).count())
+    }
+
     /// Returns the number of requests.
     pub(crate) fn len(&self) -> usize {
         self.calls.len()
--- a/crates/arbutusfall_core/src/relay/quota/handling.rs
+++ b/crates/arbutusfall_core/src/relay/quota/handling.rs
@@ -8,12 +8,14 @@
 
 use crate::CallId;
 use crate::relay::AccountQuota;
+use crate::relay::LeaseStatus;
 use crate::relay::OwnedAccount;
 use crate::relay::QuotaAdmission;
 use crate::relay::QuotaCounts;
 use crate::relay::QuotaLeases;
 use crate::relay::QuotaOutcome;
 use crate::relay::QuotaOwner;
+use crate::relay::QuotaPlace;
 use crate::relay::QuotaSettings;
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
@@ -30,7 +32,7 @@
 const NOTICES_PER_S: f64 = 3.0;
 
 /// Quotas at this VM.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(in crate::relay) struct QuotaState {
     settings: QuotaSettings,
     owner: QuotaOwner,
@@ -137,6 +139,23 @@
         owned.collect()
     }
 
+    /// Returns what this VM has leased of an account.
+    pub(in crate::relay) fn lease_status(&self, account: &Name) -> LeaseStatus {
+        self.quota.leases.status(account, self.now)
+    }
+
+    /// Returns the tokens that are left of an account; none unless this VM owns it.
+    pub(in crate::relay) fn owned_tokens_left(&self, account: &Name) -> Option<f64> {
+        let mut owned = self.quota.owner.owned_accounts(self.now).into_iter();
+        let owned = owned.find(|owned| owned.account == *account)?;
+        Some(owned.left)
+    }
+
+    /// Returns the place of a call that waits for tokens; none if it does not.
+    pub(in crate::relay) fn quota_place(&self, id: CallId) -> Option<QuotaPlace> {
+        self.quota.leases.place(id)
+    }
+
     /// Returns the counts of quotas.
     pub fn quota_status(&self, now: Duration) -> QuotaStatus {
         QuotaStatus {
--- a/crates/arbutusfall_core/src/relay/quota/leases.rs
+++ b/crates/arbutusfall_core/src/relay/quota/leases.rs
@@ -1,5 +1,7 @@
 //! Tokens that this VM leases from owners, the requests that wait for them, and whom to ask.
 
+mod status;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -24,6 +26,9 @@
 use crate::relay::quota::waiting::AccountLeases;
 use crate::relay::quota::waiting::WaitingCall;
 
+pub use status::LeaseStatus;
+pub use status::QuotaPlace;
+
 /// Longest time for which a request waits for tokens.
 const MAX_WAIT: Duration = Duration::from_millis(150);
 
--- a/crates/arbutusfall_core/src/relay/quota/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/quota/waiting.rs
@@ -115,6 +115,12 @@
         self.waiting.iter().map(|waiting| waiting.cost).sum()
     }
 
+    /// Returns the leased tokens that have not lapsed.
+    pub(super) fn leased(&self, now: Duration) -> f64 {
+        let valid = self.leases.iter().filter(|lease| now < lease.until);
+        valid.map(|lease| lease.tokens).sum()
+    }
+
     /// Returns the tokens of the requests that are expected in a span.
     pub(super) fn expected(&self, span: Duration) -> f64 {
         self.demand.expected(span)
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -2,6 +2,7 @@
 
 pub(in crate::relay) mod admission;
 pub(in crate::relay) mod balance;
+pub(in crate::relay) mod exclusion;
 pub(in crate::relay) mod pacing;
 pub(in crate::relay) mod send_permission;
 pub(in crate::relay) mod stages;
--- a/crates/arbutusfall_core/src/relay/sending/balance.rs
+++ b/crates/arbutusfall_core/src/relay/sending/balance.rs
@@ -58,21 +58,10 @@
 ) -> Option<Name> {
     let serving: Vec<&Endpoint> = endpoints
         .serving(query.service, query.role)
-        .filter(|endpoint| {
-            let version = &endpoint.listed.version;
-            query
-                .version
-                .is_none_or(|required| required == version && endpoint.run.is_listed())
-                && !query.limited.used_up.contains(&endpoint.listed.instance)
-        })
+        .filter(|endpoint| query.unsuitability(endpoint).is_none())
         .collect();
-    let has_not_failed =
-        |endpoint: &&Endpoint| !query.failed_endpoints.contains(&endpoint.listed.instance);
-    let is_available = |endpoint: &&Endpoint| {
-        endpoint.health.is_usable(query.now)
-            && endpoint.may_return()
-            && endpoint.available_at(query.extra_delay_after_refusal) <= query.now
-    };
+    let has_not_failed = |endpoint: &&Endpoint| !query.has_failed_at(endpoint);
+    let is_available = |endpoint: &&Endpoint| query.unavailability(endpoint).is_none();
     let available: Vec<&Endpoint> = serving
         .iter()
         .copied()
--- a/crates/arbutusfall_core/src/relay/sending/send_permission.rs
+++ b/crates/arbutusfall_core/src/relay/sending/send_permission.rs
@@ -42,7 +42,11 @@
     }
 
     /// Like [`Self::send_permission`], but records nothing.
-    fn judge_send(&self, exchange: ExchangeId, now: Duration) -> SendPermission {
+    pub(in crate::relay) fn judge_send(
+        &self,
+        exchange: ExchangeId,
+        now: Duration,
+    ) -> SendPermission {
         let id = self.calls_by_exchange.get(&exchange);
         let call = id.and_then(|id| self.calls.get(id));
         let Some(current) = call.and_then(|call| unsent_exchange(call, exchange)) else {
--- a/crates/arbutusfall_core/src/relay/sending/stages.rs
+++ b/crates/arbutusfall_core/src/relay/sending/stages.rs
@@ -21,6 +21,7 @@
 use crate::relay::limits::limit_waiting::LIMITED;
 use crate::relay::notice::millis;
 use crate::relay::sending::balance::EndpointQuery;
+use crate::relay::sending::balance::LimitedEndpoints;
 use crate::relay::sending::balance::select_endpoint;
 
 /// Maximum number of prefills for one request before the decode engine prefills the prompt itself.
@@ -143,7 +144,18 @@
         let service = call.service.clone();
         let limited = self.limited_endpoints(&service, stage.role(), tokens_for(stage, false));
         let call = self.calls.get(&id)?;
-        let query = EndpointQuery {
+        let query = self.endpoint_query(call, stage, &limited);
+        select_endpoint(&self.endpoints, query, &mut self.rng)
+    }
+
+    /// Returns the criteria for the endpoint of a call's stage.
+    pub(in crate::relay) fn endpoint_query<'a>(
+        &self,
+        call: &'a Call,
+        stage: CallStage,
+        limited: &'a LimitedEndpoints,
+    ) -> EndpointQuery<'a> {
+        EndpointQuery {
             service: &call.service,
             role: stage.role(),
             version: call.version_for(stage.role()),
@@ -152,15 +164,14 @@
             allow_failed: call.may_have_run
                 && call.route.allows_repeated_runs()
                 && call.standby.is_none(),
-            limited: &limited,
+            limited,
             prompt_tokens: call.token_counts().prompt_tokens,
             extra_delay_after_refusal: match stage {
                 CallStage::Reserve => self.extra_delay_after_refusal(call),
                 _ => None,
             },
             now: self.now,
-        };
-        select_endpoint(&self.endpoints, query, &mut self.rng)
+        }
     }
 
     /// Returns the next stage of a model request. Memory is reserved at a decode engine first, so that no prefill is
--- a/crates/arbutusfall_core/src/relay/sending/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/sending/waiting.rs
@@ -162,7 +162,7 @@
     }
 
     /// Returns the rate of grants that this VM can expect from the engines that serve a call, per second.
-    fn grants_per_s(&self, call: &Call) -> f64 {
+    pub(in crate::relay) fn grants_per_s(&self, call: &Call) -> f64 {
         let engines = self.endpoints.serving_call(call, Role::Decode);
         self.wait_queue.pacing.grants_per_s(engines.count())
     }
@@ -222,7 +222,8 @@
         self.set_reservation_timer();
     }
 
-    fn queue_order(&self) -> Vec<CallId> {
+    /// Returns the waiting requests in the order in which they are sent.
+    pub(in crate::relay) fn queue_order(&self) -> Vec<CallId> {
         let mut order = self.wait_queue.calls.clone();
         // In both groups, streams that wait to be resumed go before other requests.
         order.sort_by_cached_key(|id| {
--- a/crates/arbutusfall_core/src/relay/sharing/shared_outbox.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/shared_outbox.rs
@@ -25,7 +25,7 @@
 }
 
 /// Records that wait to be appended, at most one for each key.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct SharedOutbox {
     pending: BTreeMap<SharedKey, Pending>,
     /// Records of the append in progress, if any, without those that were withdrawn.
--- a/crates/arbutusfall_core/src/relay/streams/stream_versions.rs
+++ b/crates/arbutusfall_core/src/relay/streams/stream_versions.rs
@@ -82,7 +82,7 @@
 }
 
 /// Origins of streams and versions of services.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct StreamVersions {
     /// Streams by the id of the attempt that brought their first event to the caller.
     streams: BTreeMap<Name, KnownStream>,
--- a/crates/arbutusfall_core/src/relay/streams/unproved_streams.rs
+++ b/crates/arbutusfall_core/src/relay/streams/unproved_streams.rs
@@ -26,7 +26,7 @@
 }
 
 /// First events by the engines that wrote them, until it is known whether their processes are the listed ones.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct UnprovedStreams(BTreeMap<Name, Vec<FirstEvent>>);
 
 impl UnprovedStreams {
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -33,6 +33,8 @@
 mod relay_disproved_crashes;
 mod relay_drain;
 mod relay_endpoint_limits;
+mod relay_explain;
+mod relay_explain_states;
 mod relay_facts;
 mod relay_facts_ranking;
 mod relay_facts_simulation;
