Explain: the command arbutusfall explain and its query at the operators' address

Cause: Relay::explain had no way to an operator. Change: GET /explain at the operators' address of relay, and the command explain with text and JSON. Requests are described by values of headers and decoded by the code that decodes callers' requests. Unknown paths, accounts and ids are 404 and exit status 1, malformed questions 400 and 2; what was stated is not repeated, as it may be a key.

--- a/crates/arbutusfall/src/cli.rs
+++ b/crates/arbutusfall/src/cli.rs
@@ -2,6 +2,7 @@
 //!
 //! It is in the library so that the programs of `arbutusfall_standins` can run the same commands.
 
+mod explain;
 mod publish;
 mod status;
 
@@ -27,6 +28,9 @@
   arbutusfall publish base FILE [LOG] [--edited-from REVISION] [--publish-id UUID]
   arbutusfall publish overlay SITE FILE [LOG] [--edited-from REVISION] [--publish-id UUID]
   arbutusfall status --vm IP:PORT [--json]
+  arbutusfall explain --vm IP:PORT --path PATH [--account NAME] [--host NAME] [--prompt-prefix PARTS]
+                      [--token-counts PROMPT,OUTPUT] [--deadline-ms MS] [--json]
+  arbutusfall explain --vm IP:PORT --request-id ID [--json]
   arbutusfall keys --out DIR [--vm NAME]... [--days N]
   arbutusfall --help | --version
 
@@ -37,6 +41,9 @@
 its publish id. If no answer arrives, repeat the command with --publish-id and that id: it is applied at most once.
 relay runs a VM that is configured from the store of the users' platform; serve runs one that is configured from the
 log service. check takes an overlay's site from the name of its file. status queries a VM's operator address.
+explain prints where a request would be routed now by a VM that runs relay, and why, without sending it: a new one, or
+one that is in progress there. PARTS and PROMPT,OUTPUT are values of the headers Prompt-Prefix and Token-Counts. An
+account is stated by its name, never by a key.
 keys reuses an existing authority. Without --vm, it makes one certificate, for a VM named `vm`.
 
 Exit status: 0 done; 1 failed; 2 bad arguments, or problems found by check.";
@@ -111,6 +118,7 @@
             "check" => check(parser),
             "publish" => publish::publish(parser),
             "status" => status::status(parser),
+            "explain" => explain::explain(parser),
             "keys" => keys(parser),
             other => Err(CommandExit::Usage(format!(
                 "there is no command `{other}`; see --help"
--- a/crates/arbutusfall/src/cli/status.rs
+++ b/crates/arbutusfall/src/cli/status.rs
@@ -116,7 +116,7 @@
 }
 
 /// Appends a table, unless it has no rows.
-fn push_table<const COLUMNS: usize>(
+pub(super) fn push_table<const COLUMNS: usize>(
     text: &mut String,
     titles: Option<[&str; COLUMNS]>,
     rows: &[[String; COLUMNS]],
--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -7,6 +7,7 @@
 mod effects;
 mod endpoint_check;
 mod exchange;
+mod explain_server;
 mod fact_board;
 mod fact_follower;
 mod fact_server;
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -8,6 +8,9 @@
 use arbutusfall_core::relay::CallerLimits;
 use arbutusfall_core::relay::CrashCause;
 use arbutusfall_core::relay::ExchangeId;
+use arbutusfall_core::relay::ExplainError;
+use arbutusfall_core::relay::ExplainQuery;
+use arbutusfall_core::relay::Explanation;
 use arbutusfall_core::relay::Relay;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RequestHashKey;
@@ -143,6 +146,11 @@
         accounts.collect()
     }
 
+    /// Returns where a request would be routed now, and why. Changes nothing.
+    pub(super) fn explain(&self, query: ExplainQuery) -> Result<Explanation, ExplainError> {
+        lock(&self.relay).explain(query, self.io.now())
+    }
+
     /// Returns the limits on callers' requests.
     pub(super) fn limits(&self) -> CallerLimits {
         lock(&self.limits).clone()
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -14,6 +14,7 @@
 use arbutusfall_core::relay::RequestHashKey;
 use arbutusfall_core::relay::StoreTopic;
 use arbutusfall_core::relay::TailCost;
+use arbutusfall_wire::Name;
 use async_signal::Signal;
 use async_signal::Signals;
 use error_stack::Report;
@@ -24,6 +25,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::Uri;
 use hyper::body::Incoming;
 use serde_json::json;
 use uuid::Uuid;
@@ -31,6 +33,7 @@
 use crate::Executor;
 use crate::LogFormat;
 use crate::ServeError;
+use crate::explain::EXPLAIN_PATH;
 use crate::http;
 use crate::http::AnswerBody;
 use crate::http::BodyMemory;
@@ -42,6 +45,7 @@
 use crate::relay::decision_log::DecisionLog;
 use crate::relay::driver::Driver;
 use crate::relay::effects::EffectPerformer;
+use crate::relay::explain_server;
 use crate::relay::fact_board::FactBoard;
 use crate::relay::fact_server::FactServer;
 use crate::relay::handle::RelayHandle;
@@ -225,6 +229,7 @@
 ) -> Result<http::ListenerHandle, Report<ServeError>> {
     let address = settings.operator_address;
     let driver = driver.clone();
+    let vm = settings.vm.clone();
     let executor = driver.io().executor.clone();
     let handler = move |request: Request<Incoming>| {
         let answer = answer_operator(
@@ -232,7 +237,8 @@
             &store,
             &facts,
             request.method(),
-            request.uri().path(),
+            request.uri(),
+            &vm,
         );
         async move { answer }
     };
@@ -245,13 +251,18 @@
     store: &StoreClient,
     facts: &FactBoard,
     method: &Method,
-    path: &str,
+    uri: &Uri,
+    vm: &Name,
 ) -> Response<AnswerBody> {
+    let path = uri.path();
     if path == METRICS_PATH {
         return Response::new(AnswerBody::whole(
             driver.metrics_text(store.era.newest(), facts),
         ));
     }
+    if path == EXPLAIN_PATH {
+        return explain_server::answer(driver, facts, uri.query().unwrap_or_default(), vm);
+    }
     if path == ACCOUNTS_PATH {
         return http::json_answer(200, &driver.owned_accounts());
     }
--- a/crates/arbutusfall_standins/tests/it/command_line.rs
+++ b/crates/arbutusfall_standins/tests/it/command_line.rs
@@ -38,7 +38,7 @@
 
 #[test]
 fn invalid_arguments_are_reported_on_one_line() {
-    let cases: [&[&str]; 13] = [
+    let cases: [&[&str]; 20] = [
         &[],
         &["fly"],
         &["--fly"],
@@ -58,6 +58,37 @@
             "x",
         ],
         &["status", "--vm", "localhost"],
+        &["explain", "--path", "/look/7"],
+        &["explain", "--vm", "127.0.0.1:1"],
+        &["explain", "--vm", "127.0.0.1:1", "--path", "look"],
+        &["explain", "--vm", "127.0.0.1:1", "--key", "sk-1"],
+        &[
+            "explain",
+            "--vm",
+            "127.0.0.1:1",
+            "--path",
+            "/look/7",
+            "--request-id",
+            "a",
+        ],
+        &[
+            "explain",
+            "--vm",
+            "127.0.0.1:1",
+            "--path",
+            "/look/7",
+            "--token-counts",
+            "many",
+        ],
+        &[
+            "explain",
+            "--vm",
+            "127.0.0.1:1",
+            "--path",
+            "/look/7",
+            "--deadline-ms",
+            "soon",
+        ],
         &["keys"],
         &["keys", "--out", "a", "--days", "0"],
     ];
@@ -75,7 +106,7 @@
 
 #[test]
 fn every_command_has_help_and_version() {
-    for command in ["serve", "check", "publish", "status", "keys", ""] {
+    for command in ["serve", "check", "publish", "status", "explain", "keys", ""] {
         let arguments: &[&str] = if command.is_empty() { &[] } else { &[command] };
         for (option, shown) in [
             ("--help", "Usage:"),
