Relay: slow start of endpoints, and fewer streams for slow engines

Cause: an endpoint that has just started or failed gets its full share at once from all VMs, also while it is cold, crashes under the load or answers only errors. Time between events has no influence on the selection of an engine.

Change: with the setting `slow_start` (default false) each VM keeps a window for such an endpoint, which limits its requests in flight and its fraction of the selections. The window grows with timely answers and shrinks with late, refused and failed ones; it holds nothing back while the other endpoints are full. Engines whose events take 1.5 times the median of the service get a smaller fraction of the selections. New: a line `slow_start_ended`, counters `slow_start.*`, a gauge `arbutusfall_starting_endpoints`.

--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -168,6 +168,7 @@
             fact_ages_ms: facts.ages_ms(),
             limits: relay.limit_status(),
             load: relay.load_status(),
+            slow_start: relay.slow_start_status(),
             quota: relay.quota_status(self.io.now()),
         };
         drop(relay);
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -10,6 +10,8 @@
 use arbutusfall_core::relay::LoadStatus;
 use arbutusfall_core::relay::QuotaStatus;
 use arbutusfall_core::relay::RelayNotice;
+use arbutusfall_core::relay::SlowStartCounts;
+use arbutusfall_core::relay::SlowStartStatus;
 use hdrhistogram::Histogram;
 
 use crate::lock::lock;
@@ -48,6 +50,8 @@
     pub(super) limits: LimitStatus,
     /// Limits of plain services whose endpoints reject requests.
     pub(super) load: LoadStatus,
+    /// Endpoints that get less load until they answer in time.
+    pub(super) slow_start: SlowStartStatus,
     /// Decisions on quotas of client accounts.
     pub(super) quota: QuotaStatus,
 }
@@ -144,7 +148,7 @@
     pub(super) fn text(&self, values: &StateMetrics) -> String {
         let state = lock(&self.state);
         let mut text = String::new();
-        state.write_counters(&mut text, values.quota, values.load.counts);
+        state.write_counters(&mut text, values);
         state.write_latencies(&mut text);
         if let Some(config) = values.config {
             write_config(&mut text, config);
@@ -175,6 +179,8 @@
         write_gauge(&mut text, "limited_endpoints", limits.endpoints as u64);
         let limited_services = values.load.limited_services as u64;
         write_gauge(&mut text, "limited_services", limited_services);
+        let starting = values.slow_start.endpoints as u64;
+        write_gauge(&mut text, "starting_endpoints", starting);
         let owned = values.quota.owned_accounts as u64;
         write_gauge(&mut text, "owned_accounts", owned);
         write_gauge(&mut text, "limit_shares_held", limits.held_shares as u64);
@@ -185,7 +191,7 @@
 // Writing to a string cannot fail.
 
 impl State {
-    fn write_counters(&self, text: &mut String, quota: QuotaStatus, load: LoadCounts) {
+    fn write_counters(&self, text: &mut String, values: &StateMetrics) {
         text.push_str("# TYPE arbutusfall_events_total counter\n");
         for ((event, reason), count) in &self.notice_counts {
             let _ = writeln!(
@@ -193,8 +199,9 @@
                 "arbutusfall_events_total{{event=\"{event}\",reason=\"{reason}\"}} {count}"
             );
         }
-        write_quota_counters(text, quota);
-        write_load_counters(text, load);
+        write_quota_counters(text, values.quota);
+        write_load_counters(text, values.load.counts);
+        write_slow_start_counters(text, values.slow_start.counts);
         text.push_str("# TYPE arbutusfall_requests_total counter\n");
         for ((is_added_route, outcome), count) in &self.request_counts {
             let routes = if *is_added_route { "added" } else { "first" };
@@ -239,6 +246,21 @@
     }
 }
 
+/// Writes the counters of slow start, which belong to the metric of events.
+fn write_slow_start_counters(text: &mut String, counts: SlowStartCounts) {
+    let counters = [
+        ("slow_start.begun", counts.begun),
+        ("slow_start.shrunk", counts.shrunk),
+        ("slow_start.held_back", counts.held_back),
+    ];
+    for (event, count) in counters {
+        let _ = writeln!(
+            text,
+            "arbutusfall_events_total{{event=\"{event}\",reason=\"\"}} {count}"
+        );
+    }
+}
+
 /// Writes the counters of quotas, which belong to the metric of events.
 fn write_quota_counters(text: &mut String, quota: QuotaStatus) {
     let counts = quota.counts;
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -106,6 +106,7 @@
             };
             (settings.vm.clone(), peer)
         }),
+        slow_start: settings.slow_start,
     };
     let store = Arc::new(StoreClient::new(settings.store_address));
     let control = ControlClient {
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -106,6 +106,9 @@
         deserialize_with = "memory_limit_mb"
     )]
     pub memory_limit_mb: u32,
+    /// Whether endpoints that have started or failed get less load until they answer in time, and slow ones less than others.
+    #[serde(default)]
+    pub slow_start: bool,
     /// Rate limit of the decision log in bytes per second. Excess lines are dropped and counted, routine ones first.
     #[serde(default = "default_log_bytes_per_s")]
     pub log_bytes_per_s: u32,
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -78,6 +78,8 @@
 pub use effect::*;
 pub use endpoints::list::LIST_RECOVERY_GRACE;
 pub use endpoints::run_status::RunAnswer;
+pub use endpoints::slow_start_counts::SlowStartCounts;
+pub use endpoints::slow_start_handling::SlowStartStatus;
 pub use event::*;
 pub use facts::*;
 pub use limits::limit_handling::LimitStatus;
@@ -107,6 +109,8 @@
     pub quota: QuotaSettings,
     /// Name of this VM, and where it takes requests of other VMs, if it does.
     pub own_address: Option<(Name, PeerAddress)>,
+    /// Whether endpoints that have started or failed get less load until they answer in time, and slow ones less than others.
+    pub slow_start: bool,
 }
 
 /// Timers of the relay. A timer that finds nothing to do is ignored.
@@ -236,7 +240,7 @@
         Self {
             routes: None,
             first_routes: FastSet::default(),
-            endpoints: Endpoints::default(),
+            endpoints: Endpoints::new(settings.slow_start),
             reachability: Reachability::default(),
             peers: Peers::default(),
             own_address: settings.own_address.clone(),
--- a/crates/arbutusfall_core/src/relay/calls/exchange_end.rs
+++ b/crates/arbutusfall_core/src/relay/calls/exchange_end.rs
@@ -96,9 +96,14 @@
             self.peers.on_ended(&ended.instance);
             return;
         }
+        let now = self.now;
         let (instance, started_unix_ms) = (&ended.instance, ended.started_unix_ms);
         if let Some(endpoint) = self.endpoints.get_run_mut(instance, started_unix_ms) {
             endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+            let starting = endpoint.slow_start.as_mut();
+            if let Some(starting) = starting.filter(|_| endpoint.in_flight == 0) {
+                starting.on_idle(now);
+            }
         }
     }
 
--- a/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
+++ b/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
@@ -223,6 +223,7 @@
     pub(in crate::relay) fn on_call_deadline(&mut self, id: CallId) {
         self.on_silence_in_doubt(id);
         self.record_silent_endpoint(id);
+        self.shrink_slow_start(id);
         self.fail_call(id, TIMEOUT);
     }
 
--- a/crates/arbutusfall_core/src/relay/calls/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/calls/outcomes.rs
@@ -117,6 +117,7 @@
     }
 
     pub(in crate::relay) fn on_prefill_done(&mut self, id: CallId, handle: Name) {
+        self.record_answer_time(id);
         let lifetime = self.result_lifetime(id);
         let now = self.now;
         let Some(call) = self.calls.get_mut(&id) else {
@@ -196,14 +197,18 @@
         let Some(current) = &mut call.current else {
             return;
         };
+        let silence = now.saturating_sub(current.last_activity_at);
         current.last_activity_at = now;
         if let Some(endpoint) = self.endpoints.get_mut(&current.instance) {
             endpoint.on_alive(now);
             if is_first {
                 endpoint.on_answered(now.saturating_sub(current.sent_at), now);
+            } else if last_event_id.is_some() {
+                endpoint.event_intervals.on_interval(silence, now);
             }
         }
         if is_first {
+            self.record_answer_time(id);
             self.on_first_event(id);
         }
         self.on_stream_lasting(id);
@@ -227,6 +232,7 @@
             self.on_forward_complete(id, exchange, status);
             return;
         }
+        self.record_complete_answer(id, status);
         let lacks_stream = self.lacks_stream(id);
         let Some(call) = self.calls.get_mut(&id) else {
             return;
@@ -337,6 +343,7 @@
         let is_full = reason == NotRunReason::Refused && self.on_load_rejected(id, false);
         if reason == NotRunReason::Refused {
             self.record_refusal(id);
+            self.shrink_slow_start(id);
             self.budget.on_outcome(&service, true, self.now);
         }
         let label = match reason {
--- a/crates/arbutusfall_core/src/relay/crashes/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crashes/crash_handling.rs
@@ -22,7 +22,7 @@
 use crate::relay::crashes::crash_suspects::EvidenceEffect;
 use crate::relay::crashes::endpoint_ends::BrokenRun;
 use crate::relay::crashes::endpoint_ends::incarnation;
-use crate::relay::endpoints::endpoint::UnmarkedEnd;
+use crate::relay::endpoints::unmarked_ends::UnmarkedEnd;
 
 /// Time for which a stream has brought events after which its request has not crashed the endpoint.
 const SURVIVAL_TIME: Duration = Duration::from_secs(2);
@@ -121,7 +121,7 @@
         };
         endpoint.on_alive(self.now);
         let is_decode_engine = endpoint.listed.role == Role::Decode;
-        for causes in endpoint.take_proved_causes(sent_at, self.now) {
+        for causes in endpoint.unmarked_ends.take_proved_causes(sent_at, self.now) {
             self.on_causes_answered(&causes);
         }
         self.disprove_crash(&instance, sent_at);
@@ -157,7 +157,7 @@
             return;
         }
         let incarnation = incarnation(instance, endpoint.listed.started_unix_ms);
-        let ends = endpoint.take_unmarked_ends(found_at, self.now);
+        let ends = endpoint.unmarked_ends.take_before(found_at, self.now);
         for end in ends.into_iter().filter(|end| !end.has_survived) {
             self.endpoint_ends.on_broken(BrokenRun {
                 instance: instance.clone(),
@@ -230,7 +230,7 @@
 
     fn record_unmarked_end(&mut self, instance: &Name, end: UnmarkedEnd) {
         if let Some(endpoint) = self.endpoints.get_mut(instance) {
-            endpoint.on_unmarked_end(end, self.now);
+            endpoint.unmarked_ends.add(end, self.now);
             self.endpoint_ends.on_unmarked_end(instance, self.now);
             self.set_shared_timer();
         }
@@ -414,7 +414,7 @@
     /// Checks whether an endpoint has ended with its answer, unless it is known to run or about to leave.
     fn check_unmarked_end(&mut self, instance: Name) {
         let endpoint = self.endpoints.get(&instance);
-        if endpoint.is_some_and(|e| e.has_unmarked_ends() && !e.listed.is_leaving) {
+        if endpoint.is_some_and(|e| !e.unmarked_ends.is_empty() && !e.listed.is_leaving) {
             self.check_endpoint(instance);
         }
     }
--- a/crates/arbutusfall_core/src/relay/endpoints/endpoint.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/endpoint.rs
@@ -4,13 +4,15 @@
 
 use crate::config::Role;
 use crate::placement::Health;
-use crate::relay::CrashCauses;
 use crate::relay::ListedEndpoint;
 use crate::relay::RelayNotice;
 use crate::relay::calls::call::Call;
 use crate::relay::calls::call::MemoryAllocation;
+use crate::relay::endpoints::event_intervals::EventIntervals;
 use crate::relay::endpoints::reservation_times::ReservationTimes;
 use crate::relay::endpoints::run_status::RunStatus;
+use crate::relay::endpoints::slow_start::SlowStart;
+use crate::relay::endpoints::unmarked_ends::UnmarkedEnds;
 use crate::relay::notice::millis;
 
 /// Weight of the newest sample in a running mean.
@@ -71,12 +73,6 @@
 /// Requests in progress from which the load of an endpoint has returned after a rest.
 const RETURNED_REQUESTS: u32 = 32;
 
-/// Time within which an answer of an engine proves that it did not end before; after it, the engine may have started again.
-const UNMARKED_END_LIFETIME: Duration = Duration::from_millis(1_000);
-
-/// Answers without a marked end that are remembered for an endpoint.
-const MAX_UNMARKED_ENDS: usize = 64;
-
 /// A listed endpoint with this VM's load on it and observations of it.
 #[derive(Debug, Clone)]
 pub(crate) struct Endpoint {
@@ -118,13 +114,18 @@
     decode_refusals: u32,
     /// Number of the engine's consecutive prefill results whose decode was refused.
     suspected_losses: u32,
-    unmarked_ends: Vec<UnmarkedEnd>,
+    /// Answers that ended with their connections.
+    pub(crate) unmarked_ends: UnmarkedEnds,
     /// End of the rest that the endpoint asked for; none if it does not rest.
     rest_until: Option<Duration>,
     /// When the endpoint last asked for a rest.
     rest_asked_at: Option<Duration>,
     /// Requests of this VM that it may have in progress while its load returns after a rest; none if any number.
     returning_limit: Option<u32>,
+    /// Limit of its load while it starts or recovers from failures; none otherwise.
+    pub(crate) slow_start: Option<SlowStart>,
+    /// Time between the events of its streams.
+    pub(crate) event_intervals: EventIntervals,
     /// Times of its answers to this VM's reservations.
     pub(crate) reservation_times: ReservationTimes,
     /// Whether its process is the listed one.
@@ -144,22 +145,6 @@
         .filter(|_| listed.role != Role::Plain)
 }
 
-/// An answer that ended with its connection: it is complete, or the endpoint has ended.
-#[derive(Debug, Clone)]
-pub(crate) struct UnmarkedEnd {
-    pub(crate) sent_at: Duration,
-    pub(crate) ended_at: Duration,
-    pub(crate) causes: CrashCauses,
-    /// Whether the answer has lasted long enough to show that its request does not crash the endpoint.
-    pub(crate) has_survived: bool,
-}
-
-impl UnmarkedEnd {
-    fn is_recent(&self, now: Duration) -> bool {
-        now <= self.ended_at + UNMARKED_END_LIFETIME
-    }
-}
-
 impl Endpoint {
     /// Creates an endpoint whose entry has been read at `now`.
     pub(crate) fn new(listed: ListedEndpoint, now: Duration) -> Self {
@@ -184,10 +169,12 @@
             decode_backoff_until: Duration::ZERO,
             decode_refusals: 0,
             suspected_losses: 0,
-            unmarked_ends: Vec::new(),
+            unmarked_ends: UnmarkedEnds::default(),
             rest_until: None,
             rest_asked_at: None,
             returning_limit: None,
+            slow_start: None,
+            event_intervals: EventIntervals::default(),
             reservation_times: ReservationTimes::default(),
             alive_at: Duration::ZERO,
             role_changed_at: None,
@@ -336,50 +323,9 @@
         }
     }
 
-    /// Records an answer that ended with its connection: whether the endpoint ended shows only later.
-    pub(crate) fn on_unmarked_end(&mut self, end: UnmarkedEnd, now: Duration) {
-        self.unmarked_ends.retain(|known| known.is_recent(now));
-        if self.unmarked_ends.len() < MAX_UNMARKED_ENDS {
-            self.unmarked_ends.push(end);
-        }
-    }
-
-    /// Returns whether answers ended with their connections, and nothing is known of the endpoint since.
-    pub(crate) fn has_unmarked_ends(&self) -> bool {
-        !self.unmarked_ends.is_empty()
-    }
-
-    /// Takes the answers that ended of late, before the endpoint was found to have ended.
-    pub(crate) fn take_unmarked_ends(
-        &mut self,
-        found_at: Duration,
-        now: Duration,
-    ) -> Vec<UnmarkedEnd> {
-        let ends = std::mem::take(&mut self.unmarked_ends).into_iter();
-        let (taken, later) = ends
-            .filter(|end| end.is_recent(now))
-            .partition(|end| end.ended_at < found_at);
-        self.unmarked_ends = later;
-        taken
-    }
-
-    /// Takes the causes of prompts that an answer to a request of `sent_at` proves to have been answered completely: the
-    /// engine still ran after them.
-    pub(crate) fn take_proved_causes(
-        &mut self,
-        sent_at: Duration,
-        now: Duration,
-    ) -> Vec<CrashCauses> {
-        let mut proved = Vec::new();
-        self.unmarked_ends.retain(|end| {
-            let is_recent = end.is_recent(now);
-            let is_proved = is_recent && sent_at > end.ended_at;
-            if is_proved {
-                proved.push(end.causes.clone());
-            }
-            is_recent && !is_proved
-        });
-        proved
+    /// Begins slow start.
+    pub(crate) fn begin_slow_start(&mut self, now: Duration) {
+        self.slow_start = Some(SlowStart::new(now));
     }
 
     /// Marks the endpoint as full or changing its role until an instant.
--- a/crates/arbutusfall_core/src/relay/endpoints/list.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/list.rs
@@ -11,6 +11,7 @@
 use crate::relay::RelayNotice;
 use crate::relay::calls::call::Call;
 use crate::relay::endpoints::endpoint::Endpoint;
+use crate::relay::endpoints::slow_start_counts::SlowStartCounts;
 use crate::relay::notice::millis;
 
 /// Grace period after the list could be read again in which removals from it are delayed: endpoints whose entries
@@ -20,10 +21,18 @@
 /// Time for which an instance that was listed as leaving is remembered; the platform's copies are some seconds old.
 const LEAVING_LIFETIME: Duration = Duration::from_secs(60);
 
+/// Time from this VM's first entry of the list in which endpoints count as having served before: the list is read in parts.
+const FIRST_LIST_TIME: Duration = Duration::from_secs(2);
+
 /// Endpoints by instance.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Endpoints {
     by_instance: BTreeMap<Name, Endpoint>,
+    /// Whether new, restarted and failed endpoints begin with slow start.
+    has_slow_start: bool,
+    /// When this VM read the first entry; none before.
+    first_listed_at: Option<Duration>,
+    pub(crate) slow_start_counts: SlowStartCounts,
     /// Instant until which removals are delayed after the list could be read again.
     removals_delayed_until: Duration,
     /// Instances that were listed as leaving or said so, also after their removal. An endpoint that leaves never becomes ready again, but
@@ -52,6 +61,18 @@
 }
 
 impl Endpoints {
+    pub(crate) fn new(has_slow_start: bool) -> Self {
+        Self {
+            has_slow_start,
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether new, restarted and failed endpoints begin with slow start.
+    pub(crate) fn has_slow_start(&self) -> bool {
+        self.has_slow_start
+    }
+
     pub(crate) fn get_mut(&mut self, instance: &Name) -> Option<&mut Endpoint> {
         self.by_instance.get_mut(instance)
     }
@@ -99,6 +120,7 @@
         let endpoints = self.by_instance.values_mut();
         for endpoint in endpoints.filter(|endpoint| endpoint.listed.service == *service) {
             endpoint.health.on_success();
+            endpoint.slow_start = None;
         }
     }
 
@@ -265,10 +287,15 @@
             started_unix_ms: listed.started_unix_ms,
             is_leaving: listed.is_leaving,
         };
+        let first_listed_at = *self.first_listed_at.get_or_insert(now);
         let Some(existing) = self.by_instance.get_mut(&listed.instance) else {
             let instance = listed.instance.clone();
-            self.by_instance
-                .insert(instance, Endpoint::new(listed, now));
+            let mut endpoint = Endpoint::new(listed, now);
+            if self.has_slow_start && now >= first_listed_at + FIRST_LIST_TIME {
+                endpoint.begin_slow_start(now);
+                self.slow_start_counts.begun += 1;
+            }
+            self.by_instance.insert(instance, endpoint);
             return Some(notice);
         };
         existing.remove_at = None;
@@ -283,6 +310,10 @@
         }
         if must_reset {
             existing.restart(listed, now);
+            if self.has_slow_start {
+                existing.begin_slow_start(now);
+                self.slow_start_counts.begun += 1;
+            }
         } else {
             existing.update(listed);
         }
@@ -325,6 +356,12 @@
         let endpoint = self.by_instance.get_mut(instance)?;
         endpoint.raise_failure_fraction(now);
         endpoint.health.on_failure(now);
+        if let Some(starting) = &mut endpoint.slow_start {
+            starting.on_failed(now);
+        } else if self.has_slow_start {
+            endpoint.begin_slow_start(now);
+            self.slow_start_counts.begun += 1;
+        }
         let avoided = endpoint.health.avoided_for(now)?;
         Some(RelayNotice::EndpointAvoided {
             instance: instance.clone(),
--- a/crates/arbutusfall_core/src/relay/limits/limit_tokens.rs
+++ b/crates/arbutusfall_core/src/relay/limits/limit_tokens.rs
@@ -12,7 +12,7 @@
 use crate::relay::calls::call::CallStage;
 use crate::relay::endpoints::endpoint::Endpoint;
 use crate::relay::limits::limit_handling::run_of;
-use crate::relay::sending::balance::LimitedEndpoints;
+use crate::relay::sending::endpoint_query::LimitedEndpoints;
 
 /// Requests that a role order sends to its engine: the report and the order.
 pub(in crate::relay) const ORDER_REQUESTS: f64 = 2.0;
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -137,6 +137,15 @@
         /// Time for which it was limited.
         after_ms: u64,
     },
+    /// An endpoint that had started or failed has answered in time often enough to be selected as before.
+    SlowStartEnded {
+        /// Instance.
+        instance: Name,
+        /// Service that it belongs to.
+        service: Name,
+        /// Time from its start, or its first failure, as this VM saw it.
+        after_ms: u64,
+    },
     /// An engine refused a request for which it had reserved memory, and is avoided for some time.
     EngineRefusing {
         /// Instance.
--- a/crates/arbutusfall_core/src/relay/notice/names.rs
+++ b/crates/arbutusfall_core/src/relay/notice/names.rs
@@ -38,6 +38,7 @@
             Self::EndpointUnlimited { .. } => "endpoint_unlimited",
             Self::ServiceLimited { .. } => "service_limited",
             Self::ServiceUnlimited { .. } => "service_unlimited",
+            Self::SlowStartEnded { .. } => "slow_start_ended",
             Self::EngineRefusing { .. } => "engine_refusing",
             Self::RunChecked { .. } => "run_checked",
             Self::Store { .. } => "store",
--- a/crates/arbutusfall_core/src/relay/quota/tests.rs
+++ b/crates/arbutusfall_core/src/relay/quota/tests.rs
@@ -84,6 +84,7 @@
             own_hash_key: RequestHashKey(7),
             quota: QuotaSettings::default(),
             own_address: Some(("own".into(), address())),
+            slow_start: false,
         };
         let mut site = Self {
             relay: Relay::new(&settings, 1),
--- a/crates/arbutusfall_core/src/relay/sending.rs
+++ b/crates/arbutusfall_core/src/relay/sending.rs
@@ -2,6 +2,8 @@
 
 pub(in crate::relay) mod admission;
 pub(in crate::relay) mod balance;
+pub(in crate::relay) mod endpoint_query;
+pub(in crate::relay) mod held_back;
 pub(in crate::relay) mod pacing;
 pub(in crate::relay) mod send_permission;
 pub(in crate::relay) mod stages;
--- a/crates/arbutusfall_core/src/relay/sending/balance.rs
+++ b/crates/arbutusfall_core/src/relay/sending/balance.rs
@@ -7,6 +7,8 @@
 use crate::config::Role;
 use crate::relay::endpoints::endpoint::Endpoint;
 use crate::relay::endpoints::list::Endpoints;
+use crate::relay::sending::endpoint_query::EndpointQuery;
+use crate::relay::sending::held_back::without_held_back;
 
 /// Largest random increase of a cost, as a fraction, so that VMs do not all pick the same of several equal endpoints.
 const MAX_COST_JITTER: f64 = 0.2;
@@ -23,30 +25,13 @@
 /// Factor of the cost of a limited endpoint that has room: few VMs may send to it, so these send it more of their requests.
 const LIMITED_COST_FACTOR: f64 = 1.0 / 16.0;
 
-/// Endpoints with a limit, by whether it allows this VM one more request now.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub(crate) struct LimitedEndpoints {
-    pub(crate) available: Vec<Name>,
-    pub(crate) used_up: Vec<Name>,
-}
-
-/// Criteria for the selection of an endpoint.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct EndpointQuery<'a> {
-    pub(crate) service: &'a Name,
-    pub(crate) role: Role,
-    /// Version that the endpoint must have, if any.
-    pub(crate) version: Option<&'a Name>,
-    /// Endpoints of failed exchanges of the request.
-    pub(crate) failed_endpoints: &'a [Name],
-    /// Whether one of these may be selected if there is no other.
-    pub(crate) allow_failed: bool,
-    /// Endpoints with a limit; those whose limit is used up are not selected.
-    pub(crate) limited: &'a LimitedEndpoints,
-    pub(crate) prompt_tokens: u32,
-    /// Extra wait after an endpoint's refusal, if any.
-    pub(crate) extra_delay_after_refusal: Option<Duration>,
-    pub(crate) now: Duration,
+/// Outcome of a selection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Selection {
+    /// The selected endpoint; none if there is none that the request may be sent to.
+    pub(crate) instance: Option<Name>,
+    /// Whether available endpoints were held back.
+    pub(crate) has_held_back: bool,
 }
 
 /// Returns the endpoint of least cost among the available ones that have not failed the request, else among all that
@@ -55,7 +40,7 @@
     endpoints: &Endpoints,
     query: EndpointQuery<'_>,
     rng: &mut fastrand::Rng,
-) -> Option<Name> {
+) -> Selection {
     let serving: Vec<&Endpoint> = endpoints
         .serving(query.service, query.role)
         .filter(|endpoint| {
@@ -79,6 +64,13 @@
         .filter(|endpoint| has_not_failed(endpoint) && is_available(endpoint))
         .collect();
     let not_failed: Vec<&Endpoint> = serving.iter().copied().filter(has_not_failed).collect();
+    let available_count = available.len();
+    let available = if endpoints.has_slow_start() {
+        without_held_back(&serving, &available, query, rng)
+    } else {
+        available
+    };
+    let has_held_back = available.len() < available_count;
     let candidates = match (available.is_empty(), not_failed.is_empty()) {
         (false, _) => available,
         (true, false) => not_failed,
@@ -97,7 +89,10 @@
         (cost * jitter * factor, endpoint)
     });
     let least = costs.min_by(|left, right| left.0.total_cmp(&right.0));
-    least.map(|(_, endpoint)| endpoint.listed.instance.clone())
+    Selection {
+        instance: least.map(|(_, endpoint)| endpoint.listed.instance.clone()),
+        has_held_back,
+    }
 }
 
 /// Returns the factor of the cost of an endpoint for its limit. The wait at a prefill engine decides over its cost.
--- a/crates/arbutusfall_core/src/relay/sending/stages.rs
+++ b/crates/arbutusfall_core/src/relay/sending/stages.rs
@@ -20,8 +20,8 @@
 use crate::relay::limits::limit_tokens::tokens_for;
 use crate::relay::limits::limit_waiting::LIMITED;
 use crate::relay::notice::millis;
-use crate::relay::sending::balance::EndpointQuery;
 use crate::relay::sending::balance::select_endpoint;
+use crate::relay::sending::endpoint_query::EndpointQuery;
 
 /// Maximum number of prefills for one request before the decode engine prefills the prompt itself.
 pub(in crate::relay) const MAX_PREFILL_ATTEMPTS: u32 = 2;
@@ -154,13 +154,16 @@
                 && call.standby.is_none(),
             limited: &limited,
             prompt_tokens: call.token_counts().prompt_tokens,
+            latency_target: call.route.latency_target,
             extra_delay_after_refusal: match stage {
                 CallStage::Reserve => self.extra_delay_after_refusal(call),
                 _ => None,
             },
             now: self.now,
         };
-        select_endpoint(&self.endpoints, query, &mut self.rng)
+        let selection = select_endpoint(&self.endpoints, query, &mut self.rng);
+        self.endpoints.slow_start_counts.held_back += u64::from(selection.has_held_back);
+        selection.instance
     }
 
     /// Returns the next stage of a model request. Memory is reserved at a decode engine first, so that no prefill is
@@ -250,6 +253,9 @@
 ) -> Duration {
     let token_counts = call.token_counts();
     call.exchange_count += 1;
+    if let Some(starting) = &mut endpoint.slow_start {
+        starting.on_sent(endpoint.in_flight, now);
+    }
     endpoint.in_flight += 1;
     endpoint.health.on_placed(now);
     match stage {
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -55,7 +55,7 @@
 pub(crate) const LEASE_LIFETIME: Duration = Duration::from_secs(3);
 
 /// Retry limit of most tests: two retries in 10 s regardless of the number of requests.
-const RETRY_LIMIT: RetryLimit = RetryLimit {
+pub(crate) const RETRY_LIMIT: RetryLimit = RetryLimit {
     ratio: 0.2,
     slack: 52.0,
     vm_count: 13,
@@ -208,7 +208,16 @@
     /// Creates a relay without routes or endpoints that has this retry limit; other VMs have recorded a key for hashes and the versions
     /// of the endpoints of [`endpoints`].
     pub(crate) fn with_retry_limit(seed: u64, retry_limit: RetryLimit) -> Self {
-        let mut harness = Self::started(seed, retry_limit);
+        Self::started(seed, retry_limit).with_shared_records()
+    }
+
+    /// Creates a relay like [`Self::with_retry_limit`], with or without slow start.
+    pub(crate) fn with_slow_start(seed: u64, retry_limit: RetryLimit, slow_start: bool) -> Self {
+        Self::started_at(seed, retry_limit, None, slow_start).with_shared_records()
+    }
+
+    fn with_shared_records(self) -> Self {
+        let mut harness = self;
         let hash_key = SharedRecord::HashKey(Some(RequestHashKey(7)));
         let versions = ["model", "shop"].map(|service| SharedRecord::Version {
             service: service.into(),
@@ -236,17 +245,18 @@
         else {
             panic!("not the record of a VM");
         };
-        Self::started_at(seed, RETRY_LIMIT, Some((vm, peer)))
+        Self::started_at(seed, RETRY_LIMIT, Some((vm, peer)), false)
     }
 
     fn started(seed: u64, retry_limit: RetryLimit) -> Self {
-        Self::started_at(seed, retry_limit, None)
+        Self::started_at(seed, retry_limit, None, false)
     }
 
     fn started_at(
         seed: u64,
         retry_limit: RetryLimit,
         own_address: Option<(Name, PeerAddress)>,
+        slow_start: bool,
     ) -> Self {
         let settings = RelaySettings {
             retry_limit,
@@ -255,6 +265,7 @@
             own_hash_key: RequestHashKey(u128::from(seed)),
             quota: QuotaSettings::default(),
             own_address,
+            slow_start,
         };
         let mut harness = Self {
             relay: Relay::new(&settings, seed),
--- a/crates/arbutusfall_core/tests/it/relay_load.rs
+++ b/crates/arbutusfall_core/tests/it/relay_load.rs
@@ -8,7 +8,7 @@
 
 use crate::relay_harness::ms;
 use crate::relay_simulation::RelaySimulation;
-use crate::relay_simulation::SizeCounts;
+use crate::relay_simulation::outcomes::SizeCounts;
 
 const SEEDS: std::ops::Range<u64> = 0..5;
 
--- a/crates/arbutusfall_core/tests/it/relay_simulation.rs
+++ b/crates/arbutusfall_core/tests/it/relay_simulation.rs
@@ -1,5 +1,6 @@
 //! Discrete-event simulation of several relays and model engines.
 
+pub(crate) mod outcomes;
 pub(crate) mod role_orders;
 
 use std::collections::BTreeMap;
@@ -26,11 +27,13 @@
 use arbutusfall_core::relay::Work;
 
 use crate::relay_harness::HOST;
+use crate::relay_harness::RETRY_LIMIT;
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
 use crate::relay_harness::routes;
 
+use outcomes::Outcomes;
 use role_orders::RoleOrders;
 
 /// One-way delay between a VM and an engine.
@@ -51,36 +54,6 @@
 /// Prompt size from which a request counts as large.
 const LARGE_PROMPT_TOKENS: u32 = 6_500;
 
-/// Counts of requests of one size class.
-#[derive(Debug, Default)]
-pub(crate) struct SizeCounts {
-    pub(crate) submitted: usize,
-    pub(crate) served: usize,
-}
-
-/// Counts of the requests' outcomes.
-#[derive(Debug, Default)]
-pub(crate) struct Outcomes {
-    pub(crate) submitted: usize,
-    /// Requests whose stream started within the target.
-    pub(crate) on_time: usize,
-    pub(crate) late: usize,
-    pub(crate) refused: usize,
-    pub(crate) failed: usize,
-    /// Longest time from a request's arrival to its refusal.
-    pub(crate) longest_refusal: Duration,
-    pub(crate) prefills: usize,
-    pub(crate) decodes: usize,
-    /// Requests with small and with large prompts.
-    pub(crate) by_size: [SizeCounts; 2],
-    /// Reservation attempts.
-    pub(crate) reservation_attempts: usize,
-    /// Callers that retried after a refusal.
-    pub(crate) retried: usize,
-    /// Exchanges with engines.
-    pub(crate) exchanges: usize,
-}
-
 /// An open request.
 #[derive(Clone, Copy)]
 struct OpenRequest {
@@ -109,6 +82,8 @@
     pub(crate) callers_retry: bool,
     /// Numbers of events of the streams.
     pub(crate) stream_events: Range<u64>,
+    /// Factors of the time between events, of decode engines that are slow.
+    pub(crate) slow_engines: BTreeMap<Arc<str>, u32>,
     /// The lease and the engines' roles; without a holder no VM gives orders.
     pub(crate) role_orders: RoleOrders,
     /// Requests of callers that will retry, by the instant of the retry.
@@ -127,6 +102,17 @@
 impl RelaySimulation {
     /// Creates a number of VMs that all list the same prefill and decode engines.
     pub(crate) fn new(vms: usize, prefill: usize, decode: usize, seed: u64) -> Self {
+        Self::with_slow_start(vms, prefill, decode, seed, false)
+    }
+
+    /// Creates VMs as [`Self::new`] does, with or without slow start.
+    pub(crate) fn with_slow_start(
+        vms: usize,
+        prefill: usize,
+        decode: usize,
+        seed: u64,
+        slow_start: bool,
+    ) -> Self {
         let names = |role: &str, count: usize| -> Vec<Arc<str>> {
             (0..count)
                 .map(|index| format!("{role}-{index}").into())
@@ -140,7 +126,8 @@
             entries.extend(names.iter().map(entry));
         }
         let new_vm = |index: usize| {
-            let mut harness = RelayHarness::unconfigured(seed + index as u64);
+            let mut harness =
+                RelayHarness::with_slow_start(seed + index as u64, RETRY_LIMIT, slow_start);
             harness.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
             harness.apply(RelayEvent::EndpointChanges(entries.clone()));
             harness.effects.clear();
@@ -154,6 +141,7 @@
             open_requests: BTreeMap::new(),
             callers_retry: false,
             stream_events: 20..120,
+            slow_engines: BTreeMap::new(),
             role_orders: RoleOrders::default(),
             pending_retries: BTreeMap::new(),
             memory: decodes.into_iter().map(|name| (name, 0)).collect(),
@@ -456,13 +444,16 @@
             .get(&(vm, command.call))
             .map_or(1, |open| open.stream_events);
         let id = command.exchange;
+        let slowness = self.slow_engines.get(&command.instance).copied();
+        self.outcomes.slow_decodes += usize::from(slowness.is_some());
+        let interval = EVENT_INTERVAL * slowness.unwrap_or(1);
         self.schedule(vm, id, 2 * ONE_WAY_DELAY, ExchangeEvent::StreamBegan);
         for index in 1..=stream_events {
-            let after = EVENT_INTERVAL * index as u32;
+            let after = interval * index as u32;
             let last_event_id = Some(index);
             self.schedule(vm, id, after, ExchangeEvent::Progress { last_event_id });
         }
-        let after = EVENT_INTERVAL * stream_events as u32 + ONE_WAY_DELAY;
+        let after = interval * stream_events as u32 + ONE_WAY_DELAY;
         self.schedule(vm, id, after, ExchangeEvent::Complete { status: 200 });
     }
 
