--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -110,6 +110,7 @@
             };
             (settings.vm.clone(), peer)
         }),
+        slow_start: settings.slow_start,
     };
     let store = Arc::new(StoreClient::new(settings.store_address));
     let control = ControlClient {
--- a/crates/arbutusfall_core/src/relay/sending/exclusion.rs
+++ b/crates/arbutusfall_core/src/relay/sending/exclusion.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 use crate::relay::endpoints::endpoint::Endpoint;
-use crate::relay::sending::balance::EndpointQuery;
+use crate::relay::sending::endpoint_query::EndpointQuery;
+use crate::relay::sending::held_back::fits_window;
 
 /// Why an endpoint is not selected, in the order in which it is checked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +33,8 @@
     ChangingRole,
     /// It has refused a request, and is assumed to be full for some time.
     Full,
+    /// It has as many requests of this VM as its slow start allows.
+    SlowStart,
 }
 
 impl Exclusion {
@@ -49,6 +52,7 @@
             Self::Returning => "returning",
             Self::ChangingRole => "changing_role",
             Self::Full => "full",
+            Self::SlowStart => "slow_start",
         }
     }
 
@@ -56,7 +60,7 @@
     pub fn is_preference(self) -> bool {
         matches!(
             self,
-            Self::Avoided | Self::Returning | Self::ChangingRole | Self::Full
+            Self::Avoided | Self::Returning | Self::ChangingRole | Self::Full | Self::SlowStart
         )
     }
 }
@@ -119,6 +123,8 @@
         if self.has_failed_at(endpoint) {
             return Some(Exclusion::FailedRequest);
         }
-        self.unavailability(endpoint)
+        let unavailability = self.unavailability(endpoint);
+        unavailability
+            .or_else(|| (!fits_window(endpoint, self.now)).then_some(Exclusion::SlowStart))
     }
 }
--- a/crates/arbutusfall_core/src/relay/sending/stages.rs
+++ b/crates/arbutusfall_core/src/relay/sending/stages.rs
@@ -20,9 +20,9 @@
 use crate::relay::limits::limit_tokens::tokens_for;
 use crate::relay::limits::limit_waiting::LIMITED;
 use crate::relay::notice::millis;
-use crate::relay::sending::balance::EndpointQuery;
-use crate::relay::sending::balance::LimitedEndpoints;
 use crate::relay::sending::balance::select_endpoint;
+use crate::relay::sending::endpoint_query::EndpointQuery;
+use crate::relay::sending::endpoint_query::LimitedEndpoints;
 
 /// Maximum number of prefills for one request before the decode engine prefills the prompt itself.
 pub(in crate::relay) const MAX_PREFILL_ATTEMPTS: u32 = 2;
@@ -145,7 +145,9 @@
         let limited = self.limited_endpoints(&service, stage.role(), tokens_for(stage, false));
         let call = self.calls.get(&id)?;
         let query = self.endpoint_query(call, stage, &limited);
-        select_endpoint(&self.endpoints, query, &mut self.rng)
+        let selection = select_endpoint(&self.endpoints, query, &mut self.rng);
+        self.endpoints.slow_start_counts.held_back += u64::from(selection.has_held_back);
+        selection.instance
     }
 
     /// Returns the criteria for the endpoint of a call's stage.
@@ -166,6 +168,7 @@
                 && call.standby.is_none(),
             limited,
             prompt_tokens: call.token_counts().prompt_tokens,
+            latency_target: call.route.latency_target,
             extra_delay_after_refusal: match stage {
                 CallStage::Reserve => self.extra_delay_after_refusal(call),
                 _ => None,
@@ -261,6 +264,9 @@
 ) -> Duration {
     let token_counts = call.token_counts();
     call.exchange_count += 1;
+    if let Some(starting) = &mut endpoint.slow_start {
+        starting.on_sent(endpoint.in_flight, now);
+    }
     endpoint.in_flight += 1;
     endpoint.health.on_placed(now);
     match stage {
