Relay: memory for bodies on their way is bounded, unread answers end

Cause: a whole answer no longer counted once it was read, the queues of streams had a bound each but none together, an answer could stay unread for ever, and one endpoint that reads nothing took all the memory for bodies of requests.

Change: BufferBudget (core, without I/O) decides what is held, what waits and what is refused, from memory_limit_mb where it is stated; without it the limits are as before. Bodies are passed to the HTTP library in slices, because it copies what it is given.

--- a/crates/arbutusfall/src/callers/answer.rs
+++ b/crates/arbutusfall/src/callers/answer.rs
@@ -126,7 +126,7 @@
         let chunk = state.next_chunk().await?;
         Some((Ok(chunk), state))
     });
-    AnswerBody::Stream(Box::pin(stream))
+    AnswerBody::stream(stream)
 }
 
 impl CompletionEvents {
--- a/crates/arbutusfall/src/http/body.rs
+++ b/crates/arbutusfall/src/http/body.rs
@@ -2,6 +2,9 @@
 
 use std::fmt;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -14,6 +17,9 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
+use crate::http::held_piece::PartialEvent;
+use crate::http::sliced_body::take_slice;
+
 /// Number of queued chunks from which a writer that waits for room is held back.
 const MAX_QUEUED_CHUNKS: usize = 8;
 
@@ -22,12 +28,20 @@
 
 /// Body of an answer.
 pub enum AnswerBody {
-    /// All bytes; `None` once they were polled.
+    /// All bytes that were not polled yet; `None` once all were.
     Whole(Option<Bytes>),
     /// Chunks of a stream.
-    Stream(Pin<Box<dyn Stream<Item = BodyChunk> + Send>>),
+    Stream {
+        /// The chunks.
+        chunks: ChunkStream,
+        /// Rest of the chunk that was taken last.
+        rest: Option<Bytes>,
+    },
 }
 
+/// The chunks of a body.
+type ChunkStream = Pin<Box<dyn Stream<Item = BodyChunk> + Send>>;
+
 /// A chunk of a body, or the error that aborts it.
 pub type BodyChunk = Result<Bytes, BodyAborted>;
 
@@ -45,7 +59,11 @@
 
 /// Writing end of [`AnswerBody::channel`].
 #[derive(Debug, Clone)]
-pub struct BodyWriter(Sender<BodyChunk>);
+pub struct BodyWriter {
+    chunks: Sender<BodyChunk>,
+    /// Bytes of the queued chunks that are held in memory.
+    queued_bytes: Arc<AtomicUsize>,
+}
 
 impl AnswerBody {
     /// Creates a body from all of its bytes.
@@ -53,21 +71,39 @@
         Self::Whole(Some(bytes.into()))
     }
 
+    /// Creates a body from its chunks.
+    pub fn stream(chunks: impl Stream<Item = BodyChunk> + Send + 'static) -> Self {
+        Self::Stream {
+            chunks: Box::pin(chunks),
+            rest: None,
+        }
+    }
+
     /// Creates a body with its writer; the body ends when all clones of the writer are dropped.
     pub fn channel() -> (BodyWriter, Self) {
         let (sender, receiver) = async_channel::unbounded();
-        (BodyWriter(sender), Self::Stream(Box::pin(receiver)))
+        let writer = BodyWriter {
+            chunks: sender,
+            queued_bytes: Arc::default(),
+        };
+        (writer, Self::stream(receiver))
     }
 
     /// Keeps `value` alive until a body of chunks is dropped; a complete body drops it immediately.
     pub fn with_guard(self, value: impl Send + 'static) -> Self {
         match self {
             Self::Whole(_) => self,
-            Self::Stream(stream) => Self::Stream(Box::pin(stream.map(move |chunk| {
-                // Moves the value into the closure.
-                let _ = &value;
-                chunk
-            }))),
+            Self::Stream { chunks, rest } => {
+                let chunks = chunks.map(move |chunk| {
+                    // Moves the value into the closure.
+                    let _ = &value;
+                    chunk
+                });
+                Self::Stream {
+                    chunks: Box::pin(chunks),
+                    rest,
+                }
+            }
         }
     }
 }
@@ -76,8 +112,19 @@
     /// Waits while many chunks are queued because the receiver is slow, at most for `timeout`; returns whether there is
     /// room.
     pub async fn wait_for_room(&self, timeout: Duration) -> bool {
+        let has_room = || self.chunks.len() < MAX_QUEUED_CHUNKS;
+        self.wait_until(has_room, timeout).await
+    }
+
+    /// Waits while more of the body is queued than the memory allows, of which `held` is read already, at most for `timeout`; returns whether more may be read.
+    pub(crate) async fn wait_for_memory(&self, held: &PartialEvent, timeout: Duration) -> bool {
+        let may_read = || held.may_read(self.queued_bytes.load(Ordering::Relaxed));
+        self.wait_until(may_read, timeout).await
+    }
+
+    async fn wait_until(&self, is_true: impl Fn() -> bool, timeout: Duration) -> bool {
         let mut waited = Duration::ZERO;
-        while self.0.len() >= MAX_QUEUED_CHUNKS && !self.0.is_closed() {
+        while !is_true() && !self.chunks.is_closed() {
             if waited >= timeout {
                 return false;
             }
@@ -87,15 +134,20 @@
         true
     }
 
+    /// Appends a piece of what is held of a stream; returns false if the body was dropped.
+    pub(crate) fn write_piece(&self, held: &mut PartialEvent, piece: Bytes) -> bool {
+        self.write(held.take_piece(piece, &self.queued_bytes))
+    }
+
     /// Appends a chunk; returns false if the body was dropped.
     pub fn write(&self, chunk: impl Into<Bytes>) -> bool {
-        self.0.try_send(Ok(chunk.into())).is_ok()
+        self.chunks.try_send(Ok(chunk.into())).is_ok()
     }
 
     /// Aborts the body.
     pub fn abort(&self) {
         // Fails only if the body was dropped.
-        let _ = self.0.try_send(Err(BodyAborted));
+        let _ = self.chunks.try_send(Err(BodyAborted));
     }
 }
 
@@ -108,10 +160,16 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         match self.get_mut() {
-            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream(stream) => {
-                let next = std::task::ready!(stream.as_mut().poll_next(cx));
-                Poll::Ready(next.map(|chunk| chunk.map(Frame::data)))
+            Self::Whole(rest) => Poll::Ready(take_slice(rest).map(|slice| Ok(Frame::data(slice)))),
+            Self::Stream { chunks, rest } => {
+                if rest.is_none() {
+                    match std::task::ready!(chunks.as_mut().poll_next(cx)) {
+                        Some(Ok(chunk)) => *rest = Some(chunk),
+                        Some(Err(error)) => return Poll::Ready(Some(Err(error))),
+                        None => return Poll::Ready(None),
+                    }
+                }
+                Poll::Ready(take_slice(rest).map(|slice| Ok(Frame::data(slice))))
             }
         }
     }
@@ -124,7 +182,7 @@
         match self {
             Self::Whole(Some(bytes)) => SizeHint::with_exact(bytes.len() as u64),
             Self::Whole(None) => SizeHint::with_exact(0),
-            Self::Stream(_) => SizeHint::default(),
+            Self::Stream { .. } => SizeHint::default(),
         }
     }
 }
--- a/crates/arbutusfall/src/http/body_memory.rs
+++ b/crates/arbutusfall/src/http/body_memory.rs
@@ -1,85 +1,99 @@
-//! Limits of the memory for bodies that are read completely before they are forwarded: of requests, and of answers.
+//! Memory for bodies on their way through this process.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 
-/// Bytes of each body that do not count towards the total, so that long ones, or those without end, do not keep short ones out.
-const UNCOUNTED_BYTES: usize = 16 * 1024;
+use arbutusfall_core::relay::BufferBudget;
+use arbutusfall_core::relay::BufferLimits;
+use arbutusfall_core::relay::BufferStatus;
+use arbutusfall_core::relay::SMALL_BODY_BYTES;
 
-/// Limits of the bytes of bodies in memory.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BodyLimits {
-    /// Largest body.
-    pub per_body_bytes: usize,
-    /// Bytes of all bodies that are held, beyond the first 16 KiB of each.
-    pub total_bytes: usize,
+use crate::lock::lock;
+
+/// Largest answer that is read completely, unless the memory is limited, in bytes.
+const DEFAULT_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Bytes of all answers that are being read, unless the memory is limited.
+const DEFAULT_READ_ANSWER_BYTES: usize = 128 * 1024 * 1024;
+
+/// Memory for the bodies of one process.
+#[derive(Debug)]
+pub struct BodyMemory {
+    budget: Mutex<BufferBudget>,
+    /// Largest answer that is read completely, in bytes.
+    pub(super) max_answer_bytes: usize,
 }
 
-impl Default for BodyLimits {
+impl Default for BodyMemory {
     fn default() -> Self {
-        Self {
-            per_body_bytes: 64 * 1024 * 1024,
-            total_bytes: 128 * 1024 * 1024,
-        }
+        let limits = BufferLimits {
+            read_answer_bytes: DEFAULT_READ_ANSWER_BYTES,
+            request_bytes: usize::MAX,
+            ..BufferLimits::of_unstated_memory(0)
+        };
+        Self::new(limits, DEFAULT_ANSWER_BYTES)
     }
 }
 
-/// Bytes of all bodies of one kind that are held.
-#[derive(Debug, Default)]
-pub struct BodyMemory {
-    limits: BodyLimits,
-    used_bytes: AtomicUsize,
-}
-
 impl BodyMemory {
-    /// Creates an empty count with these limits.
-    pub fn new(limits: BodyLimits) -> Self {
+    /// Creates a memory of which nothing is used.
+    pub fn new(limits: BufferLimits, max_answer_bytes: usize) -> Self {
         Self {
-            limits,
-            used_bytes: AtomicUsize::new(0),
+            budget: Mutex::new(BufferBudget::new(limits)),
+            max_answer_bytes,
         }
     }
 
-    /// Returns the count of a body that is about to be read.
-    pub(crate) fn begin(self: &Arc<Self>) -> HeldBytes {
-        HeldBytes {
-            memory: self.clone(),
-            bytes: 0,
-            counted_bytes: 0,
-        }
+    /// Returns the decisions on the memory.
+    pub(crate) fn budget(&self) -> MutexGuard<'_, BufferBudget> {
+        lock(&self.budget)
+    }
+
+    /// Returns what is held, and the decisions since the start.
+    pub fn status(&self) -> BufferStatus {
+        self.budget().status()
     }
 }
 
-/// Bytes of one body; they no longer count once this is dropped.
+/// Memory of the body of a request; free again once this is dropped.
 #[derive(Debug)]
-pub(crate) struct HeldBytes {
+pub(crate) struct HeldRequest {
     memory: Arc<BodyMemory>,
     bytes: usize,
-    /// Part of `bytes` that counts towards the total.
-    counted_bytes: usize,
 }
 
-impl HeldBytes {
-    /// Adds bytes; returns false if they exceed a limit.
+/// Splits the size of a body into its first bytes and those beyond.
+fn split_size(bytes: usize) -> (usize, usize) {
+    let small = bytes.min(SMALL_BODY_BYTES);
+    (small, bytes - small)
+}
+
+impl HeldRequest {
+    /// Begins with a body of which nothing is held.
+    pub(crate) fn begin(memory: &Arc<BodyMemory>) -> Self {
+        Self {
+            memory: memory.clone(),
+            bytes: 0,
+        }
+    }
+
+    /// Holds further bytes; returns false if there is no memory for them.
     pub(crate) fn try_add(&mut self, bytes: usize) -> bool {
-        let limits = self.memory.limits;
-        self.bytes += bytes;
-        if self.bytes > limits.per_body_bytes {
-            return false;
+        let (small_before, large_before) = split_size(self.bytes);
+        let (small, large) = split_size(self.bytes.saturating_add(bytes));
+        let mut budget = self.memory.budget();
+        let is_held = budget.try_hold_request(small - small_before, large - large_before);
+        if is_held {
+            self.bytes += bytes;
         }
-        let counted_bytes = self.bytes.saturating_sub(UNCOUNTED_BYTES);
-        let added = counted_bytes - self.counted_bytes;
-        let used = self.memory.used_bytes.fetch_add(added, Ordering::Relaxed);
-        self.counted_bytes = counted_bytes;
-        used + added <= limits.total_bytes
+        is_held
     }
 }
 
-impl Drop for HeldBytes {
+impl Drop for HeldRequest {
     fn drop(&mut self) {
-        self.memory
-            .used_bytes
-            .fetch_sub(self.counted_bytes, Ordering::Relaxed);
+        let (small, large) = split_size(self.bytes);
+        self.memory.budget().release_request(small, large);
     }
 }
--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -33,6 +33,8 @@
 use crate::http::BodyMemory;
 use crate::http::head_limit::HeadLimit;
 use crate::http::head_limit::HeadLimitedStream;
+use crate::http::held_answer::HeldAnswer;
+use crate::http::sliced_body::SlicedBody;
 use crate::http::write_gate::GatedStream;
 use crate::http::write_gate::WriteGate;
 
@@ -227,7 +229,7 @@
         let _ = connection.await;
     });
     task.detach();
-    let answer = sender.send_request(request).await;
+    let answer = sender.send_request(request.map(SlicedBody::new)).await;
     limit.lift();
     answer.map_err(|_| {
         if gate.close_unwritten() {
@@ -238,7 +240,8 @@
     })
 }
 
-/// Reads a complete body of an answer to forward.
+/// Reads a complete body of an answer to forward. It waits while other answers, which are being delivered, use up `memory`. The body counts
+/// towards it until it is dropped.
 ///
 /// # Errors
 ///
@@ -253,7 +256,7 @@
 }
 
 async fn read_within(mut body: Incoming, memory: &Arc<BodyMemory>) -> Result<Bytes, ClientError> {
-    let mut held = memory.begin();
+    let mut held = HeldAnswer::begin(memory);
     // Joined at the end: a buffer that grows could take twice the counted bytes.
     let mut pieces: Vec<Bytes> = Vec::new();
     while let Some(frame) = body.frame().await {
@@ -262,12 +265,12 @@
             // Trailers are not forwarded: they carry nothing that callers need.
             continue;
         };
-        if !held.try_add(data.len()) {
+        if !held.add(data.len()).await {
             return Err(ClientError::TooLong);
         }
         pieces.push(data);
     }
-    Ok(pieces.concat().into())
+    Ok(held.into_delivered(pieces.concat().into()))
 }
 
 /// Reads a complete body of an answer to the router itself.
--- a/crates/arbutusfall/src/http/error_replacing_stream.rs
+++ b/crates/arbutusfall/src/http/error_replacing_stream.rs
@@ -9,9 +9,11 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 
 use arbutusfall_core::Problem;
 use arbutusfall_core::ProblemKind;
+use arbutusfall_wire::Name;
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
 use hyper::Version;
@@ -30,6 +32,10 @@
     answer_ends_with_connection: AtomicBool,
     /// Kind of the problem that replaced an error answer of hyper, if any.
     replacement_kind: Mutex<Option<ProblemKind>>,
+    /// Id of the last request, once it gets an endpoint's answer.
+    request_id: Mutex<Option<Name>>,
+    /// Time for which the peer read nothing of an answer, if the connection failed for that.
+    unread: Mutex<Option<Duration>>,
 }
 
 impl ConnectionState {
@@ -44,6 +50,7 @@
         let ends_with_connection = version < Version::HTTP_11;
         self.answer_ends_with_connection
             .store(ends_with_connection, Ordering::Relaxed);
+        *lock(&self.request_id) = None;
         self.on_request_or_answer();
     }
 
@@ -52,6 +59,22 @@
         self.answer_ends_with_connection.load(Ordering::Relaxed)
     }
 
+    /// Records that an endpoint's answer to a request is written from now on.
+    pub(super) fn record_answered(&self, request_id: Name) {
+        *lock(&self.request_id) = Some(request_id);
+    }
+
+    /// Records that the connection fails because the peer read nothing for some time.
+    pub(super) fn record_unread(&self, unread: Duration) {
+        *lock(&self.unread) = Some(unread);
+    }
+
+    /// Returns for how long the peer read nothing, if the connection failed for that, and of the answer to which request.
+    pub(super) fn unread(&self) -> Option<(Duration, Option<Name>)> {
+        let unread = (*lock(&self.unread))?;
+        Some((unread, lock(&self.request_id).clone()))
+    }
+
     /// Records that a request was passed to the handler or that an answer was written.
     fn on_request_or_answer(&self) {
         self.received_part_of_request
--- a/crates/arbutusfall/src/http/event_splitter.rs
+++ b/crates/arbutusfall/src/http/event_splitter.rs
@@ -5,6 +5,9 @@
 /// Maximum size of an incomplete event, in bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Size of the buffer that is kept after a long event, in bytes.
+const KEPT_BUFFER_BYTES: usize = 16 * 1024;
+
 /// One or more whole events.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WholeEvents {
@@ -42,6 +45,7 @@
             };
         };
         let whole: Vec<u8> = self.pending.drain(..end).collect();
+        self.pending.shrink_to(KEPT_BUFFER_BYTES);
         let first_id = whole.split(|byte| *byte == b'\n').find_map(id_of_line);
         let last_id = whole.rsplit(|byte| *byte == b'\n').find_map(id_of_line);
         Ok(Some(WholeEvents {
--- a/crates/arbutusfall/src/http/request_body.rs
+++ b/crates/arbutusfall/src/http/request_body.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 
 use crate::http::body_memory::BodyMemory;
-use crate::http::body_memory::HeldBytes;
+use crate::http::body_memory::HeldRequest;
 
 /// Time after which a request may be sent again that found no memory for its body: those that hold it last about as long.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -64,7 +64,7 @@
 #[derive(Debug)]
 pub(crate) struct CountedBody {
     pub(crate) bytes: Bytes,
-    pub(crate) held: HeldBytes,
+    pub(crate) held: HeldRequest,
 }
 
 /// Reads the complete body of a request if there is memory for it.
@@ -99,7 +99,7 @@
     max_bytes: usize,
     memory: &Arc<BodyMemory>,
 ) -> Result<CountedBody, ReadBodyError> {
-    let mut held = memory.begin();
+    let mut held = HeldRequest::begin(memory);
     let stated_bytes = body.size_hint().exact().unwrap_or(0);
     let stated_bytes = usize::try_from(stated_bytes).unwrap_or(usize::MAX);
     if stated_bytes > max_bytes {
--- a/crates/arbutusfall/src/http/server.rs
+++ b/crates/arbutusfall/src/http/server.rs
@@ -11,6 +11,7 @@
 
 use arbutusfall_core::Problem;
 use arbutusfall_core::ProblemKind;
+use arbutusfall_wire::Name;
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_net::TcpListener;
@@ -37,6 +38,7 @@
 use crate::http::error_replacing_stream::ErrorReplacingStream;
 use crate::http::header_timer::HeaderTimer;
 use crate::http::problem::raw_problem;
+use crate::http::unread_limit::UnreadLimitStream;
 
 /// Minimum read buffer size that hyper accepts, in bytes.
 const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
@@ -53,6 +55,14 @@
 /// Timeout for writing the last bytes of a connection and reading until the peer closes it.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Bytes of an answer that the kernel takes beyond those that it may send at once, if unread answers are limited. It would take
+/// some megabytes of an answer that is not read, which count towards the memory of the process.
+const MAX_UNSENT_BYTES: u32 = 128 * 1024;
+
+/// Id of the request that an answer belongs to, as an extension of the answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct AnsweredRequest(pub(crate) Name);
+
 /// Limits of a listener.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
@@ -122,6 +132,16 @@
     fn on_refused(&self, kind: ProblemKind) {
         let _ = kind;
     }
+
+    /// Returns the time after which a connection is reset whose peer reads nothing of an answer; none: never.
+    fn unread_limit(&self) -> Option<Duration> {
+        None
+    }
+
+    /// Called when a connection is reset because its peer read nothing for this time of the answer to a request.
+    fn on_unread(&self, request_id: Option<Name>, unread: Duration) {
+        let _ = (request_id, unread);
+    }
 }
 
 /// A [`RequestHandler`] made of two closures.
@@ -288,6 +308,9 @@
     // Disables Nagle's algorithm, so that small writes such as tokens are sent without delay; a failure only adds
     // latency.
     let _ = stream.set_nodelay(true);
+    if handler.unread_limit().is_some() {
+        limit_unsent_bytes(&stream);
+    }
     if !handler.admit(&mut stream).await {
         return;
     }
@@ -301,12 +324,18 @@
         let answer = request_handler.clone().handle(request);
         Box::pin(async move {
             let answer = answer.await;
+            if let Some(AnsweredRequest(request_id)) = answer.extensions().get() {
+                state.record_answered(request_id.clone());
+            }
             if state.answer_ends_with_connection() && answer.body().size_hint().exact().is_none() {
                 set_reset_on_close(&socket, true);
             }
             Ok::<_, Infallible>(answer)
         })
     });
+    let limit_handler = handler.clone();
+    let unread_limit = move || limit_handler.unread_limit();
+    let stream = UnreadLimitStream::new(stream, unread_limit, state.clone());
     let io = FuturesIo::new(ErrorReplacingStream::new(stream, state.clone()));
     let mut connection = http1::Builder::new()
         .timer(HeaderTimer::new(handler.clone()))
@@ -326,7 +355,14 @@
             future::poll_fn(|cx| connection.poll_without_shutdown(cx)).await
         }
     };
-    let mut stream = connection.into_parts().io.into_inner().into_inner();
+    let stream = connection.into_parts().io.into_inner().into_inner();
+    let mut stream = stream.into_inner();
+    if let Some((unread, request_id)) = state.unread() {
+        handler.on_unread(request_id, unread);
+        // The rest that the kernel holds is dropped.
+        set_reset_on_close(&stream, true);
+        return;
+    }
     let is_aborted = matches!(&ended, Err(error) if error.is_user());
     if state.answer_ends_with_connection() {
         set_reset_on_close(&stream, is_aborted);
@@ -349,6 +385,12 @@
     write_last(&mut stream, &last).await;
 }
 
+fn limit_unsent_bytes(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        log::debug!("the kernel may hold more of an unread answer than it should: {error}");
+    }
+}
+
 /// Sets whether a connection is reset when it is closed, also by the end of the process: an answer whose end is the
 /// connection's end looks complete otherwise.
 fn set_reset_on_close(stream: &TcpStream, is_reset: bool) {
--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -11,6 +11,7 @@
 mod fact_follower;
 mod fact_server;
 mod fact_snapshot;
+mod handed_body;
 mod handle;
 mod listed_entries;
 mod metrics;
--- a/crates/arbutusfall/src/relay/callers.rs
+++ b/crates/arbutusfall/src/relay/callers.rs
@@ -13,6 +13,7 @@
 use arbutusfall_platform::endpoints::ForwardedRequest;
 use arbutusfall_platform::forwarding;
 use arbutusfall_platform::request_key::request_keys;
+use arbutusfall_wire::Name;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -21,7 +22,8 @@
 use hyper::header::RETRY_AFTER;
 
 use crate::http::AnswerBody;
-use crate::http::HeldBytes;
+use crate::http::AnsweredRequest;
+use crate::http::HeldRequest;
 use crate::http::ReadBodyError;
 use crate::http::RequestHandler;
 use crate::http::ServerLimits;
@@ -45,7 +47,7 @@
     driver: Arc<Driver>,
     call: CallId,
     /// Memory of the request's body, which may be sent again until the answer is complete.
-    _held: HeldBytes,
+    _held: HeldRequest,
 }
 
 impl Drop for CallGuard {
@@ -77,6 +79,24 @@
         }
         answer
     }
+
+    fn unread_limit(&self) -> Option<Duration> {
+        self.driver.io().body_memory.budget().unread_limit()
+    }
+
+    fn on_unread(&self, request_id: Option<Name>, unread: Duration) {
+        record_unread(&self.driver, request_id, unread);
+    }
+}
+
+/// Records that a connection was reset because its peer read nothing of an answer.
+pub(super) fn record_unread(driver: &Arc<Driver>, request_id: Option<Name>, unread: Duration) {
+    // Without an id, it was an answer by the relay itself.
+    let notice = RelayNotice::AnswerUnread {
+        request_id: request_id.unwrap_or_else(|| "".into()),
+        unread_ms: unread.as_millis() as u64,
+    };
+    driver.io().record_notice(&notice);
 }
 
 /// How a request came to this VM.
@@ -110,7 +130,7 @@
     let arrived_at = io.now();
     let (parts, body) = request.into_parts();
     let timeout = limits.receive_timeout.max(Duration::from_secs(1));
-    let body = read_counted_body(body, limits.max_body_bytes, timeout, &io.request_memory);
+    let body = read_counted_body(body, limits.max_body_bytes, timeout, &io.body_memory);
     let body = body.await.map_err(ReadBodyError::problem)?;
     let call = io.calls.next_id();
     let receive_time = arrival.elapsed + io.now().saturating_sub(arrived_at);
@@ -130,6 +150,7 @@
             let mut answer = Response::new(body.with_guard(guard));
             *answer.status_mut() = head.status;
             *answer.headers_mut() = head.headers;
+            answer.extensions_mut().insert(AnsweredRequest(request_id));
             Ok(answer)
         }
         Ok(Reply::Problem(problem)) => Err(problem),
--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -168,6 +168,7 @@
             fact_ages_ms: facts.ages_ms(),
             limits: relay.limit_status(),
             load: relay.load_status(),
+            buffers: self.io.body_memory.status(),
             quota: relay.quota_status(self.io.now()),
         };
         drop(relay);
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -26,6 +26,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 
@@ -34,7 +35,9 @@
 use crate::http::ClientError;
 use crate::http::EventSplitter;
 use crate::http::OutgoingRequest;
+use crate::http::PartialEvent;
 use crate::relay::endpoint_check;
+use crate::relay::handed_body::hand_over;
 use crate::relay::handle::RelayHandle;
 use crate::relay::open_calls::AnswerHead;
 use crate::relay::peer_client;
@@ -83,6 +86,8 @@
         connect_timeout: CONNECT_TIMEOUT.min(command.time_left),
         answer_timeout: command.time_left,
     };
+    let body_bytes = outgoing.request.body().size_hint().exact();
+    let handed = hand_over(relay, command, body_bytes.unwrap_or(0)).await?;
     let answer = match (&command.work, command.required_start_unix_ms) {
         (Work::Forward(_), _) => {
             let key = relay.shared_key();
@@ -102,6 +107,8 @@
             send_if_permitted(relay, command, opened, outgoing).await?
         }
     };
+    // The endpoint has read the request, or does not need the rest of it.
+    drop(handed);
     relay.io().exchanges.wait_while_held(command.exchange).await;
     let kind = endpoints::classify_answer(&request, command, answer.status(), answer.headers());
     if kind == AnswerKind::NotFinal {
@@ -275,7 +282,7 @@
     let framing = http::body_framing(&answer);
     let (head, body) = split_head(command, answer);
     let status = head.status.as_u16();
-    let body = http::read_body(body, command.time_left, &relay.io().answer_memory)
+    let body = http::read_body(body, command.time_left, &relay.io().body_memory)
         .await
         .map_err(exchange_failure)?;
     check_end(relay, command, framing).await?;
@@ -317,6 +324,7 @@
     let mut stream = EventStream {
         body,
         splitter: EventSplitter::default(),
+        held: PartialEvent::begin(&relay.io().body_memory),
         after_event_id: command.after_event_id.or_else(|| request.position()),
         has_events: false,
         first_event_id: None,
@@ -339,14 +347,35 @@
     check_end(relay, command, framing).await?;
     let rest = stream.splitter.finish();
     if !rest.is_empty() {
-        write_to_caller(relay, command, rest).await;
+        write_to_caller(relay, command, &mut stream.held, rest).await;
     }
     Ok(ExchangeEvent::Complete { status })
 }
 
+/// Waits until the caller has read so much of what is queued for it that more may be read from the endpoint.
+async fn wait_for_memory(relay: &impl RelayHandle, command: &SendCommand, held: &PartialEvent) {
+    let Some(writer) = relay.io().calls.writer(command.call) else {
+        return;
+    };
+    let mut is_paused = false;
+    while !writer.wait_for_memory(held, HELD_BACK_INTERVAL).await {
+        if !is_paused {
+            relay.io().body_memory.budget().on_stream_paused();
+            is_paused = true;
+        }
+        relay.submit_exchange_event(command.exchange, ExchangeEvent::HeldBack);
+    }
+}
+
 /// Writes a piece of a stream once its exchange is not held and its caller has received enough of what is queued.
-async fn write_to_caller(relay: &impl RelayHandle, command: &SendCommand, piece: Bytes) {
+async fn write_to_caller(
+    relay: &impl RelayHandle,
+    command: &SendCommand,
+    held: &mut PartialEvent,
+    piece: Bytes,
+) {
     let Some(writer) = relay.io().calls.writer(command.call) else {
+        held.discard(piece.len());
         return;
     };
     loop {
@@ -361,13 +390,15 @@
         relay.submit_exchange_event(command.exchange, ExchangeEvent::HeldBack);
     }
     // Fails only if the caller disconnected, which is reported separately.
-    let _ = writer.write(piece);
+    let _ = writer.write_piece(held, piece);
 }
 
 /// An endpoint's stream of events while it is forwarded.
 struct EventStream {
     body: Incoming,
     splitter: EventSplitter,
+    /// Memory of what was read and is not passed on to the caller yet.
+    held: PartialEvent,
     /// Id of the last event that the caller has; ids of a stream increase.
     after_event_id: Option<u64>,
     has_events: bool,
@@ -382,12 +413,19 @@
         relay: &impl RelayHandle,
         command: &SendCommand,
     ) -> Result<(), ExchangeFailure> {
-        while let Some(frame) = self.body.frame().await {
+        loop {
+            wait_for_memory(relay, command, &self.held).await;
+            let Some(frame) = self.body.frame().await else {
+                return Ok(());
+            };
             let frame = frame.map_err(|_| ExchangeFailure::Closed)?;
             let Ok(bytes) = frame.into_data() else {
                 // Trailers are not forwarded: they carry nothing that callers need.
                 continue;
             };
+            if !self.held.try_add(bytes.len()) {
+                return Err(ExchangeFailure::TooLong);
+            }
             let events = self.splitter.push(&bytes);
             let events = events.map_err(|_| ExchangeFailure::TooLong)?;
             let Some(events) = events else {
@@ -398,13 +436,12 @@
             }
             self.has_events = true;
             self.first_event_id = self.first_event_id.or(events.first_id);
-            write_to_caller(relay, command, events.bytes).await;
+            write_to_caller(relay, command, &mut self.held, events.bytes).await;
             let last_event_id = events.last_id;
             self.last_event_id = last_event_id.or(self.last_event_id);
             relay
                 .submit_exchange_event(command.exchange, ExchangeEvent::Progress { last_event_id });
         }
-        Ok(())
     }
 
     /// Returns whether the caller has the event with this id already.
--- a/crates/arbutusfall/src/relay/handle.rs
+++ b/crates/arbutusfall/src/relay/handle.rs
@@ -46,10 +46,8 @@
     pub(super) executor: Arc<Executor>,
     pub(super) calls: OpenCalls,
     pub(super) exchanges: OpenExchanges,
-    /// Memory for answers that are read completely.
-    pub(super) answer_memory: Arc<BodyMemory>,
-    /// Memory for bodies of requests.
-    pub(super) request_memory: Arc<BodyMemory>,
+    /// Memory for bodies on their way.
+    pub(super) body_memory: Arc<BodyMemory>,
     pub(super) metrics: Metrics,
     pub(super) clock: SystemClock,
     log: DecisionLog,
@@ -58,16 +56,14 @@
 impl RelayIo {
     pub(super) fn new(
         executor: Arc<Executor>,
-        answer_memory: Arc<BodyMemory>,
-        request_memory: Arc<BodyMemory>,
+        body_memory: Arc<BodyMemory>,
         log: DecisionLog,
     ) -> Self {
         Self {
             executor,
             calls: OpenCalls::default(),
             exchanges: OpenExchanges::default(),
-            answer_memory,
-            request_memory,
+            body_memory,
             metrics: Metrics::default(),
             clock: SystemClock::start(),
             log,
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -4,6 +4,8 @@
 use std::fmt::Write;
 use std::sync::Mutex;
 
+use arbutusfall_core::relay::BufferCounts;
+use arbutusfall_core::relay::BufferStatus;
 use arbutusfall_core::relay::ConfigStatus;
 use arbutusfall_core::relay::LimitStatus;
 use arbutusfall_core::relay::LoadCounts;
@@ -48,6 +50,8 @@
     pub(super) limits: LimitStatus,
     /// Limits of plain services whose endpoints reject requests.
     pub(super) load: LoadStatus,
+    /// Bodies in memory.
+    pub(super) buffers: BufferStatus,
     /// Decisions on quotas of client accounts.
     pub(super) quota: QuotaStatus,
 }
@@ -144,7 +148,7 @@
     pub(super) fn text(&self, values: &StateMetrics) -> String {
         let state = lock(&self.state);
         let mut text = String::new();
-        state.write_counters(&mut text, values.quota, values.load.counts);
+        state.write_counters(&mut text, values);
         state.write_latencies(&mut text);
         if let Some(config) = values.config {
             write_config(&mut text, config);
@@ -178,6 +182,7 @@
         let owned = values.quota.owned_accounts as u64;
         write_gauge(&mut text, "owned_accounts", owned);
         write_gauge(&mut text, "limit_shares_held", limits.held_shares as u64);
+        write_buffers(&mut text, values.buffers);
         text
     }
 }
@@ -185,7 +190,7 @@
 // Writing to a string cannot fail.
 
 impl State {
-    fn write_counters(&self, text: &mut String, quota: QuotaStatus, load: LoadCounts) {
+    fn write_counters(&self, text: &mut String, values: &StateMetrics) {
         text.push_str("# TYPE arbutusfall_events_total counter\n");
         for ((event, reason), count) in &self.notice_counts {
             let _ = writeln!(
@@ -193,8 +198,9 @@
                 "arbutusfall_events_total{{event=\"{event}\",reason=\"{reason}\"}} {count}"
             );
         }
-        write_quota_counters(text, quota);
-        write_load_counters(text, load);
+        write_quota_counters(text, values.quota);
+        write_load_counters(text, values.load.counts);
+        write_buffer_counters(text, values.buffers.counts);
         text.push_str("# TYPE arbutusfall_requests_total counter\n");
         for ((is_added_route, outcome), count) in &self.request_counts {
             let routes = if *is_added_route { "added" } else { "first" };
@@ -239,6 +245,29 @@
     }
 }
 
+/// Writes the counters of memory for bodies, which belong to the metric of events.
+fn write_buffer_counters(text: &mut String, counts: BufferCounts) {
+    let counters = [
+        ("buffers.request_refused", counts.request_refused),
+        ("buffers.answer_paused", counts.answer_paused),
+        ("buffers.stream_paused", counts.stream_paused),
+        ("buffers.endpoint_full", counts.endpoint_full),
+    ];
+    for (event, count) in counters {
+        let _ = writeln!(
+            text,
+            "arbutusfall_events_total{{event=\"{event}\",reason=\"\"}} {count}"
+        );
+    }
+}
+
+fn write_buffers(text: &mut String, buffers: BufferStatus) {
+    let request_bytes = buffers.request_bytes as u64;
+    write_gauge(text, "buffered_request_bytes", request_bytes);
+    write_gauge(text, "buffered_answer_bytes", buffers.answer_bytes as u64);
+    write_gauge(text, "buffered_stream_bytes", buffers.stream_bytes as u64);
+}
+
 /// Writes the counters of quotas, which belong to the metric of events.
 fn write_quota_counters(text: &mut String, quota: QuotaStatus) {
     let counts = quota.counts;
--- a/crates/arbutusfall/src/relay/peer_server.rs
+++ b/crates/arbutusfall/src/relay/peer_server.rs
@@ -8,6 +8,7 @@
 use arbutusfall_core::Problem;
 use arbutusfall_core::ProblemKind;
 use arbutusfall_platform::forwarding;
+use arbutusfall_wire::Name;
 use async_net::TcpStream;
 use futures_lite::FutureExt;
 use hyper::Request;
@@ -21,6 +22,7 @@
 use crate::relay::callers::Arrival;
 use crate::relay::driver::Driver;
 use crate::relay::fact_server::FactServer;
+use crate::relay::handle::RelayHandle;
 use crate::relay::peer_client::FACTS_PATH;
 use crate::relay::peer_client::QUOTA_PATH;
 use crate::relay::peer_handshake;
@@ -35,6 +37,9 @@
 /// Timeout for the head of a request, and for the next request of a connection that is kept.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which another VM may read nothing, as a multiple of that for callers: it ends what its own caller does not read first.
+const UNREAD_LIMIT_FACTOR: u32 = 2;
+
 /// Answers the requests of other VMs through the relay.
 pub(super) struct PeerServer {
     pub(super) driver: Arc<Driver>,
@@ -67,6 +72,15 @@
         is_admitted
     }
 
+    fn unread_limit(&self) -> Option<Duration> {
+        let limit = self.driver.io().body_memory.budget().unread_limit()?;
+        Some(limit * UNREAD_LIMIT_FACTOR)
+    }
+
+    fn on_unread(&self, request_id: Option<Name>, unread: Duration) {
+        callers::record_unread(&self.driver, request_id, unread);
+    }
+
     async fn handle(self: Arc<Self>, mut request: Request<Incoming>) -> Response<AnswerBody> {
         let Some((hop, elapsed)) = forwarding::take_hop(request.headers_mut()) else {
             return match request.uri().path() {
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -112,8 +112,7 @@
         member: format!("{}-{:016x}", settings.vm, fastrand::u64(..)).into(),
         store: store.clone(),
     };
-    let answer_memory = Arc::new(BodyMemory::new(settings.answer_limits()));
-    let request_memory = Arc::new(BodyMemory::new(settings.request_limits()));
+    let body_memory = BodyMemory::new(settings.buffer_limits(), settings.max_answer_bytes());
     let relay = Relay::new(&relay_settings, fastrand::u64(..));
     let log = DecisionLog::start(
         settings.vm.clone(),
@@ -121,7 +120,7 @@
         std::io::stdout(),
     );
     let log = log.change_context(ServeError::Log)?;
-    let io = RelayIo::new(executor.clone(), answer_memory, request_memory, log);
+    let io = RelayIo::new(executor.clone(), Arc::new(body_memory), log);
     let facts = Arc::new(FactBoard::new(
         settings.fact_times(),
         settings.seeks_newest(),
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use arbutusfall_core::relay::BufferLimits;
 use arbutusfall_core::relay::FactTimes;
 use arbutusfall_core::relay::QuotaSettings;
 use arbutusfall_core::relay::RetryLimit;
@@ -19,7 +20,6 @@
 
 use crate::LogLevel;
 use crate::SettingsError;
-use crate::http::BodyLimits;
 use crate::relay::read_timing::ReadTiming;
 use crate::settings::read_settings;
 
@@ -33,12 +33,8 @@
 /// Allowed values of `memory_limit_mb`.
 const MEMORY_LIMIT_RANGE_MB: RangeInclusive<u32> = 8..=1_048_576;
 
-/// Part of the memory that bodies of requests may take: one of this many. Each is held once more, for a moment, by the connection
-/// that it arrives on or leaves by.
-const REQUEST_MEMORY_DIVISOR: usize = 6;
-
-/// Part of the memory that answers may take: one of this many.
-const ANSWER_MEMORY_DIVISOR: usize = 12;
+/// Memory that a VM is assumed to have if it is not stated.
+const DEFAULT_MEMORY_MB: u32 = 110;
 
 /// Number of answers of the largest size that the memory for answers can hold.
 const MIN_CONCURRENT_ANSWERS: usize = 4;
@@ -99,13 +95,10 @@
     /// Time within which a silent connection to the store must be detected.
     #[serde(default = "default_silence_bound_ms")]
     pub silence_bound_ms: u64,
-    /// Memory that the VM may use; a part of it is for bodies of requests, and one for answers that are read completely before they
-    /// are forwarded.
-    #[serde(
-        default = "default_memory_limit_mb",
-        deserialize_with = "memory_limit_mb"
-    )]
-    pub memory_limit_mb: u32,
+    /// Memory that the VM may use. If it is stated, half of it bounds all bodies on their way, and answers end that their callers do
+    /// not read.
+    #[serde(default, deserialize_with = "memory_limit_mb")]
+    pub memory_limit_mb: Option<u32>,
     /// Rate limit of the decision log in bytes per second. Excess lines are dropped and counted, routine ones first.
     #[serde(default = "default_log_bytes_per_s")]
     pub log_bytes_per_s: u32,
@@ -142,15 +135,14 @@
     3_000
 }
 
-fn default_memory_limit_mb() -> u32 {
-    110
-}
-
-fn memory_limit_mb<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
+fn memory_limit_mb<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u32>, D::Error> {
     // The platform may state fractions.
-    let value = f64::deserialize(deserializer)?.round() as u32;
+    let Some(value) = Option::<f64>::deserialize(deserializer)? else {
+        return Ok(None);
+    };
+    let value = value.round() as u32;
     if MEMORY_LIMIT_RANGE_MB.contains(&value) {
-        return Ok(value);
+        return Ok(Some(value));
     }
     let (least, most) = (MEMORY_LIMIT_RANGE_MB.start(), MEMORY_LIMIT_RANGE_MB.end());
     Err(D::Error::custom(format!(
@@ -158,6 +150,10 @@
     )))
 }
 
+fn bytes_of_mb(mb: u32) -> usize {
+    mb as usize * 1_000_000
+}
+
 fn default_log_bytes_per_s() -> u32 {
     64 * 1024
 }
@@ -208,23 +204,17 @@
         self.peer_address.is_some() && self.strength().class() != StrengthClass::UNKNOWN
     }
 
-    /// Returns the limits of the memory for answers.
-    pub fn answer_limits(&self) -> BodyLimits {
-        let memory_bytes = self.memory_limit_mb as usize * 1_000_000;
-        let total_bytes = memory_bytes / ANSWER_MEMORY_DIVISOR;
-        BodyLimits {
-            per_body_bytes: total_bytes / MIN_CONCURRENT_ANSWERS,
-            total_bytes,
+    /// Returns the limits of the memory for bodies; the configuration limits the size of each request's.
+    pub fn buffer_limits(&self) -> BufferLimits {
+        match self.memory_limit_mb {
+            Some(memory_mb) => BufferLimits::of_memory(bytes_of_mb(memory_mb)),
+            None => BufferLimits::of_unstated_memory(bytes_of_mb(DEFAULT_MEMORY_MB)),
         }
     }
 
-    /// Returns the limits of the memory for bodies of requests; the configuration limits the size of each.
-    pub fn request_limits(&self) -> BodyLimits {
-        let memory_bytes = self.memory_limit_mb as usize * 1_000_000;
-        BodyLimits {
-            per_body_bytes: usize::MAX,
-            total_bytes: memory_bytes / REQUEST_MEMORY_DIVISOR,
-        }
+    /// Returns the size of the largest answer that is read completely.
+    pub fn max_answer_bytes(&self) -> usize {
+        self.buffer_limits().read_answer_bytes / MIN_CONCURRENT_ANSWERS
     }
 
     /// Returns the times of reads of the endpoint list.
--- a/crates/arbutusfall/tests/it/relay_settings.rs
+++ b/crates/arbutusfall/tests/it/relay_settings.rs
@@ -140,9 +140,10 @@
     }
     let settings: RelayProcessSettings =
         serde_json::from_value(document(110)).expect("valid settings");
-    let limits = settings.answer_limits();
-    assert!(limits.total_bytes < 110_000_000 / 4);
-    assert!(limits.per_body_bytes * 4 <= limits.total_bytes);
+    let limits = settings.buffer_limits();
+    assert!(limits.read_answer_bytes < 110_000_000 / 4);
+    assert!(settings.max_answer_bytes() * 4 <= limits.read_answer_bytes);
+    assert!(limits.total_bytes() <= 110_000_000 / 2);
 }
 
 // Guards against a VM whose strength is published in another unit, or not at all.
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -9,6 +9,7 @@
 //! driver holds the bytes of requests and answers; the relay sees only sizes, outcomes and times.
 
 mod accounts;
+mod buffers;
 mod calls;
 mod control;
 mod crashes;
@@ -63,6 +64,8 @@
 pub use accounts::sent_account::SentAccount;
 pub use accounts::table::AccountTable;
 pub use accounts::table::AccountTableError;
+pub use buffers::buffer_budget::*;
+pub use buffers::buffer_limits::BufferLimits;
 pub use calls::budget::RetryLimit;
 pub use calls::request_key::RequestHashKey;
 pub use calls::request_key::RequestKey;
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -392,6 +392,13 @@
         /// Id that the caller gave to the request.
         request_id: Name,
     },
+    /// The caller read nothing of its answer for too long, so its connection was reset.
+    AnswerUnread {
+        /// Id that the caller gave to the request.
+        request_id: Name,
+        /// Time for which it read nothing.
+        unread_ms: u64,
+    },
     /// The caller disconnected before its answer was complete.
     CallerGone {
         /// Id that the caller gave to the request.
--- a/crates/arbutusfall_core/src/relay/notice/names.rs
+++ b/crates/arbutusfall_core/src/relay/notice/names.rs
@@ -61,6 +61,7 @@
             Self::Answered { .. } => "answered",
             Self::GivenUp { .. } => "given_up",
             Self::AnswerMissing { .. } => "answer_missing",
+            Self::AnswerUnread { .. } => "answer_unread",
             Self::CallerGone { .. } => "caller_gone",
             Self::FactSource { .. } => "fact_source",
             Self::QuotaOwner { .. } => "quota_owner",
