--- a/crates/arbutusfall/src/relay/driver.rs
+++ b/crates/arbutusfall/src/relay/driver.rs
@@ -177,6 +177,7 @@
             limits: relay.limit_status(),
             load: relay.load_status(),
             slow_start: relay.slow_start_status(),
+            buffers: self.io.body_memory.status(),
             quota: relay.quota_status(self.io.now()),
         };
         drop(relay);
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -4,6 +4,8 @@
 use std::fmt::Write;
 use std::sync::Mutex;
 
+use arbutusfall_core::relay::BufferCounts;
+use arbutusfall_core::relay::BufferStatus;
 use arbutusfall_core::relay::ConfigStatus;
 use arbutusfall_core::relay::LimitStatus;
 use arbutusfall_core::relay::LoadCounts;
@@ -52,6 +54,8 @@
     pub(super) load: LoadStatus,
     /// Endpoints that get less load until they answer in time.
     pub(super) slow_start: SlowStartStatus,
+    /// Bodies in memory.
+    pub(super) buffers: BufferStatus,
     /// Decisions on quotas of client accounts.
     pub(super) quota: QuotaStatus,
 }
@@ -184,6 +188,7 @@
         let owned = values.quota.owned_accounts as u64;
         write_gauge(&mut text, "owned_accounts", owned);
         write_gauge(&mut text, "limit_shares_held", limits.held_shares as u64);
+        write_buffers(&mut text, values.buffers);
         text
     }
 }
@@ -202,6 +207,7 @@
         write_quota_counters(text, values.quota);
         write_load_counters(text, values.load.counts);
         write_slow_start_counters(text, values.slow_start.counts);
+        write_buffer_counters(text, values.buffers.counts);
         text.push_str("# TYPE arbutusfall_requests_total counter\n");
         for ((is_added_route, outcome), count) in &self.request_counts {
             let routes = if *is_added_route { "added" } else { "first" };
@@ -231,6 +237,16 @@
     }
 }
 
+/// Writes counters without a reason, which belong to the metric of events.
+fn write_events(text: &mut String, counters: &[(&str, u64)]) {
+    for (event, count) in counters {
+        let _ = writeln!(
+            text,
+            "arbutusfall_events_total{{event=\"{event}\",reason=\"\"}} {count}"
+        );
+    }
+}
+
 /// Writes the counters of limits on plain services, which belong to the metric of events.
 fn write_load_counters(text: &mut String, counts: LoadCounts) {
     let counters = [
@@ -238,12 +254,7 @@
         ("load.beyond_limit", counts.beyond_limit),
         ("load.refused", counts.refused),
     ];
-    for (event, count) in counters {
-        let _ = writeln!(
-            text,
-            "arbutusfall_events_total{{event=\"{event}\",reason=\"\"}} {count}"
-        );
-    }
+    write_events(text, &counters);
 }
 
 /// Writes the counters of slow start, which belong to the metric of events.
@@ -253,12 +264,25 @@
         ("slow_start.shrunk", counts.shrunk),
         ("slow_start.held_back", counts.held_back),
     ];
-    for (event, count) in counters {
-        let _ = writeln!(
-            text,
-            "arbutusfall_events_total{{event=\"{event}\",reason=\"\"}} {count}"
-        );
-    }
+    write_events(text, &counters);
+}
+
+/// Writes the counters of memory for bodies, which belong to the metric of events.
+fn write_buffer_counters(text: &mut String, counts: BufferCounts) {
+    let counters = [
+        ("buffers.request_refused", counts.request_refused),
+        ("buffers.answer_paused", counts.answer_paused),
+        ("buffers.stream_paused", counts.stream_paused),
+        ("buffers.endpoint_full", counts.endpoint_full),
+    ];
+    write_events(text, &counters);
+}
+
+fn write_buffers(text: &mut String, buffers: BufferStatus) {
+    let request_bytes = buffers.request_bytes as u64;
+    write_gauge(text, "buffered_request_bytes", request_bytes);
+    write_gauge(text, "buffered_answer_bytes", buffers.answer_bytes as u64);
+    write_gauge(text, "buffered_stream_bytes", buffers.stream_bytes as u64);
 }
 
 /// Writes the counters of quotas, which belong to the metric of events.
@@ -272,12 +296,7 @@
         ("quota.renewed", quota.renewed),
         ("quota.granted_tokens", counts.granted_tokens as u64),
     ];
-    for (event, count) in counters {
-        let _ = writeln!(
-            text,
-            "arbutusfall_events_total{{event=\"{event}\",reason=\"\"}} {count}"
-        );
-    }
+    write_events(text, &counters);
 }
 
 fn write_fact_ages(text: &mut String, ages_ms: &[(&'static str, u64)]) {
--- a/crates/arbutusfall_core/benches/explain.rs
+++ b/crates/arbutusfall_core/benches/explain.rs
@@ -72,6 +72,7 @@
         own_hash_key: RequestHashKey(1),
         quota: QuotaSettings::default(),
         own_address: None,
+        slow_start: true,
     };
     let mut relay = Relay::new(&settings, 1);
     let listed = (0..endpoints).map(|number| EndpointListChange::Listed(endpoint(number)));
