Relay: a VM that was paused blocks no cause before it has heard the others

Change: if a timer is late by 0.5 s or more, blocks wait 1.2 s as after an outage of the store, at most once in 2.6 s, so that a VM that is paused again and again still blocks causes.

--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -109,6 +109,9 @@
     pub own_address: Option<(Name, PeerAddress)>,
 }
 
+/// Lateness of a timer from which this process counts as paused: what other VMs wrote meanwhile has not been read.
+const PAUSE_TIME: Duration = Duration::from_millis(500);
+
 /// Timers of the relay. A timer that finds nothing to do is ignored.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum RelayTimer {
@@ -287,6 +290,7 @@
     /// Handles one event; `now` is monotonic.
     pub fn apply(&mut self, event: RelayEvent, now: Duration) -> RelayOutput {
         self.now = now;
+        self.note_pause();
         self.on_event(event);
         self.update_quota_list();
         self.update_ready();
@@ -296,6 +300,14 @@
         }
     }
 
+    /// Notes that this process did not run for some time, as when its machine is paused.
+    fn note_pause(&mut self) {
+        let due = self.timers.next_due();
+        if due.is_some_and(|due| due + PAUSE_TIME <= self.now) {
+            self.crash_suspects.on_paused(self.now);
+        }
+    }
+
     /// Returns the limits on callers' requests from the newest configuration, or the defaults before the first.
     pub fn limits(&self) -> CallerLimits {
         let routes = self.routes.as_ref();
--- a/crates/arbutusfall_core/src/relay/crashes/crash_suspects.rs
+++ b/crates/arbutusfall_core/src/relay/crashes/crash_suspects.rs
@@ -36,6 +36,9 @@
 /// Time from the first read of the shared records after an outage until other VMs' answers to what they read then are read.
 const HEAR_OTHERS_TIME: Duration = Duration::from_millis(1_200);
 
+/// Shortest time between two delays of blocks by pauses, so that a VM that is paused again and again blocks causes in between.
+const PAUSE_DELAY_INTERVAL: Duration = Duration::from_millis(2_600);
+
 /// Time for which evidence is kept.
 pub(crate) const EVIDENCE_LIFETIME: Duration = Duration::from_secs(3_600);
 
@@ -157,6 +160,8 @@
     answered: AnsweredCauses,
     /// No cause is blocked before this instant: other VMs may be about to clear it.
     blocks_from: Duration,
+    /// End of the last pause of this process that has delayed blocks.
+    paused_until: Option<Duration>,
     /// Whether the shared records can't be read now.
     is_unreadable: bool,
     /// Evidence that has given way to newer evidence.
@@ -344,6 +349,15 @@
         self.blocks_from = now + HEAR_OTHERS_TIME;
     }
 
+    /// Delays blocks after a pause of this process until what other VMs wrote meanwhile can have been read.
+    pub(crate) fn on_paused(&mut self, now: Duration) {
+        let last = self.paused_until;
+        if last.is_none_or(|last| now >= last + PAUSE_DELAY_INTERVAL) {
+            self.paused_until = Some(now);
+            self.blocks_from = self.blocks_from.max(now + HEAR_OTHERS_TIME);
+        }
+    }
+
     /// Returns the instant of the block on a suspect. While the shared records can't be read, only this VM's own crashes count.
     /// Crashes that a rarer cause explains do not count.
     fn block_at(&self, cause: &CrashCause, suspect: &Suspect) -> Option<Duration> {
--- a/crates/arbutusfall_core/tests/it/relay_crash_records.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_records.rs
@@ -167,6 +167,19 @@
     });
 }
 
+/// Returns the records with which another VM deletes the evidence in these.
+fn deletions(records: Vec<SharedRecord>) -> Vec<SharedRecord> {
+    let deletions = records.into_iter().filter_map(|record| match record {
+        SharedRecord::Crash { cause, crash, .. } => Some(SharedRecord::Crash {
+            cause,
+            crash,
+            evidence: None,
+        }),
+        _ => None,
+    });
+    deletions.collect()
+}
+
 // Guards against a sound request that is blocked just after an outage of the store, before other VMs could tell that it is
 // answered.
 #[test]
@@ -185,15 +198,30 @@
         let appended = run(&mut harness, ms(500), true);
         assert!(!is_refused(&mut harness, "/pay/a"));
         if is_answered_elsewhere {
-            let evidence = appended.into_iter().filter_map(|record| match record {
-                SharedRecord::Crash { cause, crash, .. } => Some(SharedRecord::Crash {
-                    cause,
-                    crash,
-                    evidence: None,
-                }),
-                _ => None,
-            });
-            read(&mut harness, evidence.collect());
+            read(&mut harness, deletions(appended));
+        }
+        run(&mut harness, ms(2_500), true);
+        assert_eq!(is_refused(&mut harness, "/pay/a"), !is_answered_elsewhere);
+    }
+}
+
+// Guards against a sound request that a VM blocks on resuming from a pause, before it reads that another VM has cleared it.
+#[test]
+fn request_is_not_blocked_before_other_vms_are_heard_after_a_pause() {
+    for is_answered_elsewhere in [true, false] {
+        let mut harness = start();
+        harness.apply(RelayEvent::EndpointChanges(endpoints(6)));
+        run(&mut harness, ms(2_000), true);
+        let mut appended = Vec::new();
+        for _ in 0..3 {
+            break_off(&mut harness, "/pay/a");
+            appended.extend(run(&mut harness, ms(200), true));
+        }
+        harness.now += ms(2_500);
+        harness.apply(RelayEvent::Tick);
+        assert!(!is_refused(&mut harness, "/pay/a"));
+        if is_answered_elsewhere {
+            read(&mut harness, deletions(appended));
         }
         run(&mut harness, ms(2_500), true);
         assert_eq!(is_refused(&mut harness, "/pay/a"), !is_answered_elsewhere);
