--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod fact_board;
 mod fact_follower;
+mod fact_question;
 mod fact_server;
 mod fact_snapshot;
 mod handle;
--- a/crates/arbutusfall/src/relay/fact_follower.rs
+++ b/crates/arbutusfall/src/relay/fact_follower.rs
@@ -10,33 +10,19 @@
 use arbutusfall_core::relay::FollowOutcome;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::StoreTopic;
-use arbutusfall_platform::answer_status::FinalStatus;
 use arbutusfall_wire::FactsAnswer;
 use arbutusfall_wire::FactsQuestion;
-use arbutusfall_wire::MAX_FACTS_BYTES;
 use arbutusfall_wire::Name;
 use arbutusfall_wire::PassedRecord;
 use arbutusfall_wire::TopicNews;
 use arbutusfall_wire::TopicPosition;
-use arbutusfall_wire::decode_facts;
-use arbutusfall_wire::encode_facts;
-use http_body_util::Full;
-use hyper::Method;
-use hyper::Request;
-use hyper::header::HOST;
 
-use crate::http;
-use crate::http::ClientError;
-use crate::http::OutgoingRequest;
 use crate::relay::fact_board::FactBoard;
 use crate::relay::fact_board::PassedFacts;
 use crate::relay::fact_board::TOPICS;
+use crate::relay::fact_question::FactsError;
+use crate::relay::fact_question::FactsRequest;
 use crate::relay::handle::RelayHandle;
-use crate::relay::peer_client;
-use crate::relay::peer_client::FACTS_PATH;
-
-/// Timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time for reading from the store what is not passed on, before the next question.
 const IN_STORE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -50,24 +36,15 @@
     pub(super) waits: bool,
 }
 
-/// Why a VM passed nothing on.
-#[derive(Debug)]
-enum FollowError {
-    /// It did not answer.
-    Failed(ClientError),
-    /// It answered otherwise than with what is new to this VM.
-    Declined(&'static str),
-}
-
 /// Asks a VM, hands what it passes on to the readers of the topics and reports the outcome to the relay.
 pub(super) async fn follow(relay: impl RelayHandle, board: Arc<FactBoard>, from: FactsFrom) {
     let outcome = match ask(&relay, &board, &from).await {
         Ok(()) => FollowOutcome::Passed,
-        Err(FollowError::Failed(error)) => {
+        Err(FactsError::Failed(error)) => {
             log::info!("VM {} passed no facts on: {error}", from.vm);
             FollowOutcome::Failed
         }
-        Err(FollowError::Declined(reason)) => {
+        Err(FactsError::Declined(reason)) => {
             log::debug!("VM {} passed no facts on: {reason}", from.vm);
             FollowOutcome::Declined
         }
@@ -84,21 +61,28 @@
     relay: &impl RelayHandle,
     board: &FactBoard,
     from: &FactsFrom,
-) -> Result<(), FollowError> {
+) -> Result<(), FactsError> {
     let positions = board.positions();
-    let positions = positions.ok_or(FollowError::Declined("not all topics have been read"))?;
+    let positions = positions.ok_or(FactsError::Declined("not all topics have been read"))?;
     let wait = if from.waits {
         board.times.wait
     } else {
         Duration::ZERO
     };
     let sent_at = board.now();
-    let answer = exchange(relay, board, from, question(positions, wait), wait).await?;
+    let request = FactsRequest {
+        vm: &from.vm,
+        address: from.address,
+        question: &question(positions, wait),
+        answer_timeout: board.times.answer_timeout(wait, fastrand::f64()),
+    };
+    let answer = request.send(&relay.io().executor, relay.shared_key());
+    let answer = answer.await?;
     // The answer may have been held up: what it says is as old as its question at least.
     let longest_wait = board.times.longest_wait(wait);
     let answered_at = sent_at + Duration::from_millis(answer.waited_ms).min(longest_wait);
     let elapsed = board.now().saturating_sub(answered_at);
-    let facts = parse_answer(answer, elapsed).ok_or(FollowError::Declined("malformed answer"))?;
+    let facts = parse_answer(answer, elapsed).ok_or(FactsError::Declined("malformed answer"))?;
     let list = facts.iter().find(|f| f.topic == StoreTopic::Endpoints);
     let list_age = list.map_or(Duration::MAX, |list| list.age);
     let fresh_until = board
@@ -125,42 +109,6 @@
     }
 }
 
-async fn exchange(
-    relay: &impl RelayHandle,
-    board: &FactBoard,
-    from: &FactsFrom,
-    question: FactsQuestion,
-    wait: Duration,
-) -> Result<FactsAnswer, FollowError> {
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(FACTS_PATH)
-        .header(HOST, from.address.to_string())
-        .body(Full::new(encode_facts(&question).into()));
-    let request = request.map_err(|_| FollowError::Failed(ClientError::Malformed))?;
-    let started_at = board.now();
-    let answer_timeout = board.times.answer_timeout(wait, fastrand::f64());
-    let outgoing = OutgoingRequest {
-        address: from.address,
-        request,
-        connect_timeout: CONNECT_TIMEOUT,
-        answer_timeout,
-    };
-    let sent = peer_client::send(&relay.io().executor, outgoing, relay.shared_key()).await;
-    let answer = sent.map_err(FollowError::Failed)?;
-    FinalStatus::of(answer.status()).map_err(|_| FollowError::Failed(ClientError::Malformed))?;
-    if !answer.status().is_success() {
-        return Err(FollowError::Declined("it passes none on now"));
-    }
-    let time_left = (started_at + answer_timeout).saturating_sub(board.now());
-    let body = http::read_control_body(answer.into_body(), time_left, MAX_FACTS_BYTES).await;
-    let body = body.map_err(FollowError::Failed)?;
-    decode_facts(&body).map_err(|error| {
-        log::warn!("VM {} passed on what cannot be read: {error}", from.vm);
-        FollowError::Declined("malformed answer")
-    })
-}
-
 /// Returns what an answer says of each topic; none if a topic is missing or twice.
 fn parse_answer(answer: FactsAnswer, elapsed: Duration) -> Option<Vec<PassedFacts>> {
     let mut facts = Vec::new();
--- a/crates/arbutusfall/src/relay/newest_seeker.rs
+++ b/crates/arbutusfall/src/relay/newest_seeker.rs
@@ -1,7 +1,5 @@
 //! Asks stronger VMs for all newest records of topics that this VM lacks.
 
-use std::fmt;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,55 +7,23 @@
 use arbutusfall_core::relay::NewestSearch;
 use arbutusfall_core::relay::NextNewest;
 use arbutusfall_core::relay::StoreTopic;
-use arbutusfall_wire::FactsAnswer;
 use arbutusfall_wire::FactsQuestion;
-use arbutusfall_wire::MAX_FACTS_BYTES;
 use arbutusfall_wire::TopicNewest;
-use arbutusfall_wire::decode_facts;
-use arbutusfall_wire::encode_facts;
 use async_io::Timer;
-use http_body_util::Full;
-use hyper::Method;
-use hyper::Request;
-use hyper::header::HOST;
 
-use crate::http;
-use crate::http::ClientError;
-use crate::http::OutgoingRequest;
 use crate::relay::fact_board::FactBoard;
+use crate::relay::fact_question::FactsError;
+use crate::relay::fact_question::FactsRequest;
 use crate::relay::fact_snapshot::PassedNewest;
 use crate::relay::handle::RelayHandle;
-use crate::relay::peer_client;
-use crate::relay::peer_client::FACTS_PATH;
 use crate::relay::store_client::StoreClient;
 
 /// Name of the counter of questions for newest records, and of searches that ended without.
 const SOUGHT_EVENT: &str = "newest_sought";
 
-/// Timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Least time for which passed records replace reads of the store, however old they are: meanwhile this VM begins to follow another one.
 const FOLLOW_TIME: Duration = Duration::from_secs(1);
 
-/// Why a VM passed no newest records on.
-#[derive(Debug)]
-enum SeekError {
-    /// It did not answer.
-    Failed(ClientError),
-    /// It answered without records that this VM can use.
-    Declined(&'static str),
-}
-
-impl fmt::Display for SeekError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Failed(error) => error.fmt(f),
-            Self::Declined(reason) => f.write_str(reason),
-        }
-    }
-}
-
 /// Searches until all needed records are passed on or the search ends.
 pub(super) async fn seek(
     relay: impl RelayHandle,
@@ -86,11 +52,17 @@
                 address,
                 timeout,
             } => {
-                let asked = ask(&relay, &board, &store, address, &topics, timeout).await;
+                let request = FactsRequest {
+                    vm: &vm,
+                    address,
+                    question: &question(&topics),
+                    answer_timeout: timeout,
+                };
+                let asked = ask(&relay, &board, &store, &topics, request).await;
                 relay.io().metrics.count(SOUGHT_EVENT, outcome(&asked));
                 if let Err(error) = asked {
                     log::debug!("VM {vm} passed no newest records on: {error}");
-                    let has_answered = matches!(error, SeekError::Declined(_));
+                    let has_answered = matches!(error, FactsError::Declined(_));
                     search.on_refused(&vm, has_answered, board.now());
                 }
             }
@@ -98,11 +70,19 @@
     }
 }
 
-fn outcome(asked: &Result<(), SeekError>) -> &'static str {
+fn outcome(asked: &Result<(), FactsError>) -> &'static str {
     match asked {
         Ok(()) => "passed",
-        Err(SeekError::Declined(_)) => "declined",
-        Err(SeekError::Failed(_)) => "failed",
+        Err(FactsError::Declined(_)) => "declined",
+        Err(FactsError::Failed(_)) => "failed",
+    }
+}
+
+fn question(topics: &[StoreTopic]) -> FactsQuestion {
+    FactsQuestion {
+        wait_ms: 0,
+        positions: Vec::new(),
+        newest: topics.iter().map(|topic| topic.name().into()).collect(),
     }
 }
 
@@ -111,25 +91,25 @@
     relay: &impl RelayHandle,
     board: &FactBoard,
     store: &StoreClient,
-    address: SocketAddr,
     topics: &[StoreTopic],
-    timeout: Duration,
-) -> Result<(), SeekError> {
+    request: FactsRequest<'_>,
+) -> Result<(), FactsError> {
     let sent_at = board.now();
-    let answer = exchange(relay, address, topics, timeout).await?;
+    let answer = request.send(&relay.io().executor, relay.shared_key());
+    let answer = answer.await?;
     let mut passed = Vec::new();
     for topic in topics {
         let newest = answer
             .newest
             .iter()
             .find(|n| *n.position.topic == *topic.name());
-        let newest = newest.ok_or(SeekError::Declined("a topic is missing"))?;
+        let newest = newest.ok_or(FactsError::Declined("a topic is missing"))?;
         if store
             .era
             .newest()
             .is_some_and(|era| Some(era) != newest.position.era)
         {
-            return Err(SeekError::Declined("another era of the store"));
+            return Err(FactsError::Declined("another era of the store"));
         }
         passed.push(passed_newest(*topic, newest, sent_at));
     }
@@ -141,7 +121,7 @@
     if board.on_newest_passed(passed, fresh_until) {
         return Ok(());
     }
-    Err(SeekError::Declined("this VM knows more"))
+    Err(FactsError::Declined("this VM knows more"))
 }
 
 /// Returns what an answer has of a topic; its age counts from the question, as the answer may have been held up.
@@ -158,41 +138,3 @@
         records: records.collect(),
     }
 }
-
-async fn exchange(
-    relay: &impl RelayHandle,
-    address: SocketAddr,
-    topics: &[StoreTopic],
-    timeout: Duration,
-) -> Result<FactsAnswer, SeekError> {
-    let question = FactsQuestion {
-        wait_ms: 0,
-        positions: Vec::new(),
-        newest: topics.iter().map(|topic| topic.name().into()).collect(),
-    };
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(FACTS_PATH)
-        .header(HOST, address.to_string())
-        .body(Full::new(encode_facts(&question).into()));
-    let request = request.map_err(|_| SeekError::Failed(ClientError::Malformed))?;
-    let until = relay.io().now() + timeout;
-    let outgoing = OutgoingRequest {
-        address,
-        request,
-        connect_timeout: CONNECT_TIMEOUT,
-        answer_timeout: timeout,
-    };
-    let sent = peer_client::send(&relay.io().executor, outgoing, relay.shared_key()).await;
-    let answer = sent.map_err(SeekError::Failed)?;
-    if !answer.status().is_success() {
-        return Err(SeekError::Declined("it passes none on now"));
-    }
-    let time_left = until.saturating_sub(relay.io().now());
-    let body = http::read_control_body(answer.into_body(), time_left, MAX_FACTS_BYTES).await;
-    let body = body.map_err(SeekError::Failed)?;
-    decode_facts(&body).map_err(|error| {
-        log::warn!("the VM at {address} passed on what cannot be read: {error}");
-        SeekError::Declined("malformed answer")
-    })
-}
