Relay: a prefill engine that failed for a call does not count for its next stage; waits for memory after waits for a connection

The prefill of such a stream is on its way when connections begin to hang, and is given up after 1.2 s; the decode connection then fails after 0.4 s. When the service is reached again, the only prefill engine is usable but has failed for this call: the next stage was a prefill, for which no engine may be selected. The reservation that was suspected is not the cause.

Change: a prefill engine that failed for a call does not count for its next stage and its admission, so that the decode engine prefills the prompt. A call that has waited for endpoints to be reached may wait for memory as long as for them, half of its time.

Tests: three of the cases without one, in the core: a process that says it leaves before its entry is read, a crash within a round trip of a stream's first event, and a VM that dies before it has recorded an unknown version. They found no fault.

Result: `stream_whose_prefill_hung_is_served_by_the_next_decode_engine` failed before and passes.

--- a/crates/arbutusfall_core/src/relay/calls/call.rs
+++ b/crates/arbutusfall_core/src/relay/calls/call.rs
@@ -69,6 +69,8 @@
     pub(crate) failed_endpoints: Vec<Name>,
     /// How many of these exchanges failed because no connection opened or a reservation was not answered.
     pub(crate) unanswered_exchanges: usize,
+    /// Whether the call has waited because no connection to its service's endpoints opened.
+    pub(crate) has_waited_for_reach: bool,
     /// What may crash the endpoints that run the request.
     pub(crate) causes: CrashCauses,
     /// Number of endpoints that may have ended while they ran the request.
@@ -280,6 +282,12 @@
         (self.has_stream_started && !can_resume).then_some("not_resumable")
     }
 
+    /// Returns whether an endpoint that has failed for the request may get it again if there is no other. One that holds it in standby
+    /// must not get it a second time.
+    pub(crate) fn may_return_to_failed(&self) -> bool {
+        self.may_have_run && self.route.allows_repeated_runs() && self.standby.is_none()
+    }
+
     /// Returns whether attempts are left and running the request again is safe.
     pub(crate) fn may_retry(&self) -> bool {
         if self.attempts >= self.route.max_attempts {
--- a/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
+++ b/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
@@ -152,6 +152,7 @@
             has_waited: false,
             failed_endpoints: Vec::new(),
             unanswered_exchanges: 0,
+            has_waited_for_reach: false,
             causes: causes_of(&request),
             endpoint_ends: hop.map_or(0, |hop| hop.endpoint_ends),
             has_survived: false,
--- a/crates/arbutusfall_core/src/relay/endpoints/reach_waiting.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/reach_waiting.rs
@@ -20,10 +20,12 @@
 /// Longest wait, as a fraction of the call's whole time: after it, the caller still has time for another VM.
 const MAX_WAIT_FRACTION: f64 = 0.5;
 
-/// Returns the instant until which a call may wait.
-fn reach_wait_until(call: &Call) -> Duration {
-    let whole = call.due_at.saturating_sub(call.arrived_at);
-    call.arrived_at + whole.mul_f64(MAX_WAIT_FRACTION)
+impl Call {
+    /// Returns the instant until which the call may wait for endpoints to be reached again.
+    pub(in crate::relay) fn reach_wait_until(&self) -> Duration {
+        let whole = self.due_at.saturating_sub(self.arrived_at);
+        self.arrived_at + whole.mul_f64(MAX_WAIT_FRACTION)
+    }
 }
 
 impl Relay {
@@ -36,6 +38,9 @@
         let fraction = MIN_RETRY_FRACTION + (1.0 - MIN_RETRY_FRACTION) * self.rng.f64();
         let due = self.now + RETRY_INTERVAL.mul_f64(fraction);
         self.timers.set(due, RelayTimer::SendWhenReached(id));
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.has_waited_for_reach = true;
+        }
         true
     }
 
@@ -50,7 +55,7 @@
         let is_in_doubt = self.reachability.is_in_doubt(&call.service);
         let none_has_answered = call.unanswered_exchanges == call.failed_endpoints.len();
         let mut serving = self.endpoints.serving_call(call, stage.role()).peekable();
-        self.now < reach_wait_until(call)
+        self.now < call.reach_wait_until()
             && serving.peek().is_some()
             && serving.all(|endpoint| {
                 let has_failed = call.failed_endpoints.contains(&endpoint.listed.instance);
--- a/crates/arbutusfall_core/src/relay/sending/admission.rs
+++ b/crates/arbutusfall_core/src/relay/sending/admission.rs
@@ -6,6 +6,7 @@
 use crate::config::Role;
 use crate::relay::Relay;
 use crate::relay::calls::call::Call;
+use crate::relay::endpoints::endpoint::Endpoint;
 use crate::relay::limits::limit_tokens::RESERVATION_TOKENS;
 use crate::relay::sending::waiting::FIRST_EVENT_MARGIN;
 
@@ -14,16 +15,26 @@
 const MAX_LATE_PREFILL_FRACTION: f64 = 0.4;
 
 impl Relay {
+    /// Returns the prefill engines that a call may be sent to now. One that has failed for it does not count, even if it is sound
+    /// again: it would not be selected.
+    pub(in crate::relay) fn usable_prefill_engines<'a>(
+        &'a self,
+        call: &'a Call,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        let serving = self.endpoints.serving(&call.service, Role::Prefill);
+        serving.filter(|engine| {
+            let has_failed = call.failed_endpoints.contains(&engine.listed.instance);
+            engine.health.is_usable(self.now)
+                && !engine.is_changing_role(self.now)
+                && self.limit_allows(engine, 1.0)
+                && (!has_failed || call.may_return_to_failed())
+        })
+    }
+
     /// Returns whether a prefill sent now would finish in time for the target or, for a caller's retry or a first
     /// attempt that would miss the target, within [`MAX_LATE_PREFILL_FRACTION`] of it.
     pub(in crate::relay) fn can_prefill_in_time(&self, call: &Call) -> bool {
-        let serving = self.endpoints.serving(&call.service, Role::Prefill);
-        let usable = serving.filter(|endpoint| {
-            endpoint.health.is_usable(self.now)
-                && !endpoint.is_changing_role(self.now)
-                && self.limit_allows(endpoint, 1.0)
-        });
-        let usable: Vec<_> = usable.collect();
+        let usable: Vec<_> = self.usable_prefill_engines(call).collect();
         if usable.is_empty() {
             // The decode engine prefills the prompt itself.
             return true;
--- a/crates/arbutusfall_core/src/relay/sending/stages.rs
+++ b/crates/arbutusfall_core/src/relay/sending/stages.rs
@@ -148,10 +148,7 @@
             role: stage.role(),
             version: call.version_for(stage.role()),
             failed_endpoints: &call.failed_endpoints,
-            // An endpoint that holds the request in standby must not get it a second time.
-            allow_failed: call.may_have_run
-                && call.route.allows_repeated_runs()
-                && call.standby.is_none(),
+            allow_failed: call.may_return_to_failed(),
             limited: &limited,
             prompt_tokens: call.token_counts().prompt_tokens,
             extra_delay_after_refusal: match stage {
@@ -177,14 +174,7 @@
         if prefill_result.is_some_and(|result| self.is_kept(result)) {
             return CallStage::Decode { has_source: true };
         }
-        let has_prefill = self
-            .endpoints
-            .serving(&call.service, Role::Prefill)
-            .any(|endpoint| {
-                endpoint.health.is_usable(self.now)
-                    && !endpoint.is_changing_role(self.now)
-                    && self.limit_allows(endpoint, 1.0)
-            });
+        let has_prefill = self.usable_prefill_engines(call).next().is_some();
         if has_prefill && call.prefills < MAX_PREFILL_ATTEMPTS {
             CallStage::Prefill
         } else {
--- a/crates/arbutusfall_core/src/relay/sending/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/sending/waiting.rs
@@ -59,7 +59,8 @@
 }
 
 impl Call {
-    /// Returns the instant until which the request may wait for memory: a first attempt only while it can be on time.
+    /// Returns the instant until which the request may wait for memory: a first attempt only while it can be on time, unless it has
+    /// waited for endpoints to be reached.
     pub(crate) fn wait_until(&self) -> Duration {
         if self.has_stream_started {
             // The caller has received part of its answer, which is worthless without the rest.
@@ -72,7 +73,13 @@
                 .latency_target
                 .mul_f64(MAX_CALLER_RETRY_WAIT_FACTOR)
         };
-        (self.arrived_at + wait).min(self.due_at)
+        let until = (self.arrived_at + wait).min(self.due_at);
+        if self.has_waited_for_reach {
+            // Its target may have passed while no endpoint was reached, for which engine memory is not the reason.
+            until.max(self.reach_wait_until())
+        } else {
+            until
+        }
     }
 }
 
--- a/crates/arbutusfall_core/tests/it/relay_leaving.rs
+++ b/crates/arbutusfall_core/tests/it/relay_leaving.rs
@@ -89,6 +89,32 @@
     assert!(is_used(&mut harness, "shop-1"));
 }
 
+// Guards against a process that stays in use although it leaves: it said so for the first time before its entry was read, so that the
+// notice counts for the process before.
+#[test]
+fn process_that_says_it_leaves_before_its_entry_is_read_is_left_at_its_next_answer() {
+    let mut harness = RelayHarness::configured(1);
+    says_leaving(&mut harness, "shop-1");
+    list(&mut harness, "shop-1", Some(2));
+    let first = loop {
+        harness.submit("/look/1");
+        let sent = harness.take_only_send();
+        if &*sent.instance == "shop-1" {
+            break sent;
+        }
+        let complete = ExchangeEvent::Complete { status: 200 };
+        harness.deliver(sent.exchange, complete);
+    };
+    harness.deliver(first.exchange, ExchangeEvent::Leaving);
+    let complete = ExchangeEvent::Complete { status: 200 };
+    harness.deliver(first.exchange, complete);
+    for _ in 0..10 {
+        assert!(!is_used(&mut harness, "shop-1"));
+        harness.advance(ms(1_200));
+        list(&mut harness, "shop-1", Some(2));
+    }
+}
+
 // Guards against another writer's entry, without the start of the process, that makes a leaving endpoint ready again.
 #[test]
 fn entry_that_does_not_say_when_the_process_started_makes_no_leaving_endpoint_ready() {
--- a/crates/arbutusfall_core/tests/it/relay_reach.rs
+++ b/crates/arbutusfall_core/tests/it/relay_reach.rs
@@ -10,8 +10,11 @@
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayNotice;
+use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::Work;
+use assert_matches::assert_matches;
 
+use crate::relay_harness::REFUSED;
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::UNREACHABLE;
 use crate::relay_harness::listed;
@@ -239,3 +242,103 @@
         assert_eq!(site.served, []);
     }
 }
+
+/// Removes an endpoint from the list.
+fn remove(harness: &mut RelayHarness, instance: &str) {
+    let instance = instance.into();
+    harness.apply(RelayEvent::EndpointChanges(vec![
+        EndpointListChange::Removed { instance },
+    ]));
+}
+
+/// Advances the clock until requests are sent, and returns the only one.
+fn next_send(harness: &mut RelayHarness, within: Duration) -> SendCommand {
+    let until = harness.now + within;
+    while harness.now < until && harness.effects.iter().all(is_no_send) {
+        harness.advance(STEP);
+    }
+    harness.take_only_send()
+}
+
+fn is_no_send(effect: &RelayEffect) -> bool {
+    !matches!(effect, RelayEffect::Send(_))
+}
+
+/// Grants the next reservation.
+fn grant(harness: &mut RelayHarness, within: Duration) {
+    let reserve = next_send(harness, within);
+    assert_matches!(reserve.work, Work::Reserve { .. });
+    let reservation = "reservation".into();
+    harness.deliver(reserve.exchange, ExchangeEvent::Reserved { reservation });
+}
+
+// Guards against a stream that is refused because its prefill got no answer while connections hung, although the next decode engine
+// can prefill the prompt itself.
+#[test]
+fn stream_whose_prefill_hung_is_served_by_the_next_decode_engine() {
+    let mut harness = RelayHarness::configured(1);
+    remove(&mut harness, "prefill-2");
+    let call = harness.submit("/stream/1");
+    grant(&mut harness, STEP);
+    assert_eq!(harness.take_only_send().work, Work::Prefill);
+    let decode = next_send(&mut harness, ms(3_000));
+    assert_matches!(decode.work, Work::Decode { source: None, .. });
+    // Meanwhile the prefill engine is no longer avoided.
+    harness.advance(ms(600));
+    harness.deliver(decode.exchange, UNREACHABLE);
+    grant(&mut harness, ms(300));
+    assert_eq!(harness.final_effect(call), None);
+    let decode = harness.take_only_send();
+    assert_matches!(decode.work, Work::Decode { source: None, .. });
+}
+
+/// Submits a stream that waits because no connection to its engines opens, and lets connections open again after its target.
+fn stream_that_waits_for_reach(harness: &mut RelayHarness) -> CallId {
+    let call = harness.submit("/stream/1");
+    let open_at = harness.now + ms(900);
+    while harness.now < open_at {
+        for reserve in harness.take_sends() {
+            harness.deliver(reserve.exchange, UNREACHABLE);
+        }
+        harness.advance(STEP);
+    }
+    harness.apply(RelayEvent::EndpointChecked {
+        instance: "decode-1".into(),
+        asked_at: harness.now,
+        is_reachable: true,
+    });
+    assert_eq!(harness.final_effect(call), None);
+    call
+}
+
+// Guards against a stream that is refused after a moment in which no connection opened, because its wait for engine memory ends at its
+// target, which passed meanwhile.
+#[test]
+fn stream_that_has_waited_for_a_connection_may_wait_for_memory() {
+    let mut harness = RelayHarness::configured(1);
+    let call = stream_that_waits_for_reach(&mut harness);
+    let reserve = next_send(&mut harness, ms(1_000));
+    assert_matches!(reserve.work, Work::Reserve { .. });
+    harness.deliver(reserve.exchange, REFUSED);
+    assert_eq!(harness.final_effect(call), None);
+    harness.advance(ms(1_000));
+    assert_eq!(harness.final_effect(call), None);
+}
+
+// Guards against a stream that, after a moment in which no connection opened, waits for memory until its caller has no time left to try
+// elsewhere.
+#[test]
+fn stream_that_has_waited_for_a_connection_is_refused_while_time_is_left() {
+    let mut harness = RelayHarness::configured(1);
+    let started_at = harness.now;
+    let call = stream_that_waits_for_reach(&mut harness);
+    while harness.final_effect(call).is_none() {
+        for reserve in harness.take_sends() {
+            harness.deliver(reserve.exchange, REFUSED);
+        }
+        harness.advance(ms(10));
+    }
+    let waited = harness.now - started_at;
+    assert!(waited < ms(7_500), "waited {waited:?} of 14 s");
+    assert!(harness.problem(call).is_some());
+}
--- a/crates/arbutusfall_core/tests/it/relay_run_proofs.rs
+++ b/crates/arbutusfall_core/tests/it/relay_run_proofs.rs
@@ -15,6 +15,7 @@
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::SentAccount;
 use arbutusfall_core::relay::StreamLookup;
+use arbutusfall_core::relay::StreamOrigin;
 use arbutusfall_core::relay::StreamRecord;
 use arbutusfall_core::relay::Work;
 use arbutusfall_wire::Name;
@@ -184,6 +185,72 @@
     assert_eq!(versions(&take_records(&mut harness)), ["v1"]);
 }
 
+// Guards against pieces of two versions in one answer: the engine crashes within a round trip of the first event, so that it never says
+// which process began the stream, and it may start again at another version.
+#[test]
+fn stream_whose_engine_crashes_within_a_round_trip_of_its_first_event_goes_on_nowhere() {
+    for answer in [RunAnswer::Failed, RunAnswer::Started(NEXT_START_UNIX_MS)] {
+        let mut harness = relay_with_engines(&["decode-1", "decode-2"]);
+        let (call, decode) = harness.start_stream("/resumable/1");
+        harness.deliver(decode.exchange, progress(1));
+        harness.deliver(decode.exchange, CLOSED);
+        // Until its deadline, the engine may still name the process.
+        for _ in 0..150 {
+            for asked in take_questions(&mut harness) {
+                answer_question(&mut harness, &asked, answer);
+            }
+            harness.advance(ms(100));
+            assert_eq!(harness.take_sends(), [], "{answer:?}");
+        }
+        let records = take_records(&mut harness);
+        assert_eq!(versions(&records), [""], "{answer:?}");
+        let end = harness.final_effect(call);
+        assert!(matches!(end, Some(RelayEffect::Abort { .. })), "{end:?}");
+    }
+}
+
+// Guards against such a stream that another VM takes for one of the only version that it knows.
+#[test]
+fn recorded_stream_without_a_known_version_is_refused_at_another_vm() {
+    let mut harness = relay_with_engines(&["decode-1", "decode-2"]);
+    let call = harness.submit_resumption("/resumable/1", Some("begun-elsewhere"));
+    let origin = StreamOrigin {
+        service: "model".into(),
+        version: "".into(),
+    };
+    for _ in 0..10 {
+        let lookup = StreamLookup::Found(origin.clone());
+        harness.apply(RelayEvent::StreamLookup { call, lookup });
+        harness.advance(ms(60));
+    }
+    assert_eq!(harness.take_sends(), []);
+    assert!(harness.problem(call).is_some());
+}
+
+// Guards against a stream of an unknown version that goes on at the version before: its VM died before it had recorded the stream, and the
+// list already shows the second version.
+#[test]
+fn stream_of_a_vm_that_died_before_its_record_is_refused_once_the_list_shows_its_version() {
+    for is_listed in [false, true] {
+        let mut harness = relay_with_engines(&["decode-1", "decode-2"]);
+        harness.apply(store_read(true));
+        if is_listed {
+            let upgraded = vec![engine("decode-2", "v2", NEXT_START_UNIX_MS)];
+            harness.apply(RelayEvent::EndpointChanges(upgraded));
+        }
+        let call = harness.submit_resumption("/resumable/1", Some("begun-at-a-dead-vm"));
+        assert!(harness.take_sends().is_empty());
+        for _ in 0..20 {
+            let lookup = StreamLookup::NotFound;
+            harness.apply(RelayEvent::StreamLookup { call, lookup });
+            harness.advance(ms(60));
+        }
+        let is_refused = harness.problem(call).is_some();
+        // Until then nothing tells it from a stream of the only version.
+        assert_eq!(is_refused, is_listed);
+    }
+}
+
 // Guards against a stream that can never go on because one question to its engine failed, which runs.
 #[test]
 fn engine_that_does_not_answer_a_question_is_asked_again() {
