--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -10,6 +10,7 @@
 mod explain_server;
 mod fact_board;
 mod fact_follower;
+mod fact_question;
 mod fact_server;
 mod fact_snapshot;
 mod handed_body;
--- a/crates/arbutusfall_core/src/relay/explain/decisions.rs
+++ b/crates/arbutusfall_core/src/relay/explain/decisions.rs
@@ -13,7 +13,6 @@
 use crate::relay::WaitReason;
 use crate::relay::calls::call::Call;
 use crate::relay::calls::call::CurrentExchange;
-use crate::relay::endpoints::reach_waiting::reach_wait_until;
 use crate::relay::endpoints::rests::rest_wait_until;
 use crate::relay::limits::limit_waiting::latest_send;
 use crate::relay::notice::millis;
@@ -150,7 +149,7 @@
         } else if self.must_wait_for_rest(call) {
             (WaitReason::Rest, rest_wait_until(call))
         } else {
-            (WaitReason::Reach, reach_wait_until(call))
+            (WaitReason::Reach, call.reach_wait_until())
         };
         Wait {
             reason,
