--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -310,7 +310,7 @@
         }
     }
 
-    /// Notes that this process did not run for some time, as when its machine is paused.
+    /// Notes that this process did not run for some time, as when its VM is suspended.
     fn note_pause(&mut self) {
         let due = self.timers.next_due();
         if due.is_some_and(|due| due + PAUSE_TIME <= self.now) {
