HTTP: an upload no longer stops in the middle when a write succeeds on its second attempt

A write that had to wait may be tried again by the HTTP library while its task still runs. If it succeeds then, the library takes no further slice of the body and nothing wakes the task, so the endpoint gets a part of the upload and the request ends with 504. Bodies are passed on in slices since the memory for them is bounded; before, the library had the whole body at once.

Connections of clients and servers now wake their task after such a write.

--- a/crates/arbutusfall/src/http.rs
+++ b/crates/arbutusfall/src/http.rs
@@ -16,6 +16,7 @@
 mod sliced_body;
 mod unread_limit;
 mod write_gate;
+mod write_wakeup;
 
 pub use body::AnswerBody;
 pub use body::BodyAborted;
--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -37,6 +37,7 @@
 use crate::http::sliced_body::SlicedBody;
 use crate::http::write_gate::GatedStream;
 use crate::http::write_gate::WriteGate;
+use crate::http::write_wakeup::WakingStream;
 
 /// Maximum size of an answer of the store, the log or the VM list, in bytes.
 const MAX_WHOLE_BYTES: usize = 16 * 1024 * 1024;
@@ -181,7 +182,7 @@
     pub async fn begin(executor: &Executor, stream: TcpStream) -> Result<Self, ClientError> {
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(FuturesIo::new(stream));
+            .handshake(FuturesIo::new(WakingStream::new(stream)));
         let (sender, connection) = handshake.await.map_err(|_| ClientError::Connect)?;
         let task = executor.spawn(async move {
             // A failure is reported to the pending request.
@@ -222,7 +223,7 @@
     let stream = HeadLimitedStream::new(gated, limit.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
-        .handshake(FuturesIo::new(stream));
+        .handshake(FuturesIo::new(WakingStream::new(stream)));
     let (mut sender, connection) = handshake.await.map_err(|_| ClientError::Connect)?;
     let task = executor.spawn(async move {
         // A failure is reported to the pending request.
--- a/crates/arbutusfall/src/http/server.rs
+++ b/crates/arbutusfall/src/http/server.rs
@@ -39,6 +39,7 @@
 use crate::http::header_timer::HeaderTimer;
 use crate::http::problem::raw_problem;
 use crate::http::unread_limit::UnreadLimitStream;
+use crate::http::write_wakeup::WakingStream;
 
 /// Minimum read buffer size that hyper accepts, in bytes.
 const MIN_READ_BUFFER_BYTES: usize = 8 * 1024;
@@ -336,7 +337,8 @@
     let limit_handler = handler.clone();
     let unread_limit = move || limit_handler.unread_limit();
     let stream = UnreadLimitStream::new(stream, unread_limit, state.clone());
-    let io = FuturesIo::new(ErrorReplacingStream::new(stream, state.clone()));
+    let stream = ErrorReplacingStream::new(stream, state.clone());
+    let io = FuturesIo::new(WakingStream::new(stream));
     let mut connection = http1::Builder::new()
         .timer(HeaderTimer::new(handler.clone()))
         .header_read_timeout(limits.header_timeout)
@@ -355,8 +357,8 @@
             future::poll_fn(|cx| connection.poll_without_shutdown(cx)).await
         }
     };
-    let stream = connection.into_parts().io.into_inner().into_inner();
-    let mut stream = stream.into_inner();
+    let stream = connection.into_parts().io.into_inner();
+    let mut stream = stream.into_inner().into_inner().into_inner();
     if let Some((unread, request_id)) = state.unread() {
         handler.on_unread(request_id, unread);
         // The rest that the kernel holds is dropped.
