--- a/crates/arbutusfall_core/src/relay/endpoints/slow_start.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/slow_start.rs
@@ -31,6 +31,8 @@
     idle_since: Duration,
     /// Late, refused and failed requests since the last timely answer.
     bad_outcomes: u32,
+    /// Whether the newest outcome was a timely answer.
+    is_proved: bool,
     began_at: Duration,
 }
 
@@ -41,6 +43,7 @@
             window: INITIAL_WINDOW,
             idle_since: now,
             bad_outcomes: 0,
+            is_proved: false,
             began_at: now,
         }
     }
@@ -50,6 +53,11 @@
         self.began_at
     }
 
+    /// Returns whether the newest outcome was a timely answer.
+    pub(crate) fn is_proved(&self) -> bool {
+        self.is_proved
+    }
+
     /// Returns whether this VM may have one more request in flight at the endpoint.
     pub(crate) fn has_room(&self, in_flight: u32, now: Duration) -> bool {
         in_flight < self.window(in_flight, now)
@@ -86,6 +94,7 @@
         self.window *= 2;
         self.idle_since = now;
         self.bad_outcomes = 0;
+        self.is_proved = true;
         self.window >= FULL_WINDOW
     }
 
@@ -103,6 +112,7 @@
 
     fn on_bad_outcome(&mut self, now: Duration) {
         self.bad_outcomes = (self.bad_outcomes + 1).min(MAX_BAD_OUTCOMES);
+        self.is_proved = false;
         self.idle_since = now;
     }
 }
--- a/crates/arbutusfall_core/tests/it/relay_slow_start.rs
+++ b/crates/arbutusfall_core/tests/it/relay_slow_start.rs
@@ -19,6 +19,7 @@
 use crate::relay_simulation::RelaySimulation;
 use crate::relay_starting_site::Behaviour;
 use crate::relay_starting_site::LIST_TIME_MS;
+use crate::relay_starting_site::Outcome;
 use crate::relay_starting_site::StartingSite;
 use crate::relay_starting_site::VM_COUNT;
 
@@ -132,8 +133,8 @@
     assert!(with.later_arrivals * 4 < without.later_arrivals);
 }
 
-/// Returns the requests that were refused while an endpoint had a free slot, after ten had started beside five full ones.
-fn refused_beside_idle(slow_start: bool, cold_time: Duration) -> usize {
+/// Returns how the requests ended that were sent after ten endpoints had started beside five full ones.
+fn ends_after_ten_starts(slow_start: bool, cold_time: Duration) -> Vec<Outcome> {
     let mut site = StartingSite::new(VM_COUNT, 5, slow_start, 1);
     site.run(OVERLOAD_PER_S, WARM_UP_TIME);
     for _ in 0..10 {
@@ -141,21 +142,40 @@
     }
     let all_listed_at = site.now + ms(LIST_TIME_MS);
     site.run(OVERLOAD_PER_S, ms(6_000));
-    let ends = site.outcomes.iter();
-    let ends = ends.filter(|end| end.asked_at >= all_listed_at);
-    ends.filter(|end| end.is_refused_beside_idle).count()
+    let ends = site.outcomes.into_iter();
+    ends.filter(|end| end.asked_at >= all_listed_at).collect()
+}
+
+fn refused_beside_started(ends: &[Outcome]) -> usize {
+    let ends = ends.iter();
+    ends.filter(|end| end.is_refused_beside_started).count()
+}
+
+fn refused_beside_established(ends: &[Outcome]) -> usize {
+    let ends = ends.iter();
+    ends.filter(|end| end.is_refused_beside_established).count()
 }
 
 // Guards against requests that full endpoints refuse while started ones are held back.
 #[test]
 fn no_request_is_refused_while_a_started_endpoint_is_idle() {
-    assert_eq!(refused_beside_idle(true, Duration::ZERO), 0);
+    let ends = ends_after_ten_starts(true, Duration::ZERO);
+    assert_eq!(refused_beside_started(&ends), 0);
+    assert_eq!(refused_beside_established(&ends), 0);
 }
 
 // Guards against the same while the started endpoints are cold and answer late.
 #[test]
 fn no_request_is_refused_while_a_cold_endpoint_is_idle() {
-    assert_eq!(refused_beside_idle(true, ms(6_000)), 0);
+    let ends = ends_after_ten_starts(true, ms(6_000));
+    assert_eq!(refused_beside_started(&ends), 0);
+}
+
+// Guards against full endpoints that have emptied their queues while all VMs send to cold ones, which refuse the requests.
+#[test]
+fn no_request_is_refused_while_an_established_endpoint_is_idle() {
+    let ends = ends_after_ten_starts(true, ms(6_000));
+    assert_eq!(refused_beside_established(&ends), 0);
 }
 
 // Guards against a release that is rolled out faster than its endpoints get warm, and against requests to those that leave.
--- a/crates/arbutusfall_core/tests/it/relay_starting_site.rs
+++ b/crates/arbutusfall_core/tests/it/relay_starting_site.rs
@@ -111,13 +111,17 @@
     pub(crate) asked_at: Duration,
     pub(crate) ended_at: Duration,
     pub(crate) is_answered: bool,
-    /// Whether an endpoint had a free slot when the request was refused.
-    pub(crate) is_refused_beside_idle: bool,
+    /// Whether an endpoint that had served from the beginning had a free slot when the request was refused.
+    pub(crate) is_refused_beside_established: bool,
+    /// Whether an endpoint that started later had a free slot when the request was refused.
+    pub(crate) is_refused_beside_started: bool,
 }
 
 pub(crate) struct StartingSite {
     vms: Vec<RelayHarness>,
     pub(crate) endpoints: Vec<SimulatedEndpoint>,
+    /// Number of the endpoints that serve from the beginning, which are the first.
+    established: usize,
     happenings: BinaryHeap<Reverse<(Duration, u64, Happening)>>,
     last_number: u64,
     rng: fastrand::Rng,
@@ -149,6 +153,7 @@
         let mut site = Self {
             vms: vms.collect(),
             endpoints: Vec::new(),
+            established: endpoints,
             happenings: BinaryHeap::new(),
             last_number: 0,
             rng: fastrand::Rng::with_seed(seed),
@@ -424,14 +429,19 @@
 
     fn on_ended(&mut self, vm: usize, call: CallId, is_answered: bool) {
         let asked_at = self.asked.remove(&(vm, call)).expect("an open request");
-        let mut endpoints = self.endpoints.iter();
-        let has_idle = endpoints
-            .any(|endpoint| endpoint.is_up && !endpoint.is_leaving && endpoint.busy.len() < SLOTS);
+        let (established, started) = self.endpoints.split_at(self.established);
+        let has_idle = |endpoints: &[SimulatedEndpoint]| {
+            let mut endpoints = endpoints.iter();
+            endpoints.any(|endpoint| {
+                endpoint.is_up && !endpoint.is_leaving && endpoint.busy.len() < SLOTS
+            })
+        };
         self.outcomes.push(Outcome {
             asked_at,
             ended_at: self.now,
             is_answered,
-            is_refused_beside_idle: !is_answered && has_idle,
+            is_refused_beside_established: !is_answered && has_idle(established),
+            is_refused_beside_started: !is_answered && has_idle(started),
         });
     }
 
