Names and comments in the usual terms; header names in the help from platform

Cause: some comments were colloquial ("told", "guessed"), and names said something else than what they stand for: `waits_for_load` and `renews_quota` change state, `Account` was what a possible owner knows, `*_PATIENCE` are timeouts, `PASSED_EVENT` counts questions of all outcomes. The help of `explain` spelled header names outside of platform/.

The help takes `prompt-prefix` and `token-counts` from `arbutusfall_platform::callers`, so it shows them in lower case.

--- a/crates/arbutusfall/src/cli.rs
+++ b/crates/arbutusfall/src/cli.rs
@@ -12,6 +12,8 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use arbutusfall_platform::callers::PROMPT_PREFIX;
+use arbutusfall_platform::callers::TOKEN_COUNTS;
 use error_stack::Report;
 use lexopt::Arg;
 use lexopt::Parser;
@@ -20,7 +22,22 @@
 use crate::RelayProcessSettings;
 use crate::Settings;
 
-const HELP: &str = "\
+/// Exit status of a failed command.
+const EXIT_FAILED: u8 = 1;
+
+/// Exit status for bad arguments and for problems found by `check`.
+const EXIT_USAGE: u8 = 2;
+
+/// Validity of certificates if `--days` is not given, in days.
+const DEFAULT_VALIDITY_DAYS: u32 = 365;
+
+/// Longest validity of a certificate, in days.
+const MAX_VALIDITY_DAYS: u32 = 36_500;
+
+/// Returns the text of `--help`.
+fn help() -> String {
+    format!(
+        "\
 Usage:
   arbutusfall serve --settings FILE
   arbutusfall relay --settings FILE
@@ -42,23 +59,13 @@
 relay runs a VM that is configured from the store of the users' platform; serve runs one that is configured from the
 log service. check takes an overlay's site from the name of its file. status queries a VM's operator address.
 explain prints where a request would be routed now by a VM that runs relay, and why, without sending it: a new one, or
-one that is in progress there. PARTS and PROMPT,OUTPUT are values of the headers Prompt-Prefix and Token-Counts. An
+one that is in progress there. PARTS and PROMPT,OUTPUT are values of the headers {PROMPT_PREFIX} and {TOKEN_COUNTS}. An
 account is stated by its name, never by a key.
 keys reuses an existing authority. Without --vm, it makes one certificate, for a VM named `vm`.
 
-Exit status: 0 done; 1 failed; 2 bad arguments, or problems found by check.";
-
-/// Exit status of a failed command.
-const EXIT_FAILED: u8 = 1;
-
-/// Exit status for bad arguments and for problems found by `check`.
-const EXIT_USAGE: u8 = 2;
-
-/// Validity of certificates if `--days` is not given, in days.
-const DEFAULT_VALIDITY_DAYS: u32 = 365;
-
-/// Longest validity of a certificate, in days.
-const MAX_VALIDITY_DAYS: u32 = 36_500;
+Exit status: 0 done; 1 failed; 2 bad arguments, or problems found by check."
+    )
+}
 
 /// Result of a command that did not succeed, or that only shows help or the version.
 #[derive(Debug)]
@@ -70,7 +77,7 @@
     /// `check` found problems; one line per problem.
     Problems(Vec<String>),
     /// Help or the version was requested; this text goes to stdout, and the exit status is 0.
-    DisplayText(&'static str),
+    DisplayText(String),
 }
 
 impl From<lexopt::Error> for CommandExit {
@@ -131,9 +138,9 @@
 /// Handles `--help` and `--version`, which every command accepts; any other argument is an error.
 fn common_option(arg: Arg<'_>) -> CommandExit {
     match arg {
-        Arg::Long("help") | Arg::Short('h') => CommandExit::DisplayText(HELP),
+        Arg::Long("help") | Arg::Short('h') => CommandExit::DisplayText(help()),
         Arg::Long("version") | Arg::Short('V') => {
-            CommandExit::DisplayText(concat!("arbutusfall ", env!("CARGO_PKG_VERSION")))
+            CommandExit::DisplayText(concat!("arbutusfall ", env!("CARGO_PKG_VERSION")).to_owned())
         }
         other => other.unexpected().into(),
     }
--- a/crates/arbutusfall/src/explain.rs
+++ b/crates/arbutusfall/src/explain.rs
@@ -44,11 +44,11 @@
     pub host: Option<String>,
     /// Name of the account that sends it.
     pub account: Option<String>,
-    /// Value of its header `prompt-prefix`.
+    /// Value of its header [`callers::PROMPT_PREFIX`].
     pub prompt_prefix: Option<String>,
-    /// Value of its header `token-counts`.
+    /// Value of its header [`callers::TOKEN_COUNTS`].
     pub token_counts: Option<String>,
-    /// Value of its header `deadline-ms`.
+    /// Value of its header that states the milliseconds for which the caller waits.
     pub deadline_ms: Option<String>,
     /// Id of a request in progress; excludes all others.
     pub request_id: Option<String>,
--- a/crates/arbutusfall/src/relay/fact_server.rs
+++ b/crates/arbutusfall/src/relay/fact_server.rs
@@ -37,7 +37,7 @@
 const MAX_QUESTION_BYTES: usize = 4 * 1024;
 
 /// Name of the counter of questions of other VMs for newest records.
-const PASSED_EVENT: &str = "newest_asked";
+const NEWEST_ASKED_EVENT: &str = "newest_asked";
 
 /// Timeout for the body of a question.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(500);
@@ -110,15 +110,15 @@
         let newest: Option<Vec<PassedNewest>> = newest.collect();
         let metrics = &self.driver.io().metrics;
         let Some(newest) = newest.filter(|_| self.driver.is_ready()) else {
-            metrics.count(PASSED_EVENT, "not_ready");
+            metrics.count(NEWEST_ASKED_EVENT, "not_ready");
             return status_only(StatusCode::CONFLICT);
         };
         let bytes = newest.iter().map(newest_bytes).sum();
         if !self.pace.admit(bytes, self.board.now()) {
-            metrics.count(PASSED_EVENT, "busy");
+            metrics.count(NEWEST_ASKED_EVENT, "busy");
             return status_only(StatusCode::SERVICE_UNAVAILABLE);
         }
-        metrics.count(PASSED_EVENT, "passed");
+        metrics.count(NEWEST_ASKED_EVENT, "passed");
         let now = self.board.now();
         let newest = newest.into_iter();
         let answer = FactsAnswer {
--- a/crates/arbutusfall_core/src/relay/accounts/api_key.rs
+++ b/crates/arbutusfall_core/src/relay/accounts/api_key.rs
@@ -17,7 +17,7 @@
 }
 
 impl fmt::Debug for ApiKey {
-    /// Shows nothing: a digest would let a guessed key be confirmed.
+    /// Shows nothing: a digest would allow a dictionary attack on the key.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("ApiKey(..)")
     }
--- a/crates/arbutusfall_core/src/relay/accounts/sent_account.rs
+++ b/crates/arbutusfall_core/src/relay/accounts/sent_account.rs
@@ -1,4 +1,4 @@
-//! What an endpoint is told of a request's account.
+//! What an endpoint receives of a request's account.
 
 use arbutusfall_wire::Name;
 
--- a/crates/arbutusfall_core/src/relay/calls/call.rs
+++ b/crates/arbutusfall_core/src/relay/calls/call.rs
@@ -28,7 +28,7 @@
     pub(crate) route: RelayRoute,
     /// Account of the caller; none on routes without accounts, or if the configuration has none.
     pub(crate) account: Option<Arc<ClientAccount>>,
-    /// What endpoints are told of the account.
+    /// What endpoints receive of the account.
     pub(crate) sent_account: SentAccount,
     /// Its use of the account's quota.
     pub(crate) quota_use: QuotaUse,
--- a/crates/arbutusfall_core/src/relay/control/roles.rs
+++ b/crates/arbutusfall_core/src/relay/control/roles.rs
@@ -66,7 +66,7 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Roles {
     by_service: BTreeMap<Name, ServiceRoles>,
-    /// Orders whose outcome other VMs are told.
+    /// Orders whose accepted changes are published to other VMs.
     pub(super) orders: RoleOrders,
 }
 
--- a/crates/arbutusfall_core/src/relay/facts/newest_search.rs
+++ b/crates/arbutusfall_core/src/relay/facts/newest_search.rs
@@ -12,17 +12,17 @@
 const SERVING_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time after which a VM that serves and has lost its positions reads the store itself.
-const SERVING_PATIENCE: Duration = Duration::from_millis(400);
+const SERVING_SEARCH_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Time after which a VM whose stronger VMs do not answer reads the store itself: they may have been removed.
-const SILENT_PATIENCE: Duration = Duration::from_secs(3);
+const UNANSWERED_SEARCH_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Time after which a VM whose stronger VMs answer, but pass nothing on, reads the store itself: they start as well, or serve others.
-const DECLINED_PATIENCE: Duration = Duration::from_secs(4);
+const DECLINED_SEARCH_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Largest fraction of these times that is added at random, so that VMs which started at the same moment do not all read the
 /// store at once.
-const PATIENCE_SPREAD: f64 = 0.4;
+const SEARCH_TIMEOUT_SPREAD: f64 = 0.4;
 
 /// Time after which a VM is asked again; doubles with each consecutive refusal.
 const RETRY_INTERVAL: Duration = Duration::from_millis(150);
@@ -66,7 +66,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct NewestSearch {
     started_at: Duration,
-    /// Random factor of the time after which this VM reads the store, from 1 to 1 + [`PATIENCE_SPREAD`].
+    /// Random factor of the time after which this VM reads the store, from 1 to 1 + [`SEARCH_TIMEOUT_SPREAD`].
     spread: f64,
     /// Whether this VM serves by what it knew before.
     is_serving: bool,
@@ -86,7 +86,7 @@
         });
         Self {
             started_at: now,
-            spread: 1.0 + random * PATIENCE_SPREAD,
+            spread: 1.0 + random * SEARCH_TIMEOUT_SPREAD,
             is_serving,
             has_answer: false,
             stronger: stronger.collect(),
@@ -95,12 +95,12 @@
 
     /// Returns when the search ends at the latest.
     fn deadline(&self) -> Duration {
-        let patience = match (self.is_serving, self.has_answer) {
-            (true, _) => SERVING_PATIENCE,
-            (false, true) => DECLINED_PATIENCE,
-            (false, false) => SILENT_PATIENCE,
+        let timeout = match (self.is_serving, self.has_answer) {
+            (true, _) => SERVING_SEARCH_TIMEOUT,
+            (false, true) => DECLINED_SEARCH_TIMEOUT,
+            (false, false) => UNANSWERED_SEARCH_TIMEOUT,
         };
-        self.started_at + patience.mul_f64(self.spread)
+        self.started_at + timeout.mul_f64(self.spread)
     }
 
     /// Returns what to do now; a question that brought nothing is followed by [`Self::on_refused`].
--- a/crates/arbutusfall_core/src/relay/load/handling.rs
+++ b/crates/arbutusfall_core/src/relay/load/handling.rs
@@ -33,7 +33,7 @@
 impl Relay {
     /// Lets a plain request wait if its service is limited. Returns false if it is to be sent now; otherwise it waits, or has
     /// already been sent or refused here.
-    pub(in crate::relay) fn waits_for_load(&mut self, id: CallId) -> bool {
+    pub(in crate::relay) fn wait_for_service_limit(&mut self, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id) else {
             return false;
         };
--- a/crates/arbutusfall_core/src/relay/quota/handling.rs
+++ b/crates/arbutusfall_core/src/relay/quota/handling.rs
@@ -208,7 +208,7 @@
     /// sent. Returns whether it did: the quota then decides whether the call goes on, and the caller of this must not send it.
     ///
     /// The old tokens are not returned: their lease has lapsed.
-    pub(in crate::relay) fn renews_quota(&mut self, id: CallId) -> bool {
+    pub(in crate::relay) fn renew_outdated_tokens(&mut self, id: CallId) -> bool {
         let call = self.calls.get(&id);
         let settings = &self.quota.settings;
         if !call.is_some_and(|call| call.has_outdated_tokens(settings, self.now)) {
--- a/crates/arbutusfall_core/src/relay/quota/held_votes.rs
+++ b/crates/arbutusfall_core/src/relay/quota/held_votes.rs
@@ -38,9 +38,9 @@
     },
 }
 
-/// What a VM that is asked for tokens of an account knows of it: the tokens, and the votes by which it may grant them.
+/// An account that this VM owns or may come to own: its tokens, and the votes by which this VM may grant them.
 #[derive(Debug, Clone)]
-pub(super) struct Account {
+pub(super) struct CandidateAccount {
     pub(super) bucket: AccountBucket,
     pub(super) quota: AccountQuota,
     /// Electors by the list of VMs of `list_version`.
@@ -59,7 +59,7 @@
     pub(super) asked_at: Duration,
 }
 
-impl Account {
+impl CandidateAccount {
     /// Returns until when each vote is valid, with its idle time ([`Vote::idle`]); lapsed ones are left out.
     pub(super) fn valid_votes(&self, now: Duration) -> Vec<(Duration, Duration)> {
         let votes = self.electors.iter().filter_map(|vm| self.votes.get(vm));
--- a/crates/arbutusfall_core/src/relay/quota/owner.rs
+++ b/crates/arbutusfall_core/src/relay/quota/owner.rs
@@ -21,7 +21,7 @@
 use crate::relay::quota::electors::VOTE_LIFETIME;
 use crate::relay::quota::electors::Vote;
 use crate::relay::quota::electors::first_vms;
-use crate::relay::quota::held_votes::Account;
+use crate::relay::quota::held_votes::CandidateAccount;
 use crate::relay::quota::held_votes::HeldVote;
 use crate::relay::quota::held_votes::REFUSED_BACKOFF;
 use crate::relay::quota::held_votes::RENEWED_LEFT;
@@ -64,7 +64,7 @@
     vms: Vec<Name>,
     list_version: u64,
     given: GivenVotes,
-    accounts: FastMap<Name, Account>,
+    accounts: FastMap<Name, CandidateAccount>,
     /// VMs that do not answer, and until when they count as such.
     failed: FastMap<Name, Duration>,
     /// When VMs were last asked only whether they answer.
@@ -183,10 +183,15 @@
     }
 
     /// Returns what is known of an account, brought up to date with the configured quota and the list of VMs.
-    fn account(&mut self, name: &Name, quota: AccountQuota, now: Duration) -> &mut Account {
+    fn account(
+        &mut self,
+        name: &Name,
+        quota: AccountQuota,
+        now: Duration,
+    ) -> &mut CandidateAccount {
         let settings = &self.settings;
         let account = self.accounts.entry(name.clone());
-        let account = account.or_insert_with(|| Account {
+        let account = account.or_insert_with(|| CandidateAccount {
             bucket: AccountBucket::new(quota.burst, settings, now),
             quota,
             electors: Vec::new(),
@@ -261,7 +266,7 @@
         wanted
     }
 
-    fn active(&self, now: Duration) -> impl Iterator<Item = (&Name, &Account)> {
+    fn active(&self, now: Duration) -> impl Iterator<Item = (&Name, &CandidateAccount)> {
         let accounts = self.accounts.iter();
         accounts.filter(move |(_, account)| now < account.asked_at + RENEWAL_TIME)
     }
--- a/crates/arbutusfall_core/src/relay/sending/stages.rs
+++ b/crates/arbutusfall_core/src/relay/sending/stages.rs
@@ -60,11 +60,11 @@
             self.enqueue(id);
             return;
         }
-        if stage == CallStage::Plain && self.waits_for_load(id) {
+        if stage == CallStage::Plain && self.wait_for_service_limit(id) {
             return;
         }
         match self.next_instance(id, stage) {
-            Some(_) if self.renews_quota(id) => {}
+            Some(_) if self.renew_outdated_tokens(id) => {}
             Some(instance) => self.send(id, instance, stage),
             None if self.wait_for_rest_or_fail(id, stage) => {}
             None if self.wait_for_reach(id, stage) => {}
--- a/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
@@ -111,7 +111,7 @@
         let Some((vm, peer)) = selected else {
             return false;
         };
-        if self.renews_quota(id) {
+        if self.renew_outdated_tokens(id) {
             return true;
         }
         self.leave_engines(id);
--- a/crates/arbutusfall_core/tests/it/relay_newest_search.rs
+++ b/crates/arbutusfall_core/tests/it/relay_newest_search.rs
@@ -130,7 +130,7 @@
     assert!(!unknown.is_too_long(second * 100, second));
 }
 
-// Guards against a rate that stays as it was guessed.
+// Guards against a rate that stays at its initial estimate.
 #[test]
 fn rate_of_a_tail_follows_what_is_read() {
     let second = Duration::from_secs(1);
--- a/crates/arbutusfall_core/tests/it/relay_unsent.rs
+++ b/crates/arbutusfall_core/tests/it/relay_unsent.rs
@@ -61,7 +61,7 @@
     harness.effects.iter().position(is_wanted)
 }
 
-// Guards against 504 for a request whose connection never opened, and against one that is written after its caller was told that it
+// Guards against 504 for a request whose connection never opened, and against one that is written after its caller was answered that it
 // has not run.
 #[test]
 fn request_whose_connection_has_not_opened_at_the_deadline_has_not_run() {
