Relay: a stream taken up from another VM may wait for memory until its deadline

Cause: traced with the second VM's log. Of 24 streams that are taken up at once, those that find the few prefills that this VM may have in flight taken wait in the queue. The wait ended at the route's target less 120 ms, 780 ms after the request's arrival, because `Call::wait_until` covered only streams that this VM had started. On a busy machine this time passes, and the VM refuses the rest of an answer that the caller has in part: 503 `no_room` with a Retry-After of 4.2 to 5.3 s.

Change: `wait_until` covers every call that continues a stream.

--- a/crates/arbutusfall_core/src/relay/sending/waiting.rs
+++ b/crates/arbutusfall_core/src/relay/sending/waiting.rs
@@ -62,8 +62,8 @@
     /// Returns the instant until which the request may wait for memory: a first attempt only while it can be on time, unless it has
     /// waited for endpoints to be reached.
     pub(crate) fn wait_until(&self) -> Duration {
-        if self.has_stream_started {
-            // The caller has received part of its answer, which is worthless without the rest.
+        if self.continues_stream() {
+            // The caller has received part of its answer, from this VM or from another, which is worthless without the rest.
             return self.due_at;
         }
         let wait = if self.prior_attempt_time.is_zero() {
--- a/crates/arbutusfall_core/tests/it/relay_stream_versions.rs
+++ b/crates/arbutusfall_core/tests/it/relay_stream_versions.rs
@@ -23,13 +23,21 @@
 use arbutusfall_core::relay::StreamRecord;
 use arbutusfall_core::relay::Work;
 use arbutusfall_wire::Name;
+use assert_matches::assert_matches;
 
+use crate::relay_harness::REFUSED;
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
 use crate::relay_harness::routes;
 use crate::relay_harness::store_read;
 
+/// Time for which engines are full: longer than the target of the routes.
+const FULL_TIME: Duration = Duration::from_millis(2_000);
+
+/// Step of the clock.
+const STEP: Duration = Duration::from_millis(20);
+
 fn engine(instance: &str, role: Role, version: &str) -> EndpointListChange {
     EndpointListChange::Listed(ListedEndpoint {
         version: version.into(),
@@ -75,6 +83,10 @@
     }
 }
 
+fn is_send(effect: &RelayEffect) -> bool {
+    matches!(effect, RelayEffect::Send(_))
+}
+
 /// Takes the appends of stream records from the effects and confirms them.
 fn take_appends(harness: &mut RelayHarness) -> Vec<Vec<StreamRecord>> {
     let effects = std::mem::take(&mut harness.effects);
@@ -538,6 +550,33 @@
     }
 }
 
+// Guards against a stream that is refused to a caller who has part of it because the engines were full until its target had passed.
+#[test]
+fn resumption_at_another_vm_waits_for_memory_after_its_target() {
+    let mut harness = relay_with_engines(1, &[("decode-1", "v1"), ("decode-2", "v1")]);
+    let call = harness.submit_resumption("/resumable/1", Some("elsewhere"));
+    let lookup = StreamLookup::Found(origin("v1"));
+    harness.apply(RelayEvent::StreamLookup { call, lookup });
+    let full_until = harness.now + FULL_TIME;
+    while harness.now < full_until {
+        for reserve in harness.take_sends() {
+            harness.deliver(reserve.exchange, REFUSED);
+        }
+        harness.advance(STEP);
+    }
+    assert_eq!(harness.final_effect(call), None);
+    while !harness.effects.iter().any(is_send) && harness.now < full_until + FULL_TIME {
+        harness.advance(STEP);
+    }
+    let decode = harness.advance_to_decode();
+    harness.deliver(decode.exchange, ExchangeEvent::StreamBegan);
+    harness.deliver(decode.exchange, ExchangeEvent::Complete { status: 200 });
+    assert_matches!(
+        harness.final_effect(call),
+        Some(RelayEffect::Answer { .. } | RelayEffect::Finish { .. })
+    );
+}
+
 // Guards against refusing resumptions for ever after a release: 30 s after the last endpoint of the old version left, an
 // unknown stream can only be one of the new version. A list that was not read of late shows nothing.
 #[test]
