--- a/crates/arbutusfall_core/tests/it/relay_reach.rs
+++ b/crates/arbutusfall_core/tests/it/relay_reach.rs
@@ -342,3 +342,41 @@
     assert!(waited < ms(7_500), "waited {waited:?} of 14 s");
     assert!(harness.problem(call).is_some());
 }
+
+// Guards against a stream that is refused because its decode connection hung until its target had passed, when it is to reserve memory
+// again and the other engine is full.
+#[test]
+fn stream_whose_decode_connection_hung_may_wait_for_memory() {
+    let mut harness = RelayHarness::configured(1);
+    remove(&mut harness, "prefill-2");
+    let call = harness.submit("/stream/1");
+    grant(&mut harness, STEP);
+    assert_eq!(harness.take_only_send().work, Work::Prefill);
+    let decode = next_send(&mut harness, ms(3_000));
+    assert_matches!(decode.work, Work::Decode { source: None, .. });
+    harness.advance(CONNECT_TIMEOUT);
+    harness.deliver(decode.exchange, UNREACHABLE);
+    let reserve = next_send(&mut harness, ms(300));
+    harness.deliver(reserve.exchange, REFUSED);
+    assert_eq!(harness.final_effect(call), None);
+    grant(&mut harness, ms(2_000));
+    let decode = harness.take_only_send();
+    assert_matches!(decode.work, Work::Decode { .. });
+}
+
+// Guards against more waiting at full engines for streams whose connections were refused at once: no time was lost.
+#[test]
+fn stream_whose_connection_was_refused_at_once_waits_for_memory_until_its_target() {
+    let mut harness = RelayHarness::configured(1);
+    let call = harness.submit("/stream/1");
+    let reserve = harness.take_only_send();
+    harness.deliver(reserve.exchange, UNREACHABLE);
+    let until = harness.now + ms(1_000);
+    while harness.now < until {
+        for reserve in harness.take_sends() {
+            harness.deliver(reserve.exchange, REFUSED);
+        }
+        harness.advance(ms(10));
+    }
+    assert!(harness.problem(call).is_some());
+}
