Relay: an unmarked end of an answer is complete only if the engine's process still runs

Cause: an answer with neither length nor chunks ends with its connection. The check opened a connection to the endpoint, which succeeds if the process has ended and the next one accepts connections at once, so that a broken stream looked complete. Change: for engines whose entry states when their process started, and that say so when they are asked, the engine is asked after such an end. Others are checked as before.

--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -292,7 +292,7 @@
 }
 
 /// Checks that an answer that has ended with its connection is complete, and reports that its end was not marked: a process
-/// that ends closes its connections too.
+/// that ends closes its connections too, and the next one may accept connections at once.
 async fn check_end(
     relay: &impl RelayHandle,
     command: &SendCommand,
@@ -301,7 +301,11 @@
     if framing != BodyFraming::ConnectionEnd {
         return Ok(());
     }
-    if !endpoint_check::accepts_connections(command.address).await {
+    let still_runs = match command.known_start_unix_ms {
+        Some(known_unix_ms) => run_check::still_runs(relay, command, known_unix_ms).await,
+        None => endpoint_check::accepts_connections(command.address).await,
+    };
+    if !still_runs {
         return Err(ExchangeFailure::Closed);
     }
     relay.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
--- a/crates/arbutusfall/src/relay/run_check.rs
+++ b/crates/arbutusfall/src/relay/run_check.rs
@@ -58,12 +58,7 @@
 ) -> Result<Response<Incoming>, SendError> {
     let stream = http::open(outgoing.address, outgoing.connect_timeout).await?;
     let asked_at = relay.io().now();
-    let expire = async {
-        async_io::Timer::after(PROOF_TIMEOUT.min(command.time_left)).await;
-        RunAnswer::Failed
-    };
-    let answer = ask(relay, &command.instance, command.address);
-    let answer = answer.or(expire).await;
+    let answer = ask_in_time(relay, command).await;
     report(relay, &command.instance, asked_at, answer);
     let is_required = match answer {
         RunAnswer::Started(started_unix_ms) => started_unix_ms == required_unix_ms,
@@ -80,6 +75,34 @@
     Ok(http::send_on(&relay.io().executor, stream, outgoing).await?)
 }
 
+/// Asks an engine after an answer whether the process still runs that started at `known_unix_ms`. One that does not answer may have been
+/// replaced.
+pub(super) async fn still_runs(
+    relay: &impl RelayHandle,
+    command: &SendCommand,
+    known_unix_ms: u64,
+) -> bool {
+    let asked_at = relay.io().now();
+    let answer = ask_in_time(relay, command).await;
+    report(relay, &command.instance, asked_at, answer);
+    match answer {
+        RunAnswer::Started(started_unix_ms) => started_unix_ms == known_unix_ms,
+        // Nothing tells its processes from one another, and it accepts connections.
+        RunAnswer::Unstated => true,
+        RunAnswer::Failed => false,
+    }
+}
+
+/// Asks an engine for which an exchange waits.
+async fn ask_in_time(relay: &impl RelayHandle, command: &SendCommand) -> RunAnswer {
+    let expire = async {
+        async_io::Timer::after(PROOF_TIMEOUT.min(command.time_left)).await;
+        RunAnswer::Failed
+    };
+    let answer = ask(relay, &command.instance, command.address);
+    answer.or(expire).await
+}
+
 async fn ask(relay: &impl RelayHandle, instance: &Name, address: SocketAddr) -> RunAnswer {
     let engine = EngineClient {
         relay,
--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -190,6 +190,9 @@
     /// Start of the process that alone may get the request, in Unix milliseconds; none if any may. The engine is asked
     /// over a second connection while the request's own is open: that one ends with its process.
     pub required_start_unix_ms: Option<u64>,
+    /// Start of the process that is known to run at the endpoint, in Unix milliseconds; none if its processes can't be told from one
+    /// another. An answer whose end is not marked is complete only if that process still runs after it.
+    pub known_start_unix_ms: Option<u64>,
     /// Whether the endpoint has a limit: an answer that names none lifts it.
     pub is_limited: bool,
     /// What is sent of the caller's account.
--- a/crates/arbutusfall_core/src/relay/endpoints/run_status.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/run_status.rs
@@ -138,6 +138,12 @@
         self.listed_unix_ms.is_some() && self.unstated_at.is_none()
     }
 
+    /// Returns when the process started that is known to run, in Unix milliseconds; none if processes can't be told from one another.
+    pub(crate) fn known_start(&self) -> Option<u64> {
+        let known = self.known.filter(|_| self.can_be_proved());
+        known.map(|known| known.started_unix_ms)
+    }
+
     /// Returns which process has answered a request of `sent_at` by `answered_at`.
     pub(crate) fn verdict(&self, sent_at: Duration, answered_at: Duration) -> RunVerdict {
         let Some(known) = self.known.filter(|_| self.can_be_proved()) else {
--- a/crates/arbutusfall_core/src/relay/sending/stages.rs
+++ b/crates/arbutusfall_core/src/relay/sending/stages.rs
@@ -305,6 +305,7 @@
             after_event_id: self.last_event_id,
             version: endpoint.listed.version.clone(),
             required_start_unix_ms: None,
+            known_start_unix_ms: endpoint.run.known_start(),
             is_limited: false,
             account: self.sent_account.clone(),
         }
--- a/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
@@ -388,6 +388,7 @@
             after_event_id: self.last_event_id,
             version: Name::default(),
             required_start_unix_ms: None,
+            known_start_unix_ms: None,
             is_limited: false,
             account: self.sent_account.clone(),
         }
