One definition each; dead code of quotas; granted tokens get a counter

Cause: `OrderedChange` and `RoleOrder` were the same order, `BYTES_PER_S_PER_MBPS` stood in three files, the timeout for questions of other VMs and the answer without a body in two. `take(MAX_CANDIDATES)` before `next()` in facts/source.rs had no effect. `QuotaAsk::rank` and `QuotaLeases::is_idle` had no reader. `quota.granted_tokens` counted tokens in a counter of events.

Change: one `OrderedChange`, one constant beside `VmStrength`, `relay/peer_question.rs`. The limit of candidates is removed where a VM looks for one to follow: records of removed VMs may rank first, and an existing test expects a fourth VM to be asked; a new test says why. It stays where newest records are looked for, as `MAX_NEWEST_SOURCES`. `rank` is no longer computed; it is still sent as 0, because VMs of builds that require it would refuse the question, and is optional when read. The tokens are counted by `arbutusfall_quota_granted_tokens_total`; the event `quota.granted_tokens` is gone.

--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -23,6 +23,7 @@
 mod open_exchanges;
 mod peer_client;
 mod peer_handshake;
+mod peer_question;
 mod peer_server;
 mod quota_client;
 mod quota_server;
--- a/crates/arbutusfall/src/relay/fact_server.rs
+++ b/crates/arbutusfall/src/relay/fact_server.rs
@@ -23,7 +23,6 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 
-use crate::http;
 use crate::http::AnswerBody;
 use crate::relay::driver::Driver;
 use crate::relay::fact_board::FactBoard;
@@ -32,6 +31,8 @@
 use crate::relay::fact_snapshot::PassedNewest;
 use crate::relay::handle::RelayHandle;
 use crate::relay::newest_pace::NewestPace;
+use crate::relay::peer_question::empty_answer;
+use crate::relay::peer_question::read_question;
 
 /// Longest question, in bytes.
 const MAX_QUESTION_BYTES: usize = 4 * 1024;
@@ -39,9 +40,6 @@
 /// Name of the counter of questions of other VMs for newest records.
 const NEWEST_ASKED_EVENT: &str = "newest_asked";
 
-/// Timeout for the body of a question.
-const QUESTION_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Answers followers.
 pub(super) struct FactServer {
     pub(super) driver: Arc<Driver>,
@@ -55,20 +53,18 @@
 impl FactServer {
     pub(super) async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let Some(_guard) = self.board.add_follower() else {
-            return status_only(StatusCode::SERVICE_UNAVAILABLE);
+            return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
         };
-        let body =
-            http::read_request_body(request.into_body(), MAX_QUESTION_BYTES, QUESTION_TIMEOUT);
-        let Ok(body) = body.await else {
+        let Some(body) = read_question(request, MAX_QUESTION_BYTES).await else {
             log::info!("a question of another VM for facts could not be read");
-            return status_only(StatusCode::BAD_REQUEST);
+            return empty_answer(StatusCode::BAD_REQUEST);
         };
         match decode_facts::<FactsQuestion>(&body) {
             Ok(question) if !question.newest.is_empty() => self.answer_newest(&question),
             Ok(question) => self.answer_question(&question).await,
             Err(error) => {
                 log::warn!("a question of another VM for facts is refused: {error}");
-                status_only(StatusCode::BAD_REQUEST)
+                empty_answer(StatusCode::BAD_REQUEST)
             }
         }
     }
@@ -86,7 +82,7 @@
         loop {
             let facts = self.facts_for(question);
             let Some(facts) = facts.filter(|_| self.driver.may_be_followed()) else {
-                return status_only(StatusCode::CONFLICT);
+                return empty_answer(StatusCode::CONFLICT);
             };
             let now = self.board.now();
             let waited = now.saturating_sub(waiting.arrived_at);
@@ -111,12 +107,12 @@
         let metrics = &self.driver.io().metrics;
         let Some(newest) = newest.filter(|_| self.driver.is_ready()) else {
             metrics.count(NEWEST_ASKED_EVENT, "not_ready");
-            return status_only(StatusCode::CONFLICT);
+            return empty_answer(StatusCode::CONFLICT);
         };
         let bytes = newest.iter().map(newest_bytes).sum();
         if !self.pace.admit(bytes, self.board.now()) {
             metrics.count(NEWEST_ASKED_EVENT, "busy");
-            return status_only(StatusCode::SERVICE_UNAVAILABLE);
+            return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
         }
         metrics.count(NEWEST_ASKED_EVENT, "passed");
         let now = self.board.now();
@@ -225,9 +221,3 @@
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
-
-fn status_only(status: StatusCode) -> Response<AnswerBody> {
-    let mut answer = Response::new(AnswerBody::whole(""));
-    *answer.status_mut() = status;
-    answer
-}
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -208,6 +208,7 @@
         write_load_counters(text, values.load.counts);
         write_slow_start_counters(text, values.slow_start.counts);
         write_buffer_counters(text, values.buffers.counts);
+        write_granted_tokens(text, values.quota);
         text.push_str("# TYPE arbutusfall_requests_total counter\n");
         for ((is_added_route, outcome), count) in &self.request_counts {
             let routes = if *is_added_route { "added" } else { "first" };
@@ -294,11 +295,19 @@
         ("quota.failed", counts.failed),
         ("quota.emergency", counts.emergency),
         ("quota.renewed", quota.renewed),
-        ("quota.granted_tokens", counts.granted_tokens as u64),
     ];
     write_events(text, &counters);
 }
 
+/// Writes the sum of the granted tokens, which are no events.
+fn write_granted_tokens(text: &mut String, quota: QuotaStatus) {
+    let _ = writeln!(
+        text,
+        "# TYPE arbutusfall_quota_granted_tokens_total counter\narbutusfall_quota_granted_tokens_total {}",
+        quota.counts.granted_tokens as u64
+    );
+}
+
 fn write_fact_ages(text: &mut String, ages_ms: &[(&'static str, u64)]) {
     text.push_str("# TYPE arbutusfall_fact_age_milliseconds gauge\n");
     for (topic, age_ms) in ages_ms {
@@ -326,3 +335,37 @@
         config.version, config.routes
     );
 }
+
+#[cfg(test)]
+mod tests {
+    use arbutusfall_core::relay::QuotaCounts;
+    use arbutusfall_core::relay::QuotaStatus;
+
+    use super::write_granted_tokens;
+    use super::write_quota_counters;
+
+    // Guards against a sum over all events that includes tokens.
+    #[test]
+    fn granted_tokens_are_not_among_the_events() {
+        let quota = QuotaStatus {
+            counts: QuotaCounts {
+                refused: 3,
+                granted_tokens: 40_000.5,
+                ..QuotaCounts::default()
+            },
+            ..QuotaStatus::default()
+        };
+        let mut events = String::new();
+        write_quota_counters(&mut events, quota);
+        assert!(
+            events.contains("arbutusfall_events_total{event=\"quota.refused\",reason=\"\"} 3\n")
+        );
+        assert!(!events.contains("40000"), "{events}");
+        let mut tokens = String::new();
+        write_granted_tokens(&mut tokens, quota);
+        assert_eq!(
+            tokens,
+            "# TYPE arbutusfall_quota_granted_tokens_total counter\narbutusfall_quota_granted_tokens_total 40000\n"
+        );
+    }
+}
--- a/crates/arbutusfall/src/relay/newest_pace.rs
+++ b/crates/arbutusfall/src/relay/newest_pace.rs
@@ -4,14 +4,13 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use arbutusfall_core::relay::BYTES_PER_S_PER_MBPS;
+
 use crate::lock::lock;
 
 /// Part of the link that answers with newest records may take.
 const LINK_SHARE: f64 = 0.7;
 
-/// Bytes a second of one Mbit/s.
-const BYTES_PER_S_PER_MBPS: f64 = 125_000.0;
-
 /// Bandwidth that is assumed if the link is not known, in Mbit/s: that of the narrowest links in use.
 const ASSUMED_LINK_MBPS: u32 = 10;
 
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -52,6 +52,7 @@
 use crate::relay::handle::RelayIo;
 use crate::relay::listed_entries::ListedEntries;
 use crate::relay::newest_pace::NewestPace;
+use crate::relay::peer_question::empty_answer;
 use crate::relay::peer_server::PeerServer;
 use crate::relay::store_client::StoreClient;
 use crate::relay::store_watch::StoreWatch;
@@ -284,11 +285,11 @@
 }
 
 fn readiness(is_ready: bool) -> Response<AnswerBody> {
-    let mut answer = Response::new(AnswerBody::whole(""));
-    if !is_ready {
-        *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    }
-    answer
+    empty_answer(if is_ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    })
 }
 
 fn watch_signals(driver: &Arc<Driver>) -> Result<(), Report<ServeError>> {
--- a/crates/arbutusfall_core/src/relay/control/role_changes.rs
+++ b/crates/arbutusfall_core/src/relay/control/role_changes.rs
@@ -4,6 +4,7 @@
 //! names the new role only then. The VM that ordered the change shares it, so that the others send nothing there meanwhile.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use arbutusfall_wire::Name;
 
@@ -11,19 +12,21 @@
 use crate::relay::Relay;
 use crate::relay::SharedRecord;
 
-/// An order to an engine that has no outcome yet.
+/// An engine that this VM has ordered to change its role.
 #[derive(Debug, Clone)]
-struct RoleOrder {
-    instance: Name,
-    role: Role,
-    service: Name,
+pub(super) struct OrderedChange {
+    pub(super) instance: Name,
+    pub(super) service: Name,
+    pub(super) role: Role,
+    /// Instant from which the engine counts as serving again in its former role.
+    pub(super) failed_at: Duration,
 }
 
 /// Orders of this VM without an outcome, and the accepted ones of each service's newest series. A series is the orders of one
 /// review.
 #[derive(Debug, Clone, Default)]
 pub(super) struct RoleOrders {
-    awaited: Vec<RoleOrder>,
+    awaited: Vec<OrderedChange>,
     accepted: BTreeMap<Name, Vec<(Name, Role)>>,
 }
 
@@ -34,20 +37,15 @@
         self.accepted.remove(service);
     }
 
-    pub(super) fn on_ordered(&mut self, instance: &Name, role: Role, service: &Name) {
-        self.awaited.push(RoleOrder {
-            instance: instance.clone(),
-            role,
-            service: service.clone(),
-        });
+    pub(super) fn on_ordered(&mut self, change: OrderedChange) {
+        self.awaited.push(change);
     }
 
     /// Removes an order that has an outcome.
-    pub(super) fn take(&mut self, instance: &Name) -> Option<(Role, Name)> {
+    pub(super) fn take(&mut self, instance: &Name) -> Option<OrderedChange> {
         let mut awaited = self.awaited.iter();
-        let at = awaited.position(|order| order.instance == *instance)?;
-        let order = self.awaited.swap_remove(at);
-        Some((order.role, order.service))
+        let at = awaited.position(|change| change.instance == *instance)?;
+        Some(self.awaited.swap_remove(at))
     }
 
     /// Records that an engine accepted an order; returns all that did in this series.
@@ -61,9 +59,10 @@
 impl Relay {
     /// Records that an engine has accepted an order, and tells the other VMs.
     pub(in crate::relay) fn on_role_change_accepted(&mut self, instance: &Name) {
-        let Some((role, service)) = self.roles.orders.take(instance) else {
+        let Some(change) = self.roles.orders.take(instance) else {
             return;
         };
+        let OrderedChange { service, role, .. } = change;
         self.avoid_until_changed(instance, role);
         let changes = self.roles.orders.add_accepted(&service, instance, role);
         let record = SharedRecord::RoleChanges { service, changes };
--- a/crates/arbutusfall_core/src/relay/control/roles.rs
+++ b/crates/arbutusfall_core/src/relay/control/roles.rs
@@ -16,6 +16,7 @@
 use crate::relay::RelayNotice;
 use crate::relay::RelayTimer;
 use crate::relay::RoleOutcome;
+use crate::relay::control::role_changes::OrderedChange;
 use crate::relay::control::role_changes::RoleOrders;
 use crate::relay::control::role_pressure::RolePressure;
 use crate::relay::control::role_split::RoleChange;
@@ -42,15 +43,6 @@
 /// An ordered change that is not listed counts as failed after this multiple of the time of a change.
 const MAX_CHANGE_TIME_FACTOR: u32 = 2;
 
-/// An engine that this VM has ordered to change its role.
-#[derive(Debug, Clone)]
-struct OrderedChange {
-    instance: Name,
-    role: Role,
-    /// Instant from which the engine counts as serving again in its former role.
-    failed_at: Duration,
-}
-
 /// What decides on the roles of one service's engines.
 #[derive(Debug, Clone, Default)]
 struct ServiceRoles {
@@ -271,11 +263,13 @@
         let routes = self.routes.as_ref();
         let engine = routes.and_then(|routes| routes.engine(service));
         let role_change_time = engine.map_or(Duration::ZERO, |engine| engine.role_change_time);
-        self.roles.service(service).ordered.push(OrderedChange {
+        let change = OrderedChange {
             instance: instance.clone(),
+            service: service.clone(),
             role,
             failed_at: self.now + role_change_time * MAX_CHANGE_TIME_FACTOR,
-        });
+        };
+        self.roles.service(service).ordered.push(change.clone());
         if let Some(endpoint) = self.endpoints.get_mut(&instance) {
             endpoint.set_unavailable_until(self.now + role_change_time);
         }
@@ -285,7 +279,7 @@
             token,
         });
         self.take_limit_tokens(&instance, ORDER_REQUESTS);
-        self.roles.orders.on_ordered(&instance, role, service);
+        self.roles.orders.on_ordered(change);
         self.effects.push(RelayEffect::OrderRole {
             instance,
             address,
--- a/crates/arbutusfall_core/src/relay/facts.rs
+++ b/crates/arbutusfall_core/src/relay/facts.rs
@@ -22,6 +22,7 @@
 pub use source::FactSource;
 pub use source::FollowOutcome;
 pub use source::NextFacts;
+pub use strength::BYTES_PER_S_PER_MBPS;
 pub use strength::StrengthClass;
 pub use strength::VmStrength;
 pub use tail_cost::TailCost;
--- a/crates/arbutusfall_core/src/relay/facts/source.rs
+++ b/crates/arbutusfall_core/src/relay/facts/source.rs
@@ -18,8 +18,8 @@
 use crate::relay::StrengthClass;
 use crate::relay::VmStrength;
 
-/// VMs above this one that may be asked: if they all decline, more would not help.
-const MAX_CANDIDATES: usize = 3;
+/// Number of VMs that are asked for all newest records: if they all decline, more would not help.
+const MAX_NEWEST_SOURCES: usize = 3;
 
 /// Time for which a VM is not asked after it declined; doubles with each consecutive time.
 const DECLINED_BACKOFF: Duration = Duration::from_millis(500);
@@ -154,8 +154,8 @@
         if self.following.is_none() && now < self.next_question {
             return self.read_store(now);
         }
-        let usable = self.candidates.iter().filter(|c| now >= c.not_before);
-        let Some(first) = usable.take(MAX_CANDIDATES).next() else {
+        let mut candidates = self.candidates.iter();
+        let Some(first) = candidates.find(|candidate| now >= candidate.not_before) else {
             return self.read_store(now);
         };
         // A VM above the followed one is only tried: if it passes nothing on, the followed one stays.
@@ -215,7 +215,7 @@
         let mut stronger: Vec<&Candidate> = stronger.collect();
         stronger
             .sort_by_key(|candidate| (candidate.rank.0, stable_hash(&(&self.vm, &candidate.vm))));
-        let first = stronger.into_iter().take(MAX_CANDIDATES);
+        let first = stronger.into_iter().take(MAX_NEWEST_SOURCES);
         first
             .map(|candidate| (candidate.vm.clone(), candidate.address))
             .collect()
--- a/crates/arbutusfall_core/src/relay/facts/strength.rs
+++ b/crates/arbutusfall_core/src/relay/facts/strength.rs
@@ -1,5 +1,8 @@
 //! How much a VM can do for the VMs that follow it.
 
+/// Bytes per second of a bandwidth of 1 Mbit/s.
+pub const BYTES_PER_S_PER_MBPS: f64 = 125_000.0;
+
 /// Least processor share, in thousandths of a core, and least link, in Mbit/s, of each class, strongest first. The classes are
 /// coarse, so that small differences between VMs do not decide which VM is followed.
 const CLASS_MINIMUMS: [(u32, u32); 2] = [(400, 100), (200, 20)];
--- a/crates/arbutusfall_core/src/relay/facts/tail_cost.rs
+++ b/crates/arbutusfall_core/src/relay/facts/tail_cost.rs
@@ -2,15 +2,14 @@
 
 use std::time::Duration;
 
+use crate::relay::BYTES_PER_S_PER_MBPS;
+
 /// Shortest tail that is not read on: below it, a slow answer has another cause than the link.
 const LEAST_LONG_TAIL_BYTES: f64 = 256.0 * 1024.0;
 
 /// Part of the answer's timeout that the transfer of a tail may take.
 const TRANSFER_SHARE: f64 = 0.6;
 
-/// Bytes a second of one Mbit/s.
-const BYTES_PER_S_PER_MBPS: f64 = 125_000.0;
-
 /// Weight of the newest page in the mean rate.
 const RATE_WEIGHT: f64 = 0.3;
 
--- a/crates/arbutusfall_core/src/relay/quota/leases.rs
+++ b/crates/arbutusfall_core/src/relay/quota/leases.rs
@@ -107,11 +107,6 @@
         self.counts
     }
 
-    /// Returns whether no request waits.
-    pub fn is_idle(&self) -> bool {
-        self.pending.is_empty()
-    }
-
     /// Uses tokens for a request, or makes it wait for some, at most until `due_at`. [`Self::advance`] must follow.
     pub fn admit(
         &mut self,
@@ -289,11 +284,11 @@
             if leases.waiting.is_empty() || leases.is_asked || now < leases.ask_at {
                 break;
             }
-            let Some((rank, vm)) = self.candidate(account, now) else {
+            let Some(vm) = self.candidate(account, now) else {
                 self.on_no_candidate(account, output, now);
                 break;
             };
-            let ask = self.ask(account, rank);
+            let ask = self.ask(account);
             if vm == self.vm {
                 let quota = self.accounts.get(account).map(|leases| leases.quota);
                 let grant = owner.answer_ask(&ask, quota, now);
@@ -416,8 +411,8 @@
         output.decisions.push((waiting.call, admission));
     }
 
-    /// Returns the VM to ask for tokens of an account, with its rank; none if none can be asked.
-    fn candidate(&mut self, account: &Name, now: Duration) -> Option<(u32, Name)> {
+    /// Returns the VM to ask for tokens of an account; none if none can be asked.
+    fn candidate(&mut self, account: &Name, now: Duration) -> Option<Name> {
         let leases = self.accounts.get_mut(account)?;
         if leases.list_version != self.list_version {
             leases.list_version = self.list_version;
@@ -434,13 +429,10 @@
                 .any(|(declined, _)| declined == *vm);
             !has_declined && !self.links.has_failed(vm, now)
         });
-        let vm = usable.next()?.clone();
-        let rank = leases.ranked.iter().position(|ranked| *ranked == vm);
-        let rank = rank.unwrap_or(CANDIDATES);
-        Some((u32::try_from(rank).unwrap_or(u32::MAX), vm))
+        usable.next().cloned()
     }
 
-    fn ask(&self, account: &Name, rank: u32) -> QuotaAsk {
+    fn ask(&self, account: &Name) -> QuotaAsk {
         let leases = self.accounts.get(account);
         let needed = leases.map_or(0.0, AccountLeases::needed);
         let lifetime = self.settings.lease_lifetime();
@@ -451,7 +443,7 @@
             needed,
             wanted: needed + expected,
             first: first.map_or(0.0, |first| first.cost),
-            rank,
+            rank: 0,
         }
     }
 
--- a/crates/arbutusfall_core/tests/it/relay_facts.rs
+++ b/crates/arbutusfall_core/tests/it/relay_facts.rs
@@ -112,6 +112,27 @@
     assert_eq!(above_last.len(), 4);
 }
 
+// Guards against VMs that all read the store because the records of VMs that were removed rank first.
+#[test]
+fn fourth_vm_is_followed_if_the_first_three_are_gone() {
+    let mut source = FactSource::new("own".into(), DATA_CENTRE.into(), strength(90, 10));
+    for number in 0..4 {
+        let mut address = peer_address(number, DATA_CENTRE);
+        address.strength = if number < 3 {
+            strength(500, 200)
+        } else {
+            strength(300, 25)
+        };
+        source.on_peer(&vm_name(number), Some(&address));
+    }
+    for at in [0, 250, 500].map(ms) {
+        let gone = followed(&mut source, at).expect("a VM is asked");
+        assert_ne!(gone, vm_name(3));
+        source.on_outcome(&gone, FollowOutcome::Failed, at);
+    }
+    assert_eq!(followed(&mut source, ms(750)), Some(vm_name(3)));
+}
+
 // Guards against an order that remains as it was when a VM starts again with another strength.
 #[test]
 fn changed_strength_of_a_vm_changes_its_place() {
--- a/crates/arbutusfall_core/tests/it/relay_list_transfer.rs
+++ b/crates/arbutusfall_core/tests/it/relay_list_transfer.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use arbutusfall_core::relay::BYTES_PER_S_PER_MBPS;
 use arbutusfall_core::relay::FactSource;
 use arbutusfall_core::relay::FactTimes;
 use arbutusfall_core::relay::FollowOutcome;
@@ -396,7 +397,7 @@
     let start = WEAK_START.mul_f64(90.0 / cpu) + ms(rng.u64(..500));
     ListVm {
         strength,
-        link: f64::from(strength.link_mbps.unwrap_or(0)) * 125_000.0,
+        link: f64::from(strength.link_mbps.unwrap_or(0)) * BYTES_PER_S_PER_MBPS,
         source,
         search: None,
         tail_cost: TailCost::new(strength.link_mbps),
--- a/crates/arbutusfall_wire/src/quota.rs
+++ b/crates/arbutusfall_wire/src/quota.rs
@@ -36,7 +36,8 @@
     pub wanted: f64,
     /// Cost of the first waiting request.
     pub first: f64,
-    /// Number of VMs before the asked one in the asking VM's order of owners.
+    /// Not read. It is sent because VMs of builds before it became optional refuse questions without it.
+    #[serde(default)]
     pub rank: u32,
 }
 
--- a/crates/arbutusfall_wire/tests/it/main.rs
+++ b/crates/arbutusfall_wire/tests/it/main.rs
@@ -2,3 +2,4 @@
 
 mod codec;
 mod facts;
+mod quota;
