--- a/crates/arbutusfall/src/cli.rs
+++ b/crates/arbutusfall/src/cli.rs
@@ -8,6 +8,7 @@
 
 use std::ffi::OsString;
 use std::fmt;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -42,6 +43,7 @@
   arbutusfall serve --settings FILE
   arbutusfall relay --settings FILE
   arbutusfall check --base FILE [--overlay FILE]...
+  arbutusfall check --relay-settings FILE
   arbutusfall publish base FILE [LOG] [--edited-from REVISION] [--publish-id UUID]
   arbutusfall publish overlay SITE FILE [LOG] [--edited-from REVISION] [--publish-id UUID]
   arbutusfall status --vm IP:PORT [--json]
@@ -57,7 +59,8 @@
 publish replaces the revision in force. With --edited-from, it fails unless REVISION is still in force. It first prints
 its publish id. If no answer arrives, repeat the command with --publish-id and that id: it is applied at most once.
 relay runs a VM that is configured from the store of the users' platform; serve runs one that is configured from the
-log service. check takes an overlay's site from the name of its file. status queries a VM's operator address.
+log service. check takes an overlay's site from the name of its file; with --relay-settings, it
+checks the settings of a VM that runs relay, as relay does at its start. status queries a VM's operator address.
 explain prints where a request would be routed now by a VM that runs relay, and why, without sending it: a new one, or
 one that is in progress there. PARTS and PROMPT,OUTPUT are values of the headers {PROMPT_PREFIX} and {TOKEN_COUNTS}. An
 account is stated by its name, never by a key.
@@ -175,18 +178,35 @@
 fn check(mut parser: Parser) -> Result<(), CommandExit> {
     let mut base: Option<PathBuf> = None;
     let mut overlays: Vec<PathBuf> = Vec::new();
+    let mut relay_settings: Option<PathBuf> = None;
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Long("base") => base = Some(parser.value()?.into()),
             Arg::Long("overlay") => overlays.push(parser.value()?.into()),
+            Arg::Long("relay-settings") => relay_settings = Some(parser.value()?.into()),
             other => return Err(common_option(other)),
         }
     }
+    if let Some(file) = relay_settings {
+        check_relay_settings(&file)?;
+        if base.is_none() && overlays.is_empty() {
+            return Ok(());
+        }
+    }
     let checked = crate::check_files(&required(base, "--base")?, &overlays);
     checked
         .map_err(|errors| CommandExit::Problems(errors.iter().map(ToString::to_string).collect()))
 }
 
+fn check_relay_settings(file: &Path) -> Result<(), CommandExit> {
+    match RelayProcessSettings::load(file) {
+        Ok(_) => Ok(()),
+        Err(error) => Err(CommandExit::Problems(vec![
+            error.current_context().to_string(),
+        ])),
+    }
+}
+
 fn keys(mut parser: Parser) -> Result<(), CommandExit> {
     let mut out: Option<PathBuf> = None;
     let mut vms: Vec<String> = Vec::new();
--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -31,6 +31,7 @@
 mod run_check;
 mod send_permission;
 mod serve;
+mod setting_ranges;
 mod settings;
 mod shared_records;
 mod store_client;
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -21,6 +21,7 @@
 use crate::LogLevel;
 use crate::SettingsError;
 use crate::relay::read_timing::ReadTiming;
+use crate::relay::setting_ranges::check_ranges;
 use crate::settings::read_settings;
 
 /// Part of `retry_slack` that each VM is assumed to add to it if the number of VMs is not given.
@@ -143,9 +144,9 @@
     let Some(value) = Option::<f64>::deserialize(deserializer)? else {
         return Ok(None);
     };
-    let value = value.round() as u32;
-    if MEMORY_LIMIT_RANGE_MB.contains(&value) {
-        return Ok(Some(value));
+    let rounded = value.round() as u32;
+    if MEMORY_LIMIT_RANGE_MB.contains(&rounded) {
+        return Ok(Some(rounded));
     }
     let (least, most) = (MEMORY_LIMIT_RANGE_MB.start(), MEMORY_LIMIT_RANGE_MB.end());
     Err(D::Error::custom(format!(
@@ -172,7 +173,15 @@
     ///
     /// [`SettingsError`] if the file cannot be read or is invalid; it names the file, the position and the problem.
     pub fn load(file: &Path) -> Result<Self, Report<SettingsError>> {
-        read_settings(file)
+        let settings: Self = read_settings(file)?;
+        match check_ranges(&settings) {
+            Ok(()) => Ok(settings),
+            Err(error) => Err(Report::new(SettingsError::Invalid {
+                file: file.to_owned(),
+                path: error.name.to_owned(),
+                found: error.to_string(),
+            })),
+        }
     }
 
     /// Returns the limit of the retries of all VMs together.
--- a/crates/arbutusfall/tests/it/relay_settings.rs
+++ b/crates/arbutusfall/tests/it/relay_settings.rs
@@ -166,3 +166,68 @@
     };
     assert_eq!(settings.strength(), expected);
 }
+
+/// Loads settings from a file with one more field.
+fn load_with(name: &str, value: serde_json::Value) -> Result<RelayProcessSettings, String> {
+    let mut document = serde_json::to_value(settings(2_000, 3_000)).expect("settings are JSON");
+    document[name] = value;
+    let file = std::env::temp_dir().join(format!("relay-{}-{name}.json", std::process::id()));
+    std::fs::write(&file, document.to_string()).expect("the file is written");
+    let loaded = RelayProcessSettings::load(&file);
+    std::fs::remove_file(&file).expect("the file is removed");
+    loaded.map_err(|error| error.current_context().to_string())
+}
+
+// Guards against a VM that starts with numbers by which it lets no request pass, or all: they were replaced without a message.
+#[test]
+fn numbers_outside_their_ranges_are_rejected_by_name() {
+    let rejected = [
+        ("quota_window_s", json!(0)),
+        ("quota_window_s", json!(-8)),
+        ("quota_window_s", json!(1e30)),
+        ("quota_excess_ratio", json!(0)),
+        ("quota_excess_ratio", json!(-0.1)),
+        ("quota_excess_ratio", json!(1.1)),
+        ("quota_slack", json!(-1)),
+        ("retry_ratio", json!(-0.1)),
+        ("retry_slack", json!(-1)),
+        ("vm_count", json!(0)),
+        ("cpu_share", json!(0)),
+        ("cpu_share", json!(-0.5)),
+        ("link_mbps", json!(0)),
+        ("link_mbps", json!(-10)),
+        ("lease_lifetime_ms", json!(0)),
+        ("leaving_bound_ms", json!(0)),
+        ("silence_bound_ms", json!(0)),
+        ("silence_bound_ms", json!(u64::MAX)),
+        ("memory_limit_mb", json!(-8)),
+    ];
+    for (name, value) in rejected {
+        let error = load_with(name, value.clone()).expect_err(name);
+        assert!(error.contains(&format!("{name}: ")), "{error}");
+        assert!(
+            error.contains("must be") || error.contains("is not from"),
+            "{error}"
+        );
+    }
+}
+
+// Guards against a deployment that no longer starts.
+#[test]
+fn numbers_within_their_ranges_are_accepted() {
+    let accepted = [
+        ("quota_window_s", json!(0.5)),
+        ("quota_excess_ratio", json!(1)),
+        ("quota_slack", json!(0)),
+        ("retry_ratio", json!(0)),
+        ("retry_slack", json!(0)),
+        ("vm_count", json!(1)),
+        ("cpu_share", json!(0.09)),
+        ("link_mbps", json!(10)),
+        ("drain_timeout_s", json!(0)),
+        ("log_bytes_per_s", json!(0)),
+    ];
+    for (name, value) in accepted {
+        load_with(name, value).expect(name);
+    }
+}
--- a/crates/arbutusfall_standins/tests/it/command_line.rs
+++ b/crates/arbutusfall_standins/tests/it/command_line.rs
@@ -124,6 +124,32 @@
     }
 }
 
+// Guards against settings with which `relay` starts although `check` rejects them, and the other way round.
+#[test]
+fn relay_settings_are_checked_by_check_and_at_start() {
+    let file = std::env::temp_dir().join(format!("arbutusfall-{}.json", uuid::Uuid::now_v7()));
+    let path = file.display().to_string();
+    let write = |quota_window_s: i32| {
+        let settings = serde_json::json!({
+            "vm": "one", "data_centre": "milano-a",
+            "caller_address": "127.0.0.1:0", "operator_address": "127.0.0.1:0",
+            "store_address": "127.0.0.1:1", "quota_window_s": quota_window_s,
+        });
+        std::fs::write(&file, settings.to_string()).expect("the file is written");
+    };
+    write(8);
+    let result = run(&["check", "--relay-settings", &path]);
+    assert_eq!(result.status, 0, "{result:?}");
+    write(-8);
+    let line =
+        format!("arbutusfall: {path}: quota_window_s: -8 must be more than 0 and at most 86400\n");
+    let result = run(&["check", "--relay-settings", &path]);
+    assert_eq!((result.status, &*result.stderr), (2, &*line));
+    let result = run(&["relay", "--settings", &path]);
+    assert_eq!((result.status, &*result.stderr), (1, &*line));
+    std::fs::remove_file(&file).expect("the file is removed");
+}
+
 #[test]
 fn serve_fails_at_start_with_unusable_certificates_or_settings() {
     let dir = std::env::temp_dir().join(format!("arbutusfall-{}", uuid::Uuid::now_v7()));
