Large files split by what they do

relay_stream_versions.rs (564 lines, 15 tests) becomes relay_stream_versions.rs (6 tests), relay_recorded_versions.rs (5) and relay_stream_origins.rs (4). fact_board.rs (453) gives topic_facts.rs and newest_search.rs, store_watch.rs (470) reading_newest.rs. No statement is changed.

--- a/crates/arbutusfall/src/relay/fact_board.rs
+++ b/crates/arbutusfall/src/relay/fact_board.rs
@@ -7,7 +7,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use arbutusfall_core::relay::FactLog;
 use arbutusfall_core::relay::FactPosition;
 use arbutusfall_core::relay::FactSpan;
 use arbutusfall_core::relay::FactTimes;
@@ -19,10 +18,13 @@
 use crate::Clock;
 use crate::SystemClock;
 use crate::lock::lock;
-use crate::relay::fact_snapshot::FactSnapshot;
+use crate::relay::fact_board::topic_facts::TopicFacts;
 use crate::relay::fact_snapshot::PassedNewest;
 use crate::relay::waiters::Waiters;
 
+mod newest_search;
+mod topic_facts;
+
 /// Followers that are served at the same time; one more reads the store or asks another VM.
 const MAX_FOLLOWERS: usize = 128;
 
@@ -64,28 +66,6 @@
     waiters: Waiters,
 }
 
-/// What is known of a topic.
-#[derive(Debug, Default)]
-struct TopicFacts {
-    /// Where the next read or the next passed span begins.
-    position: Option<FactPosition>,
-    log: FactLog,
-    /// When the store was asked for what is known here.
-    as_of: Duration,
-    /// Longest age with which it is passed on.
-    max_age: Duration,
-    /// What another VM has passed on and the reader of the topic has not taken yet.
-    passed: Option<FactSpan>,
-    /// Whether there is news that is to be read from the store.
-    is_in_store: bool,
-    /// All newest records, for VMs that start.
-    snapshot: FactSnapshot,
-    /// Whether the reader of the topic waits for newest records of another VM.
-    needs_newest: bool,
-    /// Newest records that another VM has passed on and the reader of the topic has not taken yet.
-    passed_newest: Option<PassedNewest>,
-}
-
 /// What is passed on of a topic.
 #[derive(Debug)]
 pub(super) struct PassedFacts {
@@ -308,90 +288,6 @@
         })
     }
 
-    /// Records that a topic's newest records are needed; returns false if this VM reads them from the store at once.
-    pub(super) fn begin_need(&self, topic: StoreTopic) -> bool {
-        if self.seeks_newest {
-            self.state().topics[place(topic)].needs_newest = true;
-        }
-        self.seeks_newest
-    }
-
-    /// Waits until another VM has passed on a topic's newest records; none if the search has ended without them or the time is over, so
-    /// that they are to be read from the store.
-    pub(super) async fn sought(
-        &self,
-        topic: StoreTopic,
-        timeout: Duration,
-    ) -> Option<PassedNewest> {
-        let until = self.now() + timeout;
-        loop {
-            let now = self.now();
-            {
-                let mut state = self.state();
-                let facts = &mut state.topics[place(topic)];
-                facts.needs_newest &= now < until;
-                if !facts.needs_newest {
-                    return facts.passed_newest.take();
-                }
-            }
-            self.changed(until.saturating_sub(now)).await;
-        }
-    }
-
-    /// Begins a search for newest records; returns false if one is in progress.
-    pub(super) fn begin_search(&self) -> bool {
-        !std::mem::replace(&mut self.state().is_seeking, true)
-    }
-
-    /// Returns the topics whose newest records are needed; if there are none, records that the search has ended.
-    pub(super) fn needed_topics(&self) -> Vec<StoreTopic> {
-        let mut state = self.state();
-        let topics = TOPICS.into_iter().zip(&state.topics);
-        let needed = topics.filter(|(_, facts)| facts.needs_newest);
-        let needed: Vec<StoreTopic> = needed.map(|(topic, _)| topic).collect();
-        state.is_seeking = !needed.is_empty();
-        needed
-    }
-
-    /// Ends a search: what is needed is read from the store.
-    pub(super) fn end_search(&self) {
-        let mut state = self.state();
-        state.is_seeking = false;
-        for facts in &mut state.topics {
-            facts.needs_newest = false;
-        }
-        state.waiters.wake_all();
-    }
-
-    /// Takes newest records that another VM has passed on; reads of the store are replaced until `fresh_until`. Returns false if one of
-    /// the topics is known better here.
-    pub(super) fn on_newest_passed(
-        &self,
-        passed: Vec<PassedNewest>,
-        fresh_until: Duration,
-    ) -> bool {
-        let mut state = self.state();
-        let is_older = passed.iter().any(|passed| {
-            let known = state.topics[place(passed.topic)].position;
-            known.is_some_and(|known| {
-                known.era == passed.position.era && known.offset > passed.position.offset
-            })
-        });
-        if is_older {
-            return false;
-        }
-        for passed in passed {
-            let facts = &mut state.topics[place(passed.topic)];
-            if facts.needs_newest {
-                facts.needs_newest = false;
-                facts.passed_newest = Some(passed);
-            }
-        }
-        state.fresh_until = state.fresh_until.max(Some(fresh_until));
-        state.waiters.wake_all();
-        true
-    }
-
     /// Returns when the store was asked for what is known of a topic.
     pub(super) fn as_of(&self, topic: StoreTopic) -> Duration {
         self.state().topics[place(topic)].as_of
@@ -414,40 +310,3 @@
         changed.or(expired).await;
     }
 }
-
-impl TopicFacts {
-    fn on_read(&mut self, position: FactPosition, as_of: Duration) {
-        self.position = Some(position);
-        self.as_of = self.as_of.max(as_of);
-        self.is_in_store = false;
-        // What was passed on meanwhile begins elsewhere.
-        self.passed = None;
-    }
-
-    fn on_passed(&mut self, span: FactSpan, as_of: Duration) {
-        self.position = Some(FactPosition {
-            offset: span.next,
-            era: span.from.era,
-        });
-        self.as_of = self.as_of.max(as_of);
-        self.snapshot.apply(&span.records);
-        self.log.append(span.clone());
-        match &mut self.passed {
-            Some(waiting) => {
-                waiting.next = span.next;
-                waiting.records.extend(span.records);
-            }
-            None => self.passed = Some(span),
-        }
-    }
-
-    /// Takes what was passed on, if it begins at a position; otherwise the next question begins there.
-    fn take_passed(&mut self, from: FactPosition) -> Option<FactSpan> {
-        let span = self.passed.take()?;
-        if span.from == from {
-            return Some(span);
-        }
-        self.position = Some(from);
-        None
-    }
-}
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -19,31 +19,23 @@
 
 use crate::http::ClientError;
 use crate::relay::fact_board::FactBoard;
-use crate::relay::fact_snapshot::PassedNewest;
 use crate::relay::handle::RelayHandle;
 use crate::relay::listed_entries::ListedEntries;
 use crate::relay::read_timing::READS_AFTER_FAILURE;
 use crate::relay::read_timing::ReadTiming;
-use crate::relay::shared_records;
 use crate::relay::store_client::StoreAnswer;
 use crate::relay::store_client::StoreClient;
 use crate::relay::store_client::StoreError;
 use crate::relay::store_pages::NewestPages;
-use crate::relay::store_pages::kept_record;
 use crate::relay::store_pages::record_bytes;
 use crate::relay::store_pages::without_foreign_value;
 
+mod reading_newest;
 mod submitting;
 
 /// Minimum time between the starts of a failed read and the next one; doubles up to [`ReadTiming::max_retry_interval`].
 const FIRST_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Interval at which each endpoint is expected to write its entry, until tails show how much is written: the platform's interval.
-const ENTRY_INTERVAL: Duration = Duration::from_millis(1_200);
-
-/// Longest search for a VM that passes newest records on; a search ends by itself before.
-const MAX_SEARCH_TIME: Duration = Duration::from_secs(12);
-
 /// Task that follows one topic.
 pub(super) struct StoreWatch<H> {
     pub(super) relay: H,
@@ -318,97 +310,6 @@
         self.store.get(&self.relay, path, timeout).await
     }
 
-    /// Reads the newest record of each key; a read that failed goes on with the page that failed.
-    async fn read_newest(&mut self) -> Result<Read, WatchError> {
-        if let Some(newest) = self.sought_newest().await {
-            return Ok(self.take_newest(newest));
-        }
-        let started_at = self.facts.now();
-        let mut pages = self
-            .pages
-            .take()
-            .unwrap_or_else(|| NewestPages::new(started_at));
-        loop {
-            match self.read_newest_page(&mut pages).await {
-                Ok(true) => {}
-                Ok(false) => break,
-                Err(error) => {
-                    if let WatchError::Failed(_) = error {
-                        self.pages = Some(pages);
-                    }
-                    return Err(error);
-                }
-            }
-        }
-        let position = pages.first_end.ok_or(ClientError::Malformed)?;
-        self.tail_cost
-            .on_newest(record_bytes(&pages.records), ENTRY_INTERVAL);
-        let kept = pages.records.iter().filter_map(kept_record).collect();
-        self.submit_records(pages.records, true);
-        self.facts
-            .on_read_newest(self.topic, position, kept, pages.started_at);
-        Ok(Read {
-            position,
-            asked_at: Some(started_at),
-            has_more: false,
-        })
-    }
-
-    /// Returns newest records that another VM has passed on; none if they are to be read from the store.
-    ///
-    /// The records that VMs share are always read: they name the other VMs. A read that failed goes on without another search.
-    async fn sought_newest(&self) -> Option<PassedNewest> {
-        let is_sought = self.topic != StoreTopic::Shared && self.pages.is_none();
-        if !is_sought || !self.facts.begin_need(self.topic) {
-            return None;
-        }
-        self.relay.submit(RelayEvent::NewestNeeded);
-        self.facts.sought(self.topic, MAX_SEARCH_TIME).await
-    }
-
-    /// Takes newest records that another VM has passed on.
-    fn take_newest(&mut self, newest: PassedNewest) -> Read {
-        let records = newest.records.iter().map(|(key, value)| KeyedRecord {
-            key: key.clone(),
-            value: Some(value.to_vec()),
-        });
-        let records: Vec<KeyedRecord> = records.collect();
-        self.tail_cost
-            .on_newest(record_bytes(&records), ENTRY_INTERVAL);
-        self.submit_records(records, true);
-        let position = newest.position;
-        self.facts
-            .on_read_newest(self.topic, position, newest.records, newest.as_of);
-        Read {
-            position,
-            asked_at: None,
-            has_more: false,
-        }
-    }
-
-    /// Reads the next page; returns whether there is a further one.
-    async fn read_newest_page(&self, pages: &mut NewestPages) -> Result<bool, WatchError> {
-        let path = store::newest_path(self.topic, pages.after.as_deref());
-        let mut answer = self.get(&path, Duration::ZERO).await;
-        if self.topic == StoreTopic::Shared && is_missing(&answer) {
-            shared_records::create_topic(&self.relay, &self.store).await?;
-            answer = self.get(&path, Duration::ZERO).await;
-        }
-        let answer = answer.map_err(WatchError::Failed)?;
-        let page = store::parse_newest(&answer.body).map_err(|_| ClientError::Malformed)?;
-        // Records may be written between two pages. Continuing from the first page's end reads all of them, some for the
-        // second time.
-        let end = *pages.first_end.get_or_insert(FactPosition {
-            offset: page.end,
-            era: answer.era,
-        });
-        if end.era != answer.era {
-            // The store has returned between two pages.
-            return Err(WatchError::PositionLost);
-        }
-        Ok(pages.add(self.topic, page)?)
-    }
-
     async fn read_tail(&self, from: FactPosition, wait: Duration) -> Result<News, WatchError> {
         let path = store::tail_path(self.topic, from.offset, wait);
         let answer = self.get(&path, wait).await?;
--- a/crates/arbutusfall_core/tests/it/relay_stream_versions.rs
+++ b/crates/arbutusfall_core/tests/it/relay_stream_versions.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::btree_map::Entry;
 use std::sync::Arc;
-use std::time::Duration;
 
 use arbutusfall_core::config::Role;
 use arbutusfall_core::relay::EndpointListChange;
@@ -15,9 +14,6 @@
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RetryLimit;
 use arbutusfall_core::relay::RunAnswer;
-use arbutusfall_core::relay::SharedRecord;
-use arbutusfall_core::relay::StoreReadFailure;
-use arbutusfall_core::relay::StoreTopic;
 use arbutusfall_core::relay::StreamLookup;
 use arbutusfall_core::relay::StreamOrigin;
 use arbutusfall_core::relay::StreamRecord;
@@ -30,7 +26,8 @@
 use crate::relay_harness::routes;
 use crate::relay_harness::store_read;
 
-fn engine(instance: &str, role: Role, version: &str) -> EndpointListChange {
+/// Returns a listed engine of a version.
+pub(crate) fn engine(instance: &str, role: Role, version: &str) -> EndpointListChange {
     EndpointListChange::Listed(ListedEndpoint {
         version: version.into(),
         ..listed(instance, "model", role)
@@ -38,7 +35,7 @@
 }
 
 /// Returns a relay, one of `vm_count`, with a prefill engine and these decode engines and their versions.
-fn relay_with_engines(vm_count: u32, engines: &[(&str, &str)]) -> RelayHarness {
+pub(crate) fn relay_with_engines(vm_count: u32, engines: &[(&str, &str)]) -> RelayHarness {
     let retry_limit = RetryLimit {
         ratio: 0.2,
         slack: 4.0 * f64::from(vm_count),
@@ -56,7 +53,8 @@
     harness
 }
 
-fn progress(last_event_id: u64) -> ExchangeEvent {
+/// Returns the event that a stream has come to this event id.
+pub(crate) fn progress(last_event_id: u64) -> ExchangeEvent {
     ExchangeEvent::Progress {
         last_event_id: Some(last_event_id),
     }
@@ -68,7 +66,8 @@
     }
 }
 
-fn origin(version: &str) -> StreamOrigin {
+/// Returns the origin of a stream that began at a version.
+pub(crate) fn origin(version: &str) -> StreamOrigin {
     StreamOrigin {
         service: "model".into(),
         version: version.into(),
@@ -76,7 +75,7 @@
 }
 
 /// Takes the appends of stream records from the effects and confirms them.
-fn take_appends(harness: &mut RelayHarness) -> Vec<Vec<StreamRecord>> {
+pub(crate) fn take_appends(harness: &mut RelayHarness) -> Vec<Vec<StreamRecord>> {
     let effects = std::mem::take(&mut harness.effects);
     let mut appends = Vec::new();
     for effect in effects {
@@ -201,167 +200,6 @@
     }
 }
 
-fn recorded_version(version: &str, is_recent: bool) -> SharedRecord {
-    SharedRecord::Version {
-        service: "model".into(),
-        version: version.into(),
-        is_recent,
-    }
-}
-
-/// Takes the appended records of versions of the model service from the effects.
-fn take_recorded_versions(harness: &mut RelayHarness) -> Vec<SharedRecord> {
-    let effects = std::mem::take(&mut harness.effects);
-    let appended = effects.into_iter().filter_map(|effect| match effect {
-        RelayEffect::AppendShared(records) => Some(records),
-        _ => None,
-    });
-    let records: Vec<SharedRecord> = appended.flatten().collect();
-    harness.apply(RelayEvent::SharedAppended { succeeded: true });
-    let is_version = |record: &SharedRecord| matches!(record, SharedRecord::Version { service, .. } if &**service == "model");
-    records.into_iter().filter(is_version).collect()
-}
-
-// Guards against a stream whose first part is of a version that has left and the rest of a newer one: all VMs were killed at once, and
-// those that started since have never seen the older version.
-#[test]
-fn stream_of_a_killed_vm_is_refused_if_another_version_left_of_late() {
-    for (recorded, is_refused) in [(&["v1", "v2"][..], true), (&["v2"], false)] {
-        let mut harness = RelayHarness::before_shared_records(1);
-        harness.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
-        let versions = recorded.iter();
-        harness.apply(RelayEvent::SharedRecords {
-            records: versions
-                .map(|version| recorded_version(version, true))
-                .collect(),
-            is_full: true,
-        });
-        harness.apply(store_read(true));
-        let listed = vec![engine("decode-1", Role::Decode, "v2")];
-        harness.apply(RelayEvent::EndpointChanges(listed));
-        let call = harness.submit_resumption("/resumable/1", Some("request-of-a-killed-vm"));
-        for _ in 0..10 {
-            let lookup = StreamLookup::NotFound;
-            harness.apply(RelayEvent::StreamLookup { call, lookup });
-            harness.advance(ms(60));
-        }
-        assert_eq!(harness.problem(call).is_some(), is_refused, "{recorded:?}");
-        assert_eq!(harness.take_sends().is_empty(), is_refused, "{recorded:?}");
-    }
-}
-
-// Guards against a version that is never recorded because the configuration is read after the list and the records: the services are
-// not known before.
-#[test]
-fn version_is_recorded_in_whatever_order_a_vm_reads_its_facts() {
-    let facts = [
-        RelayEvent::NewConfig(Arc::new(routes(1))),
-        RelayEvent::EndpointChanges(vec![engine("decode-1", Role::Decode, "v1")]),
-        RelayEvent::SharedRecords {
-            records: Vec::new(),
-            is_full: true,
-        },
-    ];
-    for order in [
-        [0, 1, 2],
-        [0, 2, 1],
-        [1, 0, 2],
-        [1, 2, 0],
-        [2, 0, 1],
-        [2, 1, 0],
-    ] {
-        let mut harness = RelayHarness::before_shared_records(1);
-        for number in order {
-            harness.apply(facts[number].clone());
-        }
-        harness.advance(ms(500));
-        assert_eq!(
-            take_recorded_versions(&mut harness),
-            [recorded_version("v1", true)],
-            "{order:?}"
-        );
-    }
-}
-
-// Guards against a stream that goes on at a newer version because a VM that starts could not read the recorded versions: the store
-// answers for streams, and not for records.
-#[test]
-fn unknown_stream_is_refused_until_the_recorded_versions_are_read() {
-    let mut harness = RelayHarness::before_shared_records(1);
-    harness.apply(RelayEvent::NewConfig(Arc::new(routes(1))));
-    harness.apply(store_read(true));
-    let listed = vec![engine("decode-1", Role::Decode, "v2")];
-    harness.apply(RelayEvent::EndpointChanges(listed));
-    harness.apply(RelayEvent::StoreRead {
-        topic: StoreTopic::Shared,
-        failure: Some(StoreReadFailure::Silent),
-    });
-    for is_read in [false, true] {
-        if is_read {
-            harness.apply(RelayEvent::SharedRecords {
-                records: Vec::new(),
-                is_full: true,
-            });
-        }
-        let call = harness.submit_resumption("/resumable/1", Some("request-of-a-killed-vm"));
-        let lookup = StreamLookup::NotFound;
-        harness.apply(RelayEvent::StreamLookup { call, lookup });
-        assert_eq!(harness.problem(call).is_none(), is_read);
-    }
-}
-
-// Guards against records that another writer's entries fill the topic with, or whose key is too long for the store.
-#[test]
-fn versions_of_unknown_services_and_very_long_ones_are_not_recorded() {
-    let mut harness = relay_with_engines(1, &[("decode-1", "v1")]);
-    let long = "v".repeat(200);
-    let changes = vec![
-        engine("decode-2", Role::Decode, &long),
-        EndpointListChange::Listed(listed("other-1", "other", Role::Plain)),
-    ];
-    harness.apply(RelayEvent::EndpointChanges(changes));
-    harness.advance(ms(500));
-    let is_append = |effect: &RelayEffect| matches!(effect, RelayEffect::AppendShared(_));
-    assert!(!harness.effects.iter().any(is_append));
-}
-
-// Guards against versions that no VM has recorded when all are killed, and against records that stay for ever.
-#[test]
-fn versions_are_recorded_when_they_appear_and_deleted_when_no_stream_of_them_can_come_back() {
-    let mut harness = relay_with_engines(1, &[("decode-1", "v1")]);
-    let shared = |harness: &mut RelayHarness, record| {
-        harness.apply(RelayEvent::SharedRecords {
-            records: vec![record],
-            is_full: false,
-        });
-    };
-    let changes = vec![
-        engine("decode-2", Role::Decode, "v2"),
-        engine("prefill-1", Role::Prefill, "v2"),
-        EndpointListChange::Removed {
-            instance: "decode-1".into(),
-        },
-    ];
-    harness.apply(RelayEvent::EndpointChanges(changes.clone()));
-    harness.advance(ms(500));
-    assert_eq!(
-        take_recorded_versions(&mut harness),
-        [recorded_version("v2", true)]
-    );
-    shared(&mut harness, recorded_version("v2", true));
-    harness.advance(ms(28_000));
-    harness.apply(RelayEvent::EndpointChanges(changes[..1].to_vec()));
-    harness.advance(ms(500));
-    assert_eq!(take_recorded_versions(&mut harness), []);
-    harness.advance(ms(3_000));
-    harness.apply(RelayEvent::EndpointChanges(changes[..1].to_vec()));
-    harness.advance(ms(500));
-    assert_eq!(
-        take_recorded_versions(&mut harness),
-        [recorded_version("v1", false)]
-    );
-}
-
 // Guards against a stream that waits until its deadline although the only engine of its version is usable again.
 #[test]
 fn stream_is_resumed_when_the_only_engine_of_its_version_is_usable_again() {
@@ -394,124 +232,6 @@
     assert_eq!(&*reserve.instance, "decode-1");
 }
 
-// Guards against recording streams that nobody can mistake: those that were complete while there was only one version.
-// Beside a second version every stream is recorded, for as long as its caller may come back: a stream that is complete
-// here may not have reached its caller.
-#[test]
-fn streams_beside_a_second_version_are_recorded_until_their_callers_cannot_come_back() {
-    let mut harness = relay_with_engines(1, &[("decode-1", "v1")]);
-    let (_, open) = harness.start_stream("/resumable/1");
-    harness.deliver(open.exchange, progress(1));
-    harness.advance(ms(1_000));
-    assert!(take_appends(&mut harness).is_empty());
-    harness.deliver(open.exchange, progress(2));
-    let second = engine("decode-2", Role::Decode, "v2");
-    harness.apply(RelayEvent::EndpointChanges(vec![second]));
-    let (_, brief) = harness.start_stream("/resumable/2");
-    harness.deliver(brief.exchange, progress(1));
-    harness.deliver(brief.exchange, ExchangeEvent::Complete { status: 200 });
-    harness.advance(ms(200));
-    let appends = take_appends(&mut harness);
-    let mut attempts: Vec<&str> = appends.iter().flatten().map(|r| &*r.attempt).collect();
-    attempts.sort_unstable();
-    assert_eq!(attempts, ["request-1", "request-2"]);
-    assert!(
-        appends
-            .iter()
-            .flatten()
-            .all(|record| record.origin.is_some())
-    );
-    harness.deliver(open.exchange, ExchangeEvent::Complete { status: 200 });
-    harness.advance(ms(29_000));
-    assert!(take_appends(&mut harness).is_empty());
-    harness.advance(ms(8_000));
-    let deletions = take_appends(&mut harness);
-    assert_eq!(deletions.iter().flatten().count(), 2);
-    assert!(
-        deletions
-            .iter()
-            .flatten()
-            .all(|record| record.origin.is_none())
-    );
-}
-
-// Guards against an unknown origin when the VM that began the stream has not read of the second version yet, but the one
-// at which the caller takes it up has.
-#[test]
-fn stream_that_broke_off_is_recorded_although_only_one_version_is_known() {
-    let mut harness = relay_with_engines(1, &[("decode-1", "v1")]);
-    let (call, decode) = harness.start_stream("/resumable/1");
-    harness.deliver(decode.exchange, progress(1));
-    harness.apply(RelayEvent::CallerGone { call });
-    harness.advance(ms(10));
-    let expected = StreamRecord {
-        attempt: "request-1".into(),
-        origin: Some(origin("v1")),
-    };
-    assert_eq!(take_appends(&mut harness), [vec![expected]]);
-}
-
-// Guards against an origin that is recorded only after the delay although its caller is about to return.
-#[test]
-fn streams_that_break_off_together_are_recorded_at_once_in_one_append() {
-    let engines = [("decode-1", "v1"), ("decode-2", "v2")];
-    let mut harness = relay_with_engines(410, &engines);
-    let begun: Vec<_> = (0..10)
-        .map(|_| {
-            let (call, decode) = harness.start_stream("/resumable/1");
-            harness.deliver(decode.exchange, progress(1));
-            harness.effects.clear();
-            call
-        })
-        .collect();
-    for call in begun {
-        harness.apply(RelayEvent::CallerGone { call });
-    }
-    harness.advance(ms(10));
-    let appends = take_appends(&mut harness);
-    assert_eq!(appends.len(), 1);
-    assert_eq!(appends[0].len(), 10);
-}
-
-/// Appends that all VMs together may make, as a share of the platform's limit of 400 writing calls a second.
-const MAX_APPENDS_PER_S: f64 = 200.0;
-
-// The load of the target size: 16,000 streams a second at 410 VMs, each open for 3 s, and long enough for records to be
-// deleted.
-#[test]
-fn appends_of_all_vms_stay_within_the_limit_at_the_target_size() {
-    const VMS: u32 = 410;
-    const STREAMS_PER_S: u64 = 39;
-    const SECONDS: u64 = 60;
-    let engines = [("decode-1", "v1"), ("decode-2", "v2")];
-    let mut harness = relay_with_engines(VMS, &engines);
-    let mut open = std::collections::VecDeque::new();
-    let mut appends = 0;
-    for _ in 0..SECONDS * STREAMS_PER_S {
-        let (_, decode) = harness.start_stream("/resumable/1");
-        harness.deliver(decode.exchange, progress(1));
-        open.push_back(decode.exchange);
-        for exchange in &open {
-            // Without events the streams would count as silent.
-            harness.deliver(*exchange, progress(2));
-        }
-        if open.len() as u64 > 3 * STREAMS_PER_S {
-            let exchange = open.pop_front().expect("a stream is open");
-            harness.deliver(exchange, ExchangeEvent::Complete { status: 200 });
-        }
-        harness
-            .effects
-            .retain(|effect| matches!(effect, RelayEffect::RecordStreams(_)));
-        harness.advance(Duration::from_secs(1) / STREAMS_PER_S as u32);
-        appends += take_appends(&mut harness).len();
-    }
-    let appends_per_s = appends as f64 * f64::from(VMS) / SECONDS as f64;
-    assert!(
-        appends > 0 && appends_per_s <= MAX_APPENDS_PER_S,
-        "{appends_per_s}"
-    );
-}
-
 // Guards against a resumption at any engine while the lookup of its origin is in progress, or after it failed.
 #[test]
 fn resumption_waits_for_the_lookup_and_is_refused_if_nothing_is_known() {
