--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -35,6 +35,7 @@
 mod relay_endpoint_limits;
 mod relay_explain;
 mod relay_explain_states;
+mod relay_explain_waits;
 mod relay_facts;
 mod relay_facts_ranking;
 mod relay_facts_simulation;
--- a/crates/arbutusfall_core/tests/it/relay_explain_states.rs
+++ b/crates/arbutusfall_core/tests/it/relay_explain_states.rs
@@ -373,7 +373,8 @@
     }
 }
 
-fn peer(vm: &str) -> SharedRecord {
+/// Returns the record of a VM that takes requests of others.
+pub(crate) fn peer(vm: &str) -> SharedRecord {
     let port = 7_000 + vm.bytes().map(u16::from).sum::<u16>();
     SharedRecord::Peer {
         vm: vm.into(),
--- a/crates/arbutusfall_core/tests/it/relay_limited_endpoint.rs
+++ b/crates/arbutusfall_core/tests/it/relay_limited_endpoint.rs
@@ -74,7 +74,7 @@
 }
 
 /// Confirms the records that the VM has appended, and lets it read them.
-fn read_back(harness: &mut RelayHarness) -> Vec<SharedRecord> {
+pub(crate) fn read_back(harness: &mut RelayHarness) -> Vec<SharedRecord> {
     let mut records = Vec::new();
     harness.effects.retain(|effect| match effect {
         RelayEffect::AppendShared(appended) => {
