Relay: fewer bytes are read ahead of answers that wait, and whole answers are kept in pieces

Cause: with 160 callers that do not read, the process held 31 MiB of bodies and 33 MiB besides: pieces of up to 64 KiB read ahead by the HTTP library, its 8 KiB and 32 KiB buffers, and gaps in the allocator's memory from joined answers and from events whose buffers are doubled. Change: reads shrink to 8 KiB as memory for answers gets short; whole answers stay in pieces of 32 KiB; large incomplete events wait for up to 3 s for memory, counted with that of connections; paused answers count towards the room for new requests; checks for room get rarer with the time waited; only new bytes are searched for the end of an event.

--- a/crates/arbutusfall/src/http.rs
+++ b/crates/arbutusfall/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 client and server for the router and the stand-ins: hyper on async-io.
 
+mod answer_pieces;
 mod body;
 mod body_memory;
 mod client;
@@ -11,7 +12,9 @@
 mod held_answer;
 mod held_piece;
 mod problem;
+mod read_size_stream;
 mod request_body;
+mod room_checks;
 mod server;
 mod sliced_body;
 mod unread_limit;
@@ -23,6 +26,7 @@
 pub use body::BodyWriter;
 pub use body_memory::BodyMemory;
 pub(crate) use body_memory::HeldRequest;
+pub(crate) use body_memory::PausedRead;
 pub use client::ClientError;
 pub use client::KeptConnection;
 pub use client::OutgoingRequest;
@@ -36,10 +40,12 @@
 pub use client::request_whole;
 pub use client::send;
 pub use client::send_on;
+pub use client::send_within_memory;
 pub use event_splitter::EventSplitter;
 pub use event_splitter::EventTooLong;
 pub use event_splitter::WholeEvents;
 pub use framing::body_framing;
+pub use held_answer::DeliveredAnswer;
 pub(crate) use held_piece::PartialEvent;
 pub use problem::problem_answer;
 pub(crate) use problem::problem_document;
--- a/crates/arbutusfall/src/http/body.rs
+++ b/crates/arbutusfall/src/http/body.rs
@@ -8,6 +8,7 @@
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_channel::Sender;
 use futures_lite::Stream;
@@ -17,19 +18,20 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
+use crate::http::held_answer::DeliveredAnswer;
 use crate::http::held_piece::PartialEvent;
+use crate::http::room_checks::next_room_check;
 use crate::http::sliced_body::take_slice;
 
 /// Number of queued chunks from which a writer that waits for room is held back.
 const MAX_QUEUED_CHUNKS: usize = 8;
 
-/// Interval at which a writer that is held back checks for room.
-const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(5);
-
 /// Body of an answer.
 pub enum AnswerBody {
     /// All bytes that were not polled yet; `None` once all were.
     Whole(Option<Bytes>),
+    /// An endpoint's complete answer.
+    Delivered(DeliveredAnswer),
     /// Chunks of a stream.
     Stream {
         /// The chunks.
@@ -92,7 +94,7 @@
     /// Keeps `value` alive until a body of chunks is dropped; a complete body drops it immediately.
     pub fn with_guard(self, value: impl Send + 'static) -> Self {
         match self {
-            Self::Whole(_) => self,
+            Self::Whole(_) | Self::Delivered(_) => self,
             Self::Stream { chunks, rest } => {
                 let chunks = chunks.map(move |chunk| {
                     // Moves the value into the closure.
@@ -117,8 +119,17 @@
     }
 
     /// Waits while more of the body is queued than the memory allows, of which `held` is read already, at most for `timeout`; returns whether more may be read.
-    pub(crate) async fn wait_for_memory(&self, held: &PartialEvent, timeout: Duration) -> bool {
-        let may_read = || held.may_read(self.queued_bytes.load(Ordering::Relaxed));
+    /// `began_at` is when the reader began to wait.
+    pub(crate) async fn wait_for_memory(
+        &self,
+        held: &PartialEvent,
+        began_at: Instant,
+        timeout: Duration,
+    ) -> bool {
+        let may_read = || {
+            let queued_bytes = self.queued_bytes.load(Ordering::Relaxed);
+            held.may_read(queued_bytes, began_at.elapsed())
+        };
         self.wait_until(may_read, timeout).await
     }
 
@@ -128,8 +139,9 @@
             if waited >= timeout {
                 return false;
             }
-            async_io::Timer::after(ROOM_CHECK_INTERVAL).await;
-            waited += ROOM_CHECK_INTERVAL;
+            let interval = next_room_check(waited);
+            async_io::Timer::after(interval).await;
+            waited += interval;
         }
         true
     }
@@ -161,6 +173,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         match self.get_mut() {
             Self::Whole(rest) => Poll::Ready(take_slice(rest).map(|slice| Ok(Frame::data(slice)))),
+            Self::Delivered(answer) => {
+                Poll::Ready(answer.take_slice().map(|slice| Ok(Frame::data(slice))))
+            }
             Self::Stream { chunks, rest } => {
                 if rest.is_none() {
                     match std::task::ready!(chunks.as_mut().poll_next(cx)) {
@@ -175,13 +190,18 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole(None))
+        match self {
+            Self::Whole(rest) => rest.is_none(),
+            Self::Delivered(answer) => answer.left_bytes() == 0,
+            Self::Stream { .. } => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(Some(bytes)) => SizeHint::with_exact(bytes.len() as u64),
             Self::Whole(None) => SizeHint::with_exact(0),
+            Self::Delivered(answer) => SizeHint::with_exact(answer.left_bytes() as u64),
             Self::Stream { .. } => SizeHint::default(),
         }
     }
--- a/crates/arbutusfall/src/http/body_memory.rs
+++ b/crates/arbutusfall/src/http/body_memory.rs
@@ -56,6 +56,30 @@
     }
 }
 
+/// An answer or a stream of which no more is read until memory is free; it is read on once this is dropped.
+#[derive(Debug)]
+pub(crate) struct PausedRead(Arc<BodyMemory>);
+
+impl PausedRead {
+    /// Counts an answer that begins to wait.
+    pub(crate) fn of_answer(memory: &Arc<BodyMemory>) -> Self {
+        memory.budget().on_answer_paused();
+        Self(memory.clone())
+    }
+
+    /// Counts a stream that begins to wait.
+    pub(crate) fn of_stream(memory: &Arc<BodyMemory>) -> Self {
+        memory.budget().on_stream_paused();
+        Self(memory.clone())
+    }
+}
+
+impl Drop for PausedRead {
+    fn drop(&mut self) {
+        self.0.budget().on_read_resumed();
+    }
+}
+
 /// Memory of the body of a request; free again once this is dropped.
 #[derive(Debug)]
 pub(crate) struct HeldRequest {
--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -31,9 +31,12 @@
 
 use crate::Executor;
 use crate::http::BodyMemory;
+use crate::http::answer_pieces::PieceBuffer;
 use crate::http::head_limit::HeadLimit;
 use crate::http::head_limit::HeadLimitedStream;
+use crate::http::held_answer::DeliveredAnswer;
 use crate::http::held_answer::HeldAnswer;
+use crate::http::read_size_stream::ReadSizeStream;
 use crate::http::sliced_body::SlicedBody;
 use crate::http::write_gate::GatedStream;
 use crate::http::write_gate::WriteGate;
@@ -140,7 +143,22 @@
     stream: TcpStream,
     outgoing: OutgoingRequest,
 ) -> Result<Response<Incoming>, ClientError> {
-    let exchange = exchange(executor, stream, outgoing.request);
+    let exchange = exchange(executor, stream, None, outgoing.request);
+    exchange.or(fail_after(outgoing.answer_timeout)).await
+}
+
+/// Like [`send_on`], for an answer to forward: `memory` limits the pieces in which it is read.
+///
+/// # Errors
+///
+/// As for [`send`].
+pub async fn send_within_memory(
+    executor: &Executor,
+    stream: TcpStream,
+    memory: &Arc<BodyMemory>,
+    outgoing: OutgoingRequest,
+) -> Result<Response<Incoming>, ClientError> {
+    let exchange = exchange(executor, stream, Some(memory.clone()), outgoing.request);
     exchange.or(fail_after(outgoing.answer_timeout)).await
 }
 
@@ -211,6 +229,7 @@
 async fn exchange(
     executor: &Executor,
     stream: TcpStream,
+    memory: Option<Arc<BodyMemory>>,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, ClientError> {
     let limit = HeadLimit::new();
@@ -219,7 +238,11 @@
         inner: stream,
         gate: gate.clone(),
     };
-    let stream = HeadLimitedStream::new(gated, limit.clone());
+    let sized = ReadSizeStream {
+        inner: gated,
+        memory,
+    };
+    let stream = HeadLimitedStream::new(sized, limit.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(FuturesIo::new(stream));
@@ -251,14 +274,16 @@
     body: Incoming,
     timeout: Duration,
     memory: &Arc<BodyMemory>,
-) -> Result<Bytes, ClientError> {
+) -> Result<DeliveredAnswer, ClientError> {
     read_within(body, memory).or(fail_after(timeout)).await
 }
 
-async fn read_within(mut body: Incoming, memory: &Arc<BodyMemory>) -> Result<Bytes, ClientError> {
+async fn read_within(
+    mut body: Incoming,
+    memory: &Arc<BodyMemory>,
+) -> Result<DeliveredAnswer, ClientError> {
     let mut held = HeldAnswer::begin(memory);
-    // Joined at the end: a buffer that grows could take twice the counted bytes.
-    let mut pieces: Vec<Bytes> = Vec::new();
+    let mut buffer = PieceBuffer::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| ClientError::Broken)?;
         let Ok(data) = frame.into_data() else {
@@ -268,9 +293,9 @@
         if !held.add(data.len()).await {
             return Err(ClientError::TooLong);
         }
-        pieces.push(data);
+        buffer.push(&data);
     }
-    Ok(held.into_delivered(pieces.concat().into()))
+    Ok(held.into_delivered(buffer.into_pieces()))
 }
 
 /// Reads a complete body of an answer to the router itself.
@@ -411,7 +436,7 @@
     let mut limit = async_io::Timer::after(timeout);
     let stream = connect(address, &mut limit).await?;
     let exchange = async {
-        let answer = exchange(executor, stream, request).await?;
+        let answer = exchange(executor, stream, None, request).await?;
         let (parts, body) = answer.into_parts();
         Ok(WholeAnswer {
             status: parts.status,
--- a/crates/arbutusfall/src/http/event_splitter.rs
+++ b/crates/arbutusfall/src/http/event_splitter.rs
@@ -5,8 +5,9 @@
 /// Maximum size of an incomplete event, in bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
-/// Size of the buffer that is kept after a long event, in bytes.
-const KEPT_BUFFER_BYTES: usize = 16 * 1024;
+/// Size from which an incomplete event gets a buffer for the longest one, in bytes: one that is doubled again and again leaves gaps in the
+/// memory of the process.
+const LONG_EVENT_BYTES: usize = 32 * 1024;
 
 /// One or more whole events.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,16 +37,19 @@
     ///
     /// [`EventTooLong`] if an incomplete event is longer than 256 KiB.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<WholeEvents>, EventTooLong> {
+        let searched = self.pending.len();
+        self.reserve(bytes.len());
         self.pending.extend_from_slice(bytes);
-        let Some(end) = end_of_last_event(&self.pending) else {
+        let Some(end) = end_of_last_event(&self.pending, searched) else {
             return if self.pending.len() > MAX_EVENT_BYTES {
                 Err(EventTooLong)
             } else {
                 Ok(None)
             };
         };
-        let whole: Vec<u8> = self.pending.drain(..end).collect();
-        self.pending.shrink_to(KEPT_BUFFER_BYTES);
+        let rest = self.pending.split_off(end);
+        let mut whole = std::mem::replace(&mut self.pending, rest);
+        whole.shrink_to_fit();
         let first_id = whole.split(|byte| *byte == b'\n').find_map(id_of_line);
         let last_id = whole.rsplit(|byte| *byte == b'\n').find_map(id_of_line);
         Ok(Some(WholeEvents {
@@ -55,6 +59,16 @@
         }))
     }
 
+    /// Makes room for further bytes of an incomplete event.
+    fn reserve(&mut self, bytes: usize) {
+        let needed_bytes = self.pending.len() + bytes;
+        if !self.pending.is_empty() && needed_bytes > LONG_EVENT_BYTES {
+            let longest_bytes = needed_bytes.max(MAX_EVENT_BYTES);
+            self.pending
+                .reserve_exact(longest_bytes - self.pending.len());
+        }
+    }
+
     /// Returns the number of bytes after the last whole event.
     pub fn partial_event_bytes(&self) -> usize {
         self.pending.len()
@@ -73,13 +87,13 @@
     }
 }
 
-/// Returns the position after the last blank line.
-fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
+/// Returns the position after the last blank line, which does not end in the first `searched` bytes.
+fn end_of_last_event(bytes: &[u8], searched: usize) -> Option<usize> {
     let ends_at = |end: usize| {
         let before = &bytes[..end];
         before.ends_with(b"\n\n") || before.ends_with(b"\r\n\r\n")
     };
-    (1..=bytes.len()).rev().find(|end| ends_at(*end))
+    (searched + 1..=bytes.len()).rev().find(|end| ends_at(*end))
 }
 
 /// Returns the value of an `id` line, if it is a number.
--- a/crates/arbutusfall/src/http/held_answer.rs
+++ b/crates/arbutusfall/src/http/held_answer.rs
@@ -1,16 +1,17 @@
 //! Memory of a whole answer, from its first byte until its caller has taken it.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::Instant;
 
 use arbutusfall_core::relay::BufferRoom;
 use arbutusfall_core::relay::SMALL_BODY_BYTES;
 use hyper::body::Bytes;
 
 use crate::http::body_memory::BodyMemory;
-
-/// Interval at which an answer that waits for room checks for it.
-const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+use crate::http::body_memory::PausedRead;
+use crate::http::room_checks::next_room_check;
+use crate::http::sliced_body::take_slice;
 
 /// Memory of an answer that is being read; free again once this is dropped.
 #[derive(Debug)]
@@ -24,6 +25,7 @@
 impl HeldAnswer {
     /// Begins with an answer of which nothing is held.
     pub(super) fn begin(memory: &Arc<BodyMemory>) -> Self {
+        memory.budget().on_answer_began();
         Self {
             memory: memory.clone(),
             bytes: 0,
@@ -39,7 +41,8 @@
         }
         let needed_bytes = self.bytes.saturating_sub(SMALL_BODY_BYTES);
         let added_bytes = needed_bytes - self.held_bytes;
-        let mut is_paused = false;
+        let mut paused = None;
+        let began_at = Instant::now();
         loop {
             let room = self.memory.budget().hold_answer(added_bytes);
             match room {
@@ -50,45 +53,67 @@
                 BufferRoom::Refused => return false,
                 BufferRoom::Wait => {}
             }
-            if !is_paused {
-                self.memory.budget().on_answer_paused();
-                is_paused = true;
-            }
-            async_io::Timer::after(ROOM_CHECK_INTERVAL).await;
+            paused.get_or_insert_with(|| PausedRead::of_answer(&self.memory));
+            async_io::Timer::after(next_room_check(began_at.elapsed())).await;
         }
     }
 
-    /// Returns the complete answer, whose memory is held until the last part of `bytes` is dropped.
-    pub(super) fn into_delivered(mut self, bytes: Bytes) -> Bytes {
+    /// Returns the complete answer, whose memory is held until it is dropped.
+    pub(super) fn into_delivered(mut self, pieces: VecDeque<Bytes>) -> DeliveredAnswer {
         let held_bytes = std::mem::take(&mut self.held_bytes);
-        if held_bytes == 0 {
-            return bytes;
-        }
-        self.memory.budget().deliver_answer(held_bytes);
-        Bytes::from_owner(DeliveredAnswer {
+        let mut budget = self.memory.budget();
+        budget.deliver_answer(held_bytes);
+        // The delivered answer is open too, and this one ends when it is dropped.
+        budget.on_answer_began();
+        drop(budget);
+        DeliveredAnswer {
             memory: self.memory.clone(),
             held_bytes,
-            bytes,
-        })
+            left_bytes: self.bytes,
+            pieces,
+        }
     }
 }
 
 impl Drop for HeldAnswer {
     fn drop(&mut self) {
-        self.memory.budget().release_read_answer(self.held_bytes);
+        let mut budget = self.memory.budget();
+        budget.release_read_answer(self.held_bytes);
+        budget.on_answer_ended();
     }
 }
 
 /// A complete answer on its way to a caller.
-struct DeliveredAnswer {
+#[derive(Debug)]
+pub struct DeliveredAnswer {
     memory: Arc<BodyMemory>,
     held_bytes: usize,
-    bytes: Bytes,
+    /// Bytes of `pieces`.
+    left_bytes: usize,
+    pieces: VecDeque<Bytes>,
 }
 
-impl AsRef<[u8]> for DeliveredAnswer {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+impl DeliveredAnswer {
+    /// Returns the number of bytes that were not taken yet.
+    pub(super) fn left_bytes(&self) -> usize {
+        self.left_bytes
+    }
+
+    /// Takes the next slice; `None` if nothing is left.
+    pub(super) fn take_slice(&mut self) -> Option<Bytes> {
+        let mut rest = self.pieces.pop_front();
+        let slice = take_slice(&mut rest)?;
+        if let Some(rest) = rest {
+            self.pieces.push_front(rest);
+        }
+        self.left_bytes -= slice.len();
+        Some(slice)
+    }
+
+    /// Returns the bytes in one piece; they no longer count towards the memory.
+    pub(crate) fn into_bytes(mut self) -> Bytes {
+        let pieces: Vec<Bytes> = self.pieces.drain(..).collect();
+        pieces.concat().into()
     }
 }
 
@@ -96,5 +121,6 @@
     fn drop(&mut self) {
         let mut budget = self.memory.budget();
         budget.release_delivered_answer(self.held_bytes);
+        budget.on_answer_ended();
     }
 }
--- a/crates/arbutusfall/src/http/held_piece.rs
+++ b/crates/arbutusfall/src/http/held_piece.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use hyper::body::Bytes;
 
@@ -18,17 +19,17 @@
 impl PartialEvent {
     /// Begins with a stream of which nothing was read.
     pub(crate) fn begin(memory: &Arc<BodyMemory>) -> Self {
+        memory.budget().on_answer_began();
         Self {
             memory: memory.clone(),
             bytes: 0,
         }
     }
 
-    /// Returns whether more of the stream may be read, of which `queued_bytes` wait for the caller.
-    pub(super) fn may_read(&self, queued_bytes: usize) -> bool {
-        let is_inside_event = self.bytes > 0;
+    /// Returns whether more of the stream may be read, of which `queued_bytes` wait for the caller, after it has waited for `waited`.
+    pub(super) fn may_read(&self, queued_bytes: usize, waited: Duration) -> bool {
         let budget = self.memory.budget();
-        budget.may_read_stream(queued_bytes, is_inside_event)
+        budget.may_read_stream(queued_bytes, self.bytes, waited)
     }
 
     /// Holds bytes that were read; returns false if there is no memory for them.
@@ -60,7 +61,9 @@
 
 impl Drop for PartialEvent {
     fn drop(&mut self) {
-        self.memory.budget().release_stream(self.bytes);
+        let mut budget = self.memory.budget();
+        budget.release_stream(self.bytes);
+        budget.on_answer_ended();
     }
 }
 
--- a/crates/arbutusfall/src/relay/effects.rs
+++ b/crates/arbutusfall/src/relay/effects.rs
@@ -193,7 +193,7 @@
 /// Ends a call with the whole answer of an exchange.
 fn answer(io: &RelayIo, call: CallId, exchange: ExchangeId) {
     let reply = match io.exchanges.take_answer(exchange) {
-        Some((head, body)) => Reply::Endpoint(head, AnswerBody::whole(body)),
+        Some((head, body)) => Reply::Endpoint(head, AnswerBody::Delivered(body)),
         None => Reply::Missing,
     };
     io.calls.end_with_reply(call, reply);
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use arbutusfall_core::relay::BodyFraming;
 use arbutusfall_core::relay::ExchangeEvent;
@@ -36,6 +37,7 @@
 use crate::http::EventSplitter;
 use crate::http::OutgoingRequest;
 use crate::http::PartialEvent;
+use crate::http::PausedRead;
 use crate::relay::endpoint_check;
 use crate::relay::handed_body::hand_over;
 use crate::relay::handle::RelayHandle;
@@ -158,7 +160,8 @@
     if !may_send(relay, command.exchange).await {
         return Err(ExchangeFailure::Withdrawn);
     }
-    let sent = http::send_on(&relay.io().executor, stream, outgoing).await;
+    let io = relay.io();
+    let sent = http::send_within_memory(&io.executor, stream, &io.body_memory, outgoing).await;
     sent.map_err(exchange_failure)
 }
 
@@ -361,12 +364,13 @@
     let Some(writer) = relay.io().calls.writer(command.call) else {
         return;
     };
-    let mut is_paused = false;
-    while !writer.wait_for_memory(held, HELD_BACK_INTERVAL).await {
-        if !is_paused {
-            relay.io().body_memory.budget().on_stream_paused();
-            is_paused = true;
-        }
+    let began_at = Instant::now();
+    let mut paused = None;
+    while !writer
+        .wait_for_memory(held, began_at, HELD_BACK_INTERVAL)
+        .await
+    {
+        paused.get_or_insert_with(|| PausedRead::of_stream(&relay.io().body_memory));
         relay.submit_exchange_event(command.exchange, ExchangeEvent::HeldBack);
     }
 }
--- a/crates/arbutusfall/src/relay/open_exchanges.rs
+++ b/crates/arbutusfall/src/relay/open_exchanges.rs
@@ -9,9 +9,9 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_executor::Task;
-use hyper::body::Bytes;
 
 use crate::Executor;
+use crate::http::DeliveredAnswer;
 use crate::lock::lock;
 use crate::relay::open_calls::AnswerHead;
 
@@ -21,7 +21,7 @@
     /// Task that runs the exchange; dropping it closes the connection.
     task: Option<Task<()>>,
     head: Option<AnswerHead>,
-    body: Option<Bytes>,
+    body: Option<DeliveredAnswer>,
     hold: Option<Hold>,
 }
 
@@ -77,7 +77,7 @@
     }
 
     /// Stores the body of an exchange's answer until the relay decides whether to use it.
-    pub(super) fn store_body(&self, exchange: ExchangeId, body: Bytes) {
+    pub(super) fn store_body(&self, exchange: ExchangeId, body: DeliveredAnswer) {
         if let Some(open) = self.lock().get_mut(&exchange) {
             open.body = Some(body);
         }
@@ -89,7 +89,10 @@
     }
 
     /// Removes an exchange and returns its answer if head and body are stored.
-    pub(super) fn take_answer(&self, exchange: ExchangeId) -> Option<(AnswerHead, Bytes)> {
+    pub(super) fn take_answer(
+        &self,
+        exchange: ExchangeId,
+    ) -> Option<(AnswerHead, DeliveredAnswer)> {
         let open = self.lock().remove(&exchange)?;
         Some((open.head?, open.body?))
     }
--- a/crates/arbutusfall/src/relay/run_check.rs
+++ b/crates/arbutusfall/src/relay/run_check.rs
@@ -72,7 +72,8 @@
     if !may_send(relay, command.exchange).await {
         return Err(SendError::Withdrawn);
     }
-    Ok(http::send_on(&relay.io().executor, stream, outgoing).await?)
+    let io = relay.io();
+    Ok(http::send_within_memory(&io.executor, stream, &io.body_memory, outgoing).await?)
 }
 
 /// Asks an engine after an answer whether the process still runs that started at `known_unix_ms`. One that does not answer may have been
--- a/crates/arbutusfall/src/services.rs
+++ b/crates/arbutusfall/src/services.rs
@@ -120,7 +120,7 @@
         Ok(ServiceAnswer {
             status,
             content_type,
-            body: body.as_ref().into(),
+            body: body.into_bytes().as_ref().into(),
         })
     }
 }
--- a/crates/arbutusfall_core/src/relay/buffers/buffer_budget.rs
+++ b/crates/arbutusfall_core/src/relay/buffers/buffer_budget.rs
@@ -14,6 +14,28 @@
 /// not read.
 const QUEUE_DIVISOR: usize = 8;
 
+/// Bytes of an answer that are read at once, as a fraction of the free memory for answers: one of this many.
+const READ_DIVISOR: usize = 100;
+
+/// Largest number of bytes of an answer that are read at once.
+const MAX_READ_BYTES: usize = 64 * 1024;
+
+/// Smallest number of bytes of an answer that are read at once. The HTTP library begins with buffers of 8 KiB and doubles them when a read
+/// fills them, which this does not.
+const MIN_READ_BYTES: usize = 8 * 1024 - 1;
+
+/// Pieces of an answer that are read ahead of what is counted: one that waits to be counted, one in the HTTP library, and its read buffer.
+const PIECES_READ_AHEAD: usize = 3;
+
+/// Memory of the two connections of an answer and of the tasks that serve it, in bytes.
+const OPEN_ANSWER_BYTES: usize = 128 * 1024;
+
+/// Memory that the allocator uses besides the held bytes, as a fraction of them: one of this many.
+const ALLOCATOR_DIVISOR: usize = 3;
+
+/// Longest time for which a stream waits for memory inside an event. Answers that are not read end in half of it while memory is short.
+const MAX_EVENT_WAIT: Duration = Duration::from_secs(3);
+
 /// Whether bytes may be held.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BufferRoom {
@@ -62,6 +84,10 @@
     stream_bytes: usize,
     /// Bytes of bodies that endpoints have not read; without endpoints that have read all.
     unread_bytes: FastMap<Name, usize>,
+    /// Answers and streams of which no more is read until memory is free.
+    paused_reads: usize,
+    /// Answers and streams of which bytes are held.
+    open_answers: usize,
     counts: BufferCounts,
 }
 
@@ -76,6 +102,8 @@
             delivered_answer_bytes: 0,
             stream_bytes: 0,
             unread_bytes: FastMap::default(),
+            paused_reads: 0,
+            open_answers: 0,
             counts: BufferCounts::default(),
         }
     }
@@ -88,7 +116,9 @@
         // Bytes that are not asked for need no room: a large body that is refused must not refuse small ones.
         let exceeds_small = small_bytes > 0 && small > limits.small_request_bytes;
         let exceeds_large = large_bytes > 0 && large > limits.request_bytes;
-        let has_room = self.has_room(small_bytes.saturating_add(large_bytes));
+        let read_ahead_bytes = self.paused_reads * PIECES_READ_AHEAD * MIN_READ_BYTES;
+        let needed_bytes = small_bytes.saturating_add(large_bytes);
+        let has_room = self.has_room(needed_bytes.saturating_add(read_ahead_bytes));
         if exceeds_small || exceeds_large || !has_room {
             self.counts.request_refused += 1;
             return false;
@@ -124,6 +154,7 @@
     /// Counts an answer that begins to wait for room.
     pub fn on_answer_paused(&mut self) {
         self.counts.answer_paused += 1;
+        self.paused_reads += 1;
     }
 
     /// Takes an answer that was read completely for one that is being delivered.
@@ -142,15 +173,34 @@
         self.delivered_answer_bytes -= bytes;
     }
 
-    /// Returns whether more of a stream may be read of which `queued_bytes` wait for the caller. One with nothing queued waits only while all
-    /// memory is used, so that callers that read are served while others do not; inside an event it does not wait, because no caller
-    /// can free the memory of the event.
-    pub fn may_read_stream(&self, queued_bytes: usize, is_inside_event: bool) -> bool {
-        if queued_bytes == 0 {
-            return is_inside_event || self.held_bytes() < self.limits.total_bytes();
+    /// Returns whether more of a stream may be read of which `queued_bytes` wait for the caller, and that has waited for `waited`. One with
+    /// nothing queued waits only while all memory is used, so that callers that read are served while others do not. Inside an event it waits
+    /// only for a limited time, because no caller can free the memory of the event, and only if the event is large.
+    pub fn may_read_stream(
+        &self,
+        queued_bytes: usize,
+        partial_event_bytes: usize,
+        waited: Duration,
+    ) -> bool {
+        if queued_bytes > 0 {
+            let free_bytes = self.limits.stream_bytes.saturating_sub(self.stream_bytes);
+            return queued_bytes <= free_bytes / QUEUE_DIVISOR;
+        }
+        if partial_event_bytes == 0 {
+            return self.held_bytes() < self.limits.total_bytes();
         }
-        let free_bytes = self.limits.stream_bytes.saturating_sub(self.stream_bytes);
-        queued_bytes <= free_bytes / QUEUE_DIVISOR
+        let is_large = partial_event_bytes > SMALL_BODY_BYTES;
+        !is_large || waited >= MAX_EVENT_WAIT || self.resident_bytes() < self.limits.total_bytes()
+    }
+
+    /// Counts an answer of which bytes are held from now on.
+    pub fn on_answer_began(&mut self) {
+        self.open_answers += 1;
+    }
+
+    /// Counts an answer of which nothing is held any more.
+    pub fn on_answer_ended(&mut self) {
+        self.open_answers -= 1;
     }
 
     /// Holds bytes that were read of a stream; returns false, and holds nothing, if all memory is used.
@@ -165,6 +215,12 @@
     /// Counts a stream that begins to wait for room.
     pub fn on_stream_paused(&mut self) {
         self.counts.stream_paused += 1;
+        self.paused_reads += 1;
+    }
+
+    /// Counts an answer or a stream that no longer waits for room.
+    pub fn on_read_resumed(&mut self) {
+        self.paused_reads -= 1;
     }
 
     /// Releases bytes of a stream.
@@ -206,6 +262,16 @@
         }
     }
 
+    /// Returns how many bytes may be read of an answer at once: fewer the less memory is free for answers, because the HTTP library reads up
+    /// to [`PIECES_READ_AHEAD`] such pieces of each answer that nobody has counted yet.
+    pub fn max_read_bytes(&self) -> usize {
+        let answer_bytes = self.read_answer_bytes + self.delivered_answer_bytes;
+        let free_for_answers = self.limits.answer_bytes.saturating_sub(answer_bytes);
+        let free_for_streams = self.limits.stream_bytes.saturating_sub(self.stream_bytes);
+        let free_bytes = free_for_answers.min(free_for_streams);
+        (free_bytes / READ_DIVISOR).clamp(MIN_READ_BYTES, MAX_READ_BYTES)
+    }
+
     /// Returns the time after which an answer is ended of which its caller reads nothing; none: never.
     pub fn unread_limit(&self) -> Option<Duration> {
         let answer_bytes = self.read_answer_bytes + self.delivered_answer_bytes;
@@ -225,6 +291,16 @@
         requests + answers + self.stream_bytes
     }
 
+    /// Returns an estimate of the memory that the process uses for all bodies: with what the allocator and the connections of open answers
+    /// need besides.
+    fn resident_bytes(&self) -> usize {
+        let held_bytes = self.held_bytes();
+        let allocator_bytes = held_bytes / ALLOCATOR_DIVISOR;
+        held_bytes
+            .saturating_add(allocator_bytes)
+            .saturating_add(self.open_answers * OPEN_ANSWER_BYTES)
+    }
+
     /// Returns whether further bytes are within the limit of all uses together.
     fn has_room(&self, bytes: usize) -> bool {
         self.held_bytes().saturating_add(bytes) <= self.limits.total_bytes()
--- a/crates/arbutusfall_core/src/relay/buffers/tests.rs
+++ b/crates/arbutusfall_core/src/relay/buffers/tests.rs
@@ -33,7 +33,9 @@
     while has_grown {
         has_grown = false;
         for queued in &mut queues {
-            if budget.may_read_stream(*queued, false) && budget.try_hold_stream(piece_bytes) {
+            if budget.may_read_stream(*queued, 0, Duration::ZERO)
+                && budget.try_hold_stream(piece_bytes)
+            {
                 *queued += piece_bytes;
                 has_grown = true;
             }
@@ -52,7 +54,10 @@
         assert_eq!(budget.status().stream_bytes, held);
         assert!(held <= MEMORY_BYTES / 4, "{held} bytes");
         for _ in 0..300 {
-            assert!(budget.may_read_stream(0, false), "{piece_bytes}");
+            assert!(
+                budget.may_read_stream(0, 0, Duration::ZERO),
+                "{piece_bytes}"
+            );
             assert!(budget.try_hold_stream(2_000), "{piece_bytes}");
         }
     }
@@ -65,8 +70,8 @@
     fill_streams(&mut budget, 2_000, 250_000);
     assert!(budget.status().stream_bytes <= limits().total_bytes());
     assert!(!budget.try_hold_stream(250_000));
-    assert!(!budget.may_read_stream(10_000, true));
-    assert!(budget.may_read_stream(0, true));
+    assert!(!budget.may_read_stream(10_000, 10_000, Duration::ZERO));
+    assert!(budget.may_read_stream(0, 10_000, Duration::ZERO));
     assert!(!budget.try_hold_request(SMALL_BODY_BYTES, 250_000));
     assert_eq!(budget.hold_answer(250_000), BufferRoom::Wait);
     budget.release_stream(1_000_000);
@@ -74,6 +79,28 @@
     assert_eq!(budget.hold_answer(250_000), BufferRoom::Held);
 }
 
+// Guards against many large events that are read at the same time and, with the connections of their streams, exceed the memory; and against
+// a stream that waits for ever because all of them wait inside an event.
+#[test]
+fn large_event_waits_for_memory_for_a_limited_time() {
+    let mut budget = budget();
+    let long = Duration::from_secs(3);
+    for _ in 0..160 {
+        budget.on_answer_began();
+    }
+    assert!(budget.try_hold_stream(15_000_000));
+    assert!(budget.may_read_stream(0, 100_000, Duration::ZERO));
+    assert!(budget.try_hold_stream(5_000_000));
+    assert!(!budget.may_read_stream(0, 100_000, Duration::ZERO));
+    assert!(budget.may_read_stream(0, 10_000, Duration::ZERO));
+    assert!(budget.may_read_stream(0, 0, Duration::ZERO));
+    assert!(budget.may_read_stream(0, 100_000, long));
+    for _ in 0..80 {
+        budget.on_answer_ended();
+    }
+    assert!(budget.may_read_stream(0, 100_000, Duration::ZERO));
+}
+
 // Guards against a single stream that takes the memory of those that begin later.
 #[test]
 fn queue_of_one_stream_is_a_fraction_of_the_free_memory() {
@@ -114,6 +141,41 @@
     assert_eq!(budget.hold_answer(answer_bytes), BufferRoom::Held);
 }
 
+// Guards against pieces that are read ahead of answers that wait, and so exceed the memory although all counted bytes are within it.
+#[test]
+fn pieces_get_smaller_while_memory_is_short() {
+    let mut budget = budget();
+    assert_eq!(budget.max_read_bytes(), 64 * 1024);
+    fill_streams(&mut budget, 200, 60_000);
+    assert!(budget.max_read_bytes() < 8 * 1024);
+    let held = budget.status().stream_bytes;
+    budget.release_stream(held);
+    assert_eq!(budget.max_read_bytes(), 64 * 1024);
+    budget.hold_answer(limits().read_answer_bytes);
+    budget.deliver_answer(limits().read_answer_bytes);
+    budget.hold_answer(limits().read_answer_bytes);
+    assert!(budget.max_read_bytes() < 8 * 1024);
+}
+
+// Guards against requests that are taken on while the pieces of many paused answers use up the memory.
+#[test]
+fn pieces_of_paused_answers_leave_less_room_for_requests() {
+    let mut budget = budget();
+    let piece_bytes = 3 * 8 * 1024;
+    let paused = limits().total_bytes() / piece_bytes + 1;
+    for _ in 0..paused {
+        budget.on_stream_paused();
+    }
+    assert!(!budget.try_hold_request(SMALL_BODY_BYTES, 0));
+    // Answers and streams never wait for pieces of those that wait themselves.
+    assert_eq!(budget.hold_answer(250_000), BufferRoom::Held);
+    assert!(budget.may_read_stream(0, 0, Duration::ZERO));
+    for _ in 0..paused / 2 {
+        budget.on_read_resumed();
+    }
+    assert!(budget.try_hold_request(SMALL_BODY_BYTES, 0));
+}
+
 // Guards against callers that keep memory for long while others need it.
 #[test]
 fn unread_answers_end_earlier_while_memory_is_short() {
@@ -202,7 +264,7 @@
     let mut budget = BufferBudget::new(limits);
     let endpoint: Name = "i-shop".into();
     for _ in 0..100 {
-        assert!(budget.may_read_stream(5_000_000, false));
+        assert!(budget.may_read_stream(5_000_000, 0, Duration::ZERO));
         assert!(budget.try_hold_stream(5_000_000));
         assert!(budget.try_hand_over(&endpoint, 5_000_000));
         assert!(budget.try_hold_request(SMALL_BODY_BYTES, 0));
@@ -210,6 +272,7 @@
         budget.deliver_answer(1_000_000);
     }
     assert_eq!(budget.unread_limit(), None);
+    assert_eq!(budget.max_read_bytes(), 64 * 1024);
     assert!(!budget.try_hold_request(SMALL_BODY_BYTES, MEMORY_BYTES / 5));
     assert_eq!(budget.hold_answer(MEMORY_BYTES / 10), BufferRoom::Refused);
 }
