Relay: an answer that is read too slowly ends while memory is short

Cause: a caller that takes a few bytes from time to time was not taken for one that does not read, so that its answer kept its memory. While memory is not short, callers may be as slow as they like.

--- a/crates/arbutusfall/src/http/error_replacing_stream.rs
+++ b/crates/arbutusfall/src/http/error_replacing_stream.rs
@@ -9,10 +9,10 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
-use std::time::Duration;
 
 use arbutusfall_core::Problem;
 use arbutusfall_core::ProblemKind;
+use arbutusfall_core::relay::SlowRead;
 use arbutusfall_wire::Name;
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
@@ -34,8 +34,8 @@
     replacement_kind: Mutex<Option<ProblemKind>>,
     /// Id of the last request, once it gets an endpoint's answer.
     request_id: Mutex<Option<Name>>,
-    /// Time for which the peer read nothing of an answer, if the connection failed for that.
-    unread: Mutex<Option<Duration>>,
+    /// How slowly the peer read an answer, if the connection failed for that.
+    slow_read: Mutex<Option<SlowRead>>,
 }
 
 impl ConnectionState {
@@ -64,15 +64,15 @@
         *lock(&self.request_id) = Some(request_id);
     }
 
-    /// Records that the connection fails because the peer read nothing for some time.
-    pub(super) fn record_unread(&self, unread: Duration) {
-        *lock(&self.unread) = Some(unread);
+    /// Records that the connection fails because the peer read too slowly.
+    pub(super) fn record_slow_read(&self, slow: SlowRead) {
+        *lock(&self.slow_read) = Some(slow);
     }
 
-    /// Returns for how long the peer read nothing, if the connection failed for that, and of the answer to which request.
-    pub(super) fn unread(&self) -> Option<(Duration, Option<Name>)> {
-        let unread = (*lock(&self.unread))?;
-        Some((unread, lock(&self.request_id).clone()))
+    /// Returns how slowly the peer read, if the connection failed for that, and the answer to which request.
+    pub(super) fn slow_read(&self) -> Option<(SlowRead, Option<Name>)> {
+        let slow = (*lock(&self.slow_read))?;
+        Some((slow, lock(&self.request_id).clone()))
     }
 
     /// Records that a request was passed to the handler or that an answer was written.
--- a/crates/arbutusfall/src/http/server.rs
+++ b/crates/arbutusfall/src/http/server.rs
@@ -11,6 +11,8 @@
 
 use arbutusfall_core::Problem;
 use arbutusfall_core::ProblemKind;
+use arbutusfall_core::relay::SlowRead;
+use arbutusfall_core::relay::UnreadLimits;
 use arbutusfall_wire::Name;
 use async_channel::Receiver;
 use async_channel::Sender;
@@ -133,14 +135,14 @@
         let _ = kind;
     }
 
-    /// Returns the time after which a connection is reset whose peer reads nothing of an answer; none: never.
-    fn unread_limit(&self) -> Option<Duration> {
+    /// Returns how slowly the peer of a connection may read an answer before the connection is reset; none: as slowly as it likes.
+    fn unread_limits(&self) -> Option<UnreadLimits> {
         None
     }
 
-    /// Called when a connection is reset because its peer read nothing for this time of the answer to a request.
-    fn on_unread(&self, request_id: Option<Name>, unread: Duration) {
-        let _ = (request_id, unread);
+    /// Called when a connection is reset because its peer read the answer to a request too slowly.
+    fn on_slow_read(&self, request_id: Option<Name>, slow: SlowRead) {
+        let _ = (request_id, slow);
     }
 }
 
@@ -308,7 +310,7 @@
     // Disables Nagle's algorithm, so that small writes such as tokens are sent without delay; a failure only adds
     // latency.
     let _ = stream.set_nodelay(true);
-    if handler.unread_limit().is_some() {
+    if handler.unread_limits().is_some() {
         limit_unsent_bytes(&stream);
     }
     if !handler.admit(&mut stream).await {
@@ -334,8 +336,8 @@
         })
     });
     let limit_handler = handler.clone();
-    let unread_limit = move || limit_handler.unread_limit();
-    let stream = UnreadLimitStream::new(stream, unread_limit, state.clone());
+    let unread_limits = move || limit_handler.unread_limits();
+    let stream = UnreadLimitStream::new(stream, unread_limits, state.clone());
     let io = FuturesIo::new(ErrorReplacingStream::new(stream, state.clone()));
     let mut connection = http1::Builder::new()
         .timer(HeaderTimer::new(handler.clone()))
@@ -357,8 +359,8 @@
     };
     let stream = connection.into_parts().io.into_inner().into_inner();
     let mut stream = stream.into_inner();
-    if let Some((unread, request_id)) = state.unread() {
-        handler.on_unread(request_id, unread);
+    if let Some((slow, request_id)) = state.slow_read() {
+        handler.on_slow_read(request_id, slow);
         // The rest that the kernel holds is dropped.
         set_reset_on_close(&stream, true);
         return;
--- a/crates/arbutusfall/src/relay/callers.rs
+++ b/crates/arbutusfall/src/relay/callers.rs
@@ -9,6 +9,8 @@
 use arbutusfall_core::relay::Hop;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RelayNotice;
+use arbutusfall_core::relay::SlowRead;
+use arbutusfall_core::relay::UnreadLimits;
 use arbutusfall_platform::callers;
 use arbutusfall_platform::endpoints::ForwardedRequest;
 use arbutusfall_platform::forwarding;
@@ -80,21 +82,29 @@
         answer
     }
 
-    fn unread_limit(&self) -> Option<Duration> {
-        self.driver.io().body_memory.budget().unread_limit()
+    fn unread_limits(&self) -> Option<UnreadLimits> {
+        self.driver.io().body_memory.budget().unread_limits()
     }
 
-    fn on_unread(&self, request_id: Option<Name>, unread: Duration) {
-        record_unread(&self.driver, request_id, unread);
+    fn on_slow_read(&self, request_id: Option<Name>, slow: SlowRead) {
+        record_slow_read(&self.driver, request_id, slow);
     }
 }
 
-/// Records that a connection was reset because its peer read nothing of an answer.
-pub(super) fn record_unread(driver: &Arc<Driver>, request_id: Option<Name>, unread: Duration) {
+/// Records that a connection was reset because its peer read an answer too slowly.
+pub(super) fn record_slow_read(driver: &Arc<Driver>, request_id: Option<Name>, slow: SlowRead) {
     // Without an id, it was an answer by the relay itself.
-    let notice = RelayNotice::AnswerUnread {
-        request_id: request_id.unwrap_or_else(|| "".into()),
-        unread_ms: unread.as_millis() as u64,
+    let request_id = request_id.unwrap_or_else(|| "".into());
+    let notice = match slow {
+        SlowRead::Nothing { duration } => RelayNotice::AnswerUnread {
+            request_id,
+            unread_ms: duration.as_millis() as u64,
+        },
+        SlowRead::Little { duration, bytes } => RelayNotice::AnswerReadSlowly {
+            request_id,
+            measured_ms: duration.as_millis() as u64,
+            read_bytes: bytes as u64,
+        },
     };
     driver.io().record_notice(&notice);
 }
--- a/crates/arbutusfall/src/relay/peer_server.rs
+++ b/crates/arbutusfall/src/relay/peer_server.rs
@@ -7,6 +7,8 @@
 
 use arbutusfall_core::Problem;
 use arbutusfall_core::ProblemKind;
+use arbutusfall_core::relay::SlowRead;
+use arbutusfall_core::relay::UnreadLimits;
 use arbutusfall_platform::forwarding;
 use arbutusfall_wire::Name;
 use async_net::TcpStream;
@@ -72,13 +74,17 @@
         is_admitted
     }
 
-    fn unread_limit(&self) -> Option<Duration> {
-        let limit = self.driver.io().body_memory.budget().unread_limit()?;
-        Some(limit * UNREAD_LIMIT_FACTOR)
+    fn unread_limits(&self) -> Option<UnreadLimits> {
+        let limits = self.driver.io().body_memory.budget().unread_limits()?;
+        Some(UnreadLimits {
+            unread: limits.unread * UNREAD_LIMIT_FACTOR,
+            // The VM with the caller measures its pace.
+            ends_slow: false,
+        })
     }
 
-    fn on_unread(&self, request_id: Option<Name>, unread: Duration) {
-        callers::record_unread(&self.driver, request_id, unread);
+    fn on_slow_read(&self, request_id: Option<Name>, slow: SlowRead) {
+        callers::record_slow_read(&self.driver, request_id, slow);
     }
 
     async fn handle(self: Arc<Self>, mut request: Request<Incoming>) -> Response<AnswerBody> {
--- a/crates/arbutusfall_core/src/relay/buffers/buffer_budget.rs
+++ b/crates/arbutusfall_core/src/relay/buffers/buffer_budget.rs
@@ -6,6 +6,7 @@
 use arbutusfall_wire::Name;
 
 use crate::relay::BufferLimits;
+use crate::relay::UnreadLimits;
 
 /// Bytes of each body that count separately or not at all, so that large bodies do not keep small ones out.
 pub const SMALL_BODY_BYTES: usize = 16 * 1024;
@@ -272,16 +273,20 @@
         (free_bytes / READ_DIVISOR).clamp(MIN_READ_BYTES, MAX_READ_BYTES)
     }
 
-    /// Returns the time after which an answer is ended of which its caller reads nothing; none: never.
-    pub fn unread_limit(&self) -> Option<Duration> {
+    /// Returns how slowly an answer may be read; none: as slowly as its caller likes.
+    pub fn unread_limits(&self) -> Option<UnreadLimits> {
         let answer_bytes = self.read_answer_bytes + self.delivered_answer_bytes;
         let is_short = answer_bytes > self.limits.answer_bytes / 2
             || self.stream_bytes > self.limits.stream_bytes / 2;
-        if is_short {
+        let unread = if is_short {
             self.limits.short_unread_limit
         } else {
             self.limits.unread_limit
-        }
+        };
+        unread.map(|unread| UnreadLimits {
+            unread,
+            ends_slow: is_short,
+        })
     }
 
     /// Returns the bytes of all uses.
--- a/crates/arbutusfall_core/src/relay/buffers/tests.rs
+++ b/crates/arbutusfall_core/src/relay/buffers/tests.rs
@@ -180,11 +180,13 @@
 #[test]
 fn unread_answers_end_earlier_while_memory_is_short() {
     let mut budget = budget();
-    let usual = budget.unread_limit().expect("there is a limit");
-    assert!(usual >= Duration::from_secs(3), "{usual:?}");
+    let usual = budget.unread_limits().expect("there is a limit");
+    assert!(usual.unread >= Duration::from_secs(3), "{usual:?}");
+    assert!(!usual.ends_slow);
     fill_streams(&mut budget, 200, 60_000);
-    let short = budget.unread_limit().expect("there is a limit");
-    assert!(short < usual, "{short:?}");
+    let short = budget.unread_limits().expect("there is a limit");
+    assert!(short.unread < usual.unread, "{short:?}");
+    assert!(short.ends_slow);
 }
 
 // Guards against large bodies, of one account or of many, that keep small requests out or exceed the bound.
@@ -271,7 +273,7 @@
         assert_eq!(budget.hold_answer(1_000_000), BufferRoom::Held);
         budget.deliver_answer(1_000_000);
     }
-    assert_eq!(budget.unread_limit(), None);
+    assert_eq!(budget.unread_limits(), None);
     assert_eq!(budget.max_read_bytes(), 64 * 1024);
     assert!(!budget.try_hold_request(SMALL_BODY_BYTES, MEMORY_BYTES / 5));
     assert_eq!(budget.hold_answer(MEMORY_BYTES / 10), BufferRoom::Refused);
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -408,6 +408,15 @@
         /// Time for which it read nothing.
         unread_ms: u64,
     },
+    /// The caller read too little of its answer while memory was short, so its connection was reset.
+    AnswerReadSlowly {
+        /// Id that the caller gave to the request.
+        request_id: Name,
+        /// Time for which its pace was measured.
+        measured_ms: u64,
+        /// Bytes that it read in that time.
+        read_bytes: u64,
+    },
     /// The caller disconnected before its answer was complete.
     CallerGone {
         /// Id that the caller gave to the request.
--- a/crates/arbutusfall_core/src/relay/notice/names.rs
+++ b/crates/arbutusfall_core/src/relay/notice/names.rs
@@ -63,6 +63,7 @@
             Self::GivenUp { .. } => "given_up",
             Self::AnswerMissing { .. } => "answer_missing",
             Self::AnswerUnread { .. } => "answer_unread",
+            Self::AnswerReadSlowly { .. } => "answer_read_slowly",
             Self::CallerGone { .. } => "caller_gone",
             Self::FactSource { .. } => "fact_source",
             Self::QuotaOwner { .. } => "quota_owner",
