--- a/crates/arbutusfall_core/src/relay/buffers/buffer_budget.rs
+++ b/crates/arbutusfall_core/src/relay/buffers/buffer_budget.rs
@@ -264,7 +264,7 @@
     }
 
     /// Returns how many bytes may be read of an answer at once: fewer the less memory is free for answers, because the HTTP library reads up
-    /// to [`PIECES_READ_AHEAD`] such pieces of each answer that nobody has counted yet.
+    /// to `PIECES_READ_AHEAD` such pieces of each answer that nobody has counted yet.
     pub fn max_read_bytes(&self) -> usize {
         let answer_bytes = self.read_answer_bytes + self.delivered_answer_bytes;
         let free_for_answers = self.limits.answer_bytes.saturating_sub(answer_bytes);
--- a/crates/arbutusfall_core/src/relay/sending/admission.rs
+++ b/crates/arbutusfall_core/src/relay/sending/admission.rs
@@ -11,7 +11,7 @@
 use crate::relay::sending::waiting::FIRST_EVENT_MARGIN;
 
 /// A caller's retry, or a first attempt whose prefill would finish too late, is sent only if the prefill would finish
-/// within this fraction of the target. A stream that goes on may use the whole target.
+/// within this fraction of the target.
 const MAX_LATE_PREFILL_FRACTION: f64 = 0.4;
 
 impl Relay {
@@ -32,8 +32,7 @@
     }
 
     /// Returns whether a prefill sent now would finish in time for the target or, for a caller's retry or a first
-    /// attempt that would miss the target, within [`MAX_LATE_PREFILL_FRACTION`] of it; for a stream that goes on, within as much time
-    /// as the target allows from now.
+    /// attempt that would miss the target, within [`MAX_LATE_PREFILL_FRACTION`] of it.
     pub(in crate::relay) fn can_prefill_in_time(&self, call: &Call) -> bool {
         let usable: Vec<_> = self.usable_prefill_engines(call).collect();
         if usable.is_empty() {
@@ -52,14 +51,8 @@
         let on_time_until = call.arrived_at + prefill_target;
         let first_attempt_in_time =
             call.prior_attempt_time.is_zero() && self.now + shortest <= on_time_until;
-        let longest = if call.continues_stream() {
-            // The estimate falls only slowly after one slow prefill, and the caller waits in the middle of its answer.
-            prefill_target
-        } else {
-            // A request that is late anyway must not delay requests that can still be on time.
-            prefill_target.mul_f64(MAX_LATE_PREFILL_FRACTION)
-        };
-        first_attempt_in_time || shortest <= longest
+        // A request that is late anyway must not delay requests that can still be on time.
+        first_attempt_in_time || shortest <= prefill_target.mul_f64(MAX_LATE_PREFILL_FRACTION)
     }
 
     /// Returns whether a call may try to reserve memory now.
