--- a/crates/arbutusfall_core/src/relay/calls/call.rs
+++ b/crates/arbutusfall_core/src/relay/calls/call.rs
@@ -69,7 +69,7 @@
     pub(crate) failed_endpoints: Vec<Name>,
     /// How many of these exchanges failed because no connection opened or a reservation was not answered.
     pub(crate) unanswered_exchanges: usize,
-    /// Whether the call has lost time because no connection to its service's endpoints opened, or because one hung.
+    /// Whether the call has waited because no connection to its service's endpoints opened.
     pub(crate) has_waited_for_reach: bool,
     /// What may crash the endpoints that run the request.
     pub(crate) causes: CrashCauses,
--- a/crates/arbutusfall_core/src/relay/calls/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/calls/outcomes.rs
@@ -16,7 +16,6 @@
 use crate::relay::calls::call::CallStage;
 use crate::relay::calls::call::PrefillResult;
 use crate::relay::crashes::crash_handling::SUSPECT;
-use crate::relay::endpoints::reach_handling::CONNECT_DOUBT;
 use crate::relay::load::handling::SERVICE_FULL;
 use crate::relay::notice::millis;
 
@@ -415,7 +414,6 @@
         let began_at = call.stream_began_at;
         if failure == ExchangeFailure::Unreachable {
             call.unanswered_exchanges += 1;
-            call.has_waited_for_reach |= self.now >= failed.sent_at + CONNECT_DOUBT;
         }
         if !failure.is_before_send() {
             self.mark_may_have_run(id, stage);
--- a/crates/arbutusfall_core/src/relay/endpoints/reach_handling.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/reach_handling.rs
@@ -15,7 +15,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Silence after the send of a request from which its endpoint may not have been reached.
-pub(in crate::relay) const CONNECT_DOUBT: Duration = Duration::from_millis(250);
+const CONNECT_DOUBT: Duration = Duration::from_millis(250);
 
 /// Endpoints that are checked at once when a connection to one of their service fails.
 const CHECKED_IN_DOUBT: usize = 2;
