--- a/crates/arbutusfall/tests/it/relay_settings.rs
+++ b/crates/arbutusfall/tests/it/relay_settings.rs
@@ -1,5 +1,7 @@
 //! Read intervals and long-polling waits that follow from the settings of a relay process.
 
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arbutusfall::RelayProcessSettings;
@@ -167,11 +169,15 @@
     assert_eq!(settings.strength(), expected);
 }
 
+/// Number of the last settings file of this process, whose tests run at the same time.
+static LAST_FILE: AtomicU64 = AtomicU64::new(0);
+
 /// Loads settings from a file with one more field.
 fn load_with(name: &str, value: serde_json::Value) -> Result<RelayProcessSettings, String> {
     let mut document = serde_json::to_value(settings(2_000, 3_000)).expect("settings are JSON");
     document[name] = value;
-    let file = std::env::temp_dir().join(format!("relay-{}-{name}.json", std::process::id()));
+    let number = LAST_FILE.fetch_add(1, Ordering::Relaxed);
+    let file = std::env::temp_dir().join(format!("relay-{}-{number}.json", std::process::id()));
     std::fs::write(&file, document.to_string()).expect("the file is written");
     let loaded = RelayProcessSettings::load(&file);
     std::fs::remove_file(&file).expect("the file is removed");
