--- a/crates/arbutusfall/src/http/answer_pieces.rs
+++ b/crates/arbutusfall/src/http/answer_pieces.rs
@@ -1,4 +1,4 @@
-//! Whole answers in pieces of one size, which the allocator uses again for other answers without gaps.
+//! Whole answers in pieces of one size, which the allocator can reuse for other answers without fragmentation.
 
 use std::collections::VecDeque;
 
--- a/crates/arbutusfall/src/http/event_splitter.rs
+++ b/crates/arbutusfall/src/http/event_splitter.rs
@@ -5,8 +5,8 @@
 /// Maximum size of an incomplete event, in bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
-/// Size from which an incomplete event gets a buffer for the longest one, in bytes: one that is doubled again and again leaves gaps in the
-/// memory of the process.
+/// Size from which an incomplete event gets a buffer for the longest one, in bytes: one that is doubled again and again fragments the
+/// heap.
 const LONG_EVENT_BYTES: usize = 32 * 1024;
 
 /// One or more whole events.
--- a/crates/arbutusfall/src/http/unread_limit.rs
+++ b/crates/arbutusfall/src/http/unread_limit.rs
@@ -28,7 +28,7 @@
     state: Arc<ConnectionState>,
     opened_at: Instant,
     pace: AnswerPace,
-    /// Timer of the next check; none while no write waits.
+    /// Timer of the next check; set when a write has to wait, and kept until all is flushed.
     next_check: Option<Timer>,
 }
 
--- a/crates/arbutusfall/src/relay/settings.rs
+++ b/crates/arbutusfall/src/relay/settings.rs
@@ -81,7 +81,7 @@
     /// Span in which the use of a client account by all VMs together is bounded, in seconds; the same at all VMs.
     #[serde(default = "default_quota_window_s")]
     pub quota_window_s: f64,
-    /// Tolerated excess in this span, as a share of what the account's quota allows in it; from 0 to 1.
+    /// Tolerated excess in this span, as a share of what the account's quota allows in it; more than 0 and at most 1.
     #[serde(default = "default_quota_excess_ratio")]
     pub quota_excess_ratio: f64,
     /// Tolerated excess in this span besides, in units of the quota.
--- a/crates/arbutusfall_core/src/relay/buffers/buffer_budget.rs
+++ b/crates/arbutusfall_core/src/relay/buffers/buffer_budget.rs
@@ -15,14 +15,14 @@
 /// not read.
 const QUEUE_DIVISOR: usize = 8;
 
-/// Bytes of an answer that are read at once, as a fraction of the free memory for answers: one of this many.
+/// Divisor of the free memory for answers that gives the bytes of an answer that are read at once.
 const READ_DIVISOR: usize = 100;
 
 /// Largest number of bytes of an answer that are read at once.
 const MAX_READ_BYTES: usize = 64 * 1024;
 
-/// Smallest number of bytes of an answer that are read at once. The HTTP library begins with buffers of 8 KiB and doubles them when a read
-/// fills them, which this does not.
+/// Smallest limit of a read of an answer, in bytes: one less than the 8 KiB with which the HTTP library's buffers begin, because it doubles a
+/// buffer that a read has filled.
 const MIN_READ_BYTES: usize = 8 * 1024 - 1;
 
 /// Pieces of an answer that are read ahead of what is counted: one that waits to be counted, one in the HTTP library, and its read buffer.
@@ -31,7 +31,7 @@
 /// Memory of the two connections of an answer and of the tasks that serve it, in bytes.
 const OPEN_ANSWER_BYTES: usize = 128 * 1024;
 
-/// Memory that the allocator uses besides the held bytes, as a fraction of them: one of this many.
+/// Divisor of the held bytes that gives the memory that the allocator uses besides.
 const ALLOCATOR_DIVISOR: usize = 3;
 
 /// Longest time for which a stream waits for memory inside an event. Answers that are not read end in half of it while memory is short.
@@ -87,7 +87,7 @@
     unread_bytes: FastMap<Name, usize>,
     /// Answers and streams of which no more is read until memory is free.
     paused_reads: usize,
-    /// Answers and streams of which bytes are held.
+    /// Answers and streams that are being read or delivered, whether or not bytes of them are held yet.
     open_answers: usize,
     counts: BufferCounts,
 }
@@ -194,12 +194,12 @@
         !is_large || waited >= MAX_EVENT_WAIT || self.resident_bytes() < self.limits.total_bytes()
     }
 
-    /// Counts an answer of which bytes are held from now on.
+    /// Counts an answer or a stream from when its reading or delivery begins.
     pub fn on_answer_began(&mut self) {
         self.open_answers += 1;
     }
 
-    /// Counts an answer of which nothing is held any more.
+    /// Counts an answer or a stream whose reading or delivery is over.
     pub fn on_answer_ended(&mut self) {
         self.open_answers -= 1;
     }
