Log: what was found of the process whose answer ended with its connection

An answer that ends with its connection is complete only if its process still runs.

The line end_checked names the finding and how long it took; it is counted by finding.

--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -304,10 +304,19 @@
     if framing != BodyFraming::ConnectionEnd {
         return Ok(());
     }
-    let still_runs = match command.known_start_unix_ms {
+    let ended_at = Instant::now();
+    let (still_runs, finding) = match command.known_start_unix_ms {
         Some(known_unix_ms) => run_check::still_runs(relay, command, known_unix_ms).await,
-        None => endpoint_check::accepts_connections(command.address).await,
+        None if endpoint_check::accepts_connections(command.address).await => (true, "accepts"),
+        None => (false, "unreachable"),
     };
+    let request = relay.io().calls.request(command.call);
+    relay.io().record_notice(&RelayNotice::EndChecked {
+        request_id: request.map_or_else(Name::default, |request| request.request_id_text()),
+        instance: command.instance.clone(),
+        finding,
+        after_ms: u64::try_from(ended_at.elapsed().as_millis()).unwrap_or(u64::MAX),
+    });
     if !still_runs {
         return Err(ExchangeFailure::Closed);
     }
--- a/crates/arbutusfall/src/relay/metrics.rs
+++ b/crates/arbutusfall/src/relay/metrics.rs
@@ -123,6 +123,7 @@
             RelayNotice::ExchangeFailed { reason, .. } => state.count(notice.name(), reason),
             RelayNotice::MoveAbandoned { reason, .. } => state.count(notice.name(), reason),
             RelayNotice::StreamEnded { framing, .. } => state.count(notice.name(), framing.name()),
+            RelayNotice::EndChecked { finding, .. } => state.count(notice.name(), finding),
             RelayNotice::Sent { work, .. } => state.count(notice.name(), work),
             RelayNotice::ConfigIgnored { reason, .. } => state.count(notice.name(), reason),
             RelayNotice::Store { topic, .. } => state.count(notice.name(), topic.name()),
--- a/crates/arbutusfall/src/relay/run_check.rs
+++ b/crates/arbutusfall/src/relay/run_check.rs
@@ -76,21 +76,24 @@
     Ok(http::send_within_memory(&io.executor, stream, &io.body_memory, outgoing).await?)
 }
 
-/// Asks an engine after an answer whether the process still runs that started at `known_unix_ms`. One that does not answer may have been
-/// replaced.
+/// Asks an engine after an answer whether the process still runs that started at `known_unix_ms`, and says how that was found out. One
+/// that does not answer may have been replaced.
 pub(super) async fn still_runs(
     relay: &impl RelayHandle,
     command: &SendCommand,
     known_unix_ms: u64,
-) -> bool {
+) -> (bool, &'static str) {
     let asked_at = relay.io().now();
     let answer = ask_in_time(relay, command).await;
     report(relay, &command.instance, asked_at, answer);
     match answer {
-        RunAnswer::Started(started_unix_ms) => started_unix_ms == known_unix_ms,
+        RunAnswer::Started(started_unix_ms) if started_unix_ms == known_unix_ms => {
+            (true, "same_process")
+        }
+        RunAnswer::Started(_) => (false, "other_process"),
         // Nothing tells its processes from one another, and it accepts connections.
-        RunAnswer::Unstated => true,
-        RunAnswer::Failed => false,
+        RunAnswer::Unstated => (true, "unstated"),
+        RunAnswer::Failed => (false, "no_answer"),
     }
 }
 
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -325,6 +325,17 @@
         /// Bytes after the last whole event.
         partial_event_bytes: usize,
     },
+    /// It was found out whether an answer that ended with its connection is complete.
+    EndChecked {
+        /// Id that the caller gave to the request.
+        request_id: Name,
+        /// Instance that it was sent to.
+        instance: Name,
+        /// What is known of the process that answered.
+        finding: &'static str,
+        /// Time since the end of the answer.
+        after_ms: u64,
+    },
     /// An endpoint is silent; its exchange is kept while the request is moved to another endpoint.
     ExchangeSilent {
         /// Id that the caller gave to the request.
--- a/crates/arbutusfall_core/src/relay/notice/names.rs
+++ b/crates/arbutusfall_core/src/relay/notice/names.rs
@@ -14,6 +14,7 @@
                 | Self::Declined { .. }
                 | Self::Taken { .. }
                 | Self::StreamEnded { .. }
+                | Self::EndChecked { .. }
                 | Self::Answered { .. }
                 | Self::CallerGone { .. }
         )
@@ -56,6 +57,7 @@
             Self::Taken { .. } => "taken",
             Self::Waiting { .. } => "waiting",
             Self::StreamEnded { .. } => "stream_ended",
+            Self::EndChecked { .. } => "end_checked",
             Self::ExchangeSilent { .. } => "exchange_silent",
             Self::MoveAbandoned { .. } => "move_abandoned",
             Self::ExchangeFailed { .. } => "exchange_failed",
