Relay: whole answers are not cut because their endpoint is silent after them

Cause: such an answer is complete only if its process still runs, so the engine is asked. No answer in 600 ms, a reset, a refused connection and an unreadable answer all counted as another process.

The exchange now waits, and the relay asks the endpoint again until something is known: the process that wrote the answer still runs (complete); another process or instance answers, a later one is listed, or all connections are refused for 0.3 s (broken off). Nothing else says anything. Otherwise the call ends at its deadline or with the drain, and its answer does not look complete. Answers that wait share one question to their endpoint. This works because only the process itself can say that it has outlived its answer, and nothing is concluded until it, or one in its place, has spoken.

--- a/crates/arbutusfall/src/engines.rs
+++ b/crates/arbutusfall/src/engines.rs
@@ -285,7 +285,7 @@
         let answer = http::send(&self.executor, outgoing)
             .await
             .map_err(|error| match error {
-                ClientError::Connect => EngineFailure::Unreachable,
+                ClientError::Connect | ClientError::Refused => EngineFailure::Unreachable,
                 _ => EngineFailure::Closed,
             })?;
         match answer.status().as_u16() {
--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -4,6 +4,7 @@
 
 use std::fmt;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -57,6 +58,8 @@
 pub enum ClientError {
     /// The connection could not be opened, so no byte was sent.
     Connect,
+    /// The server refused the connection, so no byte was sent.
+    Refused,
     /// The connection was opened and failed before any byte of the request was written to it.
     Unsent,
     /// The connection failed after bytes may have been sent, or the answer's head is too long.
@@ -75,6 +78,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Connect => f.write_str("the connection could not be opened"),
+            Self::Refused => f.write_str("the connection was refused"),
             Self::Unsent => f.write_str("the connection failed before anything was sent"),
             Self::Broken => f.write_str("the connection failed or the answer's head is too long"),
             Self::TooLong => f.write_str("the answer is too long"),
@@ -90,7 +94,7 @@
 impl ClientError {
     /// Returns whether any byte of the request may have reached the server.
     pub fn may_have_been_sent(&self) -> bool {
-        !matches!(self, Self::Connect | Self::Unsent)
+        !matches!(self, Self::Connect | Self::Refused | Self::Unsent)
     }
 }
 
@@ -116,7 +120,8 @@
 ///
 /// # Errors
 ///
-/// [`ClientError::Connect`] and [`ClientError::Unsent`] guarantee that no byte of the request was or will be sent.
+/// [`ClientError::Connect`], [`ClientError::Refused`] and [`ClientError::Unsent`] guarantee that no byte of the request was or will be
+/// sent.
 pub async fn send(
     executor: &Executor,
     outgoing: OutgoingRequest,
@@ -129,7 +134,7 @@
 ///
 /// # Errors
 ///
-/// [`ClientError::Connect`].
+/// [`ClientError::Refused`], otherwise [`ClientError::Connect`], also if the time is over.
 pub async fn open(address: SocketAddr, timeout: Duration) -> Result<TcpStream, ClientError> {
     connect(address, async_io::Timer::after(timeout)).await
 }
@@ -168,9 +173,11 @@
     limit: impl Future<Output = Instant>,
 ) -> Result<TcpStream, ClientError> {
     let connect = async {
-        TcpStream::connect(address)
-            .await
-            .map_err(|_| ClientError::Connect)
+        let stream = TcpStream::connect(address).await;
+        stream.map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused => ClientError::Refused,
+            _ => ClientError::Connect,
+        })
     };
     let expire = async {
         limit.await;
--- a/crates/arbutusfall/src/log_client.rs
+++ b/crates/arbutusfall/src/log_client.rs
@@ -127,7 +127,7 @@
                 // Without a connection the log service received nothing; with 409 (another era) and 503 it refuses
                 // before it appends.
                 let may_have_taken_effect =
-                    !matches!(cause, ClientError::Connect | ClientError::Status(409 | 503));
+                    cause.may_have_been_sent() && !matches!(cause, ClientError::Status(409 | 503));
                 Err(LogError {
                     may_have_taken_effect,
                     cause,
--- a/crates/arbutusfall/src/relay/effects.rs
+++ b/crates/arbutusfall/src/relay/effects.rs
@@ -81,6 +81,9 @@
             RelayEffect::Close { exchange } => io.exchanges.remove(exchange),
             RelayEffect::Hold { exchange } => io.exchanges.hold(exchange),
             RelayEffect::Release { exchange } => io.exchanges.release(exchange),
+            RelayEffect::ConfirmEnd { exchange, proof } => {
+                io.exchanges.confirm_end(exchange, proof)
+            }
             RelayEffect::FreeKvCache(stored) => {
                 let request = endpoints::free_kv_cache_request(&stored);
                 spawn_free_request(relay, stored.address, request);
--- a/crates/arbutusfall/src/relay/endpoint_check.rs
+++ b/crates/arbutusfall/src/relay/endpoint_check.rs
@@ -3,33 +3,28 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use arbutusfall_core::relay::ConnectAnswer;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_wire::Name;
-use async_net::TcpStream;
-use futures_lite::FutureExt;
 
+use crate::http;
+use crate::http::ClientError;
 use crate::relay::handle::RelayHandle;
 
 /// Timeout of the connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Opens a connection to an endpoint, closes it and reports to the relay whether it was accepted.
+/// Opens a connection to an endpoint, closes it and reports to the relay what became of it.
 pub(super) async fn check_endpoint(relay: impl RelayHandle, instance: Name, address: SocketAddr) {
     let asked_at = relay.io().now();
-    let is_reachable = accepts_connections(address).await;
+    let answer = match http::open(address, CONNECT_TIMEOUT).await {
+        Ok(_) => ConnectAnswer::Accepted,
+        Err(ClientError::Refused) => ConnectAnswer::Refused,
+        Err(_) => ConnectAnswer::Unanswered,
+    };
     relay.submit(RelayEvent::EndpointChecked {
         instance,
         asked_at,
-        is_reachable,
+        answer,
     });
 }
-
-/// Opens a connection to an endpoint and closes it; returns whether it was accepted.
-pub(super) async fn accepts_connections(address: SocketAddr) -> bool {
-    let connect = async { TcpStream::connect(address).await.is_ok() };
-    let expire = async {
-        async_io::Timer::after(CONNECT_TIMEOUT).await;
-        false
-    };
-    connect.or(expire).await
-}
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use arbutusfall_core::relay::BodyFraming;
+use arbutusfall_core::relay::EndProof;
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ExchangeFailure;
 use arbutusfall_core::relay::NotRunReason;
@@ -38,7 +39,6 @@
 use crate::http::OutgoingRequest;
 use crate::http::PartialEvent;
 use crate::http::PausedRead;
-use crate::relay::endpoint_check;
 use crate::relay::handed_body::hand_over;
 use crate::relay::handle::RelayHandle;
 use crate::relay::open_calls::AnswerHead;
@@ -238,7 +238,7 @@
 
 fn exchange_failure(error: ClientError) -> ExchangeFailure {
     match error {
-        ClientError::Connect => ExchangeFailure::Unreachable,
+        ClientError::Connect | ClientError::Refused => ExchangeFailure::Unreachable,
         ClientError::Unsent => ExchangeFailure::ClosedUnsent,
         ClientError::Malformed => ExchangeFailure::Malformed,
         ClientError::TooLong => ExchangeFailure::TooLong,
@@ -288,15 +288,15 @@
     let body = http::read_body(body, command.time_left, &relay.io().body_memory)
         .await
         .map_err(exchange_failure)?;
-    check_end(relay, command, framing).await?;
+    wait_for_proof_of_end(relay, command, framing).await?;
     relay.io().exchanges.store_head(command.exchange, head);
     relay.io().exchanges.store_body(command.exchange, body);
     Ok(ExchangeEvent::Complete { status })
 }
 
-/// Checks that an answer that has ended with its connection is complete, and reports that its end was not marked: a process
-/// that ends closes its connections too, and the next one may accept connections at once.
-async fn check_end(
+/// Waits until it is known that an answer that has ended with its connection is complete: a process that ends closes its connections too,
+/// and the next one may accept connections at once. If it isn't complete, the relay closes the exchange, which ends this task.
+async fn wait_for_proof_of_end(
     relay: &impl RelayHandle,
     command: &SendCommand,
     framing: BodyFraming,
@@ -304,24 +304,16 @@
     if framing != BodyFraming::ConnectionEnd {
         return Ok(());
     }
-    let ended_at = Instant::now();
-    let (still_runs, finding) = match command.known_start_unix_ms {
-        Some(known_unix_ms) => run_check::still_runs(relay, command, known_unix_ms).await,
-        None if endpoint_check::accepts_connections(command.address).await => (true, "accepts"),
-        None => (false, "unreachable"),
-    };
-    let request = relay.io().calls.request(command.call);
-    relay.io().record_notice(&RelayNotice::EndChecked {
-        request_id: request.map_or_else(Name::default, |request| request.request_id_text()),
-        instance: command.instance.clone(),
-        finding,
-        after_ms: u64::try_from(ended_at.elapsed().as_millis()).unwrap_or(u64::MAX),
-    });
-    if !still_runs {
-        return Err(ExchangeFailure::Closed);
+    let proof = relay.io().exchanges.expect_proof(command.exchange);
+    relay.submit_exchange_event(command.exchange, ExchangeEvent::EndedWithConnection);
+    match proof.recv().await {
+        Ok(EndProof::Process) => Ok(()),
+        Ok(EndProof::Connection) => {
+            relay.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
+            Ok(())
+        }
+        Err(_) => Err(ExchangeFailure::Closed),
     }
-    relay.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
-    Ok(())
 }
 
 /// Forwards a stream one or more whole events at a time, so that it can be resumed on another engine between any two
@@ -360,7 +352,7 @@
     if stream.is_truncated(framing) {
         return Err(ExchangeFailure::Truncated);
     }
-    check_end(relay, command, framing).await?;
+    wait_for_proof_of_end(relay, command, framing).await?;
     let rest = stream.splitter.finish();
     if !rest.is_empty() {
         write_to_caller(relay, command, &mut stream.held, rest).await;
--- a/crates/arbutusfall/src/relay/open_exchanges.rs
+++ b/crates/arbutusfall/src/relay/open_exchanges.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 
+use arbutusfall_core::relay::EndProof;
 use arbutusfall_core::relay::ExchangeId;
 use arbutusfall_wire::FastMap;
 use async_channel::Receiver;
@@ -23,6 +24,8 @@
     head: Option<AnswerHead>,
     body: Option<DeliveredAnswer>,
     hold: Option<Hold>,
+    /// Lets the exchange go on after its answer has ended with its connection.
+    proof: Option<Sender<EndProof>>,
 }
 
 /// Mark of an exchange that is held; the exchange goes on when it is dropped.
@@ -97,6 +100,27 @@
         Some((open.head?, open.body?))
     }
 
+    /// Returns what receives the proof that an exchange's answer is complete; it ends without one if the exchange is removed.
+    pub(super) fn expect_proof(&self, exchange: ExchangeId) -> Receiver<EndProof> {
+        let (sender, receiver) = async_channel::bounded(1);
+        if let Some(open) = self.lock().get_mut(&exchange) {
+            open.proof = Some(sender);
+        }
+        receiver
+    }
+
+    /// Lets an exchange go on whose answer is proved to be complete.
+    pub(super) fn confirm_end(&self, exchange: ExchangeId, proof: EndProof) {
+        let mut exchanges = self.lock();
+        let sender = exchanges
+            .get_mut(&exchange)
+            .and_then(|open| open.proof.take());
+        if let Some(sender) = sender {
+            // Fails only if the exchange no longer waits.
+            let _ = sender.try_send(proof);
+        }
+    }
+
     /// Holds an exchange until it is released.
     pub(super) fn hold(&self, exchange: ExchangeId) {
         self.set_hold(exchange, Some(Hold::default()));
--- a/crates/arbutusfall/src/relay/run_check.rs
+++ b/crates/arbutusfall/src/relay/run_check.rs
@@ -6,6 +6,7 @@
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RunAnswer;
 use arbutusfall_core::relay::SendCommand;
+use arbutusfall_platform::orders;
 use arbutusfall_platform::orders::RunReport;
 use arbutusfall_wire::Name;
 use futures_lite::FutureExt;
@@ -64,7 +65,7 @@
         RunAnswer::Started(started_unix_ms) => started_unix_ms == required_unix_ms,
         // Nothing tells its processes from one another.
         RunAnswer::Unstated => true,
-        RunAnswer::Failed => false,
+        RunAnswer::OtherInstance | RunAnswer::Refused | RunAnswer::Failed => false,
     };
     if !is_required {
         return Err(SendError::OtherProcess);
@@ -76,27 +77,6 @@
     Ok(http::send_within_memory(&io.executor, stream, &io.body_memory, outgoing).await?)
 }
 
-/// Asks an engine after an answer whether the process still runs that started at `known_unix_ms`, and says how that was found out. One
-/// that does not answer may have been replaced.
-pub(super) async fn still_runs(
-    relay: &impl RelayHandle,
-    command: &SendCommand,
-    known_unix_ms: u64,
-) -> (bool, &'static str) {
-    let asked_at = relay.io().now();
-    let answer = ask_in_time(relay, command).await;
-    report(relay, &command.instance, asked_at, answer);
-    match answer {
-        RunAnswer::Started(started_unix_ms) if started_unix_ms == known_unix_ms => {
-            (true, "same_process")
-        }
-        RunAnswer::Started(_) => (false, "other_process"),
-        // Nothing tells its processes from one another, and it accepts connections.
-        RunAnswer::Unstated => (true, "unstated"),
-        RunAnswer::Failed => (false, "no_answer"),
-    }
-}
-
 /// Asks an engine for which an exchange waits.
 async fn ask_in_time(relay: &impl RelayHandle, command: &SendCommand) -> RunAnswer {
     let expire = async {
@@ -117,7 +97,13 @@
     report.map_or_else(
         |error| {
             log::debug!("engine {instance} did not say when it started: {error}");
-            RunAnswer::Failed
+            match error {
+                ClientError::Refused => RunAnswer::Refused,
+                ClientError::Status(status) if orders::is_of_other_instance(status) => {
+                    RunAnswer::OtherInstance
+                }
+                _ => RunAnswer::Failed,
+            }
         },
         |report| report.answer(),
     )
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -360,7 +360,7 @@
         StoreError::OldEra => return StoreReadFailure::OldEra,
     };
     match error {
-        ClientError::Connect => StoreReadFailure::Unreachable,
+        ClientError::Connect | ClientError::Refused => StoreReadFailure::Unreachable,
         ClientError::Unsent | ClientError::Broken | ClientError::TooLong => {
             StoreReadFailure::Closed
         }
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -47,6 +47,7 @@
 use crashes::endpoint_ends::EndpointEnds;
 use endpoints::list::Endpoints;
 use endpoints::reachability::Reachability;
+use endpoints::unproved_ends::UnprovedEnds;
 use limits::endpoint_limits::EndpointLimits;
 use limits::limited_queue::LimitedQueue;
 use load::load_state::LoadState;
@@ -83,6 +84,7 @@
 pub use crashes::prompt_part::PartId;
 pub use crashes::prompt_part::SharedParts;
 pub use effect::*;
+pub use endpoints::connect_answer::ConnectAnswer;
 pub use endpoints::list::LIST_RECOVERY_GRACE;
 pub use endpoints::run_status::RunAnswer;
 pub use endpoints::slow_start_counts::SlowStartCounts;
@@ -142,6 +144,8 @@
     FindStream(CallId),
     /// An engine may be asked for streams that have begun there since it was asked.
     ProveRun(Name),
+    /// An endpoint may be asked for answers that have ended with their connections since it was asked.
+    ProveEnds(Name),
     /// Origins of streams may be due for recording.
     RecordStreams,
     /// Shares of limits may be due for review, or requests that wait for a limit for sending.
@@ -198,6 +202,7 @@
     budget: RetryBudget,
     stream_versions: StreamVersions,
     unproved_streams: UnprovedStreams,
+    unproved_ends: UnprovedEnds,
     /// Instant of the earliest timer to record origins of streams.
     record_timer_due: Option<Duration>,
     /// Requests that broke off with their endpoints and have not been reviewed yet.
@@ -267,6 +272,7 @@
             budget: RetryBudget::new(settings.retry_limit),
             stream_versions: StreamVersions::new(settings.retry_limit.vm_count),
             unproved_streams: UnprovedStreams::default(),
+            unproved_ends: UnprovedEnds::default(),
             record_timer_due: None,
             endpoint_ends: EndpointEnds::default(),
             crash_suspects: CrashSuspects::default(),
@@ -356,8 +362,8 @@
             RelayEvent::EndpointChecked {
                 instance,
                 asked_at,
-                is_reachable,
-            } => self.on_endpoint_checked(&instance, asked_at, is_reachable),
+                answer,
+            } => self.on_endpoint_checked(&instance, asked_at, answer),
             RelayEvent::RunChecked {
                 instance,
                 asked_at,
@@ -391,6 +397,7 @@
                 RelayTimer::RetryReservations => self.on_retry_reservations(),
                 RelayTimer::FindStream(call) => self.begin_call(call),
                 RelayTimer::ProveRun(instance) => self.judge_streams(&instance),
+                RelayTimer::ProveEnds(instance) => self.review_ends(&instance),
                 RelayTimer::RecordStreams => self.record_streams(),
                 RelayTimer::Shared => self.on_shared_timer(),
                 RelayTimer::Limits => self.on_limit_timer(),
@@ -444,6 +451,7 @@
         let versions = self.endpoints.versions();
         self.stream_versions.on_endpoints(versions, self.now);
         self.judge_all_streams();
+        self.judge_ends_by_list();
         self.review_recorded_versions();
         self.set_record_timer();
     }
--- a/crates/arbutusfall_core/src/relay/calls/call.rs
+++ b/crates/arbutusfall_core/src/relay/calls/call.rs
@@ -131,10 +131,15 @@
 pub(crate) struct CurrentExchange {
     pub(crate) exchange: ExchangeId,
     pub(crate) instance: Name,
+    /// Where the instance listened at the send.
+    pub(crate) address: SocketAddr,
     /// Version of the instance's software.
     pub(crate) version: Name,
     /// Start of the instance's process, in Unix milliseconds, as it was listed at the send.
     pub(crate) started_unix_ms: Option<u64>,
+    /// Start of the process that was known to run at the send, in Unix milliseconds; none if the instance's processes can't be told from
+    /// one another.
+    pub(crate) known_start_unix_ms: Option<u64>,
     pub(crate) stage: CallStage,
     /// Whether the request goes to the listed process only.
     pub(crate) is_proved: bool,
@@ -147,6 +152,8 @@
     pub(crate) last_activity_at: Duration,
     /// Expected completion of a prefill, or latest answer to a reservation; the send time for other stages.
     pub(crate) answer_due: Duration,
+    /// Instant at which the answer ended with its connection, if it did; whether it is complete isn't known yet.
+    pub(crate) ended_at: Option<Duration>,
 }
 
 impl CurrentExchange {
--- a/crates/arbutusfall_core/src/relay/calls/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/calls/outcomes.rs
@@ -28,6 +28,10 @@
             // The relay has already ended this exchange.
             return;
         };
+        if event == ExchangeEvent::EndedWithConnection {
+            self.on_ended_with_connection(id, exchange);
+            return;
+        }
         if self.is_standby(id, exchange) && !self.on_standby_event(id, &event) {
             return;
         }
@@ -59,6 +63,8 @@
             }
             ExchangeEvent::Progress { last_event_id } => self.on_progress(id, last_event_id),
             ExchangeEvent::HeldBack => self.on_held_back(id),
+            // Handled above, also for an exchange in standby.
+            ExchangeEvent::EndedWithConnection => {}
             ExchangeEvent::EndUnmarked => self.on_end_unmarked(id),
             ExchangeEvent::Complete { status } => self.on_complete(id, exchange, status),
             ExchangeEvent::NotRun { .. } if is_forwarding => self.on_forward_declined(id),
--- a/crates/arbutusfall_core/src/relay/calls/silence.rs
+++ b/crates/arbutusfall_core/src/relay/calls/silence.rs
@@ -31,8 +31,12 @@
             .set(silent_at, RelayTimer::CheckSilence(exchange));
     }
 
-    /// Returns the silence after which the exchange is abandoned for a retry; none if no retry is allowed.
+    /// Returns the silence after which the exchange is abandoned for a retry; none if no retry is allowed, or if the stream has ended and
+    /// nothing more is expected but the proof that it is complete.
     fn silence_limit(&self, call: &Call, current: &CurrentExchange) -> Option<Duration> {
+        if current.ended_at.is_some() && call.route.is_stream {
+            return None;
+        }
         let may_retry_silent =
             call.route.allows_repeated_runs() && call.attempts < call.route.max_attempts;
         match current.stage {
--- a/crates/arbutusfall_core/src/relay/crashes/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crashes/crash_handling.rs
@@ -8,6 +8,7 @@
 
 use crate::CallId;
 use crate::config::Role;
+use crate::relay::ConnectAnswer;
 use crate::relay::CrashCause;
 use crate::relay::CrashCauses;
 use crate::relay::CrashEvidence;
@@ -136,9 +137,9 @@
         &mut self,
         instance: &Name,
         asked_at: Duration,
-        is_reachable: bool,
+        answer: ConnectAnswer,
     ) {
-        if is_reachable {
+        if answer == ConnectAnswer::Accepted {
             self.on_connected(instance, asked_at);
             self.disprove_crash(instance, asked_at);
         } else {
@@ -146,6 +147,7 @@
             self.on_engine_broken_off(instance);
             self.record_unmarked_crash(instance, asked_at);
         }
+        self.on_process_sign(instance, answer.into(), asked_at);
     }
 
     /// Records the answers that ended with an endpoint, which has ended, as runs that broke off.
--- a/crates/arbutusfall_core/src/relay/effect.rs
+++ b/crates/arbutusfall_core/src/relay/effect.rs
@@ -37,6 +37,13 @@
         /// The exchange.
         exchange: ExchangeId,
     },
+    /// Let an exchange go on whose answer has ended with its connection: the answer is complete.
+    ConfirmEnd {
+        /// The exchange.
+        exchange: ExchangeId,
+        /// What shows that.
+        proof: EndProof,
+    },
     /// Tell an engine to drop a KV cache that no engine will fetch.
     FreeKvCache(KvCacheLocation),
     /// Tell an engine to drop a reservation that will not be used.
@@ -82,7 +89,7 @@
         /// The other VM's open request.
         call: CallId,
     },
-    /// Open a connection to an endpoint that may have crashed, and report if it is accepted.
+    /// Open a connection to an endpoint that may have crashed, and report what becomes of it.
     CheckEndpoint {
         /// The endpoint.
         instance: Name,
@@ -190,15 +197,21 @@
     /// Start of the process that alone may get the request, in Unix milliseconds; none if any may. The engine is asked
     /// over a second connection while the request's own is open: that one ends with its process.
     pub required_start_unix_ms: Option<u64>,
-    /// Start of the process that is known to run at the endpoint, in Unix milliseconds; none if its processes can't be told from one
-    /// another. An answer whose end is not marked is complete only if that process still runs after it.
-    pub known_start_unix_ms: Option<u64>,
     /// Whether the endpoint has a limit: an answer that names none lifts it.
     pub is_limited: bool,
     /// What is sent of the caller's account.
     pub account: SentAccount,
 }
 
+/// What shows that an answer that ended with its connection is complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndProof {
+    /// The process that wrote it still runs.
+    Process,
+    /// The endpoint still accepts connections; nothing tells its processes from one another.
+    Connection,
+}
+
 /// Work that an endpoint or another VM does for a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Work {
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -1,5 +1,7 @@
 //! The endpoints as this VM sees them: the list, their health, their processes and whether they can be reached.
 
+pub(in crate::relay) mod connect_answer;
+pub(in crate::relay) mod end_checks;
 pub(in crate::relay) mod endpoint;
 pub(in crate::relay) mod event_intervals;
 pub(in crate::relay) mod list;
@@ -15,3 +17,4 @@
 pub(in crate::relay) mod slow_start_counts;
 pub(in crate::relay) mod slow_start_handling;
 pub(in crate::relay) mod unmarked_ends;
+pub(in crate::relay) mod unproved_ends;
--- a/crates/arbutusfall_core/src/relay/endpoints/run_checks.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/run_checks.rs
@@ -148,6 +148,7 @@
             }
         }
         self.judge_streams(instance);
+        self.on_process_sign(instance, answer.into(), asked_at);
     }
 
     /// Takes a read of the list into account: engines in doubt that have been seen to run since are no longer.
--- a/crates/arbutusfall_core/src/relay/endpoints/run_status.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/run_status.rs
@@ -69,7 +69,11 @@
     Started(u64),
     /// It did not say when.
     Unstated,
-    /// It did not answer.
+    /// Another instance has answered at its address.
+    OtherInstance,
+    /// It refused the connection.
+    Refused,
+    /// It did not answer, or its answer can't be read. That says nothing of its process.
     Failed,
 }
 
@@ -225,7 +229,9 @@
             }
             // Without a start in its entry, it can't be compared.
             RunAnswer::Started(_) | RunAnswer::Unstated => self.on_unstated(asked_at),
-            RunAnswer::Failed => self.failed_at = self.failed_at.max(Some(asked_at)),
+            RunAnswer::OtherInstance | RunAnswer::Refused | RunAnswer::Failed => {
+                self.failed_at = self.failed_at.max(Some(asked_at));
+            }
         }
     }
 
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -11,6 +11,7 @@
 
 use crate::CallId;
 use crate::config::Role;
+use crate::relay::ConnectAnswer;
 use crate::relay::CrashCause;
 use crate::relay::Credential;
 use crate::relay::FollowOutcome;
@@ -134,8 +135,8 @@
         instance: Name,
         /// When the connection was begun.
         asked_at: Duration,
-        /// Whether the endpoint accepted it.
-        is_reachable: bool,
+        /// What became of it.
+        answer: ConnectAnswer,
     },
     /// An engine that was asked when its process started has answered, or has not.
     RunChecked {
@@ -369,7 +370,10 @@
     },
     /// The stream is held back because its caller does not read: the endpoint is not silent.
     HeldBack,
-    /// The stream ended with its connection, after all its events; follows them. The engine may have ended instead.
+    /// The answer ended with its connection, after all its events; follows them. The endpoint may have ended instead, so the exchange waits
+    /// for [`RelayEffect::ConfirmEnd`](crate::relay::RelayEffect::ConfirmEnd).
+    EndedWithConnection,
+    /// The answer ended with its connection, and only that the endpoint still accepts others speaks for it.
     EndUnmarked,
     /// The complete answer arrived.
     Complete {
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -325,13 +325,13 @@
         /// Bytes after the last whole event.
         partial_event_bytes: usize,
     },
-    /// It was found out whether an answer that ended with its connection is complete.
+    /// It was found out whether an answer that ended with its connection is complete, or nothing waits for that any more.
     EndChecked {
         /// Id that the caller gave to the request.
         request_id: Name,
         /// Instance that it was sent to.
         instance: Name,
-        /// What is known of the process that answered.
+        /// What was found of the process that wrote it.
         finding: &'static str,
         /// Time since the end of the answer.
         after_ms: u64,
--- a/crates/arbutusfall_core/src/relay/sending/stages.rs
+++ b/crates/arbutusfall_core/src/relay/sending/stages.rs
@@ -215,8 +215,10 @@
         call.current = Some(CurrentExchange {
             exchange,
             instance,
+            address: endpoint.listed.address,
             version: endpoint.listed.version.clone(),
             started_unix_ms: endpoint.listed.started_unix_ms,
+            known_start_unix_ms: endpoint.run.known_start(),
             stage,
             is_proved: required_start_unix_ms.is_some(),
             has_begun: false,
@@ -224,6 +226,7 @@
             sent_at: self.now,
             last_activity_at: self.now,
             answer_due: record_send(call, endpoint, stage, self.now),
+            ended_at: None,
         });
         let mut command = call.send_command(exchange, endpoint, stage, self.now);
         command.is_limited = is_limited;
@@ -305,7 +308,6 @@
             after_event_id: self.last_event_id,
             version: endpoint.listed.version.clone(),
             required_start_unix_ms: None,
-            known_start_unix_ms: endpoint.run.known_start(),
             is_limited: false,
             account: self.sent_account.clone(),
         }
--- a/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/forwarding.rs
@@ -3,6 +3,7 @@
 //! The other VM treats such a request as one of its own callers, but never forwards it again. It declines a request that it
 //! can't take, as long as nothing of it has run; another VM is tried then. Once it has taken the request, its answer is final.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use arbutusfall_wire::Name;
@@ -125,7 +126,7 @@
         self.last_exchange += 1;
         let exchange = ExchangeId(self.last_exchange);
         let command = call.forward_command(exchange, &vm, &own, &peer, self.now);
-        call.begin_forward(exchange, &vm, self.now);
+        call.begin_forward(exchange, &vm, peer.address, self.now);
         let notice = call.forwarded_notice(&command);
         self.peers.on_sent(&vm);
         self.calls_by_exchange.insert(exchange, id);
@@ -323,14 +324,22 @@
 
 impl Call {
     /// Counts an exchange with another VM.
-    fn begin_forward(&mut self, exchange: ExchangeId, vm: &Name, now: Duration) {
+    fn begin_forward(
+        &mut self,
+        exchange: ExchangeId,
+        vm: &Name,
+        address: SocketAddr,
+        now: Duration,
+    ) {
         self.exchange_count += 1;
         self.attempts += 1;
         self.current = Some(CurrentExchange {
             exchange,
             instance: vm.clone(),
+            address,
             version: Name::default(),
             started_unix_ms: None,
+            known_start_unix_ms: None,
             stage: CallStage::Forward,
             is_proved: false,
             has_begun: false,
@@ -338,6 +347,7 @@
             sent_at: now,
             last_activity_at: now,
             answer_due: now,
+            ended_at: None,
         });
     }
 
@@ -388,7 +398,6 @@
             after_event_id: self.last_event_id,
             version: Name::default(),
             required_start_unix_ms: None,
-            known_start_unix_ms: None,
             is_limited: false,
             account: self.sent_account.clone(),
         }
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -25,6 +25,7 @@
 use crate::relay_crashing_site::failed;
 use crate::relay_crashing_site::parts;
 use crate::relay_harness::RelayHarness;
+use crate::relay_harness::connect_answer;
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
 
@@ -176,7 +177,7 @@
         harness.apply(RelayEvent::EndpointChecked {
             instance: instance.clone(),
             asked_at: harness.now,
-            is_reachable: is_reachable(instance),
+            answer: connect_answer(is_reachable(instance)),
         });
     }
     checked
--- a/crates/arbutusfall_core/tests/it/relay_explain_states.rs
+++ b/crates/arbutusfall_core/tests/it/relay_explain_states.rs
@@ -37,6 +37,7 @@
 use crate::relay_harness::REFUSED;
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::UNREACHABLE;
+use crate::relay_harness::connect_answer;
 use crate::relay_harness::endpoints;
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
@@ -266,7 +267,7 @@
                     self.harness.apply(RelayEvent::EndpointChecked {
                         instance,
                         asked_at: self.harness.now,
-                        is_reachable: !self.is_cut_off,
+                        answer: connect_answer(!self.is_cut_off),
                     });
                 }
                 _ => {}
--- a/crates/arbutusfall_core/tests/it/relay_forwarding.rs
+++ b/crates/arbutusfall_core/tests/it/relay_forwarding.rs
@@ -27,6 +27,7 @@
 use crate::relay_harness::REFUSED;
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::UNREACHABLE;
+use crate::relay_harness::connect_answer;
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
 use crate::relay_harness::routes;
@@ -65,7 +66,7 @@
             harness.apply(RelayEvent::EndpointChecked {
                 instance,
                 asked_at: harness.now,
-                is_reachable,
+                answer: connect_answer(is_reachable),
             });
         } else {
             harness.effects.push(effect);
@@ -373,7 +374,7 @@
         harness.apply(RelayEvent::EndpointChecked {
             instance: instance.into(),
             asked_at: harness.now,
-            is_reachable: false,
+            answer: connect_answer(false),
         });
     }
 }
@@ -402,7 +403,7 @@
         harness.apply(RelayEvent::EndpointChecked {
             instance: "decode-1".into(),
             asked_at: harness.now,
-            is_reachable: true,
+            answer: connect_answer(true),
         });
         harness.deliver(exchange, CLOSED);
         if is_version_stated {
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -9,6 +9,7 @@
 use arbutusfall_core::config::Role;
 use arbutusfall_core::config::Semantics;
 use arbutusfall_core::relay::CallerLimits;
+use arbutusfall_core::relay::ConnectAnswer;
 use arbutusfall_core::relay::Credential;
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::EngineParameters;
@@ -76,6 +77,15 @@
     reason: NotRunReason::Refused,
 };
 
+/// Returns what becomes of a connection that an endpoint accepts or refuses.
+pub(crate) fn connect_answer(is_accepted: bool) -> ConnectAnswer {
+    if is_accepted {
+        ConnectAnswer::Accepted
+    } else {
+        ConnectAnswer::Refused
+    }
+}
+
 /// Returns a duration in milliseconds.
 pub(crate) fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
--- a/crates/arbutusfall_core/tests/it/relay_reach.rs
+++ b/crates/arbutusfall_core/tests/it/relay_reach.rs
@@ -17,6 +17,7 @@
 use crate::relay_harness::REFUSED;
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::UNREACHABLE;
+use crate::relay_harness::connect_answer;
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
 use crate::relay_harness::routes;
@@ -128,7 +129,7 @@
                     let event = RelayEvent::EndpointChecked {
                         instance,
                         asked_at: now,
-                        is_reachable: opened_at.is_some(),
+                        answer: connect_answer(opened_at.is_some()),
                     };
                     self.push(after, event);
                 }
@@ -305,7 +306,7 @@
     harness.apply(RelayEvent::EndpointChecked {
         instance: "decode-1".into(),
         asked_at: harness.now,
-        is_reachable: true,
+        answer: connect_answer(true),
     });
     assert_eq!(harness.final_effect(call), None);
     call
--- a/crates/arbutusfall_core/tests/it/relay_roles.rs
+++ b/crates/arbutusfall_core/tests/it/relay_roles.rs
@@ -14,6 +14,7 @@
 use crate::relay_harness::LEASE_LIFETIME;
 use crate::relay_harness::REFUSED;
 use crate::relay_harness::RelayHarness;
+use crate::relay_harness::connect_answer;
 use crate::relay_harness::listed;
 use crate::relay_harness::ms;
 
@@ -349,7 +350,7 @@
         harness.apply(RelayEvent::EndpointChecked {
             instance: instance.into(),
             asked_at: harness.now,
-            is_reachable: false,
+            answer: connect_answer(false),
         });
     }
     harness.effects.clear();
@@ -360,7 +361,7 @@
     harness.apply(RelayEvent::EndpointChecked {
         instance: "decode-1".into(),
         asked_at: harness.now,
-        is_reachable: true,
+        answer: connect_answer(true),
     });
     harness.effects.clear();
     harness.advance(ms(1_100));
--- a/crates/arbutusfall_core/tests/it/relay_unsent.rs
+++ b/crates/arbutusfall_core/tests/it/relay_unsent.rs
@@ -22,6 +22,7 @@
 use crate::relay_harness::REFUSED;
 use crate::relay_harness::RelayHarness;
 use crate::relay_harness::UNREACHABLE;
+use crate::relay_harness::connect_answer;
 use crate::relay_harness::ms;
 use crate::relay_harness::routes;
 use crate::relay_harness::store_read;
@@ -288,7 +289,7 @@
             harness.apply(RelayEvent::EndpointChecked {
                 instance,
                 asked_at: harness.now,
-                is_reachable: false,
+                answer: connect_answer(false),
             });
         } else {
             harness.effects.push(effect);
