Relay: a stream that goes on is not refused because the only engine of its version is silent

A caller that took a stream up at another VM got 503 (not run, Retry-After 1 s) when the only engine of the stream's version did not say within 600 ms which process runs.

The engine then counted as one that has failed for the call, and none was left.

SendError and ExchangeFailure have a third value, ProcessUnknown (process_unknown). The request is sent nowhere, as before, and the engine is asked again unless another engine of the version may take it. Each try begins with a reservation, which a silent engine does not answer, so tries follow one another only as fast as it answers.

stream_waits_for_the_only_engine_of_its_version_that_is_silent failed before (503 after the first silence) and passes; relay_random gives this failure too.

--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -100,6 +100,7 @@
             let sent = run_check::send(relay, command, required_unix_ms, outgoing).await;
             sent.map_err(|error| match error {
                 SendError::OtherProcess => ExchangeFailure::OtherProcess,
+                SendError::ProcessUnknown => ExchangeFailure::ProcessUnknown,
                 SendError::Withdrawn => ExchangeFailure::Withdrawn,
                 SendError::Failed(error) => exchange_failure(error),
             })?
--- a/crates/arbutusfall/src/relay/run_check.rs
+++ b/crates/arbutusfall/src/relay/run_check.rs
@@ -26,8 +26,10 @@
 /// Why a request that only one process may get has no answer.
 #[derive(Debug)]
 pub(super) enum SendError {
-    /// The engine's process is not known to be that one; nothing was sent.
+    /// The engine's process is not that one; nothing was sent.
     OtherProcess,
+    /// The engine did not say in time which process it is; nothing was sent.
+    ProcessUnknown,
     /// The engine may not get the request any more; nothing was sent.
     Withdrawn,
     /// The request failed.
@@ -61,14 +63,12 @@
     let asked_at = relay.io().now();
     let answer = ask_in_time(relay, command).await;
     report(relay, &command.instance, asked_at, answer);
-    let is_required = match answer {
-        RunAnswer::Started(started_unix_ms) => started_unix_ms == required_unix_ms,
+    match answer {
+        RunAnswer::Started(started_unix_ms) if started_unix_ms == required_unix_ms => {}
         // Nothing tells its processes from one another.
-        RunAnswer::Unstated => true,
-        RunAnswer::OtherInstance | RunAnswer::Refused | RunAnswer::Failed => false,
-    };
-    if !is_required {
-        return Err(SendError::OtherProcess);
+        RunAnswer::Unstated => {}
+        RunAnswer::Started(_) | RunAnswer::OtherInstance => return Err(SendError::OtherProcess),
+        RunAnswer::Refused | RunAnswer::Failed => return Err(SendError::ProcessUnknown),
     }
     if !may_send(relay, command.exchange).await {
         return Err(SendError::Withdrawn);
--- a/crates/arbutusfall_core/src/relay/calls/outcomes.rs
+++ b/crates/arbutusfall_core/src/relay/calls/outcomes.rs
@@ -444,7 +444,10 @@
                 .endpoints
                 .may_be_listed_run(&failed.instance, started_unix_ms);
         self.fail_exchange(id, failure.name(), is_endpoint_failure);
-        if failure == ExchangeFailure::Withdrawn {
+        // An endpoint that has only been silent for a moment may still take the request, if no other can.
+        let may_take_it = failure == ExchangeFailure::ProcessUnknown
+            && !self.has_other_endpoint(id, stage.role());
+        if may_take_it || failure == ExchangeFailure::Withdrawn {
             self.forget_failed_endpoint(id);
         }
         if has_ended && self.may_crash_next_endpoint(id) {
--- a/crates/arbutusfall_core/src/relay/event/exchange_failure.rs
+++ b/crates/arbutusfall_core/src/relay/event/exchange_failure.rs
@@ -5,8 +5,10 @@
 pub enum ExchangeFailure {
     /// No connection could be opened, so nothing was sent.
     Unreachable,
-    /// The endpoint's process is not known to be the one that must get the request, so nothing was sent.
+    /// The endpoint's process is not the one that must get the request, so nothing was sent.
     OtherProcess,
+    /// The endpoint did not say in time which process it is, so nothing was sent; only one process may get the request.
+    ProcessUnknown,
     /// The endpoint may not get the request any more since it was selected, so nothing was sent.
     Withdrawn,
     /// The endpoint has not read the bodies of enough earlier requests, so nothing was sent.
@@ -31,6 +33,7 @@
         match self {
             Self::Unreachable => "unreachable",
             Self::OtherProcess => "other_process",
+            Self::ProcessUnknown => "process_unknown",
             Self::Withdrawn => "withdrawn",
             Self::EndpointFull => "endpoint_full",
             Self::ClosedUnsent => "closed_unsent",
@@ -48,6 +51,7 @@
             self,
             Self::Unreachable
                 | Self::OtherProcess
+                | Self::ProcessUnknown
                 | Self::Withdrawn
                 | Self::EndpointFull
                 | Self::ClosedUnsent
@@ -63,7 +67,7 @@
     pub(crate) fn is_of_endpoint(self) -> bool {
         !matches!(
             self,
-            Self::OtherProcess | Self::Withdrawn | Self::EndpointFull
+            Self::OtherProcess | Self::ProcessUnknown | Self::Withdrawn | Self::EndpointFull
         )
     }
 
--- a/crates/arbutusfall_core/tests/it/relay_random.rs
+++ b/crates/arbutusfall_core/tests/it/relay_random.rs
@@ -145,9 +145,10 @@
             return;
         };
         if !open.is_written {
-            let failure = match self.rng.u32(..6) {
+            let failure = match self.rng.u32(..7) {
                 0 => ExchangeFailure::Unreachable,
                 1 => ExchangeFailure::OtherProcess,
+                2 => ExchangeFailure::ProcessUnknown,
                 _ => return,
             };
             self.deliver(exchange, ExchangeEvent::Failed { failure });
--- a/crates/arbutusfall_core/tests/it/relay_run_proofs.rs
+++ b/crates/arbutusfall_core/tests/it/relay_run_proofs.rs
@@ -7,6 +7,7 @@
 use arbutusfall_core::relay::RelayEffect;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RunAnswer;
+use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::SentAccount;
 use arbutusfall_core::relay::StreamLookup;
 use arbutusfall_core::relay::StreamOrigin;
@@ -378,3 +379,47 @@
         assert_eq!(harness.problem(call).is_some(), is_refused, "{lookup:?}");
     }
 }
+
+// Guards against a stream that is refused because the only engine of its version does not say for a moment which process runs.
+#[test]
+fn stream_waits_for_the_only_engine_of_its_version_that_is_silent() {
+    let mut harness = relay_with_engines(&["decode-1"]);
+    let call = harness.submit_resumption("/resumable/1", Some("elsewhere"));
+    let lookup = StreamLookup::Found(StreamOrigin {
+        service: "model".into(),
+        version: "v1".into(),
+    });
+    harness.apply(RelayEvent::StreamLookup { call, lookup });
+    for _ in 0..4 {
+        let decode = grant_until_decode(&mut harness);
+        assert_eq!(decode.required_start_unix_ms, Some(LISTED_START_UNIX_MS));
+        harness.advance(ms(600));
+        let failure = ExchangeFailure::ProcessUnknown;
+        harness.deliver(decode.exchange, ExchangeEvent::Failed { failure });
+        assert_eq!(harness.problem(call), None);
+    }
+    let decode = grant_until_decode(&mut harness);
+    harness.deliver(decode.exchange, ExchangeEvent::StreamBegan);
+    harness.deliver(decode.exchange, ExchangeEvent::Complete { status: 200 });
+    assert!(matches!(
+        harness.final_effect(call),
+        Some(RelayEffect::Finish { .. })
+    ));
+}
+
+/// Grants the only request its reservation and, if it asks for one, its prefill; returns the send to the decode engine.
+fn grant_until_decode(harness: &mut RelayHarness) -> SendCommand {
+    loop {
+        let sent = harness.take_only_send();
+        let event = match sent.work {
+            Work::Decode { .. } => return sent,
+            Work::Prefill => ExchangeEvent::PrefillDone {
+                handle: "handle".into(),
+            },
+            _ => ExchangeEvent::Reserved {
+                reservation: "reservation".into(),
+            },
+        };
+        harness.deliver(sent.exchange, event);
+    }
+}
