Relay: a connection that hangs is no evidence that a request crashes endpoints

A sound request whose answers end with their connection was refused as crashing_request after three answers, if a connection to each of the endpoints that gave them hung at the check that follows such an end, as while new connections hang on the way.

Only a refused connection counts now. After one that has hung, the endpoint is checked again while its answer is recent. A process that ends closes its socket, so its address refuses connections; the evidence of real crashes stays.

unmarked_end_is_no_evidence_if_a_connection_hangs_then failed before (refused after three hangs) and passes; with refusals the request is blocked as before.

--- a/crates/arbutusfall_core/src/relay/crashes/crash_handling.rs
+++ b/crates/arbutusfall_core/src/relay/crashes/crash_handling.rs
@@ -145,11 +145,24 @@
         } else {
             self.on_connect_failed(instance, asked_at);
             self.on_engine_broken_off(instance);
-            self.record_unmarked_crash(instance, asked_at);
+        }
+        match answer {
+            ConnectAnswer::Accepted => {}
+            ConnectAnswer::Refused => self.record_unmarked_crash(instance, asked_at),
+            ConnectAnswer::Unanswered => self.check_unmarked_end_later(instance),
         }
         self.on_process_sign(instance, answer.into(), asked_at);
     }
 
+    /// Has an endpoint checked once more that may have ended with its answer: a connection to it has hung, which says nothing.
+    fn check_unmarked_end_later(&mut self, instance: &Name) {
+        let endpoint = self.endpoints.get(instance);
+        if endpoint.is_some_and(|endpoint| endpoint.unmarked_ends.has_recent(self.now)) {
+            self.endpoint_ends.on_unmarked_end(instance, self.now);
+            self.set_shared_timer();
+        }
+    }
+
     /// Records the answers that ended with an endpoint, which has ended, as runs that broke off.
     fn record_unmarked_crash(&mut self, instance: &Name, found_at: Duration) {
         let Some(endpoint) = self.endpoints.get_mut(instance) else {
--- a/crates/arbutusfall_core/src/relay/endpoints/unmarked_ends.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/unmarked_ends.rs
@@ -46,6 +46,11 @@
         self.ends.is_empty()
     }
 
+    /// Returns whether answers have ended with their connections of late, and nothing is known of the endpoint since.
+    pub(crate) fn has_recent(&self, now: Duration) -> bool {
+        self.ends.iter().any(|end| end.is_recent(now))
+    }
+
     /// Takes the answers that ended of late, before the endpoint was found to have ended.
     pub(crate) fn take_before(&mut self, found_at: Duration, now: Duration) -> Vec<UnmarkedEnd> {
         let ends = std::mem::take(&mut self.ends).into_iter();
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -4,6 +4,7 @@
 
 use arbutusfall_core::ProblemKind;
 use arbutusfall_core::config::Role;
+use arbutusfall_core::relay::ConnectAnswer;
 use arbutusfall_core::relay::CrashCause;
 use arbutusfall_core::relay::EndpointListChange;
 use arbutusfall_core::relay::ExchangeEvent;
@@ -167,6 +168,14 @@
 
 /// Lets the VM's checks of endpoints end; returns the endpoints.
 fn end_checks(harness: &mut RelayHarness, is_reachable: impl Fn(&Name) -> bool) -> Vec<Name> {
+    end_checks_with(harness, |checked| connect_answer(is_reachable(checked)))
+}
+
+/// Lets the VM's checks of endpoints end with these answers; returns the endpoints.
+fn end_checks_with(
+    harness: &mut RelayHarness,
+    answer: impl Fn(&Name) -> ConnectAnswer,
+) -> Vec<Name> {
     let mut checked = Vec::new();
     for effect in std::mem::take(&mut harness.effects) {
         if let RelayEffect::CheckEndpoint { instance, .. } = effect {
@@ -177,7 +186,7 @@
         harness.apply(RelayEvent::EndpointChecked {
             instance: instance.clone(),
             asked_at: harness.now,
-            answer: connect_answer(is_reachable(instance)),
+            answer: answer(instance),
         });
     }
     checked
@@ -221,6 +230,53 @@
     }
 }
 
+// Guards against a sound request that is blocked, because connections to the endpoints that answered it hang for a moment.
+#[test]
+fn unmarked_end_is_no_evidence_if_a_connection_hangs_then() {
+    for last in [
+        ConnectAnswer::Unanswered,
+        ConnectAnswer::Accepted,
+        ConnectAnswer::Refused,
+    ] {
+        let mut harness = start();
+        harness.apply(RelayEvent::EndpointChanges(endpoints(6)));
+        for _ in 0..3 {
+            let instance = answer_unmarked(&mut harness, "/pay/a");
+            run(&mut harness, ms(150), true);
+            let hangs = |checked: &Name| {
+                if *checked == instance {
+                    ConnectAnswer::Unanswered
+                } else {
+                    ConnectAnswer::Accepted
+                }
+            };
+            let checked = end_checks_with(&mut harness, hangs);
+            assert_eq!(checked, std::slice::from_ref(&instance));
+            // The endpoint is checked again, since nothing is known yet.
+            run(&mut harness, ms(150), true);
+            let now_known = |checked: &Name| {
+                if *checked == instance {
+                    last
+                } else {
+                    ConnectAnswer::Accepted
+                }
+            };
+            let checked = end_checks_with(&mut harness, now_known);
+            assert!(checked.contains(&instance), "{last:?}");
+            run(&mut harness, ms(150), true);
+            end_checks_with(&mut harness, now_known);
+            let removed = EndpointListChange::Removed { instance };
+            harness.apply(RelayEvent::EndpointChanges(vec![removed]));
+            run(&mut harness, ms(850), true);
+            end_checks(&mut harness, |_| true);
+            run(&mut harness, ms(850), true);
+            end_checks(&mut harness, |_| true);
+        }
+        let is_blocked = last == ConnectAnswer::Refused;
+        assert_eq!(is_refused(&mut harness, "/pay/a"), is_blocked, "{last:?}");
+    }
+}
+
 // Guards against checks of endpoints that are known to run, and against planned ends that count as crashes.
 #[test]
 fn unmarked_end_is_not_checked_if_the_endpoint_answers_or_leaves() {
