Relay: an endpoint that fails questions at once is asked less often

An endpoint in trouble that fails each question about an ended answer at once was asked ten times a second for as long as answers waited; with answers without end each question costs the VM up to 1 MB of reading.

The time between two such questions doubles with each failure, up to 800 ms. A silent endpoint is asked as before, since its questions take longer than that. engine_that_fails_questions_at_once_is_asked_less_often: 5 to 12 questions in 5 s.

--- a/crates/arbutusfall_core/src/relay/endpoints/unproved_ends.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/unproved_ends.rs
@@ -17,6 +17,9 @@
 /// Shortest time between two questions to an endpoint: all answers that have ended meanwhile share the next one.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Longest such time, at an endpoint that fails questions at once.
+const MAX_QUESTION_INTERVAL: Duration = Duration::from_millis(800);
+
 /// Time for which an endpoint must have refused all connections to count as ended; a single refusal may be one of a full queue.
 const REFUSAL_TIME: Duration = Duration::from_millis(300);
 
@@ -175,6 +178,8 @@
     address: SocketAddr,
     ends: Vec<UnprovedEnd>,
     asked_at: Option<Duration>,
+    /// Time from then on until it may be asked again.
+    interval: Duration,
     /// Whether a question is open.
     is_asked: bool,
     /// When the first of its newest refusals arrived; nothing else has since.
@@ -189,6 +194,7 @@
             address,
             ends: Vec::new(),
             asked_at: None,
+            interval: QUESTION_INTERVAL,
             is_asked: false,
             refused_since: None,
             was_asked_in_rest: false,
@@ -196,23 +202,23 @@
     }
 
     fn next_question_at(&self) -> Option<Duration> {
-        self.asked_at.map(|asked_at| asked_at + QUESTION_INTERVAL)
+        self.asked_at.map(|asked_at| asked_at + self.interval)
     }
 
     fn record_sign(&mut self, sign: ProcessSign, asked_at: Duration, now: Duration) {
         if self.asked_at.is_some_and(|newest| asked_at >= newest) {
             self.is_asked = false;
         }
-        match sign {
-            ProcessSign::Refused => {
-                self.refused_since.get_or_insert(now);
-            }
-            ProcessSign::Started(_)
-            | ProcessSign::Unstated
-            | ProcessSign::Accepted
-            | ProcessSign::OtherInstance
-            | ProcessSign::None => self.refused_since = None,
+        if sign == ProcessSign::Refused {
+            self.refused_since.get_or_insert(now);
+        } else {
+            self.refused_since = None;
         }
+        self.interval = if sign == ProcessSign::None {
+            (self.interval * 2).min(MAX_QUESTION_INTERVAL)
+        } else {
+            QUESTION_INTERVAL
+        };
     }
 }
 
--- a/crates/arbutusfall_core/tests/it/relay_unproved_ends.rs
+++ b/crates/arbutusfall_core/tests/it/relay_unproved_ends.rs
@@ -179,6 +179,25 @@
     assert!(streams.iter().all(|(call, _)| is_finished(&harness, *call)));
 }
 
+// Guards against an engine in trouble that is asked as fast as it fails.
+#[test]
+fn engine_that_fails_questions_at_once_is_asked_less_often() {
+    let mut harness = relay_with_engines(&["decode-1"]);
+    let (call, decode) = ended_stream(&mut harness, "/stream/1");
+    let mut asked = 0;
+    for _ in 0..1_000 {
+        for instance in take_questions(&mut harness) {
+            asked += 1;
+            answer_question(&mut harness, &instance, RunAnswer::Failed);
+        }
+        harness.advance(ms(5));
+    }
+    assert!((5..=12).contains(&asked), "{asked} questions in 5 s");
+    answer_question(&mut harness, &decode.instance, LISTED);
+    complete_confirmed(&mut harness);
+    assert!(is_finished(&harness, call));
+}
+
 /// Has questions refused until `after`, from now on.
 fn refuse_until(harness: &mut RelayHarness, instance: &Name, after: Duration) {
     let until = harness.now + after;
