HTTP: a control answer in small pieces takes no more memory than its bytes

Cause: the body was collected as the pieces it was read in, and each small piece holds the whole buffer of 8 KiB or more in which it was read.

Whole bodies that the process itself reads are copied into one buffer, in one place: the client's, those of questions of other VMs and the prefill answers of serve, which did the same.

--- a/crates/arbutusfall/src/engines.rs
+++ b/crates/arbutusfall/src/engines.rs
@@ -19,9 +19,7 @@
 use arbutusfall_wire::FastMap;
 use async_channel::Sender;
 use async_executor::Task;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -136,12 +134,8 @@
         .merged(prompt_fields);
         let request = completion_request(command.address, command.attempt, &request_body, &span);
         let answer = self.send_request(command.address, request).await?;
-        let answer_body = Limited::new(answer.into_body(), MAX_PREFILL_ANSWER_BYTES);
-        let answer_body = answer_body
-            .collect()
-            .await
-            .map_err(|_| EngineFailure::Closed)?;
-        let answer_body = answer_body.to_bytes();
+        let answer_body = http::collect(answer.into_body(), MAX_PREFILL_ANSWER_BYTES).await;
+        let answer_body = answer_body.map_err(|_| EngineFailure::Closed)?;
         let answer: PrefillAnswer =
             serde_json::from_slice(&answer_body).map_err(|_| EngineFailure::Malformed)?;
         let details = answer.usage.and_then(|usage| usage.prompt_tokens_details);
--- a/crates/arbutusfall/src/http.rs
+++ b/crates/arbutusfall/src/http.rs
@@ -18,6 +18,7 @@
 mod server;
 mod sliced_body;
 mod unread_limit;
+mod whole_body;
 mod write_gate;
 mod write_wakeup;
 
@@ -60,3 +61,4 @@
 pub use server::json_answer;
 pub use server::serve;
 pub use server::serve_with_closures;
+pub(crate) use whole_body::collect;
--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -14,8 +14,6 @@
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -39,6 +37,8 @@
 use crate::http::held_answer::HeldAnswer;
 use crate::http::read_size_stream::ReadSizeStream;
 use crate::http::sliced_body::SlicedBody;
+use crate::http::whole_body;
+use crate::http::whole_body::CollectError;
 use crate::http::write_gate::GatedStream;
 use crate::http::write_gate::WriteGate;
 use crate::http::write_wakeup::WakingStream;
@@ -317,14 +317,16 @@
     timeout: Duration,
     max_bytes: usize,
 ) -> Result<Bytes, ClientError> {
-    collect_body(body, max_bytes).or(fail_after(timeout)).await
+    let read = async { Ok(whole_body::collect(body, max_bytes).await?) };
+    read.or(fail_after(timeout)).await
 }
 
-async fn collect_body(body: Incoming, max_bytes: usize) -> Result<Bytes, ClientError> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(ClientError::TooLong),
-        Err(_) => Err(ClientError::Broken),
+impl From<CollectError> for ClientError {
+    fn from(error: CollectError) -> Self {
+        match error {
+            CollectError::TooLong => Self::TooLong,
+            CollectError::Broken => Self::Broken,
+        }
     }
 }
 
@@ -449,7 +451,7 @@
         Ok(WholeAnswer {
             status: parts.status,
             headers: parts.headers,
-            body: collect_body(body, MAX_WHOLE_BYTES).await?,
+            body: whole_body::collect(body, MAX_WHOLE_BYTES).await?,
         })
     };
     let expire = async {
--- a/crates/arbutusfall/src/http/request_body.rs
+++ b/crates/arbutusfall/src/http/request_body.rs
@@ -8,14 +8,14 @@
 use arbutusfall_core::ProblemKind;
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 
 use crate::http::body_memory::BodyMemory;
 use crate::http::body_memory::HeldRequest;
+use crate::http::whole_body;
+use crate::http::whole_body::CollectError;
 
 /// Time after which a request may be sent again that found no memory for its body: those that hold it last about as long.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -141,11 +141,11 @@
     timeout: Duration,
 ) -> Result<Bytes, ReadBodyError> {
     let read = async {
-        match Limited::new(body, max_bytes).collect().await {
-            Ok(collected) => Ok(collected.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => Err(ReadBodyError::TooLong),
-            Err(_) => Err(ReadBodyError::Broken),
-        }
+        let read = whole_body::collect(body, max_bytes).await;
+        read.map_err(|error| match error {
+            CollectError::TooLong => ReadBodyError::TooLong,
+            CollectError::Broken => ReadBodyError::Broken,
+        })
     };
     let expire = async {
         async_io::Timer::after(timeout).await;
--- /dev/null
+++ b/crates/arbutusfall/src/http/whole_body.rs
@@ -0,0 +1,35 @@
+//! Whole bodies that this process itself reads, within a limit of their size.
+
+use http_body_util::BodyExt;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+
+/// Why a body could not be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CollectError {
+    /// It is longer than allowed.
+    TooLong,
+    /// Its connection failed.
+    Broken,
+}
+
+/// Reads a complete body of at most `max_bytes` into one buffer: a piece of it, however small, holds the whole buffer in which it was read.
+///
+/// # Errors
+///
+/// [`CollectError`].
+pub(crate) async fn collect(mut body: Incoming, max_bytes: usize) -> Result<Bytes, CollectError> {
+    let mut collected = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| CollectError::Broken)?;
+        let Ok(data) = frame.into_data() else {
+            // Trailers say nothing that is read.
+            continue;
+        };
+        if data.len() > max_bytes - collected.len() {
+            return Err(CollectError::TooLong);
+        }
+        collected.extend_from_slice(&data);
+    }
+    Ok(collected.into())
+}
