Relay: control answers of endpoints have a bounded part of the memory

Reservations, prefill results and reports count towards a part of their own, 1/24 of the memory, beyond the first 16 KiB of each; one that does not fit fails like one that is too long. Their connections are read in pieces of the size that the memory allows, like those of answers to forward. Sound answers are smaller than 16 KiB.

--- a/crates/arbutusfall/src/http.rs
+++ b/crates/arbutusfall/src/http.rs
@@ -39,6 +39,7 @@
 pub use client::post_json;
 pub use client::read_body;
 pub use client::read_control_body;
+pub use client::read_endpoint_control_body;
 pub use client::request_whole;
 pub use client::send;
 pub use client::send_on;
--- a/crates/arbutusfall/src/http/body_memory.rs
+++ b/crates/arbutusfall/src/http/body_memory.rs
@@ -30,6 +30,7 @@
         let limits = BufferLimits {
             read_answer_bytes: DEFAULT_READ_ANSWER_BYTES,
             request_bytes: usize::MAX,
+            control_bytes: usize::MAX,
             ..BufferLimits::of_unstated_memory(0)
         };
         Self::new(limits, DEFAULT_ANSWER_BYTES)
@@ -115,6 +116,42 @@
     }
 }
 
+/// Memory of an endpoint's answer to the VM's own question, while it is read; free again once this is dropped.
+#[derive(Debug)]
+pub(super) struct HeldControl {
+    memory: Arc<BodyMemory>,
+    bytes: usize,
+}
+
+impl HeldControl {
+    /// Begins with an answer of which nothing is held.
+    pub(super) fn begin(memory: &Arc<BodyMemory>) -> Self {
+        Self {
+            memory: memory.clone(),
+            bytes: 0,
+        }
+    }
+
+    /// Holds further bytes; returns false if there is no memory for them.
+    pub(super) fn try_add(&mut self, bytes: usize) -> bool {
+        let (_, large_before) = split_size(self.bytes);
+        let (_, large) = split_size(self.bytes.saturating_add(bytes));
+        let mut budget = self.memory.budget();
+        let is_held = budget.try_hold_control(large - large_before);
+        if is_held {
+            self.bytes += bytes;
+        }
+        is_held
+    }
+}
+
+impl Drop for HeldControl {
+    fn drop(&mut self) {
+        let (_, large) = split_size(self.bytes);
+        self.memory.budget().release_control(large);
+    }
+}
+
 impl Drop for HeldRequest {
     fn drop(&mut self) {
         let (small, large) = split_size(self.bytes);
--- a/crates/arbutusfall/src/http/client.rs
+++ b/crates/arbutusfall/src/http/client.rs
@@ -321,6 +321,21 @@
     read.or(fail_after(timeout)).await
 }
 
+/// Like [`read_control_body`], for an endpoint's answer: it counts towards `memory` while it is read, beyond its first 16 KiB.
+///
+/// # Errors
+///
+/// As for [`read_control_body`]; [`ClientError::TooLong`] also if there is no memory for the body.
+pub async fn read_endpoint_control_body(
+    body: Incoming,
+    timeout: Duration,
+    max_bytes: usize,
+    memory: &Arc<BodyMemory>,
+) -> Result<Bytes, ClientError> {
+    let read = async { Ok(whole_body::collect_within(body, max_bytes, memory).await?) };
+    read.or(fail_after(timeout)).await
+}
+
 impl From<CollectError> for ClientError {
     fn from(error: CollectError) -> Self {
         match error {
--- a/crates/arbutusfall/src/relay/control_client.rs
+++ b/crates/arbutusfall/src/relay/control_client.rs
@@ -156,7 +156,9 @@
             return Err(ClientError::Status(report.status().as_u16()));
         }
         let body = report.into_body();
-        let body = http::read_control_body(body, ORDER_TIMEOUT, MAX_REPORT_BYTES).await?;
+        let memory = &self.relay.io().body_memory;
+        let body =
+            http::read_endpoint_control_body(body, ORDER_TIMEOUT, MAX_REPORT_BYTES, memory).await?;
         serde_json::from_slice(&body).map_err(|_| ClientError::Malformed)
     }
 
@@ -174,7 +176,10 @@
             connect_timeout: ORDER_TIMEOUT,
             answer_timeout: ORDER_TIMEOUT,
         };
-        let answer = http::send(&self.relay.io().executor, outgoing).await?;
+        let io = self.relay.io();
+        let stream = http::open(outgoing.address, outgoing.connect_timeout).await?;
+        let sent = http::send_within_memory(&io.executor, stream, &io.body_memory, outgoing);
+        let answer = sent.await?;
         // The engine may have followed the order, so its outcome is unknown.
         FinalStatus::of(answer.status()).map_err(|_| ClientError::Malformed)?;
         let is_from_engine = answer.status() != StatusCode::MISDIRECTED_REQUEST;
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -137,12 +137,18 @@
         AnswerKind::NotRun(reason) => Ok(ExchangeEvent::NotRun { reason }),
         AnswerKind::Malformed | AnswerKind::NotFinal => Err(ExchangeFailure::Malformed),
         AnswerKind::Reserved => {
-            let reservation =
-                read_id(answer, command.time_left, endpoints::parse_reservation).await?;
+            let reservation = read_id(
+                relay,
+                answer,
+                command.time_left,
+                endpoints::parse_reservation,
+            )
+            .await?;
             Ok(ExchangeEvent::Reserved { reservation })
         }
         AnswerKind::Prefilled => {
-            let handle = read_id(answer, command.time_left, endpoints::parse_kv_handle).await?;
+            let handle =
+                read_id(relay, answer, command.time_left, endpoints::parse_kv_handle).await?;
             Ok(ExchangeEvent::PrefillDone { handle })
         }
         AnswerKind::Whole => read_whole(relay, command, answer).await,
@@ -251,13 +257,14 @@
 
 /// Reads the id that an engine assigned to a reservation or a KV cache.
 async fn read_id(
+    relay: &impl RelayHandle,
     answer: Response<Incoming>,
     timeout: Duration,
     parse: impl Fn(&[u8]) -> Option<Name>,
 ) -> Result<Name, ExchangeFailure> {
-    let body = http::read_control_body(answer.into_body(), timeout, MAX_CONTROL_BYTES)
-        .await
-        .map_err(exchange_failure)?;
+    let (body, memory) = (answer.into_body(), &relay.io().body_memory);
+    let body = http::read_endpoint_control_body(body, timeout, MAX_CONTROL_BYTES, memory).await;
+    let body = body.map_err(exchange_failure)?;
     parse(&body).ok_or(ExchangeFailure::Malformed)
 }
 
--- a/crates/arbutusfall_core/src/relay/buffers/buffer_budget.rs
+++ b/crates/arbutusfall_core/src/relay/buffers/buffer_budget.rs
@@ -83,6 +83,7 @@
     read_answer_bytes: usize,
     delivered_answer_bytes: usize,
     stream_bytes: usize,
+    control_bytes: usize,
     /// Bytes of bodies that endpoints have not read; without endpoints that have read all.
     unread_bytes: FastMap<Name, usize>,
     /// Answers and streams of which no more is read until memory is free.
@@ -102,6 +103,7 @@
             read_answer_bytes: 0,
             delivered_answer_bytes: 0,
             stream_bytes: 0,
+            control_bytes: 0,
             unread_bytes: FastMap::default(),
             paused_reads: 0,
             open_answers: 0,
@@ -213,6 +215,22 @@
         has_room
     }
 
+    /// Holds bytes of an endpoint's answer to the VM's own question, beyond its first 16 KiB; returns false, and holds nothing, if others use
+    /// up the memory.
+    pub fn try_hold_control(&mut self, bytes: usize) -> bool {
+        let control_bytes = self.control_bytes.saturating_add(bytes);
+        let has_room = bytes == 0 || control_bytes <= self.limits.control_bytes;
+        if has_room {
+            self.control_bytes = control_bytes;
+        }
+        has_room
+    }
+
+    /// Releases bytes of an endpoint's answer to the VM's own question.
+    pub fn release_control(&mut self, bytes: usize) {
+        self.control_bytes -= bytes;
+    }
+
     /// Counts a stream that begins to wait for room.
     pub fn on_stream_paused(&mut self) {
         self.counts.stream_paused += 1;
--- a/crates/arbutusfall_core/src/relay/buffers/buffer_limits.rs
+++ b/crates/arbutusfall_core/src/relay/buffers/buffer_limits.rs
@@ -18,6 +18,9 @@
 /// Part of the memory that streams may take on their way to callers.
 const STREAM_DIVISOR: usize = 12;
 
+/// Part of the memory that answers of endpoints to the VM's own questions may take.
+const CONTROL_DIVISOR: usize = 24;
+
 /// Part of the memory for bodies of requests that one endpoint may have without reading it.
 const ENDPOINT_DIVISOR: usize = 4;
 
@@ -40,6 +43,8 @@
     pub answer_bytes: usize,
     /// Bytes of streams on their way to callers.
     pub stream_bytes: usize,
+    /// Bytes of answers to the VM's own questions that are being read from endpoints, beyond the first 16 KiB of each.
+    pub control_bytes: usize,
     /// Bytes of bodies over 16 KiB that one endpoint has not read.
     pub endpoint_bytes: usize,
     /// Time after which an answer is ended of which its caller reads nothing; none: never.
@@ -49,7 +54,7 @@
 }
 
 impl BufferLimits {
-    /// Returns the limits for a VM with so much memory: half of it, in all.
+    /// Returns the limits for a VM with so much memory: half of it for the bodies of callers, in all.
     pub fn of_memory(memory_bytes: usize) -> Self {
         let request_bytes = memory_bytes / REQUEST_DIVISOR;
         Self {
@@ -58,6 +63,7 @@
             read_answer_bytes: memory_bytes / READ_ANSWER_DIVISOR,
             answer_bytes: memory_bytes / ANSWER_DIVISOR,
             stream_bytes: memory_bytes / STREAM_DIVISOR,
+            control_bytes: memory_bytes / CONTROL_DIVISOR,
             endpoint_bytes: request_bytes / ENDPOINT_DIVISOR,
             unread_limit: Some(UNREAD_LIMIT),
             short_unread_limit: Some(SHORT_UNREAD_LIMIT),
@@ -77,7 +83,7 @@
         }
     }
 
-    /// Returns the bytes of all parts.
+    /// Returns the bytes of all parts for the bodies of callers.
     pub fn total_bytes(&self) -> usize {
         let requests = self.request_bytes.saturating_add(self.small_request_bytes);
         let answers = self.answer_bytes.saturating_add(self.stream_bytes);
--- a/crates/arbutusfall_core/src/relay/buffers/tests.rs
+++ b/crates/arbutusfall_core/src/relay/buffers/tests.rs
@@ -26,6 +26,22 @@
     assert!(limits().total_bytes() <= MEMORY_BYTES / 2);
 }
 
+// Guards against control answers of endpoints in trouble that take the memory of callers' answers, or memory without end.
+#[test]
+fn control_answers_have_a_part_of_their_own() {
+    let mut budget = budget();
+    let piece_bytes = 64 * 1024;
+    let mut held = 0;
+    while budget.try_hold_control(piece_bytes) {
+        held += piece_bytes;
+    }
+    assert!(held <= MEMORY_BYTES / 24, "{held} bytes");
+    assert!(budget.try_hold_control(0), "a small one needs none of it");
+    assert_eq!(budget.hold_answer(piece_bytes), BufferRoom::Held);
+    budget.release_control(piece_bytes);
+    assert!(budget.try_hold_control(piece_bytes));
+}
+
 /// Reads a piece of each stream whose budget allows it, in turn, until none may be read any more; returns the queues.
 fn fill_streams(budget: &mut BufferBudget, count: usize, piece_bytes: usize) -> Vec<usize> {
     let mut queues = vec![0; count];
