Relay: all that wait to know an engine's process share a question

run_questions keeps, for each engine, those that wait for the next question; one question is open at a time, and it begins after all that it answers.

--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -29,6 +29,7 @@
 mod quota_server;
 mod read_timing;
 mod run_check;
+mod run_questions;
 mod send_permission;
 mod serve;
 mod setting_ranges;
--- a/crates/arbutusfall/src/relay/effects.rs
+++ b/crates/arbutusfall/src/relay/effects.rs
@@ -28,7 +28,7 @@
 use crate::relay::open_calls::Reply;
 use crate::relay::quota_client::QuotaClient;
 use crate::relay::quota_client::QuotaRequest;
-use crate::relay::run_check;
+use crate::relay::run_questions;
 use crate::relay::shared_records;
 use crate::relay::store_client::StoreClient;
 use crate::relay::stream_records;
@@ -115,7 +115,8 @@
                 ));
             }
             RelayEffect::CheckRun { instance, address } => {
-                io.spawn(run_check::check_run(relay.clone(), instance, address));
+                // The answer is reported to the relay; nothing else waits for it.
+                drop(run_questions::ask(relay, &instance, address));
             }
             RelayEffect::FollowFacts { vm, address, waits } => {
                 let from = FactsFrom { vm, address, waits };
--- a/crates/arbutusfall/src/relay/handle.rs
+++ b/crates/arbutusfall/src/relay/handle.rs
@@ -18,6 +18,7 @@
 use crate::relay::metrics::Metrics;
 use crate::relay::open_calls::OpenCalls;
 use crate::relay::open_exchanges::OpenExchanges;
+use crate::relay::run_questions::RunQuestions;
 
 /// A task's handle to the relay, without the relay's state.
 pub(super) trait RelayHandle: Clone + Send + Sync + 'static {
@@ -46,6 +47,7 @@
     pub(super) executor: Arc<Executor>,
     pub(super) calls: OpenCalls,
     pub(super) exchanges: OpenExchanges,
+    pub(super) run_questions: RunQuestions,
     /// Memory for bodies on their way.
     pub(super) body_memory: Arc<BodyMemory>,
     pub(super) metrics: Metrics,
@@ -63,6 +65,7 @@
             executor,
             calls: OpenCalls::default(),
             exchanges: OpenExchanges::default(),
+            run_questions: RunQuestions::default(),
             body_memory,
             metrics: Metrics::default(),
             clock: SystemClock::start(),
--- a/crates/arbutusfall/src/relay/run_check.rs
+++ b/crates/arbutusfall/src/relay/run_check.rs
@@ -1,14 +1,9 @@
-//! Asks engines when their processes started, and sends requests that only one process may get.
+//! Sends requests that only one process may get.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::RunAnswer;
 use arbutusfall_core::relay::SendCommand;
-use arbutusfall_platform::orders;
-use arbutusfall_platform::orders::RunReport;
-use arbutusfall_wire::Name;
 use futures_lite::FutureExt;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -16,8 +11,8 @@
 use crate::http;
 use crate::http::ClientError;
 use crate::http::OutgoingRequest;
-use crate::relay::control_client::EngineClient;
 use crate::relay::handle::RelayHandle;
+use crate::relay::run_questions;
 use crate::relay::send_permission::may_send;
 
 /// Time for an engine to say when its process started while a request waits for it.
@@ -42,13 +37,6 @@
     }
 }
 
-/// Asks an engine when its process started and reports the answer to the relay.
-pub(super) async fn check_run(relay: impl RelayHandle, instance: Name, address: SocketAddr) {
-    let asked_at = relay.io().now();
-    let answer = ask(&relay, &instance, address).await;
-    report(&relay, &instance, asked_at, answer);
-}
-
 /// Sends a request that only the process which started at `required_unix_ms` may get.
 ///
 /// The connection is opened first and used last, and the engine is asked in between: a process that was already the listed one when
@@ -60,10 +48,7 @@
     outgoing: OutgoingRequest,
 ) -> Result<Response<Incoming>, SendError> {
     let stream = http::open(outgoing.address, outgoing.connect_timeout).await?;
-    let asked_at = relay.io().now();
-    let answer = ask_in_time(relay, command).await;
-    report(relay, &command.instance, asked_at, answer);
-    match answer {
+    match ask_in_time(relay, command).await {
         RunAnswer::Started(started_unix_ms) if started_unix_ms == required_unix_ms => {}
         // Nothing tells its processes from one another.
         RunAnswer::Unstated => {}
@@ -79,40 +64,11 @@
 
 /// Asks an engine for which an exchange waits.
 async fn ask_in_time(relay: &impl RelayHandle, command: &SendCommand) -> RunAnswer {
+    let answer = run_questions::ask(relay, &command.instance, command.address);
+    let answer = async { answer.recv().await.unwrap_or(RunAnswer::Failed) };
     let expire = async {
         async_io::Timer::after(PROOF_TIMEOUT.min(command.time_left)).await;
         RunAnswer::Failed
     };
-    let answer = ask(relay, &command.instance, command.address);
     answer.or(expire).await
 }
-
-async fn ask(relay: &impl RelayHandle, instance: &Name, address: SocketAddr) -> RunAnswer {
-    let engine = EngineClient {
-        relay,
-        instance,
-        address,
-    };
-    let report: Result<RunReport, ClientError> = engine.read_report().await;
-    report.map_or_else(
-        |error| {
-            log::debug!("engine {instance} did not say when it started: {error}");
-            match error {
-                ClientError::Refused => RunAnswer::Refused,
-                ClientError::Status(status) if orders::is_of_other_instance(status) => {
-                    RunAnswer::OtherInstance
-                }
-                _ => RunAnswer::Failed,
-            }
-        },
-        |report| report.answer(),
-    )
-}
-
-fn report(relay: &impl RelayHandle, instance: &Name, asked_at: Duration, answer: RunAnswer) {
-    relay.submit(RelayEvent::RunChecked {
-        instance: instance.clone(),
-        asked_at,
-        answer,
-    });
-}
