--- a/crates/arbutusfall_core/src/relay/calls.rs
+++ b/crates/arbutusfall_core/src/relay/calls.rs
@@ -3,6 +3,7 @@
 pub(in crate::relay) mod budget;
 pub(in crate::relay) mod call;
 pub(in crate::relay) mod exchange_end;
+pub(in crate::relay) mod failures;
 pub(in crate::relay) mod lifecycle;
 pub(in crate::relay) mod outcomes;
 pub(in crate::relay) mod request_key;
--- a/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
+++ b/crates/arbutusfall_core/tests/it/relay_crash_causes.rs
@@ -176,20 +176,10 @@
     harness: &mut RelayHarness,
     answer: impl Fn(&Name) -> ConnectAnswer,
 ) -> Vec<Name> {
-    let mut checked = Vec::new();
-    for effect in std::mem::take(&mut harness.effects) {
-        if let RelayEffect::CheckEndpoint { instance, .. } = effect {
-            checked.push(instance);
-        }
-    }
-    for instance in &checked {
-        harness.apply(RelayEvent::EndpointChecked {
-            instance: instance.clone(),
-            asked_at: harness.now,
-            answer: answer(instance),
-        });
-    }
-    checked
+    harness
+        .effects
+        .retain(|effect| matches!(effect, RelayEffect::CheckEndpoint { .. }));
+    harness.end_connects(answer)
 }
 
 /// Sends a request whose answer ends with its connection; returns the endpoint.
--- a/crates/arbutusfall_core/tests/it/relay_forwarding.rs
+++ b/crates/arbutusfall_core/tests/it/relay_forwarding.rs
@@ -60,18 +60,7 @@
 
 /// Ends the VM's checks of endpoints.
 fn end_checks(harness: &mut RelayHarness, is_reachable: bool) {
-    let effects = std::mem::take(&mut harness.effects);
-    for effect in effects {
-        if let RelayEffect::CheckEndpoint { instance, .. } = effect {
-            harness.apply(RelayEvent::EndpointChecked {
-                instance,
-                asked_at: harness.now,
-                answer: connect_answer(is_reachable),
-            });
-        } else {
-            harness.effects.push(effect);
-        }
-    }
+    harness.end_connects(|_| connect_answer(is_reachable));
 }
 
 /// Cuts the VM off from its plain service, by a request whose connections fail; returns the request and what is sent then.
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -501,6 +501,26 @@
         self.apply(RelayEvent::Exchange { exchange, event });
     }
 
+    /// Ends the connections that are opened to see whether endpoints accept them; returns the endpoints.
+    pub(crate) fn end_connects(&mut self, answer: impl Fn(&Name) -> ConnectAnswer) -> Vec<Name> {
+        let effects = std::mem::take(&mut self.effects);
+        let mut checked = Vec::new();
+        for effect in effects {
+            match effect {
+                RelayEffect::CheckEndpoint { instance, .. } => checked.push(instance),
+                other => self.effects.push(other),
+            }
+        }
+        for instance in &checked {
+            self.apply(RelayEvent::EndpointChecked {
+                instance: instance.clone(),
+                asked_at: self.now,
+                answer: answer(instance),
+            });
+        }
+        checked
+    }
+
     /// Takes the requests to endpoints from the effects.
     pub(crate) fn take_sends(&mut self) -> Vec<SendCommand> {
         let effects = std::mem::take(&mut self.effects);
--- a/crates/arbutusfall_core/tests/it/relay_unproved_ends.rs
+++ b/crates/arbutusfall_core/tests/it/relay_unproved_ends.rs
@@ -340,26 +340,6 @@
     assert!(is_finished(&harness, second));
 }
 
-/// Answers the checks whether endpoints accept connections; returns how many there were.
-fn answer_connects(harness: &mut RelayHarness, answer: ConnectAnswer) -> usize {
-    let effects = std::mem::take(&mut harness.effects);
-    let mut checked = Vec::new();
-    for effect in effects {
-        match effect {
-            RelayEffect::CheckEndpoint { instance, .. } => checked.push(instance),
-            other => harness.effects.push(other),
-        }
-    }
-    for instance in &checked {
-        harness.apply(RelayEvent::EndpointChecked {
-            instance: instance.clone(),
-            asked_at: harness.now,
-            answer,
-        });
-    }
-    checked.len()
-}
-
 // Guards against a whole answer of an endpoint that doesn't say when it started, which is lost because a connection hangs.
 #[test]
 fn plain_answer_is_complete_once_its_endpoint_accepts_a_connection() {
@@ -370,11 +350,12 @@
     let sent = harness.take_only_send();
     harness.deliver(sent.exchange, ExchangeEvent::EndedWithConnection);
     for _ in 0..2 {
-        assert!(answer_connects(&mut harness, ConnectAnswer::Unanswered) > 0);
+        let checked = harness.end_connects(|_| ConnectAnswer::Unanswered);
+        assert!(checked.contains(&sent.instance));
         harness.advance(ms(400));
         assert_eq!(harness.final_effect(call), None);
     }
-    answer_connects(&mut harness, ConnectAnswer::Accepted);
+    harness.end_connects(|_| ConnectAnswer::Accepted);
     let confirmed = complete_confirmed(&mut harness);
     assert_eq!(confirmed, [(sent.exchange, EndProof::Connection)]);
     assert!(matches!(
--- a/crates/arbutusfall_core/tests/it/relay_unsent.rs
+++ b/crates/arbutusfall_core/tests/it/relay_unsent.rs
@@ -283,18 +283,7 @@
 fn fail_connection(harness: &mut RelayHarness, sent: &SendCommand, failure: ExchangeEvent) {
     harness.advance(ms(5));
     harness.deliver(sent.exchange, failure);
-    let effects = std::mem::take(&mut harness.effects);
-    for effect in effects {
-        if let RelayEffect::CheckEndpoint { instance, .. } = effect {
-            harness.apply(RelayEvent::EndpointChecked {
-                instance,
-                asked_at: harness.now,
-                answer: connect_answer(false),
-            });
-        } else {
-            harness.effects.push(effect);
-        }
-    }
+    harness.end_connects(|_| connect_answer(false));
 }
 
 // Guards against 504 for a request that the other VM never got, and against 503 for one that it got.
