Relay: streams and whole answers are forwarded in files of their own

exchange.rs performed exchanges, forwarded streams and read whole answers: event_stream.rs, whole_answer.rs and answer_parts.rs (heads, ends, failures) take these parts over, unchanged.

--- a/crates/arbutusfall/src/relay.rs
+++ b/crates/arbutusfall/src/relay.rs
@@ -1,11 +1,13 @@
 //! Runs the relay of `arbutusfall_core` on the platform: sockets, clocks and timers.
 
+mod answer_parts;
 mod callers;
 mod control_client;
 mod decision_log;
 mod driver;
 mod effects;
 mod endpoint_check;
+mod event_stream;
 mod exchange;
 mod explain_server;
 mod fact_board;
@@ -42,6 +44,7 @@
 mod store_watch;
 mod stream_records;
 mod waiters;
+mod whole_answer;
 
 pub use read_timing::ReadTiming;
 pub use serve::serve_relay;
--- a/crates/arbutusfall/src/relay/exchange.rs
+++ b/crates/arbutusfall/src/relay/exchange.rs
@@ -3,15 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
-use arbutusfall_core::relay::BodyFraming;
-use arbutusfall_core::relay::EndProof;
 use arbutusfall_core::relay::ExchangeEvent;
 use arbutusfall_core::relay::ExchangeFailure;
 use arbutusfall_core::relay::NotRunReason;
 use arbutusfall_core::relay::RelayEvent;
-use arbutusfall_core::relay::RelayNotice;
 use arbutusfall_core::relay::SendCommand;
 use arbutusfall_core::relay::Work;
 use arbutusfall_platform::endpoints;
@@ -22,7 +18,6 @@
 use arbutusfall_platform::forwarding;
 use arbutusfall_wire::Name;
 use async_net::TcpStream;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
@@ -35,17 +30,16 @@
 use crate::Executor;
 use crate::http;
 use crate::http::ClientError;
-use crate::http::EventSplitter;
 use crate::http::OutgoingRequest;
-use crate::http::PartialEvent;
-use crate::http::PausedRead;
+use crate::relay::answer_parts::exchange_failure;
+use crate::relay::event_stream;
 use crate::relay::handed_body::hand_over;
 use crate::relay::handle::RelayHandle;
-use crate::relay::open_calls::AnswerHead;
 use crate::relay::peer_client;
 use crate::relay::run_check;
 use crate::relay::run_check::SendError;
 use crate::relay::send_permission::may_send;
+use crate::relay::whole_answer;
 
 /// Timeout for opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -53,9 +47,6 @@
 /// Maximum size of an engine's answer to a reservation or a prefill, in bytes.
 const MAX_CONTROL_BYTES: usize = 64 * 1024;
 
-/// Interval at which a stream that waits for its caller is reported as held back.
-const HELD_BACK_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Timeout for an engine to confirm that it freed memory.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -151,8 +142,8 @@
                 read_id(relay, answer, command.time_left, endpoints::parse_kv_handle).await?;
             Ok(ExchangeEvent::PrefillDone { handle })
         }
-        AnswerKind::Whole => read_whole(relay, command, answer).await,
-        AnswerKind::Stream => forward_stream(relay, command, &request, answer).await,
+        AnswerKind::Whole => whole_answer::read(relay, command, answer).await,
+        AnswerKind::Stream => event_stream::forward(relay, command, &request, answer).await,
     }
 }
 
@@ -243,18 +234,6 @@
     }
 }
 
-fn exchange_failure(error: ClientError) -> ExchangeFailure {
-    match error {
-        ClientError::Connect | ClientError::Refused => ExchangeFailure::Unreachable,
-        ClientError::Unsent => ExchangeFailure::ClosedUnsent,
-        ClientError::Malformed => ExchangeFailure::Malformed,
-        ClientError::TooLong => ExchangeFailure::TooLong,
-        ClientError::Broken | ClientError::Timeout | ClientError::Status(_) => {
-            ExchangeFailure::Closed
-        }
-    }
-}
-
 /// Reads the id that an engine assigned to a reservation or a KV cache.
 async fn read_id(
     relay: &impl RelayHandle,
@@ -268,213 +247,6 @@
     parse(&body).ok_or(ExchangeFailure::Malformed)
 }
 
-fn split_head(command: &SendCommand, answer: Response<Incoming>) -> (AnswerHead, Incoming) {
-    let (parts, body) = answer.into_parts();
-    let is_leaving = endpoints::says_leaving(&parts.headers);
-    let mut headers = endpoints::forwarded_answer_headers(parts.headers);
-    if !matches!(command.work, Work::Forward(_)) {
-        forwarding::mark_version(&mut headers, &command.version);
-        if is_leaving {
-            forwarding::mark_leaving(&mut headers, &command.instance);
-        }
-    }
-    let head = AnswerHead {
-        status: parts.status,
-        headers,
-    };
-    (head, body)
-}
-
-async fn read_whole(
-    relay: &impl RelayHandle,
-    command: &SendCommand,
-    answer: Response<Incoming>,
-) -> Result<ExchangeEvent, ExchangeFailure> {
-    let framing = http::body_framing(&answer);
-    let (head, body) = split_head(command, answer);
-    let status = head.status.as_u16();
-    let body = http::read_body(body, command.time_left, &relay.io().body_memory)
-        .await
-        .map_err(exchange_failure)?;
-    wait_for_proof_of_end(relay, command, framing).await?;
-    relay.io().exchanges.store_head(command.exchange, head);
-    relay.io().exchanges.store_body(command.exchange, body);
-    Ok(ExchangeEvent::Complete { status })
-}
-
-/// Waits until it is known that an answer that has ended with its connection is complete: a process that ends closes its connections too,
-/// and the next one may accept connections at once. If it isn't complete, the relay closes the exchange, which ends this task.
-async fn wait_for_proof_of_end(
-    relay: &impl RelayHandle,
-    command: &SendCommand,
-    framing: BodyFraming,
-) -> Result<(), ExchangeFailure> {
-    if framing != BodyFraming::ConnectionEnd {
-        return Ok(());
-    }
-    let proof = relay.io().exchanges.expect_proof(command.exchange);
-    relay.submit_exchange_event(command.exchange, ExchangeEvent::EndedWithConnection);
-    match proof.recv().await {
-        Ok(EndProof::Process) => Ok(()),
-        Ok(EndProof::Connection) => {
-            relay.submit_exchange_event(command.exchange, ExchangeEvent::EndUnmarked);
-            Ok(())
-        }
-        Err(_) => Err(ExchangeFailure::Closed),
-    }
-}
-
-/// Forwards a stream one or more whole events at a time, so that it can be resumed on another engine between any two
-/// events.
-async fn forward_stream(
-    relay: &impl RelayHandle,
-    command: &SendCommand,
-    request: &ForwardedRequest,
-    answer: Response<Incoming>,
-) -> Result<ExchangeEvent, ExchangeFailure> {
-    let framing = http::body_framing(&answer);
-    let (head, body) = split_head(command, answer);
-    let status = head.status.as_u16();
-    relay.io().exchanges.store_head(command.exchange, head);
-    relay.submit_exchange_event(command.exchange, ExchangeEvent::StreamBegan);
-    let mut stream = EventStream {
-        body,
-        splitter: EventSplitter::default(),
-        held: PartialEvent::begin(&relay.io().body_memory),
-        after_event_id: command.after_event_id.or_else(|| request.position()),
-        has_events: false,
-        first_event_id: None,
-        last_event_id: None,
-    };
-    let forwarded = stream.forward(relay, command).await;
-    relay.io().record_notice(&RelayNotice::StreamEnded {
-        request_id: request.request_id_text(),
-        instance: command.instance.clone(),
-        framing,
-        reached_end: forwarded.is_ok(),
-        first_event_id: stream.first_event_id,
-        last_event_id: stream.last_event_id,
-        partial_event_bytes: stream.splitter.partial_event_bytes(),
-    });
-    forwarded?;
-    if stream.is_truncated(framing) {
-        return Err(ExchangeFailure::Truncated);
-    }
-    wait_for_proof_of_end(relay, command, framing).await?;
-    let rest = stream.splitter.finish();
-    if !rest.is_empty() {
-        write_to_caller(relay, command, &mut stream.held, rest).await;
-    }
-    Ok(ExchangeEvent::Complete { status })
-}
-
-/// Waits until the caller has read so much of what is queued for it that more may be read from the endpoint.
-async fn wait_for_memory(relay: &impl RelayHandle, command: &SendCommand, held: &PartialEvent) {
-    let Some(writer) = relay.io().calls.writer(command.call) else {
-        return;
-    };
-    let began_at = Instant::now();
-    let mut paused = None;
-    while !writer
-        .wait_for_memory(held, began_at, HELD_BACK_INTERVAL)
-        .await
-    {
-        paused.get_or_insert_with(|| PausedRead::of_stream(&relay.io().body_memory));
-        relay.submit_exchange_event(command.exchange, ExchangeEvent::HeldBack);
-    }
-}
-
-/// Writes a piece of a stream once its exchange is not held and its caller has received enough of what is queued.
-async fn write_to_caller(
-    relay: &impl RelayHandle,
-    command: &SendCommand,
-    held: &mut PartialEvent,
-    piece: Bytes,
-) {
-    let Some(writer) = relay.io().calls.writer(command.call) else {
-        held.discard(piece.len());
-        return;
-    };
-    loop {
-        relay.io().exchanges.wait_while_held(command.exchange).await;
-        let has_room = writer.wait_for_room(HELD_BACK_INTERVAL).await;
-        if relay.io().exchanges.is_held(command.exchange) {
-            continue;
-        }
-        if has_room {
-            break;
-        }
-        relay.submit_exchange_event(command.exchange, ExchangeEvent::HeldBack);
-    }
-    // Fails only if the caller disconnected, which is reported separately.
-    let _ = writer.write_piece(held, piece);
-}
-
-/// An endpoint's stream of events while it is forwarded.
-struct EventStream {
-    body: Incoming,
-    splitter: EventSplitter,
-    /// Memory of what was read and is not passed on to the caller yet.
-    held: PartialEvent,
-    /// Id of the last event that the caller has; ids of a stream increase.
-    after_event_id: Option<u64>,
-    has_events: bool,
-    first_event_id: Option<u64>,
-    last_event_id: Option<u64>,
-}
-
-impl EventStream {
-    /// Forwards whole events until the body ends.
-    async fn forward(
-        &mut self,
-        relay: &impl RelayHandle,
-        command: &SendCommand,
-    ) -> Result<(), ExchangeFailure> {
-        loop {
-            wait_for_memory(relay, command, &self.held).await;
-            let Some(frame) = self.body.frame().await else {
-                return Ok(());
-            };
-            let frame = frame.map_err(|_| ExchangeFailure::Closed)?;
-            let Ok(bytes) = frame.into_data() else {
-                // Trailers are not forwarded: they carry nothing that callers need.
-                continue;
-            };
-            if !self.held.try_add(bytes.len()) {
-                return Err(ExchangeFailure::TooLong);
-            }
-            let events = self.splitter.push(&bytes);
-            let events = events.map_err(|_| ExchangeFailure::TooLong)?;
-            let Some(events) = events else {
-                continue;
-            };
-            if self.begins_anew(events.first_id) {
-                return Err(ExchangeFailure::BeganAnew);
-            }
-            self.has_events = true;
-            self.first_event_id = self.first_event_id.or(events.first_id);
-            write_to_caller(relay, command, &mut self.held, events.bytes).await;
-            let last_event_id = events.last_id;
-            self.last_event_id = last_event_id.or(self.last_event_id);
-            relay
-                .submit_exchange_event(command.exchange, ExchangeEvent::Progress { last_event_id });
-        }
-    }
-
-    /// Returns whether the caller has the event with this id already.
-    fn begins_anew(&self, id: Option<u64>) -> bool {
-        let after = self.after_event_id;
-        id.is_some_and(|id| after.is_some_and(|after| id <= after))
-    }
-
-    /// Returns whether a stream whose end was reached was broken off. The end of a connection says nothing about the end
-    /// of the stream, and even a stream with its length or its final chunk is broken off if it ends inside an event.
-    fn is_truncated(&self, framing: BodyFraming) -> bool {
-        let is_empty = !self.has_events && framing == BodyFraming::ConnectionEnd;
-        is_empty || self.splitter.is_inside_event()
-    }
-}
-
 /// Sends a request to free engine memory; if it fails, the engine frees the memory when the reservation or
 /// KV cache expires.
 pub(super) async fn send_free_request(
