--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -140,10 +141,20 @@
         self.changed = asyncio.Event()
         self.snapshots = []
         self.connections = set()
+        self.turned_away = set()  # ports whose calls get 503
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port, limit=4 << 20)
 
+    async def open_port(self):
+        """Opens a further port, for a VM that the store may turn away while it serves the others."""
+        port = free_port()
+
+        async def serve(reader, writer):
+            await self.serve(reader, writer, port)
+        await asyncio.start_server(serve, "127.0.0.1", port, limit=4 << 20)
+        return port
+
     # Records are pairs of the time of writing and the raw record.
     def append(self, topic, records):
         log = self.topics.setdefault(topic, [])
@@ -184,7 +195,7 @@
         self.era += 1
         self.is_down = False
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, port=None):
         if self.is_down:
             writer.transport.abort()
             return
@@ -192,6 +203,8 @@
         try:
             while (request := await read_request(reader)) is not None:
                 answer = await self.answer(request)
+                if port in self.turned_away:
+                    answer = answer_bytes(503, {"Store-Era": self.era})
                 if self.is_down:
                     break
                 writer.write(answer)
@@ -515,8 +528,13 @@
         return vms
 
     def end(self):
+        """Ends all processes; the VMs' logs are removed unless the variable KEEP is set."""
         for vm in self.vms:
             vm.end()
+        if os.environ.get("KEEP"):
+            print(f"logs of the VMs: {self.temporary}")
+        else:
+            shutil.rmtree(self.temporary, ignore_errors=True)
 
 
 class Vm:
