Relay: what a restored store does not show is not taken for absent

Cause: a VM that starts took the list and the records of VMs as complete as soon as it had read them. Right after a return they are not: endpoints have two seconds to write their entries again, and the records of killed VMs come back from nobody.

Change: the absence of a version is complete, restoring or incomplete knowledge. While the store is restoring, a stream of unknown origin waits within the gap that its caller bears, or is refused with the time that is left. VMs record the newest era that is restored, so that only a return makes anybody wait, not a start. The list counts by when the store was asked for it, also where another VM passed it on, and is read once more at the moment from which it shows everything.

--- a/crates/arbutusfall/src/relay/fact_board.rs
+++ b/crates/arbutusfall/src/relay/fact_board.rs
@@ -79,6 +79,14 @@
     pub(super) has_more: bool,
 }
 
+/// What another VM has passed on of a topic.
+#[derive(Debug)]
+pub(super) struct PassedSpan {
+    pub(super) span: FactSpan,
+    /// When the store was asked for what is known with it.
+    pub(super) as_of: Duration,
+}
+
 fn place(topic: StoreTopic) -> usize {
     match topic {
         StoreTopic::Config => 0,
@@ -211,13 +219,14 @@
     }
 
     /// Waits until another VM has passed on what comes after a position of a topic.
-    pub(super) async fn passed(&self, topic: StoreTopic, from: FactPosition) -> FactSpan {
+    pub(super) async fn passed(&self, topic: StoreTopic, from: FactPosition) -> PassedSpan {
         loop {
             let changed = {
                 let mut state = self.state();
                 let facts = &mut state.topics[place(topic)];
                 if let Some(span) = facts.take_passed(from) {
-                    return span;
+                    let as_of = facts.as_of;
+                    return PassedSpan { span, as_of };
                 }
                 state.waiters.add()
             };
--- a/crates/arbutusfall/src/relay/serve.rs
+++ b/crates/arbutusfall/src/relay/serve.rs
@@ -150,6 +150,8 @@
             listed: ListedEntries::default(),
             tail_cost: TailCost::new(settings.strength().link_mbps),
             pages: None,
+            era: None,
+            restored_at: None,
         };
         executor.spawn(watch.run()).detach();
     }
--- a/crates/arbutusfall/src/relay/store_client.rs
+++ b/crates/arbutusfall/src/relay/store_client.rs
@@ -155,6 +155,7 @@
         // Error answers have an era too.
         match era.map(|era| (era, self.era.observe(era))) {
             Some((_, EraObservation::Older)) => return Err(StoreError::OldEra),
+            Some((era, EraObservation::First)) => relay.submit(RelayEvent::StoreSeen { era }),
             Some((era, EraObservation::Newer { previous })) => {
                 relay.submit(RelayEvent::StoreReturned { previous, era });
             }
--- a/crates/arbutusfall/src/relay/store_era.rs
+++ b/crates/arbutusfall/src/relay/store_era.rs
@@ -9,7 +9,9 @@
 /// What an answer's era says about the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum EraObservation {
-    /// The answer is of the newest era known, or the first one with an era.
+    /// The answer is the first one with an era.
+    First,
+    /// The answer is of the newest era known.
     Current,
     /// The store has returned from an older copy since `previous`.
     Newer {
@@ -44,7 +46,11 @@
     /// Takes the era of an answer.
     pub(super) fn observe(&self, era: u64) -> EraObservation {
         let mut state = self.state();
-        let newest = state.newest.unwrap_or(era);
+        let Some(newest) = state.newest else {
+            state.newest = Some(era);
+            state.waiters.wake_all();
+            return EraObservation::First;
+        };
         if era < newest {
             return EraObservation::Older;
         }
--- a/crates/arbutusfall/src/relay/store_watch.rs
+++ b/crates/arbutusfall/src/relay/store_watch.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use arbutusfall_core::relay::AccountTable;
+use arbutusfall_core::relay::FIRST_ERA;
 use arbutusfall_core::relay::FactPosition;
 use arbutusfall_core::relay::FactRecord;
 use arbutusfall_core::relay::FactSpan;
+use arbutusfall_core::relay::LIST_RECOVERY_GRACE;
 use arbutusfall_core::relay::RelayEvent;
 use arbutusfall_core::relay::StoreReadFailure;
 use arbutusfall_core::relay::StoreTopic;
@@ -19,6 +21,7 @@
 
 use crate::http::ClientError;
 use crate::relay::fact_board::FactBoard;
+use crate::relay::fact_board::PassedSpan;
 use crate::relay::handle::RelayHandle;
 use crate::relay::listed_entries::ListedEntries;
 use crate::relay::read_timing::READS_AFTER_FAILURE;
@@ -52,12 +55,16 @@
     pub(super) tail_cost: TailCost,
     /// Pages of a read of newest records that failed with a later page.
     pub(super) pages: Option<NewestPages>,
+    /// Era of the store in which the topic was read last.
+    pub(super) era: Option<u64>,
+    /// Instant at which the list shows again what a return of the store lost; none if the last return is longer ago.
+    pub(super) restored_at: Option<Duration>,
 }
 
 /// What comes after a position.
 enum News {
     /// Passed on by another VM.
-    Passed(FactSpan),
+    Passed(PassedSpan),
     /// Read from the store.
     Page(TailPage),
     /// Nothing is passed on now.
@@ -174,7 +181,7 @@
     /// Waits until the topic is to be read again; what another VM passes on ends it.
     ///
     /// Reads that don't wait for records begin at equal intervals, however long the store takes: followers expect it.
-    async fn pause(&self, is_short: bool, asked_at: Duration, position: FactPosition) {
+    async fn pause(&mut self, is_short: bool, asked_at: Duration, position: FactPosition) {
         let interval = if is_short {
             self.timing.pause_after_failure
         } else {
@@ -185,6 +192,7 @@
         } else {
             interval
         };
+        let pause = pause.min(self.time_until_restored(position.era));
         if pause.is_zero() {
             return;
         }
@@ -194,6 +202,19 @@
         pass.or(self.facts.has_passed(self.topic, position)).await;
     }
 
+    /// Returns the longest pause after a read in an era: streams may wait for the first list that shows what a return of the store lost.
+    fn time_until_restored(&mut self, era: Option<u64>) -> Duration {
+        let now = self.facts.now();
+        if self.topic == StoreTopic::Endpoints && self.era != era {
+            self.era = era;
+            let has_returned = era.is_some_and(|era| era > FIRST_ERA);
+            self.restored_at = has_returned.then_some(now + LIST_RECOVERY_GRACE);
+        }
+        self.restored_at.take_if(|restored_at| *restored_at <= now);
+        self.restored_at
+            .map_or(Duration::MAX, |restored_at| restored_at - now)
+    }
+
     async fn read(&mut self, next: &NextRead) -> Result<Read, WatchError> {
         let Some(from) = next.from else {
             return self.read_newest().await;
@@ -245,7 +266,8 @@
     }
 
     /// Takes what another VM has passed on.
-    fn take_passed(&mut self, span: FactSpan) -> Read {
+    fn take_passed(&mut self, passed: PassedSpan) -> Read {
+        let PassedSpan { span, as_of } = passed;
         let position = FactPosition {
             offset: span.next,
             era: span.from.era,
@@ -255,6 +277,7 @@
             value: record.value.map(|value| value.to_vec()),
         });
         self.submit_records(records.collect(), false);
+        self.submit_known(as_of);
         Read {
             position,
             asked_at: None,
@@ -290,6 +313,7 @@
         // Until the topic's end is read, what is known is as old as before.
         let as_of = if has_more { Duration::ZERO } else { started_at };
         self.facts.on_read_tail(self.topic, span, as_of);
+        self.submit_known(as_of);
         Read {
             position: FactPosition {
                 offset: page.next,
@@ -305,6 +329,13 @@
         self.relay.submit(RelayEvent::StoreRead { topic, failure });
     }
 
+    /// Reports when the store was asked for the list as it has been submitted.
+    fn submit_known(&self, as_of: Duration) {
+        if self.topic == StoreTopic::Endpoints {
+            self.relay.submit(RelayEvent::ListKnown { as_of });
+        }
+    }
+
     async fn get(&self, path: &str, wait: Duration) -> Result<StoreAnswer, StoreError> {
         let timeout = wait + self.timing.answer_timeout;
         self.store.get(&self.relay, path, timeout).await
--- a/crates/arbutusfall/src/relay/store_watch/reading_newest.rs
+++ b/crates/arbutusfall/src/relay/store_watch/reading_newest.rs
@@ -56,6 +56,7 @@
         self.submit_records(pages.records, true);
         self.facts
             .on_read_newest(self.topic, position, kept, pages.started_at);
+        self.submit_known(pages.started_at);
         Ok(Read {
             position,
             asked_at: Some(started_at),
@@ -88,6 +89,7 @@
         let position = newest.position;
         self.facts
             .on_read_newest(self.topic, position, newest.records, newest.as_of);
+        self.submit_known(newest.as_of);
         Read {
             position,
             asked_at: None,
--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -42,6 +42,7 @@
 use calls::lifecycle::DRAIN_TIMEOUT;
 use control::lease::Lease;
 use control::roles::Roles;
+use control::store_restoration::StoreRestoration;
 use control::store_view::StoreView;
 use crashes::crash_suspects::CrashSuspects;
 use crashes::endpoint_ends::EndpointEnds;
@@ -79,6 +80,7 @@
 pub use control::configuration::ConfigStatus;
 pub use control::lease::LeaseAnswer;
 pub use control::routes::*;
+pub use control::store_restoration::FIRST_ERA;
 pub use crashes::crash_cause::CrashCause;
 pub use crashes::crash_cause::CrashCauses;
 pub use crashes::prompt_part::PartId;
@@ -142,6 +144,8 @@
     RemoveUnlisted,
     /// The origin of the stream that a call goes on with may be looked up again.
     FindStream(CallId),
+    /// A call has waited for the store to show everything again.
+    RestorationMissed(CallId),
     /// An engine may be asked for streams that have begun there since it was asked.
     ProveRun(Name),
     /// An endpoint may be asked for answers that have ended with their connections since it was asked.
@@ -189,6 +193,9 @@
     /// Name of this VM, and where it takes requests of other VMs, if it does.
     own_address: Option<(Name, PeerAddress)>,
     store: StoreView,
+    restoration: StoreRestoration,
+    /// Calls whose stream's version is known once the store shows everything again.
+    waiting_for_restoration: BTreeSet<CallId>,
     is_draining: bool,
     is_ready: bool,
     calls: FastMap<CallId, Call>,
@@ -262,6 +269,8 @@
             peers: Peers::default(),
             own_address: settings.own_address.clone(),
             store: StoreView::default(),
+            restoration: StoreRestoration::default(),
+            waiting_for_restoration: BTreeSet::new(),
             is_draining: false,
             is_ready: false,
             calls: FastMap::default(),
@@ -346,7 +355,9 @@
             RelayEvent::UnreadableConfig => self.on_unreadable_config(),
             RelayEvent::EndpointChanges(changes) => self.on_endpoint_changes(changes),
             RelayEvent::StoreRead { topic, failure } => self.on_store_read(topic, failure),
+            RelayEvent::StoreSeen { era } => self.on_store_era(era),
             RelayEvent::StoreReturned { previous, era } => self.on_store_returned(previous, era),
+            RelayEvent::ListKnown { as_of } => self.on_list_known(as_of),
             RelayEvent::RequestReceived(request) => self.on_request(*request),
             RelayEvent::CallerGone { call } => self.on_caller_gone(call),
             RelayEvent::Exchange { exchange, event } => self.on_exchange(exchange, event),
@@ -396,6 +407,7 @@
                 RelayTimer::EndStandby(exchange) => self.end_standby(exchange),
                 RelayTimer::RetryReservations => self.on_retry_reservations(),
                 RelayTimer::FindStream(call) => self.begin_call(call),
+                RelayTimer::RestorationMissed(call) => self.on_restoration_missed(call),
                 RelayTimer::ProveRun(instance) => self.judge_streams(&instance),
                 RelayTimer::ProveEnds(instance) => self.review_ends(&instance),
                 RelayTimer::RecordStreams => self.record_streams(),
--- a/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
+++ b/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
@@ -26,6 +26,7 @@
 use crate::relay::limits::limit_waiting::LIMITED;
 use crate::relay::load::handling::SERVICE_FULL;
 use crate::relay::notice::millis;
+use crate::relay::streams::resumptions::STORE_RESTORING;
 
 /// Reason of the end of a call at its deadline.
 const TIMEOUT: &str = "timeout";
@@ -345,6 +346,7 @@
                 SERVICE_FULL => {
                     self.retry_after_load(&call, left.mul_f64(MAX_RETRY_AFTER_FRACTION))
                 }
+                STORE_RESTORING => self.retry_after_restoration(left),
                 _ if self.must_wait_for_rest(&call) => self.retry_after_rest(&call),
                 _ => self.retry_after_for(reason, left),
             };
@@ -381,6 +383,13 @@
         after.min(left.mul_f64(MAX_RETRY_AFTER_FRACTION))
     }
 
+    /// Returns the time until the store can show again what it lost, for a caller with some time left.
+    fn retry_after_restoration(&self, left: Duration) -> Duration {
+        let until = self.restoration.complete_from().saturating_sub(self.now);
+        let after = until.min(left.mul_f64(MAX_RETRY_AFTER_FRACTION));
+        after.max(DEFAULT_RETRY_AFTER)
+    }
+
     /// Returns the retry delay for a caller whose request did not run.
     fn retry_after_for(&mut self, reason: &str, left: Duration) -> Duration {
         match reason {
--- a/crates/arbutusfall_core/src/relay/control.rs
+++ b/crates/arbutusfall_core/src/relay/control.rs
@@ -9,4 +9,5 @@
 pub(in crate::relay) mod role_usage;
 pub(in crate::relay) mod roles;
 pub(in crate::relay) mod routes;
+pub(in crate::relay) mod store_restoration;
 pub(in crate::relay) mod store_view;
--- a/crates/arbutusfall_core/src/relay/control/store_view.rs
+++ b/crates/arbutusfall_core/src/relay/control/store_view.rs
@@ -74,6 +74,7 @@
     /// Handles the loss of what was written to the store since its copy. Endpoints that are missing in the list are kept
     /// until they have had time to write their entries again; this VM's own records are written again.
     pub(in crate::relay) fn on_store_returned(&mut self, previous: u64, era: u64) {
+        self.on_store_era(era);
         self.endpoints.on_list_recovered(self.now);
         self.stream_versions.on_records_lost();
         self.has_store_returned = true;
--- a/crates/arbutusfall_core/src/relay/event.rs
+++ b/crates/arbutusfall_core/src/relay/event.rs
@@ -51,6 +51,11 @@
         /// Why the read failed; `None` if it succeeded.
         failure: Option<StoreReadFailure>,
     },
+    /// The store has stated its era for the first time; comes before what was read.
+    StoreSeen {
+        /// Its era.
+        era: u64,
+    },
     /// The store has returned from an older copy of its contents: what was written to it since that copy is lost unless
     /// it is written again.
     StoreReturned {
@@ -59,6 +64,11 @@
         /// Its era now.
         era: u64,
     },
+    /// All changes of the endpoint list up to an instant have been submitted.
+    ListKnown {
+        /// When the store was asked for the list, by this VM or by the one that passed it on.
+        as_of: Duration,
+    },
     /// A caller sent a request.
     RequestReceived(Box<RelayRequest>),
     /// The caller's connection closed before its answer was complete.
--- a/crates/arbutusfall_core/src/relay/sharing/shared_handling.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/shared_handling.rs
@@ -58,6 +58,7 @@
         self.has_read_shared = true;
         self.seek_newest();
         self.review_recorded_versions();
+        self.review_restoration();
         self.record_own_address();
         if has_hash_key {
             self.is_shared_known = true;
@@ -153,6 +154,8 @@
             // Each role change ends after the time that the service states for it.
             SharedKey::RoleChanges(_) => {}
             SharedKey::Share(run, number) => self.on_shared_share(&run, number, None),
+            // It is not among this VM's own view.
+            SharedKey::RestoredEra => {}
         }
     }
 
@@ -198,6 +201,7 @@
                     number,
                     holder,
                 } => self.on_shared_share(&run, number, holder),
+                SharedRecord::RestoredEra(era) => self.on_shared_restored_era(era),
             }
         }
         self.set_shared_timer();
--- a/crates/arbutusfall_core/src/relay/sharing/shared_outbox.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/shared_outbox.rs
@@ -52,6 +52,12 @@
         self.pending.insert(record.key(), Pending { record, due });
     }
 
+    /// Adds a record to append at an instant or later: not before any that waits by now.
+    pub(crate) fn push_last(&mut self, record: SharedRecord, due: Duration) {
+        let waiting = self.pending.values().map(|pending| pending.due).max();
+        self.push(record, waiting.unwrap_or_default().max(due));
+    }
+
     /// Removes a record that another VM has appended meanwhile.
     pub(crate) fn remove(&mut self, record: &SharedRecord) {
         let key = record.key();
--- a/crates/arbutusfall_core/src/relay/sharing/shared_record.rs
+++ b/crates/arbutusfall_core/src/relay/sharing/shared_record.rs
@@ -133,6 +133,8 @@
         /// The VM that holds it, if any.
         holder: Option<ShareHolder>,
     },
+    /// The newest era in which all that writes to the store has had time to write again what a return of the store lost.
+    RestoredEra(u64),
 }
 
 /// Key of a record: a newer record replaces an older one with the same key.
@@ -154,6 +156,8 @@
     RoleChanges(Name),
     /// Key of [`SharedRecord::Share`].
     Share(EndpointRun, usize),
+    /// Key of [`SharedRecord::RestoredEra`]; the last of all, so that no append has it without records that wait as well.
+    RestoredEra,
 }
 
 impl SharedRecord {
@@ -180,6 +184,7 @@
             Self::Version { is_recent, .. } => !is_recent,
             Self::RoleChanges { changes, .. } => changes.is_empty(),
             Self::Share { holder, .. } => holder.is_none(),
+            Self::RestoredEra(_) => false,
         }
     }
 
@@ -196,6 +201,7 @@
             } => SharedKey::Version(service.clone(), version.clone()),
             Self::RoleChanges { service, .. } => SharedKey::RoleChanges(service.clone()),
             Self::Share { run, number, .. } => SharedKey::Share(run.clone(), *number),
+            Self::RestoredEra(_) => SharedKey::RestoredEra,
         }
     }
 }
--- a/crates/arbutusfall_core/src/relay/streams/resumptions.rs
+++ b/crates/arbutusfall_core/src/relay/streams/resumptions.rs
@@ -8,6 +8,7 @@
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
+use crate::relay::RelayRoute;
 use crate::relay::RelayTimer;
 use crate::relay::StoreTopic;
 use crate::relay::StreamLookup;
@@ -28,7 +29,30 @@
 const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 
 /// Reason of the refusal of a stream whose version is not known.
-const UNKNOWN_VERSION: &str = "unknown_version";
+pub(in crate::relay) const UNKNOWN_VERSION: &str = "unknown_version";
+
+/// Reason of the refusal of a stream whose version is not known before the store shows again what it lost.
+pub(in crate::relay) const STORE_RESTORING: &str = "store_restoring";
+
+/// Gap in a stream that every caller bears.
+const MIN_CALLER_GAP: Duration = Duration::from_secs(2);
+
+/// Gap that a caller bears at least, in target latencies.
+const CALLER_GAP_LATENCIES: u32 = 4;
+
+/// Gap that a caller bears at least, in target times between events.
+const CALLER_GAP_INTERVALS: u32 = 8;
+
+/// What this VM can conclude from the absence of a version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum VersionKnowledge {
+    /// All versions are known that a stream can have begun at.
+    Complete,
+    /// The store has returned from an older copy of late, so versions may be missing that it shows again soon.
+    Restoring,
+    /// The list may be too old, or what VMs have recorded is not known.
+    Incomplete,
+}
 
 impl Relay {
     /// Sends a new request, or first finds the version of the stream that it goes on with.
@@ -70,7 +94,7 @@
                 if !self.stream_versions.has_several(&call.service, self.now) =>
             {
                 let is_on_its_way = self.now < call.arrived_at + RECORD_TIME;
-                if is_on_its_way && self.knows_versions() {
+                if is_on_its_way && self.version_knowledge() != VersionKnowledge::Incomplete {
                     self.find_stream_later(id);
                 } else {
                     self.go_on_at_only_version(id);
@@ -120,27 +144,61 @@
     }
 
     /// Sends a call whose stream's origin is unknown, if the service has had a single version for as long as the stream
-    /// can have lasted; otherwise refuses it.
+    /// can have lasted; otherwise refuses it. As long as another version may only be missing, the call waits.
     fn go_on_at_only_version(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
         let service = call.service.clone();
         let only_version = self.stream_versions.only_version(&service, self.now);
-        match only_version.filter(|_| self.knows_versions()) {
-            Some(version) => self.go_on_at(id, StreamOrigin { service, version }, "only_version"),
-            None => self.fail_call(id, UNKNOWN_VERSION),
+        match (only_version, self.version_knowledge()) {
+            (Some(version), VersionKnowledge::Complete) => {
+                self.go_on_at(id, StreamOrigin { service, version }, "only_version");
+            }
+            (Some(_), VersionKnowledge::Restoring) => self.wait_for_restoration(id),
+            (Some(_), VersionKnowledge::Incomplete) | (None, _) => {
+                self.fail_call(id, UNKNOWN_VERSION);
+            }
         }
     }
 
-    /// Returns whether all versions are known that a stream can have begun at: by the list and the versions that VMs have recorded,
-    /// or because this VM has seen the list for long enough itself.
-    fn knows_versions(&self) -> bool {
+    /// Has a call wait until the store shows again what it lost, or refuses it if its caller would leave before its first event.
+    fn wait_for_restoration(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let latest = call.arrived_at.saturating_add(longest_wait(&call.route));
+        let latest = latest.min(call.due_at);
+        if self.now.max(self.restoration.complete_from()) >= latest {
+            self.fail_call(id, STORE_RESTORING);
+            return;
+        }
+        if self.waiting_for_restoration.insert(id) {
+            self.timers.set(latest, RelayTimer::RestorationMissed(id));
+        }
+    }
+
+    /// Refuses a call that still waits for what the store lost.
+    pub(in crate::relay) fn on_restoration_missed(&mut self, id: CallId) {
+        if self.waiting_for_restoration.remove(&id) {
+            self.fail_call(id, STORE_RESTORING);
+        }
+    }
+
+    /// Returns what the absence of a version means: all are known by the list and the versions that VMs have recorded, or because
+    /// this VM has seen the list for long enough itself.
+    fn version_knowledge(&self) -> VersionKnowledge {
         let age = self.store.unread_for(StoreTopic::Endpoints, self.now);
         let is_fresh = age.is_some_and(|age| age <= MAX_LIST_AGE);
         let first_read_at = self.store.first_read_at(StoreTopic::Endpoints);
         let has_history = first_read_at.is_some_and(|at| at + ORIGIN_LIFETIME <= self.now);
-        is_fresh && (has_history || self.has_read_shared)
+        if !(is_fresh && (has_history || self.has_read_shared)) {
+            VersionKnowledge::Incomplete
+        } else if self.restoration.is_complete() {
+            VersionKnowledge::Complete
+        } else {
+            VersionKnowledge::Restoring
+        }
     }
 
     /// Remembers the version of the call's stream at its first event.
@@ -220,3 +278,13 @@
         self.timers.set(due, RelayTimer::RecordStreams);
     }
 }
+
+/// Returns how long a stream that goes on may wait before it is sent: its caller leaves after a gap, in which the first event must come too.
+fn longest_wait(route: &RelayRoute) -> Duration {
+    let latency = route.latency_target;
+    let interval = route.event_interval_target;
+    let gap = MIN_CALLER_GAP
+        .max(latency.saturating_mul(CALLER_GAP_LATENCIES))
+        .max(interval.saturating_mul(CALLER_GAP_INTERVALS));
+    gap.saturating_sub(latency)
+}
--- a/crates/arbutusfall_core/tests/it/main.rs
+++ b/crates/arbutusfall_core/tests/it/main.rs
@@ -72,6 +72,7 @@
 mod relay_standby;
 mod relay_standby_random;
 mod relay_starting_site;
+mod relay_store_restoration;
 mod relay_store_return;
 mod relay_stream_origins;
 mod relay_stream_versions;
