Log: why it can't be known which version began a stream

A stream of unknown version goes on nowhere, but the log showed only its end (`given_up` with `no_endpoint`), not whether its engine was no longer listed, rested, had started again or had ended before it could be asked. The line `version_unknown` names the reason, from a verdict that carries it.

--- a/crates/arbutusfall_core/src/relay.rs
+++ b/crates/arbutusfall_core/src/relay.rs
@@ -89,6 +89,7 @@
 pub use endpoints::connect_answer::ConnectAnswer;
 pub use endpoints::list::LIST_RECOVERY_GRACE;
 pub use endpoints::run_status::RunAnswer;
+pub use endpoints::run_status::UnknownRun;
 pub use endpoints::slow_start_counts::SlowStartCounts;
 pub use endpoints::slow_start_handling::SlowStartStatus;
 pub use event::*;
--- a/crates/arbutusfall_core/src/relay/endpoints/run_checks.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/run_checks.rs
@@ -17,9 +17,20 @@
 use crate::relay::calls::call::CurrentExchange;
 use crate::relay::endpoints::endpoint::Endpoint;
 use crate::relay::endpoints::run_status::RunVerdict;
+use crate::relay::endpoints::run_status::UnknownRun;
 use crate::relay::streams::unproved_streams::FirstEvent;
 use crate::relay::streams::unproved_streams::JudgedStream;
 
+/// Version of a stream that an exchange has begun.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(in crate::relay) enum RunVersion {
+    Known(Name),
+    /// The process that writes the stream must be asked first.
+    NotYet,
+    /// It can't be known.
+    Unknown(UnknownRun),
+}
+
 impl Relay {
     /// Records that a connection to an engine broke off or was not accepted: its process may have ended.
     pub(in crate::relay) fn on_engine_broken_off(&mut self, instance: &Name) {
@@ -178,15 +189,18 @@
         let streams = &self.stream_versions;
         let judged = self.unproved_streams.judge(instance, |event| {
             // Nobody can come back with a stream whose origin is kept no longer.
-            let endpoint = endpoint.filter(|_| streams.origin(&event.attempt).is_some());
-            endpoint.map_or(RunVerdict::Unlisted, |endpoint| {
+            if streams.origin(&event.attempt).is_none() {
+                return RunVerdict::Unknown(UnknownRun::Expired);
+            }
+            let gone = RunVerdict::Unknown(UnknownRun::NotListed);
+            endpoint.map_or(gone, |endpoint| {
                 verdict(endpoint, event.sent_at, event.arrived_at)
             })
         });
         let version = endpoint.map(|endpoint| endpoint.listed.version.clone());
         let version = version.unwrap_or_default();
         for stream in &judged {
-            self.on_stream_judged(stream, &version);
+            self.on_stream_judged(instance, stream, &version);
         }
         if judged
             .iter()
@@ -198,10 +212,18 @@
 
     /// Handles what is known of the process that began a stream, whose engine has a listed version. The version of a stream that another
     /// process began is an empty one, which no endpoint has.
-    fn on_stream_judged(&mut self, stream: &JudgedStream, listed: &Name) {
+    fn on_stream_judged(&mut self, instance: &Name, stream: &JudgedStream, listed: &Name) {
         let version = match stream.verdict {
             RunVerdict::Listed => listed.clone(),
-            RunVerdict::Unlisted | RunVerdict::Unread => Name::default(),
+            RunVerdict::Unknown(UnknownRun::Expired) | RunVerdict::Unread => Name::default(),
+            RunVerdict::Unknown(reason) => {
+                self.note(RelayNotice::VersionUnknown {
+                    request_id: stream.attempt.clone(),
+                    instance: instance.clone(),
+                    reason,
+                });
+                Name::default()
+            }
             RunVerdict::Unproved => return,
         };
         let streams = &mut self.stream_versions;
@@ -222,19 +244,18 @@
         }
     }
 
-    /// Returns the version of the stream that an exchange has begun; none if the process that writes it is not known yet. It is an
-    /// empty one, which no endpoint has, if it can't be known.
-    pub(in crate::relay) fn version_of_run(&self, current: &CurrentExchange) -> Option<Name> {
+    /// Returns the version of the stream that an exchange has begun.
+    pub(in crate::relay) fn version_of_run(&self, current: &CurrentExchange) -> RunVersion {
         if current.is_proved {
-            return Some(current.version.clone());
+            return RunVersion::Known(current.version.clone());
         }
         let Some(endpoint) = self.endpoints.get(&current.instance) else {
-            return Some(Name::default());
+            return RunVersion::Unknown(UnknownRun::NotListed);
         };
         match verdict(endpoint, current.sent_at, self.now) {
-            RunVerdict::Listed => Some(endpoint.listed.version.clone()),
-            RunVerdict::Unlisted => Some(Name::default()),
-            RunVerdict::Unproved | RunVerdict::Unread => None,
+            RunVerdict::Listed => RunVersion::Known(endpoint.listed.version.clone()),
+            RunVerdict::Unknown(reason) => RunVersion::Unknown(reason),
+            RunVerdict::Unproved | RunVerdict::Unread => RunVersion::NotYet,
         }
     }
 
@@ -254,7 +275,7 @@
 fn verdict(engine: &Endpoint, sent_at: Duration, answered_at: Duration) -> RunVerdict {
     match engine.run.verdict(sent_at, answered_at) {
         // A resting engine is not asked.
-        RunVerdict::Unproved if engine.is_resting() => RunVerdict::Unlisted,
+        RunVerdict::Unproved if engine.is_resting() => RunVerdict::Unknown(UnknownRun::Resting),
         verdict => verdict,
     }
 }
--- a/crates/arbutusfall_core/src/relay/endpoints/run_status.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/run_status.rs
@@ -83,13 +83,31 @@
     /// It is.
     Listed,
     /// It isn't, or that can't be known any more.
-    Unlisted,
+    Unknown(UnknownRun),
     /// It isn't known yet: the engine must be asked.
     Unproved,
     /// It isn't, and its own entry has not been read yet.
     Unread,
 }
 
+/// Why it can't be known which process has answered a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum UnknownRun {
+    /// The engine is not listed any more.
+    NotListed,
+    /// The engine rests and is not asked.
+    Resting,
+    /// Another process is known to run, which has started since the request was sent.
+    StartedAgain,
+    /// The process ended before it has said when it started.
+    Ended,
+    /// The engine does not say when its processes start, and one may have ended.
+    InDoubt,
+    /// Nobody can come back with the stream.
+    Expired,
+}
+
 impl RunStatus {
     /// Creates the status of an engine whose entry has been read at `now`.
     pub(crate) fn new(listed_unix_ms: Option<u64>, now: Duration) -> Self {
@@ -155,18 +173,18 @@
             return if self.doubt.is_none() {
                 RunVerdict::Listed
             } else {
-                RunVerdict::Unlisted
+                RunVerdict::Unknown(UnknownRun::InDoubt)
             };
         };
         if sent_at < known.since {
-            return RunVerdict::Unlisted;
+            return RunVerdict::Unknown(UnknownRun::StartedAgain);
         }
         if answered_at > known.until {
             let failed_at = self.failed_at;
             let has_failed = failed_at.is_some_and(|failed_at| failed_at >= answered_at);
             // A question may fail although the process runs; connections to one that ends break off.
             return if has_failed && self.doubt.is_some() {
-                RunVerdict::Unlisted
+                RunVerdict::Unknown(UnknownRun::Ended)
             } else {
                 RunVerdict::Unproved
             };
--- a/crates/arbutusfall_core/src/relay/notice.rs
+++ b/crates/arbutusfall_core/src/relay/notice.rs
@@ -15,6 +15,7 @@
 use crate::relay::SharedParts;
 use crate::relay::StoreReadFailure;
 use crate::relay::StoreTopic;
+use crate::relay::UnknownRun;
 
 /// A log line: a decision about a request, or a change in the VM's state.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -257,6 +258,15 @@
         /// How it is known: `own` (the stream began at this VM), `store`, or `only_version` of the service.
         source: &'static str,
     },
+    /// It can't be known which software version began a stream, so it goes on nowhere.
+    VersionUnknown {
+        /// Id that the caller gave to the request.
+        request_id: Name,
+        /// Engine that began the stream.
+        instance: Name,
+        /// Why it can't be known.
+        reason: UnknownRun,
+    },
     /// A request was sent to an endpoint.
     Sent {
         /// Id that the caller gave to the request.
--- a/crates/arbutusfall_core/src/relay/notice/names.rs
+++ b/crates/arbutusfall_core/src/relay/notice/names.rs
@@ -10,6 +10,7 @@
             Self::Sent { .. }
                 | Self::Resuming { .. }
                 | Self::GoesOn { .. }
+                | Self::VersionUnknown { .. }
                 | Self::Waiting { .. }
                 | Self::Declined { .. }
                 | Self::Taken { .. }
@@ -52,6 +53,7 @@
             Self::RequestUnblocked { .. } => "request_unblocked",
             Self::Resuming { .. } => "resuming",
             Self::GoesOn { .. } => "goes_on",
+            Self::VersionUnknown { .. } => "version_unknown",
             Self::Sent { .. } => "sent",
             Self::Declined { .. } => "declined",
             Self::Taken { .. } => "taken",
--- a/crates/arbutusfall_core/src/relay/streams/resumptions.rs
+++ b/crates/arbutusfall_core/src/relay/streams/resumptions.rs
@@ -14,6 +14,8 @@
 use crate::relay::StreamLookup;
 use crate::relay::StreamOrigin;
 use crate::relay::calls::call::CallStage;
+use crate::relay::endpoints::run_checks::RunVersion;
+use crate::relay::endpoints::run_status::UnknownRun;
 use crate::relay::streams::stream_versions::ORIGIN_LIFETIME;
 
 /// Time from a request's arrival during which its stream's origin is looked for: it may be about to be recorded.
@@ -218,11 +220,18 @@
         }
         let current = current.clone();
         let version = self.version_of_run(&current);
-        let is_judged = version.is_some();
+        let is_judged = version != RunVersion::NotYet;
+        if let RunVersion::Unknown(reason) = version {
+            self.note_unknown_version(id, &current.instance, reason);
+        }
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        let version = version.unwrap_or_default();
+        // No endpoint has the empty version.
+        let version = match version {
+            RunVersion::Known(version) => version,
+            RunVersion::NotYet | RunVersion::Unknown(_) => Name::default(),
+        };
         call.stream_version = Some(version.clone());
         let origin = StreamOrigin {
             service: call.service.clone(),
@@ -237,6 +246,17 @@
         self.set_record_timer();
     }
 
+    fn note_unknown_version(&mut self, id: CallId, instance: &Name, reason: UnknownRun) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        self.note(RelayNotice::VersionUnknown {
+            request_id: call.stream_attempt().clone(),
+            instance: instance.clone(),
+            reason,
+        });
+    }
+
     /// Records the end of the call's stream; its origin is kept for the caller's next attempt.
     pub(in crate::relay) fn on_stream_end(&mut self, attempt: &Name, is_complete: bool) {
         if self.stream_versions.origin(attempt).is_none() {
