Relay: an engine that has left the list is still asked which process began its streams

Cause: an engine that was not listed at the first event had its stream's version set to unknown for good, and a stream that waited for the proof of its process lost it with the entry. But an engine that leaves serves on and answers questions.

Change: a removed endpoint is remembered for 60 s with what is known of its process, and is asked at its address. It gets no requests, as before, and its answer proves as much as before: the start that was listed at the send, in answer to a question asked after the first event. An entry that comes back keeps what is known of the same process, its rest, and the doubt whether it has ended.

--- a/crates/arbutusfall_core/src/relay/endpoints/end_checks.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/end_checks.rs
@@ -64,7 +64,7 @@
         for end in over {
             self.note_end(instance, &end, EndFinding::Unknown);
         }
-        let endpoint = self.endpoints.get(instance);
+        let endpoint = self.endpoints.known(instance);
         let rest_until = endpoint.and_then(|endpoint| endpoint.rest_end());
         let next = self
             .unproved_ends
--- a/crates/arbutusfall_core/src/relay/endpoints/list.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/list.rs
@@ -18,7 +18,8 @@
 /// expired during the outage are listed again within it.
 pub const LIST_RECOVERY_GRACE: Duration = Duration::from_millis(2_300);
 
-/// Time for which an instance that was listed as leaving is remembered; the platform's copies are some seconds old.
+/// Time for which an instance that was removed, or listed as leaving, is remembered: the platform's copies are some seconds old, and
+/// endpoints that leave serve on for many seconds.
 const LEAVING_LIFETIME: Duration = Duration::from_secs(60);
 
 /// Time from this VM's first entry of the list in which endpoints count as having served before: the list is read in parts.
@@ -38,15 +39,15 @@
     /// Instances that were listed as leaving or said so, also after their removal. An endpoint that leaves never becomes ready again, but
     /// a store that returned from an older copy may say so.
     leaving: BTreeMap<Name, LeavingInstance>,
-    /// Endpoints that were removed of late: an answer that says that one is leaving may arrive after its removal.
-    removed: BTreeMap<Name, RemovedInstance>,
+    /// Endpoints that were removed of late. One that leaves serves on, and its answers still say what they say of its process.
+    removed: BTreeMap<Name, RemovedEndpoint>,
 }
 
-/// An instance that was removed from the list.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct RemovedInstance {
-    service: Name,
-    started_unix_ms: Option<u64>,
+/// An endpoint that was removed from the list.
+#[derive(Debug, Clone)]
+struct RemovedEndpoint {
+    /// What was known of it; `listed` is its last entry.
+    endpoint: Endpoint,
     removed_at: Duration,
 }
 
@@ -81,6 +82,19 @@
         self.by_instance.get(instance)
     }
 
+    /// Returns an endpoint that is listed, or was of late.
+    pub(crate) fn known(&self, instance: &Name) -> Option<&Endpoint> {
+        let removed = || Some(&self.removed.get(instance)?.endpoint);
+        self.by_instance.get(instance).or_else(removed)
+    }
+
+    /// Returns an endpoint that is listed, or was of late.
+    pub(crate) fn known_mut(&mut self, instance: &Name) -> Option<&mut Endpoint> {
+        let removed = self.removed.get_mut(instance);
+        let removed = removed.map(|removed| &mut removed.endpoint);
+        self.by_instance.get_mut(instance).or(removed)
+    }
+
     /// Returns an endpoint if its listed process is the one that started then.
     pub(crate) fn get_run_mut(
         &mut self,
@@ -254,26 +268,20 @@
     /// Records that an endpoint says itself that it is leaving; returns a notice to log if that is new. It holds until the
     /// endpoint starts again under its id.
     pub(crate) fn on_leaving(&mut self, instance: &Name, now: Duration) -> Option<RelayNotice> {
-        let (service, started_unix_ms) = match self.by_instance.get_mut(instance) {
-            Some(endpoint) => {
-                let listed = &mut endpoint.listed;
-                if std::mem::replace(&mut listed.is_leaving, true) {
-                    return None;
-                }
-                (listed.service.clone(), listed.started_unix_ms)
-            }
-            None => {
-                let removed = self.removed.remove(instance)?;
-                (removed.service, removed.started_unix_ms)
-            }
-        };
+        let is_listed = self.by_instance.contains_key(instance);
+        let listed = &mut self.known_mut(instance)?.listed;
+        let was_leaving = std::mem::replace(&mut listed.is_leaving, true);
+        if was_leaving && is_listed {
+            return None;
+        }
+        let (service, started_unix_ms) = (listed.service.clone(), listed.started_unix_ms);
         let leaving = LeavingInstance {
             started_unix_ms,
             is_own_word: true,
             known_at: now,
         };
         self.leaving.insert(instance.clone(), leaving);
-        Some(RelayNotice::EndpointLeaving {
+        (!was_leaving).then(|| RelayNotice::EndpointLeaving {
             instance: instance.clone(),
             service,
         })
@@ -290,7 +298,13 @@
         let first_listed_at = *self.first_listed_at.get_or_insert(now);
         let Some(existing) = self.by_instance.get_mut(&listed.instance) else {
             let instance = listed.instance.clone();
-            let mut endpoint = Endpoint::new(listed, now);
+            let mut endpoint = match self.removed.remove(&instance) {
+                Some(mut removed) => {
+                    removed.endpoint.restart(listed, now);
+                    removed.endpoint
+                }
+                None => Endpoint::new(listed, now),
+            };
             if self.has_slow_start && now >= first_listed_at + FIRST_LIST_TIME {
                 endpoint.begin_slow_start(now);
                 self.slow_start_counts.begun += 1;
@@ -333,21 +347,21 @@
         let mut notices = Vec::new();
         let removed = &mut self.removed;
         removed.retain(|_, known| now < known.removed_at + LEAVING_LIFETIME);
-        self.by_instance.retain(|instance, endpoint| {
-            let is_gone = endpoint.remove_at.is_some_and(|remove_at| now >= remove_at);
-            if is_gone {
-                let known = RemovedInstance {
-                    service: endpoint.listed.service.clone(),
-                    started_unix_ms: endpoint.listed.started_unix_ms,
-                    removed_at: now,
-                };
-                removed.insert(instance.clone(), known);
-                notices.push(RelayNotice::EndpointGone {
-                    instance: instance.clone(),
-                });
-            }
-            !is_gone
-        });
+        let is_due = |endpoint: &mut Endpoint| {
+            let remove_at = endpoint.remove_at;
+            remove_at.is_some_and(|remove_at| now >= remove_at)
+        };
+        let gone = self
+            .by_instance
+            .extract_if(.., |_, endpoint| is_due(endpoint));
+        for (instance, endpoint) in gone {
+            let known = RemovedEndpoint {
+                endpoint,
+                removed_at: now,
+            };
+            removed.insert(instance.clone(), known);
+            notices.push(RelayNotice::EndpointGone { instance });
+        }
         notices
     }
 
--- a/crates/arbutusfall_core/src/relay/endpoints/rests.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/rests.rs
@@ -53,7 +53,7 @@
         let now = self.now;
         let addition = MAX_REST_ADDITION.mul_f64(self.rng.f64());
         let until = self.now + rest + addition;
-        let Some(endpoint) = self.endpoints.get_mut(instance) else {
+        let Some(endpoint) = self.endpoints.known_mut(instance) else {
             return;
         };
         if !endpoint.rest_until(until, now) {
@@ -74,7 +74,7 @@
     /// Handles the end of an endpoint's rest, unless it has been made longer.
     pub(in crate::relay) fn on_rest_ended(&mut self, instance: &Name) {
         let now = self.now;
-        let endpoint = self.endpoints.get_mut(instance);
+        let endpoint = self.endpoints.known_mut(instance);
         if endpoint.is_some_and(|endpoint| endpoint.end_rest(now)) {
             self.on_limits_changed();
         }
@@ -88,7 +88,7 @@
 
     /// Returns whether an endpoint rests.
     pub(in crate::relay) fn is_resting(&self, instance: &Name) -> bool {
-        let endpoint = self.endpoints.get(instance);
+        let endpoint = self.endpoints.known(instance);
         endpoint.is_some_and(|endpoint| endpoint.is_resting())
     }
 
--- a/crates/arbutusfall_core/src/relay/endpoints/run_checks.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/run_checks.rs
@@ -35,7 +35,7 @@
     /// Records that a connection to an engine broke off or was not accepted: its process may have ended.
     pub(in crate::relay) fn on_engine_broken_off(&mut self, instance: &Name) {
         let now = self.now;
-        if let Some(endpoint) = self.endpoints.get_mut(instance)
+        if let Some(endpoint) = self.endpoints.known_mut(instance)
             && endpoint.listed.role != Role::Plain
         {
             endpoint.run.on_broken_off(now);
@@ -62,7 +62,7 @@
     /// Asks an engine at which streams have begun when its process started, now or as soon as it may be asked again.
     pub(in crate::relay) fn prove_run(&mut self, instance: &Name) {
         let now = self.now;
-        let Some(endpoint) = self.endpoints.get_mut(instance) else {
+        let Some(endpoint) = self.endpoints.known_mut(instance) else {
             return;
         };
         let Some(due) = endpoint.run.next_proof_at() else {
@@ -95,7 +95,7 @@
 
     fn ask_run(&mut self, instance: &Name) {
         let now = self.now;
-        let endpoint = self.endpoints.get_mut(instance);
+        let endpoint = self.endpoints.known_mut(instance);
         let Some(endpoint) = endpoint.filter(|endpoint| !endpoint.is_resting()) else {
             return;
         };
@@ -143,7 +143,7 @@
         answer: RunAnswer,
     ) {
         let now = self.now;
-        if let Some(endpoint) = self.endpoints.get_mut(instance) {
+        if let Some(endpoint) = self.endpoints.known_mut(instance) {
             let was_listed = endpoint.run.is_listed();
             endpoint.run.on_checked(asked_at, answer, now);
             let is_listed = endpoint.run.is_listed();
@@ -185,7 +185,7 @@
     /// Finds the versions of streams that have begun at an engine, as far as its processes are known by now; the engine is asked for
     /// those of the others.
     pub(in crate::relay) fn judge_streams(&mut self, instance: &Name) {
-        let endpoint = self.endpoints.get(instance);
+        let endpoint = self.endpoints.known(instance);
         let streams = &self.stream_versions;
         let judged = self.unproved_streams.judge(instance, |event| {
             // Nobody can come back with a stream whose origin is kept no longer.
@@ -249,7 +249,7 @@
         if current.is_proved {
             return RunVersion::Known(current.version.clone());
         }
-        let Some(endpoint) = self.endpoints.get(&current.instance) else {
+        let Some(endpoint) = self.endpoints.known(&current.instance) else {
             return RunVersion::Unknown(UnknownRun::NotListed);
         };
         match verdict(endpoint, current.sent_at, self.now) {
--- a/crates/arbutusfall_core/src/relay/endpoints/run_status.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/run_status.rs
@@ -130,6 +130,8 @@
         let status = Self::new(listed_unix_ms, now);
         Self {
             known: known.or(status.known),
+            // The entry may be from before the process ended.
+            doubt: self.doubt.filter(|_| known.is_some()),
             asked_at: self.asked_at,
             is_asked: self.is_asked,
             timer_due: self.timer_due,
--- a/crates/arbutusfall_core/src/relay/limits/limit_tokens.rs
+++ b/crates/arbutusfall_core/src/relay/limits/limit_tokens.rs
@@ -106,7 +106,7 @@
         if self.limits.is_empty() || tokens == 0.0 {
             return;
         }
-        let Some(endpoint) = self.endpoints.get(instance) else {
+        let Some(endpoint) = self.endpoints.known(instance) else {
             return;
         };
         let run = run_of(endpoint);
