Relay: few of many VMs record that the store is restored

At 195 VMs without I/O, 48 of them appended the record: all became ready to within a tenth of a second of each other, before any could have read the record of another. The record is in no hurry, so its random delay is 20 ms for each VM now; the first one still comes after about 20 ms.

Result: the test with 195 VMs that start after a return failed before with 48 records and passes with at most 19; all 195 streams go on.

The test harness builds its requests in one place.

--- a/crates/arbutusfall_core/src/relay/control/store_restoration.rs
+++ b/crates/arbutusfall_core/src/relay/control/store_restoration.rs
@@ -17,6 +17,9 @@
 /// longer than endpoints take.
 const RECORD_MARGIN: Duration = Duration::from_millis(300);
 
+/// Longest random delay of the record, for each VM: most VMs have read it before they would write it.
+const RECORD_DELAY_PER_VM: Duration = Duration::from_millis(20);
+
 /// What is known of the store's last return.
 #[derive(Debug, Clone)]
 pub(crate) struct StoreRestoration {
@@ -116,7 +119,8 @@
             return;
         }
         if let Some(era) = self.restoration.take_unrecorded_era() {
-            let due = self.now + self.random_delay();
+            let spread = RECORD_DELAY_PER_VM * self.vm_count;
+            let due = self.now + spread.mul_f64(self.rng.f64());
             let record = SharedRecord::RestoredEra(era);
             self.shared_outbox.push_last(record, due);
             self.set_shared_timer();
--- a/crates/arbutusfall_core/tests/it/relay_harness.rs
+++ b/crates/arbutusfall_core/tests/it/relay_harness.rs
@@ -77,6 +77,13 @@
     reason: NotRunReason::Refused,
 };
 
+/// Tokens of a model request with a long answer.
+const LONG_STREAM: TokenCounts = TokenCounts {
+    prompt_tokens: 5_000,
+    max_output_tokens: 9_000,
+    expected_output_tokens: Some(5_000),
+};
+
 /// Returns what becomes of a connection that an endpoint accepts or refuses.
 pub(crate) fn connect_answer(is_accepted: bool) -> ConnectAnswer {
     if is_accepted {
@@ -246,6 +253,15 @@
         Self::started(seed, RETRY_LIMIT)
     }
 
+    /// Creates one of several relays that have read nothing from the store.
+    pub(crate) fn one_of(vm_count: u32, seed: u64) -> Self {
+        let retry_limit = RetryLimit {
+            vm_count,
+            ..RETRY_LIMIT
+        };
+        Self::started(seed, retry_limit)
+    }
+
     /// Creates a relay that has read nothing from the store and takes requests of other VMs.
     pub(crate) fn with_own_address(seed: u64, own: SharedRecord) -> Self {
         let SharedRecord::Peer {
@@ -403,92 +419,71 @@
         receive_time: Duration,
         hop: Option<Hop>,
     ) -> CallId {
-        self.calls += 1;
-        let call = CallId(self.calls);
         let is_model = path.starts_with("/stream") || path.starts_with("/resumable");
-        let request_key = self.request_key(path);
-        self.apply(RelayEvent::RequestReceived(Box::new(RelayRequest {
-            call,
-            request_id: format!("request-{}", self.calls).into(),
-            host: HOST.into(),
-            path: path.into(),
+        let request = self.next_request(path);
+        self.receive(RelayRequest {
             caller_timeout: Some(caller_timeout),
             receive_time,
-            token_counts: is_model.then_some(TokenCounts {
-                prompt_tokens: 5_000,
-                max_output_tokens: 9_000,
-                expected_output_tokens: Some(5_000),
-            }),
-            shared_parts: SharedParts::default(),
-            request_keys: RequestKeys {
-                own: request_key.clone(),
-                of_any_caller: request_key,
-            },
-            credential: self.credential,
-            resumption: None,
+            token_counts: is_model.then_some(LONG_STREAM),
             hop,
-        })));
-        call
+            ..request
+        })
     }
 
     /// Submits a model request whose prompt has these shared parts.
     pub(crate) fn submit_with_parts(&mut self, path: &str, parts: Vec<PartId>) -> CallId {
-        self.calls += 1;
-        let call = CallId(self.calls);
-        let request_key = self.request_key(path);
-        self.apply(RelayEvent::RequestReceived(Box::new(RelayRequest {
-            call,
-            request_id: format!("request-{}", self.calls).into(),
-            host: HOST.into(),
-            path: path.into(),
-            caller_timeout: Some(ms(14_000)),
-            receive_time: Duration::ZERO,
+        let request = self.next_request(path);
+        self.receive(RelayRequest {
             token_counts: Some(TokenCounts {
                 prompt_tokens: 500,
                 max_output_tokens: 90,
                 expected_output_tokens: Some(50),
             }),
             shared_parts: parts.into(),
-            request_keys: RequestKeys {
-                own: request_key.clone(),
-                of_any_caller: request_key,
-            },
-            credential: self.credential,
-            resumption: None,
-            hop: None,
-        })));
-        call
+            ..request
+        })
     }
 
     /// Submits a request that takes up the stream of an earlier attempt after its first event.
     pub(crate) fn submit_resumption(&mut self, path: &str, first_attempt: Option<&str>) -> CallId {
+        let request = self.next_request(path);
+        self.receive(RelayRequest {
+            caller_timeout: Some(ms(10_000)),
+            token_counts: Some(LONG_STREAM),
+            resumption: Some(Resumption {
+                first_attempt: first_attempt.map(Into::into),
+                last_event_id: "1".into(),
+            }),
+            ..request
+        })
+    }
+
+    /// Returns the next caller's request without a prompt, with a timeout of 14 s.
+    fn next_request(&mut self, path: &str) -> RelayRequest {
         self.calls += 1;
-        let call = CallId(self.calls);
         let request_key = self.request_key(path);
-        self.apply(RelayEvent::RequestReceived(Box::new(RelayRequest {
-            call,
+        RelayRequest {
+            call: CallId(self.calls),
             request_id: format!("request-{}", self.calls).into(),
             host: HOST.into(),
             path: path.into(),
-            caller_timeout: Some(ms(10_000)),
+            caller_timeout: Some(ms(14_000)),
             receive_time: Duration::ZERO,
-            token_counts: Some(TokenCounts {
-                prompt_tokens: 5_000,
-                max_output_tokens: 9_000,
-                expected_output_tokens: Some(5_000),
-            }),
+            token_counts: None,
             shared_parts: SharedParts::default(),
             request_keys: RequestKeys {
                 own: request_key.clone(),
                 of_any_caller: request_key,
             },
             credential: self.credential,
-            resumption: Some(Resumption {
-                first_attempt: first_attempt.map(Into::into),
-                last_event_id: "1".into(),
-            }),
+            resumption: None,
             hop: None,
-        })));
+        }
+    }
+
+    fn receive(&mut self, request: RelayRequest) -> CallId {
+        let call = request.call;
+        self.apply(RelayEvent::RequestReceived(Box::new(request)));
         call
     }
 
--- a/crates/arbutusfall_core/tests/it/relay_store_restoration.rs
+++ b/crates/arbutusfall_core/tests/it/relay_store_restoration.rs
@@ -22,6 +22,9 @@
 /// Era of the store after one return.
 const SECOND_ERA: u64 = FIRST_ERA + 1;
 
+/// Number of VMs of a large fleet.
+const VM_COUNT: u32 = 195;
+
 /// Step of the clock; the list is read once in it.
 const STEP: Duration = Duration::from_millis(100);
 
@@ -46,7 +49,10 @@
 
 /// Returns a VM that starts and reads what a store in an era has: an engine of v1 and these records of VMs.
 fn started_vm(era: Option<u64>, records: &[SharedRecord]) -> RelayHarness {
-    let mut harness = RelayHarness::before_shared_records(1);
+    start(RelayHarness::before_shared_records(1), era, records)
+}
+
+fn start(mut harness: RelayHarness, era: Option<u64>, records: &[SharedRecord]) -> RelayHarness {
     harness.advance(ms(20));
     if let Some(era) = era {
         harness.apply(RelayEvent::StoreSeen { era });
@@ -115,10 +121,12 @@
         harness.advance(STEP);
         read_list(harness);
         for effect in std::mem::take(&mut harness.effects) {
-            if let RelayEffect::AppendShared(records) = effect {
-                appended.extend(records);
-                harness.apply(RelayEvent::SharedAppended { succeeded: true });
-            }
+            let RelayEffect::AppendShared(records) = effect else {
+                harness.effects.push(effect);
+                continue;
+            };
+            appended.extend(records);
+            harness.apply(RelayEvent::SharedAppended { succeeded: true });
         }
     }
     appended
@@ -332,3 +340,37 @@
         "{appended:?}"
     );
 }
+
+// Guards against records of all VMs at once, and against VMs of which some wait for longer: many VMs start after a return.
+#[test]
+fn many_vms_that_start_after_a_return_record_it_a_few_times_and_take_all_streams_up() {
+    let start_one = |seed| {
+        let harness = RelayHarness::one_of(VM_COUNT, seed);
+        start(harness, Some(SECOND_ERA), &[])
+    };
+    let mut vms: Vec<RelayHarness> = (0..u64::from(VM_COUNT)).map(start_one).collect();
+    let calls: Vec<CallId> = vms.iter_mut().map(take_up).collect();
+    let mut went_on = vec![false; vms.len()];
+    let mut recorded = 0;
+    for _ in 0..40 {
+        let mut appended = Vec::new();
+        for (vm, has_gone_on) in vms.iter_mut().zip(&mut went_on) {
+            appended.extend(appended_in(vm, STEP));
+            answer_lookups(vm, &StreamLookup::NotFound);
+            *has_gone_on |= !vm.take_sends().is_empty();
+        }
+        recorded += count_restored(&appended, SECOND_ERA);
+        for vm in &mut vms {
+            vm.apply(RelayEvent::SharedRecords {
+                records: appended.clone(),
+                is_full: false,
+            });
+        }
+    }
+    for (vm, call) in vms.iter().zip(&calls) {
+        assert!(vm.problem(*call).is_none());
+    }
+    assert!(went_on.iter().all(|has_gone_on| *has_gone_on));
+    let most = usize::try_from(VM_COUNT / 10).expect("it is small");
+    assert!((1..=most).contains(&recorded), "{recorded} records");
+}
