Relay: versions of streams, waits for the store and leaving instances have files of their own

`run_checks.rs` asked engines and judged streams, `resumptions.rs` looked streams up and timed waits, `list.rs` kept the list and what is remembered of instances that leave. Moved, not changed.

--- a/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
+++ b/crates/arbutusfall_core/src/relay/calls/lifecycle.rs
@@ -26,7 +26,7 @@
 use crate::relay::limits::limit_waiting::LIMITED;
 use crate::relay::load::handling::SERVICE_FULL;
 use crate::relay::notice::millis;
-use crate::relay::streams::resumptions::STORE_RESTORING;
+use crate::relay::streams::restoration_waits::STORE_RESTORING;
 
 /// Reason of the end of a call at its deadline.
 const TIMEOUT: &str = "timeout";
@@ -51,11 +51,11 @@
 const EXPECTED_OVERLOAD: Duration = Duration::from_millis(4_000);
 
 /// Largest retry delay as a fraction of the caller's remaining time; callers ignore a delay of more than a third.
-const MAX_RETRY_AFTER_FRACTION: f64 = 0.3;
+pub(in crate::relay) const MAX_RETRY_AFTER_FRACTION: f64 = 0.3;
 
 /// Retry delay sent to callers if neither an overload nor a lack of endpoints kept their request from running, for
 /// example after refusals or a timeout.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
+pub(in crate::relay) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 impl Relay {
     pub(in crate::relay) fn on_request(&mut self, request: RelayRequest) {
@@ -383,13 +383,6 @@
         after.min(left.mul_f64(MAX_RETRY_AFTER_FRACTION))
     }
 
-    /// Returns the time until the store can show again what it lost, for a caller with some time left.
-    fn retry_after_restoration(&self, left: Duration) -> Duration {
-        let until = self.restoration.complete_from().saturating_sub(self.now);
-        let after = until.min(left.mul_f64(MAX_RETRY_AFTER_FRACTION));
-        after.max(DEFAULT_RETRY_AFTER)
-    }
-
     /// Returns the retry delay for a caller whose request did not run.
     fn retry_after_for(&mut self, reason: &str, left: Duration) -> Duration {
         match reason {
--- a/crates/arbutusfall_core/src/relay/endpoints.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints.rs
@@ -4,6 +4,7 @@
 pub(in crate::relay) mod end_checks;
 pub(in crate::relay) mod endpoint;
 pub(in crate::relay) mod event_intervals;
+pub(in crate::relay) mod leaving_instances;
 pub(in crate::relay) mod list;
 pub(in crate::relay) mod reach_handling;
 pub(in crate::relay) mod reach_waiting;
--- a/crates/arbutusfall_core/src/relay/endpoints/list.rs
+++ b/crates/arbutusfall_core/src/relay/endpoints/list.rs
@@ -11,6 +11,7 @@
 use crate::relay::RelayNotice;
 use crate::relay::calls::call::Call;
 use crate::relay::endpoints::endpoint::Endpoint;
+use crate::relay::endpoints::leaving_instances::LeavingInstances;
 use crate::relay::endpoints::slow_start_counts::SlowStartCounts;
 use crate::relay::notice::millis;
 
@@ -20,7 +21,7 @@
 
 /// Time for which an instance that was removed, or listed as leaving, is remembered: the platform's copies are some seconds old, and
 /// endpoints that leave serve on for many seconds.
-const LEAVING_LIFETIME: Duration = Duration::from_secs(60);
+pub(crate) const KNOWN_LIFETIME: Duration = Duration::from_secs(60);
 
 /// Time from this VM's first entry of the list in which endpoints count as having served before: the list is read in parts.
 const FIRST_LIST_TIME: Duration = Duration::from_secs(2);
@@ -36,9 +37,7 @@
     pub(crate) slow_start_counts: SlowStartCounts,
     /// Instant until which removals are delayed after the list could be read again.
     removals_delayed_until: Duration,
-    /// Instances that were listed as leaving or said so, also after their removal. An endpoint that leaves never becomes ready again, but
-    /// a store that returned from an older copy may say so.
-    leaving: BTreeMap<Name, LeavingInstance>,
+    leaving: LeavingInstances,
     /// Endpoints that were removed of late. One that leaves serves on, and its answers still say what they say of its process.
     removed: BTreeMap<Name, RemovedEndpoint>,
 }
@@ -51,16 +50,6 @@
     removed_at: Duration,
 }
 
-/// An instance that is leaving.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct LeavingInstance {
-    started_unix_ms: Option<u64>,
-    /// Whether it said so itself, maybe without an entry that does.
-    is_own_word: bool,
-    /// When it was last listed, or said so.
-    known_at: Duration,
-}
-
 impl Endpoints {
     pub(crate) fn new(has_slow_start: bool) -> Self {
         Self {
@@ -218,7 +207,7 @@
         for change in changes {
             match change {
                 EndpointListChange::Listed(listed) => {
-                    let listed = self.with_known_leaving(listed, now);
+                    let listed = self.leaving.with_known(listed, now);
                     notices.extend(self.add_or_update(listed, now));
                 }
                 EndpointListChange::Removed { instance } => self.mark_unlisted(&instance, now),
@@ -236,35 +225,6 @@
         notices
     }
 
-    /// Returns the entry as leaving if this run of the endpoint's process was listed as leaving before.
-    fn with_known_leaving(&mut self, mut listed: ListedEndpoint, now: Duration) -> ListedEndpoint {
-        self.leaving
-            .retain(|_, leaving| now < leaving.known_at + LEAVING_LIFETIME);
-        if listed.is_leaving {
-            let leaving = LeavingInstance {
-                started_unix_ms: listed.started_unix_ms,
-                is_own_word: false,
-                known_at: now,
-            };
-            self.leaving.insert(listed.instance.clone(), leaving);
-            return listed;
-        }
-        let Some(known) = self.leaving.get_mut(&listed.instance) else {
-            return listed;
-        };
-        listed.is_leaving = match (known.started_unix_ms, listed.started_unix_ms) {
-            (Some(known), Some(listed)) => known == listed,
-            // Nothing says that it has started again.
-            (Some(_), None) => true,
-            (None, Some(_)) => false,
-            (None, None) => known.is_own_word,
-        };
-        if listed.is_leaving {
-            known.known_at = now;
-        }
-        listed
-    }
-
     /// Records that an endpoint says itself that it is leaving; returns a notice to log if that is new. It holds until the
     /// endpoint starts again under its id.
     pub(crate) fn on_leaving(&mut self, instance: &Name, now: Duration) -> Option<RelayNotice> {
@@ -275,12 +235,7 @@
             return None;
         }
         let (service, started_unix_ms) = (listed.service.clone(), listed.started_unix_ms);
-        let leaving = LeavingInstance {
-            started_unix_ms,
-            is_own_word: true,
-            known_at: now,
-        };
-        self.leaving.insert(instance.clone(), leaving);
+        self.leaving.on_own_word(instance, started_unix_ms, now);
         (!was_leaving).then(|| RelayNotice::EndpointLeaving {
             instance: instance.clone(),
             service,
@@ -346,7 +301,7 @@
     pub(crate) fn remove_unlisted(&mut self, now: Duration) -> Vec<RelayNotice> {
         let mut notices = Vec::new();
         let removed = &mut self.removed;
-        removed.retain(|_, known| now < known.removed_at + LEAVING_LIFETIME);
+        removed.retain(|_, known| now < known.removed_at + KNOWN_LIFETIME);
         let is_due = |endpoint: &mut Endpoint| {
             let remove_at = endpoint.remove_at;
             remove_at.is_some_and(|remove_at| now >= remove_at)
--- a/crates/arbutusfall_core/src/relay/streams/resumptions.rs
+++ b/crates/arbutusfall_core/src/relay/streams/resumptions.rs
@@ -8,14 +8,12 @@
 use crate::relay::Relay;
 use crate::relay::RelayEffect;
 use crate::relay::RelayNotice;
-use crate::relay::RelayRoute;
 use crate::relay::RelayTimer;
 use crate::relay::StoreTopic;
 use crate::relay::StreamLookup;
 use crate::relay::StreamOrigin;
 use crate::relay::calls::call::CallStage;
-use crate::relay::endpoints::run_checks::RunVersion;
-use crate::relay::endpoints::run_status::UnknownRun;
+use crate::relay::streams::stream_proofs::RunVersion;
 use crate::relay::streams::stream_versions::ORIGIN_LIFETIME;
 
 /// Time from a request's arrival during which its stream's origin is looked for: it may be about to be recorded.
@@ -33,18 +31,6 @@
 /// Reason of the refusal of a stream whose version is not known.
 pub(in crate::relay) const UNKNOWN_VERSION: &str = "unknown_version";
 
-/// Reason of the refusal of a stream whose version is not known before the store shows again what it lost.
-pub(in crate::relay) const STORE_RESTORING: &str = "store_restoring";
-
-/// Gap in a stream that every caller bears.
-const MIN_CALLER_GAP: Duration = Duration::from_secs(2);
-
-/// Gap that a caller bears at least, in target latencies.
-const CALLER_GAP_LATENCIES: u32 = 4;
-
-/// Gap that a caller bears at least, in target times between events.
-const CALLER_GAP_INTERVALS: u32 = 8;
-
 /// What this VM can conclude from the absence of a version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum VersionKnowledge {
@@ -164,29 +150,6 @@
         }
     }
 
-    /// Has a call wait until the store shows again what it lost, or refuses it if its caller would leave before its first event.
-    fn wait_for_restoration(&mut self, id: CallId) {
-        let Some(call) = self.calls.get(&id) else {
-            return;
-        };
-        let latest = call.arrived_at.saturating_add(longest_wait(&call.route));
-        let latest = latest.min(call.due_at);
-        if self.now.max(self.restoration.complete_from()) >= latest {
-            self.fail_call(id, STORE_RESTORING);
-            return;
-        }
-        if self.waiting_for_restoration.insert(id) {
-            self.timers.set(latest, RelayTimer::RestorationMissed(id));
-        }
-    }
-
-    /// Refuses a call that still waits for what the store lost.
-    pub(in crate::relay) fn on_restoration_missed(&mut self, id: CallId) {
-        if self.waiting_for_restoration.remove(&id) {
-            self.fail_call(id, STORE_RESTORING);
-        }
-    }
-
     /// Returns what the absence of a version means: all are known by the list and the versions that VMs have recorded, or because
     /// this VM has seen the list for long enough itself.
     fn version_knowledge(&self) -> VersionKnowledge {
@@ -246,17 +209,6 @@
         self.set_record_timer();
     }
 
-    fn note_unknown_version(&mut self, id: CallId, instance: &Name, reason: UnknownRun) {
-        let Some(call) = self.calls.get(&id) else {
-            return;
-        };
-        self.note(RelayNotice::VersionUnknown {
-            request_id: call.stream_attempt().clone(),
-            instance: instance.clone(),
-            reason,
-        });
-    }
-
     /// Records the end of the call's stream; its origin is kept for the caller's next attempt.
     pub(in crate::relay) fn on_stream_end(&mut self, attempt: &Name, is_complete: bool) {
         if self.stream_versions.origin(attempt).is_none() {
@@ -298,13 +250,3 @@
         self.timers.set(due, RelayTimer::RecordStreams);
     }
 }
-
-/// Returns how long a stream that goes on may wait before it is sent: its caller leaves after a gap, in which the first event must come too.
-fn longest_wait(route: &RelayRoute) -> Duration {
-    let latency = route.latency_target;
-    let interval = route.event_interval_target;
-    let gap = MIN_CALLER_GAP
-        .max(latency.saturating_mul(CALLER_GAP_LATENCIES))
-        .max(interval.saturating_mul(CALLER_GAP_INTERVALS));
-    gap.saturating_sub(latency)
-}
